--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+export PYTHONPATH = src
+
+.PHONY: setup demo test lint format bench
+
+$(VENV)/.ready: requirements.lock
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip install -q -r requirements.lock
+	touch $(VENV)/.ready
+
+setup: $(VENV)/.ready
+
+demo: setup
+	$(PYTHON) -m magnoliapitch demo
+
+test: setup
+	$(PYTHON) -m pytest
+
+lint: setup
+	$(VENV)/bin/ruff format --check src tests
+	$(VENV)/bin/ruff check src tests
+	$(VENV)/bin/mypy
+
+format: setup
+	$(VENV)/bin/ruff format src tests
+	$(VENV)/bin/ruff check --fix src tests
+
+bench: setup
+	$(PYTHON) -m magnoliapitch bench decisions
+	$(PYTHON) -m magnoliapitch bench requests
+	$(PYTHON) -m magnoliapitch bench capacity
--- /dev/null
+++ b/src/magnoliapitch/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the command line as ``python -m magnoliapitch``."""
+
+from __future__ import annotations
+
+from magnoliapitch.console.application import main
+
+
+main()
--- /dev/null
+++ b/src/magnoliapitch/api/caller.py
@@ -0,0 +1,94 @@
+"""HTTP interface for callers."""
+
+from __future__ import annotations
+
+import uuid
+
+from typing import TYPE_CHECKING
+
+from pydantic import TypeAdapter
+from pydantic import ValidationError
+from result import Err
+
+from magnoliapitch.http import Application
+from magnoliapitch.http import HttpRequest
+from magnoliapitch.http import HttpResponse
+from magnoliapitch.http import json_response
+from magnoliapitch.http import problem_response
+from magnoliapitch.job.spec import JobSpec
+from magnoliapitch.journal.record import JobCancel
+from magnoliapitch.peer.message import ForwardedRequest
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import not_run
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.entry.node import EntryNode
+
+
+COMMIT_TIMEOUT_MS = 5_000
+REQUEST_ID_HEADER = "X-Request-Id"
+
+_JOB = TypeAdapter(JobSpec)
+
+
+def caller_application(node: EntryNode) -> Application:
+    """Return the application that serves callers."""
+    application = Application()
+
+    @application.route("POST", "/v1/requests/{entry}")
+    def execute(request: HttpRequest) -> HttpResponse:
+        request_id = _request_id(request)
+        forwarded = ForwardedRequest(
+            request_id,
+            request.path_values["entry"],
+            request.body,
+            node.patience_ms(request.path_values["entry"]),
+        )
+        outcome = node.router.execute(forwarded)
+        header = ((REQUEST_ID_HEADER, request_id),)
+        if isinstance(outcome, Err):
+            response = problem_response(outcome.err_value, request_id)
+            return response._replace(headers=response.headers + header)
+        answer = outcome.ok_value
+        return HttpResponse(answer.status, answer.body, headers=header)
+
+    @application.route("POST", "/v1/jobs")
+    def submit(request: HttpRequest) -> HttpResponse:
+        try:
+            job = _JOB.validate_python(request.json())
+        except (ValidationError, ValueError) as error:
+            return problem_response(not_run(FailureCode.INVALID, str(error)))
+        outcome = node.submit_job(job, COMMIT_TIMEOUT_MS)
+        if isinstance(outcome, Err):
+            return problem_response(outcome.err_value)
+        return json_response({"job_id": job.job_id}, 202)
+
+    @application.route("GET", "/v1/jobs/{job}")
+    def status(request: HttpRequest) -> HttpResponse:
+        job_id = request.path_values["job"]
+        found = node.job_status(job_id)
+        if found is None:
+            return problem_response(
+                not_run(FailureCode.NOT_FOUND, f"no job {job_id}")
+            )
+        return json_response(found)
+
+    @application.route("DELETE", "/v1/jobs/{job}")
+    def cancel(request: HttpRequest) -> HttpResponse:
+        job_id = request.path_values["job"]
+        outcome = node.journal.commit(JobCancel(job_id), COMMIT_TIMEOUT_MS)
+        if isinstance(outcome, Err):
+            return problem_response(outcome.err_value)
+        if not outcome.ok_value.applied:
+            return problem_response(
+                not_run(FailureCode.CONFLICT, outcome.ok_value.reason)
+            )
+        return json_response({"job_id": job_id, "cancelled": True})
+
+    return application
+
+
+def _request_id(request: HttpRequest) -> str:
+    given = request.headers_by_name.get(REQUEST_ID_HEADER.lower())
+    return given or uuid.uuid4().hex
--- /dev/null
+++ b/src/magnoliapitch/clock.py
@@ -0,0 +1,68 @@
+"""Monotonic clocks, real and manual."""
+
+from __future__ import annotations
+
+import time
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+
+if TYPE_CHECKING:
+    import threading
+
+
+__all__ = ["Clock", "ManualClock", "MonotonicClock"]
+
+
+class Clock(Protocol):
+    """A monotonic clock; wall-clock time is never used for decisions."""
+
+    def now_ms(self) -> int:
+        """Return milliseconds since an arbitrary fixed origin."""
+
+    def wait(self, event: threading.Event, timeout_ms: int) -> bool:
+        """Wait for an event for at most ``timeout_ms`` milliseconds.
+
+        :return: whether the event is set.
+        """
+
+
+class MonotonicClock:
+    """The operating system's monotonic clock."""
+
+    def now_ms(self) -> int:
+        """Return the monotonic time in milliseconds."""
+        return time.monotonic_ns() // 1_000_000
+
+    def wait(self, event: threading.Event, timeout_ms: int) -> bool:
+        """Wait for an event for at most ``timeout_ms`` milliseconds."""
+        return event.wait(timeout_ms / 1000)
+
+
+class ManualClock:
+    """A clock that moves only when told to, for deterministic runs."""
+
+    def __init__(self, now_ms: int = 0) -> None:
+        self._now_ms = now_ms
+
+    def now_ms(self) -> int:
+        """Return the current manual time in milliseconds."""
+        return self._now_ms
+
+    def advance(self, duration_ms: int) -> None:
+        """Move the clock forward.
+
+        :param duration_ms: milliseconds, not negative.
+        :raises ValueError: if the duration is negative.
+        """
+        if duration_ms < 0:
+            raise ValueError("a monotonic clock cannot go back")
+        self._now_ms += duration_ms
+
+    def wait(self, event: threading.Event, timeout_ms: int) -> bool:
+        """Advance by the timeout unless the event is already set."""
+        if event.is_set():
+            return True
+        self.advance(timeout_ms)
+        return event.is_set()
--- /dev/null
+++ b/src/magnoliapitch/console/__init__.py
@@ -0,0 +1,3 @@
+"""Command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/magnoliapitch/entry/adapters.py
@@ -0,0 +1,40 @@
+"""The outside of an entry instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from magnoliapitch.backend.client import BackendClient
+from magnoliapitch.backend.http_client import HttpBackendClient
+from magnoliapitch.platform import http_instance_list as _list  # noqa: F401
+from magnoliapitch.platform import http_log as _log  # noqa: F401
+from magnoliapitch.platform.instance import InstanceList
+from magnoliapitch.platform.log import PlatformLog
+from magnoliapitch.platform.registry import make_instance_list
+from magnoliapitch.platform.registry import make_log
+from magnoliapitch.worker.http_pool import HttpWorkerPool
+from magnoliapitch.worker.pool import WorkerPool
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.settings.model import Settings
+
+
+class Adapters(NamedTuple):
+    """Everything that an entry instance calls."""
+
+    log: PlatformLog
+    instance_list: InstanceList
+    workers: WorkerPool
+    backends: BackendClient
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> Adapters:
+        """Build the adapters that the settings name."""
+        return cls(
+            make_log(settings.log_url),
+            make_instance_list(settings.instance_list_url),
+            HttpWorkerPool(),
+            HttpBackendClient(),
+        )
--- /dev/null
+++ b/src/magnoliapitch/http/problem.py
@@ -0,0 +1,52 @@
+"""Failures as RFC 9457 problem details."""
+
+from __future__ import annotations
+
+import orjson
+
+from magnoliapitch.http.message import HttpResponse
+from magnoliapitch.verdict import Failure
+from magnoliapitch.verdict import FailureCode
+
+
+CONTENT_TYPE = "application/problem+json"
+
+STATUS_BY_CODE = {
+    FailureCode.INVALID: 400,
+    FailureCode.NOT_FOUND: 404,
+    FailureCode.CONFLICT: 409,
+    FailureCode.OVERLOADED: 503,
+    FailureCode.QUOTA: 429,
+    FailureCode.IMPOSSIBLE: 422,
+    FailureCode.SHUTTING_DOWN: 503,
+    FailureCode.UNAVAILABLE: 503,
+    FailureCode.TIMEOUT: 504,
+    FailureCode.BAD_ANSWER: 502,
+    FailureCode.DUPLICATE: 409,
+    FailureCode.EXPIRED: 410,
+    FailureCode.STALE: 409,
+    FailureCode.TRUNCATED: 410,
+    FailureCode.CANCELLED: 409,
+}
+
+
+def problem_response(failure: Failure, request_id: str = "") -> HttpResponse:
+    """Return a failure as problem details with its verdict."""
+    status = STATUS_BY_CODE[failure.code]
+    problem: dict[str, object] = {
+        "type": f"urn:magnoliapitch:problem:{failure.code.value}",
+        "title": failure.code.value,
+        "status": status,
+        "detail": failure.detail,
+        "verdict": failure.verdict.value,
+    }
+    if request_id:
+        problem["request_id"] = request_id
+    headers: tuple[tuple[str, str], ...] = ()
+    if failure.retry_after_ms is not None:
+        seconds = -(-failure.retry_after_ms // 1000)
+        problem["retry_after_ms"] = failure.retry_after_ms
+        headers = (("Retry-After", str(seconds)),)
+    return HttpResponse(
+        status, orjson.dumps(problem), CONTENT_TYPE, headers=headers
+    )
--- /dev/null
+++ b/src/magnoliapitch/job/spec.py
@@ -0,0 +1,65 @@
+"""What callers submit as a job, and names of its task attempts."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Annotated
+from typing import NamedTuple
+
+from pydantic import Field
+
+from magnoliapitch.resource import Resources
+
+
+JobId = Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,128}$")]
+
+
+class JobSpec(NamedTuple):
+    """A job as accepted from a caller.
+
+    :param job_id: unique id; submitting the same id again is idempotent.
+    :param entry: catalogue entry that the job belongs to.
+    :param tasks: number of identical tasks.
+    :param resources: declared size of each task.
+    :param run_ms: declared run time of each task, in milliseconds.
+    :param deadline_ms: wanted completion after submission, 0 for none.
+    :param payload: opaque input of every task.
+    """
+
+    job_id: JobId
+    entry: str
+    tasks: Annotated[int, Field(ge=1, le=100_000)]
+    resources: Resources
+    run_ms: Annotated[int, Field(ge=1)] = 60_000
+    deadline_ms: Annotated[int, Field(ge=0)] = 0
+    payload: str = ""
+
+
+class TaskOutcome(StrEnum):
+    """How one attempt of a task ended."""
+
+    FINISHED = "finished"
+    FAILED = "failed"
+    LOST = "lost"
+    CANCELLED = "cancelled"
+
+
+class AttemptName(NamedTuple):
+    """Identifies one attempt of one task of a job."""
+
+    job_id: str
+    task: int
+    attempt: int
+
+
+def lease_id_of(name: AttemptName) -> str:
+    """Return the lease id of a task attempt."""
+    return f"{name.job_id}/{name.task}/{name.attempt}"
+
+
+def parse_lease_id(lease_id: str) -> AttemptName | None:
+    """Return the attempt that a lease id names, if it names one."""
+    parts = lease_id.split("/")
+    if len(parts) != 3 or not (parts[1].isdigit() and parts[2].isdigit()):
+        return None
+    return AttemptName(parts[0], int(parts[1]), int(parts[2]))
--- /dev/null
+++ b/src/magnoliapitch/journal/codec.py
@@ -0,0 +1,81 @@
+"""JSON form of log records.
+
+A record is ``{"v": 1, "writer": W, "seq": N, "entries": [...]}``; each entry
+is an object with its ``kind`` and the fields of that kind. Operators who
+append records themselves leave out ``writer`` and ``seq``.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+from pydantic import ValidationError
+
+from magnoliapitch.journal.exceptions import DamagedRecordError
+from magnoliapitch.journal.record import Envelope
+from magnoliapitch.journal.record import InvalidEntry
+from magnoliapitch.journal.record import RecordEntry
+from magnoliapitch.journal.record import UnknownEntry
+from magnoliapitch.journal.record import adapters_by_kind
+from magnoliapitch.journal.record import kinds_by_type
+
+
+RECORD_VERSION = 1
+
+
+def encode_record(
+    entries: tuple[RecordEntry, ...], writer: str = "", seq: int = 0
+) -> bytes:
+    """Encode entries as one log record."""
+    record: dict[str, Any] = {"v": RECORD_VERSION}
+    if writer:
+        record["writer"] = writer
+        record["seq"] = seq
+    record["entries"] = [_encode_entry(entry) for entry in entries]
+    return orjson.dumps(record)
+
+
+def decode_record(data: bytes) -> Envelope:
+    """Decode one log record.
+
+    :raises DamagedRecordError: if the bytes are not an envelope.
+    """
+    try:
+        record = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise DamagedRecordError(str(error)) from error
+    if not isinstance(record, dict) or record.get("v") != RECORD_VERSION:
+        raise DamagedRecordError("not an object with v = 1")
+    entries = record.get("entries")
+    if not isinstance(entries, list):
+        raise DamagedRecordError("entries is not a list")
+    writer = record.get("writer", "")
+    seq = record.get("seq", 0)
+    if not isinstance(writer, str) or type(seq) is not int:
+        raise DamagedRecordError("writer or seq has the wrong type")
+    return Envelope(tuple(map(_decode_entry, entries)), writer, seq)
+
+
+def _encode_entry(entry: RecordEntry) -> dict[str, Any]:
+    kind = kinds_by_type[type(entry)]
+    value = adapters_by_kind[kind].dump_python(entry, mode="json")
+    fields = dict(zip(entry._fields, value, strict=True))
+    return {"kind": kind, **fields}
+
+
+def _decode_entry(value: Any) -> RecordEntry | UnknownEntry | InvalidEntry:
+    if not isinstance(value, dict) or not isinstance(value.get("kind"), str):
+        return InvalidEntry("", "entry is not an object with a kind")
+    fields = dict(value)
+    kind = fields.pop("kind")
+    adapter = adapters_by_kind.get(kind)
+    if adapter is None:
+        return UnknownEntry(kind)
+    try:
+        entry: RecordEntry = adapter.validate_python(fields)
+    except ValidationError as error:
+        first = error.errors()[0]
+        return InvalidEntry(kind, f"{first['loc']}: {first['msg']}")
+    return entry
--- /dev/null
+++ b/src/magnoliapitch/journal/handler/__init__.py
@@ -0,0 +1,12 @@
+"""Fold handlers, one module a concern; importing registers them."""
+
+from __future__ import annotations
+
+from magnoliapitch.journal.handler import catalogue
+from magnoliapitch.journal.handler import job
+from magnoliapitch.journal.handler import member
+from magnoliapitch.journal.handler import request
+from magnoliapitch.journal.handler import unit
+
+
+__all__ = ["catalogue", "job", "member", "request", "unit"]
--- /dev/null
+++ b/src/magnoliapitch/journal/handler/catalogue.py
@@ -0,0 +1,56 @@
+"""Applies changes of the catalogue."""
+
+from __future__ import annotations
+
+from magnoliapitch.journal.fold import APPLIED
+from magnoliapitch.journal.fold import EntryOutcome
+from magnoliapitch.journal.fold import handles
+from magnoliapitch.journal.fold import rejected
+from magnoliapitch.journal.record import CatalogueDelete
+from magnoliapitch.journal.record import CataloguePut
+from magnoliapitch.journal.state import ClusterState
+from magnoliapitch.journal.state import VersionedEntry
+
+
+@handles(CataloguePut)
+def put_entry(
+    state: ClusterState, offset: int, change: CataloguePut
+) -> EntryOutcome:
+    """Put an entry in force if the expected version is the current one."""
+    name = change.entry.name
+    problem = _version_problem(state, name, change.expected_version)
+    if problem:
+        return rejected(problem)
+    version = state.last_version_by_name.get(name, 0) + 1
+    state.last_version_by_name[name] = version
+    state.catalogue_by_name[name] = VersionedEntry(
+        change.entry, version, offset
+    )
+    return APPLIED
+
+
+@handles(CatalogueDelete)
+def delete_entry(
+    state: ClusterState,
+    offset: int,  # noqa: ARG001
+    change: CatalogueDelete,
+) -> EntryOutcome:
+    """Delete an entry if the expected version is the current one."""
+    problem = _version_problem(state, change.name, change.expected_version)
+    if problem:
+        return rejected(problem)
+    if change.name not in state.catalogue_by_name:
+        return rejected(f"no entry {change.name}")
+    del state.catalogue_by_name[change.name]
+    state.last_version_by_name[change.name] += 1
+    return APPLIED
+
+
+def _version_problem(
+    state: ClusterState, name: str, expected_version: int
+) -> str:
+    current = state.catalogue_by_name.get(name)
+    version = current.version if current else 0
+    if version == expected_version:
+        return ""
+    return f"expected version {expected_version}, current is {version}"
--- /dev/null
+++ b/src/magnoliapitch/journal/handler/job.py
@@ -0,0 +1,77 @@
+"""Applies submissions, moves, cancellations and ends of jobs."""
+
+from __future__ import annotations
+
+from magnoliapitch.journal.fold import APPLIED
+from magnoliapitch.journal.fold import EntryOutcome
+from magnoliapitch.journal.fold import handles
+from magnoliapitch.journal.fold import rejected
+from magnoliapitch.journal.record import JobCancel
+from magnoliapitch.journal.record import JobMove
+from magnoliapitch.journal.record import JobSubmit
+from magnoliapitch.journal.record import TaskEnd
+from magnoliapitch.journal.state import ClusterState
+from magnoliapitch.journal.state import JobRecord
+
+
+@handles(JobSubmit)
+def submit(
+    state: ClusterState, offset: int, submit: JobSubmit
+) -> EntryOutcome:
+    """Accept a job; the first submission of an id wins."""
+    job_id = submit.job.job_id
+    if job_id in state.jobs_by_id:
+        return rejected(f"job {job_id} exists")
+    state.jobs_by_id[job_id] = JobRecord(submit.job, submit.unit, offset)
+    return APPLIED
+
+
+@handles(JobMove)
+def move(
+    state: ClusterState,
+    offset: int,  # noqa: ARG001
+    move: JobMove,
+) -> EntryOutcome:
+    """Assign a job to another unit if the mover owns the current one."""
+    job = state.jobs_by_id.get(move.job_id)
+    if job is None or job.unit != move.from_unit:
+        return rejected(f"job {move.job_id} is not at {move.from_unit}")
+    claim = state.claims_by_unit.get(move.from_unit)
+    epoch = claim.epoch if claim else 0
+    if epoch != move.epoch:
+        return rejected(f"epoch of {move.from_unit} is {epoch}")
+    job.unit = move.to_unit
+    return APPLIED
+
+
+@handles(JobCancel)
+def cancel(
+    state: ClusterState,
+    offset: int,  # noqa: ARG001
+    cancel: JobCancel,
+) -> EntryOutcome:
+    """Cancel a job that has not finished."""
+    job = state.jobs_by_id.get(cancel.job_id)
+    if job is None:
+        return rejected(f"no job {cancel.job_id}")
+    if job.is_done:
+        return rejected(f"job {cancel.job_id} has ended")
+    job.cancelled = True
+    return APPLIED
+
+
+@handles(TaskEnd)
+def end_task(
+    state: ClusterState,
+    offset: int,  # noqa: ARG001
+    end: TaskEnd,
+) -> EntryOutcome:
+    """Record the end of an attempt once."""
+    job = state.jobs_by_id.get(end.job_id)
+    if job is None or not 0 <= end.task < job.spec.tasks:
+        return rejected(f"no task {end.job_id}/{end.task}")
+    if end.attempt != job.attempts_by_task.get(end.task, 0):
+        return rejected(f"attempt {end.attempt} is not the current one")
+    job.attempts_by_task[end.task] = end.attempt + 1
+    job.ended_by_task[end.task] = end.outcome
+    return APPLIED
--- /dev/null
+++ b/src/magnoliapitch/journal/handler/request.py
@@ -0,0 +1,28 @@
+"""Applies intents of keyed requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliapitch.journal.fold import APPLIED
+from magnoliapitch.journal.fold import EntryOutcome
+from magnoliapitch.journal.fold import handles
+from magnoliapitch.journal.fold import rejected
+from magnoliapitch.journal.record import RequestIntent
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.journal.state import ClusterState
+
+
+@handles(RequestIntent)
+def intend(
+    state: ClusterState,
+    offset: int,  # noqa: ARG001
+    intent: RequestIntent,
+) -> EntryOutcome:
+    """Let the first intent of a key name who executes the request."""
+    if intent.key in state.intents_by_key:
+        return rejected(f"key {intent.key} is taken")
+    state.intents_by_key[intent.key] = intent
+    return APPLIED
--- /dev/null
+++ b/src/magnoliapitch/journal/handler/unit.py
@@ -0,0 +1,48 @@
+"""Applies claims on racks and groups of backend servers."""
+
+from __future__ import annotations
+
+from magnoliapitch.journal.fold import APPLIED
+from magnoliapitch.journal.fold import EntryOutcome
+from magnoliapitch.journal.fold import handles
+from magnoliapitch.journal.fold import rejected
+from magnoliapitch.journal.record import UnitClaim
+from magnoliapitch.journal.record import UnitRelease
+from magnoliapitch.journal.state import Claim
+from magnoliapitch.journal.state import ClusterState
+
+
+@handles(UnitClaim)
+def claim(state: ClusterState, offset: int, claim: UnitClaim) -> EntryOutcome:
+    """Grant a claim that follows the current epoch; the first one wins."""
+    current = state.claims_by_unit.get(claim.unit)
+    epoch = current.epoch if current else 0
+    if claim.previous_epoch != epoch:
+        return rejected(f"epoch is {epoch}, not {claim.previous_epoch}")
+    if current and current.zone != claim.zone:
+        return rejected(f"{claim.unit} belongs to zone {current.zone}")
+    member = state.members_by_incarnation.get(claim.incarnation)
+    if member is None or member.left or member.join.zone != claim.zone:
+        return rejected(f"{claim.incarnation} is no member of {claim.zone}")
+    state.claims_by_unit[claim.unit] = Claim(
+        claim.unit, claim.zone, claim.incarnation, epoch + 1, offset
+    )
+    return APPLIED
+
+
+@handles(UnitRelease)
+def release(
+    state: ClusterState, offset: int, release: UnitRelease
+) -> EntryOutcome:
+    """End a claim; the epoch stays."""
+    current = state.claims_by_unit.get(release.unit)
+    if (
+        current is None
+        or current.incarnation != release.incarnation
+        or current.epoch != release.epoch
+    ):
+        return rejected(f"{release.incarnation} does not hold {release.unit}")
+    state.claims_by_unit[release.unit] = current._replace(
+        incarnation="", offset=offset
+    )
+    return APPLIED
--- /dev/null
+++ b/src/magnoliapitch/ownership/__init__.py
@@ -0,0 +1,8 @@
+"""Ownership of racks and groups of backend servers."""
+
+from __future__ import annotations
+
+from magnoliapitch.ownership.claimer import Claimer
+
+
+__all__ = ["Claimer"]
--- /dev/null
+++ b/src/magnoliapitch/peer/codec.py
@@ -0,0 +1,190 @@
+"""Translation between plain messages and Cap'n Proto ones."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import capnp
+
+from result import Err
+from result import Ok
+from result import Result
+
+from magnoliapitch.peer.message import Beat
+from magnoliapitch.peer.message import ForwardedAnswer
+from magnoliapitch.peer.message import ForwardedRequest
+from magnoliapitch.peer.message import LogPage
+from magnoliapitch.peer.message import MemberInfo
+from magnoliapitch.peer.message import UnitLoad
+from magnoliapitch.platform.log import LogRecord
+from magnoliapitch.resource import Resources
+from magnoliapitch.verdict import Failure
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import Verdict
+
+
+schema: Any = capnp.load(str(Path(__file__).with_name("peer.capnp")))
+
+NO_RETRY_MS = -1
+
+
+def beat_to_dict(beat: Beat) -> dict[str, Any]:
+    """Return the Cap'n Proto fields of a heartbeat."""
+    return {
+        "instanceId": beat.instance_id,
+        "incarnation": beat.incarnation,
+        "zone": beat.zone,
+        "nextOffset": beat.next_offset,
+        "logAgeMs": beat.log_age_ms,
+        "leaving": beat.leaving,
+        "loads": [_load_to_dict(load) for load in beat.loads],
+        "members": [_member_to_dict(member) for member in beat.members],
+    }
+
+
+def beat_from(reader: Any) -> Beat:
+    """Return the heartbeat that a Cap'n Proto reader holds."""
+    return Beat(
+        reader.instanceId,
+        reader.incarnation,
+        reader.zone,
+        reader.nextOffset,
+        reader.logAgeMs,
+        reader.leaving,
+        tuple(_load_from(load) for load in reader.loads),
+        tuple(_member_from(member) for member in reader.members),
+    )
+
+
+def request_to_dict(request: ForwardedRequest) -> dict[str, Any]:
+    """Return the Cap'n Proto fields of a forwarded request."""
+    return {
+        "requestId": request.request_id,
+        "entry": request.entry,
+        "body": request.body,
+        "timeoutMs": request.timeout_ms,
+        "ticket": request.ticket,
+        "key": request.key,
+    }
+
+
+def request_from(reader: Any) -> ForwardedRequest:
+    """Return the request that a Cap'n Proto reader holds."""
+    return ForwardedRequest(
+        reader.requestId,
+        reader.entry,
+        bytes(reader.body),
+        reader.timeoutMs,
+        reader.ticket,
+        reader.key,
+    )
+
+
+def answer_to_dict(
+    request_id: str, outcome: Result[ForwardedAnswer, Failure]
+) -> dict[str, Any]:
+    """Return the Cap'n Proto fields of an answer."""
+    if isinstance(outcome, Ok):
+        answer = outcome.ok_value
+        return {
+            "requestId": answer.request_id,
+            "status": answer.status,
+            "body": answer.body,
+            "retryAfterMs": NO_RETRY_MS,
+        }
+    failure = outcome.err_value
+    retry_ms = failure.retry_after_ms
+    return {
+        "requestId": request_id,
+        "verdict": failure.verdict.value,
+        "code": failure.code.value,
+        "detail": failure.detail,
+        "retryAfterMs": NO_RETRY_MS if retry_ms is None else retry_ms,
+    }
+
+
+def answer_from(reader: Any) -> Result[ForwardedAnswer, Failure]:
+    """Return the answer that a Cap'n Proto reader holds."""
+    if not reader.verdict:
+        return Ok(
+            ForwardedAnswer(
+                reader.requestId, reader.status, bytes(reader.body)
+            )
+        )
+    retry_ms = reader.retryAfterMs
+    return Err(
+        Failure(
+            Verdict(reader.verdict),
+            FailureCode(reader.code),
+            reader.detail,
+            None if retry_ms < 0 else retry_ms,
+        )
+    )
+
+
+def page_to_dict(page: LogPage) -> dict[str, Any]:
+    """Return the Cap'n Proto fields of relayed log records."""
+    return {
+        "records": [
+            {"offset": record.offset, "data": record.data}
+            for record in page.records
+        ],
+        "nextOffset": page.next_offset,
+        "logAgeMs": page.log_age_ms,
+    }
+
+
+def page_from(reader: Any) -> LogPage:
+    """Return the log records that a Cap'n Proto reader holds."""
+    return LogPage(
+        tuple(
+            LogRecord(item.offset, bytes(item.data)) for item in reader.records
+        ),
+        reader.nextOffset,
+        reader.logAgeMs,
+    )
+
+
+def _load_to_dict(load: UnitLoad) -> dict[str, Any]:
+    return {
+        "unit": load.unit,
+        "freeCpuMillis": load.free.cpu_millis,
+        "freeMemoryMb": load.free.memory_mb,
+        "freeAccelerators": load.free.accelerators,
+        "queued": load.queued,
+        "freeSlots": load.free_slots,
+    }
+
+
+def _load_from(reader: Any) -> UnitLoad:
+    return UnitLoad(
+        reader.unit,
+        Resources(
+            reader.freeCpuMillis, reader.freeMemoryMb, reader.freeAccelerators
+        ),
+        reader.queued,
+        reader.freeSlots,
+    )
+
+
+def _member_to_dict(member: MemberInfo) -> dict[str, Any]:
+    return {
+        "instanceId": member.instance_id,
+        "incarnation": member.incarnation,
+        "zone": member.zone,
+        "peerAddress": member.peer_address,
+        "nextOffset": member.next_offset,
+        "ageMs": member.age_ms,
+    }
+
+
+def _member_from(reader: Any) -> MemberInfo:
+    return MemberInfo(
+        reader.instanceId,
+        reader.incarnation,
+        reader.zone,
+        reader.peerAddress,
+        reader.nextOffset,
+        reader.ageMs,
+    )
--- /dev/null
+++ b/src/magnoliapitch/peer/node.py
@@ -0,0 +1,258 @@
+"""RPC node: one asyncio loop in one thread, for both directions."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+
+from concurrent.futures import Future
+from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Protocol
+from typing import TypeVar
+
+import capnp
+
+from result import Err
+from result import Ok
+from result import Result
+
+from magnoliapitch.peer import codec
+from magnoliapitch.peer.message import Beat
+from magnoliapitch.peer.message import ForwardedAnswer
+from magnoliapitch.peer.message import ForwardedRequest
+from magnoliapitch.peer.message import LogPage
+from magnoliapitch.peer.message import StateSnapshot
+from magnoliapitch.verdict import Failure
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import may_have_run
+from magnoliapitch.verdict import not_run
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+
+ValueT = TypeVar("ValueT")
+
+START_TIMEOUT_S = 10
+FORWARD_THREADS = 64
+
+
+class PeerHandler(Protocol):
+    """What an entry instance does for its peers."""
+
+    def heartbeat(self, beat: Beat) -> Beat:
+        """Take in a peer's heartbeat and return the own one."""
+
+    def forward(
+        self, request: ForwardedRequest
+    ) -> Result[ForwardedAnswer, Failure]:
+        """Execute a forwarded request; runs in a worker thread."""
+
+    def read_log(self, from_offset: int, limit: int) -> LogPage:
+        """Relay log records."""
+
+    def snapshot(self) -> StateSnapshot:
+        """Return the encoded fold."""
+
+
+class _Server(codec.schema.Peer.Server):  # type: ignore[misc]
+    def __init__(
+        self, handler: PeerHandler, threads: ThreadPoolExecutor
+    ) -> None:
+        self._handler = handler
+        self._threads = threads
+
+    async def heartbeat(self, beat: Any, **_: Any) -> Any:
+        answer = self._handler.heartbeat(codec.beat_from(beat))
+        return codec.schema.Beat.new_message(**codec.beat_to_dict(answer))
+
+    async def forward(self, request: Any, **_: Any) -> Any:
+        plain = codec.request_from(request)
+        loop = asyncio.get_running_loop()
+        outcome = await loop.run_in_executor(
+            self._threads, self._handler.forward, plain
+        )
+        fields = codec.answer_to_dict(plain.request_id, outcome)
+        return codec.schema.Answer.new_message(**fields)
+
+    async def readLog(  # noqa: N802
+        self,
+        fromOffset: int,  # noqa: N803
+        limit: int,
+        _context: Any,
+        **_: Any,
+    ) -> None:
+        page = self._handler.read_log(fromOffset, limit)
+        fields = codec.page_to_dict(page)
+        _context.results.records = fields["records"]
+        _context.results.nextOffset = fields["nextOffset"]
+        _context.results.logAgeMs = fields["logAgeMs"]
+
+    async def snapshot(self, _context: Any, **_: Any) -> None:
+        snapshot = self._handler.snapshot()
+        _context.results.offset = snapshot.offset
+        _context.results.digest = snapshot.digest
+        _context.results.state = snapshot.state
+
+
+class PeerNode:
+    """Serves peers and calls them.
+
+    :param address: IP number and port to listen on; port 0 picks one.
+    """
+
+    name = "peer-node"
+
+    def __init__(self, address: tuple[str, int], handler: PeerHandler) -> None:
+        self._address = address
+        self._handler = handler
+        self._threads = ThreadPoolExecutor(FORWARD_THREADS, "peer-forward")
+        self._caps_by_address: dict[str, Any] = {}
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._stopping: asyncio.Event | None = None
+        self._ready = threading.Event()
+        self._thread: threading.Thread | None = None
+        self.port = address[1]
+
+    def start(self) -> None:
+        """Bind and serve in a thread of its own."""
+        self._ready.clear()
+        self._thread = threading.Thread(
+            target=lambda: asyncio.run(self._serve()),
+            name=self.name,
+            daemon=True,
+        )
+        self._thread.start()
+        self._ready.wait(START_TIMEOUT_S)
+
+    def stop(self) -> None:
+        """Close every connection and end the thread."""
+        if self._loop is not None and self._stopping is not None:
+            self._loop.call_soon_threadsafe(self._stopping.set)
+        if self._thread is not None:
+            self._thread.join()
+        self._threads.shutdown(wait=False)
+
+    def is_alive(self) -> bool:
+        """Return whether the loop's thread runs."""
+        return self._thread is not None and self._thread.is_alive()
+
+    def heartbeat(
+        self, address: str, beat: Beat, timeout_ms: int
+    ) -> Result[Beat, Failure]:
+        """Exchange heartbeats with a peer."""
+
+        async def call(peer: Any) -> Beat:
+            answer = await peer.heartbeat(beat=codec.beat_to_dict(beat))
+            return codec.beat_from(answer.beat)
+
+        return self._call(address, call, timeout_ms)
+
+    def forward(
+        self, address: str, request: ForwardedRequest, timeout_ms: int
+    ) -> Result[ForwardedAnswer, Failure]:
+        """Let a peer execute a request."""
+
+        async def call(peer: Any) -> Result[ForwardedAnswer, Failure]:
+            answer = await peer.forward(request=codec.request_to_dict(request))
+            return codec.answer_from(answer.answer)
+
+        outcome = self._call(address, call, timeout_ms)
+        return outcome.and_then(lambda answer: answer)
+
+    def read_log(
+        self, address: str, from_offset: int, limit: int, timeout_ms: int
+    ) -> Result[LogPage, Failure]:
+        """Fetch log records through a peer."""
+
+        async def call(peer: Any) -> LogPage:
+            answer = await peer.readLog(fromOffset=from_offset, limit=limit)
+            return codec.page_from(answer)
+
+        return self._call(address, call, timeout_ms)
+
+    def snapshot(
+        self, address: str, timeout_ms: int
+    ) -> Result[StateSnapshot, Failure]:
+        """Fetch a peer's encoded fold."""
+
+        async def call(peer: Any) -> StateSnapshot:
+            answer = await peer.snapshot()
+            return StateSnapshot(
+                answer.offset, answer.digest, bytes(answer.state)
+            )
+
+        return self._call(address, call, timeout_ms)
+
+    def _call(
+        self,
+        address: str,
+        call: Callable[[Any], Awaitable[ValueT]],
+        timeout_ms: int,
+    ) -> Result[ValueT, Failure]:
+        if self._loop is None or not self.is_alive():
+            return Err(not_run(FailureCode.UNAVAILABLE, "node is stopped"))
+        future: Future[Result[ValueT, Failure]] = (
+            asyncio.run_coroutine_threadsafe(
+                self._call_in_loop(address, call, timeout_ms), self._loop
+            )
+        )
+        try:
+            return future.result(2 * timeout_ms / 1000)
+        except FutureTimeoutError:
+            future.cancel()
+            return Err(may_have_run(FailureCode.TIMEOUT, "peer is silent"))
+
+    async def _call_in_loop(
+        self,
+        address: str,
+        call: Callable[[Any], Awaitable[ValueT]],
+        timeout_ms: int,
+    ) -> Result[ValueT, Failure]:
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                peer = await self._connect(address)
+        except (OSError, TimeoutError) as error:
+            return Err(not_run(FailureCode.UNAVAILABLE, repr(error)))
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                return Ok(await call(peer))
+        except (capnp.KjException, TimeoutError) as error:
+            self._caps_by_address.pop(address, None)
+            return Err(may_have_run(FailureCode.TIMEOUT, str(error)))
+
+    async def _connect(self, address: str) -> Any:
+        peer = self._caps_by_address.get(address)
+        if peer is None:
+            host, _, port = address.rpartition(":")
+            stream = await capnp.AsyncIoStream.create_connection(
+                host, int(port)
+            )
+            client = capnp.TwoPartyClient(stream)
+            peer = client.bootstrap().cast_as(codec.schema.Peer)
+            self._caps_by_address[address] = peer
+        return peer
+
+    async def _serve(self) -> None:
+        async with capnp.kj_loop():
+            self._loop = asyncio.get_running_loop()
+            self._stopping = asyncio.Event()
+            server = await capnp.AsyncIoStream.create_server(
+                self._accept, *self._address
+            )
+            self.port = server.sockets[0].getsockname()[1]
+            serving = asyncio.create_task(server.serve_forever())
+            self._ready.set()
+            await self._stopping.wait()
+            serving.cancel()
+            server.close()
+            self._caps_by_address.clear()
+
+    async def _accept(self, stream: Any) -> None:
+        bootstrap = _Server(self._handler, self._threads)
+        await capnp.TwoPartyServer(stream, bootstrap=bootstrap).on_disconnect()
--- /dev/null
+++ b/src/magnoliapitch/peer/peer.capnp
@@ -0,0 +1,69 @@
+@0xbf5147cbbecf40c1;
+
+# Messages between entry instances.
+
+struct Beat {
+  # One heartbeat; carries what would otherwise need messages of its own.
+  instanceId @0 :Text;
+  incarnation @1 :Text;
+  zone @2 :Text;
+  nextOffset @3 :UInt64;      # offset of the next log record to apply
+  logAgeMs @4 :UInt32;        # age of the last successful log read
+  leaving @5 :Bool;
+  loads @6 :List(UnitLoad);
+  members @7 :List(MemberInfo);
+}
+
+struct UnitLoad {
+  # Free capacity of a unit owned by the sender.
+  unit @0 :Text;
+  freeCpuMillis @1 :Int64;
+  freeMemoryMb @2 :Int64;
+  freeAccelerators @3 :Int64;
+  queued @4 :UInt32;
+  freeSlots @5 :UInt32;
+}
+
+struct MemberInfo {
+  # What the sender knows of another instance.
+  instanceId @0 :Text;
+  incarnation @1 :Text;
+  zone @2 :Text;
+  peerAddress @3 :Text;
+  nextOffset @4 :UInt64;
+  ageMs @5 :UInt32;
+}
+
+struct Forward {
+  # A small request for the peer to execute on its backend servers.
+  requestId @0 :Text;
+  entry @1 :Text;
+  body @2 :Data;
+  timeoutMs @3 :UInt32;
+  ticket @4 :Text;
+  key @5 :Text;
+}
+
+struct Answer {
+  # The result of a request, or the failure with its verdict.
+  requestId @0 :Text;
+  status @1 :UInt16;
+  body @2 :Data;
+  verdict @3 :Text;           # empty for a result
+  code @4 :Text;
+  detail @5 :Text;
+  retryAfterMs @6 :Int32;     # negative for none
+}
+
+struct LogEntry {
+  offset @0 :UInt64;
+  data @1 :Data;
+}
+
+interface Peer {
+  heartbeat @0 (beat :Beat) -> (beat :Beat);
+  forward @1 (request :Forward) -> (answer :Answer);
+  readLog @2 (fromOffset :UInt64, limit :UInt32)
+      -> (records :List(LogEntry), nextOffset :UInt64, logAgeMs :UInt32);
+  snapshot @3 () -> (offset :UInt64, digest :Text, state :Data);
+}
--- /dev/null
+++ b/src/magnoliapitch/platform/http_client.py
@@ -0,0 +1,83 @@
+"""Calls to HTTP services of the platform."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+import urllib3
+
+from result import Err
+from result import Ok
+from result import Result
+
+from magnoliapitch.verdict import Failure
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import Verdict
+from magnoliapitch.verdict import may_have_run
+from magnoliapitch.verdict import not_run
+
+
+TIMEOUT_MS = 5_000
+HTTP_OK = 200
+
+
+class JsonClient:
+    """Sends JSON requests once, without retries or redirects."""
+
+    def __init__(self, base_url: str, timeout_ms: int = TIMEOUT_MS) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._timeout_ms = timeout_ms
+        self._pool = urllib3.PoolManager(maxsize=8, retries=False)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        value: object = None,
+        extra_wait_ms: int = 0,
+    ) -> Result[Any, Failure]:
+        """Send a request and decode the JSON answer.
+
+        :param extra_wait_ms: time that the server itself may wait.
+        """
+        body = None if value is None else orjson.dumps(value)
+        timeout_s = (self._timeout_ms + extra_wait_ms) / 1000
+        try:
+            response = self._pool.request(
+                method,
+                self._base_url + path,
+                body=body,
+                timeout=timeout_s,
+                headers={"Content-Type": "application/json"},
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            return Err(not_run(FailureCode.UNAVAILABLE, str(error)))
+        except urllib3.exceptions.HTTPError as error:
+            return Err(may_have_run(FailureCode.TIMEOUT, str(error)))
+        return _decode(response.status, response.data)
+
+
+def _decode(status: int, data: bytes) -> Result[Any, Failure]:
+    try:
+        value = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        return Err(may_have_run(FailureCode.BAD_ANSWER, str(error)))
+    if status == HTTP_OK:
+        return Ok(value)
+    return Err(_failure_from(value))
+
+
+def _failure_from(problem: Any) -> Failure:
+    try:
+        return Failure(
+            Verdict(problem["verdict"]),
+            FailureCode(problem["title"]),
+            str(problem["detail"]),
+            problem.get("retry_after_ms"),
+        )
+    except (KeyError, TypeError, ValueError):
+        return may_have_run(FailureCode.BAD_ANSWER, f"answer {problem!r}")
--- /dev/null
+++ b/src/magnoliapitch/platform/http_instance_list.py
@@ -0,0 +1,41 @@
+"""Adapter to an instance list that speaks HTTP and JSON.
+
+``GET /instances`` answers ``{"instances": [...]}`` with the fields of
+:class:`~magnoliapitch.platform.instance.InstanceInfo`.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pydantic import TypeAdapter
+
+from magnoliapitch.platform.http_client import JsonClient
+from magnoliapitch.platform.instance import InstanceInfo
+from magnoliapitch.platform.registry import instance_list_adapter
+
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from magnoliapitch.verdict import Failure
+
+
+_ADAPTER = TypeAdapter(tuple[InstanceInfo, ...])
+
+
+class HttpInstanceList:
+    """The platform's list of instances over HTTP."""
+
+    def __init__(self, url: str) -> None:
+        self._client = JsonClient(url)
+
+    def instances(self) -> Result[tuple[InstanceInfo, ...], Failure]:
+        """Return every listed instance."""
+        answer = self._client.call("GET", "/instances")
+        return answer.map(
+            lambda value: _ADAPTER.validate_python(value["instances"])
+        )
+
+
+instance_list_adapter("http")(HttpInstanceList)
--- /dev/null
+++ b/src/magnoliapitch/platform/instance.py
@@ -0,0 +1,67 @@
+"""Interface of the platform's list of instances."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+from typing import Protocol
+
+from magnoliapitch.resource import NO_RESOURCES
+from magnoliapitch.resource import Resources
+
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from magnoliapitch.verdict import Failure
+
+
+class InstanceRole(StrEnum):
+    """What an instance does."""
+
+    ENTRY = "entry"
+    WORKER = "worker"
+    BACKEND_SERVER = "backend-server"
+
+
+class InstanceState(StrEnum):
+    """State of an instance as the platform last saw it."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class InstanceInfo(NamedTuple):
+    """One row of the platform's list of instances.
+
+    :param instance_id: unique name of the instance.
+    :param role: what the instance does.
+    :param zone: availability zone.
+    :param url: base address with an IP number, ``http://IP:PORT/PATH``;
+        of an entry ``IP:PORT`` of its peer listener.
+    :param state: live or leaving.
+    :param unit: rack of a worker or group of a backend server.
+    :param app: application of a backend server.
+    :param capacity: resources of a worker.
+    :param slots: requests a backend server executes at once.
+    :param connections: connections a backend server accepts.
+    """
+
+    instance_id: str
+    role: InstanceRole
+    zone: str
+    url: str
+    state: InstanceState = InstanceState.LIVE
+    unit: str = ""
+    app: str = ""
+    capacity: Resources = NO_RESOURCES
+    slots: int = 0
+    connections: int = 0
+
+
+class InstanceList(Protocol):
+    """List of live and leaving instances; it lags behind reality."""
+
+    def instances(self) -> Result[tuple[InstanceInfo, ...], Failure]:
+        """Return every listed instance."""
--- /dev/null
+++ b/src/magnoliapitch/resource.py
@@ -0,0 +1,56 @@
+"""Amounts of processors, memory and accelerators."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+__all__ = ["NO_RESOURCES", "Resources"]
+
+
+class Resources(NamedTuple):
+    """An amount of the three scheduled resources.
+
+    :param cpu_millis: thousandths of a processor core.
+    :param memory_mb: mebibytes of memory.
+    :param accelerators: whole accelerators.
+    """
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def plus(self, other: Resources) -> Resources:
+        """Return the sum of two amounts."""
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: Resources) -> Resources:
+        """Return the difference, which may have negative parts."""
+        return Resources(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def times(self, count: int) -> Resources:
+        """Return this amount multiplied by a whole number."""
+        return Resources(
+            self.cpu_millis * count,
+            self.memory_mb * count,
+            self.accelerators * count,
+        )
+
+    def fits(self, available: Resources) -> bool:
+        """Return whether every part is within the available amount."""
+        return (
+            self.cpu_millis <= available.cpu_millis
+            and self.memory_mb <= available.memory_mb
+            and self.accelerators <= available.accelerators
+        )
+
+
+NO_RESOURCES = Resources()
--- /dev/null
+++ b/src/magnoliapitch/standin/__init__.py
@@ -0,0 +1,16 @@
+"""Small in-memory stand-ins for the platform, workers and backends."""
+
+from __future__ import annotations
+
+from magnoliapitch.standin.backend import StandinBackends
+from magnoliapitch.standin.instance import StandinInstanceList
+from magnoliapitch.standin.log import StandinLog
+from magnoliapitch.standin.worker import StandinWorkers
+
+
+__all__ = [
+    "StandinBackends",
+    "StandinInstanceList",
+    "StandinLog",
+    "StandinWorkers",
+]
--- /dev/null
+++ b/src/magnoliapitch/standin/cell.py
@@ -0,0 +1,112 @@
+"""A complete deployment in one process: entries and stand-ins."""
+
+from __future__ import annotations
+
+import socket
+
+from typing import NamedTuple
+
+from magnoliapitch.clock import Clock
+from magnoliapitch.clock import MonotonicClock
+from magnoliapitch.entry.adapters import Adapters
+from magnoliapitch.entry.node import EntryNode
+from magnoliapitch.platform.instance import InstanceInfo
+from magnoliapitch.platform.instance import InstanceRole
+from magnoliapitch.resource import Resources
+from magnoliapitch.settings.model import Settings
+from magnoliapitch.standin.backend import StandinBackends
+from magnoliapitch.standin.instance import StandinInstanceList
+from magnoliapitch.standin.log import StandinLog
+from magnoliapitch.standin.worker import StandinWorkers
+
+
+class CellShape(NamedTuple):
+    """Sizes of a deployment.
+
+    :param zones: availability zones; each has one rack and one group.
+    """
+
+    zones: tuple[str, ...]
+    app: str
+    capacity: Resources
+    workers_per_zone: int = 8
+    backends_per_zone: int = 8
+    slots: int = 8
+    connections: int = 64
+
+
+class Cell:
+    """Stand-ins of a deployment, and entries that use them directly."""
+
+    def __init__(self, shape: CellShape, clock: Clock | None = None) -> None:
+        self.shape = shape
+        self.clock = clock or MonotonicClock()
+        infos = _instances(shape)
+        self.log = StandinLog()
+        self.instance_list = StandinInstanceList(infos)
+        workers = tuple(i for i in infos if i.role is InstanceRole.WORKER)
+        self.workers = StandinWorkers(workers, self.clock)
+        self.backends = StandinBackends()
+        self.entries: list[EntryNode] = []
+
+    def add_entry(self, zone: str) -> EntryNode:
+        """Build an entry instance in a zone; the caller starts it."""
+        number = len(self.entries) + 1
+        ports = free_ports(3)
+        settings = Settings(
+            f"entry-{number}",
+            zone,
+            "memory:",
+            "memory:",
+            caller_port=ports[0],
+            admin_port=ports[1],
+            peer_port=ports[2],
+        )
+        adapters = Adapters(
+            self.log, self.instance_list, self.workers, self.backends
+        )
+        node = EntryNode(settings, adapters, self.clock)
+        self.entries.append(node)
+        return node
+
+
+def free_ports(count: int) -> tuple[int, ...]:
+    """Return loopback ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind(("127.0.0.1", 0))
+        return tuple(int(item.getsockname()[1]) for item in sockets)
+    finally:
+        for item in sockets:
+            item.close()
+
+
+def _instances(shape: CellShape) -> tuple[InstanceInfo, ...]:
+    infos: list[InstanceInfo] = []
+    for zone in shape.zones:
+        infos += [
+            InstanceInfo(
+                f"{zone}-worker-{number}",
+                InstanceRole.WORKER,
+                zone,
+                "",
+                unit=f"{zone}-rack-1",
+                capacity=shape.capacity,
+            )
+            for number in range(1, shape.workers_per_zone + 1)
+        ]
+        infos += [
+            InstanceInfo(
+                f"{zone}-runner-{number}",
+                InstanceRole.BACKEND_SERVER,
+                zone,
+                "",
+                unit=f"{zone}-{shape.app}-1",
+                app=shape.app,
+                slots=shape.slots,
+                connections=shape.connections,
+            )
+            for number in range(1, shape.backends_per_zone + 1)
+        ]
+    return tuple(infos)
--- /dev/null
+++ b/src/magnoliapitch/standin/instance.py
@@ -0,0 +1,31 @@
+"""An in-memory list of instances."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+from result import Result
+
+from magnoliapitch.verdict import Failure
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import not_run
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.platform.instance import InstanceInfo
+
+
+class StandinInstanceList:
+    """Returns what was last published, so it lags as the test wishes."""
+
+    def __init__(self, instances: tuple[InstanceInfo, ...] = ()) -> None:
+        self.down = False
+        self.by_id = {item.instance_id: item for item in instances}
+
+    def instances(self) -> Result[tuple[InstanceInfo, ...], Failure]:
+        """Return every listed instance."""
+        if self.down:
+            return Err(not_run(FailureCode.UNAVAILABLE, "list is down"))
+        return Ok(tuple(self.by_id.values()))
--- /dev/null
+++ b/src/magnoliapitch/standin/log.py
@@ -0,0 +1,65 @@
+"""An in-memory log with outages, lost answers and limited retention."""
+
+from __future__ import annotations
+
+import threading
+
+from result import Err
+from result import Ok
+from result import Result
+
+from magnoliapitch.platform.log import LogRecord
+from magnoliapitch.platform.log import LogSlice
+from magnoliapitch.verdict import Failure
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import may_have_run
+from magnoliapitch.verdict import not_run
+
+
+class StandinLog:
+    """Keeps records in memory.
+
+    :ivar down: whether every call fails without effect.
+    :ivar answers_to_lose: appends that take effect but answer in error.
+    """
+
+    def __init__(self) -> None:
+        self.down = False
+        self.answers_to_lose = 0
+        self._records: list[LogRecord] = []
+        self._head = 0
+        self._changed = threading.Condition()
+
+    def append(self, data: bytes) -> Result[int, Failure]:
+        """Append one record and return its offset."""
+        with self._changed:
+            if self.down:
+                return Err(not_run(FailureCode.UNAVAILABLE, "log is down"))
+            offset = self._head
+            self._head += 1
+            self._records.append(LogRecord(offset, data))
+            self._changed.notify_all()
+            if self.answers_to_lose > 0:
+                self.answers_to_lose -= 1
+                return Err(may_have_run(FailureCode.TIMEOUT, "no answer"))
+            return Ok(offset)
+
+    def read(
+        self, from_offset: int, limit: int, wait_ms: int = 0
+    ) -> Result[LogSlice, Failure]:
+        """Read records from an offset, oldest first."""
+        with self._changed:
+            if wait_ms and not self.down and from_offset >= self._head:
+                self._changed.wait(wait_ms / 1000)
+            if self.down:
+                return Err(not_run(FailureCode.UNAVAILABLE, "log is down"))
+            oldest = self._head - len(self._records)
+            start = max(from_offset - oldest, 0)
+            records = tuple(self._records[start : start + limit])
+            return Ok(LogSlice(records, oldest, self._head))
+
+    def expire(self, before_offset: int) -> None:
+        """Drop records below an offset."""
+        with self._changed:
+            oldest = self._head - len(self._records)
+            del self._records[: max(before_offset - oldest, 0)]
--- /dev/null
+++ b/src/magnoliapitch/standin/server.py
@@ -0,0 +1,212 @@
+"""Serves the stand-ins over HTTP, for entries in other processes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from pydantic import TypeAdapter
+from result import Err
+from result import Result
+
+from magnoliapitch.backend.client import BackendRequest
+from magnoliapitch.backend.http_client import REFUSED_HEADER
+from magnoliapitch.backend.http_client import REQUEST_ID_HEADER
+from magnoliapitch.http import Application
+from magnoliapitch.http import HttpRequest
+from magnoliapitch.http import HttpResponse
+from magnoliapitch.http import Listener
+from magnoliapitch.http import json_response
+from magnoliapitch.http import problem_response
+from magnoliapitch.platform.instance import InstanceInfo
+from magnoliapitch.platform.instance import InstanceRole
+from magnoliapitch.worker.lease import LeaseGrant
+from magnoliapitch.worker.lease import WorkerView
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliapitch.standin.backend import StandinBackends
+    from magnoliapitch.standin.instance import StandinInstanceList
+    from magnoliapitch.standin.log import StandinLog
+    from magnoliapitch.standin.worker import StandinWorkers
+    from magnoliapitch.verdict import Failure
+
+
+ValueT = TypeVar("ValueT")
+
+_INSTANCES = TypeAdapter(tuple[InstanceInfo, ...])
+_VIEW = TypeAdapter(WorkerView)
+_GRANTS = TypeAdapter(tuple[LeaseGrant, ...])
+
+
+def platform_application(
+    log: StandinLog, instance_list: StandinInstanceList
+) -> Application:
+    """Return the platform's log and list as an application."""
+    application = Application(body_max_bytes=1 << 26)
+
+    @application.route("POST", "/log/append")
+    def append(request: HttpRequest) -> HttpResponse:
+        data = request.json()["data"].encode()
+        return _respond(log.append(data), lambda offset: {"offset": offset})
+
+    @application.route("GET", "/log/read")
+    def read(request: HttpRequest) -> HttpResponse:
+        query = request.query_by_name
+        outcome = log.read(
+            int(query["from"]), int(query["limit"]), int(query["wait_ms"])
+        )
+        return _respond(
+            outcome,
+            lambda part: {
+                "records": [
+                    {"offset": item.offset, "data": item.data.decode()}
+                    for item in part.records
+                ],
+                "oldest": part.oldest,
+                "head": part.head,
+            },
+        )
+
+    @application.route("GET", "/instances")
+    def instances(request: HttpRequest) -> HttpResponse:  # noqa: ARG001
+        return _respond(
+            instance_list.instances(),
+            lambda found: {
+                "instances": _INSTANCES.dump_python(found, mode="json")
+            },
+        )
+
+    return application
+
+
+def add_worker_routes(
+    application: Application,
+    workers: StandinWorkers,
+    infos_by_id: dict[str, InstanceInfo],
+) -> None:
+    """Serve workers below ``/workers/ID``."""
+
+    def respond(outcome: Result[WorkerView, Failure]) -> HttpResponse:
+        return _respond(
+            outcome, lambda view: _VIEW.dump_python(view, mode="json")
+        )
+
+    @application.route("POST", "/workers/{worker}/view")
+    def view(request: HttpRequest) -> HttpResponse:
+        info = infos_by_id[request.path_values["worker"]]
+        return respond(workers.view(info))
+
+    @application.route("POST", "/workers/{worker}/start")
+    def start(request: HttpRequest) -> HttpResponse:
+        info = infos_by_id[request.path_values["worker"]]
+        grants = _GRANTS.validate_python(request.json()["grants"])
+        return respond(workers.start(info, grants))
+
+    @application.route("POST", "/workers/{worker}/renew")
+    def renew(request: HttpRequest) -> HttpResponse:
+        info = infos_by_id[request.path_values["worker"]]
+        value = request.json()
+        return respond(
+            workers.renew(
+                info, tuple(value["lease_ids"]), value["expires_at_ms"]
+            )
+        )
+
+    @application.route("POST", "/workers/{worker}/stop")
+    def stop(request: HttpRequest) -> HttpResponse:
+        info = infos_by_id[request.path_values["worker"]]
+        lease_ids = tuple(request.json()["lease_ids"])
+        return respond(workers.stop(info, lease_ids))
+
+    @application.route("POST", "/workers/{worker}/checkpoint")
+    def checkpoint(request: HttpRequest) -> HttpResponse:
+        info = infos_by_id[request.path_values["worker"]]
+        lease_ids = tuple(request.json()["lease_ids"])
+        return respond(workers.checkpoint(info, lease_ids))
+
+    @application.route("POST", "/workers/{worker}/throttle")
+    def throttle(request: HttpRequest) -> HttpResponse:
+        info = infos_by_id[request.path_values["worker"]]
+        value = request.json()
+        return respond(
+            workers.throttle(info, value["lease_id"], value["cpu_millis"])
+        )
+
+
+def add_backend_routes(
+    application: Application,
+    backends: StandinBackends,
+    infos_by_id: dict[str, InstanceInfo],
+) -> None:
+    """Serve backend servers below ``/backends/ID``."""
+
+    @application.route("POST", "/backends/{server}/requests/{entry}")
+    def execute(request: HttpRequest) -> HttpResponse:
+        info = infos_by_id[request.path_values["server"]]
+        request_id = request.headers_by_name["x-request-id"]
+        outcome = backends.send(
+            info,
+            BackendRequest(
+                request_id, request.path_values["entry"], request.body, 0
+            ),
+        )
+        if isinstance(outcome, Err):
+            return HttpResponse(503, headers=((REFUSED_HEADER, "1"),))
+        return HttpResponse(
+            outcome.ok_value.status,
+            outcome.ok_value.body,
+            headers=((REQUEST_ID_HEADER, request_id),),
+        )
+
+
+def _respond(
+    outcome: Result[ValueT, Failure], encode: Callable[[ValueT], object]
+) -> HttpResponse:
+    if isinstance(outcome, Err):
+        return problem_response(outcome.err_value)
+    return json_response(encode(outcome.ok_value))
+
+
+class CellServer:
+    """Serves the stand-ins of a deployment on one loopback port.
+
+    Worker and backend URLs of the instance list point at this server.
+    """
+
+    def __init__(
+        self,
+        log: StandinLog,
+        instance_list: StandinInstanceList,
+        workers: StandinWorkers,
+        backends: StandinBackends,
+        threads: int = 64,
+    ) -> None:
+        application = platform_application(log, instance_list)
+        add_worker_routes(application, workers, instance_list.by_id)
+        add_backend_routes(application, backends, instance_list.by_id)
+        self._listener = Listener(
+            "standin", ("127.0.0.1", 0), application, threads
+        )
+        self._instance_list = instance_list
+
+    def start(self) -> None:
+        """Bind, publish the URLs and serve."""
+        self._listener.start()
+        for instance_id, info in self._instance_list.by_id.items():
+            kind = (
+                "workers" if info.role is InstanceRole.WORKER else "backends"
+            )
+            url = f"{self.url}/{kind}/{instance_id}"
+            self._instance_list.by_id[instance_id] = info._replace(url=url)
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._listener.stop()
+
+    @property
+    def url(self) -> str:
+        """Base address of the server."""
+        return f"http://127.0.0.1:{self._listener.port}"
--- /dev/null
+++ b/src/magnoliapitch/standin/worker.py
@@ -0,0 +1,246 @@
+"""In-memory workers that run tasks under leases."""
+
+from __future__ import annotations
+
+import threading
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from result import Err
+from result import Ok
+from result import Result
+
+from magnoliapitch.resource import NO_RESOURCES
+from magnoliapitch.resource import Resources
+from magnoliapitch.verdict import Failure
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import not_run
+from magnoliapitch.worker.lease import LeaseGrant
+from magnoliapitch.worker.lease import LeaseKind
+from magnoliapitch.worker.lease import LeaseState
+from magnoliapitch.worker.lease import LeaseView
+from magnoliapitch.worker.lease import WorkerView
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliapitch.clock import Clock
+    from magnoliapitch.platform.instance import InstanceInfo
+
+
+DEFAULT_RUN_MS = 200
+
+
+class TaskStart(NamedTuple):
+    """History entry: a task started to run on a worker."""
+
+    at_ms: int
+    worker_id: str
+    lease_id: str
+
+
+class _Running(NamedTuple):
+    view: LeaseView
+    ends_at_ms: int
+
+
+class StandinWorker:
+    """One worker; its clock starts at a different origin than others'."""
+
+    def __init__(self, info: InstanceInfo, clock: Clock, skew_ms: int) -> None:
+        self.info = info
+        self.down = False
+        self.fails_everything = False
+        self.boots = 1
+        self._clock = clock
+        self._skew_ms = skew_ms
+        self._running_by_lease: dict[str, _Running] = {}
+
+    def now_ms(self) -> int:
+        """Return the worker's own monotonic clock."""
+        return self._clock.now_ms() + self._skew_ms
+
+    def view(self) -> WorkerView:
+        """Return all unexpired leases."""
+        self._advance()
+        leases = tuple(item.view for item in self._running_by_lease.values())
+        boot_id = f"{self.info.instance_id}-{self.boots}"
+        return WorkerView(
+            self.info.instance_id, boot_id, self.now_ms(), leases
+        )
+
+    def start(self, grant: LeaseGrant, run_ms: int) -> bool:
+        """Start a task; return whether it is new."""
+        self._advance()
+        if grant.expires_at_ms <= self.now_ms():
+            return False
+        if grant.lease_id in self._running_by_lease:
+            return False
+        view = LeaseView(
+            grant.lease_id,
+            grant.epoch,
+            grant.expires_at_ms,
+            grant.kind,
+            grant.resources,
+            LeaseState.RUNNING,
+            grant.entry,
+            grant.resources,
+        )
+        ends_at_ms = self.now_ms() + run_ms
+        self._running_by_lease[grant.lease_id] = _Running(view, ends_at_ms)
+        return True
+
+    def renew(self, lease_id: str, expires_at_ms: int) -> None:
+        """Extend a lease that has not expired."""
+        self._advance()
+        running = self._running_by_lease.get(lease_id)
+        if running is None or expires_at_ms <= running.view.expires_at_ms:
+            return
+        view = running.view._replace(expires_at_ms=expires_at_ms)
+        self._running_by_lease[lease_id] = running._replace(view=view)
+
+    def stop(self, lease_id: str) -> None:
+        """End a lease."""
+        self._running_by_lease.pop(lease_id, None)
+
+    def restart(self) -> None:
+        """Lose every lease, as after a crash."""
+        self.boots += 1
+        self._running_by_lease.clear()
+
+    def used(self) -> Resources:
+        """Return what running tasks reserve now."""
+        self._advance()
+        total = NO_RESOURCES
+        for item in self._running_by_lease.values():
+            if item.view.state is LeaseState.RUNNING:
+                total = total.plus(item.view.resources)
+        return total
+
+    def _advance(self) -> None:
+        now_ms = self.now_ms()
+        for lease_id, item in list(self._running_by_lease.items()):
+            if item.view.expires_at_ms <= now_ms:
+                del self._running_by_lease[lease_id]
+                continue
+            if item.view.kind is LeaseKind.CLAIM or item.ends_at_ms > now_ms:
+                continue
+            state = (
+                LeaseState.FAILED
+                if self.fails_everything
+                else LeaseState.FINISHED
+            )
+            view = item.view._replace(state=state, progress=1.0)
+            self._running_by_lease[lease_id] = item._replace(view=view)
+
+
+class StandinWorkers:
+    """A pool of in-memory workers.
+
+    :ivar history: every task start, in order.
+    """
+
+    fences_epochs = False
+
+    def __init__(
+        self,
+        infos: tuple[InstanceInfo, ...],
+        clock: Clock,
+        run_ms_of: Callable[[LeaseGrant], int] | None = None,
+    ) -> None:
+        self.by_id = {
+            info.instance_id: StandinWorker(info, clock, 1_000 * number)
+            for number, info in enumerate(infos, 1)
+        }
+        self.history: list[TaskStart] = []
+        self._clock = clock
+        self._run_ms_of = run_ms_of or _default_run_ms
+        self._lock = threading.Lock()
+
+    def view(self, worker: InstanceInfo) -> Result[WorkerView, Failure]:
+        """Return the worker's running leases and usage."""
+        return self._call(worker, lambda _target: None)
+
+    def start(
+        self, worker: InstanceInfo, grants: tuple[LeaseGrant, ...]
+    ) -> Result[WorkerView, Failure]:
+        """Start tasks; each id at most once."""
+
+        def apply(target: StandinWorker) -> None:
+            for grant in grants:
+                started = target.start(grant, self._run_ms_of(grant))
+                if started and grant.kind is LeaseKind.TASK:
+                    self.history.append(
+                        TaskStart(
+                            self._clock.now_ms(),
+                            worker.instance_id,
+                            grant.lease_id,
+                        )
+                    )
+
+        return self._call(worker, apply)
+
+    def renew(
+        self,
+        worker: InstanceInfo,
+        lease_ids: tuple[str, ...],
+        expires_at_ms: int,
+    ) -> Result[WorkerView, Failure]:
+        """Set the expiry of leases on the worker's clock."""
+
+        def apply(target: StandinWorker) -> None:
+            for lease_id in lease_ids:
+                target.renew(lease_id, expires_at_ms)
+
+        return self._call(worker, apply)
+
+    def stop(
+        self, worker: InstanceInfo, lease_ids: tuple[str, ...]
+    ) -> Result[WorkerView, Failure]:
+        """Stop tasks and end their leases."""
+
+        def apply(target: StandinWorker) -> None:
+            for lease_id in lease_ids:
+                target.stop(lease_id)
+
+        return self._call(worker, apply)
+
+    def checkpoint(
+        self, worker: InstanceInfo, lease_ids: tuple[str, ...]
+    ) -> Result[WorkerView, Failure]:
+        """Save the progress of tasks and end their leases."""
+        return self.stop(worker, lease_ids)
+
+    def throttle(
+        self,
+        worker: InstanceInfo,
+        lease_id: str,  # noqa: ARG002
+        cpu_millis: int,  # noqa: ARG002
+    ) -> Result[WorkerView, Failure]:
+        """Bound the processor time of a task."""
+        return self._call(worker, lambda _target: None)
+
+    def _call(
+        self, worker: InstanceInfo, apply: Callable[[StandinWorker], None]
+    ) -> Result[WorkerView, Failure]:
+        with self._lock:
+            target = self.by_id.get(worker.instance_id)
+            if target is None or target.down:
+                return Err(
+                    not_run(
+                        FailureCode.UNAVAILABLE,
+                        f"worker {worker.instance_id} is unreachable",
+                    )
+                )
+            apply(target)
+            return Ok(target.view())
+
+
+def _default_run_ms(grant: LeaseGrant) -> int:
+    """Take the run time from the payload ``run_ms=N``, if it names one."""
+    key, _, value = grant.payload.partition("=")
+    if key == "run_ms" and value.isdigit():
+        return int(value)
+    return DEFAULT_RUN_MS
--- /dev/null
+++ b/src/magnoliapitch/worker/http_pool.py
@@ -0,0 +1,91 @@
+"""Adapter to workers that speak HTTP and JSON.
+
+Every call is a POST to ``WORKER_URL/view``, ``/start``, ``/renew``,
+``/stop``, ``/checkpoint`` or ``/throttle`` and answers the worker's view.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pydantic import TypeAdapter
+
+from magnoliapitch.platform.http_client import JsonClient
+from magnoliapitch.worker.lease import LeaseGrant
+from magnoliapitch.worker.lease import WorkerView
+
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from magnoliapitch.platform.instance import InstanceInfo
+    from magnoliapitch.verdict import Failure
+
+
+_VIEW = TypeAdapter(WorkerView)
+_GRANTS = TypeAdapter(tuple[LeaseGrant, ...])
+
+
+class HttpWorkerPool:
+    """Workers over HTTP, one connection pool for all of them."""
+
+    fences_epochs = False
+
+    def __init__(self) -> None:
+        self._clients_by_url: dict[str, JsonClient] = {}
+
+    def view(self, worker: InstanceInfo) -> Result[WorkerView, Failure]:
+        """Return the worker's running leases and usage."""
+        return self._call(worker, "view", {})
+
+    def start(
+        self, worker: InstanceInfo, grants: tuple[LeaseGrant, ...]
+    ) -> Result[WorkerView, Failure]:
+        """Start tasks; each id at most once."""
+        value = _GRANTS.dump_python(grants, mode="json")
+        return self._call(worker, "start", {"grants": value})
+
+    def renew(
+        self,
+        worker: InstanceInfo,
+        lease_ids: tuple[str, ...],
+        expires_at_ms: int,
+    ) -> Result[WorkerView, Failure]:
+        """Set the expiry of leases on the worker's clock."""
+        return self._call(
+            worker,
+            "renew",
+            {"lease_ids": lease_ids, "expires_at_ms": expires_at_ms},
+        )
+
+    def stop(
+        self, worker: InstanceInfo, lease_ids: tuple[str, ...]
+    ) -> Result[WorkerView, Failure]:
+        """Stop tasks and end their leases."""
+        return self._call(worker, "stop", {"lease_ids": lease_ids})
+
+    def checkpoint(
+        self, worker: InstanceInfo, lease_ids: tuple[str, ...]
+    ) -> Result[WorkerView, Failure]:
+        """Save the progress of tasks and end their leases."""
+        return self._call(worker, "checkpoint", {"lease_ids": lease_ids})
+
+    def throttle(
+        self, worker: InstanceInfo, lease_id: str, cpu_millis: int
+    ) -> Result[WorkerView, Failure]:
+        """Bound the processor time of a task."""
+        return self._call(
+            worker,
+            "throttle",
+            {"lease_id": lease_id, "cpu_millis": cpu_millis},
+        )
+
+    def _call(
+        self, worker: InstanceInfo, action: str, value: object
+    ) -> Result[WorkerView, Failure]:
+        client = self._clients_by_url.get(worker.url)
+        if client is None:
+            client = JsonClient(worker.url)
+            self._clients_by_url[worker.url] = client
+        answer = client.call("POST", f"/{action}", value)
+        return answer.map(_VIEW.validate_python)
--- /dev/null
+++ b/tests/journal/test_fold.py
@@ -0,0 +1,54 @@
+from __future__ import annotations
+
+from magnoliapitch.catalogue.entry import CatalogueEntry
+from magnoliapitch.catalogue.entry import WorkClass
+from magnoliapitch.clock import ManualClock
+from magnoliapitch.journal import Journal
+from magnoliapitch.journal.record import CataloguePut
+from magnoliapitch.standin import StandinLog
+
+
+def entry_of(owner: str) -> CatalogueEntry:
+    return CatalogueEntry("seat-check", owner, WorkClass.URGENT)
+
+
+def test_fold_lets_one_of_two_racing_changes_win() -> None:
+    log = StandinLog()
+    first = Journal(log, "a", ManualClock())
+    second = Journal(log, "b", ManualClock())
+    pending = [
+        first.enqueue(CataloguePut(entry_of("x"), 0)),
+        second.enqueue(CataloguePut(entry_of("y"), 0)),
+    ]
+    for journal in (first, second):
+        journal.append_step()
+    for journal in (first, second):
+        journal.follow_step()
+    applied = [item.wait(0).unwrap().applied for item in pending]
+    assert applied == [True, False]
+
+
+def test_fold_counts_an_append_with_a_lost_answer_once() -> None:
+    log = StandinLog()
+    journal = Journal(log, "a", ManualClock())
+    log.answers_to_lose = 1
+    pending = journal.enqueue(CataloguePut(entry_of("x"), 0))
+    journal.append_step()
+    journal.append_step()
+    journal.follow_step()
+    assert pending.wait(0).unwrap().applied
+    with journal.reading() as state:
+        assert state.next_offset == 2
+        assert state.catalogue_by_name["seat-check"].version == 1
+
+
+def test_fold_skips_damaged_records_everywhere_alike() -> None:
+    log = StandinLog()
+    log.append(b"\x00 not json")
+    log.append(b'{"v": 1, "entries": [{"kind": "of-tomorrow"}]}')
+    journal = Journal(log, "a", ManualClock())
+    journal.follow_step()
+    with journal.reading() as state:
+        assert state.next_offset == 2
+        assert state.skipped_records == 2
+        assert state.catalogue_by_name == {}
