Split the entry's core from its threads; read fresh before 404

Cause: failures have to be caused deterministically with an injected clock, which needs the parts without threads and sockets. The process test then failed once: a job accepted by one entry was answered 404 by another that had not yet read the log so far. Change: EntryCore exposes named steps; PeerLink is the interface to peers, with an in-process stand-in that can cut links; EntryNode adds threads. An unknown job is answered only after a read of the log begun after the request. Conclusion: the same code runs in threads and under a test's control.

--- a/src/magnoliapitch/api/admin.py
+++ b/src/magnoliapitch/api/admin.py
@@ -19,19 +19,19 @@
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.entry.node import EntryNode
+    from magnoliapitch.entry.core import EntryCore
 
 
 COMMIT_TIMEOUT_MS = 5_000
 
 
-def admin_application(node: EntryNode) -> Application:
+def admin_application(core: EntryCore) -> Application:
     """Return the application that serves operators."""
     application = Application()
 
     @application.route("GET", "/v1/state")
     def state(request: HttpRequest) -> HttpResponse:  # noqa: ARG001
-        return json_response(node.dump())
+        return json_response(core.dump())
 
     @application.route("PUT", "/v1/catalogue/{name}")
     def put(request: HttpRequest) -> HttpResponse:
@@ -41,7 +41,7 @@
             expected = int(version)
         except (InvalidEntryError, ValueError) as error:
             return problem_response(not_run(FailureCode.INVALID, str(error)))
-        outcome = node.journal.commit(
+        outcome = core.journal.commit(
             CataloguePut(entry, expected), COMMIT_TIMEOUT_MS
         )
         if isinstance(outcome, Err):
@@ -54,13 +54,13 @@
 
     @application.route("GET", "/v1/catalogue")
     def catalogue(request: HttpRequest) -> HttpResponse:  # noqa: ARG001
-        with node.journal.reading() as folded:
+        with core.journal.reading() as folded:
             names = sorted(folded.catalogue_by_name)
         return json_response({"names": names})
 
     @application.route("GET", "/v1/ready")
     def ready(request: HttpRequest) -> HttpResponse:  # noqa: ARG001
-        is_ready = node.is_ready()
+        is_ready = core.is_ready()
         return json_response({"ready": is_ready}, 200 if is_ready else 503)
 
     return application
--- a/src/magnoliapitch/api/caller.py
+++ b/src/magnoliapitch/api/caller.py
@@ -23,16 +23,17 @@
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.entry.node import EntryNode
+    from magnoliapitch.entry.core import EntryCore
 
 
 COMMIT_TIMEOUT_MS = 5_000
+FRESH_TIMEOUT_MS = 2_000
 REQUEST_ID_HEADER = "X-Request-Id"
 
 _JOB = TypeAdapter(JobSpec)
 
 
-def caller_application(node: EntryNode) -> Application:
+def caller_application(core: EntryCore) -> Application:
     """Return the application that serves callers."""
     application = Application()
 
@@ -43,9 +44,9 @@
             request_id,
             request.path_values["entry"],
             request.body,
-            node.patience_ms(request.path_values["entry"]),
+            core.patience_ms(request.path_values["entry"]),
         )
-        outcome = node.router.execute(forwarded)
+        outcome = core.router.execute(forwarded)
         header = ((REQUEST_ID_HEADER, request_id),)
         if isinstance(outcome, Err):
             response = problem_response(outcome.err_value, request_id)
@@ -59,7 +60,7 @@
             job = _JOB.validate_python(request.json())
         except (ValidationError, ValueError) as error:
             return problem_response(not_run(FailureCode.INVALID, str(error)))
-        outcome = node.submit_job(job, COMMIT_TIMEOUT_MS)
+        outcome = core.submit_job(job, COMMIT_TIMEOUT_MS)
         if isinstance(outcome, Err):
             return problem_response(outcome.err_value)
         return json_response({"job_id": job.job_id}, 202)
@@ -67,17 +68,28 @@
     @application.route("GET", "/v1/jobs/{job}")
     def status(request: HttpRequest) -> HttpResponse:
         job_id = request.path_values["job"]
-        found = node.job_status(job_id)
-        if found is None:
+        found = core.job_status(job_id)
+        if found is not None:
+            return json_response(found)
+        if not core.journal.wait_fresh(FRESH_TIMEOUT_MS):
             return problem_response(
-                not_run(FailureCode.NOT_FOUND, f"no job {job_id}")
+                not_run(
+                    FailureCode.UNAVAILABLE,
+                    f"job {job_id} is unknown here and the log is away",
+                    FRESH_TIMEOUT_MS,
+                )
             )
-        return json_response(found)
+        found = core.job_status(job_id)
+        if found is not None:
+            return json_response(found)
+        return problem_response(
+            not_run(FailureCode.NOT_FOUND, f"no job {job_id}")
+        )
 
     @application.route("DELETE", "/v1/jobs/{job}")
     def cancel(request: HttpRequest) -> HttpResponse:
         job_id = request.path_values["job"]
-        outcome = node.journal.commit(JobCancel(job_id), COMMIT_TIMEOUT_MS)
+        outcome = core.journal.commit(JobCancel(job_id), COMMIT_TIMEOUT_MS)
         if isinstance(outcome, Err):
             return problem_response(outcome.err_value)
         if not outcome.ok_value.applied:
--- /dev/null
+++ b/src/magnoliapitch/entry/core.py
@@ -0,0 +1,218 @@
+"""The parts of an entry instance without threads and listeners."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from result import Err
+from result import Ok
+
+from magnoliapitch.decision import first_fit as _first_fit  # noqa: F401
+from magnoliapitch.decision.registry import make_scheduler
+from magnoliapitch.job.manager import JobManager
+from magnoliapitch.journal.journal import Journal
+from magnoliapitch.journal.record import EntryJoin
+from magnoliapitch.journal.record import JobSubmit
+from magnoliapitch.membership.identity import Identity
+from magnoliapitch.membership.membership import Membership
+from magnoliapitch.ownership.claimer import Claimer
+from magnoliapitch.peer.message import Beat
+from magnoliapitch.peer.message import ForwardedAnswer
+from magnoliapitch.peer.message import ForwardedRequest
+from magnoliapitch.peer.message import LogPage
+from magnoliapitch.peer.message import StateSnapshot
+from magnoliapitch.platform.fleet import Fleet
+from magnoliapitch.platform.instance import InstanceRole
+from magnoliapitch.request.router import Router
+from magnoliapitch.supervisor.loop import Step
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import not_run
+
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from magnoliapitch.clock import Clock
+    from magnoliapitch.entry.adapters import Adapters
+    from magnoliapitch.job.spec import JobSpec
+    from magnoliapitch.peer.link import PeerLink
+    from magnoliapitch.settings.model import Settings
+    from magnoliapitch.verdict import Failure
+
+
+DEFAULT_PATIENCE_MS = 10_000
+NO_RACK_RETRY_MS = 1_000
+
+
+class NamedStep(NamedTuple):
+    """A step that one thread, or a test, calls again and again.
+
+    :param step: returns the milliseconds until its next call.
+    """
+
+    name: str
+    step: Step
+
+
+class EntryCore:
+    """State and behaviour of one entry instance.
+
+    Nothing here starts a thread; :meth:`steps` are driven from outside.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        adapters: Adapters,
+        link: PeerLink,
+        clock: Clock,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.identity = Identity.create(
+            settings.instance_id,
+            settings.zone,
+            f"{settings.address}:{settings.peer_port}",
+        )
+        self.fleet = Fleet(adapters.instance_list)
+        self.journal = Journal(
+            adapters.log, self.identity.incarnation, self.clock
+        )
+        self.membership = Membership(self.identity, self.journal, self.clock)
+        self.claimer = Claimer(self.identity, self.journal, self.fleet)
+        self.router = Router(
+            self.journal,
+            self.fleet,
+            self.claimer,
+            self.membership,
+            adapters.backends,
+            link,
+        )
+        self.jobs = JobManager(
+            self.journal,
+            self.fleet,
+            self.claimer,
+            adapters.workers,
+            make_scheduler(settings.policy),
+            self.clock,
+        )
+        self._link = link
+
+    def steps(self) -> tuple[NamedStep, ...]:
+        """Return the steps in the order in which they are started."""
+        return (
+            NamedStep("follower", self.journal.follow_step),
+            NamedStep("appender", self.journal.append_step),
+            NamedStep("fleet", self.fleet.refresh_step),
+            NamedStep(
+                "heartbeat",
+                lambda: self.membership.heartbeat_step(self._link),
+            ),
+            NamedStep("claimer", self.claimer.claim_step),
+            NamedStep("jobs", self.jobs.step),
+        )
+
+    def join(self) -> None:
+        """Announce this incarnation through the log."""
+        self.journal.enqueue(
+            EntryJoin(
+                self.identity.instance_id,
+                self.identity.incarnation,
+                self.identity.zone,
+                self.identity.peer_address,
+            )
+        )
+
+    def is_ready(self) -> bool:
+        """Return whether requests can be accepted."""
+        return self.journal.last_read_ms is not None
+
+    def patience_ms(self, entry: str) -> int:
+        """Return how long callers of an entry wait."""
+        with self.journal.reading() as state:
+            versioned = state.catalogue_by_name.get(entry)
+        if versioned is None:
+            return DEFAULT_PATIENCE_MS
+        return versioned.entry.patience_ms
+
+    def submit_job(
+        self, job: JobSpec, timeout_ms: int
+    ) -> Result[None, Failure]:
+        """Accept a job and assign it to a unit of workers."""
+        unit = self._unit_for()
+        if unit is None:
+            return Err(
+                not_run(
+                    FailureCode.UNAVAILABLE,
+                    "no rack is owned",
+                    NO_RACK_RETRY_MS,
+                )
+            )
+        outcome = self.journal.commit(JobSubmit(job, unit), timeout_ms)
+        if isinstance(outcome, Err):
+            return outcome
+        if not outcome.ok_value.applied:
+            return Err(not_run(FailureCode.DUPLICATE, outcome.ok_value.reason))
+        return Ok(None)
+
+    def job_status(self, job_id: str) -> dict[str, object] | None:
+        """Return what the log knows of a job."""
+        with self.journal.reading() as state:
+            job = state.jobs_by_id.get(job_id)
+            if job is None:
+                return None
+            return {
+                "job_id": job_id,
+                "unit": job.unit,
+                "tasks": job.spec.tasks,
+                "finished": job.finished_tasks,
+                "cancelled": job.cancelled,
+                "done": job.is_done,
+            }
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of every part."""
+        return {
+            "journal": self.journal.dump(),
+            "membership": self.membership.dump(),
+            "router": self.router.dump(),
+            "jobs": self.jobs.dump(),
+        }
+
+    def heartbeat(self, beat: Beat) -> Beat:
+        """Take in a peer's heartbeat and return the own one."""
+        return self.membership.receive(beat)
+
+    def forward(
+        self, request: ForwardedRequest
+    ) -> Result[ForwardedAnswer, Failure]:
+        """Execute a forwarded request."""
+        return self.router.execute_here(request)
+
+    def read_log(self, from_offset: int, limit: int) -> LogPage:  # noqa: ARG002
+        """Relay log records."""
+        beat = self.membership.beat()
+        return LogPage((), beat.next_offset, beat.log_age_ms)
+
+    def snapshot(self) -> StateSnapshot:
+        """Return the encoded fold."""
+        return StateSnapshot(0, "", b"")
+
+    def _unit_for(self) -> str | None:
+        workers = {
+            worker.unit for worker in self.fleet.of_role(InstanceRole.WORKER)
+        }
+        with self.journal.reading() as state:
+            owned = [
+                claim.unit
+                for claim in state.claims_by_unit.values()
+                if claim.incarnation and claim.unit in workers
+            ]
+            load_by_unit = dict.fromkeys(owned, 0)
+            for job in state.jobs_by_id.values():
+                if job.unit in load_by_unit and not job.is_done:
+                    load_by_unit[job.unit] += job.spec.tasks
+        if not load_by_unit:
+            return None
+        return min(load_by_unit, key=lambda unit: (load_by_unit[unit], unit))
--- a/src/magnoliapitch/journal/journal.py
+++ b/src/magnoliapitch/journal/journal.py
@@ -89,6 +89,7 @@
         self._log = log
         self._clock = clock
         self._lock = threading.RLock()
+        self._read = threading.Condition()
         self._state = ClusterState()
         self._queue: deque[Pending] = deque()
         self._batch: _Batch | None = None
@@ -152,9 +153,27 @@
         if isinstance(outcome, Err):
             return RETRY_WAIT_MS
         self.apply(outcome.ok_value.records)
-        self.last_read_ms = started_ms
+        if outcome.ok_value.head <= self._state.next_offset:
+            with self._read:
+                self.last_read_ms = started_ms
+                self._read.notify_all()
         return 0 if outcome.ok_value.records else IDLE_WAIT_MS
 
+    def wait_fresh(self, timeout_ms: int) -> bool:
+        """Wait for a read of the whole log that started after this call.
+
+        :return: whether the state holds all that was appended before.
+        """
+        now_ms = self._clock.now_ms()
+
+        def is_fresh() -> bool:
+            return self.last_read_ms is not None and (
+                self.last_read_ms > now_ms
+            )
+
+        with self._read:
+            return self._read.wait_for(is_fresh, timeout_ms / 1000)
+
     def apply(self, records: tuple[LogRecord, ...]) -> None:
         """Apply records from the log or a peer; known ones are skipped."""
         with self._lock:
--- a/src/magnoliapitch/membership/membership.py
+++ b/src/magnoliapitch/membership/membership.py
@@ -19,7 +19,7 @@
     from magnoliapitch.clock import Clock
     from magnoliapitch.journal.journal import Journal
     from magnoliapitch.membership.identity import Identity
-    from magnoliapitch.peer.node import PeerNode
+    from magnoliapitch.peer.link import PeerLink
 
 
 HEARTBEAT_INTERVAL_MS = 500
@@ -82,10 +82,10 @@
             )
         return self.beat()
 
-    def heartbeat_step(self, node: PeerNode) -> int:
+    def heartbeat_step(self, link: PeerLink) -> int:
         """Send a heartbeat to every peer; return the wait until the next."""
         for status in self.peers():
-            outcome = node.heartbeat(
+            outcome = link.heartbeat(
                 status.join.peer_address, self.beat(), CALL_TIMEOUT_MS
             )
             if isinstance(outcome, Ok):
--- a/src/magnoliapitch/peer/__init__.py
+++ b/src/magnoliapitch/peer/__init__.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from magnoliapitch.peer.node import PeerHandler
+from magnoliapitch.peer.link import PeerHandler
+from magnoliapitch.peer.link import PeerLink
 from magnoliapitch.peer.node import PeerNode
 
 
-__all__ = ["PeerHandler", "PeerNode"]
+__all__ = ["PeerHandler", "PeerLink", "PeerNode"]
--- a/src/magnoliapitch/peer/node.py
+++ b/src/magnoliapitch/peer/node.py
@@ -10,7 +10,6 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import Protocol
 from typing import TypeVar
 
 import capnp
@@ -35,6 +34,8 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from magnoliapitch.peer.link import PeerHandler
+
 
 ValueT = TypeVar("ValueT")
 
@@ -42,24 +43,6 @@
 FORWARD_THREADS = 64
 
 
-class PeerHandler(Protocol):
-    """What an entry instance does for its peers."""
-
-    def heartbeat(self, beat: Beat) -> Beat:
-        """Take in a peer's heartbeat and return the own one."""
-
-    def forward(
-        self, request: ForwardedRequest
-    ) -> Result[ForwardedAnswer, Failure]:
-        """Execute a forwarded request; runs in a worker thread."""
-
-    def read_log(self, from_offset: int, limit: int) -> LogPage:
-        """Relay log records."""
-
-    def snapshot(self) -> StateSnapshot:
-        """Return the encoded fold."""
-
-
 class _Server(codec.schema.Peer.Server):  # type: ignore[misc]
     def __init__(
         self, handler: PeerHandler, threads: ThreadPoolExecutor
@@ -104,13 +87,14 @@
     """Serves peers and calls them.
 
     :param address: IP number and port to listen on; port 0 picks one.
+    :ivar handler: serves calls of peers; set before the start.
     """
 
     name = "peer-node"
 
-    def __init__(self, address: tuple[str, int], handler: PeerHandler) -> None:
+    def __init__(self, address: tuple[str, int]) -> None:
         self._address = address
-        self._handler = handler
+        self.handler: PeerHandler | None = None
         self._threads = ThreadPoolExecutor(FORWARD_THREADS, "peer-forward")
         self._caps_by_address: dict[str, Any] = {}
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -254,5 +238,6 @@
             self._caps_by_address.clear()
 
     async def _accept(self, stream: Any) -> None:
-        bootstrap = _Server(self._handler, self._threads)
+        assert self.handler is not None
+        bootstrap = _Server(self.handler, self._threads)
         await capnp.TwoPartyServer(stream, bootstrap=bootstrap).on_disconnect()
--- a/src/magnoliapitch/request/router.py
+++ b/src/magnoliapitch/request/router.py
@@ -28,7 +28,7 @@
     from magnoliapitch.journal.journal import Journal
     from magnoliapitch.membership.membership import Membership
     from magnoliapitch.ownership.claimer import Claimer
-    from magnoliapitch.peer.node import PeerNode
+    from magnoliapitch.peer.link import PeerLink
     from magnoliapitch.platform.fleet import Fleet
 
 
@@ -45,27 +45,28 @@
         claimer: Claimer,
         membership: Membership,
         backends: BackendClient,
+        link: PeerLink,
     ) -> None:
         self._journal = journal
         self._fleet = fleet
         self._claimer = claimer
         self._membership = membership
         self._backends = backends
+        self._link = link
         self._in_flight_by_server: dict[str, int] = {}
         self._lock = threading.Lock()
-        self.node: PeerNode | None = None
 
     def execute(
         self, request: ForwardedRequest
     ) -> Result[ForwardedAnswer, Failure]:
         """Execute a caller's request here or through a peer."""
         outcome = self.execute_here(request)
-        if isinstance(outcome, Ok) or self.node is None:
+        if isinstance(outcome, Ok):
             return outcome
         if outcome.err_value.verdict is not Verdict.NOT_RUN:
             return outcome
         for peer in self._membership.peers():
-            forwarded = self.node.forward(
+            forwarded = self._link.forward(
                 peer.join.peer_address, request, request.timeout_ms
             )
             if isinstance(forwarded, Ok):
--- a/src/magnoliapitch/standin/demo.py
+++ b/src/magnoliapitch/standin/demo.py
@@ -56,7 +56,7 @@
 
 
 def _is_serving(node: EntryNode) -> bool:
-    with node.journal.reading() as state:
+    with node.core.journal.reading() as state:
         claims = len(state.claims_by_unit)
         return claims == 6 and len(state.catalogue_by_name) == 2
 
--- /dev/null
+++ b/src/magnoliapitch/standin/peer.py
@@ -0,0 +1,93 @@
+"""Peer calls within one process, with cuts between instances."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import not_run
+
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from magnoliapitch.peer.link import PeerHandler
+    from magnoliapitch.peer.message import Beat
+    from magnoliapitch.peer.message import ForwardedAnswer
+    from magnoliapitch.peer.message import ForwardedRequest
+    from magnoliapitch.peer.message import LogPage
+    from magnoliapitch.peer.message import StateSnapshot
+    from magnoliapitch.verdict import Failure
+
+
+class StandinNetwork:
+    """Connects peer handlers by address.
+
+    :ivar cuts: pairs ``(from, to)`` of addresses that cannot talk.
+    """
+
+    def __init__(self) -> None:
+        self.cuts: set[tuple[str, str]] = set()
+        self.handlers_by_address: dict[str, PeerHandler] = {}
+
+    def link(self, address: str) -> StandinLink:
+        """Return the link of the instance at an address."""
+        return StandinLink(self, address)
+
+    def reach(self, source: str, target: str) -> Result[PeerHandler, Failure]:
+        """Return the handler at ``target`` unless it is cut off."""
+        handler = self.handlers_by_address.get(target)
+        if handler is None or (source, target) in self.cuts:
+            return Err(not_run(FailureCode.UNAVAILABLE, "unreachable"))
+        return Ok(handler)
+
+
+class StandinLink:
+    """Calls handlers of the network directly."""
+
+    def __init__(self, network: StandinNetwork, address: str) -> None:
+        self._network = network
+        self._address = address
+
+    def heartbeat(
+        self,
+        address: str,
+        beat: Beat,
+        timeout_ms: int,  # noqa: ARG002
+    ) -> Result[Beat, Failure]:
+        """Exchange heartbeats with a peer."""
+        reached = self._network.reach(self._address, address)
+        return reached.map(lambda handler: handler.heartbeat(beat))
+
+    def forward(
+        self,
+        address: str,
+        request: ForwardedRequest,
+        timeout_ms: int,  # noqa: ARG002
+    ) -> Result[ForwardedAnswer, Failure]:
+        """Let a peer execute a request."""
+        reached = self._network.reach(self._address, address)
+        return reached.and_then(lambda handler: handler.forward(request))
+
+    def read_log(
+        self,
+        address: str,
+        from_offset: int,
+        limit: int,
+        timeout_ms: int,  # noqa: ARG002
+    ) -> Result[LogPage, Failure]:
+        """Fetch log records through a peer."""
+        reached = self._network.reach(self._address, address)
+        return reached.map(lambda peer: peer.read_log(from_offset, limit))
+
+    def snapshot(
+        self,
+        address: str,
+        timeout_ms: int,  # noqa: ARG002
+    ) -> Result[StateSnapshot, Failure]:
+        """Fetch a peer's encoded fold."""
+        reached = self._network.reach(self._address, address)
+        return reached.map(lambda peer: peer.snapshot())
