Give policies options; add strict priority and gangs to the baselines

Cause: the baseline cancelled in time linear in the queue, started gangs in parts and could not be told a deployment's weights. Change: first fit over a heap with lazy deletion, gangs placed as a whole, a second baseline that orders by class; weights by profile or as numbers in the settings. The interface gains TaskRequest.unit, Decision.has_more and Scheduler.resized.

--- a/src/magnoliapitch/decision/__init__.py
+++ b/src/magnoliapitch/decision/__init__.py
@@ -10,6 +10,9 @@
 from magnoliapitch.decision.interface import Scheduler
 from magnoliapitch.decision.interface import TaskRequest
 from magnoliapitch.decision.interface import WorkerShape
+from magnoliapitch.decision.options import PolicyOptions
+from magnoliapitch.decision.options import PolicyWeights
+from magnoliapitch.decision.options import options_of
 from magnoliapitch.decision.registry import make_scheduler
 from magnoliapitch.decision.registry import scheduling_policy
 
@@ -20,9 +23,12 @@
     "EvictionAction",
     "Explanation",
     "Placement",
+    "PolicyOptions",
+    "PolicyWeights",
     "Scheduler",
     "TaskRequest",
     "WorkerShape",
     "make_scheduler",
+    "options_of",
     "scheduling_policy",
 ]
--- a/src/magnoliapitch/decision/first_fit.py
+++ b/src/magnoliapitch/decision/first_fit.py
@@ -1,10 +1,12 @@
-"""Baseline policy: arrival order, first worker that fits."""
+"""Baseline policies: a strict order, first worker that fits."""
 
 from __future__ import annotations
 
-from collections import deque
+import heapq
+
 from typing import TYPE_CHECKING
 
+from magnoliapitch.catalogue.entry import WorkClass
 from magnoliapitch.decision.interface import Decision
 from magnoliapitch.decision.interface import Explanation
 from magnoliapitch.decision.interface import Placement
@@ -19,24 +21,42 @@
     from collections.abc import Mapping
 
     from magnoliapitch.catalogue.entry import CatalogueEntry
+    from magnoliapitch.decision.options import PolicyOptions
     from magnoliapitch.job.spec import TaskOutcome
 
 
-@scheduling_policy("fifo")
+PRIORITY_BY_CLASS = {
+    WorkClass.URGENT: 0,
+    WorkClass.SERVICE: 1,
+    WorkClass.GANG: 2,
+    WorkClass.BATCH: 3,
+}
+
+
 class FirstFitScheduler:
-    """Places tasks in arrival order on the first worker that fits."""
+    """Places the head of the queue on the first worker that fits.
+
+    Nothing overtakes a head that does not fit. A gang starts as a whole.
 
-    def __init__(self) -> None:
+    :param priority_by_class: rank of each class; equal ranks start in
+        order of arrival.
+    """
+
+    def __init__(self, priority_by_class: Mapping[WorkClass, int]) -> None:
+        self._priority_by_class = priority_by_class
         self._workers_by_id: dict[str, WorkerShape] = {}
         self._free_by_worker: dict[str, Resources] = {}
         self._withheld_by_worker: dict[str, Resources] = {}
         self._placements_by_task: dict[str, Placement] = {}
         self._jobs_by_task: dict[str, str] = {}
-        self._queue: deque[TaskRequest] = deque()
-        self._queued_ids: set[str] = set()
+        self._running_by_job: dict[str, set[str]] = {}
+        self._waiting_by_job: dict[str, dict[str, TaskRequest]] = {}
+        self._queue: list[tuple[int, int, TaskRequest]] = []
+        self._arrivals = 0
+        self._queued = 0
 
     def set_catalogue(self, by_name: Mapping[str, CatalogueEntry]) -> None:
-        """Ignore the catalogue; arrival order needs none."""
+        """Ignore the catalogue; a strict order needs none."""
 
     def add_worker(self, worker: WorkerShape) -> None:
         """Add a worker, or replace its capacity."""
@@ -52,11 +72,13 @@
         self._workers_by_id.pop(worker_id, None)
         self._free_by_worker.pop(worker_id, None)
         self._withheld_by_worker.pop(worker_id, None)
-        self._placements_by_task = {
-            task_id: placement
+        lost = [
+            task_id
             for task_id, placement in self._placements_by_task.items()
-            if placement.worker_id != worker_id
-        }
+            if placement.worker_id == worker_id
+        ]
+        for task_id in lost:
+            self._forget(task_id)
 
     def set_withheld(self, worker_id: str, withheld: Resources) -> None:
         """Withhold capacity that an earlier owner may have granted."""
@@ -69,30 +91,28 @@
         if task.task_id in self._placements_by_task:
             return
         self._jobs_by_task[task.task_id] = task.job_id
-        self._reserve(Placement(task.task_id, worker_id, reserved))
+        self._reserve(task, Placement(task.task_id, worker_id, reserved))
 
     def submit(self, tasks: tuple[TaskRequest, ...]) -> None:
         """Queue tasks; a known task id is ignored."""
         for task in tasks:
-            known = task.task_id in self._jobs_by_task
-            if known:
+            if task.task_id in self._jobs_by_task:
                 continue
             self._jobs_by_task[task.task_id] = task.job_id
-            self._queued_ids.add(task.task_id)
-            self._queue.append(task)
+            waiting = self._waiting_by_job.setdefault(task.job_id, {})
+            waiting[task.task_id] = task
+            rank = self._priority_by_class.get(task.work_class, 0)
+            heapq.heappush(self._queue, (rank, self._arrivals, task))
+            self._arrivals += 1
+            self._queued += 1
 
     def cancel(self, job_id: str) -> tuple[str, ...]:
         """Drop a job's queued tasks; return its running task ids."""
-        self._queued_ids = {
-            task_id
-            for task_id in self._queued_ids
-            if self._jobs_by_task[task_id] != job_id
-        }
-        return tuple(
-            task_id
-            for task_id in self._placements_by_task
-            if self._jobs_by_task[task_id] == job_id
-        )
+        waiting = self._waiting_by_job.pop(job_id, {})
+        self._queued -= len(waiting)
+        for task_id in waiting:
+            self._jobs_by_task.pop(task_id, None)
+        return tuple(sorted(self._running_by_job.get(job_id, ())))
 
     def ended(
         self,
@@ -101,48 +121,45 @@
         now_ms: int,  # noqa: ARG002
     ) -> None:
         """Free the reservation of a task that surely runs no more."""
-        placement = self._placements_by_task.pop(task_id, None)
-        self._jobs_by_task.pop(task_id, None)
-        if (
-            placement is None
-            or placement.worker_id not in self._free_by_worker
-        ):
+        placement = self._forget(task_id)
+        if placement is None:
             return
-        free = self._free_by_worker[placement.worker_id]
-        self._free_by_worker[placement.worker_id] = free.plus(
-            placement.reserved
-        )
+        free = self._free_by_worker.get(placement.worker_id)
+        if free is not None:
+            freed = free.plus(placement.reserved)
+            self._free_by_worker[placement.worker_id] = freed
 
     def report_usage(
         self, task_id: str, usage: Resources, now_ms: int
     ) -> None:
         """Ignore usage; the baseline trusts declared sizes."""
 
+    def resized(self, task_id: str, reserved: Resources) -> None:
+        """Ignore new bounds; the baseline asks for none."""
+
     def decide(self, now_ms: int) -> Decision:  # noqa: ARG002
         """Place from the head of the queue until one does not fit."""
         placements: list[Placement] = []
         while self._queue:
-            head = self._queue[0]
-            if head.task_id not in self._queued_ids:
-                self._queue.popleft()
-                self._jobs_by_task.pop(head.task_id, None)
+            head = self._queue[0][2]
+            if not self._is_waiting(head):
+                heapq.heappop(self._queue)
                 continue
-            worker_id = self._first_fit(head.resources)
-            if worker_id is None:
+            placed = self._place(self._together(head))
+            if not placed:
                 break
-            self._queue.popleft()
-            self._queued_ids.discard(head.task_id)
-            placement = Placement(head.task_id, worker_id, head.resources)
-            self._reserve(placement)
-            placements.append(placement)
+            placements.extend(placed)
         return Decision(tuple(placements))
 
     def explain(self, job_id: str, now_ms: int) -> Explanation | None:  # noqa: ARG002
         """Tell why a queued job waits."""
-        for position, task in enumerate(self._queue):
-            if task.job_id == job_id and task.task_id in self._queued_ids:
-                return Explanation(job_id, "arrival order", position, -1)
-        return None
+        if job_id not in self._waiting_by_job:
+            return None
+        ahead = sum(
+            self._is_waiting(task) and task.job_id != job_id
+            for _, _, task in self._queue
+        )
+        return Explanation(job_id, "arrival order", ahead, -1)
 
     def refusal(
         self, task: TaskRequest, fleet: tuple[WorkerShape, ...]
@@ -161,22 +178,88 @@
 
     def queued(self) -> int:
         """Return the number of waiting tasks."""
-        return len(self._queued_ids)
+        return self._queued
+
+    def _is_waiting(self, task: TaskRequest) -> bool:
+        return task.task_id in self._waiting_by_job.get(task.job_id, ())
+
+    def _together(self, head: TaskRequest) -> tuple[TaskRequest, ...]:
+        if head.gang_size <= 1:
+            return (head,)
+        return tuple(self._waiting_by_job[head.job_id].values())
+
+    def _place(self, tasks: tuple[TaskRequest, ...]) -> list[Placement]:
+        placements: list[Placement] = []
+        for task in tasks:
+            worker_id = self._first_fit(task)
+            if worker_id is None:
+                for placement in placements:
+                    self._undo(placement)
+                return []
+            placement = Placement(task.task_id, worker_id, task.resources)
+            self._reserve(task, placement)
+            placements.append(placement)
+        for task in tasks:
+            self._dequeue(task)
+        return placements
+
+    def _dequeue(self, task: TaskRequest) -> None:
+        waiting = self._waiting_by_job[task.job_id]
+        del waiting[task.task_id]
+        self._queued -= 1
+        if not waiting:
+            del self._waiting_by_job[task.job_id]
 
     def _available(self, worker_id: str) -> Resources:
         withheld = self._withheld_by_worker.get(worker_id, NO_RESOURCES)
         return self._free_by_worker[worker_id].minus(withheld)
 
-    def _first_fit(self, resources: Resources) -> str | None:
-        for worker_id in self._workers_by_id:
-            if resources.fits(self._available(worker_id)):
+    def _first_fit(self, task: TaskRequest) -> str | None:
+        for worker_id, worker in self._workers_by_id.items():
+            if task.unit and task.unit != worker.unit:
+                continue
+            if task.resources.fits(self._available(worker_id)):
                 return worker_id
         return None
 
-    def _reserve(self, placement: Placement) -> None:
+    def _reserve(self, task: TaskRequest, placement: Placement) -> None:
         self._placements_by_task[placement.task_id] = placement
+        running = self._running_by_job.setdefault(task.job_id, set())
+        running.add(task.task_id)
         free = self._free_by_worker.get(placement.worker_id)
         if free is not None:
-            self._free_by_worker[placement.worker_id] = free.minus(
-                placement.reserved
-            )
+            left = free.minus(placement.reserved)
+            self._free_by_worker[placement.worker_id] = left
+
+    def _undo(self, placement: Placement) -> None:
+        del self._placements_by_task[placement.task_id]
+        job_id = self._jobs_by_task[placement.task_id]
+        self._running_by_job[job_id].discard(placement.task_id)
+        free = self._free_by_worker[placement.worker_id]
+        freed = free.plus(placement.reserved)
+        self._free_by_worker[placement.worker_id] = freed
+
+    def _forget(self, task_id: str) -> Placement | None:
+        placement = self._placements_by_task.pop(task_id, None)
+        job_id = self._jobs_by_task.pop(task_id, "")
+        waiting = self._waiting_by_job.get(job_id, {})
+        if waiting.pop(task_id, None) is not None:
+            self._queued -= 1
+        running = self._running_by_job.get(job_id)
+        if running is not None:
+            running.discard(task_id)
+            if not running:
+                del self._running_by_job[job_id]
+        return placement
+
+
+@scheduling_policy("fifo")
+def make_fifo(options: PolicyOptions) -> FirstFitScheduler:  # noqa: ARG001
+    """Return the policy that starts in order of arrival."""
+    return FirstFitScheduler({})
+
+
+@scheduling_policy("strict-priority")
+def make_strict_priority(options: PolicyOptions) -> FirstFitScheduler:  # noqa: ARG001
+    """Return the policy that starts in order of class, then arrival."""
+    return FirstFitScheduler(PRIORITY_BY_CLASS)
--- a/src/magnoliapitch/decision/interface.py
+++ b/src/magnoliapitch/decision/interface.py
@@ -24,6 +24,7 @@
 
     :param task_id: lease id of its next attempt, ``JOB/TASK/ATTEMPT``.
     :param gang_size: tasks of the job that must start together, else 1.
+    :param unit: rack whose workers alone may run it, or empty for any.
     :param run_ms: declared run time.
     :param submitted_ms: when the job was accepted, local clock.
     :param deadline_ms: wanted completion, local clock; 0 for none.
@@ -39,6 +40,7 @@
     submitted_ms: int
     deadline_ms: int = 0
     gang_size: int = 1
+    unit: str = ""
 
 
 class WorkerShape(NamedTuple):
@@ -85,10 +87,14 @@
 
 
 class Decision(NamedTuple):
-    """What to do now; placements already count as reserved."""
+    """What to do now; placements already count as reserved.
+
+    :param has_more: the bound on work was reached; decide again at once.
+    """
 
     placements: tuple[Placement, ...] = ()
     evictions: tuple[Eviction, ...] = ()
+    has_more: bool = False
 
 
 class Explanation(NamedTuple):
@@ -142,6 +148,9 @@
     ) -> None:
         """Note a usage report of a running task."""
 
+    def resized(self, task_id: str, reserved: Resources) -> None:
+        """Note that a worker confirmed a new bound on a running task."""
+
     def decide(self, now_ms: int) -> Decision:
         """Return the next decision, bounded in work."""
 
--- a/src/magnoliapitch/decision/registry.py
+++ b/src/magnoliapitch/decision/registry.py
@@ -6,9 +6,10 @@
 
 from magnoliapitch.decision.exceptions import UnknownPolicyError
 from magnoliapitch.decision.interface import Scheduler
+from magnoliapitch.decision.options import PolicyOptions
 
 
-SchedulerFactory = Callable[[], Scheduler]
+SchedulerFactory = Callable[[PolicyOptions], Scheduler]
 
 _factories_by_name: dict[str, SchedulerFactory] = {}
 
@@ -25,7 +26,9 @@
     return register
 
 
-def make_scheduler(name: str) -> Scheduler:
+def make_scheduler(
+    name: str, options: PolicyOptions | None = None
+) -> Scheduler:
     """Build a scheduler of the named policy.
 
     :raises UnknownPolicyError: if no policy has that name.
@@ -33,4 +36,4 @@
     factory = _factories_by_name.get(name)
     if factory is None:
         raise UnknownPolicyError(name, tuple(_factories_by_name))
-    return factory()
+    return factory(options or PolicyOptions())
--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -9,6 +9,7 @@
 from result import Ok
 
 from magnoliapitch.decision import first_fit as _first_fit  # noqa: F401
+from magnoliapitch.decision.options import options_of
 from magnoliapitch.decision.registry import make_scheduler
 from magnoliapitch.job.manager import JobManager
 from magnoliapitch.journal.journal import Journal
@@ -94,7 +95,10 @@
             self.fleet,
             self.claimer,
             adapters.workers,
-            make_scheduler(settings.policy),
+            make_scheduler(
+                settings.policy,
+                options_of(settings.profile, settings.weights),
+            ),
             self.clock,
         )
         self._link = link
--- a/src/magnoliapitch/settings/model.py
+++ b/src/magnoliapitch/settings/model.py
@@ -7,6 +7,9 @@
 
 from pydantic import Field
 
+from magnoliapitch.decision.options import WAITING_FIRST
+from magnoliapitch.decision.options import PolicyWeights
+
 
 Port = Annotated[int, Field(ge=0, le=65_535)]
 Milliseconds = Annotated[int, Field(ge=1, le=86_400_000)]
@@ -25,6 +28,8 @@
     :param log_url: address of the platform's log.
     :param instance_list_url: address of the platform's list of instances.
     :param policy: name of the scheduling policy.
+    :param profile: named weights of the policy.
+    :param weights: weights as numbers, which replace the profile.
     :param caller_threads: callers served at once.
     :param admin_threads: operators' requests served at once.
     :param lease_ttl_ms: validity of a task lease.
@@ -39,6 +44,8 @@
     admin_port: Port = 8081
     peer_port: Port = 8082
     policy: str = "fifo"
+    profile: str = WAITING_FIRST
+    weights: PolicyWeights | None = None
     caller_threads: Threads = 64
     admin_threads: Threads = 4
     lease_ttl_ms: Milliseconds = 15_000
