Write named fields in records and worker messages

Cause: nested named tuples were written as JSON arrays, so a field added by a later version would shift the others, and operators could not read them. Change: to_plain keeps the names; pydantic still validates on the way in.

--- a/src/magnoliapitch/journal/codec.py
+++ b/src/magnoliapitch/journal/codec.py
@@ -20,6 +20,7 @@
 from magnoliapitch.journal.record import UnknownEntry
 from magnoliapitch.journal.record import adapters_by_kind
 from magnoliapitch.journal.record import kinds_by_type
+from magnoliapitch.plain import to_plain
 
 
 RECORD_VERSION = 1
@@ -59,10 +60,7 @@
 
 
 def _encode_entry(entry: RecordEntry) -> dict[str, Any]:
-    kind = kinds_by_type[type(entry)]
-    value = adapters_by_kind[kind].dump_python(entry, mode="json")
-    fields = dict(zip(entry._fields, value, strict=True))
-    return {"kind": kind, **fields}
+    return {"kind": kinds_by_type[type(entry)], **to_plain(entry)}
 
 
 def _decode_entry(value: Any) -> RecordEntry | UnknownEntry | InvalidEntry:
--- a/src/magnoliapitch/standin/server.py
+++ b/src/magnoliapitch/standin/server.py
@@ -18,6 +18,7 @@
 from magnoliapitch.http import Listener
 from magnoliapitch.http import json_response
 from magnoliapitch.http import problem_response
+from magnoliapitch.plain import to_plain
 from magnoliapitch.platform.instance import InstanceInfo
 from magnoliapitch.platform.instance import InstanceRole
 from magnoliapitch.worker.lease import LeaseGrant
@@ -36,8 +37,6 @@
 
 ValueT = TypeVar("ValueT")
 
-_INSTANCES = TypeAdapter(tuple[InstanceInfo, ...])
-_VIEW = TypeAdapter(WorkerView)
 _GRANTS = TypeAdapter(tuple[LeaseGrant, ...])
 
 
@@ -74,9 +73,7 @@
     def instances(request: HttpRequest) -> HttpResponse:  # noqa: ARG001
         return _respond(
             instance_list.instances(),
-            lambda found: {
-                "instances": _INSTANCES.dump_python(found, mode="json")
-            },
+            lambda found: {"instances": to_plain(found)},
         )
 
     return application
@@ -90,9 +87,7 @@
     """Serve workers below ``/workers/ID``."""
 
     def respond(outcome: Result[WorkerView, Failure]) -> HttpResponse:
-        return _respond(
-            outcome, lambda view: _VIEW.dump_python(view, mode="json")
-        )
+        return _respond(outcome, to_plain)
 
     @application.route("POST", "/workers/{worker}/view")
     def view(request: HttpRequest) -> HttpResponse:
--- a/src/magnoliapitch/worker/http_pool.py
+++ b/src/magnoliapitch/worker/http_pool.py
@@ -10,6 +10,7 @@
 
 from pydantic import TypeAdapter
 
+from magnoliapitch.plain import to_plain
 from magnoliapitch.platform.http_client import JsonClient
 from magnoliapitch.worker.lease import LeaseGrant
 from magnoliapitch.worker.lease import WorkerView
@@ -23,7 +24,6 @@
 
 
 _VIEW = TypeAdapter(WorkerView)
-_GRANTS = TypeAdapter(tuple[LeaseGrant, ...])
 
 
 class HttpWorkerPool:
@@ -42,8 +42,7 @@
         self, worker: InstanceInfo, grants: tuple[LeaseGrant, ...]
     ) -> Result[WorkerView, Failure]:
         """Start tasks; each id at most once."""
-        value = _GRANTS.dump_python(grants, mode="json")
-        return self._call(worker, "start", {"grants": value})
+        return self._call(worker, "start", {"grants": to_plain(grants)})
 
     def renew(
         self,
