--- a/src/magnoliapitch/console/application.py
+++ b/src/magnoliapitch/console/application.py
@@ -5,6 +5,7 @@
 from cyclopts import App
 
 from magnoliapitch import __version__
+from magnoliapitch.console.bench import bench
 from magnoliapitch.console.demo import demo
 from magnoliapitch.console.entry import entry
 
@@ -16,6 +17,7 @@
 )
 application.command(entry)
 application.command(demo)
+application.command(bench)
 
 
 def main() -> None:
