Log events as one line of pairs; give settings sections

Cause: the logs held free text that a caller's bytes could break into lines, and settings were one flat list without checks of addresses. Conclusion: the shape is settled; other packages add fields and events.

--- a/src/magnoliapitch/console/entry.py
+++ b/src/magnoliapitch/console/entry.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from magnoliapitch.entry import EntryNode
+from magnoliapitch.event import configure_logging
 from magnoliapitch.settings import load_settings
 
 
@@ -16,7 +17,9 @@
 
     :param settings: TOML settings file.
     """
-    node = EntryNode.from_settings(load_settings(settings))
+    loaded = load_settings(settings)
+    configure_logging(loaded.instance_id, loaded.zone, loaded.log_level)
+    node = EntryNode.from_settings(loaded)
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
--- a/src/magnoliapitch/entry/adapters.py
+++ b/src/magnoliapitch/entry/adapters.py
@@ -33,8 +33,8 @@
     def from_settings(cls, settings: Settings) -> Adapters:
         """Build the adapters that the settings name."""
         return cls(
-            make_log(settings.log_url),
-            make_instance_list(settings.instance_list_url),
+            make_log(settings.platform.log_url),
+            make_instance_list(settings.platform.instance_list_url),
             HttpWorkerPool(),
             HttpBackendClient(),
         )
--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -73,7 +73,7 @@
         self.identity = Identity.create(
             settings.instance_id,
             settings.zone,
-            f"{settings.address}:{settings.peer_port}",
+            f"{settings.address}:{settings.listeners.peer_port}",
         )
         self.fleet = Fleet(adapters.instance_list)
         self.journal = Journal(
--- a/src/magnoliapitch/entry/node.py
+++ b/src/magnoliapitch/entry/node.py
@@ -36,20 +36,20 @@
         self.settings = settings
         self.clock = clock or MonotonicClock()
         address = settings.address
-        self.peer_node = PeerNode((address, settings.peer_port))
+        self.peer_node = PeerNode((address, settings.listeners.peer_port))
         self.core = EntryCore(settings, adapters, self.peer_node, self.clock)
         self.peer_node.handler = self.core
         self.caller_listener = Listener(
             "callers",
-            (address, settings.caller_port),
+            (address, settings.listeners.caller_port),
             caller_application(self.core),
-            settings.caller_threads,
+            settings.listeners.caller_threads,
         )
         self.admin_listener = Listener(
             "operators",
-            (address, settings.admin_port),
+            (address, settings.listeners.admin_port),
             admin_application(self.core),
-            settings.admin_threads,
+            settings.listeners.admin_threads,
         )
         self.supervisor = Supervisor("entry", self._children(), self.clock)
 
--- /dev/null
+++ b/src/magnoliapitch/event/__init__.py
@@ -0,0 +1,25 @@
+"""Structured log events: one line of key=value pairs each."""
+
+from __future__ import annotations
+
+from magnoliapitch.event import known as _known  # noqa: F401
+from magnoliapitch.event.line import format_line
+from magnoliapitch.event.log import configure_logging
+from magnoliapitch.event.log import log_event
+from magnoliapitch.event.log import request_context
+from magnoliapitch.event.registry import EventKind
+from magnoliapitch.event.registry import EventLevel
+from magnoliapitch.event.registry import define_event
+from magnoliapitch.event.registry import kinds_by_name
+
+
+__all__ = [
+    "EventKind",
+    "EventLevel",
+    "configure_logging",
+    "define_event",
+    "format_line",
+    "kinds_by_name",
+    "log_event",
+    "request_context",
+]
--- /dev/null
+++ b/src/magnoliapitch/event/registry.py
@@ -0,0 +1,50 @@
+"""Registry of the events that a process may log."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class EventLevel(StrEnum):
+    """Severity of an event; warnings and errors are worth an alarm."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+ALARM_LEVELS = (EventLevel.WARNING, EventLevel.ERROR)
+
+
+class EventKind(NamedTuple):
+    """A kind of event.
+
+    :param name: lower-case words joined by hyphens.
+    :param meaning: what has happened, one sentence.
+    """
+
+    name: str
+    level: EventLevel
+    meaning: str
+
+    @property
+    def is_alarm(self) -> bool:
+        """Whether an operator should be told."""
+        return self.level in ALARM_LEVELS
+
+
+kinds_by_name: dict[str, EventKind] = {}
+
+
+def define_event(name: str, level: EventLevel, meaning: str) -> EventKind:
+    """Register a kind of event.
+
+    :raises ValueError: if the name is taken.
+    """
+    if name in kinds_by_name:
+        raise ValueError(f"event {name!r} is defined twice")
+    kind = EventKind(name, level, meaning)
+    kinds_by_name[name] = kind
+    return kind
--- a/src/magnoliapitch/settings/model.py
+++ b/src/magnoliapitch/settings/model.py
@@ -1,44 +1,97 @@
-"""Schema of the settings file."""
+"""Schema of the settings file: one named tuple a section."""
 
 from __future__ import annotations
 
 from typing import Annotated
 from typing import NamedTuple
 
+from pydantic import AfterValidator
 from pydantic import Field
 
+from magnoliapitch.event.registry import EventLevel
+from magnoliapitch.settings.check import check_ip_number
+from magnoliapitch.settings.check import check_platform_url
 
-Port = Annotated[int, Field(ge=0, le=65_535)]
-Milliseconds = Annotated[int, Field(ge=1, le=86_400_000)]
-Threads = Annotated[int, Field(ge=1, le=4_096)]
 
+Port = Annotated[int, Field(ge=0, le=65_535, strict=True)]
+Milliseconds = Annotated[int, Field(ge=1, le=86_400_000, strict=True)]
+Threads = Annotated[int, Field(ge=1, le=4_096, strict=True)]
+Count = Annotated[int, Field(ge=1, le=1_000_000, strict=True)]
+IpNumber = Annotated[str, AfterValidator(check_ip_number)]
+PlatformUrl = Annotated[str, AfterValidator(check_platform_url)]
+InstanceName = Annotated[
+    str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
+]
 
-class Settings(NamedTuple):
-    """Settings of one entry instance.
 
-    :param instance_id: unique name of the instance.
-    :param zone: availability zone.
-    :param address: IP number to listen on and to give to peers.
+class PlatformSettings(NamedTuple):
+    """Where the platform's services are.
+
+    :param log_url: address of the platform's log.
+    :param instance_list_url: address of the platform's list of instances.
+    """
+
+    log_url: PlatformUrl
+    instance_list_url: PlatformUrl
+
+
+class ListenerSettings(NamedTuple):
+    """What an instance listens on.
+
     :param caller_port: port of the callers' HTTP listener.
     :param admin_port: port of the operators' HTTP listener.
     :param peer_port: port of the peer RPC listener.
-    :param log_url: address of the platform's log.
-    :param instance_list_url: address of the platform's list of instances.
-    :param policy: name of the scheduling policy.
     :param caller_threads: callers served at once.
     :param admin_threads: operators' requests served at once.
-    :param lease_ttl_ms: validity of a task lease.
     """
 
-    instance_id: str
-    zone: str
-    log_url: str
-    instance_list_url: str
-    address: str = "127.0.0.1"
     caller_port: Port = 8080
     admin_port: Port = 8081
     peer_port: Port = 8082
-    policy: str = "fifo"
     caller_threads: Threads = 64
     admin_threads: Threads = 4
+
+
+class TimingSettings(NamedTuple):
+    """Intervals and timeouts.
+
+    :param lease_ttl_ms: validity of a task lease.
+    :param drain_timeout_ms: longest wait for requests in flight when an
+        instance stops.
+    """
+
     lease_ttl_ms: Milliseconds = 15_000
+    drain_timeout_ms: Milliseconds = 30_000
+
+
+class LimitSettings(NamedTuple):
+    """Bounds of what an instance accepts and endures.
+
+    :param restarts: restarts of one child within the window before the
+        process gives up.
+    :param restart_window_ms: length of that window.
+    """
+
+    restarts: Count = 10
+    restart_window_ms: Milliseconds = 60_000
+
+
+class Settings(NamedTuple):
+    """Settings of one entry instance.
+
+    :param instance_id: unique name of the instance.
+    :param zone: availability zone.
+    :param address: IP number to listen on and to give to peers.
+    :param policy: name of the scheduling policy.
+    :param log_level: lowest level of the events that are logged.
+    """
+
+    instance_id: InstanceName
+    zone: InstanceName
+    platform: PlatformSettings
+    address: IpNumber = "127.0.0.1"
+    policy: str = "fifo"
+    log_level: EventLevel = EventLevel.INFO
+    listeners: ListenerSettings = ListenerSettings()
+    timing: TimingSettings = TimingSettings()
+    limits: LimitSettings = LimitSettings()
--- a/src/magnoliapitch/standin/cell.py
+++ b/src/magnoliapitch/standin/cell.py
@@ -13,6 +13,8 @@
 from magnoliapitch.platform.instance import InstanceInfo
 from magnoliapitch.platform.instance import InstanceRole
 from magnoliapitch.resource import Resources
+from magnoliapitch.settings.model import ListenerSettings
+from magnoliapitch.settings.model import PlatformSettings
 from magnoliapitch.settings.model import Settings
 from magnoliapitch.standin.backend import StandinBackends
 from magnoliapitch.standin.instance import StandinInstanceList
@@ -56,11 +58,8 @@
         settings = Settings(
             f"entry-{number}",
             zone,
-            "memory:",
-            "memory:",
-            caller_port=ports[0],
-            admin_port=ports[1],
-            peer_port=ports[2],
+            PlatformSettings("memory:", "memory:"),
+            listeners=ListenerSettings(*ports),
         )
         adapters = Adapters(
             self.log, self.instance_list, self.workers, self.backends
--- a/src/magnoliapitch/standin/demo.py
+++ b/src/magnoliapitch/standin/demo.py
@@ -63,7 +63,7 @@
 
 def _request(cell: Cell, number: int) -> bool:
     node = cell.entries[number % len(cell.entries)]
-    url = f"http://127.0.0.1:{node.settings.caller_port}"
+    url = f"http://127.0.0.1:{node.settings.listeners.caller_port}"
     response = urllib3.request(
         "POST",
         f"{url}/v1/requests/seat-check",
@@ -78,7 +78,7 @@
 
 
 def _run_job(cell: Cell) -> bool:
-    url = f"http://127.0.0.1:{cell.entries[0].settings.caller_port}"
+    url = f"http://127.0.0.1:{cell.entries[0].settings.listeners.caller_port}"
     job = {
         "job_id": "roster-1",
         "entry": "term-roster",
--- a/src/magnoliapitch/supervisor/loop.py
+++ b/src/magnoliapitch/supervisor/loop.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from loguru import logger
+from magnoliapitch.event import log_event
 
 
 if TYPE_CHECKING:
@@ -49,5 +49,5 @@
         try:
             while not self._stopping.is_set():
                 self._clock.wait(self._stopping, self._step())
-        except Exception:
-            logger.exception("event=loop-failed loop={}", self.name)
+        except Exception as error:
+            log_event("step-failed", loop=self.name, error=error)
--- a/src/magnoliapitch/supervisor/supervisor.py
+++ b/src/magnoliapitch/supervisor/supervisor.py
@@ -6,7 +6,7 @@
 
 from typing import TYPE_CHECKING
 
-from loguru import logger
+from magnoliapitch.event import log_event
 
 
 if TYPE_CHECKING:
@@ -56,9 +56,7 @@
                 continue
             count = self.restarts_by_child.get(child.name, 0) + 1
             self.restarts_by_child[child.name] = count
-            logger.warning(
-                "event=child-restarted child={} count={}", child.name, count
-            )
+            log_event("child-restarted", child=child.name, count=count)
             child.start()
 
     def _watch(self) -> None:
--- a/tests/process/conftest.py
+++ b/tests/process/conftest.py
@@ -39,8 +39,10 @@
         settings.write_text(
             f'instance_id = "entry-{number}"\n'
             f'zone = "{zone}"\n'
+            f"[platform]\n"
             f'log_url = "{platform_url}/log"\n'
             f'instance_list_url = "{platform_url}"\n'
+            f"[listeners]\n"
             f"caller_port = {ports[0]}\n"
             f"admin_port = {ports[1]}\n"
             f"peer_port = {ports[2]}\n"
