Bench the baselines on seeded traces

Cause: no change of the policy can be judged without a measure. Conclusion: the baselines are in place; nothing is improved yet.

--- /dev/null
+++ b/src/magnoliapitch/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Benchmarks."""
+
+from __future__ import annotations
--- a/src/magnoliapitch/console/application.py
+++ b/src/magnoliapitch/console/application.py
@@ -5,6 +5,7 @@
 from cyclopts import App
 
 from magnoliapitch import __version__
+from magnoliapitch.console import bench_decisions as _bench_decisions  # noqa: F401
 from magnoliapitch.console.bench import bench
 from magnoliapitch.console.demo import demo
 from magnoliapitch.console.entry import entry
--- /dev/null
+++ b/src/magnoliapitch/console/bench_decisions.py
@@ -0,0 +1,36 @@
+"""The ``bench decisions`` command."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from magnoliapitch.bench.decisions import FLEETS
+from magnoliapitch.bench.decisions import make_traces
+from magnoliapitch.bench.decisions.report import plot
+from magnoliapitch.bench.decisions.report import table
+from magnoliapitch.bench.decisions.report import to_json
+from magnoliapitch.bench.decisions.suite import run_suite
+from magnoliapitch.console.bench import bench
+
+
+@bench.command(name="decisions")
+def decisions(
+    *,
+    seed: int = 1,
+    scale: float = 0.5,
+    json: Path | None = None,
+    png: Path | None = None,
+) -> None:
+    """Measure the scheduling policies on seeded traces.
+
+    :param seed: seed of the traces.
+    :param scale: length of the arrivals, as a share of one hour.
+    :param json: file for the results as JSON.
+    :param png: file for the plot; needs the extra ``plot``.
+    """
+    results = run_suite(make_traces(FLEETS, seed, scale))
+    print(table(results))
+    if json is not None:
+        json.write_bytes(to_json(results))
+    if png is not None:
+        plot(results, png)
