Add the weighted policy

Change: the policy 'weighted': classes in order, deadlines by latest start, owners by dominant share, best fit from an index by free cores, gangs as a whole with one reserved start at a time, learned sizes and run times, evictions, quarantine, retries with backoff.

--- /dev/null
+++ b/src/magnoliapitch/decision/dispatch.py
@@ -0,0 +1,342 @@
+"""Order in which waiting work is served.
+
+Urgent work first, then services, then what is overdue or holds a reserved
+start, then deadlines by latest start, then owners by dominant share, and
+last what borrows idle quota.
+"""
+
+from __future__ import annotations
+
+import heapq
+
+from typing import TYPE_CHECKING
+
+from magnoliapitch.catalogue.entry import WorkClass
+from magnoliapitch.decision.bound import ClassProgress
+from magnoliapitch.decision.placement import Need
+from magnoliapitch.resource import Resources
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.decision.books import Books
+    from magnoliapitch.decision.capacity import WorkerState
+    from magnoliapitch.decision.estimate import Estimates
+    from magnoliapitch.decision.hold import HoldPlanner
+    from magnoliapitch.decision.queue import GroupHeap
+    from magnoliapitch.decision.queue import TaskGroup
+    from magnoliapitch.decision.queue import TaskQueue
+    from magnoliapitch.decision.reclaim import Reclaimer
+    from magnoliapitch.decision.round import Round
+
+
+MAX_DEADLINES_ASIDE = 16
+DEADLINE_CREDIT = 48
+CREDIT_PER_OWNER_START = 3
+MAX_CHANGED = 24
+FREE_CAPACITY = "free capacity"
+FIRST_CLASSES = (WorkClass.URGENT, WorkClass.SERVICE)
+BULK_CLASSES = (WorkClass.GANG, WorkClass.BATCH)
+
+_Lanes = list[tuple[float, int, "GroupHeap"]]
+
+
+class Dispatcher:
+    """Serves the queue in order, within the bounds of a round.
+
+    :param holds: whether starts are reserved for what does not fit.
+    """
+
+    def __init__(
+        self,
+        books: Books,
+        queue: TaskQueue,
+        estimates: Estimates,
+        holds: HoldPlanner | None,
+        reclaimer: Reclaimer,
+    ) -> None:
+        self._books = books
+        self._queue = queue
+        self._estimates = estimates
+        self._holds = holds
+        self._reclaimer = reclaimer
+        self._progress = ClassProgress()
+        self._deadline_credit = DEADLINE_CREDIT
+
+    def serve(self, turn: Round) -> None:
+        """Start what can be started, in order."""
+        for work_class in FIRST_CLASSES:
+            self._serve_first(turn, work_class)
+        self._serve_held(turn)
+        for work_class in BULK_CLASSES:
+            self._serve_overdue(turn, work_class)
+        self._serve_deadlines(turn)
+        beyond_quota = self._serve_owners(turn)
+        for group in beyond_quota:
+            if turn.is_full or not turn.may_search:
+                break
+            self._start(turn, group)
+
+    def start_on(
+        self, turn: Round, group: TaskGroup, worker: WorkerState
+    ) -> str:
+        """Start the next task of a group on a worker; return its id."""
+        task = self._queue.take(group)
+        now_ms = turn.now_ms
+        ends_ms = now_ms + group.run_ms
+        placement = self._books.start(
+            task, worker, group.size, (now_ms, ends_ms)
+        )
+        if self._holds is not None:
+            self._holds.charge(worker, group, ends_ms)
+        group.job.running[task.task_id] = None
+        self._progress.started(task.work_class, now_ms)
+        turn.placements.append(placement)
+        return task.task_id
+
+    def refresh(self, group: TaskGroup) -> None:
+        """Apply what was learned since the group was last looked at."""
+        task = group.sample
+        estimate = self._estimates.of(task.entry)
+        version = estimate.version + self._books.table.version
+        if group.version == version:
+            return
+        group.version = version
+        group.run_ms = estimate.run_ms(task.run_ms)
+        size = estimate.size(task.resources)
+        limit = self._books.table.limit(_is_bulk(group))
+        cpu_millis = max(1, min(size.cpu_millis, limit.cpu_millis))
+        memory_mb = min(max(size.memory_mb, group.floor_mb), limit.memory_mb)
+        group.size = Resources(
+            cpu_millis, max(1, memory_mb), size.accelerators
+        )
+
+    def _serve_first(self, turn: Round, work_class: WorkClass) -> None:
+        heap = self._queue.oldest_by_class[work_class]
+        aside: list[TaskGroup] = []
+        while turn.may_search and not turn.is_full:
+            group = heap.pop()
+            if group is None:
+                break
+            served = self._start_all(turn, group)
+            if group.tasks_by_id:
+                aside.append(group)
+            if not served and turn.may_evict:
+                self._reclaim(turn, group)
+        for group in aside:
+            heap.push(group.first_ms, group)
+
+    def _serve_held(self, turn: Round) -> None:
+        if self._holds is None:
+            return
+        self._holds.expire(turn.now_ms)
+        hold = self._holds.hold
+        if hold is None or turn.is_full:
+            return
+        if self._start_all(turn, hold.group):
+            self._holds.release()
+        elif self._is_overdue(turn, hold.group) and turn.may_evict:
+            self._reclaim(turn, hold.group)
+
+    def _serve_overdue(self, turn: Round, work_class: WorkClass) -> None:
+        heap = self._queue.oldest_by_class[work_class]
+        group = heap.peek()
+        while group is not None and self._is_overdue(turn, group):
+            if turn.is_full or not self._start_all(turn, group):
+                self._hold(turn, group)
+                return
+            group = heap.peek()
+
+    def _serve_deadlines(self, turn: Round) -> None:
+        heap = self._queue.deadlines
+        aside: list[TaskGroup] = []
+        started = len(turn.placements)
+        while (
+            turn.may_search
+            and not turn.is_full
+            and len(aside) < MAX_DEADLINES_ASIDE
+            and len(turn.placements) - started < self._deadline_credit
+        ):
+            group = heap.pop()
+            if group is None:
+                break
+            self.refresh(group)
+            if group.latest_start_ms() < turn.now_ms:
+                continue
+            if not self._start_all(turn, group):
+                self._hold(turn, group)
+            if group.tasks_by_id:
+                aside.append(group)
+        for group in aside:
+            heap.push(group.latest_start_ms(), group)
+        self._deadline_credit -= len(turn.placements) - started
+
+    def _serve_owners(self, turn: Round) -> list[TaskGroup]:
+        """Serve owners by dominant share; return what is beyond quota.
+
+        Starts here earn credit for starts by deadline, so that deadlines
+        cannot take everything.
+        """
+        started = len(turn.placements)
+        beyond_quota: list[TaskGroup] = []
+        lanes_by_owner: dict[str, _Lanes] = {}
+        owners = [
+            (self._share(owner), owner)
+            for owner in self._queue.queues_by_owner
+        ]
+        heapq.heapify(owners)
+        while owners and turn.may_search and not turn.is_full:
+            owner = heapq.heappop(owners)[1]
+            lanes = lanes_by_owner.get(owner)
+            if lanes is None:
+                lanes = self._queue.queues_by_owner[owner].heads()
+                lanes_by_owner[owner] = lanes
+            if not lanes:
+                continue
+            self._serve_lane(turn, lanes, beyond_quota)
+            heapq.heappush(owners, (self._share(owner), owner))
+        for owner, lanes in lanes_by_owner.items():
+            if not lanes and self._queue.queues_by_owner[owner].is_empty():
+                del self._queue.queues_by_owner[owner]
+        earned = (len(turn.placements) - started) * CREDIT_PER_OWNER_START
+        if not owners:
+            earned = DEADLINE_CREDIT
+        credit = self._deadline_credit + earned
+        self._deadline_credit = min(DEADLINE_CREDIT, credit)
+        return beyond_quota
+
+    def _serve_lane(
+        self, turn: Round, lanes: _Lanes, beyond_quota: list[TaskGroup]
+    ) -> None:
+        """Start one task of the first lane, or leave it out of the round."""
+        _, number, heap = heapq.heappop(lanes)
+        group = heap.peek()
+        if group is None:
+            return
+        self.refresh(group)
+        entry = group.sample.entry
+        members = len(group.tasks_by_id) if group.is_gang else 1
+        wanted = group.size.times(members)
+        if not self._books.accounts.is_within_quota(entry, wanted):
+            group.reason = f"quota of entry {entry}"
+            beyond_quota.append(group)
+            return
+        if not self._start(turn, group):
+            self._hold(turn, group)
+            if turn.may_evict:
+                self._reclaim_borrowed(turn, group)
+            return
+        first = heap.peek()
+        if first is not None:
+            heapq.heappush(lanes, (first.key, number, heap))
+
+    def _share(self, owner: str) -> float:
+        capacity = self._books.table.capacity
+        return self._books.accounts.dominant_share(owner, capacity)
+
+    def _start_all(self, turn: Round, group: TaskGroup) -> bool:
+        """Start all tasks of a group; return whether none is left."""
+        while group.tasks_by_id:
+            if turn.is_full or not self._start(turn, group):
+                return False
+        return True
+
+    def _start(self, turn: Round, group: TaskGroup) -> bool:
+        """Start the next task of a group, or the whole gang."""
+        self.refresh(group)
+        if group.is_gang:
+            return self._start_gang(turn, group)
+        worker = self._search(turn, group)
+        if worker is None:
+            return False
+        self.start_on(turn, group, worker)
+        return True
+
+    def _start_gang(self, turn: Round, group: TaskGroup) -> bool:
+        missing = group.sample.gang_size - len(group.job.running)
+        members = len(group.tasks_by_id)
+        if members < missing:
+            group.reason = "the rest of the gang is not submitted"
+            return False
+        total = group.size.times(members)
+        if not turn.may_try_gang or not total.fits(self._books.free):
+            group.reason = "room for the whole gang"
+            return False
+        turn.gang_tries += 1
+        workers: list[WorkerState] = []
+        for _ in range(members):
+            worker = self._search(turn, group)
+            if worker is None:
+                break
+            self._books.table.take(worker, group.size)
+            workers.append(worker)
+        for worker in workers:
+            self._books.table.give(worker, group.size)
+        if len(workers) < members:
+            group.reason = "room for the whole gang"
+            return False
+        for worker in workers:
+            self.start_on(turn, group, worker)
+        return True
+
+    def _is_overdue(self, turn: Round, group: TaskGroup) -> bool:
+        return self._progress.is_overdue(group, turn.now_ms)
+
+    def _search(self, turn: Round, group: TaskGroup) -> WorkerState | None:
+        task = group.sample
+        is_service = task.work_class is WorkClass.SERVICE
+        need = Need(
+            group.size,
+            turn.now_ms + group.run_ms,
+            _is_bulk(group) and not self._is_overdue(turn, group),
+            group,
+            task.unit,
+            self._books.spread(task.job_id) if is_service else None,
+        )
+        if group.missed_pass == turn.number:
+            return self._search_changed(turn, need)
+        worker = None
+        if turn.is_blocked(need):
+            group.reason = FREE_CAPACITY
+            return None
+        if self._books.table.may_fit(need.size):
+            worker = self._books.table.search(need, turn.now_ms)
+        if worker is None:
+            group.reason = FREE_CAPACITY
+            group.missed_pass = turn.number
+            turn.block(need)
+        return worker
+
+    def _search_changed(self, turn: Round, need: Need) -> WorkerState | None:
+        """Search workers that changed since a search of all found none."""
+        changed = self._books.changed_by_id.values()
+        if len(changed) > MAX_CHANGED:
+            return self._books.table.search(need, turn.now_ms)
+        return self._books.table.best_of(changed, need, turn.now_ms)
+
+    def _hold(self, turn: Round, group: TaskGroup) -> None:
+        """Reserve a start for a gang, or for what is overdue."""
+        if self._holds is None or not group.tasks_by_id:
+            return
+        if not group.is_gang and not self._is_overdue(turn, group):
+            return
+        members = len(group.tasks_by_id) if group.is_gang else 1
+        if self._holds.place(group, members, turn.now_ms):
+            group.reason = "a reserved start"
+
+    def _reclaim(self, turn: Round, group: TaskGroup) -> None:
+        evictions = self._reclaimer.for_size(
+            group.size, group.sample.unit, turn.now_ms, borrowed_only=False
+        )
+        turn.evictions.extend(evictions)
+
+    def _reclaim_borrowed(self, turn: Round, group: TaskGroup) -> None:
+        if not self._reclaimer.any_borrowed():
+            return
+        evictions = self._reclaimer.for_size(
+            group.size, group.sample.unit, turn.now_ms, borrowed_only=True
+        )
+        turn.evictions.extend(evictions)
+
+
+def _is_bulk(group: TaskGroup) -> bool:
+    return group.sample.work_class in BULK_CLASSES
--- /dev/null
+++ b/src/magnoliapitch/decision/reclaim.py
@@ -0,0 +1,223 @@
+"""Takes capacity back from bulk work, least damage first.
+
+Processors are taken back by throttling; memory and accelerators, or more
+processors than throttling yields, by checkpoints; tasks that cannot be
+checkpointed in time are stopped.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliapitch.catalogue.entry import WorkClass
+from magnoliapitch.decision.interface import Eviction
+from magnoliapitch.decision.interface import EvictionAction
+from magnoliapitch.resource import NO_RESOURCES
+from magnoliapitch.resource import Resources
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.decision.books import Books
+    from magnoliapitch.decision.capacity import RunningTask
+    from magnoliapitch.decision.capacity import WorkerState
+
+
+MAX_WORKERS = 16
+KEEP_MS = 10_000
+STOP_AFTER_MS = 30_000
+THROTTLE_DIVISOR = 2
+MIN_THROTTLED_MILLIS = 100
+GANG_DAMAGE = 1_000_000
+BORROWED_GAIN = 10_000_000
+
+
+class Reclaimer:
+    """Plans evictions; keeps what they free for those who waited.
+
+    :param acts: whether anything is taken back at all.
+    """
+
+    def __init__(self, books: Books, acts: bool) -> None:
+        self._books = books
+        self._acts = acts
+        self._throttled: dict[str, RunningTask] = {}
+        self._checkpointed_ms: dict[str, int] = {}
+        self._expected = NO_RESOURCES
+        self._expected_until_ms = 0
+
+    def for_size(
+        self, size: Resources, unit: str, now_ms: int, borrowed_only: bool
+    ) -> list[Eviction]:
+        """Return evictions that make room for a task, or none.
+
+        :param borrowed_only: whether only work beyond its quota may be
+            evicted.
+        """
+        if not self._acts:
+            return []
+        if now_ms >= self._expected_until_ms:
+            self._expected = NO_RESOURCES
+        elif size.fits(self._expected):
+            self._expected = self._expected.minus(size)
+            return []
+        best: list[Eviction] = []
+        best_damage = 0
+        for worker in self._books.table.some(MAX_WORKERS, unit):
+            plan = _plan(worker, size, borrowed_only)
+            if plan is None:
+                continue
+            damage, evictions = plan
+            if not best or damage < best_damage:
+                best = evictions
+                best_damage = damage
+        if best:
+            self._apply(best, size, now_ms)
+        return best
+
+    def any_borrowed(self) -> bool:
+        """Return whether any task runs beyond the quota of its entry."""
+        return self._books.borrowed > 0
+
+    def for_growth(self, task: RunningTask, now_ms: int) -> list[Eviction]:
+        """Return the eviction of a task that outgrew its worker."""
+        if task.evicted or not self._acts:
+            return []
+        eviction = _eviction(task, EvictionAction.CHECKPOINT)
+        self._mark(eviction, task, now_ms)
+        return [eviction]
+
+    def restore(self, limit: int) -> list[Eviction]:
+        """Return evictions that lift bounds where capacity is idle."""
+        found = []
+        for task_id, task in list(self._throttled.items())[:limit]:
+            if self._books.running_by_id.get(task_id) is not task:
+                del self._throttled[task_id]
+                continue
+            wanted = task.granted.cpu_millis - task.reserved.cpu_millis
+            worker = task.worker
+            free = worker.free_cpu - worker.headroom_cpu
+            if wanted <= 0 or worker.kept != NO_RESOURCES or wanted > free:
+                continue
+            cpu_millis = task.granted.cpu_millis
+            reserved = task.reserved._replace(cpu_millis=cpu_millis)
+            self._books.resize(task, reserved)
+            task.evicted = False
+            del self._throttled[task_id]
+            found.append(_eviction(task, EvictionAction.THROTTLE, cpu_millis))
+        return found
+
+    def overdue(self, now_ms: int) -> list[Eviction]:
+        """Return stops of tasks whose checkpoint takes too long."""
+        found = []
+        for task_id, at_ms in list(self._checkpointed_ms.items()):
+            task = self._books.running_by_id.get(task_id)
+            if task is None:
+                del self._checkpointed_ms[task_id]
+            elif now_ms - at_ms >= STOP_AFTER_MS:
+                del self._checkpointed_ms[task_id]
+                found.append(_eviction(task, EvictionAction.STOP))
+        return found
+
+    def _apply(
+        self, evictions: list[Eviction], size: Resources, now_ms: int
+    ) -> None:
+        freed = NO_RESOURCES
+        for eviction in evictions:
+            task = self._books.running_by_id[eviction.task_id]
+            freed = freed.plus(_gain(task, eviction))
+            self._mark(eviction, task, now_ms)
+        worker = self._books.table.workers_by_id[evictions[0].worker_id]
+        self._books.keep(worker, size, now_ms + KEEP_MS)
+        rest = freed.minus(size)
+        self._expected = Resources(*(max(0, part) for part in rest))
+        self._expected_until_ms = now_ms + KEEP_MS
+
+    def _mark(
+        self, eviction: Eviction, task: RunningTask, now_ms: int
+    ) -> None:
+        task.evicted = True
+        if eviction.action is EvictionAction.THROTTLE:
+            self._throttled[eviction.task_id] = task
+        else:
+            self._checkpointed_ms[eviction.task_id] = now_ms
+
+
+def _plan(
+    worker: WorkerState, size: Resources, borrowed_only: bool
+) -> tuple[int, list[Eviction]] | None:
+    """Return the damage and the evictions that make room on a worker."""
+    if not size.fits(worker.shape.capacity):
+        return None
+    free = worker.free
+    victims = sorted(
+        (
+            task
+            for task in worker.tasks_by_id.values()
+            if _may_evict(task, borrowed_only)
+        ),
+        key=_damage,
+    )
+    throttles = _throttles(victims, size, free)
+    if throttles is not None:
+        return len(throttles), throttles
+    evictions: list[Eviction] = []
+    damage = 0
+    for task in victims:
+        if size.fits(free):
+            break
+        evictions.append(_eviction(task, EvictionAction.CHECKPOINT))
+        free = free.plus(task.reserved)
+        damage += 1_000 + max(0, _damage(task) + BORROWED_GAIN)
+    return (damage, evictions) if evictions and size.fits(free) else None
+
+
+def _throttles(
+    victims: list[RunningTask], size: Resources, free: Resources
+) -> list[Eviction] | None:
+    """Return throttles that suffice when only processors are lacking."""
+    if size._replace(cpu_millis=0).fits(free._replace(cpu_millis=0)) is False:
+        return None
+    missing = size.cpu_millis - free.cpu_millis
+    found: list[Eviction] = []
+    by_size = sorted(victims, key=lambda task: -task.reserved.cpu_millis)
+    for task in by_size:
+        if missing <= 0:
+            break
+        left = max(
+            MIN_THROTTLED_MILLIS, task.reserved.cpu_millis // THROTTLE_DIVISOR
+        )
+        if left >= task.reserved.cpu_millis:
+            continue
+        missing -= task.reserved.cpu_millis - left
+        found.append(_eviction(task, EvictionAction.THROTTLE, left))
+    return found if found and missing <= 0 else None
+
+
+def _may_evict(task: RunningTask, borrowed_only: bool) -> bool:
+    if task.evicted:
+        return False
+    if borrowed_only:
+        return task.borrowed
+    return task.request.work_class in (WorkClass.BATCH, WorkClass.GANG)
+
+
+def _damage(task: RunningTask) -> int:
+    damage = task.reserved.cpu_millis
+    if task.request.work_class is WorkClass.GANG:
+        damage += GANG_DAMAGE
+    if task.borrowed:
+        damage -= BORROWED_GAIN
+    return damage
+
+
+def _gain(task: RunningTask, eviction: Eviction) -> Resources:
+    if eviction.action is EvictionAction.THROTTLE:
+        return Resources(task.reserved.cpu_millis - eviction.cpu_millis)
+    return task.reserved
+
+
+def _eviction(
+    task: RunningTask, action: EvictionAction, cpu_millis: int = 0
+) -> Eviction:
+    worker_id = task.worker.shape.worker_id
+    return Eviction(task.request.task_id, worker_id, action, cpu_millis)
