--- a/src/magnoliapitch/decision/books.py
+++ b/src/magnoliapitch/decision/books.py
@@ -11,6 +11,7 @@
 from magnoliapitch.decision.interface import WorkerShape
 from magnoliapitch.decision.placement import WorkerTable
 from magnoliapitch.resource import NO_RESOURCES
+from magnoliapitch.resource import UNLIMITED
 from magnoliapitch.resource import Resources
 
 
@@ -150,6 +151,20 @@
         self.freed += 1
         self.changed_by_id[worker.shape.worker_id] = worker
 
+    def changed_room(self, limit: int) -> Resources:
+        """Return the most that bulk work may use on a changed worker.
+
+        :param limit: number of workers above which there is no bound.
+        """
+        if len(self.changed_by_id) > limit:
+            return UNLIMITED
+        workers = self.changed_by_id.values()
+        return Resources(
+            max((item.bulk_cpu() for item in workers), default=0),
+            max((item.free_memory for item in workers), default=0),
+            max((item.free_accelerators for item in workers), default=0),
+        )
+
     def keep(
         self, worker: WorkerState, amount: Resources, until_ms: int
     ) -> None:
--- a/src/magnoliapitch/decision/capacity.py
+++ b/src/magnoliapitch/decision/capacity.py
@@ -130,6 +130,10 @@
             self.free_cpu, self.free_memory, self.free_accelerators
         )
 
+    def bulk_cpu(self) -> int:
+        """Return the free processors beyond the headroom."""
+        return self.free_cpu - max(0, self.headroom_cpu - self.urgent_cpu)
+
     def take(self, amount: Resources) -> None:
         """Subtract from the free capacity."""
         self.free_cpu -= amount.cpu_millis
--- a/src/magnoliapitch/decision/dispatch.py
+++ b/src/magnoliapitch/decision/dispatch.py
@@ -64,6 +64,7 @@
 
     def serve(self, turn: Round) -> None:
         """Start what can be started, in order."""
+        turn.room = self._books.changed_room(MAX_CHANGED)
         for work_class in FIRST_CLASSES:
             self._serve_first(turn, work_class)
         self._serve_held(turn)
@@ -159,6 +160,11 @@
             group = heap.pop()
             if group is None:
                 break
+            if group.missed_pass == turn.number and not group.size.fits(
+                turn.room
+            ):
+                aside.append(group)
+                continue
             self.refresh(group)
             if group.latest_start_ms() < turn.now_ms:
                 continue
@@ -188,7 +194,9 @@
             owner = heapq.heappop(owners)[1]
             lanes = lanes_by_owner.get(owner)
             if lanes is None:
-                lanes = self._queue.queues_by_owner[owner].heads()
+                lanes = self._queue.queues_by_owner[owner].heads(
+                    turn.number, turn.room
+                )
                 lanes_by_owner[owner] = lanes
             if not lanes:
                 continue
@@ -199,7 +207,7 @@
                 del self._queue.queues_by_owner[owner]
         earned = (len(turn.placements) - started) * CREDIT_PER_OWNER_START
         if not owners:
-            earned = DEADLINE_CREDIT
+            earned += CREDIT_PER_OWNER_START
         credit = self._deadline_credit + earned
         self._deadline_credit = min(DEADLINE_CREDIT, credit)
         return beyond_quota
@@ -302,7 +310,8 @@
             worker = self._books.table.search(need, turn.now_ms)
         if worker is None:
             group.reason = FREE_CAPACITY
-            group.missed_pass = turn.number
+            if not group.is_gang:
+                group.missed_pass = turn.number
             turn.block(need)
         return worker
 
--- a/src/magnoliapitch/decision/placement.py
+++ b/src/magnoliapitch/decision/placement.py
@@ -9,6 +9,7 @@
 from magnoliapitch.decision.capacity import FreeIndex
 from magnoliapitch.decision.capacity import WorkerState
 from magnoliapitch.resource import NO_RESOURCES
+from magnoliapitch.resource import UNLIMITED
 from magnoliapitch.resource import Resources
 
 
@@ -18,7 +19,7 @@
     from magnoliapitch.decision.interface import WorkerShape
 
 
-MAX_PROBES = 64
+MAX_PROBES = 32
 MAX_CANDIDATES = 8
 COMPANION_SHARE = 8
 SPREAD_PENALTY = 1_000_000
@@ -176,7 +177,7 @@
     def limit(self, is_bulk: bool) -> Resources:
         """Return the most that a task may reserve on the largest worker."""
         if not self._largest.cpu_millis:
-            return Resources(1 << 62, 1 << 62, 1 << 62)
+            return UNLIMITED
         if not is_bulk:
             return self._largest
         cpu_millis = int(self._largest.cpu_millis * (1 - self._headroom))
@@ -216,9 +217,14 @@
     def _search_index(
         self, index: FreeIndex, need: Need, now_ms: int
     ) -> WorkerState | None:
-        ordered = index.fullest_first(need.size.cpu_millis)
-        found = self._best(ordered, need, now_ms)
-        if found is not None or index.count <= MAX_PROBES:
+        cpu_millis = need.size.cpu_millis
+        if index.count <= MAX_PROBES:
+            ordered = index.fullest_first(cpu_millis)
+            return self._best(ordered, need, now_ms)
+        if need.is_bulk:
+            cpu_millis += int(self._largest.cpu_millis * self._headroom)
+        found = self._best(index.fullest_first(cpu_millis), need, now_ms)
+        if found is not None:
             return found
         return self._best(index.emptiest_first(), need, now_ms)
 
--- a/src/magnoliapitch/decision/queue.py
+++ b/src/magnoliapitch/decision/queue.py
@@ -147,21 +147,29 @@
             self._lanes[lane] = heap
         heap.push(group.key, group)
 
-    def heads(self) -> list[tuple[float, int, GroupHeap]]:
-        """Return the lanes that have work, as a heap by their first key."""
+    def heads(
+        self, missed_pass: int, room: Resources
+    ) -> list[tuple[float, int, GroupHeap]]:
+        """Return the lanes that may start work, as a heap by first key.
+
+        :param missed_pass: pass in which a search of all workers failed.
+        :param room: most that is free on any worker that changed since.
+        """
         found: list[tuple[float, int, GroupHeap]] = []
         for lane, heap in list(self._lanes.items()):
             first = heap.peek()
             if first is None:
                 del self._lanes[lane]
                 continue
+            if first.missed_pass == missed_pass and not first.size.fits(room):
+                continue
             found.append((first.key, len(found), heap))
         heapq.heapify(found)
         return found
 
     def is_empty(self) -> bool:
         """Return whether no lane has work."""
-        return not self.heads()
+        return not any(heap.peek() for heap in self._lanes.values())
 
     def groups(self, limit: int) -> Iterator[TaskGroup]:
         """Iterate over some groups of each lane."""
--- a/src/magnoliapitch/decision/round.py
+++ b/src/magnoliapitch/decision/round.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from magnoliapitch.decision.interface import Decision
+from magnoliapitch.resource import UNLIMITED
 from magnoliapitch.resource import Resources
 
 
@@ -15,7 +16,7 @@
     from magnoliapitch.decision.placement import Need
 
 
-MAX_STARTS = 24
+MAX_STARTS = 16
 MAX_MISSES = 12
 MAX_GANG_TRIES = 2
 MAX_EVICTIONS = 4
@@ -34,12 +35,14 @@
 
     :ivar number: pass that it belongs to; within a pass, what found no
         worker is tried again only on workers that changed.
+    :ivar room: most that is free on any worker that changed in the pass.
     :ivar misses: searches of all workers that found none.
     """
 
     def __init__(self, now_ms: int, number: int) -> None:
         self.now_ms = now_ms
         self.number = number
+        self.room = UNLIMITED
         self.placements: list[Placement] = []
         self.evictions: list[Eviction] = []
         self.misses = 0
--- a/src/magnoliapitch/decision/weighted.py
+++ b/src/magnoliapitch/decision/weighted.py
@@ -202,6 +202,8 @@
         self._probe(turn)
         self._dispatcher.serve(turn)
         turn.evictions.extend(self._reclaimer.overdue(now_ms))
+        if turn.may_search and not turn.is_full:
+            self._books.changed_by_id.clear()
         if not turn.is_full:
             self._idle_stamp = stamp
             turn.evictions.extend(self._reclaimer.restore(MAX_RESTORES))
--- a/src/magnoliapitch/resource.py
+++ b/src/magnoliapitch/resource.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 
-__all__ = ["NO_RESOURCES", "Resources"]
+__all__ = ["NO_RESOURCES", "UNLIMITED", "Resources"]
 
 
 class Resources(NamedTuple):
@@ -54,3 +54,4 @@
 
 
 NO_RESOURCES = Resources()
+UNLIMITED = Resources(1 << 62, 1 << 62, 1 << 62)
