Supervise as a tree with back-off and a bound; widen the admin API

Cause: a failed listener was restarted on a closed socket, a failing child was restarted without pause or end, stopping a loop from its own step joined its own thread, a port in use left a half-started process, and operators could only put entries and read a part of the state. Change: RestartPolicy with doubling pauses and a bound in a window, after which the process exits; hung loops are noticed by the age of their last step; starts that fail are undone and name the address; listeners bind anew at each start. The tree has the branches platform and cluster between the operators' and the callers' listeners. The admin API serves catalogue get, list, put, delete with If-Match, dry runs, where a change is in force, state, metrics, drain, health and readiness. Package metric counts, times with hdrhistogram, and reads the process's own cost. Conclusion: operators see an instance from its start to its end.

--- a/src/magnoliapitch/api/admin.py
+++ b/src/magnoliapitch/api/admin.py
@@ -4,63 +4,53 @@
 
 from typing import TYPE_CHECKING
 
-from result import Err
-
-from magnoliapitch.catalogue.entry import parse_entry
-from magnoliapitch.catalogue.exceptions import InvalidEntryError
+from magnoliapitch.api.catalogue import add_catalogue_routes
 from magnoliapitch.http import Application
 from magnoliapitch.http import HttpRequest
 from magnoliapitch.http import HttpResponse
 from magnoliapitch.http import json_response
-from magnoliapitch.http import problem_response
-from magnoliapitch.journal.record import CataloguePut
-from magnoliapitch.verdict import FailureCode
-from magnoliapitch.verdict import not_run
+from magnoliapitch.metric.text import CONTENT_TYPE
+from magnoliapitch.metric.text import exposition
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.entry.core import EntryCore
-
-
-COMMIT_TIMEOUT_MS = 5_000
+    from magnoliapitch.entry.node import EntryNode
 
 
-def admin_application(core: EntryCore) -> Application:
+def admin_application(node: EntryNode) -> Application:
     """Return the application that serves operators."""
     application = Application()
+    add_catalogue_routes(application, node.core)
+    _add_state_routes(application, node)
+    _add_probe_routes(application, node)
+    return application
+
 
+def _add_state_routes(application: Application, node: EntryNode) -> None:
     @application.route("GET", "/v1/state")
     def state(request: HttpRequest) -> HttpResponse:  # noqa: ARG001
-        return json_response(core.dump())
+        return json_response(node.dump())
 
-    @application.route("PUT", "/v1/catalogue/{name}")
-    def put(request: HttpRequest) -> HttpResponse:
-        version = request.headers_by_name.get("if-match", "0").strip('"')
-        try:
-            entry = parse_entry(request.json())
-            expected = int(version)
-        except (InvalidEntryError, ValueError) as error:
-            return problem_response(not_run(FailureCode.INVALID, str(error)))
-        outcome = core.journal.commit(
-            CataloguePut(entry, expected), COMMIT_TIMEOUT_MS
-        )
-        if isinstance(outcome, Err):
-            return problem_response(outcome.err_value)
-        if not outcome.ok_value.applied:
-            return problem_response(
-                not_run(FailureCode.CONFLICT, outcome.ok_value.reason)
-            )
-        return json_response({"name": entry.name, "version": expected + 1})
+    @application.route("GET", "/v1/metrics")
+    def metrics(request: HttpRequest) -> HttpResponse:  # noqa: ARG001
+        text = exposition(node.core.metrics, node.cost.read())
+        return HttpResponse(200, text.encode(), CONTENT_TYPE)
 
-    @application.route("GET", "/v1/catalogue")
-    def catalogue(request: HttpRequest) -> HttpResponse:  # noqa: ARG001
-        with core.journal.reading() as folded:
-            names = sorted(folded.catalogue_by_name)
-        return json_response({"names": names})
+    @application.route("POST", "/v1/drain")
+    def drain(request: HttpRequest) -> HttpResponse:  # noqa: ARG001
+        node.core.drain()
+        return json_response({"draining": True}, 202)
+
+
+def _add_probe_routes(application: Application, node: EntryNode) -> None:
+    @application.route("GET", "/v1/health")
+    def health(request: HttpRequest) -> HttpResponse:  # noqa: ARG001
+        alive = not node.supervisor.has_given_up
+        body = {"alive": alive, "hung": node.supervisor.hung()}
+        return json_response(body, 200 if alive else 503)
 
     @application.route("GET", "/v1/ready")
     def ready(request: HttpRequest) -> HttpResponse:  # noqa: ARG001
-        is_ready = core.is_ready()
-        return json_response({"ready": is_ready}, 200 if is_ready else 503)
-
-    return application
+        is_ready = node.core.is_ready()
+        body = {"ready": is_ready, "draining": node.core.is_draining}
+        return json_response(body, 200 if is_ready else 503)
--- a/src/magnoliapitch/api/caller.py
+++ b/src/magnoliapitch/api/caller.py
@@ -40,6 +40,9 @@
     @application.route("POST", "/v1/requests/{entry}")
     def execute(request: HttpRequest) -> HttpResponse:
         request_id = _request_id(request)
+        refusal = core.refusal()
+        if refusal is not None:
+            return problem_response(refusal, request_id)
         forwarded = ForwardedRequest(
             request_id,
             request.path_values["entry"],
@@ -56,6 +59,9 @@
 
     @application.route("POST", "/v1/jobs")
     def submit(request: HttpRequest) -> HttpResponse:
+        refusal = core.refusal()
+        if refusal is not None:
+            return problem_response(refusal)
         try:
             job = _JOB.validate_python(request.json())
         except (ValidationError, ValueError) as error:
--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -10,12 +10,14 @@
 
 from magnoliapitch.decision import first_fit as _first_fit  # noqa: F401
 from magnoliapitch.decision.registry import make_scheduler
+from magnoliapitch.event import log_event
 from magnoliapitch.job.manager import JobManager
 from magnoliapitch.journal.journal import Journal
 from magnoliapitch.journal.record import EntryJoin
 from magnoliapitch.journal.record import JobSubmit
 from magnoliapitch.membership.identity import Identity
 from magnoliapitch.membership.membership import Membership
+from magnoliapitch.metric import Metrics
 from magnoliapitch.ownership.claimer import Claimer
 from magnoliapitch.peer.message import Beat
 from magnoliapitch.peer.message import ForwardedAnswer
@@ -43,16 +45,19 @@
 
 DEFAULT_PATIENCE_MS = 10_000
 NO_RACK_RETRY_MS = 1_000
+DRAIN_RETRY_MS = 100
 
 
 class NamedStep(NamedTuple):
     """A step that one thread, or a test, calls again and again.
 
     :param step: returns the milliseconds until its next call.
+    :param branch: supervisor that the step's loop belongs to.
     """
 
     name: str
     step: Step
+    branch: str = "cluster"
 
 
 class EntryCore:
@@ -97,14 +102,15 @@
             make_scheduler(settings.policy),
             self.clock,
         )
+        self.metrics = Metrics()
         self._link = link
 
     def steps(self) -> tuple[NamedStep, ...]:
         """Return the steps in the order in which they are started."""
         return (
-            NamedStep("follower", self.journal.follow_step),
-            NamedStep("appender", self.journal.append_step),
-            NamedStep("fleet", self.fleet.refresh_step),
+            NamedStep("follower", self.journal.follow_step, "platform"),
+            NamedStep("appender", self.journal.append_step, "platform"),
+            NamedStep("fleet", self.fleet.refresh_step, "platform"),
             NamedStep(
                 "heartbeat",
                 lambda: self.membership.heartbeat_step(self._link),
@@ -124,9 +130,30 @@
             )
         )
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether new work is refused."""
+        return self.membership.leaving
+
+    def drain(self) -> None:
+        """Refuse new work from now on; what was accepted goes on."""
+        if not self.is_draining:
+            self.membership.leaving = True
+            log_event("drain-started")
+
     def is_ready(self) -> bool:
         """Return whether requests can be accepted."""
-        return self.journal.last_read_ms is not None
+        return not self.is_draining and self.journal.last_read_ms is not None
+
+    def refusal(self) -> Failure | None:
+        """Return why new work is refused, if it is."""
+        if not self.is_draining:
+            return None
+        return not_run(
+            FailureCode.SHUTTING_DOWN,
+            f"instance {self.identity.instance_id} is stopping",
+            DRAIN_RETRY_MS,
+        )
 
     def patience_ms(self, entry: str) -> int:
         """Return how long callers of an entry wait."""
@@ -178,6 +205,8 @@
             "membership": self.membership.dump(),
             "router": self.router.dump(),
             "jobs": self.jobs.dump(),
+            "draining": self.is_draining,
+            "metrics": self.metrics.dump(),
         }
 
     def heartbeat(self, beat: Beat) -> Beat:
--- a/src/magnoliapitch/entry/node.py
+++ b/src/magnoliapitch/entry/node.py
@@ -4,19 +4,24 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch import __version__
 from magnoliapitch.api.admin import admin_application
 from magnoliapitch.api.caller import caller_application
 from magnoliapitch.clock import MonotonicClock
 from magnoliapitch.entry.adapters import Adapters
 from magnoliapitch.entry.core import EntryCore
+from magnoliapitch.entry.tree import TreeOptions
+from magnoliapitch.entry.tree import make_tree
+from magnoliapitch.event import log_event
 from magnoliapitch.http import Listener
+from magnoliapitch.metric import CostMeter
 from magnoliapitch.peer.node import PeerNode
-from magnoliapitch.supervisor import Child
-from magnoliapitch.supervisor import Loop
-from magnoliapitch.supervisor import Supervisor
+from magnoliapitch.supervisor import RestartPolicy
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from magnoliapitch.clock import Clock
     from magnoliapitch.settings.model import Settings
 
@@ -32,9 +37,11 @@
         settings: Settings,
         adapters: Adapters,
         clock: Clock | None = None,
+        give_up: Callable[[], None] | None = None,
     ) -> None:
         self.settings = settings
         self.clock = clock or MonotonicClock()
+        self.cost = CostMeter()
         address = settings.address
         self.peer_node = PeerNode((address, settings.listeners.peer_port))
         self.core = EntryCore(settings, adapters, self.peer_node, self.clock)
@@ -44,37 +51,58 @@
             (address, settings.listeners.caller_port),
             caller_application(self.core),
             settings.listeners.caller_threads,
+            settings.timing.drain_timeout_ms // 1000,
         )
         self.admin_listener = Listener(
             "operators",
             (address, settings.listeners.admin_port),
-            admin_application(self.core),
+            admin_application(self),
             settings.listeners.admin_threads,
         )
-        self.supervisor = Supervisor("entry", self._children(), self.clock)
+        self.supervisor = make_tree(
+            self.core.steps(),
+            (self.admin_listener,),
+            (self.peer_node, self.caller_listener),
+            TreeOptions(self.clock, _policy_of(settings), give_up),
+        )
 
     @classmethod
-    def from_settings(cls, settings: Settings) -> EntryNode:
+    def from_settings(
+        cls, settings: Settings, give_up: Callable[[], None] | None = None
+    ) -> EntryNode:
         """Build an entry instance with the adapters of its settings."""
-        return cls(settings, Adapters.from_settings(settings))
+        return cls(settings, Adapters.from_settings(settings), give_up=give_up)
 
     def start(self) -> None:
-        """Join and start serving."""
+        """Join and start serving.
+
+        :raises StartError: if a part cannot be started.
+        """
         self.core.join()
         self.supervisor.start()
+        log_event("entry-started", incarnation=self.core.identity.incarnation)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of every part."""
+        return {
+            "instance": self.core.identity._asdict(),
+            "version": __version__,
+            "cost": self.cost.read()._asdict(),
+            "supervisor": self.supervisor.dump(),
+            **self.core.dump(),
+        }
 
     def stop(self) -> None:
-        """Stop serving."""
+        """Refuse new work, finish what is in flight and stop."""
+        log_event("entry-stopping")
+        self.core.drain()
         self.supervisor.stop()
+        log_event("entry-stopped")
+
 
-    def _children(self) -> list[Child]:
-        loops: list[Child] = [
-            Loop(item.name, item.step, self.clock)
-            for item in self.core.steps()
-        ]
-        return [
-            *loops,
-            self.peer_node,
-            self.admin_listener,
-            self.caller_listener,
-        ]
+def _policy_of(settings: Settings) -> RestartPolicy:
+    return RestartPolicy(
+        settings.limits.restarts,
+        settings.limits.restart_window_ms,
+        hung_after_ms=settings.limits.hung_after_ms,
+    )
--- a/src/magnoliapitch/event/known.py
+++ b/src/magnoliapitch/event/known.py
@@ -26,3 +26,49 @@
     EventLevel.ERROR,
     "A step of a loop raised an error; the loop goes on after a pause.",
 )
+define_event(
+    "child-hung",
+    EventLevel.ERROR,
+    "A loop has not begun a step for too long.",
+)
+define_event(
+    "stop-timed-out",
+    EventLevel.WARNING,
+    "A child did not stop in time and was left behind.",
+)
+define_event(
+    "stop-failed",
+    EventLevel.ERROR,
+    "A child raised an error while it stopped; the others stop all the same.",
+)
+define_event(
+    "listener-error",
+    EventLevel.WARNING,
+    "A listener reported an error of a connection or thread of its own.",
+)
+define_event(
+    "entry-started", EventLevel.INFO, "The instance started all its parts."
+)
+define_event(
+    "entry-stopping",
+    EventLevel.INFO,
+    "The instance was told to stop and finishes what is in flight.",
+)
+define_event(
+    "entry-stopped", EventLevel.INFO, "The instance stopped all its parts."
+)
+define_event(
+    "drain-started",
+    EventLevel.INFO,
+    "The instance refuses new work and is no longer ready.",
+)
+define_event(
+    "catalogue-changed",
+    EventLevel.INFO,
+    "An operator's change of the catalogue was accepted.",
+)
+define_event(
+    "catalogue-refused",
+    EventLevel.INFO,
+    "An operator's change of the catalogue was refused.",
+)
--- a/src/magnoliapitch/http/listener.py
+++ b/src/magnoliapitch/http/listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 import threading
 
 from typing import TYPE_CHECKING
@@ -9,6 +10,9 @@
 
 from cheroot import wsgi
 
+from magnoliapitch.event import log_event
+from magnoliapitch.supervisor.exceptions import StartError
+
 
 if TYPE_CHECKING:
     from magnoliapitch.http.application import Application
@@ -17,7 +21,11 @@
 class Listener:
     """Serves an application on an IP address and port.
 
+    Each start binds anew, so that a restart gets a working socket; a port
+    that was picked by the first start is kept.
+
     :param threads: requests served at once; each holds a thread.
+    :param stop_timeout_s: longest wait for requests in flight.
     """
 
     def __init__(
@@ -26,30 +34,76 @@
         address: tuple[str, int],
         application: Application,
         threads: int,
+        stop_timeout_s: int = 5,
     ) -> None:
         self.name = name
-        self._server: Any = wsgi.Server(
-            address, application, numthreads=threads, max=threads
-        )
+        self._address = address
+        self._application = application
+        self._threads = threads
+        self._stop_timeout_s = stop_timeout_s
+        self._server: Any = None
         self._thread: threading.Thread | None = None
 
     @property
     def port(self) -> int:
-        """Port that the listener is bound to."""
-        return int(self._server.bind_addr[1])
+        """Port that the listener is, or will be, bound to."""
+        return self._address[1]
 
     def start(self) -> None:
-        """Bind and serve in a thread of its own."""
-        self._server.prepare()
+        """Bind and serve in a thread of its own.
+
+        :raises StartError: if the address cannot be bound.
+        """
+        self.stop()
+        server = self._make_server()
+        try:
+            server.prepare()
+        except OSError as error:
+            host, port = self._address
+            reason = f"cannot listen on {host}:{port}: {error}"
+            raise StartError(self.name, reason) from error
+        self._address = (self._address[0], int(server.bind_addr[1]))
+        self._server = server
         self._thread = threading.Thread(
-            target=self._server.serve, name=self.name, daemon=True
+            target=self._serve, args=(server,), name=self.name, daemon=True
         )
         self._thread.start()
 
     def stop(self) -> None:
         """Stop accepting and wait for requests in flight."""
-        self._server.stop()
+        server, self._server = self._server, None
+        if server is not None:
+            server.stop()
 
     def is_alive(self) -> bool:
         """Return whether the serving thread runs."""
         return self._thread is not None and self._thread.is_alive()
+
+    def _make_server(self) -> Any:
+        server: Any = wsgi.Server(
+            self._address,
+            self._application,
+            numthreads=self._threads,
+            max=self._threads,
+            shutdown_timeout=self._stop_timeout_s,
+        )
+        server.error_log = self._log_error
+        return server
+
+    def _serve(self, server: Any) -> None:
+        try:
+            server.serve()
+        except Exception as error:
+            log_event("listener-error", listener=self.name, error=error)
+
+    def _log_error(
+        self, message: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        del level
+        error = sys.exc_info()[1] if traceback else None
+        log_event(
+            "listener-error",
+            listener=self.name,
+            message=message,
+            error=error,
+        )
--- a/src/magnoliapitch/http/problem.py
+++ b/src/magnoliapitch/http/problem.py
@@ -15,6 +15,7 @@
     FailureCode.INVALID: 400,
     FailureCode.NOT_FOUND: 404,
     FailureCode.CONFLICT: 409,
+    FailureCode.PRECONDITION_REQUIRED: 428,
     FailureCode.OVERLOADED: 503,
     FailureCode.QUOTA: 429,
     FailureCode.IMPOSSIBLE: 422,
--- a/src/magnoliapitch/peer/node.py
+++ b/src/magnoliapitch/peer/node.py
@@ -24,6 +24,7 @@
 from magnoliapitch.peer.message import ForwardedRequest
 from magnoliapitch.peer.message import LogPage
 from magnoliapitch.peer.message import StateSnapshot
+from magnoliapitch.supervisor.exceptions import StartError
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import may_have_run
@@ -100,19 +101,26 @@
         self._loop: asyncio.AbstractEventLoop | None = None
         self._stopping: asyncio.Event | None = None
         self._ready = threading.Event()
+        self._start_error: Exception | None = None
         self._thread: threading.Thread | None = None
         self.port = address[1]
 
     def start(self) -> None:
-        """Bind and serve in a thread of its own."""
+        """Bind and serve in a thread of its own.
+
+        :raises StartError: if the address cannot be bound.
+        """
         self._ready.clear()
+        self._start_error = None
         self._thread = threading.Thread(
-            target=lambda: asyncio.run(self._serve()),
-            name=self.name,
-            daemon=True,
+            target=self._run, name=self.name, daemon=True
         )
         self._thread.start()
         self._ready.wait(START_TIMEOUT_S)
+        if self._start_error is not None:
+            host, port = self._address
+            reason = f"cannot listen on {host}:{port}: {self._start_error}"
+            raise StartError(self.name, reason)
 
     def stop(self) -> None:
         """Close every connection and end the thread."""
@@ -222,6 +230,13 @@
             self._caps_by_address[address] = peer
         return peer
 
+    def _run(self) -> None:
+        try:
+            asyncio.run(self._serve())
+        except (OSError, capnp.KjException) as error:
+            self._start_error = error
+            self._ready.set()
+
     async def _serve(self) -> None:
         async with capnp.kj_loop():
             self._loop = asyncio.get_running_loop()
--- a/src/magnoliapitch/settings/model.py
+++ b/src/magnoliapitch/settings/model.py
@@ -70,10 +70,13 @@
     :param restarts: restarts of one child within the window before the
         process gives up.
     :param restart_window_ms: length of that window.
+    :param hung_after_ms: time without a step after which a loop counts as
+        hung.
     """
 
     restarts: Count = 10
     restart_window_ms: Milliseconds = 60_000
+    hung_after_ms: Milliseconds = 30_000
 
 
 class Settings(NamedTuple):
--- a/src/magnoliapitch/supervisor/supervisor.py
+++ b/src/magnoliapitch/supervisor/supervisor.py
@@ -7,31 +7,64 @@
 from typing import TYPE_CHECKING
 
 from magnoliapitch.event import log_event
+from magnoliapitch.supervisor.child import Beating
+from magnoliapitch.supervisor.child import Dumping
+from magnoliapitch.supervisor.restart import RestartPolicy
+from magnoliapitch.supervisor.restart import RestartRecord
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from magnoliapitch.clock import Clock
     from magnoliapitch.supervisor.child import Child
 
 
-CHECK_INTERVAL_MS = 200
+CHECK_INTERVAL_MS = 100
 
 
 class Supervisor:
-    """A child that supervises other children."""
-
-    def __init__(self, name: str, children: list[Child], clock: Clock) -> None:
+    """A child that supervises other children.
+
+    :param give_up: called once when a child fails too often; the process
+        should then exit, so that the platform replaces it.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        children: list[Child],
+        clock: Clock,
+        policy: RestartPolicy | None = None,
+        give_up: Callable[[], None] | None = None,
+    ) -> None:
         self.name = name
+        self.has_given_up = False
         self._children = children
         self._clock = clock
+        self._policy = policy or RestartPolicy()
+        self._give_up = give_up or _ignore
         self._stopping = threading.Event()
         self._thread: threading.Thread | None = None
-        self.restarts_by_child: dict[str, int] = {}
+        self._started: list[Child] = []
+        self._records_by_child = {
+            child.name: RestartRecord(self._policy) for child in children
+        }
 
     def start(self) -> None:
-        """Start every child, then watch them."""
-        for child in self._children:
-            child.start()
+        """Start every child, then watch them.
+
+        :raises StartError: if a child cannot be started; those started
+            before it are stopped again.
+        """
+        self._stopping = threading.Event()
+        try:
+            for child in self._children:
+                child.start()
+                self._started.append(child)
+        except Exception:
+            self._stop_children()
+            raise
         self._thread = threading.Thread(
             target=self._watch, name=f"{self.name}-watch", daemon=True
         )
@@ -40,25 +73,100 @@
     def stop(self) -> None:
         """Stop watching, then stop the children in reverse order."""
         self._stopping.set()
-        if self._thread is not None:
-            self._thread.join()
-        for child in reversed(self._children):
-            child.stop()
+        thread = self._thread
+        if thread is not None and thread is not threading.current_thread():
+            thread.join()
+        self._stop_children()
 
     def is_alive(self) -> bool:
         """Return whether the supervisor watches its children."""
         return self._thread is not None and self._thread.is_alive()
 
     def check(self) -> None:
-        """Restart children that are not alive."""
+        """Restart children that have failed, and notice hung ones."""
         for child in self._children:
+            if self.has_given_up:
+                return
+            record = self._records_by_child[child.name]
             if child.is_alive():
-                continue
-            count = self.restarts_by_child.get(child.name, 0) + 1
-            self.restarts_by_child[child.name] = count
-            log_event("child-restarted", child=child.name, count=count)
-            child.start()
+                self._check_heartbeat(child, record)
+            elif record.due_ms is None:
+                self._note_failure(child, record)
+            elif record.due_ms <= self._clock.now_ms():
+                self._restart(child, record)
+
+    def hung(self) -> tuple[str, ...]:
+        """Return the names of children without progress, at any depth."""
+        names: list[str] = []
+        for child in self._children:
+            if isinstance(child, Supervisor):
+                names += child.hung()
+            elif self._records_by_child[child.name].is_hung:
+                names.append(child.name)
+        return tuple(names)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of every child."""
+        return {
+            child.name: self._dump_child(child) for child in self._children
+        }
 
     def _watch(self) -> None:
         while not self._clock.wait(self._stopping, CHECK_INTERVAL_MS):
             self.check()
+
+    def _check_heartbeat(self, child: Child, record: RestartRecord) -> None:
+        if not isinstance(child, Beating):
+            return
+        age_ms = child.heartbeat_age_ms()
+        is_hung = age_ms > self._policy.hung_after_ms
+        if is_hung and not record.is_hung:
+            log_event("child-hung", child=child.name, age_ms=age_ms)
+        record.is_hung = is_hung
+
+    def _note_failure(self, child: Child, record: RestartRecord) -> None:
+        if record.fail(self._clock.now_ms()):
+            return
+        self.has_given_up = True
+        log_event(
+            "restart-limit-reached",
+            child=child.name,
+            limit=self._policy.limit,
+            window_ms=self._policy.window_ms,
+        )
+        self._give_up()
+
+    def _restart(self, child: Child, record: RestartRecord) -> None:
+        try:
+            child.start()
+        except Exception as error:
+            log_event("child-failed", child=child.name, error=error)
+            record.due_ms = None
+            return
+        record.restarted()
+        log_event("child-restarted", child=child.name, count=record.total)
+
+    def _stop_children(self) -> None:
+        while self._started:
+            child = self._started.pop()
+            try:
+                child.stop()
+            except Exception as error:
+                log_event("stop-failed", child=child.name, error=error)
+
+    def _dump_child(self, child: Child) -> dict[str, object]:
+        record = self._records_by_child[child.name]
+        dump: dict[str, object] = {
+            "alive": child.is_alive(),
+            "restarts": record.total,
+        }
+        if isinstance(child, Beating):
+            dump["heartbeat_age_ms"] = child.heartbeat_age_ms()
+            dump["hung"] = record.is_hung
+        if isinstance(child, Dumping):
+            dump["children"] = child.dump()
+        return dump
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- a/src/magnoliapitch/verdict.py
+++ b/src/magnoliapitch/verdict.py
@@ -23,6 +23,7 @@
     INVALID = "invalid"
     NOT_FOUND = "not-found"
     CONFLICT = "conflict"
+    PRECONDITION_REQUIRED = "precondition-required"
     OVERLOADED = "overloaded"
     QUOTA = "quota"
     IMPOSSIBLE = "impossible"
--- /dev/null
+++ b/tests/api/conftest.py
@@ -0,0 +1,78 @@
+from __future__ import annotations
+
+import time
+
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+import orjson
+import pytest
+import urllib3
+
+from magnoliapitch.standin.cell import Cell
+from magnoliapitch.standin.demo import QUETZALTENANGO
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+    from typing import Any
+
+
+WAIT_S = 30
+
+
+class RunningCell:
+    """A cell of two entries in this process."""
+
+    def __init__(self) -> None:
+        self.cell = Cell(QUETZALTENANGO)
+        for zone in QUETZALTENANGO.zones[:2]:
+            self.cell.add_entry(zone)
+
+    def start(self) -> None:
+        for node in self.cell.entries:
+            node.start()
+        for node in self.cell.entries:
+            wait_until(node.core.is_ready)
+            wait_until(node.core.membership.peers)
+
+    def admin(
+        self,
+        method: str,
+        path: str,
+        value: object = None,
+        if_match: str = "",
+        number: int = 0,
+    ) -> urllib3.BaseHTTPResponse:
+        node = self.cell.entries[number]
+        headers = {"If-Match": if_match} if if_match else {}
+        return urllib3.request(
+            method,
+            f"http://127.0.0.1:{node.admin_listener.port}{path}",
+            body=None if value is None else orjson.dumps(value),
+            headers=headers,
+            timeout=WAIT_S,
+            retries=False,
+        )
+
+    def stop(self) -> None:
+        with ThreadPoolExecutor() as threads:
+            list(threads.map(lambda node: node.stop(), self.cell.entries))
+
+
+def wait_until(condition: Callable[[], Any]) -> None:
+    deadline_s = time.monotonic() + WAIT_S
+    while time.monotonic() < deadline_s:
+        if condition():
+            return
+        time.sleep(0.01)
+    raise AssertionError("condition did not come true in time")
+
+
+@pytest.fixture
+def running() -> Iterator[RunningCell]:
+    running = RunningCell()
+    running.start()
+    yield running
+    running.stop()
