--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -9,6 +9,7 @@
 from result import Ok
 
 from magnoliapitch.decision import first_fit as _first_fit  # noqa: F401
+from magnoliapitch.decision.options import options_of
 from magnoliapitch.decision.registry import make_scheduler
 from magnoliapitch.event import log_event
 from magnoliapitch.job.manager import JobManager
@@ -99,7 +100,10 @@
             self.fleet,
             self.claimer,
             adapters.workers,
-            make_scheduler(settings.policy),
+            make_scheduler(
+                settings.policy,
+                options_of(settings.profile, settings.weights),
+            ),
             self.clock,
         )
         self.metrics = Metrics()
--- a/src/magnoliapitch/settings/model.py
+++ b/src/magnoliapitch/settings/model.py
@@ -8,6 +8,8 @@
 from pydantic import AfterValidator
 from pydantic import Field
 
+from magnoliapitch.decision.options import WAITING_FIRST
+from magnoliapitch.decision.options import PolicyWeights
 from magnoliapitch.event.registry import EventLevel
 from magnoliapitch.settings.check import check_ip_number
 from magnoliapitch.settings.check import check_platform_url
@@ -86,6 +88,8 @@
     :param zone: availability zone.
     :param address: IP number to listen on and to give to peers.
     :param policy: name of the scheduling policy.
+    :param profile: named weights of the policy.
+    :param weights: weights as numbers, which replace the profile.
     :param log_level: lowest level of the events that are logged.
     """
 
@@ -94,6 +98,8 @@
     platform: PlatformSettings
     address: IpNumber = "127.0.0.1"
     policy: str = "fifo"
+    profile: str = WAITING_FIRST
+    weights: PolicyWeights | None = None
     log_level: EventLevel = EventLevel.INFO
     listeners: ListenerSettings = ListenerSettings()
     timing: TimingSettings = TimingSettings()
