Add the commands, the users' deployments, dev and a demo that checks

Cause: only entry and demo existed; the demo lost nothing and checked only that requests were answered. The demo runs them, loses a worker and a backend server midway, and checks answers, at-most-once, verdicts, capacity, places and ends of jobs from the history of the stand-ins. Before: demo 300 requests and 1 job. Explanations are not served yet.

--- a/src/magnoliapitch/api/caller.py
+++ b/src/magnoliapitch/api/caller.py
@@ -71,6 +71,10 @@
             return problem_response(outcome.err_value)
         return json_response({"job_id": job.job_id}, 202)
 
+    @application.route("GET", "/v1/jobs")
+    def jobs(request: HttpRequest) -> HttpResponse:  # noqa: ARG001
+        return json_response({"jobs": core.job_list()})
+
     @application.route("GET", "/v1/jobs/{job}")
     def status(request: HttpRequest) -> HttpResponse:
         job_id = request.path_values["job"]
--- a/src/magnoliapitch/catalogue/entry.py
+++ b/src/magnoliapitch/catalogue/entry.py
@@ -12,6 +12,7 @@
 from pydantic import ValidationError
 
 from magnoliapitch.catalogue.exceptions import InvalidEntryError
+from magnoliapitch.validation import describe_error
 
 
 NAME_PATTERN = r"^[a-z][a-z0-9-]{0,62}$"
@@ -98,11 +99,12 @@
         return _ADAPTER.validate_python(value)
     except ValidationError as error:
         problems = tuple(
-            _describe(str(item["loc"]), item["msg"], item["input"])
+            describe_error(item, _known_keys(item["loc"]))
             for item in error.errors()
         )
         raise InvalidEntryError(problems) from error
 
 
-def _describe(location: str, message: str, found: object) -> str:
-    return f"{location}: found {found!r}: {message}"
+def _known_keys(location: tuple[int | str, ...]) -> tuple[str, ...]:
+    inside_limits = len(location) > 1 and location[0] == "limits"
+    return Limits._fields if inside_limits else CatalogueEntry._fields
--- /dev/null
+++ b/src/magnoliapitch/console/ending.py
@@ -0,0 +1,21 @@
+"""Waits for the end of a process that serves."""
+
+from __future__ import annotations
+
+import signal
+
+from queue import SimpleQueue
+
+from magnoliapitch.console.exit_code import ExitCode
+
+
+def ending_on_signals() -> SimpleQueue[ExitCode]:
+    """Return a queue that SIGTERM and SIGINT put an exit code on.
+
+    A simple queue, unlike an event, may be filled by a signal handler
+    that interrupts the thread waiting on it.
+    """
+    ends: SimpleQueue[ExitCode] = SimpleQueue()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: ends.put(ExitCode.DONE))
+    return ends
--- a/src/magnoliapitch/console/entry.py
+++ b/src/magnoliapitch/console/entry.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 
 from pathlib import Path
-from queue import SimpleQueue
 
+from magnoliapitch.console.ending import ending_on_signals
 from magnoliapitch.console.exit_code import ExitCode
+from magnoliapitch.console.settings import read_settings
 from magnoliapitch.entry import EntryNode
 from magnoliapitch.event import configure_logging
-from magnoliapitch.settings import load_settings
 
 
 def entry(*, settings: Path) -> None:
@@ -19,11 +18,9 @@
 
     :param settings: TOML settings file.
     """
-    loaded = load_settings(settings)
+    loaded = read_settings(settings)
     configure_logging(loaded.instance_id, loaded.zone, loaded.log_level)
-    ends: SimpleQueue[ExitCode] = SimpleQueue()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: ends.put(ExitCode.DONE))
+    ends = ending_on_signals()
     node = EntryNode.from_settings(loaded, lambda: ends.put(ExitCode.GAVE_UP))
     node.start()
     exit_code = ends.get()
--- /dev/null
+++ b/src/magnoliapitch/console/settings.py
@@ -0,0 +1,40 @@
+"""The ``settings`` commands."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from cyclopts import App
+
+from magnoliapitch.console.exceptions import CommandError
+from magnoliapitch.console.exit_code import ExitCode
+from magnoliapitch.settings import InvalidSettingsError
+from magnoliapitch.settings import Settings
+from magnoliapitch.settings import load_settings
+
+
+settings = App(name="settings", help="Work with settings files.")
+
+
+@settings.command
+def check(file: Path) -> None:
+    """Check a settings file without starting anything.
+
+    :param file: TOML settings file.
+    """
+    loaded = read_settings(file)
+    print(
+        f"{file}: valid; instance {loaded.instance_id} in {loaded.zone}, "
+        f"address {loaded.address}"
+    )
+
+
+def read_settings(file: Path) -> Settings:
+    """Read a settings file for a command.
+
+    :raises CommandError: if it is not valid.
+    """
+    try:
+        return load_settings(file)
+    except InvalidSettingsError as error:
+        raise CommandError(str(error), ExitCode.INVALID_FILE) from error
--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -39,6 +39,7 @@
     from magnoliapitch.clock import Clock
     from magnoliapitch.entry.adapters import Adapters
     from magnoliapitch.job.spec import JobSpec
+    from magnoliapitch.journal.state import JobRecord
     from magnoliapitch.peer.link import PeerLink
     from magnoliapitch.settings.model import Settings
     from magnoliapitch.verdict import Failure
@@ -191,16 +192,12 @@
         """Return what the log knows of a job."""
         with self.journal.reading() as state:
             job = state.jobs_by_id.get(job_id)
-            if job is None:
-                return None
-            return {
-                "job_id": job_id,
-                "unit": job.unit,
-                "tasks": job.spec.tasks,
-                "finished": job.finished_tasks,
-                "cancelled": job.cancelled,
-                "done": job.is_done,
-            }
+            return None if job is None else _job_row(job)
+
+    def job_list(self) -> list[dict[str, object]]:
+        """Return what the log knows of every job."""
+        with self.journal.reading() as state:
+            return [_job_row(job) for job in state.jobs_by_id.values()]
 
     def dump(self) -> dict[str, object]:
         """Return the state of every part."""
@@ -249,3 +246,15 @@
         if not load_by_unit:
             return None
         return min(load_by_unit, key=lambda unit: (load_by_unit[unit], unit))
+
+
+def _job_row(job: JobRecord) -> dict[str, object]:
+    return {
+        "job_id": job.spec.job_id,
+        "entry": job.spec.entry,
+        "unit": job.unit,
+        "tasks": job.spec.tasks,
+        "finished": job.finished_tasks,
+        "cancelled": job.cancelled,
+        "done": job.is_done,
+    }
--- a/src/magnoliapitch/settings/loader.py
+++ b/src/magnoliapitch/settings/loader.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-import tomllib
 
 from typing import TYPE_CHECKING
 from typing import Any
@@ -15,6 +14,8 @@
 from magnoliapitch.settings.model import Settings
 from magnoliapitch.settings.problem import SettingsSource
 from magnoliapitch.settings.problem import describe_problem
+from magnoliapitch.toml_file import TomlFileError
+from magnoliapitch.toml_file import read_toml
 
 
 if TYPE_CHECKING:
@@ -39,32 +40,19 @@
         the process.
     :raises InvalidSettingsError: with one line a problem.
     """
-    text = _read(path)
     try:
-        value = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        raise InvalidSettingsError((f"{path}: not TOML: {error}",)) from error
+        file = read_toml(path)
+    except TomlFileError as error:
+        raise InvalidSettingsError((str(error),)) from error
     overrides = _overrides(os.environ if environment is None else environment)
-    value.update(overrides)
     source = SettingsSource(
-        str(path), text, {key: VARIABLES_BY_KEY[key] for key in overrides}
+        file, {key: VARIABLES_BY_KEY[key] for key in overrides}
     )
-    settings = _validate(value, source)
+    settings = _validate({**file.value, **overrides}, source)
     _check_ports(settings, source)
     return settings
 
 
-def _read(path: Path) -> str:
-    try:
-        return path.read_text("utf-8")
-    except OSError as error:
-        problem = f"{path}: cannot be read: {error.strerror}"
-        raise InvalidSettingsError((problem,)) from error
-    except UnicodeDecodeError as error:
-        problem = f"{path}: not UTF-8 text: {error.reason}"
-        raise InvalidSettingsError((problem,)) from error
-
-
 def _overrides(environment: Mapping[str, str]) -> dict[str, str]:
     return {
         key: environment[variable]
@@ -97,7 +85,7 @@
     if len(set(ports)) < len(ports):
         raise InvalidSettingsError(
             (
-                f"{source.path}: listeners: the ports {ports} must differ "
-                f"from each other",
+                f"{source.file.path}: listeners: the ports {ports} "
+                f"must differ from each other",
             )
         )
--- /dev/null
+++ b/src/magnoliapitch/standin/audit.py
@@ -0,0 +1,96 @@
+"""Stand-in workers that check every start against the promises."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliapitch.job.spec import parse_lease_id
+from magnoliapitch.standin.worker import StandinWorkers
+from magnoliapitch.worker.lease import LeaseKind
+from magnoliapitch.worker.lease import LeaseState
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from result import Result
+
+    from magnoliapitch.clock import Clock
+    from magnoliapitch.platform.instance import InstanceInfo
+    from magnoliapitch.standin.worker import StandinWorker
+    from magnoliapitch.verdict import Failure
+    from magnoliapitch.worker.lease import LeaseGrant
+    from magnoliapitch.worker.lease import WorkerView
+
+
+class AuditedWorkers(StandinWorkers):
+    """Workers that note when capacity or singleness is broken.
+
+    Unreachable workers count too, since their tasks run on.
+    """
+
+    def __init__(
+        self,
+        infos: tuple[InstanceInfo, ...],
+        clock: Clock,
+        run_ms_of: Callable[[LeaseGrant], int] | None = None,
+    ) -> None:
+        super().__init__(infos, clock, run_ms_of)
+        self._problems: list[str] = []
+
+    def start(
+        self, worker: InstanceInfo, grants: tuple[LeaseGrant, ...]
+    ) -> Result[WorkerView, Failure]:
+        """Start tasks and check all workers."""
+        outcome = super().start(worker, grants)
+        with self._lock:
+            self._check_capacity(self.by_id[worker.instance_id])
+            self._check_places()
+        return outcome
+
+    def problems(self) -> tuple[str, ...]:
+        """Return what was broken, without repetition."""
+        return tuple(dict.fromkeys(self._problems))
+
+    def used_share(self) -> float:
+        """Return the share of all processors that tasks use now."""
+        with self._lock:
+            used = 0
+            capacity = 0
+            for target in self.by_id.values():
+                used += target.used().cpu_millis
+                capacity += target.info.capacity.cpu_millis
+        return used / capacity
+
+    def running_worker(self) -> str | None:
+        """Return the id of a reachable worker that runs a task."""
+        with self._lock:
+            for worker_id, target in self.by_id.items():
+                if not target.down and target.used().cpu_millis:
+                    return worker_id
+        return None
+
+    def _check_capacity(self, target: StandinWorker) -> None:
+        used = target.used()
+        if not used.fits(target.info.capacity):
+            worker_id = target.info.instance_id
+            self._problems.append(f"{worker_id} holds {used}")
+
+    def _check_places(self) -> None:
+        workers_by_task: dict[tuple[str, int], str] = {}
+        for worker_id, target in self.by_id.items():
+            for lease in target.view().leases:
+                name = parse_lease_id(lease.lease_id)
+                if (
+                    name is None
+                    or lease.kind is not LeaseKind.TASK
+                    or lease.state is not LeaseState.RUNNING
+                ):
+                    continue
+                task = (name.job_id, name.task)
+                other = workers_by_task.setdefault(task, worker_id)
+                if other != worker_id:
+                    self._problems.append(
+                        f"task {name.task} of {name.job_id} runs on {other} "
+                        f"and {worker_id}"
+                    )
--- /dev/null
+++ b/src/magnoliapitch/standin/caller.py
@@ -0,0 +1,119 @@
+"""Callers that send small requests and check their answers."""
+
+from __future__ import annotations
+
+import time
+
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import orjson
+import urllib3
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from magnoliapitch.standin.deployment import RequestPlan
+
+
+CALLERS = 16
+ATTEMPTS_MAX = 40
+RETRY_S = 0.05
+TIMEOUT_S = 30
+REQUEST_ID_HEADER = "X-Request-Id"
+
+
+class Exchange(NamedTuple):
+    """What became of one small request.
+
+    :param request_id: id of the request; an attempt adds its number.
+    :param answered: whether the complete own answer came.
+    :param refused_ids: ids of attempts with the verdict ``not_run``.
+    :param doubtful: whether an attempt ended as ``may_have_run``.
+    :param problem: what was wrong with an answer, or empty.
+    :param elapsed_ms: time until the answer, with every attempt.
+    """
+
+    request_id: str
+    entry: str
+    answered: bool
+    refused_ids: tuple[str, ...]
+    doubtful: bool
+    problem: str
+    elapsed_ms: float
+
+
+class RequestSender:
+    """Sends planned requests from several callers at once.
+
+    :param urls: base URLs of the callers' interfaces.
+    """
+
+    def __init__(self, urls: Sequence[str]) -> None:
+        self._urls = urls
+        self._pool = urllib3.PoolManager(maxsize=CALLERS, retries=False)
+
+    def send_all(self, plans: Sequence[RequestPlan]) -> list[Exchange]:
+        """Send every planned request and return what became of each."""
+        names = [
+            (f"{plan.entry}-{number}", plan.entry)
+            for plan in plans
+            for number in range(plan.requests)
+        ]
+        names.sort(key=lambda name: name[0][::-1])
+        with ThreadPoolExecutor(CALLERS) as callers:
+            return list(callers.map(self._send, range(len(names)), names))
+
+    def _send(self, number: int, name: tuple[str, str]) -> Exchange:
+        request_id, entry = name
+        started_s = time.monotonic()
+        refused_ids: list[str] = []
+        for attempt in range(ATTEMPTS_MAX):
+            attempt_id = f"{request_id}.{attempt}"
+            url = self._urls[(number + attempt) % len(self._urls)]
+            answer = self._post(f"{url}/v1/requests/{entry}", attempt_id)
+            if answer.status < 300:
+                problem = _problem_of(answer, attempt_id)
+                answered = not problem
+                doubtful = False
+                break
+            doubtful = answer.json().get("verdict") != "not_run"
+            problem = "" if not doubtful else str(answer.json())
+            answered = False
+            if doubtful:
+                break
+            refused_ids.append(attempt_id)
+            time.sleep(RETRY_S)
+        elapsed_ms = (time.monotonic() - started_s) * 1_000
+        return Exchange(
+            request_id,
+            entry,
+            answered,
+            tuple(refused_ids),
+            doubtful,
+            problem,
+            elapsed_ms,
+        )
+
+    def _post(self, url: str, attempt_id: str) -> urllib3.BaseHTTPResponse:
+        return self._pool.request(
+            "POST",
+            url,
+            body=f"body of {attempt_id}".encode(),
+            headers={REQUEST_ID_HEADER: attempt_id},
+            timeout=TIMEOUT_S,
+        )
+
+
+def _problem_of(answer: urllib3.BaseHTTPResponse, attempt_id: str) -> str:
+    if answer.headers.get(REQUEST_ID_HEADER) != attempt_id:
+        return f"{attempt_id}: the answer repeats another id"
+    try:
+        echo = answer.json()["echo"]
+    except (orjson.JSONDecodeError, KeyError, ValueError):
+        return f"{attempt_id}: the answer is not complete"
+    if echo != f"body of {attempt_id}":
+        return f"{attempt_id}: the answer is to another request"
+    return ""
--- a/src/magnoliapitch/standin/cell.py
+++ b/src/magnoliapitch/standin/cell.py
@@ -16,6 +16,7 @@
 from magnoliapitch.settings.model import ListenerSettings
 from magnoliapitch.settings.model import PlatformSettings
 from magnoliapitch.settings.model import Settings
+from magnoliapitch.settings.model import TimingSettings
 from magnoliapitch.standin.backend import StandinBackends
 from magnoliapitch.standin.instance import StandinInstanceList
 from magnoliapitch.standin.log import StandinLog
@@ -37,17 +38,36 @@
     connections: int = 64
 
 
+class CellOptions(NamedTuple):
+    """What may differ between cells of the same shape.
+
+    :param timing: timing of every entry.
+    :param caller_threads: callers that an entry serves at once.
+    :param worker_pool: class of the stand-in workers.
+    """
+
+    timing: TimingSettings = TimingSettings()
+    caller_threads: int = 64
+    worker_pool: type[StandinWorkers] = StandinWorkers
+
+
 class Cell:
     """Stand-ins of a deployment, and entries that use them directly."""
 
-    def __init__(self, shape: CellShape, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        shape: CellShape,
+        clock: Clock | None = None,
+        options: CellOptions | None = None,
+    ) -> None:
         self.shape = shape
+        self._options = options or CellOptions()
         self.clock = clock or MonotonicClock()
         infos = _instances(shape)
         self.log = StandinLog()
         self.instance_list = StandinInstanceList(infos)
         workers = tuple(i for i in infos if i.role is InstanceRole.WORKER)
-        self.workers = StandinWorkers(workers, self.clock)
+        self.workers = self._options.worker_pool(workers, self.clock)
         self.backends = StandinBackends()
         self.entries: list[EntryNode] = []
 
@@ -59,7 +79,13 @@
             f"entry-{number}",
             zone,
             PlatformSettings("memory:", "memory:"),
-            listeners=ListenerSettings(*ports),
+            listeners=ListenerSettings(
+                ports[0],
+                ports[1],
+                ports[2],
+                caller_threads=self._options.caller_threads,
+            ),
+            timing=self._options.timing,
         )
         adapters = Adapters(
             self.log, self.instance_list, self.workers, self.backends
--- a/src/magnoliapitch/standin/demo.py
+++ b/src/magnoliapitch/standin/demo.py
@@ -1,27 +1,36 @@
-"""Runs both users' workloads on a cell in this process."""
+"""Runs a deployment's workload, loses instances and checks the promises."""
 
 from __future__ import annotations
 
+import threading
 import time
 
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
-import orjson
-import urllib3
-
-from magnoliapitch.catalogue.entry import CatalogueEntry
 from magnoliapitch.catalogue.entry import WorkClass
-from magnoliapitch.journal.codec import encode_record
-from magnoliapitch.journal.record import CataloguePut
+from magnoliapitch.job.spec import parse_lease_id
+from magnoliapitch.metric import CostMeter
+from magnoliapitch.metric import Timer
 from magnoliapitch.resource import Resources
-from magnoliapitch.standin.cell import Cell
+from magnoliapitch.settings import TimingSettings
+from magnoliapitch.standin.audit import AuditedWorkers
+from magnoliapitch.standin.caller import RequestSender
+from magnoliapitch.standin.cell import CellOptions
 from magnoliapitch.standin.cell import CellShape
+from magnoliapitch.standin.report import DemoResult
+from magnoliapitch.standin.serving import ServingCell
+from magnoliapitch.standin.submitter import JobSubmitter
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from magnoliapitch.entry.node import EntryNode
+    from magnoliapitch.standin.caller import Exchange
+    from magnoliapitch.standin.deployment import Deployment
+    from magnoliapitch.standin.submitter import SubmittedJob
 
 
 QUETZALTENANGO = CellShape(
@@ -29,78 +38,208 @@
     "clubes-app",
     Resources(32_000, 131_072, 1),
 )
-REQUESTS = 300
+
+LEASE_TTL_MS = 2_000
+CALLER_THREADS = 16
 POLL_S = 0.02
 TIMEOUT_S = 30
 
 
-def run_demo() -> bool:
-    """Serve requests and jobs; return whether everything succeeded."""
-    cell = Cell(QUETZALTENANGO)
-    for zone in QUETZALTENANGO.zones:
-        cell.add_entry(zone).start()
-    for entry in (
-        CatalogueEntry(
-            "seat-check", "clubs", WorkClass.URGENT, app="clubes-app"
-        ),
-        CatalogueEntry("term-roster", "clubs", WorkClass.BATCH),
-    ):
-        cell.log.append(encode_record((CataloguePut(entry, 0),)))
-    _wait(lambda: all(map(_is_serving, cell.entries)))
-    answered = sum(_request(cell, number) for number in range(REQUESTS))
-    done = _run_job(cell)
-    for node in cell.entries:
-        node.stop()
-    print(f"requests answered={answered} of={REQUESTS} job_done={done}")
-    return answered == REQUESTS and done
-
-
-def _is_serving(node: EntryNode) -> bool:
-    with node.core.journal.reading() as state:
-        claims = len(state.claims_by_unit)
-        return claims == 6 and len(state.catalogue_by_name) == 2
-
-
-def _request(cell: Cell, number: int) -> bool:
-    node = cell.entries[number % len(cell.entries)]
-    url = f"http://127.0.0.1:{node.settings.listeners.caller_port}"
-    response = urllib3.request(
-        "POST",
-        f"{url}/v1/requests/seat-check",
-        body=f"seat {number}".encode(),
-        headers={"X-Request-Id": f"r{number}"},
-    )
-    return (
-        response.status == 200
-        and response.json()["echo"] == f"seat {number}"
-        and response.headers["X-Request-Id"] == f"r{number}"
-    )
-
-
-def _run_job(cell: Cell) -> bool:
-    url = f"http://127.0.0.1:{cell.entries[0].settings.listeners.caller_port}"
-    job = {
-        "job_id": "roster-1",
-        "entry": "term-roster",
-        "tasks": 40,
-        "resources": {"cpu_millis": 4_000, "memory_mb": 4_096},
-        "run_ms": 200,
-    }
-    submitted = urllib3.request(
-        "POST", f"{url}/v1/jobs", body=orjson.dumps(job)
-    )
-    if submitted.status != 202:
-        print(submitted.data)
-        return False
-
-    def is_done() -> bool:
-        status = urllib3.request("GET", f"{url}/v1/jobs/roster-1")
-        return bool(status.json()["done"])
-
-    return _wait(is_done)
-
-
-def _wait(condition: Callable[[], bool]) -> bool:
+class Demo:
+    """One run of a deployment's workload."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+        self._serving = ServingCell(
+            deployment,
+            options=CellOptions(
+                TimingSettings(lease_ttl_ms=LEASE_TTL_MS),
+                CALLER_THREADS,
+                AuditedWorkers,
+            ),
+        )
+        workers = self._serving.cell.workers
+        assert isinstance(workers, AuditedWorkers)
+        self._workers = workers
+        self._problems: list[str] = []
+        self._lost: list[str] = []
+        self._used_shares: list[float] = []
+        self._jobs: list[SubmittedJob] = []
+        self._done: set[str] = set()
+        self._exchanges: list[Exchange] = []
+
+    def run(self) -> DemoResult:
+        """Serve the workload and return its result."""
+        self._serving.start(self._deployment.entries)
+        try:
+            return self._run()
+        finally:
+            self._serving.stop()
+
+    def _run(self) -> DemoResult:
+        if not wait_until(lambda: all(map(self._serves, self._nodes))):
+            self._problems.append("the entries did not become ready")
+        meter = CostMeter()
+        before = meter.read()
+        self._work()
+        after = meter.read()
+        self._check()
+        return DemoResult(
+            deployment=self._deployment.name,
+            requests=len(self._exchanges),
+            answered=sum(item.answered for item in self._exchanges),
+            refusals=sum(len(item.refused_ids) for item in self._exchanges),
+            jobs=sum(plan.jobs for plan in self._deployment.jobs),
+            jobs_done=len(self._done),
+            waits_by_class={
+                name: timer.summary() for name, timer in self._waits().items()
+            },
+            mean_used=sum(self._used_shares) / max(len(self._used_shares), 1),
+            peak_used=max(self._used_shares, default=0.0),
+            lost=tuple(self._lost),
+            entries=len(self._nodes),
+            cost_before=before,
+            cost_after=after,
+            problems=(*self._problems, *self._workers.problems()),
+        )
+
+    @property
+    def _nodes(self) -> list[EntryNode]:
+        return self._serving.cell.entries
+
+    def _serves(self, node: EntryNode) -> bool:
+        shape = self._serving.cell.shape
+        with node.core.journal.reading() as state:
+            return (
+                node.core.is_ready()
+                and len(state.claims_by_unit) == 2 * len(shape.zones)
+                and len(state.catalogue_by_name)
+                == len(self._deployment.catalogue)
+            )
+
+    def _work(self) -> None:
+        urls = [
+            f"http://127.0.0.1:{node.caller_listener.port}"
+            for node in self._nodes
+        ]
+        ended = threading.Event()
+        with ThreadPoolExecutor(3) as threads:
+            sampling = threads.submit(self._sample_use, ended)
+            requests = threads.submit(
+                RequestSender(urls).send_all, self._deployment.requests
+            )
+            losing = threads.submit(self._lose_instances)
+            try:
+                self._run_jobs(JobSubmitter(urls))
+                self._exchanges = requests.result()
+                losing.result()
+            finally:
+                ended.set()
+                sampling.result()
+
+    def _run_jobs(self, submitter: JobSubmitter) -> None:
+        classes_by_entry = {
+            entry.name: entry.work_class
+            for entry in self._deployment.catalogue
+        }
+        for plan in self._deployment.jobs:
+            for number in range(plan.jobs):
+                job = submitter.submit(
+                    plan, number, classes_by_entry[plan.entry]
+                )
+                if job is not None:
+                    self._jobs.append(job)
+        for job in self._jobs:
+            self._await_end(submitter, job)
+
+    def _await_end(self, submitter: JobSubmitter, job: SubmittedJob) -> None:
+        if job.work_class is WorkClass.SERVICE:
+            if not wait_until(lambda: self._started_tasks(job) == job.tasks):
+                return
+            submitter.cancel(job)
+        if wait_until(lambda: submitter.is_done(job)):
+            self._done.add(job.job_id)
+
+    def _started_tasks(self, job: SubmittedJob) -> int:
+        names = [parse_lease_id(i.lease_id) for i in self._workers.history]
+        return len(
+            {name.task for name in names if name and name.job_id == job.job_id}
+        )
+
+    def _lose_instances(self) -> None:
+        wait_until(lambda: self._workers.running_worker() is not None)
+        worker_id = self._workers.running_worker()
+        if worker_id is None:
+            self._problems.append("no worker ran a task in time")
+            return
+        self._workers.by_id[worker_id].down = True
+        self._lost.append(worker_id)
+        backends = self._serving.cell.backends
+        wait_until(lambda: len(backends.history) > 0)
+        server_id = backends.history[-1].server_id
+        backends.down.add(server_id)
+        self._lost.append(server_id)
+
+    def _sample_use(self, ended: threading.Event) -> None:
+        while not ended.wait(POLL_S):
+            share = self._workers.used_share()
+            if share:
+                self._used_shares.append(share)
+
+    def _waits(self) -> dict[str, Timer]:
+        timers: dict[str, Timer] = {}
+        request_ms = self._deployment.request_ms
+        for item in self._exchanges:
+            timer = timers.setdefault("small requests", Timer())
+            timer.record(item.elapsed_ms - request_ms)
+        jobs_by_id = {job.job_id: job for job in self._jobs}
+        for start in self._workers.history:
+            name = parse_lease_id(start.lease_id)
+            job = jobs_by_id.get(name.job_id) if name else None
+            if job is None or name is None or name.attempt:
+                continue
+            label = f"{job.work_class.value} tasks"
+            timer = timers.setdefault(label, Timer())
+            timer.record(start.at_ms - job.accepted_ms)
+        return timers
+
+    def _check(self) -> None:
+        history = self._serving.cell.backends.history
+        runs_by_attempt = Counter(item.request_id for item in history)
+        runs_by_request = Counter(
+            item.request_id.rpartition(".")[0] for item in history
+        )
+        once = {
+            entry.name
+            for entry in self._deployment.catalogue
+            if not entry.idempotent
+        }
+        for item in self._exchanges:
+            self._check_exchange(item, runs_by_attempt)
+            if item.entry in once and runs_by_request[item.request_id] > 1:
+                self._problems.append(f"{item.request_id} ran more than once")
+        for plan in self._deployment.jobs:
+            for number in range(plan.jobs):
+                job_id = f"{plan.entry}-{number}"
+                if job_id not in self._done:
+                    self._problems.append(f"job {job_id} is not done")
+
+    def _check_exchange(
+        self, item: Exchange, runs_by_attempt: Counter[str]
+    ) -> None:
+        if item.problem:
+            self._problems.append(item.problem)
+        elif not item.answered and not item.doubtful:
+            self._problems.append(f"{item.request_id} was never answered")
+        self._problems.extend(
+            f"{attempt_id} was called not run, but ran"
+            for attempt_id in item.refused_ids
+            if runs_by_attempt[attempt_id]
+        )
+
+
+def wait_until(condition: Callable[[], bool]) -> bool:
+    """Wait until a condition holds; return whether it did in time."""
     deadline_s = time.monotonic() + TIMEOUT_S
     while time.monotonic() < deadline_s:
         if condition():
--- a/src/magnoliapitch/standin/server.py
+++ b/src/magnoliapitch/standin/server.py
@@ -178,12 +178,13 @@
         workers: StandinWorkers,
         backends: StandinBackends,
         threads: int = 64,
+        port: int = 0,
     ) -> None:
         application = platform_application(log, instance_list)
         add_worker_routes(application, workers, instance_list.by_id)
         add_backend_routes(application, backends, instance_list.by_id)
         self._listener = Listener(
-            "standin", ("127.0.0.1", 0), application, threads
+            "standin", ("127.0.0.1", port), application, threads
         )
         self._instance_list = instance_list
 
--- /dev/null
+++ b/src/magnoliapitch/standin/serving.py
@@ -0,0 +1,56 @@
+"""A deployment that serves on loopback until it is stopped."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliapitch.journal.codec import encode_record
+from magnoliapitch.journal.record import CataloguePut
+from magnoliapitch.standin.cell import Cell
+from magnoliapitch.standin.cell import CellOptions
+from magnoliapitch.standin.server import CellServer
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.standin.deployment import Deployment
+
+
+class ServingCell:
+    """Stand-ins and entries of a deployment, with its catalogue in force.
+
+    :ivar cell: the stand-ins and entries.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        platform_port: int = 0,
+        options: CellOptions | None = None,
+    ) -> None:
+        self.deployment = deployment
+        self.cell = Cell(deployment.shape(), options=options or CellOptions())
+        self.server = CellServer(
+            self.cell.log,
+            self.cell.instance_list,
+            self.cell.workers,
+            self.cell.backends,
+            port=platform_port,
+        )
+
+    def start(self, entries: int) -> None:
+        """Publish the catalogue and start entries, spread over the zones.
+
+        :raises StartError: if a port cannot be bound.
+        """
+        self.server.start()
+        for entry in self.deployment.catalogue:
+            self.cell.log.append(encode_record((CataloguePut(entry, 0),)))
+        for number in range(entries):
+            zones = self.deployment.zones
+            self.cell.add_entry(zones[number % len(zones)]).start()
+
+    def stop(self) -> None:
+        """Stop the entries, the last one first, then the stand-ins."""
+        for node in reversed(self.cell.entries):
+            node.stop()
+        self.server.stop()
--- /dev/null
+++ b/src/magnoliapitch/standin/submitter.py
@@ -0,0 +1,91 @@
+"""Callers that submit jobs and watch them to their end."""
+
+from __future__ import annotations
+
+import time
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+import orjson
+import urllib3
+
+from magnoliapitch.catalogue.entry import WorkClass
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from magnoliapitch.standin.deployment import JobPlan
+
+
+ATTEMPTS_MAX = 100
+RETRY_S = 0.05
+TIMEOUT_S = 30
+ACCEPTED = 202
+
+
+class SubmittedJob(NamedTuple):
+    """A job that was accepted.
+
+    :param accepted_ms: monotonic time of the acceptance.
+    """
+
+    job_id: str
+    work_class: WorkClass
+    tasks: int
+    accepted_ms: float
+
+
+class JobSubmitter:
+    """Submits and watches jobs through all entries in turn."""
+
+    def __init__(self, urls: Sequence[str]) -> None:
+        self._urls = urls
+        self._calls = 0
+        self._pool = urllib3.PoolManager(retries=False)
+
+    def submit(
+        self, plan: JobPlan, number: int, work_class: WorkClass
+    ) -> SubmittedJob | None:
+        """Submit one job; return ``None`` if it is not accepted."""
+        job_id = f"{plan.entry}-{number}"
+        body = orjson.dumps(
+            {
+                "job_id": job_id,
+                "entry": plan.entry,
+                "tasks": plan.tasks,
+                "resources": plan.resources._asdict(),
+                "run_ms": plan.run_ms,
+                "payload": f"run_ms={plan.run_ms}",
+            }
+        )
+        for _ in range(ATTEMPTS_MAX):
+            if self._call("POST", "/v1/jobs", body).status == ACCEPTED:
+                now_ms = time.monotonic() * 1_000
+                return SubmittedJob(job_id, work_class, plan.tasks, now_ms)
+            time.sleep(RETRY_S)
+        return None
+
+    def is_done(self, job: SubmittedJob) -> bool:
+        """Return whether nothing of the job has to run any more."""
+        answer = self._call("GET", f"/v1/jobs/{job.job_id}")
+        if answer.status != 200:
+            return False
+        status: Any = answer.json()
+        return bool(status["done"])
+
+    def cancel(self, job: SubmittedJob) -> bool:
+        """Cancel a job; return whether that was accepted."""
+        answer = self._call("DELETE", f"/v1/jobs/{job.job_id}")
+        return answer.status == 200
+
+    def _call(
+        self, method: str, path: str, body: bytes = b""
+    ) -> urllib3.BaseHTTPResponse:
+        self._calls += 1
+        url = self._urls[self._calls % len(self._urls)]
+        return self._pool.request(
+            method, url + path, body=body, timeout=TIMEOUT_S
+        )
