Turn malformed platform answers into failures

Cause: a log answer without "offset", with a wrong type or with a null list raised KeyError or TypeError in the thread that follows or appends, and the supervisor restarted it into the same answer.

Change: answers are validated by pydantic; what does not fit becomes a may_have_run/bad-answer failure, also in problem answers and in the instance list.

Measured: 11 malformed bodies with status 200 and 500 through append, read and instances give failures and no exception.

--- a/src/magnoliapitch/platform/http_client.py
+++ b/src/magnoliapitch/platform/http_client.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+from typing import Annotated
 from typing import Any
+from typing import NamedTuple
+from typing import TypeVar
 
 import orjson
 import urllib3
 
+from pydantic import Field
+from pydantic import TypeAdapter
+from pydantic import ValidationError
 from result import Err
 from result import Ok
 from result import Result
@@ -18,6 +24,8 @@
 from magnoliapitch.verdict import not_run
 
 
+ValueT = TypeVar("ValueT")
+
 TIMEOUT_MS = 5_000
 HTTP_OK = 200
 
@@ -61,6 +69,18 @@
         return _decode(response.status, response.data)
 
 
+def decode_answer(
+    adapter: TypeAdapter[ValueT], value: object
+) -> Result[ValueT, Failure]:
+    """Validate an answer; a malformed one may follow an effect."""
+    try:
+        return Ok(adapter.validate_python(value))
+    except ValidationError as error:
+        first = error.errors(include_url=False, include_input=False)[0]
+        detail = f"answer: {first['loc']}: {first['msg']}"
+        return Err(may_have_run(FailureCode.BAD_ANSWER, detail))
+
+
 def _decode(status: int, data: bytes) -> Result[Any, Failure]:
     try:
         value = orjson.loads(data)
@@ -71,13 +91,21 @@
     return Err(_failure_from(value))
 
 
+class _Problem(NamedTuple):
+    verdict: Verdict
+    title: FailureCode
+    detail: str
+    retry_after_ms: Annotated[int, Field(ge=0, le=86_400_000)] | None = None
+
+
+_PROBLEM: TypeAdapter[_Problem] = TypeAdapter(_Problem)
+
+
 def _failure_from(problem: Any) -> Failure:
     try:
-        return Failure(
-            Verdict(problem["verdict"]),
-            FailureCode(problem["title"]),
-            str(problem["detail"]),
-            problem.get("retry_after_ms"),
-        )
-    except (KeyError, TypeError, ValueError):
+        fields = {
+            name: problem[name] for name in _Problem._fields if name in problem
+        }
+        return Failure(*_PROBLEM.validate_python(fields))
+    except (KeyError, TypeError, ValidationError):
         return may_have_run(FailureCode.BAD_ANSWER, f"answer {problem!r}")
--- a/src/magnoliapitch/platform/http_instance_list.py
+++ b/src/magnoliapitch/platform/http_instance_list.py
@@ -9,8 +9,10 @@
 from typing import TYPE_CHECKING
 
 from pydantic import TypeAdapter
+from typing_extensions import TypedDict
 
 from magnoliapitch.platform.http_client import JsonClient
+from magnoliapitch.platform.http_client import decode_answer
 from magnoliapitch.platform.instance import InstanceInfo
 from magnoliapitch.platform.registry import instance_list_adapter
 
@@ -21,7 +23,13 @@
     from magnoliapitch.verdict import Failure
 
 
-_ADAPTER = TypeAdapter(tuple[InstanceInfo, ...])
+class InstanceAnswer(TypedDict):
+    """Answer of the instance list."""
+
+    instances: tuple[InstanceInfo, ...]
+
+
+_ADAPTER = TypeAdapter(InstanceAnswer)
 
 
 class HttpInstanceList:
@@ -33,9 +41,8 @@
     def instances(self) -> Result[tuple[InstanceInfo, ...], Failure]:
         """Return every listed instance."""
         answer = self._client.call("GET", "/instances")
-        return answer.map(
-            lambda value: _ADAPTER.validate_python(value["instances"])
-        )
+        listed = answer.and_then(lambda value: decode_answer(_ADAPTER, value))
+        return listed.map(lambda found: found["instances"])
 
 
 instance_list_adapter("http")(HttpInstanceList)
--- a/src/magnoliapitch/platform/http_log.py
+++ b/src/magnoliapitch/platform/http_log.py
@@ -8,8 +8,14 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Annotated
+
+from pydantic import Field
+from pydantic import TypeAdapter
+from typing_extensions import TypedDict
 
 from magnoliapitch.platform.http_client import JsonClient
+from magnoliapitch.platform.http_client import decode_answer
 from magnoliapitch.platform.log import LogRecord
 from magnoliapitch.platform.log import LogSlice
 from magnoliapitch.platform.registry import log_adapter
@@ -21,6 +27,34 @@
     from magnoliapitch.verdict import Failure
 
 
+Offset = Annotated[int, Field(ge=0, lt=2**63)]
+
+
+class Appended(TypedDict):
+    """Answer to an append."""
+
+    offset: Offset
+
+
+class ReadRecord(TypedDict):
+    """One record in the answer to a read."""
+
+    offset: Offset
+    data: str
+
+
+class ReadAnswer(TypedDict):
+    """Answer to a read."""
+
+    records: list[ReadRecord]
+    oldest: Offset
+    head: Offset
+
+
+_APPENDED = TypeAdapter(Appended)
+_READ = TypeAdapter(ReadAnswer)
+
+
 class HttpLog:
     """The platform's log over HTTP.
 
@@ -33,7 +67,10 @@
     def append(self, data: bytes) -> Result[int, Failure]:
         """Append one record and return its offset."""
         answer = self._client.call("POST", "/append", {"data": data.decode()})
-        return answer.map(lambda value: int(value["offset"]))
+        appended = answer.and_then(
+            lambda value: decode_answer(_APPENDED, value)
+        )
+        return appended.map(lambda found: found["offset"])
 
     def read(
         self, from_offset: int, limit: int, wait_ms: int = 0
@@ -44,19 +81,20 @@
             f"/read?from={from_offset}&limit={limit}&wait_ms={wait_ms}",
             extra_wait_ms=wait_ms,
         )
-        return answer.map(_slice_from)
-
-
-def _slice_from(value: dict[str, object]) -> LogSlice:
-    records = value["records"]
-    assert isinstance(records, list)
-    return LogSlice(
-        tuple(
-            LogRecord(item["offset"], item["data"].encode())
-            for item in records
-        ),
-        int(str(value["oldest"])),
-        int(str(value["head"])),
+        return answer.and_then(_slice_from)
+
+
+def _slice_from(value: object) -> Result[LogSlice, Failure]:
+    answer = decode_answer(_READ, value)
+    return answer.map(
+        lambda read: LogSlice(
+            tuple(
+                LogRecord(item["offset"], item["data"].encode())
+                for item in read["records"]
+            ),
+            read["oldest"],
+            read["head"],
+        )
     )
 
 
--- /dev/null
+++ b/tests/platform/test_http_log.py
@@ -0,0 +1,87 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import orjson
+import pytest
+
+from magnoliapitch.http import Application
+from magnoliapitch.http import HttpRequest
+from magnoliapitch.http import HttpResponse
+from magnoliapitch.http import Listener
+from magnoliapitch.platform.http_instance_list import HttpInstanceList
+from magnoliapitch.platform.http_log import HttpLog
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import Verdict
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class Answers:
+    """Answers every call with the same response."""
+
+    def __init__(self) -> None:
+        self.status = 200
+        self.body = b""
+        application = Application()
+        for method, path in (
+            ("POST", "/append"),
+            ("GET", "/read"),
+            ("GET", "/instances"),
+        ):
+            application.route(method, path)(self._answer)
+        self.listener = Listener("test", ("127.0.0.1", 0), application, 2)
+
+    def _answer(self, request: HttpRequest) -> HttpResponse:
+        return HttpResponse(self.status, self.body)
+
+
+@pytest.fixture(scope="module")
+def answers() -> Iterator[Answers]:
+    answers = Answers()
+    answers.listener.start()
+    yield answers
+    answers.listener.stop()
+
+
+@pytest.mark.parametrize("status", [200, 500])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\xff",
+        b"null",
+        b"[]",
+        b"{}",
+        b'{"offset": "x"}',
+        b'{"offset": -1}',
+        b'{"records": [{"offset": 0}], "oldest": 0, "head": 1}',
+        b'{"records": null, "oldest": 0, "head": 1}',
+        b'{"instances": [{"instance_id": 1}]}',
+        b'{"verdict": "perhaps", "title": "timeout", "detail": ""}',
+    ],
+)
+def test_malformed_answers_become_failures(
+    answers: Answers, status: int, body: bytes
+) -> None:
+    answers.status = status
+    answers.body = body
+    url = f"http://127.0.0.1:{answers.listener.port}"
+    appended = HttpLog(url).append(b"{}").unwrap_err()
+    assert appended.verdict is Verdict.MAY_HAVE_RUN
+    assert appended.code is FailureCode.BAD_ANSWER
+    assert HttpLog(url).read(0, 1).is_err()
+    assert HttpInstanceList(url).instances().is_err()
+
+
+def test_problem_answers_keep_their_verdict(answers: Answers) -> None:
+    answers.status = 503
+    answers.body = orjson.dumps(
+        {"verdict": "not_run", "title": "unavailable", "detail": "down"}
+    )
+    url = f"http://127.0.0.1:{answers.listener.port}"
+    failure = HttpLog(url).append(b"{}").unwrap_err()
+    assert failure.verdict is Verdict.NOT_RUN
+    assert failure.code is FailureCode.UNAVAILABLE
