--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -14,6 +14,7 @@
 from magnoliapitch.journal.journal import Journal
 from magnoliapitch.journal.record import EntryJoin
 from magnoliapitch.journal.record import JobSubmit
+from magnoliapitch.journal.snapshot_writer import SnapshotWriter
 from magnoliapitch.membership.identity import Identity
 from magnoliapitch.membership.membership import Membership
 from magnoliapitch.ownership.claimer import Claimer
@@ -21,7 +22,6 @@
 from magnoliapitch.peer.message import ForwardedAnswer
 from magnoliapitch.peer.message import ForwardedRequest
 from magnoliapitch.peer.message import LogPage
-from magnoliapitch.peer.message import StateSnapshot
 from magnoliapitch.platform.fleet import Fleet
 from magnoliapitch.platform.instance import InstanceRole
 from magnoliapitch.request.router import Router
@@ -37,6 +37,7 @@
     from magnoliapitch.entry.adapters import Adapters
     from magnoliapitch.job.spec import JobSpec
     from magnoliapitch.peer.link import PeerLink
+    from magnoliapitch.peer.message import StateSnapshot
     from magnoliapitch.settings.model import Settings
     from magnoliapitch.verdict import Failure
 
@@ -77,8 +78,12 @@
         )
         self.fleet = Fleet(adapters.instance_list)
         self.journal = Journal(
-            adapters.log, self.identity.incarnation, self.clock
+            adapters.log,
+            self.identity.incarnation,
+            self.clock,
+            settings.log_appends_per_s,
         )
+        self.snapshots = SnapshotWriter(self.journal)
         self.membership = Membership(self.identity, self.journal, self.clock)
         self.claimer = Claimer(self.identity, self.journal, self.fleet)
         self.router = Router(
@@ -99,11 +104,16 @@
         )
         self._link = link
 
-    def steps(self) -> tuple[NamedStep, ...]:
-        """Return the steps in the order in which they are started."""
+    def steps(self, wait_ms: int = 0) -> tuple[NamedStep, ...]:
+        """Return the steps in the order in which they are started.
+
+        :param wait_ms: how long a step may wait for something to do; 0
+            for steps that are driven with a manual clock.
+        """
         return (
-            NamedStep("follower", self.journal.follow_step),
-            NamedStep("appender", self.journal.append_step),
+            NamedStep("follower", lambda: self.journal.follow_step(wait_ms)),
+            NamedStep("appender", lambda: self.journal.append_step(wait_ms)),
+            NamedStep("snapshots", self.snapshots.step),
             NamedStep("fleet", self.fleet.refresh_step),
             NamedStep(
                 "heartbeat",
@@ -126,7 +136,7 @@
 
     def is_ready(self) -> bool:
         """Return whether requests can be accepted."""
-        return self.journal.last_read_ms is not None
+        return self.journal.is_complete
 
     def patience_ms(self, entry: str) -> int:
         """Return how long callers of an entry wait."""
@@ -190,14 +200,15 @@
         """Execute a forwarded request."""
         return self.router.execute_here(request)
 
-    def read_log(self, from_offset: int, limit: int) -> LogPage:  # noqa: ARG002
+    def read_log(self, from_offset: int, limit: int) -> LogPage:
         """Relay log records."""
         beat = self.membership.beat()
-        return LogPage((), beat.next_offset, beat.log_age_ms)
+        records = self.journal.page(from_offset, limit)
+        return LogPage(records, beat.next_offset, beat.log_age_ms)
 
     def snapshot(self) -> StateSnapshot:
         """Return the encoded fold."""
-        return StateSnapshot(0, "", b"")
+        return self.journal.snapshot()
 
     def _unit_for(self) -> str | None:
         workers = {
--- a/src/magnoliapitch/entry/node.py
+++ b/src/magnoliapitch/entry/node.py
@@ -21,6 +21,9 @@
     from magnoliapitch.settings.model import Settings
 
 
+STEP_WAIT_MS = 500
+
+
 class EntryNode:
     """One entry instance.
 
@@ -70,7 +73,7 @@
     def _children(self) -> list[Child]:
         loops: list[Child] = [
             Loop(item.name, item.step, self.clock)
-            for item in self.core.steps()
+            for item in self.core.steps(STEP_WAIT_MS)
         ]
         return [
             *loops,
--- /dev/null
+++ b/src/magnoliapitch/journal/budget.py
@@ -0,0 +1,39 @@
+"""A budget of events a second."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.clock import Clock
+
+
+class TokenBucket:
+    """Lets a bounded number of events through each second.
+
+    :param rate_per_s: tokens that are added each second.
+    :param burst: most tokens that are kept.
+    """
+
+    def __init__(self, rate_per_s: float, burst: float, clock: Clock) -> None:
+        self.rate_per_s = rate_per_s
+        self._burst = burst
+        self._clock = clock
+        self._tokens = burst
+        self._filled_ms = clock.now_ms()
+
+    def take(self) -> int:
+        """Take one token if there is one.
+
+        :return: 0 if it was taken, else milliseconds until there is one.
+        """
+        now_ms = self._clock.now_ms()
+        added = (now_ms - self._filled_ms) * self.rate_per_s / 1000
+        self._tokens = min(self._burst, self._tokens + added)
+        self._filled_ms = now_ms
+        if self._tokens >= 1:
+            self._tokens -= 1
+            return 0
+        missing_ms = (1 - self._tokens) * 1000 / self.rate_per_s
+        return max(1, int(missing_ms + 0.999))
--- a/src/magnoliapitch/journal/codec.py
+++ b/src/magnoliapitch/journal/codec.py
@@ -1,8 +1,9 @@
 """JSON form of log records.
 
-A record is ``{"v": 1, "writer": W, "seq": N, "entries": [...]}``; each entry
-is an object with its ``kind`` and the fields of that kind. Operators who
-append records themselves leave out ``writer`` and ``seq``.
+A record is ``{"v": 1, "writer": W, "seq": N, "base": N, "entries": [...]}``;
+each entry is an object with its ``kind`` and the fields of that kind.
+Operators who append records themselves leave out ``writer``, ``seq`` and
+``base``.
 """
 
 from __future__ import annotations
@@ -25,18 +26,35 @@
 RECORD_VERSION = 1
 
 
-def encode_record(
-    entries: tuple[RecordEntry, ...], writer: str = "", seq: int = 0
+def encode_entry(entry: RecordEntry) -> bytes:
+    """Encode one entry as it stands in a record."""
+    kind = kinds_by_type[type(entry)]
+    value = adapters_by_kind[kind].dump_python(entry, mode="json")
+    fields = dict(zip(entry._fields, value, strict=True))
+    return orjson.dumps({"kind": kind, **fields})
+
+
+def encode_batch(
+    entries: list[bytes], writer: str = "", seq: int = 0, base: int = 0
 ) -> bytes:
-    """Encode entries as one log record."""
+    """Join encoded entries to one log record."""
     record: dict[str, Any] = {"v": RECORD_VERSION}
     if writer:
-        record["writer"] = writer
-        record["seq"] = seq
-    record["entries"] = [_encode_entry(entry) for entry in entries]
+        record |= {"writer": writer, "seq": seq, "base": base}
+    record["entries"] = [orjson.Fragment(entry) for entry in entries]
     return orjson.dumps(record)
 
 
+def encode_record(
+    entries: tuple[RecordEntry, ...],
+    writer: str = "",
+    seq: int = 0,
+    base: int = 0,
+) -> bytes:
+    """Encode entries as one log record."""
+    return encode_batch(list(map(encode_entry, entries)), writer, seq, base)
+
+
 def decode_record(data: bytes) -> Envelope:
     """Decode one log record.
 
@@ -46,23 +64,23 @@
         record = orjson.loads(data)
     except orjson.JSONDecodeError as error:
         raise DamagedRecordError(str(error)) from error
-    if not isinstance(record, dict) or record.get("v") != RECORD_VERSION:
+    if not isinstance(record, dict) or not _is_version(record.get("v")):
         raise DamagedRecordError("not an object with v = 1")
     entries = record.get("entries")
     if not isinstance(entries, list):
         raise DamagedRecordError("entries is not a list")
     writer = record.get("writer", "")
     seq = record.get("seq", 0)
-    if not isinstance(writer, str) or type(seq) is not int:
-        raise DamagedRecordError("writer or seq has the wrong type")
-    return Envelope(tuple(map(_decode_entry, entries)), writer, seq)
+    base = record.get("base", 0)
+    if not isinstance(writer, str):
+        raise DamagedRecordError("writer is not a string")
+    if type(seq) is not int or type(base) is not int:
+        raise DamagedRecordError("seq or base is not an integer")
+    return Envelope(tuple(map(_decode_entry, entries)), writer, seq, base)
 
 
-def _encode_entry(entry: RecordEntry) -> dict[str, Any]:
-    kind = kinds_by_type[type(entry)]
-    value = adapters_by_kind[kind].dump_python(entry, mode="json")
-    fields = dict(zip(entry._fields, value, strict=True))
-    return {"kind": kind, **fields}
+def _is_version(value: object) -> bool:
+    return type(value) is int and value == RECORD_VERSION
 
 
 def _decode_entry(value: Any) -> RecordEntry | UnknownEntry | InvalidEntry:
@@ -76,6 +94,6 @@
     try:
         entry: RecordEntry = adapter.validate_python(fields)
     except ValidationError as error:
-        first = error.errors()[0]
+        first = error.errors(include_url=False, include_input=False)[0]
         return InvalidEntry(kind, f"{first['loc']}: {first['msg']}")
     return entry
--- a/src/magnoliapitch/journal/fold.py
+++ b/src/magnoliapitch/journal/fold.py
@@ -7,9 +7,16 @@
 from typing import Any
 from typing import NamedTuple
 
+from loguru import logger
+
 from magnoliapitch.journal.codec import decode_record
 from magnoliapitch.journal.exceptions import DamagedRecordError
+from magnoliapitch.journal.record import InvalidEntry
+from magnoliapitch.journal.record import UnknownEntry
+from magnoliapitch.journal.retention import WRITER_RECORDS
+from magnoliapitch.journal.retention import expire
 from magnoliapitch.journal.state import ClusterState
+from magnoliapitch.journal.state import WriterMark
 
 
 if TYPE_CHECKING:
@@ -22,10 +29,12 @@
 
     :param applied: whether the state changed as the entry asked.
     :param reason: why it was not applied.
+    :param version: version that a change of the catalogue got.
     """
 
     applied: bool
     reason: str = ""
+    version: int = 0
 
 
 class RecordOutcome(NamedTuple):
@@ -72,39 +81,66 @@
         raise ValueError(
             f"expected offset {state.next_offset}, found {record.offset}"
         )
+    outcome = _apply(state, record)
     state.next_offset += 1
+    expire(state)
+    return outcome
+
+
+def _apply(state: ClusterState, record: LogRecord) -> RecordOutcome:
     try:
         envelope = decode_record(record.data)
     except DamagedRecordError as error:
         state.skipped_records += 1
         outcome = rejected(f"damaged record: {error}")
         return RecordOutcome(record.offset, "", 0, (outcome,))
-    if _is_repeated(state, envelope):
-        return RecordOutcome(
-            record.offset, envelope.writer, envelope.seq, (), repeated=True
-        )
-    outcomes = tuple(
-        _apply_entry(state, record.offset, entry) for entry in envelope.entries
-    )
+    outcomes: tuple[EntryOutcome, ...] = ()
+    repeated = _is_repeated(state, envelope)
+    if not repeated and _is_outdated(envelope, record.offset):
+        outcomes = (rejected("outdated record"),) * len(envelope.entries)
+    elif not repeated:
+        outcomes = _apply_envelope(state, envelope, record.offset)
     return RecordOutcome(
-        record.offset, envelope.writer, envelope.seq, outcomes
+        record.offset, envelope.writer, envelope.seq, outcomes, repeated
     )
 
 
 def _is_repeated(state: ClusterState, envelope: Envelope) -> bool:
+    mark = state.marks_by_writer.get(envelope.writer)
+    return mark is not None and envelope.seq <= mark.seq
+
+
+def _is_outdated(envelope: Envelope, offset: int) -> bool:
+    """Return whether the mark of an earlier copy may be forgotten."""
     if not envelope.writer:
         return False
-    if envelope.seq <= state.seq_by_writer.get(envelope.writer, 0):
-        return True
-    state.seq_by_writer[envelope.writer] = envelope.seq
-    return False
+    return not 0 <= offset - envelope.base <= WRITER_RECORDS
+
+
+def _apply_envelope(
+    state: ClusterState, envelope: Envelope, offset: int
+) -> tuple[EntryOutcome, ...]:
+    if envelope.writer:
+        state.marks_by_writer[envelope.writer] = WriterMark(
+            envelope.seq, offset
+        )
+    return tuple(
+        _apply_entry(state, offset, entry) for entry in envelope.entries
+    )
 
 
 def _apply_entry(
     state: ClusterState, offset: int, entry: object
 ) -> EntryOutcome:
-    handler = _handlers_by_type.get(type(entry))
-    if handler is None:
+    if isinstance(entry, UnknownEntry):
+        state.skipped_records += 1
+        return rejected(f"unknown kind {entry.kind!r}")
+    if isinstance(entry, InvalidEntry):
         state.skipped_records += 1
-        return rejected(f"not applicable: {entry!r}")
-    return handler(state, offset, entry)
+        return rejected(f"invalid {entry.kind!r}: {entry.problem}")
+    handler = _handlers_by_type[type(entry)]
+    try:
+        return handler(state, offset, entry)
+    except (ArithmeticError, LookupError, TypeError, ValueError) as error:
+        logger.exception("event=fold-failed offset={}", offset)
+        return rejected(f"cannot be applied: {error!r}")
--- a/src/magnoliapitch/journal/handler/catalogue.py
+++ b/src/magnoliapitch/journal/handler/catalogue.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from magnoliapitch.journal.fold import APPLIED
 from magnoliapitch.journal.fold import EntryOutcome
 from magnoliapitch.journal.fold import handles
 from magnoliapitch.journal.fold import rejected
@@ -21,12 +20,12 @@
     problem = _version_problem(state, name, change.expected_version)
     if problem:
         return rejected(problem)
-    version = state.last_version_by_name.get(name, 0) + 1
+    version = _last_version(state, name) + 1
     state.last_version_by_name[name] = version
     state.catalogue_by_name[name] = VersionedEntry(
         change.entry, version, offset
     )
-    return APPLIED
+    return EntryOutcome(applied=True, version=version)
 
 
 @handles(CatalogueDelete)
@@ -41,9 +40,16 @@
         return rejected(problem)
     if change.name not in state.catalogue_by_name:
         return rejected(f"no entry {change.name}")
+    version = _last_version(state, change.name) + 1
     del state.catalogue_by_name[change.name]
-    state.last_version_by_name[change.name] += 1
-    return APPLIED
+    del state.last_version_by_name[change.name]
+    state.last_version_by_name[change.name] = version
+    return EntryOutcome(applied=True, version=version)
+
+
+def _last_version(state: ClusterState, name: str) -> int:
+    """Return the newest version of a name, also of a deleted one."""
+    return state.last_version_by_name.get(name, state.version_floor)
 
 
 def _version_problem(
--- a/src/magnoliapitch/journal/handler/member.py
+++ b/src/magnoliapitch/journal/handler/member.py
@@ -15,9 +15,14 @@
 
 @handles(EntryJoin)
 def join(state: ClusterState, offset: int, join: EntryJoin) -> EntryOutcome:
-    """Add an incarnation; an incarnation joins at most once."""
+    """Add an incarnation; earlier ones of the instance are gone."""
     if join.incarnation in state.members_by_incarnation:
         return rejected(f"{join.incarnation} has already joined")
+    for incarnation, member in state.members_by_incarnation.items():
+        if member.join.instance_id == join.instance_id and not member.left:
+            state.members_by_incarnation[incarnation] = member._replace(
+                presence_offset=offset, left=True
+            )
     state.members_by_incarnation[join.incarnation] = Member(join, offset)
     return APPLIED
 
@@ -42,6 +47,8 @@
     member = state.members_by_incarnation.get(leave.incarnation)
     if member is None:
         return rejected(f"{leave.incarnation} is not a member")
+    if member.left:
+        return rejected(f"{leave.incarnation} has left")
     state.members_by_incarnation[leave.incarnation] = member._replace(
         presence_offset=offset, left=True
     )
--- a/src/magnoliapitch/journal/handler/request.py
+++ b/src/magnoliapitch/journal/handler/request.py
@@ -9,6 +9,7 @@
 from magnoliapitch.journal.fold import handles
 from magnoliapitch.journal.fold import rejected
 from magnoliapitch.journal.record import RequestIntent
+from magnoliapitch.journal.retention import INTENTS_MAX
 
 
 if TYPE_CHECKING:
@@ -18,11 +19,14 @@
 @handles(RequestIntent)
 def intend(
     state: ClusterState,
-    offset: int,  # noqa: ARG001
+    offset: int,
     intent: RequestIntent,
 ) -> EntryOutcome:
     """Let the first intent of a key name who executes the request."""
     if intent.key in state.intents_by_key:
         return rejected(f"key {intent.key} is taken")
+    if len(state.intents_by_key) >= INTENTS_MAX:
+        return rejected(f"{INTENTS_MAX} keys are remembered already")
     state.intents_by_key[intent.key] = intent
+    state.intent_offset_by_key[intent.key] = offset
     return APPLIED
--- a/src/magnoliapitch/journal/journal.py
+++ b/src/magnoliapitch/journal/journal.py
@@ -1,101 +1,86 @@
-"""Group commit to the platform's log, and following it."""
+"""The shared state and the way to change it."""
 
 from __future__ import annotations
 
 import threading
 
-from collections import deque
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
+from loguru import logger
 from result import Err
-from result import Ok
-from result import Result
 
 from magnoliapitch.journal import handler as _handler  # noqa: F401
-from magnoliapitch.journal.codec import encode_record
-from magnoliapitch.journal.fold import EntryOutcome
-from magnoliapitch.journal.fold import RecordOutcome
+from magnoliapitch.journal.appender import Appender
+from magnoliapitch.journal.budget import TokenBucket
 from magnoliapitch.journal.fold import apply_record
+from magnoliapitch.journal.follower import READ_LIMIT
+from magnoliapitch.journal.follower import Follower
+from magnoliapitch.journal.snapshot import take_snapshot
 from magnoliapitch.journal.state import ClusterState
-from magnoliapitch.verdict import Failure
-from magnoliapitch.verdict import FailureCode
-from magnoliapitch.verdict import Verdict
-from magnoliapitch.verdict import may_have_run
-from magnoliapitch.verdict import not_run
+from magnoliapitch.journal.tail import RecordTail
 
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from result import Result
+
     from magnoliapitch.clock import Clock
+    from magnoliapitch.journal.fold import EntryOutcome
+    from magnoliapitch.journal.fold import RecordOutcome
+    from magnoliapitch.journal.pending import Pending
     from magnoliapitch.journal.record import RecordEntry
+    from magnoliapitch.peer.message import StateSnapshot
     from magnoliapitch.platform.log import LogRecord
     from magnoliapitch.platform.log import PlatformLog
+    from magnoliapitch.verdict import Failure
 
 
-READ_LIMIT = 1_000
-BATCH_ENTRIES_MAX = 500
-QUEUE_ENTRIES_MAX = 20_000
-IDLE_WAIT_MS = 20
-RETRY_WAIT_MS = 100
-
-
-class Pending:
-    """An entry that waits to be appended and folded."""
-
-    def __init__(self, entry: RecordEntry) -> None:
-        self.entry = entry
-        self.outcome: Result[EntryOutcome, Failure] | None = None
-        self._done = threading.Event()
-
-    def resolve(self, outcome: Result[EntryOutcome, Failure]) -> None:
-        """Set the outcome once."""
-        if self.outcome is None:
-            self.outcome = outcome
-            self._done.set()
-
-    def wait(self, timeout_ms: int) -> Result[EntryOutcome, Failure]:
-        """Wait for the outcome in the fold.
-
-        :return: ``may_have_run`` if it is not known in time.
-        """
-        self._done.wait(timeout_ms / 1000)
-        if self.outcome is not None:
-            return self.outcome
-        return Err(
-            may_have_run(FailureCode.TIMEOUT, "the log has not confirmed")
-        )
-
-
-class _Batch(NamedTuple):
-    seq: int
-    data: bytes
-    pending: tuple[Pending, ...]
+APPENDS_PER_S = 200
+BURST_APPENDS = 10
+REASON_MAX_CHARS = 200
 
 
 class Journal:
-    """Shared state and the way to change it.
+    """Facade of appender, follower and fold.
 
     ``append_step`` and ``follow_step`` are each driven by one thread, or
     by a test.
+
+    :ivar follower: reads the log; its ``source`` is set when peers exist.
+    :ivar is_complete: whether the state may be served: it holds the whole
+        history up to its offset, which is not behind any known one.
+    :ivar last_read_ms: start of the last read that showed nothing newer.
     """
 
     def __init__(
-        self, log: PlatformLog, incarnation: str, clock: Clock
+        self,
+        log: PlatformLog,
+        incarnation: str,
+        clock: Clock,
+        appends_per_s: int = APPENDS_PER_S,
     ) -> None:
         self.incarnation = incarnation
+        self.is_complete = False
+        self.last_read_ms: int | None = None
         self._log = log
-        self._clock = clock
+        self._appends_per_s = appends_per_s
         self._lock = threading.RLock()
         self._read = threading.Condition()
         self._state = ClusterState()
-        self._queue: deque[Pending] = deque()
-        self._batch: _Batch | None = None
-        self._seq = 0
-        self._in_flight_by_seq: dict[int, tuple[Pending, ...]] = {}
-        self.last_read_ms: int | None = None
+        self._tail = RecordTail()
+        self._budget = TokenBucket(appends_per_s, BURST_APPENDS, clock)
+        self.appender = Appender(
+            log, incarnation, self._budget, lambda: self.next_offset
+        )
+        self.follower = Follower(log, self, clock)
+
+    @property
+    def next_offset(self) -> int:
+        """Offset of the next record to apply."""
+        with self._lock:
+            return self._state.next_offset
 
     @contextmanager
     def reading(self) -> Iterator[ClusterState]:
@@ -105,21 +90,7 @@
 
     def enqueue(self, entry: RecordEntry) -> Pending:
         """Queue an entry for the next group commit."""
-        pending = Pending(entry)
-        with self._lock:
-            if len(self._queue) >= QUEUE_ENTRIES_MAX:
-                pending.resolve(
-                    Err(
-                        not_run(
-                            FailureCode.OVERLOADED,
-                            "the queue to the log is full",
-                            RETRY_WAIT_MS,
-                        )
-                    )
-                )
-                return pending
-            self._queue.append(pending)
-        return pending
+        return self.appender.enqueue(entry)
 
     def commit(
         self, entry: RecordEntry, timeout_ms: int
@@ -127,66 +98,94 @@
         """Append an entry and wait until the fold has applied it."""
         return self.enqueue(entry).wait(timeout_ms)
 
-    def append_step(self) -> int:
-        """Append one batch; repeat it unchanged until it is confirmed.
+    def append_step(self, wait_ms: int = 0) -> int:
+        """Append one batch within the own share of the budget.
 
         :return: milliseconds to wait before the next step.
         """
-        batch = self._next_batch()
-        if batch is None:
-            return IDLE_WAIT_MS
-        outcome = self._log.append(batch.data)
-        if isinstance(outcome, Ok):
-            self._batch = None
-            return 0
-        if outcome.err_value.verdict is Verdict.NOT_RUN:
-            return outcome.err_value.retry_after_ms or RETRY_WAIT_MS
-        return RETRY_WAIT_MS
+        with self._lock:
+            members = self._state.members_by_incarnation.values()
+            live = sum(not member.left for member in members)
+        self._budget.rate_per_s = self._appends_per_s / max(live, 1)
+        return self.appender.step(wait_ms)
 
     def follow_step(self, wait_ms: int = 0) -> int:
         """Read and apply new records.
 
         :return: milliseconds to wait before the next step.
         """
-        started_ms = self._clock.now_ms()
-        outcome = self._log.read(self._state.next_offset, READ_LIMIT, wait_ms)
-        if isinstance(outcome, Err):
-            return RETRY_WAIT_MS
-        self.apply(outcome.ok_value.records)
-        if outcome.ok_value.head <= self._state.next_offset:
-            with self._read:
-                self.last_read_ms = started_ms
-                self._read.notify_all()
-        return 0 if outcome.ok_value.records else IDLE_WAIT_MS
+        return self.follower.step(wait_ms)
 
     def wait_fresh(self, timeout_ms: int) -> bool:
-        """Wait for a read of the whole log that started after this call.
-
-        :return: whether the state holds all that was appended before.
-        """
-        now_ms = self._clock.now_ms()
-
-        def is_fresh() -> bool:
-            return self.last_read_ms is not None and (
-                self.last_read_ms > now_ms
-            )
-
+        """Wait until all is applied that was appended before this call."""
+        if self.follower.is_log_away:
+            return False
+        outcome = self._log.read(self.next_offset, READ_LIMIT)
+        if isinstance(outcome, Err):
+            return False
+        self.apply(outcome.ok_value.records)
+        head = outcome.ok_value.head
         with self._read:
-            return self._read.wait_for(is_fresh, timeout_ms / 1000)
+            return self._read.wait_for(
+                lambda: self.next_offset >= head, timeout_ms / 1000
+            )
 
     def apply(self, records: tuple[LogRecord, ...]) -> None:
         """Apply records from the log or a peer; known ones are skipped."""
         with self._lock:
             for record in records:
                 if record.offset == self._state.next_offset:
-                    self._settle(apply_record(self._state, record))
+                    outcome = apply_record(self._state, record)
+                    self._tail.add(record)
+                    self.appender.settle(outcome)
+                    _report(outcome)
+        with self._read:
+            self._read.notify_all()
+
+    def install(self, state: ClusterState) -> bool:
+        """Replace the state by a later one; offsets never go back."""
+        with self._lock:
+            if state.next_offset <= self._state.next_offset:
+                return False
+            self._state = state
+            self._tail.clear()
+            mark = state.marks_by_writer.get(self.incarnation)
+            folded_seq = mark.seq if mark else 0
+            self.appender.skip_to(state.next_offset, folded_seq)
+        with self._read:
+            self._read.notify_all()
+        return True
+
+    def mark_fresh(self, read_ms: int) -> None:
+        """Note that a read which started then showed nothing newer."""
+        self.last_read_ms = read_ms
+
+    def mark_complete(self) -> None:
+        """Note that the state may be served."""
+        self.is_complete = True
+
+    def page(self, from_offset: int, limit: int) -> tuple[LogRecord, ...]:
+        """Return recent records for a peer, none if they are not kept."""
+        with self._lock:
+            return self._tail.page(from_offset, limit)
+
+    def snapshot(self) -> StateSnapshot:
+        """Return the encoded state."""
+        with self._lock:
+            return take_snapshot(self._state)
 
     def dump(self) -> dict[str, object]:
         """Return the journal's part of the state dump."""
         with self._lock:
             return {
                 "next_offset": self._state.next_offset,
-                "queued": len(self._queue),
+                "is_complete": self.is_complete,
+                "oldest": self.follower.oldest,
+                "head": self.follower.head,
+                "snapshot_offset": self._state.snapshot_offset,
+                "queued": self.appender.queued(),
+                "appends": self.appender.appends,
+                "appended_entries": self.appender.entries,
                 "skipped_records": self._state.skipped_records,
                 "catalogue": sorted(self._state.catalogue_by_name),
                 "claims": [
@@ -196,22 +195,14 @@
                 "jobs": len(self._state.jobs_by_id),
             }
 
-    def _next_batch(self) -> _Batch | None:
-        with self._lock:
-            if self._batch is not None or not self._queue:
-                return self._batch
-            count = min(len(self._queue), BATCH_ENTRIES_MAX)
-            pending = tuple(self._queue.popleft() for _ in range(count))
-            self._seq += 1
-            entries = tuple(item.entry for item in pending)
-            data = encode_record(entries, self.incarnation, self._seq)
-            self._batch = _Batch(self._seq, data, pending)
-            self._in_flight_by_seq[self._seq] = pending
-            return self._batch
-
-    def _settle(self, outcome: RecordOutcome) -> None:
-        if outcome.writer != self.incarnation or outcome.repeated:
-            return
-        pending = self._in_flight_by_seq.pop(outcome.seq, ())
-        for item, result in zip(pending, outcome.outcomes, strict=True):
-            item.resolve(Ok(result))
+
+def _report(outcome: RecordOutcome) -> None:
+    for number, entry in enumerate(outcome.outcomes):
+        if not entry.applied:
+            logger.warning(
+                "event=record-rejected offset={} entry={} writer={} reason={}",
+                outcome.offset,
+                number,
+                outcome.writer or "operator",
+                repr(entry.reason[:REASON_MAX_CHARS]),
+            )
--- a/src/magnoliapitch/journal/record.py
+++ b/src/magnoliapitch/journal/record.py
@@ -207,8 +207,10 @@
 
     :param writer: incarnation that appended it, empty for operators.
     :param seq: number within the writer's records, from 1.
+    :param base: offset that the writer had applied when it was formed.
     """
 
     entries: tuple[RecordEntry | UnknownEntry | InvalidEntry, ...]
     writer: str = ""
     seq: int = 0
+    base: int = 0
--- a/src/magnoliapitch/journal/state.py
+++ b/src/magnoliapitch/journal/state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from dataclasses import field
 from typing import NamedTuple
 
 from magnoliapitch.catalogue.entry import CatalogueEntry
@@ -48,6 +50,33 @@
     left: bool = False
 
 
+class WriterMark(NamedTuple):
+    """Newest record of a writer.
+
+    :param seq: its sequence number.
+    :param offset: its offset.
+    """
+
+    seq: int
+    offset: int
+
+
+class SnapshotProgress(NamedTuple):
+    """A snapshot of which the log holds some parts.
+
+    :param offset: offset of the next record after the snapshot.
+    :param next_part: number of the part that must follow.
+    :param record_offset: offset of the newest part.
+    """
+
+    offset: int
+    digest: str
+    next_part: int
+    parts: int
+    record_offset: int
+
+
+@dataclass(slots=True)
 class JobRecord:
     """A job as the log knows it.
 
@@ -57,24 +86,16 @@
     :ivar cancelled: whether it was cancelled.
     :ivar ended_by_task: last recorded outcome of each task.
     :ivar attempts_by_task: number of ended attempts of each task.
+    :ivar done_offset: offset at which it was found done, -1 for never.
     """
 
-    __slots__ = (
-        "attempts_by_task",
-        "cancelled",
-        "ended_by_task",
-        "offset",
-        "spec",
-        "unit",
-    )
-
-    def __init__(self, spec: JobSpec, unit: str, offset: int) -> None:
-        self.spec = spec
-        self.unit = unit
-        self.offset = offset
-        self.cancelled = False
-        self.ended_by_task: dict[int, TaskOutcome] = {}
-        self.attempts_by_task: dict[int, int] = {}
+    spec: JobSpec
+    unit: str
+    offset: int
+    cancelled: bool = False
+    ended_by_task: dict[int, TaskOutcome] = field(default_factory=dict)
+    attempts_by_task: dict[int, int] = field(default_factory=dict)
+    done_offset: int = -1
 
     @property
     def finished_tasks(self) -> int:
@@ -90,19 +111,29 @@
         return self.cancelled or self.finished_tasks == self.spec.tasks
 
 
+@dataclass(slots=True)
 class ClusterState:
     """Result of the fold; equal on every instance at equal offsets.
 
+    Every field is part of the snapshots.
+
     :ivar next_offset: offset of the next record to apply.
+    :ivar version_floor: highest version of a forgotten deleted name.
+    :ivar snapshot_offset: offset of the newest complete snapshot.
     """
 
-    def __init__(self) -> None:
-        self.next_offset = 0
-        self.catalogue_by_name: dict[str, VersionedEntry] = {}
-        self.last_version_by_name: dict[str, int] = {}
-        self.seq_by_writer: dict[str, int] = {}
-        self.members_by_incarnation: dict[str, Member] = {}
-        self.claims_by_unit: dict[str, Claim] = {}
-        self.jobs_by_id: dict[str, JobRecord] = {}
-        self.intents_by_key: dict[str, RequestIntent] = {}
-        self.skipped_records = 0
+    next_offset: int = 0
+    catalogue_by_name: dict[str, VersionedEntry] = field(default_factory=dict)
+    last_version_by_name: dict[str, int] = field(default_factory=dict)
+    version_floor: int = 0
+    marks_by_writer: dict[str, WriterMark] = field(default_factory=dict)
+    members_by_incarnation: dict[str, Member] = field(default_factory=dict)
+    claims_by_unit: dict[str, Claim] = field(default_factory=dict)
+    jobs_by_id: dict[str, JobRecord] = field(default_factory=dict)
+    intents_by_key: dict[str, RequestIntent] = field(default_factory=dict)
+    intent_offset_by_key: dict[str, int] = field(default_factory=dict)
+    progress_by_snapshot: dict[str, SnapshotProgress] = field(
+        default_factory=dict
+    )
+    snapshot_offset: int = 0
+    skipped_records: int = 0
--- /dev/null
+++ b/src/magnoliapitch/journal/tail.py
@@ -0,0 +1,50 @@
+"""The newest records, kept in memory for peers that cannot read the log."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.platform.log import LogRecord
+
+
+TAIL_MAX_BYTES = 4 << 20
+PAGE_MAX_BYTES = 256 << 10
+
+
+class RecordTail:
+    """Consecutive applied records, bounded by their bytes."""
+
+    def __init__(self, max_bytes: int = TAIL_MAX_BYTES) -> None:
+        self._max_bytes = max_bytes
+        self._size_bytes = 0
+        self._records: deque[LogRecord] = deque()
+
+    def add(self, record: LogRecord) -> None:
+        """Add the record that was applied last."""
+        self._records.append(record)
+        self._size_bytes += len(record.data)
+        while self._size_bytes > self._max_bytes:
+            self._size_bytes -= len(self._records.popleft().data)
+
+    def clear(self) -> None:
+        """Forget all records, before a jump to a later offset."""
+        self._records.clear()
+        self._size_bytes = 0
+
+    def page(self, from_offset: int, limit: int) -> tuple[LogRecord, ...]:
+        """Return records from an offset, none if it is not kept."""
+        if not self._records or from_offset < self._records[0].offset:
+            return ()
+        start = from_offset - self._records[0].offset
+        page: list[LogRecord] = []
+        size_bytes = 0
+        for index in range(start, min(start + limit, len(self._records))):
+            record = self._records[index]
+            size_bytes += len(record.data)
+            if page and size_bytes > PAGE_MAX_BYTES:
+                break
+            page.append(record)
+        return tuple(page)
--- a/src/magnoliapitch/peer/node.py
+++ b/src/magnoliapitch/peer/node.py
@@ -77,7 +77,10 @@
         _context.results.logAgeMs = fields["logAgeMs"]
 
     async def snapshot(self, _context: Any, **_: Any) -> None:
-        snapshot = self._handler.snapshot()
+        loop = asyncio.get_running_loop()
+        snapshot = await loop.run_in_executor(
+            self._threads, self._handler.snapshot
+        )
         _context.results.offset = snapshot.offset
         _context.results.digest = snapshot.digest
         _context.results.state = snapshot.state
--- a/src/magnoliapitch/settings/model.py
+++ b/src/magnoliapitch/settings/model.py
@@ -28,6 +28,9 @@
     :param caller_threads: callers served at once.
     :param admin_threads: operators' requests served at once.
     :param lease_ttl_ms: validity of a task lease.
+    :param log_appends_per_s: appends of all instances together.
+    :param peer_addresses: ``IP:PORT`` of peers to ask when starting
+        without the log.
     """
 
     instance_id: str
@@ -42,3 +45,5 @@
     caller_threads: Threads = 64
     admin_threads: Threads = 4
     lease_ttl_ms: Milliseconds = 15_000
+    log_appends_per_s: Annotated[int, Field(ge=1, le=100_000)] = 200
+    peer_addresses: tuple[str, ...] = ()
