--- a/src/magnoliapitch/journal/codec.py
+++ b/src/magnoliapitch/journal/codec.py
@@ -21,6 +21,7 @@
 from magnoliapitch.journal.record import UnknownEntry
 from magnoliapitch.journal.record import adapters_by_kind
 from magnoliapitch.journal.record import kinds_by_type
+from magnoliapitch.plain import to_plain
 
 
 RECORD_VERSION = 1
@@ -29,9 +30,7 @@
 def encode_entry(entry: RecordEntry) -> bytes:
     """Encode one entry as it stands in a record."""
     kind = kinds_by_type[type(entry)]
-    value = adapters_by_kind[kind].dump_python(entry, mode="json")
-    fields = dict(zip(entry._fields, value, strict=True))
-    return orjson.dumps({"kind": kind, **fields})
+    return orjson.dumps({"kind": kind, **to_plain(entry)})
 
 
 def encode_batch(
--- a/src/magnoliapitch/journal/fold.py
+++ b/src/magnoliapitch/journal/fold.py
@@ -7,8 +7,7 @@
 from typing import Any
 from typing import NamedTuple
 
-from loguru import logger
-
+from magnoliapitch.event import log_event
 from magnoliapitch.journal.codec import decode_record
 from magnoliapitch.journal.exceptions import DamagedRecordError
 from magnoliapitch.journal.record import InvalidEntry
@@ -142,5 +141,5 @@
     try:
         return handler(state, offset, entry)
     except (ArithmeticError, LookupError, TypeError, ValueError) as error:
-        logger.exception("event=fold-failed offset={}", offset)
+        log_event("fold-failed", offset=offset, error=error)
         return rejected(f"cannot be applied: {error!r}")
--- a/src/magnoliapitch/journal/follower.py
+++ b/src/magnoliapitch/journal/follower.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
-from loguru import logger
 from result import Err
 
+from magnoliapitch.event import log_event
 from magnoliapitch.journal.codec import decode_record
 from magnoliapitch.journal.exceptions import DamagedRecordError
 from magnoliapitch.journal.record import SnapshotPart
@@ -96,19 +96,15 @@
         """Pass over records that left the log before they were read."""
         before = self._target.next_offset
         if self._load_from_log(oldest) or self._load_from_peer(oldest):
-            logger.warning(
-                "event=snapshot-loaded from={} to={}",
-                before,
-                self._target.next_offset,
+            log_event(
+                "snapshot-loaded",
+                from_offset=before,
+                to_offset=self._target.next_offset,
             )
             self._is_stuck = False
             return 0
         if not self._is_stuck:
-            logger.error(
-                "event=history-missing next_offset={} oldest={}",
-                before,
-                oldest,
-            )
+            log_event("history-missing", next_offset=before, oldest=oldest)
         self._is_stuck = True
         return RETRY_WAIT_MS
 
--- a/src/magnoliapitch/journal/journal.py
+++ b/src/magnoliapitch/journal/journal.py
@@ -7,9 +7,9 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
-from loguru import logger
 from result import Err
 
+from magnoliapitch.event import log_event
 from magnoliapitch.journal import handler as _handler  # noqa: F401
 from magnoliapitch.journal.appender import Appender
 from magnoliapitch.journal.budget import TokenBucket
@@ -199,10 +199,10 @@
 def _report(outcome: RecordOutcome) -> None:
     for number, entry in enumerate(outcome.outcomes):
         if not entry.applied:
-            logger.warning(
-                "event=record-rejected offset={} entry={} writer={} reason={}",
-                outcome.offset,
-                number,
-                outcome.writer or "operator",
-                repr(entry.reason[:REASON_MAX_CHARS]),
+            log_event(
+                "record-rejected",
+                offset=outcome.offset,
+                entry=number,
+                writer=outcome.writer or "operator",
+                reason=entry.reason[:REASON_MAX_CHARS],
             )
--- a/src/magnoliapitch/journal/snapshot_writer.py
+++ b/src/magnoliapitch/journal/snapshot_writer.py
@@ -6,8 +6,7 @@
 
 import xxhash
 
-from loguru import logger
-
+from magnoliapitch.event import log_event
 from magnoliapitch.journal.snapshot import split_snapshot
 
 
@@ -69,11 +68,11 @@
     def _write(self) -> None:
         snapshot = self._journal.snapshot()
         parts = split_snapshot(snapshot)
-        logger.info(
-            "event=snapshot-written offset={} bytes={} parts={}",
-            snapshot.offset,
-            len(snapshot.state),
-            len(parts),
+        log_event(
+            "snapshot-written",
+            offset=snapshot.offset,
+            size_bytes=len(snapshot.state),
+            parts=len(parts),
         )
         self._parts = tuple(map(self._journal.enqueue, parts))
 
--- a/tests/journal/test_codec.py
+++ b/tests/journal/test_codec.py
@@ -9,10 +9,14 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from magnoliapitch.catalogue.entry import CatalogueEntry
+from magnoliapitch.catalogue.entry import WorkClass
 from magnoliapitch.journal import ClusterState
 from magnoliapitch.journal import apply_record
 from magnoliapitch.journal import decode_record
+from magnoliapitch.journal import encode_record
 from magnoliapitch.journal.exceptions import DamagedRecordError
+from magnoliapitch.journal.record import CataloguePut
 from magnoliapitch.journal.record import adapters_by_kind
 from magnoliapitch.journal.record import kinds_by_type
 from magnoliapitch.journal.snapshot import load_snapshot
@@ -129,3 +133,12 @@
 def test_decode_record_refuses_damage(data: bytes) -> None:
     with pytest.raises(DamagedRecordError):
         decode_record(data)
+
+
+def test_codec_names_every_field_of_nested_values() -> None:
+    entry = CatalogueEntry("seat-check", "clubs", WorkClass.URGENT)
+    change = CataloguePut(entry, 0)
+    data = encode_record((change,), "writer", 1)
+    (fields,) = orjson.loads(data)["entries"]
+    assert fields["entry"]["limits"]["share"] == 1
+    assert decode_record(data).entries == (change,)
