--- a/src/magnoliapitch/event/known.py
+++ b/src/magnoliapitch/event/known.py
@@ -72,3 +72,28 @@
     EventLevel.INFO,
     "An operator's change of the catalogue was refused.",
 )
+define_event(
+    "record-rejected",
+    EventLevel.WARNING,
+    "An entry of a log record changed nothing: damaged, unknown or refused.",
+)
+define_event(
+    "fold-failed",
+    EventLevel.ERROR,
+    "A handler failed on a record; every instance skips it alike.",
+)
+define_event(
+    "snapshot-loaded",
+    EventLevel.WARNING,
+    "A snapshot replaced records that had left the log unread.",
+)
+define_event(
+    "snapshot-written",
+    EventLevel.INFO,
+    "A snapshot of the state was queued for the log.",
+)
+define_event(
+    "history-missing",
+    EventLevel.ERROR,
+    "Records have left the log and no snapshot and no peer replaces them.",
+)
