Read backend answers within limits and never reuse a spoilt connection

urllib3 gives a connection back as soon as a body is read to its end, so an answer to another request or an oversized one left its connection in the pool, and a server that dripped bytes held a request 22 s past a timeout of 100 ms (both seen with raw sockets before the change). Heads are now checked before the body, bodies are read as they arrive with the deadline checked between, and each server has a pool of its own: the shared manager would have evicted pools beyond ten servers. A refusal tells a leaving server from a busy one, and the media type is kept.

Stand-in backends take scripted faults.

--- a/src/magnoliapitch/backend/client.py
+++ b/src/magnoliapitch/backend/client.py
@@ -35,11 +35,13 @@
     :param status: HTTP status.
     :param body: complete body.
     :param leaving: whether the server announced that it is leaving.
+    :param content_type: media type of the body.
     """
 
     status: int
     body: bytes
     leaving: bool = False
+    content_type: str = "application/json"
 
 
 class BackendClient(Protocol):
--- a/src/magnoliapitch/backend/http_client.py
+++ b/src/magnoliapitch/backend/http_client.py
@@ -1,12 +1,17 @@
 """Adapter to backend servers that speak HTTP.
 
 A request is ``POST SERVER_URL/requests/ENTRY`` with the header
-``X-Request-Id``, which the answer must repeat.
+``X-Request-Id``, which the answer must repeat. A server that refuses a
+request before running it answers 503 with ``X-Not-Run``; one that is
+leaving adds ``X-Leaving`` to its answers.
 """
 
 from __future__ import annotations
 
+import time
+
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import urllib3
 
@@ -30,29 +35,45 @@
 REFUSED_HEADER = "X-Not-Run"
 LEAVING_HEADER = "X-Leaving"
 REQUEST_ID_HEADER = "X-Request-Id"
+CONNECT_TIMEOUT_MS = 1_000
+ANSWER_MAX_BYTES = 8 << 20
+READ_BYTES = 1 << 16
+DEFAULT_CONTENT_TYPE = "application/octet-stream"
+
+
+class _ServerPool(NamedTuple):
+    url: str
+    path: str
+    connections: urllib3.HTTPConnectionPool
 
 
 class HttpBackendClient:
-    """Backend servers over HTTP with connections kept by server."""
+    """Backend servers over HTTP with connections kept by server.
 
-    def __init__(self, connections_per_server: int = 64) -> None:
-        self._pool = urllib3.PoolManager(
-            maxsize=connections_per_server, retries=False
-        )
+    A connection is used again only after a complete answer to its own
+    request.
+
+    :param connections_per_server: connections kept open to a server; the
+        slots bound how many are open at once.
+    :param answer_max_bytes: longest answer that is accepted.
+    """
+
+    def __init__(
+        self,
+        connections_per_server: int = 8,
+        answer_max_bytes: int = ANSWER_MAX_BYTES,
+    ) -> None:
+        self._connections_per_server = connections_per_server
+        self._answer_max_bytes = answer_max_bytes
+        self._pools_by_server: dict[str, _ServerPool] = {}
 
     def send(
         self, server: InstanceInfo, request: BackendRequest
     ) -> Result[BackendAnswer, Failure]:
         """Send one request once and return its complete answer."""
+        deadline_s = time.monotonic() + request.timeout_ms / 1000
         try:
-            response = self._pool.request(
-                "POST",
-                f"{server.url}/requests/{request.entry}",
-                body=request.body,
-                headers={REQUEST_ID_HEADER: request.request_id},
-                timeout=request.timeout_ms / 1000,
-                redirect=False,
-            )
+            response = self._open(server, request)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -62,22 +83,111 @@
             return Err(may_have_run(FailureCode.TIMEOUT, str(error)))
         except urllib3.exceptions.HTTPError as error:
             return Err(may_have_run(FailureCode.BAD_ANSWER, str(error)))
-        return _answer_from(response, request)
-
+        if _is_refusal(response):
+            self._read(response, deadline_s)
+            return Err(_refusal_from(response))
+        problem = self._check_head(response, request)
+        if problem is not None:
+            response.close()
+            return Err(problem)
+        return self._read(response, deadline_s)
+
+    def _open(
+        self, server: InstanceInfo, request: BackendRequest
+    ) -> urllib3.BaseHTTPResponse:
+        timeout_ms = request.timeout_ms
+        pool = self._pool_of(server)
+        return pool.connections.urlopen(
+            "POST",
+            f"{pool.path}/requests/{request.entry}",
+            body=request.body,
+            headers={REQUEST_ID_HEADER: request.request_id},
+            timeout=urllib3.Timeout(
+                connect=min(CONNECT_TIMEOUT_MS, timeout_ms) / 1000,
+                read=timeout_ms / 1000,
+            ),
+            retries=False,
+            redirect=False,
+            assert_same_host=False,
+            preload_content=False,
+        )
 
-def _answer_from(
-    response: urllib3.BaseHTTPResponse, request: BackendRequest
-) -> Result[BackendAnswer, Failure]:
-    if (
-        response.status == REFUSED_STATUS
-        and REFUSED_HEADER in response.headers
-    ):
-        return Err(not_run(FailureCode.SHUTTING_DOWN, "server refused"))
-    if response.headers.get(REQUEST_ID_HEADER) != request.request_id:
-        return Err(
-            may_have_run(
+    def _pool_of(self, server: InstanceInfo) -> _ServerPool:
+        pool = self._pools_by_server.get(server.instance_id)
+        if pool is not None and pool.url == server.url:
+            return pool
+        pool = _ServerPool(
+            server.url,
+            urllib3.util.parse_url(server.url).path or "",
+            urllib3.connection_from_url(
+                server.url, maxsize=self._connections_per_server
+            ),
+        )
+        self._pools_by_server[server.instance_id] = pool
+        return pool
+
+    def _check_head(
+        self, response: urllib3.BaseHTTPResponse, request: BackendRequest
+    ) -> Failure | None:
+        # Checked before the body is read to its end, after which urllib3
+        # would keep the connection.
+        if response.headers.get(REQUEST_ID_HEADER) != request.request_id:
+            return may_have_run(
                 FailureCode.BAD_ANSWER, "the answer is to another request"
             )
+        length = response.headers.get("Content-Length", "0")
+        if length.isdigit() and int(length) > self._answer_max_bytes:
+            return _too_long(self._answer_max_bytes)
+        return None
+
+    def _read(
+        self, response: urllib3.BaseHTTPResponse, deadline_s: float
+    ) -> Result[BackendAnswer, Failure]:
+        parts: list[bytes] = []
+        left = self._answer_max_bytes
+        try:
+            while part := response.read1(READ_BYTES):
+                parts.append(part)
+                left -= len(part)
+                if left < 0:
+                    response.close()
+                    return Err(_too_long(self._answer_max_bytes))
+                if time.monotonic() > deadline_s:
+                    response.close()
+                    return Err(
+                        may_have_run(FailureCode.TIMEOUT, "answer too slow")
+                    )
+        except urllib3.exceptions.TimeoutError as error:
+            response.close()
+            return Err(may_have_run(FailureCode.TIMEOUT, str(error)))
+        except urllib3.exceptions.HTTPError as error:
+            response.close()
+            return Err(may_have_run(FailureCode.TRUNCATED, str(error)))
+        headers = response.headers
+        return Ok(
+            BackendAnswer(
+                response.status,
+                b"".join(parts),
+                LEAVING_HEADER in headers,
+                headers.get("Content-Type", DEFAULT_CONTENT_TYPE),
+            )
         )
-    leaving = LEAVING_HEADER in response.headers
-    return Ok(BackendAnswer(response.status, response.data, leaving))
+
+
+def _is_refusal(response: urllib3.BaseHTTPResponse) -> bool:
+    return (
+        response.status == REFUSED_STATUS
+        and REFUSED_HEADER in response.headers
+    )
+
+
+def _refusal_from(response: urllib3.BaseHTTPResponse) -> Failure:
+    if LEAVING_HEADER in response.headers:
+        return not_run(FailureCode.SHUTTING_DOWN, "server is leaving")
+    return not_run(FailureCode.OVERLOADED, "server refused")
+
+
+def _too_long(limit_bytes: int) -> Failure:
+    return may_have_run(
+        FailureCode.BAD_ANSWER, f"the answer exceeds {limit_bytes} bytes"
+    )
--- a/src/magnoliapitch/standin/backend.py
+++ b/src/magnoliapitch/standin/backend.py
@@ -4,6 +4,8 @@
 
 import threading
 
+from collections import deque
+from enum import StrEnum
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -15,12 +17,17 @@
 
 from magnoliapitch.backend.client import BackendAnswer
 from magnoliapitch.backend.client import BackendRequest
+from magnoliapitch.clock import MonotonicClock
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import may_have_run
 from magnoliapitch.verdict import not_run
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliapitch.clock import Clock
     from magnoliapitch.platform.instance import InstanceInfo
 
 
@@ -33,37 +40,95 @@
     body: bytes
 
 
+class BackendFault(StrEnum):
+    """What goes wrong with one call."""
+
+    REFUSE = "refuse"
+    REFUSE_CONNECTION = "refuse-connection"
+    LOSE_ANSWER = "lose-answer"
+    TRUNCATE_ANSWER = "truncate-answer"
+    ANNOUNCE_LEAVING = "announce-leaving"
+    REFUSE_LEAVING = "refuse-leaving"
+
+
 class StandinBackends:
     """Executes requests by answering with the request's id and body.
 
     :ivar down: ids of servers that refuse connections.
     :ivar leaving: ids of servers that refuse new work as leaving.
+    :ivar faults_by_server: faults of the next calls of a server.
+    :ivar duration_ms: how long a request runs.
+    :ivar on_send: called with the server's id before each call.
     :ivar most_in_flight_by_server: highest concurrency seen.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock | None = None) -> None:
         self.down: set[str] = set()
         self.leaving: set[str] = set()
+        self.faults_by_server: dict[str, deque[BackendFault]] = {}
+        self.duration_ms = 0
+        self.on_send: Callable[[str], None] | None = None
         self.history: list[Execution] = []
         self.most_in_flight_by_server: dict[str, int] = {}
+        self._clock = clock or MonotonicClock()
+        self._never = threading.Event()
         self._in_flight_by_server: dict[str, int] = {}
         self._lock = threading.Lock()
 
+    def add_fault(self, server_id: str, fault: BackendFault) -> None:
+        """Let the next call of a server go wrong."""
+        self.faults_by_server.setdefault(server_id, deque()).append(fault)
+
     def send(
         self, server: InstanceInfo, request: BackendRequest
     ) -> Result[BackendAnswer, Failure]:
         """Execute one request."""
         server_id = server.instance_id
-        if server_id in self.down:
-            return Err(not_run(FailureCode.UNAVAILABLE, "connection refused"))
-        if server_id in self.leaving:
-            return Err(not_run(FailureCode.SHUTTING_DOWN, "server is leaving"))
+        if self.on_send is not None:
+            self.on_send(server_id)
+        fault = self._next_fault(server_id)
+        refusal = self._refusal(server_id, fault)
+        if refusal is not None:
+            return Err(refusal)
         self._enter(server_id, request)
         try:
-            return Ok(BackendAnswer(200, _answer_body(server_id, request)))
+            if self.duration_ms:
+                self._clock.wait(self._never, self.duration_ms)
+            return self._answer(server_id, request, fault)
         finally:
             self._leave(server_id)
 
+    def _next_fault(self, server_id: str) -> BackendFault | None:
+        with self._lock:
+            faults = self.faults_by_server.get(server_id)
+            return faults.popleft() if faults else None
+
+    def _refusal(
+        self, server_id: str, fault: BackendFault | None
+    ) -> Failure | None:
+        if server_id in self.down or fault is BackendFault.REFUSE_CONNECTION:
+            return not_run(FailureCode.UNAVAILABLE, "connection refused")
+        if server_id in self.leaving or fault is BackendFault.REFUSE_LEAVING:
+            return not_run(FailureCode.SHUTTING_DOWN, "server is leaving")
+        if fault is BackendFault.REFUSE:
+            return not_run(FailureCode.OVERLOADED, "server refused")
+        return None
+
+    def _answer(
+        self,
+        server_id: str,
+        request: BackendRequest,
+        fault: BackendFault | None,
+    ) -> Result[BackendAnswer, Failure]:
+        if fault is BackendFault.LOSE_ANSWER:
+            self._clock.wait(self._never, request.timeout_ms)
+            return Err(may_have_run(FailureCode.TIMEOUT, "no answer"))
+        if fault is BackendFault.TRUNCATE_ANSWER:
+            return Err(may_have_run(FailureCode.TRUNCATED, "half an answer"))
+        is_leaving = fault is BackendFault.ANNOUNCE_LEAVING
+        body = _answer_body(server_id, request)
+        return Ok(BackendAnswer(200, body, is_leaving))
+
     def _enter(self, server_id: str, request: BackendRequest) -> None:
         with self._lock:
             count = self._in_flight_by_server.get(server_id, 0) + 1
--- a/src/magnoliapitch/standin/cell.py
+++ b/src/magnoliapitch/standin/cell.py
@@ -48,7 +48,7 @@
         self.instance_list = StandinInstanceList(infos)
         workers = tuple(i for i in infos if i.role is InstanceRole.WORKER)
         self.workers = StandinWorkers(workers, self.clock)
-        self.backends = StandinBackends()
+        self.backends = StandinBackends(self.clock)
         self.entries: list[EntryNode] = []
 
     def add_entry(self, zone: str) -> EntryNode:
--- a/src/magnoliapitch/standin/server.py
+++ b/src/magnoliapitch/standin/server.py
@@ -10,6 +10,7 @@
 from result import Result
 
 from magnoliapitch.backend.client import BackendRequest
+from magnoliapitch.backend.http_client import LEAVING_HEADER
 from magnoliapitch.backend.http_client import REFUSED_HEADER
 from magnoliapitch.backend.http_client import REQUEST_ID_HEADER
 from magnoliapitch.http import Application
@@ -21,6 +22,8 @@
 from magnoliapitch.plain import to_plain
 from magnoliapitch.platform.instance import InstanceInfo
 from magnoliapitch.platform.instance import InstanceRole
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import Verdict
 from magnoliapitch.worker.lease import LeaseGrant
 from magnoliapitch.worker.lease import WorkerView
 
@@ -28,6 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from magnoliapitch.backend.client import BackendAnswer
     from magnoliapitch.standin.backend import StandinBackends
     from magnoliapitch.standin.instance import StandinInstanceList
     from magnoliapitch.standin.log import StandinLog
@@ -148,13 +152,27 @@
                 request_id, request.path_values["entry"], request.body, 0
             ),
         )
-        if isinstance(outcome, Err):
-            return HttpResponse(503, headers=((REFUSED_HEADER, "1"),))
-        return HttpResponse(
-            outcome.ok_value.status,
-            outcome.ok_value.body,
-            headers=((REQUEST_ID_HEADER, request_id),),
-        )
+        return _backend_response(request_id, outcome)
+
+
+def _backend_response(
+    request_id: str, outcome: Result[BackendAnswer, Failure]
+) -> HttpResponse:
+    if isinstance(outcome, Err):
+        failure = outcome.err_value
+        if failure.verdict is not Verdict.NOT_RUN:
+            return HttpResponse(200, b"{}")
+        headers: tuple[tuple[str, str], ...] = ((REFUSED_HEADER, "1"),)
+        if failure.code is FailureCode.SHUTTING_DOWN:
+            headers += ((LEAVING_HEADER, "1"),)
+        return HttpResponse(503, headers=headers)
+    answer = outcome.ok_value
+    repeated: tuple[tuple[str, str], ...] = ((REQUEST_ID_HEADER, request_id),)
+    if answer.leaving:
+        repeated += ((LEAVING_HEADER, "1"),)
+    return HttpResponse(
+        answer.status, answer.body, answer.content_type, repeated
+    )
 
 
 def _respond(
