Queue, limit and route small requests by owner, slots and deadline

The router refused a request at once when no slot was free and asked every peer in turn. Now: - slots and connections are counted per server; a slot whose request timed out stays taken as long again; - a server that fails, refuses or says it is leaving gets no new work and is probed after a backoff, with idempotent requests first; - waiting requests are ordered by urgency and deadline, and shed with not_run and Retry-After as soon as the estimate exceeds the patience; - other owners are chosen by zone and the free slots of their heartbeats, one hop at most, with the remaining time; - catalogue limits are enforced by shares that add up to the limit; - only idempotent or surely not run attempts are repeated, within a budget, and an earlier doubt stays in the verdict; - a former owner stops before a new one starts: owners that hear neither log nor neighbours stop after 3 s, new owners wait for that and for the longest request.

--- a/src/magnoliapitch/api/caller.py
+++ b/src/magnoliapitch/api/caller.py
@@ -52,7 +52,9 @@
             response = problem_response(outcome.err_value, request_id)
             return response._replace(headers=response.headers + header)
         answer = outcome.ok_value
-        return HttpResponse(answer.status, answer.body, headers=header)
+        return HttpResponse(
+            answer.status, answer.body, answer.content_type, header
+        )
 
     @application.route("POST", "/v1/jobs")
     def submit(request: HttpRequest) -> HttpResponse:
--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -88,6 +88,7 @@
             self.membership,
             adapters.backends,
             link,
+            clock,
         )
         self.jobs = JobManager(
             self.journal,
@@ -105,10 +106,7 @@
             NamedStep("follower", self.journal.follow_step),
             NamedStep("appender", self.journal.append_step),
             NamedStep("fleet", self.fleet.refresh_step),
-            NamedStep(
-                "heartbeat",
-                lambda: self.membership.heartbeat_step(self._link),
-            ),
+            NamedStep("heartbeat", self._heartbeat_step),
             NamedStep("claimer", self.claimer.claim_step),
             NamedStep("jobs", self.jobs.step),
         )
@@ -199,6 +197,10 @@
         """Return the encoded fold."""
         return StateSnapshot(0, "", b"")
 
+    def _heartbeat_step(self) -> int:
+        self.membership.loads = self.router.loads()
+        return self.membership.heartbeat_step(self._link)
+
     def _unit_for(self) -> str | None:
         workers = {
             worker.unit for worker in self.fleet.of_role(InstanceRole.WORKER)
--- a/src/magnoliapitch/event/known.py
+++ b/src/magnoliapitch/event/known.py
@@ -6,6 +6,11 @@
 from magnoliapitch.event.registry import define_event
 
 
+define_event(
+    "backend-call-failed",
+    EventLevel.ERROR,
+    "The client of backend servers raised an error; the request may have run.",
+)
 define_event(
     "child-failed",
     EventLevel.WARNING,
--- a/src/magnoliapitch/peer/codec.py
+++ b/src/magnoliapitch/peer/codec.py
@@ -92,6 +92,7 @@
             "status": answer.status,
             "body": answer.body,
             "retryAfterMs": NO_RETRY_MS,
+            "contentType": answer.content_type,
         }
     failure = outcome.err_value
     retry_ms = failure.retry_after_ms
@@ -109,7 +110,10 @@
     if not reader.verdict:
         return Ok(
             ForwardedAnswer(
-                reader.requestId, reader.status, bytes(reader.body)
+                reader.requestId,
+                reader.status,
+                bytes(reader.body),
+                reader.contentType,
             )
         )
     retry_ms = reader.retryAfterMs
--- a/src/magnoliapitch/peer/message.py
+++ b/src/magnoliapitch/peer/message.py
@@ -70,6 +70,7 @@
     request_id: str
     status: int
     body: bytes
+    content_type: str = "application/json"
 
 
 class LogPage(NamedTuple):
--- a/src/magnoliapitch/peer/peer.capnp
+++ b/src/magnoliapitch/peer/peer.capnp
@@ -53,6 +53,7 @@
   code @4 :Text;
   detail @5 :Text;
   retryAfterMs @6 :Int32;     # negative for none
+  contentType @7 :Text = "application/json";
 }
 
 struct LogEntry {
--- a/src/magnoliapitch/request/router.py
+++ b/src/magnoliapitch/request/router.py
@@ -1,4 +1,4 @@
-"""Routes small requests to backend servers, directly or through a peer."""
+"""Admits small requests and gives each of them one answer."""
 
 from __future__ import annotations
 
@@ -10,33 +10,39 @@
 from result import Ok
 from result import Result
 
-from magnoliapitch.backend.client import BackendClient
-from magnoliapitch.backend.client import BackendRequest
-from magnoliapitch.peer.message import ForwardedAnswer
-from magnoliapitch.peer.message import ForwardedRequest
-from magnoliapitch.platform.instance import InstanceInfo
-from magnoliapitch.platform.instance import InstanceRole
-from magnoliapitch.platform.instance import InstanceState
+from magnoliapitch.request.dispatcher import Dispatcher
+from magnoliapitch.request.dispatcher import Outcome
+from magnoliapitch.request.dispatcher import Task
+from magnoliapitch.request.fence import DispatchFence
+from magnoliapitch.request.limit import RequestLimits
+from magnoliapitch.request.peer_choice import PeerChoice
+from magnoliapitch.request.slot_pool import SlotPool
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
-from magnoliapitch.verdict import Verdict
 from magnoliapitch.verdict import not_run
 
 
 if TYPE_CHECKING:
+    from magnoliapitch.backend.client import BackendClient
     from magnoliapitch.catalogue.entry import CatalogueEntry
+    from magnoliapitch.clock import Clock
     from magnoliapitch.journal.journal import Journal
     from magnoliapitch.membership.membership import Membership
     from magnoliapitch.ownership.claimer import Claimer
     from magnoliapitch.peer.link import PeerLink
+    from magnoliapitch.peer.message import ForwardedRequest
+    from magnoliapitch.peer.message import UnitLoad
     from magnoliapitch.platform.fleet import Fleet
 
 
-RETRY_AFTER_MS = 1_000
+DRAIN_RETRY_MS = 1_000
+START_RETRY_MS = 1_000
+FORWARDED_MAX = 192
+FORWARDED_RETRY_MS = 100
 
 
 class Router:
-    """Executes small requests on the backend servers of owned groups."""
+    """Executes small requests on backend servers of owned groups."""
 
     def __init__(
         self,
@@ -46,105 +52,143 @@
         membership: Membership,
         backends: BackendClient,
         link: PeerLink,
+        clock: Clock,
     ) -> None:
         self._journal = journal
-        self._fleet = fleet
-        self._claimer = claimer
         self._membership = membership
-        self._backends = backends
-        self._link = link
-        self._in_flight_by_server: dict[str, int] = {}
+        self._clock = clock
+        self._fence = DispatchFence(journal, claimer, membership, clock)
+        self._pool = SlotPool(fleet, self._fence, clock)
+        self._limits = RequestLimits(membership, clock)
+        peers = PeerChoice(journal, membership, fleet, clock)
+        self._dispatcher = Dispatcher(self._pool, peers, backends, link, clock)
         self._lock = threading.Lock()
+        self._is_draining = False
+        self._callers = 0
+        self._forwarded = 0
 
-    def execute(
-        self, request: ForwardedRequest
-    ) -> Result[ForwardedAnswer, Failure]:
+    def execute(self, request: ForwardedRequest) -> Outcome:
         """Execute a caller's request here or through a peer."""
-        outcome = self.execute_here(request)
-        if isinstance(outcome, Ok):
-            return outcome
-        if outcome.err_value.verdict is not Verdict.NOT_RUN:
-            return outcome
-        for peer in self._membership.peers():
-            forwarded = self._link.forward(
-                peer.join.peer_address, request, request.timeout_ms
-            )
-            if isinstance(forwarded, Ok):
-                return forwarded
-            if forwarded.err_value.verdict is not Verdict.NOT_RUN:
-                return forwarded
-        return outcome
-
-    def execute_here(
-        self, request: ForwardedRequest
-    ) -> Result[ForwardedAnswer, Failure]:
-        """Execute a request on an owned backend server only."""
-        entry = self._entry(request.entry)
-        if entry is None:
-            return Err(
-                not_run(FailureCode.NOT_FOUND, f"no entry {request.entry}")
-            )
-        server = self._acquire(entry.app)
-        if server is None:
-            return Err(
-                not_run(
-                    FailureCode.OVERLOADED,
-                    f"no free slot of {entry.app}",
-                    RETRY_AFTER_MS,
-                )
-            )
+        with self._lock:
+            if self._is_draining:
+                return Err(_draining())
+            self._callers += 1
         try:
-            outcome = self._backends.send(
-                server,
-                BackendRequest(
-                    request.request_id,
-                    request.entry,
-                    request.body,
-                    request.timeout_ms,
-                ),
-            )
+            return self._execute(request)
         finally:
-            self._release(server)
-        return outcome.map(
-            lambda answer: ForwardedAnswer(
-                request.request_id, answer.status, answer.body
-            )
-        )
+            with self._lock:
+                self._callers -= 1
+
+    def execute_here(self, request: ForwardedRequest) -> Outcome:
+        """Execute a peer's request on an owned backend server only."""
+        with self._lock:
+            if self._is_draining:
+                return Err(_draining())
+            if self._forwarded >= FORWARDED_MAX:
+                return Err(_too_many_forwarded())
+            self._forwarded += 1
+        try:
+            return self._execute_forwarded(request)
+        finally:
+            with self._lock:
+                self._forwarded -= 1
+
+    def begin_drain(self) -> None:
+        """Refuse new requests from now on; those in flight go on."""
+        self._membership.leaving = True
+        with self._lock:
+            self._is_draining = True
+
+    def in_flight(self) -> int:
+        """Return how many requests still wait for their answer."""
+        with self._lock:
+            return self._callers + self._forwarded
 
     def free_slots(self, unit: str) -> int:
         """Return free slots of an owned group."""
-        with self._lock:
-            return sum(
-                server.slots
-                - self._in_flight_by_server.get(server.instance_id, 0)
-                for server in self._fleet.of_role(InstanceRole.BACKEND_SERVER)
-                if server.unit == unit
-            )
+        return self._pool.free_slots(unit)
+
+    def loads(self) -> tuple[UnitLoad, ...]:
+        """Return the free slots of every owned group, for heartbeats."""
+        return self._pool.loads()
 
     def dump(self) -> dict[str, object]:
         """Return the router's part of the state dump."""
         with self._lock:
-            return {"in_flight": dict(self._in_flight_by_server)}
+            counts = {
+                "draining": self._is_draining,
+                "callers": self._callers,
+                "forwarded": self._forwarded,
+            }
+        return {
+            **counts,
+            "units": sorted(self._fence.units()),
+            "limits": self._limits.dump(),
+            **self._pool.dump(),
+        }
+
+    def _execute(self, request: ForwardedRequest) -> Outcome:
+        started_ms = self._clock.now_ms()
+        found = self._entry(request.entry)
+        if isinstance(found, Err):
+            return found
+        entry = found.ok_value
+        deadline_ms = started_ms + request.timeout_ms
+        refusal = self._limits.admit(entry, deadline_ms)
+        if refusal is not None:
+            return Err(refusal)
+        try:
+            return self._dispatcher.dispatch(
+                Task(entry, request, deadline_ms, may_forward=True)
+            )
+        finally:
+            duration_ms = self._clock.now_ms() - started_ms
+            self._limits.finish(entry, duration_ms)
+
+    def _execute_forwarded(self, request: ForwardedRequest) -> Outcome:
+        found = self._entry(request.entry)
+        if isinstance(found, Err):
+            return found
+        deadline_ms = self._clock.now_ms() + request.timeout_ms
+        return self._dispatcher.dispatch(
+            Task(found.ok_value, request, deadline_ms, may_forward=False)
+        )
 
-    def _entry(self, name: str) -> CatalogueEntry | None:
+    def _entry(self, name: str) -> Result[CatalogueEntry, Failure]:
         with self._journal.reading() as state:
             versioned = state.catalogue_by_name.get(name)
-        return versioned.entry if versioned else None
+        if versioned is None:
+            return Err(self._unknown(name))
+        if not versioned.entry.app:
+            return Err(
+                not_run(
+                    FailureCode.INVALID,
+                    f"{name} takes jobs, not requests",
+                )
+            )
+        return Ok(versioned.entry)
+
+    def _unknown(self, name: str) -> Failure:
+        if self._journal.last_read_ms is None:
+            return not_run(
+                FailureCode.UNAVAILABLE,
+                "the catalogue is not known here yet",
+                START_RETRY_MS,
+            )
+        return not_run(FailureCode.NOT_FOUND, f"no entry {name!r}")
 
-    def _acquire(self, app: str) -> InstanceInfo | None:
-        owned = self._claimer.owned()
-        with self._lock:
-            for server in self._fleet.of_role(InstanceRole.BACKEND_SERVER):
-                if server.app != app or server.unit not in owned:
-                    continue
-                if server.state is not InstanceState.LIVE:
-                    continue
-                count = self._in_flight_by_server.get(server.instance_id, 0)
-                if count < server.slots:
-                    self._in_flight_by_server[server.instance_id] = count + 1
-                    return server
-        return None
-
-    def _release(self, server: InstanceInfo) -> None:
-        with self._lock:
-            self._in_flight_by_server[server.instance_id] -= 1
+
+def _draining() -> Failure:
+    return not_run(
+        FailureCode.SHUTTING_DOWN,
+        "this instance is shutting down",
+        DRAIN_RETRY_MS,
+    )
+
+
+def _too_many_forwarded() -> Failure:
+    return not_run(
+        FailureCode.OVERLOADED,
+        f"{FORWARDED_MAX} requests of peers are in progress here",
+        FORWARDED_RETRY_MS,
+    )
