--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -99,6 +99,7 @@
             self.membership,
             adapters.backends,
             link,
+            clock,
         )
         self.jobs = JobManager(
             self.journal,
@@ -133,10 +134,7 @@
             ),
             NamedStep("snapshots", self.snapshots.step, "platform"),
             NamedStep("fleet", self.fleet.refresh_step, "platform"),
-            NamedStep(
-                "heartbeat",
-                lambda: self.membership.heartbeat_step(self._link),
-            ),
+            NamedStep("heartbeat", self._heartbeat_step),
             NamedStep("claimer", self.claimer.claim_step),
             NamedStep("jobs", self.jobs.step),
         )
@@ -160,7 +158,7 @@
     def drain(self) -> None:
         """Refuse new work from now on; what was accepted goes on."""
         if not self.is_draining:
-            self.membership.leaving = True
+            self.router.begin_drain()
             log_event("drain-started")
 
     def is_ready(self) -> bool:
@@ -251,6 +249,10 @@
         """Return the encoded fold."""
         return self.journal.snapshot()
 
+    def _heartbeat_step(self) -> int:
+        self.membership.loads = self.router.loads()
+        return self.membership.heartbeat_step(self._link)
+
     def _unit_for(self) -> str | None:
         workers = {
             worker.unit for worker in self.fleet.of_role(InstanceRole.WORKER)
