--- a/src/magnoliapitch/entry/node.py
+++ b/src/magnoliapitch/entry/node.py
@@ -26,6 +26,9 @@
     from magnoliapitch.settings.model import Settings
 
 
+STEP_WAIT_MS = 500
+
+
 class EntryNode:
     """One entry instance.
 
@@ -60,7 +63,7 @@
             settings.listeners.admin_threads,
         )
         self.supervisor = make_tree(
-            self.core.steps(),
+            self.core.steps(STEP_WAIT_MS),
             (self.admin_listener,),
             (self.peer_node, self.caller_listener),
             TreeOptions(self.clock, _policy_of(settings), give_up),
--- a/src/magnoliapitch/settings/model.py
+++ b/src/magnoliapitch/settings/model.py
@@ -12,6 +12,7 @@
 from magnoliapitch.decision.options import PolicyWeights
 from magnoliapitch.event.registry import EventLevel
 from magnoliapitch.settings.check import check_ip_number
+from magnoliapitch.settings.check import check_peer_address
 from magnoliapitch.settings.check import check_platform_url
 
 
@@ -20,6 +21,7 @@
 Threads = Annotated[int, Field(ge=1, le=4_096, strict=True)]
 Count = Annotated[int, Field(ge=1, le=1_000_000, strict=True)]
 IpNumber = Annotated[str, AfterValidator(check_ip_number)]
+PeerAddress = Annotated[str, AfterValidator(check_peer_address)]
 PlatformUrl = Annotated[str, AfterValidator(check_platform_url)]
 InstanceName = Annotated[
     str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
@@ -31,10 +33,12 @@
 
     :param log_url: address of the platform's log.
     :param instance_list_url: address of the platform's list of instances.
+    :param log_appends_per_s: appends of all instances together.
     """
 
     log_url: PlatformUrl
     instance_list_url: PlatformUrl
+    log_appends_per_s: Count = 200
 
 
 class ListenerSettings(NamedTuple):
@@ -91,6 +95,8 @@
     :param profile: named weights of the policy.
     :param weights: weights as numbers, which replace the profile.
     :param log_level: lowest level of the events that are logged.
+    :param peer_addresses: ``IP:PORT`` of peers to ask when the log and the
+        list of instances are away.
     """
 
     instance_id: InstanceName
@@ -104,3 +110,4 @@
     listeners: ListenerSettings = ListenerSettings()
     timing: TimingSettings = TimingSettings()
     limits: LimitSettings = LimitSettings()
+    peer_addresses: tuple[PeerAddress, ...] = ()
--- a/src/magnoliapitch/standin/cell.py
+++ b/src/magnoliapitch/standin/cell.py
@@ -68,7 +68,7 @@
         self.instance_list = StandinInstanceList(infos)
         workers = tuple(i for i in infos if i.role is InstanceRole.WORKER)
         self.workers = self._options.worker_pool(workers, self.clock)
-        self.backends = StandinBackends()
+        self.backends = StandinBackends(self.clock)
         self.entries: list[EntryNode] = []
 
     def add_entry(self, zone: str) -> EntryNode:
--- a/src/magnoliapitch/standin/serving.py
+++ b/src/magnoliapitch/standin/serving.py
@@ -29,6 +29,7 @@
     ) -> None:
         self.deployment = deployment
         self.cell = Cell(deployment.shape(), options=options or CellOptions())
+        self.cell.backends.duration_ms = deployment.request_ms
         self.server = CellServer(
             self.cell.log,
             self.cell.instance_list,
