Refuse a server address without a scheme as a usage error

Cause: urllib3 takes a bare word as a host name and asks the resolver. Change: the commands check the scheme before they call. Conclusion: an address is refused before anything is sent.

--- a/src/magnoliapitch/console/client.py
+++ b/src/magnoliapitch/console/client.py
@@ -19,6 +19,7 @@
 
 TIMEOUT_S = 60
 REDIRECTS_MAX = 3
+URL_SCHEMES = ("http://", "https://")
 ERROR_STATUS = 400
 
 CALLER_URL = "http://127.0.0.1:8080"
@@ -72,6 +73,8 @@
 
 
 def _exchange(server: str, call: Call) -> urllib3.BaseHTTPResponse:
+    if not server.startswith(URL_SCHEMES):
+        raise _not_a_url(server)
     retries = urllib3.Retry(0, redirect=REDIRECTS_MAX, raise_on_redirect=False)
     try:
         return urllib3.request(
@@ -83,14 +86,16 @@
             retries=retries,
         )
     except urllib3.exceptions.LocationValueError as error:
-        raise CommandError(
-            f"{server!r} is not a URL such as {ADMIN_URL}: {error}",
-            ExitCode.USAGE,
-        ) from error
+        raise _not_a_url(server) from error
     except urllib3.exceptions.HTTPError as error:
         raise _unreachable(server, error) from error
 
 
+def _not_a_url(server: str) -> CommandError:
+    message = f"{server!r} is not a URL such as {ADMIN_URL}"
+    return CommandError(message, ExitCode.USAGE)
+
+
 def _unreachable(
     server: str, error: urllib3.exceptions.HTTPError
 ) -> CommandError:
