--- a/src/magnoliapitch/api/caller.py
+++ b/src/magnoliapitch/api/caller.py
@@ -40,6 +40,9 @@
     @application.route("POST", "/v1/requests/{entry}")
     def execute(request: HttpRequest) -> HttpResponse:
         request_id = _request_id(request)
+        refusal = core.refusal()
+        if refusal is not None:
+            return problem_response(refusal, request_id)
         forwarded = ForwardedRequest(
             request_id,
             request.path_values["entry"],
@@ -52,10 +55,15 @@
             response = problem_response(outcome.err_value, request_id)
             return response._replace(headers=response.headers + header)
         answer = outcome.ok_value
-        return HttpResponse(answer.status, answer.body, headers=header)
+        return HttpResponse(
+            answer.status, answer.body, answer.content_type, header
+        )
 
     @application.route("POST", "/v1/jobs")
     def submit(request: HttpRequest) -> HttpResponse:
+        refusal = core.refusal()
+        if refusal is not None:
+            return problem_response(refusal)
         try:
             job = _JOB.validate_python(request.json())
         except (ValidationError, ValueError) as error:
@@ -65,6 +73,10 @@
             return problem_response(outcome.err_value)
         return json_response({"job_id": job.job_id}, 202)
 
+    @application.route("GET", "/v1/jobs")
+    def jobs(request: HttpRequest) -> HttpResponse:  # noqa: ARG001
+        return json_response({"jobs": core.job_list()})
+
     @application.route("GET", "/v1/jobs/{job}")
     def status(request: HttpRequest) -> HttpResponse:
         job_id = request.path_values["job"]
--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -11,18 +11,20 @@
 from magnoliapitch.decision import first_fit as _first_fit  # noqa: F401
 from magnoliapitch.decision.options import options_of
 from magnoliapitch.decision.registry import make_scheduler
+from magnoliapitch.event import log_event
 from magnoliapitch.job.manager import JobManager
 from magnoliapitch.journal.journal import Journal
 from magnoliapitch.journal.record import EntryJoin
 from magnoliapitch.journal.record import JobSubmit
+from magnoliapitch.journal.snapshot_writer import SnapshotWriter
 from magnoliapitch.membership.identity import Identity
 from magnoliapitch.membership.membership import Membership
+from magnoliapitch.metric import Metrics
 from magnoliapitch.ownership.claimer import Claimer
 from magnoliapitch.peer.message import Beat
 from magnoliapitch.peer.message import ForwardedAnswer
 from magnoliapitch.peer.message import ForwardedRequest
 from magnoliapitch.peer.message import LogPage
-from magnoliapitch.peer.message import StateSnapshot
 from magnoliapitch.platform.fleet import Fleet
 from magnoliapitch.platform.instance import InstanceRole
 from magnoliapitch.request.router import Router
@@ -37,23 +39,28 @@
     from magnoliapitch.clock import Clock
     from magnoliapitch.entry.adapters import Adapters
     from magnoliapitch.job.spec import JobSpec
+    from magnoliapitch.journal.state import JobRecord
     from magnoliapitch.peer.link import PeerLink
+    from magnoliapitch.peer.message import StateSnapshot
     from magnoliapitch.settings.model import Settings
     from magnoliapitch.verdict import Failure
 
 
 DEFAULT_PATIENCE_MS = 10_000
 NO_RACK_RETRY_MS = 1_000
+DRAIN_RETRY_MS = 100
 
 
 class NamedStep(NamedTuple):
     """A step that one thread, or a test, calls again and again.
 
     :param step: returns the milliseconds until its next call.
+    :param branch: supervisor that the step's loop belongs to.
     """
 
     name: str
     step: Step
+    branch: str = "cluster"
 
 
 class EntryCore:
@@ -78,8 +85,12 @@
         )
         self.fleet = Fleet(adapters.instance_list)
         self.journal = Journal(
-            adapters.log, self.identity.incarnation, self.clock
+            adapters.log,
+            self.identity.incarnation,
+            self.clock,
+            settings.platform.log_appends_per_s,
         )
+        self.snapshots = SnapshotWriter(self.journal)
         self.membership = Membership(self.identity, self.journal, self.clock)
         self.claimer = Claimer(self.identity, self.journal, self.fleet)
         self.router = Router(
@@ -89,6 +100,7 @@
             self.membership,
             adapters.backends,
             link,
+            clock,
         )
         self.jobs = JobManager(
             self.journal,
@@ -101,18 +113,29 @@
             ),
             self.clock,
         )
+        self.metrics = Metrics()
         self._link = link
 
-    def steps(self) -> tuple[NamedStep, ...]:
-        """Return the steps in the order in which they are started."""
+    def steps(self, wait_ms: int = 0) -> tuple[NamedStep, ...]:
+        """Return the steps in the order in which they are started.
+
+        :param wait_ms: how long a step may wait for something to do; 0
+            for steps that are driven with a manual clock.
+        """
         return (
-            NamedStep("follower", self.journal.follow_step),
-            NamedStep("appender", self.journal.append_step),
-            NamedStep("fleet", self.fleet.refresh_step),
             NamedStep(
-                "heartbeat",
-                lambda: self.membership.heartbeat_step(self._link),
+                "follower",
+                lambda: self.journal.follow_step(wait_ms),
+                "platform",
+            ),
+            NamedStep(
+                "appender",
+                lambda: self.journal.append_step(wait_ms),
+                "platform",
             ),
+            NamedStep("snapshots", self.snapshots.step, "platform"),
+            NamedStep("fleet", self.fleet.refresh_step, "platform"),
+            NamedStep("heartbeat", self._heartbeat_step),
             NamedStep("claimer", self.claimer.claim_step),
             NamedStep("jobs", self.jobs.step),
         )
@@ -128,9 +151,30 @@
             )
         )
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether new work is refused."""
+        return self.membership.leaving
+
+    def drain(self) -> None:
+        """Refuse new work from now on; what was accepted goes on."""
+        if not self.is_draining:
+            self.router.begin_drain()
+            log_event("drain-started")
+
     def is_ready(self) -> bool:
         """Return whether requests can be accepted."""
-        return self.journal.last_read_ms is not None
+        return not self.is_draining and self.journal.is_complete
+
+    def refusal(self) -> Failure | None:
+        """Return why new work is refused, if it is."""
+        if not self.is_draining:
+            return None
+        return not_run(
+            FailureCode.SHUTTING_DOWN,
+            f"instance {self.identity.instance_id} is stopping",
+            DRAIN_RETRY_MS,
+        )
 
     def patience_ms(self, entry: str) -> int:
         """Return how long callers of an entry wait."""
@@ -164,16 +208,12 @@
         """Return what the log knows of a job."""
         with self.journal.reading() as state:
             job = state.jobs_by_id.get(job_id)
-            if job is None:
-                return None
-            return {
-                "job_id": job_id,
-                "unit": job.unit,
-                "tasks": job.spec.tasks,
-                "finished": job.finished_tasks,
-                "cancelled": job.cancelled,
-                "done": job.is_done,
-            }
+            return None if job is None else _job_row(job)
+
+    def job_list(self) -> list[dict[str, object]]:
+        """Return what the log knows of every job."""
+        with self.journal.reading() as state:
+            return [_job_row(job) for job in state.jobs_by_id.values()]
 
     def dump(self) -> dict[str, object]:
         """Return the state of every part."""
@@ -182,6 +222,8 @@
             "membership": self.membership.dump(),
             "router": self.router.dump(),
             "jobs": self.jobs.dump(),
+            "draining": self.is_draining,
+            "metrics": self.metrics.dump(),
         }
 
     def heartbeat(self, beat: Beat) -> Beat:
@@ -194,14 +236,19 @@
         """Execute a forwarded request."""
         return self.router.execute_here(request)
 
-    def read_log(self, from_offset: int, limit: int) -> LogPage:  # noqa: ARG002
+    def read_log(self, from_offset: int, limit: int) -> LogPage:
         """Relay log records."""
         beat = self.membership.beat()
-        return LogPage((), beat.next_offset, beat.log_age_ms)
+        records = self.journal.page(from_offset, limit)
+        return LogPage(records, beat.next_offset, beat.log_age_ms)
 
     def snapshot(self) -> StateSnapshot:
         """Return the encoded fold."""
-        return StateSnapshot(0, "", b"")
+        return self.journal.snapshot()
+
+    def _heartbeat_step(self) -> int:
+        self.membership.loads = self.router.loads()
+        return self.membership.heartbeat_step(self._link)
 
     def _unit_for(self) -> str | None:
         workers = {
@@ -220,3 +267,15 @@
         if not load_by_unit:
             return None
         return min(load_by_unit, key=lambda unit: (load_by_unit[unit], unit))
+
+
+def _job_row(job: JobRecord) -> dict[str, object]:
+    return {
+        "job_id": job.spec.job_id,
+        "entry": job.spec.entry,
+        "unit": job.unit,
+        "tasks": job.spec.tasks,
+        "finished": job.finished_tasks,
+        "cancelled": job.cancelled,
+        "done": job.is_done,
+    }
--- a/src/magnoliapitch/event/known.py
+++ b/src/magnoliapitch/event/known.py
@@ -6,6 +6,11 @@
 from magnoliapitch.event.registry import define_event
 
 
+define_event(
+    "backend-call-failed",
+    EventLevel.ERROR,
+    "The client of backend servers raised an error; the request may have run.",
+)
 define_event(
     "child-failed",
     EventLevel.WARNING,
@@ -26,3 +31,74 @@
     EventLevel.ERROR,
     "A step of a loop raised an error; the loop goes on after a pause.",
 )
+define_event(
+    "child-hung",
+    EventLevel.ERROR,
+    "A loop has not begun a step for too long.",
+)
+define_event(
+    "stop-timed-out",
+    EventLevel.WARNING,
+    "A child did not stop in time and was left behind.",
+)
+define_event(
+    "stop-failed",
+    EventLevel.ERROR,
+    "A child raised an error while it stopped; the others stop all the same.",
+)
+define_event(
+    "listener-error",
+    EventLevel.WARNING,
+    "A listener reported an error of a connection or thread of its own.",
+)
+define_event(
+    "entry-started", EventLevel.INFO, "The instance started all its parts."
+)
+define_event(
+    "entry-stopping",
+    EventLevel.INFO,
+    "The instance was told to stop and finishes what is in flight.",
+)
+define_event(
+    "entry-stopped", EventLevel.INFO, "The instance stopped all its parts."
+)
+define_event(
+    "drain-started",
+    EventLevel.INFO,
+    "The instance refuses new work and is no longer ready.",
+)
+define_event(
+    "catalogue-changed",
+    EventLevel.INFO,
+    "An operator's change of the catalogue was accepted.",
+)
+define_event(
+    "catalogue-refused",
+    EventLevel.INFO,
+    "An operator's change of the catalogue was refused.",
+)
+define_event(
+    "record-rejected",
+    EventLevel.WARNING,
+    "An entry of a log record changed nothing: damaged, unknown or refused.",
+)
+define_event(
+    "fold-failed",
+    EventLevel.ERROR,
+    "A handler failed on a record; every instance skips it alike.",
+)
+define_event(
+    "snapshot-loaded",
+    EventLevel.WARNING,
+    "A snapshot replaced records that had left the log unread.",
+)
+define_event(
+    "snapshot-written",
+    EventLevel.INFO,
+    "A snapshot of the state was queued for the log.",
+)
+define_event(
+    "history-missing",
+    EventLevel.ERROR,
+    "Records have left the log and no snapshot and no peer replaces them.",
+)
