Use the weighted policy by default

Cause: a running entry still used FIFO. Change: the settings default to 'weighted'; the decision package registers its policies itself.

--- a/src/magnoliapitch/bench/decisions/scale.py
+++ b/src/magnoliapitch/bench/decisions/scale.py
@@ -15,7 +15,6 @@
 
 from magnoliapitch.catalogue.entry import CatalogueEntry
 from magnoliapitch.catalogue.entry import WorkClass
-from magnoliapitch.decision import weighted as _weighted  # noqa: F401
 from magnoliapitch.decision.interface import TaskRequest
 from magnoliapitch.decision.interface import WorkerShape
 from magnoliapitch.decision.registry import make_scheduler
--- a/src/magnoliapitch/bench/decisions/suite.py
+++ b/src/magnoliapitch/bench/decisions/suite.py
@@ -7,8 +7,6 @@
 
 from magnoliapitch.bench.decisions.offline import offline_bound
 from magnoliapitch.bench.decisions.result import measure
-from magnoliapitch.decision import first_fit as _first_fit  # noqa: F401
-from magnoliapitch.decision import weighted as _weighted  # noqa: F401
 from magnoliapitch.decision.options import PACKING_FIRST
 from magnoliapitch.decision.options import WAITING_FIRST
 from magnoliapitch.decision.options import options_of
--- a/src/magnoliapitch/decision/__init__.py
+++ b/src/magnoliapitch/decision/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from magnoliapitch.decision.first_fit import FirstFitScheduler
 from magnoliapitch.decision.interface import Decision
 from magnoliapitch.decision.interface import Eviction
 from magnoliapitch.decision.interface import EvictionAction
@@ -15,6 +16,7 @@
 from magnoliapitch.decision.options import options_of
 from magnoliapitch.decision.registry import make_scheduler
 from magnoliapitch.decision.registry import scheduling_policy
+from magnoliapitch.decision.weighted import WeightedScheduler
 
 
 __all__ = [
@@ -22,11 +24,13 @@
     "Eviction",
     "EvictionAction",
     "Explanation",
+    "FirstFitScheduler",
     "Placement",
     "PolicyOptions",
     "PolicyWeights",
     "Scheduler",
     "TaskRequest",
+    "WeightedScheduler",
     "WorkerShape",
     "make_scheduler",
     "options_of",
--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -8,7 +8,6 @@
 from result import Err
 from result import Ok
 
-from magnoliapitch.decision import first_fit as _first_fit  # noqa: F401
 from magnoliapitch.decision.options import options_of
 from magnoliapitch.decision.registry import make_scheduler
 from magnoliapitch.event import log_event
--- a/src/magnoliapitch/settings/model.py
+++ b/src/magnoliapitch/settings/model.py
@@ -103,7 +103,7 @@
     zone: InstanceName
     platform: PlatformSettings
     address: IpNumber = "127.0.0.1"
-    policy: str = "fifo"
+    policy: str = "weighted"
     profile: str = WAITING_FIRST
     weights: PolicyWeights | None = None
     log_level: EventLevel = EventLevel.INFO
