Fence successive owners of a worker by its own clock

Cause: two owners of a rack could both believe that unlisted capacity was free, and a grant for an earlier boot could start on the next one, whose clock restarts at a small value.

Grants name the boot that they are meant for.

--- a/src/magnoliapitch/standin/worker.py
+++ b/src/magnoliapitch/standin/worker.py
@@ -53,31 +53,37 @@
         self.info = info
         self.down = False
         self.fails_everything = False
+        self.fences_epochs = False
         self.boots = 1
+        self._epoch = 0
         self._clock = clock
         self._skew_ms = skew_ms
         self._running_by_lease: dict[str, _Running] = {}
 
+    @property
+    def boot_id(self) -> str:
+        """Name of the current boot."""
+        return f"{self.info.instance_id}-{self.boots}"
+
     def now_ms(self) -> int:
-        """Return the worker's own monotonic clock."""
+        """Return the monotonic clock of the current boot."""
         return self._clock.now_ms() + self._skew_ms
 
     def view(self) -> WorkerView:
         """Return all unexpired leases."""
         self._advance()
         leases = tuple(item.view for item in self._running_by_lease.values())
-        boot_id = f"{self.info.instance_id}-{self.boots}"
         return WorkerView(
-            self.info.instance_id, boot_id, self.now_ms(), leases
+            self.info.instance_id, self.boot_id, self.now_ms(), leases
         )
 
     def start(self, grant: LeaseGrant, run_ms: int) -> bool:
         """Start a task; return whether it is new."""
         self._advance()
-        if grant.expires_at_ms <= self.now_ms():
-            return False
-        if grant.lease_id in self._running_by_lease:
+        if not self._accepts(grant):
             return False
+        if self.fences_epochs:
+            self._epoch = max(self._epoch, grant.epoch)
         view = LeaseView(
             grant.lease_id,
             grant.epoch,
@@ -108,6 +114,8 @@
     def restart(self) -> None:
         """Lose every lease, as after a crash."""
         self.boots += 1
+        self._skew_ms = -self._clock.now_ms()
+        self._epoch = 0
         self._running_by_lease.clear()
 
     def used(self) -> Resources:
@@ -119,6 +127,13 @@
                 total = total.plus(item.view.resources)
         return total
 
+    def _accepts(self, grant: LeaseGrant) -> bool:
+        if grant.boot_id != self.boot_id or grant.epoch < self._epoch:
+            return False
+        if grant.expires_at_ms <= self.now_ms():
+            return False
+        return grant.lease_id not in self._running_by_lease
+
     def _advance(self) -> None:
         now_ms = self.now_ms()
         for lease_id, item in list(self._running_by_lease.items()):
@@ -142,18 +157,20 @@
     :ivar history: every task start, in order.
     """
 
-    fences_epochs = False
-
     def __init__(
         self,
         infos: tuple[InstanceInfo, ...],
         clock: Clock,
         run_ms_of: Callable[[LeaseGrant], int] | None = None,
+        fences_epochs: bool = False,
     ) -> None:
+        self.fences_epochs = fences_epochs
         self.by_id = {
             info.instance_id: StandinWorker(info, clock, 1_000 * number)
             for number, info in enumerate(infos, 1)
         }
+        for target in self.by_id.values():
+            target.fences_epochs = fences_epochs
         self.history: list[TaskStart] = []
         self._clock = clock
         self._run_ms_of = run_ms_of or _default_run_ms
--- a/src/magnoliapitch/worker/lease.py
+++ b/src/magnoliapitch/worker/lease.py
@@ -2,7 +2,9 @@
 
 Expiry is an absolute time of the worker's own monotonic clock, which every
 reply of the worker carries. A grant that arrives after its expiry is
-refused, so a delayed or repeated message never extends a lease.
+refused, so a delayed or repeated message never extends a lease. The clock
+is only defined within one boot of the worker, so a grant names the boot that
+it is meant for and every other boot refuses it.
 """
 
 from __future__ import annotations
@@ -14,6 +16,9 @@
 from magnoliapitch.resource import Resources
 
 
+LEASE_TTL_MAX_MS = 15_000
+
+
 class LeaseKind(StrEnum):
     """What a lease stands for."""
 
@@ -39,6 +44,7 @@
     :param resources: reserved amount.
     :param entry: catalogue entry of the work.
     :param payload: opaque input of the task.
+    :param boot_id: boot of the worker whose clock the expiry refers to.
     """
 
     lease_id: str
@@ -48,6 +54,7 @@
     resources: Resources = NO_RESOURCES
     entry: str = ""
     payload: str = ""
+    boot_id: str = ""
 
 
 class LeaseView(NamedTuple):
--- a/src/magnoliapitch/worker/pool.py
+++ b/src/magnoliapitch/worker/pool.py
@@ -32,7 +32,10 @@
     def start(
         self, worker: InstanceInfo, grants: tuple[LeaseGrant, ...]
     ) -> Result[WorkerView, Failure]:
-        """Start tasks; each id at most once."""
+        """Start tasks; each id at most once.
+
+        Grants that have expired or name another boot are refused.
+        """
 
     def renew(
         self,
@@ -40,7 +43,7 @@
         lease_ids: tuple[str, ...],
         expires_at_ms: int,
     ) -> Result[WorkerView, Failure]:
-        """Set the expiry of leases on the worker's clock."""
+        """Raise the expiry of unexpired leases on the worker's clock."""
 
     def stop(
         self, worker: InstanceInfo, lease_ids: tuple[str, ...]
