Name changed tasks as the fold goes, and count finished ones

Cause: the job manager scanned every job each step, and `is_done` summed over all tasks, so a job of n tasks cost n squared.

Conclusion: following costs the number of changes.

--- a/src/magnoliapitch/journal/fold.py
+++ b/src/magnoliapitch/journal/fold.py
@@ -40,6 +40,7 @@
     """What the fold did with one record.
 
     :param repeated: whether the record was appended before and skipped.
+    :param entries: entries to which the outcomes belong.
     """
 
     offset: int
@@ -47,6 +48,7 @@
     seq: int
     outcomes: tuple[EntryOutcome, ...]
     repeated: bool = False
+    entries: tuple[object, ...] = ()
 
 
 Handler = Callable[[ClusterState, int, Any], EntryOutcome]
@@ -100,7 +102,12 @@
     elif not repeated:
         outcomes = _apply_envelope(state, envelope, record.offset)
     return RecordOutcome(
-        record.offset, envelope.writer, envelope.seq, outcomes, repeated
+        record.offset,
+        envelope.writer,
+        envelope.seq,
+        outcomes,
+        repeated,
+        envelope.entries,
     )
 
 
--- a/src/magnoliapitch/journal/handler/job.py
+++ b/src/magnoliapitch/journal/handler/job.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from magnoliapitch.job.spec import TaskOutcome
 from magnoliapitch.journal.fold import APPLIED
 from magnoliapitch.journal.fold import EntryOutcome
 from magnoliapitch.journal.fold import handles
@@ -72,6 +73,9 @@
         return rejected(f"no task {end.job_id}/{end.task}")
     if end.attempt != job.attempts_by_task.get(end.task, 0):
         return rejected(f"attempt {end.attempt} is not the current one")
+    if job.ended_by_task.get(end.task) is TaskOutcome.FINISHED:
+        return rejected(f"task {end.job_id}/{end.task} has finished")
     job.attempts_by_task[end.task] = end.attempt + 1
     job.ended_by_task[end.task] = end.outcome
+    job.finished_tasks += end.outcome is TaskOutcome.FINISHED
     return APPLIED
--- a/src/magnoliapitch/journal/handler/unit.py
+++ b/src/magnoliapitch/journal/handler/unit.py
@@ -25,7 +25,13 @@
     if member is None or member.left or member.join.zone != claim.zone:
         return rejected(f"{claim.incarnation} is no member of {claim.zone}")
     state.claims_by_unit[claim.unit] = Claim(
-        claim.unit, claim.zone, claim.incarnation, epoch + 1, offset
+        claim.unit,
+        claim.zone,
+        claim.incarnation,
+        epoch + 1,
+        offset,
+        _predecessors(state, current, claim.incarnation),
+        after_release=current is not None and not current.incarnation,
     )
     return APPLIED
 
@@ -46,3 +52,18 @@
         incarnation="", offset=offset
     )
     return APPLIED
+
+
+def _predecessors(
+    state: ClusterState, current: Claim | None, incarnation: str
+) -> tuple[str, ...]:
+    if current is None:
+        return ()
+    earlier = dict.fromkeys((*current.predecessors, current.incarnation))
+    earlier.pop(incarnation, None)
+    return tuple(item for item in earlier if _may_be_running(state, item))
+
+
+def _may_be_running(state: ClusterState, incarnation: str) -> bool:
+    member = state.members_by_incarnation.get(incarnation)
+    return member is not None and not member.left
--- a/src/magnoliapitch/journal/journal.py
+++ b/src/magnoliapitch/journal/journal.py
@@ -13,6 +13,7 @@
 from magnoliapitch.journal import handler as _handler  # noqa: F401
 from magnoliapitch.journal.appender import Appender
 from magnoliapitch.journal.budget import TokenBucket
+from magnoliapitch.journal.change import ChangeFeed
 from magnoliapitch.journal.fold import apply_record
 from magnoliapitch.journal.follower import READ_LIMIT
 from magnoliapitch.journal.follower import Follower
@@ -27,6 +28,7 @@
     from result import Result
 
     from magnoliapitch.clock import Clock
+    from magnoliapitch.journal.change import ChangedTask
     from magnoliapitch.journal.fold import EntryOutcome
     from magnoliapitch.journal.fold import RecordOutcome
     from magnoliapitch.journal.pending import Pending
@@ -70,6 +72,7 @@
         self._read = threading.Condition()
         self._state = ClusterState()
         self._tail = RecordTail()
+        self._job_changes = ChangeFeed()
         self._budget = TokenBucket(appends_per_s, BURST_APPENDS, clock)
         self.appender = Appender(
             log, incarnation, self._budget, lambda: self.next_offset
@@ -138,6 +141,7 @@
                     outcome = apply_record(self._state, record)
                     self._tail.add(record)
                     self.appender.settle(outcome)
+                    self._job_changes.add(outcome)
                     _report(outcome)
         with self._read:
             self._read.notify_all()
@@ -156,6 +160,14 @@
             self._read.notify_all()
         return True
 
+    def take_job_changes(self) -> tuple[ChangedTask, ...]:
+        """Return jobs and tasks changed since the last call.
+
+        After :meth:`install` the whole state may have changed.
+        """
+        with self._lock:
+            return self._job_changes.take()
+
     def mark_fresh(self, read_ms: int) -> None:
         """Note that a read which started then showed nothing newer."""
         self.last_read_ms = read_ms
--- a/src/magnoliapitch/journal/state.py
+++ b/src/magnoliapitch/journal/state.py
@@ -7,8 +7,8 @@
 from typing import NamedTuple
 
 from magnoliapitch.catalogue.entry import CatalogueEntry
-from magnoliapitch.job.spec import JobSpec
-from magnoliapitch.job.spec import TaskOutcome
+from magnoliapitch.job.spec import JobSpec  # noqa: TC001
+from magnoliapitch.job.spec import TaskOutcome  # noqa: TC001
 from magnoliapitch.journal.record import EntryJoin
 from magnoliapitch.journal.record import RequestIntent
 
@@ -30,6 +30,8 @@
 
     :param incarnation: owner, empty after a release.
     :param epoch: increases with each claim on the unit.
+    :param predecessors: earlier owners that have not given the unit up.
+    :param after_release: whether the previous claim had been given up.
     """
 
     unit: str
@@ -37,6 +39,8 @@
     incarnation: str
     epoch: int
     offset: int
+    predecessors: tuple[str, ...] = ()
+    after_release: bool = False
 
 
 class Member(NamedTuple):
@@ -87,6 +91,7 @@
     :ivar ended_by_task: last recorded outcome of each task.
     :ivar attempts_by_task: number of ended attempts of each task.
     :ivar done_offset: offset at which it was found done, -1 for never.
+    :ivar finished_tasks: number of tasks that finished.
     """
 
     spec: JobSpec
@@ -96,14 +101,7 @@
     ended_by_task: dict[int, TaskOutcome] = field(default_factory=dict)
     attempts_by_task: dict[int, int] = field(default_factory=dict)
     done_offset: int = -1
-
-    @property
-    def finished_tasks(self) -> int:
-        """Number of tasks that finished."""
-        return sum(
-            outcome is TaskOutcome.FINISHED
-            for outcome in self.ended_by_task.values()
-        )
+    finished_tasks: int = 0
 
     @property
     def is_done(self) -> bool:
