--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -43,6 +43,7 @@
     from magnoliapitch.peer.message import StateSnapshot
     from magnoliapitch.settings.model import Settings
     from magnoliapitch.verdict import Failure
+    from magnoliapitch.worker.runner import CallRunner
 
 
 DEFAULT_PATIENCE_MS = 10_000
@@ -74,6 +75,7 @@
         adapters: Adapters,
         link: PeerLink,
         clock: Clock,
+        runner: CallRunner | None = None,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -91,7 +93,13 @@
         )
         self.snapshots = SnapshotWriter(self.journal)
         self.membership = Membership(self.identity, self.journal, self.clock)
-        self.claimer = Claimer(self.identity, self.journal, self.fleet)
+        self.claimer = Claimer(
+            self.identity,
+            self.journal,
+            self.fleet,
+            self.membership,
+            self.clock,
+        )
         self.router = Router(
             self.journal,
             self.fleet,
@@ -111,6 +119,7 @@
                 options_of(settings.profile, settings.weights),
             ),
             self.clock,
+            runner,
         )
         self.metrics = Metrics()
         self._link = link
--- a/src/magnoliapitch/entry/node.py
+++ b/src/magnoliapitch/entry/node.py
@@ -17,6 +17,7 @@
 from magnoliapitch.metric import CostMeter
 from magnoliapitch.peer.node import PeerNode
 from magnoliapitch.supervisor import RestartPolicy
+from magnoliapitch.worker.runner import PooledRunner
 
 
 if TYPE_CHECKING:
@@ -47,7 +48,14 @@
         self.cost = CostMeter()
         address = settings.address
         self.peer_node = PeerNode((address, settings.listeners.peer_port))
-        self.core = EntryCore(settings, adapters, self.peer_node, self.clock)
+        self.worker_calls = PooledRunner()
+        self.core = EntryCore(
+            settings,
+            adapters,
+            self.peer_node,
+            self.clock,
+            self.worker_calls,
+        )
         self.peer_node.handler = self.core
         self.caller_listener = Listener(
             "callers",
@@ -100,6 +108,7 @@
         log_event("entry-stopping")
         self.core.drain()
         self.supervisor.stop()
+        self.worker_calls.stop()
         log_event("entry-stopped")
 
 
--- a/src/magnoliapitch/job/spec.py
+++ b/src/magnoliapitch/job/spec.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from enum import StrEnum
 from typing import Annotated
 from typing import NamedTuple
@@ -11,7 +13,11 @@
 from magnoliapitch.resource import Resources
 
 
-JobId = Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,128}$")]
+JOB_ID_PATTERN = r"[A-Za-z0-9._-]{1,128}"
+
+_LEASE_ID = re.compile(rf"({JOB_ID_PATTERN})/([0-9]+)/([0-9]+)")
+
+JobId = Annotated[str, Field(pattern=rf"^{JOB_ID_PATTERN}$")]
 
 
 class JobSpec(NamedTuple):
@@ -59,7 +65,7 @@
 
 def parse_lease_id(lease_id: str) -> AttemptName | None:
     """Return the attempt that a lease id names, if it names one."""
-    parts = lease_id.split("/")
-    if len(parts) != 3 or not (parts[1].isdigit() and parts[2].isdigit()):
+    found = _LEASE_ID.fullmatch(lease_id)
+    if found is None:
         return None
-    return AttemptName(parts[0], int(parts[1]), int(parts[2]))
+    return AttemptName(found[1], int(found[2]), int(found[3]))
