--- a/src/magnoliapitch/api/caller.py
+++ b/src/magnoliapitch/api/caller.py
@@ -10,6 +10,7 @@
 from pydantic import ValidationError
 from result import Err
 
+from magnoliapitch.api.explanation import add_explanation_route
 from magnoliapitch.http import Application
 from magnoliapitch.http import HttpRequest
 from magnoliapitch.http import HttpResponse
@@ -23,7 +24,11 @@
 
 
 if TYPE_CHECKING:
+    from result import Result
+
     from magnoliapitch.entry.core import EntryCore
+    from magnoliapitch.peer.message import ForwardedAnswer
+    from magnoliapitch.verdict import Failure
 
 
 COMMIT_TIMEOUT_MS = 5_000
@@ -49,7 +54,9 @@
             request.body,
             core.patience_ms(request.path_values["entry"]),
         )
-        outcome = core.router.execute(forwarded)
+        with core.metrics.timing("request", core.class_of(forwarded.entry)):
+            outcome = core.router.execute(forwarded)
+        core.metrics.count("requests", _outcome_label(outcome))
         header = ((REQUEST_ID_HEADER, request_id),)
         if isinstance(outcome, Err):
             response = problem_response(outcome.err_value, request_id)
@@ -110,9 +117,16 @@
             )
         return json_response({"job_id": job_id, "cancelled": True})
 
+    add_explanation_route(application, core)
     return application
 
 
+def _outcome_label(outcome: Result[ForwardedAnswer, Failure]) -> str:
+    if isinstance(outcome, Err):
+        return outcome.err_value.verdict.value
+    return "answered"
+
+
 def _request_id(request: HttpRequest) -> str:
     given = request.headers_by_name.get(REQUEST_ID_HEADER.lower())
     return given or uuid.uuid4().hex
--- a/src/magnoliapitch/console/client.py
+++ b/src/magnoliapitch/console/client.py
@@ -20,7 +20,7 @@
 TIMEOUT_S = 60
 REDIRECTS_MAX = 3
 URL_SCHEMES = ("http://", "https://")
-ERROR_STATUS = 400
+ERROR_STATUS = 300
 
 CALLER_URL = "http://127.0.0.1:8080"
 ADMIN_URL = "http://127.0.0.1:8081"
@@ -75,7 +75,15 @@
 def _exchange(server: str, call: Call) -> urllib3.BaseHTTPResponse:
     if not server.startswith(URL_SCHEMES):
         raise _not_a_url(server)
-    retries = urllib3.Retry(0, redirect=REDIRECTS_MAX, raise_on_redirect=False)
+    retries = urllib3.Retry(
+        total=None,
+        connect=0,
+        read=0,
+        status=0,
+        other=0,
+        redirect=REDIRECTS_MAX,
+        raise_on_redirect=False,
+    )
     try:
         return urllib3.request(
             call.method,
--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -120,6 +120,7 @@
             ),
             self.clock,
             runner,
+            settings.timing.lease_ttl_ms,
         )
         self.metrics = Metrics()
         self._link = link
@@ -156,6 +157,7 @@
                 self.identity.incarnation,
                 self.identity.zone,
                 self.identity.peer_address,
+                self._caller_url(),
             )
         )
 
@@ -192,6 +194,12 @@
             return DEFAULT_PATIENCE_MS
         return versioned.entry.patience_ms
 
+    def class_of(self, entry: str) -> str:
+        """Return the class of an entry's work, or ``unknown``."""
+        with self.journal.reading() as state:
+            versioned = state.catalogue_by_name.get(entry)
+        return versioned.entry.work_class.value if versioned else "unknown"
+
     def submit_job(
         self, job: JobSpec, timeout_ms: int
     ) -> Result[None, Failure]:
@@ -276,6 +284,10 @@
             return None
         return min(load_by_unit, key=lambda unit: (load_by_unit[unit], unit))
 
+    def _caller_url(self) -> str:
+        port = self.settings.listeners.caller_port
+        return f"http://{self.settings.address}:{port}"
+
 
 def _job_row(job: JobRecord) -> dict[str, object]:
     return {
--- a/src/magnoliapitch/job/manager.py
+++ b/src/magnoliapitch/job/manager.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -33,6 +35,7 @@
 if TYPE_CHECKING:
     from magnoliapitch.clock import Clock
     from magnoliapitch.decision.interface import Eviction
+    from magnoliapitch.decision.interface import Explanation
     from magnoliapitch.decision.interface import Placement
     from magnoliapitch.decision.interface import Scheduler
     from magnoliapitch.journal.change import ChangedTask
@@ -50,7 +53,8 @@
 class JobManager:
     """Drives tasks from submission to their recorded end.
 
-    One thread, or a test, calls :meth:`step`.
+    One thread, or a test, calls :meth:`step`; the scheduler is only
+    called under a lock.
     """
 
     def __init__(
@@ -78,28 +82,22 @@
         self._tracker = AttemptTracker(journal, scheduler, self._backlog)
         self._state: ClusterState | None = None
         self._catalogue_offset = -1
+        self._lock = threading.Lock()
 
     def step(self) -> int:
         """Observe workers, queue new tasks and start what fits.
 
         :return: milliseconds until the next step.
         """
-        now_ms = self._clock.now_ms()
-        for reply in self._runner.replies():
-            self._observe(reply, now_ms)
-        self._follow_units()
-        self._follow_workers()
-        self._settle_units(now_ms)
-        self._follow_jobs(now_ms)
-        self._tracker.end_unreachable(self._channels_by_worker, now_ms)
-        decision = self._scheduler.decide(now_ms)
-        self._place(decision.placements, now_ms)
-        self._evict(decision.evictions)
-        for channel in self._channels_by_worker.values():
-            self._dispatch(channel, now_ms)
-        self._release_units()
+        with self._lock:
+            self._step()
         return STEP_INTERVAL_MS
 
+    def explain(self, job_id: str) -> Explanation | None:
+        """Tell why a job of an owned unit waits; any thread may ask."""
+        with self._lock:
+            return self._scheduler.explain(job_id, self._clock.now_ms())
+
     def dump(self) -> dict[str, object]:
         """Return the manager's part of the state dump."""
         return {
@@ -116,6 +114,22 @@
             "free": self._scheduler.free()._asdict(),
         }
 
+    def _step(self) -> None:
+        now_ms = self._clock.now_ms()
+        for reply in self._runner.replies():
+            self._observe(reply, now_ms)
+        self._follow_units()
+        self._follow_workers()
+        self._settle_units(now_ms)
+        self._follow_jobs(now_ms)
+        self._tracker.end_unreachable(self._channels_by_worker, now_ms)
+        decision = self._scheduler.decide(now_ms)
+        self._place(decision.placements, now_ms)
+        self._evict(decision.evictions)
+        for channel in self._channels_by_worker.values():
+            self._dispatch(channel, now_ms)
+        self._release_units()
+
     def _observe(self, reply: WorkerReply, now_ms: int) -> None:
         channel = self._channels_by_worker.get(reply.worker_id)
         if channel is None or channel.in_flight is None:
--- a/src/magnoliapitch/settings/schema.py
+++ b/src/magnoliapitch/settings/schema.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 from typing import NamedTuple
+from typing import get_args
 from typing import get_type_hints
 
 from magnoliapitch.settings.model import Settings
@@ -42,11 +43,12 @@
 
 def sections_by_name() -> dict[str, Any]:
     """Return the named tuple of each section."""
-    return {
-        name: hint
-        for name, hint in get_type_hints(Settings).items()
-        if hasattr(hint, "_fields")
-    }
+    sections: dict[str, Any] = {}
+    for name, hint in get_type_hints(Settings).items():
+        for model in (hint, *get_args(hint)):
+            if hasattr(model, "_fields"):
+                sections[name] = model
+    return sections
 
 
 def _infos_of(model: Any, prefix: str) -> list[SettingInfo]:
@@ -56,6 +58,10 @@
 def _info_of(model: Any, name: str, prefix: str) -> SettingInfo:
     if name not in model._field_defaults:
         return SettingInfo(prefix + name, "")
-    default = model._field_defaults[name]
-    text = str(default) if isinstance(default, int) else f'"{default}"'
-    return SettingInfo(prefix + name, text)
+    return SettingInfo(prefix + name, _text_of(model._field_defaults[name]))
+
+
+def _text_of(default: Any) -> str:
+    if isinstance(default, tuple):
+        return "[]"
+    return str(default) if isinstance(default, int | float) else f'"{default}"'
--- a/src/magnoliapitch/standin/serving.py
+++ b/src/magnoliapitch/standin/serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
 from magnoliapitch.journal.codec import encode_record
@@ -51,7 +52,7 @@
             self.cell.add_entry(zones[number % len(zones)]).start()
 
     def stop(self) -> None:
-        """Stop the entries, the last one first, then the stand-ins."""
-        for node in reversed(self.cell.entries):
-            node.stop()
+        """Stop all entries at once, then the stand-ins."""
+        with ThreadPoolExecutor() as threads:
+            list(threads.map(lambda node: node.stop(), self.cell.entries))
         self.server.stop()
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -169,3 +169,26 @@
     for name, count in (("clubs", 6), ("rounds", 6)):
         outcome = run("catalogue", "check", EXAMPLES / f"{name}.toml")
         assert f"{count} valid entries" in outcome.out
+
+
+def test_commands_explain_why_a_job_waits(run: Run, urls: Urls) -> None:
+    server = ("--server", urls.caller)
+    run("catalogue", "put", CLUBS, "--server", urls.admin)
+    big = ("--tasks", 900, "--cpu-millis", 16_000, "--payload", "run_ms=60000")
+    wait_until(
+        lambda: (
+            run("job", "submit", "big", "term-roster", *big, *server).exit_code
+            == 0
+        )
+    )
+    wait_until(
+        lambda: (
+            '"waits": true'
+            in run("job", "explain", "big", "--json", *server).out
+        )
+    )
+    shown = orjson.loads(run("job", "explain", "big", "--json", *server).out)
+    assert shown["limit"]
+    run("job", "cancel", "big", *server)
+    missing = run("job", "explain", "none", *server)
+    assert "no job none [not_run]" in missing.err
--- a/tests/process/conftest.py
+++ b/tests/process/conftest.py
@@ -8,6 +8,7 @@
 
 from pathlib import Path
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import pytest
 import urllib3
@@ -26,22 +27,32 @@
 START_TIMEOUT_S = 60
 
 
+class EntryFile(NamedTuple):
+    zone: str
+    platform_url: str
+    policy: str
+    caller_port: int
+
+
 class EntryProcess:
     """An entry instance running as a process of its own."""
 
     def __init__(
-        self, number: int, zone: str, platform_url: str, folder: Path
+        self, number: int, settings: EntryFile, folder_path: Path
     ) -> None:
         ports = free_ports(3)
+        if settings.caller_port:
+            ports = (settings.caller_port, *ports[1:])
         self.url = f"http://127.0.0.1:{ports[0]}"
         self.admin_url = f"http://127.0.0.1:{ports[1]}"
-        settings = folder / f"entry-{number}.toml"
-        settings.write_text(
+        path = folder_path / f"entry-{number}.toml"
+        path.write_text(
             f'instance_id = "entry-{number}"\n'
-            f'zone = "{zone}"\n'
+            f'zone = "{settings.zone}"\n'
+            f'policy = "{settings.policy}"\n'
             f"[platform]\n"
-            f'log_url = "{platform_url}/log"\n'
-            f'instance_list_url = "{platform_url}"\n'
+            f'log_url = "{settings.platform_url}/log"\n'
+            f'instance_list_url = "{settings.platform_url}"\n'
             f"[listeners]\n"
             f"caller_port = {ports[0]}\n"
             f"admin_port = {ports[1]}\n"
@@ -54,24 +65,27 @@
                 "magnoliapitch",
                 "entry",
                 "--settings",
-                str(settings),
+                str(path),
             ],
             env={**os.environ, "PYTHONPATH": str(SOURCE)},
         )
 
     def wait_ready(self) -> None:
+        self.wait_status("/v1/ready", 200)
+
+    def wait_status(self, path: str, expected: int) -> None:
         deadline_s = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < deadline_s:
             try:
                 status = urllib3.request(
-                    "GET", f"{self.admin_url}/v1/ready", retries=False
+                    "GET", self.admin_url + path, retries=False
                 ).status
             except urllib3.exceptions.HTTPError:
                 status = 0
-            if status == 200:
+            if status == expected:
                 return
             time.sleep(0.05)
-        raise TimeoutError("entry did not become ready")
+        raise TimeoutError(f"{path} did not answer {expected}")
 
     def stop(self) -> int:
         if self.process.poll() is None:
@@ -95,9 +109,18 @@
         self.entries: list[EntryProcess] = []
         self._folder = folder
 
-    def add_entry(self, zone: str) -> EntryProcess:
+    def add_entry(
+        self,
+        zone: str,
+        policy: str = "weighted",
+        caller_port: int = 0,
+        platform_url: str = "",
+    ) -> EntryProcess:
         number = len(self.entries) + 1
-        entry = EntryProcess(number, zone, self.server.url, self._folder)
+        settings = EntryFile(
+            zone, platform_url or self.server.url, policy, caller_port
+        )
+        entry = EntryProcess(number, settings, self._folder)
         self.entries.append(entry)
         return entry
 
