Log outages and claims; time decisions and waiting tasks

Cause: an operator could see an outage of the log or of the list only by comparing dumps, and decision time and waiting time of tasks were not measured in a running instance. Change: events log-unavailable, instance-list-unavailable and their ends, unit-claimed and unit-lost; timers decision and task_wait by class.

--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -84,6 +84,7 @@
             settings.zone,
             f"{settings.address}:{settings.listeners.peer_port}",
         )
+        self.metrics = Metrics()
         self.fleet = Fleet(adapters.instance_list)
         self.journal = Journal(
             adapters.log,
@@ -121,8 +122,8 @@
             self.clock,
             runner,
             settings.timing.lease_ttl_ms,
+            self.metrics,
         )
-        self.metrics = Metrics()
         self._link = link
 
     def steps(self, wait_ms: int = 0) -> tuple[NamedStep, ...]:
--- a/src/magnoliapitch/event/known.py
+++ b/src/magnoliapitch/event/known.py
@@ -102,3 +102,31 @@
     EventLevel.ERROR,
     "Records have left the log and no snapshot and no peer replaces them.",
 )
+define_event(
+    "log-unavailable",
+    EventLevel.WARNING,
+    "The platform's log cannot be read; the instance goes on without it.",
+)
+define_event(
+    "log-available", EventLevel.INFO, "The platform's log can be read again."
+)
+define_event(
+    "instance-list-unavailable",
+    EventLevel.WARNING,
+    "The list of instances cannot be read; the last known one is used.",
+)
+define_event(
+    "instance-list-available",
+    EventLevel.INFO,
+    "The list of instances can be read again.",
+)
+define_event(
+    "unit-claimed",
+    EventLevel.INFO,
+    "The instance owns a rack from now on, with the epoch of its claim.",
+)
+define_event(
+    "unit-lost",
+    EventLevel.INFO,
+    "The instance owns a rack no more; another one has it or may claim it.",
+)
--- a/src/magnoliapitch/job/manager.py
+++ b/src/magnoliapitch/job/manager.py
@@ -10,6 +10,7 @@
 
 from magnoliapitch.decision.interface import EvictionAction
 from magnoliapitch.decision.interface import WorkerShape
+from magnoliapitch.event import log_event
 from magnoliapitch.job.attempt import Attempt
 from magnoliapitch.job.attempt import TaskKey
 from magnoliapitch.job.backlog import Backlog
@@ -19,6 +20,7 @@
 from magnoliapitch.job.spec import parse_lease_id
 from magnoliapitch.job.tracker import AttemptTracker
 from magnoliapitch.job.unit import OwnedUnit
+from magnoliapitch.metric import Metrics
 from magnoliapitch.ownership.fence import WorkerFence
 from magnoliapitch.platform.instance import InstanceInfo
 from magnoliapitch.platform.instance import InstanceRole
@@ -67,6 +69,7 @@
         clock: Clock,
         runner: CallRunner | None = None,
         lease_ttl_ms: int = LEASE_TTL_MAX_MS,
+        metrics: Metrics | None = None,
     ) -> None:
         self._journal = journal
         self._fleet = fleet
@@ -82,6 +85,7 @@
         self._tracker = AttemptTracker(journal, scheduler, self._backlog)
         self._state: ClusterState | None = None
         self._catalogue_offset = -1
+        self._metrics = metrics or Metrics()
         self._lock = threading.Lock()
 
     def step(self) -> int:
@@ -123,7 +127,8 @@
         self._settle_units(now_ms)
         self._follow_jobs(now_ms)
         self._tracker.end_unreachable(self._channels_by_worker, now_ms)
-        decision = self._scheduler.decide(now_ms)
+        with self._metrics.timing("decision"):
+            decision = self._scheduler.decide(now_ms)
         self._place(decision.placements, now_ms)
         self._evict(decision.evictions)
         for channel in self._channels_by_worker.values():
@@ -163,6 +168,8 @@
         for name, unit in list(self._units_by_name.items()):
             claim = claims.get(name)
             if claim is None or claim.epoch != unit.claim.epoch:
+                epoch = unit.claim.epoch
+                log_event("unit-lost", unit=name, epoch=epoch)
                 self._lose(name)
             elif self._claimer.is_releasing(name) and not unit.is_releasing:
                 unit.is_releasing = True
@@ -174,6 +181,7 @@
             if not self._claimer.is_rack(name):
                 continue
             self._units_by_name[name] = OwnedUnit(claim, self._clock.now_ms())
+            log_event("unit-claimed", unit=name, epoch=claim.epoch)
             with self._journal.reading() as state:
                 jobs = [
                     job
@@ -333,6 +341,8 @@
                 self._payload(name.job_id),
             )
             self._tracker.add(channel, attempt)
+            waited_ms = now_ms - task.submitted_ms
+            self._metrics.observe("task_wait", waited_ms, task.work_class)
             releasing = self._is_releasing(channel)
             if channel.accepts_starts and not releasing:
                 channel.starts[task.task_id] = None
--- a/src/magnoliapitch/journal/follower.py
+++ b/src/magnoliapitch/journal/follower.py
@@ -16,12 +16,15 @@
 
 
 if TYPE_CHECKING:
+    from result import Result
+
     from magnoliapitch.clock import Clock
     from magnoliapitch.journal.source import RecordSource
     from magnoliapitch.journal.state import ClusterState
     from magnoliapitch.platform.log import LogRecord
     from magnoliapitch.platform.log import LogSlice
     from magnoliapitch.platform.log import PlatformLog
+    from magnoliapitch.verdict import Failure
 
 
 READ_LIMIT = 256
@@ -69,6 +72,7 @@
         self._target = target
         self._clock = clock
         self._is_stuck = False
+        self._was_log_away: bool | None = None
 
     def step(self, wait_ms: int = 0) -> int:
         """Read and apply new records.
@@ -78,7 +82,7 @@
         """
         started_ms = self._clock.now_ms()
         outcome = self._log.read(self._target.next_offset, READ_LIMIT, wait_ms)
-        self.is_log_away = isinstance(outcome, Err)
+        self._note_log(outcome)
         if isinstance(outcome, Err):
             return self._follow_peers()
         part = outcome.ok_value
@@ -92,6 +96,17 @@
             self._target.mark_complete()
         return 0 if part.records or wait_ms else IDLE_WAIT_MS
 
+    def _note_log(self, outcome: Result[LogSlice, Failure]) -> None:
+        was_away = self._was_log_away
+        self.is_log_away = isinstance(outcome, Err)
+        self._was_log_away = self.is_log_away
+        if self.is_log_away == was_away:
+            return
+        if isinstance(outcome, Err):
+            log_event("log-unavailable", reason=outcome.err_value.detail)
+        else:
+            log_event("log-available", head=outcome.ok_value.head)
+
     def _bridge(self, oldest: int) -> int:
         """Pass over records that left the log before they were read."""
         before = self._target.next_offset
--- a/src/magnoliapitch/platform/fleet.py
+++ b/src/magnoliapitch/platform/fleet.py
@@ -6,11 +6,16 @@
 
 from result import Err
 
+from magnoliapitch.event import log_event
+
 
 if TYPE_CHECKING:
+    from result import Result
+
     from magnoliapitch.platform.instance import InstanceInfo
     from magnoliapitch.platform.instance import InstanceList
     from magnoliapitch.platform.instance import InstanceRole
+    from magnoliapitch.verdict import Failure
 
 
 REFRESH_INTERVAL_MS = 500
@@ -22,10 +27,12 @@
     def __init__(self, instance_list: InstanceList) -> None:
         self._instance_list = instance_list
         self._by_id: dict[str, InstanceInfo] = {}
+        self._is_list_away: bool | None = None
 
     def refresh_step(self) -> int:
         """Fetch the list; return milliseconds until the next refresh."""
         outcome = self._instance_list.instances()
+        self._note_list(outcome)
         if not isinstance(outcome, Err):
             self._by_id = {item.instance_id: item for item in outcome.ok_value}
         return REFRESH_INTERVAL_MS
@@ -43,3 +50,18 @@
             for item in self._by_id.values()
             if item.role is role and zone in ("", item.zone)
         )
+
+    def _note_list(
+        self, outcome: Result[tuple[InstanceInfo, ...], Failure]
+    ) -> None:
+        was_away = self._is_list_away
+        self._is_list_away = isinstance(outcome, Err)
+        if self._is_list_away == was_away:
+            return
+        if isinstance(outcome, Err):
+            reason = outcome.err_value.detail
+            log_event("instance-list-unavailable", reason=reason)
+        else:
+            log_event(
+                "instance-list-available", instances=len(outcome.ok_value)
+            )
