Refuse jobs that can never run; explain why a job waits

Cause: any job was accepted, also one that no worker could hold, and 'job explain' had no answer from the instance. Change: a job goes to the least loaded rack that can hold it, or is refused as not_run with what would make it possible; the queue of an entry is bounded by limits.queued; GET /v1/jobs/ID/explanation tells the binding limit, the place and the estimate. Listeners' threads reach the scheduler through a lock.

--- a/src/magnoliapitch/api/caller.py
+++ b/src/magnoliapitch/api/caller.py
@@ -98,6 +98,16 @@
             not_run(FailureCode.NOT_FOUND, f"no job {job_id}")
         )
 
+    @application.route("GET", "/v1/jobs/{job}/explanation")
+    def explain(request: HttpRequest) -> HttpResponse:
+        job_id = request.path_values["job"]
+        found = core.desk.explanation(job_id)
+        if found is not None:
+            return json_response(found)
+        return problem_response(
+            not_run(FailureCode.NOT_FOUND, f"no job {job_id} is known here")
+        )
+
     @application.route("DELETE", "/v1/jobs/{job}")
     def cancel(request: HttpRequest) -> HttpResponse:
         job_id = request.path_values["job"]
--- a/src/magnoliapitch/decision/__init__.py
+++ b/src/magnoliapitch/decision/__init__.py
@@ -16,6 +16,7 @@
 from magnoliapitch.decision.options import options_of
 from magnoliapitch.decision.registry import make_scheduler
 from magnoliapitch.decision.registry import scheduling_policy
+from magnoliapitch.decision.synchronized import SynchronizedScheduler
 from magnoliapitch.decision.weighted import WeightedScheduler
 
 
@@ -29,6 +30,7 @@
     "PolicyOptions",
     "PolicyWeights",
     "Scheduler",
+    "SynchronizedScheduler",
     "TaskRequest",
     "WeightedScheduler",
     "WorkerShape",
--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -10,6 +10,8 @@
 
 from magnoliapitch.decision.options import options_of
 from magnoliapitch.decision.registry import make_scheduler
+from magnoliapitch.decision.synchronized import SynchronizedScheduler
+from magnoliapitch.entry.job_desk import JobDesk
 from magnoliapitch.event import log_event
 from magnoliapitch.job.manager import JobManager
 from magnoliapitch.journal.journal import Journal
@@ -25,7 +27,6 @@
 from magnoliapitch.peer.message import ForwardedRequest
 from magnoliapitch.peer.message import LogPage
 from magnoliapitch.platform.fleet import Fleet
-from magnoliapitch.platform.instance import InstanceRole
 from magnoliapitch.request.router import Router
 from magnoliapitch.supervisor.loop import Step
 from magnoliapitch.verdict import FailureCode
@@ -46,7 +47,6 @@
 
 
 DEFAULT_PATIENCE_MS = 10_000
-NO_RACK_RETRY_MS = 1_000
 DRAIN_RETRY_MS = 100
 
 
@@ -101,15 +101,19 @@
             link,
             clock,
         )
+        scheduler = SynchronizedScheduler(
+            make_scheduler(
+                settings.policy,
+                options_of(settings.profile, settings.weights),
+            )
+        )
+        self.desk = JobDesk(self.journal, self.fleet, scheduler, clock)
         self.jobs = JobManager(
             self.journal,
             self.fleet,
             self.claimer,
             adapters.workers,
-            make_scheduler(
-                settings.policy,
-                options_of(settings.profile, settings.weights),
-            ),
+            scheduler,
             self.clock,
         )
         self.metrics = Metrics()
@@ -187,16 +191,12 @@
         self, job: JobSpec, timeout_ms: int
     ) -> Result[None, Failure]:
         """Accept a job and assign it to a unit of workers."""
-        unit = self._unit_for()
-        if unit is None:
-            return Err(
-                not_run(
-                    FailureCode.UNAVAILABLE,
-                    "no rack is owned",
-                    NO_RACK_RETRY_MS,
-                )
-            )
-        outcome = self.journal.commit(JobSubmit(job, unit), timeout_ms)
+        unit = self.desk.choose_unit(job)
+        if isinstance(unit, Err):
+            return unit
+        outcome = self.journal.commit(
+            JobSubmit(job, unit.ok_value), timeout_ms
+        )
         if isinstance(outcome, Err):
             return outcome
         if not outcome.ok_value.applied:
@@ -249,24 +249,6 @@
         self.membership.loads = self.router.loads()
         return self.membership.heartbeat_step(self._link)
 
-    def _unit_for(self) -> str | None:
-        workers = {
-            worker.unit for worker in self.fleet.of_role(InstanceRole.WORKER)
-        }
-        with self.journal.reading() as state:
-            owned = [
-                claim.unit
-                for claim in state.claims_by_unit.values()
-                if claim.incarnation and claim.unit in workers
-            ]
-            load_by_unit = dict.fromkeys(owned, 0)
-            for job in state.jobs_by_id.values():
-                if job.unit in load_by_unit and not job.is_done:
-                    load_by_unit[job.unit] += job.spec.tasks
-        if not load_by_unit:
-            return None
-        return min(load_by_unit, key=lambda unit: (load_by_unit[unit], unit))
-
 
 def _job_row(job: JobRecord) -> dict[str, object]:
     return {
--- /dev/null
+++ b/src/magnoliapitch/entry/job_desk.py
@@ -0,0 +1,159 @@
+"""Accepts jobs and tells why they wait."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+
+from magnoliapitch.catalogue.entry import WorkClass
+from magnoliapitch.decision.interface import TaskRequest
+from magnoliapitch.decision.interface import WorkerShape
+from magnoliapitch.platform.instance import InstanceRole
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import not_run
+
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from magnoliapitch.clock import Clock
+    from magnoliapitch.decision.interface import Scheduler
+    from magnoliapitch.job.spec import JobSpec
+    from magnoliapitch.journal.journal import Journal
+    from magnoliapitch.platform.fleet import Fleet
+    from magnoliapitch.verdict import Failure
+
+
+NO_RACK_RETRY_MS = 1_000
+QUEUE_FULL_RETRY_MS = 30_000
+
+
+class JobDesk:
+    """Chooses the rack of a new job, or refuses what can never run."""
+
+    def __init__(
+        self,
+        journal: Journal,
+        fleet: Fleet,
+        scheduler: Scheduler,
+        clock: Clock,
+    ) -> None:
+        self._journal = journal
+        self._fleet = fleet
+        self._scheduler = scheduler
+        self._clock = clock
+
+    def choose_unit(self, job: JobSpec) -> Result[str, Failure]:
+        """Return the least loaded rack that can hold a job."""
+        shapes_by_unit = self._shapes_by_unit()
+        load_by_unit = self._load_by_unit(shapes_by_unit)
+        if not load_by_unit:
+            return Err(
+                not_run(
+                    FailureCode.UNAVAILABLE,
+                    "no rack is owned",
+                    NO_RACK_RETRY_MS,
+                )
+            )
+        task = self._request(job)
+        reason = ""
+        for unit in sorted(load_by_unit, key=load_by_unit.__getitem__):
+            reason = self._scheduler.refusal(task, shapes_by_unit[unit])
+            if not reason:
+                return self._bounded(job, unit)
+        return Err(not_run(FailureCode.IMPOSSIBLE, reason))
+
+    def explanation(self, job_id: str) -> dict[str, object] | None:
+        """Return why a job waits, as far as this instance knows."""
+        with self._journal.reading() as state:
+            job = state.jobs_by_id.get(job_id)
+            if job is None:
+                return None
+            unit, is_done = job.unit, job.is_done
+            claim = state.claims_by_unit.get(unit)
+        found = self._scheduler.explain(job_id, self._clock.now_ms())
+        if found is not None:
+            return {**found._asdict(), "unit": unit}
+        limit = "nothing: no task of it waits in this instance"
+        if is_done:
+            limit = "nothing: it is done"
+        elif claim is None or not claim.incarnation:
+            limit = f"an owner of rack {unit}"
+        return {
+            "job_id": job_id,
+            "limit": limit,
+            "position": 0,
+            "estimate_ms": -1,
+            "unit": unit,
+            "owner": claim.incarnation if claim else "",
+        }
+
+    def _bounded(self, job: JobSpec, unit: str) -> Result[str, Failure]:
+        """Refuse a job whose entry has too many tasks waiting."""
+        with self._journal.reading() as state:
+            versioned = state.catalogue_by_name.get(job.entry)
+            if versioned is None:
+                return Ok(unit)
+            waiting = sum(
+                item.spec.tasks - item.finished_tasks
+                for item in state.jobs_by_id.values()
+                if item.spec.entry == job.entry and not item.is_done
+            )
+        limit = versioned.entry.limits.queued
+        if waiting + job.tasks <= limit:
+            return Ok(unit)
+        return Err(
+            not_run(
+                FailureCode.OVERLOADED,
+                f"entry {job.entry} has {waiting} of {limit} tasks waiting; "
+                "raise limits.queued or submit later",
+                QUEUE_FULL_RETRY_MS,
+            )
+        )
+
+    def _request(self, job: JobSpec) -> TaskRequest:
+        with self._journal.reading() as state:
+            versioned = state.catalogue_by_name.get(job.entry)
+        work_class = WorkClass.BATCH
+        owner = ""
+        if versioned is not None:
+            work_class = versioned.entry.work_class
+            owner = versioned.entry.owner
+        return TaskRequest(
+            f"{job.job_id}/0/0",
+            job.job_id,
+            job.entry,
+            owner,
+            work_class,
+            job.resources,
+            job.run_ms,
+            0,
+            job.deadline_ms,
+            job.tasks if work_class is WorkClass.GANG else 1,
+        )
+
+    def _shapes_by_unit(self) -> dict[str, tuple[WorkerShape, ...]]:
+        found: dict[str, tuple[WorkerShape, ...]] = {}
+        for worker in self._fleet.of_role(InstanceRole.WORKER):
+            shape = WorkerShape(
+                worker.instance_id, worker.unit, worker.zone, worker.capacity
+            )
+            found[worker.unit] = (*found.get(worker.unit, ()), shape)
+        return found
+
+    def _load_by_unit(
+        self, shapes_by_unit: dict[str, tuple[WorkerShape, ...]]
+    ) -> dict[str, tuple[int, str]]:
+        """Return the unfinished tasks of each owned rack, and its name."""
+        with self._journal.reading() as state:
+            load_by_unit = {
+                claim.unit: 0
+                for claim in state.claims_by_unit.values()
+                if claim.incarnation and claim.unit in shapes_by_unit
+            }
+            for job in state.jobs_by_id.values():
+                if job.unit in load_by_unit and not job.is_done:
+                    load_by_unit[job.unit] += job.spec.tasks
+        return {unit: (load, unit) for unit, load in load_by_unit.items()}
--- /dev/null
+++ b/tests/api/test_job_advice.py
@@ -0,0 +1,94 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import orjson
+import urllib3
+
+from magnoliapitch.job.spec import JobSpec
+from magnoliapitch.resource import Resources
+from tests.api.conftest import WAIT_S
+from tests.api.conftest import wait_until
+
+
+if TYPE_CHECKING:
+    from tests.api.conftest import RunningCell
+
+
+SMALL = Resources(1, 1)
+ENTRY = {"name": "term-roster", "owner": "clubs", "work_class": "batch"}
+
+
+def test_job_that_can_never_run_is_refused_with_what_would_help(
+    running: RunningCell,
+) -> None:
+    _prepare(running, {"queued": 50})
+    large = _submit(running, "large", 1, 33_000)
+    assert (large.status, large.json()["verdict"]) == (422, "not_run")
+    assert "declare at most 32000" in large.json()["detail"]
+    many = _submit(running, "many", 51, 1_000)
+    assert (many.status, many.json()["verdict"]) == (503, "not_run")
+    assert "raise limits.queued" in many.json()["detail"]
+
+
+def test_job_that_waits_is_explained(running: RunningCell) -> None:
+    _prepare(running, {})
+    for number in range(4):
+        assert _submit(running, f"job-{number}", 8, 25_000).status == 202
+    wait_until(lambda: "free capacity" in _limits(running))
+    assert _get(running, 0, "absent").status == 404
+
+
+def _prepare(running: RunningCell, limits: dict[str, int]) -> None:
+    entry = {**ENTRY, "limits": limits}
+    path = "/v1/catalogue/term-roster"
+    assert running.admin("PUT", path, entry).status == 200
+    core = running.cell.entries[0].core
+
+    def is_claimed() -> bool:
+        with core.journal.reading() as state:
+            units = {claim.unit for claim in state.claims_by_unit.values()}
+        return len(units) >= 2
+
+    wait_until(is_claimed)
+    wait_until(lambda: core.desk.choose_unit(JobSpec("j", "e", 1, SMALL)).ok())
+
+
+def _submit(
+    running: RunningCell, job_id: str, tasks: int, cpu_millis: int
+) -> urllib3.BaseHTTPResponse:
+    job = {
+        "job_id": job_id,
+        "entry": "term-roster",
+        "tasks": tasks,
+        "resources": {"cpu_millis": cpu_millis, "memory_mb": 1_024},
+        "payload": "run_ms=60000",
+    }
+    return urllib3.request(
+        "POST",
+        f"{_url(running, 0)}/v1/jobs",
+        body=orjson.dumps(job),
+        timeout=WAIT_S,
+        retries=False,
+    )
+
+
+def _limits(running: RunningCell) -> set[Any]:
+    return {
+        _get(running, entry, f"job-{number}").json().get("limit")
+        for entry in range(2)
+        for number in range(4)
+    }
+
+
+def _get(
+    running: RunningCell, number: int, job_id: str
+) -> urllib3.BaseHTTPResponse:
+    url = f"{_url(running, number)}/v1/jobs/{job_id}/explanation"
+    return urllib3.request("GET", url, timeout=WAIT_S, retries=False)
+
+
+def _url(running: RunningCell, number: int) -> str:
+    node = running.cell.entries[number]
+    return f"http://127.0.0.1:{node.caller_listener.port}"
