Keep deadlines, headroom and quotas from waiting on bulk work

Change: a deadline is late only after a quarter of its run time beyond its latest start, takes 7 of 8 starts, and takes capacity back in its last 30 s; every fourth worker keeps the headroom of four; lanes also by run time, so that short work behind long work backfills; the profiles reserve learned processor use at the 40th and 35th percentile. Tests of each part; a hypothesis test of the starvation bounds.

--- a/src/magnoliapitch/decision/books.py
+++ b/src/magnoliapitch/decision/books.py
@@ -102,7 +102,8 @@
         self._change(worker, reserved)
         self._count(task)
         if worker.kept != NO_RESOURCES:
-            _use_kept(worker, request.work_class, reserved)
+            left = worker.kept.minus(reserved)
+            worker.kept = Resources(*(max(0, part) for part in left))
         return Placement(request.task_id, worker.shape.worker_id, reserved)
 
     def adopt(
@@ -210,13 +211,5 @@
                 del self._spread_by_job[request.job_id]
 
 
-def _use_kept(
-    worker: WorkerState, work_class: WorkClass, reserved: Resources
-) -> None:
-    if work_class in (WorkClass.URGENT, WorkClass.SERVICE):
-        left = worker.kept.minus(reserved)
-        worker.kept = Resources(*(max(0, part) for part in left))
-
-
 def _absent(worker_id: str) -> WorkerShape:
     return WorkerShape(worker_id, "", "", NO_RESOURCES)
--- a/src/magnoliapitch/decision/dispatch.py
+++ b/src/magnoliapitch/decision/dispatch.py
@@ -31,7 +31,9 @@
 
 MAX_DEADLINES_ASIDE = 16
 DEADLINE_CREDIT = 48
-CREDIT_PER_OWNER_START = 3
+CREDIT_PER_OWNER_START = 7
+PRESSING_MS = 30_000
+GRACE_DIVISOR = 4
 MAX_CHANGED = 24
 FREE_CAPACITY = "free capacity"
 FIRST_CLASSES = (WorkClass.URGENT, WorkClass.SERVICE)
@@ -75,7 +77,7 @@
         for group in beyond_quota:
             if turn.is_full or not turn.may_search:
                 break
-            self._start(turn, group)
+            self._start_all(turn, group)
 
     def start_on(
         self, turn: Round, group: TaskGroup, worker: WorkerState
@@ -166,10 +168,14 @@
                 aside.append(group)
                 continue
             self.refresh(group)
-            if group.latest_start_ms() < turn.now_ms:
+            grace_ms = group.run_ms // GRACE_DIVISOR
+            if group.latest_start_ms() + grace_ms < turn.now_ms:
+                group.is_late = True
                 continue
             if not self._start_all(turn, group):
                 self._hold(turn, group)
+                if self._is_pressing(turn, group) and turn.may_evict:
+                    self._reclaim(turn, group)
             if group.tasks_by_id:
                 aside.append(group)
         for group in aside:
@@ -286,6 +292,20 @@
             self.start_on(turn, group, worker)
         return True
 
+    def _is_first(self, turn: Round, group: TaskGroup) -> bool:
+        """Return whether a group may use what is kept from bulk work."""
+        return (
+            not _is_bulk(group)
+            or self._is_pressing(turn, group)
+            or self._is_overdue(turn, group)
+        )
+
+    def _is_pressing(self, turn: Round, group: TaskGroup) -> bool:
+        """Return whether a group must start now to meet its deadline."""
+        if not group.sample.deadline_ms or group.is_late:
+            return False
+        return group.latest_start_ms() - turn.now_ms < PRESSING_MS
+
     def _is_overdue(self, turn: Round, group: TaskGroup) -> bool:
         return self._progress.is_overdue(group, turn.now_ms)
 
@@ -295,7 +315,7 @@
         need = Need(
             group.size,
             turn.now_ms + group.run_ms,
-            _is_bulk(group) and not self._is_overdue(turn, group),
+            not self._is_first(turn, group),
             group,
             task.unit,
             self._books.spread(task.job_id) if is_service else None,
--- a/src/magnoliapitch/decision/options.py
+++ b/src/magnoliapitch/decision/options.py
@@ -24,8 +24,8 @@
     :param short_first: 1 starts short bulk tasks first, 0 large ones.
     """
 
-    urgent_headroom: Share = 0.06
-    cpu_percentile: Percentile = 75.0
+    urgent_headroom: Share = 0.03
+    cpu_percentile: Percentile = 40.0
     memory_percentile: Percentile = 95.0
     short_first: Share = 1.0
 
@@ -46,7 +46,7 @@
 weights_by_profile: dict[str, PolicyWeights] = {
     WAITING_FIRST: PolicyWeights(),
     PACKING_FIRST: PolicyWeights(
-        urgent_headroom=0.0, cpu_percentile=50.0, short_first=0.0
+        urgent_headroom=0.02, cpu_percentile=35.0, short_first=0.0
     ),
 }
 
--- a/src/magnoliapitch/decision/placement.py
+++ b/src/magnoliapitch/decision/placement.py
@@ -22,6 +22,7 @@
 MAX_PROBES = 32
 MAX_CANDIDATES = 8
 COMPANION_SHARE = 8
+HEADROOM_STRIDE = 4
 SPREAD_PENALTY = 1_000_000
 ACCELERATOR_PENALTY = 100_000
 
@@ -60,6 +61,7 @@
         self.keeps_accelerators = False
         self.version = 0
         self._headroom = headroom
+        self._added = 0
         self._largest = NO_RESOURCES
         self._plain = FreeIndex()
         self._accelerated = FreeIndex()
@@ -67,7 +69,7 @@
 
     def add(self, shape: WorkerShape) -> WorkerState:
         """Add a worker."""
-        worker = WorkerState(shape, self._headroom)
+        worker = WorkerState(shape, self._headroom_of_next())
         self.workers_by_id[shape.worker_id] = worker
         self._workers_by_unit.setdefault(shape.unit, []).append(worker)
         self._index_of(worker).insert(worker)
@@ -180,7 +182,8 @@
             return UNLIMITED
         if not is_bulk:
             return self._largest
-        cpu_millis = int(self._largest.cpu_millis * (1 - self._headroom))
+        rest = 1 - min(1.0, self._headroom * HEADROOM_STRIDE)
+        cpu_millis = int(self._largest.cpu_millis * rest)
         return self._largest._replace(cpu_millis=cpu_millis)
 
     def may_fit(self, size: Resources) -> bool:
@@ -202,6 +205,17 @@
         found.extend(islice(self._accelerated.emptiest_first(), rest))
         return found
 
+    def _headroom_of_next(self) -> float:
+        """Return the headroom of a new worker.
+
+        Every fourth worker keeps it for four, so that it holds a whole
+        urgent task rather than parts of one everywhere.
+        """
+        self._added += 1
+        if self._added % HEADROOM_STRIDE != 1:
+            return 0.0
+        return min(1.0, self._headroom * HEADROOM_STRIDE)
+
     def _keeps_companion(self, worker: WorkerState, need: Need) -> bool:
         return bool(
             self.keeps_accelerators
@@ -221,8 +235,6 @@
         if index.count <= MAX_PROBES:
             ordered = index.fullest_first(cpu_millis)
             return self._best(ordered, need, now_ms)
-        if need.is_bulk:
-            cpu_millis += int(self._largest.cpu_millis * self._headroom)
         found = self._best(index.fullest_first(cpu_millis), need, now_ms)
         if found is not None:
             return found
--- a/src/magnoliapitch/decision/queue.py
+++ b/src/magnoliapitch/decision/queue.py
@@ -50,11 +50,13 @@
     :ivar run_ms: expected run time of each task.
     :ivar version: version of the estimate that these come from.
     :ivar reason: why it was last passed over.
+    :ivar is_late: whether its deadline can no longer be met.
     :ivar missed_pass: the pass in which no worker was found for it.
     """
 
     __slots__ = (
         "floor_mb",
+        "is_late",
         "job",
         "key",
         "missed_pass",
@@ -82,6 +84,7 @@
         self.not_before_ms = 0
         self.next_hold_ms = 0
         self.missed_pass = -1
+        self.is_late = False
         self.reason = ""
 
     @property
@@ -133,7 +136,7 @@
 
 
 class OwnerQueue:
-    """Bulk work of one owner, in lanes of about equal size."""
+    """Bulk work of one owner, in lanes of about equal size and run time."""
 
     def __init__(self) -> None:
         self._lanes: dict[tuple[int, ...], GroupHeap] = {}
@@ -312,4 +315,5 @@
     size = group.size
     cpu = int(math.log2(max(1, size.cpu_millis)) * LANE_STEPS)
     memory = int(math.log2(max(1, size.memory_mb)))
-    return cpu, memory, size.accelerators, int(group.is_gang)
+    run = int(math.log2(max(1, group.run_ms)) / LANE_STEPS)
+    return cpu, memory, run, size.accelerators, int(group.is_gang)
--- a/src/magnoliapitch/decision/reclaim.py
+++ b/src/magnoliapitch/decision/reclaim.py
@@ -72,6 +72,10 @@
                 best_damage = damage
         if best:
             self._apply(best, size, now_ms)
+            if not borrowed_only:
+                worker_id = best[0].worker_id
+                worker = self._books.table.workers_by_id[worker_id]
+                self._books.keep(worker, size, now_ms + KEEP_MS)
         return best
 
     def any_borrowed(self) -> bool:
@@ -126,8 +130,6 @@
             task = self._books.running_by_id[eviction.task_id]
             freed = freed.plus(_gain(task, eviction))
             self._mark(eviction, task, now_ms)
-        worker = self._books.table.workers_by_id[evictions[0].worker_id]
-        self._books.keep(worker, size, now_ms + KEEP_MS)
         rest = freed.minus(size)
         self._expected = Resources(*(max(0, part) for part in rest))
         self._expected_until_ms = now_ms + KEEP_MS
@@ -198,6 +200,8 @@
         return False
     if borrowed_only:
         return task.borrowed
+    if task.request.deadline_ms:
+        return False
     return task.request.work_class in (WorkClass.BATCH, WorkClass.GANG)
 
 
--- /dev/null
+++ b/tests/decision/conftest.py
@@ -0,0 +1,106 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from magnoliapitch.catalogue.entry import CatalogueEntry
+from magnoliapitch.catalogue.entry import Limits
+from magnoliapitch.catalogue.entry import WorkClass
+from magnoliapitch.decision.interface import TaskRequest
+from magnoliapitch.decision.interface import WorkerShape
+from magnoliapitch.decision.options import PolicyOptions
+from magnoliapitch.decision.options import PolicyWeights
+from magnoliapitch.decision.weighted import WeightedScheduler
+from magnoliapitch.job.spec import TaskOutcome
+from magnoliapitch.resource import Resources
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.decision.interface import Decision
+
+
+CORE = Resources(1_000, 1_000)
+PLAIN = PolicyWeights(urgent_headroom=0.0, short_first=0.5)
+
+
+def task(
+    job_id: str = "job",
+    number: int = 0,
+    attempt: int = 0,
+    *,
+    work_class: WorkClass = WorkClass.BATCH,
+    cores: int = 1,
+    run_ms: int = 10_000,
+    owner: str = "clubs",
+    entry: str = "",
+    deadline_ms: int = 0,
+    gang_size: int = 1,
+    submitted_ms: int = 0,
+    accelerators: int = 0,
+) -> TaskRequest:
+    return TaskRequest(
+        f"{job_id}/{number}/{attempt}",
+        job_id,
+        entry or f"{owner}-{work_class}",
+        owner,
+        work_class,
+        CORE.times(cores)._replace(accelerators=accelerators),
+        run_ms,
+        submitted_ms,
+        deadline_ms,
+        gang_size,
+    )
+
+
+class Bench:
+    """A scheduler with workers that do what it decides."""
+
+    def __init__(self, weights: PolicyWeights = PLAIN) -> None:
+        self.scheduler = WeightedScheduler(PolicyOptions(weights))
+        self.now_ms = 0
+        self.worker_by_task: dict[str, str] = {}
+
+    def add_workers(
+        self, count: int, cores: int = 4, accelerators: int = 0
+    ) -> None:
+        known = len(self.scheduler._books.table.workers_by_id)
+        for number in range(known, known + count):
+            capacity = CORE.times(cores)._replace(accelerators=accelerators)
+            shape = WorkerShape(
+                f"w{number}", f"rack{number % 2}", "zone", capacity
+            )
+            self.scheduler.add_worker(shape)
+
+    def set_entry(
+        self, name: str, owner: str, limits: Limits | None = None
+    ) -> None:
+        entry = CatalogueEntry(
+            name, owner, WorkClass.BATCH, limits=limits or Limits()
+        )
+        self._entries = {**getattr(self, "_entries", {}), name: entry}
+        self.scheduler.set_catalogue(self._entries)
+
+    def submit(self, *tasks: TaskRequest) -> None:
+        self.scheduler.submit(tasks)
+
+    def decide(self, after_ms: int = 0) -> Decision:
+        self.now_ms += after_ms
+        decision = self.scheduler.decide(self.now_ms)
+        for placement in decision.placements:
+            self.worker_by_task[placement.task_id] = placement.worker_id
+        return decision
+
+    def started(self, after_ms: int = 0) -> list[str]:
+        return [item.task_id for item in self.decide(after_ms).placements]
+
+    def end(
+        self, task_id: str, outcome: TaskOutcome = TaskOutcome.FINISHED
+    ) -> None:
+        del self.worker_by_task[task_id]
+        self.scheduler.ended(task_id, outcome, self.now_ms)
+
+
+@pytest.fixture
+def bench() -> Bench:
+    return Bench()
--- /dev/null
+++ b/tests/decision/test_admission.py
@@ -0,0 +1,44 @@
+from __future__ import annotations
+
+import pytest
+
+from magnoliapitch.catalogue.entry import Limits
+from magnoliapitch.decision.interface import TaskRequest
+from magnoliapitch.decision.interface import WorkerShape
+from magnoliapitch.resource import Resources
+from tests.decision.conftest import Bench
+from tests.decision.conftest import task
+
+
+FLEET = (
+    WorkerShape("w0", "r", "z", Resources(4_000, 8_000, 0)),
+    WorkerShape("w1", "r", "z", Resources(8_000, 4_000, 2)),
+)
+
+
+@pytest.mark.parametrize(
+    ("request_", "hint"),
+    [
+        (task(cores=9), "declare at most 8000"),
+        (task(accelerators=3), "add a larger worker"),
+        (task(cores=7), "no single worker"),
+        (task(cores=2, gang_size=7), "all workers together have 4"),
+        (task(entry="small", cores=2), "raise limits.memory_mb to 2000"),
+    ],
+)
+def test_refusal_tells_what_would_help(
+    bench: Bench, request_: TaskRequest, hint: str
+) -> None:
+    bench.set_entry("small", "clubs", Limits(memory_mb=1_500))
+    assert hint in bench.scheduler.refusal(request_, FLEET)
+
+
+def test_refusal_is_looked_at_again_when_the_catalogue_changes(
+    bench: Bench,
+) -> None:
+    wanted = task(entry="small", cores=2)
+    bench.set_entry("small", "clubs", Limits(memory_mb=1_500))
+    assert bench.scheduler.refusal(wanted, FLEET)
+    bench.set_entry("small", "clubs", Limits(memory_mb=2_000))
+    assert bench.scheduler.refusal(wanted, FLEET) == ""
+    assert bench.scheduler.refusal(wanted, ()) == ""
--- /dev/null
+++ b/tests/decision/test_starvation.py
@@ -0,0 +1,143 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from hypothesis import HealthCheck
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from magnoliapitch.bench.decisions import measure
+from magnoliapitch.bench.decisions import offline_bound
+from magnoliapitch.bench.decisions.fleet import BenchFleet
+from magnoliapitch.bench.decisions.offline import OfflineBound
+from magnoliapitch.bench.decisions.trace import Trace
+from magnoliapitch.bench.decisions.trace import TracedJob
+from magnoliapitch.bench.decisions.trace import TracedTask
+from magnoliapitch.catalogue.entry import CatalogueEntry
+from magnoliapitch.catalogue.entry import WorkClass
+from magnoliapitch.decision.bound import STARVATION_BOUND_MS_BY_CLASS
+from magnoliapitch.decision.first_fit import FirstFitScheduler
+from magnoliapitch.decision.options import options_of
+from magnoliapitch.decision.registry import make_scheduler
+from magnoliapitch.resource import Resources
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+FLEET = BenchFleet.of_zones("small", ("a",), 8, 16_384)
+ENTRIES = {
+    work_class: CatalogueEntry(
+        f"e-{work_class}", f"o-{work_class}", work_class
+    )
+    for work_class in WorkClass
+}
+NO_BOUND = OfflineBound(0.0, 0.0, frozenset())
+ARRIVALS_MS = 1_500_000
+FLOOD_INTERVAL_MS = 3_000
+
+
+@st.composite
+def jobs_of(draw: Callable[..., int], work_class: WorkClass) -> TracedJob:
+    is_urgent = work_class is WorkClass.URGENT
+    cores = draw(st.integers(1, 2 if is_urgent else 8))
+    run_ms = draw(st.integers(1_000, 5_000 if is_urgent else 200_000))
+    factor = draw(st.integers(3, 30))
+    count = draw(st.integers(1, 4))
+    size = Resources(cores * 1_000, cores * 1_500)
+    return TracedJob(
+        f"{work_class}-{draw(st.integers(0, 10**9))}",
+        ENTRIES[work_class],
+        draw(st.integers(0, ARRIVALS_MS)) // 50 * 50,
+        Resources(cores * 1_000, min(16_384, cores * 15_000 // factor)),
+        max(1, run_ms * 10 // factor),
+        tuple(TracedTask(size, run_ms) for _ in range(count)),
+        is_gang=work_class is WorkClass.GANG,
+    )
+
+
+def flood() -> tuple[TracedJob, ...]:
+    task = TracedTask(Resources(4_000, 2_000), 30_000)
+    return tuple(
+        TracedJob(
+            f"flood-{at_ms}",
+            ENTRIES[WorkClass.BATCH],
+            at_ms,
+            task.usage,
+            task.run_ms,
+            (task,) * 2,
+            deadline_ms=at_ms + 600_000,
+        )
+        for at_ms in range(0, ARRIVALS_MS, FLOOD_INTERVAL_MS)
+    )
+
+
+def trace_of(jobs: tuple[TracedJob, ...]) -> Trace:
+    unique = {job.job_id: job for job in jobs}
+    ordered = sorted(unique.values(), key=lambda job: job.arrives_ms)
+    return Trace("random", FLEET, tuple(ordered), ARRIVALS_MS, 10_000)
+
+
+@settings(
+    max_examples=5,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+@given(
+    jobs=st.tuples(
+        *(
+            st.lists(jobs_of(work_class), min_size=4, max_size=12)
+            for work_class in WorkClass
+        )
+    ),
+    profile=st.sampled_from(("waiting-first", "packing-first")),
+)
+def test_no_class_starves_beyond_its_bound(
+    jobs: tuple[list[TracedJob], ...], profile: str
+) -> None:
+    some = tuple(job for part in jobs for job in part)
+    trace = trace_of((*flood(), *some))
+    scheduler = make_scheduler("weighted", options_of(profile))
+    result = measure(trace, profile, scheduler, NO_BOUND)
+    for work_class, bound_ms in STARVATION_BOUND_MS_BY_CLASS.items():
+        assert result.waits_by_class[work_class].gap_ms <= bound_ms
+
+
+def test_fifo_starves_a_class_beyond_its_bound() -> None:
+    tap = TracedJob(
+        "tap",
+        ENTRIES[WorkClass.URGENT],
+        600_000,
+        Resources(1_000, 1_000),
+        1_000,
+        (TracedTask(Resources(1_000, 1_000), 1_000),),
+    )
+    trace = trace_of((*flood(), tap))
+    result = measure(trace, "fifo", FirstFitScheduler({}), NO_BOUND)
+    bound_ms = STARVATION_BOUND_MS_BY_CLASS[WorkClass.URGENT]
+    assert result.waits_by_class["urgent"].gap_ms > bound_ms
+
+
+@pytest.mark.parametrize("profile", ["waiting-first", "packing-first"])
+def test_whole_machine_work_is_not_starved_by_small_work(profile: str) -> None:
+    whole = FLEET.workers[0].capacity
+    task = TracedTask(whole._replace(accelerators=0), 60_000)
+    service = TracedJob(
+        "whole",
+        ENTRIES[WorkClass.GANG],
+        300_000,
+        task.usage,
+        task.run_ms,
+        (task,) * 2,
+        is_gang=True,
+    )
+    trace = trace_of((*flood(), service))
+    scheduler = make_scheduler("weighted", options_of(profile))
+    result = measure(trace, profile, scheduler, offline_bound(trace))
+    bound_ms = STARVATION_BOUND_MS_BY_CLASS[WorkClass.GANG]
+    assert result.waits_by_class["gang"].gap_ms <= bound_ms
