Let the profiles differ more; bound probes of large tables

Change: a doubling of a task's volume weighs 300 s of waiting instead of 120 s; the fallback probes 8 workers and only after a search cut short.

--- a/src/magnoliapitch/decision/placement.py
+++ b/src/magnoliapitch/decision/placement.py
@@ -20,6 +20,7 @@
 
 
 MAX_PROBES = 32
+MAX_FALLBACK_PROBES = 8
 MAX_CANDIDATES = 8
 COMPANION_SHARE = 8
 HEADROOM_STRIDE = 4
@@ -235,10 +236,13 @@
         if index.count <= MAX_PROBES:
             ordered = index.fullest_first(cpu_millis)
             return self._best(ordered, need, now_ms)
+        probes = self.probes
         found = self._best(index.fullest_first(cpu_millis), need, now_ms)
-        if found is not None:
+        was_cut_short = self.probes - probes >= MAX_PROBES
+        if found is not None or not was_cut_short:
             return found
-        return self._best(index.emptiest_first(), need, now_ms)
+        emptiest = islice(index.emptiest_first(), MAX_FALLBACK_PROBES)
+        return self._best(emptiest, need, now_ms)
 
     def _best(
         self, workers: Iterable[WorkerState], need: Need, now_ms: int
--- a/src/magnoliapitch/decision/queue.py
+++ b/src/magnoliapitch/decision/queue.py
@@ -22,7 +22,7 @@
     from magnoliapitch.resource import Resources
 
 
-SIZE_WEIGHT_MS = 120_000
+SIZE_WEIGHT_MS = 300_000
 LANE_STEPS = 2
 
 
