Free throttled capacity only when the worker shows the bound

Cause: a throttle that had no effect would have freed capacity that the worker still gave away; tasks could be placed on another rack that the same instance owns; urgent work evicted again while its first eviction was under way. Change: the manager reports a lease that shrank; a throttle unconfirmed for 2 s is followed by a checkpoint; one eviction for a waiting task in 2 s; tasks carry the rack of their job; usage counts once it is 20 s old or the task ends.

--- a/src/magnoliapitch/decision/books.py
+++ b/src/magnoliapitch/decision/books.py
@@ -76,7 +76,7 @@
     def set_withheld(self, worker_id: str, withheld: Resources) -> None:
         """Withhold capacity of a worker."""
         worker = self.table.workers_by_id.get(worker_id)
-        if worker is None:
+        if worker is None or withheld == worker.withheld:
             return
         self._change(worker, withheld.minus(worker.withheld))
         worker.withheld = withheld
--- a/src/magnoliapitch/decision/capacity.py
+++ b/src/magnoliapitch/decision/capacity.py
@@ -31,7 +31,9 @@
     :ivar ends_ms: expected end, local clock.
     :ivar borrowed: whether it runs beyond the quota of its entry.
     :ivar granted: reservation with which it was started.
+    :ivar learned: whether its use was taken into the estimates.
     :ivar evicted: whether it was told to end or to shrink.
+    :ivar resists: whether it was throttled without effect.
     """
 
     __slots__ = (
@@ -39,10 +41,11 @@
         "ends_ms",
         "evicted",
         "granted",
+        "learned",
         "peak",
-        "reports",
         "request",
         "reserved",
+        "resists",
         "started_ms",
         "worker",
     )
@@ -63,8 +66,9 @@
         self.ends_ms = ends_ms
         self.borrowed = False
         self.evicted = False
+        self.resists = False
         self.peak = NO_RESOURCES
-        self.reports = 0
+        self.learned = False
 
 
 class SlotHold(NamedTuple):
--- a/src/magnoliapitch/decision/dispatch.py
+++ b/src/magnoliapitch/decision/dispatch.py
@@ -33,6 +33,7 @@
 DEADLINE_CREDIT = 48
 CREDIT_PER_OWNER_START = 7
 PRESSING_MS = 30_000
+RECLAIM_INTERVAL_MS = 2_000
 GRACE_DIVISOR = 4
 MAX_CHANGED = 24
 FREE_CAPACITY = "free capacity"
@@ -352,19 +353,24 @@
         if self._holds.place(group, members, turn.now_ms):
             group.reason = "a reserved start"
 
-    def _reclaim(self, turn: Round, group: TaskGroup) -> None:
+    def _reclaim(
+        self, turn: Round, group: TaskGroup, *, borrowed_only: bool = False
+    ) -> None:
+        """Evict for one task; wait for it before evicting for the next."""
+        if turn.now_ms < group.next_reclaim_ms:
+            return
         evictions = self._reclaimer.for_size(
-            group.size, group.sample.unit, turn.now_ms, borrowed_only=False
+            group.size, group.sample.unit, turn.now_ms, borrowed_only
         )
-        turn.evictions.extend(evictions)
+        if evictions:
+            interval_ms = RECLAIM_INTERVAL_MS // len(group.tasks_by_id)
+            group.next_reclaim_ms = turn.now_ms + interval_ms
+            turn.evictions.extend(evictions)
 
     def _reclaim_borrowed(self, turn: Round, group: TaskGroup) -> None:
         if not self._reclaimer.any_borrowed():
             return
-        evictions = self._reclaimer.for_size(
-            group.size, group.sample.unit, turn.now_ms, borrowed_only=True
-        )
-        turn.evictions.extend(evictions)
+        self._reclaim(turn, group, borrowed_only=True)
 
 
 def _is_bulk(group: TaskGroup) -> bool:
--- a/src/magnoliapitch/decision/queue.py
+++ b/src/magnoliapitch/decision/queue.py
@@ -61,6 +61,7 @@
         "key",
         "missed_pass",
         "next_hold_ms",
+        "next_reclaim_ms",
         "not_before_ms",
         "reason",
         "run_ms",
@@ -83,6 +84,7 @@
         self.key = 0.0
         self.not_before_ms = 0
         self.next_hold_ms = 0
+        self.next_reclaim_ms = 0
         self.missed_pass = -1
         self.is_late = False
         self.reason = ""
--- a/src/magnoliapitch/decision/reclaim.py
+++ b/src/magnoliapitch/decision/reclaim.py
@@ -25,6 +25,7 @@
 MAX_WORKERS = 16
 KEEP_MS = 10_000
 STOP_AFTER_MS = 30_000
+THROTTLE_TIMEOUT_MS = 2_000
 THROTTLE_DIVISOR = 2
 MIN_THROTTLED_MILLIS = 100
 GANG_DAMAGE = 1_000_000
@@ -41,9 +42,8 @@
         self._books = books
         self._acts = acts
         self._throttled: dict[str, RunningTask] = {}
+        self._unconfirmed_ms: dict[str, int] = {}
         self._checkpointed_ms: dict[str, int] = {}
-        self._expected = NO_RESOURCES
-        self._expected_until_ms = 0
 
     def for_size(
         self, size: Resources, unit: str, now_ms: int, borrowed_only: bool
@@ -55,11 +55,6 @@
         """
         if not self._acts:
             return []
-        if now_ms >= self._expected_until_ms:
-            self._expected = NO_RESOURCES
-        elif size.fits(self._expected):
-            self._expected = self._expected.minus(size)
-            return []
         best: list[Eviction] = []
         best_damage = 0
         for worker in self._books.table.some(MAX_WORKERS, unit):
@@ -71,7 +66,7 @@
                 best = evictions
                 best_damage = damage
         if best:
-            self._apply(best, size, now_ms)
+            self._apply(best, now_ms)
             if not borrowed_only:
                 worker_id = best[0].worker_id
                 worker = self._books.table.workers_by_id[worker_id]
@@ -96,6 +91,9 @@
         for task_id, task in list(self._throttled.items())[:limit]:
             if self._books.running_by_id.get(task_id) is not task:
                 del self._throttled[task_id]
+                self._unconfirmed_ms.pop(task_id, None)
+                continue
+            if task_id in self._unconfirmed_ms:
                 continue
             wanted = task.granted.cpu_millis - task.reserved.cpu_millis
             worker = task.worker
@@ -110,8 +108,21 @@
             found.append(_eviction(task, EvictionAction.THROTTLE, cpu_millis))
         return found
 
+    def confirm(self, task: RunningTask) -> None:
+        """Note that a worker has bounded a task."""
+        self._unconfirmed_ms.pop(task.request.task_id, None)
+        task.evicted = False
+
     def overdue(self, now_ms: int) -> list[Eviction]:
-        """Return stops of tasks whose checkpoint takes too long."""
+        """Return stops of tasks whose checkpoint takes too long.
+
+        What was throttled without effect may be checkpointed from now on.
+        """
+        for task_id, at_ms in list(self._unconfirmed_ms.items()):
+            if now_ms - at_ms >= THROTTLE_TIMEOUT_MS:
+                del self._unconfirmed_ms[task_id]
+                del self._throttled[task_id]
+                self._resist(task_id)
         found = []
         for task_id, at_ms in list(self._checkpointed_ms.items()):
             task = self._books.running_by_id.get(task_id)
@@ -122,17 +133,17 @@
                 found.append(_eviction(task, EvictionAction.STOP))
         return found
 
-    def _apply(
-        self, evictions: list[Eviction], size: Resources, now_ms: int
-    ) -> None:
-        freed = NO_RESOURCES
+    def _resist(self, task_id: str) -> None:
+        task = self._books.running_by_id.get(task_id)
+        if task is not None:
+            task.resists = True
+            task.evicted = False
+            self._books.mark_freed(task.worker)
+
+    def _apply(self, evictions: list[Eviction], now_ms: int) -> None:
         for eviction in evictions:
             task = self._books.running_by_id[eviction.task_id]
-            freed = freed.plus(_gain(task, eviction))
             self._mark(eviction, task, now_ms)
-        rest = freed.minus(size)
-        self._expected = Resources(*(max(0, part) for part in rest))
-        self._expected_until_ms = now_ms + KEEP_MS
 
     def _mark(
         self, eviction: Eviction, task: RunningTask, now_ms: int
@@ -140,6 +151,7 @@
         task.evicted = True
         if eviction.action is EvictionAction.THROTTLE:
             self._throttled[eviction.task_id] = task
+            self._unconfirmed_ms[eviction.task_id] = now_ms
         else:
             self._checkpointed_ms[eviction.task_id] = now_ms
 
@@ -181,7 +193,10 @@
         return None
     missing = size.cpu_millis - free.cpu_millis
     found: list[Eviction] = []
-    by_size = sorted(victims, key=lambda task: -task.reserved.cpu_millis)
+    by_size = sorted(
+        (task for task in victims if not task.resists),
+        key=lambda task: -task.reserved.cpu_millis,
+    )
     for task in by_size:
         if missing <= 0:
             break
@@ -214,12 +229,6 @@
     return damage
 
 
-def _gain(task: RunningTask, eviction: Eviction) -> Resources:
-    if eviction.action is EvictionAction.THROTTLE:
-        return Resources(task.reserved.cpu_millis - eviction.cpu_millis)
-    return task.reserved
-
-
 def _eviction(
     task: RunningTask, action: EvictionAction, cpu_millis: int = 0
 ) -> Eviction:
--- a/src/magnoliapitch/decision/weighted.py
+++ b/src/magnoliapitch/decision/weighted.py
@@ -45,7 +45,7 @@
 MAX_DUE = 64
 MAX_RESTORES = 4
 BROKEN_JOB_DELAY_MS = 120_000
-REPORTS_TO_LEARN = 2
+LEARN_AFTER_MS = 20_000
 FLOOR_PERCENT = 110
 
 
@@ -165,11 +165,11 @@
         task = self._books.running_by_id.get(task_id)
         if task is None:
             return
-        task.reports += 1
         task.peak = Resources(
             *(max(old, new) for old, new in zip(task.peak, usage, strict=True))
         )
-        if task.reports == REPORTS_TO_LEARN:
+        is_ripe = now_ms - task.started_ms >= LEARN_AFTER_MS
+        if is_ripe and not task.learned:
             self._learn_usage(task)
         if usage.memory_mb > task.reserved.memory_mb:
             self._grow(task, usage.memory_mb, now_ms)
@@ -177,10 +177,11 @@
     def resized(self, task_id: str, reserved: Resources) -> None:
         """Note that a worker confirmed a new bound on a running task."""
         task = self._books.running_by_id.get(task_id)
-        if task is None or not reserved.fits(task.reserved):
+        if task is None or reserved.cpu_millis >= task.reserved.cpu_millis:
             return
-        task.evicted = False
-        self._books.resize(task, reserved)
+        self._reclaimer.confirm(task)
+        cpu_millis = reserved.cpu_millis
+        self._books.resize(task, task.reserved._replace(cpu_millis=cpu_millis))
 
     def decide(self, now_ms: int) -> Decision:
         """Return the next decision, bounded in work."""
@@ -287,7 +288,7 @@
         request = task.request
         self._retry.finished(request.task_id)
         self._floors_by_task.pop(_task_key(request.task_id), None)
-        if 0 < task.reports < REPORTS_TO_LEARN:
+        if not task.learned:
             self._learn_usage(task)
         if task.reserved.cpu_millis >= task.granted.cpu_millis:
             run_ms = now_ms - task.started_ms
@@ -302,6 +303,7 @@
             self._books.table.set_open(task.worker, False)
 
     def _learn_usage(self, task: RunningTask) -> None:
+        task.learned = True
         request = task.request
         self._estimates.record_usage(
             request.entry, task.peak, request.resources
--- a/src/magnoliapitch/job/backlog.py
+++ b/src/magnoliapitch/job/backlog.py
@@ -142,4 +142,5 @@
         now_ms,
         now_ms + deadline_ms if deadline_ms else 0,
         job.spec.tasks if is_gang else 1,
+        job.unit,
     )
--- a/src/magnoliapitch/job/tracker.py
+++ b/src/magnoliapitch/job/tracker.py
@@ -210,6 +210,8 @@
         attempt.mark_listed(boot_id, lease.expires_at_ms)
         if lease.state is LeaseState.RUNNING:
             self._scheduler.report_usage(lease.lease_id, lease.usage, now_ms)
+            if lease.resources != attempt.reserved:
+                self._scheduler.resized(lease.lease_id, lease.resources)
             return
         self._end(channel, attempt, _outcome_of(attempt.task, lease), now_ms)
 
--- a/tests/decision/test_order.py
+++ b/tests/decision/test_order.py
@@ -50,6 +50,28 @@
     assert bench.started(50) == ["tap/0/0"]
 
 
+def test_throttle_without_effect_is_followed_by_a_checkpoint(
+    bench: Bench,
+) -> None:
+    bench.add_workers(1)
+    bench.submit(task("bulk", cores=4)._replace(resources=Resources(4_000, 1)))
+    bench.decide()
+    bench.submit(task("tap", work_class=WorkClass.URGENT))
+    actions = [
+        item.action for _ in range(100) for item in bench.decide(50).evictions
+    ]
+    assert actions == [EvictionAction.THROTTLE, EvictionAction.CHECKPOINT]
+
+
+def test_task_bound_to_a_rack_runs_only_there(bench: Bench) -> None:
+    bench.add_workers(4)
+    bench.submit(
+        *(task("j", n, cores=4)._replace(unit="rack1") for n in range(3))
+    )
+    bench.decide()
+    assert set(bench.worker_by_task.values()) == {"w1", "w3"}
+
+
 def test_services_spread_over_racks(bench: Bench) -> None:
     bench.add_workers(4)
     bench.submit(
