--- a/src/magnoliapitch/api/explanation.py
+++ b/src/magnoliapitch/api/explanation.py
@@ -50,8 +50,12 @@
         if owner.is_done:
             return json_response({"job_id": job_id, "waits": False})
         if owner.url:
-            location = ("Location", owner.url + request.path)
-            return HttpResponse(TEMPORARY_REDIRECT, headers=(location,))
+            url = owner.url + request.path
+            return json_response(
+                {"job_id": job_id, "owner_url": url},
+                TEMPORARY_REDIRECT,
+                (("Location", url),),
+            )
         explanation = core.jobs.explain(job_id)
         if explanation is None:
             return json_response({"job_id": job_id, "waits": False})
--- a/src/magnoliapitch/decision/placement.py
+++ b/src/magnoliapitch/decision/placement.py
@@ -20,8 +20,10 @@
 
 
 MAX_PROBES = 32
+MAX_FALLBACK_PROBES = 8
 MAX_CANDIDATES = 8
 COMPANION_SHARE = 8
+HEADROOM_STRIDE = 4
 SPREAD_PENALTY = 1_000_000
 ACCELERATOR_PENALTY = 100_000
 
@@ -60,6 +62,7 @@
         self.keeps_accelerators = False
         self.version = 0
         self._headroom = headroom
+        self._added = 0
         self._largest = NO_RESOURCES
         self._plain = FreeIndex()
         self._accelerated = FreeIndex()
@@ -67,7 +70,7 @@
 
     def add(self, shape: WorkerShape) -> WorkerState:
         """Add a worker."""
-        worker = WorkerState(shape, self._headroom)
+        worker = WorkerState(shape, self._headroom_of_next())
         self.workers_by_id[shape.worker_id] = worker
         self._workers_by_unit.setdefault(shape.unit, []).append(worker)
         self._index_of(worker).insert(worker)
@@ -180,7 +183,8 @@
             return UNLIMITED
         if not is_bulk:
             return self._largest
-        cpu_millis = int(self._largest.cpu_millis * (1 - self._headroom))
+        rest = 1 - min(1.0, self._headroom * HEADROOM_STRIDE)
+        cpu_millis = int(self._largest.cpu_millis * rest)
         return self._largest._replace(cpu_millis=cpu_millis)
 
     def may_fit(self, size: Resources) -> bool:
@@ -202,6 +206,17 @@
         found.extend(islice(self._accelerated.emptiest_first(), rest))
         return found
 
+    def _headroom_of_next(self) -> float:
+        """Return the headroom of a new worker.
+
+        Every fourth worker keeps it for four, so that it holds a whole
+        urgent task rather than parts of one everywhere.
+        """
+        self._added += 1
+        if self._added % HEADROOM_STRIDE != 1:
+            return 0.0
+        return min(1.0, self._headroom * HEADROOM_STRIDE)
+
     def _keeps_companion(self, worker: WorkerState, need: Need) -> bool:
         return bool(
             self.keeps_accelerators
@@ -221,12 +236,13 @@
         if index.count <= MAX_PROBES:
             ordered = index.fullest_first(cpu_millis)
             return self._best(ordered, need, now_ms)
-        if need.is_bulk:
-            cpu_millis += int(self._largest.cpu_millis * self._headroom)
+        probes = self.probes
         found = self._best(index.fullest_first(cpu_millis), need, now_ms)
-        if found is not None:
+        was_cut_short = self.probes - probes >= MAX_PROBES
+        if found is not None or not was_cut_short:
             return found
-        return self._best(index.emptiest_first(), need, now_ms)
+        emptiest = islice(index.emptiest_first(), MAX_FALLBACK_PROBES)
+        return self._best(emptiest, need, now_ms)
 
     def _best(
         self, workers: Iterable[WorkerState], need: Need, now_ms: int
