Keep membership with two-way heartbeats, relays and presence

Cause: heartbeats went one after another to every instance of the whole system, a dead one delayed the others by its timeout, a one-way cut was not seen, nothing showed a restarted instance to its paused predecessor, and an entry without the log could neither follow nor start.

Change: all heartbeats of a round run at once in the RPC loop; full mesh in a zone, three links to other zones (a ring and two by hash); of a pair one side calls. A contact notes when it was heard and when it heard us, so that a one-way cut makes both sides suspect. Heartbeats carry the highest offset heard of and the zones' lowest applied offsets: Membership.applied_everywhere() names the offset in force on every live instance, the slowest, and who is silent. PeerRelay follows the log through peers and lets a restarted entry serve only from the highest offset that any reachable peer has heard of. PeerStatus moved to membership/status.py (one import of the router).

--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -19,6 +19,8 @@
 from magnoliapitch.journal.snapshot_writer import SnapshotWriter
 from magnoliapitch.membership.identity import Identity
 from magnoliapitch.membership.membership import Membership
+from magnoliapitch.membership.presence import PresenceKeeper
+from magnoliapitch.membership.relay import PeerRelay
 from magnoliapitch.metric import Metrics
 from magnoliapitch.ownership.claimer import Claimer
 from magnoliapitch.peer.message import Beat
@@ -90,7 +92,17 @@
             settings.platform.log_appends_per_s,
         )
         self.snapshots = SnapshotWriter(self.journal)
-        self.membership = Membership(self.identity, self.journal, self.clock)
+        self.membership = Membership(
+            self.identity,
+            self.journal,
+            self.clock,
+            self.fleet,
+            settings.peer_addresses,
+        )
+        self.presence = PresenceKeeper(
+            self.membership, self.journal, self.fleet, self.clock
+        )
+        self.journal.follower.source = PeerRelay(self.membership, link)
         self.claimer = Claimer(self.identity, self.journal, self.fleet)
         self.router = Router(
             self.journal,
@@ -132,6 +144,7 @@
                 lambda: self.journal.append_step(wait_ms),
                 "platform",
             ),
+            NamedStep("presence", self.presence.step),
             NamedStep("snapshots", self.snapshots.step, "platform"),
             NamedStep("fleet", self.fleet.refresh_step, "platform"),
             NamedStep("heartbeat", self._heartbeat_step),
--- a/src/magnoliapitch/event/known.py
+++ b/src/magnoliapitch/event/known.py
@@ -102,3 +102,13 @@
     EventLevel.ERROR,
     "Records have left the log and no snapshot and no peer replaces them.",
 )
+define_event(
+    "member-removed",
+    EventLevel.WARNING,
+    "An instance that is surely gone was removed from the members.",
+)
+define_event(
+    "superseded",
+    EventLevel.ERROR,
+    "The log names this incarnation as gone; it must be restarted.",
+)
--- a/src/magnoliapitch/membership/membership.py
+++ b/src/magnoliapitch/membership/membership.py
@@ -1,18 +1,25 @@
-"""Heartbeats between entry instances."""
+"""Heartbeats between entry instances and what they show."""
 
 from __future__ import annotations
 
 import threading
 
 from typing import TYPE_CHECKING
-from typing import NamedTuple
-
-from result import Ok
 
 from magnoliapitch.journal.record import EntryJoin
+from magnoliapitch.membership.progress import AppliedEverywhere
+from magnoliapitch.membership.progress import applied_everywhere
+from magnoliapitch.membership.progress import own_zone_info
 from magnoliapitch.membership.state import MemberState
+from magnoliapitch.membership.status import PeerStatus
+from magnoliapitch.membership.table import AGE_MAX_MS
+from magnoliapitch.membership.table import HEARTBEAT_INTERVAL_MS
+from magnoliapitch.membership.table import MemberTable
+from magnoliapitch.membership.topology import linked_members
 from magnoliapitch.peer.message import Beat
 from magnoliapitch.peer.message import UnitLoad
+from magnoliapitch.peer.message import ZoneInfo
+from magnoliapitch.platform.instance import InstanceRole
 
 
 if TYPE_CHECKING:
@@ -20,115 +27,225 @@
     from magnoliapitch.journal.journal import Journal
     from magnoliapitch.membership.identity import Identity
     from magnoliapitch.peer.link import PeerLink
+    from magnoliapitch.platform.fleet import Fleet
 
 
-HEARTBEAT_INTERVAL_MS = 500
-SUSPECT_AFTER_MS = 2_000
 CALL_TIMEOUT_MS = 500
+NEAR_STATES = (MemberState.LIVE, MemberState.LEAVING)
 
 
-class PeerStatus(NamedTuple):
-    """What is known of another entry instance.
-
-    :param next_offset: next log offset that it will apply.
-    :param heard_ms: local time of its last heartbeat, -1 for never.
-    """
-
-    join: EntryJoin
-    state: MemberState
-    next_offset: int
-    heard_ms: int
-    loads: tuple[UnitLoad, ...] = ()
+class Membership:
+    """Exchanges heartbeats with the zone and a few peers elsewhere.
 
+    The journal's lock is never taken inside the own one.
 
-class Membership:
-    """Exchanges heartbeats with the members that the log names."""
+    :ivar loads: free capacity of the own units, sent with heartbeats.
+    :ivar leaving: whether this instance is going to stop.
+    :ivar rounds: rounds of heartbeats since the first peer answered.
+    """
 
     def __init__(
-        self, identity: Identity, journal: Journal, clock: Clock
+        self,
+        identity: Identity,
+        journal: Journal,
+        clock: Clock,
+        fleet: Fleet | None = None,
+        seed_addresses: tuple[str, ...] = (),
     ) -> None:
         self.identity = identity
         self.loads: tuple[UnitLoad, ...] = ()
         self.leaving = False
+        self.rounds = 0
+        self._own = EntryJoin(*identity)
         self._journal = journal
         self._clock = clock
-        self._beats_by_incarnation: dict[str, tuple[int, Beat]] = {}
+        self._fleet = fleet
+        self._seed_addresses = seed_addresses
+        self._table = MemberTable(identity, fleet)
         self._lock = threading.Lock()
 
-    def beat(self) -> Beat:
-        """Return the own heartbeat."""
-        with self._journal.reading() as state:
-            next_offset = state.next_offset
-        read_ms = self._journal.last_read_ms
-        age_ms = (
-            2**32 - 1 if read_ms is None else self._clock.now_ms() - read_ms
-        )
-        return Beat(
-            self.identity.instance_id,
-            self.identity.incarnation,
-            self.identity.zone,
-            next_offset,
-            age_ms,
-            self.leaving,
-            self.loads,
-        )
+    def beat(self, addressee: str = "", *, whole_zone: bool = False) -> Beat:
+        """Return the own heartbeat.
 
-    def receive(self, beat: Beat) -> Beat:
-        """Take in a peer's heartbeat and return the own one."""
+        :param addressee: incarnation that it is for; it learns when this
+            instance heard it last.
+        :param whole_zone: whether to name every member of the own zone.
+        """
+        next_offset = self._journal.next_offset
+        own_zone = self._zone_info(next_offset, self.peers())
+        now_ms = self._clock.now_ms()
         with self._lock:
-            self._beats_by_incarnation[beat.incarnation] = (
-                self._clock.now_ms(),
-                beat,
+            table = self._table
+            table.seen_offset = max(table.seen_offset, next_offset)
+            return Beat(
+                self.identity.instance_id,
+                self.identity.incarnation,
+                self.identity.zone,
+                next_offset,
+                self._log_age_ms(),
+                self.leaving,
+                self.loads,
+                table.gossip(addressee, now_ms, whole_zone=whole_zone),
+                self.identity.peer_address,
+                table.seen_offset,
+                self._journal.is_complete,
+                (own_zone, *table.reports_in_turn(now_ms)),
             )
-        return self.beat()
+
+    def receive(self, beat: Beat) -> Beat:
+        """Take in a peer's heartbeat and return the own one."""
+        self._take(beat)
+        return self.beat(beat.incarnation, whole_zone=not beat.complete)
 
     def heartbeat_step(self, link: PeerLink) -> int:
-        """Send a heartbeat to every peer; return the wait until the next."""
-        for status in self.peers():
-            outcome = link.heartbeat(
-                status.join.peer_address, self.beat(), CALL_TIMEOUT_MS
-            )
-            if isinstance(outcome, Ok):
-                self.receive(outcome.ok_value)
-        return HEARTBEAT_INTERVAL_MS
+        """Exchange heartbeats with all that are due, at the same time.
+
+        :return: milliseconds until the next round.
+        """
+        started_ms = self._clock.now_ms()
+
+        def take(address: str, answer: Beat) -> None:  # noqa: ARG001
+            self._take(answer, reached_ms=started_ms)
+
+        link.heartbeat_all(self._due(started_ms), CALL_TIMEOUT_MS, take)
+        with self._lock:
+            self.rounds += self._table.has_contact
+        elapsed_ms = self._clock.now_ms() - started_ms
+        return max(HEARTBEAT_INTERVAL_MS - elapsed_ms, 1)
 
     def peers(self) -> tuple[PeerStatus, ...]:
-        """Return every other member that has not left."""
-        with self._journal.reading() as state:
-            joins = [
-                member.join
-                for member in state.members_by_incarnation.values()
-                if not member.left
-            ]
-        own = self.identity.incarnation
+        """Return every other member that is not gone."""
+        joins = self._joins()
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            return tuple(self._table.status(join, now_ms) for join in joins)
+
+    def live_in_zone(self, zone: str = "") -> tuple[PeerStatus, ...]:
+        """Return the live peers of a zone, by default the own one."""
+        wanted = zone or self.identity.zone
         return tuple(
-            self._status(join) for join in joins if join.incarnation != own
+            peer
+            for peer in self.peers()
+            if peer.join.zone == wanted and peer.state is MemberState.LIVE
         )
 
+    def state_of(self, incarnation: str) -> MemberState:
+        """Return the state of any incarnation, also the own one."""
+        if incarnation == self.identity.incarnation:
+            return MemberState.LEAVING if self.leaving else MemberState.LIVE
+        for peer in self.peers():
+            if peer.join.incarnation == incarnation:
+                return peer.state
+        return MemberState.GONE
+
+    def is_superseded(self) -> bool:
+        """Return whether the log names this incarnation as gone."""
+        with self._journal.reading() as state:
+            own = state.members_by_incarnation.get(self.identity.incarnation)
+            return own is not None and own.left
+
+    def applied_everywhere(self) -> AppliedEverywhere:
+        """Return up to which offset the log is in force everywhere."""
+        peers = self.peers()
+        own = self._zone_info(self._journal.next_offset, peers)
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            reports = {item.zone: item for item in self._table.reports(now_ms)}
+        silent = [
+            peer.join.instance_id
+            for peer in peers
+            if peer.join.zone == own.zone and peer.state not in NEAR_STATES
+        ]
+        zones = {peer.join.zone for peer in peers}
+        return applied_everywhere(own, reports, silent, zones)
+
+    def reachable(self) -> tuple[tuple[PeerStatus, Beat], ...]:
+        """Return the peers that hear and are heard, with their beats."""
+        found = []
+        for peer in self.peers():
+            with self._lock:
+                beat = self._table.contact(peer.join.incarnation).beat
+            if beat is not None and peer.state in NEAR_STATES:
+                found.append((peer, beat))
+        return tuple(found)
+
     def dump(self) -> dict[str, object]:
         """Return the membership's part of the state dump."""
         return {
             "identity": self.identity._asdict(),
+            "is_superseded": self.is_superseded(),
+            "applied_everywhere": self.applied_everywhere()._asdict(),
             "peers": [
                 {
-                    "instance_id": status.join.instance_id,
-                    "state": status.state.value,
-                    "next_offset": status.next_offset,
+                    "instance_id": peer.join.instance_id,
+                    "incarnation": peer.join.incarnation,
+                    "zone": peer.join.zone,
+                    "state": peer.state.value,
+                    "is_one_way": peer.is_one_way,
+                    "next_offset": peer.next_offset,
                 }
-                for status in self.peers()
+                for peer in self.peers()
             ],
         }
 
-    def _status(self, join: EntryJoin) -> PeerStatus:
+    def _take(self, beat: Beat, reached_ms: int | None = None) -> None:
+        with self._lock:
+            self._table.take(beat, self._clock.now_ms(), reached_ms)
+
+    def _joins(self) -> list[EntryJoin]:
+        """Return the other members, from the log and from heartbeats."""
+        with self._journal.reading() as state:
+            members = dict(state.members_by_incarnation)
+        left = {name for name, member in members.items() if member.left}
         with self._lock:
-            heard = self._beats_by_incarnation.get(join.incarnation)
-        if heard is None:
-            return PeerStatus(join, MemberState.JOINING, 0, -1)
-        heard_ms, beat = heard
-        silent_ms = self._clock.now_ms() - heard_ms
-        state = MemberState.LIVE
-        if beat.leaving:
-            state = MemberState.LEAVING
-        elif silent_ms > SUSPECT_AFTER_MS:
-            state = MemberState.SUSPECT
-        return PeerStatus(join, state, beat.next_offset, heard_ms, beat.loads)
+            heard = self._table.joins(left, self._clock.now_ms())
+        joins = {join.incarnation: join for join in heard}
+        joins |= {
+            name: member.join
+            for name, member in members.items()
+            if not member.left
+        }
+        joins.pop(self.identity.incarnation, None)
+        return list(joins.values())
+
+    def _due(self, now_ms: int) -> dict[str, Beat]:
+        """Return the heartbeats of this round by address."""
+        joins = self._joins()
+        due: dict[str, str] = {}
+        with self._lock:
+            failing = self._table.failing(now_ms)
+            for join in linked_members(self._own, joins, failing):
+                if self._table.is_due(join, now_ms):
+                    self._table.contact(join.incarnation).called_ms = now_ms
+                    due[join.peer_address] = join.incarnation
+        known = {join.peer_address for join in joins}
+        for address in self._listed_addresses():
+            if address not in known:
+                due.setdefault(address, "")
+        due.pop(self.identity.peer_address, None)
+        due.pop("", None)
+        return {
+            address: self.beat(incarnation)
+            for address, incarnation in due.items()
+        }
+
+    def _listed_addresses(self) -> tuple[str, ...]:
+        if self._fleet is None:
+            return self._seed_addresses
+        listed = self._fleet.of_role(InstanceRole.ENTRY, self.identity.zone)
+        return (*self._seed_addresses, *(item.url for item in listed))
+
+    def _zone_info(
+        self, next_offset: int, peers: tuple[PeerStatus, ...]
+    ) -> ZoneInfo:
+        zone = self.identity.zone
+        near = [peer for peer in peers if peer.join.zone == zone]
+        return own_zone_info(
+            zone, self.identity.instance_id, next_offset, near
+        )
+
+    def _log_age_ms(self) -> int:
+        read_ms = self._journal.last_read_ms
+        if read_ms is None:
+            return AGE_MAX_MS
+        return min(self._clock.now_ms() - read_ms, AGE_MAX_MS)
--- /dev/null
+++ b/src/magnoliapitch/membership/relay.py
@@ -0,0 +1,89 @@
+"""Follows the log through peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from result import Err
+from result import Result
+
+from magnoliapitch.verdict import Failure
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import not_run
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliapitch.membership.membership import Membership
+    from magnoliapitch.membership.status import PeerStatus
+    from magnoliapitch.peer.link import PeerLink
+    from magnoliapitch.peer.message import LogPage
+    from magnoliapitch.peer.message import StateSnapshot
+
+
+AnswerT = TypeVar("AnswerT")
+
+CALL_TIMEOUT_MS = 1_000
+SNAPSHOT_TIMEOUT_MS = 10_000
+PEERS_TRIED = 3
+ROUNDS_BEFORE_SERVING = 2
+
+
+class PeerRelay:
+    """Asks the peers that heartbeats show to be ahead, the best first."""
+
+    def __init__(self, membership: Membership, link: PeerLink) -> None:
+        self._membership = membership
+        self._link = link
+
+    def read_log(
+        self, from_offset: int, limit: int
+    ) -> Result[LogPage, Failure]:
+        """Return records from a peer that is ahead of an offset."""
+        return self._ask(
+            from_offset + 1,
+            lambda peer: self._link.read_log(
+                peer.join.peer_address, from_offset, limit, CALL_TIMEOUT_MS
+            ),
+        )
+
+    def snapshot(self, min_offset: int) -> Result[StateSnapshot, Failure]:
+        """Return a state of at least an offset."""
+        return self._ask(
+            min_offset,
+            lambda peer: self._link.snapshot(
+                peer.join.peer_address, SNAPSHOT_TIMEOUT_MS
+            ),
+        )
+
+    def floor(self) -> int | None:
+        """Return the highest offset that any reachable peer has heard of.
+
+        Peers are asked for some rounds first, since the first that answers
+        may name others that are ahead of it.
+        """
+        if self._membership.rounds < ROUNDS_BEFORE_SERVING:
+            return None
+        beats = [beat for _, beat in self._membership.reachable()]
+        if not any(beat.complete for beat in beats):
+            return None
+        return max(max(beat.seen_offset, beat.next_offset) for beat in beats)
+
+    def _ask(
+        self,
+        min_offset: int,
+        call: Callable[[PeerStatus], Result[AnswerT, Failure]],
+    ) -> Result[AnswerT, Failure]:
+        ahead = [
+            peer
+            for peer, beat in self._membership.reachable()
+            if beat.complete and peer.next_offset >= min_offset
+        ]
+        ahead.sort(key=lambda peer: peer.next_offset, reverse=True)
+        for peer in ahead[:PEERS_TRIED]:
+            answer = call(peer)
+            if not isinstance(answer, Err):
+                return answer
+        return Err(not_run(FailureCode.UNAVAILABLE, "no peer is ahead"))
--- /dev/null
+++ b/src/magnoliapitch/membership/table.py
@@ -0,0 +1,238 @@
+"""Everything that heartbeats have told of other instances."""
+
+from __future__ import annotations
+
+import itertools
+
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from magnoliapitch.journal.record import EntryJoin
+from magnoliapitch.membership.contact import Contact
+from magnoliapitch.membership.state import MemberState
+from magnoliapitch.membership.status import PeerStatus
+from magnoliapitch.peer.message import MemberInfo
+from magnoliapitch.peer.message import ZoneInfo
+from magnoliapitch.platform.instance import InstanceState
+
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from magnoliapitch.membership.identity import Identity
+    from magnoliapitch.peer.message import Beat
+    from magnoliapitch.platform.fleet import Fleet
+
+
+ItemT = TypeVar("ItemT")
+
+HEARTBEAT_INTERVAL_MS = 1_000
+REMOTE_INTERVAL_MS = 2_000
+SUSPECT_AFTER_MS = 2_500
+REMOTE_SUSPECT_AFTER_MS = 6_000
+RELAYED_SUSPECT_AFTER_MS = 15_000
+FORGET_AFTER_MS = 60_000
+GOSSIP_MEMBERS = 3
+GOSSIP_ZONES = 8
+AGE_MAX_MS = 2**32 - 1
+
+
+class MemberTable:
+    """Contacts and zone reports; its user holds a lock around each call.
+
+    :ivar seen_offset: highest next offset that anyone has heard of.
+    """
+
+    def __init__(self, identity: Identity, fleet: Fleet | None) -> None:
+        self.seen_offset = 0
+        self._identity = identity
+        self._fleet = fleet
+        self._contacts_by_incarnation: dict[str, Contact] = {}
+        self._joins_by_incarnation: dict[str, EntryJoin] = {}
+        self._reports_by_zone: dict[str, tuple[int, ZoneInfo]] = {}
+        self._turn = itertools.count()
+
+    @property
+    def has_contact(self) -> bool:
+        """Whether any peer was ever heard."""
+        return any(
+            contact.beat is not None
+            for contact in self._contacts_by_incarnation.values()
+        )
+
+    def contact(self, incarnation: str) -> Contact:
+        """Return what is known of an incarnation."""
+        return self._contacts_by_incarnation.setdefault(incarnation, Contact())
+
+    def take(self, beat: Beat, now_ms: int, reached_ms: int | None) -> None:
+        """Take in a heartbeat.
+
+        :param reached_ms: when the sender heard this instance, if the
+            heartbeat answers one.
+        """
+        if beat.incarnation == self._identity.incarnation:
+            return
+        contact = self.contact(beat.incarnation)
+        contact.hear(beat, now_ms, self._identity.incarnation)
+        if reached_ms is not None:
+            contact.reached_ms = max(contact.reached_ms, reached_ms)
+        self._joins_by_incarnation[beat.incarnation] = EntryJoin(
+            beat.instance_id, beat.incarnation, beat.zone, beat.peer_address
+        )
+        self.seen_offset = max(
+            self.seen_offset, beat.next_offset, beat.seen_offset
+        )
+        for member in beat.members:
+            self._take_member(member, now_ms)
+        for report in beat.zones:
+            self._take_report(report, now_ms)
+
+    def joins(self, left: Collection[str], now_ms: int) -> list[EntryJoin]:
+        """Return who was heard of and has not left.
+
+        :param left: incarnations that the log names as gone.
+        """
+        for name in tuple(self._joins_by_incarnation):
+            silent_ms = now_ms - self.contact(name).newest_ms
+            if name in left or silent_ms > FORGET_AFTER_MS:
+                del self._joins_by_incarnation[name]
+        for name in left:
+            self._contacts_by_incarnation.pop(name, None)
+        return list(self._joins_by_incarnation.values())
+
+    def status(self, join: EntryJoin, now_ms: int) -> PeerStatus:
+        """Return what other parts see of a member."""
+        contact = self.contact(join.incarnation)
+        beat = contact.beat
+        return PeerStatus(
+            join,
+            self._state(join, contact, now_ms),
+            contact.next_offset,
+            contact.heard_ms if beat else -1,
+            beat.loads if beat else (),
+            self._is_one_way(join, contact, now_ms),
+        )
+
+    def is_due(self, join: EntryJoin, now_ms: int) -> bool:
+        """Return whether to call; one exchange serves both sides."""
+        contact = self.contact(join.incarnation)
+        interval_ms = HEARTBEAT_INTERVAL_MS
+        if join.zone != self._identity.zone:
+            interval_ms = REMOTE_INTERVAL_MS
+        newest_ms = max(contact.called_ms, contact.two_way_ms)
+        return now_ms - newest_ms >= interval_ms * 3 // 4
+
+    def failing(self, now_ms: int) -> set[str]:
+        """Return the incarnations that were called and did not answer."""
+        return {
+            name
+            for name, contact in self._contacts_by_incarnation.items()
+            if contact.was_called
+            and now_ms - contact.two_way_ms > REMOTE_SUSPECT_AFTER_MS
+        }
+
+    def gossip(
+        self, addressee: str, now_ms: int, *, whole_zone: bool
+    ) -> tuple[MemberInfo, ...]:
+        """Return news of the addressee and of some others in turn."""
+        names = list(self._joins_by_incarnation)
+        chosen = [
+            name
+            for name in names
+            if self._joins_by_incarnation[name].zone == self._identity.zone
+        ]
+        if not whole_zone:
+            chosen = _in_turn(names, GOSSIP_MEMBERS, next(self._turn))
+        if addressee in self._joins_by_incarnation:
+            chosen = [addressee, *(n for n in chosen if n != addressee)]
+        return tuple(self._member_info(name, now_ms) for name in chosen)
+
+    def reports(self, now_ms: int) -> list[ZoneInfo]:
+        """Return the newest report of each other zone with its age."""
+        return [
+            report._replace(age_ms=min(now_ms - reported_ms, AGE_MAX_MS))
+            for reported_ms, report in self._reports_by_zone.values()
+        ]
+
+    def reports_in_turn(self, now_ms: int) -> list[ZoneInfo]:
+        """Return some reports of other zones, others with each turn."""
+        return _in_turn(self.reports(now_ms), GOSSIP_ZONES, next(self._turn))
+
+    def _take_member(self, member: MemberInfo, now_ms: int) -> None:
+        if member.incarnation == self._identity.incarnation:
+            return
+        self.contact(member.incarnation).relay(member, now_ms)
+        self._joins_by_incarnation.setdefault(
+            member.incarnation,
+            EntryJoin(
+                member.instance_id,
+                member.incarnation,
+                member.zone,
+                member.peer_address,
+            ),
+        )
+
+    def _take_report(self, report: ZoneInfo, now_ms: int) -> None:
+        if report.zone == self._identity.zone:
+            return
+        reported_ms = now_ms - report.age_ms
+        known = self._reports_by_zone.get(report.zone)
+        if known is None or known[0] < reported_ms:
+            self._reports_by_zone[report.zone] = (reported_ms, report)
+
+    def _state(
+        self, join: EntryJoin, contact: Contact, now_ms: int
+    ) -> MemberState:
+        if not contact.is_known:
+            return MemberState.JOINING
+        if not self._is_near(join, contact, now_ms):
+            return MemberState.SUSPECT
+        if contact.beat is not None and contact.beat.leaving:
+            return MemberState.LEAVING
+        listed = self._fleet.get(join.instance_id) if self._fleet else None
+        if listed is not None and listed.state is InstanceState.LEAVING:
+            return MemberState.LEAVING
+        return MemberState.LIVE
+
+    def _is_near(self, join: EntryJoin, contact: Contact, now_ms: int) -> bool:
+        if now_ms - contact.two_way_ms <= self._bound_ms(join):
+            return True
+        if join.zone == self._identity.zone:
+            return False
+        if contact.was_called and self._is_one_way(join, contact, now_ms):
+            return False
+        return now_ms - contact.relayed_ms <= RELAYED_SUSPECT_AFTER_MS
+
+    def _is_one_way(
+        self, join: EntryJoin, contact: Contact, now_ms: int
+    ) -> bool:
+        bound_ms = self._bound_ms(join)
+        is_heard = now_ms - contact.heard_ms <= bound_ms
+        return is_heard and now_ms - contact.reached_ms > bound_ms
+
+    def _bound_ms(self, join: EntryJoin) -> int:
+        if join.zone == self._identity.zone:
+            return SUSPECT_AFTER_MS
+        return REMOTE_SUSPECT_AFTER_MS
+
+    def _member_info(self, name: str, now_ms: int) -> MemberInfo:
+        join = self._joins_by_incarnation[name]
+        contact = self.contact(name)
+        is_direct = now_ms - contact.heard_ms <= RELAYED_SUSPECT_AFTER_MS
+        newest_ms = contact.heard_ms if is_direct else contact.newest_ms
+        return MemberInfo(
+            join.instance_id,
+            join.incarnation,
+            join.zone,
+            join.peer_address,
+            contact.next_offset,
+            min(now_ms - newest_ms, AGE_MAX_MS),
+            is_direct,
+        )
+
+
+def _in_turn(items: list[ItemT], count: int, turn: int) -> list[ItemT]:
+    if len(items) <= count:
+        return items
+    start = turn * count % len(items)
+    return (items + items)[start : start + count]
--- a/src/magnoliapitch/peer/codec.py
+++ b/src/magnoliapitch/peer/codec.py
@@ -17,6 +17,7 @@
 from magnoliapitch.peer.message import LogPage
 from magnoliapitch.peer.message import MemberInfo
 from magnoliapitch.peer.message import UnitLoad
+from magnoliapitch.peer.message import ZoneInfo
 from magnoliapitch.platform.log import LogRecord
 from magnoliapitch.resource import Resources
 from magnoliapitch.verdict import Failure
@@ -40,6 +41,10 @@
         "leaving": beat.leaving,
         "loads": [_load_to_dict(load) for load in beat.loads],
         "members": [_member_to_dict(member) for member in beat.members],
+        "peerAddress": beat.peer_address,
+        "seenOffset": beat.seen_offset,
+        "complete": beat.complete,
+        "zones": [_zone_to_dict(zone) for zone in beat.zones],
     }
 
 
@@ -54,6 +59,10 @@
         reader.leaving,
         tuple(_load_from(load) for load in reader.loads),
         tuple(_member_from(member) for member in reader.members),
+        reader.peerAddress,
+        reader.seenOffset,
+        reader.complete,
+        tuple(_zone_from(zone) for zone in reader.zones),
     )
 
 
@@ -180,6 +189,7 @@
         "peerAddress": member.peer_address,
         "nextOffset": member.next_offset,
         "ageMs": member.age_ms,
+        "direct": member.direct,
     }
 
 
@@ -191,4 +201,27 @@
         reader.peerAddress,
         reader.nextOffset,
         reader.ageMs,
+        reader.direct,
+    )
+
+
+def _zone_to_dict(zone: ZoneInfo) -> dict[str, Any]:
+    return {
+        "zone": zone.zone,
+        "minOffset": zone.min_offset,
+        "slowest": zone.slowest,
+        "live": zone.live,
+        "silent": zone.silent,
+        "ageMs": zone.age_ms,
+    }
+
+
+def _zone_from(reader: Any) -> ZoneInfo:
+    return ZoneInfo(
+        reader.zone,
+        reader.minOffset,
+        reader.slowest,
+        reader.live,
+        reader.silent,
+        reader.ageMs,
     )
--- a/src/magnoliapitch/peer/link.py
+++ b/src/magnoliapitch/peer/link.py
@@ -7,6 +7,9 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
     from result import Result
 
     from magnoliapitch.peer.message import Beat
@@ -25,6 +28,18 @@
     ) -> Result[Beat, Failure]:
         """Exchange heartbeats with a peer."""
 
+    def heartbeat_all(
+        self,
+        beats_by_address: Mapping[str, Beat],
+        timeout_ms: int,
+        on_answer: Callable[[str, Beat], None],
+    ) -> None:
+        """Exchange heartbeats with many peers at once.
+
+        :param on_answer: is called with the address and the answer of each
+            peer as soon as it arrives.
+        """
+
     def forward(
         self, address: str, request: ForwardedRequest, timeout_ms: int
     ) -> Result[ForwardedAnswer, Failure]:
--- a/src/magnoliapitch/peer/message.py
+++ b/src/magnoliapitch/peer/message.py
@@ -22,6 +22,7 @@
     """What the sender knows of another instance.
 
     :param age_ms: time since the sender last heard of it.
+    :param direct: whether the sender heard it itself.
     """
 
     instance_id: str
@@ -30,6 +31,25 @@
     peer_address: str
     next_offset: int
     age_ms: int
+    direct: bool = False
+
+
+class ZoneInfo(NamedTuple):
+    """How far an availability zone has applied the log.
+
+    :param min_offset: lowest next offset of its live instances.
+    :param slowest: instance with that offset.
+    :param live: number of live instances.
+    :param silent: number of instances that are neither live nor gone.
+    :param age_ms: time since a member of the zone reported it.
+    """
+
+    zone: str
+    min_offset: int
+    slowest: str
+    live: int
+    silent: int
+    age_ms: int
 
 
 class Beat(NamedTuple):
@@ -37,6 +57,10 @@
 
     :param next_offset: offset of the next log record to apply.
     :param log_age_ms: age of the last successful log read.
+    :param members: others that the sender knows, the addressee first.
+    :param peer_address: ``IP:PORT`` of the sender's peer listener.
+    :param seen_offset: highest next offset that the sender has heard of.
+    :param complete: whether the sender's state may be served.
     """
 
     instance_id: str
@@ -47,6 +71,10 @@
     leaving: bool = False
     loads: tuple[UnitLoad, ...] = ()
     members: tuple[MemberInfo, ...] = ()
+    peer_address: str = ""
+    seen_offset: int = 0
+    complete: bool = False
+    zones: tuple[ZoneInfo, ...] = ()
 
 
 class ForwardedRequest(NamedTuple):
--- a/src/magnoliapitch/peer/node.py
+++ b/src/magnoliapitch/peer/node.py
@@ -8,6 +8,7 @@
 from concurrent.futures import Future
 from concurrent.futures import ThreadPoolExecutor
 from concurrent.futures import TimeoutError as FutureTimeoutError
+from contextlib import suppress
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
@@ -34,6 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from magnoliapitch.peer.link import PeerHandler
 
@@ -87,6 +89,14 @@
         _context.results.state = snapshot.state
 
 
+def _heartbeat_call(beat: Beat) -> Callable[[Any], Awaitable[Beat]]:
+    async def call(peer: Any) -> Beat:
+        answer = await peer.heartbeat(beat=codec.beat_to_dict(beat))
+        return codec.beat_from(answer.beat)
+
+    return call
+
+
 class PeerNode:
     """Serves peers and calls them.
 
@@ -141,12 +151,33 @@
         self, address: str, beat: Beat, timeout_ms: int
     ) -> Result[Beat, Failure]:
         """Exchange heartbeats with a peer."""
+        return self._call(address, _heartbeat_call(beat), timeout_ms)
+
+    def heartbeat_all(
+        self,
+        beats_by_address: Mapping[str, Beat],
+        timeout_ms: int,
+        on_answer: Callable[[str, Beat], None],
+    ) -> None:
+        """Exchange heartbeats with many peers at once."""
+        if self._loop is None or not self.is_alive():
+            return
+
+        async def exchange(address: str, beat: Beat) -> None:
+            outcome = await self._call_in_loop(
+                address, _heartbeat_call(beat), timeout_ms
+            )
+            if isinstance(outcome, Ok):
+                on_answer(address, outcome.ok_value)
 
-        async def call(peer: Any) -> Beat:
-            answer = await peer.heartbeat(beat=codec.beat_to_dict(beat))
-            return codec.beat_from(answer.beat)
+        async def exchange_all() -> None:
+            await asyncio.gather(
+                *(exchange(*item) for item in beats_by_address.items())
+            )
 
-        return self._call(address, call, timeout_ms)
+        future = asyncio.run_coroutine_threadsafe(exchange_all(), self._loop)
+        with suppress(FutureTimeoutError):
+            future.result(2 * timeout_ms / 1000)
 
     def forward(
         self, address: str, request: ForwardedRequest, timeout_ms: int
@@ -212,7 +243,7 @@
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 peer = await self._connect(address)
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
             return Err(not_run(FailureCode.UNAVAILABLE, repr(error)))
         try:
             async with asyncio.timeout(timeout_ms / 1000):
@@ -220,6 +251,8 @@
         except (capnp.KjException, TimeoutError) as error:
             self._caps_by_address.pop(address, None)
             return Err(may_have_run(FailureCode.TIMEOUT, str(error)))
+        except ValueError as error:
+            return Err(may_have_run(FailureCode.BAD_ANSWER, str(error)))
 
     async def _connect(self, address: str) -> Any:
         peer = self._caps_by_address.get(address)
--- a/src/magnoliapitch/peer/peer.capnp
+++ b/src/magnoliapitch/peer/peer.capnp
@@ -12,6 +12,20 @@
   leaving @5 :Bool;
   loads @6 :List(UnitLoad);
   members @7 :List(MemberInfo);
+  peerAddress @8 :Text;       # IP:PORT of the sender's peer listener
+  seenOffset @9 :UInt64;      # highest offset the sender has heard of
+  complete @10 :Bool;         # whether the sender's state may be served
+  zones @11 :List(ZoneInfo);
+}
+
+struct ZoneInfo {
+  # How far the instances of an availability zone have applied the log.
+  zone @0 :Text;
+  minOffset @1 :UInt64;       # lowest offset of its live instances
+  slowest @2 :Text;           # instance with that offset
+  live @3 :UInt16;
+  silent @4 :UInt16;          # instances that are not known to be gone
+  ageMs @5 :UInt32;           # age of what the zone's member reported
 }
 
 struct UnitLoad {
@@ -32,6 +46,7 @@
   peerAddress @3 :Text;
   nextOffset @4 :UInt64;
   ageMs @5 :UInt32;
+  direct @6 :Bool;            # whether the sender heard it itself
 }
 
 struct Forward {
--- a/src/magnoliapitch/standin/peer.py
+++ b/src/magnoliapitch/standin/peer.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 from result import Err
 from result import Ok
 
 from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import may_have_run
 from magnoliapitch.verdict import not_run
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
     from result import Result
 
     from magnoliapitch.peer.link import PeerHandler
@@ -23,10 +28,14 @@
     from magnoliapitch.verdict import Failure
 
 
+ValueT = TypeVar("ValueT")
+
+
 class StandinNetwork:
     """Connects peer handlers by address.
 
-    :ivar cuts: pairs ``(from, to)`` of addresses that cannot talk.
+    :ivar cuts: pairs ``(from, to)`` of addresses; what the first sends to
+        the second is lost, also its answers.
     """
 
     def __init__(self) -> None:
@@ -60,7 +69,20 @@
     ) -> Result[Beat, Failure]:
         """Exchange heartbeats with a peer."""
         reached = self._network.reach(self._address, address)
-        return reached.map(lambda handler: handler.heartbeat(beat))
+        answer = reached.map(lambda handler: handler.heartbeat(beat))
+        return self._unless_lost(address, answer)
+
+    def heartbeat_all(
+        self,
+        beats_by_address: Mapping[str, Beat],
+        timeout_ms: int,
+        on_answer: Callable[[str, Beat], None],
+    ) -> None:
+        """Exchange heartbeats with many peers, one after another."""
+        for address, beat in beats_by_address.items():
+            answer = self.heartbeat(address, beat, timeout_ms)
+            if isinstance(answer, Ok):
+                on_answer(address, answer.ok_value)
 
     def forward(
         self,
@@ -70,7 +92,8 @@
     ) -> Result[ForwardedAnswer, Failure]:
         """Let a peer execute a request."""
         reached = self._network.reach(self._address, address)
-        return reached.and_then(lambda handler: handler.forward(request))
+        answer = reached.and_then(lambda handler: handler.forward(request))
+        return self._unless_lost(address, answer)
 
     def read_log(
         self,
@@ -81,7 +104,8 @@
     ) -> Result[LogPage, Failure]:
         """Fetch log records through a peer."""
         reached = self._network.reach(self._address, address)
-        return reached.map(lambda peer: peer.read_log(from_offset, limit))
+        page = reached.map(lambda peer: peer.read_log(from_offset, limit))
+        return self._unless_lost(address, page)
 
     def snapshot(
         self,
@@ -90,4 +114,15 @@
     ) -> Result[StateSnapshot, Failure]:
         """Fetch a peer's encoded fold."""
         reached = self._network.reach(self._address, address)
-        return reached.map(lambda peer: peer.snapshot())
+        return self._unless_lost(
+            address, reached.map(lambda peer: peer.snapshot())
+        )
+
+    def _unless_lost(
+        self, address: str, answer: Result[ValueT, Failure]
+    ) -> Result[ValueT, Failure]:
+        if isinstance(answer, Ok) and (
+            (address, self._address) in self._network.cuts
+        ):
+            return Err(may_have_run(FailureCode.TIMEOUT, "no answer"))
+        return answer
