--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -15,6 +15,7 @@
 from magnoliapitch.job.manager import JobManager
 from magnoliapitch.journal.journal import Journal
 from magnoliapitch.journal.record import EntryJoin
+from magnoliapitch.journal.record import EntryLeave
 from magnoliapitch.journal.record import JobSubmit
 from magnoliapitch.journal.snapshot_writer import SnapshotWriter
 from magnoliapitch.membership.identity import Identity
@@ -36,11 +37,14 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from result import Result
 
     from magnoliapitch.clock import Clock
     from magnoliapitch.entry.adapters import Adapters
     from magnoliapitch.job.spec import JobSpec
+    from magnoliapitch.membership.progress import AppliedEverywhere
     from magnoliapitch.peer.link import PeerLink
     from magnoliapitch.peer.message import StateSnapshot
     from magnoliapitch.settings.model import Settings
@@ -50,6 +54,8 @@
 DEFAULT_PATIENCE_MS = 10_000
 NO_RACK_RETRY_MS = 1_000
 DRAIN_RETRY_MS = 100
+INCOMPLETE_RETRY_MS = 1_000
+LEAVE_TRIES = 5
 
 
 class NamedStep(NamedTuple):
@@ -68,6 +74,9 @@
     """State and behaviour of one entry instance.
 
     Nothing here starts a thread; :meth:`steps` are driven from outside.
+
+    :ivar on_superseded: called when the log names this incarnation as
+        gone.
     """
 
     def __init__(
@@ -79,6 +88,7 @@
     ) -> None:
         self.settings = settings
         self.clock = clock
+        self.on_superseded: Callable[[], None] | None = None
         self.identity = Identity.create(
             settings.instance_id,
             settings.zone,
@@ -100,7 +110,11 @@
             settings.peer_addresses,
         )
         self.presence = PresenceKeeper(
-            self.membership, self.journal, self.fleet, self.clock
+            self.membership,
+            self.journal,
+            self.fleet,
+            self.clock,
+            self._retire,
         )
         self.journal.follower.source = PeerRelay(self.membership, link)
         self.claimer = Claimer(self.identity, self.journal, self.fleet)
@@ -163,6 +177,18 @@
             )
         )
 
+    def leave(self) -> None:
+        """Announce the departure; call it when no step runs any more."""
+        self.journal.enqueue(EntryLeave(self.identity.incarnation))
+        for _ in range(LEAVE_TRIES):
+            if not self.journal.has_unsent():
+                return
+            self.journal.append_step()
+
+    def applied_everywhere(self) -> AppliedEverywhere:
+        """Return up to which offset the log is in force everywhere."""
+        return self.membership.applied_everywhere()
+
     @property
     def is_draining(self) -> bool:
         """Whether new work is refused."""
@@ -180,6 +206,12 @@
 
     def refusal(self) -> Failure | None:
         """Return why new work is refused, if it is."""
+        if not self.journal.is_complete:
+            return not_run(
+                FailureCode.UNAVAILABLE,
+                "the log's history is not known yet",
+                INCOMPLETE_RETRY_MS,
+            )
         if not self.is_draining:
             return None
         return not_run(
@@ -266,6 +298,15 @@
         self.membership.loads = self.router.loads()
         return self.membership.heartbeat_step(self._link)
 
+    def _retire(self) -> None:
+        """Stop working for good: another incarnation has taken over."""
+        if self.is_draining:
+            return
+        log_event("superseded", incarnation=self.identity.incarnation)
+        self.drain()
+        if self.on_superseded is not None:
+            self.on_superseded()
+
     def _unit_for(self) -> str | None:
         workers = {
             worker.unit for worker in self.fleet.of_role(InstanceRole.WORKER)
--- a/src/magnoliapitch/entry/node.py
+++ b/src/magnoliapitch/entry/node.py
@@ -48,6 +48,7 @@
         address = settings.address
         self.peer_node = PeerNode((address, settings.listeners.peer_port))
         self.core = EntryCore(settings, adapters, self.peer_node, self.clock)
+        self.core.on_superseded = give_up
         self.peer_node.handler = self.core
         self.caller_listener = Listener(
             "callers",
@@ -100,6 +101,7 @@
         log_event("entry-stopping")
         self.core.drain()
         self.supervisor.stop()
+        self.core.leave()
         log_event("entry-stopped")
 
 
--- a/src/magnoliapitch/journal/appender.py
+++ b/src/magnoliapitch/journal/appender.py
@@ -154,11 +154,16 @@
         with self._changed:
             return len(self._queue)
 
+    def has_unsent(self) -> bool:
+        """Return whether anything waits to be appended or confirmed."""
+        with self._changed:
+            return bool(self._queue) or self._batch is not None
+
     def _has_work(self, wait_ms: int) -> bool:
         with self._changed:
-            if wait_ms and not self._queue and self._batch is None:
+            if wait_ms and not self.has_unsent():
                 self._changed.wait(wait_ms / 1000)
-            return bool(self._queue) or self._batch is not None
+            return self.has_unsent()
 
     def _next_batch(self) -> Batch | None:
         base = self._next_offset()
--- a/src/magnoliapitch/journal/journal.py
+++ b/src/magnoliapitch/journal/journal.py
@@ -109,6 +109,10 @@
         self._budget.rate_per_s = self._appends_per_s / max(live, 1)
         return self.appender.step(wait_ms)
 
+    def has_unsent(self) -> bool:
+        """Return whether any entry still waits to be appended."""
+        return self.appender.has_unsent()
+
     def follow_step(self, wait_ms: int = 0) -> int:
         """Read and apply new records.
 
--- a/src/magnoliapitch/membership/membership.py
+++ b/src/magnoliapitch/membership/membership.py
@@ -11,7 +11,6 @@
 from magnoliapitch.membership.progress import applied_everywhere
 from magnoliapitch.membership.progress import own_zone_info
 from magnoliapitch.membership.state import MemberState
-from magnoliapitch.membership.status import PeerStatus
 from magnoliapitch.membership.table import AGE_MAX_MS
 from magnoliapitch.membership.table import HEARTBEAT_INTERVAL_MS
 from magnoliapitch.membership.table import MemberTable
@@ -26,6 +25,7 @@
     from magnoliapitch.clock import Clock
     from magnoliapitch.journal.journal import Journal
     from magnoliapitch.membership.identity import Identity
+    from magnoliapitch.membership.status import PeerStatus
     from magnoliapitch.peer.link import PeerLink
     from magnoliapitch.platform.fleet import Fleet
 
@@ -62,6 +62,7 @@
         self._fleet = fleet
         self._seed_addresses = seed_addresses
         self._table = MemberTable(identity, fleet)
+        self._turn = 0
         self._lock = threading.Lock()
 
     def beat(self, addressee: str = "", *, whole_zone: bool = False) -> Beat:
@@ -196,9 +197,8 @@
         """Return the other members, from the log and from heartbeats."""
         with self._journal.reading() as state:
             members = dict(state.members_by_incarnation)
-        left = {name for name, member in members.items() if member.left}
         with self._lock:
-            heard = self._table.joins(left, self._clock.now_ms())
+            heard = self._table.joins(members, self._clock.now_ms())
         joins = {join.incarnation: join for join in heard}
         joins |= {
             name: member.join
@@ -213,9 +213,10 @@
         joins = self._joins()
         due: dict[str, str] = {}
         with self._lock:
+            self._turn += 1
             failing = self._table.failing(now_ms)
             for join in linked_members(self._own, joins, failing):
-                if self._table.is_due(join, now_ms):
+                if self._table.is_due(join, now_ms, self._turn):
                     self._table.contact(join.incarnation).called_ms = now_ms
                     due[join.peer_address] = join.incarnation
         known = {join.peer_address for join in joins}
--- a/src/magnoliapitch/membership/presence.py
+++ b/src/magnoliapitch/membership/presence.py
@@ -12,6 +12,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from magnoliapitch.clock import Clock
     from magnoliapitch.journal.journal import Journal
     from magnoliapitch.journal.pending import Pending
@@ -40,11 +42,13 @@
         journal: Journal,
         fleet: Fleet,
         clock: Clock,
+        on_superseded: Callable[[], None],
     ) -> None:
         self._membership = membership
         self._journal = journal
         self._fleet = fleet
         self._clock = clock
+        self._on_superseded = on_superseded
         self._presence: Pending | None = None
         self._presence_ms = clock.now_ms()
         self._leaves_by_incarnation: dict[str, Pending] = {}
@@ -52,6 +56,9 @@
 
     def step(self) -> int:
         """Append what is due; return milliseconds until the next step."""
+        if self._membership.is_superseded():
+            self._on_superseded()
+            return CHECK_INTERVAL_MS
         now_ms = self._clock.now_ms()
         self._announce(now_ms)
         self._remove_gone(now_ms)
--- a/src/magnoliapitch/membership/table.py
+++ b/src/magnoliapitch/membership/table.py
@@ -17,8 +17,9 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Mapping
 
+    from magnoliapitch.journal.state import Member
     from magnoliapitch.membership.identity import Identity
     from magnoliapitch.peer.message import Beat
     from magnoliapitch.platform.fleet import Fleet
@@ -27,7 +28,7 @@
 ItemT = TypeVar("ItemT")
 
 HEARTBEAT_INTERVAL_MS = 1_000
-REMOTE_INTERVAL_MS = 2_000
+REMOTE_ROUNDS = 2
 SUSPECT_AFTER_MS = 2_500
 REMOTE_SUSPECT_AFTER_MS = 6_000
 RELAYED_SUSPECT_AFTER_MS = 15_000
@@ -87,17 +88,21 @@
         for report in beat.zones:
             self._take_report(report, now_ms)
 
-    def joins(self, left: Collection[str], now_ms: int) -> list[EntryJoin]:
+    def joins(
+        self, members: Mapping[str, Member], now_ms: int
+    ) -> list[EntryJoin]:
         """Return who was heard of and has not left.
 
-        :param left: incarnations that the log names as gone.
+        :param members: incarnations that the log names.
         """
-        for name in tuple(self._joins_by_incarnation):
-            silent_ms = now_ms - self.contact(name).newest_ms
-            if name in left or silent_ms > FORGET_AFTER_MS:
-                del self._joins_by_incarnation[name]
-        for name in left:
-            self._contacts_by_incarnation.pop(name, None)
+        for name, contact in tuple(self._contacts_by_incarnation.items()):
+            member = members.get(name)
+            is_left = member is not None and member.left
+            is_silent = now_ms - contact.newest_ms > FORGET_AFTER_MS
+            if is_left or is_silent:
+                self._joins_by_incarnation.pop(name, None)
+            if is_left or (is_silent and member is None):
+                del self._contacts_by_incarnation[name]
         return list(self._joins_by_incarnation.values())
 
     def status(self, join: EntryJoin, now_ms: int) -> PeerStatus:
@@ -113,14 +118,20 @@
             self._is_one_way(join, contact, now_ms),
         )
 
-    def is_due(self, join: EntryJoin, now_ms: int) -> bool:
-        """Return whether to call; one exchange serves both sides."""
+    def is_due(self, join: EntryJoin, now_ms: int, turn: int) -> bool:
+        """Return whether to call a member in this round.
+
+        One exchange serves both sides, so of a pair only one calls as
+        long as that works. Links between zones are used in every second
+        round.
+        """
         contact = self.contact(join.incarnation)
-        interval_ms = HEARTBEAT_INTERVAL_MS
+        silent_ms = now_ms - contact.two_way_ms
+        if silent_ms > 2 * HEARTBEAT_INTERVAL_MS:
+            return True
         if join.zone != self._identity.zone:
-            interval_ms = REMOTE_INTERVAL_MS
-        newest_ms = max(contact.called_ms, contact.two_way_ms)
-        return now_ms - newest_ms >= interval_ms * 3 // 4
+            return turn % REMOTE_ROUNDS == 0
+        return self._identity.incarnation < join.incarnation
 
     def failing(self, now_ms: int) -> set[str]:
         """Return the incarnations that were called and did not answer."""
--- a/src/magnoliapitch/membership/topology.py
+++ b/src/magnoliapitch/membership/topology.py
@@ -8,13 +8,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
 from typing import TYPE_CHECKING
 
 import xxhash
 
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from magnoliapitch.journal.record import EntryJoin
 
 
--- a/src/magnoliapitch/peer/node.py
+++ b/src/magnoliapitch/peer/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import threading
 
+from concurrent.futures import CancelledError
 from concurrent.futures import Future
 from concurrent.futures import ThreadPoolExecutor
 from concurrent.futures import TimeoutError as FutureTimeoutError
@@ -35,6 +36,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Coroutine
     from collections.abc import Mapping
 
     from magnoliapitch.peer.link import PeerHandler
@@ -160,8 +162,6 @@
         on_answer: Callable[[str, Beat], None],
     ) -> None:
         """Exchange heartbeats with many peers at once."""
-        if self._loop is None or not self.is_alive():
-            return
 
         async def exchange(address: str, beat: Beat) -> None:
             outcome = await self._call_in_loop(
@@ -175,9 +175,10 @@
                 *(exchange(*item) for item in beats_by_address.items())
             )
 
-        future = asyncio.run_coroutine_threadsafe(exchange_all(), self._loop)
-        with suppress(FutureTimeoutError):
-            future.result(2 * timeout_ms / 1000)
+        future = self._submit(exchange_all())
+        if future is not None:
+            with suppress(FutureTimeoutError, CancelledError):
+                future.result(2 * timeout_ms / 1000)
 
     def forward(
         self, address: str, request: ForwardedRequest, timeout_ms: int
@@ -221,19 +222,25 @@
         call: Callable[[Any], Awaitable[ValueT]],
         timeout_ms: int,
     ) -> Result[ValueT, Failure]:
-        if self._loop is None or not self.is_alive():
+        future = self._submit(self._call_in_loop(address, call, timeout_ms))
+        if future is None:
             return Err(not_run(FailureCode.UNAVAILABLE, "node is stopped"))
-        future: Future[Result[ValueT, Failure]] = (
-            asyncio.run_coroutine_threadsafe(
-                self._call_in_loop(address, call, timeout_ms), self._loop
-            )
-        )
         try:
             return future.result(2 * timeout_ms / 1000)
-        except FutureTimeoutError:
+        except (FutureTimeoutError, CancelledError):
             future.cancel()
             return Err(may_have_run(FailureCode.TIMEOUT, "peer is silent"))
 
+    def _submit(
+        self, call: Coroutine[Any, Any, ValueT]
+    ) -> Future[ValueT] | None:
+        """Run a coroutine in the loop, or drop it if the loop has ended."""
+        if self._loop is not None and self.is_alive():
+            with suppress(RuntimeError):
+                return asyncio.run_coroutine_threadsafe(call, self._loop)
+        call.close()
+        return None
+
     async def _call_in_loop(
         self,
         address: str,
--- a/src/magnoliapitch/request/peer_choice.py
+++ b/src/magnoliapitch/request/peer_choice.py
@@ -16,7 +16,7 @@
     from magnoliapitch.clock import Clock
     from magnoliapitch.journal.journal import Journal
     from magnoliapitch.membership.membership import Membership
-    from magnoliapitch.membership.membership import PeerStatus
+    from magnoliapitch.membership.status import PeerStatus
     from magnoliapitch.platform.fleet import Fleet
 
 
--- a/src/magnoliapitch/standin/log.py
+++ b/src/magnoliapitch/standin/log.py
@@ -63,3 +63,34 @@
         with self._changed:
             oldest = self._head - len(self._records)
             del self._records[: max(before_offset - oldest, 0)]
+
+
+class LogAccess:
+    """One instance's way to a shared log, which can be cut.
+
+    :ivar down: whether every call of this instance fails without effect.
+    :ivar answers_to_lose: appends that take effect but answer in error.
+    """
+
+    def __init__(self, log: StandinLog) -> None:
+        self.down = False
+        self.answers_to_lose = 0
+        self._log = log
+
+    def append(self, data: bytes) -> Result[int, Failure]:
+        """Append one record and return its offset."""
+        if self.down:
+            return Err(not_run(FailureCode.UNAVAILABLE, "log is cut off"))
+        answer = self._log.append(data)
+        if self.answers_to_lose > 0 and isinstance(answer, Ok):
+            self.answers_to_lose -= 1
+            return Err(may_have_run(FailureCode.TIMEOUT, "no answer"))
+        return answer
+
+    def read(
+        self, from_offset: int, limit: int, wait_ms: int = 0
+    ) -> Result[LogSlice, Failure]:
+        """Read records from an offset, oldest first."""
+        if self.down:
+            return Err(not_run(FailureCode.UNAVAILABLE, "log is cut off"))
+        return self._log.read(from_offset, limit, wait_ms)
--- /dev/null
+++ b/tests/membership/test_membership.py
@@ -0,0 +1,245 @@
+from __future__ import annotations
+
+import socket
+
+from typing import TYPE_CHECKING
+
+from magnoliapitch.clock import MonotonicClock
+from magnoliapitch.journal import Journal
+from magnoliapitch.journal import decode_record
+from magnoliapitch.journal.record import EntryJoin
+from magnoliapitch.journal.record import EntryLeave
+from magnoliapitch.membership import Identity
+from magnoliapitch.membership import Membership
+from magnoliapitch.membership.presence import GONE_AFTER_MS
+from magnoliapitch.membership.topology import REMOTE_LINKS
+from magnoliapitch.membership.topology import linked_members
+from magnoliapitch.peer.message import Beat
+from magnoliapitch.peer.node import PeerNode
+from magnoliapitch.platform.instance import InstanceInfo
+from magnoliapitch.platform.instance import InstanceRole
+from magnoliapitch.platform.instance import InstanceState
+from magnoliapitch.standin import StandinLog
+from magnoliapitch.standin.peer import StandinLink
+
+
+if TYPE_CHECKING:
+    import pytest
+
+    from tests.membership.conftest import Group
+
+
+class HeartbeatHandler(Membership):
+    def heartbeat(self, beat: Beat) -> Beat:
+        return self.receive(beat)
+
+
+def joins_of(zones: int, per_zone: int) -> list[EntryJoin]:
+    return [
+        EntryJoin(f"{zone}-{n}", f"{zone}-{n}", f"z{zone:02}", f"{zone}:{n}")
+        for zone in range(zones)
+        for n in range(per_zone)
+    ]
+
+
+def test_links_of_an_instance_do_not_grow_with_the_zones() -> None:
+    for zones in (4, 22):
+        members = joins_of(zones, 7)
+        for own in members:
+            others = [item for item in members if item != own]
+            linked = linked_members(own, others, ())
+            assert len(linked) == 6 + REMOTE_LINKS
+
+
+def test_links_connect_all_zones_and_avoid_failing_members() -> None:
+    members = joins_of(22, 1)
+    links = {
+        own.zone: {item.zone for item in linked_members(own, members, ())}
+        for own in members
+    }
+    reached = {"z00"}
+    while more := {b for a in reached for b in links[a]} - reached:
+        reached |= more
+    assert len(reached) == 22
+    pair = joins_of(2, 2)
+    (first,) = linked_members(pair[0], pair[2:], ())
+    (second,) = linked_members(pair[0], pair[2:], {first.incarnation})
+    assert first != second
+
+
+def test_member_passes_through_its_states(group: Group) -> None:
+    group.add("a")
+    group.add("b")
+    group.cut("a", "b")
+    group.cut("b", "a")
+    group.run(1_000)
+    assert group.states("b") == {"a": "joining"}
+    group.network.cuts.clear()
+    group.run(3_000)
+    assert group.states("a") == {"b": "live"}
+    group.cores["b"].drain()
+    group.run(2_000)
+    assert group.states("a") == {"b": "leaving"}
+    group.paused.add("b")
+    group.network.handlers_by_address.pop("b:1")
+    group.run(4_000)
+    assert group.states("a") == {"b": "suspect"}
+    group.cores["b"].leave()
+    group.run(1_000)
+    assert group.states("a") == {}
+
+
+def test_member_that_the_platform_lists_as_leaving_is_leaving(
+    group: Group,
+) -> None:
+    group.add("a")
+    group.add("b")
+    group.run(3_000)
+    group.instances.by_id["b"] = InstanceInfo(
+        "b",
+        InstanceRole.ENTRY,
+        "norte",
+        "b:1",
+        InstanceState.LEAVING,
+    )
+    group.run(1_000)
+    assert group.states("a") == {"b": "leaving"}
+
+
+def test_one_way_cut_makes_both_sides_suspect(group: Group) -> None:
+    for name in ("a", "b", "c"):
+        group.add(name)
+    group.run(5_000)
+    group.cut("a", "b")
+    group.run(6_000)
+    assert group.states("a") == {"b": "suspect", "c": "live"}
+    assert group.states("b") == {"a": "suspect", "c": "live"}
+    group.network.cuts.clear()
+    group.run(4_000)
+    assert group.states("a") == {"b": "live", "c": "live"}
+
+
+def test_restarted_instance_replaces_its_paused_predecessor(
+    group: Group,
+) -> None:
+    group.add("a")
+    old = group.add("b")
+    retired: list[str] = []
+    old.on_superseded = lambda: retired.append("b")
+    group.run(3_000)
+    group.kill("b")
+    group.add("b")
+    group.run(3_000)
+    assert group.states("a") == {"b": "live"}
+    group.cores["old"] = old
+    group.run(2_000)
+    assert old.membership.is_superseded()
+    assert retired == ["b"]
+    assert not old.is_ready()
+    assert old.refusal() is not None
+
+
+def test_silent_member_is_removed_once_and_learns_it(group: Group) -> None:
+    for name in ("a", "b", "c"):
+        group.add(name)
+    group.run(3_000)
+    lost = group.kill("c")
+    group.run(GONE_AFTER_MS - 5_000)
+    assert set(group.states("a")) == {"b", "c"}
+    group.run(30_000)
+    assert set(group.states("a")) == {"b"}
+    leaves = [
+        entry
+        for record in group.log.read(0, 10_000).unwrap().records
+        for entry in decode_record(record.data).entries
+        if isinstance(entry, EntryLeave)
+    ]
+    assert leaves == [EntryLeave(lost.identity.incarnation)]
+    group.cores["c"] = lost
+    group.run(2_000)
+    assert lost.membership.is_superseded()
+
+
+def test_member_is_not_removed_while_it_is_listed_or_appends(
+    group: Group,
+) -> None:
+    for name in ("a", "b", "c"):
+        group.add(name)
+    group.cut("a", "b")
+    group.cut("b", "a")
+    group.cut("a", "c")
+    group.cut("c", "a")
+    group.run(2 * GONE_AFTER_MS)
+    assert group.states("a") == {"b": "joining", "c": "joining"}
+    group.instances.by_id["c"] = InstanceInfo(
+        "c", InstanceRole.ENTRY, "norte", "c:1"
+    )
+    group.kill("c")
+    group.run(2 * GONE_AFTER_MS)
+    assert group.states("b") == {"a": "joining", "c": "suspect"}
+
+
+def test_applied_everywhere_names_who_holds_it_back(group: Group) -> None:
+    for number, zone in enumerate(("norte", "norte", "sur", "oeste")):
+        group.add("abcd"[number], zone)
+    group.run(10_000)
+    everywhere = group.cores["a"].applied_everywhere()
+    assert everywhere.unknown == ()
+    offset = group.put("x")
+    group.run(6_000)
+    assert group.cores["a"].applied_everywhere().covers(offset)
+    slow = group.cores["d"].journal
+    slow.apply = lambda records: None  # type: ignore[method-assign]
+    offset = group.put("y")
+    group.run(6_000)
+    everywhere = group.cores["a"].applied_everywhere()
+    assert not everywhere.covers(offset)
+    assert everywhere.slowest == ("d",)
+    group.kill("b")
+    group.run(6_000)
+    assert group.cores["a"].applied_everywhere().unknown == ("b",)
+
+
+def test_cost_of_heartbeats_does_not_grow_with_the_zones(
+    group: Group, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    sent = {"a-0": 0}
+    original = StandinLink.heartbeat
+
+    def count(
+        link: StandinLink, address: str, beat: Beat, timeout_ms: int
+    ) -> object:
+        sent[beat.instance_id] = sent.get(beat.instance_id, 0) + 1
+        return original(link, address, beat, timeout_ms)
+
+    monkeypatch.setattr(StandinLink, "heartbeat", count)
+    counts = []
+    for zones in ("abcd", "efghijkl"):
+        for zone in zones:
+            group.add(f"{zone}-0", zone)
+        group.run(20_000)
+        sent["a-0"] = 0
+        group.run(10_000)
+        counts.append(sent["a-0"])
+        assert set(group.states("a-0").values()) == {"live"}
+    assert counts == [15, 15]
+
+
+def test_silent_peer_does_not_delay_the_others() -> None:
+    node, peer = PeerNode(("127.0.0.1", 0)), PeerNode(("127.0.0.1", 0))
+    clock = MonotonicClock()
+    identity = Identity.create("b", "norte", "")
+    journal = Journal(StandinLog(), "b", clock)
+    handler = HeartbeatHandler(identity, journal, clock)
+    node.handler = peer.handler = handler  # type: ignore[assignment]
+    node.start()
+    peer.start()
+    heard: list[str] = []
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        addresses = [f"127.0.0.1:{silent.getsockname()[1]}"]
+        addresses += [f"127.0.0.1:{peer.port}", "not an address"]
+        beats = dict.fromkeys(addresses, Beat("a", "a", "norte", 0, 0))
+        node.heartbeat_all(beats, 500, lambda at, beat: heard.append(at))
+    node.stop()
+    peer.stop()
+    assert heard == [addresses[1]]
