--- a/tests/journal/test_fold.py
+++ b/tests/journal/test_fold.py
@@ -4,6 +4,8 @@
 from magnoliapitch.catalogue.entry import WorkClass
 from magnoliapitch.clock import ManualClock
 from magnoliapitch.journal import Journal
+from magnoliapitch.journal import encode_record
+from magnoliapitch.journal.record import CatalogueDelete
 from magnoliapitch.journal.record import CataloguePut
 from magnoliapitch.standin import StandinLog
 
@@ -52,3 +54,18 @@
         assert state.next_offset == 2
         assert state.skipped_records == 2
         assert state.catalogue_by_name == {}
+
+
+def test_repeat_does_not_revive_what_was_deleted_in_between() -> None:
+    log = StandinLog()
+    journal = Journal(log, "a", ManualClock())
+    log.answers_to_lose = 1
+    journal.enqueue(CataloguePut(entry_of("x"), 0))
+    journal.append_step()
+    log.append(encode_record((CatalogueDelete("seat-check", 1),)))
+    journal.append_step()
+    journal.follow_step()
+    with journal.reading() as state:
+        assert state.next_offset == 3
+        assert state.catalogue_by_name == {}
+        assert state.last_version_by_name == {"seat-check": 2}
--- a/tests/membership/conftest.py
+++ b/tests/membership/conftest.py
@@ -21,7 +21,14 @@
 
 
 STEP_MS = 500
-DRIVEN = ("follower", "appender", "fleet", "heartbeat", "presence")
+DRIVEN = (
+    "follower",
+    "appender",
+    "fleet",
+    "heartbeat",
+    "presence",
+    "snapshots",
+)
 
 
 class Group:
