--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -8,7 +8,6 @@
 from result import Err
 from result import Ok
 
-from magnoliapitch.decision import first_fit as _first_fit  # noqa: F401
 from magnoliapitch.decision.options import options_of
 from magnoliapitch.decision.registry import make_scheduler
 from magnoliapitch.event import log_event
@@ -44,11 +43,13 @@
     from magnoliapitch.clock import Clock
     from magnoliapitch.entry.adapters import Adapters
     from magnoliapitch.job.spec import JobSpec
+    from magnoliapitch.journal.state import JobRecord
     from magnoliapitch.membership.progress import AppliedEverywhere
     from magnoliapitch.peer.link import PeerLink
     from magnoliapitch.peer.message import StateSnapshot
     from magnoliapitch.settings.model import Settings
     from magnoliapitch.verdict import Failure
+    from magnoliapitch.worker.runner import CallRunner
 
 
 DEFAULT_PATIENCE_MS = 10_000
@@ -85,6 +86,7 @@
         adapters: Adapters,
         link: PeerLink,
         clock: Clock,
+        runner: CallRunner | None = None,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -117,7 +119,13 @@
             self._retire,
         )
         self.journal.follower.source = PeerRelay(self.membership, link)
-        self.claimer = Claimer(self.identity, self.journal, self.fleet)
+        self.claimer = Claimer(
+            self.identity,
+            self.journal,
+            self.fleet,
+            self.membership,
+            self.clock,
+        )
         self.router = Router(
             self.journal,
             self.fleet,
@@ -137,6 +145,7 @@
                 options_of(settings.profile, settings.weights),
             ),
             self.clock,
+            runner,
         )
         self.metrics = Metrics()
         self._link = link
@@ -252,16 +261,12 @@
         """Return what the log knows of a job."""
         with self.journal.reading() as state:
             job = state.jobs_by_id.get(job_id)
-            if job is None:
-                return None
-            return {
-                "job_id": job_id,
-                "unit": job.unit,
-                "tasks": job.spec.tasks,
-                "finished": job.finished_tasks,
-                "cancelled": job.cancelled,
-                "done": job.is_done,
-            }
+            return None if job is None else _job_row(job)
+
+    def job_list(self) -> list[dict[str, object]]:
+        """Return what the log knows of every job."""
+        with self.journal.reading() as state:
+            return [_job_row(job) for job in state.jobs_by_id.values()]
 
     def dump(self) -> dict[str, object]:
         """Return the state of every part."""
@@ -324,3 +329,15 @@
         if not load_by_unit:
             return None
         return min(load_by_unit, key=lambda unit: (load_by_unit[unit], unit))
+
+
+def _job_row(job: JobRecord) -> dict[str, object]:
+    return {
+        "job_id": job.spec.job_id,
+        "entry": job.spec.entry,
+        "unit": job.unit,
+        "tasks": job.spec.tasks,
+        "finished": job.finished_tasks,
+        "cancelled": job.cancelled,
+        "done": job.is_done,
+    }
--- a/src/magnoliapitch/membership/presence.py
+++ b/src/magnoliapitch/membership/presence.py
@@ -9,6 +9,7 @@
 from magnoliapitch.journal.record import EntryPresence
 from magnoliapitch.membership.state import MemberState
 from magnoliapitch.membership.topology import hash_of
+from magnoliapitch.platform.instance import InstanceRole
 
 
 if TYPE_CHECKING:
@@ -31,9 +32,11 @@
 class PresenceKeeper:
     """Appends the own presence, and leaves for members surely gone.
 
-    A member is surely gone when it is neither heard nor listed nor has
-    appended anything for long. If it returns all the same, it finds its
-    incarnation left and must join as another one.
+    A member is surely gone when the platform lists entries but not this
+    one, and it was neither heard nor has appended anything for long. If it
+    returns all the same, it finds its incarnation left and must join as
+    another one. Silence alone proves nothing: an instance that is cut from
+    its peers and from the log still serves.
     """
 
     def __init__(
@@ -74,7 +77,7 @@
         self._presence_ms = now_ms
 
     def _remove_gone(self, now_ms: int) -> None:
-        if self._journal.follower.is_log_away:
+        if self._journal.follower.is_log_away or not self._fleet.is_fresh:
             self._news_by_incarnation.clear()
             return
         for peer in self._membership.peers():
@@ -89,7 +92,7 @@
             return False
         known = self._news_by_incarnation.get(incarnation)
         is_silent = peer.state in (MemberState.SUSPECT, MemberState.JOINING)
-        is_listed = self._fleet.get(peer.join.instance_id) is not None
+        is_listed = self._is_listed(peer.join.instance_id)
         if (
             known is None
             or known[1] != member.presence_offset
@@ -104,6 +107,12 @@
             bound_ms = REMOTE_GONE_AFTER_MS
         return now_ms - known[0] >= bound_ms
 
+    def _is_listed(self, instance_id: str) -> bool:
+        """Return whether the platform may still know an entry."""
+        entries = self._fleet.of_role(InstanceRole.ENTRY)
+        ids = {item.instance_id for item in entries}
+        return not ids or instance_id in ids
+
     def _is_turn(self, peer: PeerStatus) -> bool:
         """Return whether this instance is the one of its zone to act."""
         own = self._membership.identity.incarnation
--- a/src/magnoliapitch/platform/fleet.py
+++ b/src/magnoliapitch/platform/fleet.py
@@ -17,15 +17,20 @@
 
 
 class Fleet:
-    """Caches the platform's list; keeps the last one during outages."""
+    """Caches the platform's list; keeps the last one during outages.
+
+    :ivar is_fresh: whether the last refresh succeeded.
+    """
 
     def __init__(self, instance_list: InstanceList) -> None:
+        self.is_fresh = False
         self._instance_list = instance_list
         self._by_id: dict[str, InstanceInfo] = {}
 
     def refresh_step(self) -> int:
         """Fetch the list; return milliseconds until the next refresh."""
         outcome = self._instance_list.instances()
+        self.is_fresh = not isinstance(outcome, Err)
         if not isinstance(outcome, Err):
             self._by_id = {item.instance_id: item for item in outcome.ok_value}
         return REFRESH_INTERVAL_MS
--- a/tests/membership/conftest.py
+++ b/tests/membership/conftest.py
@@ -9,6 +9,9 @@
 from magnoliapitch.entry.core import EntryCore
 from magnoliapitch.journal import encode_record
 from magnoliapitch.journal.record import CataloguePut
+from magnoliapitch.platform.instance import InstanceInfo
+from magnoliapitch.platform.instance import InstanceRole
+from magnoliapitch.platform.instance import InstanceState
 from magnoliapitch.settings.model import ListenerSettings
 from magnoliapitch.settings.model import PlatformSettings
 from magnoliapitch.settings.model import Settings
@@ -70,6 +73,13 @@
         core.join()
         return core
 
+    def list_entry(
+        self, name: str, state: InstanceState = InstanceState.LIVE
+    ) -> None:
+        self.instances.by_id[name] = InstanceInfo(
+            name, InstanceRole.ENTRY, "norte", f"{name}:{len(name)}", state
+        )
+
     def kill(self, name: str) -> EntryCore:
         del self.network.handlers_by_address[f"{name}:{len(name)}"]
         return self.cores.pop(name)
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -16,8 +16,6 @@
 from magnoliapitch.membership.topology import linked_members
 from magnoliapitch.peer.message import Beat
 from magnoliapitch.peer.node import PeerNode
-from magnoliapitch.platform.instance import InstanceInfo
-from magnoliapitch.platform.instance import InstanceRole
 from magnoliapitch.platform.instance import InstanceState
 from magnoliapitch.standin import StandinLog
 from magnoliapitch.standin.peer import StandinLink
@@ -95,13 +93,7 @@
     group.add("a")
     group.add("b")
     group.run(3_000)
-    group.instances.by_id["b"] = InstanceInfo(
-        "b",
-        InstanceRole.ENTRY,
-        "norte",
-        "b:1",
-        InstanceState.LEAVING,
-    )
+    group.list_entry("b", InstanceState.LEAVING)
     group.run(1_000)
     assert group.states("a") == {"b": "leaving"}
 
@@ -142,8 +134,12 @@
 def test_silent_member_is_removed_once_and_learns_it(group: Group) -> None:
     for name in ("a", "b", "c"):
         group.add(name)
+        group.list_entry(name)
     group.run(3_000)
     lost = group.kill("c")
+    group.run(2 * GONE_AFTER_MS)
+    assert set(group.states("a")) == {"b", "c"}
+    del group.instances.by_id["c"]
     group.run(GONE_AFTER_MS - 5_000)
     assert set(group.states("a")) == {"b", "c"}
     group.run(30_000)
@@ -160,7 +156,7 @@
     assert lost.membership.is_superseded()
 
 
-def test_member_is_not_removed_while_it_is_listed_or_appends(
+def test_member_is_not_removed_without_the_platforms_word(
     group: Group,
 ) -> None:
     for name in ("a", "b", "c"):
@@ -171,12 +167,14 @@
     group.cut("c", "a")
     group.run(2 * GONE_AFTER_MS)
     assert group.states("a") == {"b": "joining", "c": "joining"}
-    group.instances.by_id["c"] = InstanceInfo(
-        "c", InstanceRole.ENTRY, "norte", "c:1"
-    )
     group.kill("c")
     group.run(2 * GONE_AFTER_MS)
     assert group.states("b") == {"a": "joining", "c": "suspect"}
+    group.list_entry("a")
+    group.run(GONE_AFTER_MS // 2)
+    group.instances.down = True
+    group.run(2 * GONE_AFTER_MS)
+    assert group.states("b") == {"a": "joining", "c": "suspect"}
 
 
 def test_applied_everywhere_names_who_holds_it_back(group: Group) -> None:
