--- a/src/magnoliapitch/event/known.py
+++ b/src/magnoliapitch/event/known.py
@@ -130,3 +130,13 @@
     EventLevel.INFO,
     "The instance owns a rack no more; another one has it or may claim it.",
 )
+define_event(
+    "member-removed",
+    EventLevel.WARNING,
+    "An instance that is surely gone was removed from the members.",
+)
+define_event(
+    "superseded",
+    EventLevel.ERROR,
+    "The log names this incarnation as gone; it must be restarted.",
+)
--- a/src/magnoliapitch/ownership/watch.py
+++ b/src/magnoliapitch/ownership/watch.py
@@ -11,7 +11,7 @@
     from collections.abc import Collection
 
     from magnoliapitch.journal.state import Claim
-    from magnoliapitch.membership.membership import PeerStatus
+    from magnoliapitch.membership.status import PeerStatus
 
 
 class ZoneWatch:
--- a/src/magnoliapitch/platform/fleet.py
+++ b/src/magnoliapitch/platform/fleet.py
@@ -22,12 +22,16 @@
 
 
 class Fleet:
-    """Caches the platform's list; keeps the last one during outages."""
+    """Caches the platform's list; keeps the last one during outages.
+
+    :ivar is_fresh: whether the last refresh succeeded.
+    """
 
     def __init__(self, instance_list: InstanceList) -> None:
+        self.is_fresh = False
         self._instance_list = instance_list
         self._by_id: dict[str, InstanceInfo] = {}
-        self._is_list_away: bool | None = None
+        self._was_fresh: bool | None = None
 
     def refresh_step(self) -> int:
         """Fetch the list; return milliseconds until the next refresh."""
@@ -54,9 +58,10 @@
     def _note_list(
         self, outcome: Result[tuple[InstanceInfo, ...], Failure]
     ) -> None:
-        was_away = self._is_list_away
-        self._is_list_away = isinstance(outcome, Err)
-        if self._is_list_away == was_away:
+        was_fresh = self._was_fresh
+        self.is_fresh = not isinstance(outcome, Err)
+        self._was_fresh = self.is_fresh
+        if self.is_fresh == was_fresh:
             return
         if isinstance(outcome, Err):
             reason = outcome.err_value.detail
