Measure slopes and work out the capacity of each role

Change: bench/capacity measures memory, processor time and bytes a thing at four sizes each, through a counting relay where headers matter; package capacity works out each role's load at the target. Before: none.

--- /dev/null
+++ b/src/magnoliapitch/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Benchmarks that the command line offers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/magnoliapitch/bench/capacity/relay.py
@@ -0,0 +1,54 @@
+"""Counts the bytes that cross a TCP connection."""
+
+from __future__ import annotations
+
+import socket
+import threading
+
+
+CHUNK_BYTES = 65_536
+
+
+class CountingRelay:
+    """Passes connections on to a loopback port and counts their bytes.
+
+    :ivar total_bytes: bytes passed in both directions.
+    """
+
+    def __init__(self, target_port: int, port: int = 0) -> None:
+        self.total_bytes = 0
+        self._target = ("127.0.0.1", target_port)
+        self._lock = threading.Lock()
+        self._server = socket.create_server(("127.0.0.1", port))
+        self.port = int(self._server.getsockname()[1])
+
+    def start(self) -> None:
+        """Accept connections in a thread of its own."""
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def stop(self) -> None:
+        """Accept no more connections."""
+        self._server.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                client, _ = self._server.accept()
+            except OSError:
+                return
+            target = socket.create_connection(self._target)
+            for source, sink in ((client, target), (target, client)):
+                threading.Thread(
+                    target=self._pass_on, args=(source, sink), daemon=True
+                ).start()
+
+    def _pass_on(self, source: socket.socket, sink: socket.socket) -> None:
+        try:
+            while data := source.recv(CHUNK_BYTES):
+                with self._lock:
+                    self.total_bytes += len(data)
+                sink.sendall(data)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            source.close()
+            sink.close()
--- /dev/null
+++ b/src/magnoliapitch/bench/capacity/sample.py
@@ -0,0 +1,127 @@
+"""Representative values for measurements."""
+
+from __future__ import annotations
+
+from magnoliapitch.catalogue.entry import CatalogueEntry
+from magnoliapitch.catalogue.entry import WorkClass
+from magnoliapitch.decision.interface import TaskRequest
+from magnoliapitch.decision.interface import WorkerShape
+from magnoliapitch.job.spec import JobSpec
+from magnoliapitch.job.spec import TaskOutcome
+from magnoliapitch.journal.codec import encode_record
+from magnoliapitch.journal.record import CataloguePut
+from magnoliapitch.journal.record import EntryJoin
+from magnoliapitch.journal.record import JobSubmit
+from magnoliapitch.journal.record import RecordEntry
+from magnoliapitch.journal.record import TaskEnd
+from magnoliapitch.platform.instance import InstanceInfo
+from magnoliapitch.platform.instance import InstanceRole
+from magnoliapitch.platform.log import LogRecord
+from magnoliapitch.resource import Resources
+from magnoliapitch.worker.lease import LeaseKind
+from magnoliapitch.worker.lease import LeaseState
+from magnoliapitch.worker.lease import LeaseView
+from magnoliapitch.worker.lease import WorkerView
+
+
+WRITER = "0123456789abcdef0123456789abcdef"
+ENTRY_NAME = "term-roster"
+TASK_SIZE = Resources(2_000, 4_096)
+WORKER_SIZE = Resources(32_000, 131_072, 1)
+
+
+def catalogue_put(number: int) -> CataloguePut:
+    """Return the creation of a catalogue entry."""
+    entry = CatalogueEntry(
+        f"entry-{number}", f"team-{number % 140}", WorkClass.BATCH
+    )
+    return CataloguePut(entry, 0)
+
+
+def entry_join(number: int) -> EntryJoin:
+    """Return the join of an entry instance."""
+    return EntryJoin(
+        f"entry-{number}",
+        f"{number:032x}",
+        f"zone-{number % 22}",
+        f"10.0.{number // 256}.{number % 256}:8082",
+    )
+
+
+def job_submit(number: int, tasks: int = 1) -> JobSubmit:
+    """Return the submission of a job."""
+    job = JobSpec(f"job-{number:08d}", ENTRY_NAME, tasks, TASK_SIZE)
+    return JobSubmit(job, f"zone-{number % 22}-rack-{number % 100}")
+
+
+def task_end(number: int) -> TaskEnd:
+    """Return the end of the only task of a job."""
+    return TaskEnd(f"job-{number:08d}", 0, 0, TaskOutcome.FINISHED)
+
+
+def worker_info(number: int) -> InstanceInfo:
+    """Return a worker as the platform lists it."""
+    return InstanceInfo(
+        f"worker-{number}",
+        InstanceRole.WORKER,
+        f"zone-{number % 22}",
+        f"http://10.1.{number // 256}.{number % 256}:9000",
+        unit=f"zone-{number % 22}-rack-{number // 8}",
+        capacity=WORKER_SIZE,
+    )
+
+
+def worker_shape(number: int) -> WorkerShape:
+    """Return a worker as a scheduler sees it."""
+    return WorkerShape(
+        f"worker-{number}", f"rack-{number // 8}", "zone-1", WORKER_SIZE
+    )
+
+
+def task_request(number: int) -> TaskRequest:
+    """Return a waiting task."""
+    return TaskRequest(
+        f"job-{number:08d}/0/0",
+        f"job-{number:08d}",
+        ENTRY_NAME,
+        "clubs",
+        WorkClass.BATCH,
+        TASK_SIZE,
+        60_000,
+        0,
+    )
+
+
+def worker_view(leases: int) -> WorkerView:
+    """Return a worker's view with running tasks and a claim."""
+    running = tuple(
+        LeaseView(
+            f"job-{number:08d}/0/0",
+            1,
+            10_000_000,
+            LeaseKind.TASK,
+            TASK_SIZE,
+            LeaseState.RUNNING,
+            ENTRY_NAME,
+            TASK_SIZE,
+        )
+        for number in range(leases)
+    )
+    return WorkerView("worker-1", "boot-1", 9_000_000, running)
+
+
+def log_records(
+    entries: list[RecordEntry], batch: int
+) -> tuple[LogRecord, ...]:
+    """Return records that hold the entries in batches.
+
+    :param batch: entries a record.
+    """
+    parts = [
+        tuple(entries[start : start + batch])
+        for start in range(0, len(entries), batch)
+    ]
+    return tuple(
+        LogRecord(offset, encode_record(part, WRITER, offset + 1))
+        for offset, part in enumerate(parts)
+    )
--- /dev/null
+++ b/src/magnoliapitch/bench/capacity/wire.py
@@ -0,0 +1,86 @@
+"""Bytes that calls take on the wire, headers included."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliapitch.bench.capacity import sample
+from magnoliapitch.bench.capacity.processor import sample_beat
+from magnoliapitch.bench.capacity.registry import size_slope
+from magnoliapitch.bench.capacity.relay import CountingRelay
+from magnoliapitch.bench.capacity.served import served_cell
+from magnoliapitch.bench.capacity.served import served_worker
+from magnoliapitch.clock import MonotonicClock
+from magnoliapitch.peer.node import PeerNode
+from magnoliapitch.platform.http_log import HttpLog
+from magnoliapitch.standin.instance import StandinInstanceList
+from magnoliapitch.standin.log import StandinLog
+from magnoliapitch.standin.worker import StandinWorkers
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliapitch.journal.record import RecordEntry
+    from magnoliapitch.peer.message import Beat
+
+
+CALLS = 20
+CALL_SIZES = (5, 10, 20, 40)
+ITEM_SIZES = (1, 4, 8, 16)
+TIMEOUT_MS = 5_000
+
+
+@size_slope("bytes on the wire of a renewal, by tasks", ITEM_SIZES)
+def renewal(size: int) -> float:
+    """Renew the leases of a worker and read its view."""
+    with served_worker(size) as (worker, relay):
+        return _bytes_per_call(relay, worker.renew)
+
+
+@size_slope("bytes on the wire of a log read, by entries", ITEM_SIZES)
+def log_read(size: int) -> float:
+    """Read one record of task ends."""
+    log = StandinLog()
+    entries: list[RecordEntry] = [sample.task_end(n) for n in range(size)]
+    (record,) = sample.log_records(entries, size)
+    log.append(record.data)
+    workers = StandinWorkers((), MonotonicClock())
+    with served_cell(log, StandinInstanceList(), workers) as relay:
+        client = HttpLog(f"http://127.0.0.1:{relay.port}/log")
+        return _bytes_per_call(relay, lambda: client.read(0, 1))
+
+
+@size_slope("bytes on the wire of heartbeats", CALL_SIZES)
+def heartbeats(size: int) -> float:
+    """Exchange heartbeats on one connection."""
+    server = PeerNode(("127.0.0.1", 0))
+    server.handler = _Echo()  # type: ignore[assignment]
+    client = PeerNode(("127.0.0.1", 0))
+    client.handler = server.handler
+    server.start()
+    client.start()
+    relay = CountingRelay(server.port)
+    relay.start()
+    try:
+        address = f"127.0.0.1:{relay.port}"
+        for _ in range(size):
+            client.heartbeat(address, sample_beat(), TIMEOUT_MS).unwrap()
+        return float(relay.total_bytes)
+    finally:
+        client.stop()
+        server.stop()
+        relay.stop()
+
+
+class _Echo:
+    def heartbeat(self, beat: Beat) -> Beat:
+        return beat
+
+
+def _bytes_per_call(relay: CountingRelay, call: Callable[[], object]) -> float:
+    call()
+    before = relay.total_bytes
+    for _ in range(CALLS):
+        call()
+    return (relay.total_bytes - before) / CALLS
--- /dev/null
+++ b/src/magnoliapitch/capacity/exceptions.py
@@ -0,0 +1,7 @@
+"""Errors of the capacity arithmetic."""
+
+from __future__ import annotations
+
+
+class MeasurementError(ValueError):
+    """A measurement file that lacks what the arithmetic needs."""
