--- a/src/magnoliapitch/capacity/page.py
+++ b/src/magnoliapitch/capacity/page.py
@@ -177,7 +177,13 @@
     for role in roles_by_name.values():
         load = role.load(sizing)
         rows.append(
-            (role.name, role.state, role.messages, role.mechanism, *_cells(load))
+            (
+                role.name,
+                role.state,
+                role.messages,
+                role.mechanism,
+                *_cells(load),
+            )
         )
     rows.append(
         ("all, with the idle process", "", "", "", *_cells(total(sizing)))
