--- a/src/magnoliapitch/bench/capacity/__init__.py
+++ b/src/magnoliapitch/bench/capacity/__init__.py
@@ -5,8 +5,16 @@
 from magnoliapitch.bench.capacity import memory
 from magnoliapitch.bench.capacity import message
 from magnoliapitch.bench.capacity import processor
+from magnoliapitch.bench.capacity import snapshot
 from magnoliapitch.bench.capacity import wire
 from magnoliapitch.bench.capacity.registry import measure_slopes
 
 
-__all__ = ["measure_slopes", "memory", "message", "processor", "wire"]
+__all__ = [
+    "measure_slopes",
+    "memory",
+    "message",
+    "processor",
+    "snapshot",
+    "wire",
+]
--- a/src/magnoliapitch/bench/capacity/memory.py
+++ b/src/magnoliapitch/bench/capacity/memory.py
@@ -24,19 +24,19 @@
 @memory_slope("memory of a catalogue entry", (500, 1_000, 2_000, 4_000))
 def catalogue_entries(size: int) -> object:
     """Fold the creation of catalogue entries."""
-    return _folded([sample.catalogue_put(n) for n in range(size)])
+    return folded([sample.catalogue_put(n) for n in range(size)])
 
 
 @memory_slope("memory of an open job", (2_000, 4_000, 8_000, 16_000))
 def open_jobs(size: int) -> object:
     """Fold submissions of jobs of one task."""
-    return _folded([sample.job_submit(n) for n in range(size)])
+    return folded([sample.job_submit(n) for n in range(size)])
 
 
 @memory_slope("memory of a member", (100, 200, 400, 800))
 def members(size: int) -> object:
     """Fold joins of entry instances."""
-    return _folded([sample.entry_join(n) for n in range(size)])
+    return folded([sample.entry_join(n) for n in range(size)])
 
 
 @memory_slope("memory of a listed worker", (1_000, 2_000, 4_000, 8_000))
@@ -62,7 +62,8 @@
     return scheduler
 
 
-def _folded(entries: list[RecordEntry]) -> ClusterState:
+def folded(entries: list[RecordEntry]) -> ClusterState:
+    """Return the state after the entries, a hundred a record."""
     state = ClusterState()
     for record in sample.log_records(entries, BATCH):
         apply_record(state, record)
--- a/src/magnoliapitch/bench/capacity/sample.py
+++ b/src/magnoliapitch/bench/capacity/sample.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import xxhash
+
 from magnoliapitch.catalogue.entry import CatalogueEntry
 from magnoliapitch.catalogue.entry import WorkClass
 from magnoliapitch.decision.interface import TaskRequest
@@ -30,6 +32,11 @@
 WORKER_SIZE = Resources(32_000, 131_072, 1)
 
 
+def job_id(number: int) -> str:
+    """Return an id without a pattern that compression could use."""
+    return xxhash.xxh3_64_hexdigest(f"job {number}".encode())
+
+
 def catalogue_put(number: int) -> CataloguePut:
     """Return the creation of a catalogue entry."""
     entry = CatalogueEntry(
@@ -50,13 +57,15 @@
 
 def job_submit(number: int, tasks: int = 1) -> JobSubmit:
     """Return the submission of a job."""
-    job = JobSpec(f"job-{number:08d}", ENTRY_NAME, tasks, TASK_SIZE)
+    digest = xxhash.xxh3_64_intdigest(str(number).encode())
+    size = Resources(500 * (1 + digest % 32), 512 * (1 + digest % 64))
+    job = JobSpec(job_id(number), ENTRY_NAME, tasks, size, digest % 10**7)
     return JobSubmit(job, f"zone-{number % 22}-rack-{number % 100}")
 
 
 def task_end(number: int) -> TaskEnd:
     """Return the end of the only task of a job."""
-    return TaskEnd(f"job-{number:08d}", 0, 0, TaskOutcome.FINISHED)
+    return TaskEnd(job_id(number), 0, 0, TaskOutcome.FINISHED)
 
 
 def worker_info(number: int) -> InstanceInfo:
@@ -81,8 +90,8 @@
 def task_request(number: int) -> TaskRequest:
     """Return a waiting task."""
     return TaskRequest(
-        f"job-{number:08d}/0/0",
-        f"job-{number:08d}",
+        f"{job_id(number)}/0/0",
+        job_id(number),
         ENTRY_NAME,
         "clubs",
         WorkClass.BATCH,
@@ -96,7 +105,7 @@
     """Return a worker's view with running tasks and a claim."""
     running = tuple(
         LeaseView(
-            f"job-{number:08d}/0/0",
+            f"{job_id(number)}/0/0",
             1,
             10_000_000,
             LeaseKind.TASK,
--- a/src/magnoliapitch/bench/capacity/served.py
+++ b/src/magnoliapitch/bench/capacity/served.py
@@ -82,7 +82,7 @@
 
 def _grant(number: int, view: WorkerView) -> LeaseGrant:
     return LeaseGrant(
-        f"job-{number:08d}/0/0",
+        f"{sample.job_id(number)}/0/0",
         1,
         view.now_ms + LONG_MS,
         resources=sample.TASK_SIZE,
