--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -19,6 +19,8 @@
 from magnoliapitch.journal.snapshot_writer import SnapshotWriter
 from magnoliapitch.membership.identity import Identity
 from magnoliapitch.membership.membership import Membership
+from magnoliapitch.membership.presence import PresenceKeeper
+from magnoliapitch.membership.relay import PeerRelay
 from magnoliapitch.metric import Metrics
 from magnoliapitch.ownership.claimer import Claimer
 from magnoliapitch.peer.message import Beat
@@ -39,6 +41,7 @@
     from magnoliapitch.clock import Clock
     from magnoliapitch.entry.adapters import Adapters
     from magnoliapitch.job.spec import JobSpec
+    from magnoliapitch.journal.state import JobRecord
     from magnoliapitch.peer.link import PeerLink
     from magnoliapitch.peer.message import StateSnapshot
     from magnoliapitch.settings.model import Settings
@@ -90,7 +93,17 @@
             settings.platform.log_appends_per_s,
         )
         self.snapshots = SnapshotWriter(self.journal)
-        self.membership = Membership(self.identity, self.journal, self.clock)
+        self.membership = Membership(
+            self.identity,
+            self.journal,
+            self.clock,
+            self.fleet,
+            settings.peer_addresses,
+        )
+        self.presence = PresenceKeeper(
+            self.membership, self.journal, self.fleet, self.clock
+        )
+        self.journal.follower.source = PeerRelay(self.membership, link)
         self.claimer = Claimer(self.identity, self.journal, self.fleet)
         self.router = Router(
             self.journal,
@@ -132,6 +145,7 @@
                 lambda: self.journal.append_step(wait_ms),
                 "platform",
             ),
+            NamedStep("presence", self.presence.step),
             NamedStep("snapshots", self.snapshots.step, "platform"),
             NamedStep("fleet", self.fleet.refresh_step, "platform"),
             NamedStep("heartbeat", self._heartbeat_step),
@@ -207,16 +221,12 @@
         """Return what the log knows of a job."""
         with self.journal.reading() as state:
             job = state.jobs_by_id.get(job_id)
-            if job is None:
-                return None
-            return {
-                "job_id": job_id,
-                "unit": job.unit,
-                "tasks": job.spec.tasks,
-                "finished": job.finished_tasks,
-                "cancelled": job.cancelled,
-                "done": job.is_done,
-            }
+            return None if job is None else _job_row(job)
+
+    def job_list(self) -> list[dict[str, object]]:
+        """Return what the log knows of every job."""
+        with self.journal.reading() as state:
+            return [_job_row(job) for job in state.jobs_by_id.values()]
 
     def dump(self) -> dict[str, object]:
         """Return the state of every part."""
@@ -270,3 +280,15 @@
         if not load_by_unit:
             return None
         return min(load_by_unit, key=lambda unit: (load_by_unit[unit], unit))
+
+
+def _job_row(job: JobRecord) -> dict[str, object]:
+    return {
+        "job_id": job.spec.job_id,
+        "entry": job.spec.entry,
+        "unit": job.unit,
+        "tasks": job.spec.tasks,
+        "finished": job.finished_tasks,
+        "cancelled": job.cancelled,
+        "done": job.is_done,
+    }
