--- a/src/magnoliapitch/bench/__init__.py
+++ b/src/magnoliapitch/bench/__init__.py
@@ -1,3 +1,3 @@
-"""Benchmarks that the command line offers."""
+"""Benchmarks."""
 
 from __future__ import annotations
