Measure starts of the weighted policy by the decision bench

Cause: the slope of a decision was that of the FIFO baseline. Change: slopes of a start, a queued task and an owned worker use the policy that runs by default, and the decision bench's saturated load. Conclusion: the arithmetic rests on what runs.

--- a/src/magnoliapitch/bench/capacity/memory.py
+++ b/src/magnoliapitch/bench/capacity/memory.py
@@ -6,7 +6,6 @@
 
 from magnoliapitch.bench.capacity import sample
 from magnoliapitch.bench.capacity.registry import memory_slope
-from magnoliapitch.decision import first_fit as _first_fit  # noqa: F401
 from magnoliapitch.decision.registry import make_scheduler
 from magnoliapitch.journal import handler as _handler  # noqa: F401
 from magnoliapitch.journal.fold import apply_record
@@ -18,7 +17,7 @@
 
 
 BATCH = 100
-POLICY = "fifo"
+POLICY = "weighted"
 
 
 @memory_slope("memory of a catalogue entry", (500, 1_000, 2_000, 4_000))
--- a/src/magnoliapitch/bench/capacity/processor.py
+++ b/src/magnoliapitch/bench/capacity/processor.py
@@ -9,10 +9,12 @@
 
 from magnoliapitch.bench.capacity import sample
 from magnoliapitch.bench.capacity.memory import POLICY
+from magnoliapitch.bench.capacity.registry import MICROSECONDS_PER_SECOND
+from magnoliapitch.bench.capacity.registry import PROCESSOR_UNIT
+from magnoliapitch.bench.capacity.registry import direct_slope
 from magnoliapitch.bench.capacity.registry import processor_slope
 from magnoliapitch.bench.capacity.served import served_worker
-from magnoliapitch.decision.registry import make_scheduler
-from magnoliapitch.job.spec import TaskOutcome
+from magnoliapitch.bench.decisions.scale import decision_cost
 from magnoliapitch.journal.fold import apply_record
 from magnoliapitch.journal.state import ClusterState
 from magnoliapitch.peer import codec
@@ -32,6 +34,7 @@
 CALL_SIZES = (50, 100, 200, 400)
 TASKS_A_WORKER = 6
 WORKERS_OF_AN_ENTRY = 120
+QUEUED_TASKS = 1_000
 
 _VIEW = TypeAdapter(WorkerView)
 
@@ -106,25 +109,13 @@
     return run
 
 
-@processor_slope("processor time of a decision", SIZES)
-def decisions(size: int) -> Callable[[], object]:
-    """Decide on tasks for the workers of one entry."""
-    scheduler = make_scheduler(POLICY)
-    for number in range(WORKERS_OF_AN_ENTRY):
-        scheduler.add_worker(sample.worker_shape(number))
-    scheduler.submit(tuple(sample.task_request(n) for n in range(size)))
-
-    def run() -> None:
-        placed = 0
-        now_ms = 0
-        while placed < size:
-            now_ms += 1
-            placements = scheduler.decide(now_ms).placements
-            placed += len(placements)
-            for item in placements:
-                scheduler.ended(item.task_id, TaskOutcome.FINISHED, now_ms)
-
-    return run
+@direct_slope("processor time of a start", PROCESSOR_UNIT, SIZES)
+def starts(size: int) -> float:
+    """Decide on starts while saturated, with the ends they need."""
+    cost = decision_cost(
+        WORKERS_OF_AN_ENTRY, QUEUED_TASKS, POLICY, starts=size
+    )
+    return cost.starts / cost.starts_per_second * MICROSECONDS_PER_SECOND
 
 
 @processor_slope("processor time of an encoded entry", SIZES)
--- a/src/magnoliapitch/bench/capacity/registry.py
+++ b/src/magnoliapitch/bench/capacity/registry.py
@@ -17,6 +17,7 @@
 Prepare = Callable[[int], Callable[[], object]]
 Measure = Callable[[int], float]
 
+PROCESSOR_UNIT = "processor us"
 RUNS = 5
 MICROSECONDS_PER_SECOND = 1e6
 
@@ -46,7 +47,7 @@
             del held
             return float(used)
 
-        _benches_by_name[name] = _Bench("bytes", sizes, measure)
+        direct_slope(name, "bytes", sizes)(measure)
         return build
 
     return register
@@ -65,24 +66,31 @@
         def measure(size: int) -> float:
             return min(_processor_us(prepare(size)) for _ in range(RUNS))
 
-        _benches_by_name[name] = _Bench("processor us", sizes, measure)
+        direct_slope(name, PROCESSOR_UNIT, sizes)(measure)
         return prepare
 
     return register
 
 
-def size_slope(
-    name: str, sizes: tuple[int, ...]
+def direct_slope(
+    name: str, unit: str, sizes: tuple[int, ...]
 ) -> Callable[[Measure], Measure]:
-    """Register a function that returns the bytes of ``size`` things."""
+    """Register a function that returns the cost of ``size`` things."""
 
     def register(measure: Measure) -> Measure:
-        _benches_by_name[name] = _Bench("bytes on the wire", sizes, measure)
+        _benches_by_name[name] = _Bench(unit, sizes, measure)
         return measure
 
     return register
 
 
+def size_slope(
+    name: str, sizes: tuple[int, ...]
+) -> Callable[[Measure], Measure]:
+    """Register a function that returns the bytes of ``size`` things."""
+    return direct_slope(name, "bytes on the wire", sizes)
+
+
 def measure_slopes() -> tuple[Slope, ...]:
     """Run every registered measurement in the order of its name."""
     return tuple(
--- a/src/magnoliapitch/capacity/roles.py
+++ b/src/magnoliapitch/capacity/roles.py
@@ -101,7 +101,7 @@
     """Decide and start tasks at the peak."""
     starts = sizing.target.starts_per_second / sizing.entries
     return Load(
-        sizing.core_share("processor time of a decision", starts)
+        sizing.core_share("processor time of a start", starts)
         + sizing.core_share("processor time of a renewal over HTTP", starts),
         sizing.cost(
             "memory of a queued task",
