--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -10,10 +10,13 @@
 
 from magnoliapitch.decision.options import options_of
 from magnoliapitch.decision.registry import make_scheduler
+from magnoliapitch.decision.synchronized import SynchronizedScheduler
+from magnoliapitch.entry.job_desk import JobDesk
 from magnoliapitch.event import log_event
 from magnoliapitch.job.manager import JobManager
 from magnoliapitch.journal.journal import Journal
 from magnoliapitch.journal.record import EntryJoin
+from magnoliapitch.journal.record import EntryLeave
 from magnoliapitch.journal.record import JobSubmit
 from magnoliapitch.journal.snapshot_writer import SnapshotWriter
 from magnoliapitch.membership.identity import Identity
@@ -27,7 +30,6 @@
 from magnoliapitch.peer.message import ForwardedRequest
 from magnoliapitch.peer.message import LogPage
 from magnoliapitch.platform.fleet import Fleet
-from magnoliapitch.platform.instance import InstanceRole
 from magnoliapitch.request.router import Router
 from magnoliapitch.supervisor.loop import Step
 from magnoliapitch.verdict import FailureCode
@@ -35,21 +37,26 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from result import Result
 
     from magnoliapitch.clock import Clock
     from magnoliapitch.entry.adapters import Adapters
     from magnoliapitch.job.spec import JobSpec
     from magnoliapitch.journal.state import JobRecord
+    from magnoliapitch.membership.progress import AppliedEverywhere
     from magnoliapitch.peer.link import PeerLink
     from magnoliapitch.peer.message import StateSnapshot
     from magnoliapitch.settings.model import Settings
     from magnoliapitch.verdict import Failure
+    from magnoliapitch.worker.runner import CallRunner
 
 
 DEFAULT_PATIENCE_MS = 10_000
-NO_RACK_RETRY_MS = 1_000
 DRAIN_RETRY_MS = 100
+INCOMPLETE_RETRY_MS = 1_000
+LEAVE_TRIES = 5
 
 
 class NamedStep(NamedTuple):
@@ -68,6 +75,9 @@
     """State and behaviour of one entry instance.
 
     Nothing here starts a thread; :meth:`steps` are driven from outside.
+
+    :ivar on_superseded: called when the log names this incarnation as
+        gone.
     """
 
     def __init__(
@@ -76,9 +86,11 @@
         adapters: Adapters,
         link: PeerLink,
         clock: Clock,
+        runner: CallRunner | None = None,
     ) -> None:
         self.settings = settings
         self.clock = clock
+        self.on_superseded: Callable[[], None] | None = None
         self.identity = Identity.create(
             settings.instance_id,
             settings.zone,
@@ -100,10 +112,20 @@
             settings.peer_addresses,
         )
         self.presence = PresenceKeeper(
-            self.membership, self.journal, self.fleet, self.clock
+            self.membership,
+            self.journal,
+            self.fleet,
+            self.clock,
+            self._retire,
         )
         self.journal.follower.source = PeerRelay(self.membership, link)
-        self.claimer = Claimer(self.identity, self.journal, self.fleet)
+        self.claimer = Claimer(
+            self.identity,
+            self.journal,
+            self.fleet,
+            self.membership,
+            self.clock,
+        )
         self.router = Router(
             self.journal,
             self.fleet,
@@ -113,16 +135,21 @@
             link,
             clock,
         )
+        scheduler = SynchronizedScheduler(
+            make_scheduler(
+                settings.policy,
+                options_of(settings.profile, settings.weights),
+            )
+        )
+        self.desk = JobDesk(self.journal, self.fleet, scheduler, clock)
         self.jobs = JobManager(
             self.journal,
             self.fleet,
             self.claimer,
             adapters.workers,
-            make_scheduler(
-                settings.policy,
-                options_of(settings.profile, settings.weights),
-            ),
+            scheduler,
             self.clock,
+            runner,
         )
         self.metrics = Metrics()
         self._link = link
@@ -163,6 +190,18 @@
             )
         )
 
+    def leave(self) -> None:
+        """Announce the departure; call it when no step runs any more."""
+        self.journal.enqueue(EntryLeave(self.identity.incarnation))
+        for _ in range(LEAVE_TRIES):
+            if not self.journal.has_unsent():
+                return
+            self.journal.append_step()
+
+    def applied_everywhere(self) -> AppliedEverywhere:
+        """Return up to which offset the log is in force everywhere."""
+        return self.membership.applied_everywhere()
+
     @property
     def is_draining(self) -> bool:
         """Whether new work is refused."""
@@ -180,6 +219,12 @@
 
     def refusal(self) -> Failure | None:
         """Return why new work is refused, if it is."""
+        if not self.journal.is_complete:
+            return not_run(
+                FailureCode.UNAVAILABLE,
+                "the log's history is not known yet",
+                INCOMPLETE_RETRY_MS,
+            )
         if not self.is_draining:
             return None
         return not_run(
@@ -200,16 +245,12 @@
         self, job: JobSpec, timeout_ms: int
     ) -> Result[None, Failure]:
         """Accept a job and assign it to a unit of workers."""
-        unit = self._unit_for()
-        if unit is None:
-            return Err(
-                not_run(
-                    FailureCode.UNAVAILABLE,
-                    "no rack is owned",
-                    NO_RACK_RETRY_MS,
-                )
-            )
-        outcome = self.journal.commit(JobSubmit(job, unit), timeout_ms)
+        unit = self.desk.choose_unit(job)
+        if isinstance(unit, Err):
+            return unit
+        outcome = self.journal.commit(
+            JobSubmit(job, unit.ok_value), timeout_ms
+        )
         if isinstance(outcome, Err):
             return outcome
         if not outcome.ok_value.applied:
@@ -262,23 +303,14 @@
         self.membership.loads = self.router.loads()
         return self.membership.heartbeat_step(self._link)
 
-    def _unit_for(self) -> str | None:
-        workers = {
-            worker.unit for worker in self.fleet.of_role(InstanceRole.WORKER)
-        }
-        with self.journal.reading() as state:
-            owned = [
-                claim.unit
-                for claim in state.claims_by_unit.values()
-                if claim.incarnation and claim.unit in workers
-            ]
-            load_by_unit = dict.fromkeys(owned, 0)
-            for job in state.jobs_by_id.values():
-                if job.unit in load_by_unit and not job.is_done:
-                    load_by_unit[job.unit] += job.spec.tasks
-        if not load_by_unit:
-            return None
-        return min(load_by_unit, key=lambda unit: (load_by_unit[unit], unit))
+    def _retire(self) -> None:
+        """Stop working for good: another incarnation has taken over."""
+        if self.is_draining:
+            return
+        log_event("superseded", incarnation=self.identity.incarnation)
+        self.drain()
+        if self.on_superseded is not None:
+            self.on_superseded()
 
 
 def _job_row(job: JobRecord) -> dict[str, object]:
