Count open tasks in the fold; accept a repeated job or cancel

Cause: each submission scanned every job to find the load of racks and the queue of an entry; a retry of a job that was accepted answered 409 not_run though the job runs; a job of an unknown catalogue entry was accepted and could never run. Change: the fold keeps open tasks by unit and by entry; JobDesk.submit and cancel answer a repetition like the first time; another job under the same id stays 409; an unknown entry is refused. Before: the new tests fail (a second submission got 409, an unknown entry 202). Conclusion: the cost of a submission no longer grows with the jobs.

--- a/src/magnoliapitch/api/caller.py
+++ b/src/magnoliapitch/api/caller.py
@@ -16,7 +16,6 @@
 from magnoliapitch.http import json_response
 from magnoliapitch.http import problem_response
 from magnoliapitch.job.spec import JobSpec
-from magnoliapitch.journal.record import JobCancel
 from magnoliapitch.peer.message import ForwardedRequest
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import not_run
@@ -68,7 +67,7 @@
             job = _JOB.validate_python(request.json())
         except (ValidationError, ValueError) as error:
             return problem_response(not_run(FailureCode.INVALID, str(error)))
-        outcome = core.submit_job(job, COMMIT_TIMEOUT_MS)
+        outcome = core.desk.submit(job, COMMIT_TIMEOUT_MS)
         if isinstance(outcome, Err):
             return problem_response(outcome.err_value)
         return json_response({"job_id": job.job_id}, 202)
@@ -111,13 +110,9 @@
     @application.route("DELETE", "/v1/jobs/{job}")
     def cancel(request: HttpRequest) -> HttpResponse:
         job_id = request.path_values["job"]
-        outcome = core.journal.commit(JobCancel(job_id), COMMIT_TIMEOUT_MS)
+        outcome = core.desk.cancel(job_id, COMMIT_TIMEOUT_MS)
         if isinstance(outcome, Err):
             return problem_response(outcome.err_value)
-        if not outcome.ok_value.applied:
-            return problem_response(
-                not_run(FailureCode.CONFLICT, outcome.ok_value.reason)
-            )
         return json_response({"job_id": job_id, "cancelled": True})
 
     return application
--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -5,9 +5,6 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from result import Err
-from result import Ok
-
 from magnoliapitch.decision.options import options_of
 from magnoliapitch.decision.registry import make_scheduler
 from magnoliapitch.decision.synchronized import SynchronizedScheduler
@@ -17,7 +14,6 @@
 from magnoliapitch.journal.journal import Journal
 from magnoliapitch.journal.record import EntryJoin
 from magnoliapitch.journal.record import EntryLeave
-from magnoliapitch.journal.record import JobSubmit
 from magnoliapitch.journal.snapshot_writer import SnapshotWriter
 from magnoliapitch.membership.identity import Identity
 from magnoliapitch.membership.membership import Membership
@@ -43,7 +39,6 @@
 
     from magnoliapitch.clock import Clock
     from magnoliapitch.entry.adapters import Adapters
-    from magnoliapitch.job.spec import JobSpec
     from magnoliapitch.journal.state import JobRecord
     from magnoliapitch.membership.progress import AppliedEverywhere
     from magnoliapitch.peer.link import PeerLink
@@ -241,22 +236,6 @@
             return DEFAULT_PATIENCE_MS
         return versioned.entry.patience_ms
 
-    def submit_job(
-        self, job: JobSpec, timeout_ms: int
-    ) -> Result[None, Failure]:
-        """Accept a job and assign it to a unit of workers."""
-        unit = self.desk.choose_unit(job)
-        if isinstance(unit, Err):
-            return unit
-        outcome = self.journal.commit(
-            JobSubmit(job, unit.ok_value), timeout_ms
-        )
-        if isinstance(outcome, Err):
-            return outcome
-        if not outcome.ok_value.applied:
-            return Err(not_run(FailureCode.DUPLICATE, outcome.ok_value.reason))
-        return Ok(None)
-
     def job_status(self, job_id: str) -> dict[str, object] | None:
         """Return what the log knows of a job."""
         with self.journal.reading() as state:
--- a/src/magnoliapitch/entry/job_desk.py
+++ b/src/magnoliapitch/entry/job_desk.py
@@ -10,6 +10,8 @@
 from magnoliapitch.catalogue.entry import WorkClass
 from magnoliapitch.decision.interface import TaskRequest
 from magnoliapitch.decision.interface import WorkerShape
+from magnoliapitch.journal.record import JobCancel
+from magnoliapitch.journal.record import JobSubmit
 from magnoliapitch.platform.instance import InstanceRole
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import not_run
@@ -18,6 +20,7 @@
 if TYPE_CHECKING:
     from result import Result
 
+    from magnoliapitch.catalogue.entry import CatalogueEntry
     from magnoliapitch.clock import Clock
     from magnoliapitch.decision.interface import Scheduler
     from magnoliapitch.job.spec import JobSpec
@@ -45,8 +48,46 @@
         self._scheduler = scheduler
         self._clock = clock
 
+    def submit(self, job: JobSpec, timeout_ms: int) -> Result[None, Failure]:
+        """Accept a job through the log; the same job again is accepted."""
+        known = self._known(job)
+        if known is not None:
+            return known
+        unit = self.choose_unit(job)
+        if isinstance(unit, Err):
+            return unit
+        outcome = self._journal.commit(
+            JobSubmit(job, unit.ok_value), timeout_ms
+        )
+        if isinstance(outcome, Err):
+            return outcome
+        if outcome.ok_value.applied:
+            return Ok(None)
+        reason = outcome.ok_value.reason
+        return self._known(job) or Err(not_run(FailureCode.CONFLICT, reason))
+
+    def cancel(self, job_id: str, timeout_ms: int) -> Result[None, Failure]:
+        """Cancel a job through the log; cancelling again is accepted."""
+        if self._is_cancelled(job_id):
+            return Ok(None)
+        outcome = self._journal.commit(JobCancel(job_id), timeout_ms)
+        if isinstance(outcome, Err):
+            return outcome
+        if outcome.ok_value.applied or self._is_cancelled(job_id):
+            return Ok(None)
+        reason = outcome.ok_value.reason
+        return Err(not_run(FailureCode.CONFLICT, reason))
+
     def choose_unit(self, job: JobSpec) -> Result[str, Failure]:
         """Return the least loaded rack that can hold a job."""
+        with self._journal.reading() as state:
+            versioned = state.catalogue_by_name.get(job.entry)
+        if versioned is None:
+            return Err(
+                not_run(
+                    FailureCode.NOT_FOUND, f"no catalogue entry {job.entry!r}"
+                )
+            )
         shapes_by_unit = self._shapes_by_unit()
         load_by_unit = self._load_by_unit(shapes_by_unit)
         if not load_by_unit:
@@ -57,12 +98,13 @@
                     NO_RACK_RETRY_MS,
                 )
             )
-        task = self._request(job)
+        task = _request(job, versioned.entry)
         reason = ""
         for unit in sorted(load_by_unit, key=load_by_unit.__getitem__):
             reason = self._scheduler.refusal(task, shapes_by_unit[unit])
             if not reason:
-                return self._bounded(job, unit)
+                limit = versioned.entry.limits.queued
+                return self._bounded(job, unit, limit)
         return Err(not_run(FailureCode.IMPOSSIBLE, reason))
 
     def explanation(self, job_id: str) -> dict[str, object] | None:
@@ -90,18 +132,12 @@
             "owner": claim.incarnation if claim else "",
         }
 
-    def _bounded(self, job: JobSpec, unit: str) -> Result[str, Failure]:
+    def _bounded(
+        self, job: JobSpec, unit: str, limit: int
+    ) -> Result[str, Failure]:
         """Refuse a job whose entry has too many tasks waiting."""
         with self._journal.reading() as state:
-            versioned = state.catalogue_by_name.get(job.entry)
-            if versioned is None:
-                return Ok(unit)
-            waiting = sum(
-                item.spec.tasks - item.finished_tasks
-                for item in state.jobs_by_id.values()
-                if item.spec.entry == job.entry and not item.is_done
-            )
-        limit = versioned.entry.limits.queued
+            waiting = state.open_tasks_by_entry.get(job.entry, 0)
         if waiting + job.tasks <= limit:
             return Ok(unit)
         return Err(
@@ -113,27 +149,26 @@
             )
         )
 
-    def _request(self, job: JobSpec) -> TaskRequest:
+    def _known(self, job: JobSpec) -> Result[None, Failure] | None:
+        """Return the answer to a job whose id the log knows."""
         with self._journal.reading() as state:
-            versioned = state.catalogue_by_name.get(job.entry)
-        work_class = WorkClass.BATCH
-        owner = ""
-        if versioned is not None:
-            work_class = versioned.entry.work_class
-            owner = versioned.entry.owner
-        return TaskRequest(
-            f"{job.job_id}/0/0",
-            job.job_id,
-            job.entry,
-            owner,
-            work_class,
-            job.resources,
-            job.run_ms,
-            0,
-            job.deadline_ms,
-            job.tasks if work_class is WorkClass.GANG else 1,
+            known = state.jobs_by_id.get(job.job_id)
+        if known is None:
+            return None
+        if known.spec == job:
+            return Ok(None)
+        return Err(
+            not_run(
+                FailureCode.DUPLICATE,
+                f"another job has the id {job.job_id}",
+            )
         )
 
+    def _is_cancelled(self, job_id: str) -> bool:
+        with self._journal.reading() as state:
+            job = state.jobs_by_id.get(job_id)
+            return job is not None and job.cancelled
+
     def _shapes_by_unit(self) -> dict[str, tuple[WorkerShape, ...]]:
         found: dict[str, tuple[WorkerShape, ...]] = {}
         for worker in self._fleet.of_role(InstanceRole.WORKER):
@@ -149,11 +184,24 @@
         """Return the unfinished tasks of each owned rack, and its name."""
         with self._journal.reading() as state:
             load_by_unit = {
-                claim.unit: 0
+                claim.unit: state.open_tasks_by_unit.get(claim.unit, 0)
                 for claim in state.claims_by_unit.values()
                 if claim.incarnation and claim.unit in shapes_by_unit
             }
-            for job in state.jobs_by_id.values():
-                if job.unit in load_by_unit and not job.is_done:
-                    load_by_unit[job.unit] += job.spec.tasks
         return {unit: (load, unit) for unit, load in load_by_unit.items()}
+
+
+def _request(job: JobSpec, entry: CatalogueEntry) -> TaskRequest:
+    is_gang = entry.work_class is WorkClass.GANG
+    return TaskRequest(
+        f"{job.job_id}/0/0",
+        job.job_id,
+        job.entry,
+        entry.owner,
+        entry.work_class,
+        job.resources,
+        job.run_ms,
+        0,
+        job.deadline_ms,
+        job.tasks if is_gang else 1,
+    )
--- a/src/magnoliapitch/journal/handler/job.py
+++ b/src/magnoliapitch/journal/handler/job.py
@@ -23,7 +23,9 @@
     job_id = submit.job.job_id
     if job_id in state.jobs_by_id:
         return rejected(f"job {job_id} exists")
-    state.jobs_by_id[job_id] = JobRecord(submit.job, submit.unit, offset)
+    job = JobRecord(submit.job, submit.unit, offset)
+    state.jobs_by_id[job_id] = job
+    _count(state, job, job.open_tasks)
     return APPLIED
 
 
@@ -41,7 +43,9 @@
     epoch = claim.epoch if claim else 0
     if epoch != move.epoch:
         return rejected(f"epoch of {move.from_unit} is {epoch}")
+    _count(state, job, -job.open_tasks)
     job.unit = move.to_unit
+    _count(state, job, job.open_tasks)
     return APPLIED
 
 
@@ -57,6 +61,7 @@
         return rejected(f"no job {cancel.job_id}")
     if job.is_done:
         return rejected(f"job {cancel.job_id} has ended")
+    _count(state, job, -job.open_tasks)
     job.cancelled = True
     return APPLIED
 
@@ -77,5 +82,21 @@
         return rejected(f"task {end.job_id}/{end.task} has finished")
     job.attempts_by_task[end.task] = end.attempt + 1
     job.ended_by_task[end.task] = end.outcome
-    job.finished_tasks += end.outcome is TaskOutcome.FINISHED
+    if end.outcome is TaskOutcome.FINISHED:
+        _count(state, job, -min(job.open_tasks, 1))
+        job.finished_tasks += 1
     return APPLIED
+
+
+def _count(state: ClusterState, job: JobRecord, change: int) -> None:
+    """Add to the open tasks of a job's unit and entry."""
+    _add(state.open_tasks_by_unit, job.unit, change)
+    _add(state.open_tasks_by_entry, job.spec.entry, change)
+
+
+def _add(count_by_name: dict[str, int], name: str, change: int) -> None:
+    count = count_by_name.get(name, 0) + change
+    if count:
+        count_by_name[name] = count
+    else:
+        count_by_name.pop(name, None)
--- a/src/magnoliapitch/journal/state.py
+++ b/src/magnoliapitch/journal/state.py
@@ -108,6 +108,11 @@
         """Whether nothing of the job has to run any more."""
         return self.cancelled or self.finished_tasks == self.spec.tasks
 
+    @property
+    def open_tasks(self) -> int:
+        """Number of tasks that still have to finish."""
+        return 0 if self.cancelled else self.spec.tasks - self.finished_tasks
+
 
 @dataclass(slots=True)
 class ClusterState:
@@ -117,6 +122,8 @@
 
     :ivar next_offset: offset of the next record to apply.
     :ivar version_floor: highest version of a forgotten deleted name.
+    :ivar open_tasks_by_unit: tasks of each unit that have not finished.
+    :ivar open_tasks_by_entry: the same for each catalogue entry.
     :ivar snapshot_offset: offset of the newest complete snapshot.
     """
 
@@ -128,6 +135,8 @@
     members_by_incarnation: dict[str, Member] = field(default_factory=dict)
     claims_by_unit: dict[str, Claim] = field(default_factory=dict)
     jobs_by_id: dict[str, JobRecord] = field(default_factory=dict)
+    open_tasks_by_unit: dict[str, int] = field(default_factory=dict)
+    open_tasks_by_entry: dict[str, int] = field(default_factory=dict)
     intents_by_key: dict[str, RequestIntent] = field(default_factory=dict)
     intent_offset_by_key: dict[str, int] = field(default_factory=dict)
     progress_by_snapshot: dict[str, SnapshotProgress] = field(
