Bound the HTTP listener and answer every broken request with a verdict

cheroot answered broken requests in plain text without a verdict, took the last of two Content-Lengths, gave every silent connection a thread, let a dripping client hold one for ever and blocked its accept loop for 10 s when its queue was full. Now a connection takes a thread once it has sent something; a request has one deadline; connections, the queue for a thread, body and headers are bounded by settings; all threads but a reserve busy means an immediate refusal with not_run; framing that could be read in two ways is refused. Request ids are validated and repeated in every answer, a handler's error is logged and answered with may_have_run, and header values cannot break lines. The buffered reader is the interpreter's C one instead of cheroot's Python one.

--- a/src/magnoliapitch/api/caller.py
+++ b/src/magnoliapitch/api/caller.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import uuid
-
 from typing import TYPE_CHECKING
 
 from pydantic import TypeAdapter
@@ -28,18 +26,19 @@
 
 COMMIT_TIMEOUT_MS = 5_000
 FRESH_TIMEOUT_MS = 2_000
-REQUEST_ID_HEADER = "X-Request-Id"
 
 _JOB = TypeAdapter(JobSpec)
 
 
 def caller_application(core: EntryCore) -> Application:
     """Return the application that serves callers."""
-    application = Application()
+    application = Application(
+        core.settings.http.body_max_bytes, lambda: core.is_draining
+    )
 
     @application.route("POST", "/v1/requests/{entry}")
     def execute(request: HttpRequest) -> HttpResponse:
-        request_id = _request_id(request)
+        request_id = request.request_id
         refusal = core.refusal()
         if refusal is not None:
             return problem_response(refusal, request_id)
@@ -50,27 +49,25 @@
             core.patience_ms(request.path_values["entry"]),
         )
         outcome = core.router.execute(forwarded)
-        header = ((REQUEST_ID_HEADER, request_id),)
         if isinstance(outcome, Err):
-            response = problem_response(outcome.err_value, request_id)
-            return response._replace(headers=response.headers + header)
+            return problem_response(outcome.err_value, request_id)
         answer = outcome.ok_value
-        return HttpResponse(
-            answer.status, answer.body, answer.content_type, header
-        )
+        return HttpResponse(answer.status, answer.body, answer.content_type)
 
     @application.route("POST", "/v1/jobs")
     def submit(request: HttpRequest) -> HttpResponse:
         refusal = core.refusal()
         if refusal is not None:
-            return problem_response(refusal)
+            return problem_response(refusal, request.request_id)
         try:
             job = _JOB.validate_python(request.json())
         except (ValidationError, ValueError) as error:
-            return problem_response(not_run(FailureCode.INVALID, str(error)))
+            return problem_response(
+                not_run(FailureCode.INVALID, str(error)), request.request_id
+            )
         outcome = core.submit_job(job, COMMIT_TIMEOUT_MS)
         if isinstance(outcome, Err):
-            return problem_response(outcome.err_value)
+            return problem_response(outcome.err_value, request.request_id)
         return json_response({"job_id": job.job_id}, 202)
 
     @application.route("GET", "/v1/jobs/{job}")
@@ -85,13 +82,15 @@
                     FailureCode.UNAVAILABLE,
                     f"job {job_id} is unknown here and the log is away",
                     FRESH_TIMEOUT_MS,
-                )
+                ),
+                request.request_id,
             )
         found = core.job_status(job_id)
         if found is not None:
             return json_response(found)
         return problem_response(
-            not_run(FailureCode.NOT_FOUND, f"no job {job_id}")
+            not_run(FailureCode.NOT_FOUND, f"no job {job_id}"),
+            request.request_id,
         )
 
     @application.route("DELETE", "/v1/jobs/{job}")
@@ -99,16 +98,12 @@
         job_id = request.path_values["job"]
         outcome = core.journal.commit(JobCancel(job_id), COMMIT_TIMEOUT_MS)
         if isinstance(outcome, Err):
-            return problem_response(outcome.err_value)
+            return problem_response(outcome.err_value, request.request_id)
         if not outcome.ok_value.applied:
             return problem_response(
-                not_run(FailureCode.CONFLICT, outcome.ok_value.reason)
+                not_run(FailureCode.CONFLICT, outcome.ok_value.reason),
+                request.request_id,
             )
         return json_response({"job_id": job_id, "cancelled": True})
 
     return application
-
-
-def _request_id(request: HttpRequest) -> str:
-    given = request.headers_by_name.get(REQUEST_ID_HEADER.lower())
-    return given or uuid.uuid4().hex
--- a/src/magnoliapitch/backend/http_client.py
+++ b/src/magnoliapitch/backend/http_client.py
@@ -32,6 +32,8 @@
 
 
 REFUSED_STATUS = 503
+FIRST_STATUS = 200
+LAST_STATUS = 599
 REFUSED_HEADER = "X-Not-Run"
 LEAVING_HEADER = "X-Leaving"
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -135,6 +137,10 @@
             return may_have_run(
                 FailureCode.BAD_ANSWER, "the answer is to another request"
             )
+        if not FIRST_STATUS <= response.status <= LAST_STATUS:
+            return may_have_run(
+                FailureCode.BAD_ANSWER, f"status {response.status}"
+            )
         length = response.headers.get("Content-Length", "0")
         if length.isdigit() and int(length) > self._answer_max_bytes:
             return _too_long(self._answer_max_bytes)
--- a/src/magnoliapitch/entry/node.py
+++ b/src/magnoliapitch/entry/node.py
@@ -52,6 +52,7 @@
             caller_application(self.core),
             settings.listeners.caller_threads,
             settings.timing.drain_timeout_ms // 1000,
+            settings.http,
         )
         self.admin_listener = Listener(
             "operators",
--- a/src/magnoliapitch/event/known.py
+++ b/src/magnoliapitch/event/known.py
@@ -77,3 +77,8 @@
     EventLevel.INFO,
     "An operator's change of the catalogue was refused.",
 )
+define_event(
+    "request-failed",
+    EventLevel.ERROR,
+    "A handler raised an error; the caller was told that it may have run.",
+)
--- /dev/null
+++ b/src/magnoliapitch/http/limits.py
@@ -0,0 +1,37 @@
+"""Limits of a listener."""
+
+from __future__ import annotations
+
+from typing import Annotated
+from typing import NamedTuple
+
+from pydantic import Field
+
+
+Bytes = Annotated[int, Field(ge=1_024, le=1 << 30, strict=True)]
+Milliseconds = Annotated[int, Field(ge=10, le=86_400_000, strict=True)]
+Count = Annotated[int, Field(ge=1, le=1_000_000, strict=True)]
+
+
+class HttpLimits(NamedTuple):
+    """What a listener accepts from its clients at most.
+
+    :param body_max_bytes: longest body of a request.
+    :param header_max_bytes: longest request line, and longest sum of the
+        headers.
+    :param connections: open connections; requests on further ones are
+        refused, and beyond twice as many connections are closed.
+    :param waiting_connections: connections with a request that waits for
+        a thread.
+    :param reserve_threads: threads that only refuse while all others are
+        busy.
+    :param read_timeout_ms: time for a request to arrive completely, and
+        for an idle connection to stay open.
+    """
+
+    body_max_bytes: Bytes = 1 << 20
+    header_max_bytes: Bytes = 16 << 10
+    connections: Count = 2_048
+    waiting_connections: Count = 512
+    reserve_threads: Count = 4
+    read_timeout_ms: Milliseconds = 10_000
--- a/src/magnoliapitch/http/listener.py
+++ b/src/magnoliapitch/http/listener.py
@@ -8,9 +8,10 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from cheroot import wsgi
-
 from magnoliapitch.event import log_event
+from magnoliapitch.http.bound import BusyBound
+from magnoliapitch.http.limits import HttpLimits
+from magnoliapitch.http.server import BoundedServer
 from magnoliapitch.supervisor.exceptions import StartError
 
 
@@ -18,14 +19,19 @@
     from magnoliapitch.http.application import Application
 
 
+DEFAULT_LIMITS = HttpLimits()
+
+
 class Listener:
     """Serves an application on an IP address and port.
 
     Each start binds anew, so that a restart gets a working socket; a port
     that was picked by the first start is kept.
 
-    :param threads: requests served at once; each holds a thread.
+    :param threads: requests served at once; each holds a thread. A
+        reserve of further threads refuses what exceeds them.
     :param stop_timeout_s: longest wait for requests in flight.
+    :param limits: what clients may send at most.
     """
 
     def __init__(
@@ -35,12 +41,14 @@
         application: Application,
         threads: int,
         stop_timeout_s: int = 5,
+        limits: HttpLimits = DEFAULT_LIMITS,
     ) -> None:
         self.name = name
         self._address = address
         self._application = application
         self._threads = threads
         self._stop_timeout_s = stop_timeout_s
+        self._limits = limits
         self._server: Any = None
         self._thread: threading.Thread | None = None
 
@@ -80,12 +88,12 @@
         return self._thread is not None and self._thread.is_alive()
 
     def _make_server(self) -> Any:
-        server: Any = wsgi.Server(
+        server: Any = BoundedServer(
             self._address,
-            self._application,
-            numthreads=self._threads,
-            max=self._threads,
-            shutdown_timeout=self._stop_timeout_s,
+            BusyBound(self._application, self._threads),
+            self._threads + self._limits.reserve_threads,
+            self._limits,
+            self._stop_timeout_s,
         )
         server.error_log = self._log_error
         return server
--- a/src/magnoliapitch/http/message.py
+++ b/src/magnoliapitch/http/message.py
@@ -14,6 +14,7 @@
 
     :param path_values: values of the placeholders of the route's path.
     :param headers_by_name: headers by lower-case name.
+    :param request_id: the caller's id of the request, or a new one.
     """
 
     method: str
@@ -22,6 +23,7 @@
     query_by_name: Mapping[str, str]
     headers_by_name: Mapping[str, str]
     body: bytes
+    request_id: str = ""
 
     def json(self) -> Any:
         """Decode the body.
--- a/src/magnoliapitch/http/problem.py
+++ b/src/magnoliapitch/http/problem.py
@@ -28,12 +28,19 @@
     FailureCode.STALE: 409,
     FailureCode.TRUNCATED: 410,
     FailureCode.CANCELLED: 409,
+    FailureCode.TOO_LARGE: 413,
+    FailureCode.INTERNAL: 500,
 }
 
 
-def problem_response(failure: Failure, request_id: str = "") -> HttpResponse:
-    """Return a failure as problem details with its verdict."""
-    status = STATUS_BY_CODE[failure.code]
+def problem_response(
+    failure: Failure, request_id: str = "", status: int | None = None
+) -> HttpResponse:
+    """Return a failure as problem details with its verdict.
+
+    :param status: HTTP status if it is not the usual one of the code.
+    """
+    status = status or STATUS_BY_CODE[failure.code]
     problem: dict[str, object] = {
         "type": f"urn:magnoliapitch:problem:{failure.code.value}",
         "title": failure.code.value,
--- /dev/null
+++ b/src/magnoliapitch/http/server.py
@@ -0,0 +1,229 @@
+"""cheroot with problem details, and with bounds where it has none."""
+
+from __future__ import annotations
+
+import contextlib
+import queue
+import socket
+import threading
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cheroot import server
+from cheroot import wsgi
+
+from magnoliapitch.http.problem import problem_response
+from magnoliapitch.http.reader import make_file
+from magnoliapitch.http.request_id import REQUEST_ID_HEADER
+from magnoliapitch.http.request_id import is_valid_request_id
+from magnoliapitch.http.request_id import new_request_id
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import may_have_run
+from magnoliapitch.verdict import not_run
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.http.bound import BusyBound
+    from magnoliapitch.http.limits import HttpLimits
+    from magnoliapitch.verdict import Failure
+
+
+RETRY_MS = 1_000
+DISCARD_BYTES = 1 << 16
+
+_CODE_BY_STATUS = {
+    400: FailureCode.INVALID,
+    405: FailureCode.INVALID,
+    408: FailureCode.TIMEOUT,
+    413: FailureCode.TOO_LARGE,
+    414: FailureCode.TOO_LARGE,
+    501: FailureCode.INVALID,
+    503: FailureCode.OVERLOADED,
+    505: FailureCode.INVALID,
+}
+_SINGLE_HEADERS = frozenset(
+    (
+        b"Content-Length",
+        b"Host",
+        b"Idempotency-Key",
+        b"Ticket",
+        b"X-Request-Id",
+    )
+)
+
+
+class _Headers(dict[bytes, bytes]):
+    def __setitem__(self, name: bytes, value: bytes) -> None:
+        if name in _SINGLE_HEADERS and name in self:
+            raise ValueError(f"{name.decode('latin-1')} is given twice")
+        super().__setitem__(name, value)
+
+
+class _Request(server.HTTPRequest):
+    is_handled = False
+
+    def __init__(self, owner: BoundedServer, conn: _Connection) -> None:
+        super().__init__(owner, conn)
+        self.inheaders = _Headers()
+
+    def parse_request(self) -> None:
+        self.conn.rfile.restart()
+        super().parse_request()
+
+    def read_request_headers(self) -> bool:
+        if not super().read_request_headers():  # type: ignore[no-untyped-call]
+            return False
+        problem = self._framing_problem()
+        if problem:
+            self.simple_response("400 Bad Request", problem)
+            return False
+        return True
+
+    def respond(self) -> None:
+        if self.conn.is_excess:
+            self.simple_response("503 Service Unavailable", "connection limit")
+            self.close_connection = True
+            return
+        self.is_handled = True
+        super().respond()
+
+    def send_headers(self) -> None:
+        if (b"Connection", b"close") in self.outheaders:
+            self.close_connection = True
+        super().send_headers()
+
+    def simple_response(self, status: Any, msg: Any = "") -> None:
+        number = int(str(status)[:3])
+        self.close_connection = True
+        self.sent_headers = True
+        response = problem_response(
+            self._failure(number, str(msg)), self._id(), number
+        )
+        head = [
+            f"HTTP/1.1 {number} {HTTPStatus(number).phrase}",
+            f"Content-Type: {response.content_type}",
+            f"Content-Length: {len(response.body)}",
+            f"{REQUEST_ID_HEADER}: {self._id()}",
+            "Connection: close",
+            *(f"{name}: {value}" for name, value in response.headers),
+        ]
+        data = "\r\n".join(head).encode("latin-1") + b"\r\n\r\n"
+        with contextlib.suppress(OSError):
+            self.conn.wfile.write(data + response.body)
+
+    def _framing_problem(self) -> str:
+        headers = self.inheaders
+        length = headers.get(b"Content-Length", b"0")
+        if not length.isdigit():
+            return "Content-Length is not a number"
+        if b"Transfer-Encoding" not in headers:
+            return ""
+        if b"Content-Length" in headers:
+            return "both Content-Length and Transfer-Encoding"
+        if not self.chunked_read:
+            return "Transfer-Encoding is not chunked"
+        return ""
+
+    def _failure(self, status: int, detail: str) -> Failure:
+        if self.is_handled:
+            return may_have_run(FailureCode.INTERNAL, "internal error")
+        code = _CODE_BY_STATUS.get(status, FailureCode.INTERNAL)
+        text = detail or HTTPStatus(status).phrase
+        retry_ms = RETRY_MS if code is FailureCode.OVERLOADED else None
+        return not_run(code, text, retry_ms)
+
+    def _id(self) -> str:
+        given = self.inheaders.get(REQUEST_ID_HEADER.encode(), b"")
+        text: str = given.decode("latin-1")
+        if not is_valid_request_id(text):
+            self.inheaders.pop(REQUEST_ID_HEADER.encode(), None)
+            text = new_request_id()
+            self.inheaders[REQUEST_ID_HEADER.encode()] = text.encode()
+        return text
+
+
+class _Connection(server.HTTPConnection):
+    RequestHandlerClass = _Request
+
+    def __init__(self, owner: BoundedServer, stream: Any, _: Any) -> None:
+        super().__init__(owner, stream, make_file)
+        self.is_new = True
+        self.is_excess = False
+        self._is_closed = False
+
+    def refuse(self) -> None:
+        """Answer without reading the request, and close."""
+        with contextlib.suppress(OSError):
+            self.socket.recv(DISCARD_BYTES, socket.MSG_DONTWAIT)
+        _Request(self.server, self).simple_response(
+            "503 Service Unavailable", "too many requests wait for a thread"
+        )
+        self.close()
+
+    def close(self) -> None:
+        if not self._is_closed:
+            self._is_closed = True
+            self.server.count(-1)
+        super().close()
+
+
+class BoundedServer(wsgi.Server):
+    """A cheroot server within the limits of a listener.
+
+    A connection takes a thread only once it has sent something.
+    """
+
+    ConnectionClass = _Connection
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        application: BusyBound,
+        threads: int,
+        limits: HttpLimits,
+        stop_timeout_s: int,
+    ) -> None:
+        super().__init__(
+            address,
+            application,
+            numthreads=threads,
+            max=threads,
+            request_queue_size=limits.connections,
+            shutdown_timeout=stop_timeout_s,
+            accepted_queue_size=limits.waiting_connections,
+            accepted_queue_timeout=0,
+        )
+        self.timeout = limits.read_timeout_ms / 1000
+        self.max_request_header_size = limits.header_max_bytes
+        self.max_request_body_size = limits.body_max_bytes
+        self.keep_alive_conn_limit = limits.connections
+        self._limits = limits
+        self._open = 0
+        self._count_lock = threading.Lock()
+
+    def count(self, change: int) -> int:
+        """Change the number of open connections and return it."""
+        with self._count_lock:
+            self._open += change
+            return self._open
+
+    def process_conn(self, conn: Any) -> None:
+        """Queue a connection that has sent something for a thread."""
+        if conn.is_new:
+            self._accept(conn)
+            return
+        try:
+            self.requests.put(conn)
+        except queue.Full:
+            conn.refuse()
+
+    def _accept(self, conn: Any) -> None:
+        conn.is_new = False
+        count = self.count(1)
+        conn.is_excess = count > self._limits.connections
+        if count > 2 * self._limits.connections:
+            conn.close()
+            return
+        self.put_conn(conn)
--- a/src/magnoliapitch/settings/model.py
+++ b/src/magnoliapitch/settings/model.py
@@ -11,6 +11,7 @@
 from magnoliapitch.decision.options import WAITING_FIRST
 from magnoliapitch.decision.options import PolicyWeights
 from magnoliapitch.event.registry import EventLevel
+from magnoliapitch.http.limits import HttpLimits
 from magnoliapitch.settings.check import check_ip_number
 from magnoliapitch.settings.check import check_platform_url
 
@@ -91,6 +92,7 @@
     :param profile: named weights of the policy.
     :param weights: weights as numbers, which replace the profile.
     :param log_level: lowest level of the events that are logged.
+    :param http: limits of the callers' HTTP listener.
     """
 
     instance_id: InstanceName
@@ -104,3 +106,4 @@
     listeners: ListenerSettings = ListenerSettings()
     timing: TimingSettings = TimingSettings()
     limits: LimitSettings = LimitSettings()
+    http: HttpLimits = HttpLimits()
--- a/src/magnoliapitch/standin/server.py
+++ b/src/magnoliapitch/standin/server.py
@@ -14,6 +14,7 @@
 from magnoliapitch.backend.http_client import REFUSED_HEADER
 from magnoliapitch.backend.http_client import REQUEST_ID_HEADER
 from magnoliapitch.http import Application
+from magnoliapitch.http import HttpLimits
 from magnoliapitch.http import HttpRequest
 from magnoliapitch.http import HttpResponse
 from magnoliapitch.http import Listener
@@ -41,6 +42,8 @@
 
 ValueT = TypeVar("ValueT")
 
+BODY_MAX_BYTES = 1 << 26
+
 _GRANTS = TypeAdapter(tuple[LeaseGrant, ...])
 
 
@@ -48,7 +51,7 @@
     log: StandinLog, instance_list: StandinInstanceList
 ) -> Application:
     """Return the platform's log and list as an application."""
-    application = Application(body_max_bytes=1 << 26)
+    application = Application(BODY_MAX_BYTES)
 
     @application.route("POST", "/log/append")
     def append(request: HttpRequest) -> HttpResponse:
@@ -161,7 +164,8 @@
     if isinstance(outcome, Err):
         failure = outcome.err_value
         if failure.verdict is not Verdict.NOT_RUN:
-            return HttpResponse(200, b"{}")
+            other = ((REQUEST_ID_HEADER, "other"),)
+            return HttpResponse(200, b"{}", headers=other)
         headers: tuple[tuple[str, str], ...] = ((REFUSED_HEADER, "1"),)
         if failure.code is FailureCode.SHUTTING_DOWN:
             headers += ((LEAVING_HEADER, "1"),)
@@ -201,7 +205,11 @@
         add_worker_routes(application, workers, instance_list.by_id)
         add_backend_routes(application, backends, instance_list.by_id)
         self._listener = Listener(
-            "standin", ("127.0.0.1", 0), application, threads
+            "standin",
+            ("127.0.0.1", 0),
+            application,
+            threads,
+            limits=HttpLimits(BODY_MAX_BYTES),
         )
         self._instance_list = instance_list
 
--- a/src/magnoliapitch/verdict.py
+++ b/src/magnoliapitch/verdict.py
@@ -36,6 +36,8 @@
     STALE = "stale"
     TRUNCATED = "truncated"
     CANCELLED = "cancelled"
+    TOO_LARGE = "too-large"
+    INTERNAL = "internal"
 
 
 class Failure(NamedTuple):
--- a/tests/http/test_listener.py
+++ b/tests/http/test_listener.py
@@ -1,53 +1,241 @@
 from __future__ import annotations
 
+import socket
+import threading
+
+from typing import TYPE_CHECKING
+
+import orjson
 import pytest
-import urllib3
 
 from magnoliapitch.http import Application
+from magnoliapitch.http import HttpLimits
 from magnoliapitch.http import HttpRequest
 from magnoliapitch.http import HttpResponse
 from magnoliapitch.http import Listener
 from magnoliapitch.http import json_response
-from magnoliapitch.peer.node import PeerNode
-from magnoliapitch.supervisor import StartError
 
 
-def make_listener(port: int = 0) -> Listener:
-    application = Application()
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+THREADS = 2
+LIMITS = HttpLimits(
+    body_max_bytes=1_024,
+    header_max_bytes=2_048,
+    connections=6,
+    reserve_threads=1,
+    read_timeout_ms=300,
+)
+TIMEOUT_S = 20
+
+
+class Served:
+    def __init__(self) -> None:
+        self.calls = 0
+        self.go_on = threading.Event()
+        self.application = Application(LIMITS.body_max_bytes)
+        self.listener = Listener(
+            "test", ("127.0.0.1", 0), self.application, THREADS, limits=LIMITS
+        )
+
+        @self.application.route("POST", "/echo")
+        def echo(request: HttpRequest) -> HttpResponse:
+            self.calls += 1
+            return HttpResponse(200, request.body, "text/plain")
+
+        @self.application.route("GET", "/wait")
+        def wait(request: HttpRequest) -> HttpResponse:
+            self.calls += 1
+            self.go_on.wait(TIMEOUT_S)
+            return json_response({})
+
+        @self.application.route("GET", "/fail")
+        def fail(request: HttpRequest) -> HttpResponse:
+            raise RuntimeError("broken handler")
+
+        @self.application.route("GET", "/inject")
+        def inject(request: HttpRequest) -> HttpResponse:
+            return json_response({}, 299, (("X-Any", "a\r\nX-Evil: 1"),))
+
+    def connect(self) -> socket.socket:
+        stream = socket.create_connection(("127.0.0.1", self.listener.port))
+        stream.settimeout(TIMEOUT_S)
+        return stream
+
+    def exchange(self, data: bytes) -> tuple[int, dict[str, str], bytes]:
+        with self.connect() as stream:
+            stream.sendall(data)
+            return read_answer(stream)
+
+
+def read_answer(stream: socket.socket) -> tuple[int, dict[str, str], bytes]:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        part = stream.recv(65_536)
+        assert part, "closed without an answer"
+        data += part
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    headers = dict(line.split(": ", 1) for line in lines[1:])
+    while len(body) < int(headers["Content-Length"]):
+        body += stream.recv(65_536)
+    return int(lines[0].split()[1]), headers, body
+
+
+@pytest.fixture
+def served() -> Iterator[Served]:
+    served = Served()
+    served.listener.start()
+    yield served
+    served.go_on.set()
+    served.listener.stop()
+
+
+def _post(head: str, body: bytes = b"") -> bytes:
+    return f"POST /echo HTTP/1.1\r\nHost: a\r\n{head}\r\n".encode() + body
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (_post("Content-Length: 2000\r\n"), 413),
+        (_post("Content-Length: -1\r\n"), 400),
+        (_post("Content-Length: +3\r\n", b"abc"), 400),
+        (_post("Content-Length: x\r\n"), 400),
+        (_post("Content-Length: 3\r\nContent-Length: 4\r\n", b"abcd"), 400),
+        (
+            _post(
+                "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+                b"0\r\n\r\n",
+            ),
+            400,
+        ),
+        (_post("Transfer-Encoding: gzip\r\n"), 501),
+        (_post("Transfer-Encoding: chunked\r\n", b"zz\r\nabc\r\n"), 400),
+        (
+            _post(
+                "Transfer-Encoding: chunked\r\n",
+                b"800\r\n" + b"x" * 0x800 + b"\r\n0\r\n\r\n",
+            ),
+            413,
+        ),
+        (_post(f"X-Big: {'x' * 3_000}\r\n"), 413),
+        (b"GET /" + b"x" * 3_000 + b" HTTP/1.1\r\n\r\n", 414),
+        (_post("Content-Length: 10\r\n", b"half"), 408),
+        (b"POST /echo HTTP/1.1\r\nHost:", 408),
+        (_post("X-Request-Id: a b\r\nContent-Length: 0\r\n"), 400),
+        (_post("X-Request-Id: \xe9\r\nContent-Length: 0\r\n"), 400),
+        (b"GET /echo HTTP/1.1\r\nHost: a\r\n\r\n", 405),
+        (b"GET /nothing HTTP/1.1\r\nHost: a\r\n\r\n", 404),
+    ],
+)
+def test_listener_refuses_what_is_no_request(
+    served: Served, data: bytes, status: int
+) -> None:
+    found, headers, body = served.exchange(data)
+    problem = orjson.loads(body)
+    assert found == problem["status"] == status
+    assert headers["Content-Type"] == "application/problem+json"
+    assert problem["verdict"] == "not_run"
+    assert headers["X-Request-Id"]
+    assert served.calls == 0
+
+
+def test_listener_refuses_half_a_body_of_a_closed_connection(
+    served: Served,
+) -> None:
+    with served.connect() as stream:
+        stream.sendall(_post("Content-Length: 10\r\n", b"half"))
+        stream.shutdown(socket.SHUT_WR)
+        status, headers, body = read_answer(stream)
+    assert (status, orjson.loads(body)["verdict"]) == (400, "not_run")
+    assert headers["Connection"] == "close"
+    assert served.calls == 0
+
+
+def test_listener_repeats_ids_and_keeps_connections(served: Served) -> None:
+    with served.connect() as stream:
+        for number in range(3):
+            head = f"X-Request-Id: r{number}\r\nContent-Length: 3\r\n"
+            stream.sendall(_post(head, b"abc"))
+            status, headers, body = read_answer(stream)
+            assert (status, body) == (200, b"abc")
+            assert headers["X-Request-Id"] == f"r{number}"
+        head = "X-Request-Id: r4\r\nTransfer-Encoding: chunked\r\n"
+        stream.sendall(_post(head, b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"))
+        assert read_answer(stream)[2] == b"abc"
+
+
+def test_listener_answers_for_a_broken_handler(served: Served) -> None:
+    data = b"GET /fail HTTP/1.1\r\nHost: a\r\nX-Request-Id: r1\r\n\r\n"
+    status, headers, body = served.exchange(data)
+    problem = orjson.loads(body)
+    assert (status, problem["verdict"]) == (500, "may_have_run")
+    assert headers["X-Request-Id"] == problem["request_id"] == "r1"
+    assert "broken handler" not in body.decode()
+
+
+def test_listener_keeps_headers_apart(served: Served) -> None:
+    status, headers, _ = served.exchange(
+        b"GET /inject HTTP/1.1\r\nHost: a\r\n\r\n"
+    )
+    assert status == 299
+    assert "X-Evil" not in headers
 
-    @application.route("GET", "/")
-    def show(request: HttpRequest) -> HttpResponse:
-        return json_response({})
 
-    return Listener("callers", ("127.0.0.1", port), application, 2)
+def test_listener_refuses_at_once_while_its_threads_are_busy(
+    served: Served,
+) -> None:
+    waiting = [served.connect() for _ in range(THREADS)]
+    for stream in waiting:
+        stream.sendall(b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+    while served.calls < THREADS:
+        pass
+    for _ in range(3):
+        status, headers, body = served.exchange(
+            b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n"
+        )
+        assert (status, orjson.loads(body)["verdict"]) == (503, "not_run")
+        assert headers["Retry-After"] == "1"
+    served.go_on.set()
+    assert [read_answer(stream)[0] for stream in waiting] == [200, 200]
+    assert served.calls == THREADS
+    for stream in waiting:
+        stream.close()
 
 
-def status_of(listener: Listener) -> int:
-    url = f"http://127.0.0.1:{listener.port}/"
-    return urllib3.request("GET", url, timeout=10).status
+def test_listener_gives_no_thread_to_a_silent_connection(
+    served: Served,
+) -> None:
+    silent = [served.connect() for _ in range(4)]
+    status, _, _ = served.exchange(_post("Content-Length: 0\r\n"))
+    assert status == 200
+    for stream in silent:
+        stream.close()
 
 
-def test_listener_binds_the_same_port_again_after_a_failure() -> None:
-    listener = make_listener()
-    listener.start()
-    port = listener.port
-    listener._server.interrupt = RuntimeError("worker thread died")
-    assert listener._thread is not None
-    listener._thread.join(10)
-    assert not listener.is_alive()
-    listener.start()
-    assert (status_of(listener), listener.port) == (200, port)
-    listener.stop()
-    listener.stop()
+def test_listener_refuses_beyond_its_connections(served: Served) -> None:
+    idle = [served.connect() for _ in range(LIMITS.connections)]
+    status, headers, body = served.exchange(_post("Content-Length: 0\r\n"))
+    assert (status, orjson.loads(body)["verdict"]) == (503, "not_run")
+    assert headers["Connection"] == "close"
+    for stream in idle:
+        stream.close()
 
 
-def test_listener_names_a_port_that_is_in_use() -> None:
-    first = make_listener()
-    first.start()
-    expected = f"callers: cannot listen on 127.0.0.1:{first.port}: "
-    with pytest.raises(StartError, match=expected) as caught:
-        make_listener(first.port).start()
-    assert "Address already in use" in str(caught.value)
-    with pytest.raises(StartError, match="peer-node: cannot listen on"):
-        PeerNode(("127.0.0.1", first.port)).start()
-    first.stop()
+def test_listener_ends_a_request_that_drips(served: Served) -> None:
+    with served.connect() as stream:
+        stream.sendall(b"POST /echo HTTP/1.1\r\nX-Slow: ")
+        stream.settimeout(LIMITS.read_timeout_ms / 10_000)
+        status = 0
+        for _ in range(1_000):
+            try:
+                stream.sendall(b"x")
+                status = read_answer(stream)[0]
+                break
+            except TimeoutError:
+                continue
+    assert status == 408
