--- a/src/magnoliapitch/api/caller.py
+++ b/src/magnoliapitch/api/caller.py
@@ -70,6 +70,10 @@
             return problem_response(outcome.err_value, request.request_id)
         return json_response({"job_id": job.job_id}, 202)
 
+    @application.route("GET", "/v1/jobs")
+    def jobs(request: HttpRequest) -> HttpResponse:  # noqa: ARG001
+        return json_response({"jobs": core.job_list()})
+
     @application.route("GET", "/v1/jobs/{job}")
     def status(request: HttpRequest) -> HttpResponse:
         job_id = request.path_values["job"]
@@ -93,6 +97,16 @@
             request.request_id,
         )
 
+    @application.route("GET", "/v1/jobs/{job}/explanation")
+    def explain(request: HttpRequest) -> HttpResponse:
+        job_id = request.path_values["job"]
+        found = core.desk.explanation(job_id)
+        if found is not None:
+            return json_response(found)
+        return problem_response(
+            not_run(FailureCode.NOT_FOUND, f"no job {job_id} is known here")
+        )
+
     @application.route("DELETE", "/v1/jobs/{job}")
     def cancel(request: HttpRequest) -> HttpResponse:
         job_id = request.path_values["job"]
--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -8,14 +8,16 @@
 from result import Err
 from result import Ok
 
-from magnoliapitch.decision import first_fit as _first_fit  # noqa: F401
 from magnoliapitch.decision.options import options_of
 from magnoliapitch.decision.registry import make_scheduler
+from magnoliapitch.decision.synchronized import SynchronizedScheduler
+from magnoliapitch.entry.job_desk import JobDesk
 from magnoliapitch.event import log_event
 from magnoliapitch.job.manager import JobManager
 from magnoliapitch.journal.journal import Journal
 from magnoliapitch.journal.record import EntryJoin
 from magnoliapitch.journal.record import JobSubmit
+from magnoliapitch.journal.snapshot_writer import SnapshotWriter
 from magnoliapitch.membership.identity import Identity
 from magnoliapitch.membership.membership import Membership
 from magnoliapitch.metric import Metrics
@@ -24,9 +26,7 @@
 from magnoliapitch.peer.message import ForwardedAnswer
 from magnoliapitch.peer.message import ForwardedRequest
 from magnoliapitch.peer.message import LogPage
-from magnoliapitch.peer.message import StateSnapshot
 from magnoliapitch.platform.fleet import Fleet
-from magnoliapitch.platform.instance import InstanceRole
 from magnoliapitch.request.router import Router
 from magnoliapitch.supervisor.loop import Step
 from magnoliapitch.verdict import FailureCode
@@ -39,13 +39,15 @@
     from magnoliapitch.clock import Clock
     from magnoliapitch.entry.adapters import Adapters
     from magnoliapitch.job.spec import JobSpec
+    from magnoliapitch.journal.state import JobRecord
     from magnoliapitch.peer.link import PeerLink
+    from magnoliapitch.peer.message import StateSnapshot
     from magnoliapitch.settings.model import Settings
     from magnoliapitch.verdict import Failure
+    from magnoliapitch.worker.runner import CallRunner
 
 
 DEFAULT_PATIENCE_MS = 10_000
-NO_RACK_RETRY_MS = 1_000
 DRAIN_RETRY_MS = 100
 
 
@@ -73,6 +75,7 @@
         adapters: Adapters,
         link: PeerLink,
         clock: Clock,
+        runner: CallRunner | None = None,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -83,10 +86,20 @@
         )
         self.fleet = Fleet(adapters.instance_list)
         self.journal = Journal(
-            adapters.log, self.identity.incarnation, self.clock
+            adapters.log,
+            self.identity.incarnation,
+            self.clock,
+            settings.platform.log_appends_per_s,
         )
+        self.snapshots = SnapshotWriter(self.journal)
         self.membership = Membership(self.identity, self.journal, self.clock)
-        self.claimer = Claimer(self.identity, self.journal, self.fleet)
+        self.claimer = Claimer(
+            self.identity,
+            self.journal,
+            self.fleet,
+            self.membership,
+            self.clock,
+        )
         self.router = Router(
             self.journal,
             self.fleet,
@@ -96,25 +109,43 @@
             link,
             clock,
         )
+        scheduler = SynchronizedScheduler(
+            make_scheduler(
+                settings.policy,
+                options_of(settings.profile, settings.weights),
+            )
+        )
+        self.desk = JobDesk(self.journal, self.fleet, scheduler, clock)
         self.jobs = JobManager(
             self.journal,
             self.fleet,
             self.claimer,
             adapters.workers,
-            make_scheduler(
-                settings.policy,
-                options_of(settings.profile, settings.weights),
-            ),
+            scheduler,
             self.clock,
+            runner,
         )
         self.metrics = Metrics()
         self._link = link
 
-    def steps(self) -> tuple[NamedStep, ...]:
-        """Return the steps in the order in which they are started."""
+    def steps(self, wait_ms: int = 0) -> tuple[NamedStep, ...]:
+        """Return the steps in the order in which they are started.
+
+        :param wait_ms: how long a step may wait for something to do; 0
+            for steps that are driven with a manual clock.
+        """
         return (
-            NamedStep("follower", self.journal.follow_step, "platform"),
-            NamedStep("appender", self.journal.append_step, "platform"),
+            NamedStep(
+                "follower",
+                lambda: self.journal.follow_step(wait_ms),
+                "platform",
+            ),
+            NamedStep(
+                "appender",
+                lambda: self.journal.append_step(wait_ms),
+                "platform",
+            ),
+            NamedStep("snapshots", self.snapshots.step, "platform"),
             NamedStep("fleet", self.fleet.refresh_step, "platform"),
             NamedStep("heartbeat", self._heartbeat_step),
             NamedStep("claimer", self.claimer.claim_step),
@@ -145,7 +176,7 @@
 
     def is_ready(self) -> bool:
         """Return whether requests can be accepted."""
-        return not self.is_draining and self.journal.last_read_ms is not None
+        return not self.is_draining and self.journal.is_complete
 
     def refusal(self) -> Failure | None:
         """Return why new work is refused, if it is."""
@@ -169,16 +200,12 @@
         self, job: JobSpec, timeout_ms: int
     ) -> Result[None, Failure]:
         """Accept a job and assign it to a unit of workers."""
-        unit = self._unit_for()
-        if unit is None:
-            return Err(
-                not_run(
-                    FailureCode.UNAVAILABLE,
-                    "no rack is owned",
-                    NO_RACK_RETRY_MS,
-                )
-            )
-        outcome = self.journal.commit(JobSubmit(job, unit), timeout_ms)
+        unit = self.desk.choose_unit(job)
+        if isinstance(unit, Err):
+            return unit
+        outcome = self.journal.commit(
+            JobSubmit(job, unit.ok_value), timeout_ms
+        )
         if isinstance(outcome, Err):
             return outcome
         if not outcome.ok_value.applied:
@@ -189,16 +216,12 @@
         """Return what the log knows of a job."""
         with self.journal.reading() as state:
             job = state.jobs_by_id.get(job_id)
-            if job is None:
-                return None
-            return {
-                "job_id": job_id,
-                "unit": job.unit,
-                "tasks": job.spec.tasks,
-                "finished": job.finished_tasks,
-                "cancelled": job.cancelled,
-                "done": job.is_done,
-            }
+            return None if job is None else _job_row(job)
+
+    def job_list(self) -> list[dict[str, object]]:
+        """Return what the log knows of every job."""
+        with self.journal.reading() as state:
+            return [_job_row(job) for job in state.jobs_by_id.values()]
 
     def dump(self) -> dict[str, object]:
         """Return the state of every part."""
@@ -221,33 +244,28 @@
         """Execute a forwarded request."""
         return self.router.execute_here(request)
 
-    def read_log(self, from_offset: int, limit: int) -> LogPage:  # noqa: ARG002
+    def read_log(self, from_offset: int, limit: int) -> LogPage:
         """Relay log records."""
         beat = self.membership.beat()
-        return LogPage((), beat.next_offset, beat.log_age_ms)
+        records = self.journal.page(from_offset, limit)
+        return LogPage(records, beat.next_offset, beat.log_age_ms)
 
     def snapshot(self) -> StateSnapshot:
         """Return the encoded fold."""
-        return StateSnapshot(0, "", b"")
+        return self.journal.snapshot()
 
     def _heartbeat_step(self) -> int:
         self.membership.loads = self.router.loads()
         return self.membership.heartbeat_step(self._link)
 
-    def _unit_for(self) -> str | None:
-        workers = {
-            worker.unit for worker in self.fleet.of_role(InstanceRole.WORKER)
-        }
-        with self.journal.reading() as state:
-            owned = [
-                claim.unit
-                for claim in state.claims_by_unit.values()
-                if claim.incarnation and claim.unit in workers
-            ]
-            load_by_unit = dict.fromkeys(owned, 0)
-            for job in state.jobs_by_id.values():
-                if job.unit in load_by_unit and not job.is_done:
-                    load_by_unit[job.unit] += job.spec.tasks
-        if not load_by_unit:
-            return None
-        return min(load_by_unit, key=lambda unit: (load_by_unit[unit], unit))
+
+def _job_row(job: JobRecord) -> dict[str, object]:
+    return {
+        "job_id": job.spec.job_id,
+        "entry": job.spec.entry,
+        "unit": job.unit,
+        "tasks": job.spec.tasks,
+        "finished": job.finished_tasks,
+        "cancelled": job.cancelled,
+        "done": job.is_done,
+    }
--- a/src/magnoliapitch/entry/node.py
+++ b/src/magnoliapitch/entry/node.py
@@ -17,6 +17,7 @@
 from magnoliapitch.metric import CostMeter
 from magnoliapitch.peer.node import PeerNode
 from magnoliapitch.supervisor import RestartPolicy
+from magnoliapitch.worker.runner import PooledRunner
 
 
 if TYPE_CHECKING:
@@ -26,6 +27,9 @@
     from magnoliapitch.settings.model import Settings
 
 
+STEP_WAIT_MS = 500
+
+
 class EntryNode:
     """One entry instance.
 
@@ -44,7 +48,14 @@
         self.cost = CostMeter()
         address = settings.address
         self.peer_node = PeerNode((address, settings.listeners.peer_port))
-        self.core = EntryCore(settings, adapters, self.peer_node, self.clock)
+        self.worker_calls = PooledRunner()
+        self.core = EntryCore(
+            settings,
+            adapters,
+            self.peer_node,
+            self.clock,
+            self.worker_calls,
+        )
         self.peer_node.handler = self.core
         self.caller_listener = Listener(
             "callers",
@@ -61,7 +72,7 @@
             settings.listeners.admin_threads,
         )
         self.supervisor = make_tree(
-            self.core.steps(),
+            self.core.steps(STEP_WAIT_MS),
             (self.admin_listener,),
             (self.peer_node, self.caller_listener),
             TreeOptions(self.clock, _policy_of(settings), give_up),
@@ -98,6 +109,7 @@
         log_event("entry-stopping")
         self.core.drain()
         self.supervisor.stop()
+        self.worker_calls.stop()
         log_event("entry-stopped")
 
 
--- a/src/magnoliapitch/settings/check.py
+++ b/src/magnoliapitch/settings/check.py
@@ -22,6 +22,18 @@
     return value
 
 
+def check_peer_address(value: str) -> str:
+    """Return the value if it is ``IP:PORT``.
+
+    :raises ValueError: if it is not.
+    """
+    host, _, port = value.rpartition(":")
+    check_ip_number(host.strip("[]"))
+    if not (port.isascii() and port.isdigit() and 0 < int(port) < 1 << 16):
+        raise ValueError("must be an address such as 10.0.3.7:8082")
+    return value
+
+
 def check_platform_url(value: str) -> str:
     """Return the value if it is a URL whose host is an IP number.
 
--- a/src/magnoliapitch/settings/model.py
+++ b/src/magnoliapitch/settings/model.py
@@ -13,6 +13,7 @@
 from magnoliapitch.event.registry import EventLevel
 from magnoliapitch.http.limits import HttpLimits
 from magnoliapitch.settings.check import check_ip_number
+from magnoliapitch.settings.check import check_peer_address
 from magnoliapitch.settings.check import check_platform_url
 
 
@@ -21,6 +22,7 @@
 Threads = Annotated[int, Field(ge=1, le=4_096, strict=True)]
 Count = Annotated[int, Field(ge=1, le=1_000_000, strict=True)]
 IpNumber = Annotated[str, AfterValidator(check_ip_number)]
+PeerAddress = Annotated[str, AfterValidator(check_peer_address)]
 PlatformUrl = Annotated[str, AfterValidator(check_platform_url)]
 InstanceName = Annotated[
     str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
@@ -32,10 +34,12 @@
 
     :param log_url: address of the platform's log.
     :param instance_list_url: address of the platform's list of instances.
+    :param log_appends_per_s: appends of all instances together.
     """
 
     log_url: PlatformUrl
     instance_list_url: PlatformUrl
+    log_appends_per_s: Count = 200
 
 
 class ListenerSettings(NamedTuple):
@@ -93,13 +97,15 @@
     :param weights: weights as numbers, which replace the profile.
     :param log_level: lowest level of the events that are logged.
     :param http: limits of the callers' HTTP listener.
+    :param peer_addresses: ``IP:PORT`` of peers to ask when the log and the
+        list of instances are away.
     """
 
     instance_id: InstanceName
     zone: InstanceName
     platform: PlatformSettings
     address: IpNumber = "127.0.0.1"
-    policy: str = "fifo"
+    policy: str = "weighted"
     profile: str = WAITING_FIRST
     weights: PolicyWeights | None = None
     log_level: EventLevel = EventLevel.INFO
@@ -107,3 +113,4 @@
     timing: TimingSettings = TimingSettings()
     limits: LimitSettings = LimitSettings()
     http: HttpLimits = HttpLimits()
+    peer_addresses: tuple[PeerAddress, ...] = ()
