--- a/src/magnoliapitch/api/explanation.py
+++ b/src/magnoliapitch/api/explanation.py
@@ -45,7 +45,7 @@
         job_id = request.path_values["job"]
         found = _owner_of(core, job_id)
         if isinstance(found, Err):
-            return problem_response(found.err_value)
+            return problem_response(found.err_value, request.request_id)
         owner = found.ok_value
         if owner.is_done:
             return json_response({"job_id": job_id, "waits": False})
