Bound the demo's wait for all jobs together

Change: one deadline of 20 s for all jobs of a deployment; what is not done by then is printed as broken. Conclusion: the demo always says what it found; the unfinished jobs point to a fault or a slow handover outside this package.

--- a/src/magnoliapitch/standin/demo.py
+++ b/src/magnoliapitch/standin/demo.py
@@ -42,7 +42,7 @@
 LEASE_TTL_MS = 2_000
 CALLER_THREADS = 16
 POLL_S = 0.02
-TIMEOUT_S = 30
+TIMEOUT_S = 20
 
 
 class Demo:
@@ -149,15 +149,20 @@
                 )
                 if job is not None:
                     self._jobs.append(job)
+        deadline_s = time.monotonic() + TIMEOUT_S
         for job in self._jobs:
-            self._await_end(submitter, job)
+            self._await_end(submitter, job, deadline_s)
 
-    def _await_end(self, submitter: JobSubmitter, job: SubmittedJob) -> None:
+    def _await_end(
+        self, submitter: JobSubmitter, job: SubmittedJob, deadline_s: float
+    ) -> None:
         if job.work_class is WorkClass.SERVICE:
-            if not wait_until(lambda: self._started_tasks(job) == job.tasks):
+            if not wait_until(
+                lambda: self._started_tasks(job) == job.tasks, deadline_s
+            ):
                 return
             submitter.cancel(job)
-        if wait_until(lambda: submitter.is_done(job)):
+        if wait_until(lambda: submitter.is_done(job), deadline_s):
             self._done.add(job.job_id)
 
     def _started_tasks(self, job: SubmittedJob) -> int:
@@ -238,11 +243,17 @@
         )
 
 
-def wait_until(condition: Callable[[], bool]) -> bool:
-    """Wait until a condition holds; return whether it did in time."""
-    deadline_s = time.monotonic() + TIMEOUT_S
-    while time.monotonic() < deadline_s:
-        if condition():
-            return True
+def wait_until(
+    condition: Callable[[], bool], deadline_s: float | None = None
+) -> bool:
+    """Wait until a condition holds; return whether it did in time.
+
+    :param deadline_s: monotonic time, by default the timeout from now.
+    """
+    if deadline_s is None:
+        deadline_s = time.monotonic() + TIMEOUT_S
+    while not condition():
+        if time.monotonic() >= deadline_s:
+            return False
         time.sleep(POLL_S)
-    return False
+    return True
