Index the instance list by role and zone

Cause: each small request, claim step and submission scanned the whole list of instances, and a submission built a shape of every worker. Change: Fleet indexes a list when it has changed and counts its changes; JobDesk keeps its shapes until then. Conclusion: the cost of a request does not grow with the instances.

--- a/src/magnoliapitch/entry/job_desk.py
+++ b/src/magnoliapitch/entry/job_desk.py
@@ -47,6 +47,8 @@
         self._fleet = fleet
         self._scheduler = scheduler
         self._clock = clock
+        self._shapes: dict[str, tuple[WorkerShape, ...]] = {}
+        self._shapes_generation = -1
 
     def submit(self, job: JobSpec, timeout_ms: int) -> Result[None, Failure]:
         """Accept a job through the log; the same job again is accepted."""
@@ -170,13 +172,19 @@
             return job is not None and job.cancelled
 
     def _shapes_by_unit(self) -> dict[str, tuple[WorkerShape, ...]]:
-        found: dict[str, tuple[WorkerShape, ...]] = {}
+        """Return the workers of each rack, made anew for a new list."""
+        generation = self._fleet.generation
+        if self._shapes_generation == generation:
+            return self._shapes
+        found: dict[str, list[WorkerShape]] = {}
         for worker in self._fleet.of_role(InstanceRole.WORKER):
             shape = WorkerShape(
                 worker.instance_id, worker.unit, worker.zone, worker.capacity
             )
-            found[worker.unit] = (*found.get(worker.unit, ()), shape)
-        return found
+            found.setdefault(worker.unit, []).append(shape)
+        self._shapes = {unit: tuple(items) for unit, items in found.items()}
+        self._shapes_generation = generation
+        return self._shapes
 
     def _load_by_unit(
         self, shapes_by_unit: dict[str, tuple[WorkerShape, ...]]
--- a/src/magnoliapitch/platform/fleet.py
+++ b/src/magnoliapitch/platform/fleet.py
@@ -14,25 +14,32 @@
 
 
 REFRESH_INTERVAL_MS = 500
+EVERY_ZONE = ""
+
+_Index = dict["tuple[InstanceRole, str]", "tuple[InstanceInfo, ...]"]
 
 
 class Fleet:
     """Caches the platform's list; keeps the last one during outages.
 
     :ivar is_fresh: whether the last refresh succeeded.
+    :ivar generation: increases whenever the list has changed.
     """
 
     def __init__(self, instance_list: InstanceList) -> None:
         self.is_fresh = False
+        self.generation = 0
         self._instance_list = instance_list
+        self._listed: tuple[InstanceInfo, ...] = ()
         self._by_id: dict[str, InstanceInfo] = {}
+        self._by_role_and_zone: _Index = {}
 
     def refresh_step(self) -> int:
         """Fetch the list; return milliseconds until the next refresh."""
         outcome = self._instance_list.instances()
         self.is_fresh = not isinstance(outcome, Err)
         if not isinstance(outcome, Err):
-            self._by_id = {item.instance_id: item for item in outcome.ok_value}
+            self._update(outcome.ok_value)
         return REFRESH_INTERVAL_MS
 
     def get(self, instance_id: str) -> InstanceInfo | None:
@@ -40,11 +47,21 @@
         return self._by_id.get(instance_id)
 
     def of_role(
-        self, role: InstanceRole, zone: str = ""
+        self, role: InstanceRole, zone: str = EVERY_ZONE
     ) -> tuple[InstanceInfo, ...]:
         """Return instances of a role, of one zone if it is given."""
-        return tuple(
-            item
-            for item in self._by_id.values()
-            if item.role is role and zone in ("", item.zone)
-        )
+        return self._by_role_and_zone.get((role, zone), ())
+
+    def _update(self, listed: tuple[InstanceInfo, ...]) -> None:
+        if listed == self._listed:
+            return
+        index: dict[tuple[InstanceRole, str], list[InstanceInfo]] = {}
+        for item in listed:
+            for zone in (item.zone, EVERY_ZONE):
+                index.setdefault((item.role, zone), []).append(item)
+        self._listed = listed
+        self._by_id = {item.instance_id: item for item in listed}
+        self._by_role_and_zone = {
+            key: tuple(items) for key, items in index.items()
+        }
+        self.generation += 1
