Work out the target as built and with named changes

Cause: the page must say where a limit is passed and what would carry it. Change: two layouts, one from the constants of the code, one with lean replies, zone streams, ends by ranges, shared starts and a list by change; the reader of the instance list is a role of its own. Before: one layout with intervals that the code does not have. After: the tables follow the code's constants; no figure of them is published yet. Conclusion: the page's figures follow with the measurement on a quiet machine.

--- a/src/magnoliapitch/bench/capacity/processor.py
+++ b/src/magnoliapitch/bench/capacity/processor.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import orjson
+
 from pydantic import TypeAdapter
 from result import Ok
 
@@ -21,6 +23,8 @@
 from magnoliapitch.peer.message import Beat
 from magnoliapitch.peer.message import ForwardedAnswer
 from magnoliapitch.peer.message import ForwardedRequest
+from magnoliapitch.plain import to_plain
+from magnoliapitch.platform.instance import InstanceInfo
 from magnoliapitch.worker.lease import WorkerView
 
 
@@ -37,6 +41,7 @@
 QUEUED_TASKS = 1_000
 
 _VIEW = TypeAdapter(WorkerView)
+_INSTANCES = TypeAdapter(tuple[InstanceInfo, ...])
 
 
 @processor_slope("processor time of a folded entry, batches of 1", SIZES)
@@ -109,6 +114,14 @@
     return run
 
 
+@processor_slope("processor time of a listed instance", SIZES)
+def listed_instances(size: int) -> Callable[[], object]:
+    """Decode the platform's list of workers."""
+    workers = tuple(sample.worker_info(number) for number in range(size))
+    encoded = orjson.dumps(to_plain(workers))
+    return lambda: _INSTANCES.validate_json(encoded)
+
+
 @direct_slope("processor time of a start", PROCESSOR_UNIT, SIZES)
 def starts(size: int) -> float:
     """Decide on starts while saturated, with the ends they need."""
--- a/src/magnoliapitch/bench/capacity/wire.py
+++ b/src/magnoliapitch/bench/capacity/wire.py
@@ -12,6 +12,7 @@
 from magnoliapitch.bench.capacity.served import served_worker
 from magnoliapitch.clock import MonotonicClock
 from magnoliapitch.peer.node import PeerNode
+from magnoliapitch.platform.http_instance_list import HttpInstanceList
 from magnoliapitch.platform.http_log import HttpLog
 from magnoliapitch.standin.instance import StandinInstanceList
 from magnoliapitch.standin.log import StandinLog
@@ -51,6 +52,18 @@
         return _bytes_per_call(relay, lambda: client.read(0, 1))
 
 
+@size_slope("bytes on the wire of an instance list", ITEM_SIZES)
+def instance_list(size: int) -> float:
+    """Read a list of workers."""
+    listed = StandinInstanceList(
+        tuple(sample.worker_info(number) for number in range(size))
+    )
+    workers = StandinWorkers((), MonotonicClock())
+    with served_cell(StandinLog(), listed, workers) as relay:
+        client = HttpInstanceList(f"http://127.0.0.1:{relay.port}")
+        return _bytes_per_call(relay, client.instances)
+
+
 @size_slope("bytes on the wire of heartbeats", CALL_SIZES)
 def heartbeats(size: int) -> float:
     """Exchange heartbeats on one connection."""
--- a/src/magnoliapitch/capacity/page.py
+++ b/src/magnoliapitch/capacity/page.py
@@ -18,8 +18,7 @@
 Rows = list[tuple[str, ...]]
 Render = Callable[[Measurement], Rows]
 
-STREAMS_BY_ZONE = Target().zones
-ENTRIES_PER_ZONE = (3, 5, 7, 9, 12)
+ENTRIES_PER_ZONE = (5, 7, 9, 12, 16)
 SECTION = re.compile(
     r"(<!-- table: (?P<name>[a-z-]+) -->\n).*?(<!-- end -->)", re.DOTALL
 )
@@ -69,49 +68,29 @@
     return rows
 
 
-@table("roles-one-stream")
-def roles_one_stream(measurement: Measurement) -> Rows:
-    """List the roles with every record in one stream."""
-    return _roles(Sizing(Target(), Plan(), measurement))
+@table("roles-as-built")
+def roles_as_built(measurement: Measurement) -> Rows:
+    """List the roles with the intervals of today's code."""
+    return _roles(Sizing(Target(), Plan.as_built(), measurement))
 
 
-@table("roles-zone-streams")
-def roles_zone_streams(measurement: Measurement) -> Rows:
-    """List the roles with the task records of each zone apart."""
-    plan = Plan(streams=STREAMS_BY_ZONE)
-    return _roles(Sizing(Target(), plan, measurement))
+@table("roles-with-changes")
+def roles_with_changes(measurement: Measurement) -> Rows:
+    """List the roles with the changes that the page names."""
+    return _roles(Sizing(Target(), Plan.with_changes(), measurement))
 
 
-@table("entries")
-def entries(measurement: Measurement) -> Rows:
-    """Compare numbers of entry instances in a zone."""
-    rows: Rows = [
-        (
-            "Entries a zone",
-            "Entries",
-            "Workers an entry",
-            "Core",
-            "Memory",
-            "Traffic",
-            "Within all limits",
-        )
-    ]
-    for count in ENTRIES_PER_ZONE:
-        plan = Plan(entries_per_zone=count, streams=STREAMS_BY_ZONE)
-        sizing = Sizing(Target(), plan, measurement)
-        load = total(sizing)
-        rows.append(
-            (
-                str(count),
-                str(sizing.entries),
-                f"{sizing.workers_per_entry:.0f}",
-                f"{load.core_share:.2%}",
-                f"{load.memory_mb:.0f} MB",
-                f"{load.bytes_per_second / 1000:.1f} KB/s",
-                "yes" if _is_within(load) else "no",
-            )
-        )
-    return rows
+@table("entries-as-built")
+def entries_as_built(measurement: Measurement) -> Rows:
+    """Compare numbers of entry instances in a zone, as built."""
+    return _entries([Plan.as_built(n) for n in ENTRIES_PER_ZONE], measurement)
+
+
+@table("entries-with-changes")
+def entries_with_changes(measurement: Measurement) -> Rows:
+    """Compare numbers of entry instances in a zone, with the changes."""
+    plans = [Plan.with_changes(n) for n in ENTRIES_PER_ZONE]
+    return _entries(plans, measurement)
 
 
 @table("idle")
@@ -161,6 +140,35 @@
     )
 
 
+def _entries(plans: list[Plan], measurement: Measurement) -> Rows:
+    rows: Rows = [
+        (
+            "Entries a zone",
+            "Entries",
+            "Workers an entry",
+            "Core",
+            "Memory",
+            "Traffic",
+            "Within all limits",
+        )
+    ]
+    for plan in plans:
+        sizing = Sizing(Target(), plan, measurement)
+        load = total(sizing)
+        rows.append(
+            (
+                str(plan.entries_per_zone),
+                str(sizing.entries),
+                f"{sizing.workers_per_entry:.0f}",
+                f"{load.core_share:.2%}",
+                f"{load.memory_mb:.0f} MB",
+                f"{load.bytes_per_second / 1000:.1f} KB/s",
+                "yes" if _is_within(load) else "no",
+            )
+        )
+    return rows
+
+
 def _roles(sizing: Sizing) -> Rows:
     rows: Rows = [
         (
--- a/src/magnoliapitch/capacity/roles.py
+++ b/src/magnoliapitch/capacity/roles.py
@@ -53,12 +53,12 @@
 def log_follower(sizing: Sizing) -> Load:
     """Fold every entry of the followed stream at the peak."""
     target = sizing.target
-    ends = target.starts_per_second / sizing.plan.streams
+    ends = end_entries_per_second(sizing) / sizing.plan.streams
     submits = target.jobs_per_second / sizing.plan.streams
-    changes = target.changes_per_day / 86_400
-    entries = ends + submits + changes
+    changes = target.changes_per_second
     share = sizing.core_share(
-        "processor time of a folded entry, batches of 50", entries
+        "processor time of a folded entry, batches of 50",
+        ends + submits + changes,
     )
     jobs = target.running_tasks / sizing.plan.streams
     memory = (
@@ -69,7 +69,8 @@
     traffic = sizing.cost("bytes on the wire of a log read, by entries", ends)
     traffic += sizing.cost("bytes of a job submission in a record", submits)
     traffic += sizing.cost("bytes of a catalogue change in a record", changes)
-    return Load(share, memory, traffic, _appends_per_second(sizing))
+    reads = appends_per_second(sizing) / sizing.plan.streams
+    return Load(share, memory, traffic, reads)
 
 
 @role(
@@ -81,12 +82,11 @@
 def owner_of_racks(sizing: Sizing) -> Load:
     """Renew every lease of the owned workers."""
     calls = sizing.workers_per_entry / sizing.plan.renewal_s
-    tasks = sizing.target.tasks_per_worker + 1
     return Load(
         sizing.core_share("processor time of a renewal over HTTP", calls),
         sizing.cost("memory of an owned worker", sizing.workers_per_entry)
         / BYTES_PER_MB,
-        calls * sizing.line("bytes on the wire of a renewal, by tasks", tasks),
+        calls * _call_bytes(sizing, 0),
         calls,
     )
 
@@ -100,20 +100,39 @@
 def placer(sizing: Sizing) -> Load:
     """Decide and start tasks at the peak."""
     starts = sizing.target.starts_per_second / sizing.entries
+    calls = starts / sizing.plan.starts_per_call
+    share = sizing.core_share("processor time of a start", starts)
+    share += sizing.core_share("processor time of a renewal over HTTP", calls)
+    queued = sizing.target.running_tasks / sizing.entries
     return Load(
-        sizing.core_share("processor time of a start", starts)
-        + sizing.core_share("processor time of a renewal over HTTP", starts),
-        sizing.cost(
-            "memory of a queued task",
-            sizing.target.running_tasks / sizing.entries,
-        )
-        / BYTES_PER_MB,
-        starts
-        * sizing.line(
-            "bytes on the wire of a renewal, by tasks",
-            sizing.target.tasks_per_worker,
-        ),
-        starts,
+        share,
+        sizing.cost("memory of a queued task", queued) / BYTES_PER_MB,
+        calls * _call_bytes(sizing, sizing.plan.starts_per_call),
+        calls,
+    )
+
+
+@role(
+    "list reader",
+    "every instance that the platform lists",
+    "one read of the list an interval",
+    "the newest list is kept; placement never waits for it",
+)
+def list_reader(sizing: Sizing) -> Load:
+    """Read the platform's list of instances."""
+    target = sizing.target
+    listed = float(target.workers + sizing.entries)
+    reads = 1 / sizing.plan.list_refresh_s
+    instances = listed * reads
+    if sizing.plan.list_by_change:
+        listed /= target.zones
+        instances = target.instance_changes_per_second / target.zones
+    wire = "bytes on the wire of an instance list"
+    return Load(
+        sizing.core_share("processor time of a listed instance", instances),
+        sizing.cost("memory of a listed worker", listed) / BYTES_PER_MB,
+        reads * sizing.line(wire, 0) + sizing.cost(wire, instances),
+        reads,
     )
 
 
@@ -143,7 +162,7 @@
 )
 def log_writer(sizing: Sizing) -> Load:
     """Append ends of tasks, submissions and presence."""
-    ends = sizing.target.starts_per_second / sizing.entries
+    ends = end_entries_per_second(sizing) / sizing.entries
     submits = sizing.target.jobs_per_second / sizing.entries
     traffic = sizing.cost("bytes of a task end in a record", ends)
     traffic += sizing.cost("bytes of a job submission in a record", submits)
@@ -153,7 +172,7 @@
         ),
         0.0,
         traffic,
-        _appends_per_second(sizing) / sizing.entries,
+        appends_per_second(sizing) / sizing.entries,
     )
 
 
@@ -186,9 +205,25 @@
     return sizing.cost("bytes of a snapshot, by jobs", jobs)
 
 
-def _appends_per_second(sizing: Sizing) -> float:
-    """Return the appends that the plan spends in all."""
-    presence = sizing.entries / sizing.plan.presence_s
-    return float(
-        min(sizing.target.log_appends_per_second, sizing.entries + presence)
-    )
+def end_entries_per_second(sizing: Sizing) -> float:
+    """Return the entries that record ends of tasks at the peak."""
+    return sizing.target.starts_per_second / sizing.plan.tasks_per_end
+
+
+def appends_per_second(sizing: Sizing) -> float:
+    """Return the appends of all entries at the peak.
+
+    An entry appends at most once in its share of the log's budget, with
+    everything that waits by then.
+    """
+    wanted = end_entries_per_second(sizing) + sizing.target.jobs_per_second
+    wanted += sizing.entries / sizing.plan.presence_s
+    return min(float(sizing.target.log_appends_per_second), wanted)
+
+
+def _call_bytes(sizing: Sizing, started: int) -> float:
+    """Return the bytes of a call that renews or starts tasks."""
+    tasks = sizing.target.tasks_per_worker + 1 + started
+    if sizing.plan.lean_views:
+        tasks = float(started)
+    return sizing.line("bytes on the wire of a renewal, by tasks", tasks)
--- a/src/magnoliapitch/capacity/target.py
+++ b/src/magnoliapitch/capacity/target.py
@@ -5,6 +5,9 @@
 from typing import NamedTuple
 
 
+SECONDS_PER_DAY = 86_400
+
+
 class Target(NamedTuple):
     """Load and limits two years from now.
 
@@ -31,14 +34,25 @@
     control_bytes_per_second: int = 13_000
     failures_per_day: int = 260
     restarts_per_day: int = 4_900
-    log_appends_per_second: int = 300
+    log_appends_per_second: int = 200
 
     @property
     def tasks_per_worker(self) -> float:
         """Running tasks of an average worker."""
         return self.running_tasks / self.workers
 
+    @property
+    def changes_per_second(self) -> float:
+        """Configuration changes in an average second."""
+        return self.changes_per_day / SECONDS_PER_DAY
+
+    @property
+    def instance_changes_per_second(self) -> float:
+        """Instances that fail or are replaced in an average second."""
+        changes = self.failures_per_day + self.restarts_per_day
+        return changes / SECONDS_PER_DAY
+
     @property
     def jobs_per_second(self) -> float:
         """Jobs submitted in an average second."""
-        return self.jobs_per_day / 86_400
+        return self.jobs_per_day / SECONDS_PER_DAY
