Write the capacity page with tables made from the measurement

Cause: the users are owed docs/CAPACITY.md. The bench's grants name the worker's boot; without it the stand-in had started none, and a renewal measured 55 instead of some 290 bytes a task; the bench checks that now. Before: no page.

--- a/src/magnoliapitch/bench/capacity/served.py
+++ b/src/magnoliapitch/bench/capacity/served.py
@@ -7,6 +7,7 @@
 
 from magnoliapitch.bench.capacity import sample
 from magnoliapitch.bench.capacity.relay import CountingRelay
+from magnoliapitch.bench.exceptions import BenchError
 from magnoliapitch.clock import MonotonicClock
 from magnoliapitch.standin.backend import StandinBackends
 from magnoliapitch.standin.instance import StandinInstanceList
@@ -36,7 +37,9 @@
         self._pool = HttpWorkerPool()
         view = self._pool.view(info).unwrap()
         grants = tuple(_grant(number, view) for number in range(tasks))
-        self._pool.start(info, grants).unwrap()
+        started = self._pool.start(info, grants).unwrap()
+        if len(started.leases) != tasks:
+            raise BenchError(f"{len(started.leases)} of {tasks} tasks run")
         self._lease_ids = tuple(grant.lease_id for grant in grants)
         self._expires_at_ms = view.now_ms + LONG_MS
 
@@ -87,4 +90,5 @@
         view.now_ms + LONG_MS,
         resources=sample.TASK_SIZE,
         entry=sample.ENTRY_NAME,
+        boot_id=view.boot_id,
     )
--- a/src/magnoliapitch/capacity/page.py
+++ b/src/magnoliapitch/capacity/page.py
@@ -7,12 +7,14 @@
 from collections.abc import Callable
 
 from magnoliapitch.capacity.exceptions import MeasurementError
+from magnoliapitch.capacity.lines import lines
 from magnoliapitch.capacity.measurement import Measurement
 from magnoliapitch.capacity.plan import Plan
 from magnoliapitch.capacity.role import Load
 from magnoliapitch.capacity.role import Sizing
 from magnoliapitch.capacity.roles import roles_by_name
 from magnoliapitch.capacity.target import Target
+from magnoliapitch.capacity.total import total
 
 
 Rows = list[tuple[str, ...]]
@@ -68,6 +70,14 @@
     return rows
 
 
+@table("lines")
+def target_lines(measurement: Measurement) -> Rows:
+    """Go through the target line by line, as built."""
+    sizing = Sizing(Target(), Plan.as_built(), measurement)
+    rows: Rows = [("Target", "Mechanism", "Figure", "Headroom", "Basis")]
+    return rows + [tuple(make(sizing)) for make in lines]
+
+
 @table("roles-as-built")
 def roles_as_built(measurement: Measurement) -> Rows:
     """List the roles with the intervals of today's code."""
@@ -124,22 +134,6 @@
     return rows
 
 
-def total(sizing: Sizing) -> Load:
-    """Return the cost of all roles of one entry together.
-
-    The memory of an idle process counts once, where it was measured.
-    """
-    loads = [role.load(sizing) for role in roles_by_name.values()]
-    found = sizing.measurement.idle
-    base_mb = found.memory_mb if found else 0.0
-    return Load(
-        sum(load.core_share for load in loads),
-        base_mb + sum(load.memory_mb for load in loads),
-        sum(load.bytes_per_second for load in loads),
-        sum(load.messages_per_second for load in loads),
-    )
-
-
 def _entries(plans: list[Plan], measurement: Measurement) -> Rows:
     rows: Rows = [
         (
