--- a/src/magnoliapitch/api/caller.py
+++ b/src/magnoliapitch/api/caller.py
@@ -8,6 +8,7 @@
 from pydantic import ValidationError
 from result import Err
 
+from magnoliapitch.api.explanation import add_explanation_route
 from magnoliapitch.http import Application
 from magnoliapitch.http import HttpRequest
 from magnoliapitch.http import HttpResponse
@@ -20,7 +21,11 @@
 
 
 if TYPE_CHECKING:
+    from result import Result
+
     from magnoliapitch.entry.core import EntryCore
+    from magnoliapitch.peer.message import ForwardedAnswer
+    from magnoliapitch.verdict import Failure
 
 
 COMMIT_TIMEOUT_MS = 5_000
@@ -47,7 +52,9 @@
             request.body,
             core.patience_ms(request.path_values["entry"]),
         )
-        outcome = core.router.execute(forwarded)
+        with core.metrics.timing("request", core.class_of(forwarded.entry)):
+            outcome = core.router.execute(forwarded)
+        core.metrics.count("requests", _outcome_label(outcome))
         if isinstance(outcome, Err):
             return problem_response(outcome.err_value, request_id)
         answer = outcome.ok_value
@@ -96,16 +103,6 @@
             request.request_id,
         )
 
-    @application.route("GET", "/v1/jobs/{job}/explanation")
-    def explain(request: HttpRequest) -> HttpResponse:
-        job_id = request.path_values["job"]
-        found = core.desk.explanation(job_id)
-        if found is not None:
-            return json_response(found)
-        return problem_response(
-            not_run(FailureCode.NOT_FOUND, f"no job {job_id} is known here")
-        )
-
     @application.route("DELETE", "/v1/jobs/{job}")
     def cancel(request: HttpRequest) -> HttpResponse:
         job_id = request.path_values["job"]
@@ -114,4 +111,11 @@
             return problem_response(outcome.err_value, request.request_id)
         return json_response({"job_id": job_id, "cancelled": True})
 
+    add_explanation_route(application, core)
     return application
+
+
+def _outcome_label(outcome: Result[ForwardedAnswer, Failure]) -> str:
+    if isinstance(outcome, Err):
+        return outcome.err_value.verdict.value
+    return "answered"
--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -91,6 +91,7 @@
             settings.zone,
             f"{settings.address}:{settings.listeners.peer_port}",
         )
+        self.metrics = Metrics()
         self.fleet = Fleet(adapters.instance_list)
         self.journal = Journal(
             adapters.log,
@@ -136,7 +137,7 @@
                 options_of(settings.profile, settings.weights),
             )
         )
-        self.desk = JobDesk(self.journal, self.fleet, scheduler, clock)
+        self.desk = JobDesk(self.journal, self.fleet, scheduler)
         self.jobs = JobManager(
             self.journal,
             self.fleet,
@@ -145,8 +146,9 @@
             scheduler,
             self.clock,
             runner,
+            settings.timing.lease_ttl_ms,
+            self.metrics,
         )
-        self.metrics = Metrics()
         self._link = link
 
     def steps(self, wait_ms: int = 0) -> tuple[NamedStep, ...]:
@@ -182,6 +184,7 @@
                 self.identity.incarnation,
                 self.identity.zone,
                 self.identity.peer_address,
+                self._caller_url(),
             )
         )
 
@@ -236,6 +239,12 @@
             return DEFAULT_PATIENCE_MS
         return versioned.entry.patience_ms
 
+    def class_of(self, entry: str) -> str:
+        """Return the class of an entry's work, or ``unknown``."""
+        with self.journal.reading() as state:
+            versioned = state.catalogue_by_name.get(entry)
+        return versioned.entry.work_class.value if versioned else "unknown"
+
     def job_status(self, job_id: str) -> dict[str, object] | None:
         """Return what the log knows of a job."""
         with self.journal.reading() as state:
@@ -282,6 +291,10 @@
         self.membership.loads = self.router.loads()
         return self.membership.heartbeat_step(self._link)
 
+    def _caller_url(self) -> str:
+        port = self.settings.listeners.caller_port
+        return f"http://{self.settings.address}:{port}"
+
     def _retire(self) -> None:
         """Stop working for good: another incarnation has taken over."""
         if self.is_draining:
