Count the first start of each task in the demo's waiting times

Cause: only starts of attempt 0 were counted, so a task whose first attempt was lost with its worker was left out of the waiting times. Change: the first start of a task counts, whichever attempt it is. Conclusion: waiting times include the tasks that a lost worker delayed.

--- a/src/magnoliapitch/standin/demo.py
+++ b/src/magnoliapitch/standin/demo.py
@@ -198,11 +198,15 @@
             timer = timers.setdefault("small requests", Timer())
             timer.record(item.elapsed_ms - request_ms)
         jobs_by_id = {job.job_id: job for job in self._jobs}
+        started: set[tuple[str, int]] = set()
         for start in self._workers.history:
             name = parse_lease_id(start.lease_id)
             job = jobs_by_id.get(name.job_id) if name else None
-            if job is None or name is None or name.attempt:
+            if job is None or name is None:
                 continue
+            if (name.job_id, name.task) in started:
+                continue
+            started.add((name.job_id, name.task))
             label = f"{job.work_class.value} tasks"
             timer = timers.setdefault(label, Timer())
             timer.record(start.at_ms - job.accepted_ms)
