--- /dev/null
+++ b/src/magnoliapitch/bench/journal/fold.py
@@ -0,0 +1,112 @@
+"""Speed of the fold and size of its snapshots."""
+
+from __future__ import annotations
+
+import time
+
+from typing import NamedTuple
+
+from magnoliapitch.catalogue.entry import CatalogueEntry
+from magnoliapitch.catalogue.entry import WorkClass
+from magnoliapitch.job.spec import JobSpec
+from magnoliapitch.job.spec import TaskOutcome
+from magnoliapitch.journal import ClusterState
+from magnoliapitch.journal import apply_record
+from magnoliapitch.journal import encode_record
+from magnoliapitch.journal import journal as _journal  # noqa: F401
+from magnoliapitch.journal.record import CataloguePut
+from magnoliapitch.journal.record import JobSubmit
+from magnoliapitch.journal.record import TaskEnd
+from magnoliapitch.journal.snapshot import encode_state
+from magnoliapitch.journal.snapshot import load_snapshot
+from magnoliapitch.journal.snapshot import take_snapshot
+from magnoliapitch.platform.log import LogRecord
+from magnoliapitch.resource import Resources
+
+
+class FoldFigures(NamedTuple):
+    """Speed of the fold.
+
+    :param entry_bytes: mean size of an entry in its record.
+    """
+
+    records_per_s: float
+    entries_per_s: float
+    entry_bytes: float
+
+
+class SnapshotFigures(NamedTuple):
+    """Cost of one snapshot."""
+
+    state_bytes: int
+    snapshot_bytes: int
+    encode_ms: float
+    decode_ms: float
+
+
+def measure_fold(jobs: int, entries_per_record: int) -> FoldFigures:
+    """Fold the submission and the end of each of some jobs."""
+    entries: list[JobSubmit | TaskEnd] = []
+    for number in range(jobs):
+        entries.append(JobSubmit(_job(number), "rack"))
+        entries.append(TaskEnd(_id(number), 0, 0, TaskOutcome.FINISHED))
+    records = [
+        encode_record(
+            tuple(entries[start : start + entries_per_record]),
+            "writer",
+            start + 1,
+            0,
+        )
+        for start in range(0, len(entries), entries_per_record)
+    ]
+    state = ClusterState()
+    started_s = time.perf_counter()
+    for offset, data in enumerate(records):
+        apply_record(state, LogRecord(offset, data))
+    elapsed_s = time.perf_counter() - started_s
+    return FoldFigures(
+        len(records) / elapsed_s,
+        len(entries) / elapsed_s,
+        sum(map(len, records)) / len(entries),
+    )
+
+
+def measure_snapshot(jobs: int, catalogue_entries: int) -> SnapshotFigures:
+    """Encode and load a state with live jobs and a catalogue."""
+    state = make_state(jobs, catalogue_entries)
+    started_s = time.perf_counter()
+    snapshot = take_snapshot(state)
+    encoded_s = time.perf_counter()
+    loaded = load_snapshot(snapshot)
+    decoded_s = time.perf_counter()
+    if loaded != state:
+        raise ValueError("the loaded state differs from the encoded one")
+    return SnapshotFigures(
+        len(encode_state(state)),
+        len(snapshot.state),
+        (encoded_s - started_s) * 1000,
+        (decoded_s - encoded_s) * 1000,
+    )
+
+
+def make_state(jobs: int, catalogue_entries: int) -> ClusterState:
+    """Return a state with jobs and catalogue entries, one a record."""
+    state = ClusterState()
+    for number in range(catalogue_entries):
+        entry = CatalogueEntry(f"entry-{number}", "clubs", WorkClass.BATCH)
+        _apply(state, encode_record((CataloguePut(entry, 0),)))
+    for number in range(jobs):
+        _apply(state, encode_record((JobSubmit(_job(number), "rack"),)))
+    return state
+
+
+def _apply(state: ClusterState, data: bytes) -> None:
+    apply_record(state, LogRecord(state.next_offset, data))
+
+
+def _job(number: int) -> JobSpec:
+    return JobSpec(_id(number), "term-roster", 1, Resources(1_000, 2_048))
+
+
+def _id(number: int) -> str:
+    return f"{number * 2_654_435_761 % 2**64:016x}"
--- a/src/magnoliapitch/console/application.py
+++ b/src/magnoliapitch/console/application.py
@@ -9,6 +9,7 @@
 
 from magnoliapitch import __version__
 from magnoliapitch.console import bench_decisions as _bench_decisions  # noqa: F401
+from magnoliapitch.console import bench_journal as _bench_journal  # noqa: F401
 from magnoliapitch.console.bench import bench
 from magnoliapitch.console.catalogue import catalogue
 from magnoliapitch.console.demo import demo
--- a/src/magnoliapitch/event/known.py
+++ b/src/magnoliapitch/event/known.py
@@ -80,7 +80,12 @@
 define_event(
     "record-rejected",
     EventLevel.WARNING,
-    "An entry of a log record changed nothing: damaged, unknown or refused.",
+    "A record that no instance wrote changed nothing: damaged or refused.",
+)
+define_event(
+    "entry-rejected",
+    EventLevel.DEBUG,
+    "An instance's entry in the log changed nothing; its writer was told.",
 )
 define_event(
     "fold-failed",
--- a/src/magnoliapitch/journal/journal.py
+++ b/src/magnoliapitch/journal/journal.py
@@ -213,10 +213,11 @@
 
 
 def _report(outcome: RecordOutcome) -> None:
+    name = "entry-rejected" if outcome.writer else "record-rejected"
     for number, entry in enumerate(outcome.outcomes):
         if not entry.applied:
             log_event(
-                "record-rejected",
+                name,
                 offset=outcome.offset,
                 entry=number,
                 writer=outcome.writer or "operator",
--- a/src/magnoliapitch/membership/membership.py
+++ b/src/magnoliapitch/membership/membership.py
@@ -73,7 +73,7 @@
         :param whole_zone: whether to name every member of the own zone.
         """
         next_offset = self._journal.next_offset
-        own_zone = self._zone_info(next_offset, self.peers())
+        own_zone = self._zone_info(next_offset, self._near())
         now_ms = self._clock.now_ms()
         with self._lock:
             table = self._table
@@ -116,10 +116,7 @@
 
     def peers(self) -> tuple[PeerStatus, ...]:
         """Return every other member that is not gone."""
-        joins = self._joins()
-        now_ms = self._clock.now_ms()
-        with self._lock:
-            return tuple(self._table.status(join, now_ms) for join in joins)
+        return self._statuses(self._joins())
 
     def live_in_zone(self, zone: str = "") -> tuple[PeerStatus, ...]:
         """Return the live peers of a zone, by default the own one."""
@@ -193,27 +190,41 @@
         with self._lock:
             self._table.take(beat, self._clock.now_ms(), reached_ms)
 
+    def _near(self) -> tuple[PeerStatus, ...]:
+        """Return the peers of the own zone."""
+        zone = self.identity.zone
+        return self._statuses(
+            [join for join in self._joins() if join.zone == zone]
+        )
+
+    def _statuses(self, joins: list[EntryJoin]) -> tuple[PeerStatus, ...]:
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            return tuple(self._table.status(join, now_ms) for join in joins)
+
     def _joins(self) -> list[EntryJoin]:
         """Return the other members, from the log and from heartbeats."""
         with self._journal.reading() as state:
             members = dict(state.members_by_incarnation)
         with self._lock:
-            heard = self._table.joins(members, self._clock.now_ms())
-        joins = {join.incarnation: join for join in heard}
-        joins |= {
-            name: member.join
-            for name, member in members.items()
-            if not member.left
-        }
+            joins = self._table.joins()
+        for name, member in members.items():
+            if member.left:
+                joins.pop(name, None)
+            else:
+                joins[name] = member.join
         joins.pop(self.identity.incarnation, None)
         return list(joins.values())
 
     def _due(self, now_ms: int) -> dict[str, Beat]:
         """Return the heartbeats of this round by address."""
+        with self._journal.reading() as state:
+            members = dict(state.members_by_incarnation)
         joins = self._joins()
         due: dict[str, str] = {}
         with self._lock:
             self._turn += 1
+            self._table.forget(members, now_ms)
             failing = self._table.failing(now_ms)
             for join in linked_members(self._own, joins, failing):
                 if self._table.is_due(join, now_ms, self._turn):
--- a/src/magnoliapitch/membership/table.py
+++ b/src/magnoliapitch/membership/table.py
@@ -88,10 +88,12 @@
         for report in beat.zones:
             self._take_report(report, now_ms)
 
-    def joins(
-        self, members: Mapping[str, Member], now_ms: int
-    ) -> list[EntryJoin]:
-        """Return who was heard of and has not left.
+    def joins(self) -> dict[str, EntryJoin]:
+        """Return who was heard of, by incarnation."""
+        return dict(self._joins_by_incarnation)
+
+    def forget(self, members: Mapping[str, Member], now_ms: int) -> None:
+        """Drop who has left, and strangers that are silent.
 
         :param members: incarnations that the log names.
         """
@@ -103,7 +105,6 @@
                 self._joins_by_incarnation.pop(name, None)
             if is_left or (is_silent and member is None):
                 del self._contacts_by_incarnation[name]
-        return list(self._joins_by_incarnation.values())
 
     def status(self, join: EntryJoin, now_ms: int) -> PeerStatus:
         """Return what other parts see of a member."""
