--- a/src/magnoliapitch/api/caller.py
+++ b/src/magnoliapitch/api/caller.py
@@ -8,20 +8,24 @@
 from pydantic import ValidationError
 from result import Err
 
+from magnoliapitch.api.explanation import add_explanation_route
 from magnoliapitch.http import Application
 from magnoliapitch.http import HttpRequest
 from magnoliapitch.http import HttpResponse
 from magnoliapitch.http import json_response
 from magnoliapitch.http import problem_response
 from magnoliapitch.job.spec import JobSpec
-from magnoliapitch.journal.record import JobCancel
 from magnoliapitch.peer.message import ForwardedRequest
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import not_run
 
 
 if TYPE_CHECKING:
+    from result import Result
+
     from magnoliapitch.entry.core import EntryCore
+    from magnoliapitch.peer.message import ForwardedAnswer
+    from magnoliapitch.verdict import Failure
 
 
 COMMIT_TIMEOUT_MS = 5_000
@@ -48,7 +52,9 @@
             request.body,
             core.patience_ms(request.path_values["entry"]),
         )
-        outcome = core.router.execute(forwarded)
+        with core.metrics.timing("request", core.class_of(forwarded.entry)):
+            outcome = core.router.execute(forwarded)
+        core.metrics.count("requests", _outcome_label(outcome))
         if isinstance(outcome, Err):
             return problem_response(outcome.err_value, request_id)
         answer = outcome.ok_value
@@ -65,7 +71,7 @@
             return problem_response(
                 not_run(FailureCode.INVALID, str(error)), request.request_id
             )
-        outcome = core.submit_job(job, COMMIT_TIMEOUT_MS)
+        outcome = core.desk.submit(job, COMMIT_TIMEOUT_MS)
         if isinstance(outcome, Err):
             return problem_response(outcome.err_value, request.request_id)
         return json_response({"job_id": job.job_id}, 202)
@@ -97,27 +103,19 @@
             request.request_id,
         )
 
-    @application.route("GET", "/v1/jobs/{job}/explanation")
-    def explain(request: HttpRequest) -> HttpResponse:
-        job_id = request.path_values["job"]
-        found = core.desk.explanation(job_id)
-        if found is not None:
-            return json_response(found)
-        return problem_response(
-            not_run(FailureCode.NOT_FOUND, f"no job {job_id} is known here")
-        )
-
     @application.route("DELETE", "/v1/jobs/{job}")
     def cancel(request: HttpRequest) -> HttpResponse:
         job_id = request.path_values["job"]
-        outcome = core.journal.commit(JobCancel(job_id), COMMIT_TIMEOUT_MS)
+        outcome = core.desk.cancel(job_id, COMMIT_TIMEOUT_MS)
         if isinstance(outcome, Err):
             return problem_response(outcome.err_value, request.request_id)
-        if not outcome.ok_value.applied:
-            return problem_response(
-                not_run(FailureCode.CONFLICT, outcome.ok_value.reason),
-                request.request_id,
-            )
         return json_response({"job_id": job_id, "cancelled": True})
 
+    add_explanation_route(application, core)
     return application
+
+
+def _outcome_label(outcome: Result[ForwardedAnswer, Failure]) -> str:
+    if isinstance(outcome, Err):
+        return outcome.err_value.verdict.value
+    return "answered"
--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -5,9 +5,6 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from result import Err
-from result import Ok
-
 from magnoliapitch.decision.options import options_of
 from magnoliapitch.decision.registry import make_scheduler
 from magnoliapitch.decision.synchronized import SynchronizedScheduler
@@ -17,7 +14,6 @@
 from magnoliapitch.journal.journal import Journal
 from magnoliapitch.journal.record import EntryJoin
 from magnoliapitch.journal.record import EntryLeave
-from magnoliapitch.journal.record import JobSubmit
 from magnoliapitch.journal.snapshot_writer import SnapshotWriter
 from magnoliapitch.membership.identity import Identity
 from magnoliapitch.membership.membership import Membership
@@ -43,7 +39,6 @@
 
     from magnoliapitch.clock import Clock
     from magnoliapitch.entry.adapters import Adapters
-    from magnoliapitch.job.spec import JobSpec
     from magnoliapitch.journal.state import JobRecord
     from magnoliapitch.membership.progress import AppliedEverywhere
     from magnoliapitch.peer.link import PeerLink
@@ -96,6 +91,7 @@
             settings.zone,
             f"{settings.address}:{settings.listeners.peer_port}",
         )
+        self.metrics = Metrics()
         self.fleet = Fleet(adapters.instance_list)
         self.journal = Journal(
             adapters.log,
@@ -141,7 +137,7 @@
                 options_of(settings.profile, settings.weights),
             )
         )
-        self.desk = JobDesk(self.journal, self.fleet, scheduler, clock)
+        self.desk = JobDesk(self.journal, self.fleet, scheduler)
         self.jobs = JobManager(
             self.journal,
             self.fleet,
@@ -150,8 +146,9 @@
             scheduler,
             self.clock,
             runner,
+            settings.timing.lease_ttl_ms,
+            self.metrics,
         )
-        self.metrics = Metrics()
         self._link = link
 
     def steps(self, wait_ms: int = 0) -> tuple[NamedStep, ...]:
@@ -187,6 +184,7 @@
                 self.identity.incarnation,
                 self.identity.zone,
                 self.identity.peer_address,
+                self._caller_url(),
             )
         )
 
@@ -241,21 +239,11 @@
             return DEFAULT_PATIENCE_MS
         return versioned.entry.patience_ms
 
-    def submit_job(
-        self, job: JobSpec, timeout_ms: int
-    ) -> Result[None, Failure]:
-        """Accept a job and assign it to a unit of workers."""
-        unit = self.desk.choose_unit(job)
-        if isinstance(unit, Err):
-            return unit
-        outcome = self.journal.commit(
-            JobSubmit(job, unit.ok_value), timeout_ms
-        )
-        if isinstance(outcome, Err):
-            return outcome
-        if not outcome.ok_value.applied:
-            return Err(not_run(FailureCode.DUPLICATE, outcome.ok_value.reason))
-        return Ok(None)
+    def class_of(self, entry: str) -> str:
+        """Return the class of an entry's work, or ``unknown``."""
+        with self.journal.reading() as state:
+            versioned = state.catalogue_by_name.get(entry)
+        return versioned.entry.work_class.value if versioned else "unknown"
 
     def job_status(self, job_id: str) -> dict[str, object] | None:
         """Return what the log knows of a job."""
@@ -303,6 +291,10 @@
         self.membership.loads = self.router.loads()
         return self.membership.heartbeat_step(self._link)
 
+    def _caller_url(self) -> str:
+        port = self.settings.listeners.caller_port
+        return f"http://{self.settings.address}:{port}"
+
     def _retire(self) -> None:
         """Stop working for good: another incarnation has taken over."""
         if self.is_draining:
