--- a/src/magnoliapitch/journal/journal.py
+++ b/src/magnoliapitch/journal/journal.py
@@ -213,13 +213,22 @@
 
 
 def _report(outcome: RecordOutcome) -> None:
-    name = "entry-rejected" if outcome.writer else "record-rejected"
     for number, entry in enumerate(outcome.outcomes):
-        if not entry.applied:
+        if entry.applied:
+            continue
+        reason = entry.reason[:REASON_MAX_CHARS]
+        if not outcome.writer:
             log_event(
-                name,
+                "record-rejected",
                 offset=outcome.offset,
                 entry=number,
-                writer=outcome.writer or "operator",
-                reason=entry.reason[:REASON_MAX_CHARS],
+                reason=reason,
             )
+            continue
+        log_event(
+            "entry-rejected",
+            offset=outcome.offset,
+            entry=number,
+            writer=outcome.writer,
+            reason=reason,
+        )
