--- a/src/magnoliapitch/journal/journal.py
+++ b/src/magnoliapitch/journal/journal.py
@@ -214,11 +214,21 @@
 
 def _report(outcome: RecordOutcome) -> None:
     for number, entry in enumerate(outcome.outcomes):
-        if not entry.applied:
+        if entry.applied:
+            continue
+        reason = entry.reason[:REASON_MAX_CHARS]
+        if not outcome.writer:
             log_event(
                 "record-rejected",
                 offset=outcome.offset,
                 entry=number,
-                writer=outcome.writer or "operator",
-                reason=entry.reason[:REASON_MAX_CHARS],
+                reason=reason,
             )
+            continue
+        log_event(
+            "entry-rejected",
+            offset=outcome.offset,
+            entry=number,
+            writer=outcome.writer,
+            reason=reason,
+        )
