Run requests with a ticket or a key at most once

A ticket names the incarnation that alone runs its request and is signed by it, so nothing is stored before use and a cut zone serves on. An Idempotency-Key is decided by the first request.intent in the log; the dispatch is left to the waiting thread, so an intent that is folded after the caller was told not_run leads to no run. Other entries forward to the holder; a holder that is gone means may_have_run, never a second run. Either is bound to entry and body; records and answers are bounded, and a name that is not remembered is never run.

--- a/src/magnoliapitch/api/caller.py
+++ b/src/magnoliapitch/api/caller.py
@@ -16,6 +16,7 @@
 from magnoliapitch.job.spec import JobSpec
 from magnoliapitch.journal.record import JobCancel
 from magnoliapitch.peer.message import ForwardedRequest
+from magnoliapitch.request.ticket import TICKET_TTL_MS
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import not_run
 
@@ -47,6 +48,8 @@
             request.path_values["entry"],
             request.body,
             core.patience_ms(request.path_values["entry"]),
+            request.headers_by_name.get("ticket", ""),
+            request.headers_by_name.get("idempotency-key", "").strip('"'),
         )
         outcome = core.router.execute(forwarded)
         if isinstance(outcome, Err):
@@ -54,6 +57,17 @@
         answer = outcome.ok_value
         return HttpResponse(answer.status, answer.body, answer.content_type)
 
+    @application.route("POST", "/v1/tickets/{entry}")
+    def ticket(request: HttpRequest) -> HttpResponse:
+        issued = core.router.issue_ticket(request.path_values["entry"])
+        if isinstance(issued, Err):
+            return problem_response(issued.err_value, request.request_id)
+        body = {
+            "ticket": str(issued.ok_value),
+            "expires_in_ms": TICKET_TTL_MS,
+        }
+        return json_response(body, 201)
+
     @application.route("POST", "/v1/jobs")
     def submit(request: HttpRequest) -> HttpResponse:
         refusal = core.refusal()
--- a/src/magnoliapitch/request/router.py
+++ b/src/magnoliapitch/request/router.py
@@ -10,6 +10,7 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.request.at_most_once import AtMostOnce
 from magnoliapitch.request.dispatcher import Dispatcher
 from magnoliapitch.request.dispatcher import Outcome
 from magnoliapitch.request.dispatcher import Task
@@ -33,6 +34,7 @@
     from magnoliapitch.peer.message import ForwardedRequest
     from magnoliapitch.peer.message import UnitLoad
     from magnoliapitch.platform.fleet import Fleet
+    from magnoliapitch.request.ticket import Ticket
 
 
 DRAIN_RETRY_MS = 1_000
@@ -62,6 +64,9 @@
         self._limits = RequestLimits(membership, clock)
         peers = PeerChoice(journal, membership, fleet, clock)
         self._dispatcher = Dispatcher(self._pool, peers, backends, link, clock)
+        self._once = AtMostOnce(
+            journal, membership, link, clock, self._dispatcher.dispatch
+        )
         self._lock = threading.Lock()
         self._is_draining = False
         self._callers = 0
@@ -93,6 +98,15 @@
             with self._lock:
                 self._forwarded -= 1
 
+    def issue_ticket(self, entry: str) -> Result[Ticket, Failure]:
+        """Return a ticket for one request of a catalogue entry."""
+        with self._lock:
+            if self._is_draining:
+                return Err(_draining())
+        return self._entry(entry).map(
+            lambda found: self._once.issue(found.name)
+        )
+
     def begin_drain(self) -> None:
         """Refuse new requests from now on; those in flight go on."""
         self._membership.leaving = True
@@ -124,6 +138,7 @@
             **counts,
             "units": sorted(self._fence.units()),
             "limits": self._limits.dump(),
+            "remembered": self._once.dump(),
             **self._pool.dump(),
         }
 
@@ -138,8 +153,9 @@
         if refusal is not None:
             return Err(refusal)
         try:
-            return self._dispatcher.dispatch(
-                Task(entry, request, deadline_ms, may_forward=True)
+            return self._run(
+                Task(entry, request, deadline_ms, may_forward=True),
+                is_forwarded=False,
             )
         finally:
             duration_ms = self._clock.now_ms() - started_ms
@@ -150,10 +166,27 @@
         if isinstance(found, Err):
             return found
         deadline_ms = self._clock.now_ms() + request.timeout_ms
-        return self._dispatcher.dispatch(
-            Task(found.ok_value, request, deadline_ms, may_forward=False)
+        # The holder of a ticket or key may own no server of the entry.
+        may_forward = bool(request.ticket or request.key)
+        return self._run(
+            Task(found.ok_value, request, deadline_ms, may_forward),
+            is_forwarded=True,
         )
 
+    def _run(self, task: Task, *, is_forwarded: bool) -> Outcome:
+        request = task.request
+        if request.ticket and request.key:
+            return Err(
+                not_run(
+                    FailureCode.INVALID, "both a ticket and a key are given"
+                )
+            )
+        if request.ticket:
+            return self._once.run_ticket(task, is_forwarded=is_forwarded)
+        if request.key:
+            return self._once.run_key(task, is_forwarded=is_forwarded)
+        return self._dispatcher.dispatch(task)
+
     def _entry(self, name: str) -> Result[CatalogueEntry, Failure]:
         with self._journal.reading() as state:
             versioned = state.catalogue_by_name.get(name)
