--- a/src/magnoliapitch/entry/node.py
+++ b/src/magnoliapitch/entry/node.py
@@ -56,6 +56,7 @@
             self.clock,
             self.worker_calls,
         )
+        self.core.on_superseded = give_up
         self.peer_node.handler = self.core
         self.caller_listener = Listener(
             "callers",
@@ -110,6 +111,7 @@
         self.core.drain()
         self.supervisor.stop()
         self.worker_calls.stop()
+        self.core.leave()
         log_event("entry-stopped")
 
 
