Wait for the requests in flight before an instance stops

The listener closed as soon as an instance was told to stop, while its application went on for at most five seconds.

--- a/src/magnoliapitch/entry/node.py
+++ b/src/magnoliapitch/entry/node.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+
 from typing import TYPE_CHECKING
 
 from magnoliapitch import __version__
@@ -30,6 +32,9 @@
 STEP_WAIT_MS = 500
 
 
+DRAIN_CHECK_MS = 20
+
+
 class EntryNode:
     """One entry instance.
 
@@ -109,11 +114,25 @@
         """Refuse new work, finish what is in flight and stop."""
         log_event("entry-stopping")
         self.core.drain()
+        self._await_answers()
         self.supervisor.stop()
         self.worker_calls.stop()
         self.core.leave()
         log_event("entry-stopped")
 
+    def _await_answers(self) -> None:
+        """Keep refusing new requests until those in flight are answered."""
+        never = threading.Event()
+        timeout_ms = self.settings.timing.drain_timeout_ms
+        deadline_ms = self.clock.now_ms() + timeout_ms
+        while self.core.router.in_flight():
+            if self.clock.now_ms() >= deadline_ms:
+                log_event(
+                    "drain-timed-out", in_flight=self.core.router.in_flight()
+                )
+                return
+            self.clock.wait(never, DRAIN_CHECK_MS)
+
 
 def _policy_of(settings: Settings) -> RestartPolicy:
     return RestartPolicy(
--- a/src/magnoliapitch/event/known.py
+++ b/src/magnoliapitch/event/known.py
@@ -117,3 +117,8 @@
     EventLevel.ERROR,
     "The log names this incarnation as gone; it must be restarted.",
 )
+define_event(
+    "drain-timed-out",
+    EventLevel.WARNING,
+    "Requests were still in flight when the time to drain had passed.",
+)
