Look up servers by application and claims by offset

Each request walked the whole list of instances and every claim, which grows with the system (18,000 workers are planned). The list is indexed when it is refreshed, and own claims are read again only when the log moved on.

--- a/src/magnoliapitch/platform/fleet.py
+++ b/src/magnoliapitch/platform/fleet.py
@@ -6,11 +6,14 @@
 
 from result import Err
 
+from magnoliapitch.platform.instance import InstanceRole
+
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from magnoliapitch.platform.instance import InstanceInfo
     from magnoliapitch.platform.instance import InstanceList
-    from magnoliapitch.platform.instance import InstanceRole
 
 
 REFRESH_INTERVAL_MS = 500
@@ -26,6 +29,7 @@
         self.is_fresh = False
         self._instance_list = instance_list
         self._by_id: dict[str, InstanceInfo] = {}
+        self._servers_by_app: dict[str, list[InstanceInfo]] = {}
 
     def refresh_step(self) -> int:
         """Fetch the list; return milliseconds until the next refresh."""
@@ -33,12 +37,17 @@
         self.is_fresh = not isinstance(outcome, Err)
         if not isinstance(outcome, Err):
             self._by_id = {item.instance_id: item for item in outcome.ok_value}
+            self._servers_by_app = _servers_by_app(outcome.ok_value)
         return REFRESH_INTERVAL_MS
 
     def get(self, instance_id: str) -> InstanceInfo | None:
         """Return one instance."""
         return self._by_id.get(instance_id)
 
+    def servers_of(self, app: str) -> Sequence[InstanceInfo]:
+        """Return the backend servers of an application."""
+        return self._servers_by_app.get(app, ())
+
     def of_role(
         self, role: InstanceRole, zone: str = ""
     ) -> tuple[InstanceInfo, ...]:
@@ -48,3 +57,13 @@
             for item in self._by_id.values()
             if item.role is role and zone in ("", item.zone)
         )
+
+
+def _servers_by_app(
+    instances: tuple[InstanceInfo, ...],
+) -> dict[str, list[InstanceInfo]]:
+    servers_by_app: dict[str, list[InstanceInfo]] = {}
+    for item in instances:
+        if item.role is InstanceRole.BACKEND_SERVER:
+            servers_by_app.setdefault(item.app, []).append(item)
+    return servers_by_app
--- a/src/magnoliapitch/request/fence.py
+++ b/src/magnoliapitch/request/fence.py
@@ -12,12 +12,14 @@
 import threading
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from magnoliapitch.journal.state import Claim
 
 
 if TYPE_CHECKING:
     from magnoliapitch.clock import Clock
     from magnoliapitch.journal.journal import Journal
-    from magnoliapitch.journal.state import Claim
     from magnoliapitch.membership.membership import Membership
     from magnoliapitch.ownership.claimer import Claimer
 
@@ -33,6 +35,11 @@
         self.usable_ms = usable_ms
 
 
+class _Owned(NamedTuple):
+    offset: int
+    claims_by_unit: dict[str, Claim]
+
+
 class DispatchFence:
     """Names the groups to which this instance may send requests."""
 
@@ -48,12 +55,13 @@
         self._membership = membership
         self._clock = clock
         self._seen_by_unit: dict[str, _Seen] = {}
+        self._owned_at: _Owned | None = None
         self._lock = threading.Lock()
 
     def units(self) -> frozenset[str]:
         """Return the owned units that may be used now."""
         now_ms = self._clock.now_ms()
-        owned = self._claimer.owned()
+        owned = self._owned()
         with self._lock:
             self._note(owned, now_ms)
             usable = frozenset(
@@ -65,6 +73,15 @@
             return frozenset()
         return usable
 
+    def _owned(self) -> dict[str, Claim]:
+        with self._journal.reading() as state:
+            offset = state.next_offset
+        known = self._owned_at
+        if known is None or known.offset != offset:
+            known = _Owned(offset, self._claimer.owned())
+            self._owned_at = known
+        return known.claims_by_unit
+
     def _note(self, owned: dict[str, Claim], now_ms: int) -> None:
         for unit in set(self._seen_by_unit) - set(owned):
             del self._seen_by_unit[unit]
--- a/src/magnoliapitch/request/slot_pool.py
+++ b/src/magnoliapitch/request/slot_pool.py
@@ -207,10 +207,8 @@
         units = self._fence.units()
         return [
             server
-            for server in self._fleet.of_role(InstanceRole.BACKEND_SERVER)
-            if server.app == app
-            and server.unit in units
-            and server.state is InstanceState.LIVE
+            for server in self._fleet.servers_of(app)
+            if server.unit in units and server.state is InstanceState.LIVE
         ]
 
     def _waiting(self, app: str) -> int:
