Send the head and body of a backend request in one piece

A profile of 2,000 requests showed 4,000 sends, 0.65 of 9.8 s. One send each: direct median 1.50 ms before, 1.43 and 1.41 after; through the owner 3.50 before, 3.44 and 3.45 after; one run before and two after on a shared machine, so within its noise.

--- a/src/magnoliapitch/backend/http_client.py
+++ b/src/magnoliapitch/backend/http_client.py
@@ -11,6 +11,7 @@
 import time
 
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import NamedTuple
 
 import urllib3
@@ -43,6 +44,27 @@
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 
 
+class _Connection(urllib3.connection.HTTPConnection):
+    """Sends the head and the body of a request in one piece."""
+
+    _parts: list[bytes] | None = None
+
+    def request(self, *args: Any, **kwargs: Any) -> None:
+        self._parts = []
+        try:
+            super().request(*args, **kwargs)
+            data = b"".join(self._parts)
+        finally:
+            self._parts = None
+        self.send(data)
+
+    def send(self, data: Any) -> None:
+        if self._parts is None:
+            super().send(data)
+        else:
+            self._parts.append(bytes(data))
+
+
 class _ServerPool(NamedTuple):
     url: str
     path: str
@@ -121,9 +143,7 @@
         pool = _ServerPool(
             server.url,
             urllib3.util.parse_url(server.url).path or "",
-            urllib3.connection_from_url(
-                server.url, maxsize=self._connections_per_server
-            ),
+            _connections_to(server.url, self._connections_per_server),
         )
         self._pools_by_server[server.instance_id] = pool
         return pool
@@ -180,6 +200,13 @@
         )
 
 
+def _connections_to(url: str, maxsize: int) -> urllib3.HTTPConnectionPool:
+    connections = urllib3.connection_from_url(url, maxsize=maxsize)
+    if connections.scheme == "http":
+        connections.ConnectionCls = _Connection
+    return connections
+
+
 def _is_refusal(response: urllib3.BaseHTTPResponse) -> bool:
     return (
         response.status == REFUSED_STATUS
