Measure the cost of an entry and of waiting callers

bench requests compares direct calls, the owner and a peer hop in one run; bench waiting measures listeners of 64 to 1,024 threads.

--- a/src/magnoliapitch/console/bench.py
+++ b/src/magnoliapitch/console/bench.py
@@ -6,8 +6,12 @@
 
 from magnoliapitch.console.bench_capacity import capacity
 from magnoliapitch.console.bench_capacity import idle
+from magnoliapitch.console.bench_request import requests
+from magnoliapitch.console.bench_request import waiting
 
 
 bench = App(name="bench", help="Measure parts of the system.")
 bench.command(capacity)
 bench.command(idle)
+bench.command(requests)
+bench.command(waiting)
--- a/src/magnoliapitch/http/listener.py
+++ b/src/magnoliapitch/http/listener.py
@@ -28,6 +28,7 @@
     Each start binds anew, so that a restart gets a working socket; a port
     that was picked by the first start is kept.
 
+    :ivar application: what is served.
     :param threads: requests served at once; each holds a thread. A
         reserve of further threads refuses what exceeds them.
     :param stop_timeout_s: longest wait for requests in flight.
@@ -45,7 +46,7 @@
     ) -> None:
         self.name = name
         self._address = address
-        self._application = application
+        self.application = application
         self._threads = threads
         self._stop_timeout_s = stop_timeout_s
         self._limits = limits
@@ -90,7 +91,7 @@
     def _make_server(self) -> Any:
         server: Any = BoundedServer(
             self._address,
-            BusyBound(self._application, self._threads),
+            BusyBound(self.application, self._threads),
             self._threads + self._limits.reserve_threads,
             self._limits,
             self._stop_timeout_s,
--- a/src/magnoliapitch/standin/cell.py
+++ b/src/magnoliapitch/standin/cell.py
@@ -4,6 +4,7 @@
 
 import socket
 
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 from magnoliapitch.clock import Clock
@@ -23,6 +24,10 @@
 from magnoliapitch.standin.worker import StandinWorkers
 
 
+if TYPE_CHECKING:
+    from magnoliapitch.backend.client import BackendClient
+
+
 class CellShape(NamedTuple):
     """Sizes of a deployment.
 
@@ -71,8 +76,13 @@
         self.backends = StandinBackends(self.clock)
         self.entries: list[EntryNode] = []
 
-    def add_entry(self, zone: str) -> EntryNode:
-        """Build an entry instance in a zone; the caller starts it."""
+    def add_entry(
+        self, zone: str, backends: BackendClient | None = None
+    ) -> EntryNode:
+        """Build an entry instance in a zone; the caller starts it.
+
+        :param backends: client of backend servers instead of direct calls.
+        """
         number = len(self.entries) + 1
         ports = free_ports(3)
         settings = Settings(
@@ -88,7 +98,10 @@
             timing=self._options.timing,
         )
         adapters = Adapters(
-            self.log, self.instance_list, self.workers, self.backends
+            self.log,
+            self.instance_list,
+            self.workers,
+            backends or self.backends,
         )
         node = EntryNode(settings, adapters, self.clock)
         self.entries.append(node)
