--- a/src/magnoliapitch/capacity/page.py
+++ b/src/magnoliapitch/capacity/page.py
@@ -7,19 +7,20 @@
 from collections.abc import Callable
 
 from magnoliapitch.capacity.exceptions import MeasurementError
+from magnoliapitch.capacity.lines import lines
 from magnoliapitch.capacity.measurement import Measurement
 from magnoliapitch.capacity.plan import Plan
 from magnoliapitch.capacity.role import Load
 from magnoliapitch.capacity.role import Sizing
 from magnoliapitch.capacity.roles import roles_by_name
 from magnoliapitch.capacity.target import Target
+from magnoliapitch.capacity.total import total
 
 
 Rows = list[tuple[str, ...]]
 Render = Callable[[Measurement], Rows]
 
-STREAMS_BY_ZONE = Target().zones
-ENTRIES_PER_ZONE = (3, 5, 7, 9, 12)
+ENTRIES_PER_ZONE = (5, 7, 9, 12, 16)
 SECTION = re.compile(
     r"(<!-- table: (?P<name>[a-z-]+) -->\n).*?(<!-- end -->)", re.DOTALL
 )
@@ -69,49 +70,37 @@
     return rows
 
 
-@table("roles-one-stream")
-def roles_one_stream(measurement: Measurement) -> Rows:
-    """List the roles with every record in one stream."""
-    return _roles(Sizing(Target(), Plan(), measurement))
+@table("lines")
+def target_lines(measurement: Measurement) -> Rows:
+    """Go through the target line by line, as built."""
+    sizing = Sizing(Target(), Plan.as_built(), measurement)
+    rows: Rows = [("Target", "Mechanism", "Figure", "Headroom", "Basis")]
+    return rows + [tuple(make(sizing)) for make in lines]
 
 
-@table("roles-zone-streams")
-def roles_zone_streams(measurement: Measurement) -> Rows:
-    """List the roles with the task records of each zone apart."""
-    plan = Plan(streams=STREAMS_BY_ZONE)
-    return _roles(Sizing(Target(), plan, measurement))
+@table("roles-as-built")
+def roles_as_built(measurement: Measurement) -> Rows:
+    """List the roles with the intervals of today's code."""
+    return _roles(Sizing(Target(), Plan.as_built(), measurement))
 
 
-@table("entries")
-def entries(measurement: Measurement) -> Rows:
-    """Compare numbers of entry instances in a zone."""
-    rows: Rows = [
-        (
-            "Entries a zone",
-            "Entries",
-            "Workers an entry",
-            "Core",
-            "Memory",
-            "Traffic",
-            "Within all limits",
-        )
-    ]
-    for count in ENTRIES_PER_ZONE:
-        plan = Plan(entries_per_zone=count, streams=STREAMS_BY_ZONE)
-        sizing = Sizing(Target(), plan, measurement)
-        load = total(sizing)
-        rows.append(
-            (
-                str(count),
-                str(sizing.entries),
-                f"{sizing.workers_per_entry:.0f}",
-                f"{load.core_share:.2%}",
-                f"{load.memory_mb:.0f} MB",
-                f"{load.bytes_per_second / 1000:.1f} KB/s",
-                "yes" if _is_within(load) else "no",
-            )
-        )
-    return rows
+@table("roles-with-changes")
+def roles_with_changes(measurement: Measurement) -> Rows:
+    """List the roles with the changes that the page names."""
+    return _roles(Sizing(Target(), Plan.with_changes(), measurement))
+
+
+@table("entries-as-built")
+def entries_as_built(measurement: Measurement) -> Rows:
+    """Compare numbers of entry instances in a zone, as built."""
+    return _entries([Plan.as_built(n) for n in ENTRIES_PER_ZONE], measurement)
+
+
+@table("entries-with-changes")
+def entries_with_changes(measurement: Measurement) -> Rows:
+    """Compare numbers of entry instances in a zone, with the changes."""
+    plans = [Plan.with_changes(n) for n in ENTRIES_PER_ZONE]
+    return _entries(plans, measurement)
 
 
 @table("idle")
@@ -145,20 +134,33 @@
     return rows
 
 
-def total(sizing: Sizing) -> Load:
-    """Return the cost of all roles of one entry together.
-
-    The memory of an idle process counts once, where it was measured.
-    """
-    loads = [role.load(sizing) for role in roles_by_name.values()]
-    found = sizing.measurement.idle
-    base_mb = found.memory_mb if found else 0.0
-    return Load(
-        sum(load.core_share for load in loads),
-        base_mb + sum(load.memory_mb for load in loads),
-        sum(load.bytes_per_second for load in loads),
-        sum(load.messages_per_second for load in loads),
-    )
+def _entries(plans: list[Plan], measurement: Measurement) -> Rows:
+    rows: Rows = [
+        (
+            "Entries a zone",
+            "Entries",
+            "Workers an entry",
+            "Core",
+            "Memory",
+            "Traffic",
+            "Within all limits",
+        )
+    ]
+    for plan in plans:
+        sizing = Sizing(Target(), plan, measurement)
+        load = total(sizing)
+        rows.append(
+            (
+                str(plan.entries_per_zone),
+                str(sizing.entries),
+                f"{sizing.workers_per_entry:.0f}",
+                f"{load.core_share:.2%}",
+                f"{load.memory_mb:.0f} MB",
+                f"{load.bytes_per_second / 1000:.1f} KB/s",
+                "yes" if _is_within(load) else "no",
+            )
+        )
+    return rows
 
 
 def _roles(sizing: Sizing) -> Rows:
--- a/src/magnoliapitch/entry/job_desk.py
+++ b/src/magnoliapitch/entry/job_desk.py
@@ -1,4 +1,4 @@
-"""Accepts jobs and tells why they wait."""
+"""Accepts jobs."""
 
 from __future__ import annotations
 
@@ -21,7 +21,6 @@
     from result import Result
 
     from magnoliapitch.catalogue.entry import CatalogueEntry
-    from magnoliapitch.clock import Clock
     from magnoliapitch.decision.interface import Scheduler
     from magnoliapitch.job.spec import JobSpec
     from magnoliapitch.journal.journal import Journal
@@ -41,12 +40,12 @@
         journal: Journal,
         fleet: Fleet,
         scheduler: Scheduler,
-        clock: Clock,
     ) -> None:
         self._journal = journal
         self._fleet = fleet
         self._scheduler = scheduler
-        self._clock = clock
+        self._shapes: dict[str, tuple[WorkerShape, ...]] = {}
+        self._shapes_generation = -1
 
     def submit(self, job: JobSpec, timeout_ms: int) -> Result[None, Failure]:
         """Accept a job through the log; the same job again is accepted."""
@@ -107,31 +106,6 @@
                 return self._bounded(job, unit, limit)
         return Err(not_run(FailureCode.IMPOSSIBLE, reason))
 
-    def explanation(self, job_id: str) -> dict[str, object] | None:
-        """Return why a job waits, as far as this instance knows."""
-        with self._journal.reading() as state:
-            job = state.jobs_by_id.get(job_id)
-            if job is None:
-                return None
-            unit, is_done = job.unit, job.is_done
-            claim = state.claims_by_unit.get(unit)
-        found = self._scheduler.explain(job_id, self._clock.now_ms())
-        if found is not None:
-            return {**found._asdict(), "unit": unit}
-        limit = "nothing: no task of it waits in this instance"
-        if is_done:
-            limit = "nothing: it is done"
-        elif claim is None or not claim.incarnation:
-            limit = f"an owner of rack {unit}"
-        return {
-            "job_id": job_id,
-            "limit": limit,
-            "position": 0,
-            "estimate_ms": -1,
-            "unit": unit,
-            "owner": claim.incarnation if claim else "",
-        }
-
     def _bounded(
         self, job: JobSpec, unit: str, limit: int
     ) -> Result[str, Failure]:
@@ -170,13 +144,19 @@
             return job is not None and job.cancelled
 
     def _shapes_by_unit(self) -> dict[str, tuple[WorkerShape, ...]]:
-        found: dict[str, tuple[WorkerShape, ...]] = {}
+        """Return the workers of each rack, made anew for a new list."""
+        generation = self._fleet.generation
+        if self._shapes_generation == generation:
+            return self._shapes
+        found: dict[str, list[WorkerShape]] = {}
         for worker in self._fleet.of_role(InstanceRole.WORKER):
             shape = WorkerShape(
                 worker.instance_id, worker.unit, worker.zone, worker.capacity
             )
-            found[worker.unit] = (*found.get(worker.unit, ()), shape)
-        return found
+            found.setdefault(worker.unit, []).append(shape)
+        self._shapes = {unit: tuple(items) for unit, items in found.items()}
+        self._shapes_generation = generation
+        return self._shapes
 
     def _load_by_unit(
         self, shapes_by_unit: dict[str, tuple[WorkerShape, ...]]
--- a/src/magnoliapitch/job/manager.py
+++ b/src/magnoliapitch/job/manager.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import threading
+
 from typing import TYPE_CHECKING
 
 from result import Err
 
 from magnoliapitch.decision.interface import EvictionAction
 from magnoliapitch.decision.interface import WorkerShape
+from magnoliapitch.event import log_event
 from magnoliapitch.job.attempt import Attempt
 from magnoliapitch.job.attempt import TaskKey
 from magnoliapitch.job.backlog import Backlog
@@ -17,6 +20,7 @@
 from magnoliapitch.job.spec import parse_lease_id
 from magnoliapitch.job.tracker import AttemptTracker
 from magnoliapitch.job.unit import OwnedUnit
+from magnoliapitch.metric import Metrics
 from magnoliapitch.ownership.fence import WorkerFence
 from magnoliapitch.platform.instance import InstanceInfo
 from magnoliapitch.platform.instance import InstanceRole
@@ -33,6 +37,7 @@
 if TYPE_CHECKING:
     from magnoliapitch.clock import Clock
     from magnoliapitch.decision.interface import Eviction
+    from magnoliapitch.decision.interface import Explanation
     from magnoliapitch.decision.interface import Placement
     from magnoliapitch.decision.interface import Scheduler
     from magnoliapitch.journal.change import ChangedTask
@@ -50,7 +55,8 @@
 class JobManager:
     """Drives tasks from submission to their recorded end.
 
-    One thread, or a test, calls :meth:`step`.
+    One thread, or a test, calls :meth:`step`; the scheduler is only
+    called under a lock.
     """
 
     def __init__(
@@ -63,6 +69,7 @@
         clock: Clock,
         runner: CallRunner | None = None,
         lease_ttl_ms: int = LEASE_TTL_MAX_MS,
+        metrics: Metrics | None = None,
     ) -> None:
         self._journal = journal
         self._fleet = fleet
@@ -78,28 +85,23 @@
         self._tracker = AttemptTracker(journal, scheduler, self._backlog)
         self._state: ClusterState | None = None
         self._catalogue_offset = -1
+        self._metrics = metrics or Metrics()
+        self._lock = threading.Lock()
 
     def step(self) -> int:
         """Observe workers, queue new tasks and start what fits.
 
         :return: milliseconds until the next step.
         """
-        now_ms = self._clock.now_ms()
-        for reply in self._runner.replies():
-            self._observe(reply, now_ms)
-        self._follow_units()
-        self._follow_workers()
-        self._settle_units(now_ms)
-        self._follow_jobs(now_ms)
-        self._tracker.end_unreachable(self._channels_by_worker, now_ms)
-        decision = self._scheduler.decide(now_ms)
-        self._place(decision.placements, now_ms)
-        self._evict(decision.evictions)
-        for channel in self._channels_by_worker.values():
-            self._dispatch(channel, now_ms)
-        self._release_units()
+        with self._lock:
+            self._step()
         return STEP_INTERVAL_MS
 
+    def explain(self, job_id: str) -> Explanation | None:
+        """Tell why a job of an owned unit waits; any thread may ask."""
+        with self._lock:
+            return self._scheduler.explain(job_id, self._clock.now_ms())
+
     def dump(self) -> dict[str, object]:
         """Return the manager's part of the state dump."""
         return {
@@ -116,6 +118,23 @@
             "free": self._scheduler.free()._asdict(),
         }
 
+    def _step(self) -> None:
+        now_ms = self._clock.now_ms()
+        for reply in self._runner.replies():
+            self._observe(reply, now_ms)
+        self._follow_units()
+        self._follow_workers()
+        self._settle_units(now_ms)
+        self._follow_jobs(now_ms)
+        self._tracker.end_unreachable(self._channels_by_worker, now_ms)
+        with self._metrics.timing("decision"):
+            decision = self._scheduler.decide(now_ms)
+        self._place(decision.placements, now_ms)
+        self._evict(decision.evictions)
+        for channel in self._channels_by_worker.values():
+            self._dispatch(channel, now_ms)
+        self._release_units()
+
     def _observe(self, reply: WorkerReply, now_ms: int) -> None:
         channel = self._channels_by_worker.get(reply.worker_id)
         if channel is None or channel.in_flight is None:
@@ -149,6 +168,8 @@
         for name, unit in list(self._units_by_name.items()):
             claim = claims.get(name)
             if claim is None or claim.epoch != unit.claim.epoch:
+                epoch = unit.claim.epoch
+                log_event("unit-lost", unit=name, epoch=epoch)
                 self._lose(name)
             elif self._claimer.is_releasing(name) and not unit.is_releasing:
                 unit.is_releasing = True
@@ -160,6 +181,7 @@
             if not self._claimer.is_rack(name):
                 continue
             self._units_by_name[name] = OwnedUnit(claim, self._clock.now_ms())
+            log_event("unit-claimed", unit=name, epoch=claim.epoch)
             with self._journal.reading() as state:
                 jobs = [
                     job
@@ -319,6 +341,8 @@
                 self._payload(name.job_id),
             )
             self._tracker.add(channel, attempt)
+            waited_ms = now_ms - task.submitted_ms
+            self._metrics.observe("task_wait", waited_ms, task.work_class)
             releasing = self._is_releasing(channel)
             if channel.accepts_starts and not releasing:
                 channel.starts[task.task_id] = None
--- a/src/magnoliapitch/platform/fleet.py
+++ b/src/magnoliapitch/platform/fleet.py
@@ -6,64 +6,84 @@
 
 from result import Err
 
-from magnoliapitch.platform.instance import InstanceRole
+from magnoliapitch.event import log_event
 
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from result import Result
 
     from magnoliapitch.platform.instance import InstanceInfo
     from magnoliapitch.platform.instance import InstanceList
+    from magnoliapitch.platform.instance import InstanceRole
+    from magnoliapitch.verdict import Failure
 
 
 REFRESH_INTERVAL_MS = 500
+EVERY_ZONE = ""
+
+_Index = dict["tuple[InstanceRole, str]", "tuple[InstanceInfo, ...]"]
 
 
 class Fleet:
     """Caches the platform's list; keeps the last one during outages.
 
     :ivar is_fresh: whether the last refresh succeeded.
+    :ivar generation: increases whenever the list has changed.
     """
 
     def __init__(self, instance_list: InstanceList) -> None:
         self.is_fresh = False
+        self.generation = 0
         self._instance_list = instance_list
+        self._listed: tuple[InstanceInfo, ...] = ()
         self._by_id: dict[str, InstanceInfo] = {}
-        self._servers_by_app: dict[str, list[InstanceInfo]] = {}
+        self._by_role_and_zone: _Index = {}
+        self._was_fresh: bool | None = None
 
     def refresh_step(self) -> int:
         """Fetch the list; return milliseconds until the next refresh."""
         outcome = self._instance_list.instances()
-        self.is_fresh = not isinstance(outcome, Err)
+        self._note_list(outcome)
         if not isinstance(outcome, Err):
-            self._by_id = {item.instance_id: item for item in outcome.ok_value}
-            self._servers_by_app = _servers_by_app(outcome.ok_value)
+            self._update(outcome.ok_value)
         return REFRESH_INTERVAL_MS
 
     def get(self, instance_id: str) -> InstanceInfo | None:
         """Return one instance."""
         return self._by_id.get(instance_id)
 
-    def servers_of(self, app: str) -> Sequence[InstanceInfo]:
-        """Return the backend servers of an application."""
-        return self._servers_by_app.get(app, ())
-
     def of_role(
-        self, role: InstanceRole, zone: str = ""
+        self, role: InstanceRole, zone: str = EVERY_ZONE
     ) -> tuple[InstanceInfo, ...]:
         """Return instances of a role, of one zone if it is given."""
-        return tuple(
-            item
-            for item in self._by_id.values()
-            if item.role is role and zone in ("", item.zone)
-        )
-
-
-def _servers_by_app(
-    instances: tuple[InstanceInfo, ...],
-) -> dict[str, list[InstanceInfo]]:
-    servers_by_app: dict[str, list[InstanceInfo]] = {}
-    for item in instances:
-        if item.role is InstanceRole.BACKEND_SERVER:
-            servers_by_app.setdefault(item.app, []).append(item)
-    return servers_by_app
+        return self._by_role_and_zone.get((role, zone), ())
+
+    def _update(self, listed: tuple[InstanceInfo, ...]) -> None:
+        if listed == self._listed:
+            return
+        index: dict[tuple[InstanceRole, str], list[InstanceInfo]] = {}
+        for item in listed:
+            for zone in (item.zone, EVERY_ZONE):
+                index.setdefault((item.role, zone), []).append(item)
+        self._listed = listed
+        self._by_id = {item.instance_id: item for item in listed}
+        self._by_role_and_zone = {
+            key: tuple(items) for key, items in index.items()
+        }
+        self.generation += 1
+
+    def _note_list(
+        self, outcome: Result[tuple[InstanceInfo, ...], Failure]
+    ) -> None:
+        was_fresh = self._was_fresh
+        self.is_fresh = not isinstance(outcome, Err)
+        self._was_fresh = self.is_fresh
+        if self.is_fresh == was_fresh:
+            return
+        if isinstance(outcome, Err):
+            reason = outcome.err_value.detail
+            log_event("instance-list-unavailable", reason=reason)
+        else:
+            log_event(
+                "instance-list-available", instances=len(outcome.ok_value)
+            )
