--- /dev/null
+++ b/src/magnoliapitch/history/__init__.py
@@ -0,0 +1,3 @@
+"""Checkers of what was promised, over histories of events."""
+
+from __future__ import annotations
--- a/src/magnoliapitch/standin/backend.py
+++ b/src/magnoliapitch/standin/backend.py
@@ -59,6 +59,8 @@
     :ivar faults_by_server: faults of the next calls of a server.
     :ivar duration_ms: how long a request runs.
     :ivar on_send: called with the server's id before each call.
+    :ivar observer: called with request id, server id and whether the
+        request starts or ends.
     :ivar most_in_flight_by_server: highest concurrency seen.
     """
 
@@ -68,6 +70,7 @@
         self.faults_by_server: dict[str, deque[BackendFault]] = {}
         self.duration_ms = 0
         self.on_send: Callable[[str], None] | None = None
+        self.observer: Callable[[str, str, bool], None] | None = None
         self.history: list[Execution] = []
         self.most_in_flight_by_server: dict[str, int] = {}
         self._clock = clock or MonotonicClock()
@@ -96,7 +99,7 @@
                 self._clock.wait(self._never, self.duration_ms)
             return self._answer(server_id, request, fault)
         finally:
-            self._leave(server_id)
+            self._leave(server_id, request)
 
     def _next_fault(self, server_id: str) -> BackendFault | None:
         with self._lock:
@@ -140,10 +143,18 @@
                     server_id, request.request_id, request.entry, request.body
                 )
             )
+            self._observe(server_id, request, is_start=True)
 
-    def _leave(self, server_id: str) -> None:
+    def _leave(self, server_id: str, request: BackendRequest) -> None:
         with self._lock:
             self._in_flight_by_server[server_id] -= 1
+            self._observe(server_id, request, is_start=False)
+
+    def _observe(
+        self, server_id: str, request: BackendRequest, *, is_start: bool
+    ) -> None:
+        if self.observer is not None:
+            self.observer(request.request_id, server_id, is_start)
 
 
 def _answer_body(server_id: str, request: BackendRequest) -> bytes:
--- /dev/null
+++ b/tests/request/test_history.py
@@ -0,0 +1,132 @@
+from __future__ import annotations
+
+import random
+
+from typing import TYPE_CHECKING
+
+import orjson
+import pytest
+
+from magnoliapitch.clock import ManualClock
+from magnoliapitch.history.request import Answered
+from magnoliapitch.history.request import Asked
+from magnoliapitch.history.request import Ended
+from magnoliapitch.history.request import RequestEvent
+from magnoliapitch.history.request import Started
+from magnoliapitch.history.request import check_requests
+from magnoliapitch.standin.backend import BackendFault
+from tests.request.conftest import Shape
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tests.request.conftest import RequestCell
+
+
+SEEDS = range(60)
+STEPS = 60
+SHAPE = Shape(("norte", "centro"), entries_per_zone=2, backends=2)
+
+
+class Schedule:
+    """Requests with tickets and without among faults drawn from a seed."""
+
+    def __init__(self, cell: RequestCell, seed: int) -> None:
+        self.cell = cell
+        self.random = random.Random(seed)
+        self.events: list[RequestEvent] = []
+        self.alive = list(range(len(cell.cores)))
+        self.names: list[tuple[str, str]] = []
+        cell.backends.observer = self.observe
+
+    def observe(self, request_id: str, server: str, is_start: bool) -> None:
+        kind = Started if is_start else Ended
+        self.events.append(kind(request_id, server))
+
+    def run(self) -> None:
+        actions = (
+            *[self.ask] * 6,
+            *[self.repeat] * 4,
+            self.break_server,
+            self.cut,
+            self.toggle_log,
+            self.pass_time,
+            self.kill,
+        )
+        for _ in range(STEPS):
+            self.random.choice(actions)()
+
+    def ask(self) -> None:
+        core = self.cell.cores[self.random.choice(self.alive)]
+        entry = self.random.choice(("seat-check", "fee-match"))
+        ticket = ""
+        if self.random.random() < 0.7:
+            ticket = str(core.router.issue_ticket(entry).unwrap())
+            self.names.append((ticket, entry))
+        self.send(ticket, entry)
+
+    def repeat(self) -> None:
+        if self.names:
+            self.send(*self.random.choice(self.names))
+
+    def send(self, ticket: str, entry: str) -> None:
+        attempt = f"r{len(self.events)}"
+        name = ticket or attempt
+        request = self.cell.request(1, entry, ticket=ticket)._replace(
+            request_id=attempt, body=name.encode()
+        )
+        self.events.append(
+            Asked(attempt, name, request.body, entry == "seat-check")
+        )
+        core = self.cell.cores[self.random.choice(self.alive)]
+        outcome = core.router.execute(request)
+        if outcome.is_err():
+            verdict = outcome.unwrap_err().verdict
+            self.events.append(Answered(attempt, verdict))
+            return
+        echo = orjson.loads(outcome.unwrap().body)["echo"]
+        self.events.append(Answered(attempt, None, echo.encode()))
+
+    def break_server(self) -> None:
+        zone = self.random.choice(SHAPE.zones)
+        server = self.random.choice(self.cell.server_ids(zone))
+        fault = self.random.choice(list(BackendFault))
+        self.cell.backends.add_fault(server, fault)
+
+    def cut(self) -> None:
+        addresses = sorted(self.cell.network.handlers_by_address)
+        pair = self.random.choice(addresses), self.random.choice(addresses)
+        self.cell.network.cuts ^= {pair}
+
+    def toggle_log(self) -> None:
+        self.cell.stand.log.down = not self.cell.stand.log.down
+
+    def pass_time(self) -> None:
+        assert isinstance(self.cell.clock, ManualClock)
+        self.cell.clock.advance(self.random.choice((50, 1_000, 5_000)))
+        for number in self.alive:
+            for item in self.cell.cores[number].steps():
+                item.step()
+
+    def kill(self) -> None:
+        if len(self.alive) > 2 and self.random.random() < 0.3:
+            number = self.random.choice(self.alive)
+            self.alive.remove(number)
+            address = self.cell.cores[number].identity.peer_address
+            self.cell.network.handlers_by_address.pop(address)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_requests_keep_every_promise_among_faults(
+    make_cell: Callable[..., RequestCell], seed: int
+) -> None:
+    schedule = Schedule(make_cell(SHAPE), seed)
+    schedule.run()
+    assert check_requests(schedule.events, SHAPE.slots) == ()
+    results = [
+        event
+        for event in schedule.events
+        if isinstance(event, Answered) and event.verdict is None
+    ]
+    assert results
