Run keys and tickets through processes that die and pause

Six callers send 72 non-idempotent requests, half with keys and half with tickets, and retry through any of four entries, while one is paused for 1.5 s, one is killed, servers refuse and truncate and the log is down for 1.5 s.

--- a/src/magnoliapitch/console/bench_request.py
+++ b/src/magnoliapitch/console/bench_request.py
@@ -4,10 +4,14 @@
 
 import sys
 
+from collections.abc import Sequence
+
 import orjson
 
+from magnoliapitch.bench.request import PathFigure
 from magnoliapitch.bench.request import measure_paths
 from magnoliapitch.bench.request import profile_owner
+from magnoliapitch.bench.waiting import WaitingFigure
 from magnoliapitch.bench.waiting import measure_waiting
 
 
@@ -34,8 +38,7 @@
         return
     figures = measure_paths(count, callers)
     if json:
-        rows = [figure._asdict() for figure in figures]
-        sys.stdout.write(orjson.dumps(rows).decode() + "\n")
+        _print_json(figures)
         return
     print("path     p50 ms  p99 ms  requests/s  added p50 ms  ratio")
     for item in figures:
@@ -53,8 +56,7 @@
     """
     figures = measure_waiting()
     if json:
-        rows = [figure._asdict() for figure in figures]
-        sys.stdout.write(orjson.dumps(rows).decode() + "\n")
+        _print_json(figures)
         return
     print("threads  added MB  KB a thread  start s  requests/s")
     for item in figures:
@@ -63,3 +65,8 @@
             f"{item.kb_per_thread:11.1f}  {item.start_s:7.2f}  "
             f"{item.requests_per_s:10.0f}"
         )
+
+
+def _print_json(figures: Sequence[PathFigure | WaitingFigure]) -> None:
+    rows = [figure._asdict() for figure in figures]
+    sys.stdout.write(orjson.dumps(rows).decode() + "\n")
--- /dev/null
+++ b/tests/process/test_request_fault.py
@@ -0,0 +1,154 @@
+from __future__ import annotations
+
+import random
+import signal
+import threading
+import time
+
+from typing import TYPE_CHECKING
+
+import urllib3
+
+from magnoliapitch.history.request import Answered
+from magnoliapitch.history.request import Asked
+from magnoliapitch.history.request import Ended
+from magnoliapitch.history.request import RequestEvent
+from magnoliapitch.history.request import Started
+from magnoliapitch.history.request import check_requests
+from magnoliapitch.standin.backend import BackendFault
+from magnoliapitch.verdict import Verdict
+
+
+if TYPE_CHECKING:
+    from tests.process.conftest import Deployment
+    from tests.process.conftest import EntryProcess
+
+
+CALLERS = 6
+REQUESTS = 12
+TIMEOUT_S = 4
+WAIT_S = 60
+SLOTS = 8
+ENTRY = {
+    "name": "fee-match",
+    "owner": "clubs",
+    "work_class": "urgent",
+    "app": "clubes-app",
+    "patience_ms": 2_000,
+    "idempotent": False,
+}
+
+
+class Caller:
+    """Repeats each request through any entry until it has a result."""
+
+    def __init__(
+        self, number: int, entries: list[EntryProcess], events: list[object]
+    ) -> None:
+        self.number = number
+        self.entries = entries
+        self.events = events
+        self.random = random.Random(number)
+
+    def run(self) -> None:
+        for count in range(REQUESTS):
+            name = f"c{self.number}-{count}"
+            headers = {"Idempotency-Key": name}
+            if count % 2:
+                headers = {"Ticket": self.draw()}
+            for attempt in range(4):
+                if self.send(f"{name}-{attempt}", name, headers):
+                    break
+
+    def draw(self) -> str:
+        while True:
+            url = f"{self.random.choice(self.entries).url}/v1/tickets"
+            try:
+                answer = urllib3.request(
+                    "POST",
+                    f"{url}/fee-match",
+                    retries=False,
+                    timeout=TIMEOUT_S,
+                )
+            except urllib3.exceptions.HTTPError:
+                continue
+            if answer.status == 201:
+                return str(answer.json()["ticket"])
+
+    def send(self, attempt: str, name: str, headers: dict[str, str]) -> bool:
+        self.events.append(Asked(attempt, name, name.encode()))
+        url = f"{self.random.choice(self.entries).url}/v1/requests/fee-match"
+        try:
+            answer = urllib3.request(
+                "POST",
+                url,
+                body=name.encode(),
+                headers={**headers, "X-Request-Id": attempt},
+                retries=False,
+                timeout=TIMEOUT_S,
+            )
+        except urllib3.exceptions.HTTPError:
+            lost = Answered(attempt, Verdict.MAY_HAVE_RUN)
+            self.events.append(lost)
+            return False
+        if answer.status == 200:
+            body = answer.json()["echo"].encode()
+            self.events.append(Answered(attempt, None, body))
+            return True
+        verdict = Verdict(answer.json()["verdict"])
+        self.events.append(Answered(attempt, verdict))
+        return False
+
+
+def test_requests_keep_every_promise_while_entries_die_and_pause(
+    deployment: Deployment,
+) -> None:
+    for zone in (*deployment.cell.shape.zones, "xela-norte"):
+        deployment.add_entry(zone)
+    entries = deployment.entries
+    for entry in entries:
+        entry.wait_ready()
+    url = f"{entries[0].admin_url}/v1/catalogue/fee-match"
+    assert urllib3.request("PUT", url, json=ENTRY).status == 200
+    events: list[RequestEvent] = []
+
+    def observe(request_id: str, server: str, is_start: bool) -> None:
+        kind = Started if is_start else Ended
+        events.append(kind(request_id, server))
+
+    deployment.cell.backends.observer = observe
+    deployment.cell.backends.duration_ms = 20
+    callers = [Caller(n, entries, events) for n in range(CALLERS)]  # type: ignore[arg-type]
+    threads = [threading.Thread(target=caller.run) for caller in callers]
+    for thread in threads:
+        thread.start()
+    _disturb(deployment)
+    for thread in threads:
+        thread.join(WAIT_S)
+        assert not thread.is_alive()
+    assert check_requests(events, SLOTS) == ()
+    results = [e for e in events if isinstance(e, Answered) and not e.verdict]
+    assert results
+
+
+def _disturb(deployment: Deployment) -> None:
+    servers = [
+        info.instance_id
+        for info in deployment.cell.instance_list.by_id.values()
+        if info.app
+    ]
+    for server in servers[::3]:
+        deployment.cell.backends.add_fault(server, BackendFault.REFUSE)
+        deployment.cell.backends.add_fault(
+            server, BackendFault.TRUNCATE_ANSWER
+        )
+    paused, killed = deployment.entries[1].process, deployment.entries[2]
+    time.sleep(0.3)
+    paused.send_signal(signal.SIGSTOP)
+    time.sleep(0.5)
+    killed.process.kill()
+    deployment.cell.log.down = True
+    time.sleep(1)
+    paused.send_signal(signal.SIGCONT)
+    time.sleep(0.5)
+    deployment.cell.log.down = False
