--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from magnoliapitch.decision.exceptions import UnknownProfileError
+from magnoliapitch.decision.options import PolicyWeights
+from magnoliapitch.decision.options import options_of
 from magnoliapitch.settings import InvalidSettingsError
 from magnoliapitch.settings import load_settings
 
@@ -117,3 +120,28 @@
 def test_settings_name_a_file_that_is_missing(tmp_path: Path) -> None:
     with pytest.raises(InvalidSettingsError, match="cannot be read: No such"):
         load_settings(tmp_path / "none.toml")
+
+
+def test_settings_take_weights_as_a_profile_or_as_numbers(
+    tmp_path: Path,
+) -> None:
+    path = tmp_path / "entry.toml"
+    start = (
+        'instance_id = "entry-1"\nzone = "zone"\n'
+        'profile = "packing-first"\n'
+        '[platform]\nlog_url = "memory:"\ninstance_list_url = "memory:"\n'
+    )
+    path.write_text(start)
+    named = load_settings(path)
+    options = options_of(named.profile, named.weights)
+    assert options.weights.short_first == 0.0
+    path.write_text(f"{start}[weights]\nshort_first = 0.5\n")
+    numbers = load_settings(path)
+    options = options_of(numbers.profile, numbers.weights)
+    assert options.weights == PolicyWeights(short_first=0.5)
+    path.write_text(f"{start}[weights]\nshort_first = 2.0\n")
+    with pytest.raises(InvalidSettingsError, match="short_first"):
+        load_settings(path)
+    path.write_text(start.replace("packing-first", "fastest"))
+    with pytest.raises(UnknownProfileError, match="packing-first"):
+        options_of(load_settings(path).profile)
