--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -16,10 +16,13 @@
 from magnoliapitch.job.manager import JobManager
 from magnoliapitch.journal.journal import Journal
 from magnoliapitch.journal.record import EntryJoin
+from magnoliapitch.journal.record import EntryLeave
 from magnoliapitch.journal.record import JobSubmit
 from magnoliapitch.journal.snapshot_writer import SnapshotWriter
 from magnoliapitch.membership.identity import Identity
 from magnoliapitch.membership.membership import Membership
+from magnoliapitch.membership.presence import PresenceKeeper
+from magnoliapitch.membership.relay import PeerRelay
 from magnoliapitch.metric import Metrics
 from magnoliapitch.ownership.claimer import Claimer
 from magnoliapitch.peer.message import Beat
@@ -34,12 +37,15 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from result import Result
 
     from magnoliapitch.clock import Clock
     from magnoliapitch.entry.adapters import Adapters
     from magnoliapitch.job.spec import JobSpec
     from magnoliapitch.journal.state import JobRecord
+    from magnoliapitch.membership.progress import AppliedEverywhere
     from magnoliapitch.peer.link import PeerLink
     from magnoliapitch.peer.message import StateSnapshot
     from magnoliapitch.settings.model import Settings
@@ -49,6 +55,8 @@
 
 DEFAULT_PATIENCE_MS = 10_000
 DRAIN_RETRY_MS = 100
+INCOMPLETE_RETRY_MS = 1_000
+LEAVE_TRIES = 5
 
 
 class NamedStep(NamedTuple):
@@ -67,6 +75,9 @@
     """State and behaviour of one entry instance.
 
     Nothing here starts a thread; :meth:`steps` are driven from outside.
+
+    :ivar on_superseded: called when the log names this incarnation as
+        gone.
     """
 
     def __init__(
@@ -79,6 +90,7 @@
     ) -> None:
         self.settings = settings
         self.clock = clock
+        self.on_superseded: Callable[[], None] | None = None
         self.identity = Identity.create(
             settings.instance_id,
             settings.zone,
@@ -92,7 +104,21 @@
             settings.platform.log_appends_per_s,
         )
         self.snapshots = SnapshotWriter(self.journal)
-        self.membership = Membership(self.identity, self.journal, self.clock)
+        self.membership = Membership(
+            self.identity,
+            self.journal,
+            self.clock,
+            self.fleet,
+            settings.peer_addresses,
+        )
+        self.presence = PresenceKeeper(
+            self.membership,
+            self.journal,
+            self.fleet,
+            self.clock,
+            self._retire,
+        )
+        self.journal.follower.source = PeerRelay(self.membership, link)
         self.claimer = Claimer(
             self.identity,
             self.journal,
@@ -145,6 +171,7 @@
                 lambda: self.journal.append_step(wait_ms),
                 "platform",
             ),
+            NamedStep("presence", self.presence.step),
             NamedStep("snapshots", self.snapshots.step, "platform"),
             NamedStep("fleet", self.fleet.refresh_step, "platform"),
             NamedStep("heartbeat", self._heartbeat_step),
@@ -163,6 +190,18 @@
             )
         )
 
+    def leave(self) -> None:
+        """Announce the departure; call it when no step runs any more."""
+        self.journal.enqueue(EntryLeave(self.identity.incarnation))
+        for _ in range(LEAVE_TRIES):
+            if not self.journal.has_unsent():
+                return
+            self.journal.append_step()
+
+    def applied_everywhere(self) -> AppliedEverywhere:
+        """Return up to which offset the log is in force everywhere."""
+        return self.membership.applied_everywhere()
+
     @property
     def is_draining(self) -> bool:
         """Whether new work is refused."""
@@ -180,6 +219,12 @@
 
     def refusal(self) -> Failure | None:
         """Return why new work is refused, if it is."""
+        if not self.journal.is_complete:
+            return not_run(
+                FailureCode.UNAVAILABLE,
+                "the log's history is not known yet",
+                INCOMPLETE_RETRY_MS,
+            )
         if not self.is_draining:
             return None
         return not_run(
@@ -258,6 +303,15 @@
         self.membership.loads = self.router.loads()
         return self.membership.heartbeat_step(self._link)
 
+    def _retire(self) -> None:
+        """Stop working for good: another incarnation has taken over."""
+        if self.is_draining:
+            return
+        log_event("superseded", incarnation=self.identity.incarnation)
+        self.drain()
+        if self.on_superseded is not None:
+            self.on_superseded()
+
 
 def _job_row(job: JobRecord) -> dict[str, object]:
     return {
