Stop deadlines from starting and evicting gangs for ever

Cause: the starvation test failed on random traces: under a flood of deadlines a gang waited up to 1,092 s. Late deadlines took what was held for it and evicted it again right after its start; urgent work waited up to 30 s, since tasks with a deadline were never evicted for it. A call could also visit the same lanes again and again. Change: bulk work respects a reserved start whatever its deadline; deadlines evict only batch work without one; urgent work and services evict any bulk work; an overdue class reserves again at once; a lane that was passed over is left out until capacity is freed. The manager decides until nothing is left, at most 16 times a step.

--- a/src/magnoliapitch/decision/dispatch.py
+++ b/src/magnoliapitch/decision/dispatch.py
@@ -14,6 +14,7 @@
 from magnoliapitch.catalogue.entry import WorkClass
 from magnoliapitch.decision.finder import BULK_CLASSES
 from magnoliapitch.decision.finder import MAX_CHANGED
+from magnoliapitch.decision.reclaim import Victims
 
 
 if TYPE_CHECKING:
@@ -103,7 +104,7 @@
             if group.tasks_by_id:
                 aside.append(group)
             if not served and turn.may_evict:
-                self._reclaim(turn, group)
+                self._reclaim(turn, group, Victims.BULK)
         for group in aside:
             heap.push(group.first_ms, group)
 
@@ -117,7 +118,7 @@
         if self._start_all(turn, hold.group):
             self._holds.release()
         elif self._finder.is_overdue(turn, hold.group) and turn.may_evict:
-            self._reclaim(turn, hold.group)
+            self._reclaim(turn, hold.group, Victims.BULK)
 
     def _serve_overdue(self, turn: Round, work_class: WorkClass) -> None:
         heap = self._queue.oldest_by_class[work_class]
@@ -154,7 +155,7 @@
             if not self._start_all(turn, group):
                 self._hold(turn, group)
                 if self._finder.is_pressing(turn, group) and turn.may_evict:
-                    self._reclaim(turn, group)
+                    self._reclaim(turn, group, Victims.PATIENT)
             if group.tasks_by_id:
                 aside.append(group)
         for group in aside:
@@ -170,7 +171,7 @@
         started = len(turn.placements)
         beyond_quota: list[TaskGroup] = []
         lanes_by_owner: dict[str, _Lanes] = {}
-        stamp = (turn.number, self._books.freed)
+        stamp = self._stamp(turn)
         owners = [
             (self._share(owner), owner)
             for owner, queue in self._queue.queues_by_owner.items()
@@ -189,7 +190,7 @@
             lanes = lanes_by_owner.get(owner)
             if lanes is None:
                 lanes = self._queue.queues_by_owner[owner].heads(
-                    turn.number, turn.room
+                    stamp, turn.room
                 )
                 lanes_by_owner[owner] = lanes
             if not lanes:
@@ -222,9 +223,11 @@
         wanted = group.size.times(members)
         if not self._books.accounts.is_within_quota(entry, wanted):
             group.reason = f"quota of entry {entry}"
+            group.visited = self._stamp(turn)
             beyond_quota.append(group)
             return
         if not self._start(turn, group):
+            group.visited = self._stamp(turn)
             self._hold(turn, group)
             if turn.may_evict:
                 self._reclaim_borrowed(turn, group)
@@ -233,6 +236,9 @@
         if first is not None:
             heapq.heappush(lanes, (first.key, number, heap))
 
+    def _stamp(self, turn: Round) -> tuple[int, int]:
+        return turn.number, self._books.freed
+
     def _share(self, owner: str) -> float:
         capacity = self._books.table.capacity
         return self._books.accounts.dominant_share(owner, capacity)
@@ -286,20 +292,21 @@
         """Reserve a start for a gang, or for what is overdue."""
         if self._holds is None or not group.tasks_by_id:
             return
-        if not group.is_gang and not self._finder.is_overdue(turn, group):
+        is_overdue = self._finder.is_overdue(turn, group)
+        if not group.is_gang and not is_overdue:
             return
         members = len(group.tasks_by_id) if group.is_gang else 1
-        if self._holds.place(group, members, turn.now_ms):
+        if self._holds.place(group, members, turn.now_ms, at_once=is_overdue):
             group.reason = "a reserved start"
 
     def _reclaim(
-        self, turn: Round, group: TaskGroup, *, borrowed_only: bool = False
+        self, turn: Round, group: TaskGroup, victims: Victims
     ) -> None:
         """Evict for one task; wait for it before evicting for the next."""
         if turn.now_ms < group.next_reclaim_ms:
             return
         evictions = self._reclaimer.for_size(
-            group.size, group.sample.unit, turn.now_ms, borrowed_only
+            group.size, group.sample.unit, turn.now_ms, victims
         )
         if evictions:
             interval_ms = RECLAIM_INTERVAL_MS // len(group.tasks_by_id)
@@ -309,4 +316,4 @@
     def _reclaim_borrowed(self, turn: Round, group: TaskGroup) -> None:
         if not self._reclaimer.any_borrowed():
             return
-        self._reclaim(turn, group, borrowed_only=True)
+        self._reclaim(turn, group, Victims.BORROWED)
--- a/src/magnoliapitch/decision/finder.py
+++ b/src/magnoliapitch/decision/finder.py
@@ -60,9 +60,10 @@
         need = Need(
             group.size,
             turn.now_ms + group.run_ms,
-            not self._is_first(turn, group),
+            _is_bulk(group),
             group,
             task.unit,
+            self._is_first(turn, group),
             self._books.spread(task.job_id) if is_service else None,
         )
         on_changed = (
@@ -91,11 +92,7 @@
 
     def _is_first(self, turn: Round, group: TaskGroup) -> bool:
         """Return whether a group may use what is kept from bulk work."""
-        return (
-            not _is_bulk(group)
-            or self.is_pressing(turn, group)
-            or self.is_overdue(turn, group)
-        )
+        return not _is_bulk(group) or self.is_overdue(turn, group)
 
     def _search(
         self, turn: Round, need: Need, *, on_changed: bool
--- a/src/magnoliapitch/decision/hold.py
+++ b/src/magnoliapitch/decision/hold.py
@@ -58,9 +58,16 @@
         self.hold: Hold | None = None
         self._books = books
 
-    def place(self, group: TaskGroup, members: int, now_ms: int) -> bool:
-        """Reserve a start for a group; return whether one was reserved."""
-        if self.hold is not None or now_ms < group.next_hold_ms:
+    def place(
+        self, group: TaskGroup, members: int, now_ms: int, *, at_once: bool
+    ) -> bool:
+        """Reserve a start for a group; return whether one was reserved.
+
+        :param at_once: whether also soon after its last one expired.
+        """
+        if self.hold is not None:
+            return False
+        if now_ms < group.next_hold_ms and not at_once:
             return False
         workers = self._books.table.some(MAX_WORKERS, group.sample.unit)
         plan = _plan(workers, group.size, members, now_ms)
--- a/src/magnoliapitch/decision/placement.py
+++ b/src/magnoliapitch/decision/placement.py
@@ -32,9 +32,10 @@
     """What a task needs of a worker.
 
     :param until_ms: expected end if it starts now.
-    :param is_bulk: whether it leaves room for urgent work.
+    :param is_bulk: whether it leaves what is held for a reserved start.
     :param owner: group on whose behalf capacity may be held.
     :param unit: rack whose workers alone may run it, or empty.
+    :param uses_kept: whether it may use what is kept for urgent work.
     :param spread_by_unit: tasks of the same service in each rack.
     """
 
@@ -43,6 +44,7 @@
     is_bulk: bool
     owner: object = None
     unit: str = ""
+    uses_kept: bool = False
     spread_by_unit: dict[str, int] | None = None
 
 
@@ -157,16 +159,10 @@
         """Return what bulk work may use of a worker now."""
         cpu = worker.free_cpu
         memory = worker.free_memory
-        if worker.headroom_cpu > worker.urgent_cpu:
-            cpu -= worker.headroom_cpu - worker.urgent_cpu
-        if worker.kept_until_ms > now_ms:
-            cpu -= worker.kept.cpu_millis
-            memory -= worker.kept.memory_mb
-        if self._keeps_companion(worker, need):
-            share = worker.free_accelerators
-            capacity = worker.shape.capacity
-            cpu -= share * capacity.cpu_millis // COMPANION_SHARE
-            memory -= share * capacity.memory_mb // COMPANION_SHARE
+        if not need.uses_kept:
+            kept = self._kept(worker, need, now_ms)
+            cpu -= kept.cpu_millis
+            memory -= kept.memory_mb
         hold = worker.hold
         if (
             hold is not None
@@ -206,6 +202,22 @@
         found.extend(islice(self._accelerated.emptiest_first(), rest))
         return found
 
+    def _kept(self, worker: WorkerState, need: Need, now_ms: int) -> Resources:
+        """Return what a worker keeps for others than bulk work."""
+        kept = Resources(max(0, worker.headroom_cpu - worker.urgent_cpu))
+        if worker.kept_until_ms > now_ms:
+            kept = kept.plus(worker.kept)
+        if not self._keeps_companion(worker, need):
+            return kept
+        capacity = worker.shape.capacity
+        share = worker.free_accelerators
+        return kept.plus(
+            Resources(
+                share * capacity.cpu_millis // COMPANION_SHARE,
+                share * capacity.memory_mb // COMPANION_SHARE,
+            )
+        )
+
     def _headroom_of_next(self) -> float:
         """Return the headroom of a new worker.
 
--- a/src/magnoliapitch/decision/queue.py
+++ b/src/magnoliapitch/decision/queue.py
@@ -24,6 +24,7 @@
 
 SIZE_WEIGHT_MS = 300_000
 LANE_STEPS = 2
+NEVER = (-1, -1)
 
 
 class JobState:
@@ -51,6 +52,7 @@
     :ivar version: version of the estimate that these come from.
     :ivar reason: why it was last passed over.
     :ivar is_late: whether its deadline can no longer be met.
+    :ivar visited: stamp at which it was last passed over.
     :ivar missed_pass: the pass in which no worker was found for it.
     """
 
@@ -69,6 +71,7 @@
         "size",
         "tasks_by_id",
         "version",
+        "visited",
     )
 
     def __init__(
@@ -87,6 +90,7 @@
         self.next_reclaim_ms = 0
         self.missed_pass = -1
         self.is_late = False
+        self.visited = NEVER
         self.reason = ""
 
     @property
@@ -140,12 +144,12 @@
 class OwnerQueue:
     """Bulk work of one owner, in lanes of about equal size and run time.
 
-    :ivar exhausted: pass, and count of freed capacity, in which nothing
-        of it could be started.
+    :ivar exhausted: stamp at which nothing of it could be started. A
+        stamp is a pass and the count of times that capacity was freed.
     """
 
     def __init__(self) -> None:
-        self.exhausted = (-1, -1)
+        self.exhausted = NEVER
         self._lanes: dict[tuple[int, ...], GroupHeap] = {}
 
     def push(self, group: TaskGroup) -> None:
@@ -155,15 +159,15 @@
         if heap is None:
             heap = GroupHeap()
             self._lanes[lane] = heap
-        self.exhausted = (-1, -1)
+        self.exhausted = NEVER
         heap.push(group.key, group)
 
     def heads(
-        self, missed_pass: int, room: Resources
+        self, stamp: tuple[int, int], room: Resources
     ) -> list[tuple[float, int, GroupHeap]]:
         """Return the lanes that may start work, as a heap by first key.
 
-        :param missed_pass: pass in which a search of all workers failed.
+        :param stamp: the present one; what it passed over is left out.
         :param room: most that is free on any worker that changed since.
         """
         found: list[tuple[float, int, GroupHeap]] = []
@@ -172,7 +176,9 @@
             if first is None:
                 del self._lanes[lane]
                 continue
-            if first.missed_pass == missed_pass and not first.size.fits(room):
+            if first.visited == stamp:
+                continue
+            if first.missed_pass == stamp[0] and not first.size.fits(room):
                 continue
             found.append((first.key, len(found), heap))
         heapq.heapify(found)
--- a/src/magnoliapitch/decision/reclaim.py
+++ b/src/magnoliapitch/decision/reclaim.py
@@ -7,9 +7,11 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from magnoliapitch.catalogue.entry import WorkClass
+from magnoliapitch.decision.finder import BULK_CLASSES
 from magnoliapitch.decision.interface import Eviction
 from magnoliapitch.decision.interface import EvictionAction
 from magnoliapitch.resource import NO_RESOURCES
@@ -29,9 +31,22 @@
 THROTTLE_DIVISOR = 2
 MIN_THROTTLED_MILLIS = 100
 GANG_DAMAGE = 1_000_000
+DEADLINE_DAMAGE = 500_000
 BORROWED_GAIN = 10_000_000
 
 
+class Victims(StrEnum):
+    """Which bulk work may be evicted.
+
+    Patient is batch work without a deadline: were gangs evicted for
+    deadlines, a flood of deadlines would start and evict them for ever.
+    """
+
+    BORROWED = "borrowed"
+    PATIENT = "patient"
+    BULK = "bulk"
+
+
 class Reclaimer:
     """Plans evictions; keeps what they free for those who waited.
 
@@ -46,19 +61,15 @@
         self._checkpointed_ms: dict[str, int] = {}
 
     def for_size(
-        self, size: Resources, unit: str, now_ms: int, borrowed_only: bool
+        self, size: Resources, unit: str, now_ms: int, victims: Victims
     ) -> list[Eviction]:
-        """Return evictions that make room for a task, or none.
-
-        :param borrowed_only: whether only work beyond its quota may be
-            evicted.
-        """
+        """Return evictions that make room for a task, or none."""
         if not self._acts:
             return []
         best: list[Eviction] = []
         best_damage = 0
         for worker in self._books.table.some(MAX_WORKERS, unit):
-            plan = _plan(worker, size, borrowed_only)
+            plan = _plan(worker, size, victims)
             if plan is None:
                 continue
             damage, evictions = plan
@@ -67,7 +78,7 @@
                 best_damage = damage
         if best:
             self._apply(best, now_ms)
-            if not borrowed_only:
+            if victims is Victims.BULK:
                 worker_id = best[0].worker_id
                 worker = self._books.table.workers_by_id[worker_id]
                 self._books.keep(worker, size, now_ms + KEEP_MS)
@@ -157,7 +168,7 @@
 
 
 def _plan(
-    worker: WorkerState, size: Resources, borrowed_only: bool
+    worker: WorkerState, size: Resources, kind: Victims
 ) -> tuple[int, list[Eviction]] | None:
     """Return the damage and the evictions that make room on a worker."""
     if not size.fits(worker.shape.capacity):
@@ -167,7 +178,7 @@
         (
             task
             for task in worker.tasks_by_id.values()
-            if _may_evict(task, borrowed_only)
+            if _may_evict(task, kind)
         ),
         key=_damage,
     )
@@ -210,20 +221,23 @@
     return found if found and missing <= 0 else None
 
 
-def _may_evict(task: RunningTask, borrowed_only: bool) -> bool:
-    if task.evicted:
+def _may_evict(task: RunningTask, kind: Victims) -> bool:
+    request = task.request
+    if task.evicted or request.work_class not in BULK_CLASSES:
         return False
-    if borrowed_only:
+    if kind is Victims.BORROWED:
         return task.borrowed
-    if task.request.deadline_ms:
-        return False
-    return task.request.work_class in (WorkClass.BATCH, WorkClass.GANG)
+    if kind is Victims.BULK:
+        return True
+    return request.work_class is WorkClass.BATCH and not request.deadline_ms
 
 
 def _damage(task: RunningTask) -> int:
     damage = task.reserved.cpu_millis
     if task.request.work_class is WorkClass.GANG:
         damage += GANG_DAMAGE
+    if task.request.deadline_ms:
+        damage += DEADLINE_DAMAGE
     if task.borrowed:
         damage -= BORROWED_GAIN
     return damage
--- a/src/magnoliapitch/decision/round.py
+++ b/src/magnoliapitch/decision/round.py
@@ -27,6 +27,7 @@
     size: Resources
     until_ms: int
     is_bulk: bool
+    uses_kept: bool
     unit: str
 
     def is_easier_than(self, need: Need) -> bool:
@@ -34,6 +35,7 @@
             self.size.fits(need.size)
             and self.until_ms <= need.until_ms
             and self.is_bulk <= need.is_bulk
+            and self.uses_kept >= need.uses_kept
             and self.unit in ("", need.unit)
         )
 
@@ -99,7 +101,13 @@
         blocked = self._blocked_on_changed if on_changed else self._blocked
         if len(blocked) < MAX_BLOCKED:
             blocked.append(
-                _Blocked(need.size, need.until_ms, need.is_bulk, need.unit)
+                _Blocked(
+                    need.size,
+                    need.until_ms,
+                    need.is_bulk,
+                    need.uses_kept,
+                    need.unit,
+                )
             )
 
     def decision(self, has_more: bool) -> Decision:
--- a/src/magnoliapitch/job/manager.py
+++ b/src/magnoliapitch/job/manager.py
@@ -44,6 +44,7 @@
     from magnoliapitch.worker.pool import WorkerPool
 
 
+DECISIONS_PER_STEP = 16
 STEP_INTERVAL_MS = 50
 
 
@@ -92,9 +93,7 @@
         self._settle_units(now_ms)
         self._follow_jobs(now_ms)
         self._tracker.end_unreachable(self._channels_by_worker, now_ms)
-        decision = self._scheduler.decide(now_ms)
-        self._place(decision.placements, now_ms)
-        self._evict(decision.evictions)
+        self._decide(now_ms)
         for channel in self._channels_by_worker.values():
             self._dispatch(channel, now_ms)
         self._release_units()
@@ -116,6 +115,14 @@
             "free": self._scheduler.free()._asdict(),
         }
 
+    def _decide(self, now_ms: int) -> None:
+        for _ in range(DECISIONS_PER_STEP):
+            decision = self._scheduler.decide(now_ms)
+            self._place(decision.placements, now_ms)
+            self._evict(decision.evictions)
+            if not decision.has_more:
+                break
+
     def _observe(self, reply: WorkerReply, now_ms: int) -> None:
         channel = self._channels_by_worker.get(reply.worker_id)
         if channel is None or channel.in_flight is None:
--- a/tests/decision/test_order.py
+++ b/tests/decision/test_order.py
@@ -191,3 +191,16 @@
     assert (second.limit, second.position) == ("its turn", 1)
     assert second.estimate_ms > first.estimate_ms > 0
     assert bench.scheduler.explain("absent", bench.now_ms) is None
+
+
+def test_calls_end_when_nothing_more_can_start(bench: Bench) -> None:
+    bench.add_workers(2)
+    for number in range(300):
+        size = Resources(100 + 37 * number % 3_900, 10 + 91 * number % 3_900)
+        job = task(f"j{number}", owner=f"o{number % 40}", run_ms=number + 1)
+        bench.submit(job._replace(resources=size))
+    calls = 0
+    while bench.decide().has_more:
+        calls += 1
+    assert calls < 100
+    assert bench.decide().placements == ()
