--- a/src/magnoliapitch/api/caller.py
+++ b/src/magnoliapitch/api/caller.py
@@ -2,44 +2,47 @@
 
 from __future__ import annotations
 
-import uuid
-
 from typing import TYPE_CHECKING
 
 from pydantic import TypeAdapter
 from pydantic import ValidationError
 from result import Err
 
+from magnoliapitch.api.explanation import add_explanation_route
 from magnoliapitch.http import Application
 from magnoliapitch.http import HttpRequest
 from magnoliapitch.http import HttpResponse
 from magnoliapitch.http import json_response
 from magnoliapitch.http import problem_response
 from magnoliapitch.job.spec import JobSpec
-from magnoliapitch.journal.record import JobCancel
 from magnoliapitch.peer.message import ForwardedRequest
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import not_run
 
 
 if TYPE_CHECKING:
+    from result import Result
+
     from magnoliapitch.entry.core import EntryCore
+    from magnoliapitch.peer.message import ForwardedAnswer
+    from magnoliapitch.verdict import Failure
 
 
 COMMIT_TIMEOUT_MS = 5_000
 FRESH_TIMEOUT_MS = 2_000
-REQUEST_ID_HEADER = "X-Request-Id"
 
 _JOB = TypeAdapter(JobSpec)
 
 
 def caller_application(core: EntryCore) -> Application:
     """Return the application that serves callers."""
-    application = Application()
+    application = Application(
+        core.settings.http.body_max_bytes, lambda: core.is_draining
+    )
 
     @application.route("POST", "/v1/requests/{entry}")
     def execute(request: HttpRequest) -> HttpResponse:
-        request_id = _request_id(request)
+        request_id = request.request_id
         refusal = core.refusal()
         if refusal is not None:
             return problem_response(refusal, request_id)
@@ -49,28 +52,28 @@
             request.body,
             core.patience_ms(request.path_values["entry"]),
         )
-        outcome = core.router.execute(forwarded)
-        header = ((REQUEST_ID_HEADER, request_id),)
+        with core.metrics.timing("request", core.class_of(forwarded.entry)):
+            outcome = core.router.execute(forwarded)
+        core.metrics.count("requests", _outcome_label(outcome))
         if isinstance(outcome, Err):
-            response = problem_response(outcome.err_value, request_id)
-            return response._replace(headers=response.headers + header)
+            return problem_response(outcome.err_value, request_id)
         answer = outcome.ok_value
-        return HttpResponse(
-            answer.status, answer.body, answer.content_type, header
-        )
+        return HttpResponse(answer.status, answer.body, answer.content_type)
 
     @application.route("POST", "/v1/jobs")
     def submit(request: HttpRequest) -> HttpResponse:
         refusal = core.refusal()
         if refusal is not None:
-            return problem_response(refusal)
+            return problem_response(refusal, request.request_id)
         try:
             job = _JOB.validate_python(request.json())
         except (ValidationError, ValueError) as error:
-            return problem_response(not_run(FailureCode.INVALID, str(error)))
-        outcome = core.submit_job(job, COMMIT_TIMEOUT_MS)
+            return problem_response(
+                not_run(FailureCode.INVALID, str(error)), request.request_id
+            )
+        outcome = core.desk.submit(job, COMMIT_TIMEOUT_MS)
         if isinstance(outcome, Err):
-            return problem_response(outcome.err_value)
+            return problem_response(outcome.err_value, request.request_id)
         return json_response({"job_id": job.job_id}, 202)
 
     @application.route("GET", "/v1/jobs")
@@ -89,40 +92,30 @@
                     FailureCode.UNAVAILABLE,
                     f"job {job_id} is unknown here and the log is away",
                     FRESH_TIMEOUT_MS,
-                )
+                ),
+                request.request_id,
             )
         found = core.job_status(job_id)
         if found is not None:
             return json_response(found)
         return problem_response(
-            not_run(FailureCode.NOT_FOUND, f"no job {job_id}")
-        )
-
-    @application.route("GET", "/v1/jobs/{job}/explanation")
-    def explain(request: HttpRequest) -> HttpResponse:
-        job_id = request.path_values["job"]
-        found = core.desk.explanation(job_id)
-        if found is not None:
-            return json_response(found)
-        return problem_response(
-            not_run(FailureCode.NOT_FOUND, f"no job {job_id} is known here")
+            not_run(FailureCode.NOT_FOUND, f"no job {job_id}"),
+            request.request_id,
         )
 
     @application.route("DELETE", "/v1/jobs/{job}")
     def cancel(request: HttpRequest) -> HttpResponse:
         job_id = request.path_values["job"]
-        outcome = core.journal.commit(JobCancel(job_id), COMMIT_TIMEOUT_MS)
+        outcome = core.desk.cancel(job_id, COMMIT_TIMEOUT_MS)
         if isinstance(outcome, Err):
-            return problem_response(outcome.err_value)
-        if not outcome.ok_value.applied:
-            return problem_response(
-                not_run(FailureCode.CONFLICT, outcome.ok_value.reason)
-            )
+            return problem_response(outcome.err_value, request.request_id)
         return json_response({"job_id": job_id, "cancelled": True})
 
+    add_explanation_route(application, core)
     return application
 
 
-def _request_id(request: HttpRequest) -> str:
-    given = request.headers_by_name.get(REQUEST_ID_HEADER.lower())
-    return given or uuid.uuid4().hex
+def _outcome_label(outcome: Result[ForwardedAnswer, Failure]) -> str:
+    if isinstance(outcome, Err):
+        return outcome.err_value.verdict.value
+    return "answered"
