Move tasks out of a zone that is cut off, by the catalogue

Cause: `on_zone_cut = "move"` was accepted and had no effect.

Change: owners append presence while an entry may move, and keep such tasks only for M - 2rM - TTL - 1 ms after the newest presence that they know to be folded; others move a job after M without a newer one, and the fold refuses a move written before one. `perform` leaves the manager for `job/call.py`.

Test changed: the generator of `test_job_handlers_count_open_tasks` drew offsets beyond 64 bits for the new field, which no record can carry; it now draws all of those from -1 to 2^63 - 1, and both reasons.

--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -21,6 +21,8 @@
 from magnoliapitch.membership.relay import PeerRelay
 from magnoliapitch.metric import Metrics
 from magnoliapitch.ownership.claimer import Claimer
+from magnoliapitch.ownership.hold import ZoneHold
+from magnoliapitch.ownership.mover import ZoneMover
 from magnoliapitch.peer.message import Beat
 from magnoliapitch.peer.message import ForwardedAnswer
 from magnoliapitch.peer.message import ForwardedRequest
@@ -137,6 +139,9 @@
                 options_of(settings.profile, settings.weights),
             )
         )
+        self.hold = ZoneHold(
+            self.identity.incarnation, self.journal, self.clock
+        )
         self.desk = JobDesk(self.journal, self.fleet, scheduler)
         self.jobs = JobManager(
             self.journal,
@@ -145,10 +150,14 @@
             adapters.workers,
             scheduler,
             self.clock,
+            self.hold,
             runner,
             settings.timing.lease_ttl_ms,
             self.metrics,
         )
+        self.mover = ZoneMover(
+            settings.zone, self.journal, self.claimer, self.clock
+        )
         self._link = link
 
     def steps(self, wait_ms: int = 0) -> tuple[NamedStep, ...]:
@@ -173,6 +182,8 @@
             NamedStep("fleet", self.fleet.refresh_step, "platform"),
             NamedStep("heartbeat", self._heartbeat_step),
             NamedStep("claimer", self.claimer.claim_step),
+            NamedStep("hold", self.hold.step),
+            NamedStep("mover", self.mover.step),
             NamedStep("jobs", self.jobs.step),
         )
 
--- a/src/magnoliapitch/job/channel.py
+++ b/src/magnoliapitch/job/channel.py
@@ -14,6 +14,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from magnoliapitch.platform.instance import InstanceInfo
 
 
@@ -61,8 +63,14 @@
     :ivar failures: calls that failed in a row.
     """
 
-    def __init__(self, worker: InstanceInfo, fence: WorkerFence) -> None:
+    def __init__(
+        self,
+        worker: InstanceInfo,
+        fence: WorkerFence,
+        holds: Callable[[str, int], bool],
+    ) -> None:
         self.worker = worker
+        self._holds = holds
         self.fence = fence
         self.attempts_by_lease: dict[str, Attempt] = {}
         self.starts: dict[str, None] = {}
@@ -166,6 +174,8 @@
         expires_at_ms = self.fence.renewal_ms()
         lease_ids = [claim.lease_id]
         for lease_id, attempt in self.attempts_by_lease.items():
+            if not self._holds(attempt.task.entry, now_ms):
+                continue
             if attempt.state in (AttemptState.LISTED, AttemptState.ENDED):
                 attempt.extend(expires_at_ms)
                 lease_ids.append(lease_id)
--- a/src/magnoliapitch/job/manager.py
+++ b/src/magnoliapitch/job/manager.py
@@ -14,8 +14,8 @@
 from magnoliapitch.job.attempt import Attempt
 from magnoliapitch.job.attempt import TaskKey
 from magnoliapitch.job.backlog import Backlog
+from magnoliapitch.job.call import perform
 from magnoliapitch.job.channel import CallKind
-from magnoliapitch.job.channel import PlannedCall
 from magnoliapitch.job.channel import WorkerChannel
 from magnoliapitch.job.spec import parse_lease_id
 from magnoliapitch.job.tracker import AttemptTracker
@@ -30,7 +30,6 @@
 from magnoliapitch.worker.runner import CallRunner
 from magnoliapitch.worker.runner import InlineRunner
 from magnoliapitch.worker.runner import WorkerCall
-from magnoliapitch.worker.runner import WorkerOutcome
 from magnoliapitch.worker.runner import WorkerReply
 
 
@@ -45,6 +44,7 @@
     from magnoliapitch.journal.state import ClusterState
     from magnoliapitch.journal.state import JobRecord
     from magnoliapitch.ownership.claimer import Claimer
+    from magnoliapitch.ownership.hold import ZoneHold
     from magnoliapitch.platform.fleet import Fleet
     from magnoliapitch.worker.pool import WorkerPool
 
@@ -67,6 +67,7 @@
         workers: WorkerPool,
         scheduler: Scheduler,
         clock: Clock,
+        hold: ZoneHold,
         runner: CallRunner | None = None,
         lease_ttl_ms: int = LEASE_TTL_MAX_MS,
         metrics: Metrics | None = None,
@@ -82,7 +83,10 @@
         self._units_by_name: dict[str, OwnedUnit] = {}
         self._channels_by_worker: dict[str, WorkerChannel] = {}
         self._backlog = Backlog()
-        self._tracker = AttemptTracker(journal, scheduler, self._backlog)
+        self._holds = hold.holds
+        self._tracker = AttemptTracker(
+            journal, scheduler, self._backlog, hold, clock
+        )
         self._state: ClusterState | None = None
         self._catalogue_offset = -1
         self._metrics = metrics or Metrics()
@@ -241,7 +245,7 @@
         fence = WorkerFence(
             unit.owner, self._ttl_ms, self._workers.fences_epochs
         )
-        channel = WorkerChannel(worker, fence)
+        channel = WorkerChannel(worker, fence, self._holds)
         self._channels_by_worker[worker.instance_id] = channel
         self._scheduler.add_worker(
             WorkerShape(
@@ -372,30 +376,15 @@
         releasing = self._is_releasing(channel)
         if channel.starts and (releasing or not channel.accepts_starts):
             self._tracker.take_back_all(channel, now_ms)
+        self._tracker.take_back_unheld(channel, now_ms)
         call = channel.plan(now_ms, self._journal.last_read_ms)
         if call is None:
             return
         channel.in_flight = call
         worker = channel.worker
         self._runner.submit(
-            WorkerCall(worker.instance_id, lambda: self._call(worker, call))
+            WorkerCall(
+                worker.instance_id,
+                lambda: perform(self._workers, worker, call),
+            )
         )
-
-    def _call(self, worker: InstanceInfo, call: PlannedCall) -> WorkerOutcome:
-        match call.kind:
-            case CallKind.CLAIM | CallKind.START:
-                return self._workers.start(worker, call.grants)
-            case CallKind.RENEW:
-                return self._workers.renew(
-                    worker, call.lease_ids, call.expires_at_ms
-                )
-            case CallKind.STOP:
-                return self._workers.stop(worker, call.lease_ids)
-            case CallKind.CHECKPOINT:
-                return self._workers.checkpoint(worker, call.lease_ids)
-            case CallKind.THROTTLE:
-                return self._workers.throttle(
-                    worker, call.lease_ids[0], call.cpu_millis
-                )
-            case CallKind.VIEW:
-                return self._workers.view(worker)
--- a/src/magnoliapitch/job/tracker.py
+++ b/src/magnoliapitch/job/tracker.py
@@ -24,6 +24,7 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
+    from magnoliapitch.clock import Clock
     from magnoliapitch.decision.interface import Scheduler
     from magnoliapitch.job.backlog import Backlog
     from magnoliapitch.job.channel import PlannedCall
@@ -31,6 +32,10 @@
     from magnoliapitch.journal.journal import Journal
     from magnoliapitch.journal.pending import Pending
     from magnoliapitch.journal.state import JobRecord
+    from magnoliapitch.ownership.hold import ZoneHold
+
+
+UNHELD_RETRY_MS = 1_000
 
 
 class AttemptTracker:
@@ -41,9 +46,16 @@
     """
 
     def __init__(
-        self, journal: Journal, scheduler: Scheduler, backlog: Backlog
+        self,
+        journal: Journal,
+        scheduler: Scheduler,
+        backlog: Backlog,
+        hold: ZoneHold,
+        clock: Clock,
     ) -> None:
         self._journal = journal
+        self._hold = hold
+        self._clock = clock
         self._scheduler = scheduler
         self._backlog = backlog
         self._attempts_by_task: dict[TaskKey, dict[int, Attempt]] = {}
@@ -120,10 +132,20 @@
             if attempt is not None:
                 self.take_back(channel, attempt, now_ms)
 
+    def take_back_unheld(self, channel: WorkerChannel, now_ms: int) -> None:
+        """Take back placements that the owner may not grant any more."""
+        for lease_id in tuple(channel.starts):
+            attempt = channel.attempts_by_lease.get(lease_id)
+            if attempt is not None and not self._holds(attempt):
+                self.take_back(channel, attempt, now_ms + UNHELD_RETRY_MS)
+
     def take_back(
         self, channel: WorkerChannel, attempt: Attempt, now_ms: int
     ) -> None:
-        """Queue an attempt again that surely never started."""
+        """Queue an attempt again that surely never started.
+
+        :param now_ms: time from which it may be placed.
+        """
         self._forget(channel, attempt)
         lease_id = attempt.task.task_id
         self._scheduler.ended(lease_id, TaskOutcome.LOST, now_ms)
@@ -252,7 +274,9 @@
         with self._journal.reading() as state:
             job = state.jobs_by_id.get(key.job_id)
             counted = job.attempts_by_task.get(key.task, 0) if job else 0
-            is_over = job is None or job.is_done
+            is_over = (
+                job is None or job.is_done or job.unit != channel.worker.unit
+            )
         if is_over or counted > attempt.name.attempt:
             channel.stops[attempt.task.task_id] = None
             self._forget(channel, attempt)
@@ -260,6 +284,9 @@
             return
         if channel.fence.phase is FencePhase.YIELDED:
             return
+        is_lost = attempt.outcome is TaskOutcome.LOST
+        if is_lost and not self._holds(attempt):
+            return
         pending = self._ends_by_task.get(key)
         if pending is not None and pending.outcome is None:
             return
@@ -268,6 +295,9 @@
                 TaskEnd(*attempt.name, attempt.outcome)
             )
 
+    def _holds(self, attempt: Attempt) -> bool:
+        return self._hold.holds(attempt.task.entry, self._clock.now_ms())
+
     def _adopt(
         self, channel: WorkerChannel, lease: LeaseView, now_ms: int
     ) -> None:
--- a/src/magnoliapitch/journal/handler/job.py
+++ b/src/magnoliapitch/journal/handler/job.py
@@ -10,7 +10,9 @@
 from magnoliapitch.journal.record import JobCancel
 from magnoliapitch.journal.record import JobMove
 from magnoliapitch.journal.record import JobSubmit
+from magnoliapitch.journal.record import MoveReason
 from magnoliapitch.journal.record import TaskEnd
+from magnoliapitch.journal.state import Claim
 from magnoliapitch.journal.state import ClusterState
 from magnoliapitch.journal.state import JobRecord
 
@@ -43,6 +45,10 @@
     epoch = claim.epoch if claim else 0
     if epoch != move.epoch:
         return rejected(f"epoch of {move.from_unit} is {epoch}")
+    if move.reason is MoveReason.ZONE_CUT:
+        holder = _present_holder(state, claim, move.seen_offset)
+        if holder:
+            return rejected(f"{holder} has shown its presence")
     _count(state, job, -job.open_tasks)
     job.unit = move.to_unit
     _count(state, job, job.open_tasks)
@@ -88,6 +94,19 @@
     return APPLIED
 
 
+def _present_holder(
+    state: ClusterState, claim: Claim | None, offset: int
+) -> str:
+    """Return an owner that has shown its presence after an offset."""
+    if claim is None:
+        return ""
+    for incarnation in (claim.incarnation, *claim.predecessors):
+        member = state.members_by_incarnation.get(incarnation)
+        if member is not None and member.presence_offset > offset:
+            return incarnation
+    return ""
+
+
 def _count(state: ClusterState, job: JobRecord, change: int) -> None:
     """Add to the open tasks of a job's unit and entry."""
     _add(state.open_tasks_by_unit, job.unit, change)
--- a/src/magnoliapitch/journal/record.py
+++ b/src/magnoliapitch/journal/record.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -113,17 +114,28 @@
     unit: str
 
 
+class MoveReason(StrEnum):
+    """Why a job is moved."""
+
+    BALANCE = "balance"
+    ZONE_CUT = "zone-cut"
+
+
 @record_kind("job.move")
 class JobMove(NamedTuple):
     """Assigns an unfinished job to another unit.
 
     :param epoch: epoch of the claim on ``from_unit``.
+    :param seen_offset: for a zone that is cut off, an offset after which
+        no owner of ``from_unit`` may have shown its presence.
     """
 
     job_id: str
     from_unit: str
     to_unit: str
     epoch: int
+    reason: MoveReason = MoveReason.BALANCE
+    seen_offset: int = -1
 
 
 @record_kind("job.cancel")
--- a/tests/journal/test_job_handler.py
+++ b/tests/journal/test_job_handler.py
@@ -14,6 +14,7 @@
 from magnoliapitch.journal.record import JobCancel
 from magnoliapitch.journal.record import JobMove
 from magnoliapitch.journal.record import JobSubmit
+from magnoliapitch.journal.record import MoveReason
 from magnoliapitch.journal.record import TaskEnd
 from magnoliapitch.platform.log import LogRecord
 from magnoliapitch.resource import Resources
@@ -30,7 +31,15 @@
         st.integers(1, 3),
         UNITS,
     ),
-    st.builds(JobMove, JOBS, UNITS, UNITS, st.just(0)),
+    st.builds(
+        JobMove,
+        JOBS,
+        UNITS,
+        UNITS,
+        st.just(0),
+        st.sampled_from(MoveReason),
+        st.integers(-1, 2**63 - 1),
+    ),
     st.builds(JobCancel, JOBS),
     st.builds(
         TaskEnd,
