Be ready only once callers can connect

Change: readiness needs the callers' listener to serve. Before: connection refused after readiness 200. Conclusion: a real fault, not the tests' timing.

--- a/src/magnoliapitch/api/admin.py
+++ b/src/magnoliapitch/api/admin.py
@@ -51,6 +51,6 @@
 
     @application.route("GET", "/v1/ready")
     def ready(request: HttpRequest) -> HttpResponse:  # noqa: ARG001
-        is_ready = node.core.is_ready()
+        is_ready = node.is_ready()
         body = {"ready": is_ready, "draining": node.core.is_draining}
         return json_response(body, 200 if is_ready else 503)
--- a/src/magnoliapitch/entry/node.py
+++ b/src/magnoliapitch/entry/node.py
@@ -100,6 +100,10 @@
         self.supervisor.start()
         log_event("entry-started", incarnation=self.core.identity.incarnation)
 
+    def is_ready(self) -> bool:
+        """Return whether callers can connect and are accepted."""
+        return self.caller_listener.is_alive() and self.core.is_ready()
+
     def dump(self) -> dict[str, object]:
         """Return the state of every part."""
         return {
--- a/tests/api/test_admin.py
+++ b/tests/api/test_admin.py
@@ -97,6 +97,16 @@
     assert running.admin("GET", "/v1/health").status == 200
 
 
+def test_admin_is_not_ready_while_callers_cannot_connect(
+    running: RunningCell,
+) -> None:
+    node = running.cell.entries[0]
+    wait_until(lambda: running.admin("GET", "/v1/ready").status == 200)
+    node.caller_listener.stop()
+    assert node.core.is_ready()
+    assert not node.is_ready()
+
+
 def test_admin_dumps_the_state_of_every_part(running: RunningCell) -> None:
     dump = running.admin("GET", "/v1/state").json()
     loops = dump["supervisor"]["platform"]["children"]
