Let lost tasks of a gang join the rest

Cause: a retried task of a gang asked for a start of all tasks of the job together. Change: a gang starts whole the first time; later, what is lost starts together with what else waits, beside the tasks that run or have finished. Ruled out: settling after a handover; every worker of those racks was open. Conclusion: a gang's promise to start together holds for its first start.

--- a/src/magnoliapitch/decision/weighted.py
+++ b/src/magnoliapitch/decision/weighted.py
@@ -262,6 +262,7 @@
         job = self._queue.job(first.job_id, first.submitted_ms)
         if first.gang_size > 1 and job.groups:
             group = job.groups[0]
+            group.sample = group.sample._replace(gang_size=first.gang_size)
             group.tasks_by_id.update({task.task_id: task for task in tasks})
             self._queue.count(group, tasks)
             return
--- a/src/magnoliapitch/job/backlog.py
+++ b/src/magnoliapitch/job/backlog.py
@@ -19,6 +19,7 @@
     from collections.abc import Collection
     from collections.abc import Container
 
+    from magnoliapitch.catalogue.entry import CatalogueEntry
     from magnoliapitch.journal.state import ClusterState
     from magnoliapitch.journal.state import JobRecord
 
@@ -88,8 +89,8 @@
         :param startable_units: owned units.
         :param active: tasks with an attempt that has not surely ended.
         """
-        requests: list[TaskRequest] = []
-        for key in self._due(state, now_ms):
+        ready: dict[str, list[TaskKey]] = {}
+        for key in dict.fromkeys(self._due(state, now_ms)):
             job = state.jobs_by_id.get(key.job_id)
             if job is None or job.is_done or job.unit not in startable_units:
                 continue
@@ -97,13 +98,52 @@
                 continue
             if job.ended_by_task.get(key.task) is TaskOutcome.FINISHED:
                 continue
-            request = _request(state, job, key, now_ms)
-            if request is None:
+            ready.setdefault(key.job_id, []).append(key)
+        requests: list[TaskRequest] = []
+        for job_id, keys in ready.items():
+            job = state.jobs_by_id[job_id]
+            requests += self._requests(state, job, keys, active, now_ms)
+        return tuple(requests)
+
+    def _requests(
+        self,
+        state: ClusterState,
+        job: JobRecord,
+        keys: list[TaskKey],
+        active: Container[TaskKey],
+        now_ms: int,
+    ) -> list[TaskRequest]:
+        """Return the requests of one job's tasks, and keep them."""
+        versioned = state.catalogue_by_name.get(job.spec.entry)
+        if versioned is None:
+            for key in keys:
                 self.add_task(key, now_ms + MISSING_ENTRY_RETRY_MS)
-                continue
+            return []
+        gang_size = 1
+        if versioned.entry.work_class is WorkClass.GANG:
+            gang_size = self._gang_size(job, len(keys), active)
+        requests = []
+        for key in keys:
+            request = _request(versioned.entry, job, key, now_ms, gang_size)
             self.put_back(key, request)
             requests.append(request)
-        return tuple(requests)
+        return requests
+
+    def _gang_size(
+        self, job: JobRecord, ready: int, active: Container[TaskKey]
+    ) -> int:
+        """Return how many tasks of a gang start together.
+
+        All of them at first. Later the tasks that were lost join those
+        that run or have finished, together with what else waits then.
+        """
+        job_id = job.spec.job_id
+        has_started = bool(job.attempts_by_task) or any(
+            TaskKey(job_id, task) in active for task in range(job.spec.tasks)
+        )
+        if not has_started:
+            return job.spec.tasks
+        return len(self._requests_by_job.get(job_id, {})) + ready
 
     def _due(self, state: ClusterState, now_ms: int) -> list[TaskKey]:
         due: list[TaskKey] = []
@@ -122,14 +162,13 @@
 
 
 def _request(
-    state: ClusterState, job: JobRecord, key: TaskKey, now_ms: int
-) -> TaskRequest | None:
-    versioned = state.catalogue_by_name.get(job.spec.entry)
-    if versioned is None:
-        return None
-    entry = versioned.entry
+    entry: CatalogueEntry,
+    job: JobRecord,
+    key: TaskKey,
+    now_ms: int,
+    gang_size: int,
+) -> TaskRequest:
     attempt = job.attempts_by_task.get(key.task, 0)
-    is_gang = entry.work_class is WorkClass.GANG
     deadline_ms = job.spec.deadline_ms
     return TaskRequest(
         lease_id_of(AttemptName(key.job_id, key.task, attempt)),
@@ -141,6 +180,6 @@
         job.spec.run_ms,
         now_ms,
         now_ms + deadline_ms if deadline_ms else 0,
-        job.spec.tasks if is_gang else 1,
+        gang_size,
         job.unit,
     )
