--- a/tests/spec/test_claim.py
+++ b/tests/spec/test_claim.py
@@ -3,10 +3,10 @@
 import minicheck
 import pytest
 
-from magnoliapitch.spec.claim import Bounds
-from magnoliapitch.spec.claim import Guards
-from magnoliapitch.spec.claim import Start
 from magnoliapitch.spec.claim import claim_protocol
+from magnoliapitch.spec.claim_state import Bounds
+from magnoliapitch.spec.claim_state import Guards
+from magnoliapitch.spec.claim_state import Start
 
 
 ALL = Guards()
