--- a/src/magnoliapitch/capacity/plan.py
+++ b/src/magnoliapitch/capacity/plan.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from magnoliapitch.job.channel import POLL_BUSY_MS
 from magnoliapitch.membership.presence import PRESENCE_INTERVAL_MS
 from magnoliapitch.membership.table import HEARTBEAT_INTERVAL_MS
 from magnoliapitch.membership.topology import REMOTE_LINKS
@@ -20,6 +21,7 @@
 
     :param entries_per_zone: entry instances in each availability zone.
     :param lease_ttl_s: validity of a task lease.
+    :param poll_s: interval between views of a worker that runs tasks.
     :param heartbeat_s: interval between heartbeats to a peer.
     :param remote_links: peers in other zones that an entry talks to.
     :param presence_s: interval between presence records of an entry.
@@ -37,6 +39,7 @@
 
     entries_per_zone: int = 7
     lease_ttl_s: float = LEASE_TTL_MAX_MS / 1000
+    poll_s: float = POLL_BUSY_MS / 1000
     heartbeat_s: float = HEARTBEAT_INTERVAL_MS / 1000
     remote_links: int = REMOTE_LINKS
     presence_s: float = PRESENCE_INTERVAL_MS / 1000
@@ -60,6 +63,7 @@
         return cls(
             entries_per_zone,
             lease_ttl_s=60,
+            poll_s=20,
             heartbeat_s=4,
             streams=ZONES,
             tasks_per_end=10,
@@ -70,6 +74,6 @@
         )
 
     @property
-    def renewal_s(self) -> float:
-        """Interval between renewals of a lease."""
-        return self.lease_ttl_s / RENEWALS_PER_LEASE
+    def call_s(self) -> float:
+        """Interval between calls to a worker; a renewal is a view too."""
+        return min(self.poll_s, self.lease_ttl_s / RENEWALS_PER_LEASE)
--- a/src/magnoliapitch/capacity/roles.py
+++ b/src/magnoliapitch/capacity/roles.py
@@ -76,12 +76,12 @@
 @role(
     "owner of racks",
     "last view and fence of each owned worker",
-    "one renewal of all leases of a worker, three times a lease",
+    "one view of a worker every poll, three times a lease a renewal",
     "one call a worker renews every lease and returns the whole view",
 )
 def owner_of_racks(sizing: Sizing) -> Load:
-    """Renew every lease of the owned workers."""
-    calls = sizing.workers_per_entry / sizing.plan.renewal_s
+    """View every owned worker and renew its leases."""
+    calls = sizing.workers_per_entry / sizing.plan.call_s
     return Load(
         sizing.core_share("processor time of a renewal over HTTP", calls),
         sizing.cost("memory of an owned worker", sizing.workers_per_entry)
--- a/src/magnoliapitch/platform/fleet.py
+++ b/src/magnoliapitch/platform/fleet.py
@@ -18,7 +18,7 @@
     from magnoliapitch.verdict import Failure
 
 
-REFRESH_INTERVAL_MS = 500
+REFRESH_INTERVAL_MS = 1_500
 EVERY_ZONE = ""
 
 _Index = dict["tuple[InstanceRole, str]", "tuple[InstanceInfo, ...]"]
--- a/src/magnoliapitch/supervisor/supervisor.py
+++ b/src/magnoliapitch/supervisor/supervisor.py
@@ -20,7 +20,7 @@
     from magnoliapitch.supervisor.child import Child
 
 
-CHECK_INTERVAL_MS = 100
+CHECK_INTERVAL_MS = 500
 
 
 class Supervisor:
