Refuse jobs of negative size

Cause: a job, from a caller or an operator's record, could declare negative processors, memory or accelerators; its reservation would have made room on a worker that is not there. Change: each part of a job's size must be from 0 to 10^9, on both ways in. Conclusion: no declared size can raise a worker's free capacity.

--- a/src/magnoliapitch/job/spec.py
+++ b/src/magnoliapitch/job/spec.py
@@ -8,6 +8,7 @@
 from typing import Annotated
 from typing import NamedTuple
 
+from pydantic import AfterValidator
 from pydantic import Field
 
 from magnoliapitch.resource import Resources
@@ -15,8 +16,18 @@
 
 JOB_ID_PATTERN = r"[A-Za-z0-9._-]{1,128}"
 
+PART_MAX = 10**9
+
 _LEASE_ID = re.compile(rf"({JOB_ID_PATTERN})/([0-9]+)/([0-9]+)")
 
+
+def _check_size(size: Resources) -> Resources:
+    if min(size) < 0 or max(size) > PART_MAX:
+        raise ValueError(f"each part must be from 0 to {PART_MAX}")
+    return size
+
+
+TaskSize = Annotated[Resources, AfterValidator(_check_size)]
 JobId = Annotated[str, Field(pattern=rf"^{JOB_ID_PATTERN}$")]
 
 
@@ -35,7 +46,7 @@
     job_id: JobId
     entry: str
     tasks: Annotated[int, Field(ge=1, le=100_000)]
-    resources: Resources
+    resources: TaskSize
     run_ms: Annotated[int, Field(ge=1)] = 60_000
     deadline_ms: Annotated[int, Field(ge=0)] = 0
     payload: str = ""
