End a replayed task in one place; drop a dead constant

Cause: the read of the whole change found the same six lines in two methods of the decision replay, and a constant that nothing uses. Change: _take_off serves both; NOTHING_WITHHELD is gone. Conclusion: no behaviour changed.

--- a/src/magnoliapitch/bench/decisions/replay.py
+++ b/src/magnoliapitch/bench/decisions/replay.py
@@ -10,6 +10,7 @@
 from magnoliapitch.bench.decisions.attempt import JobRun
 from magnoliapitch.bench.decisions.attempt import TaskRun
 from magnoliapitch.bench.decisions.audit import DecisionAudit
+from magnoliapitch.bench.decisions.pool import FakeTask
 from magnoliapitch.bench.decisions.pool import FakeWorker
 from magnoliapitch.bench.decisions.pool import PlannedEnd
 from magnoliapitch.bench.decisions.pool import RunSpec
@@ -212,13 +213,9 @@
         self._end(run, end.task_id, TaskOutcome.FINISHED)
 
     def _end(self, run: TaskRun, task_id: str, outcome: TaskOutcome) -> None:
-        worker = self._workers_by_id.get(run.worker_id)
-        if run.task_id != task_id or worker is None:
-            return
-        task = worker.tasks_by_id.get(task_id)
+        task = self._take_off(run, task_id)
         if task is None:
             return
-        self._plan(worker, worker.end(task_id, self.now_ms))
         if outcome is TaskOutcome.FINISHED:
             self.recorder.work(run, task.peak_delivered)
         elif outcome is not TaskOutcome.LOST:
@@ -320,14 +317,20 @@
             self._scheduler.resized(eviction.task_id, reserved)
         self._want_step(STEP_MS)
 
-    def _checkpoint(self, run: TaskRun, task_id: str) -> None:
+    def _take_off(self, run: TaskRun, task_id: str) -> FakeTask | None:
+        """End a task on its worker; return it if it still ran there."""
         worker = self._workers_by_id.get(run.worker_id)
         if run.task_id != task_id or worker is None:
-            return
+            return None
         task = worker.tasks_by_id.get(task_id)
+        if task is not None:
+            self._plan(worker, worker.end(task_id, self.now_ms))
+        return task
+
+    def _checkpoint(self, run: TaskRun, task_id: str) -> None:
+        task = self._take_off(run, task_id)
         if task is None:
             return
-        self._plan(worker, worker.end(task_id, self.now_ms))
         self.recorder.work(run, task.peak_delivered)
         run.left_ms = max(1.0, task.left_ms) + CHECKPOINT_COST_MS
         self._finish_attempt(run, TaskOutcome.LOST)
--- a/src/magnoliapitch/decision/interface.py
+++ b/src/magnoliapitch/decision/interface.py
@@ -9,7 +9,6 @@
 
 from magnoliapitch.catalogue.entry import CatalogueEntry
 from magnoliapitch.catalogue.entry import WorkClass
-from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.resource import Resources
 
 
@@ -167,6 +166,3 @@
 
     def queued(self) -> int:
         """Return the number of waiting tasks."""
-
-
-NOTHING_WITHHELD = NO_RESOURCES
