Move the log and instance-list adapters to the packages they serve

Cause: platform/ is to hold nothing but the translation to the users' platform; the interfaces of the log and of the list of instances that lived there are the product's own. Tests move with them, unchanged but for imports. make test spreads test files over the processors (pytest-xdist).

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
+# Every test file runs in one process; files spread over the processors.
+TEST_PROCESSES ?= auto
 export PYTHONPATH = src
 
 .PHONY: setup demo test lint format bench
@@ -15,7 +17,7 @@
 	$(PYTHON) -m magnoliapitch demo
 
 test: setup
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -n $(TEST_PROCESSES) --dist loadfile
 
 lint: setup
 	$(VENV)/bin/ruff format --check src tests
--- a/src/magnoliapitch/platform/exceptions.py
+++ b/src/magnoliapitch/adapter/exceptions.py
@@ -1,4 +1,4 @@
-"""Errors of the platform adapters."""
+"""Errors of choosing an adapter."""
 
 from __future__ import annotations
 
--- a/src/magnoliapitch/platform/registry.py
+++ b/src/magnoliapitch/adapter/registry.py
@@ -1,12 +1,12 @@
-"""Registries of adapters to the platform."""
+"""Registries of adapters to the log service and the instance list."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
-from magnoliapitch.platform.exceptions import UnknownAdapterError
-from magnoliapitch.platform.instance import InstanceList
-from magnoliapitch.platform.log import PlatformLog
+from magnoliapitch.adapter.exceptions import UnknownAdapterError
+from magnoliapitch.journal.log import PlatformLog
+from magnoliapitch.membership.instance import InstanceList
 
 
 LogFactory = Callable[[str], PlatformLog]
--- a/src/magnoliapitch/backend/client.py
+++ b/src/magnoliapitch/backend/client.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from result import Result
 
-    from magnoliapitch.platform.instance import InstanceInfo
+    from magnoliapitch.membership.instance import InstanceInfo
     from magnoliapitch.verdict import Failure
 
 
--- a/src/magnoliapitch/backend/http_client.py
+++ b/src/magnoliapitch/backend/http_client.py
@@ -29,7 +29,7 @@
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.platform.instance import InstanceInfo
+    from magnoliapitch.membership.instance import InstanceInfo
 
 
 REFUSED_STATUS = 503
--- a/src/magnoliapitch/bench/capacity/sample.py
+++ b/src/magnoliapitch/bench/capacity/sample.py
@@ -11,14 +11,14 @@
 from magnoliapitch.job.spec import JobSpec
 from magnoliapitch.job.spec import TaskOutcome
 from magnoliapitch.journal.codec import encode_record
+from magnoliapitch.journal.log import LogRecord
 from magnoliapitch.journal.record import CataloguePut
 from magnoliapitch.journal.record import EntryJoin
 from magnoliapitch.journal.record import JobSubmit
 from magnoliapitch.journal.record import RecordEntry
 from magnoliapitch.journal.record import TaskEnd
-from magnoliapitch.platform.instance import InstanceInfo
-from magnoliapitch.platform.instance import InstanceRole
-from magnoliapitch.platform.log import LogRecord
+from magnoliapitch.membership.instance import InstanceInfo
+from magnoliapitch.membership.instance import InstanceRole
 from magnoliapitch.resource import Resources
 from magnoliapitch.worker.lease import LeaseKind
 from magnoliapitch.worker.lease import LeaseState
--- a/src/magnoliapitch/bench/capacity/served.py
+++ b/src/magnoliapitch/bench/capacity/served.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from magnoliapitch.platform.instance import InstanceInfo
+    from magnoliapitch.membership.instance import InstanceInfo
 
 
 LONG_MS = 10_000_000
--- a/src/magnoliapitch/bench/capacity/wire.py
+++ b/src/magnoliapitch/bench/capacity/wire.py
@@ -11,9 +11,9 @@
 from magnoliapitch.bench.capacity.served import served_cell
 from magnoliapitch.bench.capacity.served import served_worker
 from magnoliapitch.clock import MonotonicClock
+from magnoliapitch.journal.http_log import HttpLog
+from magnoliapitch.membership.http_instance_list import HttpInstanceList
 from magnoliapitch.peer.node import PeerNode
-from magnoliapitch.platform.http_instance_list import HttpInstanceList
-from magnoliapitch.platform.http_log import HttpLog
 from magnoliapitch.standin.instance import StandinInstanceList
 from magnoliapitch.standin.log import StandinLog
 from magnoliapitch.standin.worker import StandinWorkers
--- a/src/magnoliapitch/bench/journal/fold.py
+++ b/src/magnoliapitch/bench/journal/fold.py
@@ -14,13 +14,13 @@
 from magnoliapitch.journal import apply_record
 from magnoliapitch.journal import encode_record
 from magnoliapitch.journal import journal as _journal  # noqa: F401
+from magnoliapitch.journal.log import LogRecord
 from magnoliapitch.journal.record import CataloguePut
 from magnoliapitch.journal.record import JobSubmit
 from magnoliapitch.journal.record import TaskEnd
 from magnoliapitch.journal.snapshot import encode_state
 from magnoliapitch.journal.snapshot import load_snapshot
 from magnoliapitch.journal.snapshot import take_snapshot
-from magnoliapitch.platform.log import LogRecord
 from magnoliapitch.resource import Resources
 
 
--- a/src/magnoliapitch/bench/request.py
+++ b/src/magnoliapitch/bench/request.py
@@ -26,7 +26,7 @@
 from magnoliapitch.entry.node import EntryNode
 from magnoliapitch.journal.codec import encode_record
 from magnoliapitch.journal.record import CataloguePut
-from magnoliapitch.platform.instance import InstanceRole
+from magnoliapitch.membership.instance import InstanceRole
 from magnoliapitch.resource import Resources
 from magnoliapitch.standin.cell import Cell
 from magnoliapitch.standin.cell import CellShape
--- a/src/magnoliapitch/capacity/plan.py
+++ b/src/magnoliapitch/capacity/plan.py
@@ -5,10 +5,10 @@
 from typing import NamedTuple
 
 from magnoliapitch.job.channel import POLL_BUSY_MS
+from magnoliapitch.membership.fleet import REFRESH_INTERVAL_MS
 from magnoliapitch.membership.presence import PRESENCE_INTERVAL_MS
 from magnoliapitch.membership.table import HEARTBEAT_INTERVAL_MS
 from magnoliapitch.membership.topology import REMOTE_LINKS
-from magnoliapitch.platform.fleet import REFRESH_INTERVAL_MS
 from magnoliapitch.worker.lease import LEASE_TTL_MAX_MS
 
 
--- a/src/magnoliapitch/console/application.py
+++ b/src/magnoliapitch/console/application.py
@@ -8,6 +8,7 @@
 from cyclopts import CycloptsError
 
 from magnoliapitch import __version__
+from magnoliapitch.adapter.exceptions import UnknownAdapterError
 from magnoliapitch.console import bench_decisions as _bench_decisions  # noqa: F401
 from magnoliapitch.console import bench_journal as _bench_journal  # noqa: F401
 from magnoliapitch.console.bench import bench
@@ -23,7 +24,6 @@
 from magnoliapitch.console.settings import settings
 from magnoliapitch.console.state import state
 from magnoliapitch.decision.exceptions import UnknownPolicyError
-from magnoliapitch.platform.exceptions import UnknownAdapterError
 from magnoliapitch.supervisor import StartError
 
 
--- a/src/magnoliapitch/entry/adapters.py
+++ b/src/magnoliapitch/entry/adapters.py
@@ -5,14 +5,14 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from magnoliapitch.adapter.registry import make_instance_list
+from magnoliapitch.adapter.registry import make_log
 from magnoliapitch.backend.client import BackendClient
 from magnoliapitch.backend.http_client import HttpBackendClient
-from magnoliapitch.platform import http_instance_list as _list  # noqa: F401
-from magnoliapitch.platform import http_log as _log  # noqa: F401
-from magnoliapitch.platform.instance import InstanceList
-from magnoliapitch.platform.log import PlatformLog
-from magnoliapitch.platform.registry import make_instance_list
-from magnoliapitch.platform.registry import make_log
+from magnoliapitch.journal import http_log as _log  # noqa: F401
+from magnoliapitch.journal.log import PlatformLog
+from magnoliapitch.membership import http_instance_list as _list  # noqa: F401
+from magnoliapitch.membership.instance import InstanceList
 from magnoliapitch.worker.http_pool import HttpWorkerPool
 from magnoliapitch.worker.pool import WorkerPool
 
--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -15,6 +15,7 @@
 from magnoliapitch.journal.record import EntryJoin
 from magnoliapitch.journal.record import EntryLeave
 from magnoliapitch.journal.snapshot_writer import SnapshotWriter
+from magnoliapitch.membership.fleet import Fleet
 from magnoliapitch.membership.identity import Identity
 from magnoliapitch.membership.membership import Membership
 from magnoliapitch.membership.presence import PresenceKeeper
@@ -27,7 +28,6 @@
 from magnoliapitch.peer.message import ForwardedAnswer
 from magnoliapitch.peer.message import ForwardedRequest
 from magnoliapitch.peer.message import LogPage
-from magnoliapitch.platform.fleet import Fleet
 from magnoliapitch.request.router import Router
 from magnoliapitch.supervisor.loop import Step
 from magnoliapitch.verdict import FailureCode
--- a/src/magnoliapitch/entry/job_desk.py
+++ b/src/magnoliapitch/entry/job_desk.py
@@ -12,7 +12,7 @@
 from magnoliapitch.decision.interface import WorkerShape
 from magnoliapitch.journal.record import JobCancel
 from magnoliapitch.journal.record import JobSubmit
-from magnoliapitch.platform.instance import InstanceRole
+from magnoliapitch.membership.instance import InstanceRole
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import not_run
 
@@ -24,7 +24,7 @@
     from magnoliapitch.decision.interface import Scheduler
     from magnoliapitch.job.spec import JobSpec
     from magnoliapitch.journal.journal import Journal
-    from magnoliapitch.platform.fleet import Fleet
+    from magnoliapitch.membership.fleet import Fleet
     from magnoliapitch.verdict import Failure
 
 
--- a/src/magnoliapitch/job/call.py
+++ b/src/magnoliapitch/job/call.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from magnoliapitch.job.channel import PlannedCall
-    from magnoliapitch.platform.instance import InstanceInfo
+    from magnoliapitch.membership.instance import InstanceInfo
     from magnoliapitch.worker.pool import WorkerPool
     from magnoliapitch.worker.runner import WorkerOutcome
 
--- a/src/magnoliapitch/job/channel.py
+++ b/src/magnoliapitch/job/channel.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from magnoliapitch.platform.instance import InstanceInfo
+    from magnoliapitch.membership.instance import InstanceInfo
 
 
 POLL_BUSY_MS = 250
--- a/src/magnoliapitch/job/manager.py
+++ b/src/magnoliapitch/job/manager.py
@@ -20,10 +20,10 @@
 from magnoliapitch.job.spec import parse_lease_id
 from magnoliapitch.job.tracker import AttemptTracker
 from magnoliapitch.job.unit import OwnedUnit
+from magnoliapitch.membership.instance import InstanceInfo
+from magnoliapitch.membership.instance import InstanceRole
 from magnoliapitch.metric import Metrics
 from magnoliapitch.ownership.fence import WorkerFence
-from magnoliapitch.platform.instance import InstanceInfo
-from magnoliapitch.platform.instance import InstanceRole
 from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.verdict import Verdict
 from magnoliapitch.worker.lease import LEASE_TTL_MAX_MS
@@ -43,9 +43,9 @@
     from magnoliapitch.journal.journal import Journal
     from magnoliapitch.journal.state import ClusterState
     from magnoliapitch.journal.state import JobRecord
+    from magnoliapitch.membership.fleet import Fleet
     from magnoliapitch.ownership.claimer import Claimer
     from magnoliapitch.ownership.hold import ZoneHold
-    from magnoliapitch.platform.fleet import Fleet
     from magnoliapitch.worker.pool import WorkerPool
 
 
--- a/src/magnoliapitch/journal/appender.py
+++ b/src/magnoliapitch/journal/appender.py
@@ -27,8 +27,8 @@
 
     from magnoliapitch.journal.budget import TokenBucket
     from magnoliapitch.journal.fold import RecordOutcome
+    from magnoliapitch.journal.log import PlatformLog
     from magnoliapitch.journal.record import RecordEntry
-    from magnoliapitch.platform.log import PlatformLog
 
 
 BATCH_ENTRIES_MAX = 500
--- a/src/magnoliapitch/journal/fold.py
+++ b/src/magnoliapitch/journal/fold.py
@@ -19,8 +19,8 @@
 
 
 if TYPE_CHECKING:
+    from magnoliapitch.journal.log import LogRecord
     from magnoliapitch.journal.record import Envelope
-    from magnoliapitch.platform.log import LogRecord
 
 
 class EntryOutcome(NamedTuple):
--- a/src/magnoliapitch/journal/follower.py
+++ b/src/magnoliapitch/journal/follower.py
@@ -19,11 +19,11 @@
     from result import Result
 
     from magnoliapitch.clock import Clock
+    from magnoliapitch.journal.log import LogRecord
+    from magnoliapitch.journal.log import LogSlice
+    from magnoliapitch.journal.log import PlatformLog
     from magnoliapitch.journal.source import RecordSource
     from magnoliapitch.journal.state import ClusterState
-    from magnoliapitch.platform.log import LogRecord
-    from magnoliapitch.platform.log import LogSlice
-    from magnoliapitch.platform.log import PlatformLog
     from magnoliapitch.verdict import Failure
 
 
--- a/src/magnoliapitch/platform/http_log.py
+++ b/src/magnoliapitch/journal/http_log.py
@@ -14,11 +14,11 @@
 from pydantic import TypeAdapter
 from typing_extensions import TypedDict
 
-from magnoliapitch.platform.http_client import JsonClient
-from magnoliapitch.platform.http_client import decode_answer
-from magnoliapitch.platform.log import LogRecord
-from magnoliapitch.platform.log import LogSlice
-from magnoliapitch.platform.registry import log_adapter
+from magnoliapitch.adapter.registry import log_adapter
+from magnoliapitch.http.client import JsonClient
+from magnoliapitch.http.client import decode_answer
+from magnoliapitch.journal.log import LogRecord
+from magnoliapitch.journal.log import LogSlice
 
 
 if TYPE_CHECKING:
--- a/src/magnoliapitch/journal/journal.py
+++ b/src/magnoliapitch/journal/journal.py
@@ -31,11 +31,11 @@
     from magnoliapitch.journal.change import ChangedTask
     from magnoliapitch.journal.fold import EntryOutcome
     from magnoliapitch.journal.fold import RecordOutcome
+    from magnoliapitch.journal.log import LogRecord
+    from magnoliapitch.journal.log import PlatformLog
     from magnoliapitch.journal.pending import Pending
     from magnoliapitch.journal.record import RecordEntry
     from magnoliapitch.peer.message import StateSnapshot
-    from magnoliapitch.platform.log import LogRecord
-    from magnoliapitch.platform.log import PlatformLog
     from magnoliapitch.verdict import Failure
 
 
--- a/src/magnoliapitch/journal/tail.py
+++ b/src/magnoliapitch/journal/tail.py
@@ -7,7 +7,7 @@
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.platform.log import LogRecord
+    from magnoliapitch.journal.log import LogRecord
 
 
 TAIL_MAX_BYTES = 4 << 20
--- a/src/magnoliapitch/platform/fleet.py
+++ b/src/magnoliapitch/membership/fleet.py
@@ -12,9 +12,9 @@
 if TYPE_CHECKING:
     from result import Result
 
-    from magnoliapitch.platform.instance import InstanceInfo
-    from magnoliapitch.platform.instance import InstanceList
-    from magnoliapitch.platform.instance import InstanceRole
+    from magnoliapitch.membership.instance import InstanceInfo
+    from magnoliapitch.membership.instance import InstanceList
+    from magnoliapitch.membership.instance import InstanceRole
     from magnoliapitch.verdict import Failure
 
 
--- a/src/magnoliapitch/platform/http_instance_list.py
+++ b/src/magnoliapitch/membership/http_instance_list.py
@@ -1,7 +1,7 @@
 """Adapter to an instance list that speaks HTTP and JSON.
 
 ``GET /instances`` answers ``{"instances": [...]}`` with the fields of
-:class:`~magnoliapitch.platform.instance.InstanceInfo`.
+:class:`~magnoliapitch.membership.instance.InstanceInfo`.
 """
 
 from __future__ import annotations
@@ -11,10 +11,10 @@
 from pydantic import TypeAdapter
 from typing_extensions import TypedDict
 
-from magnoliapitch.platform.http_client import JsonClient
-from magnoliapitch.platform.http_client import decode_answer
-from magnoliapitch.platform.instance import InstanceInfo
-from magnoliapitch.platform.registry import instance_list_adapter
+from magnoliapitch.adapter.registry import instance_list_adapter
+from magnoliapitch.http.client import JsonClient
+from magnoliapitch.http.client import decode_answer
+from magnoliapitch.membership.instance import InstanceInfo
 
 
 if TYPE_CHECKING:
--- a/src/magnoliapitch/membership/membership.py
+++ b/src/magnoliapitch/membership/membership.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from magnoliapitch.journal.record import EntryJoin
+from magnoliapitch.membership.instance import InstanceRole
 from magnoliapitch.membership.progress import AppliedEverywhere
 from magnoliapitch.membership.progress import applied_everywhere
 from magnoliapitch.membership.progress import own_zone_info
@@ -18,16 +19,15 @@
 from magnoliapitch.peer.message import Beat
 from magnoliapitch.peer.message import UnitLoad
 from magnoliapitch.peer.message import ZoneInfo
-from magnoliapitch.platform.instance import InstanceRole
 
 
 if TYPE_CHECKING:
     from magnoliapitch.clock import Clock
     from magnoliapitch.journal.journal import Journal
+    from magnoliapitch.membership.fleet import Fleet
     from magnoliapitch.membership.identity import Identity
     from magnoliapitch.membership.status import PeerStatus
     from magnoliapitch.peer.link import PeerLink
-    from magnoliapitch.platform.fleet import Fleet
 
 
 CALL_TIMEOUT_MS = 500
--- a/src/magnoliapitch/membership/presence.py
+++ b/src/magnoliapitch/membership/presence.py
@@ -7,9 +7,9 @@
 from magnoliapitch.event import log_event
 from magnoliapitch.journal.record import EntryLeave
 from magnoliapitch.journal.record import EntryPresence
+from magnoliapitch.membership.instance import InstanceRole
 from magnoliapitch.membership.state import MemberState
 from magnoliapitch.membership.topology import hash_of
-from magnoliapitch.platform.instance import InstanceRole
 
 
 if TYPE_CHECKING:
@@ -18,9 +18,9 @@
     from magnoliapitch.clock import Clock
     from magnoliapitch.journal.journal import Journal
     from magnoliapitch.journal.pending import Pending
+    from magnoliapitch.membership.fleet import Fleet
     from magnoliapitch.membership.membership import Membership
     from magnoliapitch.membership.status import PeerStatus
-    from magnoliapitch.platform.fleet import Fleet
 
 
 CHECK_INTERVAL_MS = 1_000
--- a/src/magnoliapitch/membership/table.py
+++ b/src/magnoliapitch/membership/table.py
@@ -9,20 +9,20 @@
 
 from magnoliapitch.journal.record import EntryJoin
 from magnoliapitch.membership.contact import Contact
+from magnoliapitch.membership.instance import InstanceState
 from magnoliapitch.membership.state import MemberState
 from magnoliapitch.membership.status import PeerStatus
 from magnoliapitch.peer.message import MemberInfo
 from magnoliapitch.peer.message import ZoneInfo
-from magnoliapitch.platform.instance import InstanceState
 
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from magnoliapitch.journal.state import Member
+    from magnoliapitch.membership.fleet import Fleet
     from magnoliapitch.membership.identity import Identity
     from magnoliapitch.peer.message import Beat
-    from magnoliapitch.platform.fleet import Fleet
 
 
 ItemT = TypeVar("ItemT")
--- a/src/magnoliapitch/ownership/claimer.py
+++ b/src/magnoliapitch/ownership/claimer.py
@@ -9,11 +9,11 @@
 
 from magnoliapitch.journal.record import UnitClaim
 from magnoliapitch.journal.record import UnitRelease
+from magnoliapitch.membership.instance import InstanceRole
 from magnoliapitch.ownership.assignment import assign
 from magnoliapitch.ownership.share import REQUEST_MAX_MS
 from magnoliapitch.ownership.share import slot_share
 from magnoliapitch.ownership.watch import ZoneWatch
-from magnoliapitch.platform.instance import InstanceRole
 
 
 if TYPE_CHECKING:
@@ -21,9 +21,9 @@
     from magnoliapitch.journal.journal import Journal
     from magnoliapitch.journal.pending import Pending
     from magnoliapitch.journal.state import Claim
+    from magnoliapitch.membership.fleet import Fleet
     from magnoliapitch.membership.identity import Identity
     from magnoliapitch.membership.membership import Membership
-    from magnoliapitch.platform.fleet import Fleet
 
 
 CLAIM_INTERVAL_MS = 200
--- a/src/magnoliapitch/peer/codec.py
+++ b/src/magnoliapitch/peer/codec.py
@@ -11,6 +11,7 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.journal.log import LogRecord
 from magnoliapitch.peer.message import Beat
 from magnoliapitch.peer.message import ForwardedAnswer
 from magnoliapitch.peer.message import ForwardedRequest
@@ -18,7 +19,6 @@
 from magnoliapitch.peer.message import MemberInfo
 from magnoliapitch.peer.message import UnitLoad
 from magnoliapitch.peer.message import ZoneInfo
-from magnoliapitch.platform.log import LogRecord
 from magnoliapitch.resource import Resources
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
--- a/src/magnoliapitch/peer/message.py
+++ b/src/magnoliapitch/peer/message.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from magnoliapitch.platform.log import LogRecord
+from magnoliapitch.journal.log import LogRecord
 from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.resource import Resources
 
--- a/src/magnoliapitch/request/dispatcher.py
+++ b/src/magnoliapitch/request/dispatcher.py
@@ -26,8 +26,8 @@
     from magnoliapitch.backend.client import BackendAnswer
     from magnoliapitch.backend.client import BackendClient
     from magnoliapitch.clock import Clock
+    from magnoliapitch.membership.instance import InstanceInfo
     from magnoliapitch.peer.link import PeerLink
-    from magnoliapitch.platform.instance import InstanceInfo
     from magnoliapitch.request.peer_choice import Candidate
     from magnoliapitch.request.peer_choice import PeerChoice
     from magnoliapitch.request.slot_pool import SlotPool
--- a/src/magnoliapitch/request/peer_choice.py
+++ b/src/magnoliapitch/request/peer_choice.py
@@ -7,17 +7,17 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from magnoliapitch.membership.instance import InstanceRole
+from magnoliapitch.membership.instance import InstanceState
 from magnoliapitch.membership.state import MemberState
-from magnoliapitch.platform.instance import InstanceRole
-from magnoliapitch.platform.instance import InstanceState
 
 
 if TYPE_CHECKING:
     from magnoliapitch.clock import Clock
     from magnoliapitch.journal.journal import Journal
+    from magnoliapitch.membership.fleet import Fleet
     from magnoliapitch.membership.membership import Membership
     from magnoliapitch.membership.status import PeerStatus
-    from magnoliapitch.platform.fleet import Fleet
 
 
 REFRESH_MS = 100
--- a/src/magnoliapitch/request/router.py
+++ b/src/magnoliapitch/request/router.py
@@ -28,12 +28,12 @@
     from magnoliapitch.catalogue.entry import CatalogueEntry
     from magnoliapitch.clock import Clock
     from magnoliapitch.journal.journal import Journal
+    from magnoliapitch.membership.fleet import Fleet
     from magnoliapitch.membership.membership import Membership
     from magnoliapitch.ownership.claimer import Claimer
     from magnoliapitch.peer.link import PeerLink
     from magnoliapitch.peer.message import ForwardedRequest
     from magnoliapitch.peer.message import UnitLoad
-    from magnoliapitch.platform.fleet import Fleet
     from magnoliapitch.request.ticket import Ticket
 
 
--- a/src/magnoliapitch/request/server_state.py
+++ b/src/magnoliapitch/request/server_state.py
@@ -10,7 +10,7 @@
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.platform.instance import InstanceInfo
+    from magnoliapitch.membership.instance import InstanceInfo
 
 
 FAILURES_TO_OPEN = 3
--- a/src/magnoliapitch/request/slot_pool.py
+++ b/src/magnoliapitch/request/slot_pool.py
@@ -10,9 +10,9 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.membership.instance import InstanceRole
+from magnoliapitch.membership.instance import InstanceState
 from magnoliapitch.peer.message import UnitLoad
-from magnoliapitch.platform.instance import InstanceRole
-from magnoliapitch.platform.instance import InstanceState
 from magnoliapitch.request.estimate import DurationEstimate
 from magnoliapitch.request.server_state import ServerState
 from magnoliapitch.request.wait import RETRY_MIN_MS
@@ -27,8 +27,8 @@
     from magnoliapitch.backend.client import BackendAnswer
     from magnoliapitch.catalogue.entry import CatalogueEntry
     from magnoliapitch.clock import Clock
-    from magnoliapitch.platform.fleet import Fleet
-    from magnoliapitch.platform.instance import InstanceInfo
+    from magnoliapitch.membership.fleet import Fleet
+    from magnoliapitch.membership.instance import InstanceInfo
     from magnoliapitch.request.fence import DispatchFence
 
 
--- a/src/magnoliapitch/request/wait.py
+++ b/src/magnoliapitch/request/wait.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from magnoliapitch.catalogue.entry import CatalogueEntry
     from magnoliapitch.clock import Clock
-    from magnoliapitch.platform.instance import InstanceInfo
+    from magnoliapitch.membership.instance import InstanceInfo
 
 
 URGENCY_BY_CLASS = {
--- a/src/magnoliapitch/standin/audit.py
+++ b/src/magnoliapitch/standin/audit.py
@@ -16,7 +16,7 @@
     from result import Result
 
     from magnoliapitch.clock import Clock
-    from magnoliapitch.platform.instance import InstanceInfo
+    from magnoliapitch.membership.instance import InstanceInfo
     from magnoliapitch.standin.worker import StandinWorker
     from magnoliapitch.verdict import Failure
     from magnoliapitch.worker.lease import LeaseGrant
--- a/src/magnoliapitch/standin/backend.py
+++ b/src/magnoliapitch/standin/backend.py
@@ -28,7 +28,7 @@
     from collections.abc import Callable
 
     from magnoliapitch.clock import Clock
-    from magnoliapitch.platform.instance import InstanceInfo
+    from magnoliapitch.membership.instance import InstanceInfo
 
 
 class Execution(NamedTuple):
--- a/src/magnoliapitch/standin/cell.py
+++ b/src/magnoliapitch/standin/cell.py
@@ -11,8 +11,8 @@
 from magnoliapitch.clock import MonotonicClock
 from magnoliapitch.entry.adapters import Adapters
 from magnoliapitch.entry.node import EntryNode
-from magnoliapitch.platform.instance import InstanceInfo
-from magnoliapitch.platform.instance import InstanceRole
+from magnoliapitch.membership.instance import InstanceInfo
+from magnoliapitch.membership.instance import InstanceRole
 from magnoliapitch.resource import Resources
 from magnoliapitch.settings.model import ListenerSettings
 from magnoliapitch.settings.model import PlatformSettings
--- a/src/magnoliapitch/standin/log.py
+++ b/src/magnoliapitch/standin/log.py
@@ -8,8 +8,8 @@
 from result import Ok
 from result import Result
 
-from magnoliapitch.platform.log import LogRecord
-from magnoliapitch.platform.log import LogSlice
+from magnoliapitch.journal.log import LogRecord
+from magnoliapitch.journal.log import LogSlice
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import may_have_run
--- a/src/magnoliapitch/standin/worker.py
+++ b/src/magnoliapitch/standin/worker.py
@@ -29,7 +29,7 @@
     from collections.abc import Callable
 
     from magnoliapitch.clock import Clock
-    from magnoliapitch.platform.instance import InstanceInfo
+    from magnoliapitch.membership.instance import InstanceInfo
 
 
 DEFAULT_RUN_MS = 200
--- a/src/magnoliapitch/worker/http_pool.py
+++ b/src/magnoliapitch/worker/http_pool.py
@@ -10,8 +10,8 @@
 
 from pydantic import TypeAdapter
 
+from magnoliapitch.http.client import JsonClient
 from magnoliapitch.plain import to_plain
-from magnoliapitch.platform.http_client import JsonClient
 from magnoliapitch.worker.lease import LeaseGrant
 from magnoliapitch.worker.lease import WorkerView
 
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from result import Result
 
-    from magnoliapitch.platform.instance import InstanceInfo
+    from magnoliapitch.membership.instance import InstanceInfo
     from magnoliapitch.verdict import Failure
 
 
--- a/src/magnoliapitch/worker/pool.py
+++ b/src/magnoliapitch/worker/pool.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from result import Result
 
-    from magnoliapitch.platform.instance import InstanceInfo
+    from magnoliapitch.membership.instance import InstanceInfo
     from magnoliapitch.verdict import Failure
     from magnoliapitch.worker.lease import LeaseGrant
     from magnoliapitch.worker.lease import WorkerView
--- a/tests/backend/conftest.py
+++ b/tests/backend/conftest.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from magnoliapitch.platform.instance import InstanceInfo
-from magnoliapitch.platform.instance import InstanceRole
+from magnoliapitch.membership.instance import InstanceInfo
+from magnoliapitch.membership.instance import InstanceRole
 
 
 if TYPE_CHECKING:
--- a/tests/backend/test_http_client.py
+++ b/tests/backend/test_http_client.py
@@ -9,8 +9,8 @@
 
 from magnoliapitch.backend.client import BackendRequest
 from magnoliapitch.backend.http_client import HttpBackendClient
-from magnoliapitch.platform.instance import InstanceInfo
-from magnoliapitch.platform.instance import InstanceRole
+from magnoliapitch.membership.instance import InstanceInfo
+from magnoliapitch.membership.instance import InstanceRole
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
 
--- a/tests/history/scene.py
+++ b/tests/history/scene.py
@@ -28,7 +28,7 @@
 from magnoliapitch.journal.record import JobSubmit
 from magnoliapitch.journal.record import TaskEnd
 from magnoliapitch.journal.state import ClusterState
-from magnoliapitch.platform.instance import InstanceRole
+from magnoliapitch.membership.instance import InstanceRole
 from magnoliapitch.resource import Resources
 from magnoliapitch.settings.model import PlatformSettings
 from magnoliapitch.settings.model import Settings
@@ -45,9 +45,9 @@
 if TYPE_CHECKING:
     import numpy as np
 
+    from magnoliapitch.journal.log import LogSlice
     from magnoliapitch.journal.pending import Pending
-    from magnoliapitch.platform.instance import InstanceInfo
-    from magnoliapitch.platform.log import LogSlice
+    from magnoliapitch.membership.instance import InstanceInfo
     from magnoliapitch.verdict import Failure
     from magnoliapitch.worker.lease import LeaseGrant
     from magnoliapitch.worker.lease import WorkerView
--- a/tests/job/test_spec.py
+++ b/tests/job/test_spec.py
@@ -7,7 +7,7 @@
 
 from magnoliapitch.journal import ClusterState
 from magnoliapitch.journal import apply_record
-from magnoliapitch.platform.log import LogRecord
+from magnoliapitch.journal.log import LogRecord
 
 
 @pytest.mark.parametrize(
--- a/tests/journal/test_codec.py
+++ b/tests/journal/test_codec.py
@@ -16,13 +16,13 @@
 from magnoliapitch.journal import decode_record
 from magnoliapitch.journal import encode_record
 from magnoliapitch.journal.exceptions import DamagedRecordError
+from magnoliapitch.journal.log import LogRecord
 from magnoliapitch.journal.record import CataloguePut
 from magnoliapitch.journal.record import adapters_by_kind
 from magnoliapitch.journal.record import kinds_by_type
 from magnoliapitch.journal.snapshot import load_snapshot
 from magnoliapitch.journal.snapshot import state_digest
 from magnoliapitch.journal.snapshot import take_snapshot
-from magnoliapitch.platform.log import LogRecord
 
 
 NAMES = sorted(
--- a/tests/journal/test_history.py
+++ b/tests/journal/test_history.py
@@ -20,12 +20,12 @@
 from magnoliapitch.journal import decode_record
 from magnoliapitch.journal import encode_record
 from magnoliapitch.journal.exceptions import DamagedRecordError
+from magnoliapitch.journal.log import LogRecord
 from magnoliapitch.journal.pending import Pending
 from magnoliapitch.journal.record import CatalogueDelete
 from magnoliapitch.journal.record import CataloguePut
 from magnoliapitch.journal.snapshot import state_digest
 from magnoliapitch.journal.snapshot_writer import SnapshotWriter
-from magnoliapitch.platform.log import LogRecord
 from magnoliapitch.verdict import Verdict
 from tests.membership.conftest import DRIVEN
 from tests.membership.conftest import Group
--- a/tests/platform/test_http_log.py
+++ b/tests/journal/test_http_log.py
@@ -9,8 +9,8 @@
 from magnoliapitch.http import HttpRequest
 from magnoliapitch.http import HttpResponse
 from magnoliapitch.http import Listener
-from magnoliapitch.platform.http_instance_list import HttpInstanceList
-from magnoliapitch.platform.http_log import HttpLog
+from magnoliapitch.journal.http_log import HttpLog
+from magnoliapitch.membership.http_instance_list import HttpInstanceList
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
 
--- a/tests/journal/test_job_handler.py
+++ b/tests/journal/test_job_handler.py
@@ -11,12 +11,12 @@
 from magnoliapitch.journal import ClusterState
 from magnoliapitch.journal import apply_record
 from magnoliapitch.journal import encode_record
+from magnoliapitch.journal.log import LogRecord
 from magnoliapitch.journal.record import JobCancel
 from magnoliapitch.journal.record import JobMove
 from magnoliapitch.journal.record import JobSubmit
 from magnoliapitch.journal.record import MoveReason
 from magnoliapitch.journal.record import TaskEnd
-from magnoliapitch.platform.log import LogRecord
 from magnoliapitch.resource import Resources
 
 
--- a/tests/journal/test_job_move.py
+++ b/tests/journal/test_job_move.py
@@ -5,6 +5,7 @@
 from magnoliapitch.job.spec import JobSpec
 from magnoliapitch.journal.codec import encode_record
 from magnoliapitch.journal.fold import apply_record
+from magnoliapitch.journal.log import LogRecord
 from magnoliapitch.journal.record import EntryJoin
 from magnoliapitch.journal.record import EntryPresence
 from magnoliapitch.journal.record import JobMove
@@ -13,7 +14,6 @@
 from magnoliapitch.journal.record import RecordEntry
 from magnoliapitch.journal.record import UnitClaim
 from magnoliapitch.journal.state import ClusterState
-from magnoliapitch.platform.log import LogRecord
 from magnoliapitch.resource import Resources
 
 
--- a/tests/membership/conftest.py
+++ b/tests/membership/conftest.py
@@ -9,9 +9,9 @@
 from magnoliapitch.entry.core import EntryCore
 from magnoliapitch.journal import encode_record
 from magnoliapitch.journal.record import CataloguePut
-from magnoliapitch.platform.instance import InstanceInfo
-from magnoliapitch.platform.instance import InstanceRole
-from magnoliapitch.platform.instance import InstanceState
+from magnoliapitch.membership.instance import InstanceInfo
+from magnoliapitch.membership.instance import InstanceRole
+from magnoliapitch.membership.instance import InstanceState
 from magnoliapitch.settings.model import ListenerSettings
 from magnoliapitch.settings.model import PlatformSettings
 from magnoliapitch.settings.model import Settings
--- a/tests/platform/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -1,8 +1,8 @@
 from __future__ import annotations
 
-from magnoliapitch.platform.fleet import Fleet
-from magnoliapitch.platform.instance import InstanceInfo
-from magnoliapitch.platform.instance import InstanceRole
+from magnoliapitch.membership.fleet import Fleet
+from magnoliapitch.membership.instance import InstanceInfo
+from magnoliapitch.membership.instance import InstanceRole
 from magnoliapitch.standin import StandinInstanceList
 
 
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -11,12 +11,12 @@
 from magnoliapitch.journal.record import EntryLeave
 from magnoliapitch.membership import Identity
 from magnoliapitch.membership import Membership
+from magnoliapitch.membership.instance import InstanceState
 from magnoliapitch.membership.presence import GONE_AFTER_MS
 from magnoliapitch.membership.topology import REMOTE_LINKS
 from magnoliapitch.membership.topology import linked_members
 from magnoliapitch.peer.message import Beat
 from magnoliapitch.peer.node import PeerNode
-from magnoliapitch.platform.instance import InstanceState
 from magnoliapitch.standin import StandinLog
 from magnoliapitch.standin.peer import StandinLink
 
--- a/tests/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-from __future__ import annotations
--- a/tests/request/conftest.py
+++ b/tests/request/conftest.py
@@ -16,8 +16,8 @@
 from magnoliapitch.entry.core import EntryCore
 from magnoliapitch.journal.codec import encode_record
 from magnoliapitch.journal.record import CataloguePut
+from magnoliapitch.membership.instance import InstanceState
 from magnoliapitch.peer.message import ForwardedRequest
-from magnoliapitch.platform.instance import InstanceState
 from magnoliapitch.resource import Resources
 from magnoliapitch.settings.model import PlatformSettings
 from magnoliapitch.settings.model import Settings
