--- a/src/magnoliapitch/verdict.py
+++ b/src/magnoliapitch/verdict.py
@@ -38,6 +38,12 @@
     CANCELLED = "cancelled"
     TOO_LARGE = "too-large"
     INTERNAL = "internal"
+    FENCED = "fenced"
+    SEQUENCE = "sequence"
+    NO_ROOM = "no-room"
+    TICKET = "ticket"
+    REPLACED = "replaced"
+    UNHEALTHY = "unhealthy"
 
 
 class Failure(NamedTuple):
