--- /dev/null
+++ b/deploy/main.py
@@ -0,0 +1,15 @@
+"""Starts magnoliapitch from a checkout, without installing it."""
+
+from __future__ import annotations
+
+import sys
+
+from pathlib import Path
+
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+
+from magnoliapitch.console.application import main  # noqa: E402
+
+
+main()
--- a/src/magnoliapitch/clock.py
+++ b/src/magnoliapitch/clock.py
@@ -12,7 +12,7 @@
     import threading
 
 
-__all__ = ["Clock", "ManualClock", "MonotonicClock"]
+__all__ = ["BootClock", "Clock", "ManualClock", "MonotonicClock"]
 
 
 class Clock(Protocol):
@@ -40,6 +40,17 @@
         return event.wait(timeout_ms / 1000)
 
 
+class BootClock(MonotonicClock):
+    """A monotonic clock that goes on while the machine is suspended.
+
+    Leases are measured by it: after a suspension they must be over.
+    """
+
+    def now_ms(self) -> int:
+        """Return the time since the machine started in milliseconds."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+
 class ManualClock:
     """A clock that moves only when told to, for deterministic runs."""
 
--- /dev/null
+++ b/src/magnoliapitch/control/driver.py
@@ -0,0 +1,307 @@
+"""Runs a controller: its thread, its calls and its events."""
+
+from __future__ import annotations
+
+import queue
+import time
+
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from result import Err
+from result import Ok
+from result import Result
+
+from magnoliapitch.control.controller import Controller
+from magnoliapitch.control.events import Advised
+from magnoliapitch.control.events import Committed
+from magnoliapitch.control.events import ConfigurationChanged
+from magnoliapitch.control.events import Event
+from magnoliapitch.control.events import JobsChanged
+from magnoliapitch.control.events import StartAnswered
+from magnoliapitch.control.events import StopAnswered
+from magnoliapitch.control.events import WorkerReported
+from magnoliapitch.control.events import WorkersListed
+from magnoliapitch.control.link import WorkerLink
+from magnoliapitch.event import log_event
+from magnoliapitch.verdict import Failure
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import not_run
+from magnoliapitch.workload.client import Advisor
+from magnoliapitch.workload.client import Directory
+from magnoliapitch.workload.client import WorkerClient
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from magnoliapitch.clock import Clock
+    from magnoliapitch.control.timing import ControlTiming
+    from magnoliapitch.ledger.leadership import Leadership
+    from magnoliapitch.ledger.replica import Replica
+    from magnoliapitch.ledger.stream import KeyedRecord
+    from magnoliapitch.planner.plan import PlannedAsk
+    from magnoliapitch.planner.plan import PlannedStart
+    from magnoliapitch.workload.configuration import Configuration
+    from magnoliapitch.workload.run import StartOrder
+    from magnoliapitch.workload.run import StopOrder
+    from magnoliapitch.workload.worker import WorkerInfo
+
+
+ORDER_THREADS = 16
+ORDER_TIMEOUT_MS = 700
+LIST_INTERVAL_MS = 500
+ROUND_INTERVAL_MS = 15
+IDLE_INTERVAL_MS = 200
+COMMIT_RETRY_MS = 80
+STANDBY_PAUSE_MS = 50
+
+
+class Clients(NamedTuple):
+    """Outside systems that a leader calls."""
+
+    workers: WorkerClient
+    advisor: Advisor
+    directory: Directory
+
+
+class ControlDriver:
+    """Decides while this instance leads; also the controller's effects."""
+
+    def __init__(
+        self,
+        leadership: Leadership,
+        replica: Replica,
+        clients: Clients,
+        timing: ControlTiming,
+        clock: Clock,
+        configuration: Callable[[], Configuration | None],
+        refresh: Callable[[], Result[None, Failure]],
+    ) -> None:
+        self._leadership = leadership
+        self._replica = replica
+        self._clients = clients
+        self._timing = timing
+        self._clock = clock
+        self._configuration = configuration
+        self._refresh = refresh
+        self._events: queue.SimpleQueue[Event] = queue.SimpleQueue()
+        self._link_by_worker: dict[str, WorkerLink] = {}
+        self._controller: Controller | None = None
+        self._orders = ThreadPoolExecutor(ORDER_THREADS, "orders")
+        self._commits = ThreadPoolExecutor(1, "commits")
+        self._asks = ThreadPoolExecutor(1, "asks")
+        self._lists = ThreadPoolExecutor(1, "lists")
+        self._asking = 0
+        self._is_listing = False
+        self._listed_ms = 0
+        self._is_stopping = False
+
+    def post(self, event: Event) -> None:
+        """Hand an event to the controller, if there is one."""
+        if self._controller is not None:
+            self._events.put(event)
+
+    def stop(self) -> None:
+        """Decide nothing more."""
+        self._is_stopping = True
+
+    def step(self) -> int:
+        """Decide one round if this instance leads."""
+        controller = self._controller or self._begin()
+        if controller is None:
+            return STANDBY_PAUSE_MS
+        if controller.is_over or self._is_stopping:
+            self._end()
+            return STANDBY_PAUSE_MS
+        return self._round(controller)
+
+    def _begin(self) -> Controller | None:
+        claim = self._leadership.claim
+        if claim is None or self._is_stopping:
+            return None
+        if isinstance(self._refresh(), Err):
+            return None
+        self._events = queue.SimpleQueue()
+        self._asking, self._listed_ms = 0, 0
+        controller = Controller(
+            claim.record,
+            claim.stored_ms,
+            self._timing,
+            self._replica,
+            self,
+            self._configuration,
+        )
+        controller.load(self._clock.now_ms())
+        self._controller = controller
+        return controller
+
+    def _end(self) -> None:
+        self._controller = None
+        for worker_id in list(self._link_by_worker):
+            self.close_link(worker_id)
+        if self._is_stopping:
+            self._commits.shutdown()
+            self._leadership.resign()
+        self._leadership.step_down()
+
+    def _round(self, controller: Controller) -> int:
+        started_ms = self._clock.now_ms()
+        self._list_workers(started_ms)
+        for event in self._next_events():
+            self._handle(controller, event)
+        now_ms = self._clock.now_ms()
+        controller.step(now_ms, time.time_ns() // 1_000_000)
+        elapsed_ms = self._clock.now_ms() - started_ms
+        return max(0, ROUND_INTERVAL_MS - elapsed_ms)
+
+    def _next_events(self) -> list[Event]:
+        events: list[Event] = []
+        try:
+            events.append(self._events.get(timeout=IDLE_INTERVAL_MS / 1000))
+            while True:
+                events.append(self._events.get_nowait())
+        except queue.Empty:
+            return events
+
+    def _handle(self, controller: Controller, event: Event) -> None:
+        now_ms = self._clock.now_ms()
+        if isinstance(event, WorkerReported):
+            controller.note_report(event)
+        elif isinstance(event, StartAnswered):
+            controller.note_start(event)
+        elif isinstance(event, StopAnswered):
+            controller.note_stop(event)
+        elif isinstance(event, Committed):
+            controller.note_commit(event, now_ms)
+        elif isinstance(event, JobsChanged):
+            controller.note_jobs(event.job_ids, now_ms)
+        elif isinstance(event, WorkersListed):
+            controller.note_workers(event)
+        elif isinstance(event, Advised):
+            controller.note_advice(event)
+        elif isinstance(event, ConfigurationChanged):
+            controller.note_configuration(now_ms)
+
+    def _list_workers(self, now_ms: int) -> None:
+        is_due = now_ms - self._listed_ms >= LIST_INTERVAL_MS
+        if is_due and not self._is_listing:
+            self._is_listing = True
+            self._listed_ms = now_ms
+            self._lists.submit(self._list_now)
+
+    def _list_now(self) -> None:
+        outcome = self._clients.directory.workers()
+        self._is_listing = False
+        if isinstance(outcome, Err):
+            log_event(
+                "worker-list-unavailable", reason=outcome.err_value.detail
+            )
+            return
+        self.post(WorkersListed(outcome.ok_value))
+
+    def open_link(self, worker: WorkerInfo) -> None:
+        """Renew a worker's lease from now on."""
+        controller = self._controller
+        if controller is None:
+            return
+        worker_id = worker.worker_id
+        link = WorkerLink(
+            worker,
+            controller.epoch,
+            self._clients.workers,
+            self._clock,
+            lambda now_ms: controller.deadline(worker_id, now_ms),
+            self.post,
+        )
+        self._link_by_worker[worker_id] = link
+        link.open()
+
+    def close_link(self, worker_id: str) -> None:
+        """Renew a worker's lease no more."""
+        link = self._link_by_worker.pop(worker_id, None)
+        if link is not None:
+            link.close()
+
+    def acknowledge(self, worker_id: str, number: int) -> None:
+        """Let a worker forget ends up to a number."""
+        link = self._link_by_worker.get(worker_id)
+        if link is not None:
+            link.acknowledge(number)
+
+    def start(
+        self, worker: WorkerInfo, planned: PlannedStart, order: StartOrder
+    ) -> None:
+        """Order a worker to start a run."""
+        self._orders.submit(self._start_now, worker, planned, order)
+
+    def stop_run(self, worker: WorkerInfo, order: StopOrder) -> None:
+        """Order a worker to stop a run."""
+        self._orders.submit(self._stop_now, worker, order)
+
+    def commit(self, records: Sequence[KeyedRecord]) -> None:
+        """Store records under the leader's epoch."""
+        self._commits.submit(self._commit_now, tuple(records))
+
+    def can_ask(self, ask: PlannedAsk) -> bool:
+        """Return whether the advisor can be asked now."""
+        del ask
+        return self._asking < 1
+
+    def ask(self, ask: PlannedAsk, timeout_ms: int) -> None:
+        """Ask the advisor."""
+        self._asking += 1
+        self._asks.submit(self._ask_now, ask, timeout_ms)
+
+    def _start_now(
+        self, worker: WorkerInfo, planned: PlannedStart, order: StartOrder
+    ) -> None:
+        sent_ms = self._clock.now_ms()
+        outcome = self._clients.workers.start(worker, order, ORDER_TIMEOUT_MS)
+        now_ms = self._clock.now_ms()
+        self.post(StartAnswered(planned, outcome, sent_ms, now_ms))
+
+    def _stop_now(self, worker: WorkerInfo, order: StopOrder) -> None:
+        outcome = self._clients.workers.stop(worker, order, ORDER_TIMEOUT_MS)
+        self.post(
+            StopAnswered(
+                order.task,
+                order.run,
+                worker.worker_id,
+                outcome,
+                self._clock.now_ms(),
+            )
+        )
+
+    def _commit_now(self, records: tuple[KeyedRecord, ...]) -> None:
+        outcome: Result[int, Failure] = Err(_over())
+        sent_ms = self._clock.now_ms()
+        while not self._is_stopping and self._controller is not None:
+            sent_ms = self._clock.now_ms()
+            outcome = self._leadership.commit(records)
+            if isinstance(outcome, Ok) or _is_final(outcome.err_value):
+                break
+            time.sleep(COMMIT_RETRY_MS / 1000)
+        self.post(Committed(outcome, sent_ms))
+
+    def _ask_now(self, ask: PlannedAsk, timeout_ms: int) -> None:
+        sent_ms = self._clock.now_ms()
+        outcome = self._clients.advisor.permits(
+            ask.step, ask.worker_ids, timeout_ms
+        )
+        self._asking -= 1
+        self.post(Advised(ask, outcome, sent_ms))
+
+
+def _is_final(failure: Failure) -> bool:
+    return failure.code in (
+        FailureCode.FENCED,
+        FailureCode.SEQUENCE,
+        FailureCode.INVALID,
+    )
+
+
+def _over() -> Failure:
+    return not_run(FailureCode.SHUTTING_DOWN, "the instance stops")
--- /dev/null
+++ b/src/magnoliapitch/control/effects.py
@@ -0,0 +1,47 @@
+"""What the controller has done by others, without waiting."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from magnoliapitch.ledger.stream import KeyedRecord
+    from magnoliapitch.planner.plan import PlannedAsk
+    from magnoliapitch.planner.plan import PlannedStart
+    from magnoliapitch.workload.run import StartOrder
+    from magnoliapitch.workload.run import StopOrder
+    from magnoliapitch.workload.worker import WorkerInfo
+
+
+class Effects(Protocol):
+    """Each call is answered later by an event, except where noted."""
+
+    def open_link(self, worker: WorkerInfo) -> None:
+        """Renew a worker's lease from now on, again and again."""
+
+    def close_link(self, worker_id: str) -> None:
+        """Renew a worker's lease no more; no event follows."""
+
+    def acknowledge(self, worker_id: str, number: int) -> None:
+        """Let a worker forget ends up to a number; no event follows."""
+
+    def start(
+        self, worker: WorkerInfo, planned: PlannedStart, order: StartOrder
+    ) -> None:
+        """Order a worker to start a run."""
+
+    def stop_run(self, worker: WorkerInfo, order: StopOrder) -> None:
+        """Order a worker to stop a run."""
+
+    def commit(self, records: Sequence[KeyedRecord]) -> None:
+        """Store records under the leader's epoch."""
+
+    def ask(self, ask: PlannedAsk, timeout_ms: int) -> None:
+        """Ask the advisor."""
+
+    def can_ask(self, ask: PlannedAsk) -> bool:
+        """Return whether the advisor can be asked now; no event follows."""
--- /dev/null
+++ b/src/magnoliapitch/control/link.py
@@ -0,0 +1,119 @@
+"""Renews the lease of one worker again and again."""
+
+from __future__ import annotations
+
+import threading
+
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from magnoliapitch.control.events import WorkerReported
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliapitch.clock import Clock
+    from magnoliapitch.workload.client import WorkerClient
+    from magnoliapitch.workload.worker import WorkerInfo
+
+
+WAIT_MS = 1_000
+TIMEOUT_MS = 700
+RETRY_PAUSE_MS = 300
+# Without this pause an end that is not stored yet would be listed again.
+STORE_WAIT_MS = 400
+
+
+class WorkerLink:
+    """A thread that renews a lease and hands over each report.
+
+    :param deadline: returns the end of the next lease on the worker's
+        clock; None to look only.
+    :param post: takes every report.
+    """
+
+    def __init__(
+        self,
+        worker: WorkerInfo,
+        token: int,
+        client: WorkerClient,
+        clock: Clock,
+        deadline: Callable[[int], int | None],
+        post: Callable[[WorkerReported], None],
+    ) -> None:
+        self._worker = worker
+        self._token = token
+        self._client = client
+        self._clock = clock
+        self._deadline = deadline
+        self._post = post
+        self._condition = threading.Condition()
+        self._acknowledged = 0
+        self._last_end = 0
+        self._is_closed = False
+        self._thread = threading.Thread(
+            target=self._run, name=f"link-{worker.worker_id}", daemon=True
+        )
+
+    def open(self) -> None:
+        """Start renewing."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop renewing after the call that is under way."""
+        with self._condition:
+            self._is_closed = True
+            self._condition.notify_all()
+
+    def acknowledge(self, number: int) -> None:
+        """Let the worker forget ends up to a number."""
+        with self._condition:
+            self._acknowledged = max(self._acknowledged, number)
+            self._condition.notify_all()
+
+    def _run(self) -> None:
+        wait_ms = 0
+        while not self._is_closed:
+            deadline_ms = self._deadline(self._clock.now_ms())
+            sent_ms = self._clock.now_ms()
+            outcome = self._client.renew(
+                self._worker,
+                self._token,
+                deadline_ms,
+                self._acknowledged,
+                wait_ms if deadline_ms is not None else 0,
+                TIMEOUT_MS,
+            )
+            if self._is_closed:
+                return
+            self._post(
+                WorkerReported(
+                    self._worker.worker_id,
+                    outcome,
+                    sent_ms,
+                    self._clock.now_ms(),
+                )
+            )
+            wait_ms = WAIT_MS
+            if isinstance(outcome, Err):
+                wait_ms = 0
+                self._pause(RETRY_PAUSE_MS)
+            elif deadline_ms is None:
+                self._pause(RETRY_PAUSE_MS if self._last_end else 20)
+            for end in (
+                () if isinstance(outcome, Err) else (outcome.ok_value.ended)
+            ):
+                self._last_end = max(self._last_end, end.number)
+            self._await_store()
+
+    def _await_store(self) -> None:
+        with self._condition:
+            if self._acknowledged < self._last_end and not self._is_closed:
+                self._condition.wait(STORE_WAIT_MS / 1000)
+
+    def _pause(self, duration_ms: int) -> None:
+        with self._condition:
+            if not self._is_closed:
+                self._condition.wait(duration_ms / 1000)
--- /dev/null
+++ b/src/magnoliapitch/control/reports.py
@@ -0,0 +1,133 @@
+"""Compares what a worker lists with what the book believes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from magnoliapitch.event import log_event
+from magnoliapitch.workload.run import EndKind
+from magnoliapitch.workload.run import StopOrder
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.planner.book import Book
+    from magnoliapitch.planner.entry import RunEntry
+    from magnoliapitch.planner.planner import Planner
+    from magnoliapitch.workload.run import EndedRun
+    from magnoliapitch.workload.run import WorkerReport
+
+
+# An unexpected run is stopped again after this time.
+UNEXPECTED_RETRY_MS = 1_000
+
+
+class Reading(NamedTuple):
+    """What follows from a report.
+
+    :param last_end: highest end that has been taken over.
+    :param unexpected: runs to stop; the token is to be filled in.
+    """
+
+    last_end: int
+    unexpected: tuple[StopOrder, ...]
+
+
+class ReportReader:
+    """Takes reports of workers over into a book."""
+
+    def __init__(self, book: Book, planner: Planner) -> None:
+        self._book = book
+        self._planner = planner
+        self._last_end_by_worker: dict[str, int] = {}
+        self._stopped_ms_by_order: dict[tuple[str, StopOrder], int] = {}
+
+    def forget(self, worker_id: str) -> None:
+        """Forget a worker that is gone."""
+        self._last_end_by_worker.pop(worker_id, None)
+
+    def read(
+        self,
+        worker_id: str,
+        report: WorkerReport,
+        sent_ms: int,
+        received_ms: int,
+    ) -> Reading:
+        """Take over one report.
+
+        :param sent_ms: when the call was sent; what was ordered later may
+            be missing.
+        """
+        last_end = self._last_end_by_worker.get(worker_id, 0)
+        for end in report.ended:
+            if end.number > last_end:
+                self._take_end(worker_id, end, received_ms)
+                last_end = end.number
+        self._last_end_by_worker[worker_id] = last_end
+        unexpected: list[StopOrder] = []
+        listed: set[int] = set()
+        for running in report.running:
+            run = self._book.run(running.task, running.run, worker_id)
+            if run is None:
+                unexpected.append(StopOrder(running.task, running.run, 0))
+                continue
+            listed.add(id(run))
+            self._book.note_running(run, running, received_ms)
+        self._remove_absent(worker_id, listed, sent_ms)
+        return Reading(last_end, self._due(worker_id, unexpected, received_ms))
+
+    def _take_end(self, worker_id: str, end: EndedRun, now_ms: int) -> None:
+        run = self._book.run(end.task, end.run, worker_id)
+        if run is not None and end.kind is EndKind.DONE:
+            self._planner.note_done(run, now_ms)
+        is_news = self._book.note_end(worker_id, end)
+        log_event(
+            "run-ended",
+            job=end.task.job_id,
+            step=end.task.step,
+            task=end.task.position,
+            run=end.run,
+            worker=worker_id,
+            kind=end.kind,
+            is_news=is_news,
+        )
+
+    def _remove_absent(
+        self, worker_id: str, listed: set[int], sent_ms: int
+    ) -> None:
+        """Remove runs that the worker would list if they were going on."""
+        for run in list(self._book.worker(worker_id).runs):
+            if id(run) not in listed and _is_surely_absent(run, sent_ms):
+                log_event(
+                    "run-absent",
+                    job=run.task.key.job_id,
+                    step=run.task.key.step,
+                    task=run.task.key.position,
+                    run=run.run,
+                    worker=worker_id,
+                )
+                self._book.remove_run(run)
+
+    def _due(
+        self, worker_id: str, orders: list[StopOrder], now_ms: int
+    ) -> tuple[StopOrder, ...]:
+        due: list[StopOrder] = []
+        for order in orders:
+            key = (worker_id, order)
+            stopped_ms = self._stopped_ms_by_order.get(key)
+            if (
+                stopped_ms is None
+                or now_ms - stopped_ms >= UNEXPECTED_RETRY_MS
+            ):
+                self._stopped_ms_by_order[key] = now_ms
+                due.append(order)
+        return tuple(due)
+
+
+def _is_surely_absent(run: RunEntry, sent_ms: int) -> bool:
+    if run.is_restored:
+        # The call carried a higher token than any order to start it.
+        return True
+    if run.stopped_ms is not None:
+        return sent_ms >= run.stopped_ms
+    return run.confirmed_ms is not None and sent_ms > run.confirmed_ms
--- /dev/null
+++ b/src/magnoliapitch/control/timing.py
@@ -0,0 +1,31 @@
+"""Times that the safety of leases rests on."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+# Workers' clocks may be this much slower than ours.
+CLOCK_RATE_MIN = 0.98
+# Covers timers that fire late and rounding to whole milliseconds.
+LEASE_SLACK_MS = 300
+
+
+class ControlTiming(NamedTuple):
+    """Times of one deployment, in milliseconds.
+
+    :param lease_ms: length of the leases that workers are given.
+    :param silence_ms: how long after its last stored record a leader may
+        go on giving leases and orders.
+    :param stop_ms: longest time that a worker takes to stop a run.
+    """
+
+    lease_ms: int
+    silence_ms: int = 2_500
+    stop_ms: int = 400
+
+    @property
+    def takeover_ms(self) -> int:
+        """Return how long orders of a replaced leader may have effect."""
+        longest_ms = (self.silence_ms + self.lease_ms) / CLOCK_RATE_MIN
+        return int(longest_ms) + LEASE_SLACK_MS
--- /dev/null
+++ b/src/magnoliapitch/entry/job_node.py
@@ -0,0 +1,236 @@
+"""An instance that schedules jobs from a shared store."""
+
+from __future__ import annotations
+
+import os
+import random
+import time
+
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Result
+
+from magnoliapitch.clock import BootClock
+from magnoliapitch.control import ControlDriver
+from magnoliapitch.control import ControlTiming
+from magnoliapitch.control.driver import Clients
+from magnoliapitch.control.events import ConfigurationChanged
+from magnoliapitch.control.events import JobsChanged
+from magnoliapitch.event import log_event
+from magnoliapitch.http import Application
+from magnoliapitch.http import HttpLimits
+from magnoliapitch.http import HttpRequest
+from magnoliapitch.http import HttpResponse
+from magnoliapitch.http import Listener
+from magnoliapitch.http.client import HttpClient
+from magnoliapitch.ledger.desk import JobDesk
+from magnoliapitch.ledger.health import StoreHealth
+from magnoliapitch.ledger.inbox import Inbox
+from magnoliapitch.ledger.leadership import Leadership
+from magnoliapitch.ledger.records import JOB_STREAM
+from magnoliapitch.ledger.replica import Replica
+from magnoliapitch.ledger.submitter import Submitter
+from magnoliapitch.metric import CostMeter
+from magnoliapitch.metric import Metrics
+from magnoliapitch.metric import exposition
+from magnoliapitch.platform import PlatformAdvisor
+from magnoliapitch.platform import PlatformDirectory
+from magnoliapitch.platform import PlatformStore
+from magnoliapitch.platform import PlatformWorkers
+from magnoliapitch.platform import front_application
+from magnoliapitch.supervisor import Loop
+from magnoliapitch.supervisor import Supervisor
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliapitch.settings.cluster import ClusterSettings
+    from magnoliapitch.supervisor import Child
+    from magnoliapitch.verdict import Failure
+    from magnoliapitch.workload.configuration import Configuration
+
+
+BODY_MAX_BYTES = 1 << 20
+CALLER_THREADS = 24
+READINESS_THREADS = 2
+CONFIGURATION_WAIT_MS = 700
+CONFIGURATION_RETRY_MS = 200
+# The balancer notices an instance that is not ready within two checks.
+BALANCER_DELAY_MS = 2_500
+STOP_TIMEOUT_S = 2
+
+
+class JobNode:
+    """The parts of an instance and their supervisor.
+
+    :param give_up: called when a part fails too often.
+    """
+
+    def __init__(
+        self, settings: ClusterSettings, give_up: Callable[[], None]
+    ) -> None:
+        self._settings = settings
+        self._clock = BootClock()
+        self._is_draining = False
+        self._health = StoreHealth(self._clock)
+        self._metrics = Metrics()
+        self._cost = CostMeter()
+        client = HttpClient(connections=32)
+        store = PlatformStore(settings.endpoints.store, client)
+        self._directory = PlatformDirectory(store)
+        self._replica = Replica()
+        self._leadership = Leadership(
+            store,
+            settings.instance_id,
+            self._replica,
+            self._clock,
+            self._health,
+            random.Random(),
+            lambda: (
+                self._desk.configuration() is not None
+                and self._inbox.has_loaded
+                and not self._is_draining
+            ),
+        )
+        self._inbox = Inbox(
+            store,
+            self._replica,
+            self._clock,
+            self._health,
+            lambda: self._leadership.claim is not None,
+            lambda ids: self._driver.post(JobsChanged(ids)),
+        )
+        producer = f"{settings.instance_id}.{os.urandom(6).hex()}"
+        self._submitter = Submitter(
+            store, JOB_STREAM, producer, self._clock, self._health
+        )
+        self._desk = JobDesk(self._replica, self._submitter, self._refresh)
+        self._driver = ControlDriver(
+            self._leadership,
+            self._replica,
+            Clients(
+                PlatformWorkers(client),
+                PlatformAdvisor(settings.endpoints.advisor, client),
+                PlatformDirectory(store),
+            ),
+            ControlTiming(
+                settings.leases.longest_ms, stop_ms=settings.leases.stop_ms
+            ),
+            self._clock,
+            self._desk.configuration,
+            self._inbox.follow,
+        )
+        self._tree = Supervisor(
+            "entry", self._children(), self._clock, give_up=give_up
+        )
+
+    def start(self) -> None:
+        """Start every part.
+
+        :raises StartError: if a listener cannot be bound.
+        """
+        self._tree.start()
+        log_event("entry-started", pid=os.getpid())
+
+    def stop(self) -> None:
+        """Let the balancer turn away, finish what is in flight, stop."""
+        log_event("entry-stopping")
+        self._is_draining = True
+        self._desk.close()
+        self._driver.stop()
+        time.sleep(BALANCER_DELAY_MS / 1000)
+        self._tree.stop()
+        log_event("entry-stopped")
+
+    def is_ready(self) -> bool:
+        """Return whether callers can be served."""
+        return (
+            not self._is_draining
+            and self._desk.configuration() is not None
+            and self._inbox.has_loaded
+            and self._leadership.has_loaded
+            and not self._health.is_down()
+        )
+
+    def _children(self) -> list[Child]:
+        listen = self._settings.listen
+        operators = Application(BODY_MAX_BYTES)
+        operators.route("GET", "/readyz")(self._readiness)
+        metrics = Application(BODY_MAX_BYTES)
+        metrics.route("GET", "/metrics")(self._exposition)
+        ip = listen.callers.partition(":")[0]
+        steps = {
+            "configuration": self._follow_configuration,
+            "inbox": self._inbox.step,
+            "leadership": self._leadership.step,
+            "submitter": self._submitter.step,
+            "control": self._driver.step,
+        }
+        return [
+            Listener(
+                "readiness",
+                _address(listen.readiness),
+                operators,
+                READINESS_THREADS,
+                STOP_TIMEOUT_S,
+            ),
+            Listener(
+                "metrics",
+                (ip, listen.metrics_port),
+                metrics,
+                READINESS_THREADS,
+                STOP_TIMEOUT_S,
+            ),
+            *(Loop(name, step, self._clock) for name, step in steps.items()),
+            Listener(
+                "callers",
+                _address(listen.callers),
+                front_application(self._desk, BODY_MAX_BYTES),
+                CALLER_THREADS,
+                STOP_TIMEOUT_S,
+                HttpLimits(body_max_bytes=BODY_MAX_BYTES),
+            ),
+        ]
+
+    def _refresh(self) -> Result[None, Failure]:
+        outcome = self._inbox.follow()
+        if isinstance(outcome, Err) or self._leadership.claim is not None:
+            return outcome
+        return self._leadership.follow()
+
+    def _follow_configuration(self) -> int:
+        outcome = self._directory.configuration(CONFIGURATION_WAIT_MS)
+        if isinstance(outcome, Err):
+            return CONFIGURATION_RETRY_MS
+        found = outcome.ok_value
+        if found is not None:
+            self._configure(found)
+        return 0
+
+    def _configure(self, configuration: Configuration) -> None:
+        old = self._desk.configuration()
+        if old is not None and configuration.version <= old.version:
+            return
+        self._desk.configure(configuration)
+        self._driver.post(ConfigurationChanged())
+        log_event(
+            "configuration-applied",
+            version=configuration.version,
+            queues=len(configuration.queues_by_name),
+        )
+
+    def _readiness(self, request: HttpRequest) -> HttpResponse:
+        del request
+        return HttpResponse(200 if self.is_ready() else 503, b"{}")
+
+    def _exposition(self, request: HttpRequest) -> HttpResponse:
+        del request
+        text = exposition(self._metrics, self._cost.read())
+        return HttpResponse(200, text.encode(), "text/plain")
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.partition(":")
+    return host, int(port)
--- a/src/magnoliapitch/http/client.py
+++ b/src/magnoliapitch/http/client.py
@@ -1,7 +1,8 @@
-"""Calls to HTTP services of the platform."""
+"""Calls to HTTP services."""
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import Annotated
 from typing import Any
 from typing import NamedTuple
@@ -24,10 +25,60 @@
 from magnoliapitch.verdict import not_run
 
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
 ValueT = TypeVar("ValueT")
 
 TIMEOUT_MS = 5_000
 HTTP_OK = 200
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class HttpReply(NamedTuple):
+    """A complete answer."""
+
+    status: int
+    data: bytes
+
+
+class HttpClient:
+    """Sends requests once, without retries or redirects.
+
+    :param connections: connections that are kept open to each server.
+    """
+
+    def __init__(self, connections: int = 8) -> None:
+        self._pool = urllib3.PoolManager(
+            num_pools=512, maxsize=connections, retries=False
+        )
+
+    def exchange(
+        self,
+        method: str,
+        url: str,
+        timeout_ms: int,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> Result[HttpReply, Failure]:
+        """Send a request and return the complete answer."""
+        try:
+            response = self._pool.request(
+                method,
+                url,
+                body=body,
+                timeout=timeout_ms / 1000,
+                headers=headers,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            return Err(not_run(FailureCode.UNAVAILABLE, str(error)))
+        except urllib3.exceptions.HTTPError as error:
+            return Err(may_have_run(FailureCode.TIMEOUT, str(error)))
+        return Ok(HttpReply(response.status, response.data))
 
 
 class JsonClient:
@@ -36,7 +87,7 @@
     def __init__(self, base_url: str, timeout_ms: int = TIMEOUT_MS) -> None:
         self._base_url = base_url.rstrip("/")
         self._timeout_ms = timeout_ms
-        self._pool = urllib3.PoolManager(maxsize=8, retries=False)
+        self._client = HttpClient()
 
     def call(
         self,
@@ -50,23 +101,14 @@
         :param extra_wait_ms: time that the server itself may wait.
         """
         body = None if value is None else orjson.dumps(value)
-        timeout_s = (self._timeout_ms + extra_wait_ms) / 1000
-        try:
-            response = self._pool.request(
-                method,
-                self._base_url + path,
-                body=body,
-                timeout=timeout_s,
-                headers={"Content-Type": "application/json"},
-            )
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ) as error:
-            return Err(not_run(FailureCode.UNAVAILABLE, str(error)))
-        except urllib3.exceptions.HTTPError as error:
-            return Err(may_have_run(FailureCode.TIMEOUT, str(error)))
-        return _decode(response.status, response.data)
+        reply = self._client.exchange(
+            method,
+            self._base_url + path,
+            self._timeout_ms + extra_wait_ms,
+            body,
+            JSON_HEADERS,
+        )
+        return reply.and_then(lambda got: _decode(got.status, got.data))
 
 
 def decode_answer(
--- a/src/magnoliapitch/http/problem.py
+++ b/src/magnoliapitch/http/problem.py
@@ -30,6 +30,12 @@
     FailureCode.CANCELLED: 409,
     FailureCode.TOO_LARGE: 413,
     FailureCode.INTERNAL: 500,
+    FailureCode.FENCED: 409,
+    FailureCode.SEQUENCE: 409,
+    FailureCode.NO_ROOM: 503,
+    FailureCode.TICKET: 409,
+    FailureCode.REPLACED: 410,
+    FailureCode.UNHEALTHY: 503,
 }
 
 
--- /dev/null
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -0,0 +1,201 @@
+"""Which instance decides, by claims in the order of the log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from result import Err
+from result import Ok
+from result import Result
+
+from magnoliapitch.event import log_event
+from magnoliapitch.ledger.mirror import StreamMirror
+from magnoliapitch.ledger.records import LEADER_KEY
+from magnoliapitch.ledger.records import PROGRESS_STREAM
+from magnoliapitch.ledger.records import LeaderRecord
+from magnoliapitch.ledger.records import encode_leader
+from magnoliapitch.ledger.stream import KeyedRecord
+from magnoliapitch.ledger.stream import Writer
+
+
+if TYPE_CHECKING:
+    import random
+
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from magnoliapitch.clock import Clock
+    from magnoliapitch.ledger.health import StoreHealth
+    from magnoliapitch.ledger.replica import Replica
+    from magnoliapitch.ledger.stream import KeyedStreams
+    from magnoliapitch.verdict import Failure
+
+
+PRODUCER = "leader"
+# Epochs of racing claims differ in their lower part.
+EPOCH_SPREAD = 1 << 16
+# Without a record of the leader for this long, others may claim.
+LEADER_SILENCE_MS = 1_600
+# Spreads the claims of several instances.
+CLAIM_JITTER_MS = 400
+FIRST_CLAIM_DELAY_MS = 300
+COMMIT_TIMEOUT_MS = 800
+FOLLOW_WAIT_MS = 800
+# Between two reads records gather, so that fewer calls are made.
+FOLLOW_PAUSE_MS = 100
+RETRY_PAUSE_MS = 200
+
+
+class Claim(NamedTuple):
+    """A claim that was stored.
+
+    :param stored_ms: when the call that stored it was answered.
+    """
+
+    record: LeaderRecord
+    stored_ms: int
+
+
+class Leadership:
+    """Follows the progress of all jobs, and claims to lead when needed.
+
+    :param can_lead: whether this instance knows enough to decide.
+    :ivar claim: the claim under which this instance leads, or None.
+    """
+
+    def __init__(
+        self,
+        streams: KeyedStreams,
+        instance_id: str,
+        replica: Replica,
+        clock: Clock,
+        health: StoreHealth,
+        randomness: random.Random,
+        can_lead: Callable[[], bool],
+    ) -> None:
+        self.claim: Claim | None = None
+        self.has_loaded = False
+        self._streams = streams
+        self._instance_id = instance_id
+        self._replica = replica
+        self._clock = clock
+        self._health = health
+        self._random = randomness
+        self._can_lead = can_lead
+        self._mirror = StreamMirror(streams, PROGRESS_STREAM)
+        self._writer = Writer(PRODUCER, 0, 0)
+        self._heard_ms = clock.now_ms()
+        self._delay_ms = FIRST_CLAIM_DELAY_MS
+        self._may_claim = True
+
+    def step(self) -> int:
+        """Follow the stream; return milliseconds until the next call."""
+        if self.claim is not None:
+            return FOLLOW_PAUSE_MS
+        is_read = self.follow(FOLLOW_WAIT_MS)
+        if isinstance(is_read, Err):
+            return RETRY_PAUSE_MS
+        self._claim_if_silent()
+        return FOLLOW_PAUSE_MS
+
+    def follow(self, wait_ms: int = 0) -> Result[None, Failure]:
+        """Read the stream to its end once."""
+        sent_ms = self._clock.now_ms()
+        changed = self._mirror.refresh(wait_ms)
+        if isinstance(changed, Err):
+            self._health.note_failure(changed.err_value)
+            return changed
+        self._health.note_success(sent_ms)
+        self.has_loaded = True
+        if changed.ok_value:
+            self._heard(changed.ok_value)
+        return Ok(None)
+
+    def commit(self, records: Sequence[KeyedRecord]) -> Result[int, Failure]:
+        """Store records as the leader; return the end of the stream.
+
+        The same records may be committed again after a failure.
+        """
+        sent_ms = self._clock.now_ms()
+        outcome = self._streams.append(
+            PROGRESS_STREAM,
+            records,
+            self._writer,
+            timeout_ms=COMMIT_TIMEOUT_MS,
+        )
+        if isinstance(outcome, Err):
+            self._health.note_failure(outcome.err_value)
+            return outcome
+        self._health.note_success(sent_ms)
+        self._writer = self._writer._replace(
+            sequence=self._writer.sequence + 1
+        )
+        return Ok(outcome.ok_value.end)
+
+    def resign(self) -> None:
+        """Tell the others that this instance leads no more."""
+        self._may_claim = False
+        claim = self.claim
+        if claim is None:
+            return
+        record = claim.record._replace(has_resigned=True)
+        outcome = self.commit([KeyedRecord(LEADER_KEY, encode_leader(record))])
+        result = "failed" if isinstance(outcome, Err) else "stored"
+        log_event("leadership-resigned", outcome=result)
+
+    def step_down(self) -> None:
+        """Lead no more; another claim was seen or the instance stops."""
+        self.claim = None
+        self._heard_ms = self._clock.now_ms()
+        self._delay_ms = self._silence_ms()
+
+    def _heard(self, keys: set[str]) -> None:
+        self._heard_ms = self._clock.now_ms()
+        self._replica.apply(self._mirror.values_by_key, keys)
+        leader = self._replica.leader
+        if leader is not None and leader.has_resigned:
+            self._delay_ms = self._random.randrange(CLAIM_JITTER_MS)
+        else:
+            self._delay_ms = self._silence_ms()
+
+    def _silence_ms(self) -> int:
+        return LEADER_SILENCE_MS + self._random.randrange(CLAIM_JITTER_MS)
+
+    def _claim_if_silent(self) -> None:
+        silent_ms = self._clock.now_ms() - self._heard_ms
+        if silent_ms < self._delay_ms or not self._may_claim:
+            return
+        if not self._can_lead():
+            return
+        leader = self._replica.leader
+        last = leader.epoch if leader else 0
+        base = (last // EPOCH_SPREAD + 1) * EPOCH_SPREAD
+        epoch = base + self._random.randrange(EPOCH_SPREAD)
+        record = LeaderRecord(epoch, self._instance_id)
+        writer = Writer(PRODUCER, epoch, 1)
+        outcome = self._streams.append(
+            PROGRESS_STREAM,
+            [KeyedRecord(LEADER_KEY, encode_leader(record))],
+            writer,
+            self._mirror.end,
+            COMMIT_TIMEOUT_MS,
+        )
+        if isinstance(outcome, Err):
+            self._note_lost_claim(record, outcome.err_value)
+            return
+        self._mirror.skip_to(outcome.ok_value.end)
+        self._replica.leader = record
+        self._writer = writer._replace(sequence=2)
+        self.claim = Claim(record, self._clock.now_ms())
+        log_event("leadership-claimed", epoch=epoch, silent_ms=silent_ms)
+
+    def _note_lost_claim(self, record: LeaderRecord, failure: Failure) -> None:
+        self._delay_ms = self._silence_ms()
+        self._heard_ms = self._clock.now_ms()
+        log_event(
+            "leadership-claim-failed",
+            epoch=record.epoch,
+            code=failure.code,
+            reason=failure.detail,
+        )
--- a/src/magnoliapitch/ledger/stream.py
+++ b/src/magnoliapitch/ledger/stream.py
@@ -103,11 +103,6 @@
     ) -> Result[Appended, Failure]:
         """Append all records or none."""
 
-    def fence(
-        self, stream: str, writer: Writer, timeout_ms: int = 1_000
-    ) -> Result[int, Failure]:
-        """Set a producer's epoch without a record; return the end."""
-
     def read(
         self,
         stream: str,
--- /dev/null
+++ b/src/magnoliapitch/planner/book.py
@@ -0,0 +1,288 @@
+"""The jobs, runs and workers that one instance decides on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliapitch.planner.entry import JobEntry
+from magnoliapitch.planner.entry import RunEntry
+from magnoliapitch.planner.entry import StepEntry
+from magnoliapitch.planner.entry import TaskEntry
+from magnoliapitch.planner.entry import WorkerEntry
+from magnoliapitch.workload.progress import JobOutcome
+from magnoliapitch.workload.progress import JobProgress
+from magnoliapitch.workload.progress import Placement
+from magnoliapitch.workload.progress import TaskProgress
+from magnoliapitch.workload.run import EndKind
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from magnoliapitch.workload.configuration import Queue
+    from magnoliapitch.workload.job import JobSpec
+    from magnoliapitch.workload.job import StepKey
+    from magnoliapitch.workload.job import TaskKey
+    from magnoliapitch.workload.run import EndedRun
+    from magnoliapitch.workload.run import Permit
+    from magnoliapitch.workload.run import RunningTask
+    from magnoliapitch.workload.worker import WorkerInfo
+
+
+class Book:
+    """Truth about tasks, as far as it is known; has no clock of its own.
+
+    :ivar dirty: ids of jobs whose progress is not stored yet.
+    """
+
+    def __init__(self) -> None:
+        self.jobs_by_id: dict[str, JobEntry] = {}
+        self.workers_by_id: dict[str, WorkerEntry] = {}
+        self.dirty: set[str] = set()
+
+    def add_job(
+        self,
+        spec: JobSpec,
+        queue: Queue,
+        now_ms: int,
+        progress: JobProgress | None = None,
+    ) -> JobEntry:
+        """Add a job with its stored progress."""
+        job = JobEntry(spec, queue, now_ms)
+        self.jobs_by_id[spec.job_id] = job
+        if progress is not None:
+            job.outcome = progress.outcome
+            for key, state in progress.tasks_by_key.items():
+                self._restore(job, key, state, now_ms)
+            for step in job.all_steps():
+                step.undone = sum(not task.is_done for task in step.tasks)
+        self._settle(job)
+        return job
+
+    def cancel_job(self, job_id: str) -> None:
+        """Note that a job is cancelled; its runs are to be stopped."""
+        job = self.jobs_by_id.get(job_id)
+        if job is not None and job.outcome is JobOutcome.OPEN:
+            job.outcome = JobOutcome.CANCELLED
+            self.dirty.add(job_id)
+
+    def drop_job(self, job_id: str) -> None:
+        """Forget a job that has ended and has no runs."""
+        self.jobs_by_id.pop(job_id, None)
+        self.dirty.discard(job_id)
+
+    def worker(self, worker_id: str) -> WorkerEntry:
+        """Return a worker, new if it was not known."""
+        entry = self.workers_by_id.get(worker_id)
+        if entry is None:
+            entry = self.workers_by_id[worker_id] = WorkerEntry(worker_id)
+        return entry
+
+    def put_worker(self, info: WorkerInfo) -> WorkerEntry:
+        """Take over what the platform lists of a worker."""
+        entry = self.worker(info.worker_id)
+        entry.update(info)
+        return entry
+
+    def drop_worker(self, worker_id: str) -> None:
+        """Forget a worker whose life is surely over; its runs are lost."""
+        self.lose_runs(worker_id)
+        self.workers_by_id.pop(worker_id, None)
+
+    def lose_runs(self, worker_id: str) -> int:
+        """Note that nothing runs on a worker; return how much was lost."""
+        worker = self.workers_by_id.get(worker_id)
+        runs = list(worker.runs) if worker else []
+        for run in runs:
+            self.remove_run(run)
+        return len(runs)
+
+    def task(self, key: TaskKey) -> TaskEntry | None:
+        """Return a task, or None if its job is not known."""
+        job = self.jobs_by_id.get(key.job_id)
+        try:
+            if job is None or min(key[1:]) < 0:
+                return None
+            return job.steps[key.occurrence][key.step].tasks[key.position]
+        except IndexError:
+            return None
+
+    def step(self, key: StepKey) -> StepEntry | None:
+        """Return a step, or None if its job is not known."""
+        job = self.jobs_by_id.get(key.job_id)
+        return None if job is None else job.steps[key.occurrence][key.step]
+
+    def run(
+        self, key: TaskKey, number: int, worker_id: str
+    ) -> RunEntry | None:
+        """Return a run that may be going on."""
+        task = self.task(key)
+        for run in task.live if task else ():
+            if run.run == number and run.worker_id == worker_id:
+                return run
+        return None
+
+    def order_run(
+        self, key: TaskKey, number: int, worker_id: str, now_ms: int
+    ) -> RunEntry:
+        """Note a run that is going to be ordered."""
+        task = self.task(key)
+        if task is None:
+            raise KeyError(key)
+        task.runs = max(task.runs, number)
+        self.dirty.add(key.job_id)
+        return self._add_run(task, number, worker_id, now_ms)
+
+    def note_running(
+        self, run: RunEntry, report: RunningTask, now_ms: int
+    ) -> None:
+        """Take over what a worker lists of a run."""
+        run.confirmed_ms = now_ms
+        if run.started_ms is None:
+            run.started_ms = now_ms
+            run.resumed_percent = report.percent
+        if report.percent != run.percent:
+            run.percent = report.percent
+            run.percent_ms = now_ms
+        run.load = report.load
+        task = run.task
+        if report.checkpoint and report.checkpoint != task.checkpoint:
+            run.checkpoint_percent = report.percent
+            self._save_checkpoint(task, report.checkpoint)
+
+    def note_end(self, worker_id: str, end: EndedRun) -> bool:
+        """Take over the end of a run; return whether it was news."""
+        task = self.task(end.task)
+        if task is None:
+            return False
+        run = self.run(end.task, end.run, worker_id)
+        if end.checkpoint and not task.is_done:
+            self._save_checkpoint(task, end.checkpoint)
+        if end.kind is EndKind.DONE:
+            self._note_done(task, run)
+        elif run is None:
+            return False
+        elif end.kind is EndKind.FAILED:
+            self._note_failed(task, end.run)
+        if run is not None:
+            self.remove_run(run)
+        self._settle(task.step.job)
+        return True
+
+    def remove_run(self, run: RunEntry) -> None:
+        """Note that a run is surely not going on."""
+        run.task.live.remove(run)
+        self.worker(run.worker_id).remove(run)
+        self.dirty.add(run.task.key.job_id)
+
+    def note_permits(
+        self,
+        key: StepKey,
+        asked: Iterable[str],
+        permits: Iterable[Permit],
+        valid_until_ms: int,
+    ) -> None:
+        """Take over an answer of the advisor."""
+        step = self.step(key)
+        if step is None:
+            return
+        step.is_asking = False
+        step.asked.update(asked)
+        for permit in permits:
+            step.good.add(permit.worker_id)
+            step.tickets_by_worker[permit.worker_id] = (
+                permit.ticket,
+                valid_until_ms,
+            )
+
+    def progress(self, job_id: str) -> JobProgress:
+        """Return what is to be stored of a job."""
+        job = self.jobs_by_id[job_id]
+        return JobProgress(
+            job_id,
+            job.outcome,
+            {
+                task.key: TaskProgress(
+                    task.runs,
+                    task.failures,
+                    task.is_done,
+                    task.checkpoint,
+                    tuple(
+                        Placement(run.run, run.worker_id) for run in task.live
+                    ),
+                )
+                for step in job.all_steps()
+                for task in step.tasks
+                if task.runs
+            },
+        )
+
+    def _restore(
+        self, job: JobEntry, key: TaskKey, state: TaskProgress, now_ms: int
+    ) -> None:
+        task = job.steps[key.occurrence][key.step].tasks[key.position]
+        task.runs = state.runs
+        task.failures = state.failures
+        task.is_done = state.is_done
+        task.checkpoint = state.checkpoint
+        for placement in state.placements:
+            run = self._add_run(
+                task, placement.run, placement.worker_id, now_ms
+            )
+            run.is_restored = True
+
+    def _add_run(
+        self, task: TaskEntry, number: int, worker_id: str, now_ms: int
+    ) -> RunEntry:
+        run = RunEntry(task, number, worker_id, now_ms)
+        task.live.append(run)
+        self.worker(worker_id).add(run)
+        return run
+
+    def _save_checkpoint(self, task: TaskEntry, checkpoint: str) -> None:
+        tasks = task.step.tasks if task.step.spec.is_gang else [task]
+        for member in tasks:
+            member.checkpoint = checkpoint
+        self.dirty.add(task.key.job_id)
+
+    def _note_done(self, task: TaskEntry, run: RunEntry | None) -> None:
+        # One such end stands for all members of a gang.
+        is_gang = task.step.spec.is_gang
+        for member in task.step.tasks if is_gang else [task]:
+            if not member.is_done:
+                member.is_done = True
+                task.step.undone -= 1
+                self.dirty.add(task.key.job_id)
+        if not is_gang:
+            for other in task.live:
+                other.is_stopping = other.is_stopping or other is not run
+
+    def _note_failed(self, task: TaskEntry, run: int) -> None:
+        # Members of a gang that fail in the same run are one failure.
+        if task.step.spec.is_gang and run in task.step.failed_runs:
+            return
+        task.step.failed_runs.add(run)
+        task.failures += 1
+        self.dirty.add(task.key.job_id)
+
+    def _settle(self, job: JobEntry) -> None:
+        """Derive the job's final state from its tasks."""
+        if job.outcome is not JobOutcome.OPEN:
+            return
+        if any(_has_failed(step) for step in job.all_steps()):
+            job.outcome = JobOutcome.FAILED
+            self.dirty.add(job.spec.job_id)
+        elif all(step.is_done for step in job.all_steps()):
+            job.outcome = JobOutcome.COMPLETED
+            self.dirty.add(job.spec.job_id)
+
+
+def _has_failed(step: StepEntry) -> bool:
+    if step.spec.is_long_running or step.is_done:
+        return False
+    attempts = step.job.queue.attempts
+    if step.spec.is_gang:
+        return sum(task.failures for task in step.tasks) >= attempts
+    return any(
+        task.failures >= attempts and not task.is_done for task in step.tasks
+    )
--- /dev/null
+++ b/src/magnoliapitch/planner/room.py
@@ -0,0 +1,63 @@
+"""Room on workers during one round of decisions."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.planner.entry import StepEntry
+    from magnoliapitch.planner.entry import WorkerEntry
+    from magnoliapitch.resource import Resources
+    from magnoliapitch.workload.worker import WorkerInfo
+
+
+class Slot:
+    """A worker's room that is left in this round."""
+
+    __slots__ = ("free", "info", "worker")
+
+    def __init__(self, worker: WorkerEntry, info: WorkerInfo) -> None:
+        self.worker = worker
+        self.info = info
+        self.free: Resources = worker.free
+
+    def take(self, amount: Resources) -> None:
+        """Use up room for the rest of the round."""
+        self.free = self.free.minus(amount)
+
+
+def usable_slots(workers: list[WorkerEntry]) -> list[Slot]:
+    """Return the room of every worker that takes work."""
+    return [
+        Slot(worker, worker.info)
+        for worker in workers
+        if worker.is_usable
+        and worker.info is not None
+        and not worker.info.is_draining
+    ]
+
+
+def allows(slot: Slot, step: StepEntry) -> bool:
+    """Return whether a worker may ever run a step, advice apart."""
+    return (
+        slot.info.service == step.job.queue.service
+        and (not step.spec.label or step.spec.label in slot.info.labels)
+        and step.charge.fits(slot.info.capacity)
+    )
+
+
+def spare_tasks(slot: Slot, step: StepEntry) -> int:
+    """Return how many tasks of a step a worker has room for."""
+    charge, free = step.charge, slot.free
+    count = step.spec.task_count
+    if charge.cpu_millis:
+        count = min(count, free.cpu_millis // charge.cpu_millis)
+    if charge.memory_mb:
+        count = min(count, free.memory_mb // charge.memory_mb)
+    if charge.accelerators:
+        count = min(count, free.accelerators // charge.accelerators)
+    if step.spec.max_per_worker:
+        used = sum(run.task.step is step for run in slot.worker.runs)
+        count = min(count, step.spec.max_per_worker - used)
+    return max(0, count)
--- /dev/null
+++ b/src/magnoliapitch/platform/advisor.py
@@ -0,0 +1,62 @@
+"""The platform's advice service as the advisor."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import orjson
+
+from result import Err
+from result import Ok
+from result import Result
+
+from magnoliapitch.http.client import JSON_HEADERS
+from magnoliapitch.platform.names import encode_step
+from magnoliapitch.verdict import Failure
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import may_have_run
+from magnoliapitch.verdict import not_run
+from magnoliapitch.workload.run import Permit
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from magnoliapitch.http.client import HttpClient
+    from magnoliapitch.http.client import HttpReply
+    from magnoliapitch.workload.job import StepKey
+
+
+class PlatformAdvisor:
+    """Asks which workers may run a step.
+
+    :param address: ``IP:PORT`` of the service.
+    """
+
+    def __init__(self, address: str, client: HttpClient) -> None:
+        self._url = f"http://{address}/advise"
+        self._client = client
+
+    def permits(
+        self, step: StepKey, worker_ids: Sequence[str], timeout_ms: int
+    ) -> Result[tuple[Permit, ...], Failure]:
+        """Return the permits among the given workers (at most 100)."""
+        body = {"step": encode_step(step), "workers": list(worker_ids)}
+        reply = self._client.exchange(
+            "POST", self._url, timeout_ms, orjson.dumps(body), JSON_HEADERS
+        )
+        return reply.and_then(_permits_from)
+
+
+def _permits_from(reply: HttpReply) -> Result[tuple[Permit, ...], Failure]:
+    detail = f"the advisor answered {reply.status}"
+    if reply.status == 429:
+        return Err(not_run(FailureCode.OVERLOADED, detail))
+    if reply.status != 200:
+        return Err(may_have_run(FailureCode.UNAVAILABLE, detail))
+    try:
+        rows: Any = orjson.loads(reply.data)["good"]
+        return Ok(tuple(Permit(str(row[0]), str(row[1])) for row in rows))
+    except (ValueError, KeyError, TypeError, IndexError) as error:
+        return Err(may_have_run(FailureCode.BAD_ANSWER, repr(error)))
--- /dev/null
+++ b/src/magnoliapitch/platform/front.py
@@ -0,0 +1,166 @@
+"""The platform's calls for jobs, translated to the job desk."""
+
+from __future__ import annotations
+
+import time
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from result import Err
+
+from magnoliapitch.http import Application
+from magnoliapitch.http import HttpRequest
+from magnoliapitch.http import HttpResponse
+from magnoliapitch.http import json_response
+from magnoliapitch.http import problem_response
+from magnoliapitch.platform.configuration import resources_from
+from magnoliapitch.verdict import Failure
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import Verdict
+from magnoliapitch.verdict import not_run
+from magnoliapitch.workload.job import JobSpec
+from magnoliapitch.workload.job import StepSpec
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.ledger.desk import JobDesk
+    from magnoliapitch.workload.configuration import Queue
+
+
+DEADLINE_HEADER = "x-magnoliapitch-deadline-ms"
+ID_MAX_CHARS = 64
+STATUS_GONE = 410
+
+
+def front_application(desk: JobDesk, body_max_bytes: int) -> Application:
+    """Return the application that callers of the platform speak to."""
+    return _FrontApplication(desk, body_max_bytes)
+
+
+class _FrontApplication(Application):
+    def __init__(self, desk: JobDesk, body_max_bytes: int) -> None:
+        super().__init__(body_max_bytes, desk.is_closing)
+        self._desk = desk
+
+    def handle(self, request: HttpRequest) -> HttpResponse:
+        configuration = self._desk.configuration()
+        if configuration is None:
+            return _answer_failure(
+                not_run(FailureCode.UNAVAILABLE, "no configuration yet", 1_000)
+            )
+        host = request.headers_by_name.get("host", "").partition(":")[0]
+        queue = configuration.queue_for(host, request.path)
+        if queue is None:
+            return _answer_failure(
+                not_run(FailureCode.NOT_FOUND, f"no queue at {request.path}")
+            )
+        job_id = request.path[len(queue.path_prefix) :]
+        if not job_id:
+            return json_response({"pending-jobs": self._desk.pending(queue)})
+        return self._handle_job(request, queue, job_id)
+
+    def _handle_job(
+        self, request: HttpRequest, queue: Queue, job_id: str
+    ) -> HttpResponse:
+        timeout_ms = _timeout_ms(request, queue)
+        if request.method == "POST":
+            return self._submit(request, queue, job_id, timeout_ms)
+        if request.method == "GET":
+            return self._state(job_id, timeout_ms)
+        if request.method == "DELETE":
+            return self._cancel(job_id, timeout_ms)
+        return _answer_failure(
+            not_run(FailureCode.INVALID, f"no method {request.method}")
+        )
+
+    def _submit(
+        self, request: HttpRequest, queue: Queue, job_id: str, timeout_ms: int
+    ) -> HttpResponse:
+        try:
+            job = _job_from(request.json(), queue, job_id)
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            detail = f"the job cannot be read: {error!r}"
+            return _answer_failure(not_run(FailureCode.INVALID, detail))
+        outcome = self._desk.submit(job, timeout_ms)
+        if isinstance(outcome, Err):
+            return _answer_failure(outcome.err_value)
+        return HttpResponse(200, b"{}")
+
+    def _state(self, job_id: str, timeout_ms: int) -> HttpResponse:
+        outcome = self._desk.state(job_id, timeout_ms)
+        if isinstance(outcome, Err):
+            return _answer_failure(outcome.err_value)
+        if outcome.ok_value is None:
+            return HttpResponse(STATUS_GONE, b"{}")
+        return json_response({"state": outcome.ok_value.value})
+
+    def _cancel(self, job_id: str, timeout_ms: int) -> HttpResponse:
+        outcome = self._desk.cancel(job_id, timeout_ms)
+        if isinstance(outcome, Err):
+            return _answer_failure(outcome.err_value)
+        return HttpResponse(200 if outcome.ok_value else STATUS_GONE, b"{}")
+
+
+def _answer_failure(failure: Failure) -> HttpResponse:
+    status = None
+    if failure.verdict is Verdict.MAY_HAVE_RUN:
+        status = 504
+    elif failure.code is FailureCode.OVERLOADED:
+        status = 429
+    return problem_response(failure, status=status)
+
+
+def _timeout_ms(request: HttpRequest, queue: Queue) -> int:
+    given = request.headers_by_name.get(DEADLINE_HEADER, "")
+    wanted = int(given) if given.isdigit() else queue.timeout_ms
+    return min(wanted, queue.timeout_ms)
+
+
+def _job_from(body: Any, queue: Queue, job_id: str) -> JobSpec:
+    if not job_id.isalnum() or len(job_id) > ID_MAX_CHARS:
+        raise ValueError(f"id {job_id!r}")
+    steps = tuple(_step_from(step) for step in body["steps"])
+    if not steps:
+        raise ValueError("no steps")
+    for number, step in enumerate(steps):
+        if any(not 0 <= earlier < number for earlier in step.depends_on):
+            raise ValueError(f"step {number} depends on {step.depends_on}")
+    return JobSpec(
+        job_id,
+        queue.name,
+        str(body.get("spec") or ""),
+        steps,
+        int(body.get("run-count") or 0),
+        int(body.get("start-at-ms") or 0),
+        int(body.get("interval-ms") or 0),
+        time.time_ns() // 1_000_000,
+    )
+
+
+def _step_from(step: Any) -> StepSpec:
+    task_count = int(step["count"])
+    if task_count < 1:
+        raise ValueError(f"a step of {task_count} tasks")
+    may_miss = step.get("may-miss")
+    return StepSpec(
+        task_count,
+        resources_from(step),
+        int(step.get("estimate-ms") or 0),
+        tuple(int(number) for number in step.get("depends-on") or ()),
+        # ``checkpoint`` tells that the tasks save their progress.
+        bool(step.get("checkpoint")),
+        bool(step.get("gang")),
+        bool(step.get("same-rack")),
+        str(step.get("required-label") or ""),
+        str(step.get("data-rack") or ""),
+        # A server is a worker here; other pages say runner.
+        int(step.get("max-per-server") or 0),
+        bool(step.get("speculative")),
+        bool(step.get("long-running")),
+        str(step.get("image") or ""),
+        int(step.get("target-ms") or 0),
+        # ``fills`` marks tasks that live on what others leave unused.
+        bool(step.get("fills")),
+        None if may_miss is None else int(may_miss),
+    )
--- /dev/null
+++ b/src/magnoliapitch/platform/workers.py
@@ -0,0 +1,211 @@
+"""The platform's runners as workers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import orjson
+
+from result import Err
+from result import Ok
+from result import Result
+
+from magnoliapitch.platform.names import decode_task
+from magnoliapitch.platform.names import encode_task
+from magnoliapitch.verdict import Failure
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import may_have_run
+from magnoliapitch.verdict import not_run
+from magnoliapitch.workload.run import EndedRun
+from magnoliapitch.workload.run import EndKind
+from magnoliapitch.workload.run import RunningTask
+from magnoliapitch.workload.run import WorkerReport
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.http.client import HttpClient
+    from magnoliapitch.http.client import HttpReply
+    from magnoliapitch.workload.run import StartOrder
+    from magnoliapitch.workload.run import StopOrder
+    from magnoliapitch.workload.worker import WorkerInfo
+
+
+LIFE_HEADER = "X-Magnoliapitch-Expect-Instance"
+
+_CODE_BY_REASON = {
+    "fence": FailureCode.FENCED,
+    "old": FailureCode.STALE,
+    "late": FailureCode.EXPIRED,
+    "room": FailureCode.NO_ROOM,
+    "ticket": FailureCode.TICKET,
+}
+_KIND_BY_WORD = {
+    "done": EndKind.DONE,
+    "failed": EndKind.FAILED,
+    "stopped": EndKind.STOPPED,
+    "lapsed": EndKind.LEASE_EXPIRED,
+    "broken": EndKind.MEMBER_ENDED,
+    "alone": EndKind.MEMBERS_MISSING,
+}
+
+
+class PlatformWorkers:
+    """Calls to runners."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    def start(
+        self, worker: WorkerInfo, order: StartOrder, timeout_ms: int
+    ) -> Result[int, Failure]:
+        """Start a run and return the worker's clock."""
+        body: dict[str, Any] = {
+            "task": encode_task(order.task),
+            "run-id": order.run,
+            "spec": order.payload,
+            "deadline-ms": order.deadline_ms,
+            "fencing-token": order.token,
+        }
+        if order.checkpoint:
+            body["checkpoint-ref"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return self._call(worker, "/run-start", body, timeout_ms).and_then(
+            _clock_from
+        )
+
+    def stop(
+        self, worker: WorkerInfo, order: StopOrder, timeout_ms: int
+    ) -> Result[int, Failure]:
+        """Stop a run and return the worker's clock."""
+        body = _order_body(order)
+        return self._call(worker, "/run-stop", body, timeout_ms).and_then(
+            _clock_from
+        )
+
+    def renew(
+        self,
+        worker: WorkerInfo,
+        token: int,
+        deadline_ms: int | None,
+        acknowledged: int,
+        wait_ms: int,
+        timeout_ms: int,
+    ) -> Result[WorkerReport, Failure]:
+        """Extend the worker's lease and see what runs and has ended."""
+        body: dict[str, Any] = {
+            "fencing-token": token,
+            "ack-seq": acknowledged,
+        }
+        if deadline_ms is not None:
+            body["deadline-ms"] = deadline_ms
+        if wait_ms:
+            body["wait-ms"] = wait_ms
+        return self._call(
+            worker, "/hold", body, timeout_ms + wait_ms
+        ).and_then(_report_from)
+
+    def pace(
+        self,
+        worker: WorkerInfo,
+        order: StopOrder,
+        percent: int,
+        timeout_ms: int,
+    ) -> Result[int, Failure]:
+        """Let a run work at a share of its speed."""
+        body = {**_order_body(order), "percent": percent}
+        return self._call(worker, "/pace", body, timeout_ms).and_then(
+            _clock_from
+        )
+
+    def _call(
+        self,
+        worker: WorkerInfo,
+        path: str,
+        body: dict[str, Any],
+        timeout_ms: int,
+    ) -> Result[Any, Failure]:
+        headers = {
+            "Content-Type": "application/json",
+            LIFE_HEADER: worker.worker_id,
+        }
+        reply = self._client.exchange(
+            "POST",
+            f"http://{worker.address}{path}",
+            timeout_ms,
+            orjson.dumps(body),
+            headers,
+        )
+        return reply.and_then(_accepted)
+
+
+def _order_body(order: StopOrder) -> dict[str, Any]:
+    return {
+        "task": encode_task(order.task),
+        "run-id": order.run,
+        "fencing-token": order.token,
+    }
+
+
+def _accepted(reply: HttpReply) -> Result[Any, Failure]:
+    detail = f"the worker answered {reply.status}"
+    if reply.status in (429, 503):
+        return Err(not_run(FailureCode.UNHEALTHY, detail))
+    if reply.status == 421:
+        return Err(not_run(FailureCode.REPLACED, detail))
+    if reply.status in (400, 404):
+        return Err(not_run(FailureCode.INVALID, detail))
+    try:
+        body = orjson.loads(reply.data)
+    except ValueError:
+        return Err(may_have_run(FailureCode.BAD_ANSWER, detail))
+    if reply.status == 200:
+        return Ok(body)
+    reason = body.get("reason") if isinstance(body, dict) else None
+    code = _CODE_BY_REASON.get(reason or "")
+    if reply.status == 409 and code is not None:
+        return Err(not_run(code, f"{detail}: {reason}"))
+    return Err(may_have_run(FailureCode.BAD_ANSWER, detail))
+
+
+def _clock_from(body: Any) -> Result[int, Failure]:
+    try:
+        return Ok(int(body["clock-ms"]))
+    except (KeyError, TypeError, ValueError) as error:
+        return Err(may_have_run(FailureCode.BAD_ANSWER, repr(error)))
+
+
+def _report_from(body: Any) -> Result[WorkerReport, Failure]:
+    try:
+        return Ok(
+            WorkerReport(
+                int(body["clock-ms"]),
+                tuple(map(_running_from, body.get("running", ()))),
+                tuple(map(_ended_from, body.get("ended-runs", ()))),
+            )
+        )
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        return Err(may_have_run(FailureCode.BAD_ANSWER, repr(error)))
+
+
+def _running_from(row: list[Any]) -> RunningTask:
+    task, run, checkpoint, percent, *load = row
+    return RunningTask(
+        decode_task(task),
+        int(run),
+        checkpoint or "",
+        float(percent),
+        float(load[0] or 0) if load else 0.0,
+    )
+
+
+def _ended_from(row: list[Any]) -> EndedRun:
+    number, task, run, how, checkpoint = row
+    return EndedRun(
+        int(number),
+        decode_task(task),
+        int(run),
+        _KIND_BY_WORD[how],
+        checkpoint or "",
+    )
--- a/src/magnoliapitch/workload/client.py
+++ b/src/magnoliapitch/workload/client.py
@@ -85,12 +85,13 @@
 class Directory(Protocol):
     """The platform's newest configuration and list of workers.
 
-    Both calls return what has changed since the last call of this object,
-    or the whole at the first; a failure leaves what was known.
+    A failure leaves what was known.
     """
 
     def workers(self) -> Result[Mapping[str, WorkerInfo], Failure]:
         """Return every listed worker by id."""
 
-    def configuration(self, wait_ms: int) -> Result[Configuration, Failure]:
-        """Return the newest configuration, waiting for a newer one."""
+    def configuration(
+        self, wait_ms: int
+    ) -> Result[Configuration | None, Failure]:
+        """Return a newer configuration, or None after waiting for one."""
--- a/src/magnoliapitch/workload/job.py
+++ b/src/magnoliapitch/workload/job.py
@@ -8,14 +8,6 @@
 from magnoliapitch.resource import Resources
 
 
-class StepKey(NamedTuple):
-    """One step of one occurrence of a job."""
-
-    job_id: str
-    occurrence: int
-    step: int
-
-
 class TaskKey(NamedTuple):
     """One task; its runs are numbered from 1."""
 
@@ -30,6 +22,18 @@
         return StepKey(self.job_id, self.occurrence, self.step)
 
 
+class StepKey(NamedTuple):
+    """One step of one occurrence of a job."""
+
+    job_id: str
+    occurrence: int
+    step: int
+
+    def task(self, position: int) -> TaskKey:
+        """Return one of the step's tasks."""
+        return TaskKey(self.job_id, self.occurrence, self.step, position)
+
+
 class StepSpec(NamedTuple):
     """Tasks that are alike.
 
