Ask the advisor through every instance

Change: instances announce the address of their peer listener in a stream; the leader has long calls made by peers, short ones by itself first.

--- a/deploy/main.py
+++ b/deploy/main.py
@@ -9,7 +9,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from magnoliapitch.console.application import main  # noqa: E402
+from magnoliapitch.console.application import main
 
 
 main()
--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -279,12 +279,10 @@
 
     def _ask(self, asks: tuple[PlannedAsk, ...]) -> None:
         for ask in sorted(asks, key=lambda ask: (ask.priority, ask.cost_ms)):
-            if not self._effects.can_ask(ask):
-                continue
             step = self.book.step(ask.step)
             if step is not None and not step.is_asking:
-                step.is_asking = True
-                self._effects.ask(ask, ASK_TIMEOUT_MS + int(ask.cost_ms))
+                timeout_ms = ASK_TIMEOUT_MS + int(ask.cost_ms)
+                step.is_asking = self._effects.ask(ask, timeout_ms)
 
     def end(self, reason: str) -> None:
         """Decide nothing more."""
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -13,6 +13,8 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.advice.lanes import Lane
+from magnoliapitch.advice.lanes import LanePool
 from magnoliapitch.control.controller import Controller
 from magnoliapitch.control.events import Advised
 from magnoliapitch.control.events import Committed
@@ -25,10 +27,10 @@
 from magnoliapitch.control.events import WorkersListed
 from magnoliapitch.control.link import WorkerLink
 from magnoliapitch.event import log_event
+from magnoliapitch.ledger.members import Members
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import not_run
-from magnoliapitch.workload.client import Advisor
 from magnoliapitch.workload.client import Directory
 from magnoliapitch.workload.client import WorkerClient
 
@@ -51,6 +53,7 @@
 
 
 ORDER_THREADS = 16
+ASK_THREADS = 8
 ORDER_TIMEOUT_MS = 700
 LIST_INTERVAL_MS = 500
 ROUND_INTERVAL_MS = 15
@@ -63,7 +66,8 @@
     """Outside systems that a leader calls."""
 
     workers: WorkerClient
-    advisor: Advisor
+    lanes: LanePool
+    members: Members
     directory: Directory
 
 
@@ -92,9 +96,8 @@
         self._controller: Controller | None = None
         self._orders = ThreadPoolExecutor(ORDER_THREADS, "orders")
         self._commits = ThreadPoolExecutor(1, "commits")
-        self._asks = ThreadPoolExecutor(1, "asks")
+        self._asks = ThreadPoolExecutor(ASK_THREADS, "asks")
         self._lists = ThreadPoolExecutor(1, "lists")
-        self._asking = 0
         self._is_listing = False
         self._listed_ms = 0
         self._is_stopping = False
@@ -125,7 +128,7 @@
         if isinstance(self._refresh(), Err):
             return None
         self._events = queue.SimpleQueue()
-        self._asking, self._listed_ms = 0, 0
+        self._listed_ms = 0
         controller = Controller(
             claim.record,
             claim.stored_ms,
@@ -193,6 +196,9 @@
             self._lists.submit(self._list_now)
 
     def _list_now(self) -> None:
+        peers = self._clients.members.peers()
+        if not isinstance(peers, Err):
+            self._clients.lanes.set_peers(peers.ok_value)
         outcome = self._clients.directory.workers()
         self._is_listing = False
         if isinstance(outcome, Err):
@@ -245,15 +251,13 @@
         """Store records under the leader's epoch."""
         self._commits.submit(self._commit_now, tuple(records))
 
-    def can_ask(self, ask: PlannedAsk) -> bool:
-        """Return whether the advisor can be asked now."""
-        del ask
-        return self._asking < 1
-
-    def ask(self, ask: PlannedAsk, timeout_ms: int) -> None:
-        """Ask the advisor."""
-        self._asking += 1
-        self._asks.submit(self._ask_now, ask, timeout_ms)
+    def ask(self, ask: PlannedAsk, timeout_ms: int) -> bool:
+        """Ask the advisor, unless all that can ask are busy."""
+        lane = self._clients.lanes.reserve(ask)
+        if lane is None:
+            return False
+        self._asks.submit(self._ask_now, lane, ask, timeout_ms)
+        return True
 
     def _start_now(
         self, worker: WorkerInfo, planned: PlannedStart, order: StartOrder
@@ -286,12 +290,9 @@
             time.sleep(COMMIT_RETRY_MS / 1000)
         self.post(Committed(outcome, sent_ms))
 
-    def _ask_now(self, ask: PlannedAsk, timeout_ms: int) -> None:
+    def _ask_now(self, lane: Lane, ask: PlannedAsk, timeout_ms: int) -> None:
         sent_ms = self._clock.now_ms()
-        outcome = self._clients.advisor.permits(
-            ask.step, ask.worker_ids, timeout_ms
-        )
-        self._asking -= 1
+        outcome = self._clients.lanes.call(lane, ask, timeout_ms)
         self.post(Advised(ask, outcome, sent_ms))
 
 
--- a/src/magnoliapitch/control/effects.py
+++ b/src/magnoliapitch/control/effects.py
@@ -40,8 +40,8 @@
     def commit(self, records: Sequence[KeyedRecord]) -> None:
         """Store records under the leader's epoch."""
 
-    def ask(self, ask: PlannedAsk, timeout_ms: int) -> None:
-        """Ask the advisor."""
+    def ask(self, ask: PlannedAsk, timeout_ms: int) -> bool:
+        """Ask the advisor, unless all that can ask are busy.
 
-    def can_ask(self, ask: PlannedAsk) -> bool:
-        """Return whether the advisor can be asked now; no event follows."""
+        :return: whether the call was begun and an event will follow.
+        """
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -11,6 +11,8 @@
 from result import Err
 from result import Result
 
+from magnoliapitch.advice import LanePool
+from magnoliapitch.advice import peer_application
 from magnoliapitch.clock import BootClock
 from magnoliapitch.control import ControlDriver
 from magnoliapitch.control import ControlTiming
@@ -28,6 +30,7 @@
 from magnoliapitch.ledger.health import StoreHealth
 from magnoliapitch.ledger.inbox import Inbox
 from magnoliapitch.ledger.leadership import Leadership
+from magnoliapitch.ledger.members import Members
 from magnoliapitch.ledger.records import JOB_STREAM
 from magnoliapitch.ledger.replica import Replica
 from magnoliapitch.ledger.submitter import Submitter
@@ -55,6 +58,7 @@
 BODY_MAX_BYTES = 1 << 20
 CALLER_THREADS = 24
 READINESS_THREADS = 2
+PEER_THREADS = 4
 CONFIGURATION_WAIT_MS = 700
 CONFIGURATION_RETRY_MS = 200
 # The balancer notices an instance that is not ready within two checks.
@@ -107,12 +111,20 @@
             store, JOB_STREAM, producer, self._clock, self._health
         )
         self._desk = JobDesk(self._replica, self._submitter, self._refresh)
+        ip = settings.listen.callers.partition(":")[0]
+        self._members = Members(
+            store,
+            settings.instance_id,
+            f"{ip}:{settings.listen.peer_port}",
+        )
+        self._advisor = PlatformAdvisor(settings.endpoints.advisor, client)
         self._driver = ControlDriver(
             self._leadership,
             self._replica,
             Clients(
                 PlatformWorkers(client),
-                PlatformAdvisor(settings.endpoints.advisor, client),
+                LanePool(self._advisor, client, self._clock),
+                self._members,
                 PlatformDirectory(store),
             ),
             ControlTiming(
@@ -140,6 +152,7 @@
         self._is_draining = True
         self._desk.close()
         self._driver.stop()
+        self._members.leave()
         time.sleep(BALANCER_DELAY_MS / 1000)
         self._tree.stop()
         log_event("entry-stopped")
@@ -165,6 +178,7 @@
             "configuration": self._follow_configuration,
             "inbox": self._inbox.step,
             "leadership": self._leadership.step,
+            "members": self._members.step,
             "submitter": self._submitter.step,
             "control": self._driver.step,
         }
@@ -183,6 +197,13 @@
                 READINESS_THREADS,
                 STOP_TIMEOUT_S,
             ),
+            Listener(
+                "peers",
+                (ip, listen.peer_port),
+                peer_application(self._advisor),
+                PEER_THREADS,
+                STOP_TIMEOUT_S,
+            ),
             *(Loop(name, step, self._clock) for name, step in steps.items()),
             Listener(
                 "callers",
--- a/src/magnoliapitch/settings/cluster.py
+++ b/src/magnoliapitch/settings/cluster.py
@@ -46,11 +46,13 @@
 
     :param callers: ``IP:PORT`` for callers.
     :param readiness: ``IP:PORT`` of the balancer's readiness check.
+    :param peer_port: port for other instances on the same IP number.
     :param metrics_port: port of the metrics on the callers' IP number.
     """
 
     callers: HostAndPort
     readiness: HostAndPort
+    peer_port: Annotated[int, Field(ge=1, le=65_535)]
     metrics_port: Annotated[int, Field(ge=1, le=65_535)] = 9_464
 
 
