--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -102,13 +102,14 @@
     def follow(self, wait_ms: int = 0) -> Result[None, Failure]:
         """Read the stream to its end once."""
         sent_ms = self._clock.now_ms()
+        end = self._mirror.end
         changed = self._mirror.refresh(wait_ms)
         if isinstance(changed, Err):
             self._health.note_failure(changed.err_value)
             return changed
         self._health.note_success(sent_ms)
         self.has_loaded = True
-        if changed.ok_value:
+        if self._mirror.end != end:
             self._heard(changed.ok_value)
         return Ok(None)
 
--- /dev/null
+++ b/tests/ledger/test_leadership.py
@@ -0,0 +1,116 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from magnoliapitch.ledger.leadership import LEADER_SILENCE_MS
+from magnoliapitch.ledger.leadership import Leadership
+from magnoliapitch.ledger.records import PROGRESS_STREAM
+from magnoliapitch.ledger.stream import KeyedRecord
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import not_run
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.clock import ManualClock
+    from tests.ledger.conftest import MakeLeadership
+    from tests.ledger.memory_streams import MemoryStreams
+
+
+RECORD = [KeyedRecord("p.0", b"")]
+LONG_MS = 2 * LEADER_SILENCE_MS
+
+
+def lead(leadership: Leadership, clock: ManualClock) -> None:
+    leadership.step()
+    clock.advance(LONG_MS)
+    leadership.step()
+    assert leadership.claim is not None
+
+
+def test_only_one_of_two_claims_wins(
+    make_leadership: MakeLeadership, clock: ManualClock
+) -> None:
+    first, second = make_leadership("a"), make_leadership("b")
+    first.step()
+    second.step()
+    clock.advance(LONG_MS)
+    first.step()
+    second.step()
+    assert (first.claim is None) != (second.claim is None)
+
+
+def test_a_replaced_leader_cannot_store_any_more(
+    make_leadership: MakeLeadership, clock: ManualClock
+) -> None:
+    old, new = make_leadership("a"), make_leadership("b")
+    lead(old, clock)
+    lead(new, clock)
+    outcome = old.commit(RECORD)
+    assert isinstance(outcome, Err)
+    assert outcome.err_value.code is FailureCode.FENCED
+    assert new.commit(RECORD).is_ok()
+
+
+def test_a_higher_epoch_follows_every_claim(
+    make_leadership: MakeLeadership, clock: ManualClock
+) -> None:
+    epochs = []
+    for name in ("a", "b", "c", "a"):
+        leadership = make_leadership(name)
+        lead(leadership, clock)
+        assert leadership.claim is not None
+        epochs.append(leadership.claim.record.epoch)
+    assert epochs == sorted(set(epochs))
+
+
+def test_nobody_claims_while_the_leader_stores(
+    make_leadership: MakeLeadership, clock: ManualClock
+) -> None:
+    leader, other = make_leadership("a"), make_leadership("b")
+    lead(leader, clock)
+    for _ in range(20):
+        clock.advance(LEADER_SILENCE_MS // 2)
+        leader.commit(RECORD)
+        other.step()
+    assert other.claim is None
+
+
+def test_a_resigned_leader_is_replaced_without_the_wait(
+    make_leadership: MakeLeadership, clock: ManualClock
+) -> None:
+    leader, other = make_leadership("a"), make_leadership("b")
+    lead(leader, clock)
+    other.step()
+    leader.resign()
+    other.step()
+    clock.advance(LEADER_SILENCE_MS // 2)
+    other.step()
+    assert other.claim is not None
+
+
+def test_nobody_claims_while_the_store_is_away(
+    make_leadership: MakeLeadership,
+    clock: ManualClock,
+    streams: MemoryStreams,
+) -> None:
+    leadership = make_leadership("a")
+    leadership.step()
+    streams.refuse = not_run(FailureCode.UNAVAILABLE, "away")
+    clock.advance(LONG_MS)
+    leadership.step()
+    assert leadership.claim is None
+
+
+def test_a_commit_whose_answer_was_lost_is_stored_once(
+    make_leadership: MakeLeadership,
+    clock: ManualClock,
+    streams: MemoryStreams,
+) -> None:
+    leadership = make_leadership("a")
+    lead(leadership, clock)
+    streams.lose_answers = 1
+    assert leadership.commit(RECORD).is_err()
+    assert leadership.commit(RECORD).is_ok()
+    assert streams.keys(PROGRESS_STREAM).count("p.0") == 1
--- /dev/null
+++ b/tests/ledger/test_mirror.py
@@ -0,0 +1,72 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from magnoliapitch.ledger.mirror import StreamMirror
+from magnoliapitch.ledger.stream import KeyedRecord
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import not_run
+
+
+if TYPE_CHECKING:
+    from tests.ledger.memory_streams import MemoryStreams
+
+
+def put(streams: MemoryStreams, key: str, value: bytes) -> None:
+    streams.append("s", [KeyedRecord(key, value)])
+
+
+def changed(mirror: StreamMirror) -> set[str]:
+    return mirror.refresh().unwrap()
+
+
+def test_refresh_loads_every_page_then_only_news(
+    streams: MemoryStreams,
+) -> None:
+    for number in range(8):
+        put(streams, f"k{number}", b"1")
+    mirror = StreamMirror(streams, "s")
+    assert len(changed(mirror)) == 8
+    put(streams, "k3", b"2")
+    assert changed(mirror) == {"k3"}
+    assert mirror.values_by_key["k3"] == b"2"
+    assert changed(mirror) == set()
+
+
+def test_refresh_reloads_after_history_expired(
+    streams: MemoryStreams,
+) -> None:
+    put(streams, "kept", b"1")
+    put(streams, "dropped", b"1")
+    mirror = StreamMirror(streams, "s")
+    changed(mirror)
+    put(streams, "dropped", b"")
+    put(streams, "new", b"1")
+    streams.expire("s")
+    assert changed(mirror) == {"dropped", "new"}
+    assert set(mirror.values_by_key) == {"kept", "new"}
+
+
+def test_refresh_keeps_what_it_knows_while_the_store_is_away(
+    streams: MemoryStreams,
+) -> None:
+    put(streams, "k", b"1")
+    mirror = StreamMirror(streams, "s")
+    changed(mirror)
+    streams.refuse = not_run(FailureCode.UNAVAILABLE, "away")
+    assert isinstance(mirror.refresh(), Err)
+    assert mirror.values_by_key == {"k": b"1"}
+
+
+def test_an_older_record_never_replaces_a_newer_one(
+    streams: MemoryStreams,
+) -> None:
+    put(streams, "k", b"old")
+    put(streams, "k", b"new")
+    mirror = StreamMirror(streams, "s")
+    changed(mirror)
+    mirror.skip_to(0)
+    assert changed(mirror) == set()
+    assert mirror.values_by_key["k"] == b"new"
--- /dev/null
+++ b/tests/ledger/test_submitter.py
@@ -0,0 +1,144 @@
+from __future__ import annotations
+
+import threading
+
+from concurrent.futures import Future
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+import pytest
+
+from result import Result
+
+from magnoliapitch.clock import MonotonicClock
+from magnoliapitch.ledger.health import DOWN_AFTER_MS
+from magnoliapitch.ledger.health import StoreHealth
+from magnoliapitch.ledger.stream import KeyedRecord
+from magnoliapitch.ledger.submitter import Submitter
+from magnoliapitch.verdict import Failure
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import Verdict
+from magnoliapitch.verdict import may_have_run
+from magnoliapitch.verdict import not_run
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from tests.ledger.memory_streams import MemoryStreams
+
+
+TIMEOUT_MS = 5_000
+Outcome = Future[Result[None, Failure]]
+
+
+class Caller:
+    """Submits from threads of its own, while the test drives the steps."""
+
+    def __init__(self, streams: MemoryStreams) -> None:
+        self.clock = _Clock()
+        self.health = StoreHealth(self.clock)
+        self.health.note_success(0)
+        self.submitter = Submitter(
+            streams, "jobs", "me", self.clock, self.health
+        )
+        self._pool = ThreadPoolExecutor(64)
+
+    def submit(self, key: str, timeout_ms: int = TIMEOUT_MS) -> Outcome:
+        is_queued = threading.Event()
+
+        def call() -> Result[None, Failure]:
+            is_queued.set()
+            record = KeyedRecord(key, b"1")
+            return self.submitter.append(record, timeout_ms)
+
+        future = self._pool.submit(call)
+        assert is_queued.wait(5)
+        return future
+
+    def close(self) -> None:
+        self._pool.shutdown(wait=False)
+
+
+class _Clock(MonotonicClock):
+    skipped_ms = 0
+
+    def now_ms(self) -> int:
+        return super().now_ms() + self.skipped_ms
+
+
+@pytest.fixture
+def caller(streams: MemoryStreams) -> Iterator[Caller]:
+    made = Caller(streams)
+    yield made
+    made.close()
+
+
+def step_until_done(caller: Caller, outcomes: list[Outcome]) -> None:
+    for _ in range(1_000):
+        if all(outcome.done() for outcome in outcomes):
+            return
+        caller.submitter.step()
+    raise AssertionError("not answered")
+
+
+def test_callers_share_an_append(
+    caller: Caller, streams: MemoryStreams
+) -> None:
+    outcomes = [caller.submit(f"k{number}") for number in range(20)]
+    step_until_done(caller, outcomes)
+    assert all(outcome.result().is_ok() for outcome in outcomes)
+    assert sorted(streams.keys("jobs")) == sorted(
+        f"k{number}" for number in range(20)
+    )
+    assert streams.appends < 20
+
+
+def test_a_lost_answer_is_asked_for_again_and_stored_once(
+    caller: Caller, streams: MemoryStreams
+) -> None:
+    streams.lose_answers = 2
+    outcome = caller.submit("k")
+    step_until_done(caller, [outcome])
+    assert outcome.result().is_ok()
+    assert streams.keys("jobs") == ["k"]
+
+
+def test_refused_at_once_while_the_store_is_known_to_be_away(
+    caller: Caller, streams: MemoryStreams
+) -> None:
+    away = not_run(FailureCode.UNAVAILABLE, "away")
+    streams.refuse = away
+    caller.health.note_failure(away)
+    caller.clock.skipped_ms = DOWN_AFTER_MS + 1
+    failure = caller.submit("k").result(5).unwrap_err()
+    assert failure.verdict is Verdict.NOT_RUN
+    assert failure.retry_after_ms
+    assert streams.appends == 0
+
+
+def test_never_called_refused_once_it_may_be_stored(
+    caller: Caller, streams: MemoryStreams
+) -> None:
+    streams.refuse = may_have_run(FailureCode.TIMEOUT, "no answer")
+    outcome = caller.submit("k", timeout_ms=300)
+    caller.submitter.step()
+    streams.refuse = not_run(FailureCode.UNAVAILABLE, "away")
+    caller.clock.skipped_ms = DOWN_AFTER_MS + 1
+    caller.submitter.step()
+    failure = outcome.result(5).unwrap_err()
+    assert failure.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_a_batch_that_never_left_is_refused_as_not_run(
+    caller: Caller, streams: MemoryStreams
+) -> None:
+    streams.refuse = not_run(FailureCode.UNAVAILABLE, "away")
+    outcome = caller.submit("k")
+    caller.submitter.step()
+    caller.clock.skipped_ms = DOWN_AFTER_MS + 1
+    step_until_done(caller, [outcome])
+    assert outcome.result().unwrap_err().verdict is Verdict.NOT_RUN
+    streams.refuse = None
+    caller.submitter.step()
+    assert streams.keys("jobs") == []
