--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -49,7 +49,7 @@
 
 
 # Shows the others that the leader lives while it has nothing to store.
-HEARTBEAT_MS = 500
+HEARTBEAT_MS = 300
 STOP_RETRY_MS = 600
 # A worker that was not reached for this long gets no new work.
 REPORT_MAX_AGE_MS = 1_800
@@ -85,6 +85,7 @@
         self._configuration = configuration
         self._lease_by_worker: dict[str, WorkerLease] = {}
         self._reported_ms_by_worker: dict[str, int] = {}
+        self._silent_ms_by_worker: dict[str, int] = {}
         self._avoid_until_by_worker: dict[str, int] = {}
         self._listed: dict[str, WorkerInfo] = {}
         self._reader = ReportReader(self.book, self.planner)
@@ -172,7 +173,8 @@
         self._lease(worker_id).note_clock(
             report.clock_ms, event.sent_ms, event.received_ms
         )
-        self._reported_ms_by_worker[worker_id] = event.received_ms
+        if event.sent_ms >= self._silent_ms_by_worker.get(worker_id, 0):
+            self._reported_ms_by_worker[worker_id] = event.received_ms
         reading = self._reader.read(
             worker_id, report, event.sent_ms, event.received_ms
         )
@@ -202,9 +204,13 @@
             self._drop_worker(planned.worker_id, "replaced")
         elif run is None or run.confirmed_ms is not None:
             return
+        elif failure.code is FailureCode.UNAVAILABLE:
+            self._note_silent(planned.worker_id, event.received_ms)
+            self._refuse_start(run, planned, failure, event.received_ms)
         elif failure.verdict is Verdict.NOT_RUN:
             self._refuse_start(run, planned, failure, event.received_ms)
         else:
+            self._note_silent(planned.worker_id, event.received_ms)
             run.is_stopping = True
 
     def note_stop(self, event: StopAnswered) -> None:
@@ -219,6 +225,8 @@
             self.end("a worker has seen a higher token")
         elif failure.code is FailureCode.REPLACED:
             self._drop_worker(event.worker_id, "replaced")
+        else:
+            self._note_silent(event.worker_id, event.received_ms)
 
     def note_commit(self, event: Committed, now_ms: int) -> None:
         """Go on with what waited for the store."""
@@ -321,6 +329,11 @@
         else:
             self._reported_ms_by_worker.pop(worker_id, None)
 
+    def _note_silent(self, worker_id: str, now_ms: int) -> None:
+        """Order nothing more until a later look is answered."""
+        self._silent_ms_by_worker[worker_id] = now_ms
+        self._reported_ms_by_worker.pop(worker_id, None)
+
     def _check_workers(self, now_ms: int) -> None:
         for worker in list(self.book.workers_by_id.values()):
             worker_id = worker.worker_id
@@ -361,6 +374,7 @@
         for known in (
             self._lease_by_worker,
             self._reported_ms_by_worker,
+            self._silent_ms_by_worker,
             self._avoid_until_by_worker,
             self._ends_by_worker,
             self._listed,
@@ -466,6 +480,8 @@
         info = self._listed.get(stop.worker_id)
         if run is None or info is None or run.stopped_ms is not None:
             return
+        if stop.worker_id not in self._reported_ms_by_worker:
+            return
         sent_ms = run.stop_sent_ms
         if sent_ms is not None and now_ms - sent_ms < STOP_RETRY_MS:
             return
--- a/src/magnoliapitch/ledger/inbox.py
+++ b/src/magnoliapitch/ledger/inbox.py
@@ -24,7 +24,7 @@
 
 WAIT_MS = 800
 # Between two reads records gather, so that fewer calls are made.
-FOLLOW_PAUSE_MS = 150
+FOLLOW_PAUSE_MS = 500
 RETRY_PAUSE_MS = 200
 
 
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -36,9 +36,12 @@
 # Epochs of racing claims differ in their lower part.
 EPOCH_SPREAD = 1 << 16
 # Without a record of the leader for this long, others may claim.
-LEADER_SILENCE_MS = 1_600
+LEADER_SILENCE_MS = 1_000
+# A slow store shows the leader's records late: add this many reads.
+SLOW_READS = 3
 # Spreads the claims of several instances.
-CLAIM_JITTER_MS = 400
+CLAIM_JITTER_MS = 300
+RESIGNED_JITTER_MS = 60
 FIRST_CLAIM_DELAY_MS = 300
 COMMIT_TIMEOUT_MS = 800
 FOLLOW_WAIT_MS = 800
@@ -93,10 +96,17 @@
         """Follow the stream; return milliseconds until the next call."""
         if self.claim is not None:
             return FOLLOW_PAUSE_MS
-        is_read = self.follow(FOLLOW_WAIT_MS)
+        left_ms = self._delay_ms - (self._clock.now_ms() - self._heard_ms)
+        wait_ms = min(FOLLOW_WAIT_MS, max(0, left_ms))
+        started_ms = self._clock.now_ms()
+        is_read = self.follow(wait_ms)
         if isinstance(is_read, Err):
             return RETRY_PAUSE_MS
-        self._claim_if_silent()
+        if wait_ms < FOLLOW_WAIT_MS:
+            read_ms = self._clock.now_ms() - started_ms - wait_ms
+            self._claim_if_silent(max(0, read_ms))
+        if self._replica.leader and self._replica.leader.has_resigned:
+            return 0
         return FOLLOW_PAUSE_MS
 
     def follow(self, wait_ms: int = 0) -> Result[None, Failure]:
@@ -156,16 +166,20 @@
         self._replica.apply(self._mirror.values_by_key, keys)
         leader = self._replica.leader
         if leader is not None and leader.has_resigned:
-            self._delay_ms = self._random.randrange(CLAIM_JITTER_MS)
+            self._delay_ms = self._random.randrange(RESIGNED_JITTER_MS)
+        elif leader is not None and leader.instance_id == self._instance_id:
+            # An earlier run of this instance led, and is surely gone.
+            self._delay_ms = 0
         else:
             self._delay_ms = self._silence_ms()
 
     def _silence_ms(self) -> int:
         return LEADER_SILENCE_MS + self._random.randrange(CLAIM_JITTER_MS)
 
-    def _claim_if_silent(self) -> None:
+    def _claim_if_silent(self, read_ms: int) -> None:
         silent_ms = self._clock.now_ms() - self._heard_ms
-        if silent_ms < self._delay_ms or not self._may_claim:
+        needed_ms = self._delay_ms + SLOW_READS * read_ms
+        if silent_ms < needed_ms or not self._may_claim:
             return
         if not self._can_lead():
             return
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -31,6 +31,8 @@
 ASK_MAX_WORKERS = 30
 # After a failed start the step is tried again no sooner than this.
 RETRY_PAUSE_MS = 200
+# Ticket and end of its validity where the advisor gave none.
+NO_TICKET = ("", 0)
 
 
 class Planner:
@@ -89,10 +91,12 @@
         chosen = self._choose(step, slots, len(tasks))
         if step.spec.is_gang and len(chosen) < len(tasks):
             return
-        if not self._has_tickets(step, chosen):
-            self._ask(step, chosen)
+        lacking = [slot for slot in chosen if not self._has_ticket(step, slot)]
+        self._ask(step, lacking)
+        if lacking and step.spec.is_gang:
             return
-        self._start(step, tasks, chosen)
+        ready = [slot for slot in chosen if slot not in lacking]
+        self._start(step, tasks, ready)
 
     def _permitted(self, step: StepEntry, slots: list[Slot]) -> list[Slot]:
         unasked = [
@@ -103,14 +107,13 @@
             self._ask(step, unasked)
         return good
 
-    def _has_tickets(self, step: StepEntry, slots: list[Slot]) -> bool:
+    def _has_ticket(self, step: StepEntry, slot: Slot) -> bool:
         if step.job.queue.advice is None:
             return True
-        earliest_ms = self._now_ms + TICKET_RESERVE_MS
-        return all(
-            step.tickets_by_worker[slot.worker.worker_id][1] >= earliest_ms
-            for slot in slots
+        _, valid_until_ms = step.tickets_by_worker.get(
+            slot.worker.worker_id, NO_TICKET
         )
+        return valid_until_ms >= self._now_ms + TICKET_RESERVE_MS
 
     def _ask(self, step: StepEntry, slots: list[Slot]) -> None:
         """Ask about workers, and keep their room in this round."""
@@ -152,7 +155,7 @@
         for task, slot in zip(tasks, slots, strict=False):
             worker_id = slot.worker.worker_id
             number = run if step.spec.is_gang else task.runs + 1
-            ticket = step.tickets_by_worker.get(worker_id, ("", 0))[0]
+            ticket = step.tickets_by_worker.get(worker_id, NO_TICKET)[0]
             self.starts.append(
                 PlannedStart(task.key, number, worker_id, ticket)
             )
