--- a/src/magnoliapitch/advice/lanes.py
+++ b/src/magnoliapitch/advice/lanes.py
@@ -74,6 +74,16 @@
                     return lane
         return None
 
+    def idle(self) -> int:
+        """Return the number of lanes that could be reserved now."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            lanes = [self._own, *self._peer_lanes_by_address.values()]
+            return sum(
+                not lane.is_busy and now_ms >= lane.rests_until_ms
+                for lane in lanes
+            )
+
     def call(
         self, lane: Lane, ask: PlannedAsk, timeout_ms: int
     ) -> Result[tuple[Permit, ...], Failure]:
--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -211,7 +211,7 @@
             self._refuse_start(run, planned, failure, event.received_ms)
         else:
             self._note_silent(planned.worker_id, event.received_ms)
-            run.is_stopping = True
+            self.book.stop_later(run)
 
     def note_stop(self, event: StopAnswered) -> None:
         """Take over the answer to an order to stop."""
@@ -273,7 +273,9 @@
         if self.is_over:
             return
         self._check_workers(now_ms)
-        plan = self.planner.plan(self.book, now_ms, wall_ms)
+        plan = self.planner.plan(
+            self.book, now_ms, wall_ms, self._effects.idle_lanes()
+        )
         if self.may_order(now_ms):
             for planned in plan.starts:
                 self.book.order_run(
@@ -286,7 +288,7 @@
         self._commit(now_ms)
 
     def _ask(self, asks: tuple[PlannedAsk, ...]) -> None:
-        for ask in sorted(asks, key=lambda ask: (ask.priority, ask.cost_ms)):
+        for ask in asks:
             step = self.book.step(ask.step)
             if step is not None and not step.is_asking:
                 timeout_ms = ASK_TIMEOUT_MS + int(ask.cost_ms)
@@ -398,7 +400,7 @@
             self._avoid_until_by_worker[planned.worker_id] = until_ms
         if step.spec.is_gang:
             for other in step.live_runs():
-                other.is_stopping = True
+                self.book.stop_later(other)
 
     def _log_failed_start(
         self, planned: PlannedStart, failure: Failure
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -53,7 +53,7 @@
 
 
 ORDER_THREADS = 32
-ASK_THREADS = 8
+ASK_THREADS = 40
 ORDER_TIMEOUT_MS = 700
 LIST_INTERVAL_MS = 500
 ROUND_INTERVAL_MS = 6
@@ -259,6 +259,10 @@
         self._asks.submit(self._ask_now, lane, ask, timeout_ms)
         return True
 
+    def idle_lanes(self) -> int:
+        """Return how many calls to the advisor can be begun now."""
+        return self._clients.lanes.idle()
+
     def _start_now(
         self, worker: WorkerInfo, planned: PlannedStart, order: StartOrder
     ) -> None:
--- a/src/magnoliapitch/control/effects.py
+++ b/src/magnoliapitch/control/effects.py
@@ -45,3 +45,6 @@
 
         :return: whether the call was begun and an event will follow.
         """
+
+    def idle_lanes(self) -> int:
+        """Return how many calls to the advisor can be begun now."""
--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -80,7 +80,7 @@
         run = self._book.run(end.task, end.run, worker_id)
         if run is not None and end.kind is EndKind.DONE:
             self._planner.note_done(run, now_ms)
-        is_news = self._book.note_end(worker_id, end)
+        is_news = self._book.note_end(worker_id, end, now_ms)
         log_event(
             "run-ended",
             job=end.task.job_id,
--- a/src/magnoliapitch/planner/book.py
+++ b/src/magnoliapitch/planner/book.py
@@ -33,12 +33,18 @@
     """Truth about tasks, as far as it is known; has no clock of its own.
 
     :ivar dirty: ids of jobs whose progress is not stored yet.
+    :ivar waiting_steps: steps whose turn has come, with waiting tasks.
+    :ivar timed_steps: steps that only wait for their time.
+    :ivar runs_to_stop: runs that must end, by identity.
     """
 
     def __init__(self) -> None:
         self.jobs_by_id: dict[str, JobEntry] = {}
         self.workers_by_id: dict[str, WorkerEntry] = {}
         self.dirty: set[str] = set()
+        self.waiting_steps: dict[StepKey, StepEntry] = {}
+        self.timed_steps: dict[StepKey, StepEntry] = {}
+        self.runs_to_stop: dict[int, RunEntry] = {}
 
     def add_job(
         self,
@@ -54,17 +60,25 @@
             job.outcome = progress.outcome
             for key, state in progress.tasks_by_key.items():
                 self._restore(job, key, state, now_ms)
-            for step in job.all_steps():
-                step.undone = sum(not task.is_done for task in step.tasks)
+        for step in job.all_steps():
+            _count(step)
         self._settle(job)
+        if job.outcome is JobOutcome.OPEN:
+            self._open_steps(job, now_ms)
         return job
 
+    def release_due(self, now_ms: int, wall_ms: int) -> None:
+        """Let the steps wait for room whose time has come."""
+        for key, step in list(self.timed_steps.items()):
+            if wall_ms >= step.job.spec.due_ms(key.occurrence):
+                del self.timed_steps[key]
+                self._open_step(step, now_ms)
+
     def cancel_job(self, job_id: str) -> None:
         """Note that a job is cancelled; its runs are to be stopped."""
         job = self.jobs_by_id.get(job_id)
         if job is not None and job.outcome is JobOutcome.OPEN:
-            job.outcome = JobOutcome.CANCELLED
-            self.dirty.add(job_id)
+            self._close(job, JobOutcome.CANCELLED)
 
     def drop_job(self, job_id: str) -> None:
         """Forget a job that has ended and has no runs."""
@@ -131,8 +145,15 @@
             raise KeyError(key)
         task.runs = max(task.runs, number)
         self.dirty.add(key.job_id)
+        if not task.live and not task.is_done:
+            self._change_waiting(task.step, -1)
         return self._add_run(task, number, worker_id, now_ms)
 
+    def stop_later(self, run: RunEntry) -> None:
+        """Mark a run that must end."""
+        run.is_stopping = True
+        self.runs_to_stop[id(run)] = run
+
     def note_running(
         self, run: RunEntry, report: RunningTask, now_ms: int
     ) -> None:
@@ -150,7 +171,7 @@
             run.checkpoint_percent = report.percent
             self._save_checkpoint(task, report.checkpoint)
 
-    def note_end(self, worker_id: str, end: EndedRun) -> bool:
+    def note_end(self, worker_id: str, end: EndedRun, now_ms: int) -> bool:
         """Take over the end of a run; return whether it was news."""
         task = self.task(end.task)
         if task is None:
@@ -159,7 +180,7 @@
         if end.checkpoint and not task.is_done:
             self._save_checkpoint(task, end.checkpoint)
         if end.kind is EndKind.DONE:
-            self._note_done(task, run)
+            self._note_done(task, run, now_ms)
         elif run is None:
             return False
         elif end.kind is EndKind.FAILED:
@@ -171,9 +192,13 @@
 
     def remove_run(self, run: RunEntry) -> None:
         """Note that a run is surely not going on."""
-        run.task.live.remove(run)
+        task = run.task
+        task.live.remove(run)
         self.worker(run.worker_id).remove(run)
-        self.dirty.add(run.task.key.job_id)
+        self.runs_to_stop.pop(id(run), None)
+        self.dirty.add(task.key.job_id)
+        if not task.live and not task.is_done:
+            self._change_waiting(task.step, 1)
 
     def note_permits(
         self,
@@ -245,17 +270,24 @@
             member.checkpoint = checkpoint
         self.dirty.add(task.key.job_id)
 
-    def _note_done(self, task: TaskEntry, run: RunEntry | None) -> None:
+    def _note_done(
+        self, task: TaskEntry, run: RunEntry | None, now_ms: int
+    ) -> None:
         # One such end stands for all members of a gang.
         is_gang = task.step.spec.is_gang
         for member in task.step.tasks if is_gang else [task]:
             if not member.is_done:
                 member.is_done = True
                 task.step.undone -= 1
+                if not member.live:
+                    self._change_waiting(task.step, -1)
                 self.dirty.add(task.key.job_id)
         if not is_gang:
             for other in task.live:
-                other.is_stopping = other.is_stopping or other is not run
+                if other is not run:
+                    self.stop_later(other)
+        if task.step.is_done and task.step.job.outcome is JobOutcome.OPEN:
+            self._open_steps(task.step.job, now_ms)
 
     def _note_failed(self, task: TaskEntry, run: int) -> None:
         # Members of a gang that fail in the same run are one failure.
@@ -270,11 +302,52 @@
         if job.outcome is not JobOutcome.OPEN:
             return
         if any(_has_failed(step) for step in job.all_steps()):
-            job.outcome = JobOutcome.FAILED
-            self.dirty.add(job.spec.job_id)
+            self._close(job, JobOutcome.FAILED)
         elif all(step.is_done for step in job.all_steps()):
-            job.outcome = JobOutcome.COMPLETED
-            self.dirty.add(job.spec.job_id)
+            self._close(job, JobOutcome.COMPLETED)
+
+    def _close(self, job: JobEntry, outcome: JobOutcome) -> None:
+        job.outcome = outcome
+        self.dirty.add(job.spec.job_id)
+        for step in job.all_steps():
+            self.waiting_steps.pop(step.key, None)
+            self.timed_steps.pop(step.key, None)
+            if outcome is not JobOutcome.COMPLETED:
+                for run in step.live_runs():
+                    self.stop_later(run)
+
+    def _open_steps(self, job: JobEntry, now_ms: int) -> None:
+        """Find the steps whose dependencies are done."""
+        for steps in job.steps:
+            for step in steps:
+                if step.is_done or step.ready_ms is not None:
+                    continue
+                if step.key in self.timed_steps:
+                    continue
+                if all(
+                    steps[number].is_done for number in step.spec.depends_on
+                ):
+                    if job.spec.run_count:
+                        self.timed_steps[step.key] = step
+                    else:
+                        self._open_step(step, now_ms)
+
+    def _open_step(self, step: StepEntry, now_ms: int) -> None:
+        step.ready_ms = now_ms
+        if step.waiting:
+            self.waiting_steps[step.key] = step
+
+    def _change_waiting(self, step: StepEntry, change: int) -> None:
+        step.waiting += change
+        if not step.waiting:
+            self.waiting_steps.pop(step.key, None)
+        elif step.ready_ms is not None and step.job.outcome is JobOutcome.OPEN:
+            self.waiting_steps[step.key] = step
+
+
+def _count(step: StepEntry) -> None:
+    step.undone = sum(not task.is_done for task in step.tasks)
+    step.waiting = len(step.waiting_tasks())
 
 
 def _has_failed(step: StepEntry) -> bool:
--- a/src/magnoliapitch/planner/entry.py
+++ b/src/magnoliapitch/planner/entry.py
@@ -100,9 +100,14 @@
     """A step of one occurrence.
 
     :ivar charge: what one task takes of a worker's capacity.
+    :ivar latest_ms: when the rest of the job must begin at the latest.
+    :ivar objective_ms: time within which the job should complete.
+    :ivar ranked_ms: when both were computed.
     :ivar ready_ms: when all that it depends on was done; None before.
     :ivar good: workers that the advisor has permitted.
     :ivar asked: workers that the advisor was asked about.
+    :ivar undone: number of tasks that are not done.
+    :ivar waiting: number of tasks that are neither done nor may be running.
     :ivar tickets_by_worker: ticket and end of its validity.
     :ivar is_asking: a call to the advisor is planned or under way.
     """
@@ -115,12 +120,16 @@
         "is_asking",
         "job",
         "key",
+        "latest_ms",
+        "objective_ms",
+        "ranked_ms",
         "ready_ms",
         "retry_ms",
         "spec",
         "tasks",
         "tickets_by_worker",
         "undone",
+        "waiting",
     )
 
     def __init__(self, job: JobEntry, occurrence: int, number: int) -> None:
@@ -133,6 +142,7 @@
             for position in range(self.spec.task_count)
         ]
         self.undone = self.spec.task_count
+        self.waiting = self.spec.task_count
         self.ready_ms: int | None = None
         self.retry_ms = 0
         self.good: set[str] = set()
@@ -140,6 +150,9 @@
         self.tickets_by_worker: dict[str, tuple[str, int]] = {}
         self.is_asking = False
         self.failed_runs: set[int] = set()
+        self.latest_ms: float | None = None
+        self.objective_ms = 0.0
+        self.ranked_ms = 0
 
     @property
     def is_done(self) -> bool:
--- a/src/magnoliapitch/planner/order.py
+++ b/src/magnoliapitch/planner/order.py
@@ -15,6 +15,8 @@
 # A job that completes later than this multiple of its objective is
 # worth nothing to its caller.
 LATE_MULTIPLE = 3.0
+# What is expected of durations changes slowly.
+REFRESH_MS = 1_000
 
 
 class Rank(NamedTuple):
@@ -34,8 +36,13 @@
 def rank_of(step: StepEntry, durations: Durations, now_ms: int) -> Rank:
     """Return the rank of a step."""
     job = step.job
-    objective_ms = _objective_ms(job, durations)
-    latest_ms = job.known_ms + objective_ms - _rest_ms(step, durations)
+    if step.latest_ms is None or now_ms >= step.ranked_ms + REFRESH_MS:
+        step.ranked_ms = now_ms
+        step.objective_ms = _objective_ms(job, durations)
+        step.latest_ms = (
+            job.known_ms + step.objective_ms - _rest_ms(step, durations)
+        )
+    latest_ms, objective_ms = step.latest_ms, step.objective_ms
     lateness = 0
     if now_ms > latest_ms:
         late_ms = latest_ms + (LATE_MULTIPLE - 1) * objective_ms
--- a/tests/control/scene.py
+++ b/tests/control/scene.py
@@ -63,7 +63,6 @@
 LOOK_WAIT_MS = 1_000
 ROUND_MS = 20
 ANSWER_TIMEOUT_MS = 700
-LANES = 6
 SERVICE = "app"
 LARGE = Resources(32_000, 131_072)
 TIMING = ControlTiming(lease_ms=6_000)
@@ -84,9 +83,13 @@
     """
 
     def __init__(
-        self, queues: Sequence[Queue], workers: Sequence[WorkerInfo]
+        self,
+        queues: Sequence[Queue],
+        workers: Sequence[WorkerInfo],
+        lanes: int = 6,
     ) -> None:
         self.now_ms = 0
+        self.lanes = lanes
         self.violations: list[str] = []
         self.finished: dict[str, Finished] = {}
         self.true_ms: Callable[[TaskKey], float] = lambda _: 1_000.0
@@ -171,11 +174,15 @@
 
     def reserve_lane(self) -> bool:
         """Take a way to the advisor, if one is free."""
-        if self._busy_lanes >= LANES:
+        if not self.idle_lanes():
             return False
         self._busy_lanes += 1
         return True
 
+    def idle_lanes(self) -> int:
+        """Return how many ways to the advisor are free."""
+        return self.lanes - self._busy_lanes
+
     def free_lane(self) -> None:
         """Give a way to the advisor back."""
         self._busy_lanes -= 1
@@ -324,6 +331,9 @@
         scene.at(ask.cost_ms + LINK_MS, done)
         return True
 
+    def idle_lanes(self) -> int:
+        return self._scene.idle_lanes()
+
     def _is_current(self) -> bool:
         return self._scene.is_current(self._epoch)
 
