Let the lease of a silent worker run out; count jobs as begun once they are

Change: a worker that has not answered its last look is looked at without a lease; a job has begun once a worker has confirmed it. New tests of both fail on the old code.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -121,6 +121,10 @@
         lease = self._lease_by_worker.get(worker_id)
         if lease is None or not lease.has_clock or not self.may_order(now_ms):
             return None
+        if worker_id not in self._reported_ms_by_worker:
+            # An unanswered renewal may count, so that the lease of a
+            # worker that is gone would never be over.
+            return None
         return lease.next_deadline(now_ms)
 
     def note_workers(self, event: WorkersListed) -> None:
@@ -129,13 +133,16 @@
         for worker_id, info in self._listed.items():
             known = self.book.workers_by_id.get(worker_id)
             is_new = known is None or known.info is None
-            if not is_new and known is not None and known.info == info:
+            if known is not None and known.info == info:
                 continue
+            was_draining = bool(
+                known and known.info and known.info.is_draining
+            )
             self.book.put_worker(info)
             if is_new:
                 self._lease(worker_id)
                 self._effects.open_link(info)
-            if info.is_draining:
+            if info.is_draining and not was_draining:
                 log_event("worker-draining", worker=worker_id)
 
     def note_jobs(self, job_ids: frozenset[str], now_ms: int) -> None:
@@ -193,8 +200,7 @@
         run = self.book.run(planned.task, planned.run, planned.worker_id)
         if not isinstance(event.outcome, Err):
             if run is not None and run.confirmed_ms is None:
-                run.confirmed_ms = event.received_ms
-                run.started_ms = event.received_ms
+                self.book.confirm_run(run, event.received_ms)
             return
         failure = event.outcome.err_value
         self._log_failed_start(planned, failure)
--- a/src/magnoliapitch/ledger/desk.py
+++ b/src/magnoliapitch/ledger/desk.py
@@ -152,8 +152,8 @@
         return None
     if job.outcome is not JobOutcome.OPEN:
         return _STATE_BY_OUTCOME[job.outcome]
-    has_started = job.progress is not None and job.progress.tasks_by_key
-    return JobState.RUNNING if has_started else JobState.PENDING
+    has_begun = job.progress is not None and job.progress.has_begun
+    return JobState.RUNNING if has_begun else JobState.PENDING
 
 
 def _log_answer(
--- a/src/magnoliapitch/ledger/records.py
+++ b/src/magnoliapitch/ledger/records.py
@@ -45,6 +45,7 @@
 
 class _ProgressRecord(NamedTuple):
     outcome: JobOutcome
+    has_begun: bool
     rows: tuple[_Row, ...]
 
 
@@ -85,7 +86,9 @@
         _Row(task.occurrence, task.step, task.position, state)
         for task, state in progress.tasks_by_key.items()
     )
-    return _PROGRESS.dump_json(_ProgressRecord(progress.outcome, rows))
+    return _PROGRESS.dump_json(
+        _ProgressRecord(progress.outcome, progress.has_begun, rows)
+    )
 
 
 def decode_progress(job_id: str, value: bytes) -> JobProgress:
@@ -98,4 +101,5 @@
         job_id,
         record.outcome,
         {TaskKey(job_id, *row[:3]): row.state for row in record.rows},
+        record.has_begun,
     )
--- a/src/magnoliapitch/ledger/replica.py
+++ b/src/magnoliapitch/ledger/replica.py
@@ -81,7 +81,7 @@
             ]
         return sum(
             job.outcome is JobOutcome.OPEN
-            and not (job.progress and job.progress.tasks_by_key)
+            and not (job.progress and job.progress.has_begun)
             for job in jobs
         )
 
--- a/src/magnoliapitch/planner/book.py
+++ b/src/magnoliapitch/planner/book.py
@@ -58,6 +58,7 @@
         self.jobs_by_id[spec.job_id] = job
         if progress is not None:
             job.outcome = progress.outcome
+            job.has_begun = progress.has_begun
             for key, state in progress.tasks_by_key.items():
                 self._restore(job, key, state, now_ms)
         for step in job.all_steps():
@@ -154,14 +155,23 @@
         run.is_stopping = True
         self.runs_to_stop[id(run)] = run
 
+    def confirm_run(self, run: RunEntry, now_ms: int) -> None:
+        """Note that the worker has surely begun a run."""
+        run.confirmed_ms = now_ms
+        if run.started_ms is None:
+            run.started_ms = now_ms
+        job = run.task.step.job
+        if not job.has_begun:
+            job.has_begun = True
+            self.dirty.add(job.spec.job_id)
+
     def note_running(
         self, run: RunEntry, report: RunningTask, now_ms: int
     ) -> None:
         """Take over what a worker lists of a run."""
-        run.confirmed_ms = now_ms
         if run.started_ms is None:
-            run.started_ms = now_ms
             run.resumed_percent = report.percent
+        self.confirm_run(run, now_ms)
         if report.percent != run.percent:
             run.percent = report.percent
             run.percent_ms = now_ms
@@ -240,6 +250,7 @@
                 for task in step.tasks
                 if task.runs
             },
+            job.has_begun,
         )
 
     def _restore(
--- a/src/magnoliapitch/planner/entry.py
+++ b/src/magnoliapitch/planner/entry.py
@@ -175,15 +175,24 @@
 
     :ivar known_ms: when this instance learned of it, by its own clock.
     :ivar outcome: final state, or ``OPEN``.
+    :ivar has_begun: a worker has surely begun one of its tasks.
     """
 
-    __slots__ = ("known_ms", "outcome", "queue", "spec", "steps")
+    __slots__ = (
+        "has_begun",
+        "known_ms",
+        "outcome",
+        "queue",
+        "spec",
+        "steps",
+    )
 
     def __init__(self, spec: JobSpec, queue: Queue, known_ms: int) -> None:
         self.spec = spec
         self.queue = queue
         self.known_ms = known_ms
         self.outcome = JobOutcome.OPEN
+        self.has_begun = False
         self.steps = [
             [
                 StepEntry(self, occurrence, number)
--- a/src/magnoliapitch/workload/progress.py
+++ b/src/magnoliapitch/workload/progress.py
@@ -49,8 +49,10 @@
 
     :param tasks_by_key: tasks that have been ordered at least once; the
         others are untouched.
+    :param has_begun: a worker has surely begun one of the tasks.
     """
 
     job_id: str
     outcome: JobOutcome
     tasks_by_key: Mapping[TaskKey, TaskProgress]
+    has_begun: bool = False
--- a/tests/control/scene.py
+++ b/tests/control/scene.py
@@ -342,13 +342,13 @@
         if worker_id not in self._open or not self._is_current():
             return
         sent_ms = scene.now_ms
+        deadline_ms = scene.controller.deadline(worker_id, sent_ms)
         if worker_id in scene.cut:
             failure = not_run(FailureCode.UNAVAILABLE, "cut")
             self._report(worker_id, Err(failure), sent_ms)
             scene.at(300, lambda: self._look(worker_id))
             return
         worker = scene.workers[worker_id]
-        deadline_ms = scene.controller.deadline(worker_id, sent_ms)
         acknowledged = self._acknowledged.get(worker_id, 0)
         worker.hold(self._epoch, deadline_ms, acknowledged)
 
--- a/tests/control/test_controller.py
+++ b/tests/control/test_controller.py
@@ -173,3 +173,14 @@
 
 def _is_unlucky(luck: random.Random, share: float, *_: object) -> bool:
     return luck.random() < share
+
+
+def test_tasks_of_a_worker_that_never_answers_again_run_elsewhere() -> None:
+    world = scene()
+    world.true_ms = lambda _: 3_000.0
+    world.submit(job("a", StepSpec(12, SIZE)))
+    world.run(1_000)
+    world.workers["w000"].is_gone = True
+    world.cut = {"w000"}
+    world.run(TIMING.lease_ms + 8_000)
+    assert world.finished["a"].outcome is JobOutcome.COMPLETED
--- a/tests/ledger/test_desk.py
+++ b/tests/ledger/test_desk.py
@@ -59,7 +59,9 @@
 def progress(outcome: JobOutcome) -> bytes:
     task = TaskProgress(runs=1)
     return encode_progress(
-        JobProgress("0a", outcome, {TaskKey("0a", 0, 0, 0): task})
+        JobProgress(
+            "0a", outcome, {TaskKey("0a", 0, 0, 0): task}, has_begun=True
+        )
     )
 
 
@@ -136,3 +138,14 @@
     store.refresh()
     assert store.replica.get("0a") is not None
     assert store.replica.get("0b") is None
+
+
+def test_a_job_that_was_only_ordered_counts_as_pending() -> None:
+    store = Store()
+    ordered = JobProgress(
+        "0a", JobOutcome.OPEN, {TaskKey("0a", 0, 0, 0): TaskProgress(runs=1)}
+    )
+    store.stored = {"j.0a": encode_job(JOB), "p.0a": encode_progress(ordered)}
+    store.refresh()
+    assert store.replica.pending("q") == 1
+    assert store.desk().state("0a", TIMEOUT_MS).unwrap() is JobState.PENDING
