--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -9,11 +10,16 @@
 from magnoliapitch.control.lease import WorkerLease
 from magnoliapitch.control.reports import ReportReader
 from magnoliapitch.event import log_event
+from magnoliapitch.ledger.leadership import Batch
 from magnoliapitch.ledger.records import LEADER_KEY
 from magnoliapitch.ledger.records import PROGRESS_PREFIX
+from magnoliapitch.ledger.records import STATE_PREFIX
 from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.ledger.records import encode_leader
 from magnoliapitch.ledger.records import encode_progress
+from magnoliapitch.ledger.state_table import FINAL_STATES
+from magnoliapitch.ledger.state_table import JobState
+from magnoliapitch.ledger.state_table import ShownJob
 from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.planner.book import Book
 from magnoliapitch.planner.planner import Planner
@@ -37,6 +43,8 @@
     from magnoliapitch.control.timing import ControlTiming
     from magnoliapitch.ledger.replica import Replica
     from magnoliapitch.ledger.replica import StoredJob
+    from magnoliapitch.ledger.state_table import StateTable
+    from magnoliapitch.planner.entry import JobEntry
     from magnoliapitch.planner.entry import RunEntry
     from magnoliapitch.planner.entry import WorkerEntry
     from magnoliapitch.planner.plan import PlannedAsk
@@ -44,6 +52,7 @@
     from magnoliapitch.planner.plan import PlannedStop
     from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.configuration import Configuration
+    from magnoliapitch.workload.job import StepKey
     from magnoliapitch.workload.progress import JobProgress
     from magnoliapitch.workload.worker import WorkerInfo
 
@@ -57,6 +66,13 @@
 ASK_TIMEOUT_MS = 2_000
 
 
+_STATE_BY_OUTCOME = {
+    JobOutcome.COMPLETED: JobState.COMPLETED,
+    JobOutcome.FAILED: JobState.FAILED,
+    JobOutcome.CANCELLED: JobState.CANCELLED,
+}
+
+
 class Controller:
     """Decides for all workers under one epoch; used by one thread.
 
@@ -71,6 +87,7 @@
         claimed_ms: int,
         timing: ControlTiming,
         replica: Replica,
+        states: StateTable,
         effects: Effects,
         configuration: Callable[[], Configuration | None],
     ) -> None:
@@ -81,6 +98,7 @@
         self._claimed_ms = claimed_ms
         self._timing = timing
         self._replica = replica
+        self._states = states
         self._effects = effects
         self._configuration = configuration
         self._lease_by_worker: dict[str, WorkerLease] = {}
@@ -96,6 +114,13 @@
         self._ends_by_worker: dict[str, int] = {}
         self._is_committing = False
         self._stored_ms = claimed_ms
+        self._shown_ms = claimed_ms
+        self._in_commit_states: dict[str, ShownJob] = {}
+        # Jobs that the states do not tell of yet.
+        self._unshown: set[str] = set()
+        # Jobs whose final state is stored.
+        self._closing: set[str] = set()
+        self._ended_ms_by_job: dict[str, int] = {}
 
     @property
     def epoch(self) -> int:
@@ -104,11 +129,14 @@
 
     def load(self, now_ms: int) -> None:
         """Take over every open job from the replica."""
-        jobs = self._replica.open_jobs()
-        for job in jobs:
-            self._add_job(job, now_ms)
+        for job_id in self._states.ended_ids():
+            self._ended_ms_by_job[job_id] = now_ms
+        for job in self._replica.jobs():
+            self._take_job(job, now_ms)
         log_event(
-            "leadership-begun", epoch=self._leader.epoch, open_jobs=len(jobs)
+            "leadership-begun",
+            epoch=self._leader.epoch,
+            open_jobs=len(self.book.jobs_by_id),
         )
 
     def may_order(self, now_ms: int) -> bool:
@@ -149,12 +177,12 @@
         """Take over submitted and cancelled jobs."""
         for job_id in job_ids:
             stored = self._replica.get(job_id)
-            if stored is None or stored.spec is None:
-                continue
             known = self.book.jobs_by_id.get(job_id)
-            if known is None and stored.outcome is JobOutcome.OPEN:
-                self._add_job(stored, now_ms)
-            elif known is not None and stored.is_cancelled:
+            if stored is None:
+                continue
+            if known is None:
+                self._take_job(stored, now_ms)
+            elif stored.is_cancelled:
                 self.book.cancel_job(job_id)
 
     def note_configuration(self, now_ms: int) -> None:
@@ -165,10 +193,9 @@
         for job in self.book.jobs_by_id.values():
             queue = configuration.queues_by_name.get(job.spec.queue)
             job.queue = queue or job.queue
-        for stored in self._replica.open_jobs():
-            spec = stored.spec
-            if spec and spec.job_id not in self.book.jobs_by_id:
-                self._add_job(stored, now_ms)
+        for stored in self._replica.jobs():
+            if stored.spec and stored.spec.job_id not in self.book.jobs_by_id:
+                self._take_job(stored, now_ms)
 
     def note_report(self, event: WorkerReported) -> None:
         """Take over what a worker runs and what has ended there."""
@@ -242,8 +269,13 @@
             return
         self._stored_ms = max(self._stored_ms, event.sent_ms)
         stored, self._in_commit_by_id = self._in_commit_by_id, {}
-        for progress in stored.values():
-            self._publish(progress)
+        for job_id, progress in stored.items():
+            if progress.outcome is not JobOutcome.OPEN:
+                self._closing.add(job_id)
+                self._ended_ms_by_job[job_id] = now_ms
+        for job_id, shown in self._in_commit_states.items():
+            self._states.put(job_id, shown)
+        self._in_commit_states = {}
         for worker_id, number in self._acknowledged_by_worker.items():
             self._effects.acknowledge(worker_id, number)
         starts, self._in_commit = self._in_commit, []
@@ -255,7 +287,7 @@
         step = self.book.step(event.ask.step)
         if step is None:
             return
-        step.is_asking = False
+        step.asking = frozenset()
         if isinstance(event.outcome, Err):
             failure = event.outcome.err_value
             log_event(
@@ -267,6 +299,13 @@
             return
         advice = step.job.queue.advice
         valid_ms = advice.valid_ms if advice else 0
+        log_event(
+            "advice-received",
+            job=event.ask.step.job_id,
+            step=event.ask.step.step,
+            asked=len(event.ask.worker_ids),
+            permitted=len(event.outcome.ok_value),
+        )
         self.book.note_permits(
             event.ask.step,
             event.ask.worker_ids,
@@ -283,22 +322,41 @@
             self.book, now_ms, wall_ms, self._effects.idle_lanes()
         )
         if self.may_order(now_ms):
-            for planned in plan.starts:
-                self.book.order_run(
-                    planned.task, planned.run, planned.worker_id, now_ms
-                )
-                self._to_start.append(planned)
+            self._note_starts(plan.starts, now_ms)
             for stop in plan.stops:
                 self._stop(stop, now_ms)
             self._ask(plan.asks)
         self._commit(now_ms)
 
+    def _note_starts(
+        self, starts: tuple[PlannedStart, ...], now_ms: int
+    ) -> None:
+        counts: Counter[StepKey] = Counter()
+        for planned in starts:
+            self.book.order_run(
+                planned.task, planned.run, planned.worker_id, now_ms
+            )
+            self._to_start.append(planned)
+            counts[planned.task.step_key] += 1
+        for key, count in counts.items():
+            step = self.book.step(key)
+            ready_ms = step.ready_ms if step else None
+            log_event(
+                "step-starting",
+                job=key.job_id,
+                step=key.step,
+                tasks=count,
+                waiting=step.waiting if step else 0,
+                ready_age_ms=now_ms - (ready_ms or now_ms),
+            )
+
     def _ask(self, asks: tuple[PlannedAsk, ...]) -> None:
         for ask in asks:
             step = self.book.step(ask.step)
             if step is not None and not step.is_asking:
                 timeout_ms = ASK_TIMEOUT_MS + int(ask.cost_ms)
-                step.is_asking = self._effects.ask(ask, timeout_ms)
+                if self._effects.ask(ask, timeout_ms):
+                    step.asking = frozenset(ask.worker_ids)
 
     def end(self, reason: str) -> None:
         """Decide nothing more."""
@@ -308,18 +366,24 @@
                 "leadership-lost", epoch=self._leader.epoch, reason=reason
             )
 
-    def _add_job(self, stored: StoredJob, now_ms: int) -> None:
+    def _take_job(self, stored: StoredJob, now_ms: int) -> None:
         configuration = self._configuration()
-        if stored.spec is None or configuration is None:
+        spec = stored.spec
+        if spec is None or configuration is None:
             return
-        queue = configuration.queues_by_name.get(stored.spec.queue)
+        shown = self._states.get(spec.job_id)
+        if shown is not None and shown.state in FINAL_STATES:
+            self._effects.forget([spec.job_id])
+            return
+        queue = configuration.queues_by_name.get(spec.queue)
         if queue is None:
-            # The queue was removed; its jobs keep waiting for its return.
-            log_event("queue-missing", job=stored.spec.job_id)
+            # The queue was removed; its jobs wait for its return.
+            log_event("queue-missing", job=spec.job_id, queue=spec.queue)
             return
-        self.book.add_job(stored.spec, queue, now_ms, stored.progress)
+        self.book.add_job(spec, queue, now_ms, stored.progress)
+        self._unshown.add(spec.job_id)
         if stored.is_cancelled:
-            self.book.cancel_job(stored.spec.job_id)
+            self.book.cancel_job(spec.job_id)
 
     def _lease(self, worker_id: str) -> WorkerLease:
         lease = self._lease_by_worker.get(worker_id)
@@ -426,36 +490,88 @@
     def _commit(self, now_ms: int) -> None:
         if self._is_committing:
             return
-        is_quiet = now_ms - self._stored_ms < HEARTBEAT_MS
-        if not self.book.dirty and not self._to_start and is_quiet:
+        is_quiet = now_ms - self._shown_ms < HEARTBEAT_MS
+        if (
+            is_quiet
+            and not self.book.dirty
+            and not self._unshown
+            and not self._to_start
+        ):
             return
+        batch = Batch(self._progress_records(), self._state_records(now_ms))
+        self._acknowledged_by_worker = dict(self._ends_by_worker)
+        self._in_commit, self._to_start = self._to_start, []
+        self._is_committing = True
+        if batch.states:
+            self._shown_ms = now_ms
+        self._effects.commit(batch)
+
+    def _progress_records(self) -> tuple[KeyedRecord, ...]:
+        closed = self._close_jobs()
+        self._unshown |= self.book.dirty
         self._in_commit_by_id = {
             job_id: self.book.progress(job_id)
             for job_id in sorted(self.book.dirty)
             if job_id in self.book.jobs_by_id
         }
         self.book.dirty.clear()
-        records = [
-            KeyedRecord(PROGRESS_PREFIX + job_id, encode_progress(progress))
-            for job_id, progress in self._in_commit_by_id.items()
+        return (
+            *(KeyedRecord(PROGRESS_PREFIX + job_id, b"") for job_id in closed),
+            *(
+                KeyedRecord(
+                    PROGRESS_PREFIX + job_id, encode_progress(progress)
+                )
+                for job_id, progress in self._in_commit_by_id.items()
+            ),
+        )
+
+    def _close_jobs(self) -> list[str]:
+        """Forget jobs whose final state is stored and that run nowhere."""
+        closed = [
+            job_id
+            for job_id in self._closing
+            if job_id not in self.book.dirty and not self._has_runs(job_id)
         ]
-        if not records:
-            records = [KeyedRecord(LEADER_KEY, encode_leader(self._leader))]
-        self._acknowledged_by_worker = dict(self._ends_by_worker)
-        self._in_commit, self._to_start = self._to_start, []
-        self._is_committing = True
-        self._effects.commit(records)
+        for job_id in closed:
+            self._closing.discard(job_id)
+            self.book.drop_job(job_id)
+        if closed:
+            self._effects.forget(closed)
+        return closed
 
-    def _publish(self, progress: JobProgress) -> None:
-        self._replica.put_progress(progress)
-        job_id = progress.job_id
+    def _has_runs(self, job_id: str) -> bool:
         job = self.book.jobs_by_id.get(job_id)
-        if job is None or job.outcome is JobOutcome.OPEN:
-            return
-        if job_id not in self.book.dirty and not any(
+        return job is not None and any(
             step.live_runs() for step in job.all_steps()
-        ):
-            self.book.drop_job(job_id)
+        )
+
+    def _state_records(self, now_ms: int) -> tuple[KeyedRecord, ...]:
+        unshown, self._unshown = self._unshown, set()
+        for job_id in sorted(unshown):
+            job = self.book.jobs_by_id.get(job_id)
+            if job is None:
+                continue
+            shown = ShownJob(_state_of(job), job.spec.queue)
+            if self._states.get(job_id) != shown:
+                self._in_commit_states[job_id] = shown
+        records = [
+            KeyedRecord(STATE_PREFIX + job_id, shown.encode())
+            for job_id, shown in self._in_commit_states.items()
+        ]
+        if not records and now_ms - self._shown_ms >= HEARTBEAT_MS:
+            leader = encode_leader(self._leader)
+            records = [KeyedRecord(LEADER_KEY, leader)]
+        return (*records, *self._expired_states(now_ms))
+
+    def _expired_states(self, now_ms: int) -> list[KeyedRecord]:
+        expired: list[KeyedRecord] = []
+        for job_id, ended_ms in list(self._ended_ms_by_job.items()):
+            if now_ms - ended_ms < self._timing.keep_states_ms:
+                break
+            del self._ended_ms_by_job[job_id]
+            self._states.put(job_id, None)
+            expired.append(KeyedRecord(STATE_PREFIX + job_id, b""))
+        return expired
 
     def _order(self, planned: PlannedStart, now_ms: int) -> None:
         run = self.book.run(planned.task, planned.run, planned.worker_id)
@@ -506,3 +622,9 @@
         self._effects.stop_run(
             info, StopOrder(stop.task, stop.run, self._leader.epoch)
         )
+
+
+def _state_of(job: JobEntry) -> JobState:
+    if job.outcome is not JobOutcome.OPEN:
+        return _STATE_BY_OUTCOME[job.outcome]
+    return JobState.RUNNING if job.has_begun else JobState.PENDING
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -41,9 +41,10 @@
 
     from magnoliapitch.clock import Clock
     from magnoliapitch.control.timing import ControlTiming
+    from magnoliapitch.ledger.archive import Archive
+    from magnoliapitch.ledger.leadership import Batch
     from magnoliapitch.ledger.leadership import Leadership
-    from magnoliapitch.ledger.replica import Replica
-    from magnoliapitch.ledger.stream import KeyedRecord
+    from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.planner.plan import PlannedAsk
     from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.workload.configuration import Configuration
@@ -59,6 +60,8 @@
 ROUND_INTERVAL_MS = 6
 IDLE_INTERVAL_MS = 200
 COMMIT_RETRY_MS = 80
+# One call drops at most this many jobs.
+FORGET_MAX_JOBS = 500
 STANDBY_PAUSE_MS = 50
 
 
@@ -77,20 +80,22 @@
     def __init__(
         self,
         leadership: Leadership,
-        replica: Replica,
+        states: StateTable,
         clients: Clients,
         timing: ControlTiming,
         clock: Clock,
         configuration: Callable[[], Configuration | None],
-        refresh: Callable[[], Result[None, Failure]],
+        open_archive: Callable[[Callable[[frozenset[str]], None]], Archive],
     ) -> None:
         self._leadership = leadership
-        self._replica = replica
+        self._states = states
         self._clients = clients
         self._timing = timing
         self._clock = clock
         self._configuration = configuration
-        self._refresh = refresh
+        self._open_archive = open_archive
+        self._archive: Archive | None = None
+        self._to_forget: set[str] = set()
         self._events: queue.SimpleQueue[Event] = queue.SimpleQueue()
         self._link_by_worker: dict[str, WorkerLink] = {}
         self._controller: Controller | None = None
@@ -125,24 +130,41 @@
         claim = self._leadership.claim
         if claim is None or self._is_stopping:
             return None
-        if isinstance(self._refresh(), Err):
-            return None
+        archive = self._open_archive(lambda ids: self.post(JobsChanged(ids)))
+        for prepare in (self._leadership.fence, archive.load):
+            outcome = prepare()
+            if isinstance(outcome, Err):
+                self._note_unprepared(outcome.err_value)
+                return None
         self._events = queue.SimpleQueue()
         self._listed_ms = 0
         controller = Controller(
             claim.record,
             claim.stored_ms,
             self._timing,
-            self._replica,
+            archive.replica,
+            self._states,
             self,
             self._configuration,
         )
         controller.load(self._clock.now_ms())
         self._controller = controller
+        self._archive = archive
         return controller
 
+    def follow_jobs(self) -> int:
+        """Read newly submitted jobs while this instance leads."""
+        archive = self._archive
+        return STANDBY_PAUSE_MS if archive is None else archive.step()
+
+    def _note_unprepared(self, failure: Failure) -> None:
+        if failure.code in (FailureCode.FENCED, FailureCode.SEQUENCE):
+            self._leadership.step_down()
+        log_event("leadership-unprepared", reason=failure.detail)
+
     def _end(self) -> None:
         self._controller = None
+        self._archive = None
         for worker_id in list(self._link_by_worker):
             self.close_link(worker_id)
         if self._is_stopping:
@@ -195,7 +217,16 @@
             self._listed_ms = now_ms
             self._lists.submit(self._list_now)
 
+    def _forget_now(self) -> None:
+        archive = self._archive
+        if archive is None or not self._to_forget:
+            return
+        job_ids = sorted(self._to_forget)[:FORGET_MAX_JOBS]
+        if not isinstance(archive.forget(job_ids), Err):
+            self._to_forget.difference_update(job_ids)
+
     def _list_now(self) -> None:
+        self._forget_now()
         peers = self._clients.members.peers()
         if not isinstance(peers, Err):
             self._clients.lanes.set_peers(peers.ok_value)
@@ -247,9 +278,13 @@
         """Order a worker to stop a run."""
         self._orders.submit(self._stop_now, worker, order)
 
-    def commit(self, records: Sequence[KeyedRecord]) -> None:
+    def commit(self, batch: Batch) -> None:
         """Store records under the leader's epoch."""
-        self._commits.submit(self._commit_now, tuple(records))
+        self._commits.submit(self._commit_now, batch)
+
+    def forget(self, job_ids: Sequence[str]) -> None:
+        """Drop stored jobs that are over, many together."""
+        self._to_forget.update(job_ids)
 
     def ask(self, ask: PlannedAsk, timeout_ms: int) -> bool:
         """Ask the advisor, unless all that can ask are busy."""
@@ -283,12 +318,12 @@
             )
         )
 
-    def _commit_now(self, records: tuple[KeyedRecord, ...]) -> None:
+    def _commit_now(self, batch: Batch) -> None:
         outcome: Result[int, Failure] = Err(_over())
         sent_ms = self._clock.now_ms()
         while not self._is_stopping and self._controller is not None:
             sent_ms = self._clock.now_ms()
-            outcome = self._leadership.commit(records)
+            outcome = self._leadership.commit(batch)
             if isinstance(outcome, Ok) or _is_final(outcome.err_value):
                 break
             time.sleep(COMMIT_RETRY_MS / 1000)
--- a/src/magnoliapitch/control/effects.py
+++ b/src/magnoliapitch/control/effects.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from magnoliapitch.ledger.stream import KeyedRecord
+    from magnoliapitch.ledger.leadership import Batch
     from magnoliapitch.planner.plan import PlannedAsk
     from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.workload.run import StartOrder
@@ -37,9 +37,12 @@
     def stop_run(self, worker: WorkerInfo, order: StopOrder) -> None:
         """Order a worker to stop a run."""
 
-    def commit(self, records: Sequence[KeyedRecord]) -> None:
+    def commit(self, batch: Batch) -> None:
         """Store records under the leader's epoch."""
 
+    def forget(self, job_ids: Sequence[str]) -> None:
+        """Drop stored jobs that are over; no event follows."""
+
     def ask(self, ask: PlannedAsk, timeout_ms: int) -> bool:
         """Ask the advisor, unless all that can ask are busy.
 
--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -81,6 +81,9 @@
         if run is not None and end.kind is EndKind.DONE:
             self._planner.note_done(run, now_ms)
         is_news = self._book.note_end(worker_id, end, now_ms)
+        if end.kind is EndKind.DONE and is_news:
+            self._log_done(end)
+            return
         log_event(
             "run-ended",
             job=end.task.job_id,
@@ -92,6 +95,18 @@
             is_news=is_news,
         )
 
+    def _log_done(self, end: EndedRun) -> None:
+        """Log the end of a whole step instead of each task's."""
+        step = self._book.step(end.task.step_key)
+        if step is not None and step.is_done:
+            log_event(
+                "step-done",
+                job=end.task.job_id,
+                step=end.task.step,
+                tasks=step.spec.task_count,
+                outcome=step.job.outcome,
+            )
+
     def _remove_absent(
         self, worker_id: str, listed: set[int], sent_ms: int
     ) -> None:
--- a/src/magnoliapitch/control/timing.py
+++ b/src/magnoliapitch/control/timing.py
@@ -17,12 +17,14 @@
     :param lease_ms: length of the leases that workers are given.
     :param silence_ms: how long after its last stored record a leader may
         go on giving leases and orders.
+    :param keep_states_ms: how long the state of an ended job is told.
     :param stop_ms: longest time that a worker takes to stop a run.
     """
 
     lease_ms: int
     silence_ms: int = 2_500
     stop_ms: int = 400
+    keep_states_ms: int = 130_000
 
     @property
     def takeover_ms(self) -> int:
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from result import Err
+from result import Ok
 from result import Result
 
 from magnoliapitch.advice import LanePool
@@ -18,7 +19,6 @@
 from magnoliapitch.control import ControlTiming
 from magnoliapitch.control.driver import Clients
 from magnoliapitch.control.events import ConfigurationChanged
-from magnoliapitch.control.events import JobsChanged
 from magnoliapitch.event import log_event
 from magnoliapitch.http import Application
 from magnoliapitch.http import HttpLimits
@@ -26,13 +26,13 @@
 from magnoliapitch.http import HttpResponse
 from magnoliapitch.http import Listener
 from magnoliapitch.http.client import HttpClient
+from magnoliapitch.ledger.archive import Archive
 from magnoliapitch.ledger.desk import JobDesk
 from magnoliapitch.ledger.health import StoreHealth
-from magnoliapitch.ledger.inbox import Inbox
 from magnoliapitch.ledger.leadership import Leadership
 from magnoliapitch.ledger.members import Members
 from magnoliapitch.ledger.records import JOB_STREAM
-from magnoliapitch.ledger.replica import Replica
+from magnoliapitch.ledger.state_table import StateTable
 from magnoliapitch.ledger.submitter import Submitter
 from magnoliapitch.metric import CostMeter
 from magnoliapitch.metric import Metrics
@@ -50,6 +50,7 @@
     from collections.abc import Callable
 
     from magnoliapitch.settings.cluster import ClusterSettings
+    from magnoliapitch.settings.cluster import MachineSettings
     from magnoliapitch.supervisor import Child
     from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.configuration import Configuration
@@ -64,6 +65,10 @@
 # The balancer notices an instance that is not ready within two checks.
 BALANCER_DELAY_MS = 2_500
 STOP_TIMEOUT_S = 2
+# The leader decides and sends every order, so that it needs both.
+LEADER_CORES = 1.0
+LEADER_LINK_MBPS = 50.0
+WEAK_HANDICAP_MS = 700
 
 
 class JobNode:
@@ -84,33 +89,27 @@
         client = HttpClient(connections=32)
         store = PlatformStore(settings.endpoints.store, client)
         self._directory = PlatformDirectory(store)
-        self._replica = Replica()
+        self._states = StateTable()
         self._leadership = Leadership(
             store,
             settings.instance_id,
-            self._replica,
+            self._states,
             self._clock,
             self._health,
             random.Random(),
             lambda: (
                 self._desk.configuration() is not None
-                and self._inbox.has_loaded
                 and not self._is_draining
             ),
-        )
-        self._inbox = Inbox(
-            store,
-            self._replica,
-            self._clock,
-            self._health,
-            lambda: self._leadership.claim is not None,
-            lambda ids: self._driver.post(JobsChanged(ids)),
+            _handicap_ms(settings.machine),
         )
         producer = f"{settings.instance_id}.{os.urandom(6).hex()}"
         self._submitter = Submitter(
             store, JOB_STREAM, producer, self._clock, self._health
         )
-        self._desk = JobDesk(self._replica, self._submitter, self._refresh)
+        self._desk = JobDesk(
+            self._states, self._submitter, self._refresh, self._wait
+        )
         ip = settings.listen.callers.partition(":")[0]
         self._members = Members(
             store,
@@ -120,7 +119,7 @@
         self._advisor = PlatformAdvisor(settings.endpoints.advisor, client)
         self._driver = ControlDriver(
             self._leadership,
-            self._replica,
+            self._states,
             Clients(
                 PlatformWorkers(client),
                 LanePool(self._advisor, client, self._clock),
@@ -128,11 +127,13 @@
                 PlatformDirectory(store),
             ),
             ControlTiming(
-                settings.leases.longest_ms, stop_ms=settings.leases.stop_ms
+                settings.leases.longest_ms,
+                stop_ms=settings.leases.stop_ms,
+                keep_states_ms=settings.leases.keep_states_ms,
             ),
             self._clock,
             self._desk.configuration,
-            self._inbox.follow,
+            lambda post: Archive(store, self._clock, self._health, post),
         )
         self._tree = Supervisor(
             "entry", self._children(), self._clock, give_up=give_up
@@ -162,7 +163,6 @@
         return (
             not self._is_draining
             and self._desk.configuration() is not None
-            and self._inbox.has_loaded
             and self._leadership.has_loaded
             and not self._health.is_down()
         )
@@ -176,7 +176,7 @@
         ip = listen.callers.partition(":")[0]
         steps = {
             "configuration": self._follow_configuration,
-            "inbox": self._inbox.step,
+            "jobs": self._driver.follow_jobs,
             "leadership": self._leadership.step,
             "members": self._members.step,
             "submitter": self._submitter.step,
@@ -216,11 +216,13 @@
         ]
 
     def _refresh(self) -> Result[None, Failure]:
-        outcome = self._inbox.follow()
-        if isinstance(outcome, Err) or self._leadership.claim is not None:
-            return outcome
+        if self._leadership.claim is not None:
+            return Ok(None)
         return self._leadership.follow()
 
+    def _wait(self, duration_ms: int) -> None:
+        time.sleep(duration_ms / 1000)
+
     def _follow_configuration(self) -> int:
         outcome = self._directory.configuration(CONFIGURATION_WAIT_MS)
         if isinstance(outcome, Err):
@@ -252,6 +254,15 @@
         return HttpResponse(200, text.encode(), "text/plain")
 
 
+def _handicap_ms(machine: MachineSettings) -> int:
+    """Return how much longer a machine too weak to lead well waits."""
+    is_strong = (
+        machine.cpu_share * machine.cores >= LEADER_CORES
+        and machine.link_mbps >= LEADER_LINK_MBPS
+    )
+    return 0 if is_strong else WEAK_HANDICAP_MS
+
+
 def _address(text: str) -> tuple[str, int]:
     host, _, port = text.partition(":")
     return host, int(port)
--- a/src/magnoliapitch/ledger/desk.py
+++ b/src/magnoliapitch/ledger/desk.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -14,17 +14,18 @@
 from magnoliapitch.ledger.records import CANCELLED
 from magnoliapitch.ledger.records import JOB_PREFIX
 from magnoliapitch.ledger.records import encode_job
+from magnoliapitch.ledger.state_table import FINAL_STATES
+from magnoliapitch.ledger.state_table import JobState
+from magnoliapitch.ledger.state_table import ShownJob
 from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import not_run
-from magnoliapitch.workload.progress import JobOutcome
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from magnoliapitch.ledger.replica import Replica
-    from magnoliapitch.ledger.replica import StoredJob
+    from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.ledger.submitter import Submitter
     from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.configuration import Configuration
@@ -35,41 +36,31 @@
 # Time that is kept for the answer to reach the caller.
 ANSWER_RESERVE_MS = 150
 RETRY_AFTER_MS = 1_000
-
-
-class JobState(StrEnum):
-    """State of a job as callers see it."""
-
-    PENDING = "pending"
-    RUNNING = "running"
-    COMPLETED = "completed"
-    FAILED = "failed"
-    CANCELLED = "cancelled"
-
-
-_STATE_BY_OUTCOME = {
-    JobOutcome.COMPLETED: JobState.COMPLETED,
-    JobOutcome.FAILED: JobState.FAILED,
-    JobOutcome.CANCELLED: JobState.CANCELLED,
-}
+# The leader tells of a job shortly after it was stored.
+NEWS_PAUSES_MS = (150, 300)
+TAKEN_MAX_JOBS = 20_000
 
 
 class JobDesk:
-    """Answers callers from the replica and stores what they ask for.
+    """Answers callers from the states and stores what they ask for.
 
-    :param refresh: reads the streams to their end now; a failure means
-        that the replica may lack records.
+    :param refresh: reads the states to their end now; a failure means
+        that a job may be stored of which the leader has not told.
+    :param wait: waits for some milliseconds.
     """
 
     def __init__(
         self,
-        replica: Replica,
+        states: StateTable,
         submitter: Submitter,
         refresh: Callable[[], Result[None, Failure]],
+        wait: Callable[[int], None],
     ) -> None:
-        self._replica = replica
+        self._states = states
         self._submitter = submitter
         self._refresh = refresh
+        self._wait = wait
+        self._taken_by_id: OrderedDict[str, str] = OrderedDict()
         self._configuration: Configuration | None = None
         self._is_closing = False
 
@@ -91,10 +82,12 @@
 
     def submit(self, job: JobSpec, timeout_ms: int) -> Result[None, Failure]:
         """Store a job; one that is stored already is accepted again."""
-        if self._replica.get(job.job_id) is not None:
+        if self._known(job.job_id) is not None:
             return Ok(None)
         record = KeyedRecord(JOB_PREFIX + job.job_id, encode_job(job))
         outcome = self._append(record, timeout_ms)
+        if not isinstance(outcome, Err):
+            self._note_taken(job)
         _log_answer("job-submitted", job.job_id, outcome, job.queue)
         return outcome
 
@@ -106,12 +99,11 @@
         job = found.ok_value
         if job is None:
             return Ok(False)
-        if job.outcome is not JobOutcome.OPEN:
+        if job.state in FINAL_STATES:
             return Ok(True)
         record = KeyedRecord(CANCEL_PREFIX + job_id, CANCELLED)
         outcome = self._append(record, timeout_ms)
-        queue = job.spec.queue if job.spec else ""
-        _log_answer("job-cancelled", job_id, outcome, queue)
+        _log_answer("job-cancelled", job_id, outcome, job.queue)
         return outcome.map(lambda _: True)
 
     def state(
@@ -122,11 +114,12 @@
         found = self._find(job_id)
         if isinstance(found, Err):
             return found
-        return Ok(_state_of(found.ok_value))
+        job = found.ok_value
+        return Ok(None if job is None else job.state)
 
     def pending(self, queue: Queue) -> int:
         """Return the number of jobs without a started task."""
-        return self._replica.pending(queue.name)
+        return self._states.pending(queue.name)
 
     def _append(
         self, record: KeyedRecord, timeout_ms: int
@@ -134,26 +127,33 @@
         wait_ms = max(1, timeout_ms - ANSWER_RESERVE_MS)
         return self._submitter.append(record, wait_ms)
 
-    def _find(self, job_id: str) -> Result[StoredJob | None, Failure]:
-        job = self._replica.get(job_id)
-        if job is not None:
-            return Ok(job)
-        refreshed = self._refresh()
-        if isinstance(refreshed, Err):
-            detail = f"the job may be stored: {refreshed.err_value.detail}"
-            return Err(
-                not_run(FailureCode.UNAVAILABLE, detail, RETRY_AFTER_MS)
-            )
-        return Ok(self._replica.get(job_id))
-
-
-def _state_of(job: StoredJob | None) -> JobState | None:
-    if job is None:
-        return None
-    if job.outcome is not JobOutcome.OPEN:
-        return _STATE_BY_OUTCOME[job.outcome]
-    has_begun = job.progress is not None and job.progress.has_begun
-    return JobState.RUNNING if has_begun else JobState.PENDING
+    def _known(self, job_id: str) -> ShownJob | None:
+        job = self._states.get(job_id)
+        if job is None and job_id in self._taken_by_id:
+            return ShownJob(JobState.PENDING, self._taken_by_id[job_id])
+        return job
+
+    def _note_taken(self, job: JobSpec) -> None:
+        self._taken_by_id[job.job_id] = job.queue
+        while len(self._taken_by_id) > TAKEN_MAX_JOBS:
+            self._taken_by_id.popitem(last=False)
+
+    def _find(self, job_id: str) -> Result[ShownJob | None, Failure]:
+        """Find a job, giving the leader time to tell of a new one."""
+        for pause_ms in (0, *NEWS_PAUSES_MS):
+            job = self._known(job_id)
+            if job is not None:
+                return Ok(job)
+            if pause_ms:
+                self._wait(pause_ms)
+            refreshed = self._refresh()
+            if isinstance(refreshed, Err):
+                reason = refreshed.err_value.detail
+                detail = f"the job may be stored: {reason}"
+                return Err(
+                    not_run(FailureCode.UNAVAILABLE, detail, RETRY_AFTER_MS)
+                )
+        return Ok(self._known(job_id))
 
 
 def _log_answer(
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -13,6 +13,7 @@
 from magnoliapitch.ledger.mirror import StreamMirror
 from magnoliapitch.ledger.records import LEADER_KEY
 from magnoliapitch.ledger.records import PROGRESS_STREAM
+from magnoliapitch.ledger.records import STATE_STREAM
 from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.ledger.records import encode_leader
 from magnoliapitch.ledger.stream import KeyedRecord
@@ -27,7 +28,7 @@
 
     from magnoliapitch.clock import Clock
     from magnoliapitch.ledger.health import StoreHealth
-    from magnoliapitch.ledger.replica import Replica
+    from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.ledger.stream import KeyedStreams
     from magnoliapitch.verdict import Failure
 
@@ -60,10 +61,23 @@
     stored_ms: int
 
 
+class Batch(NamedTuple):
+    """Records that are stored together.
+
+    :param progress: of jobs, which only the next leader reads.
+    :param states: of jobs, which every instance follows.
+    """
+
+    progress: tuple[KeyedRecord, ...] = ()
+    states: tuple[KeyedRecord, ...] = ()
+
+
 class Leadership:
-    """Follows the progress of all jobs, and claims to lead when needed.
+    """Follows the states of all jobs, and claims to lead when needed.
 
     :param can_lead: whether this instance knows enough to decide.
+    :param handicap_ms: how much longer than others this instance waits
+        before it claims.
     :ivar claim: the claim under which this instance leads, or None.
     """
 
@@ -71,25 +85,29 @@
         self,
         streams: KeyedStreams,
         instance_id: str,
-        replica: Replica,
+        states: StateTable,
         clock: Clock,
         health: StoreHealth,
         randomness: random.Random,
         can_lead: Callable[[], bool],
+        handicap_ms: int = 0,
     ) -> None:
         self.claim: Claim | None = None
         self.has_loaded = False
         self._streams = streams
         self._instance_id = instance_id
-        self._replica = replica
+        self._states = states
         self._clock = clock
         self._health = health
         self._random = randomness
         self._can_lead = can_lead
-        self._mirror = StreamMirror(streams, PROGRESS_STREAM)
-        self._writer = Writer(PRODUCER, 0, 0)
+        self._handicap_ms = handicap_ms
+        self._mirror = StreamMirror(streams, STATE_STREAM)
+        self._state_writer = Writer(PRODUCER, 0, 0)
+        self._progress_writer = Writer(PRODUCER, 0, 0)
+        self._is_progress_stored = False
         self._heard_ms = clock.now_ms()
-        self._delay_ms = FIRST_CLAIM_DELAY_MS
+        self._delay_ms = FIRST_CLAIM_DELAY_MS + handicap_ms
         self._may_claim = True
 
     def step(self) -> int:
@@ -105,7 +123,7 @@
         if wait_ms < FOLLOW_WAIT_MS:
             read_ms = self._clock.now_ms() - started_ms - wait_ms
             self._claim_if_silent(max(0, read_ms))
-        if self._replica.leader and self._replica.leader.has_resigned:
+        if self._states.leader and self._states.leader.has_resigned:
             return 0
         return FOLLOW_PAUSE_MS
 
@@ -123,25 +141,55 @@
             self._heard(changed.ok_value)
         return Ok(None)
 
-    def commit(self, records: Sequence[KeyedRecord]) -> Result[int, Failure]:
-        """Store records as the leader; return the end of the stream.
+    def fence(self) -> Result[int, Failure]:
+        """Keep former leaders from storing progress."""
+        return self._append_progress([])
+
+    def commit(self, batch: Batch) -> Result[int, Failure]:
+        """Store progress, then the states that follow from it.
 
-        The same records may be committed again after a failure.
+        The same batch may be committed again after a failure; what was
+        stored the first time is not stored twice.
         """
+        if batch.progress and not self._is_progress_stored:
+            outcome = self._append_progress(batch.progress)
+            if isinstance(outcome, Err):
+                return outcome
+            self._is_progress_stored = True
+        if batch.states:
+            outcome = self._append_states(batch.states)
+            if isinstance(outcome, Err):
+                return outcome
+        self._is_progress_stored = False
+        return Ok(0)
+
+    def _append_progress(
+        self, records: Sequence[KeyedRecord]
+    ) -> Result[int, Failure]:
+        outcome = self._append(PROGRESS_STREAM, records, self._progress_writer)
+        if not isinstance(outcome, Err):
+            self._progress_writer = _following(self._progress_writer)
+        return outcome
+
+    def _append_states(
+        self, records: Sequence[KeyedRecord]
+    ) -> Result[int, Failure]:
+        outcome = self._append(STATE_STREAM, records, self._state_writer)
+        if not isinstance(outcome, Err):
+            self._state_writer = _following(self._state_writer)
+        return outcome
+
+    def _append(
+        self, stream: str, records: Sequence[KeyedRecord], writer: Writer
+    ) -> Result[int, Failure]:
         sent_ms = self._clock.now_ms()
         outcome = self._streams.append(
-            PROGRESS_STREAM,
-            records,
-            self._writer,
-            timeout_ms=COMMIT_TIMEOUT_MS,
+            stream, records, writer, timeout_ms=COMMIT_TIMEOUT_MS
         )
         if isinstance(outcome, Err):
             self._health.note_failure(outcome.err_value)
             return outcome
         self._health.note_success(sent_ms)
-        self._writer = self._writer._replace(
-            sequence=self._writer.sequence + 1
-        )
         return Ok(outcome.ok_value.end)
 
     def resign(self) -> None:
@@ -151,7 +199,9 @@
         if claim is None:
             return
         record = claim.record._replace(has_resigned=True)
-        outcome = self.commit([KeyedRecord(LEADER_KEY, encode_leader(record))])
+        outcome = self._append_states(
+            [KeyedRecord(LEADER_KEY, encode_leader(record))]
+        )
         result = "failed" if isinstance(outcome, Err) else "stored"
         log_event("leadership-resigned", outcome=result)
 
@@ -163,10 +213,11 @@
 
     def _heard(self, keys: set[str]) -> None:
         self._heard_ms = self._clock.now_ms()
-        self._replica.apply(self._mirror.values_by_key, keys)
-        leader = self._replica.leader
+        self._states.apply(self._mirror.values_by_key, keys)
+        leader = self._states.leader
         if leader is not None and leader.has_resigned:
-            self._delay_ms = self._random.randrange(RESIGNED_JITTER_MS)
+            jitter_ms = self._random.randrange(RESIGNED_JITTER_MS)
+            self._delay_ms = jitter_ms + self._handicap_ms
         elif leader is not None and leader.instance_id == self._instance_id:
             # An earlier run of this instance led, and is surely gone.
             self._delay_ms = 0
@@ -174,7 +225,8 @@
             self._delay_ms = self._silence_ms()
 
     def _silence_ms(self) -> int:
-        return LEADER_SILENCE_MS + self._random.randrange(CLAIM_JITTER_MS)
+        jitter_ms = self._random.randrange(CLAIM_JITTER_MS)
+        return LEADER_SILENCE_MS + jitter_ms + self._handicap_ms
 
     def _claim_if_silent(self, read_ms: int) -> None:
         silent_ms = self._clock.now_ms() - self._heard_ms
@@ -183,14 +235,14 @@
             return
         if not self._can_lead():
             return
-        leader = self._replica.leader
+        leader = self._states.leader
         last = leader.epoch if leader else 0
         base = (last // EPOCH_SPREAD + 1) * EPOCH_SPREAD
         epoch = base + self._random.randrange(EPOCH_SPREAD)
         record = LeaderRecord(epoch, self._instance_id)
         writer = Writer(PRODUCER, epoch, 1)
         outcome = self._streams.append(
-            PROGRESS_STREAM,
+            STATE_STREAM,
             [KeyedRecord(LEADER_KEY, encode_leader(record))],
             writer,
             self._mirror.end,
@@ -200,8 +252,10 @@
             self._note_lost_claim(record, outcome.err_value)
             return
         self._mirror.skip_to(outcome.ok_value.end)
-        self._replica.leader = record
-        self._writer = writer._replace(sequence=2)
+        self._states.leader = record
+        self._state_writer = _following(writer)
+        self._progress_writer = writer
+        self._is_progress_stored = False
         self.claim = Claim(record, self._clock.now_ms())
         log_event("leadership-claimed", epoch=epoch, silent_ms=silent_ms)
 
@@ -214,3 +268,7 @@
             code=failure.code,
             reason=failure.detail,
         )
+
+
+def _following(writer: Writer) -> Writer:
+    return writer._replace(sequence=writer.sequence + 1)
--- a/src/magnoliapitch/ledger/records.py
+++ b/src/magnoliapitch/ledger/records.py
@@ -14,11 +14,13 @@
 
 
 JOB_STREAM = "jobs"
+STATE_STREAM = "states"
 PROGRESS_STREAM = "runs"
 
 JOB_PREFIX = "j."
 CANCEL_PREFIX = "c."
 PROGRESS_PREFIX = "p."
+STATE_PREFIX = "s."
 LEADER_KEY = "leader"
 CANCELLED = b"1"
 
--- a/src/magnoliapitch/ledger/replica.py
+++ b/src/magnoliapitch/ledger/replica.py
@@ -1,4 +1,4 @@
-"""Every stored job with its cancellation and progress."""
+"""What is stored of the jobs that are not over."""
 
 from __future__ import annotations
 
@@ -10,11 +10,8 @@
 from magnoliapitch.event import log_event
 from magnoliapitch.ledger.records import CANCEL_PREFIX
 from magnoliapitch.ledger.records import JOB_PREFIX
-from magnoliapitch.ledger.records import LEADER_KEY
 from magnoliapitch.ledger.records import PROGRESS_PREFIX
-from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.ledger.records import decode_job
-from magnoliapitch.ledger.records import decode_leader
 from magnoliapitch.ledger.records import decode_progress
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.progress import JobOutcome
@@ -49,41 +46,25 @@
 
 
 class Replica:
-    """The jobs as far as the streams were read; safe to share."""
+    """The jobs as far as the streams were read; safe to share.
+
+    Only the instance that leads keeps one.
+    """
 
     def __init__(self) -> None:
-        self.leader: LeaderRecord | None = None
         self._lock = threading.Lock()
         self._jobs_by_id: dict[str, StoredJob] = {}
-        self._open_ids_by_queue: dict[str, set[str]] = {}
 
     def get(self, job_id: str) -> StoredJob | None:
         """Return a job that was submitted, or None."""
         job = self._jobs_by_id.get(job_id)
         return job if job is not None and job.spec is not None else None
 
-    def open_jobs(self) -> list[StoredJob]:
-        """Return every job without a stored final state."""
+    def jobs(self) -> list[StoredJob]:
+        """Return every job that was submitted and is not forgotten."""
         with self._lock:
-            ids = [
-                job_id
-                for queue_ids in self._open_ids_by_queue.values()
-                for job_id in queue_ids
-            ]
-            return [self._jobs_by_id[job_id] for job_id in ids]
-
-    def pending(self, queue: str) -> int:
-        """Return the number of a queue's jobs without a started task."""
-        with self._lock:
-            jobs = [
-                self._jobs_by_id[job_id]
-                for job_id in self._open_ids_by_queue.get(queue, ())
-            ]
-        return sum(
-            job.outcome is JobOutcome.OPEN
-            and not (job.progress and job.progress.has_begun)
-            for job in jobs
-        )
+            jobs = list(self._jobs_by_id.values())
+        return [job for job in jobs if job.spec is not None]
 
     def apply(
         self, values_by_key: Mapping[str, bytes], keys: Iterable[str]
@@ -100,16 +81,7 @@
                 changed.add(job_id)
         return changed
 
-    def put_progress(self, progress: JobProgress) -> None:
-        """Take over progress that this instance has stored itself."""
-        job_id = progress.job_id
-        job = self._jobs_by_id.get(job_id, NO_JOB)
-        self._put(job_id, job._replace(progress=progress))
-
     def _apply_one(self, key: str, value: bytes | None) -> str:
-        if key == LEADER_KEY:
-            self.leader = None if value is None else decode_leader(value)
-            return ""
         prefix, job_id = key[:2], key[2:]
         job = self._jobs_by_id.get(job_id, NO_JOB)
         if prefix == JOB_PREFIX:
@@ -131,16 +103,3 @@
                 self._jobs_by_id.pop(job_id, None)
             else:
                 self._jobs_by_id[job_id] = job
-            if job.spec is None:
-                for ids in self._open_ids_by_queue.values():
-                    ids.discard(job_id)
-                return
-            ids = self._open_ids_by_queue.setdefault(job.spec.queue, set())
-            has_ended = (
-                job.progress is not None
-                and job.progress.outcome is not JobOutcome.OPEN
-            )
-            if has_ended:
-                ids.discard(job_id)
-            else:
-                ids.add(job_id)
--- /dev/null
+++ b/src/magnoliapitch/ledger/state_table.py
@@ -0,0 +1,133 @@
+"""The state of every job as callers see it."""
+
+from __future__ import annotations
+
+import threading
+
+from collections import Counter
+from enum import StrEnum
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from magnoliapitch.event import log_event
+from magnoliapitch.ledger.records import LEADER_KEY
+from magnoliapitch.ledger.records import STATE_PREFIX
+from magnoliapitch.ledger.records import LeaderRecord
+from magnoliapitch.ledger.records import decode_leader
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+
+class JobState(StrEnum):
+    """State of a job as callers see it."""
+
+    PENDING = "pending"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+FINAL_STATES = frozenset(
+    (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+)
+_LETTER_BY_STATE = {
+    JobState.PENDING: "p",
+    JobState.RUNNING: "r",
+    JobState.COMPLETED: "c",
+    JobState.FAILED: "f",
+    JobState.CANCELLED: "x",
+}
+_STATE_BY_LETTER = {
+    letter: state for state, letter in _LETTER_BY_STATE.items()
+}
+
+
+class ShownJob(NamedTuple):
+    """What callers may know of a job."""
+
+    state: JobState
+    queue: str
+
+    def encode(self) -> bytes:
+        """Return the value of the job's record."""
+        return (_LETTER_BY_STATE[self.state] + self.queue).encode()
+
+    @classmethod
+    def decode(cls, value: bytes) -> ShownJob:
+        """Parse the value of a job's record.
+
+        :raises ValueError: if it cannot be read.
+        """
+        text = value.decode()
+        state = _STATE_BY_LETTER.get(text[:1])
+        if state is None:
+            raise ValueError(f"no state: {text[:1]!r}")
+        return cls(state, text[1:])
+
+
+class StateTable:
+    """Jobs that the leader has told of; safe to share.
+
+    :ivar leader: the newest claim of leadership.
+    """
+
+    def __init__(self) -> None:
+        self.leader: LeaderRecord | None = None
+        self._lock = threading.Lock()
+        self._job_by_id: dict[str, ShownJob] = {}
+        self._pending_by_queue: Counter[str] = Counter()
+
+    def get(self, job_id: str) -> ShownJob | None:
+        """Return a job, or None if it is not known."""
+        return self._job_by_id.get(job_id)
+
+    def pending(self, queue: str) -> int:
+        """Return the number of a queue's jobs without a begun task."""
+        return self._pending_by_queue[queue]
+
+    def ended_ids(self) -> list[str]:
+        """Return the jobs that have a final state."""
+        with self._lock:
+            return [
+                job_id
+                for job_id, job in self._job_by_id.items()
+                if job.state in FINAL_STATES
+            ]
+
+    def put(self, job_id: str, job: ShownJob | None) -> None:
+        """Set or forget a job."""
+        with self._lock:
+            old = self._job_by_id.pop(job_id, None)
+            if old is not None and old.state is JobState.PENDING:
+                self._pending_by_queue[old.queue] -= 1
+            if job is None:
+                return
+            self._job_by_id[job_id] = job
+            if job.state is JobState.PENDING:
+                self._pending_by_queue[job.queue] += 1
+
+    def apply(
+        self, values_by_key: Mapping[str, bytes], keys: Iterable[str]
+    ) -> None:
+        """Take over changed keys of the stream."""
+        for key in keys:
+            try:
+                self._apply_one(key, values_by_key.get(key))
+            except ValueError as error:
+                log_event("record-unreadable", key=key, reason=str(error))
+
+    def _apply_one(self, key: str, value: bytes | None) -> None:
+        if key == LEADER_KEY:
+            self.leader = None if value is None else decode_leader(value)
+        elif key.startswith(STATE_PREFIX):
+            job = None if value is None else ShownJob.decode(value)
+            self.put(key[len(STATE_PREFIX) :], job)
+        else:
+            log_event("record-unreadable", key=key, reason="unknown prefix")
+
+
+__all__ = ["FINAL_STATES", "JobState", "ShownJob", "StateTable"]
--- a/src/magnoliapitch/planner/book.py
+++ b/src/magnoliapitch/planner/book.py
@@ -221,7 +221,7 @@
         step = self.step(key)
         if step is None:
             return
-        step.is_asking = False
+        step.asking = frozenset()
         step.asked.update(asked)
         for permit in permits:
             step.good.add(permit.worker_id)
--- a/src/magnoliapitch/planner/entry.py
+++ b/src/magnoliapitch/planner/entry.py
@@ -109,15 +109,15 @@
     :ivar undone: number of tasks that are not done.
     :ivar waiting: number of tasks that are neither done nor may be running.
     :ivar tickets_by_worker: ticket and end of its validity.
-    :ivar is_asking: a call to the advisor is planned or under way.
+    :ivar asking: workers in a call to the advisor that is under way.
     """
 
     __slots__ = (
         "asked",
+        "asking",
         "charge",
         "failed_runs",
         "good",
-        "is_asking",
         "job",
         "key",
         "latest_ms",
@@ -148,12 +148,17 @@
         self.good: set[str] = set()
         self.asked: set[str] = set()
         self.tickets_by_worker: dict[str, tuple[str, int]] = {}
-        self.is_asking = False
+        self.asking: frozenset[str] = frozenset()
         self.failed_runs: set[int] = set()
         self.latest_ms: float | None = None
         self.objective_ms = 0.0
         self.ranked_ms = 0
 
+    @property
+    def is_asking(self) -> bool:
+        """Return whether a call to the advisor is under way."""
+        return bool(self.asking)
+
     @property
     def is_done(self) -> bool:
         """Return whether every task is done."""
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -92,6 +92,8 @@
             self._ask_more(step)
             return
         lacking = [slot for slot in chosen if not self._has_ticket(step, slot)]
+        if lacking and is_gang:
+            lacking = self._with_spares(step, chosen, slots)
         self._ask(step, lacking)
         if not chosen:
             self._ask_more(step)
@@ -125,6 +127,21 @@
             )
             self._ask(step, list(islice(unasked, ASK_MAX_WORKERS)))
 
+    def _with_spares(
+        self, step: StepEntry, chosen: list[Slot], slots: list[Slot]
+    ) -> list[Slot]:
+        """Return the workers to ask about together for a whole gang.
+
+        Tickets that were got one after the other would expire in turn.
+        Spares make up for room that is gone when the answer comes.
+        """
+        spares = [
+            slot
+            for slot in slots
+            if slot not in chosen and spare_tasks(slot, step)
+        ]
+        return [*chosen, *spares]
+
     def _can_ask(self, step: StepEntry) -> bool:
         return (
             not step.is_asking
@@ -143,14 +160,26 @@
         )
 
     def _choose(self, step: StepEntry, slots: list[Slot]) -> list[Slot]:
-        """Return the worker of each task, fullest workers first."""
+        """Return the worker of each task.
+
+        Workers with a valid ticket, or for which one is asked, come first,
+        so that a gang does not lose its turn to the next call; then the
+        fullest, which leaves room for large tasks on the others.
+        """
         chosen: list[Slot] = []
         count = step.waiting
         cpu_millis = step.charge.cpu_millis
         fitting = [
             slot for slot in slots if slot.free.cpu_millis >= cpu_millis
         ]
-        for slot in sorted(fitting, key=lambda slot: slot.free.cpu_millis):
+        fitting.sort(
+            key=lambda slot: (
+                slot.worker.worker_id not in step.asking
+                and not self._has_ticket(step, slot),
+                slot.free.cpu_millis,
+            )
+        )
+        for slot in fitting:
             spare = min(count - len(chosen), spare_tasks(slot, step))
             for _ in range(spare):
                 slot.take(step.charge)
--- a/src/magnoliapitch/settings/cluster.py
+++ b/src/magnoliapitch/settings/cluster.py
@@ -61,14 +61,29 @@
 
     :param longest_ms: longest lease that a worker grants.
     :param stop_ms: longest time that a worker takes to stop a run.
+    :param keep_states_ms: how long the state of an ended job is told.
     :param drain_ms: time after SIGTERM in which the process must end.
     """
 
     longest_ms: Milliseconds = 10_000
     stop_ms: Milliseconds = 400
+    keep_states_ms: Milliseconds = 130_000
     drain_ms: Milliseconds = 6_000
 
 
+class MachineSettings(NamedTuple):
+    """What the instance runs on.
+
+    :param cpu_share: share of a core.
+    :param cores: how many times as fast as one core the processor is.
+    :param link_mbps: bandwidth of the link in megabits a second.
+    """
+
+    cpu_share: Annotated[float, Field(gt=0)] = 1.0
+    cores: Annotated[float, Field(gt=0)] = 1.0
+    link_mbps: Annotated[float, Field(gt=0)] = 1_000.0
+
+
 class ClusterSettings(NamedTuple):
     """Settings of one instance.
 
@@ -82,6 +97,7 @@
     endpoints: EndpointSettings
     listen: ListenSettings
     leases: LeaseSettings = LeaseSettings()
+    machine: MachineSettings = MachineSettings()
     log_level: EventLevel = EventLevel.INFO
 
 
--- a/tests/control/load.py
+++ b/tests/control/load.py
@@ -6,12 +6,12 @@
 
 from typing import NamedTuple
 
+from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.configuration import AdvicePolicy
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
 from magnoliapitch.workload.job import TaskKey
-from magnoliapitch.workload.progress import JobOutcome
 from tests.control.scene import Scene
 from tests.control.scene import queue
 from tests.control.scene import workers
@@ -131,7 +131,7 @@
                 continue
             owed += its_kind.worth
             done = self.scene.finished.get(job_id)
-            if done is None or done.outcome is not JobOutcome.COMPLETED:
+            if done is None or done.outcome is not JobState.COMPLETED:
                 continue
             goal_ms = self._goal_ms[job_id]
             if done.after_ms <= goal_ms:
--- a/tests/control/scene.py
+++ b/tests/control/scene.py
@@ -30,6 +30,9 @@
 from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.ledger.records import encode_job
 from magnoliapitch.ledger.replica import Replica
+from magnoliapitch.ledger.state_table import FINAL_STATES
+from magnoliapitch.ledger.state_table import JobState
+from magnoliapitch.ledger.state_table import StateTable
 from magnoliapitch.resource import Resources
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import may_have_run
@@ -38,7 +41,6 @@
 from magnoliapitch.workload.configuration import Configuration
 from magnoliapitch.workload.configuration import Queue
 from magnoliapitch.workload.configuration import Service
-from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.run import EndKind
 from magnoliapitch.workload.run import Permit
 from magnoliapitch.workload.run import StartOrder
@@ -51,7 +53,7 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
-    from magnoliapitch.ledger.stream import KeyedRecord
+    from magnoliapitch.ledger.leadership import Batch
     from magnoliapitch.planner.plan import PlannedAsk
     from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.workload.job import JobSpec
@@ -71,7 +73,7 @@
 class Finished(NamedTuple):
     """A job that was shown as ended."""
 
-    outcome: JobOutcome
+    outcome: JobState
     after_ms: int
 
 
@@ -110,6 +112,8 @@
             info.worker_id: SimulatedWorker(info, self) for info in workers
         }
         self.replica = Replica()
+        self.states = StateTable()
+        self.specs: dict[str, JobSpec] = {}
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._sequence = 0
         self._submitted_ms: dict[str, int] = {}
@@ -141,6 +145,7 @@
             self.now_ms,
             TIMING,
             self.replica,
+            self.states,
             _Effects(self, self._epoch),
             lambda: self.configuration,
         )
@@ -151,6 +156,7 @@
     def submit(self, job: JobSpec) -> None:
         """Store a job and tell the controller."""
         self._submitted_ms[job.job_id] = self.now_ms
+        self.specs[job.job_id] = job
         self._store(JOB_PREFIX + job.job_id, encode_job(job))
 
     def cancel(self, job_id: str) -> None:
@@ -165,12 +171,12 @@
         """Look which jobs have ended since the last commit."""
         self.commits += 1
         for job_id, submitted_ms in self._submitted_ms.items():
-            stored = self.replica.get(job_id)
-            if job_id in self.finished or stored is None:
+            shown = self.states.get(job_id)
+            if job_id in self.finished or shown is None:
                 continue
-            if stored.outcome is not JobOutcome.OPEN:
+            if shown.state in FINAL_STATES:
                 after_ms = self.now_ms - submitted_ms
-                self.finished[job_id] = Finished(stored.outcome, after_ms)
+                self.finished[job_id] = Finished(shown.state, after_ms)
 
     def reserve_lane(self) -> bool:
         """Take a way to the advisor, if one is free."""
@@ -285,7 +291,7 @@
 
         scene.at(LINK_MS, arrive)
 
-    def commit(self, records: Sequence[KeyedRecord]) -> None:
+    def commit(self, batch: Batch) -> None:
         scene, sent_ms = self._scene, self._scene.now_ms
 
         def done() -> None:
@@ -294,8 +300,10 @@
                 return
             if not self._is_current():
                 return
-            values = {record.key: record.value for record in records}
-            scene.replica.apply(values, list(values))
+            values = {
+                record.key: record.value or None for record in batch.progress
+            }
+            scene.replica.apply(values, list(values))  # type: ignore[arg-type]
             scene.controller.note_commit(
                 Committed(Ok(0), sent_ms), scene.now_ms
             )
@@ -303,6 +311,14 @@
 
         scene.at(COMMIT_MS, done)
 
+    def forget(self, job_ids: Sequence[str]) -> None:
+        keys = [
+            prefix + job_id
+            for job_id in job_ids
+            for prefix in (JOB_PREFIX, CANCEL_PREFIX)
+        ]
+        self._scene.replica.apply({}, keys)
+
     def ask(self, ask: PlannedAsk, timeout_ms: int) -> bool:
         del timeout_ms
         scene, sent_ms = self._scene, self._scene.now_ms
--- a/tests/control/test_controller.py
+++ b/tests/control/test_controller.py
@@ -4,11 +4,11 @@
 
 from functools import partial
 
+from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
 from magnoliapitch.workload.job import TaskKey
-from magnoliapitch.workload.progress import JobOutcome
 from tests.control.scene import TIMING
 from tests.control.scene import Scene
 from tests.control.scene import queue
@@ -34,7 +34,7 @@
     world.run(900)
     assert set(world.starts) == {TaskKey("a", 0, 0, n) for n in range(3)}
     world.run(3_000)
-    assert world.finished["a"].outcome is JobOutcome.COMPLETED
+    assert world.finished["a"].outcome is JobState.COMPLETED
     assert set(world.starts.values()) == {1}
 
 
@@ -45,7 +45,7 @@
     world.submit(job("b", StepSpec(3, big, is_gang=True)))
     world.run(3_000)
     assert "a" not in world.finished
-    assert world.finished["b"].outcome is JobOutcome.COMPLETED
+    assert world.finished["b"].outcome is JobState.COMPLETED
     assert all(key.job_id == "b" for key in world.starts)
 
 
@@ -54,7 +54,7 @@
     world.fails = lambda *_: True
     world.submit(job("a", StepSpec(1, SIZE)))
     world.run(10_000)
-    assert world.finished["a"].outcome is JobOutcome.FAILED
+    assert world.finished["a"].outcome is JobState.FAILED
     assert world.starts[TaskKey("a", 0, 0, 0)] == 3
 
 
@@ -104,7 +104,7 @@
     world.run(1_500)
     world.take_over()
     world.run(6_000)
-    assert world.finished["a"].outcome is JobOutcome.COMPLETED
+    assert world.finished["a"].outcome is JobState.COMPLETED
     assert set(world.starts.values()) == {1}
 
 
@@ -132,7 +132,7 @@
     assert not world.starts
     world.store_is_away = False
     world.run(3_000)
-    assert world.finished["a"].outcome is JobOutcome.COMPLETED
+    assert world.finished["a"].outcome is JobState.COMPLETED
 
 
 def test_tasks_outlast_an_outage_of_the_store() -> None:
@@ -144,7 +144,7 @@
     world.run(5_000)
     world.store_is_away = False
     world.run(4_000)
-    assert world.finished["a"].outcome is JobOutcome.COMPLETED
+    assert world.finished["a"].outcome is JobState.COMPLETED
     assert set(world.starts.values()) == {1}
 
 
@@ -183,4 +183,4 @@
     world.workers["w000"].is_gone = True
     world.cut = {"w000"}
     world.run(TIMING.lease_ms + 8_000)
-    assert world.finished["a"].outcome is JobOutcome.COMPLETED
+    assert world.finished["a"].outcome is JobState.COMPLETED
--- a/tests/control/worker.py
+++ b/tests/control/worker.py
@@ -129,10 +129,8 @@
         return used
 
     def _begin(self, order: StartOrder) -> None:
-        job = self._scene.replica.get(order.task.job_id)
-        assert job is not None
-        assert job.spec is not None
-        step = job.spec.steps[order.task.step]
+        spec = self._scene.specs[order.task.job_id]
+        step = spec.steps[order.task.step]
         run = _Run(order, step, self._scene.now_ms)
         self.running[order.task] = run
         self._scene.starts[order.task] += 1
--- a/tests/ledger/conftest.py
+++ b/tests/ledger/conftest.py
@@ -9,7 +9,7 @@
 from magnoliapitch.clock import ManualClock
 from magnoliapitch.ledger.health import StoreHealth
 from magnoliapitch.ledger.leadership import Leadership
-from magnoliapitch.ledger.replica import Replica
+from magnoliapitch.ledger.state_table import StateTable
 from tests.ledger.memory_streams import MemoryStreams
 
 
@@ -34,7 +34,7 @@
         return Leadership(
             streams,
             name,
-            Replica(),
+            StateTable(),
             clock,
             StoreHealth(clock),
             random.Random(name),
--- a/tests/ledger/test_desk.py
+++ b/tests/ledger/test_desk.py
@@ -7,20 +7,15 @@
 from result import Result
 
 from magnoliapitch.ledger.desk import JobDesk
-from magnoliapitch.ledger.desk import JobState
-from magnoliapitch.ledger.records import encode_job
-from magnoliapitch.ledger.records import encode_progress
-from magnoliapitch.ledger.replica import Replica
+from magnoliapitch.ledger.state_table import JobState
+from magnoliapitch.ledger.state_table import ShownJob
+from magnoliapitch.ledger.state_table import StateTable
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
 from magnoliapitch.verdict import not_run
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
-from magnoliapitch.workload.job import TaskKey
-from magnoliapitch.workload.progress import JobOutcome
-from magnoliapitch.workload.progress import JobProgress
-from magnoliapitch.workload.progress import TaskProgress
 
 
 if TYPE_CHECKING:
@@ -32,12 +27,14 @@
 
 
 class Store:
-    """Takes appends, and shows them at a refresh."""
+    """Takes appends; the leader tells of them at a refresh."""
 
     def __init__(self) -> None:
-        self.replica = Replica()
+        self.states = StateTable()
         self.stored: dict[str, bytes] = {}
+        self.told: dict[str, ShownJob] = {}
         self.failure: Failure | None = None
+        self.waited_ms = 0
 
     def append(
         self, record: KeyedRecord, timeout_ms: int
@@ -49,103 +46,95 @@
     def refresh(self) -> Result[None, Failure]:
         if self.failure:
             return Err(self.failure)
-        self.replica.apply(self.stored, set(self.stored))
+        for job_id, job in self.told.items():
+            self.states.put(job_id, job)
         return Ok(None)
 
+    def wait(self, duration_ms: int) -> None:
+        self.waited_ms += duration_ms
+
     def desk(self) -> JobDesk:
-        return JobDesk(self.replica, self, self.refresh)  # type: ignore[arg-type]
+        return JobDesk(self.states, self, self.refresh, self.wait)  # type: ignore[arg-type]
 
 
-def progress(outcome: JobOutcome) -> bytes:
-    task = TaskProgress(runs=1)
-    return encode_progress(
-        JobProgress(
-            "0a", outcome, {TaskKey("0a", 0, 0, 0): task}, has_begun=True
-        )
-    )
+def shown(state: JobState) -> ShownJob:
+    return ShownJob(state, "q")
 
 
-def test_a_job_is_known_everywhere_after_a_refresh() -> None:
-    store = Store()
-    desk = store.desk()
+def test_a_job_is_known_at_once_where_it_was_taken() -> None:
+    desk = Store().desk()
     assert desk.submit(JOB, TIMEOUT_MS).is_ok()
     assert desk.state("0a", TIMEOUT_MS).unwrap() is JobState.PENDING
-    store.stored["p.0a"] = progress(JobOutcome.OPEN)
-    store.refresh()
-    assert desk.state("0a", TIMEOUT_MS).unwrap() is JobState.RUNNING
-    store.stored["p.0a"] = progress(JobOutcome.COMPLETED)
+
+
+def test_a_job_is_known_elsewhere_once_the_leader_has_told() -> None:
+    store = Store()
+    store.told["0a"] = shown(JobState.RUNNING)
+    assert store.desk().state("0a", TIMEOUT_MS).unwrap() is JobState.RUNNING
+    store.told["0a"] = shown(JobState.COMPLETED)
     store.refresh()
-    assert desk.state("0a", TIMEOUT_MS).unwrap() is JobState.COMPLETED
+    assert store.desk().state("0a", TIMEOUT_MS).unwrap() is JobState.COMPLETED
 
 
 def test_a_job_submitted_again_is_stored_once() -> None:
     store = Store()
     desk = store.desk()
     desk.submit(JOB, TIMEOUT_MS)
-    store.refresh()
     store.stored.clear()
     assert desk.submit(JOB, TIMEOUT_MS).is_ok()
+    store.told["0b"] = shown(JobState.COMPLETED)
+    store.refresh()
+    again = JOB._replace(job_id="0b")
+    assert store.desk().submit(again, TIMEOUT_MS).is_ok()
     assert not store.stored
 
 
-def test_an_unknown_job_is_gone_only_if_the_streams_were_read() -> None:
+def test_an_unknown_job_is_gone_only_after_the_leader_had_time() -> None:
+    store = Store()
+    assert store.desk().state("0b", TIMEOUT_MS).unwrap() is None
+    assert store.waited_ms > 0
+
+
+def test_an_unknown_job_is_not_called_gone_without_the_store() -> None:
     store = Store()
-    desk = store.desk()
-    assert desk.state("0b", TIMEOUT_MS).unwrap() is None
     store.failure = not_run(FailureCode.UNAVAILABLE, "away")
-    failure = desk.state("0b", TIMEOUT_MS).unwrap_err()
+    failure = store.desk().state("0b", TIMEOUT_MS).unwrap_err()
     assert failure.verdict is Verdict.NOT_RUN
     assert failure.retry_after_ms
-    assert desk.cancel("0b", TIMEOUT_MS).is_err()
+    assert store.desk().cancel("0b", TIMEOUT_MS).is_err()
 
 
-def test_a_cancelled_job_is_shown_as_cancelled() -> None:
+def test_a_cancellation_is_stored_unless_the_job_has_ended() -> None:
     store = Store()
+    store.told = {
+        "0a": shown(JobState.RUNNING),
+        "0b": shown(JobState.COMPLETED),
+    }
     desk = store.desk()
-    desk.submit(JOB, TIMEOUT_MS)
     assert desk.cancel("0a", TIMEOUT_MS).unwrap() is True
-    store.refresh()
-    assert desk.state("0a", TIMEOUT_MS).unwrap() is JobState.CANCELLED
-    assert store.replica.pending("q") == 0
+    assert desk.cancel("0b", TIMEOUT_MS).unwrap() is True
+    assert desk.cancel("0c", TIMEOUT_MS).unwrap() is False
+    assert list(store.stored) == ["c.0a"]
 
 
-def test_a_completed_job_stays_completed_after_a_cancellation() -> None:
-    store = Store()
-    store.stored = {
-        "j.0a": encode_job(JOB),
-        "p.0a": progress(JobOutcome.COMPLETED),
-        "c.0a": b"1",
-    }
-    store.refresh()
-    state = store.desk().state("0a", TIMEOUT_MS).unwrap()
-    assert state is JobState.COMPLETED
+def test_pending_counts_jobs_that_have_not_begun() -> None:
+    states = StateTable()
+    for name in ("0a", "0b", "0c"):
+        states.put(name, shown(JobState.PENDING))
+    states.put("0a", shown(JobState.RUNNING))
+    states.put("0b", None)
+    assert states.pending("q") == 1
 
 
-def test_pending_counts_jobs_without_a_started_task() -> None:
-    store = Store()
-    store.stored = {
-        "j.0a": encode_job(JOB),
-        "j.0b": encode_job(JOB._replace(job_id="0b")),
-        "p.0a": progress(JobOutcome.OPEN),
-    }
-    store.refresh()
-    assert store.replica.pending("q") == 1
+def test_every_state_is_read_as_it_was_written() -> None:
+    for state in JobState:
+        assert ShownJob.decode(shown(state).encode()) == shown(state)
 
 
 def test_an_unreadable_record_changes_nothing_else() -> None:
-    store = Store()
-    store.stored = {"j.0b": b"\xff", "j.0a": encode_job(JOB), "x": b"1"}
-    store.refresh()
-    assert store.replica.get("0a") is not None
-    assert store.replica.get("0b") is None
-
-
-def test_a_job_that_was_only_ordered_counts_as_pending() -> None:
-    store = Store()
-    ordered = JobProgress(
-        "0a", JobOutcome.OPEN, {TaskKey("0a", 0, 0, 0): TaskProgress(runs=1)}
-    )
-    store.stored = {"j.0a": encode_job(JOB), "p.0a": encode_progress(ordered)}
-    store.refresh()
-    assert store.replica.pending("q") == 1
-    assert store.desk().state("0a", TIMEOUT_MS).unwrap() is JobState.PENDING
+    states = StateTable()
+    values = {"s.0a": b"\xff", "s.0b": b"?q", "s.0c": b"pq", "x": b"1"}
+    states.apply(values, list(values))
+    assert states.get("0a") is None
+    assert states.get("0b") is None
+    assert states.get("0c") == shown(JobState.PENDING)
--- a/tests/ledger/test_leadership.py
+++ b/tests/ledger/test_leadership.py
@@ -5,8 +5,10 @@
 from result import Err
 
 from magnoliapitch.ledger.leadership import LEADER_SILENCE_MS
+from magnoliapitch.ledger.leadership import Batch
 from magnoliapitch.ledger.leadership import Leadership
 from magnoliapitch.ledger.records import PROGRESS_STREAM
+from magnoliapitch.ledger.records import STATE_STREAM
 from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import not_run
@@ -18,7 +20,7 @@
     from tests.ledger.memory_streams import MemoryStreams
 
 
-RECORD = [KeyedRecord("p.0", b"")]
+RECORD = Batch((KeyedRecord("p.0", b"1"),), (KeyedRecord("s.0", b"pq"),))
 LONG_MS = 2 * LEADER_SILENCE_MS
 
 
@@ -47,6 +49,7 @@
     old, new = make_leadership("a"), make_leadership("b")
     lead(old, clock)
     lead(new, clock)
+    assert new.fence().is_ok()
     outcome = old.commit(RECORD)
     assert isinstance(outcome, Err)
     assert outcome.err_value.code is FailureCode.FENCED
@@ -110,7 +113,22 @@
 ) -> None:
     leadership = make_leadership("a")
     lead(leadership, clock)
-    streams.lose_answers = 1
-    assert leadership.commit(RECORD).is_err()
-    assert leadership.commit(RECORD).is_ok()
-    assert streams.keys(PROGRESS_STREAM).count("p.0") == 1
+    for lost in (1, 2):
+        streams.lose_answers = lost
+        while leadership.commit(RECORD).is_err():
+            pass
+    assert streams.keys(PROGRESS_STREAM).count("p.0") == 2
+    assert streams.keys(STATE_STREAM).count("s.0") == 2
+
+
+def test_a_claim_keeps_former_leaders_from_storing_progress(
+    make_leadership: MakeLeadership,
+    clock: ManualClock,
+    streams: MemoryStreams,
+) -> None:
+    old, new = make_leadership("a"), make_leadership("b")
+    lead(old, clock)
+    lead(new, clock)
+    assert new.fence().is_ok()
+    assert old.commit(Batch(RECORD.progress)).is_err()
+    assert streams.keys(PROGRESS_STREAM) == []
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -43,18 +43,31 @@
     add(book, StepSpec(1, SIZE), advice=ADVICE)
     planner = Planner()
     asked = planner.plan(book, 0, 0).asks[0]
-    permits = [Permit(name, "t") for name in asked.worker_ids]
-    book.note_permits(STEP, asked.worker_ids, permits, 2_500)
+    book.note_permits(STEP, asked.worker_ids, [Permit("w1", "t")], 2_500)
     start = planner.plan(book, 10, 10).starts[0]
-    assert start.ticket == "t"
+    assert (start.worker_id, start.ticket) == ("w1", "t")
     step = book.step(STEP)
     assert step is not None
-    del step.tickets_by_worker[start.worker_id]
+    del step.tickets_by_worker["w1"]
     plan = planner.plan(book, 20, 20)
-    assert plan.asks[0].worker_ids == (start.worker_id,)
+    assert plan.asks[0].worker_ids == ("w1",)
     assert not plan.starts
 
 
+def test_a_valid_ticket_elsewhere_saves_a_call() -> None:
+    book = make_book()
+    add(book, StepSpec(1, SIZE), advice=ADVICE)
+    names = list(book.workers_by_id)
+    permits = [Permit(name, "t") for name in names]
+    book.note_permits(STEP, names, permits, 2_500)
+    step = book.step(STEP)
+    assert step is not None
+    del step.tickets_by_worker[names[0]]
+    plan = Planner().plan(book, 20, 20)
+    assert len(plan.starts) == 1
+    assert not plan.asks
+
+
 def test_an_old_ticket_is_not_used() -> None:
     book = make_book()
     add(book, StepSpec(2, SIZE), advice=ADVICE)
@@ -127,3 +140,32 @@
     assert not planner.plan(book, 0, 999).starts
     assert len(planner.plan(book, 1, 1_000).starts) == 1
     assert len(planner.plan(book, 2, 1_500).starts) == 2
+
+
+def test_a_gang_asks_for_all_its_tickets_together() -> None:
+    book = make_book(6)
+    big = Resources(5_000, 4_000)
+    add(book, StepSpec(4, big, is_gang=True), advice=ADVICE)
+    names = list(book.workers_by_id)
+    book.note_permits(STEP, names, [Permit(n, "t") for n in names], 2_500)
+    step = book.step(STEP)
+    assert step is not None
+    for name in names[:3]:
+        del step.tickets_by_worker[name]
+    plan = Planner().plan(book, 0, 0)
+    assert not plan.starts
+    assert set(plan.asks[0].worker_ids) == set(names)
+
+
+def test_a_gang_keeps_the_workers_that_it_asks_for() -> None:
+    book = make_book(4)
+    big = Resources(5_000, 4_000)
+    add(book, StepSpec(2, big, is_gang=True), name="a", advice=ADVICE)
+    add(book, StepSpec(4, big), name="b", priority=1)
+    names = list(book.workers_by_id)
+    book.note_permits(STEP, names, [Permit(n, "t") for n in names], 100)
+    step = book.step(STEP)
+    assert step is not None
+    step.asking = frozenset(names[2:])
+    plan = Planner().plan(book, 1_000, 1_000)
+    assert {start.worker_id for start in plan.starts} == set(names[:2])
