--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -611,7 +611,7 @@
             return
         run.stop_sent_ms = now_ms
         log_event(
-            "run-stopping",
+            "stop-ordered",
             job=stop.task.job_id,
             step=stop.task.step,
             task=stop.task.position,
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -80,7 +80,7 @@
     def __init__(
         self, settings: ClusterSettings, give_up: Callable[[], None]
     ) -> None:
-        self._settings = settings
+        self.settings = settings
         self._clock = BootClock()
         self._is_draining = False
         self._health = StoreHealth(self._clock)
@@ -167,8 +167,12 @@
             and not self._health.is_down()
         )
 
+    def is_leading(self) -> bool:
+        """Return whether this instance decides for all."""
+        return self._leadership.claim is not None
+
     def _children(self) -> list[Child]:
-        listen = self._settings.listen
+        listen = self.settings.listen
         operators = Application(BODY_MAX_BYTES)
         operators.route("GET", "/readyz")(self._readiness)
         metrics = Application(BODY_MAX_BYTES)
--- a/src/magnoliapitch/ledger/desk.py
+++ b/src/magnoliapitch/ledger/desk.py
@@ -88,7 +88,7 @@
         outcome = self._append(record, timeout_ms)
         if not isinstance(outcome, Err):
             self._note_taken(job)
-        _log_answer("job-submitted", job.job_id, outcome, job.queue)
+        _log_answer("submit", job.job_id, outcome, job.queue)
         return outcome
 
     def cancel(self, job_id: str, timeout_ms: int) -> Result[bool, Failure]:
@@ -103,7 +103,7 @@
             return Ok(True)
         record = KeyedRecord(CANCEL_PREFIX + job_id, CANCELLED)
         outcome = self._append(record, timeout_ms)
-        _log_answer("job-cancelled", job_id, outcome, job.queue)
+        _log_answer("cancel", job_id, outcome, job.queue)
         return outcome.map(lambda _: True)
 
     def state(
@@ -157,16 +157,14 @@
 
 
 def _log_answer(
-    event: str, job_id: str, outcome: Result[None, Failure], queue: str
+    call: str, job_id: str, outcome: Result[None, Failure], queue: str
 ) -> None:
-    if isinstance(outcome, Err):
-        failure = outcome.err_value
-        log_event(
-            event,
-            job=job_id,
-            queue=queue,
-            outcome=failure.verdict,
-            reason=failure.detail,
-        )
-    else:
-        log_event(event, job=job_id, queue=queue, outcome="stored")
+    failure = outcome.err_value if isinstance(outcome, Err) else None
+    log_event(
+        "call-answered",
+        call=call,
+        job=job_id,
+        queue=queue,
+        outcome=failure.verdict if failure else "stored",
+        reason=failure.detail if failure else "",
+    )
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from itertools import islice
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner.duration import Durations
@@ -18,6 +17,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from magnoliapitch.planner.book import Book
     from magnoliapitch.planner.entry import RunEntry
     from magnoliapitch.planner.entry import StepEntry
@@ -25,8 +26,13 @@
 
 # A permit must outlast the way of the start to the worker.
 TICKET_RESERVE_MS = 400
-# One call names at most this many workers; it costs time for each.
-ASK_MAX_WORKERS = 30
+# The advisor accepts no more workers in one call.
+CALL_MAX_WORKERS = 100
+# A call takes long whatever it names, so that few workers are no gain.
+ASK_MIN_WORKERS = 30
+# About so many workers are permitted, and so many tasks are to fit on them.
+EXPECTED_GOOD_SHARE = 0.35
+EXPECTED_ROOM = 1.5
 # Bounds a round when very much waits.
 ROUND_MAX_STEPS = 150
 # Ticket and end of its validity where the advisor gave none.
@@ -125,7 +131,7 @@
                 for slot in self._room.eligible(step)
                 if slot.worker.worker_id not in step.asked
             )
-            self._ask(step, list(islice(unasked, ASK_MAX_WORKERS)))
+            self._ask(step, _enough(step, unasked))
 
     def _with_spares(
         self, step: StepEntry, chosen: list[Slot], slots: list[Slot]
@@ -153,7 +159,7 @@
         if not slots or not self._can_ask(step):
             return
         names = dict.fromkeys(slot.worker.worker_id for slot in slots)
-        asked = tuple(names)[:ASK_MAX_WORKERS]
+        asked = tuple(names)[:CALL_MAX_WORKERS]
         cost_ms = _cost_ms(step, len(asked))
         self.asks.append(
             PlannedAsk(step.key, asked, step.job.queue.priority, cost_ms)
@@ -204,6 +210,21 @@
             )
 
 
+def _enough(step: StepEntry, slots: Iterable[Slot]) -> list[Slot]:
+    """Return workers among which a step will probably find room."""
+    needed = EXPECTED_ROOM * step.waiting / EXPECTED_GOOD_SHARE
+    found: list[Slot] = []
+    room = 0
+    for slot in slots:
+        if len(found) >= CALL_MAX_WORKERS:
+            break
+        if room >= needed and len(found) >= ASK_MIN_WORKERS:
+            break
+        found.append(slot)
+        room += spare_tasks(slot, step)
+    return found
+
+
 def _cost_ms(step: StepEntry, workers: int) -> float:
     advice = step.job.queue.advice
     if advice is None:
--- /dev/null
+++ b/tests/planner/test_load_patterns.py
@@ -0,0 +1,94 @@
+"""Loads that the policy answers, in virtual time and without a network.
+
+Each test names its pattern; the bounds come from what callers wait for.
+"""
+
+from __future__ import annotations
+
+from magnoliapitch.ledger.state_table import JobState
+from magnoliapitch.resource import Resources
+from magnoliapitch.workload.configuration import AdvicePolicy
+from magnoliapitch.workload.job import JobSpec
+from magnoliapitch.workload.job import StepSpec
+from tests.control.load import Load
+from tests.control.scene import Scene
+from tests.control.scene import queue
+from tests.control.scene import workers
+
+
+URGENT_START_MS = 10_000
+SLOW_ADVICE = AdvicePolicy(decision_ms=900, per_worker_ms=5.5, valid_ms=2_500)
+
+
+def test_a_burst_of_urgent_work_over_a_busy_pool() -> None:
+    load = Load(24, 0.9)
+    load.run(8_000)
+    load.factor_by_kind = {"urgent": 2.2}
+    load.run(4_000)
+    load.scene.run(URGENT_START_MS)
+    assert load.earned("urgent") >= 0.9
+    assert load.scene.violations == []
+
+
+def test_a_burst_of_gangs_leaves_urgent_work_alone() -> None:
+    load = Load(24, 0.9)
+    load.run(5_000)
+    load.factor_by_kind = {"plan": 2.0}
+    load.run(4_000)
+    load.factor_by_kind = {}
+    load.run(4_000)
+    load.scene.run(30_000)
+    assert load.earned("urgent") >= 0.9
+    assert load.earned("batch") >= 0.8
+    assert load.scene.violations == []
+
+
+def test_a_wide_gang_starts_though_permits_are_slow_and_short_lived() -> None:
+    scene = Scene([queue("q", advice=SLOW_ADVICE)], workers(176))
+    scene.good_share = 0.35
+    gang = StepSpec(30, Resources(9_000, 26_000), is_gang=True)
+    for number in range(4):
+        scene.submit(JobSpec(f"a{number}", "q", "text", (gang,)))
+    scene.run(15_000)
+    states = [done.outcome for done in scene.finished.values()]
+    assert states == [JobState.COMPLETED] * 4
+
+
+def test_jobs_that_fail_everywhere_do_not_hold_up_the_others() -> None:
+    scene = Scene([queue("q")], workers(6))
+    scene.fails = lambda key, _: key.job_id.startswith("bad")
+    size = Resources(4_000, 8_000)
+    for number in range(20):
+        scene.submit(
+            JobSpec(f"bad{number}", "q", "text", (StepSpec(4, size),))
+        )
+        scene.submit(JobSpec(f"a{number}", "q", "text", (StepSpec(2, size),)))
+    scene.run(20_000)
+    assert len(scene.finished) == 40
+    for name, done in scene.finished.items():
+        is_bad = name.startswith("bad")
+        wanted = JobState.FAILED if is_bad else JobState.COMPLETED
+        assert done.outcome is wanted
+
+
+def test_a_wave_of_cancellations_frees_the_room_at_once() -> None:
+    scene = Scene([queue("q")], workers(6))
+    scene.true_ms = lambda _: 30_000.0
+    size = Resources(16_000, 8_000)
+    for number in range(10):
+        scene.submit(JobSpec(f"a{number}", "q", "text", (StepSpec(4, size),)))
+    scene.run(2_000)
+    for number in range(10):
+        scene.cancel(f"a{number}")
+    scene.true_ms = lambda _: 500.0
+    scene.submit(JobSpec("b", "q", "text", (StepSpec(12, size),)))
+    scene.run(4_000)
+    assert scene.finished["b"].outcome is JobState.COMPLETED
+
+
+def test_a_large_pool_is_planned_within_the_time_it_has() -> None:
+    load = Load(176, 6.0, lanes=30)
+    load.run(2_000)
+    rounds = load.scene.now_ms // 20
+    assert load.scene.commits >= rounds * 0.9
+    assert load.scene.violations == []
