Avoid workers whose failures others don't share; stop gangs that lost a member; keep SIGHUP from ending a process

Members of a gang that lost one are stopped and start again together. SIGHUP reads the settings again; the log level is changed in place.

--- a/src/magnoliapitch/console/entry.py
+++ b/src/magnoliapitch/console/entry.py
@@ -12,13 +12,14 @@
 from cyclopts import Parameter
 
 from magnoliapitch.console.ending import ending_on_signals
+from magnoliapitch.console.ending import reload_on_hangup
 from magnoliapitch.console.exceptions import CommandError
 from magnoliapitch.console.exit_code import ExitCode
+from magnoliapitch.console.settings import read_cluster_settings
 from magnoliapitch.console.settings import read_settings
 from magnoliapitch.event import configure_logging
-from magnoliapitch.settings import InvalidSettingsError
+from magnoliapitch.event import log_event
 from magnoliapitch.settings.cluster import is_cluster_file
-from magnoliapitch.settings.cluster import load_cluster_settings
 
 
 class _Node(Protocol):
@@ -37,12 +38,26 @@
     """
     ends = ending_on_signals()
     node = _make_node(settings, lambda: ends.put(ExitCode.GAVE_UP))
+    reload_on_hangup(lambda: _reload(settings))
     node.start()
     exit_code = ends.get()
     node.stop()
     sys.exit(exit_code)
 
 
+def _reload(settings: Path) -> None:
+    """Check the settings again; only the log level is changed in place."""
+    is_cluster = is_cluster_file(settings)
+    read = read_cluster_settings if is_cluster else read_settings
+    try:
+        loaded = read(settings)
+    except CommandError as error:
+        log_event("settings-rejected", reason=str(error))
+        return
+    configure_logging(loaded.instance_id, loaded.zone, loaded.log_level)
+    log_event("settings-reloaded", log_level=loaded.log_level)
+
+
 def _make_node(settings: Path, give_up: Callable[[], None]) -> _Node:
     if is_cluster_file(settings):
         return _make_job_node(settings, give_up)
@@ -57,9 +72,6 @@
 def _make_job_node(settings: Path, give_up: Callable[[], None]) -> _Node:
     from magnoliapitch.entry.job_node import JobNode
 
-    try:
-        loaded = load_cluster_settings(settings)
-    except InvalidSettingsError as error:
-        raise CommandError(str(error), ExitCode.INVALID_FILE) from error
+    loaded = read_cluster_settings(settings)
     configure_logging(loaded.instance_id, loaded.zone, loaded.log_level)
     return JobNode(loaded, give_up)
--- a/src/magnoliapitch/console/settings.py
+++ b/src/magnoliapitch/console/settings.py
@@ -11,6 +11,9 @@
 from magnoliapitch.settings import InvalidSettingsError
 from magnoliapitch.settings import Settings
 from magnoliapitch.settings import load_settings
+from magnoliapitch.settings.cluster import ClusterSettings
+from magnoliapitch.settings.cluster import is_cluster_file
+from magnoliapitch.settings.cluster import load_cluster_settings
 
 
 settings = App(name="settings", help="Work with settings files.")
@@ -22,6 +25,9 @@
 
     :param file: TOML settings file.
     """
+    if is_cluster_file(file):
+        _check_cluster(file)
+        return
     loaded = read_settings(file)
     print(
         f"{file}: valid; instance {loaded.instance_id} in {loaded.zone}, "
@@ -29,6 +35,25 @@
     )
 
 
+def _check_cluster(file: Path) -> None:
+    loaded = read_cluster_settings(file)
+    print(
+        f"{file}: valid; instance {loaded.instance_id} in {loaded.zone}, "
+        f"callers at {loaded.listen.callers}, store {loaded.endpoints.store}"
+    )
+
+
+def read_cluster_settings(file: Path) -> ClusterSettings:
+    """Read the settings file of a job instance for a command.
+
+    :raises CommandError: if it is not valid.
+    """
+    try:
+        return load_cluster_settings(file)
+    except InvalidSettingsError as error:
+        raise CommandError(str(error), ExitCode.INVALID_FILE) from error
+
+
 def read_settings(file: Path) -> Settings:
     """Read a settings file for a command.
 
--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -104,7 +104,6 @@
         self._lease_by_worker: dict[str, WorkerLease] = {}
         self._reported_ms_by_worker: dict[str, int] = {}
         self._silent_ms_by_worker: dict[str, int] = {}
-        self._avoid_until_by_worker: dict[str, int] = {}
         self._listed: dict[str, WorkerInfo] = {}
         self._reader = ReportReader(self.book, self.planner)
         self._to_start: list[PlannedStart] = []
@@ -414,7 +413,7 @@
                 reported_ms is not None
                 and now_ms - reported_ms <= REPORT_MAX_AGE_MS
             )
-            is_avoided = now_ms < self._avoid_until_by_worker.get(worker_id, 0)
+            is_avoided = self.planner.trust.is_avoided(worker_id, now_ms)
             worker.is_usable = (
                 is_reached and not is_avoided and worker_id in self._listed
             )
@@ -447,12 +446,12 @@
             self._lease_by_worker,
             self._reported_ms_by_worker,
             self._silent_ms_by_worker,
-            self._avoid_until_by_worker,
             self._ends_by_worker,
             self._listed,
         ):
             known.pop(worker_id, None)
         self._reader.forget(worker_id)
+        self.planner.trust.forget(worker_id)
 
     def _refuse_start(
         self,
@@ -462,15 +461,12 @@
         now_ms: int,
     ) -> None:
         step = run.task.step
-        self.book.remove_run(run)
+        self.book.lose_run(run)
         if failure.code is FailureCode.TICKET:
             step.tickets_by_worker.pop(planned.worker_id, None)
         elif failure.code is not FailureCode.STALE:
             until_ms = now_ms + UNHEALTHY_PAUSE_MS
-            self._avoid_until_by_worker[planned.worker_id] = until_ms
-        if step.spec.is_gang:
-            for other in step.live_runs():
-                self.book.stop_later(other)
+            self.planner.trust.avoid(planned.worker_id, until_ms)
 
     def _log_failed_start(
         self, planned: PlannedStart, failure: Failure
@@ -586,7 +582,7 @@
             or info.is_draining
             or deadline_ms is None
         ):
-            self.book.remove_run(run)
+            self.book.lose_run(run)
             return
         order = StartOrder(
             planned.task,
--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -79,7 +79,9 @@
     def _take_end(self, worker_id: str, end: EndedRun, now_ms: int) -> None:
         run = self._book.run(end.task, end.run, worker_id)
         if run is not None and end.kind is EndKind.DONE:
-            self._planner.note_done(run, now_ms)
+            self._log_avoided(self._planner.note_done(run, now_ms))
+        if run is not None and end.kind is EndKind.FAILED:
+            self._planner.note_failed(run)
         is_news = self._book.note_end(worker_id, end, now_ms)
         if end.kind is EndKind.DONE and is_news:
             self._log_done(end)
@@ -95,6 +97,10 @@
             is_news=is_news,
         )
 
+    def _log_avoided(self, pause_ms_by_worker: dict[str, int]) -> None:
+        for worker_id, pause_ms in pause_ms_by_worker.items():
+            log_event("worker-avoided", worker=worker_id, pause_ms=pause_ms)
+
     def _log_done(self, end: EndedRun) -> None:
         """Log the end of a whole step instead of each task's."""
         step = self._book.step(end.task.step_key)
@@ -121,7 +127,7 @@
                     run=run.run,
                     worker=worker_id,
                 )
-                self._book.remove_run(run)
+                self._book.lose_run(run)
 
     def _due(
         self, worker_id: str, orders: list[StopOrder], now_ms: int
--- a/src/magnoliapitch/event/known_jobs.py
+++ b/src/magnoliapitch/event/known_jobs.py
@@ -63,6 +63,21 @@
     EventLevel.INFO,
     "A worker leaves soon and gets no new work.",
 )
+define_event(
+    "worker-avoided",
+    EventLevel.WARNING,
+    "What a worker starts fails again and again; it gets nothing for a while.",
+)
+define_event(
+    "settings-reloaded",
+    EventLevel.INFO,
+    "SIGHUP came and the settings file was read again.",
+)
+define_event(
+    "settings-rejected",
+    EventLevel.ERROR,
+    "SIGHUP came and the settings file is not valid; nothing was changed.",
+)
 define_event(
     "worker-gone",
     EventLevel.WARNING,
--- a/src/magnoliapitch/planner/book.py
+++ b/src/magnoliapitch/planner/book.py
@@ -109,9 +109,22 @@
         worker = self.workers_by_id.get(worker_id)
         runs = list(worker.runs) if worker else []
         for run in runs:
-            self.remove_run(run)
+            self.lose_run(run)
         return len(runs)
 
+    def lose_run(self, run: RunEntry) -> None:
+        """Note that a run is not going on though no end was listed.
+
+        The other members of its gang would wait for it in vain.
+        """
+        if run not in run.task.live:
+            return
+        self.remove_run(run)
+        step = run.task.step
+        if step.spec.is_gang and not step.is_done:
+            for member in step.live_runs():
+                self.stop_later(member)
+
     def task(self, key: TaskKey) -> TaskEntry | None:
         """Return a task, or None if its job is not known."""
         job = self.jobs_by_id.get(key.job_id)
--- a/src/magnoliapitch/planner/entry.py
+++ b/src/magnoliapitch/planner/entry.py
@@ -106,6 +106,7 @@
     :ivar ready_ms: when all that it depends on was done; None before.
     :ivar good: workers that the advisor has permitted.
     :ivar asked: workers that the advisor was asked about.
+    :ivar failed_on: workers on which a run of it has failed.
     :ivar undone: number of tasks that are not done.
     :ivar waiting: number of tasks that are neither done nor may be running.
     :ivar tickets_by_worker: ticket and end of its validity.
@@ -116,6 +117,7 @@
         "asked",
         "asking",
         "charge",
+        "failed_on",
         "failed_runs",
         "good",
         "job",
@@ -149,6 +151,7 @@
         self.asked: set[str] = set()
         self.tickets_by_worker: dict[str, tuple[str, int]] = {}
         self.asking: frozenset[str] = frozenset()
+        self.failed_on: set[str] = set()
         self.failed_runs: set[int] = set()
         self.latest_ms: float | None = None
         self.objective_ms = 0.0
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -13,6 +13,7 @@
 from magnoliapitch.planner.room import Room
 from magnoliapitch.planner.room import Slot
 from magnoliapitch.planner.room import spare_tasks
+from magnoliapitch.planner.trust import Trust
 from magnoliapitch.workload.progress import JobOutcome
 
 
@@ -44,9 +45,31 @@
 
     def __init__(self) -> None:
         self.durations = Durations()
+        self.trust = Trust()
 
-    def note_done(self, run: RunEntry, now_ms: int) -> None:
-        """Learn from a run that was done."""
+    def note_failed(self, run: RunEntry) -> None:
+        """Remember where a run failed, until another shows whose fault."""
+        run.task.step.failed_on.add(run.worker_id)
+
+    def note_done(self, run: RunEntry, now_ms: int) -> dict[str, int]:
+        """Learn from a run that was done.
+
+        What fails on one worker and is done on another was the first
+        one's fault; what fails everywhere is the job's own.
+
+        :return: how long workers are avoided from now on, by id.
+        """
+        self.trust.note_done(run.worker_id)
+        step = run.task.step
+        pause_ms_by_worker = {
+            worker_id: self.trust.note_failed(worker_id, now_ms)
+            for worker_id in step.failed_on - {run.worker_id}
+        }
+        step.failed_on.clear()
+        self._learn_duration(run, now_ms)
+        return {name: ms for name, ms in pause_ms_by_worker.items() if ms}
+
+    def _learn_duration(self, run: RunEntry, now_ms: int) -> None:
         if run.started_ms is not None and not run.resumed_percent:
             self.durations.learn(
                 run.task.step.job.queue.name, now_ms - run.ordered_ms
@@ -180,6 +203,7 @@
         ]
         fitting.sort(
             key=lambda slot: (
+                slot.worker.worker_id in step.failed_on,
                 slot.worker.worker_id not in step.asking
                 and not self._has_ticket(step, slot),
                 slot.free.cpu_millis,
--- a/tests/control/test_controller.py
+++ b/tests/control/test_controller.py
@@ -184,3 +184,14 @@
     world.cut = {"w000"}
     world.run(TIMING.lease_ms + 8_000)
     assert world.finished["a"].outcome is JobState.COMPLETED
+
+
+def test_members_that_wait_for_a_lost_one_are_stopped() -> None:
+    world = scene(3)
+    world.submit(job("a", StepSpec(4, SIZE, is_gang=True)))
+    world.lose_start = lambda order: order.run == 1
+    world.run(60)
+    world.take_over()
+    world.run(12_000)
+    assert world.finished["a"].outcome is JobState.COMPLETED
+    assert world.violations == []
--- a/tests/planner/test_load_patterns.py
+++ b/tests/planner/test_load_patterns.py
@@ -92,3 +92,16 @@
     rounds = load.scene.now_ms // 20
     assert load.scene.commits >= rounds * 0.9
     assert load.scene.violations == []
+
+
+def test_a_worker_that_fails_everything_costs_no_job() -> None:
+    scene = Scene([queue("q")], workers(6))
+    scene.fails = lambda _, worker_id: worker_id == "w000"
+    size = Resources(8_000, 8_000)
+    for number in range(40):
+        steps = (StepSpec(3, size),)
+        scene.submit(JobSpec(f"a{number}", "q", "text", steps))
+        scene.run(300)
+    scene.run(20_000)
+    outcomes = [done.outcome for done in scene.finished.values()]
+    assert outcomes == [JobState.COMPLETED] * 40
