Count calls, starts and ends; tell a job's story from the logs

Cause: the metrics address of job instances served the process's cost only, and on-call engineers had no way from an id to its cause but searching several logs by hand. Change: counters and histograms of callers' calls by outcome, outgoing calls by path, starts, failed starts by reason, ends by kind, waits of steps by queue; magnoliapitch logs explain ID FILE.

--- a/src/magnoliapitch/console/application.py
+++ b/src/magnoliapitch/console/application.py
@@ -20,6 +20,7 @@
 from magnoliapitch.console.exceptions import CommandError
 from magnoliapitch.console.exit_code import ExitCode
 from magnoliapitch.console.job import job
+from magnoliapitch.console.logs import logs
 from magnoliapitch.console.request import request
 from magnoliapitch.console.settings import settings
 from magnoliapitch.console.state import state
@@ -34,7 +35,7 @@
 )
 for command in (entry, request, state, drain, dev, demo):
     application.command(command)
-for group in (settings, catalogue, job, bench):
+for group in (settings, catalogue, job, logs, bench):
     application.command(group)
 
 
--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -44,6 +44,7 @@
     from magnoliapitch.ledger.replica import Replica
     from magnoliapitch.ledger.replica import StoredJob
     from magnoliapitch.ledger.state_table import StateTable
+    from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.entry import JobEntry
     from magnoliapitch.planner.entry import RunEntry
     from magnoliapitch.planner.entry import WorkerEntry
@@ -90,6 +91,7 @@
         states: StateTable,
         effects: Effects,
         configuration: Callable[[], Configuration | None],
+        metrics: Metrics,
     ) -> None:
         self.is_over = False
         self.book = Book()
@@ -101,11 +103,12 @@
         self._states = states
         self._effects = effects
         self._configuration = configuration
+        self._metrics = metrics
         self._lease_by_worker: dict[str, WorkerLease] = {}
         self._reported_ms_by_worker: dict[str, int] = {}
         self._silent_ms_by_worker: dict[str, int] = {}
         self._listed: dict[str, WorkerInfo] = {}
-        self._reader = ReportReader(self.book, self.planner)
+        self._reader = ReportReader(self.book, self.planner, metrics)
         self._to_start: list[PlannedStart] = []
         self._in_commit: list[PlannedStart] = []
         self._in_commit_by_id: dict[str, JobProgress] = {}
@@ -230,6 +233,7 @@
             return
         failure = event.outcome.err_value
         self._log_failed_start(planned, failure)
+        self._metrics.count("starts_failed", failure.code.value)
         if failure.code is FailureCode.FENCED:
             self.end("a worker has seen a higher token")
         elif failure.code is FailureCode.REPLACED:
@@ -339,14 +343,17 @@
             counts[planned.task.step_key] += 1
         for key, count in counts.items():
             step = self.book.step(key)
-            ready_ms = step.ready_ms if step else None
+            ready_ms = (step.ready_ms if step else None) or now_ms
+            queue = step.job.queue.name if step else ""
+            self._metrics.count("starts_planned", queue, count)
+            self._metrics.observe("step_waited", now_ms - ready_ms, queue)
             log_event(
                 "step-starting",
                 job=key.job_id,
                 step=key.step,
                 tasks=count,
                 waiting=step.waiting if step else 0,
-                ready_age_ms=now_ms - (ready_ms or now_ms),
+                ready_age_ms=now_ms - ready_ms,
             )
 
     def _ask(self, asks: tuple[PlannedAsk, ...]) -> None:
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -45,6 +45,7 @@
     from magnoliapitch.ledger.leadership import Batch
     from magnoliapitch.ledger.leadership import Leadership
     from magnoliapitch.ledger.state_table import StateTable
+    from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.plan import PlannedAsk
     from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.workload.configuration import Configuration
@@ -86,6 +87,7 @@
         clock: Clock,
         configuration: Callable[[], Configuration | None],
         open_archive: Callable[[Callable[[frozenset[str]], None]], Archive],
+        metrics: Metrics,
     ) -> None:
         self._leadership = leadership
         self._states = states
@@ -94,6 +96,7 @@
         self._clock = clock
         self._configuration = configuration
         self._open_archive = open_archive
+        self._metrics = metrics
         self._archive: Archive | None = None
         self._to_forget: set[str] = set()
         self._events: queue.SimpleQueue[Event] = queue.SimpleQueue()
@@ -146,6 +149,7 @@
             self._states,
             self,
             self._configuration,
+            self._metrics,
         )
         controller.load(self._clock.now_ms())
         self._controller = controller
--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -11,6 +11,7 @@
 
 
 if TYPE_CHECKING:
+    from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.book import Book
     from magnoliapitch.planner.entry import RunEntry
     from magnoliapitch.planner.planner import Planner
@@ -36,9 +37,10 @@
 class ReportReader:
     """Takes reports of workers over into a book."""
 
-    def __init__(self, book: Book, planner: Planner) -> None:
+    def __init__(self, book: Book, planner: Planner, metrics: Metrics) -> None:
         self._book = book
         self._planner = planner
+        self._metrics = metrics
         self._last_end_by_worker: dict[str, int] = {}
         self._stopped_ms_by_order: dict[tuple[str, StopOrder], int] = {}
 
@@ -83,6 +85,7 @@
         if run is not None and end.kind is EndKind.FAILED:
             self._planner.note_failed(run)
         is_news = self._book.note_end(worker_id, end, now_ms)
+        self._metrics.count("runs_ended", end.kind.value)
         if end.kind is EndKind.DONE and is_news:
             self._log_done(end)
             return
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -86,7 +86,7 @@
         self._health = StoreHealth(self._clock)
         self._metrics = Metrics()
         self._cost = CostMeter()
-        client = HttpClient(connections=32)
+        client = HttpClient(32, self._observe_call)
         store = PlatformStore(settings.endpoints.store, client)
         self._directory = PlatformDirectory(store)
         self._states = StateTable()
@@ -108,7 +108,11 @@
             store, JOB_STREAM, producer, self._clock, self._health
         )
         self._desk = JobDesk(
-            self._states, self._submitter, self._refresh, self._wait
+            self._states,
+            self._submitter,
+            self._refresh,
+            self._wait,
+            self._metrics,
         )
         ip = settings.listen.callers.partition(":")[0]
         self._members = Members(
@@ -134,6 +138,7 @@
             self._clock,
             self._desk.configuration,
             lambda post: Archive(store, self._clock, self._health, post),
+            self._metrics,
         )
         self._tree = Supervisor(
             "entry", self._children(), self._clock, give_up=give_up
@@ -224,6 +229,13 @@
             return Ok(None)
         return self._leadership.follow()
 
+    def _observe_call(
+        self, path: str, duration_ms: float, is_ok: bool
+    ) -> None:
+        self._metrics.observe("outgoing_call", duration_ms, path)
+        if not is_ok:
+            self._metrics.count("outgoing_calls_failed", path)
+
     def _wait(self, duration_ms: int) -> None:
         time.sleep(duration_ms / 1000)
 
--- a/src/magnoliapitch/http/client.py
+++ b/src/magnoliapitch/http/client.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import time
+
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 from typing import Annotated
 from typing import Any
 from typing import NamedTuple
 from typing import TypeVar
+from urllib.parse import urlsplit
 
 import orjson
 import urllib3
@@ -36,6 +40,13 @@
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
+Observer = Callable[[str, float, bool], None]
+
+
+def _observe_nothing(path: str, duration_ms: float, is_ok: bool) -> None:
+    del path, duration_ms, is_ok
+
+
 class HttpReply(NamedTuple):
     """A complete answer."""
 
@@ -47,9 +58,14 @@
     """Sends requests once, without retries or redirects.
 
     :param connections: connections that are kept open to each server.
+    :param observe: takes the path, the duration in milliseconds and
+        whether there was a complete answer, after every call.
     """
 
-    def __init__(self, connections: int = 8) -> None:
+    def __init__(
+        self, connections: int = 8, observe: Observer | None = None
+    ) -> None:
+        self._observe = observe or _observe_nothing
         self._pool = urllib3.PoolManager(
             num_pools=512, maxsize=connections, retries=False
         )
@@ -63,6 +79,20 @@
         headers: Mapping[str, str] | None = None,
     ) -> Result[HttpReply, Failure]:
         """Send a request and return the complete answer."""
+        started_ns = time.perf_counter_ns()
+        outcome = self._send(method, url, timeout_ms, body, headers)
+        duration_ms = (time.perf_counter_ns() - started_ns) / 1_000_000
+        self._observe(urlsplit(url).path, duration_ms, outcome.is_ok())
+        return outcome
+
+    def _send(
+        self,
+        method: str,
+        url: str,
+        timeout_ms: int,
+        body: bytes | None,
+        headers: Mapping[str, str] | None,
+    ) -> Result[HttpReply, Failure]:
         try:
             response = self._pool.request(
                 method,
--- a/src/magnoliapitch/ledger/desk.py
+++ b/src/magnoliapitch/ledger/desk.py
@@ -27,6 +27,7 @@
 
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.ledger.submitter import Submitter
+    from magnoliapitch.metric import Metrics
     from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.configuration import Configuration
     from magnoliapitch.workload.configuration import Queue
@@ -55,11 +56,13 @@
         submitter: Submitter,
         refresh: Callable[[], Result[None, Failure]],
         wait: Callable[[int], None],
+        metrics: Metrics,
     ) -> None:
         self._states = states
         self._submitter = submitter
         self._refresh = refresh
         self._wait = wait
+        self._metrics = metrics
         self._taken_by_id: OrderedDict[str, str] = OrderedDict()
         self._configuration: Configuration | None = None
         self._is_closing = False
@@ -85,7 +88,9 @@
         if self._known(job.job_id) is not None:
             return Ok(None)
         record = KeyedRecord(JOB_PREFIX + job.job_id, encode_job(job))
-        outcome = self._append(record, timeout_ms)
+        with self._metrics.timing("submit"):
+            outcome = self._append(record, timeout_ms)
+        self._count("submit", outcome)
         if not isinstance(outcome, Err):
             self._note_taken(job)
         _log_answer("submit", job.job_id, outcome, job.queue)
@@ -103,6 +108,7 @@
             return Ok(True)
         record = KeyedRecord(CANCEL_PREFIX + job_id, CANCELLED)
         outcome = self._append(record, timeout_ms)
+        self._count("cancel", outcome)
         _log_answer("cancel", job_id, outcome, job.queue)
         return outcome.map(lambda _: True)
 
@@ -121,6 +127,12 @@
         """Return the number of jobs without a started task."""
         return self._states.pending(queue.name)
 
+    def _count(self, call: str, outcome: Result[None, Failure]) -> None:
+        label = "stored"
+        if isinstance(outcome, Err):
+            label = outcome.err_value.verdict.value
+        self._metrics.count(f"calls_{call}", label)
+
     def _append(
         self, record: KeyedRecord, timeout_ms: int
     ) -> Result[None, Failure]:
--- a/tests/control/scene.py
+++ b/tests/control/scene.py
@@ -33,6 +33,7 @@
 from magnoliapitch.ledger.state_table import FINAL_STATES
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.ledger.state_table import StateTable
+from magnoliapitch.metric import Metrics
 from magnoliapitch.resource import Resources
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import may_have_run
@@ -148,6 +149,7 @@
             self.states,
             _Effects(self, self._epoch),
             lambda: self.configuration,
+            Metrics(),
         )
         controller.load(self.now_ms)
         self.controller = controller
--- a/tests/ledger/test_desk.py
+++ b/tests/ledger/test_desk.py
@@ -10,6 +10,7 @@
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.ledger.state_table import ShownJob
 from magnoliapitch.ledger.state_table import StateTable
+from magnoliapitch.metric import Metrics
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
@@ -54,7 +55,7 @@
         self.waited_ms += duration_ms
 
     def desk(self) -> JobDesk:
-        return JobDesk(self.states, self, self.refresh, self.wait)  # type: ignore[arg-type]
+        return JobDesk(self.states, self, self.refresh, self.wait, Metrics())  # type: ignore[arg-type]
 
 
 def shown(state: JobState) -> ShownJob:
--- a/tests/process/test_job_node.py
+++ b/tests/process/test_job_node.py
@@ -229,7 +229,9 @@
         "GET", f"http://{LOOPBACK}:{settings.listen.metrics_port}/metrics"
     )
     assert response.status == 200
-    assert b"magnoliapitch_" in response.data
+    text = response.data.decode()
+    assert 'magnoliapitch_calls_submit_total{label="stored"}' in text
+    assert "magnoliapitch_outgoing_call_ms_count" in text
 
 
 def test_another_instance_leads_once_the_leader_stops(
