--- a/src/magnoliapitch/control/timing.py
+++ b/src/magnoliapitch/control/timing.py
@@ -18,12 +18,10 @@
     :param silence_ms: how long after its last stored record a leader may
         go on giving leases and orders.
     :param keep_states_ms: how long the state of an ended job is told.
-    :param stop_ms: longest time that a worker takes to stop a run.
     """
 
     lease_ms: int
     silence_ms: int = 2_500
-    stop_ms: int = 400
     keep_states_ms: int = 130_000
 
     @property
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -132,7 +132,6 @@
             ),
             ControlTiming(
                 settings.leases.longest_ms,
-                stop_ms=settings.leases.stop_ms,
                 keep_states_ms=settings.leases.keep_states_ms,
             ),
             self._clock,
--- a/src/magnoliapitch/planner/book.py
+++ b/src/magnoliapitch/planner/book.py
@@ -191,7 +191,6 @@
         run.load = report.load
         task = run.task
         if report.checkpoint and report.checkpoint != task.checkpoint:
-            run.checkpoint_percent = report.percent
             self._save_checkpoint(task, report.checkpoint)
 
     def note_end(self, worker_id: str, end: EndedRun, now_ms: int) -> bool:
--- a/src/magnoliapitch/planner/duration.py
+++ b/src/magnoliapitch/planner/duration.py
@@ -8,7 +8,6 @@
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.planner.entry import RunEntry
     from magnoliapitch.planner.entry import StepEntry
 
 
@@ -18,8 +17,6 @@
 # A declared estimate is often off by a factor; the mean of its queue
 # counts for the rest.
 ESTIMATE_WEIGHT = 0.35
-# Below this progress a rate says little.
-RATE_MIN_PERCENT = 8.0
 
 
 class Durations:
@@ -50,15 +47,3 @@
             ESTIMATE_WEIGHT * math.log(declared_ms)
             + (1 - ESTIMATE_WEIGHT) * math.log(max(1.0, mean_ms))
         )
-
-    def remaining_ms(self, run: RunEntry, now_ms: int) -> float:
-        """Return the expected time until a run ends."""
-        started_ms = run.started_ms or run.ordered_ms
-        elapsed_ms = max(1, run.percent_ms - started_ms)
-        progress = run.percent - run.resumed_percent
-        if progress >= RATE_MIN_PERCENT:
-            rate = progress / elapsed_ms
-            left_ms = (100.0 - run.percent) / rate
-            return max(0.0, left_ms - (now_ms - run.percent_ms))
-        expected_ms = self.expected_ms(run.task.step)
-        return max(expected_ms / 10, expected_ms - (now_ms - started_ms))
--- a/src/magnoliapitch/planner/entry.py
+++ b/src/magnoliapitch/planner/entry.py
@@ -30,7 +30,6 @@
     """
 
     __slots__ = (
-        "checkpoint_percent",
         "confirmed_ms",
         "is_restored",
         "is_stopping",
@@ -64,7 +63,6 @@
         self.stopped_ms: int | None = None
         self.percent = 0.0
         self.percent_ms = now_ms
-        self.checkpoint_percent = 0.0
         self.resumed_percent = 0.0
         self.load = 0.0
 
--- a/src/magnoliapitch/settings/cluster.py
+++ b/src/magnoliapitch/settings/cluster.py
@@ -60,15 +60,11 @@
     """Times of the workers.
 
     :param longest_ms: longest lease that a worker grants.
-    :param stop_ms: longest time that a worker takes to stop a run.
     :param keep_states_ms: how long the state of an ended job is told.
-    :param drain_ms: time after SIGTERM in which the process must end.
     """
 
     longest_ms: Milliseconds = 10_000
-    stop_ms: Milliseconds = 400
     keep_states_ms: Milliseconds = 130_000
-    drain_ms: Milliseconds = 6_000
 
 
 class MachineSettings(NamedTuple):
