--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -163,7 +163,8 @@
         """Take over what a worker runs and what has ended there."""
         worker_id = event.worker_id
         if isinstance(event.outcome, Err):
-            self._note_unreached(worker_id, event.outcome.err_value)
+            if not self._is_final(worker_id, event.outcome.err_value):
+                self._contacts.note_unanswered(worker_id)
             return
         report = event.outcome.ok_value
         self._contacts.note_answer(
@@ -191,11 +192,9 @@
             return
         failure = event.outcome.err_value
         self._orders.note_failed_start(planned, failure)
-        if failure.code is FailureCode.FENCED:
-            self.end("a worker has seen a higher token")
-        elif failure.code is FailureCode.REPLACED:
-            self._drop_worker(planned.worker_id, "replaced")
-        elif run is None or run.confirmed_ms is not None:
+        if self._is_final(planned.worker_id, failure):
+            return
+        if run is None or run.confirmed_ms is not None:
             return
         if failure.code in (FailureCode.UNAVAILABLE, FailureCode.TIMEOUT):
             self._contacts.note_silent(planned.worker_id, event.received_ms)
@@ -211,12 +210,7 @@
             if run is not None:
                 run.stopped_ms = event.received_ms
             return
-        failure = event.outcome.err_value
-        if failure.code is FailureCode.FENCED:
-            self.end("a worker has seen a higher token")
-        elif failure.code is FailureCode.REPLACED:
-            self._drop_worker(event.worker_id, "replaced")
-        else:
+        if not self._is_final(event.worker_id, event.outcome.err_value):
             self._contacts.note_silent(event.worker_id, event.received_ms)
 
     def note_commit(self, event: Committed, now_ms: int) -> None:
@@ -340,13 +334,15 @@
         if stored.is_cancelled:
             self.book.cancel_job(spec.job_id)
 
-    def _note_unreached(self, worker_id: str, failure: Failure) -> None:
+    def _is_final(self, worker_id: str, failure: Failure) -> bool:
+        """Act on a failure that ends this leadership or the worker."""
         if failure.code is FailureCode.FENCED:
             self.end("a worker has seen a higher token")
         elif failure.code is FailureCode.REPLACED:
             self._drop_worker(worker_id, "replaced")
         else:
-            self._contacts.note_unanswered(worker_id)
+            return False
+        return True
 
     def _check_workers(self, now_ms: int) -> None:
         for worker in list(self.book.workers_by_id.values()):
--- a/tests/control/test_controller.py
+++ b/tests/control/test_controller.py
@@ -4,8 +4,14 @@
 
 from functools import partial
 
+from result import Err
+
+from magnoliapitch.control.events import StartAnswered
 from magnoliapitch.ledger.state_table import JobState
+from magnoliapitch.planner.plan import PlannedStart
 from magnoliapitch.resource import Resources
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import not_run
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
 from magnoliapitch.workload.job import TaskKey
@@ -195,3 +201,31 @@
     world.run(12_000)
     assert world.finished["a"].outcome is JobState.COMPLETED
     assert world.violations == []
+
+
+def test_an_order_that_was_overtaken_by_a_new_leader_ends_the_old_one() -> (
+    None
+):
+    world = scene(1)
+    world.run(500)
+    old = world.controller
+    start = PlannedStart(TaskKey("a", 0, 0, 0), 1, "w000")
+    fenced = Err(not_run(FailureCode.FENCED, "token"))
+    old.note_start(StartAnswered(start, fenced, 0, 0))
+    assert old.is_over
+
+
+def test_an_order_that_met_another_life_of_the_worker_frees_its_tasks() -> (
+    None
+):
+    world = scene(2)
+    world.true_ms = lambda _: 60_000.0
+    world.submit(job("a", StepSpec(12, SIZE)))
+    world.run(1_000)
+    held = list(world.workers["w000"].running)
+    assert held
+    start = PlannedStart(held[0], 1, "w000")
+    replaced = Err(not_run(FailureCode.REPLACED, "another life"))
+    world.controller.note_start(StartAnswered(start, replaced, 0, 0))
+    assert "w000" not in world.controller.book.workers_by_id
+    assert not world.controller.is_over
