--- a/src/magnoliapitch/api/admin.py
+++ b/src/magnoliapitch/api/admin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 from magnoliapitch.api.catalogue import add_catalogue_routes
 from magnoliapitch.http import Application
@@ -14,10 +15,34 @@
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.entry.node import EntryNode
+    from magnoliapitch.entry.core import EntryCore
+    from magnoliapitch.metric import CostMeter
+    from magnoliapitch.supervisor import Supervisor
 
 
-def admin_application(node: EntryNode) -> Application:
+class AdminNode(Protocol):
+    """What operators see of an instance."""
+
+    @property
+    def core(self) -> EntryCore:
+        """Return what the instance decides with."""
+
+    @property
+    def cost(self) -> CostMeter:
+        """Return the meter of the process."""
+
+    @property
+    def supervisor(self) -> Supervisor:
+        """Return the root of the instance's parts."""
+
+    def dump(self) -> dict[str, object]:
+        """Return the state dump."""
+
+    def is_ready(self) -> bool:
+        """Return whether callers can be served."""
+
+
+def admin_application(node: AdminNode) -> Application:
     """Return the application that serves operators."""
     application = Application()
     add_catalogue_routes(application, node.core)
@@ -26,7 +51,7 @@
     return application
 
 
-def _add_state_routes(application: Application, node: EntryNode) -> None:
+def _add_state_routes(application: Application, node: AdminNode) -> None:
     @application.route("GET", "/v1/state")
     def state(request: HttpRequest) -> HttpResponse:  # noqa: ARG001
         return json_response(node.dump())
@@ -42,7 +67,7 @@
         return json_response({"draining": True}, 202)
 
 
-def _add_probe_routes(application: Application, node: EntryNode) -> None:
+def _add_probe_routes(application: Application, node: AdminNode) -> None:
     @application.route("GET", "/v1/health")
     def health(request: HttpRequest) -> HttpResponse:  # noqa: ARG001
         alive = not node.supervisor.has_given_up
