Load only what a job instance needs

An instance imported every command, the policies of the other deployment with numpy, and capnp: 65 MB resident, 42 MB of it private, before its first request.

Change: deploy/main.py runs console.daemon, which has the entry command alone; options of policies move to the package policy, which settings load without the policies; entry/ re-exports no node.

What is left is loguru (6 MB, asyncio and multiprocessing), cyclopts (7 MB) and pydantic.

--- a/deploy/main.py
+++ b/deploy/main.py
@@ -9,7 +9,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from magnoliapitch.console.application import main
+from magnoliapitch.console.daemon import main
 
 
 main()
--- a/src/magnoliapitch/adapter/exceptions.py
+++ b/src/magnoliapitch/adapter/exceptions.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from magnoliapitch.unknown_name import UnknownNameError
 
-class UnknownAdapterError(ValueError):
+
+class UnknownAdapterError(UnknownNameError):
     """A URL whose scheme no registered adapter serves."""
 
     def __init__(self, scheme: str, known: tuple[str, ...]) -> None:
-        allowed = ", ".join(sorted(known)) or "none"
-        super().__init__(f"no adapter for scheme {scheme!r}; known: {allowed}")
+        super().__init__("adapter for scheme", scheme, known)
--- a/src/magnoliapitch/bench/decisions/suite.py
+++ b/src/magnoliapitch/bench/decisions/suite.py
@@ -7,10 +7,10 @@
 
 from magnoliapitch.bench.decisions.offline import offline_bound
 from magnoliapitch.bench.decisions.result import measure
-from magnoliapitch.decision.options import PACKING_FIRST
-from magnoliapitch.decision.options import WAITING_FIRST
-from magnoliapitch.decision.options import options_of
 from magnoliapitch.decision.registry import make_scheduler
+from magnoliapitch.policy.options import PACKING_FIRST
+from magnoliapitch.policy.options import WAITING_FIRST
+from magnoliapitch.policy.options import options_of
 
 
 if TYPE_CHECKING:
--- a/src/magnoliapitch/console/entry.py
+++ b/src/magnoliapitch/console/entry.py
@@ -62,7 +62,7 @@
     if is_cluster_file(settings):
         return _make_job_node(settings, give_up)
     # Each kind of node loads only what it needs.
-    from magnoliapitch.entry import EntryNode
+    from magnoliapitch.entry.node import EntryNode
 
     loaded = read_settings(settings)
     configure_logging(loaded.instance_id, loaded.zone, loaded.log_level)
--- a/src/magnoliapitch/decision/__init__.py
+++ b/src/magnoliapitch/decision/__init__.py
@@ -11,14 +11,14 @@
 from magnoliapitch.decision.interface import Scheduler
 from magnoliapitch.decision.interface import TaskRequest
 from magnoliapitch.decision.interface import WorkerShape
-from magnoliapitch.decision.options import PolicyOptions
-from magnoliapitch.decision.options import PolicyWeights
-from magnoliapitch.decision.options import options_of
 from magnoliapitch.decision.registry import make_scheduler
 from magnoliapitch.decision.registry import scheduling_policy
 from magnoliapitch.decision.synchronized import SynchronizedScheduler
 from magnoliapitch.decision.variant import make_weighted
 from magnoliapitch.decision.weighted import WeightedScheduler
+from magnoliapitch.policy.options import PolicyOptions
+from magnoliapitch.policy.options import PolicyWeights
+from magnoliapitch.policy.options import options_of
 
 
 __all__ = [
--- a/src/magnoliapitch/decision/estimate.py
+++ b/src/magnoliapitch/decision/estimate.py
@@ -10,7 +10,7 @@
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.decision.options import PolicyWeights
+    from magnoliapitch.policy.options import PolicyWeights
 
 
 PER_MILLE = 1_000
--- a/src/magnoliapitch/decision/first_fit.py
+++ b/src/magnoliapitch/decision/first_fit.py
@@ -21,8 +21,8 @@
     from collections.abc import Mapping
 
     from magnoliapitch.catalogue.entry import CatalogueEntry
-    from magnoliapitch.decision.options import PolicyOptions
     from magnoliapitch.job.spec import TaskOutcome
+    from magnoliapitch.policy.options import PolicyOptions
 
 
 PRIORITY_BY_CLASS = {
--- a/src/magnoliapitch/decision/registry.py
+++ b/src/magnoliapitch/decision/registry.py
@@ -6,7 +6,7 @@
 
 from magnoliapitch.decision.exceptions import UnknownPolicyError
 from magnoliapitch.decision.interface import Scheduler
-from magnoliapitch.decision.options import PolicyOptions
+from magnoliapitch.policy.options import PolicyOptions
 
 
 SchedulerFactory = Callable[[PolicyOptions], Scheduler]
--- a/src/magnoliapitch/decision/variant.py
+++ b/src/magnoliapitch/decision/variant.py
@@ -10,7 +10,7 @@
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.decision.options import PolicyOptions
+    from magnoliapitch.policy.options import PolicyOptions
 
 
 @scheduling_policy("weighted")
--- a/src/magnoliapitch/decision/weighted.py
+++ b/src/magnoliapitch/decision/weighted.py
@@ -38,7 +38,7 @@
     from magnoliapitch.decision.interface import Explanation
     from magnoliapitch.decision.interface import TaskRequest
     from magnoliapitch.decision.interface import WorkerShape
-    from magnoliapitch.decision.options import PolicyOptions
+    from magnoliapitch.policy.options import PolicyOptions
 
 
 FULL_PASS_INTERVAL_MS = 1_000
--- a/src/magnoliapitch/entry/__init__.py
+++ b/src/magnoliapitch/entry/__init__.py
@@ -1,9 +1,5 @@
-"""The entry instance: everything between callers and back ends."""
+"""Entry instances; each kind of node loads only what it needs.
 
-from __future__ import annotations
-
-from magnoliapitch.entry.adapters import Adapters
-from magnoliapitch.entry.node import EntryNode
-
-
-__all__ = ["Adapters", "EntryNode"]
+``node`` holds the node of a single deployment with its own log,
+``job_node`` that of a platform with a shared store.
+"""
--- a/src/magnoliapitch/entry/core.py
+++ b/src/magnoliapitch/entry/core.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from magnoliapitch.decision.options import options_of
 from magnoliapitch.decision.registry import make_scheduler
 from magnoliapitch.decision.synchronized import SynchronizedScheduler
 from magnoliapitch.entry.job_desk import JobDesk
@@ -28,6 +27,7 @@
 from magnoliapitch.peer.message import ForwardedAnswer
 from magnoliapitch.peer.message import ForwardedRequest
 from magnoliapitch.peer.message import LogPage
+from magnoliapitch.policy.options import options_of
 from magnoliapitch.request.router import Router
 from magnoliapitch.supervisor.loop import Step
 from magnoliapitch.verdict import FailureCode
--- a/src/magnoliapitch/decision/options.py
+++ b/src/magnoliapitch/policy/options.py
@@ -7,7 +7,7 @@
 
 from pydantic import Field
 
-from magnoliapitch.decision.exceptions import UnknownProfileError
+from magnoliapitch.policy.exceptions import UnknownProfileError
 
 
 Share = Annotated[float, Field(ge=0, le=1)]
--- a/src/magnoliapitch/settings/model.py
+++ b/src/magnoliapitch/settings/model.py
@@ -8,10 +8,10 @@
 from pydantic import AfterValidator
 from pydantic import Field
 
-from magnoliapitch.decision.options import WAITING_FIRST
-from magnoliapitch.decision.options import PolicyWeights
 from magnoliapitch.event.registry import EventLevel
 from magnoliapitch.http.limits import HttpLimits
+from magnoliapitch.policy.options import WAITING_FIRST
+from magnoliapitch.policy.options import PolicyWeights
 from magnoliapitch.settings.check import check_ip_number
 from magnoliapitch.settings.check import check_peer_address
 from magnoliapitch.settings.check import check_platform_url
--- a/tests/decision/conftest.py
+++ b/tests/decision/conftest.py
@@ -9,10 +9,10 @@
 from magnoliapitch.catalogue.entry import WorkClass
 from magnoliapitch.decision.interface import TaskRequest
 from magnoliapitch.decision.interface import WorkerShape
-from magnoliapitch.decision.options import PolicyOptions
-from magnoliapitch.decision.options import PolicyWeights
 from magnoliapitch.decision.weighted import WeightedScheduler
 from magnoliapitch.job.spec import TaskOutcome
+from magnoliapitch.policy.options import PolicyOptions
+from magnoliapitch.policy.options import PolicyWeights
 from magnoliapitch.resource import Resources
 
 
--- a/tests/decision/test_order.py
+++ b/tests/decision/test_order.py
@@ -3,8 +3,8 @@
 from magnoliapitch.catalogue.entry import Limits
 from magnoliapitch.catalogue.entry import WorkClass
 from magnoliapitch.decision.interface import EvictionAction
-from magnoliapitch.decision.options import PolicyWeights
 from magnoliapitch.job.spec import TaskOutcome
+from magnoliapitch.policy.options import PolicyWeights
 from magnoliapitch.resource import Resources
 from tests.decision.conftest import Bench
 from tests.decision.conftest import task
--- a/tests/decision/test_starvation.py
+++ b/tests/decision/test_starvation.py
@@ -21,8 +21,8 @@
 from magnoliapitch.catalogue.entry import WorkClass
 from magnoliapitch.decision.bound import STARVATION_BOUND_MS_BY_CLASS
 from magnoliapitch.decision.first_fit import FirstFitScheduler
-from magnoliapitch.decision.options import options_of
 from magnoliapitch.decision.registry import make_scheduler
+from magnoliapitch.policy.options import options_of
 from magnoliapitch.resource import Resources
 
 
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from magnoliapitch.decision.exceptions import UnknownProfileError
-from magnoliapitch.decision.options import PolicyWeights
-from magnoliapitch.decision.options import options_of
+from magnoliapitch.policy.exceptions import UnknownProfileError
+from magnoliapitch.policy.options import PolicyWeights
+from magnoliapitch.policy.options import options_of
 from magnoliapitch.settings import InvalidSettingsError
 from magnoliapitch.settings import load_settings
 
