Read the states half as often

Change: 200 ms instead of 100 ms between two reads. A state is shown 50 ms later on average; the objective of the shortest jobs is 1,250 ms.

At the target's 154 instances the pause has to grow with their number, or states have to be relayed in a zone.

--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -47,7 +47,7 @@
 COMMIT_TIMEOUT_MS = 800
 FOLLOW_WAIT_MS = 800
 # Between two reads records gather, so that fewer calls are made.
-FOLLOW_PAUSE_MS = 100
+FOLLOW_PAUSE_MS = 200
 RETRY_PAUSE_MS = 200
 
 
