Write logs to standard output from a thread that nobody waits for

Cause: entry wrote its lines to standard error, in the thread that logged them and under loguru's lock. A reader that stopped would have stopped the instance; the volume had no bound.

Change: LineWriter takes lines over into a queue of 4,000 and writes them in a thread; lines that find it full, or whose reader is gone, are counted and the count is logged (log-lines-lost). VolumeLimit writes the first 250 lines of a kind each second and logs the number of the others (log-lines-left-out); warnings, errors and lines with a reason are always written.

Not measured: the share of processor time of the logs.

--- a/src/magnoliapitch/console/entry.py
+++ b/src/magnoliapitch/console/entry.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 from typing import Annotated
 from typing import Protocol
 
@@ -19,9 +20,15 @@
 from magnoliapitch.console.settings import read_settings
 from magnoliapitch.event import configure_logging
 from magnoliapitch.event import log_event
+from magnoliapitch.event.writer import LineWriter
 from magnoliapitch.settings.cluster import is_cluster_file
 
 
+if TYPE_CHECKING:
+    from magnoliapitch.settings import Settings
+    from magnoliapitch.settings.cluster import ClusterSettings
+
+
 class _Node(Protocol):
     def start(self) -> None: ...
 
@@ -37,15 +44,25 @@
     :param settings: TOML settings file.
     """
     ends = ending_on_signals()
-    node = _make_node(settings, lambda: ends.put(ExitCode.GAVE_UP))
-    reload_on_hangup(lambda: _reload(settings))
+    writer = LineWriter(sys.stdout)
+    node = _make_node(settings, writer, lambda: ends.put(ExitCode.GAVE_UP))
+    reload_on_hangup(lambda: _reload(settings, writer))
     node.start()
     exit_code = ends.get()
     node.stop()
+    writer.close()
     sys.exit(exit_code)
 
 
-def _reload(settings: Path) -> None:
+def _configure_log(
+    loaded: Settings | ClusterSettings, writer: LineWriter
+) -> None:
+    configure_logging(
+        loaded.instance_id, loaded.zone, loaded.log_level, write=writer.write
+    )
+
+
+def _reload(settings: Path, writer: LineWriter) -> None:
     """Check the settings again; only the log level is changed in place."""
     is_cluster = is_cluster_file(settings)
     read = read_cluster_settings if is_cluster else read_settings
@@ -54,24 +71,28 @@
     except CommandError as error:
         log_event("settings-rejected", reason=str(error))
         return
-    configure_logging(loaded.instance_id, loaded.zone, loaded.log_level)
+    _configure_log(loaded, writer)
     log_event("settings-reloaded", log_level=loaded.log_level)
 
 
-def _make_node(settings: Path, give_up: Callable[[], None]) -> _Node:
+def _make_node(
+    settings: Path, writer: LineWriter, give_up: Callable[[], None]
+) -> _Node:
     if is_cluster_file(settings):
-        return _make_job_node(settings, give_up)
+        return _make_job_node(settings, writer, give_up)
     # Each kind of node loads only what it needs.
     from magnoliapitch.entry.node import EntryNode
 
     loaded = read_settings(settings)
-    configure_logging(loaded.instance_id, loaded.zone, loaded.log_level)
+    _configure_log(loaded, writer)
     return EntryNode.from_settings(loaded, give_up)
 
 
-def _make_job_node(settings: Path, give_up: Callable[[], None]) -> _Node:
+def _make_job_node(
+    settings: Path, writer: LineWriter, give_up: Callable[[], None]
+) -> _Node:
     from magnoliapitch.entry.job_node import JobNode
 
     loaded = read_cluster_settings(settings)
-    configure_logging(loaded.instance_id, loaded.zone, loaded.log_level)
+    _configure_log(loaded, writer)
     return JobNode(loaded, give_up)
--- a/src/magnoliapitch/event/known.py
+++ b/src/magnoliapitch/event/known.py
@@ -155,3 +155,13 @@
     EventLevel.WARNING,
     "Requests were still in flight when the time to drain had passed.",
 )
+define_event(
+    "log-lines-lost",
+    EventLevel.WARNING,
+    "Log lines were lost, since their reader was slow, stopped or gone.",
+)
+define_event(
+    "log-lines-left-out",
+    EventLevel.INFO,
+    "More lines of one kind came within a second than are logged.",
+)
--- a/src/magnoliapitch/event/log.py
+++ b/src/magnoliapitch/event/log.py
@@ -5,6 +5,8 @@
 import sys
 import traceback
 
+from collections.abc import Callable
+from collections.abc import Mapping
 from datetime import UTC
 from typing import TYPE_CHECKING
 
@@ -21,33 +23,44 @@
 
     from loguru import Message
 
+Fields = Mapping[str, object]
+Write = Callable[[Fields], None]
+
 
 def configure_logging(
     instance_id: str,
     zone: str,
     level: EventLevel = EventLevel.INFO,
     stream: TextIO | None = None,
+    write: Write | None = None,
 ) -> None:
     """Write every event of this process as one line.
 
     :param stream: where to write, standard error by default.
+    :param write: takes the fields of each line instead.
     """
-    target = stream or sys.stderr
+    write_fields = write or _writer_to(stream or sys.stderr)
     process = {"instance": instance_id, "zone": zone}
 
-    def write(message: Message) -> None:
+    def take(message: Message) -> None:
         record = message.record
         head = {
             "time": _time_of(message),
             "level": record["level"].name.lower(),
             "event": record["message"],
         }
-        fields = {**head, **process, **record["extra"]}
-        target.write(format_line(fields) + "\n")
-        target.flush()
+        write_fields({**head, **process, **record["extra"]})
 
     logger.remove()
-    logger.add(write, level=level.upper(), format="{message}")
+    logger.add(take, level=level.upper(), format="{message}")
+
+
+def _writer_to(stream: TextIO) -> Write:
+    def write(fields: Fields) -> None:
+        stream.write(format_line(fields) + "\n")
+        stream.flush()
+
+    return write
 
 
 def log_event(
--- /dev/null
+++ b/tests/event/test_volume.py
@@ -0,0 +1,71 @@
+from __future__ import annotations
+
+import io
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+
+from magnoliapitch.event import configure_logging
+from magnoliapitch.event.volume import VolumeLimit
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+MAX_LINES = 10
+
+
+class Log:
+    """Events that pass a limit, and what the limit itself logs."""
+
+    def __init__(self) -> None:
+        self.now_s = 0
+        self.lines: list[Mapping[str, Any]] = []
+        self._limit = VolumeLimit(lambda: self.now_s, MAX_LINES)
+
+    def take(self, event: str, level: str = "info", **fields: object) -> None:
+        line = {"event": event, "level": level, **fields}
+        if self._limit.admits(line):
+            self.lines.append(line)
+
+    def count(self, event: str) -> int:
+        return sum(line["event"] == event for line in self.lines)
+
+
+@pytest.fixture
+def log() -> Iterator[Log]:
+    log = Log()
+    configure_logging("entry-1", "az", write=log.lines.append)
+    yield log
+    configure_logging("none", "none", stream=io.StringIO())
+
+
+def test_lines_beyond_the_limit_are_counted_and_told(log: Log) -> None:
+    for number in range(25):
+        log.take("step-done", number=number)
+    assert log.count("step-done") == MAX_LINES
+    log.now_s += 1
+    log.take("step-done", number=25)
+    told = [x for x in log.lines if x["event"] == "log-lines-left-out"]
+    assert [(x["kind"], x["count"]) for x in told] == [("step-done", 15)]
+    assert log.lines[-1]["number"] == 25
+
+
+def test_the_first_line_of_a_kind_is_written_beside_many_others(
+    log: Log,
+) -> None:
+    for number in range(1_000):
+        log.take("step-done", number=number)
+    log.take("step-starting")
+    assert log.count("step-starting") == 1
+
+
+def test_warnings_and_reasons_are_always_written(log: Log) -> None:
+    for number in range(40):
+        log.take("start-failed", "warning", number=number)
+        log.take("call-answered", number=number, reason="no room")
+    assert log.count("start-failed") == 40
+    assert log.count("call-answered") == 40
