Let set-up install the command; end dev when its output is closed

Cause: make setup left no .venv/bin/magnoliapitch, which the README's own example needs. Trying it with "magnoliapitch dev ... | head" showed that dev never ended once its output was closed: the error left the command while the threads of the cell went on, restarting loops for ever.

--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,10 @@
 
 .PHONY: setup demo test lint format bench
 
-$(VENV)/.ready: requirements.lock
+$(VENV)/.ready: requirements.lock pyproject.toml Makefile
 	test -x $(PYTHON) || python3 -m venv $(VENV)
 	$(VENV)/bin/pip install -q -r requirements.lock
+	$(VENV)/bin/pip install -q --no-deps --no-build-isolation -e .
 	touch $(VENV)/.ready
 
 setup: $(VENV)/.ready
--- a/src/magnoliapitch/console/dev.py
+++ b/src/magnoliapitch/console/dev.py
@@ -36,9 +36,12 @@
     ends = ending_on_signals()
     serving = ServingCell(loaded, platform_port)
     serving.start(loaded.entries if entries is None else entries)
-    _print_urls(serving)
-    ends.get()
-    serving.stop()
+    try:
+        _print_urls(serving)
+        ends.get()
+    finally:
+        # Its threads would keep a process alive whose output was closed.
+        serving.stop()
 
 
 def read_deployment(file: Path) -> Deployment:
--- a/tests/process/test_exit.py
+++ b/tests/process/test_exit.py
@@ -1,19 +1,23 @@
 from __future__ import annotations
 
+import os
 import socket
+import subprocess
+import sys
 
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import urllib3
 
 
 if TYPE_CHECKING:
-    from pathlib import Path
-
     import pytest
 
     from tests.process.conftest import Deployment
 
+DEV_END_TIMEOUT_S = 60
+
 
 def test_entry_drains_and_exits_with_0_on_sigterm(
     deployment: Deployment,
@@ -59,3 +63,20 @@
         entry.wait_status("/v1/health", 200)
         entry.wait_status("/v1/ready", 503)
     assert entry.stop() == 0
+
+
+def test_dev_ends_when_its_output_is_closed() -> None:
+    command = [sys.executable, "-m", "magnoliapitch", "dev"]
+    root = Path(__file__).parents[2]
+    with subprocess.Popen(
+        [*command, str(root / "examples" / "clubs.toml")],
+        env={**os.environ, "PYTHONPATH": str(root / "src")},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+    ) as process:
+        assert process.stdout is not None
+        process.stdout.close()
+        try:
+            assert process.wait(DEV_END_TIMEOUT_S) != 0
+        finally:
+            process.kill()
