Tell in a job's story what its instances went through meanwhile

Change: a silence is followed by what the story's instances and the leaders lost, regained or believed in it, marked "(meanwhile)".

--- a/src/magnoliapitch/console/logs.py
+++ b/src/magnoliapitch/console/logs.py
@@ -6,6 +6,7 @@
 import sys
 
 from datetime import datetime
+from itertools import pairwise
 from pathlib import Path
 from typing import NamedTuple
 
@@ -20,6 +21,24 @@
 # Longer silences in a job's story are pointed out.
 GAP_MS = 1_000
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+# After a job's last event, what comes so soon may have to do with it.
+AFTER_MS = 10_000
+MEANWHILE_MAX_LINES = 8
+_LEADER_EVENTS = frozenset(
+    (
+        "leadership-begun",
+        "leadership-claimed",
+        "leadership-lost",
+        "leadership-resigned",
+    )
+)
+# Events of a whole instance, which name no job and explain many.
+_BACKGROUND_EVENTS = _LEADER_EVENTS | {
+    "entry-started",
+    "store-available",
+    "store-unavailable",
+    "worker-list-unavailable",
+}
 _HEAD_KEYS = ("time", "level", "event", "instance", "zone", "job")
 
 
@@ -42,31 +61,61 @@
     :param job_or_request: id of the job or of the request.
     :param files: logs of the instances, in any order.
     """
-    lines = _matching(job_or_request, files)
+    every = _read(files)
+    lines = _matching(job_or_request, every)
     if not lines:
         raise CommandError(
             f"no event of {job_or_request} in {len(files)} files",
             ExitCode.FAILED,
         )
-    previous_ms = first_ms = lines[0].time_ms
-    for line in lines:
-        if line.time_ms - previous_ms > GAP_MS:
-            print(f"{'':>10}  ... {line.time_ms - previous_ms} ms silent")
-        previous_ms = line.time_ms
-        print(f"{line.time_ms - first_ms:>7} ms  {_told(line)}")
+    background = _background(lines, every)
+    first_ms = lines[0].time_ms
+    for line, following in pairwise([*lines, None]):
+        if line is None:
+            break
+        print(_dated(line, first_ms))
+        end_ms = following.time_ms if following else line.time_ms + AFTER_MS
+        if following and end_ms - line.time_ms > GAP_MS:
+            print(f"{'':>10}  ... {end_ms - line.time_ms} ms silent")
+        if end_ms - line.time_ms > GAP_MS:
+            _print_meanwhile(background, line.time_ms, end_ms, first_ms)
+
+
+def _print_meanwhile(
+    background: list[Line], from_ms: int, to_ms: int, first_ms: int
+) -> None:
+    """Print what else was going on, which may explain a silence."""
+    found = [x for x in background if from_ms < x.time_ms <= to_ms]
+    for line in found[:MEANWHILE_MAX_LINES]:
+        print(f"{_dated(line, first_ms)}  (meanwhile)")
+    if len(found) > MEANWHILE_MAX_LINES:
+        left = len(found) - MEANWHILE_MAX_LINES
+        print(f"{'':>10}  ... {left} more (meanwhile)")
+
+
+def _background(lines: list[Line], every: list[Line]) -> list[Line]:
+    """Return what leaders and the story's instances believed or lost."""
+    places = {line.instance for line in lines}
+    places |= {x.instance for x in every if x.event in _LEADER_EVENTS}
+    return [
+        line
+        for line in every
+        if line.event in _BACKGROUND_EVENTS and line.instance in places
+    ]
+
+
+def _read(files: tuple[Path, ...]) -> list[Line]:
+    lines = [line for line in map(_parse, _texts(files)) if line]
+    return sorted(lines, key=lambda line: line.time_ms)
 
 
-def _matching(wanted: str, files: tuple[Path, ...]) -> list[Line]:
+def _matching(wanted: str, lines: list[Line]) -> list[Line]:
     """Return the events of an id, and of the job that they name."""
-    lines = [line for line in map(_parse, _texts(files)) if line]
     ids = {wanted}
     for line in lines:
         if line.fields.get("request_id") == wanted and "job" in line.fields:
             ids.add(line.fields["job"])
-    return sorted(
-        (line for line in lines if ids & _ids_of(line)),
-        key=lambda line: line.time_ms,
-    )
+    return [line for line in lines if ids & _ids_of(line)]
 
 
 def _ids_of(line: Line) -> set[str]:
@@ -98,6 +147,10 @@
         return None
 
 
+def _dated(line: Line, first_ms: int) -> str:
+    return f"{line.time_ms - first_ms:>7} ms  {_told(line)}"
+
+
 def _told(line: Line) -> str:
     rest = " ".join(
         f"{key}={value}"
--- a/tests/console/test_logs.py
+++ b/tests/console/test_logs.py
@@ -58,3 +58,21 @@
     with pytest.raises(SystemExit) as ended:
         main(["logs", "explain", "0c", *files])
     assert ended.value.code
+
+
+def test_explain_names_what_went_on_in_a_silence(
+    files: list[str], tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    third = tmp_path / "c.log"
+    third.write_text(
+        line("02.000000", "leadership-claimed", "c", "epoch=7")
+        + line("02.500000", "store-unavailable", "c", "reason=cut")
+        + line("02.500000", "step-done", "c", "job=0f")
+    )
+    other = tmp_path / "d.log"
+    other.write_text(line("02.500000", "store-unavailable", "d", "reason=x"))
+    with pytest.raises(SystemExit):
+        main(["logs", "explain", "0a", *files, str(third), str(other)])
+    told = capsys.readouterr().out.splitlines()
+    aside = [part.split()[2:4] for part in told if "(meanwhile)" in part]
+    assert aside == [["c", "leadership-claimed"], ["c", "store-unavailable"]]
