Keep room only for gangs that can fit, and not for ever

A gang that waits behind services, which give nothing back, would have starved others in the same way.

Change: a gang keeps permits and room only if the workers that may run it could hold it empty, and for 20 s at most.

Measured: the test passes again; the new pattern "gang behind services" ends all 20 batches within 35 s.

--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -13,6 +13,7 @@
 from magnoliapitch.planner.room import Room
 from magnoliapitch.planner.room import Slot
 from magnoliapitch.planner.room import spare_tasks
+from magnoliapitch.planner.room import tasks_when_empty
 from magnoliapitch.planner.trust import Trust
 from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.workload.progress import JobOutcome
@@ -37,6 +38,7 @@
 EXPECTED_ROOM = 1.5
 # Gangs that are kept ready to start; each needs a call all the while.
 PREPARED_MAX_GANGS = 4
+PREPARED_MAX_MS = 20_000
 # Share of a worker's load that is expected to end soon.
 SOON_SHARE = 0.5
 # Bounds a round when very much waits.
@@ -144,13 +146,27 @@
         steps away from the workers on which they will probably fit.
         """
         self._ask_more(step)
-        if self._gangs_ahead >= PREPARED_MAX_GANGS or not slots:
+        if self._gangs_ahead >= PREPARED_MAX_GANGS:
+            return
+        if not self._may_fit_soon(step, slots):
             return
         self._gangs_ahead += 1
         if not self._has_fresh_tickets(step, slots):
             self._ask(step, sorted(slots, key=_emptiest))
         self._keep_clear(step, slots, step.waiting)
 
+    def _may_fit_soon(self, step: StepEntry, slots: list[Slot]) -> bool:
+        """Return whether keeping room for a gang can be of use.
+
+        A gang that is too wide for its workers, or waits for room that
+        services never give back, must not keep others from theirs.
+        """
+        ready_ms = step.ready_ms if step.ready_ms is not None else self._now_ms
+        if self._now_ms - ready_ms > PREPARED_MAX_MS:
+            return False
+        room = sum(tasks_when_empty(slot, step) for slot in slots)
+        return room >= step.waiting
+
     def _keep_clear(
         self, step: StepEntry, slots: list[Slot], count: int
     ) -> None:
--- a/src/magnoliapitch/planner/room.py
+++ b/src/magnoliapitch/planner/room.py
@@ -78,15 +78,26 @@
 
 def spare_tasks(slot: Slot, step: StepEntry) -> int:
     """Return how many tasks of a step a worker has room for."""
-    charge, free = step.charge, slot.free
-    count = step.spec.task_count
-    if charge.cpu_millis:
-        count = min(count, free.cpu_millis // charge.cpu_millis)
-    if charge.memory_mb:
-        count = min(count, free.memory_mb // charge.memory_mb)
-    if charge.accelerators:
-        count = min(count, free.accelerators // charge.accelerators)
+    count = _tasks_within(slot.free, step)
     if count > 0 and step.spec.max_per_worker:
         used = sum(run.task.step is step for run in slot.worker.runs)
         count = min(count, step.spec.max_per_worker - used)
     return max(0, count)
+
+
+def tasks_when_empty(slot: Slot, step: StepEntry) -> int:
+    """Return how many tasks of a step a worker takes that runs nothing."""
+    count = _tasks_within(slot.info.capacity, step)
+    return min(count, step.spec.max_per_worker or count)
+
+
+def _tasks_within(amount: Resources, step: StepEntry) -> int:
+    charge = step.charge
+    count = step.spec.task_count
+    if charge.cpu_millis:
+        count = min(count, amount.cpu_millis // charge.cpu_millis)
+    if charge.memory_mb:
+        count = min(count, amount.memory_mb // charge.memory_mb)
+    if charge.accelerators:
+        count = min(count, amount.accelerators // charge.accelerators)
+    return count
--- a/tests/planner/test_load_patterns.py
+++ b/tests/planner/test_load_patterns.py
@@ -22,6 +22,8 @@
 
 
 URGENT_START_MS = 10_000
+# Twenty batches behind a gang that is given up on.
+STARVED_MAX_MS = 35_000
 # What a plan's objective, 2.2 times its length, leaves before its start.
 GANG_START_MS = 7_400
 SLOW_ADVICE = AdvicePolicy(decision_ms=900, per_worker_ms=5.5, valid_ms=2_500)
@@ -83,6 +85,25 @@
     assert scene.violations == []
 
 
+def test_a_gang_that_waits_behind_services_starves_nobody() -> None:
+    """Services never end, so that the gang's room never comes."""
+    scene = Scene([queue("q"), queue("batches", 2)], workers(2))
+    scene.true_ms = lambda key: (
+        3_600_000.0 if key.job_id == "service" else 500.0
+    )
+    half = Resources(16_000, 8_000)
+    scene.submit(JobSpec("service", "q", "text", (StepSpec(2, half),)))
+    scene.run(1_000)
+    gang = StepSpec(2, Resources(20_000, 8_000), is_gang=True)
+    scene.submit(JobSpec("gang", "q", "text", (gang,)))
+    small = StepSpec(4, Resources(4_000, 4_000))
+    for number in range(20):
+        scene.submit(JobSpec(f"b{number}", "batches", "text", (small,)))
+    scene.run(STARVED_MAX_MS)
+    assert len(scene.finished) == 20
+    assert TaskKey("gang", 0, 0, 0) not in scene.starts
+
+
 def test_jobs_that_fail_everywhere_do_not_hold_up_the_others() -> None:
     scene = Scene([queue("q")], workers(6))
     scene.fails = lambda key, _: key.job_id.startswith("bad")
