--- a/tests/planner/test_load_patterns.py
+++ b/tests/planner/test_load_patterns.py
@@ -15,6 +15,7 @@
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
 from magnoliapitch.workload.job import TaskKey
+from tests.control.load import GROWN_KINDS
 from tests.control.load import Load
 from tests.control.scene import Scene
 from tests.control.scene import queue
@@ -22,6 +23,8 @@
 
 
 URGENT_START_MS = 10_000
+# The users' target for days with trouble on their grown sites.
+GROWN_WORTH = 0.64
 # Twenty batches behind a gang that is given up on.
 STARVED_MAX_MS = 35_000
 # What a plan's objective, 2.2 times its length, leaves before its start.
@@ -39,6 +42,16 @@
     assert load.scene.violations == []
 
 
+def test_wide_gangs_and_wide_batches_in_a_large_pool() -> None:
+    """A third of the grown clubs: permits are slow, gangs 17 tasks wide."""
+    load = Load(60, 0.34, lanes=12, kinds=GROWN_KINDS)
+    load.run(8_000)
+    load.scene.run(16_000)
+    assert load.earned() >= GROWN_WORTH
+    assert load.earned("urgent") >= 0.9
+    assert load.scene.violations == []
+
+
 def test_a_burst_of_gangs_leaves_urgent_work_alone() -> None:
     load = Load(24, 0.9)
     load.run(5_000)
