Walk a job's story without a sentinel

Cause: the loop of "logs explain" paired its lines with a None at the end, needed a branch for a line that cannot be None, and worked the length of a silence out three times.

Change: zip_longest over the lines and their followers; the silence has a name. Nothing else changes, and instances do not load this command.

--- a/src/magnoliapitch/console/logs.py
+++ b/src/magnoliapitch/console/logs.py
@@ -6,7 +6,7 @@
 import sys
 
 from datetime import datetime
-from itertools import pairwise
+from itertools import zip_longest
 from pathlib import Path
 from typing import NamedTuple
 
@@ -70,15 +70,15 @@
         )
     background = _background(lines, every)
     first_ms = lines[0].time_ms
-    for line, following in pairwise([*lines, None]):
-        if line is None:
-            break
+    for line, following in zip_longest(lines, lines[1:]):
         print(_dated(line, first_ms))
         end_ms = following.time_ms if following else line.time_ms + AFTER_MS
-        if following and end_ms - line.time_ms > GAP_MS:
-            print(f"{'':>10}  ... {end_ms - line.time_ms} ms silent")
-        if end_ms - line.time_ms > GAP_MS:
-            _print_meanwhile(background, line.time_ms, end_ms, first_ms)
+        silent_ms = end_ms - line.time_ms
+        if silent_ms <= GAP_MS:
+            continue
+        if following:
+            print(f"{'':>10}  ... {silent_ms} ms silent")
+        _print_meanwhile(background, line.time_ms, end_ms, first_ms)
 
 
 def _print_meanwhile(
