Log reported runs that the leader does not know, and placements

A report of a run that the leader does not know ordered its stop without a line, and step-starting named no worker. Change: run-unknown names run, worker, the job's published state, the newest run that the leader knows and the processor time that it believes to be free; step-starting gets placements, each worker with its new tasks and what is left there. No decision changes. Checked: tests of control, planner, events and docs pass (121 tests).

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -40,6 +40,7 @@
     from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.configuration import Configuration
     from magnoliapitch.workload.job import StepKey
+    from magnoliapitch.workload.run import StopOrder
     from magnoliapitch.workload.worker import WorkerInfo
 
 
@@ -202,13 +203,31 @@
             applied.last_end_sequence
         )
         for order in applied.stop_orders:
-            info = self._info_by_worker.get(worker_id)
-            if info is not None:
-                token = self._leader.epoch
-                self._effects.order_stop(info, order._replace(token=token))
+            self._stop_unknown_run(worker_id, order)
         if not self.state.unsaved_job_ids and not self._is_commit_in_flight:
             self._effects.acknowledge(worker_id, applied.last_end_sequence)
 
+    def _stop_unknown_run(self, worker_id: str, order: StopOrder) -> None:
+        task = self.state.task(order.task)
+        worker = self.state.get_or_add_worker(worker_id)
+        log_event(
+            "run-unknown",
+            job=order.task.job_id,
+            step=order.task.step,
+            task=order.task.position,
+            run=order.run,
+            worker=worker_id,
+            job_state=self._progress_batcher.published_state(
+                order.task.job_id
+            ),
+            last_run=task.runs if task else None,
+            free_cpu_millis=worker.free.cpu_millis,
+        )
+        info = self._info_by_worker.get(worker_id)
+        if info is not None:
+            token = self._leader.epoch
+            self._effects.order_stop(info, order._replace(token=token))
+
     def handle_start_answer(self, event: StartAnswered) -> None:
         """Apply the answer to a start order, or its failure."""
         planned = event.planned
@@ -325,17 +344,20 @@
     def _record_starts(
         self, starts: tuple[PlannedStart, ...], now_ms: int
     ) -> None:
-        counts: Counter[StepKey] = Counter()
+        worker_ids_by_step: dict[StepKey, list[str]] = {}
         for planned in starts:
             self.state.add_ordered_run(
                 planned.task, planned.run, planned.worker_id, now_ms
             )
             self._uncommitted_starts.append(planned)
-            counts[planned.task.step_key] += 1
-        for key, count in counts.items():
+            worker_ids_by_step.setdefault(planned.task.step_key, []).append(
+                planned.worker_id
+            )
+        for key, worker_ids in worker_ids_by_step.items():
             step = self.state.step(key)
             ready_ms = (step.ready_ms if step else None) or now_ms
             queue = step.job.queue.name if step else ""
+            count = len(worker_ids)
             self._metrics.count("starts_planned", queue, count)
             self._metrics.observe("step_waited", now_ms - ready_ms, queue)
             log_event(
@@ -345,8 +367,17 @@
                 tasks=count,
                 waiting=step.waiting_count if step else 0,
                 ready_age_ms=now_ms - ready_ms,
+                placements=self._describe_placements(worker_ids),
             )
 
+    def _describe_placements(self, worker_ids: list[str]) -> str:
+        """Return each worker with its new tasks and the CPU left, as text."""
+        return ",".join(
+            f"{worker_id}:{count}:"
+            f"{self.state.get_or_add_worker(worker_id).free.cpu_millis}"
+            for worker_id, count in Counter(worker_ids).items()
+        )
+
     def _request_permits(
         self, permit_requests: tuple[PlannedPermitRequest, ...]
     ) -> None:
--- a/src/magnoliapitch/control/progress_batcher.py
+++ b/src/magnoliapitch/control/progress_batcher.py
@@ -76,8 +76,12 @@
 
     def has_ended(self, job_id: str) -> bool:
         """Return whether a final state of a job is published."""
+        return self.published_state(job_id) in FINAL_STATES
+
+    def published_state(self, job_id: str) -> JobState | None:
+        """Return the published state of a job, or None if there is none."""
         published = self._state_table.get(job_id)
-        return published is not None and published.state in FINAL_STATES
+        return None if published is None else published.state
 
     def record_added(self, job_id: str) -> None:
         """Record a job that was added to the scheduler's state."""
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -15,7 +15,8 @@
     "step-starting",
     EventLevel.INFO,
     "Start orders for tasks of a step are about to be sent; gives the time "
-    "since the step became ready.",
+    "since the step became ready, and in `placements` each worker with its "
+    "new tasks and the thousandths of a core that are left there.",
 )
 define_event(
     "step-done",
@@ -50,6 +51,12 @@
     "A worker does not list a run that was ordered there, so the run is "
     "certainly not executing; its task waits again.",
 )
+define_event(
+    "run-unknown",
+    EventLevel.WARNING,
+    "A worker reports an active run that the leader does not know; it is "
+    "ordered to stop it.",
+)
 define_event(
     "start-failed",
     EventLevel.WARNING,
