--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,30 @@
+"""Tests that are listed in KNOWN-RED.txt are expected to fail."""
+
+from __future__ import annotations
+
+import re
+
+from pathlib import Path
+
+import pytest
+
+
+KNOWN_RED_PAGE = Path(__file__).parents[1] / "KNOWN-RED.txt"
+# An entry names its test first: "- tests/package/test_unit.py::test_name".
+TEST_ID = re.compile(r"^- (tests/\S+::\w+)", re.MULTILINE)
+
+
+def known_red_ids(page: str) -> frozenset[str]:
+    """Return the ids of the tests that a page lists as failing."""
+    return frozenset(TEST_ID.findall(page))
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Expect listed tests to fail; one that passes must be taken out."""
+    if not KNOWN_RED_PAGE.exists():
+        return
+    listed_ids = known_red_ids(KNOWN_RED_PAGE.read_text())
+    for item in items:
+        if item.nodeid.partition("[")[0] in listed_ids:
+            reason = "listed in KNOWN-RED.txt"
+            item.add_marker(pytest.mark.xfail(strict=True, reason=reason))
--- a/tests/control/simulated_worker.py
+++ b/tests/control/simulated_worker.py
@@ -30,6 +30,10 @@
     from tests.control.simulation import Simulation
 
 
+# The longest stop that the protocol allows; the run executes until its end.
+STOP_DURATION_MS = 400
+
+
 class _Run:
     def __init__(self, order: StartOrder, step: StepSpec, now_ms: int) -> None:
         self.order = order
@@ -106,7 +110,7 @@
         run = self.running.get(order.task)
         if run is not None and run.order.run == order.run:
             self._simulation.schedule(
-                100, lambda: self.end(run, EndKind.STOPPED)
+                STOP_DURATION_MS, lambda: self.end(run, EndKind.STOPPED)
             )
         return Ok(self._simulation.now_ms)
 
