Give a worker with unknown runs no new ones

Cause: what is free on a worker is its capacity less the runs that the leader knows. A run that the worker reports and the leader does not know was ordered to stop, but its capacity counted as free at once, while a stop takes up to 400 ms and still uses it. A new leader leaves out jobs whose final state is published, so it does not know their runs. Change: a worker that reports unknown runs takes no new ones until a report lists none; starts that wait for their commit are dropped too. How much such a run uses is not known, so the whole worker is left out. Why it works: a worker gets runs only after a report, and what executes there is in that report, whatever the reason why the leader does not know it.

--- a/src/magnoliapitch/control/order_issuer.py
+++ b/src/magnoliapitch/control/order_issuer.py
@@ -73,6 +73,7 @@
             job.outcome is not JobOutcome.OPEN
             or info is None
             or info.is_draining
+            or self._has_unknown_runs(planned.worker_id)
             or deadline_ms is None
             or _is_ticket_expired(planned, run, now_ms)
         ):
@@ -89,6 +90,10 @@
         )
         self._effects.start(info, planned, order)
 
+    def _has_unknown_runs(self, worker_id: str) -> bool:
+        worker = self._state.workers_by_id.get(worker_id)
+        return worker is not None and worker.unknown_run_count > 0
+
     def stop(self, stop: PlannedStop, now_ms: int) -> None:
         """Order the stop of a run, again if an earlier order is unanswered."""
         run = self._state.run(stop.task, stop.run, stop.worker_id)
--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -80,6 +80,8 @@
                 continue
             reported_run_identities.add(id(run))
             self._state.record_running(run, running, received_ms)
+        worker = self._state.get_or_add_worker(worker_id)
+        worker.unknown_run_count = len(unexpected)
         self._remove_absent_runs(worker_id, reported_run_identities, sent_ms)
         return ReportOutcome(
             last_end_sequence,
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -55,7 +55,7 @@
     "run-unknown",
     EventLevel.WARNING,
     "A worker reports an active run that the leader does not know; it is "
-    "ordered to stop it.",
+    "ordered to stop it and gets no new runs until the run has ended.",
 )
 define_event(
     "start-failed",
--- a/src/magnoliapitch/planner/candidates.py
+++ b/src/magnoliapitch/planner/candidates.py
@@ -47,9 +47,7 @@
         self.candidates_by_id: dict[str, Candidate] = {
             worker.worker_id: Candidate(worker, worker.info)
             for worker in workers
-            if worker.is_usable
-            and worker.info is not None
-            and not worker.info.is_draining
+            if worker.takes_new_runs and worker.info is not None
         }
         self._most_free_first: list[Candidate] | None = None
 
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -237,12 +237,21 @@
     """A worker and the runs that may be active on it.
 
     :ivar info: newest entry in the platform's list; None before the first.
-    :ivar is_usable: whether new runs may be placed on it: it is listed,
-        answered lately and is not avoided after failures.
-    :ivar free: capacity that no run reserves.
+    :ivar is_usable: whether it is listed, answered lately and is not avoided
+        after failures.
+    :ivar free: capacity that no run in ``runs`` reserves.
+    :ivar unknown_run_count: number of runs in the worker's newest report that
+        are not in ``runs``. They use capacity too, but how much is not known.
     """
 
-    __slots__ = ("free", "info", "is_usable", "runs", "worker_id")
+    __slots__ = (
+        "free",
+        "info",
+        "is_usable",
+        "runs",
+        "unknown_run_count",
+        "worker_id",
+    )
 
     def __init__(self, worker_id: str) -> None:
         self.worker_id = worker_id
@@ -250,6 +259,17 @@
         self.is_usable = False
         self.free = NO_RESOURCES
         self.runs: list[TrackedRun] = []
+        self.unknown_run_count = 0
+
+    @property
+    def takes_new_runs(self) -> bool:
+        """Return whether new runs may be placed on the worker."""
+        return (
+            self.is_usable
+            and self.info is not None
+            and not self.info.is_draining
+            and not self.unknown_run_count
+        )
 
     def update(self, info: WorkerInfo) -> None:
         """Update the worker from the platform's list."""
--- a/tests/control/simulated_worker.py
+++ b/tests/control/simulated_worker.py
@@ -105,6 +105,7 @@
         if order.token < self._token:
             return Err(not_run(FailureCode.FENCED, "a higher token was seen"))
         self._token = order.token
+        self._simulation.stop_orders[order.task] += 1
         highest = self._highest_run_by_task.get(order.task, 0)
         self._highest_run_by_task[order.task] = max(highest, order.run)
         run = self.running.get(order.task)
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -96,6 +96,7 @@
         self.expired_ticket_count = 0
         self.advisor_call_count = 0
         self.starts: Counter[TaskKey] = Counter()
+        self.stop_orders: Counter[TaskKey] = Counter()
         self.configuration = Configuration(
             1,
             {queue.name: queue for queue in queues},
--- a/tests/control/test_takeover_capacity.py
+++ b/tests/control/test_takeover_capacity.py
@@ -4,6 +4,8 @@
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
+from magnoliapitch.workload.job import TaskKey
+from magnoliapitch.workload.run import StartOrder
 from tests.control.simulation import Simulation
 from tests.control.simulation import queue
 from tests.control.simulation import workers
@@ -41,3 +43,40 @@
     assert simulation.violations == []
     worker = simulation.workers["w000"]
     assert {key.job_id for key in worker.running} == {"waiting"}
+
+
+def start_unknown_runs(simulation: Simulation, tasks: int) -> None:
+    simulation.specs["unknown"] = JobSpec(
+        "unknown", "q", "text", (StepSpec(tasks, SIZE),)
+    )
+    for position in range(tasks):
+        key = TaskKey("unknown", 0, 0, position)
+        order = StartOrder(key, 1, "text", 1, simulation.now_ms + 60_000)
+        assert simulation.workers["w000"].start(order).is_ok()
+
+
+def test_a_worker_gets_no_new_runs_while_it_reports_unknown_ones() -> None:
+    simulation = make_simulation()
+    start_unknown_runs(simulation, 4)
+    submit(simulation, "waiting", 4)
+    simulation.run(3_000)
+    assert simulation.violations == []
+    assert len(simulation.workers["w000"].running) == 4
+    assert simulation.starts[TaskKey("waiting", 0, 0, 0)] == 1
+
+
+def test_starts_in_commit_are_dropped_when_an_unknown_run_is_reported() -> (
+    None
+):
+    simulation = make_simulation()
+    simulation.run(600)
+    simulation.store_is_unavailable = True
+    submit(simulation, "waiting", 4)
+    simulation.run(100)
+    start_unknown_runs(simulation, 1)
+    while not simulation.stop_orders:
+        simulation.run(10)
+    simulation.store_is_unavailable = False
+    simulation.run(3_000)
+    assert simulation.violations == []
+    assert len(simulation.workers["w000"].running) == 4
