Stop the repeated run of a gang that is done

Callers saw: nothing by itself; a gang's second run went on for seconds after the job was shown as completed, on capacity that others waited for. Cause: when a worker is cut off for longer than its lease its gang is started again elsewhere; when it answers again it lists the first run as done. Only tasks outside gangs then had their other runs stopped. Change: all runs of the done tasks with another number are marked for stopping, in gangs too. Members with the same number have ended with it.

--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -212,7 +212,7 @@
         if end.checkpoint and not task.is_done:
             self._save_checkpoint(task, end.checkpoint)
         if end.kind is EndKind.DONE:
-            self._record_done(task, run, now_ms)
+            self._record_done(task, end.run, now_ms)
         elif run is None:
             return False
         elif end.kind is EndKind.FAILED:
@@ -313,21 +313,25 @@
         self.unsaved_job_ids.add(task.key.job_id)
 
     def _record_done(
-        self, task: TrackedTask, run: TrackedRun | None, now_ms: int
+        self, task: TrackedTask, number: int, now_ms: int
     ) -> None:
-        # A gang ends as a whole, so one done member means all are done.
-        is_gang = task.step.spec.is_gang
-        for member in task.step.tasks if is_gang else [task]:
+        """Record that a run is done, and mark its repetitions for stopping.
+
+        A gang ends as a whole, so one done member means all are done.
+
+        :param number: number of the run.
+        """
+        done_tasks = task.step.tasks if task.step.spec.is_gang else [task]
+        for member in done_tasks:
             if not member.is_done:
                 member.is_done = True
                 task.step.unfinished_count -= 1
                 if not member.active_runs:
                     self._adjust_waiting_count(task.step, -1)
                 self.unsaved_job_ids.add(task.key.job_id)
-        if not is_gang:
-            for other in task.active_runs:
-                if other is not run:
-                    self.mark_for_stop(other)
+            for run in member.active_runs:
+                if run.number != number:
+                    self.mark_for_stop(run)
         if task.step.is_done and task.step.job.outcome is JobOutcome.OPEN:
             self._open_steps(task.step.job, now_ms)
 
--- a/tests/control/test_takeover_capacity.py
+++ b/tests/control/test_takeover_capacity.py
@@ -80,3 +80,24 @@
     simulation.run(3_000)
     assert simulation.violations == []
     assert len(simulation.workers["w000"].running) == 4
+
+
+# Incident limit-69dc: a gang's repeated run, which nobody needed any more, was
+# still executing when the next leader began.
+def test_a_gang_that_is_done_stops_its_repeated_run() -> None:
+    simulation = make_simulation(2)
+    simulation.actual_duration_ms = lambda _: 5_000.0
+    gang = StepSpec(4, SIZE, is_gang=True)
+    simulation.submit(JobSpec("gang", "q", "text", (gang,)))
+    simulation.run(1_000)
+    [first] = [
+        worker for worker in simulation.workers.values() if worker.running
+    ]
+    simulation.unreachable_worker_ids = {first.info.worker_id}
+    while max(simulation.starts.values()) < 2:
+        simulation.run(100)
+    simulation.unreachable_worker_ids = set()
+    while "gang" not in simulation.finished:
+        simulation.run(100)
+    simulation.run(600)
+    assert not any(worker.running for worker in simulation.workers.values())
