Drop a start in commit whose run is marked for stopping

Callers saw: a task that was reported as done was started once more and then stopped, so others waited for its capacity. Cause: a start is ordered once its record is stored. Meanwhile its run may have been marked for stopping, since the first run was reported as done or a member of its gang was lost; only an ended job was looked at. Change: such a start is dropped, like one on a leaving worker.

--- a/src/magnoliapitch/control/order_issuer.py
+++ b/src/magnoliapitch/control/order_issuer.py
@@ -71,6 +71,7 @@
         info = self.info_by_worker_id.get(planned.worker_id)
         if (
             job.outcome is not JobOutcome.OPEN
+            or run.is_stopping
             or info is None
             or info.is_draining
             or self._has_unknown_runs(planned.worker_id)
--- a/tests/control/test_takeover_capacity.py
+++ b/tests/control/test_takeover_capacity.py
@@ -1,8 +1,11 @@
 from __future__ import annotations
 
+import pytest
+
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.job import JobSpec
+from magnoliapitch.workload.job import StepKey
 from magnoliapitch.workload.job import StepSpec
 from magnoliapitch.workload.job import TaskKey
 from magnoliapitch.workload.run import StartOrder
@@ -101,3 +104,31 @@
         simulation.run(100)
     simulation.run(600)
     assert not any(worker.running for worker in simulation.workers.values())
+
+
+# A repeated run whose start waited for its commit was ordered although the
+# first run had been reported as done meanwhile.
+@pytest.mark.parametrize("offset_ms", range(20))
+def test_a_start_in_commit_is_dropped_when_its_task_is_done(
+    offset_ms: int,
+) -> None:
+    simulation = make_simulation(2)
+    simulation.actual_duration_ms = lambda _: 5_000.0
+    steps = (StepSpec(1, SIZE), StepSpec(1, SIZE, depends_on=(0,)))
+    simulation.submit(JobSpec("job", "q", "text", steps))
+    simulation.run(1_000)
+    simulation.unreachable_worker_ids = {"w000"}
+    simulation.run(6_000)
+    worker = simulation.controller.state.workers_by_id["w000"]
+    while worker.runs:
+        simulation.run(1)
+    simulation.store_is_unavailable = True
+    simulation.unreachable_worker_ids = set()
+    step = simulation.controller.state.step(StepKey("job", 0, 0))
+    assert step is not None
+    while not step.is_done:
+        simulation.run(1)
+    simulation.run(offset_ms)
+    simulation.store_is_unavailable = False
+    simulation.run(2_000)
+    assert simulation.starts[TaskKey("job", 0, 0, 0)] == 1
