Load ended jobs whose runs may still execute

Cause: a new leader left out a job whose final state was published, although its stored progress lists runs that may execute; only its submission was deleted, its progress stayed in the store for good. Change: such a job is loaded with its final progress. Its runs reserve what they use, are stopped in the ordinary way (with a reason in the log, and again if unanswered), and once the last has ended progress and submission are deleted. A job whose progress is gone, or is only known from before it ended, is left out as before. leadership-begun counts open and ended jobs apart. Result: two new tests fail before (the waiting job gets none of the free half; 'p.cancelled' stays stored) and pass now.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -16,6 +16,7 @@
 from magnoliapitch.planner.scheduler_state import SchedulerState
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
+from magnoliapitch.workload.progress import JobOutcome
 
 
 if TYPE_CHECKING:
@@ -106,14 +107,22 @@
         return self._leader.epoch
 
     def load(self, now_ms: int) -> None:
-        """Add the stored jobs whose final state is not published yet."""
+        """Add the stored jobs, ended ones too if runs of them may be active.
+
+        Their runs use capacity until they have ended.
+        """
         self._progress_batcher.load(now_ms)
-        for job in self._job_table.jobs():
-            self._add_job(job, now_ms)
+        for stored in self._job_table.jobs():
+            self._add_job(stored, now_ms)
+        open_count = sum(
+            job.outcome is JobOutcome.OPEN
+            for job in self.state.jobs_by_id.values()
+        )
         log_event(
             "leadership-begun",
             epoch=self._leader.epoch,
-            open_jobs=len(self.state.jobs_by_id),
+            open_jobs=open_count,
+            ended_jobs=len(self.state.jobs_by_id) - open_count,
         )
 
     def may_issue_orders(self, now_ms: int) -> bool:
@@ -408,7 +417,15 @@
         spec = stored.spec
         if spec is None or configuration is None:
             return
-        if self._progress_batcher.has_ended(spec.job_id):
+        has_final_progress = (
+            stored.progress is not None
+            and stored.progress.outcome is not JobOutcome.OPEN
+        )
+        if (
+            self._progress_batcher.has_ended(spec.job_id)
+            and not has_final_progress
+        ):
+            # Its progress was deleted after its last run had ended.
             self._effects.delete_jobs([spec.job_id])
             return
         queue = configuration.queues_by_name.get(spec.queue)
--- a/src/magnoliapitch/control/progress_batcher.py
+++ b/src/magnoliapitch/control/progress_batcher.py
@@ -85,6 +85,10 @@
 
     def record_added(self, job_id: str) -> None:
         """Record a job that was added to the scheduler's state."""
+        if self.has_ended(job_id):
+            # A former leader stored and published how it has ended.
+            self._finished_job_ids.add(job_id)
+            return
         self._unpublished_job_ids.add(job_id)
         if self._state.jobs_by_id[job_id].outcome is not JobOutcome.OPEN:
             # A former leader stored the final progress but did not publish
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -297,6 +297,8 @@
                 task, placement.run, placement.worker_id, now_ms
             )
             run.is_restored = True
+            if job.outcome is not JobOutcome.OPEN:
+                self.mark_for_stop(run)
 
     def _add_run(
         self, task: TrackedTask, number: int, worker_id: str, now_ms: int
--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -122,6 +122,7 @@
                 record.key: record.value or None for record in batch.progress
             }
             simulation.job_table.apply(values, list(values))  # type: ignore[arg-type]
+            simulation.record_progress(values)
             simulation.controller.handle_commit(
                 Committed(Ok(0), sent_ms), simulation.now_ms
             )
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -40,6 +40,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from magnoliapitch.workload.job import JobSpec
@@ -108,6 +109,7 @@
         self.job_table = JobTable()
         self.states = StateTable()
         self.specs: dict[str, JobSpec] = {}
+        self.stored_progress_keys: set[str] = set()
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._sequence = 0
         self._submitted_ms: dict[str, int] = {}
@@ -177,6 +179,14 @@
         """Return whether a controller of an epoch may still store records."""
         return epoch == self._epoch
 
+    def record_progress(self, values: Mapping[str, bytes | None]) -> None:
+        """Record which progress is stored after an append."""
+        for key, value in values.items():
+            if value is None:
+                self.stored_progress_keys.discard(key)
+            else:
+                self.stored_progress_keys.add(key)
+
     def record_stored(self) -> None:
         """Record the jobs that have ended since the last commit."""
         self.commit_count += 1
--- a/tests/control/test_takeover_capacity.py
+++ b/tests/control/test_takeover_capacity.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
 
 from magnoliapitch.ledger.state_table import JobState
@@ -29,19 +31,23 @@
     simulation.submit(JobSpec(name, "q", "text", (StepSpec(tasks, SIZE),)))
 
 
-# Incident limit-69dc: the new leader placed tasks in the capacity of runs of a
-# job that had ended before it led, and a worker was over its capacity.
-def test_runs_of_an_ended_job_keep_their_capacity_under_a_new_leader() -> None:
-    simulation = make_simulation()
-    submit(simulation, "cancelled", 4)
+def cancel_before_takeover(simulation: Simulation, tasks: int) -> None:
+    submit(simulation, "cancelled", tasks)
     simulation.run(1_000)
     simulation.unreachable_worker_ids = {"w000"}
     simulation.cancel("cancelled")
-    submit(simulation, "waiting", 4)
     simulation.run(200)
     assert simulation.finished["cancelled"].outcome is JobState.CANCELLED
     simulation.take_over()
     simulation.unreachable_worker_ids = set()
+
+
+# Incident limit-69dc: the new leader placed tasks in the capacity of runs of a
+# job that had ended before it led, and a worker was over its capacity.
+def test_runs_of_an_ended_job_keep_their_capacity_under_a_new_leader() -> None:
+    simulation = make_simulation()
+    cancel_before_takeover(simulation, tasks=4)
+    submit(simulation, "waiting", 4)
     simulation.run(3_000)
     assert simulation.violations == []
     worker = simulation.workers["w000"]
@@ -132,3 +138,29 @@
     simulation.store_is_unavailable = False
     simulation.run(2_000)
     assert simulation.starts[TaskKey("job", 0, 0, 0)] == 1
+
+
+# A new leader left out the runs of ended jobs, so that their whole worker had
+# to be kept free until they had ended.
+def test_runs_of_an_ended_job_reserve_only_their_own_capacity() -> None:
+    simulation = make_simulation()
+    cancel_before_takeover(simulation, tasks=2)
+    submit(simulation, "waiting", 4)
+    while not simulation.stop_orders:
+        simulation.run(10)
+    simulation.run(100)
+    running = Counter(key.job_id for key in simulation.workers["w000"].running)
+    assert running == {"cancelled": 2, "waiting": 2}
+    simulation.run(1_000)
+    assert simulation.violations == []
+
+
+# The progress of jobs that had ended before a new leader began was stored for
+# ever.
+def test_a_new_leader_deletes_the_progress_of_ended_jobs() -> None:
+    simulation = make_simulation()
+    cancel_before_takeover(simulation, tasks=2)
+    assert simulation.stored_progress_keys
+    simulation.run(3_000)
+    assert simulation.stored_progress_keys == set()
+    assert simulation.job_table.jobs() == []
