Stop restored runs of tasks that are done

Callers saw: work on a task that was already done went on after a change of leader, on capacity that others waited for. Cause: a repeated run is marked for stopping when the first one is done, but the mark is not stored; the next leader restored the run as wanted. Change: a restored run of a done task is marked for stopping again. Result: the new test fails before (four members of the gang execute 1.5 s after the take-over, their worker not having answered the former leader) and passes now.

--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -297,7 +297,7 @@
                 task, placement.run, placement.worker_id, now_ms
             )
             run.is_restored = True
-            if job.outcome is not JobOutcome.OPEN:
+            if task.is_done or job.outcome is not JobOutcome.OPEN:
                 self.mark_for_stop(run)
 
     def _add_run(
--- a/tests/control/test_takeover_capacity.py
+++ b/tests/control/test_takeover_capacity.py
@@ -164,3 +164,41 @@
     simulation.run(3_000)
     assert simulation.stored_progress_keys == set()
     assert simulation.job_table.jobs() == []
+
+
+# A new leader let the repeated run of a done task execute to its end, since it
+# does not know that the former one had marked it for stopping.
+def test_a_new_leader_stops_repeated_runs_of_done_tasks() -> None:
+    simulation = make_simulation(2)
+    simulation.actual_duration_ms = lambda key: 5_000.0 + 60_000.0 * key.step
+    steps = (
+        StepSpec(4, SIZE, is_gang=True),
+        StepSpec(1, SIZE, depends_on=(0,)),
+    )
+    simulation.submit(JobSpec("job", "q", "text", steps))
+    simulation.run(1_000)
+    [first] = [
+        worker for worker in simulation.workers.values() if worker.running
+    ]
+    simulation.unreachable_worker_ids = {first.info.worker_id}
+    while max(simulation.starts.values()) < 2:
+        simulation.run(100)
+    simulation.unreachable_worker_ids = {"w000", "w001"} - {
+        first.info.worker_id
+    }
+    done = TaskKey("job", 0, 0, 0)
+    while not is_done(simulation, done):
+        simulation.run(1)
+    simulation.run(50)
+    simulation.take_over()
+    simulation.unreachable_worker_ids = set()
+    simulation.run(1_500)
+    running = [
+        key for worker in simulation.workers.values() for key in worker.running
+    ]
+    assert running == [TaskKey("job", 0, 1, 0)]
+
+
+def is_done(simulation: Simulation, key: TaskKey) -> bool:
+    task = simulation.controller.state.task(key)
+    return task is not None and task.is_done
