--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -4,6 +4,7 @@
 
 import random
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -33,6 +34,7 @@
     from magnoliapitch.workload.worker import WorkerInfo
 
 if TYPE_CHECKING:
+    from tests.control.simulated_worker import SimulatedWorker
     from tests.control.simulation import Simulation
 
 
@@ -42,6 +44,14 @@
 ANSWER_TIMEOUT_MS = 700
 
 
+def _carry_out(worker: SimulatedWorker, order: StartOrder | StopOrder) -> None:
+    """Carry out an order that nobody waits for any more."""
+    if isinstance(order, StartOrder):
+        worker.start(order)
+    else:
+        worker.stop(order)
+
+
 class SimulatedEffects:
     """Carries out a controller's calls to workers, store and advisor."""
 
@@ -78,6 +88,14 @@
                 lost = Err(may_have_run(FailureCode.TIMEOUT, "unreachable"))
                 simulation.schedule(ANSWER_TIMEOUT_MS, lambda: answer(lost))
                 return
+            late_ms = simulation.order_late_ms(order)
+            if late_ms:
+                simulation.schedule(
+                    late_ms, partial(_carry_out, target, order)
+                )
+                lost = Err(may_have_run(FailureCode.TIMEOUT, "late"))
+                simulation.schedule(ANSWER_TIMEOUT_MS, lambda: answer(lost))
+                return
             outcome = target.start(order)
             if simulation.start_answer_lost(order):
                 lost = Err(may_have_run(FailureCode.TIMEOUT, "lost"))
@@ -96,7 +114,14 @@
                 or not self._is_current()
             ):
                 return
-            outcome = simulation.workers[worker.worker_id].stop(order)
+            target = simulation.workers[worker.worker_id]
+            late_ms = simulation.order_late_ms(order)
+            if late_ms:
+                simulation.schedule(
+                    late_ms, partial(_carry_out, target, order)
+                )
+                return
+            outcome = target.stop(order)
             simulation.controller.handle_stop_answer(
                 StopAnswered(
                     order.task,
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -32,6 +32,7 @@
 from magnoliapitch.workload.configuration import Service
 from magnoliapitch.workload.run import EndKind
 from magnoliapitch.workload.run import StartOrder
+from magnoliapitch.workload.run import StopOrder
 from magnoliapitch.workload.worker import WorkerInfo
 from tests.control.simulated_effects import COMMIT_DURATION_MS
 from tests.control.simulated_effects import SimulatedEffects
@@ -73,6 +74,8 @@
     :ivar run_fails: returns whether runs of a task fail on a worker.
     :ivar start_answer_lost: returns whether the answer to a start order
         is lost although the order is carried out.
+    :ivar order_late_ms: returns how much later an order is carried out, in
+        ms; a late one gets no answer. 0 by default.
     :ivar advisor_call_limit: most advisor calls at the same time.
     """
 
@@ -91,6 +94,9 @@
         self.permitted_share = 0.5
         self.permitted_share_by_queue: dict[str, float] = {}
         self.start_answer_lost: Callable[[StartOrder], bool] = lambda _: False
+        self.order_late_ms: Callable[[StartOrder | StopOrder], int] = (
+            lambda _: 0
+        )
         self.unreachable_worker_ids: set[str] = set()
         self.store_is_unavailable = False
         self.commit_count = 0
