Free a run's capacity only by a report sent after its stop

Cause: a run whose start was not answered counts as absent once a report lacks it that was sent no earlier than the answer to its stop. In the same millisecond the report may have been made before the stop, with the run still to begin between the two; it then executes until it is stopped while its capacity counts as free. Change: only a report that was sent later counts, as for starts.

--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -166,5 +166,5 @@
         # the run, so the worker will not start it any more.
         return True
     if run.stopped_ms is not None:
-        return sent_ms >= run.stopped_ms
+        return sent_ms > run.stopped_ms
     return run.confirmed_ms is not None and sent_ms > run.confirmed_ms
