Keep a commit under way with the claim that it began under

Cause: Leadership kept one pair of writers. If an instance lost the leadership and claimed again while a commit was under way (up to 1.6 s, a claim follows after 1 s), the commit went on with the new epoch, so that the store took old states over newer ones; it could also mark the first batch of the new leadership as stored. Change: the writers belong to an object of one claim, which a commit keeps, so that the store refuses the rest of it. Result: the new test fails before (the commit is answered Ok) and passes now (fenced).

--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -76,6 +76,24 @@
     states: tuple[KeyedRecord, ...] = ()
 
 
+class _LeaderAppender:
+    """Stores the records of one claim, under its epoch.
+
+    A commit that is still under way when the instance claims again stays
+    with the appender that it began with, so that the store refuses it.
+
+    :ivar state_writer: writer of the stream of states.
+    :ivar progress_writer: writer of the stream of progress.
+    :ivar is_progress_stored: whether the progress of the batch that is
+        being committed is stored.
+    """
+
+    def __init__(self, state_writer: Writer, progress_writer: Writer) -> None:
+        self.state_writer = state_writer
+        self.progress_writer = progress_writer
+        self.is_progress_stored = False
+
+
 class Leadership:
     """Reads published job states and claims leadership if nobody leads.
 
@@ -111,9 +129,8 @@
         self._can_lead = can_lead
         self._extra_claim_delay_ms = extra_claim_delay_ms
         self._mirror = StreamMirror(streams, STATE_STREAM)
-        self._state_writer = Writer(PRODUCER, 0, 0)
-        self._progress_writer = Writer(PRODUCER, 0, 0)
-        self._is_progress_stored = False
+        no_writer = Writer(PRODUCER, 0, 0)
+        self._appender = _LeaderAppender(no_writer, no_writer)
         self._last_heard_ms = clock.now_ms()
         self._claim_delay_ms = FIRST_CLAIM_DELAY_MS + extra_claim_delay_ms
         self._may_claim = True
@@ -165,7 +182,7 @@
 
         An empty append under the new epoch makes the store refuse lower ones.
         """
-        return self._append_progress([])
+        return self._append_progress(self._appender, [])
 
     def commit(self, batch: Batch) -> Result[int, Failure]:
         """Store progress, then the states that follow from it.
@@ -173,32 +190,35 @@
         After a failure, the same batch can be committed again: nothing is
         stored twice.
         """
-        if batch.progress and not self._is_progress_stored:
-            outcome = self._append_progress(batch.progress)
+        appender = self._appender
+        if batch.progress and not appender.is_progress_stored:
+            outcome = self._append_progress(appender, batch.progress)
             if isinstance(outcome, Err):
                 return outcome
-            self._is_progress_stored = True
+            appender.is_progress_stored = True
         if batch.states:
-            outcome = self._append_states(batch.states)
+            outcome = self._append_states(appender, batch.states)
             if isinstance(outcome, Err):
                 return outcome
-        self._is_progress_stored = False
+        appender.is_progress_stored = False
         return Ok(0)
 
     def _append_progress(
-        self, records: Sequence[KeyedRecord]
+        self, appender: _LeaderAppender, records: Sequence[KeyedRecord]
     ) -> Result[int, Failure]:
-        outcome = self._append(PROGRESS_STREAM, records, self._progress_writer)
+        writer = appender.progress_writer
+        outcome = self._append(PROGRESS_STREAM, records, writer)
         if not isinstance(outcome, Err):
-            self._progress_writer = _with_next_sequence(self._progress_writer)
+            appender.progress_writer = _with_next_sequence(writer)
         return outcome
 
     def _append_states(
-        self, records: Sequence[KeyedRecord]
+        self, appender: _LeaderAppender, records: Sequence[KeyedRecord]
     ) -> Result[int, Failure]:
-        outcome = self._append(STATE_STREAM, records, self._state_writer)
+        writer = appender.state_writer
+        outcome = self._append(STATE_STREAM, records, writer)
         if not isinstance(outcome, Err):
-            self._state_writer = _with_next_sequence(self._state_writer)
+            appender.state_writer = _with_next_sequence(writer)
         return outcome
 
     def _append(
@@ -222,7 +242,7 @@
             return
         record = claim.record._replace(has_resigned=True)
         outcome = self._append_states(
-            [KeyedRecord(LEADER_KEY, encode_leader(record))]
+            self._appender, [KeyedRecord(LEADER_KEY, encode_leader(record))]
         )
         result = "failed" if isinstance(outcome, Err) else "stored"
         log_event("leadership-resigned", outcome=result)
@@ -278,9 +298,7 @@
             return
         self._mirror.skip_to(outcome.ok_value.end)
         self._state_table.leader = record
-        self._state_writer = _with_next_sequence(writer)
-        self._progress_writer = writer
-        self._is_progress_stored = False
+        self._appender = _LeaderAppender(_with_next_sequence(writer), writer)
         self.claim = Claim(record, self._clock.now_ms())
         log_event("leadership-claimed", epoch=epoch, silent_ms=silent_ms)
 
--- a/tests/ledger/test_leadership.py
+++ b/tests/ledger/test_leadership.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Any
 
 from result import Err
 
@@ -15,6 +16,8 @@
 
 
 if TYPE_CHECKING:
+    import pytest
+
     from magnoliapitch.clock import ManualClock
     from tests.ledger.conftest import MakeLeadership
     from tests.ledger.memory_streams import MemoryStreams
@@ -155,3 +158,29 @@
     clock.advance(AFTER_TIMEOUT_MS)
     other.step()
     assert other.claim is not None
+
+
+# A commit under way when its instance claimed again went on under the new
+# epoch, so that states of the old leadership could replace newer ones.
+def test_a_commit_does_not_go_on_under_the_next_claim(
+    make_leadership: MakeLeadership,
+    streams: MemoryStreams,
+    clock: ManualClock,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    leadership = make_leadership("a")
+    become_leader(leadership, clock)
+    append = streams.append
+
+    def claim_again_first(*args: Any, **options: Any) -> Any:
+        monkeypatch.setattr(streams, "append", append)
+        leadership.step_down()
+        become_leader(leadership, clock)
+        return append(*args, **options)
+
+    monkeypatch.setattr(streams, "append", claim_again_first)
+    outcome = leadership.commit(BATCH)
+    assert isinstance(outcome, Err)
+    assert outcome.err_value.code is FailureCode.FENCED
+    assert leadership.fence_former_leaders().is_ok()
+    assert leadership.commit(BATCH).is_ok()
