Bind answers and batches to the leadership that made them

Cause: calls posted their outcome to whichever controller led when they were answered, and a batch that could not be stored was tried again as long as the instance led at all. After a loss and a new claim within the time of a call, a batch of the former leadership was stored under the next epoch, over what another leader had stored meanwhile, and a refusal of a former order ended the new leadership. Change: each leadership has an event queue of its own that its calls post to, and a batch is tried only while its controller is in charge. Result: the new test fails before (the same batch is committed twice) and passes now. The events of a dead queue are not tested one by one.

--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -83,6 +83,9 @@
 class ControlDriver:
     """Runs a controller while this instance leads and is its ``Effects``.
 
+    Each leadership has an event queue of its own, which the calls that it
+    makes post to, so that an answer to an earlier one is never applied.
+
     :param configuration: returns the newest configuration, or None if none
         was read yet.
     :param open_job_follower: returns a new follower of the stored jobs; takes
@@ -115,9 +118,7 @@
         self._events: queue.SimpleQueue[Event] = queue.SimpleQueue()
         self._renewer_by_worker: dict[str, LeaseRenewer] = {}
         self._controller: Controller | None = None
-        self._order_sender = OrderSender(
-            clients.workers, clock, self.post, metrics
-        )
+        self._order_sender = OrderSender(clients.workers, clock, metrics)
         self._commit_executor = ThreadPoolExecutor(1, "commits")
         self._advisor_executor = ThreadPoolExecutor(
             ADVISOR_THREAD_COUNT, "asks"
@@ -287,7 +288,7 @@
             self._clients.workers,
             self._clock,
             lambda now_ms: controller.next_lease_deadline(worker_id, now_ms),
-            self.post,
+            self._events.put,
         )
         self._renewer_by_worker[worker_id] = renewer
         renewer.start()
@@ -308,15 +309,17 @@
         self, worker: WorkerInfo, planned: PlannedStart, order: StartOrder
     ) -> None:
         """Order a worker to start a run."""
-        self._order_sender.start(worker, planned, order)
+        self._order_sender.start(worker, planned, order, self._events.put)
 
     def order_stop(self, worker: WorkerInfo, order: StopOrder) -> None:
         """Order a worker to stop a run."""
-        self._order_sender.order_stop(worker, order)
+        self._order_sender.order_stop(worker, order, self._events.put)
 
     def commit(self, batch: Batch) -> None:
         """Store records under the leader's epoch."""
-        self._commit_executor.submit(self._commit_now, batch)
+        self._commit_executor.submit(
+            self._commit_now, batch, self._controller, self._events.put
+        )
 
     def delete_jobs(self, job_ids: Sequence[str]) -> None:
         """Mark stored jobs for deletion, which happens in batches."""
@@ -333,7 +336,11 @@
         if channel is None:
             return False
         self._advisor_executor.submit(
-            self._request_permits_now, channel, request, timeout_ms
+            self._request_permits_now,
+            channel,
+            request,
+            timeout_ms,
+            self._events.put,
         )
         return True
 
@@ -341,28 +348,38 @@
         """Return the number of advisor calls that can be started now."""
         return self._clients.advisor_channels.idle_count()
 
-    def _commit_now(self, batch: Batch) -> None:
+    def _commit_now(
+        self,
+        batch: Batch,
+        controller: Controller | None,
+        post: Callable[[Event], None],
+    ) -> None:
+        """Commit a batch while the controller that it is from is in charge.
+
+        A batch of a former one must not be stored under the next epoch.
+        """
         outcome: Result[int, Failure] = Err(_stopped())
         sent_ms = self._clock.now_ms()
-        while not self._is_stopping and self._controller is not None:
+        while not self._is_stopping and self._controller is controller:
             sent_ms = self._clock.now_ms()
             outcome = self._leadership.commit(batch)
             if isinstance(outcome, Ok) or _is_permanent(outcome.err_value):
                 break
             time.sleep(COMMIT_RETRY_DELAY_MS / 1000)
-        self.post(Committed(outcome, sent_ms))
+        post(Committed(outcome, sent_ms))
 
     def _request_permits_now(
         self,
         channel: AdvisorChannel,
         request: PlannedPermitRequest,
         timeout_ms: int,
+        post: Callable[[Event], None],
     ) -> None:
         sent_ms = self._clock.now_ms()
         outcome = self._clients.advisor_channels.call(
             channel, request, timeout_ms
         )
-        self.post(PermitsAnswered(request, outcome, sent_ms))
+        post(PermitsAnswered(request, outcome, sent_ms))
 
 
 def _is_permanent(failure: Failure) -> bool:
--- a/src/magnoliapitch/control/order_sender.py
+++ b/src/magnoliapitch/control/order_sender.py
@@ -38,45 +38,59 @@
 
 
 class OrderSender:
-    """Sends orders from a thread pool and posts their outcomes.
+    """Sends orders from a thread pool and posts the outcome of each.
 
     Orders are idempotent: a worker that has begun a run, or has ended or
     stopped it, does not begin it again. So an unanswered order is sent
     again, which is faster than stopping the run and starting another.
-
-    :param post: called with the outcome of every order.
     """
 
     def __init__(
         self,
         workers: WorkerClient,
         clock: Clock,
-        post: Callable[[Event], None],
         metrics: Metrics,
     ) -> None:
         self._workers = workers
         self._clock = clock
-        self._post = post
         self._metrics = metrics
         self._executor = ThreadPoolExecutor(SENDER_THREAD_COUNT, "orders")
 
     def start(
-        self, worker: WorkerInfo, planned: PlannedStart, order: StartOrder
+        self,
+        worker: WorkerInfo,
+        planned: PlannedStart,
+        order: StartOrder,
+        post: Callable[[Event], None],
     ) -> None:
-        """Order a worker to start a run."""
+        """Order a worker to start a run.
+
+        :param post: called with the outcome.
+        """
         now_ms = self._clock.now_ms()
-        self._executor.submit(self._start_now, worker, planned, order, now_ms)
+        self._executor.submit(
+            self._start_now, worker, planned, order, post, now_ms
+        )
 
-    def order_stop(self, worker: WorkerInfo, order: StopOrder) -> None:
-        """Order a worker to stop a run."""
+    def order_stop(
+        self,
+        worker: WorkerInfo,
+        order: StopOrder,
+        post: Callable[[Event], None],
+    ) -> None:
+        """Order a worker to stop a run.
+
+        :param post: called with the outcome.
+        """
         now_ms = self._clock.now_ms()
-        self._executor.submit(self._stop_now, worker, order, now_ms)
+        self._executor.submit(self._stop_now, worker, order, post, now_ms)
 
     def _start_now(
         self,
         worker: WorkerInfo,
         planned: PlannedStart,
         order: StartOrder,
+        post: Callable[[Event], None],
         queued_ms: int,
     ) -> None:
         sent_ms = self._record_queue_time("start", queued_ms)
@@ -84,16 +98,20 @@
             lambda timeout_ms: self._workers.start(worker, order, timeout_ms)
         )
         now_ms = self._clock.now_ms()
-        self._post(StartAnswered(planned, outcome, sent_ms, now_ms))
+        post(StartAnswered(planned, outcome, sent_ms, now_ms))
 
     def _stop_now(
-        self, worker: WorkerInfo, order: StopOrder, queued_ms: int
+        self,
+        worker: WorkerInfo,
+        order: StopOrder,
+        post: Callable[[Event], None],
+        queued_ms: int,
     ) -> None:
         self._record_queue_time("stop", queued_ms)
         outcome = retry_unanswered(
             lambda timeout_ms: self._workers.stop(worker, order, timeout_ms)
         )
-        self._post(
+        post(
             StopAnswered(
                 order.task,
                 order.run,
--- /dev/null
+++ b/tests/control/test_driver.py
@@ -0,0 +1,120 @@
+from __future__ import annotations
+
+import threading
+import time
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from result import Err
+from result import Ok
+from result import Result
+
+from magnoliapitch.clock import MonotonicClock
+from magnoliapitch.control.driver import Clients
+from magnoliapitch.control.driver import ControlDriver
+from magnoliapitch.control.timing import ControlTiming
+from magnoliapitch.ledger.job_table import JobTable
+from magnoliapitch.ledger.leadership import Batch
+from magnoliapitch.ledger.leadership import Claim
+from magnoliapitch.ledger.records import LeaderRecord
+from magnoliapitch.ledger.state_table import StateTable
+from magnoliapitch.metric import Metrics
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import may_have_run
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.verdict import Failure
+
+UNANSWERED = Err(may_have_run(FailureCode.TIMEOUT, "no answer"))
+DEADLINE_S = 10.0
+
+
+class SlowLeadership:
+    """Answers no commit until released; the first one then fails.
+
+    :ivar batches: the batches of all calls to ``commit``.
+    """
+
+    def __init__(self, clock: MonotonicClock) -> None:
+        self.claim: Claim | None = None
+        self.batches: list[Batch] = []
+        self.is_first_committing = threading.Event()
+        self.release = threading.Event()
+        self._clock = clock
+
+    def claim_with(self, epoch: int) -> None:
+        self.claim = Claim(LeaderRecord(epoch, "a"), self._clock.now_ms())
+
+    def fence_former_leaders(self) -> Result[int, Failure]:
+        return Ok(0)
+
+    def step_down(self) -> None:
+        self.claim = None
+
+    def commit(self, batch: Batch) -> Result[int, Failure]:
+        self.batches.append(batch)
+        self.is_first_committing.set()
+        self.release.wait(DEADLINE_S)
+        return UNANSWERED if len(self.batches) == 1 else Ok(0)
+
+
+class EmptyFollower:
+    """Follows a store without jobs."""
+
+    def __init__(self) -> None:
+        self.job_table = JobTable()
+
+    def load(self) -> Result[None, Failure]:
+        return Ok(None)
+
+
+class NoSystems:
+    """Stands for other systems, of which none answers with anything."""
+
+    def peers(self) -> Result[Any, Failure]:
+        return UNANSWERED
+
+    def workers(self) -> Result[Any, Failure]:
+        return UNANSWERED
+
+    def idle_count(self) -> int:
+        return 0
+
+
+# A batch that could not be stored before its leadership ended was tried again
+# under the instance's next epoch, over what others had stored meanwhile.
+def test_a_batch_is_not_stored_under_the_next_leadership() -> None:
+    clock = MonotonicClock()
+    leadership = SlowLeadership(clock)
+    systems: Any = NoSystems()
+    driver = ControlDriver(
+        leadership,  # type: ignore[arg-type]
+        StateTable(),
+        Clients(systems, systems, systems, systems),
+        ControlTiming(lease_ms=6_000),
+        clock,
+        lambda: None,
+        lambda _: EmptyFollower(),  # type: ignore[arg-type, return-value]
+        Metrics(),
+    )
+    leadership.claim_with(epoch=1)
+    step_until(driver, leadership.is_first_committing.is_set)
+    controller = driver._controller
+    assert controller is not None
+    controller.stop_leading("the test ends it")
+    step_until(driver, lambda: driver._controller is None)
+    leadership.claim_with(epoch=2)
+    step_until(driver, lambda: driver._controller is not None)
+    leadership.release.set()
+    step_until(driver, lambda: len(leadership.batches) == 2)
+    first, second = leadership.batches
+    assert first is not second
+
+
+def step_until(driver: ControlDriver, is_reached: Any) -> None:
+    deadline_s = time.monotonic() + DEADLINE_S
+    while not is_reached():
+        assert time.monotonic() < deadline_s
+        driver.step()
--- a/tests/control/test_order_sender.py
+++ b/tests/control/test_order_sender.py
@@ -100,20 +100,25 @@
         if isinstance(event, StartAnswered) and event.outcome == Ok(1):
             answered.set()
 
-    sender = OrderSender(workers, MonotonicClock(), post, Metrics())  # type: ignore[arg-type]
+    sender = OrderSender(workers, MonotonicClock(), Metrics())  # type: ignore[arg-type]
     unanswered = int(1_000 * 0.05 * sum(ATTEMPT_TIMEOUTS_MS) / 1_000)
     try:
         for number in range(unanswered):
-            send(sender, "unresponsive", number)
-        send(sender, "responsive", unanswered)
+            send(sender, "unresponsive", number, post)
+        send(sender, "responsive", unanswered, post)
         assert answered.wait(5)
     finally:
         workers.release.set()
 
 
-def send(sender: OrderSender, worker_id: str, number: int) -> None:
+def send(
+    sender: OrderSender,
+    worker_id: str,
+    number: int,
+    post: Callable[[object], None],
+) -> None:
     size = Resources(1_000, 1_000)
     info = WorkerInfo(worker_id, "app", "127.0.0.1:1", "az", capacity=size)
     planned = PlannedStart(TaskKey("a", 0, 0, number), 1, worker_id, "")
     order = StartOrder(planned.task, 1, "text", 1, 1_000)
-    sender.start(info, planned, order)
+    sender.start(info, planned, order, post)
