Split the list of workers from the controller; share log fields

Change: WorkerRoster holds the platform's list, which workers are usable and when their runs are lost; run_fields gives the fields of a run. The order issuer sees the same mapping. Behaviour and log lines stay.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -7,10 +7,12 @@
 
 from result import Err
 
+from magnoliapitch.control.log_fields import run_fields
 from magnoliapitch.control.order_issuer import OrderIssuer
 from magnoliapitch.control.progress_batcher import ProgressBatcher
 from magnoliapitch.control.reachability import WorkerReachability
 from magnoliapitch.control.reports import ReportApplier
+from magnoliapitch.control.worker_roster import WorkerRoster
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.planner import Planner
 from magnoliapitch.planner.scheduler_state import SchedulerState
@@ -37,12 +39,10 @@
     from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.plan import PlannedPermitRequest
     from magnoliapitch.planner.plan import PlannedStart
-    from magnoliapitch.planner.tracked import TrackedWorker
     from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.configuration import Configuration
     from magnoliapitch.workload.job import StepKey
     from magnoliapitch.workload.run import StopOrder
-    from magnoliapitch.workload.worker import WorkerInfo
 
 
 # Added to the expected duration of an advisor call.
@@ -86,15 +86,25 @@
         self._configuration = configuration
         self._metrics = metrics
         self._reachability = WorkerReachability(timing, claimed_ms)
-        self._info_by_worker: dict[str, WorkerInfo] = {}
+        self._report_applier = ReportApplier(self.state, self.planner, metrics)
+        self._roster = WorkerRoster(
+            self.state,
+            self.planner,
+            effects,
+            self._reachability,
+            self._report_applier,
+        )
         self._order_issuer = OrderIssuer(
-            leader.epoch, self.state, self.planner, effects, metrics
+            leader.epoch,
+            self.state,
+            self.planner,
+            self._roster.info_by_id,
+            effects,
+            metrics,
         )
-        self._report_applier = ReportApplier(self.state, self.planner, metrics)
         self._uncommitted_starts: list[PlannedStart] = []
         self._starts_in_commit: list[PlannedStart] = []
         self._end_sequences_in_commit_by_worker: dict[str, int] = {}
-        self._last_end_sequence_by_worker: dict[str, int] = {}
         self._is_commit_in_flight = False
         self._stored_ms = claimed_ms
         self._progress_batcher = ProgressBatcher(
@@ -147,21 +157,7 @@
 
     def handle_worker_list(self, event: WorkersListed) -> None:
         """Update the workers from the platform's list."""
-        self._info_by_worker = dict(event.info_by_id)
-        self._order_issuer.info_by_worker_id = self._info_by_worker
-        for worker_id, info in self._info_by_worker.items():
-            known = self.state.workers_by_id.get(worker_id)
-            is_new = known is None or known.info is None
-            if known is not None and known.info == info:
-                continue
-            was_draining = bool(
-                known and known.info and known.info.is_draining
-            )
-            self.state.update_worker(info)
-            if is_new:
-                self._effects.start_lease_renewal(info)
-            if info.is_draining and not was_draining:
-                log_event("worker-draining", worker=worker_id)
+        self._roster.update(event.info_by_id)
 
     def handle_jobs_changed(
         self, job_ids: frozenset[str], now_ms: int
@@ -208,9 +204,6 @@
         applied = self._report_applier.apply(
             worker_id, report, event.sent_ms, event.received_ms
         )
-        self._last_end_sequence_by_worker[worker_id] = (
-            applied.last_end_sequence
-        )
         for order in applied.stop_orders:
             self._stop_unknown_run(worker_id, order)
         if not self.state.unsaved_job_ids and not self._is_commit_in_flight:
@@ -221,18 +214,14 @@
         worker = self.state.get_or_add_worker(worker_id)
         log_event(
             "run-unknown",
-            job=order.task.job_id,
-            step=order.task.step,
-            task=order.task.position,
-            run=order.run,
-            worker=worker_id,
+            **run_fields(order.task, order.run, worker_id),
             job_state=self._progress_batcher.published_state(
                 order.task.job_id
             ),
             last_run=task.runs if task else None,
             free_cpu_millis=worker.free.cpu_millis,
         )
-        info = self._info_by_worker.get(worker_id)
+        info = self._roster.info_by_id.get(worker_id)
         if info is not None:
             token = self._leader.epoch
             self._effects.order_stop(info, order._replace(token=token))
@@ -335,7 +324,7 @@
         """
         if self.is_over:
             return
-        self._check_workers(now_ms)
+        self._roster.check(now_ms)
         plan = self.planner.plan(
             self.state,
             now_ms,
@@ -446,58 +435,11 @@
         if failure.code is FailureCode.FENCED:
             self.stop_leading("a worker has seen a higher fencing token")
         elif failure.code is FailureCode.REPLACED:
-            self._remove_worker(worker_id, "replaced")
+            self._roster.remove(worker_id, "replaced")
         else:
             return False
         return True
 
-    def _check_workers(self, now_ms: int) -> None:
-        for worker in list(self.state.workers_by_id.values()):
-            worker_id = worker.worker_id
-            is_reachable = self._reachability.is_reachable(worker_id, now_ms)
-            is_avoided = self.planner.worker_backoff.is_avoided(
-                worker_id, now_ms
-            )
-            worker.is_usable = (
-                is_reachable
-                and not is_avoided
-                and worker_id in self._info_by_worker
-            )
-            if not is_reachable:
-                self._lose_runs_if_leases_expired(worker, now_ms)
-
-    def _lose_runs_if_leases_expired(
-        self, worker: TrackedWorker, now_ms: int
-    ) -> None:
-        worker_id = worker.worker_id
-        if now_ms < self._reachability.leases_expired_at_ms(worker_id):
-            return
-        lost_count = self.state.lose_runs(worker_id)
-        if lost_count:
-            log_event(
-                "worker-lease-over", worker=worker_id, lost_runs=lost_count
-            )
-        if worker_id not in self._info_by_worker:
-            self._remove_worker(worker_id, "unlisted")
-
-    def _remove_worker(self, worker_id: str, reason: str) -> None:
-        worker = self.state.workers_by_id.get(worker_id)
-        if worker is None:
-            return
-        log_event(
-            "worker-gone",
-            worker=worker_id,
-            reason=reason,
-            lost_runs=len(worker.runs),
-        )
-        self._effects.stop_lease_renewal(worker_id)
-        self.state.remove_worker(worker_id)
-        self._last_end_sequence_by_worker.pop(worker_id, None)
-        self._info_by_worker.pop(worker_id, None)
-        self._reachability.forget(worker_id)
-        self._report_applier.forget(worker_id)
-        self.planner.worker_backoff.forget(worker_id)
-
     def _commit(self, now_ms: int) -> None:
         if self._is_commit_in_flight:
             return
@@ -507,7 +449,7 @@
         if batch is None:
             return
         self._end_sequences_in_commit_by_worker = dict(
-            self._last_end_sequence_by_worker
+            self._report_applier.last_end_sequence_by_worker
         )
         self._starts_in_commit, self._uncommitted_starts = (
             self._uncommitted_starts,
--- a/src/magnoliapitch/control/order_issuer.py
+++ b/src/magnoliapitch/control/order_issuer.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.control.log_fields import run_fields
 from magnoliapitch.event import log_event
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.workload.progress import JobOutcome
@@ -34,7 +35,8 @@
 class OrderIssuer:
     """Issues start and stop orders under one epoch of leadership.
 
-    :ivar info_by_worker_id: the platform's newest list of workers.
+    :param info_by_worker_id: the platform's newest list of workers, which
+        the caller keeps up to date.
     """
 
     def __init__(
@@ -42,10 +44,11 @@
         epoch: int,
         state: SchedulerState,
         planner: Planner,
+        info_by_worker_id: Mapping[str, WorkerInfo],
         effects: Effects,
         metrics: Metrics,
     ) -> None:
-        self.info_by_worker_id: Mapping[str, WorkerInfo] = {}
+        self._info_by_worker_id = info_by_worker_id
         self._epoch = epoch
         self._state = state
         self._planner = planner
@@ -68,7 +71,7 @@
         if run is None:
             return
         job = run.task.step.job
-        info = self.info_by_worker_id.get(planned.worker_id)
+        info = self._info_by_worker_id.get(planned.worker_id)
         if (
             job.outcome is not JobOutcome.OPEN
             or run.is_stopping
@@ -98,7 +101,7 @@
     def stop(self, stop: PlannedStop, now_ms: int) -> None:
         """Order the stop of a run, again if an earlier order is unanswered."""
         run = self._state.run(stop.task, stop.run, stop.worker_id)
-        info = self.info_by_worker_id.get(stop.worker_id)
+        info = self._info_by_worker_id.get(stop.worker_id)
         if run is None or info is None or run.stopped_ms is not None:
             return
         sent_ms = run.stop_sent_ms
@@ -107,11 +110,7 @@
         run.stop_sent_ms = now_ms
         log_event(
             "stop-ordered",
-            job=stop.task.job_id,
-            step=stop.task.step,
-            task=stop.task.position,
-            run=stop.run,
-            worker=stop.worker_id,
+            **run_fields(stop.task, stop.run, stop.worker_id),
             reason=stop.reason,
         )
         self._effects.order_stop(
@@ -145,11 +144,7 @@
         self._metrics.count("starts_failed", failure.code.value)
         log_event(
             "start-failed",
-            job=planned.task.job_id,
-            step=planned.task.step,
-            task=planned.task.position,
-            run=planned.run,
-            worker=planned.worker_id,
+            **run_fields(planned.task, planned.run, planned.worker_id),
             verdict=failure.verdict,
             code=failure.code,
             reason=failure.detail,
--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from magnoliapitch.control.log_fields import run_fields
 from magnoliapitch.event import log_event
 from magnoliapitch.workload.run import EndKind
 from magnoliapitch.workload.run import StopOrder
@@ -38,7 +39,11 @@
 
 
 class ReportApplier:
-    """Applies workers' reports to the scheduler's state."""
+    """Applies workers' reports to the scheduler's state.
+
+    :ivar last_end_sequence_by_worker: sequence number of the last ended run
+        that was applied, by worker id.
+    """
 
     def __init__(
         self, state: SchedulerState, planner: Planner, metrics: Metrics
@@ -46,12 +51,12 @@
         self._state = state
         self._planner = planner
         self._metrics = metrics
-        self._last_end_sequence_by_worker: dict[str, int] = {}
+        self.last_end_sequence_by_worker: dict[str, int] = {}
         self._stopped_ms_by_order: dict[tuple[str, StopOrder], int] = {}
 
     def forget(self, worker_id: str) -> None:
         """Drop the data of a worker that is gone."""
-        self._last_end_sequence_by_worker.pop(worker_id, None)
+        self.last_end_sequence_by_worker.pop(worker_id, None)
 
     def apply(
         self,
@@ -65,12 +70,12 @@
         :param sent_ms: when the renewal was sent; runs that were ordered
             later may be missing from the report.
         """
-        last_end_sequence = self._last_end_sequence_by_worker.get(worker_id, 0)
+        last_end_sequence = self.last_end_sequence_by_worker.get(worker_id, 0)
         for end in report.ended:
             if end.sequence > last_end_sequence:
                 self._apply_end(worker_id, end, received_ms)
                 last_end_sequence = end.sequence
-        self._last_end_sequence_by_worker[worker_id] = last_end_sequence
+        self.last_end_sequence_by_worker[worker_id] = last_end_sequence
         unexpected: list[StopOrder] = []
         reported_run_identities: set[int] = set()
         for running in report.running:
@@ -101,11 +106,7 @@
             return
         log_event(
             "run-ended",
-            job=end.task.job_id,
-            step=end.task.step,
-            task=end.task.position,
-            run=end.run,
-            worker=worker_id,
+            **run_fields(end.task, end.run, worker_id),
             kind=end.kind,
             is_news=is_news,
         )
@@ -136,11 +137,7 @@
             ):
                 log_event(
                     "run-absent",
-                    job=run.task.key.job_id,
-                    step=run.task.key.step,
-                    task=run.task.key.position,
-                    run=run.number,
-                    worker=worker_id,
+                    **run_fields(run.task.key, run.number, worker_id),
                 )
                 self._state.lose_run(run)
 
--- /dev/null
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -0,0 +1,109 @@
+"""The workers that a leader may use."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliapitch.event import log_event
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from magnoliapitch.control.effects import Effects
+    from magnoliapitch.control.reachability import WorkerReachability
+    from magnoliapitch.control.reports import ReportApplier
+    from magnoliapitch.planner.planner import Planner
+    from magnoliapitch.planner.scheduler_state import SchedulerState
+    from magnoliapitch.planner.tracked import TrackedWorker
+    from magnoliapitch.workload.worker import WorkerInfo
+
+
+class WorkerRoster:
+    """Adds listed workers to the scheduler's state and removes lost ones.
+
+    :ivar info_by_id: the platform's newest list, without the workers that
+        were removed since; the same mapping for the whole leadership.
+    """
+
+    def __init__(
+        self,
+        state: SchedulerState,
+        planner: Planner,
+        effects: Effects,
+        reachability: WorkerReachability,
+        report_applier: ReportApplier,
+    ) -> None:
+        self.info_by_id: dict[str, WorkerInfo] = {}
+        self._state = state
+        self._planner = planner
+        self._effects = effects
+        self._reachability = reachability
+        self._report_applier = report_applier
+
+    def update(self, info_by_id: Mapping[str, WorkerInfo]) -> None:
+        """Replace the list; start renewing the leases of new workers."""
+        self.info_by_id.clear()
+        self.info_by_id.update(info_by_id)
+        for worker_id, info in info_by_id.items():
+            known = self._state.workers_by_id.get(worker_id)
+            old_info = known.info if known is not None else None
+            if old_info == info:
+                continue
+            self._state.update_worker(info)
+            if old_info is None:
+                self._effects.start_lease_renewal(info)
+            was_draining = old_info is not None and old_info.is_draining
+            if info.is_draining and not was_draining:
+                log_event("worker-draining", worker=worker_id)
+
+    def check(self, now_ms: int) -> None:
+        """Update which workers are usable; end runs of expired leases."""
+        for worker in list(self._state.workers_by_id.values()):
+            worker_id = worker.worker_id
+            is_reachable = self._reachability.is_reachable(worker_id, now_ms)
+            is_avoided = self._planner.worker_backoff.is_avoided(
+                worker_id, now_ms
+            )
+            worker.is_usable = (
+                is_reachable
+                and not is_avoided
+                and worker_id in self.info_by_id
+            )
+            if not is_reachable:
+                self._lose_runs_if_leases_expired(worker, now_ms)
+
+    def remove(self, worker_id: str, reason: str) -> None:
+        """Remove a worker that has certainly ended, with its runs.
+
+        :param reason: reason that the log gives.
+        """
+        worker = self._state.workers_by_id.get(worker_id)
+        if worker is None:
+            return
+        log_event(
+            "worker-gone",
+            worker=worker_id,
+            reason=reason,
+            lost_runs=len(worker.runs),
+        )
+        self._effects.stop_lease_renewal(worker_id)
+        self._state.remove_worker(worker_id)
+        self.info_by_id.pop(worker_id, None)
+        self._reachability.forget(worker_id)
+        self._report_applier.forget(worker_id)
+        self._planner.worker_backoff.forget(worker_id)
+
+    def _lose_runs_if_leases_expired(
+        self, worker: TrackedWorker, now_ms: int
+    ) -> None:
+        worker_id = worker.worker_id
+        if now_ms < self._reachability.leases_expired_at_ms(worker_id):
+            return
+        lost_count = self._state.lose_runs(worker_id)
+        if lost_count:
+            log_event(
+                "worker-lease-over", worker=worker_id, lost_runs=lost_count
+            )
+        if worker_id not in self.info_by_id:
+            self.remove(worker_id, "unlisted")
