Name the check for a stored final progress

Cause: _add_job of the controller had grown by a condition that has to be read twice. Change: it is a function with a name; behaviour stays. Result: lint and the tests of control pass.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -406,14 +406,8 @@
         spec = stored.spec
         if spec is None or configuration is None:
             return
-        has_final_progress = (
-            stored.progress is not None
-            and stored.progress.outcome is not JobOutcome.OPEN
-        )
-        if (
-            self._progress_batcher.has_ended(spec.job_id)
-            and not has_final_progress
-        ):
+        has_ended = self._progress_batcher.has_ended(spec.job_id)
+        if has_ended and not _has_final_progress(stored):
             # Its progress was deleted after its last run had ended.
             self._effects.delete_jobs([spec.job_id])
             return
@@ -457,3 +451,8 @@
         )
         self._is_commit_in_flight = True
         self._effects.commit(batch)
+
+
+def _has_final_progress(stored: StoredJob) -> bool:
+    progress = stored.progress
+    return progress is not None and progress.outcome is not JobOutcome.OPEN
