Bound the waits of the take-over tests

Cause: loops of the new tests waited without end for a condition in virtual time; one that was never reached held a test run up for ten minutes. Two tests also shared the lines that cut a gang off. Change: Simulation.run_until ends after a minute of virtual time; the shared lines are a function. Assertions stay.

--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -139,6 +139,19 @@
             action()
         self.now_ms = end_ms
 
+    def run_until(
+        self, is_reached: Callable[[], object], step_ms: int = 10
+    ) -> None:
+        """Advance the virtual time until a condition holds.
+
+        :raises TimeoutError: if it does not hold within a minute.
+        """
+        end_ms = self.now_ms + 60_000
+        while not is_reached():
+            if self.now_ms >= end_ms:
+                raise TimeoutError("the condition was not reached")
+            self.run(step_ms)
+
     def take_over(self) -> Controller:
         """Replace the controller by a new leader that knows only the store."""
         self._epoch += 1
--- a/tests/control/test_controller.py
+++ b/tests/control/test_controller.py
@@ -267,8 +267,7 @@
     simulation.unreachable_worker_ids = set(simulation.workers) - {
         lost.worker_id
     }
-    while task.active_runs:
-        simulation.run(1)
+    simulation.run_until(lambda: not task.active_runs, step_ms=1)
     simulation.run(50)
     simulation.take_over()
     simulation.unreachable_worker_ids = set()
--- a/tests/control/test_takeover_capacity.py
+++ b/tests/control/test_takeover_capacity.py
@@ -83,14 +83,26 @@
     submit(simulation, "waiting", 4)
     simulation.run(100)
     start_unknown_runs(simulation, 1)
-    while not simulation.stop_orders:
-        simulation.run(10)
+    simulation.run_until(lambda: simulation.stop_orders)
     simulation.store_is_unavailable = False
     simulation.run(3_000)
     assert simulation.violations == []
     assert len(simulation.workers["w000"].running) == 4
 
 
+def cut_off_until_repeated(simulation: Simulation) -> str:
+    """Cut off the only busy worker until its tasks run elsewhere again.
+
+    :return: id of that worker.
+    """
+    [busy] = [
+        worker for worker in simulation.workers.values() if worker.running
+    ]
+    simulation.unreachable_worker_ids = {busy.info.worker_id}
+    simulation.run_until(lambda: max(simulation.starts.values()) >= 2)
+    return busy.info.worker_id
+
+
 # Incident limit-69dc: a gang's repeated run, which nobody needed any more, was
 # still executing when the next leader began.
 def test_a_gang_that_is_done_stops_its_repeated_run() -> None:
@@ -99,15 +111,9 @@
     gang = StepSpec(4, SIZE, is_gang=True)
     simulation.submit(JobSpec("gang", "q", "text", (gang,)))
     simulation.run(1_000)
-    [first] = [
-        worker for worker in simulation.workers.values() if worker.running
-    ]
-    simulation.unreachable_worker_ids = {first.info.worker_id}
-    while max(simulation.starts.values()) < 2:
-        simulation.run(100)
+    cut_off_until_repeated(simulation)
     simulation.unreachable_worker_ids = set()
-    while "gang" not in simulation.finished:
-        simulation.run(100)
+    simulation.run_until(lambda: "gang" in simulation.finished)
     simulation.run(600)
     assert not any(worker.running for worker in simulation.workers.values())
 
@@ -126,14 +132,12 @@
     simulation.unreachable_worker_ids = {"w000"}
     simulation.run(6_000)
     worker = simulation.controller.state.workers_by_id["w000"]
-    while worker.runs:
-        simulation.run(1)
+    simulation.run_until(lambda: not worker.runs, step_ms=1)
     simulation.store_is_unavailable = True
     simulation.unreachable_worker_ids = set()
     step = simulation.controller.state.step(StepKey("job", 0, 0))
     assert step is not None
-    while not step.is_done:
-        simulation.run(1)
+    simulation.run_until(lambda: step.is_done, step_ms=1)
     simulation.run(offset_ms)
     simulation.store_is_unavailable = False
     simulation.run(2_000)
@@ -146,8 +150,7 @@
     simulation = make_simulation()
     cancel_before_takeover(simulation, tasks=2)
     submit(simulation, "waiting", 4)
-    while not simulation.stop_orders:
-        simulation.run(10)
+    simulation.run_until(lambda: simulation.stop_orders)
     simulation.run(100)
     running = Counter(key.job_id for key in simulation.workers["w000"].running)
     assert running == {"cancelled": 2, "waiting": 2}
@@ -177,18 +180,10 @@
     )
     simulation.submit(JobSpec("job", "q", "text", steps))
     simulation.run(1_000)
-    [first] = [
-        worker for worker in simulation.workers.values() if worker.running
-    ]
-    simulation.unreachable_worker_ids = {first.info.worker_id}
-    while max(simulation.starts.values()) < 2:
-        simulation.run(100)
-    simulation.unreachable_worker_ids = {"w000", "w001"} - {
-        first.info.worker_id
-    }
+    first_worker_id = cut_off_until_repeated(simulation)
+    simulation.unreachable_worker_ids = {"w000", "w001"} - {first_worker_id}
     done = TaskKey("job", 0, 0, 0)
-    while not is_done(simulation, done):
-        simulation.run(1)
+    simulation.run_until(lambda: is_done(simulation, done), step_ms=1)
     simulation.run(50)
     simulation.take_over()
     simulation.unreachable_worker_ids = set()
