Hold requests until the limit is reached in the test of the limit

The test starts 30 threads and each request lasts 5 ms, so it needs three threads to start within 5 ms. Traced: with 4 ms between the starts of the threads the old test fails each time with the same figure, and nothing of the product changed; 24 runs of it beside 12 busy processes did not show it. Change: the first three requests end only once three run at the same time, and all 30 must have been answered. Equally strict: with a limit of two or four in the catalogue the new test fails; the exact figure stays. With 4 ms between the starts it passes.

--- a/tests/request/test_limit.py
+++ b/tests/request/test_limit.py
@@ -3,6 +3,7 @@
 import threading
 
 from typing import TYPE_CHECKING
+from typing import Any
 
 import pytest
 
@@ -18,6 +19,7 @@
     from collections.abc import Callable
 
     from magnoliapitch.request.dispatcher import Outcome
+    from magnoliapitch.standin.backend import StandinBackends
     from tests.request.conftest import RequestCluster
 
 
@@ -67,6 +69,7 @@
 
 def test_concurrency_limit_queues_excess_requests(
     make_cluster: Callable[..., RequestCluster],
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     cluster = make_cluster(RequestClusterShape(slots=64), threads=True)
     cluster.put_entry(
@@ -75,6 +78,7 @@
     cluster.settle()
     cluster.run_in_background()
     cluster.backends.duration_ms = 5
+    hold_until_running(cluster.backends, 3, monkeypatch)
     outcomes: list[Outcome] = []
     threads = [
         cluster.spawn(lambda: outcomes.append(cluster.execute()))
@@ -82,10 +86,27 @@
     ]
     for thread in threads:
         thread.join(JOIN_TIMEOUT_S)
+    assert len(outcomes) == 30
     assert all(outcome.is_ok() for outcome in outcomes)
     assert cluster.backends.max_in_flight_by_server == {"norte-runner-1": 3}
 
 
+def hold_until_running(
+    backends: StandinBackends, count: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Let the first requests end only once so many run at the same time."""
+    respond = backends._respond
+    are_running = threading.Barrier(count, timeout=JOIN_TIMEOUT_S / 2)
+    first_calls = iter(range(count))
+
+    def respond_together(*args: Any) -> Any:
+        if next(first_calls, None) is not None:
+            are_running.wait()
+        return respond(*args)
+
+    monkeypatch.setattr(backends, "_respond", respond_together)
+
+
 def test_concurrency_limit_bounds_the_queue(
     make_cluster: Callable[..., RequestCluster],
 ) -> None:
