Start tasks of a service again before any work that has not begun

Tasks of services whose run had failed were never placed again. They ranked by their queue's priority behind thousands of waiting tasks, and as late, because the objective of a service passes while it runs.

Change: a service of which a task has lost its run ranks before everything else, and a service is never late.

--- a/src/magnoliapitch/planner/ranking.py
+++ b/src/magnoliapitch/planner/ranking.py
@@ -22,6 +22,8 @@
 class Rank(NamedTuple):
     """Sort key of a step; the lowest rank is placed first.
 
+    :param is_planned: False for a long-running step of which a task has
+        lost its run; True for every other step.
     :param priority: the queue's priority.
     :param lateness: 0 while the job can complete within its objective, 1
         while a late completion still has some value, 2 after that.
@@ -30,6 +32,7 @@
         that still has some value.
     """
 
+    is_planned: bool
     priority: int
     lateness: int
     latest_start_ms: float
@@ -40,6 +43,10 @@
 ) -> Rank:
     """Return the rank of a step.
 
+    A service whose task has ended is down for its users until the task runs
+    again, so it ranks before all work that has not begun. A service that
+    starts late still has its full value, so its lateness is always 0.
+
     The objective and the latest start are kept on the step and computed
     again after ``RANK_REFRESH_INTERVAL_MS``.
     """
@@ -57,13 +64,16 @@
         )
     latest_start_ms, objective_ms = step.latest_start_ms, step.objective_ms
     lateness = 0
+    if step.spec.is_long_running:
+        is_planned = not step.has_interrupted_task()
+        return Rank(is_planned, job.queue.priority, lateness, latest_start_ms)
     if now_ms > latest_start_ms:
         latest_useful_start_ms = (
             latest_start_ms + (MAX_USEFUL_COMPLETION_RATIO - 1) * objective_ms
         )
         lateness = 1 if now_ms <= latest_useful_start_ms else 2
         latest_start_ms = latest_useful_start_ms
-    return Rank(job.queue.priority, lateness, latest_start_ms)
+    return Rank(True, job.queue.priority, lateness, latest_start_ms)
 
 
 def _objective_ms(
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -191,6 +191,10 @@
             if not task.is_done and not task.active_runs
         ]
 
+    def has_interrupted_task(self) -> bool:
+        """Return whether a task that was started before has to start again."""
+        return any(task.runs for task in self.startable_tasks())
+
     def all_active_runs(self) -> list[TrackedRun]:
         """Return the active runs of all tasks."""
         return [run for task in self.tasks for run in task.active_runs]
--- a/tests/planner/test_load_patterns.py
+++ b/tests/planner/test_load_patterns.py
@@ -15,6 +15,7 @@
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
 from magnoliapitch.workload.job import TaskKey
+from magnoliapitch.workload.run import EndKind
 from tests.control.load import LARGE_CLUSTER_JOB_KINDS
 from tests.control.load import LoadGenerator
 from tests.control.simulation import Simulation
@@ -31,6 +32,8 @@
 # Time before the start that the objective of a gang, 2.2 times its duration,
 # leaves.
 MAX_GANG_START_MS = 7_400
+# The users require that a lost task of a service runs again within 6 s.
+MAX_SERVICE_RESTART_MS = 6_000
 SLOW_PERMIT_TIMING = PermitTiming(
     decision_ms=900, per_worker_ms=5.5, valid_ms=2_500
 )
@@ -186,3 +189,47 @@
     simulation.run(20_000)
     outcomes = [done.outcome for done in simulation.finished.values()]
     assert outcomes == [JobState.COMPLETED] * 40
+
+
+def test_an_interrupted_service_starts_again_ahead_of_a_backlog() -> None:
+    """Urgent work waits for far more than the pool can run."""
+    simulation = Simulation([queue("q"), queue("services", 1)], workers(4))
+    simulation.actual_duration_ms = lambda key: (
+        3_600_000.0 if key.job_id == "service" else 2_000.0
+    )
+    size = Resources(8_000, 16_000)
+    service = StepSpec(4, size, is_long_running=True)
+    simulation.submit(JobSpec("service", "services", "text", (service,)))
+    simulation.run(1_000)
+    urgent = StepSpec(6, size, 2_000)
+    for number in range(300):
+        simulation.submit(JobSpec(f"a{number}", "q", "text", (urgent,)))
+    simulation.run(1_000)
+    lost_ms = simulation.now_ms
+    task = TaskKey("service", 0, 0, 0)
+    for worker in simulation.workers.values():
+        run = worker.running.get(task)
+        if run is not None:
+            worker.end(run, EndKind.FAILED)
+    simulation.run_until(lambda: simulation.starts[task] == 2)
+    assert simulation.now_ms - lost_ms <= MAX_SERVICE_RESTART_MS
+    assert simulation.violations == []
+
+
+def test_a_service_that_starts_late_keeps_its_turn() -> None:
+    """Its objective passes while it waits, but it still has its full value."""
+    simulation = Simulation([queue("q")], workers(1))
+    size = Resources(32_000, 16_000)
+    simulation.actual_duration_ms = lambda key: (
+        20_000.0 if key.job_id == "first" else 1_000.0
+    )
+    simulation.submit(JobSpec("first", "q", "text", (StepSpec(1, size, 500),)))
+    simulation.run(500)
+    service = StepSpec(1, size, 500, is_long_running=True)
+    simulation.submit(JobSpec("service", "q", "text", (service,)))
+    simulation.run(15_000)
+    small = StepSpec(1, size, 1_000)
+    for number in range(10):
+        simulation.submit(JobSpec(f"a{number}", "q", "text", (small,)))
+    simulation.run(6_000)
+    assert simulation.starts[TaskKey("service", 0, 0, 0)] == 1
