Find accepted jobs that the leader has not published yet

Cause: an instance knew a job that another one had accepted only from the leader's published states.

Change: the leader publishes, with its heartbeat every 300 ms, the offset of the job stream up to which the states of all jobs are published. An instance that does not find a job in the states reads the job stream from that offset, which is a few records under a healthy leader, before it answers. The fixed waits of 450 ms before a 410 are gone: a job that was acknowledged is in the stream.

The test 'missing only after a wait' asserted such a wait, which proves nothing; it is replaced by one that requires the stored jobs to have been read. Further tests: state, cancellation and count without a leader; the offset never covers a job without a published state, also over a take-over; a job that ends between two reads.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -26,6 +26,7 @@
 
     from magnoliapitch.control.effects import Effects
     from magnoliapitch.control.events import Committed
+    from magnoliapitch.control.events import JobsChanged
     from magnoliapitch.control.events import PermitsAnswered
     from magnoliapitch.control.events import StartAnswered
     from magnoliapitch.control.events import StopAnswered
@@ -116,12 +117,15 @@
         """Return the epoch, which is the fencing token of every order."""
         return self._leader.epoch
 
-    def load(self, now_ms: int) -> None:
+    def load(self, now_ms: int, job_end: int) -> None:
         """Add the stored jobs, ended ones too if runs of them may be active.
 
         Their runs use capacity until they have ended.
+
+        :param job_end: offset up to which the job stream was read.
         """
         self._progress_batcher.load(now_ms)
+        self._progress_batcher.record_read(job_end)
         for stored in self._job_table.jobs():
             self._add_job(stored, now_ms)
         open_count = sum(
@@ -159,11 +163,10 @@
         """Update the workers from the platform's list."""
         self._roster.update(event.info_by_id)
 
-    def handle_jobs_changed(
-        self, job_ids: frozenset[str], now_ms: int
-    ) -> None:
+    def handle_jobs_changed(self, event: JobsChanged, now_ms: int) -> None:
         """Add submitted jobs and cancel cancelled ones."""
-        for job_id in job_ids:
+        self._progress_batcher.record_read(event.end)
+        for job_id in event.job_ids:
             stored = self._job_table.get(job_id)
             known = self.state.jobs_by_id.get(job_id)
             if stored is None:
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -89,7 +89,8 @@
     :param configuration: returns the newest configuration, or None if none
         was read yet.
     :param open_job_follower: returns a new follower of the stored jobs; takes
-        a callback for the ids of jobs that were submitted or cancelled.
+        a callback for the ids of jobs that were submitted or cancelled, and
+        for the offset up to which they were read.
     """
 
     def __init__(
@@ -101,7 +102,7 @@
         clock: Clock,
         configuration: Callable[[], Configuration | None],
         open_job_follower: Callable[
-            [Callable[[frozenset[str]], None]], JobFollower
+            [Callable[[frozenset[str], int], None]], JobFollower
         ],
         metrics: Metrics,
     ) -> None:
@@ -155,7 +156,7 @@
         if claim is None or self._is_stopping:
             return None
         job_follower = self._open_job_follower(
-            lambda ids: self.post(JobsChanged(ids))
+            lambda ids, end: self.post(JobsChanged(ids, end))
         )
         for prepare in (
             self._leadership.fence_former_leaders,
@@ -177,7 +178,7 @@
             self._configuration,
             self._metrics,
         )
-        controller.load(self._clock.now_ms())
+        controller.load(self._clock.now_ms(), job_follower.end)
         self._controller = controller
         self._job_follower = job_follower
         return controller
@@ -239,7 +240,7 @@
         elif isinstance(event, Committed):
             controller.handle_commit(event, now_ms)
         elif isinstance(event, JobsChanged):
-            controller.handle_jobs_changed(event.job_ids, now_ms)
+            controller.handle_jobs_changed(event, now_ms)
         elif isinstance(event, WorkersListed):
             controller.handle_worker_list(event)
         elif isinstance(event, PermitsAnswered):
--- a/src/magnoliapitch/control/events.py
+++ b/src/magnoliapitch/control/events.py
@@ -23,9 +23,13 @@
 
 
 class JobsChanged(NamedTuple):
-    """Jobs were submitted or cancelled."""
+    """Jobs were submitted or cancelled.
+
+    :param end: offset up to which the job stream was read.
+    """
 
     job_ids: frozenset[str]
+    end: int
 
 
 class ConfigurationChanged(NamedTuple):
--- a/src/magnoliapitch/control/progress_batcher.py
+++ b/src/magnoliapitch/control/progress_batcher.py
@@ -30,7 +30,7 @@
 
 
 # Interval of the records that show the other instances that the leader is
-# alive while it has nothing else to store.
+# alive, and how far it has read the submitted jobs.
 HEARTBEAT_INTERVAL_MS = 300
 
 _STATE_BY_OUTCOME = {
@@ -59,9 +59,10 @@
         self._leader = leader
         self._timing = timing
         self._delete_jobs = delete_jobs
-        self._published_ms = 0
+        self._heartbeat_ms = 0
         self._progress_in_commit_by_id: dict[str, JobProgress] = {}
         self._states_in_commit_by_id: dict[str, PublishedJob] = {}
+        self._leader_in_commit: LeaderRecord | None = None
         # Jobs whose current state may differ from the published one.
         self._unpublished_job_ids: set[str] = set()
         # Jobs whose final progress is stored and that can be removed.
@@ -70,10 +71,17 @@
 
     def load(self, now_ms: int) -> None:
         """Start from the job states that former leaders published."""
-        self._published_ms = now_ms
+        self._heartbeat_ms = now_ms
         for job_id in self._state_table.ended_job_ids():
             self._ended_ms_by_job[job_id] = now_ms
 
+    def record_read(self, job_end: int) -> None:
+        """Record that all jobs before an offset were added.
+
+        The next batch publishes their states, and then the offset.
+        """
+        self._leader = self._leader._replace(job_offset=job_end)
+
     def has_ended(self, job_id: str) -> bool:
         """Return whether a final state of a job is published."""
         return self.published_state(job_id) in FINAL_STATES
@@ -100,20 +108,14 @@
 
         :param has_starts: whether start orders wait for the batch.
         """
-        has_published_lately = (
-            now_ms - self._published_ms < HEARTBEAT_INTERVAL_MS
-        )
         has_changes = (
             has_starts
             or self._state.unsaved_job_ids
             or self._unpublished_job_ids
         )
-        if has_published_lately and not has_changes:
+        if not has_changes and not self._is_heartbeat_due(now_ms):
             return None
-        batch = Batch(self._progress_records(), self._state_records(now_ms))
-        if batch.states:
-            self._published_ms = now_ms
-        return batch
+        return Batch(self._progress_records(), self._state_records(now_ms))
 
     def record_stored(self, now_ms: int) -> None:
         """Record that the last batch was stored."""
@@ -128,6 +130,9 @@
         for job_id, published in self._states_in_commit_by_id.items():
             self._state_table.put(job_id, published)
         self._states_in_commit_by_id = {}
+        if self._leader_in_commit is not None:
+            self._state_table.leader = self._leader_in_commit
+            self._leader_in_commit = None
 
     def _progress_records(self) -> tuple[KeyedRecord, ...]:
         removed_job_ids = self._remove_finished_jobs()
@@ -191,14 +196,16 @@
             KeyedRecord(STATE_PREFIX + job_id, current.encode())
             for job_id, current in self._states_in_commit_by_id.items()
         ]
-        if (
-            not records
-            and now_ms - self._published_ms >= HEARTBEAT_INTERVAL_MS
-        ):
+        if self._is_heartbeat_due(now_ms):
+            self._heartbeat_ms = now_ms
+            self._leader_in_commit = self._leader
             leader = encode_leader(self._leader)
-            records = [KeyedRecord(LEADER_KEY, leader)]
+            records.append(KeyedRecord(LEADER_KEY, leader))
         return (*records, *self._expired_states(now_ms))
 
+    def _is_heartbeat_due(self, now_ms: int) -> bool:
+        return now_ms - self._heartbeat_ms >= HEARTBEAT_INTERVAL_MS
+
     def _expired_states(self, now_ms: int) -> list[KeyedRecord]:
         """Remove old states of ended jobs; return records that delete them."""
         expired: list[KeyedRecord] = []
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -34,6 +34,7 @@
 from magnoliapitch.ledger.records import JOB_STREAM
 from magnoliapitch.ledger.state_table import StateTable
 from magnoliapitch.ledger.submitter import Submitter
+from magnoliapitch.ledger.unpublished_jobs import UnpublishedJobs
 from magnoliapitch.metric import Metrics
 from magnoliapitch.metric import ProcessUsageMeter
 from magnoliapitch.metric import prometheus_text
@@ -118,7 +119,7 @@
             self._states,
             self._submitter,
             self._refresh_states,
-            self._sleep,
+            UnpublishedJobs(store, self._states, self._clock),
             self._metrics,
         )
         ip = settings.listen.callers.partition(":")[0]
@@ -246,9 +247,6 @@
         if not is_ok:
             self._metrics.count("outgoing_calls_failed", path)
 
-    def _sleep(self, duration_ms: int) -> None:
-        time.sleep(duration_ms / 1000)
-
     def _poll_configuration(self) -> int:
         outcome = self._directory.configuration(CONFIGURATION_WAIT_MS)
         if isinstance(outcome, Err):
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -11,6 +11,12 @@
     EventLevel.INFO,
     "A submission or cancellation was stored, or failed for the given reason.",
 )
+define_event(
+    "pending-count-stale",
+    EventLevel.WARNING,
+    "The stored jobs cannot be read, so the number of pending jobs leaves out "
+    "those that the leader has not published yet.",
+)
 define_event(
     "step-starting",
     EventLevel.INFO,
--- a/src/magnoliapitch/ledger/job_api.py
+++ b/src/magnoliapitch/ledger/job_api.py
@@ -27,6 +27,7 @@
 
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.ledger.submitter import Submitter
+    from magnoliapitch.ledger.unpublished_jobs import UnpublishedJobs
     from magnoliapitch.metric import Metrics
     from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.configuration import Configuration
@@ -37,9 +38,8 @@
 # Part of the caller's timeout that is reserved for sending the answer.
 ANSWER_RESERVE_MS = 150
 STORE_RETRY_AFTER_MS = 1_000
-# Pauses before an unknown job is looked up again, since the leader publishes
-# the state of a new job only shortly after the job was stored.
-STATE_RETRY_DELAYS_MS = (150, 300)
+# Callers accept a count of pending jobs that is up to 2 s old.
+MAX_PENDING_AGE_MS = 1_000
 # Jobs accepted by this instance that it remembers, the latest ones. They are
 # known here before the leader publishes their states.
 MAX_REMEMBERED_JOBS = 20_000
@@ -53,7 +53,8 @@
 
     :param refresh: reads the published states up to the newest one; after a
         failure, a job that is missing in the table may still be stored.
-    :param wait: sleeps for a number of milliseconds.
+    :param unpublished_jobs: jobs that are stored although the leader has not
+        published their states.
     """
 
     def __init__(
@@ -61,13 +62,13 @@
         state_table: StateTable,
         submitter: Submitter,
         refresh: Callable[[], Result[None, Failure]],
-        wait: Callable[[int], None],
+        unpublished_jobs: UnpublishedJobs,
         metrics: Metrics,
     ) -> None:
         self._state_table = state_table
         self._submitter = submitter
         self._refresh = refresh
-        self._wait = wait
+        self._unpublished_jobs = unpublished_jobs
         self._metrics = metrics
         self._accepted_queue_by_job_id: OrderedDict[str, str] = OrderedDict()
         self._configuration: Configuration | None = None
@@ -141,7 +142,16 @@
 
     def pending(self, queue: Queue) -> int:
         """Return the number of a queue's jobs without a started task."""
-        return self._state_table.pending(queue.name)
+        refreshed = self._unpublished_jobs.refresh(MAX_PENDING_AGE_MS)
+        if isinstance(refreshed, Err):
+            log_event(
+                "pending-count-stale",
+                queue=queue.name,
+                reason=refreshed.err_value.detail,
+            )
+        return self._state_table.pending(
+            queue.name
+        ) + self._unpublished_jobs.count(queue.name)
 
     def _count(self, call: str, outcome: Result[None, Failure]) -> None:
         label = "stored"
@@ -169,30 +179,35 @@
             self._accepted_queue_by_job_id.popitem(last=False)
 
     def _find(self, job_id: str) -> Result[PublishedJob | None, Failure]:
-        """Look a job up, with time for the leader to publish a new one.
+        """Look a job up in the published states, then in the stored jobs.
+
+        The states are read again at last, since a job that is deleted from
+        the stored jobs meanwhile has a published state.
 
-        :return: None if there is no such job; a failure if the published
-            states cannot be read, since the job may then be stored.
+        :return: None if there is no such job; a failure if the store cannot
+            be read, since the job may then be stored.
         """
-        for delay_ms in (0, *STATE_RETRY_DELAYS_MS):
-            job = self._lookup(job_id)
+        job = self._lookup(job_id)
+        for read in (
+            self._refresh,
+            self._unpublished_jobs.refresh,
+            self._refresh,
+        ):
             if job is not None:
                 return Ok(job)
-            if delay_ms:
-                self._wait(delay_ms)
-            refreshed = self._refresh()
-            if isinstance(refreshed, Err):
-                reason = refreshed.err_value.detail
-                detail = (
-                    "the job is not known here but may be stored; the "
-                    f"published states cannot be read: {reason}"
-                )
-                return Err(
-                    not_run(
-                        FailureCode.UNAVAILABLE, detail, STORE_RETRY_AFTER_MS
-                    )
-                )
-        return Ok(self._lookup(job_id))
+            outcome = read()
+            if isinstance(outcome, Err):
+                return Err(_not_readable(outcome.err_value))
+            job = self._lookup(job_id) or self._unpublished_jobs.get(job_id)
+        return Ok(job)
+
+
+def _not_readable(failure: Failure) -> Failure:
+    detail = (
+        "the job is not known here but may be stored; the store cannot be "
+        f"read: {failure.detail}"
+    )
+    return not_run(FailureCode.UNAVAILABLE, detail, STORE_RETRY_AFTER_MS)
 
 
 def _log_call(
--- a/src/magnoliapitch/ledger/job_follower.py
+++ b/src/magnoliapitch/ledger/job_follower.py
@@ -38,7 +38,7 @@
     Only the leader has a follower.
 
     :param notify_changed: called with the ids of jobs whose records have
-        changed.
+        changed, and with the offset up to which the job stream was read.
     :ivar job_table: the jobs, as far as the streams were read.
     """
 
@@ -47,7 +47,7 @@
         streams: KeyedStreams,
         clock: Clock,
         health: StoreHealth,
-        notify_changed: Callable[[frozenset[str]], None],
+        notify_changed: Callable[[frozenset[str], int], None],
     ) -> None:
         self.job_table = JobTable()
         self._clock = clock
@@ -56,6 +56,11 @@
         self._streams = streams
         self._job_mirror = StreamMirror(streams, JOB_STREAM)
 
+    @property
+    def end(self) -> int:
+        """Return the offset up to which the job stream was read."""
+        return self._job_mirror.end
+
     def load(self) -> Result[None, Failure]:
         """Read all progress, then all jobs, into the job table.
 
@@ -107,5 +112,5 @@
             self._job_mirror.values_by_key, changed_keys
         )
         if changed_job_ids:
-            self._notify_changed(frozenset(changed_job_ids))
+            self._notify_changed(frozenset(changed_job_ids), self.end)
         return Ok(None)
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -240,7 +240,9 @@
         claim = self.claim
         if claim is None:
             return
-        record = claim.record._replace(has_resigned=True)
+        # The newest record, which has the leader's position in the jobs.
+        newest = self._state_table.leader or claim.record
+        record = newest._replace(has_resigned=True)
         outcome = self._append_states(
             self._appender, [KeyedRecord(LEADER_KEY, encode_leader(record))]
         )
@@ -284,7 +286,8 @@
         last_epoch = leader.epoch if leader else 0
         base_epoch = (last_epoch // EPOCH_STEP + 1) * EPOCH_STEP
         epoch = base_epoch + self._random.randrange(EPOCH_STEP)
-        record = LeaderRecord(epoch, self._instance_id)
+        job_offset = leader.job_offset if leader else -1
+        record = LeaderRecord(epoch, self._instance_id, job_offset=job_offset)
         writer = Writer(PRODUCER, epoch, 1)
         outcome = self._streams.append(
             STATE_STREAM,
--- a/src/magnoliapitch/ledger/records.py
+++ b/src/magnoliapitch/ledger/records.py
@@ -32,11 +32,14 @@
     :param instance_id: instance that claimed.
     :param has_resigned: whether the leader has stopped leading, so that other
         instances may claim at once.
+    :param job_offset: the states of all jobs before this offset of the job
+        stream are published; -1 if that is not known.
     """
 
     epoch: int
     instance_id: str
     has_resigned: bool = False
+    job_offset: int = -1
 
 
 class _TaskRow(NamedTuple):
--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -136,6 +136,7 @@
 
     def commit(self, batch: Batch) -> None:
         simulation, sent_ms = self._simulation, self._simulation.now_ms
+        simulation.on_commit(batch)
 
         def finish() -> None:
             if simulation.store_is_unavailable:
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from magnoliapitch.control.controller import Controller
+from magnoliapitch.control.events import JobsChanged
 from magnoliapitch.control.events import WorkersListed
 from magnoliapitch.control.timing import ControlTiming
 from magnoliapitch.ledger.job_table import JobTable
@@ -44,6 +45,7 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from magnoliapitch.ledger.leadership import Batch
     from magnoliapitch.workload.job import JobSpec
     from magnoliapitch.workload.job import StepKey
     from magnoliapitch.workload.job import TaskKey
@@ -77,6 +79,7 @@
     :ivar order_late_ms: returns how much later an order is carried out, in
         ms; a late one gets no answer. 0 by default.
     :ivar advisor_call_limit: most advisor calls at the same time.
+    :ivar on_commit: called with every batch that is to be stored.
     """
 
     def __init__(
@@ -97,6 +100,7 @@
         self.order_late_ms: Callable[[StartOrder | StopOrder], int] = (
             lambda _: 0
         )
+        self.on_commit: Callable[[Batch], object] = lambda _: None
         self.unreachable_worker_ids: set[str] = set()
         self.store_is_unavailable = False
         self.commit_count = 0
@@ -121,6 +125,7 @@
         self._submitted_ms: dict[str, int] = {}
         self._advisor_calls_in_flight_count = 0
         self._epoch = 0
+        self._job_end = 0
         self.controller = self.take_over()
         self._list_workers()
         self._next_round()
@@ -165,7 +170,7 @@
             lambda: self.configuration,
             Metrics(),
         )
-        controller.load(self.now_ms)
+        controller.load(self.now_ms, self._job_end)
         self.controller = controller
         return controller
 
@@ -248,10 +253,11 @@
 
     def _store(self, key: str, value: bytes) -> None:
         changed = self.job_table.apply({key: value}, [key])
-        ids = frozenset(changed)
+        self._job_end += 1
+        event = JobsChanged(frozenset(changed), self._job_end)
         self.schedule(
             COMMIT_DURATION_MS,
-            lambda: self.controller.handle_jobs_changed(ids, self.now_ms),
+            lambda: self.controller.handle_jobs_changed(event, self.now_ms),
         )
 
     def _list_workers(self) -> None:
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -65,6 +65,7 @@
 
     def __init__(self) -> None:
         self.job_table = JobTable()
+        self.end = 0
 
     def load(self) -> Result[None, Failure]:
         return Ok(None)
--- a/tests/ledger/test_job_api.py
+++ b/tests/ledger/test_job_api.py
@@ -6,10 +6,15 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.clock import ManualClock
 from magnoliapitch.ledger.job_api import JobApi
+from magnoliapitch.ledger.records import JOB_STREAM
+from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.ledger.state_table import PublishedJob
 from magnoliapitch.ledger.state_table import StateTable
+from magnoliapitch.ledger.stream import KeyedRecord
+from magnoliapitch.ledger.unpublished_jobs import UnpublishedJobs
 from magnoliapitch.metric import Metrics
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
@@ -17,31 +22,42 @@
 from magnoliapitch.verdict import not_run
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
+from tests.control.simulation import queue
+from tests.ledger.memory_streams import MemoryStreams
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.ledger.stream import KeyedRecord
+    from collections.abc import Callable
+
+    from magnoliapitch.ledger.stream import NewestPage
+    from magnoliapitch.ledger.stream import StreamSlice
 
 
 JOB = JobSpec("0a", "q", "text", (StepSpec(2),))
+QUEUE = queue("q")
 TIMEOUT_MS = 1_000
 
 
 class FakeStore:
-    """Takes appends; a refresh reads the states in ``published``."""
+    """Stores jobs; a refresh reads the states in ``published``.
+
+    :ivar stored: value of each record that was appended.
+    """
 
     def __init__(self) -> None:
         self.states = StateTable()
         self.stored: dict[str, bytes] = {}
         self.published: dict[str, PublishedJob] = {}
         self.failure: Failure | None = None
-        self.waited_ms = 0
+        self.streams = RecordingStreams()
+        self.clock = ManualClock(1_000)
 
     def append(
         self, record: KeyedRecord, timeout_ms: int
     ) -> Result[None, Failure]:
         del timeout_ms
         self.stored[record.key] = record.value
+        self.streams.append(JOB_STREAM, [record])
         return Ok(None)
 
     def refresh(self) -> Result[None, Failure]:
@@ -51,11 +67,49 @@
             self.states.put(job_id, job)
         return Ok(None)
 
-    def wait(self, duration_ms: int) -> None:
-        self.waited_ms += duration_ms
-
     def job_api(self) -> JobApi:
-        return JobApi(self.states, self, self.refresh, self.wait, Metrics())  # type: ignore[arg-type]
+        """Return the interface of a new instance at this store."""
+        unpublished_jobs = UnpublishedJobs(
+            self.streams, self.states, self.clock
+        )
+        return JobApi(
+            self.states,
+            self,  # type: ignore[arg-type]
+            self.refresh,
+            unpublished_jobs,
+            Metrics(),
+        )
+
+
+class RecordingStreams(MemoryStreams):
+    """Records from which offset each stream was read.
+
+    :ivar read_offsets: offset of each read, -1 for a read of all keys.
+    :ivar after_read: called after each read.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.read_offsets: list[int] = []
+        self.after_read: Callable[[], object] = lambda: None
+
+    def read(
+        self,
+        stream: str,
+        from_offset: int,
+        wait_ms: int = 0,
+        timeout_ms: int = 1_000,
+    ) -> Result[StreamSlice, Failure]:
+        self.read_offsets.append(from_offset)
+        content = super().read(stream, from_offset, wait_ms, timeout_ms)
+        self.after_read()
+        return content
+
+    def newest(
+        self, stream: str, after_key: str = "", timeout_ms: int = 1_000
+    ) -> Result[NewestPage, Failure]:
+        self.read_offsets.append(-1)
+        return super().newest(stream, after_key, timeout_ms)
 
 
 def published_job(state: JobState) -> PublishedJob:
@@ -92,10 +146,74 @@
     assert not store.stored
 
 
-def test_unknown_job_is_reported_missing_only_after_a_wait() -> None:
+def test_unknown_job_is_missing_only_after_the_stored_jobs_were_read() -> None:
     store = FakeStore()
     assert store.job_api().state("0b", TIMEOUT_MS).unwrap() is None
-    assert store.waited_ms > 0
+    assert store.streams.read_offsets == [-1]
+
+
+def test_accepted_job_is_known_elsewhere_without_a_leader() -> None:
+    store = FakeStore()
+    assert store.job_api().submit(JOB, TIMEOUT_MS).is_ok()
+    other = store.job_api()
+    assert other.state("0a", TIMEOUT_MS).unwrap() is JobState.PENDING
+    assert other.pending(QUEUE) == 1
+    assert other.cancel("0a", TIMEOUT_MS).unwrap() is True
+    assert "c.0a" in store.stored
+
+
+def test_only_jobs_that_the_leader_has_not_published_are_read() -> None:
+    store = FakeStore()
+    for name in ("00", "01", "02"):
+        store.job_api().submit(JOB._replace(job_id=name), TIMEOUT_MS)
+    store.states.leader = LeaderRecord(1, "leader", job_offset=2)
+    assert store.job_api().state("02", TIMEOUT_MS).unwrap() is JobState.PENDING
+    assert store.streams.read_offsets == [2]
+
+
+def test_a_job_that_ends_between_two_reads_is_known() -> None:
+    """The leader deletes its submission after it has published its end."""
+    store = FakeStore()
+    store.job_api().submit(JOB, TIMEOUT_MS)
+    store.streams.append(JOB_STREAM, [KeyedRecord("j.0a", b"")])
+    store.states.leader = LeaderRecord(1, "leader", job_offset=0)
+    store.streams.after_read = lambda: store.published.update(
+        {"0a": published_job(JobState.COMPLETED)}
+    )
+    assert (
+        store.job_api().state("0a", TIMEOUT_MS).unwrap() is JobState.COMPLETED
+    )
+
+
+def test_pending_jobs_are_counted_once_when_the_leader_publishes() -> None:
+    store = FakeStore()
+    job_api = store.job_api()
+    for name in ("00", "01"):
+        job_api.submit(JOB._replace(job_id=name), TIMEOUT_MS)
+    assert job_api.pending(QUEUE) == 2
+    store.published["00"] = published_job(JobState.PENDING)
+    store.published["01"] = published_job(JobState.RUNNING)
+    store.refresh()
+    assert job_api.pending(QUEUE) == 1
+    store.states.leader = LeaderRecord(1, "leader", job_offset=2)
+    store.clock.advance(5_000)
+    assert job_api.pending(QUEUE) == 1
+
+
+def test_pending_jobs_are_read_at_most_once_a_second() -> None:
+    store = FakeStore()
+    job_api = store.job_api()
+    for _ in range(10):
+        job_api.pending(QUEUE)
+        store.clock.advance(99)
+    assert len(store.streams.read_offsets) == 1
+
+
+def test_pending_jobs_are_counted_during_a_store_outage() -> None:
+    store = FakeStore()
+    store.states.put("0b", published_job(JobState.PENDING))
+    store.streams.outage = not_run(FailureCode.UNAVAILABLE, "down")
+    assert store.job_api().pending(QUEUE) == 1
 
 
 def test_unknown_job_is_not_reported_missing_during_a_store_outage() -> None:
@@ -107,6 +225,14 @@
     assert store.job_api().cancel("0b", TIMEOUT_MS).is_err()
 
 
+def test_unknown_job_is_not_missing_while_stored_jobs_are_unreadable() -> None:
+    store = FakeStore()
+    store.streams.outage = not_run(FailureCode.UNAVAILABLE, "down")
+    failure = store.job_api().state("0b", TIMEOUT_MS).unwrap_err()
+    assert failure.verdict is Verdict.NOT_RUN
+    assert failure.retry_after_ms
+
+
 def test_a_cancellation_is_stored_unless_the_job_has_ended() -> None:
     store = FakeStore()
     store.published = {
