Limit the start orders in flight and adapt their timeouts

Each attempt was given up after 150, 200 and 350 ms whatever the machine, counted as 'may have run', was stopped and started elsewhere, which makes more orders: a retry storm that holds itself up.

Change: a window of orders in flight, with additive increase and multiplicative decrease by the latency of the answers; the planner plans no more starts than it leaves room for. Timeouts follow the measured round trips, and double while most calls stay unanswered. An order without a connection is tried again like one without an answer. Silent workers alone change neither the window nor the timeouts.

Test: a burst of 600 tasks on a leader that sends an order in 10 ms.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -333,6 +333,7 @@
             now_ms,
             wall_ms,
             self._effects.available_advisor_calls(),
+            self._available_starts(),
         )
         if self.may_issue_orders(now_ms):
             self._record_starts(plan.starts, now_ms)
@@ -342,6 +343,13 @@
             self._request_permits(plan.permit_requests)
         self._commit(now_ms)
 
+    def _available_starts(self) -> int:
+        """Return how many starts may be planned, less those not sent yet."""
+        unsent_count = len(self._uncommitted_starts) + len(
+            self._starts_in_commit
+        )
+        return max(0, self._effects.available_start_orders() - unsent_count)
+
     def _record_starts(
         self, starts: tuple[PlannedStart, ...], now_ms: int
     ) -> None:
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -349,6 +349,10 @@
         """Return the number of advisor calls that can be started now."""
         return self._clients.advisor_channels.idle_count()
 
+    def available_start_orders(self) -> int:
+        """Return the number of start orders that may be sent now."""
+        return self._order_sender.window.available()
+
     def _commit_now(
         self,
         batch: Batch,
--- a/src/magnoliapitch/control/effects.py
+++ b/src/magnoliapitch/control/effects.py
@@ -59,3 +59,6 @@
 
     def available_advisor_calls(self) -> int:
         """Return the number of advisor calls that can be started now."""
+
+    def available_start_orders(self) -> int:
+        """Return the number of start orders that may be sent now."""
--- a/src/magnoliapitch/control/order_sender.py
+++ b/src/magnoliapitch/control/order_sender.py
@@ -10,12 +10,15 @@
 
 from magnoliapitch.control.events import StartAnswered
 from magnoliapitch.control.events import StopAnswered
+from magnoliapitch.control.order_window import OrderWindow
+from magnoliapitch.control.round_trip import RoundTripEstimator
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from magnoliapitch.clock import Clock
     from magnoliapitch.control.events import Event
@@ -32,9 +35,11 @@
 # which one in ten is unanswered for 150 ms, while 40 orders are under way to
 # an unreachable zone.
 SENDER_THREAD_COUNT = 96
-# Workers normally answer within a few milliseconds, so the first retry is
-# early.
-ATTEMPT_TIMEOUTS_MS = (150, 200, 350)
+# Timeouts of the attempts of one order, as multiples of the timeout that
+# follows from the measured round trips. Workers normally answer within a few
+# milliseconds, so the first retry is early.
+ATTEMPT_TIMEOUT_FACTORS = (1.0, 4 / 3, 7 / 3)
+_RETRIED_CODES = (FailureCode.TIMEOUT, FailureCode.UNAVAILABLE)
 
 
 class OrderSender:
@@ -43,6 +48,9 @@
     Orders are idempotent: a worker that has begun a run, or has ended or
     stopped it, does not begin it again. So an unanswered order is sent
     again, which is faster than stopping the run and starting another.
+
+    :ivar window: limit of the start orders in flight, which the caller must
+        respect.
     """
 
     def __init__(
@@ -55,6 +63,8 @@
         self._clock = clock
         self._metrics = metrics
         self._executor = ThreadPoolExecutor(SENDER_THREAD_COUNT, "orders")
+        self._round_trips = RoundTripEstimator()
+        self.window = OrderWindow()
 
     def start(
         self,
@@ -68,6 +78,7 @@
         :param post: called with the outcome.
         """
         now_ms = self._clock.now_ms()
+        self.window.record_sent()
         self._executor.submit(
             self._start_now, worker, planned, order, post, now_ms
         )
@@ -94,10 +105,14 @@
         queued_ms: int,
     ) -> None:
         sent_ms = self._record_queue_time("start", queued_ms)
-        outcome = retry_unanswered(
+        outcome = self._send(
             lambda timeout_ms: self._workers.start(worker, order, timeout_ms)
         )
         now_ms = self._clock.now_ms()
+        if is_unanswered(outcome):
+            self.window.record_unanswered(now_ms)
+        else:
+            self.window.record_answered(queued_ms, now_ms)
         post(StartAnswered(planned, outcome, sent_ms, now_ms))
 
     def _stop_now(
@@ -108,7 +123,7 @@
         queued_ms: int,
     ) -> None:
         self._record_queue_time("stop", queued_ms)
-        outcome = retry_unanswered(
+        outcome = self._send(
             lambda timeout_ms: self._workers.stop(worker, order, timeout_ms)
         )
         post(
@@ -121,32 +136,64 @@
             )
         )
 
+    def _send(
+        self, call: Callable[[int], Result[int, Failure]]
+    ) -> Result[int, Failure]:
+        timeout_ms = self._round_trips.timeout_ms()
+        return retry_unanswered(
+            lambda attempt_ms: self._measure(call, attempt_ms),
+            tuple(
+                int(timeout_ms * factor) for factor in ATTEMPT_TIMEOUT_FACTORS
+            ),
+        )
+
+    def _measure(
+        self, call: Callable[[int], Result[int, Failure]], timeout_ms: int
+    ) -> Result[int, Failure]:
+        started_ms = self._clock.now_ms()
+        outcome = call(timeout_ms)
+        if is_unanswered(outcome):
+            self._round_trips.record_unanswered()
+        else:
+            duration_ms = self._clock.now_ms() - started_ms
+            self._round_trips.record_answered(duration_ms)
+        return outcome
+
     def _record_queue_time(self, kind: str, queued_ms: int) -> int:
         sent_ms = self._clock.now_ms()
         self._metrics.observe("order_queued", sent_ms - queued_ms, kind)
         return sent_ms
 
 
+def is_unanswered(outcome: Result[int, Failure]) -> bool:
+    """Return whether a call failed without an answer from the worker."""
+    return isinstance(outcome, Err) and (
+        outcome.err_value.code in _RETRIED_CODES
+    )
+
+
 def retry_unanswered(
     call: Callable[[int], Result[int, Failure]],
+    timeouts_ms: Sequence[int],
 ) -> Result[int, Failure]:
     """Make an idempotent call until it is answered or the attempts are used.
 
     :param call: takes the timeout for the answer, in milliseconds.
+    :param timeouts_ms: timeout of each attempt.
     :return: the last outcome. A refusal after an unanswered attempt gets the
         verdict ``may_have_run``, since that attempt may have been carried
         out.
     """
-    has_unanswered_attempt = False
+    may_have_run = False
     outcome: Result[int, Failure]
-    for timeout_ms in ATTEMPT_TIMEOUTS_MS:
+    for timeout_ms in timeouts_ms:
         outcome = call(timeout_ms)
         if not isinstance(outcome, Err):
             return outcome
         failure = outcome.err_value
-        if failure.code is not FailureCode.TIMEOUT:
+        may_have_run |= failure.code is FailureCode.TIMEOUT
+        if not is_unanswered(outcome):
             break
-        has_unanswered_attempt = True
-    if has_unanswered_attempt:
+    if may_have_run:
         failure = failure._replace(verdict=Verdict.MAY_HAVE_RUN)
     return Err(failure)
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import sys
+
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner.candidates import Candidate
@@ -102,6 +104,7 @@
         now_ms: int,
         wall_ms: int,
         max_calls: int = MAX_STEPS_PER_ROUND,
+        max_starts: int = sys.maxsize,
     ) -> Plan:
         """Return the actions of one planning round.
 
@@ -109,12 +112,13 @@
             were taken from.
         :param wall_ms: wall-clock time, ms since 1970.
         :param max_calls: number of advisor calls that can be started now.
+        :param max_starts: number of start orders that can be sent now.
         """
         state.open_due_steps(now_ms, wall_ms)
         stops = tuple(map(_planned_stop, state.runs_to_stop.values()))
         if not state.waiting_steps:
             return Plan(stops=stops)
-        planning_round = _PlanningRound(state, now_ms, max_calls)
+        planning_round = _PlanningRound(state, now_ms, max_calls, max_starts)
         ranked = sorted(
             (rank_of(step, self.duration_estimator, now_ms), step.key)
             for step in state.waiting_steps.values()
@@ -132,15 +136,21 @@
     """Collects the starts and permit requests of one round.
 
     :param max_calls: number of advisor calls that can be started now.
+    :param max_starts: number of start orders that can be sent now.
     """
 
     def __init__(
-        self, state: SchedulerState, now_ms: int, max_calls: int
+        self,
+        state: SchedulerState,
+        now_ms: int,
+        max_calls: int,
+        max_starts: int,
     ) -> None:
         self.starts: list[PlannedStart] = []
         self.permit_requests: list[PlannedPermitRequest] = []
         self._now_ms = now_ms
         self._max_calls = max_calls
+        self._max_starts = max_starts
         self._workers = CandidateWorkers(state.workers_by_id.values())
         self._gangs_with_reserved_capacity = 0
 
@@ -366,8 +376,15 @@
         return chosen
 
     def _start(self, step: TrackedStep, candidates: list[Candidate]) -> None:
-        if not candidates:
+        """Plan the starts, as far as their orders can be sent now.
+
+        A gang is started whole if at least one order can be sent.
+        """
+        remaining_starts = max(0, self._max_starts - len(self.starts))
+        if not candidates or not remaining_starts:
             return
+        if not step.spec.is_gang:
+            candidates = candidates[:remaining_starts]
         run_number = max(task.runs for task in step.tasks) + 1
         for task, candidate in zip(
             step.startable_tasks(), candidates, strict=False
--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -77,6 +77,7 @@
         simulation, sent_ms = self._simulation, self._simulation.now_ms
 
         def answer(outcome: object) -> None:
+            simulation.order_queue.record_answer(sent_ms, outcome)
             if self._is_current():
                 simulation.controller.handle_start_answer(
                     StartAnswered(planned, outcome, sent_ms, simulation.now_ms)  # type: ignore[arg-type]
@@ -101,9 +102,17 @@
                 lost = Err(may_have_run(FailureCode.TIMEOUT, "lost"))
                 simulation.schedule(ANSWER_TIMEOUT_MS, lambda: answer(lost))
                 return
-            simulation.schedule(NETWORK_DELAY_MS, lambda: answer(outcome))
+            if simulation.now_ms - sent_ms <= ANSWER_TIMEOUT_MS:
+                simulation.schedule(NETWORK_DELAY_MS, lambda: answer(outcome))
 
-        simulation.schedule(NETWORK_DELAY_MS, arrive)
+        def give_up() -> None:
+            lost = Err(may_have_run(FailureCode.TIMEOUT, "queued too long"))
+            answer(lost)
+
+        queued_ms = simulation.order_queue.enqueue(is_start=True)
+        if queued_ms + NETWORK_DELAY_MS > ANSWER_TIMEOUT_MS:
+            simulation.schedule(ANSWER_TIMEOUT_MS, give_up)
+        simulation.schedule(queued_ms + NETWORK_DELAY_MS, arrive)
 
     def order_stop(self, worker: WorkerInfo, order: StopOrder) -> None:
         simulation = self._simulation
@@ -132,7 +141,8 @@
                 )
             )
 
-        simulation.schedule(NETWORK_DELAY_MS, arrive)
+        queued_ms = simulation.order_queue.enqueue(is_start=False)
+        simulation.schedule(queued_ms + NETWORK_DELAY_MS, arrive)
 
     def commit(self, batch: Batch) -> None:
         simulation, sent_ms = self._simulation, self._simulation.now_ms
@@ -198,6 +208,9 @@
         )
         return True
 
+    def available_start_orders(self) -> int:
+        return self._simulation.order_queue.available()
+
     def available_advisor_calls(self) -> int:
         return self._simulation.available_advisor_calls()
 
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -35,6 +35,7 @@
 from magnoliapitch.workload.run import StartOrder
 from magnoliapitch.workload.run import StopOrder
 from magnoliapitch.workload.worker import WorkerInfo
+from tests.control.order_queue import OrderQueue
 from tests.control.simulated_effects import COMMIT_DURATION_MS
 from tests.control.simulated_effects import SimulatedEffects
 from tests.control.simulated_worker import SimulatedWorker
@@ -79,6 +80,7 @@
     :ivar order_late_ms: returns how much later an order is carried out, in
         ms; a late one gets no answer. 0 by default.
     :ivar advisor_call_limit: most advisor calls at the same time.
+    :ivar order_queue: orders that wait on the leader's own machine.
     :ivar on_commit: called with every batch that is to be stored.
     """
 
@@ -100,6 +102,7 @@
         self.order_late_ms: Callable[[StartOrder | StopOrder], int] = (
             lambda _: 0
         )
+        self.order_queue = OrderQueue(self)
         self.on_commit: Callable[[Batch], object] = lambda _: None
         self.unreachable_worker_ids: set[str] = set()
         self.store_is_unavailable = False
--- a/tests/control/test_order_sender.py
+++ b/tests/control/test_order_sender.py
@@ -12,9 +12,10 @@
 
 from magnoliapitch.clock import MonotonicClock
 from magnoliapitch.control.events import StartAnswered
-from magnoliapitch.control.order_sender import ATTEMPT_TIMEOUTS_MS
+from magnoliapitch.control.order_sender import ATTEMPT_TIMEOUT_FACTORS
 from magnoliapitch.control.order_sender import OrderSender
 from magnoliapitch.control.order_sender import retry_unanswered
+from magnoliapitch.control.round_trip import MIN_TIMEOUT_MS
 from magnoliapitch.metric import Metrics
 from magnoliapitch.planner.plan import PlannedStart
 from magnoliapitch.resource import Resources
@@ -32,6 +33,10 @@
     from collections.abc import Callable
 
 LOST = Err(may_have_run(FailureCode.TIMEOUT, "lost"))
+NOT_CONNECTED = Err(not_run(FailureCode.UNAVAILABLE, "connect timeout"))
+TIMEOUTS_MS = [
+    int(MIN_TIMEOUT_MS * factor) for factor in ATTEMPT_TIMEOUT_FACTORS
+]
 
 
 def call_with_outcomes(
@@ -42,7 +47,25 @@
 
 
 def test_an_unanswered_order_is_retried() -> None:
-    assert retry_unanswered(call_with_outcomes(LOST, Ok(7))) == Ok(7)
+    call = call_with_outcomes(LOST, Ok(7))
+    assert retry_unanswered(call, TIMEOUTS_MS) == Ok(7)
+
+
+def test_an_order_without_a_connection_is_retried() -> None:
+    call = call_with_outcomes(NOT_CONNECTED, Ok(7))
+    assert retry_unanswered(call, TIMEOUTS_MS) == Ok(7)
+
+
+def test_an_order_that_never_had_a_connection_has_not_run() -> None:
+    call = call_with_outcomes(NOT_CONNECTED, NOT_CONNECTED, NOT_CONNECTED)
+    assert retry_unanswered(call, TIMEOUTS_MS) == NOT_CONNECTED
+
+
+def test_an_order_that_lost_one_answer_may_have_run() -> None:
+    call = call_with_outcomes(LOST, NOT_CONNECTED, NOT_CONNECTED)
+    outcome = retry_unanswered(call, TIMEOUTS_MS)
+    assert isinstance(outcome, Err)
+    assert outcome.err_value.verdict is Verdict.MAY_HAVE_RUN
 
 
 def test_a_call_that_is_never_answered_ends_within_700_ms() -> None:
@@ -52,7 +75,7 @@
         timeouts_ms.append(timeout_ms)
         return LOST
 
-    assert retry_unanswered(call) == LOST
+    assert retry_unanswered(call, TIMEOUTS_MS) == LOST
     assert sum(timeouts_ms) <= 700
 
 
@@ -63,7 +86,7 @@
     code: FailureCode,
 ) -> None:
     outcome = retry_unanswered(
-        call_with_outcomes(LOST, Err(not_run(code, "409")))
+        call_with_outcomes(LOST, Err(not_run(code, "409"))), TIMEOUTS_MS
     )
     assert isinstance(outcome, Err)
     assert outcome.err_value.verdict is Verdict.MAY_HAVE_RUN
@@ -72,7 +95,8 @@
 
 def test_a_refused_first_attempt_is_not_retried() -> None:
     refused = Err(not_run(FailureCode.STALE, "the run is stale"))
-    assert retry_unanswered(call_with_outcomes(refused)) == refused
+    call = call_with_outcomes(refused)
+    assert retry_unanswered(call, TIMEOUTS_MS) == refused
 
 
 class UnresponsiveWorkers:
@@ -101,7 +125,7 @@
             answered.set()
 
     sender = OrderSender(workers, MonotonicClock(), Metrics())  # type: ignore[arg-type]
-    unanswered = int(1_000 * 0.05 * sum(ATTEMPT_TIMEOUTS_MS) / 1_000)
+    unanswered = int(1_000 * 0.05 * sum(TIMEOUTS_MS) / 1_000)
     try:
         for number in range(unanswered):
             send(sender, "unresponsive", number, post)
