Let agents carry out the calls to the workers of a large fleet

Cause: one leader made every call to every worker.

Change: above 40 workers a core the leader passes lease renewals and orders to agents, other instances in the zone of the workers. It decides alone; an agent forwards orders and deadlines that the leader computed, so it is no more than a slow network to the safety argument.

--- a/src/magnoliapitch/advice/__init__.py
+++ b/src/magnoliapitch/advice/__init__.py
@@ -4,7 +4,7 @@
 
 from magnoliapitch.advice.channels import AdvisorChannelPool
 from magnoliapitch.advice.service import PeerAdvisor
-from magnoliapitch.advice.service import peer_application
+from magnoliapitch.advice.service import add_permit_route
 
 
-__all__ = ["AdvisorChannelPool", "PeerAdvisor", "peer_application"]
+__all__ = ["AdvisorChannelPool", "PeerAdvisor", "add_permit_route"]
--- a/src/magnoliapitch/advice/channels.py
+++ b/src/magnoliapitch/advice/channels.py
@@ -18,7 +18,7 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable
 
     from magnoliapitch.clock import Clock
     from magnoliapitch.http.client import HttpClient
@@ -66,13 +66,13 @@
         self._lock = threading.Lock()
         self._peer_channels_by_address: dict[str, AdvisorChannel] = {}
 
-    def set_peers(self, addresses_by_id: Mapping[str, str]) -> None:
+    def set_peers(self, peer_addresses: Iterable[str]) -> None:
         """Replace the peers through which the advisor can be called.
 
-        :param addresses_by_id: ``IP:PORT`` of each peer by instance id.
+        :param peer_addresses: ``IP:PORT`` of each peer.
         """
+        addresses = set(peer_addresses)
         with self._lock:
-            addresses = set(addresses_by_id.values())
             for address in addresses - set(self._peer_channels_by_address):
                 advisor = PeerAdvisor(address, self._client)
                 self._peer_channels_by_address[address] = AdvisorChannel(
--- a/src/magnoliapitch/advice/service.py
+++ b/src/magnoliapitch/advice/service.py
@@ -15,7 +15,6 @@
 from result import Ok
 from result import Result
 
-from magnoliapitch.http import Application
 from magnoliapitch.http import HttpRequest
 from magnoliapitch.http import HttpResponse
 from magnoliapitch.http import problem_response
@@ -31,13 +30,13 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from magnoliapitch.http import Application
     from magnoliapitch.http.client import HttpClient
     from magnoliapitch.http.client import HttpReply
     from magnoliapitch.workload.client import Advisor
 
 
 PERMITS_PATH = "/v1/permits"
-BODY_MAX_BYTES = 65_536
 
 
 class PermitsRequest(NamedTuple):
@@ -57,12 +56,11 @@
 )
 
 
-def peer_application(advisor: Advisor) -> Application:
-    """Build the HTTP application that relays advisor calls of peers.
+def add_permit_route(application: Application, advisor: Advisor) -> None:
+    """Let peers call the advisor through an HTTP application.
 
     :param advisor: client with which this instance calls the advisor.
     """
-    application = Application(BODY_MAX_BYTES)
 
     @application.route("POST", PERMITS_PATH)
     def answer_permits(request: HttpRequest) -> HttpResponse:
@@ -76,8 +74,6 @@
             return problem_response(outcome.err_value, request.request_id)
         return HttpResponse(200, _PERMITS_ADAPTER.dump_json(outcome.ok_value))
 
-    return application
-
 
 class PeerAdvisor:
     """Client that calls the advisor through another instance.
--- /dev/null
+++ b/src/magnoliapitch/control/delegation/assignment.py
@@ -0,0 +1,111 @@
+"""Choice of the agent for each worker."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from magnoliapitch.ledger.members import Member
+    from magnoliapitch.workload.worker import WorkerInfo
+
+
+# A leader calls this many workers itself, as far as its machine is concerned:
+# a few calls a second to each, and one thread each.
+LOCAL_WORKERS_PER_CORE = 40
+# An agent has nothing else to do for the fleet than to call its workers.
+DELEGATED_WORKERS_PER_CORE = 60
+DELEGATED_WORKERS_PER_MBPS = 8
+MIN_DELEGATED_WORKERS = 8
+# Each worker takes a thread and connections of its agent.
+MAX_DELEGATED_WORKERS = 80
+# Stands for the leader itself in place of an agent's address.
+LOCAL = ""
+
+
+def assign_workers(
+    workers: Iterable[WorkerInfo],
+    agents_by_address: Mapping[str, Member],
+    address_by_worker: Mapping[str, str],
+    own_cores: float,
+) -> dict[str, str]:
+    """Return the address of the agent of each worker.
+
+    As few agents as possible are used, since the leader calls each of them
+    often, and agents in the zone of the worker first. A worker stays with its
+    agent unless that is gone, or is in another zone without need.
+
+    :param address_by_worker: agents so far, ``LOCAL`` for the leader.
+    :param own_cores: processor cores of the leader.
+    """
+    listed = sorted(workers, key=_by_place)
+    if len(listed) <= LOCAL_WORKERS_PER_CORE * own_cores:
+        return {worker.worker_id: LOCAL for worker in listed}
+    zones = {agent.zone for agent in agents_by_address.values()}
+    assigned: dict[str, str] = {}
+    for worker in listed:
+        address = address_by_worker.get(worker.worker_id, LOCAL)
+        agent = agents_by_address.get(address)
+        if agent and (agent.zone == worker.zone or worker.zone not in zones):
+            assigned[worker.worker_id] = address
+    counts = Counter(assigned.values())
+    for worker in listed:
+        if worker.worker_id in assigned:
+            continue
+        address = _best_agent(worker, agents_by_address, counts)
+        assigned[worker.worker_id] = address
+        counts[address] += 1
+    return assigned
+
+
+def _by_place(worker: WorkerInfo) -> tuple[str, str, str]:
+    return worker.zone, worker.rack, worker.worker_id
+
+
+def _best_agent(
+    worker: WorkerInfo,
+    agents_by_address: Mapping[str, Member],
+    counts: Counter[str],
+) -> str:
+    """Return the address of the agent for one more worker."""
+
+    def rank(agent: Member) -> _AgentRank:
+        count = counts[agent.address]
+        return _AgentRank(
+            is_full=count >= _capacity(agent),
+            is_remote=agent.zone != worker.zone,
+            is_unused=not count,
+            load=count / _capacity(agent),
+            weakness=-agent.cores,
+            address=agent.address,
+        )
+
+    ranks = map(rank, agents_by_address.values())
+    best = min(ranks, default=None)
+    return LOCAL if best is None else best.address
+
+
+class _AgentRank(NamedTuple):
+    """Sort key of an agent for a worker; the lowest is chosen."""
+
+    is_full: bool
+    is_remote: bool
+    is_unused: bool
+    load: float
+    weakness: float
+    address: str
+
+
+def _capacity(agent: Member) -> float:
+    """Return how many workers an agent can call."""
+    count = min(
+        agent.cores * DELEGATED_WORKERS_PER_CORE,
+        agent.link_mbps * DELEGATED_WORKERS_PER_MBPS,
+        MAX_DELEGATED_WORKERS,
+    )
+    return max(count, MIN_DELEGATED_WORKERS)
--- /dev/null
+++ b/src/magnoliapitch/control/delegation/router.py
@@ -0,0 +1,268 @@
+"""Routing of calls to workers: by the leader itself or through agents."""
+
+from __future__ import annotations
+
+import threading
+
+from typing import TYPE_CHECKING
+
+from magnoliapitch.control.delegation.assignment import LOCAL
+from magnoliapitch.control.delegation.assignment import assign_workers
+from magnoliapitch.control.delegation.link import AgentLink
+from magnoliapitch.control.delegation.link import call_interval_ms
+from magnoliapitch.control.delegation.messages import SessionKey
+from magnoliapitch.control.delegation.session import AgentSession
+from magnoliapitch.event import log_event
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import may_have_run
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from magnoliapitch.clock import Clock
+    from magnoliapitch.control.delegation.service import AgentClient
+    from magnoliapitch.control.events import Event
+    from magnoliapitch.control.worker_group import WorkerGroup
+    from magnoliapitch.ledger.members import Member
+    from magnoliapitch.planner.plan import PlannedStart
+    from magnoliapitch.verdict import Failure
+    from magnoliapitch.workload.run import StartOrder
+    from magnoliapitch.workload.run import StopOrder
+    from magnoliapitch.workload.worker import WorkerInfo
+
+
+# An instance that was given up as an agent is not used again for this time.
+LOST_AGENT_BACKOFF_MS = 5_000
+
+
+class WorkerRouter:
+    """Passes renewals and orders of one leadership on; thread-safe.
+
+    Every worker is called by one instance at a time: by the leader itself, or
+    by the agent that it is assigned to. If an agent is lost, its workers get
+    another one; what it has not answered counts as possibly carried out.
+
+    :param epoch: the leader's epoch.
+    :param local_group: calls workers from this instance.
+    :param own_cores: processor cores of this instance.
+    :param post: called with each event.
+    """
+
+    def __init__(
+        self,
+        epoch: int,
+        local_group: WorkerGroup,
+        client: AgentClient,
+        clock: Clock,
+        own_cores: float,
+        post: Callable[[Event], None],
+    ) -> None:
+        self._epoch = epoch
+        self._local_group = local_group
+        self._client = client
+        self._clock = clock
+        self._own_cores = own_cores
+        self._post = post
+        self._lock = threading.RLock()
+        self._worker_by_id: dict[str, WorkerInfo] = {}
+        self._address_by_worker: dict[str, str] = {}
+        self._agents_by_address: dict[str, Member] = {}
+        self._link_by_address: dict[str, AgentLink] = {}
+        # Links without workers, until their orders are answered.
+        self._closing_links: list[AgentLink] = []
+        self._usable_ms_by_address: dict[str, int] = {}
+        self._session_count = 0
+
+    def set_agents(self, members: Iterable[Member]) -> None:
+        """Replace the instances that may be agents; move workers off others.
+
+        It is called regularly, and also moves the workers of lost agents.
+        """
+        with self._lock:
+            self._agents_by_address = {
+                member.address: member for member in members
+            }
+            self.assign()
+
+    def assign(self) -> None:
+        """Assign new workers, and those whose agent is gone."""
+        with self._lock:
+            self._reassign()
+            self._close_idle_links()
+
+    def start_lease_renewal(self, worker: WorkerInfo) -> None:
+        """Renew a worker's lease repeatedly, from the next ``assign`` on."""
+        with self._lock:
+            self._worker_by_id[worker.worker_id] = worker
+
+    def stop_lease_renewal(self, worker_id: str) -> None:
+        """Stop renewing a worker's lease."""
+        with self._lock:
+            self._worker_by_id.pop(worker_id, None)
+            self._detach(worker_id)
+
+    def grant(self, worker_id: str, deadline_ms: int | None) -> None:
+        """Set the end of the next lease of a worker that an agent calls."""
+        link = self._link_of(worker_id)
+        if link is not None:
+            link.session.grant(worker_id, deadline_ms)
+
+    def acknowledge(self, worker_id: str, sequence: int) -> None:
+        """Let a worker drop ended runs up to a sequence number."""
+        link = self._link_of(worker_id)
+        if link is None:
+            self._local_group.acknowledge(worker_id, sequence)
+        else:
+            link.session.acknowledge(worker_id, sequence)
+
+    def start(
+        self, worker: WorkerInfo, planned: PlannedStart, order: StartOrder
+    ) -> None:
+        """Order a worker to start a run."""
+        with self._lock:
+            link = self._link_of(worker.worker_id)
+            if link is not None:
+                link.session.start(planned, order)
+                return
+        self._local_group.start(worker, planned, order)
+
+    def order_stop(self, worker: WorkerInfo, order: StopOrder) -> None:
+        """Order a worker to stop a run."""
+        with self._lock:
+            link = self._link_of(worker.worker_id)
+            if link is not None:
+                link.session.order_stop(worker.worker_id, order)
+                return
+        self._local_group.order_stop(worker, order)
+
+    def available_start_orders(self) -> int:
+        """Return the number of start orders that may be sent now."""
+        with self._lock:
+            links = list(self._link_by_address.values())
+        if not links:
+            return self._local_group.available_start_orders()
+        return sum(link.session.available_start_orders() for link in links)
+
+    def close(self) -> None:
+        """Stop all calls."""
+        with self._lock:
+            links = [*self._link_by_address.values(), *self._closing_links]
+            self._link_by_address.clear()
+            self._address_by_worker.clear()
+            self._worker_by_id.clear()
+            self._closing_links = []
+        for link in links:
+            link.stop()
+        self._local_group.close()
+
+    def _link_of(self, worker_id: str) -> AgentLink | None:
+        with self._lock:
+            address = self._address_by_worker.get(worker_id, LOCAL)
+            return self._link_by_address.get(address)
+
+    def _reassign(self) -> None:
+        now_ms = self._clock.now_ms()
+        usable = {
+            address: agent
+            for address, agent in self._agents_by_address.items()
+            if now_ms >= self._usable_ms_by_address.get(address, 0)
+        }
+        assigned = assign_workers(
+            self._worker_by_id.values(),
+            usable,
+            self._address_by_worker,
+            self._own_cores,
+        )
+        for worker_id, address in assigned.items():
+            if self._address_by_worker.get(worker_id) != address:
+                self._detach(worker_id)
+                self._attach(self._worker_by_id[worker_id], address)
+
+    def _attach(self, worker: WorkerInfo, address: str) -> None:
+        self._address_by_worker[worker.worker_id] = address
+        if address == LOCAL:
+            self._local_group.add(worker)
+            return
+        link = self._link_by_address.get(address)
+        if link is None:
+            link = self._open_link(address)
+        link.session.assign(worker)
+
+    def _detach(self, worker_id: str) -> None:
+        address = self._address_by_worker.pop(worker_id, None)
+        if address == LOCAL:
+            self._local_group.remove(worker_id)
+        elif address is not None and address in self._link_by_address:
+            self._link_by_address[address].session.release(worker_id)
+
+    def _open_link(self, address: str) -> AgentLink:
+        self._session_count += 1
+        key = SessionKey(self._epoch, self._session_count)
+        link = AgentLink(
+            address,
+            AgentSession(key, self._clock, self._post),
+            self._client,
+            self._clock,
+            self._interval_ms,
+            self._handle_lost_agent,
+        )
+        self._link_by_address[address] = link
+        log_event(
+            "agent-used", epoch=self._epoch, number=key.number, agent=address
+        )
+        link.start()
+        return link
+
+    def _close_idle_links(self) -> None:
+        used = set(self._address_by_worker.values())
+        for address in set(self._link_by_address) - used:
+            self._closing_links.append(self._link_by_address.pop(address))
+        for link in list(self._closing_links):
+            if link.session.is_idle:
+                link.stop()
+                self._closing_links.remove(link)
+
+    def _interval_ms(self) -> float:
+        return call_interval_ms(len(self._link_by_address), self._own_cores)
+
+    def _handle_lost_agent(self, address: str, failure: Failure) -> None:
+        is_fenced = failure.code is FailureCode.FENCED
+        if not is_fenced:
+            failure = may_have_run(FailureCode.TIMEOUT, failure.detail)
+        with self._lock:
+            link = self._link_by_address.pop(address, None)
+            links = [link] if link is not None else []
+            links += [
+                closing
+                for closing in self._closing_links
+                if closing.address == address
+            ]
+            worker_ids = [
+                worker_id
+                for worker_id, used in self._address_by_worker.items()
+                if used == address
+            ]
+            log_event(
+                "agent-lost",
+                agent=address,
+                workers=len(worker_ids),
+                reason=failure.detail,
+            )
+            for lost in links:
+                lost.stop()
+                lost.session.fail(failure)
+            self._closing_links = [
+                closing
+                for closing in self._closing_links
+                if closing.address != address
+            ]
+            for worker_id in worker_ids:
+                del self._address_by_worker[worker_id]
+            now_ms = self._clock.now_ms()
+            self._usable_ms_by_address[address] = (
+                now_ms + LOST_AGENT_BACKOFF_MS
+            )
+            if not is_fenced:
+                self._reassign()
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -16,6 +16,8 @@
 from magnoliapitch.advice.channels import AdvisorChannel
 from magnoliapitch.advice.channels import AdvisorChannelPool
 from magnoliapitch.control.controller import Controller
+from magnoliapitch.control.delegation.router import WorkerRouter
+from magnoliapitch.control.delegation.service import AgentClient
 from magnoliapitch.control.events import Committed
 from magnoliapitch.control.events import ConfigurationChanged
 from magnoliapitch.control.events import Event
@@ -25,8 +27,7 @@
 from magnoliapitch.control.events import StopAnswered
 from magnoliapitch.control.events import WorkerReported
 from magnoliapitch.control.events import WorkersListed
-from magnoliapitch.control.lease_renewer import LeaseRenewer
-from magnoliapitch.control.order_sender import OrderSender
+from magnoliapitch.control.worker_group import WorkerGroup
 from magnoliapitch.event import log_event
 from magnoliapitch.ledger.members import Members
 from magnoliapitch.verdict import Failure
@@ -41,6 +42,7 @@
     from collections.abc import Sequence
 
     from magnoliapitch.clock import Clock
+    from magnoliapitch.control.order_sender import OrderSender
     from magnoliapitch.control.timing import ControlTiming
     from magnoliapitch.ledger.job_follower import JobFollower
     from magnoliapitch.ledger.leadership import Batch
@@ -72,12 +74,14 @@
         and its peers.
     :param members: lists the other instances.
     :param directory: lists the workers.
+    :param agents: calls other instances that call workers for this one.
     """
 
     workers: WorkerClient
     advisor_channels: AdvisorChannelPool
     members: Members
     directory: Directory
+    agents: AgentClient
 
 
 class ControlDriver:
@@ -91,6 +95,8 @@
     :param open_job_follower: returns a new follower of the stored jobs; takes
         a callback for the ids of jobs that were submitted or cancelled, and
         for the offset up to which they were read.
+    :param order_sender: sends the orders to workers that this instance calls.
+    :param own_cores: processor cores of this instance.
     """
 
     def __init__(
@@ -105,6 +111,8 @@
             [Callable[[frozenset[str], int], None]], JobFollower
         ],
         metrics: Metrics,
+        order_sender: OrderSender,
+        own_cores: float = 1.0,
     ) -> None:
         self._leadership = leadership
         self._state_table = state_table
@@ -117,9 +125,10 @@
         self._job_follower: JobFollower | None = None
         self._job_ids_to_delete: set[str] = set()
         self._events: queue.SimpleQueue[Event] = queue.SimpleQueue()
-        self._renewer_by_worker: dict[str, LeaseRenewer] = {}
         self._controller: Controller | None = None
-        self._order_sender = OrderSender(clients.workers, clock, metrics)
+        self._router: WorkerRouter | None = None
+        self._order_sender = order_sender
+        self._own_cores = own_cores
         self._commit_executor = ThreadPoolExecutor(1, "commits")
         self._advisor_executor = ThreadPoolExecutor(
             ADVISOR_THREAD_COUNT, "asks"
@@ -178,11 +187,31 @@
             self._configuration,
             self._metrics,
         )
+        self._router = self._open_router(controller)
         controller.load(self._clock.now_ms(), job_follower.end)
         self._controller = controller
         self._job_follower = job_follower
         return controller
 
+    def _open_router(self, controller: Controller) -> WorkerRouter:
+        post = self._events.put
+        local_group = WorkerGroup(
+            controller.epoch,
+            self._clients.workers,
+            self._clock,
+            self._order_sender,
+            controller.next_lease_deadline,
+            post,
+        )
+        return WorkerRouter(
+            controller.epoch,
+            local_group,
+            self._clients.agents,
+            self._clock,
+            self._own_cores,
+            post,
+        )
+
     def follow_jobs(self) -> int:
         """Read newly submitted jobs if this instance leads.
 
@@ -203,8 +232,9 @@
     def _stop_leading(self) -> None:
         self._controller = None
         self._job_follower = None
-        for worker_id in list(self._renewer_by_worker):
-            self.stop_lease_renewal(worker_id)
+        if self._router is not None:
+            self._router.close()
+            self._router = None
         if self._is_stopping:
             self._commit_executor.shutdown()
             self._leadership.resign()
@@ -233,6 +263,7 @@
         now_ms = self._clock.now_ms()
         if isinstance(event, WorkerReported):
             controller.handle_report(event)
+            self._grant_lease(controller, event.worker_id, now_ms)
         elif isinstance(event, StartAnswered):
             controller.handle_start_answer(event)
         elif isinstance(event, StopAnswered):
@@ -243,11 +274,20 @@
             controller.handle_jobs_changed(event, now_ms)
         elif isinstance(event, WorkersListed):
             controller.handle_worker_list(event)
+            if self._router is not None:
+                self._router.assign()
         elif isinstance(event, PermitsAnswered):
             controller.handle_permits(event)
         elif isinstance(event, ConfigurationChanged):
             controller.handle_configuration_changed(now_ms)
 
+    def _grant_lease(
+        self, controller: Controller, worker_id: str, now_ms: int
+    ) -> None:
+        if self._router is not None:
+            deadline_ms = controller.next_lease_deadline(worker_id, now_ms)
+            self._router.grant(worker_id, deadline_ms)
+
     def _refresh_worker_list(self, now_ms: int) -> None:
         is_due = now_ms - self._refreshed_ms >= WORKER_LIST_INTERVAL_MS
         if is_due and not self._is_refreshing:
@@ -267,7 +307,12 @@
         self._delete_jobs_now()
         peers = self._clients.members.peers()
         if not isinstance(peers, Err):
-            self._clients.advisor_channels.set_peers(peers.ok_value)
+            self._clients.advisor_channels.set_peers(
+                member.address for member in peers.ok_value
+            )
+            router = self._router
+            if router is not None:
+                router.set_agents(peers.ok_value)
         outcome = self._clients.directory.workers()
         self._is_refreshing = False
         if isinstance(outcome, Err):
@@ -278,43 +323,31 @@
         self.post(WorkersListed(outcome.ok_value))
 
     def start_lease_renewal(self, worker: WorkerInfo) -> None:
-        """Start a thread that renews a worker's lease repeatedly."""
-        controller = self._controller
-        if controller is None:
-            return
-        worker_id = worker.worker_id
-        renewer = LeaseRenewer(
-            worker,
-            controller.epoch,
-            self._clients.workers,
-            self._clock,
-            lambda now_ms: controller.next_lease_deadline(worker_id, now_ms),
-            self._events.put,
-        )
-        self._renewer_by_worker[worker_id] = renewer
-        renewer.start()
+        """Renew a worker's lease repeatedly."""
+        if self._router is not None:
+            self._router.start_lease_renewal(worker)
 
     def stop_lease_renewal(self, worker_id: str) -> None:
-        """Stop the thread that renews a worker's lease, if there is one."""
-        renewer = self._renewer_by_worker.pop(worker_id, None)
-        if renewer is not None:
-            renewer.stop()
+        """Stop renewing a worker's lease, if it is renewed."""
+        if self._router is not None:
+            self._router.stop_lease_renewal(worker_id)
 
     def acknowledge(self, worker_id: str, sequence: int) -> None:
         """Let a worker drop ended runs up to a sequence number."""
-        renewer = self._renewer_by_worker.get(worker_id)
-        if renewer is not None:
-            renewer.acknowledge(sequence)
+        if self._router is not None:
+            self._router.acknowledge(worker_id, sequence)
 
     def start(
         self, worker: WorkerInfo, planned: PlannedStart, order: StartOrder
     ) -> None:
         """Order a worker to start a run."""
-        self._order_sender.start(worker, planned, order, self._events.put)
+        if self._router is not None:
+            self._router.start(worker, planned, order)
 
     def order_stop(self, worker: WorkerInfo, order: StopOrder) -> None:
         """Order a worker to stop a run."""
-        self._order_sender.order_stop(worker, order, self._events.put)
+        if self._router is not None:
+            self._router.order_stop(worker, order)
 
     def commit(self, batch: Batch) -> None:
         """Store records under the leader's epoch."""
@@ -351,7 +384,8 @@
 
     def available_start_orders(self) -> int:
         """Return the number of start orders that may be sent now."""
-        return self._order_sender.window.available()
+        router = self._router
+        return 0 if router is None else router.available_start_orders()
 
     def _commit_now(
         self,
--- a/src/magnoliapitch/control/order_window.py
+++ b/src/magnoliapitch/control/order_window.py
@@ -8,7 +8,7 @@
 
 
 INITIAL_LIMIT = 32.0
-MIN_LIMIT = 8.0
+MIN_LIMIT = 16.0
 MAX_LIMIT = 512.0
 # An idle machine answers an order within a few milliseconds. Above this
 # latency, orders queue on this machine or its link.
@@ -42,6 +42,11 @@
         with self._lock:
             return max(0, int(self._limit) - self._in_flight_count)
 
+    def limit(self) -> int:
+        """Return how many orders may be in flight."""
+        with self._lock:
+            return int(self._limit)
+
     def record_sent(self) -> None:
         """Record an order that is being sent."""
         with self._lock:
--- a/src/magnoliapitch/control/reachability.py
+++ b/src/magnoliapitch/control/reachability.py
@@ -12,7 +12,7 @@
 
 
 # A worker whose last answer is older gets no new runs.
-MAX_ANSWER_AGE_MS = 1_800
+MAX_ANSWER_AGE_MS = 2_200
 
 
 class WorkerReachability:
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -13,12 +13,16 @@
 from result import Result
 
 from magnoliapitch.advice import AdvisorChannelPool
-from magnoliapitch.advice import peer_application
+from magnoliapitch.advice import add_permit_route
 from magnoliapitch.clock import BootClock
 from magnoliapitch.control import ControlDriver
 from magnoliapitch.control import ControlTiming
+from magnoliapitch.control.delegation import Agent
+from magnoliapitch.control.delegation import AgentClient
+from magnoliapitch.control.delegation import add_agent_route
 from magnoliapitch.control.driver import Clients
 from magnoliapitch.control.events import ConfigurationChanged
+from magnoliapitch.control.order_sender import OrderSender
 from magnoliapitch.event import log_event
 from magnoliapitch.http import Application
 from magnoliapitch.http import HttpLimits
@@ -30,6 +34,7 @@
 from magnoliapitch.ledger.job_api import JobApi
 from magnoliapitch.ledger.job_follower import JobFollower
 from magnoliapitch.ledger.leadership import Leadership
+from magnoliapitch.ledger.members import Member
 from magnoliapitch.ledger.members import Members
 from magnoliapitch.ledger.records import JOB_STREAM
 from magnoliapitch.ledger.state_table import StateTable
@@ -60,7 +65,8 @@
 BODY_MAX_BYTES = 1 << 20
 CALLER_THREADS = 24
 MONITORING_THREADS = 2
-PEER_THREADS = 4
+PEER_THREADS = 8
+PEER_BODY_MAX_BYTES = 4 << 20
 CONFIGURATION_WAIT_MS = 700
 CONFIGURATION_RETRY_MS = 200
 # The load balancer needs up to two checks to notice that an instance is not
@@ -126,17 +132,26 @@
         self._members = Members(
             store,
             settings.instance_id,
-            f"{ip}:{settings.listen.peer_port}",
+            Member(
+                f"{ip}:{settings.listen.peer_port}",
+                settings.zone,
+                _cores(settings.machine),
+                settings.machine.link_mbps,
+            ),
         )
         self._advisor = PlatformAdvisor(settings.endpoints.advisor, client)
+        workers = PlatformWorkers(client)
+        order_sender = OrderSender(workers, self._clock, self._metrics)
+        self._agent = Agent(workers, self._clock, order_sender)
         self._driver = ControlDriver(
             self._leadership,
             self._states,
             Clients(
-                PlatformWorkers(client),
+                workers,
                 AdvisorChannelPool(self._advisor, client, self._clock),
                 self._members,
                 PlatformDirectory(store),
+                AgentClient(client),
             ),
             ControlTiming(
                 settings.leases.longest_ms,
@@ -146,6 +161,8 @@
             self._job_api.configuration,
             lambda post: JobFollower(store, self._clock, self._health, post),
             self._metrics,
+            order_sender,
+            _cores(settings.machine),
         )
         self._supervisor = Supervisor(
             "entry", self._children(), self._clock, give_up=give_up
@@ -201,6 +218,7 @@
             "members": self._members.step,
             "submitter": self._submitter.step,
             "control": self._driver.step,
+            "agent": self._agent.step,
         }
         return [
             Listener(
@@ -220,7 +238,7 @@
             Listener(
                 "peers",
                 (ip, listen.peer_port),
-                peer_application(self._advisor),
+                self._peer_application(),
                 PEER_THREADS,
                 STOP_TIMEOUT_S,
             ),
@@ -235,6 +253,12 @@
             ),
         ]
 
+    def _peer_application(self) -> Application:
+        application = Application(PEER_BODY_MAX_BYTES)
+        add_permit_route(application, self._advisor)
+        add_agent_route(application, self._agent)
+        return application
+
     def _refresh_states(self) -> Result[None, Failure]:
         if self._leadership.claim is not None:
             return Ok(None)
@@ -284,12 +308,16 @@
     Machines too weak to lead well wait, so that a stronger one wins.
     """
     is_strong = (
-        machine.cpu_share * machine.cores >= MIN_LEADER_CORES
+        _cores(machine) >= MIN_LEADER_CORES
         and machine.link_mbps >= MIN_LEADER_LINK_MBPS
     )
     return 0 if is_strong else WEAK_MACHINE_CLAIM_DELAY_MS
 
 
+def _cores(machine: MachineSettings) -> float:
+    return machine.cpu_share * machine.cores
+
+
 def _address(text: str) -> tuple[str, int]:
     host, _, port = text.partition(":")
     return host, int(port)
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -46,6 +46,34 @@
     "A call to the advisor through another instance failed; that instance is "
     "not used for this for some seconds.",
 )
+define_event(
+    "agent-used",
+    EventLevel.INFO,
+    "The leader lets another instance, its agent, renew leases and send "
+    "orders for some of the workers.",
+)
+define_event(
+    "agent-lost",
+    EventLevel.WARNING,
+    "An agent did not answer the leader, or has begun a later session; its "
+    "workers get another agent.",
+)
+define_event(
+    "agent-session-begun",
+    EventLevel.INFO,
+    "This instance became an agent of the leader with the given epoch.",
+)
+define_event(
+    "agent-session-ended",
+    EventLevel.INFO,
+    "This instance is no longer an agent, since the leader does not call it.",
+)
+define_event(
+    "order-dropped",
+    EventLevel.WARNING,
+    "An order of the leader was not sent, for the given reason; the leader "
+    "gives it up when the session ends.",
+)
 define_event(
     "run-ended",
     EventLevel.INFO,
--- a/src/magnoliapitch/ledger/members.py
+++ b/src/magnoliapitch/ledger/members.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
+from pydantic import TypeAdapter
 from result import Err
 from result import Result
 
@@ -23,18 +25,36 @@
 ANNOUNCED_IDLE_MS = 10_000
 
 
+class Member(NamedTuple):
+    """A running instance, as it announces itself.
+
+    :param address: ``IP:PORT`` at which other instances call it.
+    :param zone: availability zone.
+    :param cores: processor cores that it may use.
+    :param link_mbps: bandwidth of its network link in megabits per second.
+    """
+
+    address: str
+    zone: str = ""
+    cores: float = 1.0
+    link_mbps: float = 1_000.0
+
+
+_MEMBER_ADAPTER: TypeAdapter[Member] = TypeAdapter(Member)
+
+
 class Members:
     """Announces this instance and reads the announcements of others.
 
-    :param address: ``IP:PORT`` at which other instances call this one.
+    :param own: what this instance announces.
     """
 
     def __init__(
-        self, streams: KeyedStreams, instance_id: str, address: str
+        self, streams: KeyedStreams, instance_id: str, own: Member
     ) -> None:
         self._streams = streams
         self._instance_id = instance_id
-        self._address = address
+        self._own = own
         self._is_announced = False
         self._mirror = StreamMirror(streams, MEMBER_STREAM)
 
@@ -45,7 +65,8 @@
         """
         if self._is_announced:
             return ANNOUNCED_IDLE_MS
-        record = KeyedRecord(self._instance_id, self._address.encode())
+        value = _MEMBER_ADAPTER.dump_json(self._own)
+        record = KeyedRecord(self._instance_id, value)
         outcome = self._streams.append(MEMBER_STREAM, [record])
         self._is_announced = not isinstance(outcome, Err)
         return ANNOUNCE_RETRY_DELAY_MS
@@ -57,13 +78,19 @@
         if isinstance(outcome, Err):
             log_event("leave-failed", reason=outcome.err_value.detail)
 
-    def peers(self) -> Result[dict[str, str], Failure]:
-        """Return the ``IP:PORT`` of every other instance by instance id."""
+    def peers(self) -> Result[tuple[Member, ...], Failure]:
+        """Return every other instance that is announced."""
         return self._mirror.refresh().map(lambda _: self._others())
 
-    def _others(self) -> dict[str, str]:
-        return {
-            instance_id: address.decode()
-            for instance_id, address in self._mirror.values_by_key.items()
-            if instance_id != self._instance_id
-        }
+    def _others(self) -> tuple[Member, ...]:
+        members: list[Member] = []
+        for instance_id, value in self._mirror.values_by_key.items():
+            if instance_id == self._instance_id:
+                continue
+            try:
+                members.append(_MEMBER_ADAPTER.validate_json(value))
+            except ValueError as error:
+                log_event(
+                    "record-unreadable", key=instance_id, reason=str(error)
+                )
+        return tuple(members)
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -27,6 +27,7 @@
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedRun
     from magnoliapitch.planner.tracked import TrackedStep
+    from magnoliapitch.workload.job import StepKey
 
 
 # A ticket must still be valid when the start order reaches the worker.
@@ -50,6 +51,9 @@
 SOON_FREED_SHARE = 0.5
 # Bounds the duration of a round when very many steps wait.
 MAX_STEPS_PER_ROUND = 150
+# Tasks for which starts are planned or permits requested in one round, as a
+# multiple of the starts that can be sent now.
+PREPARED_STARTS_FACTOR = 4
 # Stands for a missing ticket: empty text, and expired since time 0.
 NO_TICKET = ("", 0)
 
@@ -124,6 +128,8 @@
             for step in state.waiting_steps.values()
         )
         for _, key in ranked[:MAX_STEPS_PER_ROUND]:
+            if planning_round.is_full:
+                break
             planning_round.place(state.waiting_steps[key])
         return Plan(
             tuple(planning_round.starts),
@@ -153,6 +159,17 @@
         self._max_starts = max_starts
         self._workers = CandidateWorkers(state.workers_by_id.values())
         self._gangs_with_reserved_capacity = 0
+        self._awaiting_permits_count = 0
+        self._steps_with_request: set[StepKey] = set()
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether more starts are prepared than can be sent soon.
+
+        Permits for more tasks would expire before these can start.
+        """
+        prepared_count = len(self.starts) + self._awaiting_permits_count
+        return prepared_count >= PREPARED_STARTS_FACTOR * self._max_starts
 
     def place(self, step: TrackedStep) -> None:
         """Plan starts for the waiting tasks of a step that fit.
@@ -163,6 +180,8 @@
         is_gang = step.spec.is_gang
         if is_gang and step.waiting_count < step.spec.task_count:
             return
+        if step.has_call_in_flight:
+            self._awaiting_permits_count += step.waiting_count
         candidates = self._allowed_candidates(step)
         chosen = self._choose(step, candidates) if candidates else []
         if is_gang and len(chosen) < step.waiting_count:
@@ -314,6 +333,7 @@
     def _can_call_advisor(self, step: TrackedStep) -> bool:
         return (
             not step.has_call_in_flight
+            and step.key not in self._steps_with_request
             and step.job.queue.permit_timing is not None
             and len(self.permit_requests) < self._max_calls
         )
@@ -328,6 +348,8 @@
         )
         asked = tuple(worker_ids)[:MAX_WORKERS_PER_CALL]
         expected_call_ms = _expected_call_ms(step, len(asked))
+        self._steps_with_request.add(step.key)
+        self._awaiting_permits_count += step.waiting_count
         self.permit_requests.append(
             PlannedPermitRequest(
                 step.key, asked, step.job.queue.priority, expected_call_ms
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -176,3 +176,28 @@
     step.in_flight_worker_ids = frozenset(names[2:])
     plan = Planner().plan(state, 1_000, 1_000)
     assert {start.worker_id for start in plan.starts} == set(names[:2])
+
+
+def test_permits_are_requested_only_for_tasks_that_can_start_soon() -> None:
+    """Others would expire unused and be requested again and again."""
+    state = make_state(40)
+    for number in range(100):
+        step = StepSpec(4, SIZE)
+        add_job(state, step, name=f"a{number}", permit_timing=PERMIT_TIMING)
+    planner = Planner()
+    assert len(planner.plan(state, 1, 1).permit_requests) == 100
+    few = planner.plan(state, 1, 1, max_starts=4)
+    assert len(few.permit_requests) == 4
+    none = planner.plan(state, 1, 1, max_starts=0)
+    assert none.permit_requests == ()
+
+
+def test_no_more_starts_are_planned_than_can_be_sent() -> None:
+    state = make_state(6)
+    add_job(state, StepSpec(6, SIZE), name="a")
+    add_job(state, StepSpec(6, SIZE), name="b")
+    add_job(state, StepSpec(6, SIZE, is_gang=True), name="c")
+    planner = Planner()
+    assert len(planner.plan(state, 1, 1, max_starts=8).starts) == 8
+    starts = planner.plan(state, 1, 1, max_starts=13).starts
+    assert sum(start.task.job_id == "c" for start in starts) == 6
