Pass jobs on to the leader's instance while the store is out of reach

Change: the leader's record carries its address. A submission, cancellation or request for a state that fails for the store is made again through that instance, if the caller's time allows; it reaches the store or would not lead. Operations are idempotent, so one whose answer was lost can be made again too, and its caller no longer waits out the deadline. If both fail the caller gets the first failure; if the leader may have stored the job it is not told that it does not run.

Tests: tests/relay (10), one in tests/ledger/test_submitter.py.

--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -48,6 +48,9 @@
 from magnoliapitch.platform import PlatformStore
 from magnoliapitch.platform import PlatformWorkers
 from magnoliapitch.platform import job_application
+from magnoliapitch.relay import JobRelay
+from magnoliapitch.relay import RelayedJobs
+from magnoliapitch.relay import add_relay_routes
 from magnoliapitch.supervisor import Loop
 from magnoliapitch.supervisor import Supervisor
 
@@ -101,6 +104,8 @@
         self._metrics = Metrics()
         self._usage_meter = ProcessUsageMeter()
         client = HttpClient(32, self._observe_call)
+        ip = settings.listen.callers.partition(":")[0]
+        peer_address = f"{ip}:{settings.listen.peer_port}"
         store = PlatformStore(settings.endpoints.store, client)
         self._directory = PlatformDirectory(store)
         self._states = StateTable()
@@ -116,10 +121,17 @@
                 and not self._is_draining
             ),
             _claim_delay_ms(settings.machine),
+            peer_address,
         )
+        relay = JobRelay(self._states, peer_address, client, self._clock)
         producer = f"{settings.instance_id}.{os.urandom(6).hex()}"
         self._submitter = Submitter(
-            store, JOB_STREAM, producer, self._clock, self._health
+            store,
+            JOB_STREAM,
+            producer,
+            self._clock,
+            self._health,
+            relay.is_available,
         )
         self._job_api = JobApi(
             self._states,
@@ -128,12 +140,12 @@
             UnpublishedJobs(store, self._states, self._clock),
             self._metrics,
         )
-        ip = settings.listen.callers.partition(":")[0]
+        self._jobs = RelayedJobs(self._job_api, relay, self._clock)
         self._members = Members(
             store,
             settings.instance_id,
             Member(
-                f"{ip}:{settings.listen.peer_port}",
+                peer_address,
                 settings.zone,
                 _cores(settings.machine),
                 settings.machine.link_mbps,
@@ -246,7 +258,7 @@
             Listener(
                 "callers",
                 _address(listen.callers),
-                job_application(self._job_api, BODY_MAX_BYTES),
+                job_application(self._jobs, BODY_MAX_BYTES),
                 CALLER_THREADS,
                 STOP_TIMEOUT_S,
                 HttpLimits(body_max_bytes=BODY_MAX_BYTES),
@@ -257,6 +269,7 @@
         application = Application(PEER_BODY_MAX_BYTES)
         add_permit_route(application, self._advisor)
         add_agent_route(application, self._agent)
+        add_relay_routes(application, self._job_api)
         return application
 
     def _refresh_states(self) -> Result[None, Failure]:
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -11,6 +11,12 @@
     EventLevel.INFO,
     "A submission or cancellation was stored, or failed for the given reason.",
 )
+define_event(
+    "call-relayed",
+    EventLevel.INFO,
+    "The store does not answer this instance, so an operation on a job was "
+    "passed on to the leader's instance.",
+)
 define_event(
     "pending-count-stale",
     EventLevel.WARNING,
@@ -72,7 +78,7 @@
     "order-dropped",
     EventLevel.WARNING,
     "An order of the leader was not sent, for the given reason; the leader "
-    "gives it up when the session ends.",
+    "takes it as not carried out.",
 )
 define_event(
     "run-ended",
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -103,6 +103,7 @@
     :param can_lead: returns whether this instance is ready to lead.
     :param extra_claim_delay_ms: how much longer than other instances this one
         waits before it claims.
+    :param address: ``IP:PORT`` at which other instances call this one.
     :ivar claim: claim under which this instance leads, or None.
     :ivar has_loaded: whether the stream was read to its end at least once.
     """
@@ -117,11 +118,13 @@
         randomness: random.Random,
         can_lead: Callable[[], bool],
         extra_claim_delay_ms: int = 0,
+        address: str = "",
     ) -> None:
         self.claim: Claim | None = None
         self.has_loaded = False
         self._streams = streams
         self._instance_id = instance_id
+        self._address = address
         self._state_table = state_table
         self._clock = clock
         self._health = health
@@ -287,7 +290,12 @@
         base_epoch = (last_epoch // EPOCH_STEP + 1) * EPOCH_STEP
         epoch = base_epoch + self._random.randrange(EPOCH_STEP)
         job_offset = leader.job_offset if leader else -1
-        record = LeaderRecord(epoch, self._instance_id, job_offset=job_offset)
+        record = LeaderRecord(
+            epoch,
+            self._instance_id,
+            job_offset=job_offset,
+            address=self._address,
+        )
         writer = Writer(PRODUCER, epoch, 1)
         outcome = self._streams.append(
             STATE_STREAM,
--- a/src/magnoliapitch/ledger/records.py
+++ b/src/magnoliapitch/ledger/records.py
@@ -34,12 +34,14 @@
         instances may claim at once.
     :param job_offset: the states of all jobs before this offset of the job
         stream are published; -1 if that is not known.
+    :param address: ``IP:PORT`` at which other instances call it.
     """
 
     epoch: int
     instance_id: str
     has_resigned: bool = False
     job_offset: int = -1
+    address: str = ""
 
 
 class _TaskRow(NamedTuple):
--- a/src/magnoliapitch/ledger/submitter.py
+++ b/src/magnoliapitch/ledger/submitter.py
@@ -20,6 +20,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from magnoliapitch.clock import Clock
     from magnoliapitch.ledger.health import StoreHealth
     from magnoliapitch.ledger.stream import KeyedStreams
@@ -45,6 +47,10 @@
 
     :param stream: stream to append to.
     :param producer: name for deduplication, unique for each process.
+    :param has_other_way: returns whether callers can store their records in
+        another way while the store does not answer this instance. They then
+        do not wait for a batch whose answer was lost, which is still sent
+        again until it is answered.
     """
 
     def __init__(
@@ -54,12 +60,14 @@
         producer: str,
         clock: Clock,
         health: StoreHealth,
+        has_other_way: Callable[[], bool] = lambda: False,
     ) -> None:
         self._streams = streams
         self._stream = stream
         self._writer = Writer(producer, 1, 1)
         self._clock = clock
         self._health = health
+        self._has_other_way = has_other_way
         self._condition = threading.Condition()
         self._queued: list[_PendingAppend] = []
         self._batch: list[_PendingAppend] = []
@@ -151,6 +159,8 @@
         if not self._may_be_stored:
             batch, self._batch = self._batch, []
             self._resolve(batch, refusal)
+        elif self._has_other_way():
+            self._resolve(self._batch, Err(_unanswered()))
 
     def _resolve(
         self,
@@ -166,11 +176,14 @@
         if not pending.is_sent:
             self._queued.remove(pending)
             return _store_unavailable()
-        return may_have_run(
-            FailureCode.TIMEOUT,
-            "the store has not answered in time; the record may still be "
-            "stored",
-        )
+        return _unanswered()
+
+
+def _unanswered() -> Failure:
+    return may_have_run(
+        FailureCode.TIMEOUT,
+        "the store has not answered in time; the record may still be stored",
+    )
 
 
 def _store_unavailable() -> Failure:
--- a/src/magnoliapitch/platform/job_application.py
+++ b/src/magnoliapitch/platform/job_application.py
@@ -24,7 +24,7 @@
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.ledger.job_api import JobApi
+    from magnoliapitch.relay import RelayedJobs
     from magnoliapitch.workload.configuration import Queue
 
 
@@ -33,21 +33,21 @@
 STATUS_GONE = 410
 
 
-def job_application(job_api: JobApi, body_max_bytes: int) -> Application:
+def job_application(jobs: RelayedJobs, body_max_bytes: int) -> Application:
     """Build the HTTP application that callers of the platform use.
 
     :param body_max_bytes: largest accepted request body.
     """
-    return _JobApplication(job_api, body_max_bytes)
+    return _JobApplication(jobs, body_max_bytes)
 
 
 class _JobApplication(Application):
-    def __init__(self, job_api: JobApi, body_max_bytes: int) -> None:
-        super().__init__(body_max_bytes, job_api.is_closing)
-        self._job_api = job_api
+    def __init__(self, jobs: RelayedJobs, body_max_bytes: int) -> None:
+        super().__init__(body_max_bytes, jobs.is_closing)
+        self._jobs = jobs
 
     def handle(self, request: HttpRequest) -> HttpResponse:
-        configuration = self._job_api.configuration()
+        configuration = self._jobs.configuration()
         if configuration is None:
             return _failure_response(
                 not_run(
@@ -67,9 +67,7 @@
             )
         job_id = request.path[len(queue.path_prefix) :]
         if not job_id:
-            return json_response(
-                {"pending-jobs": self._job_api.pending(queue)}
-            )
+            return json_response({"pending-jobs": self._jobs.pending(queue)})
         return self._handle_job(request, queue, job_id)
 
     def _handle_job(
@@ -98,13 +96,13 @@
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             detail = f"the job cannot be read: {error!r}"
             return _failure_response(not_run(FailureCode.INVALID, detail))
-        outcome = self._job_api.submit(job, timeout_ms)
+        outcome = self._jobs.submit(job, timeout_ms)
         if isinstance(outcome, Err):
             return _failure_response(outcome.err_value)
         return HttpResponse(200, b"{}")
 
     def _state(self, job_id: str, timeout_ms: int) -> HttpResponse:
-        outcome = self._job_api.state(job_id, timeout_ms)
+        outcome = self._jobs.state(job_id, timeout_ms)
         if isinstance(outcome, Err):
             return _failure_response(outcome.err_value)
         if outcome.ok_value is None:
@@ -112,7 +110,7 @@
         return json_response({"state": outcome.ok_value.value})
 
     def _cancel(self, job_id: str, timeout_ms: int) -> HttpResponse:
-        outcome = self._job_api.cancel(job_id, timeout_ms)
+        outcome = self._jobs.cancel(job_id, timeout_ms)
         if isinstance(outcome, Err):
             return _failure_response(outcome.err_value)
         return HttpResponse(200 if outcome.ok_value else STATUS_GONE, b"{}")
--- /dev/null
+++ b/src/magnoliapitch/relay/jobs.py
@@ -0,0 +1,136 @@
+"""Operations on jobs, with a second way for when the store fails."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from result import Err
+from result import Result
+
+from magnoliapitch.event import log_event
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import Verdict
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliapitch.clock import Clock
+    from magnoliapitch.ledger.job_api import JobApi
+    from magnoliapitch.ledger.state_table import JobState
+    from magnoliapitch.relay.client import JobRelay
+    from magnoliapitch.verdict import Failure
+    from magnoliapitch.workload.configuration import Configuration
+    from magnoliapitch.workload.configuration import Queue
+    from magnoliapitch.workload.job import JobSpec
+
+
+ValueT = TypeVar("ValueT")
+
+# Part of the caller's timeout that is reserved for sending the answer.
+ANSWER_RESERVE_MS = 150
+MIN_RELAY_TIMEOUT_MS = 100
+_STORE_FAILURES = (FailureCode.UNAVAILABLE, FailureCode.TIMEOUT)
+
+
+class RelayedJobs:
+    """Operations on jobs by this instance, else by the leader's.
+
+    Every operation is idempotent, so one that may have reached the store can
+    be made again through the other instance.
+    """
+
+    def __init__(self, job_api: JobApi, relay: JobRelay, clock: Clock) -> None:
+        self._job_api = job_api
+        self._relay = relay
+        self._clock = clock
+
+    def submit(self, job: JobSpec, timeout_ms: int) -> Result[None, Failure]:
+        """Store a job; accept a known job again without storing it twice.
+
+        :param timeout_ms: time until the caller needs the answer.
+        """
+        return self._operate(
+            "submit",
+            job.job_id,
+            timeout_ms,
+            lambda: self._job_api.submit(job, timeout_ms),
+            lambda remaining_ms: self._relay.submit(job, remaining_ms),
+        )
+
+    def cancel(self, job_id: str, timeout_ms: int) -> Result[bool, Failure]:
+        """Store the cancellation of a job; return False if there is none."""
+        return self._operate(
+            "cancel",
+            job_id,
+            timeout_ms,
+            lambda: self._job_api.cancel(job_id, timeout_ms),
+            lambda remaining_ms: self._relay.cancel(job_id, remaining_ms),
+        )
+
+    def state(
+        self, job_id: str, timeout_ms: int
+    ) -> Result[JobState | None, Failure]:
+        """Return a job's state, or None if there is no such job."""
+        return self._operate(
+            "state",
+            job_id,
+            timeout_ms,
+            lambda: self._job_api.state(job_id, timeout_ms),
+            lambda remaining_ms: self._relay.state(job_id, remaining_ms),
+        )
+
+    def pending(self, queue: Queue) -> int:
+        """Return the number of a queue's jobs without a started task."""
+        return self._job_api.pending(queue)
+
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in use, or None before the first one."""
+        return self._job_api.configuration()
+
+    def is_closing(self) -> bool:
+        """Return whether connections are closed after their next answer."""
+        return self._job_api.is_closing()
+
+    def _operate(
+        self,
+        call: str,
+        job_id: str,
+        timeout_ms: int,
+        operate_here: Callable[[], Result[ValueT, Failure]],
+        operate_there: Callable[[int], Result[ValueT, Failure]],
+    ) -> Result[ValueT, Failure]:
+        deadline_ms = self._clock.now_ms() + timeout_ms - ANSWER_RESERVE_MS
+        outcome = operate_here()
+        if not isinstance(outcome, Err):
+            return outcome
+        failure = outcome.err_value
+        remaining_ms = deadline_ms - self._clock.now_ms()
+        if (
+            failure.code not in _STORE_FAILURES
+            or remaining_ms < MIN_RELAY_TIMEOUT_MS
+            or not self._relay.is_available()
+        ):
+            return outcome
+        relayed = operate_there(remaining_ms)
+        _log_relayed(call, job_id, relayed)
+        if (
+            isinstance(relayed, Err)
+            and relayed.err_value.verdict is Verdict.NOT_RUN
+        ):
+            return outcome
+        return relayed
+
+
+def _log_relayed(
+    call: str, job_id: str, outcome: Result[ValueT, Failure]
+) -> None:
+    failure = outcome.err_value if isinstance(outcome, Err) else None
+    log_event(
+        "call-relayed",
+        call=call,
+        job=job_id,
+        outcome=failure.verdict if failure else "answered",
+        reason=failure.detail if failure else "",
+    )
--- a/tests/ledger/test_submitter.py
+++ b/tests/ledger/test_submitter.py
@@ -40,8 +40,14 @@
         self.health = StoreHealth(self.clock)
         self.health.note_success(0)
         self.submitter = Submitter(
-            streams, "jobs", "me", self.clock, self.health
+            streams,
+            "jobs",
+            "me",
+            self.clock,
+            self.health,
+            lambda: self.has_other_way,
         )
+        self.has_other_way = False
         self._pool = ThreadPoolExecutor(64)
 
     def submit(self, key: str, timeout_ms: int = TIMEOUT_MS) -> Outcome:
@@ -144,3 +150,20 @@
     streams.outage = None
     caller.submitter.step()
     assert streams.keys("jobs") == []
+
+
+def test_a_caller_with_another_way_does_not_wait_for_a_lost_answer(
+    caller: Caller, streams: MemoryStreams
+) -> None:
+    caller.has_other_way = True
+    streams.outage = may_have_run(
+        FailureCode.TIMEOUT, "the store has not answered"
+    )
+    outcome = caller.submit("k", timeout_ms=60_000)
+    caller.submitter.step()
+    caller.clock.skipped_ms = DOWN_AFTER_MS + 1
+    step_until_done(caller, [outcome])
+    assert outcome.result().unwrap_err().verdict is Verdict.MAY_HAVE_RUN
+    streams.outage = None
+    caller.submitter.step()
+    assert streams.keys("jobs") == ["k"]
--- /dev/null
+++ b/tests/relay/test_relayed_jobs.py
@@ -0,0 +1,183 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+import pytest
+
+from result import Err
+from result import Ok
+from result import Result
+
+from magnoliapitch.clock import ManualClock
+from magnoliapitch.http import Application
+from magnoliapitch.http import HttpRequest
+from magnoliapitch.http.client import HttpReply
+from magnoliapitch.ledger.records import LeaderRecord
+from magnoliapitch.ledger.state_table import JobState
+from magnoliapitch.ledger.state_table import StateTable
+from magnoliapitch.relay import JobRelay
+from magnoliapitch.relay import RelayedJobs
+from magnoliapitch.relay import add_relay_routes
+from magnoliapitch.relay.client import FAILURE_BACKOFF_MS
+from magnoliapitch.verdict import Failure
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import Verdict
+from magnoliapitch.verdict import may_have_run
+from magnoliapitch.verdict import not_run
+from magnoliapitch.workload.job import JobSpec
+from magnoliapitch.workload.job import StepSpec
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+ValueT = TypeVar("ValueT")
+
+JOB = JobSpec("0a", "q", "text", (StepSpec(2),))
+TIMEOUT_MS = 3_000
+STORE_DOWN = not_run(FailureCode.UNAVAILABLE, "the store is down", 1_000)
+UNANSWERED = may_have_run(FailureCode.TIMEOUT, "no answer")
+LEADER = "10.0.0.1:7200"
+
+
+class FakeJobApi:
+    """Operations of one instance.
+
+    :ivar failure: failure of every operation, or None.
+    :ivar operations: name and job of every operation that was carried out.
+    """
+
+    def __init__(self, failure: Failure | None = None) -> None:
+        self.failure = failure
+        self.operations: list[tuple[str, str]] = []
+
+    def submit(self, job: JobSpec, timeout_ms: int) -> Result[None, Failure]:
+        return self._operate("submit", job.job_id, Ok(None))
+
+    def cancel(self, job_id: str, timeout_ms: int) -> Result[bool, Failure]:
+        return self._operate("cancel", job_id, Ok(True))
+
+    def state(
+        self, job_id: str, timeout_ms: int
+    ) -> Result[JobState | None, Failure]:
+        found = JobState.RUNNING if job_id == JOB.job_id else None
+        return self._operate("state", job_id, Ok(found))
+
+    def _operate(
+        self, call: str, job_id: str, outcome: Ok[ValueT]
+    ) -> Result[ValueT, Failure]:
+        if self.failure is not None:
+            return Err(self.failure)
+        self.operations.append((call, job_id))
+        return outcome
+
+
+class Cluster:
+    """An instance ``here`` and the leader's instance ``there``."""
+
+    def __init__(self, here: Failure | None, there: Failure | None = None):
+        self.clock = ManualClock(1_000)
+        self.here = FakeJobApi(here)
+        self.there = FakeJobApi(there)
+        self.calls = 0
+        self.network_failure: Failure | None = None
+        self.states = StateTable()
+        self.states.leader = LeaderRecord(1, "leader", address=LEADER)
+        self._application = Application()
+        add_relay_routes(self._application, self.there)  # type: ignore[arg-type]
+        self.jobs = self.jobs_at("10.0.0.2:7200")
+
+    def jobs_at(self, own_address: str) -> RelayedJobs:
+        relay = JobRelay(self.states, own_address, self, self.clock)  # type: ignore[arg-type]
+        return RelayedJobs(self.here, relay, self.clock)  # type: ignore[arg-type]
+
+    def exchange(
+        self,
+        method: str,
+        url: str,
+        timeout_ms: int,
+        body: bytes,
+        headers: Mapping[str, str],
+    ) -> Result[HttpReply, Failure]:
+        self.calls += 1
+        assert url.startswith(f"http://{LEADER}/")
+        if self.network_failure is not None:
+            return Err(self.network_failure)
+        path = url.removeprefix(f"http://{LEADER}")
+        request = HttpRequest(method, path, {}, {}, headers, body)
+        response = self._application.handle(request)
+        return Ok(HttpReply(response.status, response.body))
+
+
+@pytest.mark.parametrize("failure", [STORE_DOWN, UNANSWERED])
+def test_operations_go_through_the_leader_while_the_store_fails(
+    failure: Failure,
+) -> None:
+    cluster = Cluster(failure)
+    assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Ok(None)
+    assert cluster.jobs.cancel("0a", TIMEOUT_MS) == Ok(True)
+    assert cluster.jobs.state("0a", TIMEOUT_MS) == Ok(JobState.RUNNING)
+    assert cluster.jobs.state("0b", TIMEOUT_MS) == Ok(None)
+    assert cluster.there.operations == [
+        ("submit", "0a"),
+        ("cancel", "0a"),
+        ("state", "0a"),
+        ("state", "0b"),
+    ]
+
+
+def test_the_leader_is_not_called_while_the_store_answers() -> None:
+    cluster = Cluster(None)
+    cluster.jobs.submit(JOB, TIMEOUT_MS)
+    cluster.jobs.state("0b", TIMEOUT_MS)
+    assert cluster.calls == 0
+
+
+def test_a_refusal_of_the_job_itself_is_not_passed_on() -> None:
+    cluster = Cluster(not_run(FailureCode.INVALID, "no steps"))
+    assert cluster.jobs.submit(JOB, TIMEOUT_MS).is_err()
+    assert cluster.calls == 0
+
+
+def test_a_failure_of_both_is_the_first_one() -> None:
+    cluster = Cluster(STORE_DOWN, STORE_DOWN)
+    assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Err(STORE_DOWN)
+    cluster = Cluster(UNANSWERED, STORE_DOWN)
+    assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Err(UNANSWERED)
+
+
+@pytest.mark.parametrize("is_network", [True, False])
+def test_a_job_that_the_leader_may_have_stored_is_not_refused(
+    is_network: bool,
+) -> None:
+    cluster = Cluster(STORE_DOWN, None if is_network else UNANSWERED)
+    cluster.network_failure = UNANSWERED if is_network else None
+    failure = cluster.jobs.submit(JOB, TIMEOUT_MS).unwrap_err()
+    assert failure.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_a_silent_leader_is_left_alone_for_a_while() -> None:
+    cluster = Cluster(STORE_DOWN)
+    cluster.network_failure = STORE_DOWN
+    for _ in range(5):
+        assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Err(STORE_DOWN)
+    assert cluster.calls == 1
+    cluster.clock.advance(FAILURE_BACKOFF_MS)
+    cluster.network_failure = None
+    assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Ok(None)
+
+
+def test_the_leader_itself_has_nobody_to_ask() -> None:
+    cluster = Cluster(STORE_DOWN)
+    assert cluster.jobs_at(LEADER).submit(JOB, TIMEOUT_MS) == Err(STORE_DOWN)
+    cluster.states.leader = None
+    assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Err(STORE_DOWN)
+    assert cluster.calls == 0
+
+
+def test_a_caller_without_time_left_is_answered_at_once() -> None:
+    cluster = Cluster(STORE_DOWN)
+    assert cluster.jobs.submit(JOB, 200) == Err(STORE_DOWN)
+    assert cluster.calls == 0
