Split planning rounds and restoring from the files that had grown

Runs of a step were marked for stopping in three places, now in one. Fields that nothing reads (progress and load of a run) are gone. Stop orders for unknown runs were remembered for good, now only while the worker reports the run.

--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -52,11 +52,12 @@
         self._planner = planner
         self._metrics = metrics
         self.last_end_sequence_by_worker: dict[str, int] = {}
-        self._stopped_ms_by_order: dict[tuple[str, StopOrder], int] = {}
+        self._stopped_ms_by_worker: dict[str, dict[StopOrder, int]] = {}
 
     def forget(self, worker_id: str) -> None:
         """Drop the data of a worker that is gone."""
         self.last_end_sequence_by_worker.pop(worker_id, None)
+        self._stopped_ms_by_worker.pop(worker_id, None)
 
     def apply(
         self,
@@ -144,17 +145,24 @@
     def _due_stops(
         self, worker_id: str, orders: list[StopOrder], now_ms: int
     ) -> tuple[StopOrder, ...]:
-        due: list[StopOrder] = []
-        for order in orders:
-            key = (worker_id, order)
-            stopped_ms = self._stopped_ms_by_order.get(key)
-            if (
-                stopped_ms is None
-                or now_ms - stopped_ms >= UNEXPECTED_RUN_STOP_RETRY_MS
-            ):
-                self._stopped_ms_by_order[key] = now_ms
-                due.append(order)
-        return tuple(due)
+        """Return the orders that were not sent lately.
+
+        Only orders for runs that the worker still reports are remembered.
+        """
+        sent_ms_by_order = self._stopped_ms_by_worker.pop(worker_id, {})
+        due = tuple(
+            order
+            for order in orders
+            if order not in sent_ms_by_order
+            or now_ms - sent_ms_by_order[order] >= UNEXPECTED_RUN_STOP_RETRY_MS
+        )
+        if orders:
+            remembered = {
+                order: sent_ms_by_order.get(order, now_ms) for order in orders
+            }
+            remembered.update(dict.fromkeys(due, now_ms))
+            self._stopped_ms_by_worker[worker_id] = remembered
+        return due
 
 
 def _is_certainly_absent(run: TrackedRun, sent_ms: int) -> bool:
--- /dev/null
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -0,0 +1,373 @@
+"""One planning round: starts and permit requests, step by step."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliapitch.planner.candidates import Candidate
+from magnoliapitch.planner.candidates import CandidateWorkers
+from magnoliapitch.planner.candidates import free_task_count
+from magnoliapitch.planner.candidates import idle_task_count
+from magnoliapitch.planner.plan import PlannedPermitRequest
+from magnoliapitch.planner.plan import PlannedStart
+from magnoliapitch.resource import NO_RESOURCES
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from magnoliapitch.planner.scheduler_state import SchedulerState
+    from magnoliapitch.planner.tracked import TrackedStep
+    from magnoliapitch.workload.job import StepKey
+
+
+# A ticket must still be valid when the start order reaches the worker.
+TICKET_MIN_REMAINING_MS = 400
+# The advisor accepts no more workers in one call.
+MAX_WORKERS_PER_CALL = 100
+# A large part of a call's duration does not depend on the number of workers,
+# so calls about fewer of them save little.
+MIN_WORKERS_PER_CALL = 30
+# Share of the workers in a call that the advisor is expected to permit.
+EXPECTED_PERMITTED_SHARE = 0.35
+# Free capacity that the permitted workers should have together, as a multiple
+# of what the waiting tasks of the step need.
+CAPACITY_MARGIN_RATIO = 1.5
+# Gangs that do not fit yet and for which capacity is reserved. The limit is
+# low because each occupies an advisor call most of the time, to renew tickets.
+MAX_GANGS_WITH_RESERVED_CAPACITY = 4
+# After this time a waiting gang no longer keeps capacity from other steps.
+MAX_CAPACITY_RESERVATION_MS = 20_000
+# Share of a worker's reserved CPU that is expected to become free soon.
+SOON_FREED_SHARE = 0.5
+# Tasks for which starts are planned or permits requested in one round, as a
+# multiple of the starts that can be sent now.
+PREPARED_STARTS_FACTOR = 4
+# Stands for a missing ticket: empty text, and expired since time 0.
+NO_TICKET = ("", 0)
+
+
+class PlanningRound:
+    """Collects the starts and permit requests of one round.
+
+    :param max_calls: number of advisor calls that can be started now.
+    :param max_starts: number of start orders that can be sent now.
+    """
+
+    def __init__(
+        self,
+        state: SchedulerState,
+        now_ms: int,
+        max_calls: int,
+        max_starts: int,
+    ) -> None:
+        self.starts: list[PlannedStart] = []
+        self.permit_requests: list[PlannedPermitRequest] = []
+        self._now_ms = now_ms
+        self._max_calls = max_calls
+        self._max_starts = max_starts
+        self._workers = CandidateWorkers(state.workers_by_id.values())
+        self._gangs_with_reserved_capacity = 0
+        self._awaiting_permits_count = 0
+        self._steps_with_request: set[StepKey] = set()
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether more starts are prepared than can be sent soon.
+
+        Permits for more tasks would expire before these can start.
+        """
+        prepared_count = len(self.starts) + self._awaiting_permits_count
+        return prepared_count >= PREPARED_STARTS_FACTOR * self._max_starts
+
+    def place(self, step: TrackedStep) -> None:
+        """Plan starts for the waiting tasks of a step that fit.
+
+        A gang is started as a whole or not at all. Advisor calls are
+        planned for the workers that lack a valid ticket.
+        """
+        is_gang = step.spec.is_gang
+        if is_gang and step.waiting_count < step.spec.task_count:
+            return
+        if step.has_call_in_flight:
+            self._awaiting_permits_count += step.waiting_count
+        candidates = self._allowed_candidates(step)
+        chosen = self._choose(step, candidates) if candidates else []
+        if is_gang and len(chosen) < step.waiting_count:
+            self._prepare_gang(step, candidates)
+            return
+        without_ticket = [
+            candidate
+            for candidate in chosen
+            if not self._has_ticket(step, candidate)
+        ]
+        if without_ticket and is_gang:
+            without_ticket = self._with_spare_candidates(
+                step, chosen, candidates
+            )
+        self._add_permit_request(step, without_ticket)
+        if not chosen:
+            self._ask_about_unasked(step)
+        if without_ticket and is_gang:
+            return
+        self._start(
+            step,
+            [
+                candidate
+                for candidate in chosen
+                if candidate not in without_ticket
+            ],
+        )
+
+    def _prepare_gang(
+        self, step: TrackedStep, candidates: list[Candidate]
+    ) -> None:
+        """Renew tickets and reserve capacity for a gang that does not fit.
+
+        Permits take long to get and expire soon. So the gangs that rank
+        first have their tickets renewed on every worker that may run them,
+        and later steps are kept away from the workers on which these gangs
+        will probably fit. They can then start as soon as they fit.
+        """
+        self._ask_about_unasked(step)
+        if (
+            self._gangs_with_reserved_capacity
+            >= MAX_GANGS_WITH_RESERVED_CAPACITY
+        ):
+            return
+        if not self._may_fit_when_idle(step, candidates):
+            return
+        self._gangs_with_reserved_capacity += 1
+        if not self._has_fresh_tickets(step, candidates):
+            self._add_permit_request(
+                step, sorted(candidates, key=_most_free_cpu_first)
+            )
+        self._reserve_capacity(step, candidates, step.waiting_count)
+
+    def _may_fit_when_idle(
+        self, step: TrackedStep, candidates: list[Candidate]
+    ) -> bool:
+        """Return whether reserving capacity for a gang can be of use.
+
+        A gang that has too many tasks for its permitted workers, or waits
+        for capacity that long-running services never free, must not keep
+        capacity from other steps.
+        """
+        ready_ms = step.ready_ms if step.ready_ms is not None else self._now_ms
+        if self._now_ms - ready_ms > MAX_CAPACITY_RESERVATION_MS:
+            return False
+        fitting_count = sum(
+            idle_task_count(candidate, step) for candidate in candidates
+        )
+        return fitting_count >= step.waiting_count
+
+    def _reserve_capacity(
+        self, step: TrackedStep, candidates: list[Candidate], count: int
+    ) -> None:
+        """Keep later steps of this round away from workers.
+
+        :param count: tasks that should fit on these workers soon.
+        """
+        expected_count = 0
+        for candidate in sorted(candidates, key=_most_free_cpu_first):
+            if expected_count >= count:
+                break
+            expected_count += _expected_task_count_soon(candidate, step)
+            candidate.free = NO_RESOURCES
+
+    def _has_fresh_tickets(
+        self, step: TrackedStep, candidates: list[Candidate]
+    ) -> bool:
+        """Return whether at least half the tickets outlast their renewal."""
+        renewal_ms = _expected_call_ms(
+            step, min(len(candidates), MAX_WORKERS_PER_CALL)
+        )
+        min_valid_until_ms = (
+            self._now_ms + TICKET_MIN_REMAINING_MS + renewal_ms
+        )
+        fresh_count = sum(
+            step.tickets_by_worker.get(candidate.worker.worker_id, NO_TICKET)[
+                1
+            ]
+            >= min_valid_until_ms
+            for candidate in candidates
+        )
+        return fresh_count * 2 >= len(candidates)
+
+    def _allowed_candidates(self, step: TrackedStep) -> list[Candidate]:
+        if step.job.queue.permit_timing is None:
+            return list(self._workers.eligible(step))
+        if not step.asked_worker_ids:
+            self._ask_about_unasked(step)
+            return []
+        return self._workers.permitted(step)
+
+    def _has_ticket(self, step: TrackedStep, candidate: Candidate) -> bool:
+        if step.job.queue.permit_timing is None:
+            return True
+        _, valid_until_ms = step.tickets_by_worker.get(
+            candidate.worker.worker_id, NO_TICKET
+        )
+        return valid_until_ms >= self._now_ms + TICKET_MIN_REMAINING_MS
+
+    def _ask_about_unasked(self, step: TrackedStep) -> None:
+        """Plan a call about workers that the advisor was not asked about."""
+        if self._can_call_advisor(step):
+            not_asked = (
+                candidate
+                for candidate in self._workers.eligible(step)
+                if candidate.worker.worker_id not in step.asked_worker_ids
+            )
+            self._add_permit_request(step, _enough_candidates(step, not_asked))
+
+    def _with_spare_candidates(
+        self,
+        step: TrackedStep,
+        chosen: list[Candidate],
+        candidates: list[Candidate],
+    ) -> list[Candidate]:
+        """Return the workers of one advisor call for a whole gang.
+
+        Tickets from several calls would expire one after the other, so all
+        are requested together. Spare workers replace those whose capacity
+        is taken by the time the answer arrives.
+        """
+        spares = [
+            candidate
+            for candidate in candidates
+            if candidate not in chosen and free_task_count(candidate, step)
+        ]
+        return [*chosen, *spares]
+
+    def _can_call_advisor(self, step: TrackedStep) -> bool:
+        return (
+            not step.has_call_in_flight
+            and step.key not in self._steps_with_request
+            and step.job.queue.permit_timing is not None
+            and len(self.permit_requests) < self._max_calls
+        )
+
+    def _add_permit_request(
+        self, step: TrackedStep, candidates: list[Candidate]
+    ) -> None:
+        if not candidates or not self._can_call_advisor(step):
+            return
+        worker_ids = dict.fromkeys(
+            candidate.worker.worker_id for candidate in candidates
+        )
+        asked = tuple(worker_ids)[:MAX_WORKERS_PER_CALL]
+        expected_call_ms = _expected_call_ms(step, len(asked))
+        self._steps_with_request.add(step.key)
+        self._awaiting_permits_count += step.waiting_count
+        self.permit_requests.append(
+            PlannedPermitRequest(
+                step.key, asked, step.job.queue.priority, expected_call_ms
+            )
+        )
+
+    def _choose(
+        self, step: TrackedStep, candidates: list[Candidate]
+    ) -> list[Candidate]:
+        """Reserve capacity and return the worker of each task that fits.
+
+        Workers without a failed run of the step come first. Next come
+        workers with a valid ticket, or for which one is being requested, so
+        that a gang does not have to wait for another call. Then those with
+        the least free CPU, which leaves capacity for large tasks on the
+        others. A gang that does not fit as a whole reserves nothing.
+        """
+        chosen: list[Candidate] = []
+        count = step.waiting_count
+        cpu_millis = step.reservation.cpu_millis
+        fitting = [
+            candidate
+            for candidate in candidates
+            if candidate.free.cpu_millis >= cpu_millis
+        ]
+        fitting.sort(
+            key=lambda candidate: (
+                candidate.worker.worker_id in step.failed_worker_ids,
+                candidate.worker.worker_id not in step.in_flight_worker_ids
+                and not self._has_ticket(step, candidate),
+                candidate.free.cpu_millis,
+            )
+        )
+        for candidate in fitting:
+            task_count = min(
+                count - len(chosen), free_task_count(candidate, step)
+            )
+            for _ in range(task_count):
+                candidate.reserve(step.reservation)
+                chosen.append(candidate)
+            if len(chosen) == count:
+                break
+        if step.spec.is_gang and len(chosen) < count:
+            for candidate in chosen:
+                candidate.release(step.reservation)
+        return chosen
+
+    def _start(self, step: TrackedStep, candidates: list[Candidate]) -> None:
+        """Plan the starts, as far as their orders can be sent now.
+
+        A gang is started whole if at least one order can be sent.
+        """
+        remaining_starts = max(0, self._max_starts - len(self.starts))
+        if not candidates or not remaining_starts:
+            return
+        if not step.spec.is_gang:
+            candidates = candidates[:remaining_starts]
+        run_number = max(task.runs for task in step.tasks) + 1
+        for task, candidate in zip(
+            step.startable_tasks(), candidates, strict=False
+        ):
+            worker_id = candidate.worker.worker_id
+            number = run_number if step.spec.is_gang else task.runs + 1
+            ticket = step.tickets_by_worker.get(worker_id, NO_TICKET)[0]
+            self.starts.append(
+                PlannedStart(task.key, number, worker_id, ticket)
+            )
+
+
+def _enough_candidates(
+    step: TrackedStep, candidates: Iterable[Candidate]
+) -> list[Candidate]:
+    """Return enough workers for a step to fit on those permitted of them."""
+    needed_count = (
+        CAPACITY_MARGIN_RATIO * step.waiting_count / EXPECTED_PERMITTED_SHARE
+    )
+    selected: list[Candidate] = []
+    fitting_count = 0
+    for candidate in candidates:
+        if len(selected) >= MAX_WORKERS_PER_CALL:
+            break
+        if (
+            fitting_count >= needed_count
+            and len(selected) >= MIN_WORKERS_PER_CALL
+        ):
+            break
+        selected.append(candidate)
+        fitting_count += free_task_count(candidate, step)
+    return selected
+
+
+def _most_free_cpu_first(candidate: Candidate) -> int:
+    return -candidate.free.cpu_millis
+
+
+def _expected_task_count_soon(candidate: Candidate, step: TrackedStep) -> int:
+    total = candidate.info.capacity.cpu_millis
+    free = candidate.free.cpu_millis
+    free_soon = free + SOON_FREED_SHARE * (total - free)
+    return max(
+        free_task_count(candidate, step),
+        int(free_soon // max(1, step.reservation.cpu_millis)),
+    )
+
+
+def _expected_call_ms(step: TrackedStep, worker_count: int) -> float:
+    permit_timing = step.job.queue.permit_timing
+    if permit_timing is None:
+        return 0.0
+    return (
+        permit_timing.decision_ms + permit_timing.per_worker_ms * worker_count
+    )
--- /dev/null
+++ b/src/magnoliapitch/planner/restore.py
@@ -0,0 +1,68 @@
+"""Restoring a job from the progress that a former leader stored."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliapitch.workload.progress import JobOutcome
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.planner.scheduler_state import SchedulerState
+    from magnoliapitch.planner.tracked import TrackedJob
+    from magnoliapitch.planner.tracked import TrackedStep
+    from magnoliapitch.planner.tracked import TrackedTask
+    from magnoliapitch.workload.progress import JobProgress
+    from magnoliapitch.workload.progress import TaskProgress
+
+
+def restore_progress(
+    state: SchedulerState,
+    job: TrackedJob,
+    progress: JobProgress,
+    now_ms: int,
+) -> None:
+    """Set a new job's tasks and runs from its stored progress.
+
+    Which runs are to be stopped is not stored but follows from the progress:
+    those of an ended job, those of tasks that are done, and those of a gang
+    that has lost a member.
+    """
+    job.outcome = progress.outcome
+    job.has_begun = progress.has_begun
+    for key, task_progress in progress.tasks_by_key.items():
+        task = job.steps[key.occurrence][key.step].tasks[key.position]
+        _restore_task(state, task, task_progress, now_ms)
+    for step in job.all_steps():
+        step.unfinished_count = sum(not task.is_done for task in step.tasks)
+        step.waiting_count = len(step.startable_tasks())
+        _stop_incomplete_gang(state, step)
+
+
+def _restore_task(
+    state: SchedulerState,
+    task: TrackedTask,
+    progress: TaskProgress,
+    now_ms: int,
+) -> None:
+    task.runs = progress.runs
+    task.failures = progress.failures
+    task.is_done = progress.is_done
+    task.checkpoint = progress.checkpoint
+    is_over = task.is_done or task.step.job.outcome is not JobOutcome.OPEN
+    for placement in progress.placements:
+        run = state.add_run(task, placement.run, placement.worker_id, now_ms)
+        run.is_restored = True
+        if is_over:
+            state.mark_for_stop(run)
+
+
+def _stop_incomplete_gang(state: SchedulerState, step: TrackedStep) -> None:
+    """Mark the restored members of a gang that has lost one for stopping.
+
+    They would wait for the lost one, and the gang starts again only once
+    none of them is active.
+    """
+    is_incomplete = 0 < step.waiting_count < step.spec.task_count
+    if step.spec.is_gang and is_incomplete:
+        state.stop_step(step)
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.planner.restore import restore_progress
 from magnoliapitch.planner.tracked import TrackedJob
 from magnoliapitch.planner.tracked import TrackedRun
 from magnoliapitch.planner.tracked import TrackedStep
@@ -60,13 +61,7 @@
         job = TrackedJob(spec, queue, now_ms)
         self.jobs_by_id[spec.job_id] = job
         if progress is not None:
-            job.outcome = progress.outcome
-            job.has_begun = progress.has_begun
-            for key, task_progress in progress.tasks_by_key.items():
-                self._restore(job, key, task_progress, now_ms)
-        for step in job.all_steps():
-            _initialize_counts(step)
-            self._stop_incomplete_gang(step)
+            restore_progress(self, job, progress, now_ms)
         self._update_outcome(job)
         if job.outcome is JobOutcome.OPEN:
             self._open_steps(job, now_ms)
@@ -130,8 +125,7 @@
         self.remove_run(run)
         step = run.task.step
         if step.spec.is_gang and not step.is_done:
-            for member in step.all_active_runs():
-                self.mark_for_stop(member)
+            self.stop_step(step)
 
     def task(self, key: TaskKey) -> TrackedTask | None:
         """Return a task, or None if its job is not known."""
@@ -172,13 +166,27 @@
         self.unsaved_job_ids.add(key.job_id)
         if not task.active_runs and not task.is_done:
             self._adjust_waiting_count(task.step, -1)
-        return self._add_run(task, number, worker_id, now_ms)
+        return self.add_run(task, number, worker_id, now_ms)
 
     def mark_for_stop(self, run: TrackedRun) -> None:
         """Mark a run that must be stopped."""
         run.is_stopping = True
         self.runs_to_stop[id(run)] = run
 
+    def stop_step(self, step: TrackedStep) -> None:
+        """Mark all active runs of a step for stopping."""
+        for run in step.all_active_runs():
+            self.mark_for_stop(run)
+
+    def add_run(
+        self, task: TrackedTask, number: int, worker_id: str, now_ms: int
+    ) -> TrackedRun:
+        """Add a run that may be active, and reserve its capacity."""
+        run = TrackedRun(task, number, worker_id, now_ms)
+        task.active_runs.append(run)
+        self.get_or_add_worker(worker_id).add(run)
+        return run
+
     def confirm_run(self, run: TrackedRun, now_ms: int) -> None:
         """Record that the worker has certainly begun a run."""
         run.confirmed_ms = now_ms
@@ -196,10 +204,6 @@
         if run.started_ms is None:
             run.resumed_percent = reported.percent
         self.confirm_run(run, now_ms)
-        if reported.percent != run.percent:
-            run.percent = reported.percent
-            run.percent_ms = now_ms
-        run.load = reported.load
         task = run.task
         if reported.checkpoint and reported.checkpoint != task.checkpoint:
             self._save_checkpoint(task, reported.checkpoint)
@@ -281,45 +285,6 @@
             job.has_begun,
         )
 
-    def _restore(
-        self,
-        job: TrackedJob,
-        key: TaskKey,
-        task_progress: TaskProgress,
-        now_ms: int,
-    ) -> None:
-        task = job.steps[key.occurrence][key.step].tasks[key.position]
-        task.runs = task_progress.runs
-        task.failures = task_progress.failures
-        task.is_done = task_progress.is_done
-        task.checkpoint = task_progress.checkpoint
-        for placement in task_progress.placements:
-            run = self._add_run(
-                task, placement.run, placement.worker_id, now_ms
-            )
-            run.is_restored = True
-            if task.is_done or job.outcome is not JobOutcome.OPEN:
-                self.mark_for_stop(run)
-
-    def _stop_incomplete_gang(self, step: TrackedStep) -> None:
-        """Mark the restored members of a gang that has lost one for stopping.
-
-        They would wait for the lost one, and the gang starts again only once
-        none of them is active.
-        """
-        is_incomplete = 0 < step.waiting_count < step.spec.task_count
-        if step.spec.is_gang and is_incomplete:
-            for run in step.all_active_runs():
-                self.mark_for_stop(run)
-
-    def _add_run(
-        self, task: TrackedTask, number: int, worker_id: str, now_ms: int
-    ) -> TrackedRun:
-        run = TrackedRun(task, number, worker_id, now_ms)
-        task.active_runs.append(run)
-        self.get_or_add_worker(worker_id).add(run)
-        return run
-
     def _save_checkpoint(self, task: TrackedTask, checkpoint: str) -> None:
         tasks = task.step.tasks if task.step.spec.is_gang else [task]
         for member in tasks:
@@ -373,8 +338,7 @@
             self.waiting_steps.pop(step.key, None)
             self.scheduled_steps.pop(step.key, None)
             if outcome is not JobOutcome.COMPLETED:
-                for run in step.all_active_runs():
-                    self.mark_for_stop(run)
+                self.stop_step(step)
 
     def _open_steps(self, job: TrackedJob, now_ms: int) -> None:
         """Open or schedule the steps whose dependencies are done."""
@@ -405,11 +369,6 @@
             self.waiting_steps[step.key] = step
 
 
-def _initialize_counts(step: TrackedStep) -> None:
-    step.unfinished_count = sum(not task.is_done for task in step.tasks)
-    step.waiting_count = len(step.startable_tasks())
-
-
 def _has_failed(step: TrackedStep) -> bool:
     if step.spec.is_long_running or step.is_done:
         return False
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -30,21 +30,16 @@
     :ivar is_stopping: whether the run is marked for stopping.
     :ivar stop_sent_ms: when the newest stop order was sent; None before.
     :ivar stopped_ms: when the worker accepted a stop order; None before.
-    :ivar percent: newest progress that the worker reported, 0 to 100.
-    :ivar percent_ms: when the progress last changed.
-    :ivar resumed_percent: progress in the first report; above 0 if the run
-        resumed from a checkpoint.
+    :ivar resumed_percent: progress in the first report, 0 to 100; above 0 if
+        the run resumed from a checkpoint.
     """
 
     __slots__ = (
         "confirmed_ms",
         "is_restored",
         "is_stopping",
-        "load",
         "number",
         "ordered_ms",
-        "percent",
-        "percent_ms",
         "resources",
         "resumed_percent",
         "started_ms",
@@ -68,10 +63,7 @@
         self.is_stopping = False
         self.stop_sent_ms: int | None = None
         self.stopped_ms: int | None = None
-        self.percent = 0.0
-        self.percent_ms = now_ms
         self.resumed_percent = 0.0
-        self.load = 0.0
 
 
 class TrackedTask:
