Forget the progress of a job that is being deleted

Cause: a leader keeps the progress that it read at the start.

Change: deleting a job drops its progress from the table. Test: tests/control/test_takeover_capacity.py, fails without the change.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import TYPE_CHECKING
 
 from result import Err
 
-from magnoliapitch.control.log_fields import run_fields
 from magnoliapitch.control.order_issuer import OrderIssuer
 from magnoliapitch.control.progress_batcher import ProgressBatcher
 from magnoliapitch.control.reachability import WorkerReachability
@@ -23,6 +21,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from magnoliapitch.control.effects import Effects
     from magnoliapitch.control.events import Committed
@@ -42,8 +41,6 @@
     from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.configuration import Configuration
-    from magnoliapitch.workload.job import StepKey
-    from magnoliapitch.workload.run import StopOrder
 
 
 # Added to the expected duration of an advisor call.
@@ -109,7 +106,7 @@
         self._is_commit_in_flight = False
         self._stored_ms = claimed_ms
         self._progress_batcher = ProgressBatcher(
-            self.state, state_table, leader, timing, effects.delete_jobs
+            self.state, state_table, leader, timing, self._delete_jobs
         )
 
     @property
@@ -208,27 +205,13 @@
             worker_id, report, event.sent_ms, event.received_ms
         )
         for order in applied.stop_orders:
-            self._stop_unknown_run(worker_id, order)
+            job_state = self._progress_batcher.published_state(
+                order.task.job_id
+            )
+            self._order_issuer.stop_unknown(worker_id, order, job_state)
         if not self.state.unsaved_job_ids and not self._is_commit_in_flight:
             self._effects.acknowledge(worker_id, applied.last_end_sequence)
 
-    def _stop_unknown_run(self, worker_id: str, order: StopOrder) -> None:
-        task = self.state.task(order.task)
-        worker = self.state.get_or_add_worker(worker_id)
-        log_event(
-            "run-unknown",
-            **run_fields(order.task, order.run, worker_id),
-            job_state=self._progress_batcher.published_state(
-                order.task.job_id
-            ),
-            last_run=task.runs if task else None,
-            free_cpu_millis=worker.free.cpu_millis,
-        )
-        info = self._roster.info_by_id.get(worker_id)
-        if info is not None:
-            token = self._leader.epoch
-            self._effects.order_stop(info, order._replace(token=token))
-
     def handle_start_answer(self, event: StartAnswered) -> None:
         """Apply the answer to a start order, or its failure."""
         planned = event.planned
@@ -336,7 +319,8 @@
             self._available_starts(),
         )
         if self.may_issue_orders(now_ms):
-            self._record_starts(plan.starts, now_ms)
+            self._order_issuer.record_planned(plan.starts, now_ms)
+            self._uncommitted_starts.extend(plan.starts)
             for stop in plan.stops:
                 if self._reachability.is_answering(stop.worker_id):
                     self._order_issuer.stop(stop, now_ms)
@@ -350,43 +334,6 @@
         )
         return max(0, self._effects.available_start_orders() - unsent_count)
 
-    def _record_starts(
-        self, starts: tuple[PlannedStart, ...], now_ms: int
-    ) -> None:
-        worker_ids_by_step: dict[StepKey, list[str]] = {}
-        for planned in starts:
-            self.state.add_ordered_run(
-                planned.task, planned.run, planned.worker_id, now_ms
-            )
-            self._uncommitted_starts.append(planned)
-            worker_ids_by_step.setdefault(planned.task.step_key, []).append(
-                planned.worker_id
-            )
-        for key, worker_ids in worker_ids_by_step.items():
-            step = self.state.step(key)
-            ready_ms = (step.ready_ms if step else None) or now_ms
-            queue = step.job.queue.name if step else ""
-            count = len(worker_ids)
-            self._metrics.count("starts_planned", queue, count)
-            self._metrics.observe("step_waited", now_ms - ready_ms, queue)
-            log_event(
-                "step-starting",
-                job=key.job_id,
-                step=key.step,
-                tasks=count,
-                waiting=step.waiting_count if step else 0,
-                ready_age_ms=now_ms - ready_ms,
-                placements=self._describe_placements(worker_ids),
-            )
-
-    def _describe_placements(self, worker_ids: list[str]) -> str:
-        """Return each worker with its new tasks and the CPU left, as text."""
-        return ",".join(
-            f"{worker_id}:{count}:"
-            f"{self.state.get_or_add_worker(worker_id).free.cpu_millis}"
-            for worker_id, count in Counter(worker_ids).items()
-        )
-
     def _request_permits(
         self, permit_requests: tuple[PlannedPermitRequest, ...]
     ) -> None:
@@ -420,7 +367,7 @@
         has_ended = self._progress_batcher.has_ended(spec.job_id)
         if has_ended and not _has_final_progress(stored):
             # Its progress was deleted after its last run had ended.
-            self._effects.delete_jobs([spec.job_id])
+            self._delete_jobs([spec.job_id])
             return
         queue = configuration.queues_by_name.get(spec.queue)
         if queue is None:
@@ -432,6 +379,11 @@
         if stored.is_cancelled:
             self.state.cancel_job(spec.job_id)
 
+    def _delete_jobs(self, job_ids: Sequence[str]) -> None:
+        """Delete ended jobs, of which no run can be active any more."""
+        self._job_table.forget_progress(job_ids)
+        self._effects.delete_jobs(job_ids)
+
     def _handle_final_failure(self, worker_id: str, failure: Failure) -> bool:
         """Handle a failure that ends the leadership or removes the worker.
 
--- a/src/magnoliapitch/control/order_issuer.py
+++ b/src/magnoliapitch/control/order_issuer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from magnoliapitch.control.log_fields import run_fields
@@ -23,6 +24,7 @@
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedRun
     from magnoliapitch.verdict import Failure
+    from magnoliapitch.workload.job import StepKey
     from magnoliapitch.workload.worker import WorkerInfo
 
 
@@ -55,6 +57,43 @@
         self._effects = effects
         self._metrics = metrics
 
+    def record_planned(
+        self, starts: tuple[PlannedStart, ...], now_ms: int
+    ) -> None:
+        """Add planned runs to the state and log them, step by step."""
+        worker_ids_by_step: dict[StepKey, list[str]] = {}
+        for planned in starts:
+            self._state.add_ordered_run(
+                planned.task, planned.run, planned.worker_id, now_ms
+            )
+            worker_ids_by_step.setdefault(planned.task.step_key, []).append(
+                planned.worker_id
+            )
+        for key, worker_ids in worker_ids_by_step.items():
+            step = self._state.step(key)
+            ready_ms = (step.ready_ms if step else None) or now_ms
+            queue = step.job.queue.name if step else ""
+            count = len(worker_ids)
+            self._metrics.count("starts_planned", queue, count)
+            self._metrics.observe("step_waited", now_ms - ready_ms, queue)
+            log_event(
+                "step-starting",
+                job=key.job_id,
+                step=key.step,
+                tasks=count,
+                waiting=step.waiting_count if step else 0,
+                ready_age_ms=now_ms - ready_ms,
+                placements=self._describe_placements(worker_ids),
+            )
+
+    def _describe_placements(self, worker_ids: list[str]) -> str:
+        """Return each worker with its new tasks and the CPU left, as text."""
+        return ",".join(
+            f"{worker_id}:{count}:"
+            f"{self._state.get_or_add_worker(worker_id).free.cpu_millis}"
+            for worker_id, count in Counter(worker_ids).items()
+        )
+
     def start(
         self, planned: PlannedStart, deadline_ms: int | None, now_ms: int
     ) -> None:
@@ -117,6 +156,26 @@
             info, StopOrder(stop.task, stop.run, self._epoch)
         )
 
+    def stop_unknown(
+        self, worker_id: str, order: StopOrder, job_state: str | None
+    ) -> None:
+        """Order the stop of a run that only the worker knows.
+
+        :param job_state: published state of the run's job, for the log.
+        """
+        task = self._state.task(order.task)
+        worker = self._state.get_or_add_worker(worker_id)
+        log_event(
+            "run-unknown",
+            **run_fields(order.task, order.run, worker_id),
+            job_state=job_state,
+            last_run=task.runs if task else None,
+            free_cpu_millis=worker.free.cpu_millis,
+        )
+        info = self._info_by_worker_id.get(worker_id)
+        if info is not None:
+            self._effects.order_stop(info, order._replace(token=self._epoch))
+
     def undo_refused_start(
         self,
         run: TrackedRun,
--- a/src/magnoliapitch/ledger/job_table.py
+++ b/src/magnoliapitch/ledger/job_table.py
@@ -69,6 +69,17 @@
             jobs = list(self._jobs_by_id.values())
         return [job for job in jobs if job.spec is not None]
 
+    def forget_progress(self, job_ids: Iterable[str]) -> None:
+        """Drop the progress of jobs that are being deleted.
+
+        It was read when the leadership began and would otherwise restore
+        runs that have ended.
+        """
+        for job_id in job_ids:
+            job = self._jobs_by_id.get(job_id)
+            if job is not None:
+                self._replace_job(job_id, job._replace(progress=None))
+
     def apply(
         self, values_by_key: Mapping[str, bytes], keys: Iterable[str]
     ) -> set[str]:
--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -157,7 +157,8 @@
             values = {
                 record.key: record.value or None for record in batch.progress
             }
-            simulation.job_table.apply(values, list(values))  # type: ignore[arg-type]
+            if not simulation.freezes_job_table:
+                simulation.job_table.apply(values, list(values))  # type: ignore[arg-type]
             simulation.record_progress(values)
             simulation.controller.handle_commit(
                 Committed(Ok(0), sent_ms), simulation.now_ms
@@ -167,6 +168,8 @@
         simulation.schedule(COMMIT_DURATION_MS, finish)
 
     def delete_jobs(self, job_ids: Sequence[str]) -> None:
+        if self._simulation.freezes_job_table:
+            return
         keys = [
             prefix + job_id
             for job_id in job_ids
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -81,6 +81,8 @@
         ms; a late one gets no answer. 0 by default.
     :ivar advisor_call_limit: most advisor calls at the same time.
     :ivar order_queue: orders that wait on the leader's own machine.
+    :ivar freezes_job_table: whether the leader's table of stored jobs stays
+        as it was read when the leadership began.
     :ivar on_commit: called with every batch that is to be stored.
     """
 
@@ -103,6 +105,7 @@
             lambda _: 0
         )
         self.order_queue = OrderQueue(self)
+        self.freezes_job_table = False
         self.on_commit: Callable[[Batch], object] = lambda _: None
         self.unreachable_worker_ids: set[str] = set()
         self.store_is_unavailable = False
--- a/tests/control/test_takeover_capacity.py
+++ b/tests/control/test_takeover_capacity.py
@@ -197,3 +197,21 @@
 def is_done(simulation: Simulation, key: TaskKey) -> bool:
     task = simulation.controller.state.task(key)
     return task is not None and task.is_done
+
+
+def test_a_deleted_job_is_not_restored_by_a_new_configuration() -> None:
+    """Its submission is deleted only some time after its last run."""
+    simulation = Simulation([queue("q")], workers(1))
+    simulation.submit(JobSpec("a", "q", "text", (StepSpec(2, SIZE),)))
+    simulation.run_until(lambda: simulation.starts)
+    simulation.cancel("a")
+    simulation.run_until(lambda: "a" in simulation.finished)
+    simulation.freezes_job_table = True
+    controller = simulation.take_over()
+    assert "a" in controller.state.jobs_by_id
+    simulation.run(10_000)
+    assert "a" not in controller.state.jobs_by_id
+    controller.handle_configuration_changed(simulation.now_ms)
+    assert "a" not in controller.state.jobs_by_id
+    (worker,) = controller.state.workers_by_id.values()
+    assert worker.runs == []
