Read states when they are asked for; wait for events on standby

Change: a request for a state that is not final reads the states first if the last read is older than 50 ms. Machines that claim late read in turns of 800 ms instead of 200. Standby loops wait for the claim. 96 threads for advisor calls.

Tried and dropped: ranking jobs that nobody waits for any more behind all priorities.

Tests: two in test_job_api, two in test_leadership; 227 pass in tests/ledger, control, planner, relay.

--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import queue
+import threading
 import time
 
 from concurrent.futures import ThreadPoolExecutor
@@ -57,14 +58,15 @@
     from magnoliapitch.workload.worker import WorkerInfo
 
 
-ADVISOR_THREAD_COUNT = 40
+ADVISOR_THREAD_COUNT = 96
 WORKER_LIST_INTERVAL_MS = 500
 ROUND_INTERVAL_MS = 6
 MAX_EVENT_WAIT_MS = 200
 COMMIT_RETRY_DELAY_MS = 80
 # Limit for one call to the store.
 MAX_JOBS_PER_DELETION = 500
-STANDBY_POLL_INTERVAL_MS = 50
+STANDBY_WAIT_MS = 1_000
+STOPPED_WAIT_MS = 50
 
 
 class Clients(NamedTuple):
@@ -123,6 +125,7 @@
         self._open_job_follower = open_job_follower
         self._metrics = metrics
         self._job_follower: JobFollower | None = None
+        self._is_following = threading.Event()
         self._job_ids_to_delete: set[str] = set()
         self._events: queue.SimpleQueue[Event] = queue.SimpleQueue()
         self._controller: Controller | None = None
@@ -154,14 +157,14 @@
         """
         controller = self._controller or self._start_leading()
         if controller is None:
-            return STANDBY_POLL_INTERVAL_MS
+            return STOPPED_WAIT_MS
         if controller.is_over or self._is_stopping:
             self._stop_leading()
-            return STANDBY_POLL_INTERVAL_MS
+            return STOPPED_WAIT_MS
         return self._run_round(controller)
 
     def _start_leading(self) -> Controller | None:
-        claim = self._leadership.claim
+        claim = self._leadership.wait_for_claim(STANDBY_WAIT_MS)
         if claim is None or self._is_stopping:
             return None
         job_follower = self._open_job_follower(
@@ -191,6 +194,7 @@
         controller.load(self._clock.now_ms(), job_follower.end)
         self._controller = controller
         self._job_follower = job_follower
+        self._is_following.set()
         return controller
 
     def _open_router(self, controller: Controller) -> WorkerRouter:
@@ -217,12 +221,9 @@
 
         :return: pause until the next call, in milliseconds.
         """
+        self._is_following.wait(STANDBY_WAIT_MS / 1000)
         job_follower = self._job_follower
-        return (
-            STANDBY_POLL_INTERVAL_MS
-            if job_follower is None
-            else job_follower.step()
-        )
+        return 0 if job_follower is None else job_follower.step()
 
     def _handle_unprepared(self, failure: Failure) -> None:
         if failure.code in (FailureCode.FENCED, FailureCode.SEQUENCE):
@@ -231,6 +232,7 @@
 
     def _stop_leading(self) -> None:
         self._controller = None
+        self._is_following.clear()
         self._job_follower = None
         if self._router is not None:
             self._router.close()
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -9,8 +9,6 @@
 from typing import TYPE_CHECKING
 
 from result import Err
-from result import Ok
-from result import Result
 
 from magnoliapitch.advice import AdvisorChannelPool
 from magnoliapitch.advice import add_permit_route
@@ -61,7 +59,6 @@
     from magnoliapitch.settings.cluster import ClusterSettings
     from magnoliapitch.settings.cluster import MachineSettings
     from magnoliapitch.supervisor import Child
-    from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.configuration import Configuration
 
 
@@ -136,7 +133,7 @@
         self._job_api = JobApi(
             self._states,
             self._submitter,
-            self._refresh_states,
+            self._leadership.refresh,
             UnpublishedJobs(store, self._states, self._clock),
             self._metrics,
         )
@@ -272,11 +269,6 @@
         add_relay_routes(application, self._job_api)
         return application
 
-    def _refresh_states(self) -> Result[None, Failure]:
-        if self._leadership.claim is not None:
-            return Ok(None)
-        return self._leadership.follow()
-
     def _observe_call(
         self, path: str, duration_ms: float, is_ok: bool
     ) -> None:
--- a/src/magnoliapitch/ledger/job_api.py
+++ b/src/magnoliapitch/ledger/job_api.py
@@ -38,6 +38,9 @@
 # Part of the caller's timeout that is reserved for sending the answer.
 ANSWER_RESERVE_MS = 150
 STORE_RETRY_AFTER_MS = 1_000
+# A caller that asks for a state waits for the end of the job, so that it is
+# to see the end soon.
+MAX_STATE_AGE_MS = 50
 # Callers accept a count of pending jobs that is up to 2 s old.
 MAX_PENDING_AGE_MS = 1_000
 # Jobs accepted by this instance that it remembers, the latest ones. They are
@@ -51,8 +54,9 @@
     States come from the table of published states. Submissions and
     cancellations are stored; the leader acts on them later.
 
-    :param refresh: reads the published states up to the newest one; after a
-        failure, a job that is missing in the table may still be stored.
+    :param refresh: reads the published states up to the newest one, unless
+        the last read is younger than a time in milliseconds; after a failure,
+        a job that is missing in the table may still be stored.
     :param unpublished_jobs: jobs that are stored although the leader has not
         published their states.
     """
@@ -61,7 +65,7 @@
         self,
         state_table: StateTable,
         submitter: Submitter,
-        refresh: Callable[[], Result[None, Failure]],
+        refresh: Callable[[int], Result[None, Failure]],
         unpublished_jobs: UnpublishedJobs,
         metrics: Metrics,
     ) -> None:
@@ -138,8 +142,17 @@
         if isinstance(found, Err):
             return found
         job = found.ok_value
+        if job is not None and job.state not in FINAL_STATES:
+            job = self._newest(job_id, job)
         return Ok(None if job is None else job.state)
 
+    def _newest(self, job_id: str, job: PublishedJob) -> PublishedJob:
+        """Return a job as it is published now, or as far as it is known."""
+        refreshed = self._refresh(MAX_STATE_AGE_MS)
+        if isinstance(refreshed, Err):
+            return job
+        return self._lookup(job_id) or job
+
     def pending(self, queue: Queue) -> int:
         """Return the number of a queue's jobs without a started task."""
         refreshed = self._unpublished_jobs.refresh(MAX_PENDING_AGE_MS)
@@ -195,7 +208,7 @@
         ):
             if job is not None:
                 return Ok(job)
-            outcome = read()
+            outcome = read(0)
             if isinstance(outcome, Err):
                 return Err(_not_readable(outcome.err_value))
             job = self._lookup(job_id) or self._unpublished_jobs.get(job_id)
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -50,8 +52,10 @@
 FIRST_CLAIM_DELAY_MS = 300
 APPEND_TIMEOUT_MS = 800
 READ_WAIT_MS = 800
-# Records accumulate between two reads, which saves calls to the store.
+# Records accumulate between two reads, which saves calls to the store. An
+# instance that claims late does not need to notice a silent leader soon.
 READ_INTERVAL_MS = 200
+LATE_CLAIMANT_READ_INTERVAL_MS = 800
 RETRY_DELAY_MS = 200
 
 
@@ -137,6 +141,13 @@
         self._last_heard_ms = clock.now_ms()
         self._claim_delay_ms = FIRST_CLAIM_DELAY_MS + extra_claim_delay_ms
         self._may_claim = True
+        self._read_interval_ms = (
+            LATE_CLAIMANT_READ_INTERVAL_MS
+            if extra_claim_delay_ms
+            else READ_INTERVAL_MS
+        )
+        self._read_ms: int | None = None
+        self._has_claimed = threading.Event()
 
     def step(self) -> int:
         """Wait for new records; claim leadership if the leader is silent.
@@ -144,7 +155,7 @@
         :return: pause until the next call, in milliseconds.
         """
         if self.claim is not None:
-            return READ_INTERVAL_MS
+            return self._read_interval_ms
         remaining_ms = self._claim_delay_ms - (
             self._clock.now_ms() - self._last_heard_ms
         )
@@ -161,7 +172,28 @@
             self._claim_if_leader_silent(max(0, read_duration_ms))
         if self._state_table.leader and self._state_table.leader.has_resigned:
             return 0
-        return READ_INTERVAL_MS
+        return self._read_interval_ms
+
+    def wait_for_claim(self, timeout_ms: int) -> Claim | None:
+        """Wait until this instance leads; return its claim, or None."""
+        self._has_claimed.wait(timeout_ms / 1000)
+        return self.claim
+
+    def refresh(self, max_age_ms: int) -> Result[None, Failure]:
+        """Read the stream of states unless that was done a moment ago.
+
+        The leader's own table is always up to date.
+
+        :param max_age_ms: do nothing if the last read began less than this
+            time ago.
+        """
+        read_ms = self._read_ms
+        age_ms = (
+            max_age_ms if read_ms is None else (self._clock.now_ms() - read_ms)
+        )
+        if self.claim is not None or age_ms < max_age_ms:
+            return Ok(None)
+        return self.follow()
 
     def follow(self, wait_ms: int = 0) -> Result[None, Failure]:
         """Read the stream of states up to its end.
@@ -175,6 +207,7 @@
             self._health.note_failure(changed.err_value)
             return changed
         self._health.note_success(sent_ms)
+        self._read_ms = sent_ms + wait_ms
         self.has_loaded = True
         if self._mirror.end != end_offset:
             self._handle_changes(changed.ok_value)
@@ -255,6 +288,7 @@
     def step_down(self) -> None:
         """Stop leading, since another claim was seen or the instance stops."""
         self.claim = None
+        self._has_claimed.clear()
         self._last_heard_ms = self._clock.now_ms()
         self._claim_delay_ms = self._random_claim_delay_ms()
 
@@ -311,6 +345,7 @@
         self._state_table.leader = record
         self._appender = _LeaderAppender(_with_next_sequence(writer), writer)
         self.claim = Claim(record, self._clock.now_ms())
+        self._has_claimed.set()
         log_event("leadership-claimed", epoch=epoch, silent_ms=silent_ms)
 
     def _handle_failed_claim(
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -48,6 +48,10 @@
     def claim_with(self, epoch: int) -> None:
         self.claim = Claim(LeaderRecord(epoch, "a"), self._clock.now_ms())
 
+    def wait_for_claim(self, timeout_ms: int) -> Claim | None:
+        del timeout_ms
+        return self.claim
+
     def fence_former_leaders(self) -> Result[int, Failure]:
         return Ok(0)
 
--- a/tests/ledger/test_job_api.py
+++ b/tests/ledger/test_job_api.py
@@ -7,6 +7,7 @@
 from result import Result
 
 from magnoliapitch.clock import ManualClock
+from magnoliapitch.ledger.job_api import MAX_STATE_AGE_MS
 from magnoliapitch.ledger.job_api import JobApi
 from magnoliapitch.ledger.records import JOB_STREAM
 from magnoliapitch.ledger.records import LeaderRecord
@@ -49,6 +50,7 @@
         self.stored: dict[str, bytes] = {}
         self.published: dict[str, PublishedJob] = {}
         self.failure: Failure | None = None
+        self.refreshed_ages_ms: list[int] = []
         self.streams = RecordingStreams()
         self.clock = ManualClock(1_000)
 
@@ -60,7 +62,8 @@
         self.streams.append(JOB_STREAM, [record])
         return Ok(None)
 
-    def refresh(self) -> Result[None, Failure]:
+    def refresh(self, max_age_ms: int = 0) -> Result[None, Failure]:
+        self.refreshed_ages_ms.append(max_age_ms)
         if self.failure:
             return Err(self.failure)
         for job_id, job in self.published.items():
@@ -133,6 +136,27 @@
     )
 
 
+def test_the_end_of_a_job_is_seen_when_its_state_is_requested() -> None:
+    store = FakeStore()
+    store.published["0a"] = published_job(JobState.RUNNING)
+    store.refresh()
+    store.published["0a"] = published_job(JobState.COMPLETED)
+    job_api = store.job_api()
+    assert job_api.state("0a", TIMEOUT_MS).unwrap() is JobState.COMPLETED
+    assert store.refreshed_ages_ms[-1] == MAX_STATE_AGE_MS
+    count = len(store.refreshed_ages_ms)
+    assert job_api.state("0a", TIMEOUT_MS).unwrap() is JobState.COMPLETED
+    assert len(store.refreshed_ages_ms) == count
+
+
+def test_the_last_known_state_is_returned_during_a_store_outage() -> None:
+    store = FakeStore()
+    store.published["0a"] = published_job(JobState.RUNNING)
+    store.refresh()
+    store.failure = not_run(FailureCode.UNAVAILABLE, "the store is down")
+    assert store.job_api().state("0a", TIMEOUT_MS).unwrap() is JobState.RUNNING
+
+
 def test_a_job_submitted_again_is_stored_once() -> None:
     store = FakeStore()
     job_api = store.job_api()
--- a/tests/ledger/test_leadership.py
+++ b/tests/ledger/test_leadership.py
@@ -184,3 +184,26 @@
     assert outcome.err_value.code is FailureCode.FENCED
     assert leadership.fence_former_leaders().is_ok()
     assert leadership.commit(BATCH).is_ok()
+
+
+def test_a_fresh_table_is_not_read_again(
+    make_leadership: MakeLeadership, streams: MemoryStreams, clock: ManualClock
+) -> None:
+    follower = make_leadership("a")
+    assert follower.refresh(50).is_ok()
+    streams.outage = not_run(FailureCode.UNAVAILABLE, "the store is down")
+    clock.advance(49)
+    assert follower.refresh(50).is_ok()
+    clock.advance(1)
+    assert follower.refresh(50).is_err()
+
+
+def test_a_claim_wakes_the_thread_that_waits_for_it(
+    make_leadership: MakeLeadership, clock: ManualClock
+) -> None:
+    leadership = make_leadership("a")
+    assert leadership.wait_for_claim(0) is None
+    become_leader(leadership, clock)
+    assert leadership.wait_for_claim(60_000) is leadership.claim
+    leadership.step_down()
+    assert leadership.wait_for_claim(0) is None
