--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -78,10 +78,7 @@
 
         def answer(outcome: object) -> None:
             simulation.order_queue.record_answer(sent_ms, outcome)
-            if self._is_current():
-                simulation.controller.handle_start_answer(
-                    StartAnswered(planned, outcome, sent_ms, simulation.now_ms)  # type: ignore[arg-type]
-                )
+            self._deliver_start_answer(planned, outcome, sent_ms)
 
         def arrive() -> None:
             target = simulation.workers[worker.worker_id]
@@ -225,9 +222,7 @@
         if worker_id not in self._renewed_worker_ids or not self._is_current():
             return
         sent_ms = simulation.now_ms
-        deadline_ms = simulation.controller.next_lease_deadline(
-            worker_id, sent_ms
-        )
+        deadline_ms = self._next_deadline(worker_id)
         if worker_id in simulation.unreachable_worker_ids:
             failure = not_run(FailureCode.UNAVAILABLE, "unreachable")
             self._report(worker_id, Err(failure), sent_ms)
@@ -262,6 +257,21 @@
         worker.end_listeners.add(answer_now)
         simulation.schedule(LONG_POLL_WAIT_MS, answer_now)
 
+    def _next_deadline(self, worker_id: str) -> int | None:
+        simulation = self._simulation
+        return simulation.controller.next_lease_deadline(
+            worker_id, simulation.now_ms
+        )
+
+    def _deliver_start_answer(
+        self, planned: PlannedStart, outcome: object, sent_ms: int
+    ) -> None:
+        simulation = self._simulation
+        if self._is_current():
+            simulation.controller.handle_start_answer(
+                StartAnswered(planned, outcome, sent_ms, simulation.now_ms)  # type: ignore[arg-type]
+            )
+
     def _report(self, worker_id: str, outcome: object, sent_ms: int) -> None:
         simulation = self._simulation
         if self._is_current():
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -91,7 +91,9 @@
         queues: Sequence[Queue],
         workers: Sequence[WorkerInfo],
         advisor_call_limit: int = 6,
+        effects_type: type[SimulatedEffects] = SimulatedEffects,
     ) -> None:
+        self.effects_type = effects_type
         self.now_ms = 0
         self.advisor_call_limit = advisor_call_limit
         self.violations: list[str] = []
@@ -172,7 +174,7 @@
             TIMING,
             self.job_table,
             self.states,
-            SimulatedEffects(self, self._epoch),
+            self.effects_type(self, self._epoch),
             lambda: self.configuration,
             Metrics(),
         )
--- a/tests/control/test_capacity_under_faults.py
+++ b/tests/control/test_capacity_under_faults.py
@@ -10,6 +10,7 @@
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
 from magnoliapitch.workload.job import TaskKey
+from tests.control.simulated_effects import SimulatedEffects
 from tests.control.simulation import Simulation
 from tests.control.simulation import queue
 from tests.control.simulation import workers
@@ -37,12 +38,18 @@
     seconds late, answers may be lost and runs may fail.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        effects_type: type[SimulatedEffects] = SimulatedEffects,
+    ) -> None:
         self._random = random.Random(seed)
         self._duration_ms_by_task: dict[TaskKey, float] = {}
         self.job_ids: list[str] = []
         self.simulation = Simulation(
-            [queue("q")], workers(WORKER_COUNT, CAPACITY)
+            [queue("q")],
+            workers(WORKER_COUNT, CAPACITY),
+            effects_type=effects_type,
         )
         self.simulation.actual_duration_ms = (
             self._duration_ms_by_task.__getitem__
