--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from magnoliapitch.control.order_issuer import OrderIssuer
+from magnoliapitch.control.permit_requester import PermitRequester
 from magnoliapitch.control.progress_batcher import ProgressBatcher
 from magnoliapitch.control.reachability import WorkerReachability
 from magnoliapitch.control.reports import ReportApplier
@@ -37,16 +38,11 @@
     from magnoliapitch.ledger.records import LeaderRecord
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.metric import Metrics
-    from magnoliapitch.planner.plan import PlannedPermitRequest
     from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.configuration import Configuration
 
 
-# Added to the expected duration of an advisor call.
-ADVISOR_BASE_TIMEOUT_MS = 2_000
-
-
 class Controller:
     """Schedules tasks on all workers while this instance leads.
 
@@ -100,6 +96,7 @@
             effects,
             metrics,
         )
+        self._permit_requester = PermitRequester(self.state, effects)
         self._uncommitted_starts: list[PlannedStart] = []
         self._starts_in_commit: list[PlannedStart] = []
         self._end_sequences_in_commit_by_worker: dict[str, int] = {}
@@ -274,34 +271,7 @@
 
     def handle_permits(self, event: PermitsAnswered) -> None:
         """Record the permits that the advisor gave, or log its failure."""
-        step = self.state.step(event.request.step)
-        if step is None:
-            return
-        step.in_flight_worker_ids = frozenset()
-        if isinstance(event.outcome, Err):
-            failure = event.outcome.err_value
-            log_event(
-                "advice-failed",
-                job=event.request.step.job_id,
-                step=event.request.step.step,
-                reason=failure.detail,
-            )
-            return
-        permit_timing = step.job.queue.permit_timing
-        valid_ms = permit_timing.valid_ms if permit_timing else 0
-        log_event(
-            "advice-received",
-            job=event.request.step.job_id,
-            step=event.request.step.step,
-            asked=len(event.request.worker_ids),
-            permitted=len(event.outcome.ok_value),
-        )
-        self.state.record_permits(
-            event.request.step,
-            event.request.worker_ids,
-            event.outcome.ok_value,
-            event.sent_ms + valid_ms,
-        )
+        self._permit_requester.handle_answer(event)
 
     def run_round(self, now_ms: int, wall_ms: int) -> None:
         """Plan a round, issue its actions and commit the changes.
@@ -324,7 +294,7 @@
             for stop in plan.stops:
                 if self._reachability.is_answering(stop.worker_id):
                     self._order_issuer.stop(stop, now_ms)
-            self._request_permits(plan.permit_requests)
+            self._permit_requester.request(plan.permit_requests)
         self._commit(now_ms)
 
     def _available_starts(self) -> int:
@@ -334,18 +304,6 @@
         )
         return max(0, self._effects.available_start_orders() - unsent_count)
 
-    def _request_permits(
-        self, permit_requests: tuple[PlannedPermitRequest, ...]
-    ) -> None:
-        for request in permit_requests:
-            step = self.state.step(request.step)
-            if step is not None and not step.has_call_in_flight:
-                timeout_ms = ADVISOR_BASE_TIMEOUT_MS + int(
-                    request.expected_call_ms
-                )
-                if self._effects.request_permits(request, timeout_ms):
-                    step.in_flight_worker_ids = frozenset(request.worker_ids)
-
     def stop_leading(self, reason: str) -> None:
         """End the leadership; no more orders are issued.
 
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -11,11 +11,10 @@
 from typing import NamedTuple
 
 from result import Err
-from result import Ok
-from result import Result
 
 from magnoliapitch.advice.channels import AdvisorChannel
 from magnoliapitch.advice.channels import AdvisorChannelPool
+from magnoliapitch.control.committer import Committer
 from magnoliapitch.control.controller import Controller
 from magnoliapitch.control.delegation.router import WorkerRouter
 from magnoliapitch.control.delegation.service import AgentClient
@@ -33,7 +32,6 @@
 from magnoliapitch.ledger.members import Members
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
-from magnoliapitch.verdict import not_run
 from magnoliapitch.workload.client import Directory
 from magnoliapitch.workload.client import WorkerClient
 
@@ -62,7 +60,6 @@
 WORKER_LIST_INTERVAL_MS = 500
 ROUND_INTERVAL_MS = 6
 MAX_EVENT_WAIT_MS = 200
-COMMIT_RETRY_DELAY_MS = 80
 # Limit for one call to the store.
 MAX_JOBS_PER_DELETION = 500
 STANDBY_WAIT_MS = 1_000
@@ -132,7 +129,7 @@
         self._router: WorkerRouter | None = None
         self._order_sender = order_sender
         self._own_cores = own_cores
-        self._commit_executor = ThreadPoolExecutor(1, "commits")
+        self._committer = Committer(leadership, clock)
         self._advisor_executor = ThreadPoolExecutor(
             ADVISOR_THREAD_COUNT, "asks"
         )
@@ -238,7 +235,7 @@
             self._router.close()
             self._router = None
         if self._is_stopping:
-            self._commit_executor.shutdown()
+            self._committer.close()
             self._leadership.resign()
         self._leadership.step_down()
 
@@ -352,9 +349,16 @@
             self._router.order_stop(worker, order)
 
     def commit(self, batch: Batch) -> None:
-        """Store records under the leader's epoch."""
-        self._commit_executor.submit(
-            self._commit_now, batch, self._controller, self._events.put
+        """Store records under the leader's epoch.
+
+        A batch of a former controller must not be stored under the next
+        epoch.
+        """
+        controller = self._controller
+        self._committer.commit(
+            batch,
+            lambda: not self._is_stopping and self._controller is controller,
+            self._events.put,
         )
 
     def delete_jobs(self, job_ids: Sequence[str]) -> None:
@@ -389,26 +393,6 @@
         router = self._router
         return 0 if router is None else router.available_start_orders()
 
-    def _commit_now(
-        self,
-        batch: Batch,
-        controller: Controller | None,
-        post: Callable[[Event], None],
-    ) -> None:
-        """Commit a batch while the controller that it is from is in charge.
-
-        A batch of a former one must not be stored under the next epoch.
-        """
-        outcome: Result[int, Failure] = Err(_stopped())
-        sent_ms = self._clock.now_ms()
-        while not self._is_stopping and self._controller is controller:
-            sent_ms = self._clock.now_ms()
-            outcome = self._leadership.commit(batch)
-            if isinstance(outcome, Ok) or _is_permanent(outcome.err_value):
-                break
-            time.sleep(COMMIT_RETRY_DELAY_MS / 1000)
-        post(Committed(outcome, sent_ms))
-
     def _request_permits_now(
         self,
         channel: AdvisorChannel,
@@ -421,15 +405,3 @@
             channel, request, timeout_ms
         )
         post(PermitsAnswered(request, outcome, sent_ms))
-
-
-def _is_permanent(failure: Failure) -> bool:
-    return failure.code in (
-        FailureCode.FENCED,
-        FailureCode.SEQUENCE,
-        FailureCode.INVALID,
-    )
-
-
-def _stopped() -> Failure:
-    return not_run(FailureCode.SHUTTING_DOWN, "this instance is stopping")
--- /dev/null
+++ b/src/magnoliapitch/control/permit_requester.py
@@ -0,0 +1,71 @@
+"""Requests to the advisor for permits, and its answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from magnoliapitch.event import log_event
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from magnoliapitch.control.effects import Effects
+    from magnoliapitch.control.events import PermitsAnswered
+    from magnoliapitch.planner.plan import PlannedPermitRequest
+    from magnoliapitch.planner.scheduler_state import SchedulerState
+
+
+# Added to the expected duration of an advisor call.
+ADVISOR_BASE_TIMEOUT_MS = 2_000
+
+
+class PermitRequester:
+    """Has at most one advisor call for each step under way."""
+
+    def __init__(self, state: SchedulerState, effects: Effects) -> None:
+        self._state = state
+        self._effects = effects
+
+    def request(self, requests: Iterable[PlannedPermitRequest]) -> None:
+        """Call the advisor for the steps without a call under way."""
+        for request in requests:
+            step = self._state.step(request.step)
+            if step is None or step.has_call_in_flight:
+                continue
+            timeout_ms = ADVISOR_BASE_TIMEOUT_MS + int(
+                request.expected_call_ms
+            )
+            if self._effects.request_permits(request, timeout_ms):
+                step.in_flight_worker_ids = frozenset(request.worker_ids)
+
+    def handle_answer(self, event: PermitsAnswered) -> None:
+        """Record the permits that the advisor gave, or log its failure."""
+        key = event.request.step
+        step = self._state.step(key)
+        if step is None:
+            return
+        step.in_flight_worker_ids = frozenset()
+        if isinstance(event.outcome, Err):
+            log_event(
+                "advice-failed",
+                job=key.job_id,
+                step=key.step,
+                reason=event.outcome.err_value.detail,
+            )
+            return
+        permits = event.outcome.ok_value
+        permit_timing = step.job.queue.permit_timing
+        valid_ms = permit_timing.valid_ms if permit_timing else 0
+        log_event(
+            "advice-received",
+            job=key.job_id,
+            step=key.step,
+            asked=len(event.request.worker_ids),
+            permitted=len(permits),
+        )
+        self._state.record_permits(
+            key, event.request.worker_ids, permits, event.sent_ms + valid_ms
+        )
