--- a/src/magnoliapitch/control/delegation/assignment.py
+++ b/src/magnoliapitch/control/delegation/assignment.py
@@ -18,6 +18,9 @@
 # A leader calls this many workers itself, as far as its machine is concerned:
 # a few calls a second to each, and one thread each.
 LOCAL_WORKERS_PER_CORE = 40
+# Share of that number below which a leader stops delegating, so that a fleet
+# of about this size does not change hands all the time.
+STOP_DELEGATING_RATIO = 0.8
 # An agent has nothing else to do for the fleet than to call its workers.
 DELEGATED_WORKERS_PER_CORE = 60
 DELEGATED_WORKERS_PER_MBPS = 8
@@ -44,7 +47,11 @@
     :param own_cores: processor cores of the leader.
     """
     listed = sorted(workers, key=_by_place)
-    if len(listed) <= LOCAL_WORKERS_PER_CORE * own_cores:
+    is_delegating = any(address_by_worker.values())
+    max_local_count = LOCAL_WORKERS_PER_CORE * own_cores
+    if is_delegating:
+        max_local_count *= STOP_DELEGATING_RATIO
+    if len(listed) <= max_local_count:
         return {worker.worker_id: LOCAL for worker in listed}
     zones = {agent.zone for agent in agents_by_address.values()}
     assigned: dict[str, str] = {}
--- a/tests/control/delegation/test_assignment.py
+++ b/tests/control/delegation/test_assignment.py
@@ -47,6 +47,17 @@
     assert LOCAL not in assigned.values()
 
 
+def test_a_fleet_near_the_limit_does_not_change_hands() -> None:
+    over = assign_workers(fleet(45), agents(2), {}, 1.0)
+    assert LOCAL not in over.values()
+    under = assign_workers(fleet(35), agents(2), over, 1.0)
+    assert LOCAL not in under.values()
+    small = assign_workers(fleet(30), agents(2), under, 1.0)
+    assert set(small.values()) == {LOCAL}
+    again = assign_workers(fleet(40), agents(2), small, 1.0)
+    assert set(again.values()) == {LOCAL}
+
+
 def test_each_zone_has_one_agent_as_long_as_that_can_carry_it() -> None:
     assigned = assign_workers(fleet(270), agents(19), {}, 2.15)
     assert len(set(assigned.values())) == len(ZONES)
