--- a/src/magnoliapitch/standin/cluster.py
+++ b/src/magnoliapitch/standin/cluster.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import socket
-
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -21,6 +19,7 @@
 from magnoliapitch.standin.backend import StandinBackends
 from magnoliapitch.standin.instance import StandinInstanceList
 from magnoliapitch.standin.log import StandinLog
+from magnoliapitch.standin.ports import free_ports
 from magnoliapitch.standin.worker import StandinWorkers
 
 
@@ -115,21 +114,6 @@
         return node
 
 
-def free_ports(count: int) -> tuple[int, ...]:
-    """Return different loopback ports that nothing is bound to now.
-
-    Another process may bind them before the caller does.
-    """
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return tuple(int(item.getsockname()[1]) for item in sockets)
-    finally:
-        for item in sockets:
-            item.close()
-
-
 def _make_instances(shape: ClusterShape) -> tuple[InstanceInfo, ...]:
     infos: list[InstanceInfo] = []
     for zone in shape.zones:
--- a/tests/process/conftest.py
+++ b/tests/process/conftest.py
@@ -14,8 +14,8 @@
 import urllib3
 
 from magnoliapitch.standin.cluster import StandinCluster
-from magnoliapitch.standin.cluster import free_ports
 from magnoliapitch.standin.demo import QUETZALTENANGO_SHAPE
+from magnoliapitch.standin.ports import free_ports
 from magnoliapitch.standin.server import StandinServer
 
 
--- a/tests/process/test_job_node.py
+++ b/tests/process/test_job_node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 import time
 
 from typing import TYPE_CHECKING
@@ -14,6 +13,7 @@
 from magnoliapitch.settings.cluster import ClusterSettings
 from magnoliapitch.settings.cluster import EndpointSettings
 from magnoliapitch.settings.cluster import ListenSettings
+from magnoliapitch.standin.ports import free_ports
 from tests.platform.platform_standin import LOOPBACK
 from tests.platform.platform_standin import StandinAdvisor
 from tests.platform.platform_standin import StandinRunner
@@ -57,7 +57,7 @@
             )
         body = {"version": 1, "routes": [QUEUE], "services": [{"name": "app"}]}
         self.store.put("keyed.op", "config", body)
-        self.addresses = [f"{LOOPBACK}:{_free_port()}" for _ in range(2)]
+        self.addresses = [f"{LOOPBACK}:{free_ports(1)[0]}" for _ in range(2)]
         self.nodes = [
             self._make_node(number) for number in range(len(self.addresses))
         ]
@@ -104,20 +104,14 @@
             EndpointSettings(self.store.address, self.advisor.address),
             ListenSettings(
                 self.addresses[number],
-                f"{LOOPBACK}:{_free_port()}",
-                _free_port(),
-                _free_port(),
+                f"{LOOPBACK}:{free_ports(1)[0]}",
+                free_ports(1)[0],
+                free_ports(1)[0],
             ),
         )
         return JobNode(settings, lambda: None)
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return int(probe.getsockname()[1])
-
-
 def _server_record(runner: StandinRunner) -> dict[str, object]:
     return {
         "service": "app",
