--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -363,8 +363,8 @@
         )
         if batch is None:
             return
-        self._end_sequences_in_commit_by_worker = dict(
-            self._report_applier.last_end_sequence_by_worker
+        self._end_sequences_in_commit_by_worker = (
+            self._report_applier.take_end_sequences()
         )
         self._starts_in_commit, self._uncommitted_starts = (
             self._uncommitted_starts,
--- a/src/magnoliapitch/control/delegation/link.py
+++ b/src/magnoliapitch/control/delegation/link.py
@@ -103,7 +103,11 @@
     def _poll(self) -> None:
         while not self._stop_event.is_set():
             pause_ms = self._interval_ms()
-            if self.session.is_open:
+            idle_ms = self._clock.now_ms() - self._answered_ms
+            if idle_ms < pause_ms:
+                # A batch of commands has just returned the events.
+                pause_ms -= idle_ms
+            elif self.session.is_open:
                 batch = self.session.request_for_events(EVENT_WAIT_MS)
                 if not self._exchange(batch):
                     pause_ms = RETRY_DELAY_MS
--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -52,6 +52,7 @@
         self._planner = planner
         self._metrics = metrics
         self.last_end_sequence_by_worker: dict[str, int] = {}
+        self._workers_with_ends: set[str] = set()
         self._stopped_ms_by_worker: dict[str, dict[StopOrder, int]] = {}
 
     def forget(self, worker_id: str) -> None:
@@ -59,6 +60,19 @@
         self.last_end_sequence_by_worker.pop(worker_id, None)
         self._stopped_ms_by_worker.pop(worker_id, None)
 
+    def take_end_sequences(self) -> dict[str, int]:
+        """Return what to acknowledge once the state is stored.
+
+        :return: sequence number of the last applied end, by the id of each
+            worker that has reported ended runs since the last call.
+        """
+        worker_ids, self._workers_with_ends = self._workers_with_ends, set()
+        return {
+            worker_id: self.last_end_sequence_by_worker[worker_id]
+            for worker_id in worker_ids
+            if worker_id in self.last_end_sequence_by_worker
+        }
+
     def apply(
         self,
         worker_id: str,
@@ -72,6 +86,8 @@
             later may be missing from the report.
         """
         last_end_sequence = self.last_end_sequence_by_worker.get(worker_id, 0)
+        if report.ended:
+            self._workers_with_ends.add(worker_id)
         for end in report.ended:
             if end.sequence > last_end_sequence:
                 self._apply_end(worker_id, end, received_ms)
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -19,6 +19,10 @@
     from magnoliapitch.workload.worker import WorkerInfo
 
 
+# Interval at which it is checked which workers are usable.
+CHECK_INTERVAL_MS = 100
+
+
 class WorkerRoster:
     """Adds listed workers to the scheduler's state and removes lost ones.
 
@@ -40,6 +44,7 @@
         self._effects = effects
         self._reachability = reachability
         self._report_applier = report_applier
+        self._checked_ms: int | None = None
 
     def update(self, info_by_id: Mapping[str, WorkerInfo]) -> None:
         """Replace the list; start renewing the leases of new workers."""
@@ -58,7 +63,17 @@
                 log_event("worker-draining", worker=worker_id)
 
     def check(self, now_ms: int) -> None:
-        """Update which workers are usable; end runs of expired leases."""
+        """Update which workers are usable; end runs of expired leases.
+
+        It does nothing if that was done a moment ago, since there are many
+        more planning rounds than changes.
+        """
+        if (
+            self._checked_ms is not None
+            and now_ms - self._checked_ms < CHECK_INTERVAL_MS
+        ):
+            return
+        self._checked_ms = now_ms
         for worker in list(self._state.workers_by_id.values()):
             worker_id = worker.worker_id
             is_reachable = self._reachability.is_reachable(worker_id, now_ms)
