Read states again when a waiting read was answered early

Cause: the time of the last read was set to the end that a waiting read could have had, up to 800 ms ahead, so requests for a state did not read again and showed the end of a job late.

Change: a read counts from when it was sent. Test: a read that may wait does not make the table fresh for longer; fails on the old line.

--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -207,7 +207,7 @@
             self._health.note_failure(changed.err_value)
             return changed
         self._health.note_success(sent_ms)
-        self._read_ms = sent_ms + wait_ms
+        self._read_ms = max(self._read_ms or 0, sent_ms)
         self.has_loaded = True
         if self._mirror.end != end_offset:
             self._handle_changes(changed.ok_value)
--- a/tests/ledger/memory_streams.py
+++ b/tests/ledger/memory_streams.py
@@ -43,12 +43,14 @@
     :ivar responses_to_lose: number of appends that are carried out but fail
         with a timeout.
     :ivar appends: number of calls to append.
+    :ivar reads: number of calls to read.
     """
 
     def __init__(self) -> None:
         self.outage: Failure | None = None
         self.responses_to_lose = 0
         self.appends = 0
+        self.reads = 0
         self._by_name: dict[str, _Stream] = {}
 
     def append(
@@ -98,6 +100,7 @@
         timeout_ms: int = 1_000,
     ) -> Result[StreamSlice, Failure]:
         del wait_ms, timeout_ms
+        self.reads += 1
         if self.outage:
             return Err(self.outage)
         content = self._stream(stream)
--- a/tests/ledger/test_leadership.py
+++ b/tests/ledger/test_leadership.py
@@ -198,6 +198,19 @@
     assert follower.refresh(50).is_err()
 
 
+def test_a_read_that_may_wait_does_not_make_the_table_fresh_for_longer(
+    make_leadership: MakeLeadership, streams: MemoryStreams, clock: ManualClock
+) -> None:
+    """It returns as soon as there are records, long before it would end."""
+    follower = make_leadership("a")
+    assert follower.follow(wait_ms=800).is_ok()
+    streams.append(STATE_STREAM, [KeyedRecord("s.0a", b"cq")])
+    clock.advance(50)
+    reads = streams.reads
+    assert follower.refresh(50).is_ok()
+    assert streams.reads == reads + 1
+
+
 def test_a_claim_wakes_the_thread_that_waits_for_it(
     make_leadership: MakeLeadership, clock: ManualClock
 ) -> None:
