Move services off a worker before it leaves

A worker announced at 28.5 s that it drains and left at 32.3 s; its service task started again only at 43.3 s, when the lease had certainly expired, since a worker that is silent and unlisted may be cut off and run on. The users allow 9 s.

Other runs go on, they may end in time. Test in virtual time: 1 start before, moved within 2 s now.

--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -61,6 +61,7 @@
             was_draining = old_info is not None and old_info.is_draining
             if info.is_draining and not was_draining:
                 log_event("worker-draining", worker=worker_id)
+                self._state.evacuate_services(worker_id)
 
     def check(self, now_ms: int) -> None:
         """Update which workers are usable; end runs of expired leases.
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -85,7 +85,9 @@
         :param max_starts: number of start orders that can be sent now.
         """
         state.open_due_steps(now_ms, wall_ms)
-        stops = tuple(map(_planned_stop, state.runs_to_stop.values()))
+        stops = tuple(
+            _planned_stop(state, run) for run in state.runs_to_stop.values()
+        )
         if not state.waiting_steps:
             return Plan(stops=stops)
         planning_round = PlanningRound(state, now_ms, max_calls, max_starts)
@@ -104,8 +106,13 @@
         )
 
 
-def _planned_stop(run: TrackedRun) -> PlannedStop:
+def _planned_stop(state: SchedulerState, run: TrackedRun) -> PlannedStop:
+    info = state.get_or_add_worker(run.worker_id).info
     outcome = run.task.step.job.outcome
-    is_open = outcome is JobOutcome.OPEN
-    reason = "superseded" if is_open else f"job-{outcome}"
+    if outcome is not JobOutcome.OPEN:
+        reason = f"job-{outcome}"
+    elif info is not None and info.is_draining:
+        reason = "worker-draining"
+    else:
+        reason = "superseded"
     return PlannedStop(run.task.key, run.number, run.worker_id, reason)
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -178,6 +178,16 @@
         for run in step.all_active_runs():
             self.mark_for_stop(run)
 
+    def evacuate_services(self, worker_id: str) -> None:
+        """Mark the runs of services on a worker that leaves for stopping.
+
+        Their tasks start again elsewhere. They would otherwise be down from
+        when the worker leaves until its lease has certainly expired.
+        """
+        for run in self.get_or_add_worker(worker_id).runs:
+            if run.task.step.spec.is_long_running:
+                self.mark_for_stop(run)
+
     def add_run(
         self, task: TrackedTask, number: int, worker_id: str, now_ms: int
     ) -> TrackedRun:
--- a/tests/control/test_controller.py
+++ b/tests/control/test_controller.py
@@ -279,3 +279,31 @@
 def _first_start_late_ms(order: StartOrder | StopOrder) -> int:
     is_first = isinstance(order, StartOrder) and order.run == 1
     return 60_000 if is_first and order.task.position == 0 else 0
+
+
+def test_a_service_moves_off_a_worker_that_leaves() -> None:
+    """The worker leaves 4 s after it has announced that."""
+    simulation = make_simulation(2)
+    simulation.actual_duration_ms = lambda _: 3_600_000.0
+    service = StepSpec(2, SIZE, is_long_running=True)
+    simulation.submit(job("service", service))
+    batch = StepSpec(1, SIZE)
+    simulation.submit(job("batch", batch))
+    simulation.run(1_000)
+    task = TaskKey("service", 0, 0, 0)
+    (leaving,) = (
+        worker
+        for worker in simulation.workers.values()
+        if task in worker.running
+    )
+    leaving.info = leaving.info._replace(is_draining=True)
+    simulation.run(2_000)
+    assert simulation.starts[task] == 2
+    assert task not in leaving.running
+    assert simulation.starts[TaskKey("batch", 0, 0, 0)] == 1
+    simulation.run(2_000)
+    leaving.is_gone = True
+    simulation.unreachable_worker_ids = {leaving.info.worker_id}
+    simulation.run(20_000)
+    assert simulation.starts[task] == 2
+    assert simulation.violations == []
