Forget stored jobs once the leader has published all of them

Cause (found by reading): the jobs read from the end of the stream were kept until the leader had read further than they reach. Change: they go when the leader's offset reaches the end, and a job is looked up in them only after they were read. Test in test_job_api, fails before.

--- a/src/magnoliapitch/ledger/job_api.py
+++ b/src/magnoliapitch/ledger/job_api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -18,18 +19,16 @@
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.ledger.state_table import PublishedJob
 from magnoliapitch.ledger.stream import KeyedRecord
+from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import not_run
 
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.ledger.submitter import Submitter
     from magnoliapitch.ledger.unpublished_jobs import UnpublishedJobs
     from magnoliapitch.metric import Metrics
-    from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.configuration import Configuration
     from magnoliapitch.workload.configuration import Queue
     from magnoliapitch.workload.job import JobSpec
@@ -48,6 +47,13 @@
 MAX_REMEMBERED_JOBS = 20_000
 
 
+# Reads a source up to its end; looks a job up in it.
+_Source = tuple[
+    Callable[[int], Result[None, Failure]],
+    Callable[[str], PublishedJob | None],
+]
+
+
 class JobApi:
     """Submits and cancels jobs and returns their state.
 
@@ -200,18 +206,19 @@
         :return: None if there is no such job; a failure if the store cannot
             be read, since the job may then be stored.
         """
+        sources: tuple[_Source, ...] = (
+            (self._refresh, self._lookup),
+            (self._unpublished_jobs.refresh, self._unpublished_jobs.get),
+            (self._refresh, self._lookup),
+        )
         job = self._lookup(job_id)
-        for read in (
-            self._refresh,
-            self._unpublished_jobs.refresh,
-            self._refresh,
-        ):
+        for read, look_up in sources:
             if job is not None:
-                return Ok(job)
+                break
             outcome = read(0)
             if isinstance(outcome, Err):
                 return Err(_not_readable(outcome.err_value))
-            job = self._lookup(job_id) or self._unpublished_jobs.get(job_id)
+            job = look_up(job_id)
         return Ok(job)
 
 
--- a/src/magnoliapitch/ledger/unpublished_jobs.py
+++ b/src/magnoliapitch/ledger/unpublished_jobs.py
@@ -85,11 +85,11 @@
         )
 
     def _mirror_from_published_offset(self) -> StreamMirror:
-        """Return the mirror, a new one if the leader has read further."""
+        """Return the mirror, an empty one if all it has is published."""
         leader = self._state_table.leader
         offset = leader.job_offset if leader is not None else -1
         with self._lock:
-            if offset > self._mirror.end:
+            if offset >= 0 and self._mirror.end <= offset:
                 self._mirror = StreamMirror(self._streams, JOB_STREAM)
                 self._mirror.skip_to(offset)
                 self._queue_by_job_id.clear()
--- a/tests/ledger/test_job_api.py
+++ b/tests/ledger/test_job_api.py
@@ -224,6 +224,18 @@
     assert job_api.pending(QUEUE) == 1
 
 
+def test_a_job_whose_state_was_removed_is_missing_again() -> None:
+    """States of ended jobs are kept for a limited time."""
+    store = FakeStore()
+    store.job_api().submit(JOB, TIMEOUT_MS)
+    other = store.job_api()
+    assert other.state("0a", TIMEOUT_MS).unwrap() is JobState.PENDING
+    store.states.leader = LeaderRecord(1, "leader", job_offset=1)
+    assert other.state("0a", TIMEOUT_MS).unwrap() is None
+    store.clock.advance(5_000)
+    assert other.pending(QUEUE) == 0
+
+
 def test_pending_jobs_are_read_at_most_once_a_second() -> None:
     store = FakeStore()
     job_api = store.job_api()
