Reuse the reserve for answers; simplify the outcome of delegated orders

ANSWER_RESERVE_MS stood twice with the same value and meaning (job_api, relay/jobs): the relay imports it. The agent asked twice whether an order had failed: Result.err() and unwrap_or() say the same. No change of behaviour; linter, types and the tests of delegation, relay, ledger and platform pass.

--- a/src/magnoliapitch/control/delegation/agent.py
+++ b/src/magnoliapitch/control/delegation/agent.py
@@ -291,17 +291,14 @@
         sent_ms: int,
     ) -> None:
         order = event.planned if isinstance(event, StartAnswered) else event
-        is_failed = isinstance(event.outcome, Err)
         self.events.append(
             AgentEvent(
                 kind,
                 worker_id,
                 sent_ms,
                 event.received_ms,
-                event.outcome.err_value
-                if isinstance(event.outcome, Err)
-                else None,
-                0 if is_failed else event.outcome.unwrap(),
+                event.outcome.err(),
+                event.outcome.unwrap_or(0),
                 order.task,
                 order.run,
             )
--- a/src/magnoliapitch/relay/jobs.py
+++ b/src/magnoliapitch/relay/jobs.py
@@ -9,6 +9,7 @@
 from result import Result
 
 from magnoliapitch.event import log_event
+from magnoliapitch.ledger.job_api import ANSWER_RESERVE_MS
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
 
@@ -28,8 +29,6 @@
 
 ValueT = TypeVar("ValueT")
 
-# Part of the caller's timeout that is reserved for sending the answer.
-ANSWER_RESERVE_MS = 150
 MIN_RELAY_TIMEOUT_MS = 100
 _STORE_FAILURES = (FailureCode.UNAVAILABLE, FailureCode.TIMEOUT)
 
