Log what planning rounds did and what waits, once a second

The hypotheses (rounds that end early, too few orders, no capacity) could not be told apart: no line said that a round had left steps out, how many orders could be sent, or what was free.

Change: planning-summary, one line a second on the leader, bounded by the number of queues; a plan tells how many waiting steps it did not come to. No change of logic.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -8,6 +8,7 @@
 
 from magnoliapitch.control.order_issuer import OrderIssuer
 from magnoliapitch.control.permit_requester import PermitRequester
+from magnoliapitch.control.planning_summary import PlanningSummary
 from magnoliapitch.control.progress_batcher import ProgressBatcher
 from magnoliapitch.control.reachability import WorkerReachability
 from magnoliapitch.control.reports import ReportApplier
@@ -97,6 +98,7 @@
             metrics,
         )
         self._permit_requester = PermitRequester(self.state, effects)
+        self._planning_summary = PlanningSummary(self.state, claimed_ms)
         self._uncommitted_starts: list[PlannedStart] = []
         self._starts_in_commit: list[PlannedStart] = []
         self._end_sequences_in_commit_by_worker: dict[str, int] = {}
@@ -281,13 +283,12 @@
         if self.is_over:
             return
         self._roster.check(now_ms)
+        max_calls = self._effects.available_advisor_calls()
+        max_starts = self._available_starts()
         plan = self.planner.plan(
-            self.state,
-            now_ms,
-            wall_ms,
-            self._effects.available_advisor_calls(),
-            self._available_starts(),
+            self.state, now_ms, wall_ms, max_calls, max_starts
         )
+        self._planning_summary.record(plan, max_calls, max_starts, now_ms)
         if self.may_issue_orders(now_ms):
             self._order_issuer.record_planned(plan.starts, now_ms)
             self._uncommitted_starts.extend(plan.starts)
--- /dev/null
+++ b/src/magnoliapitch/control/planning_summary.py
@@ -0,0 +1,100 @@
+"""Summary of the planning rounds, for the log."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from magnoliapitch.event import log_event
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.planner.plan import Plan
+    from magnoliapitch.planner.scheduler_state import SchedulerState
+
+
+SUMMARY_INTERVAL_MS = 1_000
+
+
+class PlanningSummary:
+    """Counts what the planning rounds did and logs it about once a second.
+
+    Together the fields tell why tasks wait: for capacity, for permits, for
+    orders that may be sent, or because no round came to them.
+    """
+
+    def __init__(self, state: SchedulerState, started_ms: int) -> None:
+        self._state = state
+        self._logged_ms = started_ms
+        self._reset()
+
+    def _reset(self) -> None:
+        self._round_count = 0
+        self._cut_short_count = 0
+        self._max_unexamined_steps = 0
+        self._start_count = 0
+        self._permit_request_count = 0
+        self._no_order_count = 0
+        self._no_call_count = 0
+
+    def record(
+        self, plan: Plan, max_calls: int, max_starts: int, now_ms: int
+    ) -> None:
+        """Count a round, and log the rounds since the last line.
+
+        :param max_calls: number of advisor calls that the round could plan.
+        :param max_starts: number of starts that the round could plan.
+        """
+        self._round_count += 1
+        self._cut_short_count += plan.unexamined_steps > 0
+        self._max_unexamined_steps = max(
+            self._max_unexamined_steps, plan.unexamined_steps
+        )
+        self._start_count += len(plan.starts)
+        self._permit_request_count += len(plan.permit_requests)
+        self._no_order_count += max_starts <= len(plan.starts)
+        self._no_call_count += max_calls <= len(plan.permit_requests)
+        if now_ms - self._logged_ms >= SUMMARY_INTERVAL_MS:
+            self._log(max_calls, max_starts, now_ms)
+
+    def _log(self, max_calls: int, max_starts: int, now_ms: int) -> None:
+        usable = [
+            worker
+            for worker in self._state.workers_by_id.values()
+            if worker.takes_new_runs
+        ]
+        log_event(
+            "planning-summary",
+            elapsed_ms=now_ms - self._logged_ms,
+            rounds=self._round_count,
+            cut_short=self._cut_short_count,
+            unexamined_steps=self._max_unexamined_steps,
+            starts=self._start_count,
+            permit_requests=self._permit_request_count,
+            rounds_without_orders=self._no_order_count,
+            rounds_without_calls=self._no_call_count,
+            orders_available=max_starts,
+            calls_available=max_calls,
+            waiting=self._describe_waiting(),
+            workers=len(self._state.workers_by_id),
+            usable_workers=len(usable),
+            free_cpu_millis=sum(worker.free.cpu_millis for worker in usable),
+            runs_to_stop=len(self._state.runs_to_stop),
+        )
+        self._logged_ms = now_ms
+        self._reset()
+
+    def _describe_waiting(self) -> str:
+        """Return steps, waiting tasks and open permit calls by queue."""
+        steps: Counter[str] = Counter()
+        tasks: Counter[str] = Counter()
+        calls: Counter[str] = Counter()
+        for step in self._state.waiting_steps.values():
+            queue = step.job.queue.name
+            steps[queue] += 1
+            tasks[queue] += step.waiting_count
+            calls[queue] += step.has_call_in_flight
+        return ",".join(
+            f"{queue}:{steps[queue]}:{tasks[queue]}:{calls[queue]}"
+            for queue in sorted(steps)
+        )
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -30,6 +30,12 @@
     "since the step became ready, and in `placements` each worker with its "
     "new tasks and the thousandths of a core that are left there.",
 )
+define_event(
+    "planning-summary",
+    EventLevel.INFO,
+    "What the leader's planning rounds of about one second did, and what "
+    "waits; see docs/OPERATIONS.md.",
+)
 define_event(
     "step-done",
     EventLevel.INFO,
--- a/src/magnoliapitch/planner/plan.py
+++ b/src/magnoliapitch/planner/plan.py
@@ -48,8 +48,13 @@
 
 
 class Plan(NamedTuple):
-    """Actions of one planning round."""
+    """Actions of one planning round.
+
+    :param unexamined_steps: number of waiting steps that the round ended
+        before.
+    """
 
     starts: tuple[PlannedStart, ...] = ()
     stops: tuple[PlannedStop, ...] = ()
     permit_requests: tuple[PlannedPermitRequest, ...] = ()
+    unexamined_steps: int = 0
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -95,14 +95,17 @@
             (rank_of(step, self.duration_estimator, now_ms), step.key)
             for step in state.waiting_steps.values()
         )
+        examined_count = 0
         for _, key in ranked[:MAX_STEPS_PER_ROUND]:
             if planning_round.is_full:
                 break
             planning_round.place(state.waiting_steps[key])
+            examined_count += 1
         return Plan(
             tuple(planning_round.starts),
             stops,
             tuple(planning_round.permit_requests),
+            len(ranked) - examined_count,
         )
 
 
--- /dev/null
+++ b/tests/control/test_planning_summary.py
@@ -0,0 +1,66 @@
+from __future__ import annotations
+
+import pytest
+
+from magnoliapitch.control import planning_summary
+from magnoliapitch.control.planning_summary import PlanningSummary
+from magnoliapitch.planner.plan import Plan
+from magnoliapitch.planner.plan import PlannedStart
+from magnoliapitch.workload.job import StepSpec
+from magnoliapitch.workload.job import TaskKey
+from tests.planner.test_planner import PERMIT_TIMING
+from tests.planner.test_planner import SIZE
+from tests.planner.test_planner import STEP
+from tests.planner.test_planner import add_job
+from tests.planner.test_planner import make_state
+
+
+@pytest.fixture
+def lines(monkeypatch: pytest.MonkeyPatch) -> list[dict[str, object]]:
+    logged: list[dict[str, object]] = []
+
+    def record(name: str, **fields: object) -> None:
+        logged.append({"event": name, **fields})
+
+    monkeypatch.setattr(planning_summary, "log_event", record)
+    return logged
+
+
+def test_summary_is_logged_once_a_second_and_counts_from_there(
+    lines: list[dict[str, object]],
+) -> None:
+    summary = PlanningSummary(make_state(), 0)
+    plan = Plan((PlannedStart(TaskKey("a", 0, 0, 0), 1, "w0"),))
+    for now_ms in range(100, 2_100, 100):
+        summary.record(plan, 5, 7, now_ms)
+    assert [line["event"] for line in lines] == ["planning-summary"] * 2
+    assert [line["rounds"] for line in lines] == [10, 10]
+    assert [line["starts"] for line in lines] == [10, 10]
+
+
+def test_summary_tells_rounds_that_were_cut_short(
+    lines: list[dict[str, object]],
+) -> None:
+    summary = PlanningSummary(make_state(), 0)
+    summary.record(Plan(unexamined_steps=3), 5, 7, 10)
+    summary.record(Plan(unexamined_steps=9), 0, 0, 20)
+    summary.record(Plan(), 5, 7, 1_000)
+    (line,) = lines
+    assert (line["cut_short"], line["unexamined_steps"]) == (2, 9)
+    assert line["rounds_without_orders"] == 1
+    assert line["rounds_without_calls"] == 1
+
+
+def test_summary_counts_what_waits_by_queue_and_what_is_free(
+    lines: list[dict[str, object]],
+) -> None:
+    state = make_state(2)
+    add_job(state, StepSpec(3, SIZE), permit_timing=PERMIT_TIMING)
+    step = state.step(STEP)
+    assert step is not None
+    step.in_flight_worker_ids = frozenset({"w0"})
+    PlanningSummary(state, 0).record(Plan(), 1, 1, 1_000)
+    (line,) = lines
+    assert line["waiting"] == "q:1:3:1"
+    assert (line["workers"], line["usable_workers"]) == (2, 2)
+    assert line["free_cpu_millis"] == 16_000
