--- a/tests/planner/test_load_patterns.py
+++ b/tests/planner/test_load_patterns.py
@@ -8,7 +8,9 @@
 import random
 
 from collections import defaultdict
+from functools import partial
 
+from magnoliapitch.control.order_window import OrderWindow
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.configuration import PermitTiming
@@ -32,6 +34,11 @@
 # Time before the start that the objective of a gang, 2.2 times its duration,
 # leaves.
 MAX_GANG_START_MS = 7_400
+# Time before the start that the objective of a batch leaves: 3 s and four
+# times its duration, less its duration.
+MAX_BATCH_START_MS = 9_600
+# Processor time of an order on a leader of about one core.
+ORDER_DURATION_MS = 2.0
 # The users require that a lost task of a service runs again within 6 s.
 MAX_SERVICE_RESTART_MS = 6_000
 SLOW_PERMIT_TIMING = PermitTiming(
@@ -233,3 +240,67 @@
         simulation.submit(JobSpec(f"a{number}", "q", "text", (small,)))
     simulation.run(6_000)
     assert simulation.starts[TaskKey("service", 0, 0, 0)] == 1
+
+
+# Guards against a queue that gets nothing while a more urgent one waits.
+def test_batches_start_while_gangs_wait_for_slow_permits() -> None:
+    """New gangs arrive all the time, so some always wait for permits.
+
+    There is capacity for everything, and orders can be sent.
+    """
+    plans = queue("plans", 1, PermitTiming(572, 8, 2_000))
+    batches = queue("batches", 2, PermitTiming(104, 1.4, 2_000))
+    simulation = Simulation(
+        [plans, batches], workers(176), advisor_call_limit=30
+    )
+    simulation.order_queue.window = OrderWindow()
+    simulation.order_queue.order_duration_ms = ORDER_DURATION_MS
+    simulation.permitted_share_by_queue = {"plans": 0.35, "batches": 0.45}
+    simulation.actual_duration_ms = lambda key: (
+        5_000.0 if key.job_id.startswith("plan") else 2_200.0
+    )
+    gang = StepSpec(24, Resources(3_000, 8_000), 5_000, is_gang=True)
+    batch = StepSpec(25, Resources(1_700, 2_500), 2_200)
+    for number in range(110):
+        simulation.schedule(
+            100 * number,
+            partial(
+                simulation.submit,
+                JobSpec(f"plan{number}", "plans", "text", (gang,)),
+            ),
+        )
+    simulation.run(1_000)
+    for number in range(10):
+        simulation.submit(
+            JobSpec(f"batch{number}", "batches", "text", (batch,))
+        )
+    simulation.run(MAX_BATCH_START_MS)
+    not_started = [
+        number
+        for number in range(10)
+        if not simulation.starts[TaskKey(f"batch{number}", 0, 0, 24)]
+    ]
+    assert not_started == []
+    assert simulation.violations == []
+
+
+# Guards against a queue that gets nothing behind a backlog of another one.
+def test_a_batch_starts_behind_a_long_backlog_that_does_not_fit() -> None:
+    """Large tasks wait for capacity that a service holds; small ones fit."""
+    simulation = Simulation(
+        [queue("services"), queue("large", 1), queue("batches", 2)],
+        workers(4),
+    )
+    simulation.actual_duration_ms = lambda key: (
+        3_600_000.0 if key.job_id == "service" else 2_200.0
+    )
+    service = StepSpec(4, Resources(16_000, 8_000), is_long_running=True)
+    simulation.submit(JobSpec("service", "services", "text", (service,)))
+    simulation.run(1_000)
+    large = StepSpec(1, Resources(20_000, 8_000), 2_200)
+    for number in range(300):
+        simulation.submit(JobSpec(f"large{number}", "large", "text", (large,)))
+    batch = StepSpec(10, Resources(1_700, 2_500), 2_200)
+    simulation.submit(JobSpec("batch", "batches", "text", (batch,)))
+    simulation.run(MAX_BATCH_START_MS)
+    assert simulation.starts[TaskKey("batch", 0, 0, 9)] == 1
