Let no queue keep planning rounds from those behind it

Cause: a round ended (PlanningRound.is_full) once tasks that wait for permits, added to the starts, reached four times the orders that could be sent at that moment. Gangs wait for permits for about a second each, so a few of them ended every round; steps behind them got neither orders nor permits.

Change: each resource is used up only by the steps that use it. Starts are limited by the orders that can be sent; a round ends early only if neither an order nor a call is left. Tasks that wait for permits are limited for each queue by itself, by what can start until the answer arrives (orders in flight and the duration of the call), not by the orders free in one moment.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -286,7 +286,12 @@
         max_calls = self._effects.available_advisor_calls()
         max_starts = self._available_starts()
         plan = self.planner.plan(
-            self.state, now_ms, wall_ms, max_calls, max_starts
+            self.state,
+            now_ms,
+            wall_ms,
+            max_calls,
+            max_starts,
+            self._effects.max_start_orders(),
         )
         self._planning_summary.record(plan, max_calls, max_starts, now_ms)
         if self.may_issue_orders(now_ms):
--- a/src/magnoliapitch/control/delegation/router.py
+++ b/src/magnoliapitch/control/delegation/router.py
@@ -139,11 +139,21 @@
 
     def available_start_orders(self) -> int:
         """Return the number of start orders that may be sent now."""
-        with self._lock:
-            links = list(self._link_by_address.values())
-        if not links:
+        sessions = self._sessions()
+        if not sessions:
             return self._local_group.available_start_orders()
-        return sum(link.session.available_start_orders() for link in links)
+        return sum(session.available_start_orders() for session in sessions)
+
+    def max_start_orders(self) -> int:
+        """Return how many start orders may be unanswered at a time."""
+        sessions = self._sessions()
+        if not sessions:
+            return self._local_group.max_start_orders()
+        return sum(session.start_limit for session in sessions)
+
+    def _sessions(self) -> list[AgentSession]:
+        with self._lock:
+            return [link.session for link in self._link_by_address.values()]
 
     def close(self) -> None:
         """Stop all calls."""
--- a/src/magnoliapitch/control/delegation/session.py
+++ b/src/magnoliapitch/control/delegation/session.py
@@ -62,6 +62,7 @@
     than it was.
 
     :param post: called with each event.
+    :ivar start_limit: start orders that the agent may have in flight.
     """
 
     def __init__(
@@ -74,7 +75,7 @@
         self._has_commands = threading.Event()
         self._last_number = 0
         self._received_event = 0
-        self._start_limit = FIRST_START_LIMIT
+        self.start_limit = FIRST_START_LIMIT
         self._unconfirmed: CommandBatch | None = None
         self._worker_ids: set[str] = set()
         self._running_by_worker: dict[str, tuple[ActiveRun, ...]] = {}
@@ -176,7 +177,7 @@
     def available_start_orders(self) -> int:
         """Return the number of start orders that may be sent now."""
         with self._lock:
-            return max(0, self._start_limit - len(self._planned_by_run))
+            return max(0, self.start_limit - len(self._planned_by_run))
 
     def wait_for_commands(self, timeout_ms: int) -> bool:
         """Wait until there are commands; return whether there are."""
@@ -216,7 +217,7 @@
             unconfirmed = self._unconfirmed
             if unconfirmed and batch.number == unconfirmed.number:
                 self._unconfirmed = None
-            self._start_limit = reply.start_limit
+            self.start_limit = reply.start_limit
             earliest_offset_ms = sent_ms - reply.clock_ms
             latest_offset_ms = received_ms - reply.clock_ms
             for number, event in enumerate(reply.events, reply.first_event):
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -393,6 +393,11 @@
         router = self._router
         return 0 if router is None else router.available_start_orders()
 
+    def max_start_orders(self) -> int:
+        """Return how many start orders may be unanswered at a time."""
+        router = self._router
+        return 0 if router is None else router.max_start_orders()
+
     def _request_permits_now(
         self,
         channel: AdvisorChannel,
--- a/src/magnoliapitch/control/effects.py
+++ b/src/magnoliapitch/control/effects.py
@@ -62,3 +62,6 @@
 
     def available_start_orders(self) -> int:
         """Return the number of start orders that may be sent now."""
+
+    def max_start_orders(self) -> int:
+        """Return how many start orders may be unanswered at a time."""
--- a/src/magnoliapitch/control/worker_group.py
+++ b/src/magnoliapitch/control/worker_group.py
@@ -100,3 +100,7 @@
     def available_start_orders(self) -> int:
         """Return the number of start orders that may be sent now."""
         return self._order_sender.window.available()
+
+    def max_start_orders(self) -> int:
+        """Return how many start orders may be unanswered at a time."""
+        return self._order_sender.window.limit()
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner.duration import DurationEstimator
+from magnoliapitch.planner.permit_budget import PermitBudget
 from magnoliapitch.planner.plan import Plan
 from magnoliapitch.planner.plan import PlannedStop
 from magnoliapitch.planner.planning_round import PlanningRound
@@ -75,6 +76,7 @@
         wall_ms: int,
         max_calls: int = MAX_STEPS_PER_ROUND,
         max_starts: int = sys.maxsize,
+        max_starts_in_flight: int | None = None,
     ) -> Plan:
         """Return the actions of one planning round.
 
@@ -83,6 +85,9 @@
         :param wall_ms: wall-clock time, ms since 1970.
         :param max_calls: number of advisor calls that can be started now.
         :param max_starts: number of start orders that can be sent now.
+        :param max_starts_in_flight: number of start orders that may be
+            without an answer at the same time; by default as many as can be
+            sent now.
         """
         state.open_due_steps(now_ms, wall_ms)
         stops = tuple(
@@ -90,21 +95,27 @@
         )
         if not state.waiting_steps:
             return Plan(stops=stops)
-        planning_round = PlanningRound(state, now_ms, max_calls, max_starts)
+        if max_starts_in_flight is None:
+            max_starts_in_flight = max_starts
+        waiting_steps = state.waiting_steps.values()
+        permit_budget = PermitBudget(max_calls, max_starts_in_flight)
+        planning_round = PlanningRound(
+            state, now_ms, permit_budget, max_starts
+        )
         ranked = sorted(
             (rank_of(step, self.duration_estimator, now_ms), step.key)
-            for step in state.waiting_steps.values()
+            for step in waiting_steps
         )
         examined_count = 0
         for _, key in ranked[:MAX_STEPS_PER_ROUND]:
-            if planning_round.is_full:
+            if planning_round.is_complete:
                 break
             planning_round.place(state.waiting_steps[key])
             examined_count += 1
         return Plan(
             tuple(planning_round.starts),
             stops,
-            tuple(planning_round.permit_requests),
+            permit_budget.requests(),
             len(ranked) - examined_count,
         )
 
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from magnoliapitch.planner.permit_budget import PermitBudget
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedStep
     from magnoliapitch.workload.job import StepKey
@@ -40,9 +41,6 @@
 MAX_CAPACITY_RESERVATION_MS = 20_000
 # Share of a worker's reserved CPU that is expected to become free soon.
 SOON_FREED_SHARE = 0.5
-# Tasks for which starts are planned or permits requested in one round, as a
-# multiple of the starts that can be sent now.
-PREPARED_STARTS_FACTOR = 4
 # Stands for a missing ticket: empty text, and expired since time 0.
 NO_TICKET = ("", 0)
 
@@ -50,7 +48,10 @@
 class PlanningRound:
     """Collects the starts and permit requests of one round.
 
-    :param max_calls: number of advisor calls that can be started now.
+    Steps are placed in the order of their rank. Each limited resource is used
+    up only by the steps that use it, so that those waiting for one do not
+    keep the others from the rest.
+
     :param max_starts: number of start orders that can be sent now.
     """
 
@@ -58,27 +59,22 @@
         self,
         state: SchedulerState,
         now_ms: int,
-        max_calls: int,
+        permit_budget: PermitBudget,
         max_starts: int,
     ) -> None:
         self.starts: list[PlannedStart] = []
-        self.permit_requests: list[PlannedPermitRequest] = []
         self._now_ms = now_ms
-        self._max_calls = max_calls
+        self._permit_budget = permit_budget
         self._max_starts = max_starts
         self._workers = CandidateWorkers(state.workers_by_id.values())
         self._gangs_with_reserved_capacity = 0
-        self._awaiting_permits_count = 0
         self._steps_with_request: set[StepKey] = set()
 
     @property
-    def is_full(self) -> bool:
-        """Return whether more starts are prepared than can be sent soon.
-
-        Permits for more tasks would expire before these can start.
-        """
-        prepared_count = len(self.starts) + self._awaiting_permits_count
-        return prepared_count >= PREPARED_STARTS_FACTOR * self._max_starts
+    def is_complete(self) -> bool:
+        """Return whether no further start or permit request can be added."""
+        has_no_orders = len(self.starts) >= self._max_starts
+        return has_no_orders and self._permit_budget.is_used_up
 
     def place(self, step: TrackedStep) -> None:
         """Plan starts for the waiting tasks of a step that fit.
@@ -90,7 +86,7 @@
         if is_gang and step.waiting_count < step.spec.task_count:
             return
         if step.has_call_in_flight:
-            self._awaiting_permits_count += step.waiting_count
+            self._permit_budget.record_awaiting(step)
         candidates = self._allowed_candidates(step)
         chosen = self._choose(step, candidates) if candidates else []
         if is_gang and len(chosen) < step.waiting_count:
@@ -244,7 +240,6 @@
             not step.has_call_in_flight
             and step.key not in self._steps_with_request
             and step.job.queue.permit_timing is not None
-            and len(self.permit_requests) < self._max_calls
         )
 
     def _add_permit_request(
@@ -257,12 +252,14 @@
         )
         asked = tuple(worker_ids)[:MAX_WORKERS_PER_CALL]
         expected_call_ms = _expected_call_ms(step, len(asked))
+        if not self._permit_budget.may_request(step, expected_call_ms):
+            return
         self._steps_with_request.add(step.key)
-        self._awaiting_permits_count += step.waiting_count
-        self.permit_requests.append(
+        self._permit_budget.add(
+            step,
             PlannedPermitRequest(
                 step.key, asked, step.job.queue.priority, expected_call_ms
-            )
+            ),
         )
 
     def _choose(
--- a/tests/control/order_queue.py
+++ b/tests/control/order_queue.py
@@ -33,6 +33,10 @@
         """Return how many more start orders may be sent."""
         return UNLIMITED if self.window is None else self.window.available()
 
+    def limit(self) -> int:
+        """Return how many start orders may be unanswered at a time."""
+        return UNLIMITED if self.window is None else self.window.limit()
+
     def enqueue(self, *, is_start: bool) -> float:
         """Add an order; return the time until it has been sent, in ms."""
         if is_start and self.window is not None:
--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -211,6 +211,9 @@
     def available_start_orders(self) -> int:
         return self._simulation.order_queue.available()
 
+    def max_start_orders(self) -> int:
+        return self._simulation.order_queue.limit()
+
     def available_advisor_calls(self) -> int:
         return self._simulation.available_advisor_calls()
 
--- /dev/null
+++ b/tests/planner/test_permit_budget.py
@@ -0,0 +1,75 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliapitch.planner.permit_budget import PermitBudget
+from magnoliapitch.planner.plan import PlannedPermitRequest
+from magnoliapitch.workload.job import StepKey
+from magnoliapitch.workload.job import StepSpec
+from tests.planner.test_planner import PERMIT_TIMING
+from tests.planner.test_planner import SIZE
+from tests.planner.test_planner import add_job
+from tests.planner.test_planner import make_state
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.planner.tracked import TrackedStep
+
+
+UNLIMITED = 1_000_000
+
+
+def make_step(
+    job: str, *, tasks: int = 10, queue: str = "q", has_call: bool = False
+) -> TrackedStep:
+    state = make_state()
+    add_job(
+        state,
+        StepSpec(tasks, SIZE),
+        name=job,
+        permit_timing=PERMIT_TIMING,
+    )
+    step = state.step(StepKey(job, 0, 0))
+    assert step is not None
+    step.job.queue = step.job.queue._replace(name=queue)
+    if has_call:
+        step.in_flight_worker_ids = frozenset({"w0"})
+    return step
+
+
+def request(step: TrackedStep) -> PlannedPermitRequest:
+    return PlannedPermitRequest(step.key, ("w0",), 0, 10.0)
+
+
+def test_tasks_that_wait_in_one_queue_do_not_count_in_another() -> None:
+    budget = PermitBudget(UNLIMITED, 10)
+    for number in range(10):
+        budget.record_awaiting(make_step(f"a{number}", queue="gangs"))
+    assert not budget.may_request(make_step("b", queue="gangs"), 0.0)
+    assert budget.may_request(make_step("c", queue="batches"), 0.0)
+
+
+def test_more_tasks_may_wait_for_a_call_that_takes_longer() -> None:
+    budget = PermitBudget(UNLIMITED, 10)
+    for number in range(4):
+        budget.record_awaiting(make_step(f"a{number}"))
+    assert not budget.may_request(make_step("b"), 0.0)
+    assert budget.may_request(make_step("b"), 100.0)
+
+
+def test_one_step_may_request_however_many_tasks_it_has() -> None:
+    step = make_step("a", tasks=500)
+    assert PermitBudget(UNLIMITED, 1).may_request(step, 0.0)
+
+
+def test_nothing_is_requested_when_no_order_can_ever_be_sent() -> None:
+    assert not PermitBudget(UNLIMITED, 0).may_request(make_step("a"), 500.0)
+
+
+def test_no_more_calls_are_made_than_there_are_channels() -> None:
+    budget = PermitBudget(2, UNLIMITED)
+    steps = [make_step(f"a{number}") for number in range(4)]
+    for step in steps:
+        budget.add(step, request(step))
+    assert budget.is_used_up
+    assert budget.requests() == tuple(map(request, steps[:2]))
