Divide the calls to the advisor between queues

Cause: idle channels to the advisor went to steps in the order of their rank. Gangs call for 0.6 to 1.4 s each and again when their tickets expire, so with fewer instances they held every channel.

Change: each queue has a max-min fair share of the channels, calls under way included; inside a queue the order of ranks stays. Calls above the share use what the other queues leave.

--- a/src/magnoliapitch/planner/permit_budget.py
+++ b/src/magnoliapitch/planner/permit_budget.py
@@ -5,8 +5,12 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from magnoliapitch.planner.fair_shares import fair_shares
+
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from magnoliapitch.planner.plan import PlannedPermitRequest
     from magnoliapitch.planner.tracked import TrackedStep
 
@@ -19,25 +23,48 @@
 
 
 class PermitBudget:
-    """Collects the calls to the advisor of one round, within limits.
+    """Divides the calls to the advisor between the queues.
 
-    Each queue has a limit of its own for the tasks that wait for permits.
+    Steps of one queue may wait for permits, or for capacity after that, as
+    long as they like: another queue still gets its share of the calls.
+    Inside a queue, the steps that are placed first come first. What a queue
+    leaves of its share goes to the others.
 
+    :param waiting_steps: all steps that wait for starts.
     :param max_calls: number of advisor calls that can be started now.
     :param max_starts_in_flight: number of start orders that may be without
         an answer at the same time.
     """
 
-    def __init__(self, max_calls: int, max_starts_in_flight: int) -> None:
-        self._max_calls = max_calls
+    def __init__(
+        self,
+        waiting_steps: Collection[TrackedStep],
+        max_calls: int,
+        max_starts_in_flight: int,
+    ) -> None:
+        self._remaining_calls = max_calls
         self._max_starts_in_flight = max_starts_in_flight
-        self._requests: list[PlannedPermitRequest] = []
+        self._granted: list[PlannedPermitRequest] = []
+        self._deferred: list[PlannedPermitRequest] = []
         self._awaiting_count_by_queue: Counter[str] = Counter()
+        self._call_count_by_queue = Counter(
+            step.job.queue.name
+            for step in waiting_steps
+            if step.has_call_in_flight
+        )
+        demand_by_queue = Counter(
+            step.job.queue.name
+            for step in waiting_steps
+            if step.job.queue.permit_timing is not None
+        )
+        self._share_by_queue = fair_shares(
+            demand_by_queue, max_calls + self._call_count_by_queue.total()
+        )
 
     @property
     def is_used_up(self) -> bool:
         """Return whether no more calls can be made."""
-        return len(self._requests) >= self._max_calls
+        return self._remaining_calls <= 0
 
     def record_awaiting(self, step: TrackedStep) -> None:
         """Count the tasks of a step that has a call under way."""
@@ -59,12 +86,18 @@
         return awaiting_count + step.waiting_count <= max_awaiting
 
     def add(self, step: TrackedStep, request: PlannedPermitRequest) -> None:
-        """Add a call for a step, unless no more can be made."""
-        if self.is_used_up:
-            return
+        """Grant a call, or defer it if its queue has used its share."""
+        queue_name = step.job.queue.name
         self.record_awaiting(step)
-        self._requests.append(request)
+        calls = self._call_count_by_queue[queue_name]
+        if self.is_used_up or calls >= self._share_by_queue[queue_name]:
+            self._deferred.append(request)
+            return
+        self._call_count_by_queue[queue_name] += 1
+        self._remaining_calls -= 1
+        self._granted.append(request)
 
     def requests(self) -> tuple[PlannedPermitRequest, ...]:
-        """Return the calls to make."""
-        return tuple(self._requests)
+        """Return the calls to make; deferred ones use what is left."""
+        left_over = self._deferred[: max(0, self._remaining_calls)]
+        return (*self._granted, *left_over)
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -98,7 +98,9 @@
         if max_starts_in_flight is None:
             max_starts_in_flight = max_starts
         waiting_steps = state.waiting_steps.values()
-        permit_budget = PermitBudget(max_calls, max_starts_in_flight)
+        permit_budget = PermitBudget(
+            waiting_steps, max_calls, max_starts_in_flight
+        )
         planning_round = PlanningRound(
             state, now_ms, permit_budget, max_starts
         )
--- a/tests/planner/test_load_patterns.py
+++ b/tests/planner/test_load_patterns.py
@@ -37,6 +37,7 @@
 # Time before the start that the objective of a batch leaves: 3 s and four
 # times its duration, less its duration.
 MAX_BATCH_START_MS = 9_600
+BATCH_COUNT = 10
 # Processor time of an order on a leader of about one core.
 ORDER_DURATION_MS = 2.0
 # The users require that a lost task of a service runs again within 6 s.
@@ -244,15 +245,25 @@
 
 # Guards against a queue that gets nothing while a more urgent one waits.
 def test_batches_start_while_gangs_wait_for_slow_permits() -> None:
-    """New gangs arrive all the time, so some always wait for permits.
+    """There is capacity for everything, and orders can be sent."""
+    simulation = play_batches_behind_gangs(advisor_call_limit=30)
+    assert batches_not_started(simulation) == []
+    assert simulation.violations == []
+
+
+# Guards against a queue that gets no permits while another one uses all calls.
+def test_batches_get_permits_while_gangs_could_use_every_call() -> None:
+    """Gangs arrive faster than all the calls could get permits for them."""
+    simulation = play_batches_behind_gangs(advisor_call_limit=6)
+    assert batches_not_started(simulation) == []
+    assert simulation.violations == []
 
-    There is capacity for everything, and orders can be sent.
-    """
+
+def play_batches_behind_gangs(advisor_call_limit: int) -> Simulation:
+    """Submit ten batches while new gangs wait for permits all the time."""
     plans = queue("plans", 1, PermitTiming(572, 8, 2_000))
     batches = queue("batches", 2, PermitTiming(104, 1.4, 2_000))
-    simulation = Simulation(
-        [plans, batches], workers(176), advisor_call_limit=30
-    )
+    simulation = Simulation([plans, batches], workers(176), advisor_call_limit)
     simulation.order_queue.window = OrderWindow()
     simulation.order_queue.order_duration_ms = ORDER_DURATION_MS
     simulation.permitted_share_by_queue = {"plans": 0.35, "batches": 0.45}
@@ -262,26 +273,22 @@
     gang = StepSpec(24, Resources(3_000, 8_000), 5_000, is_gang=True)
     batch = StepSpec(25, Resources(1_700, 2_500), 2_200)
     for number in range(110):
-        simulation.schedule(
-            100 * number,
-            partial(
-                simulation.submit,
-                JobSpec(f"plan{number}", "plans", "text", (gang,)),
-            ),
-        )
+        job = JobSpec(f"plan{number}", "plans", "text", (gang,))
+        simulation.schedule(100 * number, partial(simulation.submit, job))
     simulation.run(1_000)
-    for number in range(10):
-        simulation.submit(
-            JobSpec(f"batch{number}", "batches", "text", (batch,))
-        )
+    for number in range(BATCH_COUNT):
+        job = JobSpec(f"batch{number}", "batches", "text", (batch,))
+        simulation.submit(job)
     simulation.run(MAX_BATCH_START_MS)
-    not_started = [
-        number
-        for number in range(10)
+    return simulation
+
+
+def batches_not_started(simulation: Simulation) -> list[str]:
+    return [
+        f"batch{number}"
+        for number in range(BATCH_COUNT)
         if not simulation.starts[TaskKey(f"batch{number}", 0, 0, 24)]
     ]
-    assert not_started == []
-    assert simulation.violations == []
 
 
 # Guards against a queue that gets nothing behind a backlog of another one.
--- a/tests/planner/test_permit_budget.py
+++ b/tests/planner/test_permit_budget.py
@@ -42,7 +42,7 @@
 
 
 def test_tasks_that_wait_in_one_queue_do_not_count_in_another() -> None:
-    budget = PermitBudget(UNLIMITED, 10)
+    budget = PermitBudget([], UNLIMITED, 10)
     for number in range(10):
         budget.record_awaiting(make_step(f"a{number}", queue="gangs"))
     assert not budget.may_request(make_step("b", queue="gangs"), 0.0)
@@ -50,7 +50,7 @@
 
 
 def test_more_tasks_may_wait_for_a_call_that_takes_longer() -> None:
-    budget = PermitBudget(UNLIMITED, 10)
+    budget = PermitBudget([], UNLIMITED, 10)
     for number in range(4):
         budget.record_awaiting(make_step(f"a{number}"))
     assert not budget.may_request(make_step("b"), 0.0)
@@ -59,17 +59,39 @@
 
 def test_one_step_may_request_however_many_tasks_it_has() -> None:
     step = make_step("a", tasks=500)
-    assert PermitBudget(UNLIMITED, 1).may_request(step, 0.0)
+    assert PermitBudget([], UNLIMITED, 1).may_request(step, 0.0)
 
 
 def test_nothing_is_requested_when_no_order_can_ever_be_sent() -> None:
-    assert not PermitBudget(UNLIMITED, 0).may_request(make_step("a"), 500.0)
+    assert not PermitBudget([], UNLIMITED, 0).may_request(
+        make_step("a"), 500.0
+    )
 
 
 def test_no_more_calls_are_made_than_there_are_channels() -> None:
-    budget = PermitBudget(2, UNLIMITED)
     steps = [make_step(f"a{number}") for number in range(4)]
+    budget = PermitBudget(steps, 2, UNLIMITED)
     for step in steps:
         budget.add(step, request(step))
     assert budget.is_used_up
     assert budget.requests() == tuple(map(request, steps[:2]))
+
+
+def test_a_queue_with_calls_under_way_leaves_idle_channels_to_others() -> None:
+    calling = [make_step(f"a{n}", queue="a", has_call=True) for n in range(6)]
+    first = [make_step(f"b{n}", queue="a") for n in range(6)]
+    second = [make_step(f"c{n}", queue="c") for n in range(6)]
+    budget = PermitBudget([*calling, *first, *second], 2, UNLIMITED)
+    for step in [*first, *second]:
+        budget.add(step, request(step))
+    assert budget.requests() == tuple(map(request, second[:2]))
+
+
+def test_channels_that_a_queue_does_not_use_go_to_the_others() -> None:
+    first = [make_step(f"a{n}", queue="a") for n in range(8)]
+    second = [make_step(f"b{n}", queue="b") for n in range(8)]
+    budget = PermitBudget([*first, *second], 8, UNLIMITED)
+    for step in [*first, second[0]]:
+        budget.add(step, request(step))
+    requested = {asked.step for asked in budget.requests()}
+    assert requested == {step.key for step in [*first[:7], second[0]]}
