Examine steps of every queue in a planning round

Cause: a round examined the 150 steps that rank first. Behind 150 steps of one queue that do not fit, steps of the next queue were never looked at, however small.

Change: the 150 are divided max-min fairly between the queues; inside a queue the order of ranks stays.

Tests of planner and control pass.

--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -4,9 +4,11 @@
 
 import sys
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner.duration import DurationEstimator
+from magnoliapitch.planner.fair_shares import fair_shares
 from magnoliapitch.planner.permit_budget import PermitBudget
 from magnoliapitch.planner.plan import Plan
 from magnoliapitch.planner.plan import PlannedStop
@@ -17,8 +19,11 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedRun
+    from magnoliapitch.planner.tracked import TrackedStep
 
 
 # Bounds the duration of a round when very many steps wait.
@@ -109,10 +114,15 @@
             for step in waiting_steps
         )
         examined_count = 0
-        for _, key in ranked[:MAX_STEPS_PER_ROUND]:
+        remaining_by_queue = _examined_steps_by_queue(waiting_steps)
+        for _, key in ranked:
             if planning_round.is_complete:
                 break
-            planning_round.place(state.waiting_steps[key])
+            step = state.waiting_steps[key]
+            if not remaining_by_queue[step.job.queue.name]:
+                continue
+            remaining_by_queue[step.job.queue.name] -= 1
+            planning_round.place(step)
             examined_count += 1
         return Plan(
             tuple(planning_round.starts),
@@ -122,6 +132,16 @@
         )
 
 
+def _examined_steps_by_queue(steps: Iterable[TrackedStep]) -> dict[str, int]:
+    """Return how many steps of each queue a round examines.
+
+    A long backlog of one queue, none of which may fit, leaves room for the
+    steps of the others.
+    """
+    waiting_count_by_queue = Counter(step.job.queue.name for step in steps)
+    return fair_shares(waiting_count_by_queue, MAX_STEPS_PER_ROUND)
+
+
 def _planned_stop(state: SchedulerState, run: TrackedRun) -> PlannedStop:
     info = state.get_or_add_worker(run.worker_id).info
     outcome = run.task.step.job.outcome
