Check that planning rounds leave nothing that could start

No load pattern let more urgent work wait for permits all the time, and the simulated leader had no order window unless a test gave it one, so nothing that depends on orders in flight ran.

Simulations run with the leader's order window by default.

--- a/tests/control/delegation/test_router.py
+++ b/tests/control/delegation/test_router.py
@@ -142,3 +142,18 @@
     assert codes == {FailureCode.FENCED}
     fleet.router.close()
     successor.close()
+
+
+def test_orders_in_flight_count_against_what_may_be_sent_now() -> None:
+    fleet = Fleet()
+    try:
+        limit = fleet.router.max_start_orders()
+        assert limit == fleet.router.available_start_orders()
+        fleet.agents.silent_addresses.update(("x", "y"))
+        for position in range(5):
+            order = start_order(position, "w")
+            fleet.router.start(worker("w"), *order)
+        assert fleet.router.available_start_orders() == limit - 5
+        assert fleet.router.max_start_orders() == limit
+    finally:
+        fleet.router.close()
--- a/tests/control/delegation/test_session.py
+++ b/tests/control/delegation/test_session.py
@@ -129,6 +129,7 @@
     for position in range(10):
         leader.session.start(*start_order(position, "w"))
     assert leader.session.available_start_orders() == 22
+    assert leader.session.start_limit == 32
     answered = AgentEvent(
         AgentEventKind.START, "w", 4_000, 4_001, None, 9, RUN.task, 1
     )
--- a/tests/control/order_queue.py
+++ b/tests/control/order_queue.py
@@ -5,10 +5,10 @@
 from typing import TYPE_CHECKING
 
 from magnoliapitch.control.order_sender import is_unanswered
+from magnoliapitch.control.order_window import OrderWindow
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.control.order_window import OrderWindow
     from tests.control.simulation import Simulation
 
 
@@ -25,7 +25,7 @@
 
     def __init__(self, simulation: Simulation) -> None:
         self.order_duration_ms = 0.0
-        self.window: OrderWindow | None = None
+        self.window: OrderWindow | None = OrderWindow()
         self._simulation = simulation
         self._free_ms = 0.0
 
--- /dev/null
+++ b/tests/planner/test_work_conservation.py
@@ -0,0 +1,83 @@
+"""No task waits that could start, whatever else waits for permits."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from magnoliapitch.planner import Planner
+from magnoliapitch.planner import SchedulerState
+from magnoliapitch.resource import Resources
+from magnoliapitch.workload.configuration import PermitTiming
+from magnoliapitch.workload.configuration import Queue
+from magnoliapitch.workload.job import JobSpec
+from magnoliapitch.workload.job import StepKey
+from magnoliapitch.workload.job import StepSpec
+from magnoliapitch.workload.run import Permit
+from tests.planner.test_planner import make_state
+
+
+QUEUE_COUNT = 3
+MAX_JOBS = 120
+TICKET_VALID_UNTIL_MS = 2_000
+PERMIT_TIMING = PermitTiming(500, 8, 2_000)
+
+
+def add_random_job(
+    state: SchedulerState, number: int, source: random.Random
+) -> None:
+    """Add a job that waits for a call, or has tickets for some workers."""
+    priority = source.randrange(QUEUE_COUNT)
+    queue = Queue(
+        f"q{priority}", "h", "/", "app", priority, 3, 2.0, 500, 3_000
+    )._replace(permit_timing=PERMIT_TIMING)
+    size = Resources(source.choice((1_000, 3_000, 5_000)), 2_000)
+    has_call = source.random() < 0.5
+    is_gang = has_call and source.random() < 0.5
+    name = f"job{number}"
+    step_spec = StepSpec(source.randint(1, 30), size, is_gang=is_gang)
+    state.add_job(JobSpec(name, queue.name, "", (step_spec,)), queue, 0)
+    worker_ids = list(state.workers_by_id)
+    key = StepKey(name, 0, 0)
+    if not has_call:
+        permitted = source.sample(worker_ids, source.randint(0, 6))
+        permits = [Permit(worker_id, "ticket") for worker_id in permitted]
+        state.record_permits(key, worker_ids, permits, TICKET_VALID_UNTIL_MS)
+        return
+    step = state.step(key)
+    assert step is not None
+    step.in_flight_worker_ids = frozenset(worker_ids)
+
+
+def startable_tasks(state: SchedulerState) -> list[str]:
+    """Return the steps with a ticket for a worker that has capacity."""
+    return [
+        f"{key.job_id} on {worker_id}"
+        for key, step in state.waiting_steps.items()
+        for worker_id in step.tickets_by_worker
+        if step.reservation.fits(state.workers_by_id[worker_id].free)
+    ]
+
+
+# Guards against rounds that end, or look away, before steps that could start.
+@pytest.mark.parametrize("seed", range(60))
+def test_no_task_waits_that_could_start(seed: int) -> None:
+    source = random.Random(seed)
+    state = make_state(20)
+    for number in range(source.randint(1, MAX_JOBS)):
+        add_random_job(state, number, source)
+    max_starts = source.choice((8, 40, 1_000))
+    plan = Planner().plan(
+        state,
+        1,
+        1,
+        max_calls=source.choice((0, 4, 30)),
+        max_starts=max_starts,
+        max_starts_in_flight=max_starts,
+    )
+    for start in plan.starts:
+        state.add_ordered_run(start.task, start.run, start.worker_id, 1)
+    assert len(plan.starts) <= max_starts
+    if len(plan.starts) < max_starts:
+        assert startable_tasks(state) == []
