Renew a lease after an end only once the end is acknowledged

Cause: a renewal waits up to 400 ms for its ends to be stored, else the worker repeats them at once. Any command of the leader ended that wait, and since agents a new lease follows each report by milliseconds, long before its ends are stored.

Tests of control pass.

--- a/src/magnoliapitch/control/lease_renewer.py
+++ b/src/magnoliapitch/control/lease_renewer.py
@@ -115,11 +115,13 @@
 
     def _wait_for_acknowledgement(self) -> None:
         with self._condition:
-            if (
-                self._acknowledged_sequence < self._last_end_sequence
-                and not self._is_stopped
-            ):
-                self._condition.wait(MAX_ACKNOWLEDGE_WAIT_MS / 1000)
+            self._condition.wait_for(
+                lambda: (
+                    self._acknowledged_sequence >= self._last_end_sequence
+                    or self._is_stopped
+                ),
+                MAX_ACKNOWLEDGE_WAIT_MS / 1000,
+            )
 
     def _pause(self, duration_ms: int) -> None:
         with self._condition:
--- a/tests/control/delegation/test_session.py
+++ b/tests/control/delegation/test_session.py
@@ -156,3 +156,16 @@
     leader.reply()
     leader.session.acknowledge("w", sequence)
     assert not leader.session.wait_for_commands(0)
+
+
+# Guards against waking agents, and with them renewals, for nothing.
+def test_a_grant_that_changes_nothing_is_not_sent() -> None:
+    """The leader grants no lease after each renewal without an answer."""
+    leader = Leader()
+    leader.session.grant("w", None)
+    assert len(leader.session.next_batch().grants) == 1
+    leader.reply()
+    leader.session.grant("w", None)
+    assert not leader.session.wait_for_commands(0)
+    leader.session.grant("w", 9_000)
+    assert leader.session.wait_for_commands(0)
--- /dev/null
+++ b/tests/control/test_lease_renewer.py
@@ -0,0 +1,91 @@
+from __future__ import annotations
+
+import threading
+
+from typing import TYPE_CHECKING
+
+from result import Ok
+from result import Result
+
+from magnoliapitch.clock import MonotonicClock
+from magnoliapitch.control import lease_renewer
+from magnoliapitch.control.lease_renewer import LeaseRenewer
+from magnoliapitch.workload.job import TaskKey
+from magnoliapitch.workload.run import EndedRun
+from magnoliapitch.workload.run import EndKind
+from magnoliapitch.workload.run import WorkerReport
+from magnoliapitch.workload.worker import WorkerInfo
+
+
+if TYPE_CHECKING:
+    import pytest
+
+    from magnoliapitch.verdict import Failure
+
+
+SOON_S = 15.0
+LONG_WAIT_MS = 60_000
+END = EndedRun(5, TaskKey("job", 0, 0, 0), 1, EndKind.DONE)
+
+
+class OneEnd:
+    """A worker that lists an ended run until its end is acknowledged.
+
+    :ivar acknowledged: the sequence number that each renewal acknowledged.
+    """
+
+    def __init__(self) -> None:
+        self.acknowledged: list[int] = []
+        self._condition = threading.Condition()
+
+    def renew(
+        self,
+        worker: WorkerInfo,
+        token: int,
+        deadline_ms: int | None,
+        acknowledged_sequence: int,
+        wait_ms: int,
+        timeout_ms: int,
+    ) -> Result[WorkerReport, Failure]:
+        del worker, token, deadline_ms, wait_ms, timeout_ms
+        with self._condition:
+            self.acknowledged.append(acknowledged_sequence)
+            self._condition.notify_all()
+            if acknowledged_sequence >= END.sequence:
+                self._condition.wait(0.05)
+                return Ok(WorkerReport(1, (), ()))
+        return Ok(WorkerReport(1, (), (END,)))
+
+    def wait_for_renewals(self, count: int, timeout_s: float = SOON_S) -> bool:
+        with self._condition:
+            return self._condition.wait_for(
+                lambda: len(self.acknowledged) >= count, timeout_s
+            )
+
+
+# Guards against renewals that only repeat what was reported before.
+def test_a_new_lease_alone_does_not_renew_before_the_ends_are_stored(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An agent passes leases on long before the leader has stored an end."""
+    monkeypatch.setattr(lease_renewer, "MAX_ACKNOWLEDGE_WAIT_MS", LONG_WAIT_MS)
+    worker = OneEnd()
+    renewer = LeaseRenewer(
+        WorkerInfo("w", "app", "10.0.0.1:1", "a", "r"),
+        7,
+        worker,  # type: ignore[arg-type]
+        MonotonicClock(),
+        lambda _: 1_000,
+        lambda _: None,
+    )
+    renewer.start()
+    try:
+        assert worker.wait_for_renewals(1)
+        for _ in range(5):
+            renewer.acknowledge(END.sequence - 1)
+            worker.wait_for_renewals(2, 0.02)
+        renewer.acknowledge(END.sequence)
+        assert worker.wait_for_renewals(2)
+        assert worker.acknowledged[:2] == [0, END.sequence]
+    finally:
+        renewer.stop()
