--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -8,16 +8,12 @@
 
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
 from result import Err
 
-from magnoliapitch.advice.channels import AdvisorChannel
-from magnoliapitch.advice.channels import AdvisorChannelPool
 from magnoliapitch.control.committer import Committer
 from magnoliapitch.control.controller import Controller
 from magnoliapitch.control.delegation.router import WorkerRouter
-from magnoliapitch.control.delegation.service import AgentClient
 from magnoliapitch.control.events import Committed
 from magnoliapitch.control.events import ConfigurationChanged
 from magnoliapitch.control.events import Event
@@ -29,18 +25,17 @@
 from magnoliapitch.control.events import WorkersListed
 from magnoliapitch.control.worker_group import WorkerGroup
 from magnoliapitch.event import log_event
-from magnoliapitch.ledger.members import Members
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
-from magnoliapitch.workload.client import Directory
-from magnoliapitch.workload.client import WorkerClient
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Sequence
 
+    from magnoliapitch.advice.channels import AdvisorChannel
     from magnoliapitch.clock import Clock
+    from magnoliapitch.control.clients import Clients
     from magnoliapitch.control.order_sender import OrderSender
     from magnoliapitch.control.timing import ControlTiming
     from magnoliapitch.ledger.job_follower import JobFollower
@@ -66,23 +61,6 @@
 STOPPED_WAIT_MS = 50
 
 
-class Clients(NamedTuple):
-    """Clients of the systems that a leader calls.
-
-    :param advisor_channels: channels for advisor calls through this instance
-        and its peers.
-    :param members: lists the other instances.
-    :param directory: lists the workers.
-    :param agents: calls other instances that call workers for this one.
-    """
-
-    workers: WorkerClient
-    advisor_channels: AdvisorChannelPool
-    members: Members
-    directory: Directory
-    agents: AgentClient
-
-
 class ControlDriver:
     """Runs a controller while this instance leads and is its ``Effects``.
 
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -15,10 +15,10 @@
 from magnoliapitch.clock import BootClock
 from magnoliapitch.control import ControlDriver
 from magnoliapitch.control import ControlTiming
+from magnoliapitch.control.clients import Clients
 from magnoliapitch.control.delegation import Agent
 from magnoliapitch.control.delegation import AgentClient
 from magnoliapitch.control.delegation import add_agent_route
-from magnoliapitch.control.driver import Clients
 from magnoliapitch.control.events import ConfigurationChanged
 from magnoliapitch.control.order_sender import OrderSender
 from magnoliapitch.event import log_event
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -11,7 +11,7 @@
 from result import Result
 
 from magnoliapitch.clock import MonotonicClock
-from magnoliapitch.control.driver import Clients
+from magnoliapitch.control.clients import Clients
 from magnoliapitch.control.driver import ControlDriver
 from magnoliapitch.control.order_sender import OrderSender
 from magnoliapitch.control.timing import ControlTiming
