Give calls that cannot be divided to the queues that rank first

Cause: with fewer channels to the advisor than queues, equal shares were rounded down to 0 for the queues of small demand, the urgent ones among them, and the units left over went to the largest demand.

Change: units that cannot be divided go to the queues of the steps that rank first. With the three queues of the users' sites only the odd channel changes hands.

Tests of planner and control pass.

--- a/src/magnoliapitch/planner/fair_shares.py
+++ b/src/magnoliapitch/planner/fair_shares.py
@@ -15,13 +15,19 @@
     """Divide an amount so that no demand is met at the cost of a smaller one.
 
     A demand below an equal share is met in full; what it leaves goes to the
-    larger ones.
+    larger ones. Units that cannot be divided equally go to the first keys.
     """
-    share_by_key: dict[str, int] = {}
+    share_by_key = dict.fromkeys(demand_by_key, 0)
     remaining = total
-    smallest_first = sorted(demand_by_key.items(), key=lambda item: item[1])
-    for position, (key, demand) in enumerate(smallest_first):
-        equal_share = remaining // (len(smallest_first) - position)
-        share_by_key[key] = min(demand, equal_share)
-        remaining -= share_by_key[key]
+    unmet = [key for key, demand in demand_by_key.items() if demand]
+    while unmet and remaining > 0:
+        equal_share = max(1, remaining // len(unmet))
+        for key in unmet[:remaining]:
+            missing = demand_by_key[key] - share_by_key[key]
+            share = min(missing, equal_share)
+            share_by_key[key] += share
+            remaining -= share
+        unmet = [
+            key for key in unmet if share_by_key[key] < demand_by_key[key]
+        ]
     return share_by_key
--- a/src/magnoliapitch/planner/permit_budget.py
+++ b/src/magnoliapitch/planner/permit_budget.py
@@ -28,9 +28,11 @@
     Steps of one queue may wait for permits, or for capacity after that, as
     long as they like: another queue still gets its share of the calls.
     Inside a queue, the steps that are placed first come first. What a queue
-    leaves of its share goes to the others.
+    leaves of its share goes to the others. If there are fewer channels than
+    queues, those with the steps of the lowest ranks get one each.
 
-    :param waiting_steps: all steps that wait for starts.
+    :param ranked_steps: all steps that wait for starts, in the order of
+        their rank.
     :param max_calls: number of advisor calls that can be started now.
     :param max_starts_in_flight: number of start orders that may be without
         an answer at the same time.
@@ -38,7 +40,7 @@
 
     def __init__(
         self,
-        waiting_steps: Collection[TrackedStep],
+        ranked_steps: Collection[TrackedStep],
         max_calls: int,
         max_starts_in_flight: int,
     ) -> None:
@@ -49,12 +51,12 @@
         self._awaiting_count_by_queue: Counter[str] = Counter()
         self._call_count_by_queue = Counter(
             step.job.queue.name
-            for step in waiting_steps
+            for step in ranked_steps
             if step.has_call_in_flight
         )
         demand_by_queue = Counter(
             step.job.queue.name
-            for step in waiting_steps
+            for step in ranked_steps
             if step.job.queue.permit_timing is not None
         )
         self._share_by_queue = fair_shares(
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -102,23 +102,18 @@
             return Plan(stops=stops)
         if max_starts_in_flight is None:
             max_starts_in_flight = max_starts
-        waiting_steps = state.waiting_steps.values()
+        ranked_steps = self._ranked_steps(state, now_ms)
         permit_budget = PermitBudget(
-            waiting_steps, max_calls, max_starts_in_flight
+            ranked_steps, max_calls, max_starts_in_flight
         )
         planning_round = PlanningRound(
             state, now_ms, permit_budget, max_starts
         )
-        ranked = sorted(
-            (rank_of(step, self.duration_estimator, now_ms), step.key)
-            for step in waiting_steps
-        )
         examined_count = 0
-        remaining_by_queue = _examined_steps_by_queue(waiting_steps)
-        for _, key in ranked:
+        remaining_by_queue = _examined_steps_by_queue(ranked_steps)
+        for step in ranked_steps:
             if planning_round.is_complete:
                 break
-            step = state.waiting_steps[key]
             if not remaining_by_queue[step.job.queue.name]:
                 continue
             remaining_by_queue[step.job.queue.name] -= 1
@@ -128,17 +123,31 @@
             tuple(planning_round.starts),
             stops,
             permit_budget.requests(),
-            len(ranked) - examined_count,
+            len(ranked_steps) - examined_count,
+        )
+
+    def _ranked_steps(
+        self, state: SchedulerState, now_ms: int
+    ) -> list[TrackedStep]:
+        """Return the waiting steps in the order in which they are placed."""
+        ranked = sorted(
+            (rank_of(step, self.duration_estimator, now_ms), step.key)
+            for step in state.waiting_steps.values()
         )
+        return [state.waiting_steps[key] for _, key in ranked]
 
 
-def _examined_steps_by_queue(steps: Iterable[TrackedStep]) -> dict[str, int]:
+def _examined_steps_by_queue(
+    ranked_steps: Iterable[TrackedStep],
+) -> dict[str, int]:
     """Return how many steps of each queue a round examines.
 
     A long backlog of one queue, none of which may fit, leaves room for the
     steps of the others.
     """
-    waiting_count_by_queue = Counter(step.job.queue.name for step in steps)
+    waiting_count_by_queue = Counter(
+        step.job.queue.name for step in ranked_steps
+    )
     return fair_shares(waiting_count_by_queue, MAX_STEPS_PER_ROUND)
 
 
--- a/tests/planner/test_fair_shares.py
+++ b/tests/planner/test_fair_shares.py
@@ -11,6 +11,11 @@
     assert shares == {"a": 65, "b": 20, "c": 65}
 
 
+def test_units_that_cannot_be_divided_go_to_the_first_keys() -> None:
+    assert fair_shares({"a": 9, "b": 9, "c": 9}, 8) == {"a": 3, "b": 3, "c": 2}
+    assert fair_shares({"a": 9, "b": 1, "c": 9}, 2) == {"a": 1, "b": 1, "c": 0}
+
+
 def test_everything_is_met_if_there_is_enough() -> None:
     assert fair_shares({"a": 3, "b": 0}, 10) == {"a": 3, "b": 0}
 
--- a/tests/planner/test_permit_budget.py
+++ b/tests/planner/test_permit_budget.py
@@ -95,3 +95,21 @@
         budget.add(step, request(step))
     requested = {asked.step for asked in budget.requests()}
     assert requested == {step.key for step in [*first[:7], second[0]]}
+
+
+# Guards against urgent work that waits behind many queues of large demand.
+def test_the_first_queue_gets_a_call_if_queues_outnumber_the_channels() -> (
+    None
+):
+    urgent = make_step("a", queue="urgent")
+    others = [
+        make_step(f"b{n}-{m}", queue=f"bulk{n}")
+        for n in range(20)
+        for m in range(3)
+    ]
+    budget = PermitBudget([urgent, *others], 6, UNLIMITED)
+    for step in [urgent, *others]:
+        budget.add(step, request(step))
+    requested = [asked.step for asked in budget.requests()]
+    assert requested[0] == urgent.key
+    assert len(requested) == 6
