Let no work class use up the searches of those after it

Cause: a call of decide ends its searches after 12 that failed, whichever class made them. Urgent tasks that fit nowhere and need more of one resource and less of another were searched for one by one; a batch behind them got no search, in every pass, as long as they waited.

Inside one owner's groups the limit still holds (not changed). Tests of decision, job and bench pass; formatter, linter and types pass.

--- a/src/magnoliapitch/decision/decision_round.py
+++ b/src/magnoliapitch/decision/decision_round.py
@@ -51,7 +51,8 @@
         which capacity became free in this pass.
     :ivar has_unvisited_owners: whether the call stopped before all owners
         were served.
-    :ivar failed_search_count: number of failed searches of all workers.
+    :ivar failed_search_count: number of failed searches of all workers in
+        the current stage.
     :ivar gang_attempt_count: number of gangs for which a start was tried.
     """
 
@@ -77,6 +78,14 @@
         """Whether the limit on failed searches is not yet reached."""
         return self.failed_search_count < MAX_FAILED_SEARCHES
 
+    def begin_stage(self) -> None:
+        """Start the next stage of the call, with searches of its own.
+
+        Otherwise work of one class that fits nowhere would use up the
+        searches of the classes after it, for as long as it waits.
+        """
+        self.failed_search_count = 0
+
     @property
     def may_try_gang(self) -> bool:
         """Whether the limit on attempts to start a gang is not yet reached."""
--- a/src/magnoliapitch/decision/dispatch.py
+++ b/src/magnoliapitch/decision/dispatch.py
@@ -74,11 +74,15 @@
             self._allocations.max_freed_bulk_capacity(MAX_FREED_WORKERS)
         )
         for work_class in PRIORITY_CLASSES:
+            decision_round.begin_stage()
             self._serve_priority_class(decision_round, work_class)
+        decision_round.begin_stage()
         self._serve_start_reservation(decision_round)
         for work_class in BULK_CLASSES:
             self._serve_near_starvation(decision_round, work_class)
+        decision_round.begin_stage()
         self._serve_deadlines(decision_round)
+        decision_round.begin_stage()
         beyond_quota = self._serve_owners(decision_round)
         for group in beyond_quota:
             if decision_round.is_full or not decision_round.may_search:
@@ -279,8 +283,8 @@
         if not self._start(decision_round, group):
             group.skipped_at = self._capacity_version(decision_round)
             self._reserve_start(decision_round, group)
-            if decision_round.may_evict:
-                self._reclaim_borrowed(decision_round, group)
+            if decision_round.may_evict and self._reclaimer.has_borrowed():
+                self._reclaim(decision_round, group, VictimKind.BORROWED)
             return
         first = heap.peek()
         if first is not None:
@@ -389,10 +393,3 @@
             interval_ms = RECLAIM_INTERVAL_MS // len(group.tasks_by_id)
             group.next_reclaim_ms = decision_round.now_ms + interval_ms
             decision_round.evictions.extend(evictions)
-
-    def _reclaim_borrowed(
-        self, decision_round: DecisionRound, group: TaskGroup
-    ) -> None:
-        if not self._reclaimer.has_borrowed():
-            return
-        self._reclaim(decision_round, group, VictimKind.BORROWED)
--- a/tests/decision/test_order.py
+++ b/tests/decision/test_order.py
@@ -236,3 +236,24 @@
         calls += 1
     assert calls < 100
     assert harness.decide().placements == ()
+
+
+# Guards against a class that gets nothing while another one fits nowhere.
+def test_urgent_tasks_that_fit_nowhere_do_not_hold_up_a_batch(
+    harness: SchedulerHarness,
+) -> None:
+    """No task needs less than another one, so each is searched for."""
+    harness.add_workers(2, cores=64)
+    services = [
+        task("service", number, work_class=WorkClass.SERVICE, cores=60)
+        for number in range(2)
+    ]
+    harness.submit(*services)
+    assert len(harness.start_tasks()) == 2
+    for number in range(40):
+        size = Resources(5_000 + 100 * number, 60_000 - 100 * number)
+        urgent = task(f"urgent{number}", work_class=WorkClass.URGENT)
+        harness.submit(urgent._replace(resources=size))
+    batch = task("batch", work_class=WorkClass.BATCH)
+    harness.submit(batch)
+    assert harness.start_tasks(500) == [batch.attempt_id]
