--- a/src/magnoliapitch/decision/weighted.py
+++ b/src/magnoliapitch/decision/weighted.py
@@ -4,7 +4,6 @@
 
 from itertools import groupby
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
 import numpy as np
 
@@ -16,6 +15,7 @@
 from magnoliapitch.decision.estimate import Estimates
 from magnoliapitch.decision.explanation import StartRate
 from magnoliapitch.decision.explanation import explain_wait
+from magnoliapitch.decision.features import PolicyFeatures
 from magnoliapitch.decision.finder import BULK_CLASSES
 from magnoliapitch.decision.finder import WorkerFinder
 from magnoliapitch.decision.health import WorkerHealthTracker
@@ -49,24 +49,6 @@
 MIN_MEMORY_PERCENT = 110
 
 
-class PolicyFeatures(NamedTuple):
-    """Features of the policy that can be switched off to compare results.
-
-    :param learns_estimates: correct declared sizes and run times by
-        measured ones.
-    :param reserves_starts: reserve future starts for gangs and for work
-        classes that are close to starvation.
-    :param reclaims: evict bulk work for urgent work, services, deadlines and
-        quotas.
-    :param quarantines: place no tasks on workers where all tasks fail.
-    """
-
-    learns_estimates: bool = True
-    reserves_starts: bool = True
-    reclaims: bool = True
-    quarantines: bool = True
-
-
 class WeightedScheduler:
     """Scheduler with work classes, dominant shares and best-fit placement.
 
--- a/src/magnoliapitch/decision/weighted_variants.py
+++ b/src/magnoliapitch/decision/weighted_variants.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.decision.features import PolicyFeatures
 from magnoliapitch.decision.registry import scheduling_policy
-from magnoliapitch.decision.weighted import PolicyFeatures
 from magnoliapitch.decision.weighted import WeightedScheduler
 
 
