--- a/src/magnoliapitch/control/delegation/session.py
+++ b/src/magnoliapitch/control/delegation/session.py
@@ -132,14 +132,13 @@
     def grant(self, worker_id: str, deadline_ms: int | None) -> None:
         """Set the end of a worker's next lease on its own clock."""
         with self._lock:
-            is_known = worker_id in self._deadline_by_worker
-            if worker_id not in self._worker_ids or (
-                is_known and self._deadline_by_worker[worker_id] == deadline_ms
-            ):
+            if worker_id not in self._worker_ids:
                 return
-            self._deadline_by_worker[worker_id] = deadline_ms
-            self._changed_grants.add(worker_id)
-            self._has_commands.set()
+            is_first = worker_id not in self._deadline_by_worker
+            if is_first or self._deadline_by_worker[worker_id] != deadline_ms:
+                self._deadline_by_worker[worker_id] = deadline_ms
+                self._changed_grants.add(worker_id)
+                self._has_commands.set()
 
     def acknowledge(self, worker_id: str, sequence: int) -> None:
         """Let a worker drop ended runs up to a sequence number."""
