Keep the target latency of orders in one place; correct two texts

The latency at which an order window is full stood twice with one meaning (control/order_window.py and planner/permit_budget.py); the window imports it now.

No change of behaviour: the value is the same.

--- a/src/magnoliapitch/control/order_window.py
+++ b/src/magnoliapitch/control/order_window.py
@@ -5,14 +5,12 @@
 import threading
 
 from magnoliapitch.control.recent_answers import RecentAnswers
+from magnoliapitch.planner.permit_budget import TARGET_ORDER_LATENCY_MS
 
 
 INITIAL_LIMIT = 32.0
 MIN_LIMIT = 16.0
 MAX_LIMIT = 512.0
-# An idle machine answers an order within a few milliseconds. Above this
-# latency, orders queue on this machine or its link.
-TARGET_LATENCY_MS = 100.0
 DECREASE_FACTOR = 0.7
 
 
@@ -73,7 +71,7 @@
             is_near_limit = 2 * self._in_flight_count >= self._limit
             self._in_flight_count -= 1
             self._recent_answers.record(is_answered=True)
-            if now_ms - sent_ms <= TARGET_LATENCY_MS:
+            if now_ms - sent_ms <= TARGET_ORDER_LATENCY_MS:
                 if is_near_limit:
                     self._grow()
             elif self._decreased_ms is None or sent_ms >= self._decreased_ms:
--- a/src/magnoliapitch/planner/permit_budget.py
+++ b/src/magnoliapitch/planner/permit_budget.py
@@ -18,8 +18,10 @@
 # Tasks that may wait for permits, as a multiple of the starts in flight,
 # besides those that can start while the advisor works.
 PREPARED_STARTS_FACTOR = 4
-# Latency of orders that use the whole order window.
-ORDER_LATENCY_MS = 100.0
+# An idle machine answers an order within a few milliseconds. Above this
+# latency, orders queue on this machine or its link, and the order window
+# shrinks; so this is about the latency of orders that use all of it.
+TARGET_ORDER_LATENCY_MS = 100.0
 
 
 class PermitBudget:
@@ -81,7 +83,7 @@
         """
         awaiting_count = self._awaiting_count_by_queue[step.job.queue.name]
         max_awaiting = self._max_starts_in_flight * (
-            PREPARED_STARTS_FACTOR + expected_call_ms / ORDER_LATENCY_MS
+            PREPARED_STARTS_FACTOR + expected_call_ms / TARGET_ORDER_LATENCY_MS
         )
         if not awaiting_count:
             return max_awaiting > 0
--- a/src/magnoliapitch/planner/plan.py
+++ b/src/magnoliapitch/planner/plan.py
@@ -50,8 +50,8 @@
 class Plan(NamedTuple):
     """Actions of one planning round.
 
-    :param unexamined_steps: number of waiting steps that the round ended
-        before.
+    :param unexamined_steps: number of waiting steps that the round did not
+        come to.
     """
 
     starts: tuple[PlannedStart, ...] = ()
