Log each run that is lost with its worker

Change: a line run-lost for each run with the cause, whether it may have been ordered, its age, whether other jobs ran there and the failures of its task; no decision changes.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -192,7 +192,7 @@
         worker_id = event.worker_id
         if isinstance(event.outcome, Err):
             if not self._handle_final_failure(
-                worker_id, event.outcome.err_value
+                worker_id, event.outcome.err_value, event.received_ms
             ):
                 self._reachability.record_unanswered_renewal(worker_id)
             return
@@ -221,7 +221,9 @@
             return
         failure = event.outcome.err_value
         self._order_issuer.record_failed_start(planned, failure)
-        if self._handle_final_failure(planned.worker_id, failure):
+        if self._handle_final_failure(
+            planned.worker_id, failure, event.received_ms
+        ):
             return
         if run is None or run.confirmed_ms is not None:
             return
@@ -244,7 +246,7 @@
                 run.stopped_ms = event.received_ms
             return
         if not self._handle_final_failure(
-            event.worker_id, event.outcome.err_value
+            event.worker_id, event.outcome.err_value, event.received_ms
         ):
             self._reachability.record_unanswered_order(
                 event.worker_id, event.received_ms
@@ -348,7 +350,9 @@
         self._job_table.forget_progress(job_ids)
         self._effects.delete_jobs(job_ids)
 
-    def _handle_final_failure(self, worker_id: str, failure: Failure) -> bool:
+    def _handle_final_failure(
+        self, worker_id: str, failure: Failure, now_ms: int
+    ) -> bool:
         """Handle a failure that ends the leadership or removes the worker.
 
         :return: whether the failure was of that kind.
@@ -356,7 +360,7 @@
         if failure.code is FailureCode.FENCED:
             self.stop_leading("a worker has seen a higher fencing token")
         elif failure.code is FailureCode.REPLACED:
-            self._roster.remove(worker_id, "replaced")
+            self._roster.remove(worker_id, "replaced", now_ms)
         else:
             return False
         return True
--- a/src/magnoliapitch/control/order_issuer.py
+++ b/src/magnoliapitch/control/order_issuer.py
@@ -131,6 +131,7 @@
             run.task.checkpoint,
             planned.ticket,
         )
+        run.order_sent_ms = now_ms
         self._effects.start(info, planned, order)
 
     def _has_unknown_runs(self, worker_id: str) -> bool:
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.control.log_fields import run_fields
 from magnoliapitch.event import log_event
 
 
@@ -89,7 +90,7 @@
             if not is_reachable:
                 self._lose_runs_if_leases_expired(worker, now_ms)
 
-    def remove(self, worker_id: str, reason: str) -> None:
+    def remove(self, worker_id: str, reason: str, now_ms: int) -> None:
         """Remove a worker that has certainly ended, with its runs.
 
         :param reason: reason that the log gives.
@@ -103,6 +104,7 @@
             reason=reason,
             lost_runs=len(worker.runs),
         )
+        _log_lost_runs(worker, reason, now_ms)
         self._effects.stop_lease_renewal(worker_id)
         self._state.remove_worker(worker_id)
         self.info_by_id.pop(worker_id, None)
@@ -116,10 +118,28 @@
         worker_id = worker.worker_id
         if now_ms < self._reachability.leases_expired_at_ms(worker_id):
             return
+        _log_lost_runs(worker, "lease-over", now_ms)
         lost_count = self._state.lose_runs(worker_id)
         if lost_count:
             log_event(
                 "worker-lease-over", worker=worker_id, lost_runs=lost_count
             )
         if worker_id not in self.info_by_id:
-            self.remove(worker_id, "unlisted")
+            self.remove(worker_id, "unlisted", now_ms)
+
+
+def _log_lost_runs(worker: TrackedWorker, cause: str, now_ms: int) -> None:
+    """Log each run that is lost with its worker.
+
+    :param cause: how the worker was lost.
+    """
+    for run in worker.runs:
+        log_event(
+            "run-lost",
+            **run_fields(run.task.key, run.number, worker.worker_id),
+            cause=cause,
+            may_have_been_ordered=run.may_have_been_ordered,
+            age_ms=None if run.started_ms is None else now_ms - run.started_ms,
+            is_alone=worker.runs_only(run.task.step.job),
+            failures=run.task.failures,
+        )
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -97,6 +97,15 @@
     "A worker does not list a run that was ordered there, so the run is "
     "certainly not executing; its task waits again.",
 )
+define_event(
+    "run-lost",
+    EventLevel.INFO,
+    "A run ended with its worker, or when the worker's lease had certainly "
+    "expired. Gives whether the start order may have been sent, the time "
+    "since the worker accepted the run (None if it is not known to have), "
+    "whether only runs of this job were on the worker, and how many runs of "
+    "the task have failed.",
+)
 define_event(
     "run-unknown",
     EventLevel.WARNING,
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -22,6 +22,8 @@
 
     :ivar number: number of the run among the runs of its task.
     :ivar resources: capacity that the run reserves on its worker.
+    :ivar order_sent_ms: when the start order was passed on to be sent; None
+        before.
     :ivar started_ms: when the worker first accepted or reported the run;
         None before.
     :ivar confirmed_ms: when it last did so; None before.
@@ -39,6 +41,7 @@
         "is_restored",
         "is_stopping",
         "number",
+        "order_sent_ms",
         "ordered_ms",
         "resources",
         "resumed_percent",
@@ -57,6 +60,7 @@
         self.worker_id = worker_id
         self.resources = task.step.reservation
         self.ordered_ms = now_ms
+        self.order_sent_ms: int | None = None
         self.started_ms: int | None = None
         self.confirmed_ms: int | None = None
         self.is_restored = False
@@ -65,6 +69,11 @@
         self.stopped_ms: int | None = None
         self.resumed_percent = 0.0
 
+    @property
+    def may_have_been_ordered(self) -> bool:
+        """Return whether the worker may have received a start order."""
+        return self.is_restored or self.order_sent_ms is not None
+
 
 class TrackedTask:
     """A task and its runs.
@@ -267,6 +276,12 @@
             and not self.unknown_run_count
         )
 
+    def runs_only(self, job: TrackedJob) -> bool:
+        """Return whether no run of another job may be active here."""
+        return not self.unknown_run_count and all(
+            run.task.step.job is job for run in self.runs
+        )
+
     def update(self, info: WorkerInfo) -> None:
         """Update the worker from the platform's list."""
         self.info = info
