--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import random
-
 from functools import partial
 from typing import TYPE_CHECKING
 
 from result import Err
 from result import Ok
+from result import Result
 
 from magnoliapitch.control.events import Committed
 from magnoliapitch.control.events import PermitsAnswered
@@ -17,6 +16,7 @@
 from magnoliapitch.control.events import WorkerReported
 from magnoliapitch.ledger.records import CANCEL_PREFIX
 from magnoliapitch.ledger.records import JOB_PREFIX
+from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import may_have_run
 from magnoliapitch.verdict import not_run
@@ -52,6 +52,10 @@
         worker.stop(order)
 
 
+def _replaced() -> Result[int, Failure]:
+    return Err(not_run(FailureCode.REPLACED, "another incarnation"))
+
+
 class SimulatedEffects:
     """Carries out a controller's calls to workers, store and advisor."""
 
@@ -82,7 +86,7 @@
 
         def arrive() -> None:
             target = simulation.workers[worker.worker_id]
-            if worker.worker_id in simulation.unreachable_worker_ids:
+            if simulation.is_silent(worker.worker_id):
                 lost = Err(may_have_run(FailureCode.TIMEOUT, "unreachable"))
                 simulation.schedule(ANSWER_TIMEOUT_MS, lambda: answer(lost))
                 return
@@ -94,8 +98,10 @@
                 lost = Err(may_have_run(FailureCode.TIMEOUT, "late"))
                 simulation.schedule(ANSWER_TIMEOUT_MS, lambda: answer(lost))
                 return
-            outcome = target.start(order)
-            if simulation.start_answer_lost(order):
+            outcome = (
+                _replaced() if target.is_replaced else target.start(order)
+            )
+            if target.is_down or simulation.start_answer_lost(order):
                 lost = Err(may_have_run(FailureCode.TIMEOUT, "lost"))
                 simulation.schedule(ANSWER_TIMEOUT_MS, lambda: answer(lost))
                 return
@@ -116,7 +122,7 @@
 
         def arrive() -> None:
             if (
-                worker.worker_id in simulation.unreachable_worker_ids
+                simulation.is_silent(worker.worker_id)
                 or not self._is_current()
             ):
                 return
@@ -127,7 +133,7 @@
                     late_ms, partial(_carry_out, target, order)
                 )
                 return
-            outcome = target.stop(order)
+            outcome = _replaced() if target.is_replaced else target.stop(order)
             simulation.controller.handle_stop_answer(
                 StopAnswered(
                     order.task,
@@ -185,13 +191,9 @@
 
         def finish() -> None:
             simulation.end_advisor_call()
-            permit_choice = random.Random(f"{request.step}")
-            permitted_worker_ids = {
-                worker_id
-                for worker_id in sorted(simulation.workers)
-                if permit_choice.random()
-                < simulation.permitted_share_of(request.step)
-            }
+            permitted_worker_ids = simulation.permitted_worker_ids(
+                request.step
+            )
             ticket = f"until {sent_ms + simulation.valid_ms(request.step)}"
             permits = tuple(
                 Permit(worker_id, ticket)
@@ -226,12 +228,13 @@
             return
         sent_ms = simulation.now_ms
         deadline_ms = self._next_deadline(worker_id)
-        if worker_id in simulation.unreachable_worker_ids:
+        worker = simulation.workers[worker_id]
+        if simulation.is_silent(worker_id) or worker.is_replaced:
             failure = not_run(FailureCode.UNAVAILABLE, "unreachable")
-            self._report(worker_id, Err(failure), sent_ms)
+            outcome = _replaced() if worker.is_replaced else Err(failure)
+            self._report(worker_id, outcome, sent_ms)
             simulation.schedule(300, lambda: self._renew(worker_id))
             return
-        worker = simulation.workers[worker_id]
         acknowledged_sequence = self._acknowledged_sequence_by_worker.get(
             worker_id, 0
         )
@@ -239,7 +242,7 @@
 
         def answer() -> None:
             worker.end_listeners.discard(answer_now)
-            if worker_id in simulation.unreachable_worker_ids:
+            if simulation.is_silent(worker_id) or worker.is_replaced:
                 self._renew(worker_id)
                 return
             self._report(worker_id, Ok(worker.report()), sent_ms)
--- a/tests/control/simulated_worker.py
+++ b/tests/control/simulated_worker.py
@@ -32,6 +32,8 @@
 
 # The longest stop that the protocol allows; the run executes until its end.
 STOP_DURATION_MS = 400
+# The platform removes the entry of a worker after this time of silence.
+UNLISTED_AFTER_MS = 4_500
 
 
 class _Run:
@@ -44,11 +46,17 @@
 
 
 class SimulatedWorker:
-    """Runs tasks under a lease; its clock is the simulation's."""
+    """Runs tasks under a lease; its clock is the simulation's.
+
+    :ivar is_down: whether it has crashed; it then answers no calls.
+    :ivar is_replaced: whether another incarnation answers at its address.
+    """
 
     def __init__(self, info: WorkerInfo, simulation: Simulation) -> None:
         self.info = info
         self.is_gone = False
+        self.is_down = False
+        self.is_replaced = False
         self.running: dict[TaskKey, _Run] = {}
         self.ended: list[EndedRun] = []
         self.end_listeners: set[Callable[[], None]] = set()
@@ -57,6 +65,35 @@
         self._deadline_ms = 0
         self._last_end_sequence = 0
         self._highest_run_by_task: dict[TaskKey, int] = {}
+        self._crashed_ms = 0
+
+    @property
+    def is_listed(self) -> bool:
+        """Return whether the platform lists the worker."""
+        silent_ms = self._simulation.now_ms - self._crashed_ms
+        return not self.is_gone and (
+            not self.is_down or silent_ms < UNLISTED_AFTER_MS
+        )
+
+    def crash(self, culprit: TaskKey | None = None) -> None:
+        """End with all runs; another incarnation follows after a while.
+
+        :param culprit: task that caused the crash, if one did.
+        """
+        if self.is_down:
+            return
+        self.is_down = True
+        self._crashed_ms = self._simulation.now_ms
+        self._simulation.record_crash(list(self.running), culprit)
+        runs, self.running = list(self.running.values()), {}
+        for run in runs:
+            if run.step.is_gang:
+                for worker, member in self._members(run):
+                    worker.end(member, EndKind.MEMBER_ENDED)
+        self._simulation.schedule(
+            self._simulation.restart_delay_ms,
+            lambda: self._simulation.restart_worker(self),
+        )
 
     def renew_lease(
         self, token: int, deadline_ms: int | None, acknowledged_sequence: int
@@ -149,14 +186,33 @@
         step = spec.steps[order.task.step]
         run = _Run(order, step, self._simulation.now_ms)
         self.running[order.task] = run
-        self._simulation.starts[order.task] += 1
+        self._simulation.record_start(order.task)
         self._simulation.check()
+        self._crash_if_deadly(order.task)
+        if self.is_down:
+            return
         members = [(self, run), *self._members(run)]
         if step.is_gang and len(members) < step.task_count:
             return
         for worker, member in members if step.is_gang else [(self, run)]:
             worker.work(member)
 
+    def _crash_if_deadly(self, task: TaskKey) -> None:
+        simulation = self._simulation
+        if not simulation.crashes_worker(task):
+            return
+        if simulation.crash_delay_ms:
+            simulation.schedule(
+                simulation.crash_delay_ms,
+                lambda: self._crash_if_running(task),
+            )
+        else:
+            self.crash(task)
+
+    def _crash_if_running(self, task: TaskKey) -> None:
+        if task in self.running:
+            self.crash(task)
+
     def work(self, run: _Run) -> None:
         """Let a run work and schedule its end."""
         simulation, key = self._simulation, run.order.task
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+import random
 
 from collections import Counter
 from typing import TYPE_CHECKING
@@ -56,6 +57,10 @@
 SERVICE = "app"
 LARGE_CAPACITY = Resources(32_000, 131_072)
 TIMING = ControlTiming(lease_ms=6_000)
+# Once this many workers have crashed under a task that crashes them, it may
+# not be started this often.
+CRASHES_BEFORE_LIMIT = 3
+MAX_STARTS_AFTER_CRASHES = 3
 
 
 class Finished(NamedTuple):
@@ -75,6 +80,13 @@
     :ivar actual_duration_ms: returns the actual duration of a task; by
         default 1 s.
     :ivar run_fails: returns whether runs of a task fail on a worker.
+    :ivar crashes_worker: returns whether a task crashes each worker that
+        starts it.
+    :ivar crash_delay_ms: time from the start of such a task to the crash; 0
+        for a worker that crashes before it answers the start order.
+    :ivar restart_delay_ms: time from a crash to the next incarnation.
+    :ivar crashes_under: number of workers that crashed under a run of each
+        task, whichever task caused it.
     :ivar start_answer_lost: returns whether the answer to a start order
         is lost although the order is carried out.
     :ivar order_late_ms: returns how much later an order is carried out, in
@@ -100,6 +112,12 @@
         self.finished: dict[str, Finished] = {}
         self.actual_duration_ms: Callable[[TaskKey], float] = lambda _: 1_000.0
         self.run_fails: Callable[[TaskKey, str], bool] = lambda *_: False
+        self.crashes_worker: Callable[[TaskKey], bool] = lambda _: False
+        self.crash_delay_ms = 30
+        self.restart_delay_ms = 2_000
+        self.crashes_under: Counter[TaskKey] = Counter()
+        self._starts_after_crashes: Counter[TaskKey] = Counter()
+        self._incarnation_count = 0
         self.permitted_share = 0.5
         self.permitted_share_by_queue: dict[str, float] = {}
         self.start_answer_lost: Callable[[StartOrder], bool] = lambda _: False
@@ -124,6 +142,7 @@
         self.workers = {
             info.worker_id: SimulatedWorker(info, self) for info in workers
         }
+        self._first_worker_ids = sorted(self.workers)
         self.job_table = JobTable()
         self.states = StateTable()
         self.specs: dict[str, JobSpec] = {}
@@ -190,8 +209,27 @@
         ].permit_timing
         return permit_timing.valid_ms if permit_timing else 0
 
-    def permitted_share_of(self, step: StepKey) -> float:
-        """Return the share of the workers that the advisor permits."""
+    def permitted_worker_ids(self, step: StepKey) -> set[str]:
+        """Return the workers that the advisor permits for a step.
+
+        What it has decided about a worker does not change when others come.
+        """
+        share = self._permitted_share_of(step)
+        choice = random.Random(f"{step}")
+        permitted = {
+            worker_id
+            for worker_id in self._first_worker_ids
+            if choice.random() < share
+        }
+        later_ids = self.workers.keys() - set(self._first_worker_ids)
+        permitted.update(
+            worker_id
+            for worker_id in later_ids
+            if random.Random(f"{step} {worker_id}").random() < share
+        )
+        return permitted
+
+    def _permitted_share_of(self, step: StepKey) -> float:
         queue_name = self.specs[step.job_id].queue
         return self.permitted_share_by_queue.get(
             queue_name, self.permitted_share
@@ -230,6 +268,47 @@
                 after_ms = self.now_ms - submitted_ms
                 self.finished[job_id] = Finished(published.state, after_ms)
 
+    def is_silent(self, worker_id: str) -> bool:
+        """Return whether calls to a worker get no answer."""
+        return (
+            worker_id in self.unreachable_worker_ids
+            or self.workers[worker_id].is_down
+        )
+
+    def record_start(self, task: TaskKey) -> None:
+        """Count a start; check that a deadly task is given up in time."""
+        self.starts[task] += 1
+        if (
+            not self.crashes_worker(task)
+            or self.crashes_under[task] < CRASHES_BEFORE_LIMIT
+        ):
+            return
+        self._starts_after_crashes[task] += 1
+        if self._starts_after_crashes[task] >= MAX_STARTS_AFTER_CRASHES:
+            self.violations.append(
+                f"{task} was started again after "
+                f"{self.crashes_under[task]} crashes"
+            )
+
+    def record_crash(
+        self, tasks: Sequence[TaskKey], culprit: TaskKey | None
+    ) -> None:
+        """Record the tasks that ran on a worker that has crashed."""
+        self.crashes_under.update(tasks)
+        if culprit is not None and culprit not in tasks:
+            self.crashes_under[culprit] += 1
+
+    def restart_worker(self, worker: SimulatedWorker) -> None:
+        """Begin the next incarnation of a worker, at the same address."""
+        worker.is_down = False
+        worker.is_gone = worker.is_replaced = True
+        self._incarnation_count += 1
+        name = worker.info.worker_id.partition("-")[0]
+        worker_id = f"{name}-{self._incarnation_count}"
+        self.workers[worker_id] = SimulatedWorker(
+            worker.info._replace(worker_id=worker_id), self
+        )
+
     def begin_advisor_call(self) -> bool:
         """Begin an advisor call if the limit allows another."""
         if not self.available_advisor_calls():
@@ -273,7 +352,7 @@
             worker_id: worker.info
             for worker_id, worker in self.workers.items()
             if worker_id not in self.unreachable_worker_ids
-            and not worker.is_gone
+            and worker.is_listed
         }
         self.controller.handle_worker_list(WorkersListed(info_by_id))
         self.schedule(500, self._list_workers)
