Give a task up under which worker after worker ends

Callers saw: one task took down worker after worker, and every job beside it was lost again and again. Cause: only ends that a worker reports as failed count as attempts; runs that are lost with their worker were removed without a trace and started again at once, without limit. Class: unbounded retries of work whose failure leaves nobody to report it (poison message).

Change: each task counts the workers lost under its runs, stored with the job's progress, so that the count outlives the leader. After two losses a task is placed apart from other jobs; it is given up after the third if it was certainly alone there, else after the fourth. Workers that were cut off, were leaving, or ended a minute after the run had begun count for nothing.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -221,6 +221,9 @@
             return
         failure = event.outcome.err_value
         self._order_issuer.record_failed_start(planned, failure)
+        if run is not None and failure.verdict is Verdict.NOT_RUN:
+            # The worker did not begin the run, so it cannot end with it.
+            run.order_sent_ms = None
         if self._handle_final_failure(
             planned.worker_id, failure, event.received_ms
         ):
@@ -360,7 +363,9 @@
         if failure.code is FailureCode.FENCED:
             self.stop_leading("a worker has seen a higher fencing token")
         elif failure.code is FailureCode.REPLACED:
-            self._roster.remove(worker_id, "replaced", now_ms)
+            self._roster.remove(
+                worker_id, "replaced", now_ms, has_crashed=True
+            )
         else:
             return False
         return True
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -9,6 +9,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Mapping
 
     from magnoliapitch.control.effects import Effects
@@ -17,6 +18,7 @@
     from magnoliapitch.planner.planner import Planner
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedWorker
+    from magnoliapitch.planner.worker_loss import LostRun
     from magnoliapitch.workload.worker import WorkerInfo
 
 
@@ -90,10 +92,14 @@
             if not is_reachable:
                 self._lose_runs_if_leases_expired(worker, now_ms)
 
-    def remove(self, worker_id: str, reason: str, now_ms: int) -> None:
-        """Remove a worker that has certainly ended, with its runs.
+    def remove(
+        self, worker_id: str, reason: str, now_ms: int, *, has_crashed: bool
+    ) -> None:
+        """Remove a worker with its runs.
 
         :param reason: reason that the log gives.
+        :param has_crashed: whether the worker has certainly ended; otherwise
+            its leases have expired.
         """
         worker = self._state.workers_by_id.get(worker_id)
         if worker is None:
@@ -106,7 +112,10 @@
         )
         _log_lost_runs(worker, reason, now_ms)
         self._effects.stop_lease_renewal(worker_id)
-        self._state.remove_worker(worker_id)
+        lost = self._state.remove_worker(
+            worker_id, now_ms, has_crashed=has_crashed
+        )
+        _log_suspects(worker_id, lost)
         self.info_by_id.pop(worker_id, None)
         self._reachability.forget(worker_id)
         self._report_applier.forget(worker_id)
@@ -118,14 +127,15 @@
         worker_id = worker.worker_id
         if now_ms < self._reachability.leases_expired_at_ms(worker_id):
             return
+        if worker_id not in self.info_by_id:
+            self.remove(worker_id, "unlisted", now_ms, has_crashed=False)
+            return
         _log_lost_runs(worker, "lease-over", now_ms)
         lost_count = self._state.lose_runs(worker_id)
         if lost_count:
             log_event(
                 "worker-lease-over", worker=worker_id, lost_runs=lost_count
             )
-        if worker_id not in self.info_by_id:
-            self.remove(worker_id, "unlisted", now_ms)
 
 
 def _log_lost_runs(worker: TrackedWorker, cause: str, now_ms: int) -> None:
@@ -142,4 +152,22 @@
             age_ms=None if run.started_ms is None else now_ms - run.started_ms,
             is_alone=worker.runs_only(run.task.step.job),
             failures=run.task.failures,
+            worker_crashes=run.task.worker_crashes,
+            worker_losses=run.task.worker_losses,
         )
+
+
+def _log_suspects(worker_id: str, lost: Iterable[LostRun]) -> None:
+    """Log the tasks that are placed apart from now on, or given up."""
+    for task, is_alone, gives_up in lost:
+        run = run_fields(task.key, task.runs, worker_id)
+        if gives_up:
+            log_event(
+                "task-given-up",
+                **run,
+                is_alone=is_alone,
+                worker_crashes=task.worker_crashes,
+                worker_losses=task.worker_losses,
+            )
+        elif task.is_suspect:
+            log_event("task-suspected", **run)
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -103,8 +103,20 @@
     "A run ended with its worker, or when the worker's lease had certainly "
     "expired. Gives whether the start order may have been sent, the time "
     "since the worker accepted the run (None if it is not known to have), "
-    "whether only runs of this job were on the worker, and how many runs of "
-    "the task have failed.",
+    "whether only runs of this job were on the worker, how many runs of the "
+    "task have failed, and with how many workers one was lost before.",
+)
+define_event(
+    "task-suspected",
+    EventLevel.WARNING,
+    "A task was lost with several workers, so it is placed apart from other "
+    "jobs from now on.",
+)
+define_event(
+    "task-given-up",
+    EventLevel.WARNING,
+    "Worker after worker ended while a task ran there, so it is not started "
+    "any more and its job has failed.",
 )
 define_event(
     "run-unknown",
--- a/src/magnoliapitch/planner/candidates.py
+++ b/src/magnoliapitch/planner/candidates.py
@@ -9,6 +9,7 @@
     from collections.abc import Iterable
     from collections.abc import Iterator
 
+    from magnoliapitch.planner.tracked import TrackedJob
     from magnoliapitch.planner.tracked import TrackedStep
     from magnoliapitch.planner.tracked import TrackedWorker
     from magnoliapitch.resource import Resources
@@ -19,14 +20,20 @@
     """A worker and its free capacity during one planning round.
 
     :ivar free: capacity that is left for the rest of the round.
+    :ivar reserved_for: the only job that may be placed here; None if any may.
     """
 
-    __slots__ = ("free", "info", "worker")
+    __slots__ = ("free", "info", "reserved_for", "worker")
 
     def __init__(self, worker: TrackedWorker, info: WorkerInfo) -> None:
         self.worker = worker
         self.info = info
         self.free: Resources = worker.free
+        self.reserved_for: TrackedJob | None = None
+
+    def accepts(self, job: TrackedJob) -> bool:
+        """Return whether the worker is not reserved for another job."""
+        return self.reserved_for is None or self.reserved_for is job
 
     def reserve(self, amount: Resources) -> None:
         """Reserve capacity for the rest of the round."""
@@ -74,12 +81,17 @@
             self.candidates_by_id.get(worker_id)
             for worker_id in step.permitted_worker_ids
         )
-        return [candidate for candidate in candidates if candidate is not None]
+        return [
+            candidate
+            for candidate in candidates
+            if candidate is not None and candidate.accepts(step.job)
+        ]
 
 
 def _is_eligible(candidate: Candidate, step: TrackedStep) -> bool:
     return (
-        candidate.info.service == step.job.queue.service
+        candidate.accepts(step.job)
+        and candidate.info.service == step.job.queue.service
         and (not step.spec.label or step.spec.label in candidate.info.labels)
         and step.reservation.fits(candidate.info.capacity)
     )
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -15,6 +15,7 @@
 from magnoliapitch.planner.planning_round import PlanningRound
 from magnoliapitch.planner.ranking import rank_of
 from magnoliapitch.planner.worker_backoff import WorkerBackoff
+from magnoliapitch.planner.worker_isolation import WorkerIsolation
 from magnoliapitch.workload.progress import JobOutcome
 
 
@@ -36,6 +37,7 @@
     def __init__(self) -> None:
         self.duration_estimator = DurationEstimator()
         self.worker_backoff = WorkerBackoff()
+        self._isolation = WorkerIsolation()
 
     def record_failed(self, run: TrackedRun) -> None:
         """Record the worker of a failed run.
@@ -107,7 +109,7 @@
             ranked_steps, max_calls, max_starts_in_flight
         )
         planning_round = PlanningRound(
-            state, now_ms, permit_budget, max_starts
+            state, now_ms, permit_budget, max_starts, self._isolation
         )
         examined_count = 0
         remaining_by_queue = _examined_steps_by_queue(ranked_steps)
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -19,6 +19,7 @@
     from magnoliapitch.planner.permit_budget import PermitBudget
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedStep
+    from magnoliapitch.planner.worker_isolation import WorkerIsolation
     from magnoliapitch.workload.job import StepKey
 
 
@@ -53,6 +54,7 @@
     keep the others from the rest.
 
     :param max_starts: number of start orders that can be sent now.
+    :param isolation: keeps other jobs off the workers of some tasks.
     """
 
     def __init__(
@@ -61,12 +63,15 @@
         now_ms: int,
         permit_budget: PermitBudget,
         max_starts: int,
+        isolation: WorkerIsolation,
     ) -> None:
         self.starts: list[PlannedStart] = []
         self._now_ms = now_ms
         self._permit_budget = permit_budget
         self._max_starts = max_starts
         self._workers = CandidateWorkers(state.workers_by_id.values())
+        self._isolation = isolation
+        isolation.begin_round(state, self._workers, now_ms)
         self._gangs_with_reserved_capacity = 0
         self._steps_with_request: set[StepKey] = set()
 
@@ -192,11 +197,16 @@
 
     def _allowed_candidates(self, step: TrackedStep) -> list[Candidate]:
         if step.job.queue.permit_timing is None:
-            return list(self._workers.eligible(step))
-        if not step.asked_worker_ids:
+            allowed = list(self._workers.eligible(step))
+        elif step.asked_worker_ids:
+            allowed = self._workers.permitted(step)
+        else:
             self._ask_about_unasked(step)
             return []
-        return self._workers.permitted(step)
+        worker_count = len(self._workers.candidates_by_id)
+        return self._isolation.select(
+            step, allowed, worker_count, self._now_ms
+        )
 
     def _has_ticket(self, step: TrackedStep, candidate: Candidate) -> bool:
         if step.job.queue.permit_timing is None:
--- a/src/magnoliapitch/planner/restore.py
+++ b/src/magnoliapitch/planner/restore.py
@@ -1,10 +1,13 @@
-"""Restoring a job from the progress that a former leader stored."""
+"""Progress of a job as it is stored, and restoring a job from it."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from magnoliapitch.workload.progress import JobOutcome
+from magnoliapitch.workload.progress import JobProgress
+from magnoliapitch.workload.progress import Placement
+from magnoliapitch.workload.progress import TaskProgress
 
 
 if TYPE_CHECKING:
@@ -12,8 +15,35 @@
     from magnoliapitch.planner.tracked import TrackedJob
     from magnoliapitch.planner.tracked import TrackedStep
     from magnoliapitch.planner.tracked import TrackedTask
-    from magnoliapitch.workload.progress import JobProgress
-    from magnoliapitch.workload.progress import TaskProgress
+
+
+def progress_of(job: TrackedJob) -> JobProgress:
+    """Return the progress of a job in the form that is stored."""
+    return JobProgress(
+        job.spec.job_id,
+        job.outcome,
+        {
+            task.key: _task_progress(task)
+            for step in job.all_steps()
+            for task in step.tasks
+            if task.runs
+        },
+        job.has_begun,
+    )
+
+
+def _task_progress(task: TrackedTask) -> TaskProgress:
+    return TaskProgress(
+        task.runs,
+        task.failures,
+        task.is_done,
+        task.checkpoint,
+        tuple(
+            Placement(run.number, run.worker_id) for run in task.active_runs
+        ),
+        task.worker_crashes,
+        task.worker_losses,
+    )
 
 
 def restore_progress(
@@ -49,6 +79,10 @@
     task.failures = progress.failures
     task.is_done = progress.is_done
     task.checkpoint = progress.checkpoint
+    task.worker_crashes = progress.worker_crashes
+    task.worker_losses = progress.worker_losses
+    if task.is_suspect:
+        state.suspects_by_key[task.key] = task
     is_over = task.is_done or task.step.job.outcome is not JobOutcome.OPEN
     for placement in progress.placements:
         run = state.add_run(task, placement.run, placement.worker_id, now_ms)
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -4,16 +4,16 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.planner.restore import progress_of
 from magnoliapitch.planner.restore import restore_progress
 from magnoliapitch.planner.tracked import TrackedJob
 from magnoliapitch.planner.tracked import TrackedRun
 from magnoliapitch.planner.tracked import TrackedStep
 from magnoliapitch.planner.tracked import TrackedTask
 from magnoliapitch.planner.tracked import TrackedWorker
+from magnoliapitch.planner.worker_loss import LostRun
+from magnoliapitch.planner.worker_loss import count_lost_worker
 from magnoliapitch.workload.progress import JobOutcome
-from magnoliapitch.workload.progress import JobProgress
-from magnoliapitch.workload.progress import Placement
-from magnoliapitch.workload.progress import TaskProgress
 from magnoliapitch.workload.run import EndKind
 
 
@@ -24,6 +24,7 @@
     from magnoliapitch.workload.job import JobSpec
     from magnoliapitch.workload.job import StepKey
     from magnoliapitch.workload.job import TaskKey
+    from magnoliapitch.workload.progress import JobProgress
     from magnoliapitch.workload.run import ActiveRun
     from magnoliapitch.workload.run import EndedRun
     from magnoliapitch.workload.run import Permit
@@ -39,6 +40,7 @@
     :ivar waiting_steps: steps that may start now and have startable tasks.
     :ivar scheduled_steps: steps of a recurring job whose dependencies are
         done and that wait for the start time of their occurrence.
+    :ivar suspects_by_key: tasks that were lost with several workers.
     :ivar runs_to_stop: runs that must be stopped, by ``id()`` of the run.
     """
 
@@ -48,6 +50,7 @@
         self.unsaved_job_ids: set[str] = set()
         self.waiting_steps: dict[StepKey, TrackedStep] = {}
         self.scheduled_steps: dict[StepKey, TrackedStep] = {}
+        self.suspects_by_key: dict[TaskKey, TrackedTask] = {}
         self.runs_to_stop: dict[int, TrackedRun] = {}
 
     def add_job(
@@ -101,10 +104,32 @@
         worker.update(info)
         return worker
 
-    def remove_worker(self, worker_id: str) -> None:
-        """Remove a worker that has certainly ended, with its runs."""
+    def remove_worker(
+        self, worker_id: str, now_ms: int, *, has_crashed: bool
+    ) -> list[LostRun]:
+        """Remove a worker with its runs; give up tasks that it is blamed on.
+
+        :param has_crashed: whether the worker has certainly ended.
+        :return: the runs that may have caused it.
+        """
+        worker = self.workers_by_id.get(worker_id)
+        if worker is None:
+            return []
+        lost = count_lost_worker(worker, now_ms, has_crashed=has_crashed)
         self.lose_runs(worker_id)
-        self.workers_by_id.pop(worker_id, None)
+        del self.workers_by_id[worker_id]
+        for task, _, gives_up in lost:
+            if task.is_suspect:
+                self.suspects_by_key[task.key] = task
+            if gives_up and task.step.job.outcome is JobOutcome.OPEN:
+                self._close_job(task.step.job, JobOutcome.FAILED)
+        return lost
+
+    def forget_ended_suspects(self) -> None:
+        """Drop suspects that are done or whose job has ended."""
+        for key, task in list(self.suspects_by_key.items()):
+            if task.is_done or task.step.job.outcome is not JobOutcome.OPEN:
+                del self.suspects_by_key[key]
 
     def lose_runs(self, worker_id: str) -> int:
         """Remove every run of a worker; return the number of runs lost."""
@@ -273,27 +298,7 @@
 
     def progress(self, job_id: str) -> JobProgress:
         """Return the progress of a job in the form that is stored."""
-        job = self.jobs_by_id[job_id]
-        return JobProgress(
-            job_id,
-            job.outcome,
-            {
-                task.key: TaskProgress(
-                    task.runs,
-                    task.failures,
-                    task.is_done,
-                    task.checkpoint,
-                    tuple(
-                        Placement(run.number, run.worker_id)
-                        for run in task.active_runs
-                    ),
-                )
-                for step in job.all_steps()
-                for task in step.tasks
-                if task.runs
-            },
-            job.has_begun,
-        )
+        return progress_of(self.jobs_by_id[job_id])
 
     def _save_checkpoint(self, task: TrackedTask, checkpoint: str) -> None:
         tasks = task.step.tasks if task.step.spec.is_gang else [task]
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -17,6 +17,10 @@
     from magnoliapitch.workload.worker import WorkerInfo
 
 
+# A task that was lost with this many workers is placed apart from other jobs.
+MIN_SUSPECT_LOSSES = 2
+
+
 class TrackedRun:
     """A run that was ordered and whose end is not known.
 
@@ -82,6 +86,9 @@
     :ivar failures: number of failed runs; a failed run of a gang counts for
         only one of its tasks.
     :ivar active_runs: runs that were ordered and may still be active.
+    :ivar worker_crashes: workers that ended while a run was active there.
+    :ivar worker_losses: workers that were lost so, but may only have been
+        cut off.
     """
 
     __slots__ = (
@@ -92,6 +99,8 @@
         "key",
         "runs",
         "step",
+        "worker_crashes",
+        "worker_losses",
     )
 
     def __init__(self, step: TrackedStep, position: int) -> None:
@@ -102,6 +111,18 @@
         self.is_done = False
         self.checkpoint = ""
         self.active_runs: list[TrackedRun] = []
+        self.worker_crashes = 0
+        self.worker_losses = 0
+
+    @property
+    def lost_worker_count(self) -> int:
+        """Return with how many workers a run of the task was lost."""
+        return self.worker_crashes + self.worker_losses
+
+    @property
+    def is_suspect(self) -> bool:
+        """Return whether the task may be what ends its workers."""
+        return self.lost_worker_count >= MIN_SUSPECT_LOSSES
 
 
 class TrackedStep:
@@ -196,6 +217,10 @@
         """Return whether a task that was started before has to start again."""
         return any(task.runs for task in self.startable_tasks())
 
+    def has_waiting_suspect(self) -> bool:
+        """Return whether a waiting task may be what ends its workers."""
+        return any(task.is_suspect for task in self.startable_tasks())
+
     def all_active_runs(self) -> list[TrackedRun]:
         """Return the active runs of all tasks."""
         return [run for task in self.tasks for run in task.active_runs]
--- /dev/null
+++ b/src/magnoliapitch/planner/worker_isolation.py
@@ -0,0 +1,153 @@
+"""Workers that are kept free of other jobs for tasks that may crash them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliapitch.planner.candidates import free_task_count
+from magnoliapitch.planner.candidates import idle_task_count
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.planner.candidates import Candidate
+    from magnoliapitch.planner.candidates import CandidateWorkers
+    from magnoliapitch.planner.scheduler_state import SchedulerState
+    from magnoliapitch.planner.tracked import TrackedJob
+    from magnoliapitch.planner.tracked import TrackedStep
+
+
+# Share of the workers that may be kept free while their other runs end.
+MAX_KEPT_SHARE = 0.125
+# Services may never free a worker, so that a task is then placed beside them.
+MAX_WAIT_MS = 10_000
+
+
+class WorkerIsolation:
+    """Places tasks that were lost with several workers apart from other jobs.
+
+    If such a task ends another worker, nobody else is harmed, and it is
+    certain which job did it. Tasks of one job share workers, so that a gang
+    needs few of them.
+    """
+
+    def __init__(self) -> None:
+        self._job_by_worker: dict[str, TrackedJob] = {}
+        self._waiting_since_ms_by_job: dict[str, int] = {}
+
+    def begin_round(
+        self,
+        state: SchedulerState,
+        workers: CandidateWorkers,
+        now_ms: int,
+    ) -> None:
+        """Keep other jobs off the workers that are kept free or in use."""
+        state.forget_ended_suspects()
+        waiting_by_id: dict[str, TrackedJob] = {}
+        for task in state.suspects_by_key.values():
+            job = task.step.job
+            if not task.active_runs:
+                waiting_by_id[job.spec.job_id] = job
+            for run in task.active_runs:
+                _reserve(workers, run.worker_id, job)
+        self._job_by_worker = {
+            worker_id: job
+            for worker_id, job in self._job_by_worker.items()
+            if job.spec.job_id in waiting_by_id
+            and worker_id in workers.candidates_by_id
+        }
+        for worker_id, job in self._job_by_worker.items():
+            _reserve(workers, worker_id, job)
+        self._waiting_since_ms_by_job = {
+            job_id: self._waiting_since_ms_by_job.get(job_id, now_ms)
+            for job_id in waiting_by_id
+        }
+
+    def select(
+        self,
+        step: TrackedStep,
+        candidates: list[Candidate],
+        worker_count: int,
+        now_ms: int,
+    ) -> list[Candidate]:
+        """Return the workers on which a step may be placed now.
+
+        :param candidates: workers that may run the step.
+        :param worker_count: number of workers that take new runs.
+        """
+        if not step.has_waiting_suspect():
+            return candidates
+        job = step.job
+        free = [
+            candidate for candidate in candidates if _is_free(candidate, job)
+        ]
+        count = step.waiting_count - sum(
+            free_task_count(candidate, step) for candidate in free
+        )
+        self._keep(free, worker_count, job)
+        if count <= 0:
+            return free
+        kept_count = self._keep_more(step, candidates, count, worker_count)
+        since_ms = self._waiting_since_ms_by_job.get(job.spec.job_id, now_ms)
+        is_overdue = now_ms - since_ms > MAX_WAIT_MS
+        return candidates if is_overdue or not kept_count else free
+
+    def _keep_more(
+        self,
+        step: TrackedStep,
+        candidates: list[Candidate],
+        count: int,
+        worker_count: int,
+    ) -> int:
+        """Keep busy workers free until their runs have ended.
+
+        :param count: number of tasks that these workers are for.
+        :return: number of workers that are kept free for the job, with those
+            that were kept before.
+        """
+        by_free_cpu = sorted(
+            (
+                candidate
+                for candidate in candidates
+                if not _is_free(candidate, step.job)
+                and not _has_service(candidate)
+            ),
+            key=lambda candidate: -candidate.free.cpu_millis,
+        )
+        for candidate in by_free_cpu:
+            if count <= 0:
+                break
+            self._keep([candidate], worker_count, step.job)
+            count -= idle_task_count(candidate, step)
+        return sum(job is step.job for job in self._job_by_worker.values())
+
+    def _keep(
+        self, candidates: list[Candidate], worker_count: int, job: TrackedJob
+    ) -> None:
+        max_count = max(1, int(worker_count * MAX_KEPT_SHARE))
+        for candidate in candidates:
+            if len(self._job_by_worker) >= max_count:
+                return
+            self._job_by_worker[candidate.worker.worker_id] = job
+            candidate.reserved_for = job
+
+
+def _reserve(
+    workers: CandidateWorkers, worker_id: str, job: TrackedJob
+) -> None:
+    candidate = workers.candidates_by_id.get(worker_id)
+    if candidate is not None:
+        candidate.reserved_for = job
+
+
+def _is_free(candidate: Candidate, job: TrackedJob) -> bool:
+    """Return whether no other job has a run on a worker, old or new."""
+    return candidate.worker.runs_only(job) and (
+        candidate.reserved_for is job
+        or candidate.free == candidate.worker.free
+    )
+
+
+def _has_service(candidate: Candidate) -> bool:
+    return any(
+        run.task.step.spec.is_long_running for run in candidate.worker.runs
+    )
--- a/src/magnoliapitch/workload/progress.py
+++ b/src/magnoliapitch/workload/progress.py
@@ -36,6 +36,10 @@
     :param failures: number of runs that ended as ``failed``.
     :param checkpoint: newest saved checkpoint; empty if there is none.
     :param placements: runs that may still be active.
+    :param worker_crashes: number of workers that certainly ended while a run
+        of the task may have been active there.
+    :param worker_losses: number of workers that were lost likewise, but may
+        only have been cut off.
     """
 
     runs: int = 0
@@ -43,6 +47,8 @@
     is_done: bool = False
     checkpoint: str = ""
     placements: tuple[Placement, ...] = ()
+    worker_crashes: int = 0
+    worker_losses: int = 0
 
 
 class JobProgress(NamedTuple):
--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -46,6 +46,8 @@
 
 def _carry_out(worker: SimulatedWorker, order: StartOrder | StopOrder) -> None:
     """Carry out an order that nobody waits for any more."""
+    if worker.is_down or worker.is_replaced:
+        return
     if isinstance(order, StartOrder):
         worker.start(order)
     else:
--- a/tests/control/simulated_worker.py
+++ b/tests/control/simulated_worker.py
@@ -158,6 +158,8 @@
         if self.running.get(key) is not run:
             return
         del self.running[key]
+        if kind is EndKind.FAILED:
+            self._simulation.failures_of[key] += 1
         self._last_end_sequence += 1
         self._highest_run_by_task[key] = max(
             run.order.run, self._highest_run_by_task.get(key, 0)
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -87,6 +87,7 @@
     :ivar restart_delay_ms: time from a crash to the next incarnation.
     :ivar crashes_under: number of workers that crashed under a run of each
         task, whichever task caused it.
+    :ivar failures_of: number of runs of each task that ended as failed.
     :ivar start_answer_lost: returns whether the answer to a start order
         is lost although the order is carried out.
     :ivar order_late_ms: returns how much later an order is carried out, in
@@ -116,6 +117,7 @@
         self.crash_delay_ms = 30
         self.restart_delay_ms = 2_000
         self.crashes_under: Counter[TaskKey] = Counter()
+        self.failures_of: Counter[TaskKey] = Counter()
         self._starts_after_crashes: Counter[TaskKey] = Counter()
         self._incarnation_count = 0
         self.permitted_share = 0.5
