Send no start to a worker that has shrunk meanwhile

Cause: capacity was compared when a start was planned, not when its order was sent. Class: a decision on a value that changes before it takes effect. Change: a stored start is taken back if the runs planned for its worker no longer fit. Conclusion: the plan itself followed the list already; only the wait was open.

--- a/src/magnoliapitch/control/order_issuer.py
+++ b/src/magnoliapitch/control/order_issuer.py
@@ -7,6 +7,7 @@
 
 from magnoliapitch.control.log_fields import run_fields
 from magnoliapitch.event import log_event
+from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.run import StartOrder
@@ -100,8 +101,8 @@
         """Order the start of a run whose record is stored.
 
         The run is removed instead if it may not be started any more. For
-        example, the ticket may have expired during a slow commit, or no
-        lease may be granted any more.
+        example, the ticket may have expired or the worker may have shrunk
+        during a slow commit, or no lease may be granted any more.
 
         :param deadline_ms: end of the worker's lease on its own clock; None
             if no lease may be granted.
@@ -116,7 +117,7 @@
             or run.is_stopping
             or info is None
             or info.is_draining
-            or self._has_unknown_runs(planned.worker_id)
+            or not self._has_room(planned.worker_id)
             or deadline_ms is None
             or _is_ticket_expired(planned, run, now_ms)
         ):
@@ -134,9 +135,15 @@
         run.order_sent_ms = now_ms
         self._effects.start(info, planned, order)
 
-    def _has_unknown_runs(self, worker_id: str) -> bool:
+    def _has_room(self, worker_id: str) -> bool:
+        """Return whether the runs that are planned for a worker fit it.
+
+        Its capacity may have shrunk since they were planned.
+        """
         worker = self._state.workers_by_id.get(worker_id)
-        return worker is not None and worker.unknown_run_count > 0
+        return worker is None or (
+            not worker.unknown_run_count and NO_RESOURCES.fits(worker.free)
+        )
 
     def stop(self, stop: PlannedStop, now_ms: int) -> None:
         """Order the stop of a run, again if an earlier order is unanswered."""
--- a/tests/control/simulated_worker.py
+++ b/tests/control/simulated_worker.py
@@ -34,6 +34,8 @@
 STOP_DURATION_MS = 400
 # The platform removes the entry of a worker after this time of silence.
 UNLISTED_AFTER_MS = 4_500
+# Starts that do not fit are allowed for this long after a worker has shrunk.
+SHRUNK_CAPACITY_GRACE_MS = 4_500
 
 
 class _Run:
@@ -50,6 +52,8 @@
 
     :ivar is_down: whether it has crashed; it then answers no calls.
     :ivar is_replaced: whether another incarnation answers at its address.
+    :ivar is_overcommitted: whether its capacity has shrunk below what its runs
+        use.
     """
 
     def __init__(self, info: WorkerInfo, simulation: Simulation) -> None:
@@ -57,6 +61,7 @@
         self.is_gone = False
         self.is_down = False
         self.is_replaced = False
+        self.is_overcommitted = False
         self.running: dict[TaskKey, _Run] = {}
         self.ended: list[EndedRun] = []
         self.end_listeners: set[Callable[[], None]] = set()
@@ -66,6 +71,22 @@
         self._last_end_sequence = 0
         self._highest_run_by_task: dict[TaskKey, int] = {}
         self._crashed_ms = 0
+        self._resized_ms = 0
+
+    def resize(self, capacity: Resources) -> None:
+        """Shrink or grow; what runs goes on."""
+        self.info = self.info._replace(capacity=capacity)
+        self._resized_ms = self._simulation.now_ms
+        self.is_overcommitted = not self.used().fits(capacity)
+
+    def check_capacity(self) -> bool:
+        """Return whether no start has brought the worker over its capacity.
+
+        Runs from before it shrank may use more.
+        """
+        if self.used().fits(self.info.capacity):
+            self.is_overcommitted = False
+        return self.is_overcommitted or self.used().fits(self.info.capacity)
 
     @property
     def is_listed(self) -> bool:
@@ -188,6 +209,7 @@
         step = spec.steps[order.task.step]
         run = _Run(order, step, self._simulation.now_ms)
         self.running[order.task] = run
+        self._check_start(order)
         self._simulation.record_start(order.task)
         self._simulation.check()
         self._crash_if_deadly(order.task)
@@ -199,6 +221,19 @@
         for worker, member in members if step.is_gang else [(self, run)]:
             worker.work(member)
 
+    def _check_start(self, order: StartOrder) -> None:
+        simulation = self._simulation
+        if self.used().fits(self.info.capacity):
+            return
+        resized_ms = simulation.now_ms - self._resized_ms
+        if self.is_overcommitted and resized_ms > SHRUNK_CAPACITY_GRACE_MS:
+            simulation.violations.append(
+                f"{order.task} was started on {self.info.worker_id}, "
+                f"which had shrunk {resized_ms} ms before"
+            )
+        elif resized_ms <= SHRUNK_CAPACITY_GRACE_MS:
+            self.is_overcommitted = True
+
     def _crash_if_deadly(self, task: TaskKey) -> None:
         simulation = self._simulation
         if not simulation.crashes_worker(task):
