Slow down tasks of the older cluster design that are lost repeatedly

Change: after two lost attempts the delay of a failure applies, up to 60 s; nothing gives up there, as for failures. The dispatcher of small requests already tries at most its MAX_ATTEMPTS servers. Measured: the new test got delays of 0 ms throughout before, 0, 0, 500, 1000, 2000, 4000 ms now; tests/job passes. Conclusion: the same class in both designs is bounded.

--- a/src/magnoliapitch/job/backlog.py
+++ b/src/magnoliapitch/job/backlog.py
@@ -27,6 +27,8 @@
 MAX_TASKS_PER_STEP = 2_000
 RETRY_DELAY_MIN_MS = 500
 RETRY_DELAY_MAX_MS = 60_000
+MAX_RETRY_DELAY_DOUBLINGS = 15
+LOST_ATTEMPTS_REPEATED_AT_ONCE = 2
 MISSING_ENTRY_RETRY_DELAY_MS = 1_000
 
 
@@ -57,16 +59,19 @@
         """Queue a task for another attempt after one has ended.
 
         After a failure the delay grows exponentially with the number of
-        attempts; after any other end the task is due at once.
+        attempts. A lost attempt is mostly not the task's fault, so the first
+        ones are repeated at once; a task that ends every worker that starts
+        it is then slowed down in the same way.
 
         :param now_ms: local monotonic time, in milliseconds.
         """
+        attempt_count = job.attempts_by_task.get(key.task, 1)
+        if job.ended_by_task.get(key.task) is not TaskOutcome.FAILED:
+            attempt_count -= LOST_ATTEMPTS_REPEATED_AT_ONCE
         delay_ms = 0
-        if job.ended_by_task.get(key.task) is TaskOutcome.FAILED:
-            attempt_count = min(job.attempts_by_task.get(key.task, 1), 16)
-            delay_ms = min(
-                RETRY_DELAY_MIN_MS << (attempt_count - 1), RETRY_DELAY_MAX_MS
-            )
+        if attempt_count > 0:
+            doublings = min(attempt_count - 1, MAX_RETRY_DELAY_DOUBLINGS)
+            delay_ms = min(RETRY_DELAY_MIN_MS << doublings, RETRY_DELAY_MAX_MS)
         self.add_task(key, now_ms + delay_ms)
 
     def forget_job(self, job_id: str) -> None:
--- a/tests/job/test_backlog.py
+++ b/tests/job/test_backlog.py
@@ -97,3 +97,25 @@
     gang.end_task(3, TaskOutcome.LOST)
     gang.scheduler.set_withheld("w", Resources())
     assert gang.start_tasks() == [0, 1, 3]
+
+
+def retry_delay_ms(lost_count: int) -> int:
+    """Return when a task of a lost gang is due again, in milliseconds."""
+    gang = GangScenario()
+    gang.start_tasks()
+    for number in range(TASK_COUNT):
+        gang.job.attempts_by_task[number] = lost_count - 1
+        gang.end_task(number, TaskOutcome.LOST)
+    for delay_ms in range(0, 8_000, 100):
+        if gang.backlog.take_due_requests(
+            gang.state, {UNIT}, gang.active_tasks, gang.now_ms + delay_ms
+        ):
+            return delay_ms
+    raise AssertionError("the task was not due within 8 s")
+
+
+# Incident BUDGET: a task that ends each worker that starts it must not take
+# one worker after the other at the rate at which it can be placed.
+def test_backlog_delays_a_task_that_is_lost_again_and_again() -> None:
+    delays_ms = [retry_delay_ms(lost_count) for lost_count in range(1, 7)]
+    assert delays_ms == [0, 0, 500, 1_000, 2_000, 4_000]
