Log ends of active runs that are taken for repeats

Change: a warning end-ignored if an end has a number up to which the worker's ends were applied, while its run is taken as active; no decision changes. Measured: tests/control/test_reports.py and tests/docs pass.

--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -92,6 +92,8 @@
             if end.sequence > last_end_sequence:
                 self._apply_end(worker_id, end, received_ms)
                 last_end_sequence = end.sequence
+            else:
+                self._log_ignored_end(worker_id, end, last_end_sequence)
         self.last_end_sequence_by_worker[worker_id] = last_end_sequence
         unexpected: list[StopOrder] = []
         reported_run_identities: set[int] = set()
@@ -128,6 +130,19 @@
             is_news=is_news,
         )
 
+    def _log_ignored_end(
+        self, worker_id: str, end: EndedRun, last_end_sequence: int
+    ) -> None:
+        """Log an end that is taken for a repeat while its run is active."""
+        if self._state.run(end.task, end.run, worker_id) is not None:
+            log_event(
+                "end-ignored",
+                **run_fields(end.task, end.run, worker_id),
+                kind=end.kind,
+                sequence=end.sequence,
+                last_end_sequence=last_end_sequence,
+            )
+
     def _log_avoided_workers(self, pause_ms_by_worker: dict[str, int]) -> None:
         for worker_id, pause_ms in pause_ms_by_worker.items():
             log_event("worker-avoided", worker=worker_id, pause_ms=pause_ms)
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -91,6 +91,12 @@
     EventLevel.INFO,
     "A run ended other than by completing, or its end was already known.",
 )
+define_event(
+    "end-ignored",
+    EventLevel.WARNING,
+    "A worker reports the end of a run that is taken as active, under a "
+    "number up to which its ends were applied before.",
+)
 define_event(
     "run-absent",
     EventLevel.WARNING,
