--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -87,7 +87,7 @@
             self._deliver_start_answer(planned, outcome, sent_ms)
 
         def arrive() -> None:
-            target = simulation.workers[worker.worker_id]
+            target = simulation.worker_of(worker.worker_id)
             if simulation.is_silent(worker.worker_id):
                 lost = Err(may_have_run(FailureCode.TIMEOUT, "unreachable"))
                 simulation.schedule(ANSWER_TIMEOUT_MS, lambda: answer(lost))
@@ -128,7 +128,7 @@
                 or not self._is_current()
             ):
                 return
-            target = simulation.workers[worker.worker_id]
+            target = simulation.worker_of(worker.worker_id)
             late_ms = simulation.order_late_ms(order)
             if late_ms:
                 simulation.schedule(
@@ -196,11 +196,13 @@
             permitted_worker_ids = simulation.permitted_worker_ids(
                 request.step
             )
-            ticket = f"until {sent_ms + simulation.valid_ms(request.step)}"
+            until_ms = sent_ms + simulation.valid_ms(request.step)
+            ticket = f"from {sent_ms} until {until_ms}"
             permits = tuple(
                 Permit(worker_id, ticket)
                 for worker_id in request.worker_ids
-                if worker_id in permitted_worker_ids
+                if simulation.worker_of(worker_id).info.worker_id
+                in permitted_worker_ids
             )
             if self._is_current():
                 simulation.controller.handle_permits(
@@ -230,7 +232,7 @@
             return
         sent_ms = simulation.now_ms
         deadline_ms = self._next_deadline(worker_id)
-        worker = simulation.workers[worker_id]
+        worker = simulation.worker_of(worker_id)
         if simulation.is_silent(worker_id) or worker.is_replaced:
             failure = not_run(FailureCode.UNAVAILABLE, "unreachable")
             outcome = _replaced() if worker.is_replaced else Err(failure)
--- a/tests/control/simulated_worker.py
+++ b/tests/control/simulated_worker.py
@@ -32,6 +32,8 @@
 
 # The longest stop that the protocol allows; the run executes until its end.
 STOP_DURATION_MS = 400
+# A longer lease is shortened.
+MAX_LEASE_MS = 6_000
 # The platform removes the entry of a worker after this time of silence.
 UNLISTED_AFTER_MS = 4_500
 # Starts that do not fit are allowed for this long after a worker has shrunk.
@@ -48,8 +50,9 @@
 
 
 class SimulatedWorker:
-    """Runs tasks under a lease; its clock is the simulation's.
+    """Runs tasks under a lease, by a clock that begins with it.
 
+    :ivar born_ms: when its process was started.
     :ivar is_down: whether it has crashed; it then answers no calls.
     :ivar is_replaced: whether another incarnation answers at its address.
     :ivar is_overcommitted: whether its capacity has shrunk below what its runs
@@ -71,6 +74,8 @@
         self._last_end_sequence = 0
         self._highest_run_by_task: dict[TaskKey, int] = {}
         self._crashed_ms = 0
+        self.born_ms = 0
+        self._done_ms_by_sequence: dict[int, int] = {}
         self._resized_ms = 0
 
     def resize(self, capacity: Resources) -> None:
@@ -88,6 +93,25 @@
             self.is_overcommitted = False
         return self.is_overcommitted or self.used().fits(self.info.capacity)
 
+    @property
+    def clock_ms(self) -> int:
+        """Return the worker's own clock."""
+        return self._simulation.now_ms - self.born_ms
+
+    def restart(self) -> None:
+        """Begin the next incarnation under the same id.
+
+        It holds and knows nothing of before.
+        """
+        self.is_down = False
+        self.born_ms = self._simulation.now_ms
+        self.ended = []
+        self._token = 0
+        self._deadline_ms = 0
+        self._last_end_sequence = 0
+        self._highest_run_by_task = {}
+        self._done_ms_by_sequence = {}
+
     @property
     def is_listed(self) -> bool:
         """Return whether the platform lists the worker."""
@@ -123,14 +147,22 @@
         self._token = max(self._token, token)
         if deadline_ms is not None and token >= self._token:
             self._extend(deadline_ms)
+        for end in self.ended:
+            if end.sequence <= acknowledged_sequence:
+                self._forget(end)
         self.ended = [
             end for end in self.ended if end.sequence > acknowledged_sequence
         ]
 
+    def _forget(self, end: EndedRun) -> None:
+        done_ms = self._done_ms_by_sequence.pop(end.sequence, None)
+        if done_ms is not None:
+            self._simulation.record_acknowledged_done(end.task, done_ms)
+
     def report(self) -> WorkerReport:
         """Return the report of active and ended runs."""
         return WorkerReport(
-            self._simulation.now_ms,
+            self.clock_ms,
             tuple(
                 ActiveRun(key, run.order.run, "", self._percent(run))
                 for key, run in self.running.items()
@@ -140,23 +172,27 @@
 
     def start(self, order: StartOrder) -> Result[int, Failure]:
         """Carry out a start order."""
-        now_ms = self._simulation.now_ms
         if order.token < self._token:
             return Err(not_run(FailureCode.FENCED, "a higher token was seen"))
         self._token = order.token
-        if order.deadline_ms <= now_ms:
+        if order.deadline_ms <= self.clock_ms:
             return Err(not_run(FailureCode.EXPIRED, "the deadline has passed"))
         self._extend(order.deadline_ms)
         known = self.running.get(order.task)
         if known is not None and known.order.run == order.run:
-            return Ok(now_ms)
+            return Ok(self.clock_ms)
         if order.run <= self._highest_run_by_task.get(order.task, 0):
             return Err(not_run(FailureCode.STALE, "the run is stale"))
-        if order.ticket and now_ms > int(order.ticket.split()[-1]):
+        if order.ticket and not self._is_valid(order.ticket):
             self._simulation.expired_ticket_count += 1
             return Err(not_run(FailureCode.TICKET, "the ticket has expired"))
         self._begin(order)
-        return Ok(now_ms)
+        return Ok(self.clock_ms)
+
+    def _is_valid(self, ticket: str) -> bool:
+        _, from_ms, _, until_ms = ticket.split()
+        now_ms = self._simulation.now_ms
+        return now_ms <= int(until_ms) and int(from_ms) >= self.born_ms
 
     def stop(self, order: StopOrder) -> Result[int, Failure]:
         """Carry out a stop order."""
@@ -171,7 +207,7 @@
             self._simulation.schedule(
                 STOP_DURATION_MS, lambda: self.end(run, EndKind.STOPPED)
             )
-        return Ok(self._simulation.now_ms)
+        return Ok(self.clock_ms)
 
     def end(self, run: _Run, kind: EndKind) -> None:
         """End a run if it is still active, with the members of its gang."""
@@ -185,6 +221,10 @@
         self._highest_run_by_task[key] = max(
             run.order.run, self._highest_run_by_task.get(key, 0)
         )
+        if kind is EndKind.DONE:
+            self._done_ms_by_sequence[self._last_end_sequence] = (
+                self._simulation.now_ms
+            )
         self.ended.append(
             EndedRun(self._last_end_sequence, key, run.order.run, kind)
         )
@@ -271,14 +311,19 @@
         ]
 
     def _extend(self, deadline_ms: int) -> None:
-        self._deadline_ms = max(self._deadline_ms, deadline_ms)
+        longest_ms = self.clock_ms + MAX_LEASE_MS
+        self._deadline_ms = max(
+            self._deadline_ms, min(deadline_ms, longest_ms)
+        )
         self._simulation.schedule(
-            self._deadline_ms - self._simulation.now_ms, self._check_lease
+            self._deadline_ms - self.clock_ms, self._check_lease
         )
 
     def _check_lease(self) -> None:
-        if self._simulation.now_ms < self._deadline_ms:
+        if self.clock_ms < self._deadline_ms:
             return
+        # Nobody can have relied on ends that were not acknowledged in time.
+        self._done_ms_by_sequence.clear()
         for run in list(self.running.values()):
             self.end(run, EndKind.LEASE_EXPIRED)
 
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -120,6 +120,8 @@
         self.failures_of: Counter[TaskKey] = Counter()
         self._starts_after_crashes: Counter[TaskKey] = Counter()
         self._incarnation_count = 0
+        self._is_acknowledged: set[TaskKey] = set()
+        self._last_start_ms: dict[TaskKey, int] = {}
         self.permitted_share = 0.5
         self.permitted_share_by_queue: dict[str, float] = {}
         self.start_answer_lost: Callable[[StartOrder], bool] = lambda _: False
@@ -273,13 +275,27 @@
     def is_silent(self, worker_id: str) -> bool:
         """Return whether calls to a worker get no answer."""
         return (
-            worker_id in self.unreachable_worker_ids
-            or self.workers[worker_id].is_down
+            self.worker_of(worker_id).info.worker_id
+            in self.unreachable_worker_ids
+            or self.worker_of(worker_id).is_down
         )
 
+    def worker_of(self, worker_id: str) -> SimulatedWorker:
+        """Return the worker that gets the calls meant for an id."""
+        return self.workers[worker_id]
+
+    def record_acknowledged_done(self, task: TaskKey, done_ms: int) -> None:
+        """Check that a task was not started after an acknowledged end."""
+        self._is_acknowledged.add(task)
+        if self._last_start_ms.get(task, 0) > done_ms:
+            self.violations.append(f"{task} was started again after its end")
+
     def record_start(self, task: TaskKey) -> None:
         """Count a start; check that a deadly task is given up in time."""
         self.starts[task] += 1
+        self._last_start_ms[task] = self.now_ms
+        if task in self._is_acknowledged:
+            self.violations.append(f"{task} was started after its end")
         if (
             not self.crashes_worker(task)
             or self.crashes_under[task] < CRASHES_BEFORE_LIMIT
@@ -350,14 +366,17 @@
         )
 
     def _list_workers(self) -> None:
-        info_by_id = {
+        self.controller.handle_worker_list(WorkersListed(self.listed()))
+        self.schedule(500, self._list_workers)
+
+    def listed(self) -> Mapping[str, WorkerInfo]:
+        """Return the platform's list of workers."""
+        return {
             worker_id: worker.info
             for worker_id, worker in self.workers.items()
             if worker_id not in self.unreachable_worker_ids
             and worker.is_listed
         }
-        self.controller.handle_worker_list(WorkersListed(info_by_id))
-        self.schedule(500, self._list_workers)
 
     def _next_round(self) -> None:
         if not self.controller.is_over:
--- /dev/null
+++ b/tests/control/test_worker_restarts.py
@@ -0,0 +1,172 @@
+from __future__ import annotations
+
+import pytest
+
+from magnoliapitch.ledger.state_table import JobState
+from magnoliapitch.resource import Resources
+from magnoliapitch.workload.configuration import PermitTiming
+from magnoliapitch.workload.job import JobSpec
+from magnoliapitch.workload.job import StepSpec
+from magnoliapitch.workload.job import TaskKey
+from tests.control.restarting_workers import DelegatedWireEffects
+from tests.control.restarting_workers import RestartingSimulation
+from tests.control.restarting_workers import WireEffects
+from tests.control.simulation import queue
+from tests.control.simulation import workers
+
+
+SIZE = Resources(4_000, 8_000)
+EFFECTS_TYPES = (WireEffects, DelegatedWireEffects)
+
+
+def make_simulation(
+    effects_type: type[WireEffects] | type[DelegatedWireEffects] = WireEffects,
+    worker_count: int = 1,
+    permit_timing: PermitTiming | None = None,
+) -> RestartingSimulation:
+    simulation = RestartingSimulation(
+        [queue("q", permit_timing=permit_timing)],
+        workers(worker_count),
+        effects_type=effects_type,
+    )
+    simulation.permitted_share = 1.0
+    return simulation
+
+
+def submit(
+    simulation: RestartingSimulation, name: str, count: int = 4
+) -> None:
+    step = StepSpec(count, SIZE)
+    simulation.submit(JobSpec(name, "q", "text", (step,)))
+
+
+def restart(
+    simulation: RestartingSimulation, after_ms: int, name: str = "w000"
+) -> None:
+    simulation.restart_delay_ms = after_ms
+    simulation.workers[name].crash()
+
+
+# Incident TWICE: ends of a worker that had restarted under its id had numbers
+# that were seen before, and were taken for repeats.
+@pytest.mark.parametrize("effects_type", EFFECTS_TYPES)
+@pytest.mark.parametrize("after_ms", [50, 1_500])
+def test_ends_after_a_restart_are_not_taken_for_repeats(
+    after_ms: int, effects_type: type[WireEffects]
+) -> None:
+    simulation = make_simulation(effects_type)
+    submit(simulation, "before")
+    simulation.run(5_000)
+    restart(simulation, after_ms)
+    simulation.run(after_ms)
+    submit(simulation, "after")
+    simulation.run(20_000)
+    assert simulation.violations == []
+    assert simulation.finished["after"].outcome is JobState.COMPLETED
+    assert {
+        simulation.starts[TaskKey("after", 0, 0, n)] for n in range(4)
+    } == {1}
+
+
+# Incident TWICE: tasks that ran through a restart run again, once.
+def test_runs_that_ended_with_a_restart_run_again() -> None:
+    simulation = make_simulation(DelegatedWireEffects, worker_count=2)
+    simulation.actual_duration_ms = lambda _: 3_000.0
+    submit(simulation, "before")
+    simulation.run(5_000)
+    submit(simulation, "job")
+    simulation.run(1_000)
+    restart(simulation, 200)
+    restart(simulation, 200, "w001")
+    simulation.run(20_000)
+    assert simulation.violations == []
+    assert simulation.finished["job"].outcome is JobState.COMPLETED
+    assert {simulation.starts[TaskKey("job", 0, 0, n)] for n in range(4)} == {
+        2
+    }
+
+
+# Incident TWICE: an order to the former incarnation reaches the new one, which
+# has the same id and has seen no fencing token and no stop.
+def test_a_late_order_to_the_former_incarnation_does_not_run_beside() -> None:
+    simulation = make_simulation(worker_count=2)
+    simulation.actual_duration_ms = lambda _: 4_000.0
+    simulation.run(2_000)
+    simulation.order_late_ms = lambda _: 2_500
+    submit(simulation, "job", 1)
+    simulation.run(100)
+    simulation.order_late_ms = lambda _: 0
+    for name in ("w000", "w001"):
+        restart(simulation, 1_000, name)
+    simulation.run(30_000)
+    assert simulation.violations == []
+    assert simulation.finished["job"].outcome is JobState.COMPLETED
+
+
+# Incident TWICE: the end of a lease was computed from the clock of the former
+# incarnation, which may have run for weeks.
+def test_a_lease_ends_by_the_clock_of_the_incarnation_that_holds_it() -> None:
+    simulation = make_simulation(worker_count=1)
+    simulation.actual_duration_ms = lambda _: 60_000.0
+    simulation.run(300_000)
+    restart(simulation, 100)
+    simulation.run(3_000)
+    submit(simulation, "job", 1)
+    simulation.run(2_000)
+    assert simulation.starts[TaskKey("job", 0, 0, 0)] == 1
+    simulation.unreachable_worker_ids = {"w000"}
+    simulation.run(15_000)
+    simulation.unreachable_worker_ids = set()
+    simulation.run(2_000)
+    assert simulation.starts[TaskKey("job", 0, 0, 0)] == 2
+    assert simulation.violations == []
+
+
+# Incident TWICE: tickets are valid for one incarnation.
+def test_tickets_of_a_former_incarnation_are_not_used() -> None:
+    simulation = make_simulation(permit_timing=PermitTiming(20, 1.0, 9_000))
+    simulation.actual_duration_ms = lambda _: 2_000.0
+    submit(simulation, "job", 4)
+    simulation.run(1_000)
+    restart(simulation, 100)
+    simulation.run(15_000)
+    assert simulation.violations == []
+    assert simulation.expired_ticket_count == 0
+    assert simulation.finished["job"].outcome is JobState.COMPLETED
+
+
+# Incident TWICE: the stored placement does not tell the incarnations apart.
+def test_a_new_leader_repeats_runs_that_ended_with_a_restart() -> None:
+    simulation = make_simulation(worker_count=2)
+    simulation.actual_duration_ms = lambda _: 3_000.0
+    submit(simulation, "job")
+    simulation.run(1_000)
+    for name in ("w000", "w001"):
+        restart(simulation, 50, name)
+    simulation.take_over()
+    simulation.run(8_000)
+    assert simulation.violations == []
+    assert simulation.finished["job"].outcome is JobState.COMPLETED
+
+
+# Incident BUDGET: the worker may be back under its id before it was missed.
+@pytest.mark.parametrize("effects_type", EFFECTS_TYPES)
+@pytest.mark.parametrize("restart_delay_ms", [50, 2_000])
+def test_crashes_count_though_workers_restart_under_their_ids(
+    restart_delay_ms: int, effects_type: type[WireEffects]
+) -> None:
+    simulation = make_simulation(effects_type, worker_count=8)
+    simulation.restart_delay_ms = restart_delay_ms
+    simulation.crashes_worker = lambda task: task.job_id == "deadly"
+    submit(simulation, "deadly", 1)
+    for number in range(60):
+        submit(simulation, f"ordinary{number}", 3)
+        simulation.run(200)
+    simulation.run(30_000)
+    assert simulation.violations == []
+    assert simulation.finished["deadly"].outcome is JobState.FAILED
+    outcomes = {
+        simulation.finished[f"ordinary{number}"].outcome
+        for number in range(60)
+    }
+    assert outcomes == {JobState.COMPLETED}
