Tell the incarnations of a worker apart

Cause: what the leader keeps of a worker was found by the platform's id alone: the last end applied and acknowledged, clock and lease, tickets, back-off, active runs, stored placements. The new incarnation counts its ends from 1, so they were taken for repeats, acknowledged and forgotten; the runs were then absent and started again. Class: state of one incarnation used for the next.

Change: the identity of a worker is its incarnation, name and start time, decoded once in the adapter, so everything is kept for each incarnation. A renewal that another incarnation answers is no answer. Renewals after an unanswered one acknowledge nothing. A run that a worker reports unexpectedly blocks its task until it has stopped.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from magnoliapitch.control.order_issuer import OrderIssuer
+from magnoliapitch.control.order_sender import is_first_attempt
 from magnoliapitch.control.permit_requester import PermitRequester
 from magnoliapitch.control.planning_summary import PlanningSummary
 from magnoliapitch.control.progress_batcher import ProgressBatcher
@@ -155,9 +156,9 @@
             return None
         return self._reachability.next_lease_deadline(worker_id, now_ms)
 
-    def handle_worker_list(self, event: WorkersListed) -> None:
+    def handle_worker_list(self, event: WorkersListed, now_ms: int) -> None:
         """Update the workers from the platform's list."""
-        self._roster.update(event.info_by_id)
+        self._roster.update(event.info_by_id, now_ms)
 
     def handle_jobs_changed(self, event: JobsChanged, now_ms: int) -> None:
         """Add submitted jobs and cancel cancelled ones."""
@@ -190,6 +191,9 @@
     def handle_report(self, event: WorkerReported) -> None:
         """Apply a worker's report of active and ended runs, or a failure."""
         worker_id = event.worker_id
+        if worker_id not in self.state.workers_by_id:
+            # It was removed while the renewal was under way.
+            return
         if isinstance(event.outcome, Err):
             if not self._handle_final_failure(
                 worker_id, event.outcome.err_value, event.received_ms
@@ -197,6 +201,7 @@
                 self._reachability.record_unanswered_renewal(worker_id)
             return
         report = event.outcome.ok_value
+        self._roster.record_answer(worker_id)
         self._reachability.record_answer(
             worker_id, report.clock_ms, event.sent_ms, event.received_ms
         )
@@ -216,8 +221,10 @@
         planned = event.planned
         run = self.state.run(planned.task, planned.run, planned.worker_id)
         if not isinstance(event.outcome, Err):
-            if run is not None and run.confirmed_ms is None:
-                self.state.confirm_run(run, event.received_ms)
+            if run is not None:
+                run.is_order_settled = is_first_attempt(event)
+                if run.confirmed_ms is None:
+                    self.state.confirm_run(run, event.received_ms)
             return
         failure = event.outcome.err_value
         self._order_issuer.record_failed_start(planned, failure)
@@ -230,6 +237,8 @@
             return
         if run is None or run.confirmed_ms is not None:
             return
+        if failure.verdict is not Verdict.NOT_RUN:
+            self._roster.doubtful_orders.add(planned, event.received_ms)
         if failure.code in (FailureCode.UNAVAILABLE, FailureCode.TIMEOUT):
             self._reachability.record_unanswered_order(
                 planned.worker_id, event.received_ms
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -250,7 +250,7 @@
         elif isinstance(event, JobsChanged):
             controller.handle_jobs_changed(event, now_ms)
         elif isinstance(event, WorkersListed):
-            controller.handle_worker_list(event)
+            controller.handle_worker_list(event, now_ms)
             if self._router is not None:
                 self._router.assign()
         elif isinstance(event, PermitsAnswered):
--- a/src/magnoliapitch/control/lease_renewer.py
+++ b/src/magnoliapitch/control/lease_renewer.py
@@ -28,6 +28,9 @@
 class LeaseRenewer:
     """Thread that renews a worker's lease and posts each report.
 
+    A renewal that follows an unanswered one acknowledges nothing: the worker
+    may have restarted, and would forget ends that it has not reported.
+
     :param token: fencing token of the leader.
     :param next_deadline: takes the current time; returns the end of the next
         lease on the worker's clock in ms, or None to get a report without
@@ -53,6 +56,7 @@
         self._condition = threading.Condition()
         self._acknowledged_sequence = 0
         self._last_end_sequence = 0
+        self._is_answered = False
         self._pacing = RenewalPacing()
         self._is_stopped = False
         self._thread = threading.Thread(
@@ -93,7 +97,7 @@
             self._worker,
             self._token,
             deadline_ms,
-            self._acknowledged_sequence,
+            self._acknowledged_sequence if self._is_answered else 0,
             timing.wait_ms if deadline_ms is not None else 0,
             timing.timeout_ms,
         )
@@ -103,6 +107,7 @@
         self._post(
             WorkerReported(self._worker.worker_id, outcome, sent_ms, now_ms)
         )
+        self._is_answered = not isinstance(outcome, Err)
         if isinstance(outcome, Err):
             return self._pacing.record_unanswered(now_ms)
         for end in outcome.ok_value.ended:
--- a/src/magnoliapitch/control/order_sender.py
+++ b/src/magnoliapitch/control/order_sender.py
@@ -11,6 +11,7 @@
 from magnoliapitch.control.events import StartAnswered
 from magnoliapitch.control.events import StopAnswered
 from magnoliapitch.control.order_window import OrderWindow
+from magnoliapitch.control.round_trip import MIN_TIMEOUT_MS
 from magnoliapitch.control.round_trip import RoundTripEstimator
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
@@ -165,6 +166,14 @@
         return sent_ms
 
 
+def is_first_attempt(event: StartAnswered) -> bool:
+    """Return whether the first attempt of a start order was the only one.
+
+    The answer came before any attempt could time out.
+    """
+    return event.received_ms - event.sent_ms < MIN_TIMEOUT_MS
+
+
 def is_unanswered(outcome: Result[int, Failure]) -> bool:
     """Return whether a call failed without an answer from the worker."""
     return isinstance(outcome, Err) and (
--- a/src/magnoliapitch/control/reachability.py
+++ b/src/magnoliapitch/control/reachability.py
@@ -79,6 +79,15 @@
         """Return when every lease of a worker has certainly expired."""
         return self._lease_of(worker_id).all_leases_expired_at_ms()
 
+    def expect_late_orders(self, worker_id: str, now_ms: int) -> None:
+        """Expect calls that were meant for a worker's former incarnation.
+
+        They may have granted leases to this one.
+        """
+        self._lease_by_worker[worker_id] = WorkerLease(
+            self._timing, now_ms + self._timing.takeover_ms
+        )
+
     def forget(self, worker_id: str) -> None:
         """Drop the data of a worker that is gone."""
         self._lease_by_worker.pop(worker_id, None)
--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -99,6 +99,10 @@
         reported_run_identities: set[int] = set()
         for running in report.running:
             run = self._state.run(running.task, running.run, worker_id)
+            if run is None:
+                run = self._state.stop_unexpected_run(
+                    running.task, running.run, worker_id, received_ms
+                )
             if run is None:
                 unexpected.append(StopOrder(running.task, running.run, 0))
                 continue
@@ -164,14 +168,17 @@
     ) -> None:
         """Remove runs that the worker would report if they were active."""
         for run in list(self._state.get_or_add_worker(worker_id).runs):
-            if id(run) not in reported_run_identities and _is_certainly_absent(
-                run, sent_ms
-            ):
+            if id(run) in reported_run_identities:
+                continue
+            if _is_certainly_absent(run, sent_ms):
                 log_event(
                     "run-absent",
                     **run_fields(run.task.key, run.number, worker_id),
                 )
                 self._state.lose_run(run)
+            elif run.has_ended_with_worker and not run.is_stopping:
+                # Once it is stopped, no late order can begin it here.
+                self._state.mark_for_stop(run)
 
     def _due_stops(
         self, worker_id: str, orders: list[StopOrder], now_ms: int
@@ -201,6 +208,9 @@
         # The renewal carried a higher fencing token than any order to start
         # the run, so the worker will not start it any more.
         return True
+    if run.has_ended_with_worker and run.is_order_settled:
+        # The order was carried out once, by the former incarnation.
+        return True
     if run.stopped_ms is not None:
         return sent_ms > run.stopped_ms
     return run.confirmed_ms is not None and sent_ms > run.confirmed_ms
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -4,13 +4,20 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.control.doubtful_orders import DoubtfulOrders
 from magnoliapitch.control.log_fields import run_fields
+from magnoliapitch.control.unproven_losses import UnprovenLosses
 from magnoliapitch.event import log_event
+from magnoliapitch.planner.worker_loss import count_crash
+from magnoliapitch.planner.worker_loss import move_runs
+from magnoliapitch.planner.worker_loss import suspect_runs
+from magnoliapitch.workload.worker import Incarnation
 
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from magnoliapitch.control.effects import Effects
     from magnoliapitch.control.reachability import WorkerReachability
@@ -31,6 +38,7 @@
 
     :ivar info_by_id: the platform's newest list, without the workers that
         were removed since; the same mapping for the whole leadership.
+    :ivar doubtful_orders: unanswered start orders.
     """
 
     def __init__(
@@ -47,13 +55,39 @@
         self._effects = effects
         self._reachability = reachability
         self._report_applier = report_applier
+        self.doubtful_orders = DoubtfulOrders()
+        self._unproven_losses = UnprovenLosses(state)
         self._checked_ms: int | None = None
 
-    def update(self, info_by_id: Mapping[str, WorkerInfo]) -> None:
-        """Replace the list; start renewing the leases of new workers."""
+    def update(
+        self, info_by_id: Mapping[str, WorkerInfo], now_ms: int
+    ) -> None:
+        """Replace the list; start renewing the leases of new workers.
+
+        Workers that have restarted take the place of their former
+        incarnations.
+        """
+        known = [
+            Incarnation.from_worker_id(worker_id)
+            for worker_id in self._state.workers_by_id
+        ]
         self.info_by_id.clear()
-        self.info_by_id.update(info_by_id)
-        for worker_id, info in info_by_id.items():
+        self.info_by_id.update(_without_former(info_by_id, known))
+        self._add_listed()
+        listed_by_name = {
+            incarnation.name: incarnation
+            for incarnation in map(Incarnation.from_worker_id, self.info_by_id)
+        }
+        for former in known:
+            current = listed_by_name.get(former.name)
+            if current is not None and current != former:
+                self._replace(former, current, now_ms)
+        proven = self._unproven_losses.take_proven(self.info_by_id, now_ms)
+        for worker_id, lost in proven.items():
+            self._count_crash(worker_id, lost)
+
+    def _add_listed(self) -> None:
+        for worker_id, info in self.info_by_id.items():
             known = self._state.workers_by_id.get(worker_id)
             old_info = known.info if known is not None else None
             if old_info == info:
@@ -66,6 +100,46 @@
                 log_event("worker-draining", worker=worker_id)
                 self._state.evacuate_services(worker_id)
 
+    def _replace(
+        self, former: Incarnation, current: Incarnation, now_ms: int
+    ) -> None:
+        """Put the listed incarnation of a worker in place of a former one."""
+        worker = self._state.workers_by_id[former.worker_id]
+        log_event(
+            "worker-restarted",
+            worker=current.worker_id,
+            former=former.worker_id,
+            lost_runs=len(worker.runs),
+        )
+        _log_lost_runs(worker, "restarted", now_ms)
+        self._effects.stop_lease_renewal(former.worker_id)
+        lost = suspect_runs(worker, now_ms)
+        move_runs(self._state, former.worker_id, current.worker_id)
+        if current.has_followed(former):
+            self._count_crash(former.worker_id, lost)
+        self._stop_doubtful_runs(current, now_ms)
+        self._forget(former.worker_id)
+        self._reachability.expect_late_orders(current.worker_id, now_ms)
+
+    def _stop_doubtful_runs(self, current: Incarnation, now_ms: int) -> None:
+        """Stop what late orders to former incarnations could begin here."""
+        worker_id = current.worker_id
+        for order in self.doubtful_orders.of(current.name, now_ms):
+            if self._state.run(order.task, order.run, worker_id) is None:
+                run = self._state.stop_unexpected_run(
+                    order.task, order.run, worker_id, now_ms
+                )
+                if run is not None:
+                    run.has_ended_with_worker = True
+
+    def _count_crash(self, worker_id: str, lost: Sequence[LostRun]) -> None:
+        count_crash(self._state, lost)
+        _log_suspects(worker_id, lost)
+
+    def record_answer(self, worker_id: str) -> None:
+        """Record that a worker answers, so that it has not ended."""
+        self._unproven_losses.record_answer(worker_id)
+
     def check(self, now_ms: int) -> None:
         """Update which workers are usable; end runs of expired leases.
 
@@ -112,11 +186,19 @@
         )
         _log_lost_runs(worker, reason, now_ms)
         self._effects.stop_lease_renewal(worker_id)
-        lost = self._state.remove_worker(
-            worker_id, now_ms, has_crashed=has_crashed
-        )
-        _log_suspects(worker_id, lost)
+        lost = suspect_runs(worker, now_ms)
+        self._state.remove_worker(worker_id)
+        if has_crashed:
+            self._count_crash(worker_id, lost)
+        else:
+            address = "" if worker.info is None else worker.info.address
+            self._unproven_losses.add(
+                worker_id, address, lost, now_ms, is_listed=False
+            )
         self.info_by_id.pop(worker_id, None)
+        self._forget(worker_id)
+
+    def _forget(self, worker_id: str) -> None:
         self._reachability.forget(worker_id)
         self._report_applier.forget(worker_id)
         self._planner.worker_backoff.forget(worker_id)
@@ -131,6 +213,11 @@
             self.remove(worker_id, "unlisted", now_ms, has_crashed=False)
             return
         _log_lost_runs(worker, "lease-over", now_ms)
+        address = self.info_by_id[worker_id].address
+        lost = suspect_runs(worker, now_ms)
+        self._unproven_losses.add(
+            worker_id, address, lost, now_ms, is_listed=True
+        )
         lost_count = self._state.lose_runs(worker_id)
         if lost_count:
             log_event(
@@ -138,6 +225,28 @@
             )
 
 
+def _without_former(
+    info_by_id: Mapping[str, WorkerInfo], known: Iterable[Incarnation]
+) -> dict[str, WorkerInfo]:
+    """Return the list without incarnations that others have followed.
+
+    A late record of the former one may hide the current one for a moment.
+    """
+    known_by_name = {incarnation.name: incarnation for incarnation in known}
+    return {
+        worker_id: info
+        for worker_id, info in info_by_id.items()
+        if not _is_former(Incarnation.from_worker_id(worker_id), known_by_name)
+    }
+
+
+def _is_former(
+    listed: Incarnation, known_by_name: Mapping[str, Incarnation]
+) -> bool:
+    known = known_by_name.get(listed.name)
+    return known is not None and known.has_followed(listed)
+
+
 def _log_lost_runs(worker: TrackedWorker, cause: str, now_ms: int) -> None:
     """Log each run that is lost with its worker.
 
@@ -159,13 +268,14 @@
 
 def _log_suspects(worker_id: str, lost: Iterable[LostRun]) -> None:
     """Log the tasks that are placed apart from now on, or given up."""
-    for task, is_alone, gives_up in lost:
+    for lost_run in lost:
+        task = lost_run.task
         run = run_fields(task.key, task.runs, worker_id)
-        if gives_up:
+        if lost_run.gives_up:
             log_event(
                 "task-given-up",
                 **run,
-                is_alone=is_alone,
+                is_alone=lost_run.is_alone,
                 worker_crashes=task.worker_crashes,
                 worker_losses=task.worker_losses,
             )
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -165,6 +165,13 @@
     EventLevel.WARNING,
     "A worker left or was replaced; the tasks it ran wait again.",
 )
+define_event(
+    "worker-restarted",
+    EventLevel.WARNING,
+    "A worker is listed under its former name with a later start; what ran on "
+    "the former incarnation has ended and waits again once a stop order has "
+    "made sure of it.",
+)
 define_event(
     "worker-lease-over",
     EventLevel.WARNING,
--- a/src/magnoliapitch/planner/restore.py
+++ b/src/magnoliapitch/planner/restore.py
@@ -39,7 +39,8 @@
         task.is_done,
         task.checkpoint,
         tuple(
-            Placement(run.number, run.worker_id) for run in task.active_runs
+            Placement(run.number, run.worker_id, run.has_ended_with_worker)
+            for run in task.active_runs
         ),
         task.worker_crashes,
         task.worker_losses,
@@ -82,11 +83,12 @@
     task.worker_crashes = progress.worker_crashes
     task.worker_losses = progress.worker_losses
     if task.is_suspect:
-        state.suspects_by_key[task.key] = task
+        state.add_suspect(task)
     is_over = task.is_done or task.step.job.outcome is not JobOutcome.OPEN
     for placement in progress.placements:
         run = state.add_run(task, placement.run, placement.worker_id, now_ms)
         run.is_restored = True
+        run.has_ended_with_worker = placement.has_ended_with_worker
         if is_over:
             state.mark_for_stop(run)
 
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -11,8 +11,6 @@
 from magnoliapitch.planner.tracked import TrackedStep
 from magnoliapitch.planner.tracked import TrackedTask
 from magnoliapitch.planner.tracked import TrackedWorker
-from magnoliapitch.planner.worker_loss import LostRun
-from magnoliapitch.planner.worker_loss import count_lost_worker
 from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.run import EndKind
 
@@ -86,6 +84,11 @@
         if job is not None and job.outcome is JobOutcome.OPEN:
             self._close_job(job, JobOutcome.CANCELLED)
 
+    def fail_job(self, job: TrackedJob) -> None:
+        """Fail an open job and mark its runs for stopping."""
+        if job.outcome is JobOutcome.OPEN:
+            self._close_job(job, JobOutcome.FAILED)
+
     def remove_job(self, job_id: str) -> None:
         """Remove a job that has ended and has no active runs."""
         self.jobs_by_id.pop(job_id, None)
@@ -104,26 +107,9 @@
         worker.update(info)
         return worker
 
-    def remove_worker(
-        self, worker_id: str, now_ms: int, *, has_crashed: bool
-    ) -> list[LostRun]:
-        """Remove a worker with its runs; give up tasks that it is blamed on.
-
-        :param has_crashed: whether the worker has certainly ended.
-        :return: the runs that may have caused it.
-        """
-        worker = self.workers_by_id.get(worker_id)
-        if worker is None:
-            return []
-        lost = count_lost_worker(worker, now_ms, has_crashed=has_crashed)
-        self.lose_runs(worker_id)
-        del self.workers_by_id[worker_id]
-        for task, _, gives_up in lost:
-            if task.is_suspect:
-                self.suspects_by_key[task.key] = task
-            if gives_up and task.step.job.outcome is JobOutcome.OPEN:
-                self._close_job(task.step.job, JobOutcome.FAILED)
-        return lost
+    def add_suspect(self, task: TrackedTask) -> None:
+        """Place a task apart from other jobs from now on."""
+        self.suspects_by_key[task.key] = task
 
     def forget_ended_suspects(self) -> None:
         """Drop suspects that are done or whose job has ended."""
@@ -131,6 +117,11 @@
             if task.is_done or task.step.job.outcome is not JobOutcome.OPEN:
                 del self.suspects_by_key[key]
 
+    def remove_worker(self, worker_id: str) -> None:
+        """Remove a worker with its runs, none of which is active any more."""
+        self.lose_runs(worker_id)
+        self.workers_by_id.pop(worker_id, None)
+
     def lose_runs(self, worker_id: str) -> int:
         """Remove every run of a worker; return the number of runs lost."""
         worker = self.workers_by_id.get(worker_id)
@@ -193,6 +184,24 @@
             self._adjust_waiting_count(task.step, -1)
         return self.add_run(task, number, worker_id, now_ms)
 
+    def stop_unexpected_run(
+        self, key: TaskKey, number: int, worker_id: str, now_ms: int
+    ) -> TrackedRun | None:
+        """Add a run that was taken as ended, to be stopped.
+
+        Until it has ended, its task is not started and its capacity is used.
+
+        :return: the run, or None if its task is not known.
+        """
+        task = self.task(key)
+        if task is None or number > task.runs:
+            return None
+        if not task.active_runs and not task.is_done:
+            self._adjust_waiting_count(task.step, -1)
+        run = self.add_run(task, number, worker_id, now_ms)
+        self.mark_for_stop(run)
+        return run
+
     def mark_for_stop(self, run: TrackedRun) -> None:
         """Mark a run that must be stopped."""
         run.is_stopping = True
@@ -239,6 +248,7 @@
         if run.started_ms is None:
             run.resumed_percent = reported.percent
         self.confirm_run(run, now_ms)
+        run.has_ended_with_worker = False
         task = run.task
         if reported.checkpoint and reported.checkpoint != task.checkpoint:
             self._save_checkpoint(task, reported.checkpoint)
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -28,12 +28,17 @@
     :ivar resources: capacity that the run reserves on its worker.
     :ivar order_sent_ms: when the start order was passed on to be sent; None
         before.
+    :ivar is_order_settled: whether no copy of the start order can be under way
+        any more.
     :ivar started_ms: when the worker first accepted or reported the run;
         None before.
     :ivar confirmed_ms: when it last did so; None before.
     :ivar is_restored: whether the run was read from the progress that a
         former leader stored; that leader may have ordered it or not.
     :ivar is_stopping: whether the run is marked for stopping.
+    :ivar has_ended_with_worker: whether the incarnation that was ordered to
+        start the run has ended. Only an order that is still under way could
+        begin the run on the next one.
     :ivar stop_sent_ms: when the newest stop order was sent; None before.
     :ivar stopped_ms: when the worker accepted a stop order; None before.
     :ivar resumed_percent: progress in the first report, 0 to 100; above 0 if
@@ -42,6 +47,8 @@
 
     __slots__ = (
         "confirmed_ms",
+        "has_ended_with_worker",
+        "is_order_settled",
         "is_restored",
         "is_stopping",
         "number",
@@ -65,10 +72,12 @@
         self.resources = task.step.reservation
         self.ordered_ms = now_ms
         self.order_sent_ms: int | None = None
+        self.is_order_settled = False
         self.started_ms: int | None = None
         self.confirmed_ms: int | None = None
         self.is_restored = False
         self.is_stopping = False
+        self.has_ended_with_worker = False
         self.stop_sent_ms: int | None = None
         self.stopped_ms: int | None = None
         self.resumed_percent = 0.0
@@ -78,6 +87,15 @@
         """Return whether the worker may have received a start order."""
         return self.is_restored or self.order_sent_ms is not None
 
+    def move_to(self, worker: TrackedWorker) -> None:
+        """Count as active on the next incarnation of the run's worker."""
+        self.worker_id = worker.worker_id
+        self.has_ended_with_worker = True
+        self.confirmed_ms = None
+        self.stop_sent_ms = None
+        self.stopped_ms = None
+        worker.add(self)
+
 
 class TrackedTask:
     """A task and its runs.
@@ -142,6 +160,8 @@
         run that was done.
     :ivar failed_run_numbers: numbers of the runs that have failed; the
         members of a gang share a number.
+    :ivar hold_until_ms: until when suspects wait for word of a worker that
+        they were lost with; 0 if there is none.
     :ivar unfinished_count: number of tasks that are not done.
     :ivar waiting_count: number of tasks that are not done and have no
         active run.
@@ -155,6 +175,7 @@
         "asked_worker_ids",
         "failed_run_numbers",
         "failed_worker_ids",
+        "hold_until_ms",
         "in_flight_worker_ids",
         "job",
         "key",
@@ -164,7 +185,6 @@
         "rank_computed_ms",
         "ready_ms",
         "reservation",
-        "retry_ms",
         "spec",
         "tasks",
         "tickets_by_worker",
@@ -184,7 +204,7 @@
         self.unfinished_count = self.spec.task_count
         self.waiting_count = self.spec.task_count
         self.ready_ms: int | None = None
-        self.retry_ms = 0
+        self.hold_until_ms = 0
         self.permitted_worker_ids: set[str] = set()
         self.asked_worker_ids: set[str] = set()
         self.tickets_by_worker: dict[str, tuple[str, int]] = {}
--- a/src/magnoliapitch/planner/worker_isolation.py
+++ b/src/magnoliapitch/planner/worker_isolation.py
@@ -76,6 +76,8 @@
         """
         if not step.has_waiting_suspect():
             return candidates
+        if now_ms < step.hold_until_ms:
+            return []
         job = step.job
         free = [
             candidate for candidate in candidates if _is_free(candidate, job)
--- a/src/magnoliapitch/planner/worker_loss.py
+++ b/src/magnoliapitch/planner/worker_loss.py
@@ -1,4 +1,4 @@
-"""Which tasks are to blame when workers end again and again."""
+"""Workers that are lost: what becomes of their runs, and who is to blame."""
 
 from __future__ import annotations
 
@@ -9,78 +9,132 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedRun
     from magnoliapitch.planner.tracked import TrackedWorker
 
 
-# Lost workers after which a task that was alone on the last one is given up.
-LOSSES_TO_GIVE_UP_IF_ALONE = 3
-# The same if it was never certainly alone there.
-LOSSES_TO_GIVE_UP = 4
-# So many of them must have ended for certain. Others may only have been cut
-# off, which no task causes.
-MIN_CRASHES_TO_GIVE_UP = 2
+# Crashes after which a task that was alone on the last worker is given up.
+CRASHES_TO_GIVE_UP_IF_ALONE = 3
+# The same if it was not certainly alone there.
+CRASHES_TO_GIVE_UP = 4
 # A run that was active for this long did not end its worker.
 HARMLESS_AFTER_MS = 60_000
 
 
 class LostRun(NamedTuple):
-    """A run that ended with its worker.
+    """A run that may have caused the loss of its worker.
 
     :param is_alone: whether the worker had certainly begun the run and had no
         run of another job.
-    :param gives_up: whether the task is not to be started any more.
     """
 
     task: TrackedTask
     is_alone: bool
-    gives_up: bool
 
+    @property
+    def gives_up(self) -> bool:
+        """Return whether the task is not to be started any more."""
+        limit = (
+            CRASHES_TO_GIVE_UP_IF_ALONE
+            if self.is_alone
+            else CRASHES_TO_GIVE_UP
+        )
+        return self.task.worker_crashes >= limit
 
-def count_lost_worker(
-    worker: TrackedWorker, now_ms: int, *, has_crashed: bool
-) -> list[LostRun]:
-    """Count a lost worker for every task that may have been active on it.
 
-    The task that caused the end cannot be told from those beside it, so all
-    of them count it. A worker that was about to leave counts for none.
+def suspect_runs(worker: TrackedWorker, now_ms: int) -> list[LostRun]:
+    """Return the runs that may have caused the loss of a worker.
 
-    :param has_crashed: whether the worker has certainly ended; otherwise it
-        may only have been cut off.
-    :return: the runs for whose tasks it was counted.
+    The one that did cannot be told from those beside it. A worker that was
+    about to leave was not lost to any.
     """
     if worker.info is not None and worker.info.is_draining:
         return []
     return [
-        _count(run, worker, has_crashed=has_crashed)
+        LostRun(
+            run.task,
+            run.confirmed_ms is not None
+            and worker.runs_only(run.task.step.job),
+        )
         for run in worker.runs
-        if run.may_have_been_ordered and not _is_harmless(run, now_ms)
+        if run.may_have_been_ordered
+        and not run.has_ended_with_worker
+        and not _is_harmless(run, now_ms)
     ]
 
 
+def count_crash(state: SchedulerState, lost: Iterable[LostRun]) -> None:
+    """Count a worker that has certainly ended; give up tasks to blame."""
+    for run in lost:
+        run.task.worker_crashes += 1
+        _note_count(state, run.task)
+    for run in lost:
+        if run.gives_up:
+            state.fail_job(run.task.step.job)
+
+
+def count_loss(state: SchedulerState, lost: Iterable[LostRun]) -> None:
+    """Count a worker that is lost but may only have been cut off.
+
+    No task causes that, so it places the tasks apart but gives none up.
+    """
+    for run in lost:
+        run.task.worker_losses += 1
+        _note_count(state, run.task)
+
+
+def withdraw_loss(state: SchedulerState, lost: Iterable[LostRun]) -> None:
+    """Undo ``count_loss``, since the worker was only cut off, or has ended."""
+    for run in lost:
+        run.task.worker_losses = max(0, run.task.worker_losses - 1)
+        _note_count(state, run.task)
+
+
+def move_runs(state: SchedulerState, former_id: str, worker_id: str) -> None:
+    """Move the runs of a worker that has restarted to the next incarnation.
+
+    They have ended, but an order that is still under way could begin one of
+    them there. Such a run counts as active until the worker reports it, or a
+    stop order and a report have shown that it is not. The members of a gang
+    cannot work on without those that have ended.
+
+    :param former_id: id of the incarnation that has ended.
+    :param worker_id: id of the next one.
+    """
+    former = state.workers_by_id.pop(former_id)
+    worker = state.get_or_add_worker(worker_id)
+    for run in list(former.runs):
+        former.remove(run)
+        run.move_to(worker)
+        if not run.may_have_been_ordered:
+            state.lose_run(run)
+        elif run.task.step.spec.is_gang:
+            state.stop_step(run.task.step)
+
+
+def hold_suspects(lost: Iterable[LostRun], until_ms: int) -> None:
+    """Start no suspect among the tasks before a time.
+
+    Otherwise it could end another worker before the last one is counted.
+    """
+    for run in lost:
+        run.task.step.hold_until_ms = until_ms if run.task.is_suspect else 0
+
+
+def _note_count(state: SchedulerState, task: TrackedTask) -> None:
+    """Store the counts of a task, and place it apart if it is suspect."""
+    job_id = task.key.job_id
+    if job_id in state.jobs_by_id:
+        state.unsaved_job_ids.add(job_id)
+        if task.is_suspect:
+            state.add_suspect(task)
+
+
 def _is_harmless(run: TrackedRun, now_ms: int) -> bool:
     return (
         run.started_ms is not None
         and now_ms - run.started_ms >= HARMLESS_AFTER_MS
     )
-
-
-def _count(
-    run: TrackedRun, worker: TrackedWorker, *, has_crashed: bool
-) -> LostRun:
-    task = run.task
-    if has_crashed:
-        task.worker_crashes += 1
-    else:
-        task.worker_losses += 1
-    is_alone = run.confirmed_ms is not None and worker.runs_only(task.step.job)
-    limit = (
-        LOSSES_TO_GIVE_UP_IF_ALONE
-        if is_alone and has_crashed
-        else LOSSES_TO_GIVE_UP
-    )
-    gives_up = (
-        task.worker_crashes >= MIN_CRASHES_TO_GIVE_UP
-        and task.lost_worker_count >= limit
-    )
-    return LostRun(task, is_alone, gives_up)
--- a/src/magnoliapitch/platform/advisor.py
+++ b/src/magnoliapitch/platform/advisor.py
@@ -18,9 +18,11 @@
 from magnoliapitch.verdict import may_have_run
 from magnoliapitch.verdict import not_run
 from magnoliapitch.workload.run import Permit
+from magnoliapitch.workload.worker import Incarnation
 
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from magnoliapitch.http.client import HttpClient
@@ -45,14 +47,23 @@
 
         :param worker_ids: at most 100 workers.
         """
-        body = {"step": encode_step(step), "workers": list(worker_ids)}
+        id_by_name = {
+            Incarnation.from_worker_id(worker_id).name: worker_id
+            for worker_id in worker_ids
+        }
+        body = {"step": encode_step(step), "workers": list(id_by_name)}
         reply = self._client.exchange(
             "POST", self._url, timeout_ms, orjson.dumps(body), JSON_HEADERS
         )
-        return reply.and_then(_decode_permits)
+        return reply.and_then(
+            lambda received: _decode_permits(received, id_by_name)
+        )
 
 
-def _decode_permits(reply: HttpReply) -> Result[tuple[Permit, ...], Failure]:
+def _decode_permits(
+    reply: HttpReply, id_by_name: Mapping[str, str]
+) -> Result[tuple[Permit, ...], Failure]:
+    """Decode the permits; workers that were not asked about are left out."""
     detail = f"the advisor answered with status {reply.status}"
     if reply.status == 429:
         return Err(not_run(FailureCode.OVERLOADED, detail))
@@ -60,6 +71,12 @@
         return Err(may_have_run(FailureCode.UNAVAILABLE, detail))
     try:
         rows: Any = orjson.loads(reply.data)["good"]
-        return Ok(tuple(Permit(str(row[0]), str(row[1])) for row in rows))
+        return Ok(
+            tuple(
+                Permit(id_by_name[row[0]], str(row[1]))
+                for row in rows
+                if row[0] in id_by_name
+            )
+        )
     except (ValueError, KeyError, TypeError, IndexError) as error:
         return Err(may_have_run(FailureCode.BAD_RESPONSE, repr(error)))
--- a/src/magnoliapitch/platform/directory.py
+++ b/src/magnoliapitch/platform/directory.py
@@ -18,6 +18,8 @@
 from magnoliapitch.ledger.mirror import StreamMirror
 from magnoliapitch.platform.configuration import decode_configuration
 from magnoliapitch.platform.configuration import decode_resources
+from magnoliapitch.platform.names import decode_start
+from magnoliapitch.workload.worker import Incarnation
 from magnoliapitch.workload.worker import WorkerInfo
 
 
@@ -45,8 +47,8 @@
     def __init__(self, streams: KeyedStreams) -> None:
         self._worker_mirror = StreamMirror(streams, WORKER_STREAM)
         self._operator_mirror = StreamMirror(streams, OPERATOR_STREAM)
-        self._info_by_id: dict[str, WorkerInfo] = {}
-        self._unreadable_worker_ids: set[str] = set()
+        self._info_by_name: dict[str, WorkerInfo] = {}
+        self._unreadable_names: set[str] = set()
 
     def workers(self) -> Result[Mapping[str, WorkerInfo], Failure]:
         """Return every listed worker, by worker id."""
@@ -57,7 +59,9 @@
             self._update_worker(
                 key, self._worker_mirror.values_by_key.get(key)
             )
-        return Ok(dict(self._info_by_id))
+        return Ok(
+            {info.worker_id: info for info in self._info_by_name.values()}
+        )
 
     def configuration(
         self, wait_ms: int
@@ -78,25 +82,25 @@
             log_event("configuration-unreadable", error=error)
             return Ok(None)
 
-    def _update_worker(self, worker_id: str, value: bytes | None) -> None:
+    def _update_worker(self, name: str, value: bytes | None) -> None:
         if value is None:
-            self._info_by_id.pop(worker_id, None)
-            self._unreadable_worker_ids.discard(worker_id)
+            self._info_by_name.pop(name, None)
+            self._unreadable_names.discard(name)
             return
         try:
-            info = _decode_worker(worker_id, orjson.loads(value))
+            info = _decode_worker(name, orjson.loads(value))
         except (ValueError, KeyError, TypeError, AttributeError) as error:
-            self._info_by_id.pop(worker_id, None)
-            if worker_id not in self._unreadable_worker_ids:
-                self._unreadable_worker_ids.add(worker_id)
+            self._info_by_name.pop(name, None)
+            if name not in self._unreadable_names:
+                self._unreadable_names.add(name)
                 reason = repr(error)
-                log_event("worker-unreadable", worker=worker_id, reason=reason)
+                log_event("worker-unreadable", worker=name, reason=reason)
             return
-        self._unreadable_worker_ids.discard(worker_id)
-        self._info_by_id[worker_id] = info
+        self._unreadable_names.discard(name)
+        self._info_by_name[name] = info
 
 
-def _decode_worker(worker_id: str, entry: Any) -> WorkerInfo:
+def _decode_worker(name: str, entry: Any) -> WorkerInfo:
     state = entry["state"]
     if state not in WORKER_STATES:
         raise ValueError(
@@ -105,7 +109,7 @@
     labels = [_require_text(label) for label in entry.get("labels") or ()]
     racks = [label for label in labels if label.startswith(RACK_PREFIX)]
     return WorkerInfo(
-        worker_id,
+        Incarnation(name, decode_start(entry)).worker_id,
         _require_text(entry["service"]),
         _require_text(entry["address"]),
         _require_text(entry["zone"]),
--- a/src/magnoliapitch/platform/workers.py
+++ b/src/magnoliapitch/platform/workers.py
@@ -11,6 +11,7 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.platform.names import decode_start
 from magnoliapitch.platform.names import decode_task
 from magnoliapitch.platform.names import encode_task
 from magnoliapitch.verdict import Failure
@@ -21,6 +22,7 @@
 from magnoliapitch.workload.run import EndedRun
 from magnoliapitch.workload.run import EndKind
 from magnoliapitch.workload.run import WorkerReport
+from magnoliapitch.workload.worker import Incarnation
 
 
 if TYPE_CHECKING:
@@ -113,8 +115,9 @@
             body["deadline-ms"] = deadline_ms
         if wait_ms:
             body["wait-ms"] = wait_ms
-        return self._call(
-            worker, "/hold", body, timeout_ms + wait_ms
+        answer = self._call(worker, "/hold", body, timeout_ms + wait_ms)
+        return answer.and_then(
+            lambda found: _check_incarnation(worker, found)
         ).and_then(_decode_report)
 
     def throttle(
@@ -143,7 +146,7 @@
     ) -> Result[Any, Failure]:
         headers = {
             "Content-Type": "application/json",
-            EXPECTED_WORKER_HEADER: worker.worker_id,
+            EXPECTED_WORKER_HEADER: _incarnation_of(worker).name,
         }
         reply = self._client.exchange(
             "POST",
@@ -184,6 +187,27 @@
     return Err(may_have_run(FailureCode.BAD_RESPONSE, detail))
 
 
+def _incarnation_of(worker: WorkerInfo) -> Incarnation:
+    return Incarnation.from_worker_id(worker.worker_id)
+
+
+def _check_incarnation(worker: WorkerInfo, body: Any) -> Result[Any, Failure]:
+    """Return the answer to a renewal if the worker that was meant gave it.
+
+    The header of a call names the worker only, so that a restarted one
+    carries it out.
+    """
+    expected_ms = _incarnation_of(worker).started_ms
+    try:
+        started_ms = decode_start(body)
+    except (AttributeError, TypeError) as error:
+        return Err(may_have_run(FailureCode.BAD_RESPONSE, repr(error)))
+    if expected_ms is None or started_ms in (None, expected_ms):
+        return Ok(body)
+    detail = f"the worker was started at {started_ms}, not at {expected_ms}"
+    return Err(may_have_run(FailureCode.RESTARTED, detail))
+
+
 def _decode_clock(body: Any) -> Result[int, Failure]:
     try:
         return Ok(int(body["clock-ms"]))
--- a/src/magnoliapitch/verdict.py
+++ b/src/magnoliapitch/verdict.py
@@ -52,6 +52,8 @@
     TICKET = "ticket"
     # Another incarnation of the worker responds at its address.
     REPLACED = "replaced"
+    # Another incarnation of the worker, under the same name, has answered.
+    RESTARTED = "restarted"
     UNHEALTHY = "unhealthy"
 
 
--- a/src/magnoliapitch/workload/client.py
+++ b/src/magnoliapitch/workload/client.py
@@ -40,8 +40,10 @@
     - ``UNAVAILABLE``: no connection, which does not prove that the worker
       has ended.
 
-    Otherwise the verdict is ``may_have_run``, with the code ``TIMEOUT``. The
-    worker's clock in a refusal is not used.
+    Otherwise the verdict is ``may_have_run``, with the code ``TIMEOUT``, or
+    ``RESTARTED`` if the next incarnation of the worker, under the same name,
+    has carried out the renewal. It cannot refuse a call that was meant for
+    the former one. The worker's clock in a refusal is not used.
     """
 
     def start(
--- a/src/magnoliapitch/workload/progress.py
+++ b/src/magnoliapitch/workload/progress.py
@@ -22,11 +22,15 @@
     """A run that was ordered and whose end is not known.
 
     :param run: number of the run.
-    :param worker_id: worker that was ordered to start it.
+    :param worker_id: worker that was ordered to start it, or that it was
+        moved to.
+    :param has_ended_with_worker: whether it has ended with the worker's
+        former incarnation, so that only a late order could begin it again.
     """
 
     run: int
     worker_id: str
+    has_ended_with_worker: bool = False
 
 
 class TaskProgress(NamedTuple):
--- a/tests/control/restarting_workers.py
+++ b/tests/control/restarting_workers.py
@@ -12,6 +12,7 @@
 
 import orjson
 
+from result import Err
 from result import Ok
 from result import Result
 
@@ -24,6 +25,7 @@
 from magnoliapitch.workload.run import WorkerReport
 from tests.control.delegation.simulated_agents import DelegatedEffects
 from tests.control.simulated_effects import SimulatedEffects
+from tests.control.simulated_worker import UNLISTED_AFTER_MS
 from tests.control.simulation import Simulation
 from tests.ledger.memory_streams import MemoryStreams
 
@@ -92,7 +94,8 @@
         entries = {
             name: orjson.dumps(self._entry(worker))
             for name, worker in self.workers.items()
-            if name not in self.unreachable_worker_ids and worker.is_listed
+            if name not in self.unreachable_worker_ids
+            and self._has_entry(worker)
         }
         names = sorted(entries.keys() | self._entries_by_name.keys())
         records = [
@@ -105,6 +108,15 @@
             self._streams.append("servers", records)
         return self._directory.workers().unwrap()
 
+    def _has_entry(self, worker: SimulatedWorker) -> bool:
+        """Return whether an entry of any incarnation is left."""
+        listed_born_ms = self._listed_born_ms.get(worker.info.worker_id, 0)
+        silent_ms = self.now_ms - worker.crashed_ms
+        is_current = listed_born_ms == worker.born_ms
+        return (
+            is_current and not worker.is_down
+        ) or silent_ms < UNLISTED_AFTER_MS
+
     def _entry(self, worker: SimulatedWorker) -> dict[str, Any]:
         info = worker.info
         born_ms = self._listed_born_ms.get(info.worker_id, 0)
@@ -129,6 +141,8 @@
         if isinstance(outcome, Ok):
             worker = self._simulation.worker_of(worker_id)
             outcome = _decode(worker_id, worker, outcome.ok_value)
+        if isinstance(outcome, Err):
+            self._answering_worker_ids.discard(worker_id)
         super()._report(worker_id, outcome, sent_ms)
 
 
--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -66,6 +66,8 @@
         self._epoch = epoch
         self._renewed_worker_ids: set[str] = set()
         self._acknowledged_sequence_by_worker: dict[str, int] = {}
+        # Like a lease renewer, it acknowledges nothing after a failed call.
+        self._answering_worker_ids: set[str] = set()
 
     def start_lease_renewal(self, worker: WorkerInfo) -> None:
         self._renewed_worker_ids.add(worker.worker_id)
@@ -236,19 +238,30 @@
         if simulation.is_silent(worker_id) or worker.is_replaced:
             failure = not_run(FailureCode.UNAVAILABLE, "unreachable")
             outcome = _replaced() if worker.is_replaced else Err(failure)
+            self._answering_worker_ids.discard(worker_id)
             self._report(worker_id, outcome, sent_ms)
             simulation.schedule(300, lambda: self._renew(worker_id))
             return
-        acknowledged_sequence = self._acknowledged_sequence_by_worker.get(
-            worker_id, 0
-        )
+        acknowledged_sequence = 0
+        if worker_id in self._answering_worker_ids:
+            acknowledged_sequence = self._acknowledged_sequence_by_worker.get(
+                worker_id, 0
+            )
         worker.renew_lease(self._epoch, deadline_ms, acknowledged_sequence)
+        born_ms = worker.born_ms
 
         def answer() -> None:
             worker.end_listeners.discard(answer_now)
+            if worker.born_ms != born_ms:
+                self._answering_worker_ids.discard(worker_id)
+                lost = Err(may_have_run(FailureCode.TIMEOUT, "reset"))
+                self._report(worker_id, lost, sent_ms)
+                simulation.schedule(20, lambda: self._renew(worker_id))
+                return
             if simulation.is_silent(worker_id) or worker.is_replaced:
                 self._renew(worker_id)
                 return
+            self._answering_worker_ids.add(worker_id)
             self._report(worker_id, Ok(worker.report()), sent_ms)
             simulation.schedule(
                 COMMIT_DURATION_MS + 2, lambda: self._renew(worker_id)
--- a/tests/control/simulated_worker.py
+++ b/tests/control/simulated_worker.py
@@ -73,7 +73,7 @@
         self._deadline_ms = 0
         self._last_end_sequence = 0
         self._highest_run_by_task: dict[TaskKey, int] = {}
-        self._crashed_ms = 0
+        self.crashed_ms = 0
         self.born_ms = 0
         self._done_ms_by_sequence: dict[int, int] = {}
         self._resized_ms = 0
@@ -115,7 +115,7 @@
     @property
     def is_listed(self) -> bool:
         """Return whether the platform lists the worker."""
-        silent_ms = self._simulation.now_ms - self._crashed_ms
+        silent_ms = self._simulation.now_ms - self.crashed_ms
         return not self.is_gone and (
             not self.is_down or silent_ms < UNLISTED_AFTER_MS
         )
@@ -128,7 +128,7 @@
         if self.is_down:
             return
         self.is_down = True
-        self._crashed_ms = self._simulation.now_ms
+        self.crashed_ms = self._simulation.now_ms
         self._simulation.record_crash(list(self.running), culprit)
         runs, self.running = list(self.running.values()), {}
         for run in runs:
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -366,7 +366,9 @@
         )
 
     def _list_workers(self) -> None:
-        self.controller.handle_worker_list(WorkersListed(self.listed()))
+        self.controller.handle_worker_list(
+            WorkersListed(self.listed()), self.now_ms
+        )
         self.schedule(500, self._list_workers)
 
     def listed(self) -> Mapping[str, WorkerInfo]:
--- a/tests/control/test_capacity_under_faults.py
+++ b/tests/control/test_capacity_under_faults.py
@@ -42,11 +42,12 @@
         self,
         seed: int,
         effects_type: type[SimulatedEffects] = SimulatedEffects,
+        simulation_type: type[Simulation] = Simulation,
     ) -> None:
         self._random = random.Random(seed)
         self._duration_ms_by_task: dict[TaskKey, float] = {}
         self.job_ids: list[str] = []
-        self.simulation = Simulation(
+        self.simulation = simulation_type(
             [queue("q")],
             workers(WORKER_COUNT, CAPACITY),
             effects_type=effects_type,
--- a/tests/control/test_worker_crashes_under_faults.py
+++ b/tests/control/test_worker_crashes_under_faults.py
@@ -9,6 +9,7 @@
 from magnoliapitch.ledger.state_table import JobState
 from tests.control.delegation.simulated_agents import DelegatedEffects
 from tests.control.simulated_effects import SimulatedEffects
+from tests.control.simulation import Simulation
 from tests.control.test_capacity_under_faults import FaultyRun
 
 
@@ -33,8 +34,9 @@
         self,
         seed: int,
         effects_type: type[SimulatedEffects] = SimulatedEffects,
+        simulation_type: type[Simulation] = Simulation,
     ) -> None:
-        super().__init__(seed, effects_type)
+        super().__init__(seed, effects_type, simulation_type)
         self.deadly_job_ids: set[str] = set()
         self.simulation.crashes_worker = self._crashes_worker
         self.simulation.crash_delay_ms = self._random.choice((0, 5, 400))
--- a/tests/control/test_worker_restarts.py
+++ b/tests/control/test_worker_restarts.py
@@ -69,8 +69,11 @@
 
 
 # Incident TWICE: tasks that ran through a restart run again, once.
-def test_runs_that_ended_with_a_restart_run_again() -> None:
-    simulation = make_simulation(DelegatedWireEffects, worker_count=2)
+@pytest.mark.parametrize("effects_type", EFFECTS_TYPES)
+def test_runs_that_ended_with_a_restart_run_again(
+    effects_type: type[WireEffects],
+) -> None:
+    simulation = make_simulation(effects_type, worker_count=2)
     simulation.actual_duration_ms = lambda _: 3_000.0
     submit(simulation, "before")
     simulation.run(5_000)
@@ -170,3 +173,22 @@
         for number in range(60)
     }
     assert outcomes == {JobState.COMPLETED}
+
+
+# Incident TWICE: the stop that was to keep a late order from being
+# carried out is forgotten when the worker restarts in between.
+def test_a_late_order_does_not_run_after_a_stop_that_was_forgotten() -> None:
+    simulation = make_simulation(worker_count=2)
+    simulation.actual_duration_ms = lambda _: 8_000.0
+    simulation.run(2_000)
+    simulation.order_late_ms = lambda _: 5_000
+    submit(simulation, "job", 1)
+    simulation.run(100)
+    simulation.order_late_ms = lambda _: 0
+    task = simulation.controller.state.task(TaskKey("job", 0, 0, 0))
+    assert task is not None
+    name = task.active_runs[0].worker_id.partition("@")[0]
+    simulation.run_until(lambda: not task.active_runs, step_ms=1)
+    restart(simulation, 200, name)
+    simulation.run(30_000)
+    assert simulation.violations == []
--- a/tests/planner/test_worker_loss.py
+++ b/tests/planner/test_worker_loss.py
@@ -6,6 +6,9 @@
 
 from magnoliapitch.planner.scheduler_state import SchedulerState
 from magnoliapitch.planner.worker_loss import HARMLESS_AFTER_MS
+from magnoliapitch.planner.worker_loss import count_crash
+from magnoliapitch.planner.worker_loss import count_loss
+from magnoliapitch.planner.worker_loss import suspect_runs
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
@@ -52,7 +55,12 @@
 def lose(
     state: SchedulerState, *, has_crashed: bool = True, now_ms: int = 10
 ) -> None:
-    state.remove_worker("w000", now_ms, has_crashed=has_crashed)
+    lost = suspect_runs(state.workers_by_id["w000"], now_ms)
+    state.remove_worker("w000")
+    if has_crashed:
+        count_crash(state, lost)
+    else:
+        count_loss(state, lost)
 
 
 def outcome(state: SchedulerState) -> JobOutcome:
