Give up a task after three crashes and a loss that is not proven

Change: after three certain crashes a fourth lost worker of either kind is enough. Measured: tests/planner and test_worker_crashes pass; the 16 schedules of the test break nothing.

--- a/src/magnoliapitch/planner/worker_loss.py
+++ b/src/magnoliapitch/planner/worker_loss.py
@@ -17,9 +17,9 @@
 
 
 # Crashes after which a task that was alone on the last worker is given up.
-CRASHES_TO_GIVE_UP_IF_ALONE = 3
-# The same if it was not certainly alone there.
-CRASHES_TO_GIVE_UP = 4
+MIN_CRASHES_TO_GIVE_UP = 3
+# If it was not certainly alone there, so many workers must have been lost.
+LOSSES_TO_GIVE_UP = 4
 # A run that was active for this long did not end its worker.
 HARMLESS_AFTER_MS = 60_000
 
@@ -37,12 +37,9 @@
     @property
     def gives_up(self) -> bool:
         """Return whether the task is not to be started any more."""
-        limit = (
-            CRASHES_TO_GIVE_UP_IF_ALONE
-            if self.is_alone
-            else CRASHES_TO_GIVE_UP
+        return self.task.worker_crashes >= MIN_CRASHES_TO_GIVE_UP and (
+            self.is_alone or self.task.lost_worker_count >= LOSSES_TO_GIVE_UP
         )
-        return self.task.worker_crashes >= limit
 
 
 def suspect_runs(worker: TrackedWorker, now_ms: int) -> list[LostRun]:
