Test incarnations at the adapter, doubtful orders and unproven losses

Measured: the new tests, tests/planner, tests/ledger and tests/docs pass. Conclusion: no behaviour changed.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -343,7 +343,7 @@
         if spec is None or configuration is None:
             return
         has_ended = self._progress_batcher.has_ended(spec.job_id)
-        if has_ended and not _has_final_progress(stored):
+        if has_ended and not stored.has_final_progress:
             # Its progress was deleted after its last run had ended.
             self._delete_jobs([spec.job_id])
             return
@@ -396,8 +396,3 @@
         )
         self._is_commit_in_flight = True
         self._effects.commit(batch)
-
-
-def _has_final_progress(stored: StoredJob) -> bool:
-    progress = stored.progress
-    return progress is not None and progress.outcome is not JobOutcome.OPEN
--- a/src/magnoliapitch/ledger/job_table.py
+++ b/src/magnoliapitch/ledger/job_table.py
@@ -44,6 +44,14 @@
             return self.progress.outcome
         return JobOutcome.CANCELLED if self.is_cancelled else JobOutcome.OPEN
 
+    @property
+    def has_final_progress(self) -> bool:
+        """Return whether the stored progress says how the job has ended."""
+        return (
+            self.progress is not None
+            and self.progress.outcome is not JobOutcome.OPEN
+        )
+
 
 EMPTY_JOB = StoredJob()
 
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -351,7 +351,7 @@
         """Close an open job if its steps have all ended or one has failed."""
         if job.outcome is not JobOutcome.OPEN:
             return
-        if any(_has_failed(step) for step in job.all_steps()):
+        if any(step.has_failed for step in job.all_steps()):
             self._close_job(job, JobOutcome.FAILED)
         elif all(step.is_done for step in job.all_steps()):
             self._close_job(job, JobOutcome.COMPLETED)
@@ -392,14 +392,3 @@
             self.waiting_steps.pop(step.key, None)
         elif step.ready_ms is not None and step.job.outcome is JobOutcome.OPEN:
             self.waiting_steps[step.key] = step
-
-
-def _has_failed(step: TrackedStep) -> bool:
-    if step.spec.is_long_running or step.is_done:
-        return False
-    attempts = step.job.queue.attempts
-    if step.spec.is_gang:
-        return sum(task.failures for task in step.tasks) >= attempts
-    return any(
-        task.failures >= attempts and not task.is_done for task in step.tasks
-    )
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -225,6 +225,19 @@
         """Return whether every task is done."""
         return self.unfinished_count == 0
 
+    @property
+    def has_failed(self) -> bool:
+        """Return whether a task, or the gang, has used up its attempts."""
+        if self.spec.is_long_running or self.is_done:
+            return False
+        attempts = self.job.queue.attempts
+        if self.spec.is_gang:
+            return sum(task.failures for task in self.tasks) >= attempts
+        return any(
+            task.failures >= attempts and not task.is_done
+            for task in self.tasks
+        )
+
     def startable_tasks(self) -> list[TrackedTask]:
         """Return the tasks that are not done and have no active run."""
         return [
--- a/tests/control/test_lease_renewer.py
+++ b/tests/control/test_lease_renewer.py
@@ -4,12 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+from result import Err
 from result import Ok
 from result import Result
 
 from magnoliapitch.clock import MonotonicClock
 from magnoliapitch.control import lease_renewer
 from magnoliapitch.control.lease_renewer import LeaseRenewer
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import may_have_run
 from magnoliapitch.workload.job import TaskKey
 from magnoliapitch.workload.run import EndedRun
 from magnoliapitch.workload.run import EndKind
@@ -89,3 +92,53 @@
         assert worker.acknowledged[:2] == [0, END.sequence]
     finally:
         renewer.stop()
+
+
+class OneLostAnswer(OneEnd):
+    """A worker of which one answer is lost after an end was acknowledged."""
+
+    def renew(
+        self,
+        worker: WorkerInfo,
+        token: int,
+        deadline_ms: int | None,
+        acknowledged_sequence: int,
+        wait_ms: int,
+        timeout_ms: int,
+    ) -> Result[WorkerReport, Failure]:
+        outcome = super().renew(
+            worker,
+            token,
+            deadline_ms,
+            acknowledged_sequence,
+            wait_ms,
+            timeout_ms,
+        )
+        if len(self.acknowledged) == 2:
+            return Err(may_have_run(FailureCode.TIMEOUT, "lost"))
+        return outcome
+
+
+# Incident TWICE: a worker that has restarted would forget its first ends.
+def test_a_renewal_after_an_unanswered_one_acknowledges_nothing() -> None:
+    worker = OneLostAnswer()
+    renewer = LeaseRenewer(
+        WorkerInfo("w", "app", "10.0.0.1:1", "a", "r"),
+        7,
+        worker,  # type: ignore[arg-type]
+        MonotonicClock(),
+        lambda _: 1_000,
+        lambda _: None,
+    )
+    renewer.acknowledge(END.sequence)
+    renewer.start()
+    try:
+        assert worker.wait_for_renewals(4)
+        assert worker.acknowledged[:4] == [
+            0,
+            END.sequence,
+            0,
+            END.sequence,
+        ]
+    finally:
+        renewer.stop()
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -48,6 +48,9 @@
         entry(capacity="much"),
         entry(capacity={"cpu": -1}),
         entry(labels=[7]),
+        entry(born="1790000000000"),
+        entry(born=1.5),
+        entry(born=True),
         json.dumps({"service": "app"}).encode(),
     ],
 )
@@ -59,6 +62,17 @@
     assert set(directory.workers().unwrap()) == {"good"}
 
 
+def test_a_restarted_worker_is_another_incarnation() -> None:
+    streams = MemoryStreams()
+    directory = PlatformDirectory(streams)
+    put(streams, "servers", "w", entry(born=1_790_000_000_000))
+    assert set(directory.workers().unwrap()) == {"w@1790000000000"}
+    put(streams, "servers", "w", entry(born=1_790_000_005_000))
+    assert set(directory.workers().unwrap()) == {"w@1790000005000"}
+    put(streams, "servers", "w", b"")
+    assert directory.workers().unwrap() == {}
+
+
 def test_an_entry_is_decoded_into_a_worker() -> None:
     streams = MemoryStreams()
     put(streams, "servers", "w", entry(state="draining"))
