Bound the memory of unanswered orders; look for suspects once a round

Cause: read as a newcomer, the list of unanswered orders was shortened only when a worker restarted under its name, so it grew without end where workers never do; and every examined step listed its waiting tasks to look for suspects. Change: old orders are dropped when one is added; the steps with waiting suspects are collected once a round. Measured: the new test failed before (100 orders kept, 2 now); tests/planner and test_worker_crashes pass.

--- a/src/magnoliapitch/control/doubtful_orders.py
+++ b/src/magnoliapitch/control/doubtful_orders.py
@@ -28,8 +28,13 @@
     def __init__(self) -> None:
         self._orders: deque[_DoubtfulOrder] = deque()
 
+    def __len__(self) -> int:
+        """Return the number of remembered orders."""
+        return len(self._orders)
+
     def add(self, planned: PlannedStart, now_ms: int) -> None:
         """Add an order that may or may not have been carried out."""
+        self._forget_old(now_ms)
         self._orders.append(_DoubtfulOrder(planned, now_ms))
 
     def of(self, name: str, now_ms: int) -> list[PlannedStart]:
@@ -37,12 +42,15 @@
 
         :param name: name of the worker, whichever incarnation was meant.
         """
-        while (
-            self._orders and now_ms - self._orders[0].failed_ms > LATE_ORDER_MS
-        ):
-            self._orders.popleft()
+        self._forget_old(now_ms)
         return [
             order.planned
             for order in self._orders
             if Incarnation.from_worker_id(order.planned.worker_id).name == name
         ]
+
+    def _forget_old(self, now_ms: int) -> None:
+        while (
+            self._orders and now_ms - self._orders[0].failed_ms > LATE_ORDER_MS
+        ):
+            self._orders.popleft()
--- a/src/magnoliapitch/control/reachability.py
+++ b/src/magnoliapitch/control/reachability.py
@@ -79,10 +79,11 @@
         """Return when every lease of a worker has certainly expired."""
         return self._lease_of(worker_id).all_leases_expired_at_ms()
 
-    def expect_late_orders(self, worker_id: str, now_ms: int) -> None:
-        """Expect calls that were meant for a worker's former incarnation.
+    def record_restart(self, worker_id: str, now_ms: int) -> None:
+        """Begin the lease of a worker that has restarted.
 
-        They may have granted leases to this one.
+        Calls that were meant for its former incarnation may have granted it
+        one already.
         """
         self._lease_by_worker[worker_id] = WorkerLease(
             self._timing, now_ms + self._timing.takeover_ms
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -119,7 +119,7 @@
             self._count_crash(former.worker_id, lost)
         self._stop_doubtful_runs(current, now_ms)
         self._forget(former.worker_id)
-        self._reachability.expect_late_orders(current.worker_id, now_ms)
+        self._reachability.record_restart(current.worker_id, now_ms)
 
     def _stop_doubtful_runs(self, current: Incarnation, now_ms: int) -> None:
         """Stop what late orders to former incarnations could begin here."""
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -250,10 +250,6 @@
         """Return whether a task that was started before has to start again."""
         return any(task.runs for task in self.startable_tasks())
 
-    def has_waiting_suspect(self) -> bool:
-        """Return whether a waiting task may be what ends its workers."""
-        return any(task.is_suspect for task in self.startable_tasks())
-
     def all_active_runs(self) -> list[TrackedRun]:
         """Return the active runs of all tasks."""
         return [run for task in self.tasks for run in task.active_runs]
--- a/src/magnoliapitch/planner/worker_isolation.py
+++ b/src/magnoliapitch/planner/worker_isolation.py
@@ -14,6 +14,7 @@
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedJob
     from magnoliapitch.planner.tracked import TrackedStep
+    from magnoliapitch.workload.job import StepKey
 
 
 # Share of the workers that may be kept free while their other runs end.
@@ -33,6 +34,7 @@
     def __init__(self) -> None:
         self._job_by_worker: dict[str, TrackedJob] = {}
         self._waiting_since_ms_by_job: dict[str, int] = {}
+        self._waiting_steps: set[StepKey] = set()
 
     def begin_round(
         self,
@@ -42,11 +44,13 @@
     ) -> None:
         """Keep other jobs off the workers that are kept free or in use."""
         state.forget_ended_suspects()
+        self._waiting_steps = set()
         waiting_by_id: dict[str, TrackedJob] = {}
         for task in state.suspects_by_key.values():
             job = task.step.job
             if not task.active_runs:
                 waiting_by_id[job.spec.job_id] = job
+                self._waiting_steps.add(task.step.key)
             for run in task.active_runs:
                 _reserve(workers, run.worker_id, job)
         self._job_by_worker = {
@@ -74,7 +78,7 @@
         :param candidates: workers that may run the step.
         :param worker_count: number of workers that take new runs.
         """
-        if not step.has_waiting_suspect():
+        if step.key not in self._waiting_steps:
             return candidates
         if now_ms < step.hold_until_ms:
             return []
--- a/tests/control/test_doubtful_orders.py
+++ b/tests/control/test_doubtful_orders.py
@@ -26,3 +26,10 @@
     orders.add(planned("w@1"), 500)
     assert len(orders.of("w", LATE_ORDER_MS)) == 2
     assert len(orders.of("w", LATE_ORDER_MS + 1)) == 1
+
+
+def test_old_orders_are_forgotten_though_no_worker_restarts() -> None:
+    orders = DoubtfulOrders()
+    for number in range(100):
+        orders.add(planned("w@1"), number * LATE_ORDER_MS)
+    assert len(orders) == 2
