Look incarnations up by name, and add runs, in one place each

Cause: read once more, the change built the map of incarnations by name three times, derived a lost worker's address twice, and wrote the bookkeeping of a waiting task's run a second time; a test repeated its stand-in's signature to lose one answer. Change: incarnations_by_name, one private method of the scheduler state, UnprovenLosses takes the worker, OneEnd can lose an answer. Behaviour and assertions stay.

--- a/src/magnoliapitch/control/unproven_losses.py
+++ b/src/magnoliapitch/control/unproven_losses.py
@@ -10,12 +10,14 @@
 from magnoliapitch.planner.worker_loss import hold_suspects
 from magnoliapitch.planner.worker_loss import withdraw_loss
 from magnoliapitch.workload.worker import Incarnation
+from magnoliapitch.workload.worker import incarnations_by_name
 
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from magnoliapitch.planner.scheduler_state import SchedulerState
+    from magnoliapitch.planner.tracked import TrackedWorker
     from magnoliapitch.workload.worker import WorkerInfo
 
 
@@ -51,8 +53,7 @@
 
     def add(
         self,
-        worker_id: str,
-        address: str,
+        worker: TrackedWorker,
         lost: list[LostRun],
         now_ms: int,
         *,
@@ -63,8 +64,10 @@
         :param is_listed: whether the platform still lists the worker, so that
             it is probably only cut off and is not counted meanwhile.
         """
+        worker_id = worker.worker_id
         if not lost or worker_id in self._loss_by_worker:
             return
+        address = "" if worker.info is None else worker.info.address
         if not is_listed:
             count_loss(self._state, lost)
         hold_suspects(lost, now_ms + HOLD_SUSPECTS_MS)
@@ -90,10 +93,7 @@
         id_by_address = {
             info.address: worker_id for worker_id, info in info_by_id.items()
         }
-        listed_by_name = {
-            incarnation.name: incarnation
-            for incarnation in map(Incarnation.from_worker_id, info_by_id)
-        }
+        listed_by_name = incarnations_by_name(info_by_id)
         proven: dict[str, tuple[LostRun, ...]] = {}
         for worker_id, loss in list(self._loss_by_worker.items()):
             former = Incarnation.from_worker_id(worker_id)
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -12,6 +12,7 @@
 from magnoliapitch.planner.worker_loss import move_runs
 from magnoliapitch.planner.worker_loss import suspect_runs
 from magnoliapitch.workload.worker import Incarnation
+from magnoliapitch.workload.worker import incarnations_by_name
 
 
 if TYPE_CHECKING:
@@ -67,18 +68,12 @@
         Workers that have restarted take the place of their former
         incarnations.
         """
-        known = [
-            Incarnation.from_worker_id(worker_id)
-            for worker_id in self._state.workers_by_id
-        ]
+        known_ids = list(self._state.workers_by_id)
         self.info_by_id.clear()
-        self.info_by_id.update(_without_former(info_by_id, known))
+        self.info_by_id.update(_without_former(info_by_id, known_ids))
         self._add_listed()
-        listed_by_name = {
-            incarnation.name: incarnation
-            for incarnation in map(Incarnation.from_worker_id, self.info_by_id)
-        }
-        for former in known:
+        listed_by_name = incarnations_by_name(self.info_by_id)
+        for former in map(Incarnation.from_worker_id, known_ids):
             current = listed_by_name.get(former.name)
             if current is not None and current != former:
                 self._replace(former, current, now_ms)
@@ -191,10 +186,7 @@
         if has_crashed:
             self._count_crash(worker_id, lost)
         else:
-            address = "" if worker.info is None else worker.info.address
-            self._unproven_losses.add(
-                worker_id, address, lost, now_ms, is_listed=False
-            )
+            self._unproven_losses.add(worker, lost, now_ms, is_listed=False)
         self.info_by_id.pop(worker_id, None)
         self._forget(worker_id)
 
@@ -213,11 +205,8 @@
             self.remove(worker_id, "unlisted", now_ms, has_crashed=False)
             return
         _log_lost_runs(worker, "lease-over", now_ms)
-        address = self.info_by_id[worker_id].address
         lost = suspect_runs(worker, now_ms)
-        self._unproven_losses.add(
-            worker_id, address, lost, now_ms, is_listed=True
-        )
+        self._unproven_losses.add(worker, lost, now_ms, is_listed=True)
         lost_count = self._state.lose_runs(worker_id)
         if lost_count:
             log_event(
@@ -226,13 +215,13 @@
 
 
 def _without_former(
-    info_by_id: Mapping[str, WorkerInfo], known: Iterable[Incarnation]
+    info_by_id: Mapping[str, WorkerInfo], known_ids: Iterable[str]
 ) -> dict[str, WorkerInfo]:
     """Return the list without incarnations that others have followed.
 
     A late record of the former one may hide the current one for a moment.
     """
-    known_by_name = {incarnation.name: incarnation for incarnation in known}
+    known_by_name = incarnations_by_name(known_ids)
     return {
         worker_id: info
         for worker_id, info in info_by_id.items()
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -180,9 +180,7 @@
             raise KeyError(key)
         task.runs = max(task.runs, number)
         self.unsaved_job_ids.add(key.job_id)
-        if not task.active_runs and not task.is_done:
-            self._adjust_waiting_count(task.step, -1)
-        return self.add_run(task, number, worker_id, now_ms)
+        return self._add_run_of_waiting_task(task, number, worker_id, now_ms)
 
     def stop_unexpected_run(
         self, key: TaskKey, number: int, worker_id: str, now_ms: int
@@ -196,9 +194,7 @@
         task = self.task(key)
         if task is None or number > task.runs:
             return None
-        if not task.active_runs and not task.is_done:
-            self._adjust_waiting_count(task.step, -1)
-        run = self.add_run(task, number, worker_id, now_ms)
+        run = self._add_run_of_waiting_task(task, number, worker_id, now_ms)
         self.mark_for_stop(run)
         return run
 
@@ -231,6 +227,14 @@
         self.get_or_add_worker(worker_id).add(run)
         return run
 
+    def _add_run_of_waiting_task(
+        self, task: TrackedTask, number: int, worker_id: str, now_ms: int
+    ) -> TrackedRun:
+        """Add a run of a task that may be waiting, which it then is not."""
+        if not task.active_runs and not task.is_done:
+            self._adjust_waiting_count(task.step, -1)
+        return self.add_run(task, number, worker_id, now_ms)
+
     def confirm_run(self, run: TrackedRun, now_ms: int) -> None:
         """Record that the worker has certainly begun a run."""
         run.confirmed_ms = now_ms
--- a/src/magnoliapitch/workload/worker.py
+++ b/src/magnoliapitch/workload/worker.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.resource import Resources
 
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
 # Separates the name of a worker from the start time of its incarnation.
 _START_SEPARATOR = "@"
 
@@ -53,6 +58,12 @@
         )
 
 
+def incarnations_by_name(worker_ids: Iterable[str]) -> dict[str, Incarnation]:
+    """Return the incarnations that ids stand for, by the workers' names."""
+    incarnations = map(Incarnation.from_worker_id, worker_ids)
+    return {incarnation.name: incarnation for incarnation in incarnations}
+
+
 class WorkerInfo(NamedTuple):
     """One incarnation of a worker.
 
--- a/tests/control/test_lease_renewer.py
+++ b/tests/control/test_lease_renewer.py
@@ -34,10 +34,13 @@
 class OneEnd:
     """A worker that lists an ended run until its end is acknowledged.
 
+    :param lost_answer: number of the renewal whose answer is lost; 0 if none
+        is.
     :ivar acknowledged: the sequence number that each renewal acknowledged.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, lost_answer: int = 0) -> None:
+        self._lost_answer = lost_answer
         self.acknowledged: list[int] = []
         self._condition = threading.Condition()
 
@@ -54,6 +57,8 @@
         with self._condition:
             self.acknowledged.append(acknowledged_sequence)
             self._condition.notify_all()
+            if len(self.acknowledged) == self._lost_answer:
+                return Err(may_have_run(FailureCode.TIMEOUT, "lost"))
             if acknowledged_sequence >= END.sequence:
                 self._condition.wait(0.05)
                 return Ok(WorkerReport(1, (), ()))
@@ -94,34 +99,9 @@
         renewer.stop()
 
 
-class OneLostAnswer(OneEnd):
-    """A worker of which one answer is lost after an end was acknowledged."""
-
-    def renew(
-        self,
-        worker: WorkerInfo,
-        token: int,
-        deadline_ms: int | None,
-        acknowledged_sequence: int,
-        wait_ms: int,
-        timeout_ms: int,
-    ) -> Result[WorkerReport, Failure]:
-        outcome = super().renew(
-            worker,
-            token,
-            deadline_ms,
-            acknowledged_sequence,
-            wait_ms,
-            timeout_ms,
-        )
-        if len(self.acknowledged) == 2:
-            return Err(may_have_run(FailureCode.TIMEOUT, "lost"))
-        return outcome
-
-
 # Incident TWICE: a worker that has restarted would forget its first ends.
 def test_a_renewal_after_an_unanswered_one_acknowledges_nothing() -> None:
-    worker = OneLostAnswer()
+    worker = OneEnd(lost_answer=2)
     renewer = LeaseRenewer(
         WorkerInfo("w", "app", "10.0.0.1:1", "a", "r"),
         7,
--- a/tests/control/test_unproven_losses.py
+++ b/tests/control/test_unproven_losses.py
@@ -35,7 +35,10 @@
 
     def lose(self, *, is_listed: bool = False) -> None:
         lost = [LostRun(self.task, is_alone=False)]
-        self.losses.add(FORMER, ADDRESS, lost, 0, is_listed=is_listed)
+        worker = self.state.update_worker(
+            WorkerInfo(FORMER, "app", ADDRESS, "z")
+        )
+        self.losses.add(worker, lost, 0, is_listed=is_listed)
 
     def proven(
         self, *listed: tuple[str, str], now_ms: int = 10
