--- a/tests/control/simulated_worker.py
+++ b/tests/control/simulated_worker.py
@@ -129,7 +129,7 @@
             return
         self.is_down = True
         self.crashed_ms = self._simulation.now_ms
-        self._simulation.record_crash(list(self.running), culprit)
+        self._simulation.history.record_crash(list(self.running), culprit)
         runs, self.running = list(self.running.values()), {}
         for run in runs:
             if run.step.is_gang:
@@ -157,7 +157,9 @@
     def _forget(self, end: EndedRun) -> None:
         done_ms = self._done_ms_by_sequence.pop(end.sequence, None)
         if done_ms is not None:
-            self._simulation.record_acknowledged_done(end.task, done_ms)
+            self._simulation.history.record_acknowledged_done(
+                end.task, done_ms
+            )
 
     def report(self) -> WorkerReport:
         """Return the report of active and ended runs."""
@@ -250,7 +252,7 @@
         run = _Run(order, step, self._simulation.now_ms)
         self.running[order.task] = run
         self._check_start(order)
-        self._simulation.record_start(order.task)
+        self._simulation.history.record_start(order.task)
         self._simulation.check()
         self._crash_if_deadly(order.task)
         if self.is_down:
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -37,6 +37,7 @@
 from magnoliapitch.workload.run import StopOrder
 from magnoliapitch.workload.worker import WorkerInfo
 from tests.control.order_queue import OrderQueue
+from tests.control.run_history import RunHistory
 from tests.control.simulated_effects import COMMIT_DURATION_MS
 from tests.control.simulated_effects import SimulatedEffects
 from tests.control.simulated_worker import SimulatedWorker
@@ -57,10 +58,6 @@
 SERVICE = "app"
 LARGE_CAPACITY = Resources(32_000, 131_072)
 TIMING = ControlTiming(lease_ms=6_000)
-# Once this many workers have crashed under a task that crashes them, it may
-# not be started this often.
-CRASHES_BEFORE_LIMIT = 3
-MAX_STARTS_AFTER_CRASHES = 3
 
 
 class Finished(NamedTuple):
@@ -116,12 +113,11 @@
         self.crashes_worker: Callable[[TaskKey], bool] = lambda _: False
         self.crash_delay_ms = 30
         self.restart_delay_ms = 2_000
-        self.crashes_under: Counter[TaskKey] = Counter()
-        self.failures_of: Counter[TaskKey] = Counter()
-        self._starts_after_crashes: Counter[TaskKey] = Counter()
+        self.history = RunHistory(self)
+        self.starts = self.history.starts
+        self.crashes_under = self.history.crashes_under
+        self.failures_of = self.history.failures_of
         self._incarnation_count = 0
-        self._is_acknowledged: set[TaskKey] = set()
-        self._last_start_ms: dict[TaskKey, int] = {}
         self.permitted_share = 0.5
         self.permitted_share_by_queue: dict[str, float] = {}
         self.start_answer_lost: Callable[[StartOrder], bool] = lambda _: False
@@ -136,7 +132,6 @@
         self.commit_count = 0
         self.expired_ticket_count = 0
         self.advisor_call_count = 0
-        self.starts: Counter[TaskKey] = Counter()
         self.stop_orders: Counter[TaskKey] = Counter()
         self.configuration = Configuration(
             1,
@@ -284,38 +279,6 @@
         """Return the worker that gets the calls meant for an id."""
         return self.workers[worker_id]
 
-    def record_acknowledged_done(self, task: TaskKey, done_ms: int) -> None:
-        """Check that a task was not started after an acknowledged end."""
-        self._is_acknowledged.add(task)
-        if self._last_start_ms.get(task, 0) > done_ms:
-            self.violations.append(f"{task} was started again after its end")
-
-    def record_start(self, task: TaskKey) -> None:
-        """Count a start; check that a deadly task is given up in time."""
-        self.starts[task] += 1
-        self._last_start_ms[task] = self.now_ms
-        if task in self._is_acknowledged:
-            self.violations.append(f"{task} was started after its end")
-        if (
-            not self.crashes_worker(task)
-            or self.crashes_under[task] < CRASHES_BEFORE_LIMIT
-        ):
-            return
-        self._starts_after_crashes[task] += 1
-        if self._starts_after_crashes[task] >= MAX_STARTS_AFTER_CRASHES:
-            self.violations.append(
-                f"{task} was started again after "
-                f"{self.crashes_under[task]} crashes"
-            )
-
-    def record_crash(
-        self, tasks: Sequence[TaskKey], culprit: TaskKey | None
-    ) -> None:
-        """Record the tasks that ran on a worker that has crashed."""
-        self.crashes_under.update(tasks)
-        if culprit is not None and culprit not in tasks:
-            self.crashes_under[culprit] += 1
-
     def restart_worker(self, worker: SimulatedWorker) -> None:
         """Begin the next incarnation of a worker, at the same address."""
         worker.is_down = False
