--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -15,6 +15,7 @@
 from magnoliapitch.control.reports import ReportApplier
 from magnoliapitch.control.worker_roster import WorkerRoster
 from magnoliapitch.event import log_event
+from magnoliapitch.planner.planner import DEFAULT_OPTIONS
 from magnoliapitch.planner.planner import Planner
 from magnoliapitch.planner.scheduler_state import SchedulerState
 from magnoliapitch.verdict import FailureCode
@@ -40,6 +41,7 @@
     from magnoliapitch.ledger.records import LeaderRecord
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.metric import Metrics
+    from magnoliapitch.planner.options import PlanningOptions
     from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.configuration import Configuration
@@ -71,10 +73,11 @@
         effects: Effects,
         configuration: Callable[[], Configuration | None],
         metrics: Metrics,
+        options: PlanningOptions = DEFAULT_OPTIONS,
     ) -> None:
         self.is_over = False
         self.state = SchedulerState()
-        self.planner = Planner()
+        self.planner = Planner(options)
         self._leader = leader
         self._timing = timing
         self._job_table = job_table
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -25,6 +25,7 @@
 from magnoliapitch.control.events import WorkersListed
 from magnoliapitch.control.worker_group import WorkerGroup
 from magnoliapitch.event import log_event
+from magnoliapitch.planner.planner import DEFAULT_OPTIONS
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 
@@ -43,6 +44,7 @@
     from magnoliapitch.ledger.leadership import Leadership
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.metric import Metrics
+    from magnoliapitch.planner.options import PlanningOptions
     from magnoliapitch.planner.plan import PlannedPermitRequest
     from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.workload.configuration import Configuration
@@ -90,6 +92,7 @@
         metrics: Metrics,
         order_sender: OrderSender,
         own_cores: float = 1.0,
+        options: PlanningOptions = DEFAULT_OPTIONS,
     ) -> None:
         self._leadership = leadership
         self._state_table = state_table
@@ -107,6 +110,7 @@
         self._router: WorkerRouter | None = None
         self._order_sender = order_sender
         self._own_cores = own_cores
+        self._options = options
         self._committer = Committer(leadership, clock)
         self._advisor_executor = ThreadPoolExecutor(
             ADVISOR_THREAD_COUNT, "asks"
@@ -164,6 +168,7 @@
             self,
             self._configuration,
             self._metrics,
+            self._options,
         )
         self._router = self._open_router(controller)
         controller.load(self._clock.now_ms(), job_follower.end)
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -172,6 +172,7 @@
             self._metrics,
             order_sender,
             _cores(settings.machine),
+            settings.planning,
         )
         self._supervisor = Supervisor(
             "entry", self._children(), self._clock, give_up=give_up
--- a/src/magnoliapitch/planner/__init__.py
+++ b/src/magnoliapitch/planner/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from magnoliapitch.planner.options import PlanningOptions
 from magnoliapitch.planner.plan import Plan
 from magnoliapitch.planner.plan import PlannedPermitRequest
 from magnoliapitch.planner.plan import PlannedStart
@@ -17,4 +18,5 @@
     "PlannedStart",
     "PlannedStop",
     "Planner",
+    "PlanningOptions",
 ]
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -9,6 +9,7 @@
 
 from magnoliapitch.planner.duration import DurationEstimator
 from magnoliapitch.planner.fair_shares import fair_shares
+from magnoliapitch.planner.options import PlanningOptions
 from magnoliapitch.planner.permit_budget import PermitBudget
 from magnoliapitch.planner.plan import Plan
 from magnoliapitch.planner.plan import PlannedStop
@@ -27,14 +28,19 @@
     from magnoliapitch.planner.tracked import TrackedStep
 
 
+DEFAULT_OPTIONS = PlanningOptions()
 # Bounds the duration of a round when very many steps wait.
 MAX_STEPS_PER_ROUND = 150
 
 
 class Planner:
-    """Plans rounds; keeps expected durations and failures between them."""
+    """Plans rounds; keeps expected durations and failures between them.
 
-    def __init__(self) -> None:
+    :ivar options: optional behaviour that is switched on.
+    """
+
+    def __init__(self, options: PlanningOptions = DEFAULT_OPTIONS) -> None:
+        self.options = options
         self.duration_estimator = DurationEstimator()
         self.worker_backoff = WorkerBackoff()
         self._isolation = WorkerIsolation()
--- a/src/magnoliapitch/platform/configuration.py
+++ b/src/magnoliapitch/platform/configuration.py
@@ -10,6 +10,7 @@
 from magnoliapitch.workload.configuration import Queue
 from magnoliapitch.workload.configuration import RequestLimits
 from magnoliapitch.workload.configuration import Service
+from magnoliapitch.workload.configuration import Workspace
 
 
 DEFAULT_LIMITS = RequestLimits()
@@ -24,11 +25,15 @@
     """
     queues = [_decode_queue(route) for route in body["routes"]]
     services = [_decode_service(service) for service in body["services"]]
+    workspaces = [
+        _decode_workspace(tenant) for tenant in body.get("tenants") or ()
+    ]
     return Configuration(
         int(body["version"]),
         {queue.name: queue for queue in queues},
         {service.name: service for service in services},
         _decode_limits(body.get("limits") or {}),
+        {workspace.name: workspace for workspace in workspaces},
     )
 
 
@@ -59,6 +64,17 @@
         float(route.get("target-duration-ms") or 0.0),
         int(route.get("timeout-ms") or 3_000),
         _decode_permit_timing(route.get("advice")),
+        bool(route.get("public")),
+    )
+
+
+def _decode_workspace(tenant: Any) -> Workspace:
+    return Workspace(
+        tenant["name"],
+        frozenset(str(key) for key in tenant.get("api-keys") or ()),
+        float(tenant.get("weight") or 1.0),
+        # ``max-count`` holds amounts of resources, not a number of tasks.
+        decode_resources(tenant.get("max-count") or {}),
     )
 
 
--- a/src/magnoliapitch/settings/cluster.py
+++ b/src/magnoliapitch/settings/cluster.py
@@ -11,6 +11,7 @@
 from pydantic import ValidationError
 
 from magnoliapitch.event.registry import EventLevel
+from magnoliapitch.planner.options import PlanningOptions
 from magnoliapitch.settings.check import check_ip_address
 from magnoliapitch.settings.exceptions import InvalidSettingsError
 from magnoliapitch.settings.problem import SettingsSource
@@ -86,6 +87,7 @@
 
     :param instance_id: unique name of the instance.
     :param zone: availability zone of the instance.
+    :param planning: optional behaviour of the planner.
     :param log_level: lowest level of the events that are logged.
     """
 
@@ -95,6 +97,7 @@
     listen: ListenSettings
     leases: LeaseSettings = LeaseSettings()
     machine: MachineSettings = MachineSettings()
+    planning: PlanningOptions = PlanningOptions()
     log_level: EventLevel = EventLevel.INFO
 
 
--- a/src/magnoliapitch/workload/configuration.py
+++ b/src/magnoliapitch/workload/configuration.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
+from magnoliapitch.resource import NO_RESOURCES
+from magnoliapitch.resource import Resources
+
 
 class PermitTiming(NamedTuple):
     """Expected duration of a queue's advisor calls and validity of permits.
@@ -34,6 +38,7 @@
     :param timeout_ms: longest time to answer a caller.
     :param permit_timing: times of the permits that the steps of the queue
         need; None if they need none.
+    :param is_public: whether callers need no API key.
     """
 
     name: str
@@ -46,6 +51,23 @@
     target_ms: float = 0.0
     timeout_ms: int = 3_000
     permit_timing: PermitTiming | None = None
+    is_public: bool = False
+
+
+class Workspace(NamedTuple):
+    """A workspace, on whose account jobs run.
+
+    :param api_keys: keys that its callers may use.
+    :param weight: share of the capacity, relative to the weights of the other
+        workspaces, while there is not enough for all.
+    :param quota: most resources that its runs may use at a time over all
+        workers; a resource of 0 is not limited.
+    """
+
+    name: str
+    api_keys: frozenset[str] = frozenset()
+    weight: float = 1.0
+    quota: Resources = NO_RESOURCES
 
 
 class Service(NamedTuple):
@@ -75,12 +97,16 @@
 
 
 class Configuration(NamedTuple):
-    """A version of the configuration that passed validation."""
+    """A version of the configuration that passed validation.
+
+    :param workspaces_by_name: empty if callers need no API keys.
+    """
 
     version: int
     queues_by_name: Mapping[str, Queue]
     services_by_name: Mapping[str, Service]
     limits: RequestLimits = RequestLimits()
+    workspaces_by_name: Mapping[str, Workspace] = MappingProxyType({})
 
     def queue_for(self, host: str, path: str) -> Queue | None:
         """Return the queue of a host whose prefix of a path is the longest."""
--- a/src/magnoliapitch/workload/job.py
+++ b/src/magnoliapitch/workload/job.py
@@ -98,6 +98,8 @@
     :param interval_ms: time between the starts of occurrences.
     :param submitted_ms: wall-clock time of the submission, ms since 1970,
         by the clock of the instance that accepted it.
+    :param workspace: name of the workspace whose API key the caller sent;
+        empty if the queue is public or there are no workspaces.
     """
 
     job_id: str
@@ -108,6 +110,7 @@
     start_at_ms: int = 0
     interval_ms: int = 0
     submitted_ms: int = 0
+    workspace: str = ""
 
     @property
     def occurrences(self) -> int:
