Check API keys of workspaces at every call about jobs

Cause: customers give each workspace API keys; every caller could use every job so far.

Change: the new package access/ looks queues up by host and longest prefix and workspaces by key, in a table built once a configuration. Submission, state, cancellation and the count of pending jobs are rejected with 401 without a known key, 404 comes first, and 403 answers a key of another workspace. The workspace is stored with the job, published with its state and passed on in calls between instances. Where keys are required, a call that finds the configuration unchecked for 2 s waits for a check, 300 ms at most. Records of jobs and states without a workspace are the same bytes as before. A malformed list of workspaces or of keys makes a configuration unreadable, instead of turning the check off.

The fake instance of the relay tests takes the caller, since the interface has it now.

--- a/src/magnoliapitch/control/progress_batcher.py
+++ b/src/magnoliapitch/control/progress_batcher.py
@@ -189,7 +189,9 @@
             job = self._state.jobs_by_id.get(job_id)
             if job is None:
                 continue
-            current = PublishedJob(_job_state(job), job.spec.queue)
+            current = PublishedJob(
+                _job_state(job), job.spec.queue, job.spec.workspace
+            )
             if self._state_table.get(job_id) != current:
                 self._states_in_commit_by_id[job_id] = current
         records = [
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -8,8 +8,8 @@
 
 from typing import TYPE_CHECKING
 
-from result import Err
-
+from magnoliapitch.access import AccessGate
+from magnoliapitch.access import ConfigurationFreshness
 from magnoliapitch.advice import AdvisorChannelPool
 from magnoliapitch.advice import add_permit_route
 from magnoliapitch.clock import BootClock
@@ -21,6 +21,7 @@
 from magnoliapitch.control.delegation import add_agent_route
 from magnoliapitch.control.events import ConfigurationChanged
 from magnoliapitch.control.order_sender import OrderSender
+from magnoliapitch.entry.configuration_watch import ConfigurationWatch
 from magnoliapitch.event import log_event
 from magnoliapitch.http import Application
 from magnoliapitch.http import HttpLimits
@@ -67,8 +68,6 @@
 MONITORING_THREADS = 2
 PEER_THREADS = 8
 PEER_BODY_MAX_BYTES = 4 << 20
-CONFIGURATION_WAIT_MS = 700
-CONFIGURATION_RETRY_MS = 200
 # The load balancer needs up to two checks to notice that an instance is not
 # ready.
 LOAD_BALANCER_DELAY_MS = 2_500
@@ -104,7 +103,6 @@
         ip = settings.listen.callers.partition(":")[0]
         peer_address = f"{ip}:{settings.listen.peer_port}"
         store = PlatformStore(settings.endpoints.store, client)
-        self._directory = PlatformDirectory(store)
         self._states = StateTable()
         self._leadership = Leadership(
             store,
@@ -138,6 +136,11 @@
             self._metrics,
         )
         self._jobs = RelayedJobs(self._job_api, relay, self._clock)
+        freshness = ConfigurationFreshness(self._clock)
+        self._gate = AccessGate(freshness, self._metrics)
+        self._configuration_watch = ConfigurationWatch(
+            PlatformDirectory(store), freshness, self._clock, self._configure
+        )
         self._members = Members(
             store,
             settings.instance_id,
@@ -222,7 +225,8 @@
         metrics.route("GET", "/metrics")(self._serve_metrics)
         ip = listen.callers.partition(":")[0]
         steps = {
-            "configuration": self._poll_configuration,
+            "configuration": self._configuration_watch.poll,
+            "configuration-check": self._configuration_watch.check,
             "jobs": self._driver.follow_jobs,
             "leadership": self._leadership.step,
             "members": self._members.step,
@@ -256,7 +260,7 @@
             Listener(
                 "callers",
                 _address(listen.callers),
-                job_application(self._jobs, BODY_MAX_BYTES),
+                job_application(self._jobs, self._gate, BODY_MAX_BYTES),
                 CALLER_THREADS,
                 STOP_TIMEOUT_S,
                 HttpLimits(body_max_bytes=BODY_MAX_BYTES),
@@ -277,19 +281,8 @@
         if not is_ok:
             self._metrics.count("outgoing_calls_failed", path)
 
-    def _poll_configuration(self) -> int:
-        outcome = self._directory.configuration(CONFIGURATION_WAIT_MS)
-        if isinstance(outcome, Err):
-            return CONFIGURATION_RETRY_MS
-        found = outcome.ok_value
-        if found is not None:
-            self._configure(found)
-        return 0
-
     def _configure(self, configuration: Configuration) -> None:
-        old = self._job_api.configuration()
-        if old is not None and configuration.version <= old.version:
-            return
+        self._gate.configure(configuration)
         self._job_api.configure(configuration)
         self._driver.post(ConfigurationChanged())
         log_event(
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -17,6 +17,12 @@
     "The store does not answer this instance, so an operation on a job was "
     "passed on to the leader's instance.",
 )
+define_event(
+    "call-rejected",
+    EventLevel.INFO,
+    "A call was rejected by its API key: 401 without a known one, 403 with "
+    "that of another workspace than the job's.",
+)
 define_event(
     "pending-count-stale",
     EventLevel.WARNING,
--- a/src/magnoliapitch/http/problem.py
+++ b/src/magnoliapitch/http/problem.py
@@ -14,6 +14,8 @@
 STATUS_BY_CODE = {
     FailureCode.INVALID: 400,
     FailureCode.NOT_FOUND: 404,
+    FailureCode.UNAUTHENTICATED: 401,
+    FailureCode.FORBIDDEN: 403,
     FailureCode.CONFLICT: 409,
     FailureCode.PRECONDITION_REQUIRED: 428,
     FailureCode.OVERLOADED: 503,
@@ -62,6 +64,8 @@
         retry_after_s = -(-failure.retry_after_ms // 1000)
         problem["retry_after_ms"] = failure.retry_after_ms
         headers = (("Retry-After", str(retry_after_s)),)
+    if failure.code is FailureCode.UNAUTHENTICATED:
+        headers = (*headers, ("WWW-Authenticate", "Bearer"))
     return HttpResponse(
         status, orjson.dumps(problem), CONTENT_TYPE, headers=headers
     )
--- a/src/magnoliapitch/ledger/job_api.py
+++ b/src/magnoliapitch/ledger/job_api.py
@@ -10,6 +10,9 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.access import UNRESTRICTED
+from magnoliapitch.access import Caller
+from magnoliapitch.access import forbidden_failure
 from magnoliapitch.event import log_event
 from magnoliapitch.ledger.records import CANCEL_PREFIX
 from magnoliapitch.ledger.records import CANCELLED
@@ -80,7 +83,7 @@
         self._refresh = refresh
         self._unpublished_jobs = unpublished_jobs
         self._metrics = metrics
-        self._accepted_queue_by_job_id: OrderedDict[str, str] = OrderedDict()
+        self._accepted_by_id: OrderedDict[str, PublishedJob] = OrderedDict()
         self._configuration: Configuration | None = None
         self._is_closing = False
 
@@ -100,13 +103,18 @@
         """Return whether connections are closed after their next answer."""
         return self._is_closing
 
-    def submit(self, job: JobSpec, timeout_ms: int) -> Result[None, Failure]:
+    def submit(
+        self, job: JobSpec, timeout_ms: int, caller: Caller = UNRESTRICTED
+    ) -> Result[None, Failure]:
         """Store a job; accept a known job again without storing it twice.
 
         :param timeout_ms: time until the caller needs the answer.
+        :param caller: who must be allowed to use a known job.
         """
-        if self._lookup(job.job_id) is not None:
-            return Ok(None)
+        known = self._lookup(job.job_id)
+        if known is not None:
+            allowed = self._check_access("submit", job.job_id, known, caller)
+            return allowed.map(lambda _: None)
         record = KeyedRecord(JOB_PREFIX + job.job_id, encode_job(job))
         with self._metrics.timing("submit"):
             outcome = self._append(record, timeout_ms)
@@ -116,13 +124,16 @@
         _log_call("submit", job.job_id, outcome, job.queue)
         return outcome
 
-    def cancel(self, job_id: str, timeout_ms: int) -> Result[bool, Failure]:
+    def cancel(
+        self, job_id: str, timeout_ms: int, caller: Caller = UNRESTRICTED
+    ) -> Result[bool, Failure]:
         """Store the cancellation of a job, unless the job has ended.
 
         :param timeout_ms: time until the caller needs the answer.
+        :param caller: who must be allowed to use the job.
         :return: False if there is no such job.
         """
-        found = self._find(job_id)
+        found = self._find_for("cancel", job_id, caller)
         if isinstance(found, Err):
             return found
         job = found.ok_value
@@ -137,14 +148,15 @@
         return outcome.map(lambda _: True)
 
     def state(
-        self, job_id: str, timeout_ms: int
+        self, job_id: str, timeout_ms: int, caller: Caller = UNRESTRICTED
     ) -> Result[JobState | None, Failure]:
         """Return a job's state, or None if there is no such job.
 
         :param timeout_ms: not used.
+        :param caller: who must be allowed to use the job.
         """
         del timeout_ms
-        found = self._find(job_id)
+        found = self._find_for("state", job_id, caller)
         if isinstance(found, Err):
             return found
         job = found.ok_value
@@ -186,16 +198,35 @@
 
     def _lookup(self, job_id: str) -> PublishedJob | None:
         job = self._state_table.get(job_id)
-        if job is None and job_id in self._accepted_queue_by_job_id:
-            return PublishedJob(
-                JobState.PENDING, self._accepted_queue_by_job_id[job_id]
-            )
-        return job
+        return self._accepted_by_id.get(job_id) if job is None else job
 
     def _remember_accepted(self, job: JobSpec) -> None:
-        self._accepted_queue_by_job_id[job.job_id] = job.queue
-        while len(self._accepted_queue_by_job_id) > MAX_REMEMBERED_JOBS:
-            self._accepted_queue_by_job_id.popitem(last=False)
+        self._accepted_by_id[job.job_id] = PublishedJob(
+            JobState.PENDING, job.queue, job.workspace
+        )
+        while len(self._accepted_by_id) > MAX_REMEMBERED_JOBS:
+            self._accepted_by_id.popitem(last=False)
+
+    def _find_for(
+        self, call: str, job_id: str, caller: Caller
+    ) -> Result[PublishedJob | None, Failure]:
+        """Look a job up that a caller asks for."""
+        found = self._find(job_id)
+        if isinstance(found, Err) or found.ok_value is None:
+            return found
+        job = found.ok_value
+        return self._check_access(call, job_id, job, caller).map(lambda _: job)
+
+    def _check_access(
+        self, call: str, job_id: str, job: PublishedJob, caller: Caller
+    ) -> Result[bool, Failure]:
+        if caller.may_use(job.workspace):
+            return Ok(True)
+        return Err(
+            forbidden_failure(
+                call, job_id, caller, job.workspace, self._metrics
+            )
+        )
 
     def _find(self, job_id: str) -> Result[PublishedJob | None, Failure]:
         """Look a job up in the published states, then in the stored jobs.
--- a/src/magnoliapitch/ledger/records.py
+++ b/src/magnoliapitch/ledger/records.py
@@ -63,8 +63,12 @@
 
 
 def encode_job(job: JobSpec) -> bytes:
-    """Encode a submitted job as JSON."""
-    return _JOB_ADAPTER.dump_json(job)
+    """Encode a submitted job as JSON.
+
+    Without a workspace, the record ends as in releases that have none.
+    """
+    value = _JOB_ADAPTER.dump_json(job)
+    return value if job.workspace else value.removesuffix(b',""]') + b"]"
 
 
 def decode_job(value: bytes) -> JobSpec:
--- a/src/magnoliapitch/ledger/state_table.py
+++ b/src/magnoliapitch/ledger/state_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 import threading
 
 from collections import Counter
@@ -9,6 +10,8 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+import orjson
+
 from magnoliapitch.event import log_event
 from magnoliapitch.ledger.records import LEADER_KEY
 from magnoliapitch.ledger.records import STATE_PREFIX
@@ -45,26 +48,43 @@
 
 
 class PublishedJob(NamedTuple):
-    """State and queue of a job, as the leader publishes them."""
+    """State, queue and workspace of a job, as the leader publishes them.
+
+    :param workspace: empty if the job has none.
+    """
 
     state: JobState
     queue: str
+    workspace: str = ""
 
     def encode(self) -> bytes:
-        """Return the value of the job's state record."""
-        return (_CODE_BY_STATE[self.state] + self.queue).encode()
+        """Return the value of the job's state record.
+
+        It is the code of the state and the queue. For a job of a workspace,
+        the code is in upper case and a JSON array of both names follows.
+        """
+        code = _CODE_BY_STATE[self.state]
+        if not self.workspace:
+            return (code + self.queue).encode()
+        names = orjson.dumps((self.queue, self.workspace))
+        return code.upper().encode() + names
 
     @classmethod
     def decode(cls, value: bytes) -> PublishedJob:
         """Decode the value of a job's state record.
 
-        :raises ValueError: if the value does not begin with a state's code.
+        :raises ValueError: if the value does not begin with a state's code,
+            or the names of a job of a workspace cannot be read.
         """
         text = value.decode()
-        state = _STATE_BY_CODE.get(text[:1])
+        code = text[:1]
+        state = _STATE_BY_CODE.get(code.lower())
         if state is None:
-            raise ValueError(f"unknown state code {text[:1]!r}")
-        return cls(state, text[1:])
+            raise ValueError(f"unknown state code {code!r}")
+        if code.islower():
+            return cls(state, sys.intern(text[1:]))
+        queue, workspace = _decode_names(text[1:])
+        return cls(state, sys.intern(queue), sys.intern(workspace))
 
 
 class StateTable:
@@ -134,4 +154,15 @@
             log_event("record-unreadable", key=key, reason="unknown prefix")
 
 
+def _decode_names(text: str) -> list[str]:
+    names = orjson.loads(text)
+    if (
+        not isinstance(names, list)
+        or len(names) != 2
+        or not all(isinstance(name, str) for name in names)
+    ):
+        raise ValueError(f"expected a queue and a workspace, found {text!r}")
+    return names
+
+
 __all__ = ["FINAL_STATES", "JobState", "PublishedJob", "StateTable"]
--- a/src/magnoliapitch/ledger/unpublished_jobs.py
+++ b/src/magnoliapitch/ledger/unpublished_jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 import threading
 
 from typing import TYPE_CHECKING
@@ -45,7 +46,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._mirror = StreamMirror(streams, JOB_STREAM)
-        self._queue_by_job_id: dict[str, str] = {}
+        self._job_by_id: dict[str, PublishedJob] = {}
         self._refreshed_ms: int | None = None
 
     def refresh(self, max_age_ms: int = 0) -> Result[None, Failure]:
@@ -72,16 +73,15 @@
 
     def get(self, job_id: str) -> PublishedJob | None:
         """Return a stored job as pending, or None if it is not known here."""
-        queue = self._queue_by_job_id.get(job_id)
-        return None if queue is None else PublishedJob(JobState.PENDING, queue)
+        return self._job_by_id.get(job_id)
 
     def count(self, queue: str) -> int:
         """Return the number of a queue's jobs that are not published."""
         with self._lock:
-            queue_by_job_id = dict(self._queue_by_job_id)
+            job_by_id = dict(self._job_by_id)
         return sum(
-            job_queue == queue and self._state_table.get(job_id) is None
-            for job_id, job_queue in queue_by_job_id.items()
+            job.queue == queue and self._state_table.get(job_id) is None
+            for job_id, job in job_by_id.items()
         )
 
     def _mirror_from_published_offset(self) -> StreamMirror:
@@ -92,7 +92,7 @@
             if offset >= 0 and self._mirror.end <= offset:
                 self._mirror = StreamMirror(self._streams, JOB_STREAM)
                 self._mirror.skip_to(offset)
-                self._queue_by_job_id.clear()
+                self._job_by_id.clear()
             return self._mirror
 
     def _apply(self, key: str, value: bytes | None) -> None:
@@ -100,9 +100,13 @@
             return
         job_id = key[len(JOB_PREFIX) :]
         if value is None:
-            self._queue_by_job_id.pop(job_id, None)
+            self._job_by_id.pop(job_id, None)
             return
         try:
-            self._queue_by_job_id[job_id] = decode_job(value).queue
+            job = decode_job(value)
         except ValueError as error:
             log_event("record-unreadable", key=key, reason=str(error))
+            return
+        self._job_by_id[job_id] = PublishedJob(
+            JobState.PENDING, sys.intern(job.queue), sys.intern(job.workspace)
+        )
--- a/src/magnoliapitch/platform/configuration.py
+++ b/src/magnoliapitch/platform/configuration.py
@@ -26,7 +26,8 @@
     queues = [_decode_queue(route) for route in body["routes"]]
     services = [_decode_service(service) for service in body["services"]]
     workspaces = [
-        _decode_workspace(tenant) for tenant in body.get("tenants") or ()
+        _decode_workspace(tenant)
+        for tenant in _decode_list(body.get("tenants"), "tenants")
     ]
     return Configuration(
         int(body["version"]),
@@ -54,9 +55,9 @@
 
 def _decode_queue(route: Any) -> Queue:
     return Queue(
-        route["name"],
-        route["host"],
-        route["path-prefix"],
+        _require_text(route["name"], "name"),
+        _require_text(route["host"], "host"),
+        _require_text(route["path-prefix"], "path-prefix"),
         route["service"],
         int(route.get("priority") or 0),
         int(route.get("attempts") or 1),
@@ -64,14 +65,17 @@
         float(route.get("target-duration-ms") or 0.0),
         int(route.get("timeout-ms") or 3_000),
         _decode_permit_timing(route.get("advice")),
-        bool(route.get("public")),
+        _decode_flag(route.get("public"), "public"),
     )
 
 
 def _decode_workspace(tenant: Any) -> Workspace:
     return Workspace(
-        tenant["name"],
-        frozenset(str(key) for key in tenant.get("api-keys") or ()),
+        _require_text(tenant["name"], "name"),
+        frozenset(
+            _require_text(key, "api-keys")
+            for key in _decode_list(tenant.get("api-keys"), "api-keys")
+        ),
         float(tenant.get("weight") or 1.0),
         # ``max-count`` holds amounts of resources, not a number of tasks.
         decode_resources(tenant.get("max-count") or {}),
@@ -98,6 +102,33 @@
     )
 
 
+def _decode_list(value: Any, field: str) -> list[Any]:
+    """Return a list; only an absent field is an empty one.
+
+    A malformed list of workspaces must not turn the check of keys off.
+    """
+    if value is None:
+        return []
+    if not isinstance(value, list):
+        raise TypeError(f"{field} must be a list")
+    return value
+
+
+def _decode_flag(value: Any, field: str) -> bool:
+    if value is None:
+        return False
+    if not isinstance(value, bool):
+        raise TypeError(f"{field} must be true or false")
+    return value
+
+
+def _require_text(value: Any, field: str) -> str:
+    """Return a text; the error leaves the value out, which may be a key."""
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"{field} must be a non-empty string")
+    return value
+
+
 def _decode_limits(limits: Any) -> RequestLimits:
     return RequestLimits(
         int(limits.get("max-header-bytes") or DEFAULT_LIMITS.header_bytes),
--- a/src/magnoliapitch/platform/directory.py
+++ b/src/magnoliapitch/platform/directory.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import threading
+
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -15,6 +17,7 @@
 from result import Result
 
 from magnoliapitch.event import log_event
+from magnoliapitch.ledger.mirror import READ_TIMEOUT_MS
 from magnoliapitch.ledger.mirror import StreamMirror
 from magnoliapitch.platform.configuration import decode_configuration
 from magnoliapitch.platform.configuration import decode_resources
@@ -36,6 +39,7 @@
 CONFIGURATION_KEY = "config"
 RACK_PREFIX = "r"
 WORKER_STATES = ("ready", "draining")
+_DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
 
 
 class PlatformDirectory:
@@ -49,6 +53,9 @@
         self._operator_mirror = StreamMirror(streams, OPERATOR_STREAM)
         self._info_by_name: dict[str, WorkerInfo] = {}
         self._unreadable_names: set[str] = set()
+        self._configuration_lock = threading.Lock()
+        self._configuration_value = b""
+        self._configuration: Configuration | None = None
 
     def workers(self) -> Result[Mapping[str, WorkerInfo], Failure]:
         """Return every listed worker, by worker id."""
@@ -64,23 +71,27 @@
         )
 
     def configuration(
-        self, wait_ms: int
+        self, wait_ms: int, timeout_ms: int = READ_TIMEOUT_MS
     ) -> Result[Configuration | None, Failure]:
-        """Return a new configuration, or None if there is none to read.
+        """Return the newest configuration, or None if there is none to read.
+
+        Can be called from several threads. Each of them gets a configuration
+        that another has read.
 
-        :param wait_ms: how long to wait for one.
+        :param wait_ms: how long to wait for a new one.
+        :param timeout_ms: how long each call may take beyond that.
         """
-        changed = self._operator_mirror.refresh(wait_ms)
+        changed = self._operator_mirror.refresh(wait_ms, timeout_ms)
         if isinstance(changed, Err):
             return changed
-        value = self._operator_mirror.values_by_key.get(CONFIGURATION_KEY)
-        if CONFIGURATION_KEY not in changed.ok_value or value is None:
-            return Ok(None)
-        try:
-            return Ok(decode_configuration(orjson.loads(value)))
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            log_event("configuration-unreadable", error=error)
-            return Ok(None)
+        with self._configuration_lock:
+            value = self._operator_mirror.values_by_key.get(CONFIGURATION_KEY)
+            if value is None:
+                return Ok(None)
+            if value != self._configuration_value:
+                self._configuration_value = value
+                self._configuration = _read_configuration(value)
+            return Ok(self._configuration)
 
     def _update_worker(self, name: str, value: bytes | None) -> None:
         if value is None:
@@ -89,7 +100,7 @@
             return
         try:
             info = _decode_worker(name, orjson.loads(value))
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except _DECODE_ERRORS as error:
             self._info_by_name.pop(name, None)
             if name not in self._unreadable_names:
                 self._unreadable_names.add(name)
@@ -100,6 +111,14 @@
         self._info_by_name[name] = info
 
 
+def _read_configuration(value: bytes) -> Configuration | None:
+    try:
+        return decode_configuration(orjson.loads(value))
+    except (*_DECODE_ERRORS, OverflowError) as error:
+        log_event("configuration-unreadable", error=error)
+        return None
+
+
 def _decode_worker(name: str, entry: Any) -> WorkerInfo:
     state = entry["state"]
     if state not in WORKER_STATES:
--- a/src/magnoliapitch/platform/job_application.py
+++ b/src/magnoliapitch/platform/job_application.py
@@ -21,65 +21,76 @@
 from magnoliapitch.verdict import not_run
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
+from magnoliapitch.workload.job_size import check_job_size
 
 
 if TYPE_CHECKING:
+    from magnoliapitch.access import AccessGate
+    from magnoliapitch.access import Caller
+    from magnoliapitch.access import Grant
     from magnoliapitch.relay import RelayedJobs
     from magnoliapitch.workload.configuration import Queue
 
 
 DEADLINE_HEADER = "x-magnoliapitch-deadline-ms"
 MAX_JOB_ID_CHARS = 64
+MAX_HEADER_DIGITS = 9
 STATUS_GONE = 410
-
-
-def job_application(jobs: RelayedJobs, body_max_bytes: int) -> Application:
+# A deeply nested body can exceed the recursion limit.
+_DECODE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+
+
+def job_application(
+    jobs: RelayedJobs, gate: AccessGate, body_max_bytes: int
+) -> Application:
     """Build the HTTP application that callers of the platform use.
 
+    :param gate: decides which calls are allowed.
     :param body_max_bytes: largest accepted request body.
     """
-    return _JobApplication(jobs, body_max_bytes)
+    return _JobApplication(jobs, gate, body_max_bytes)
 
 
 class _JobApplication(Application):
-    def __init__(self, jobs: RelayedJobs, body_max_bytes: int) -> None:
+    def __init__(
+        self, jobs: RelayedJobs, gate: AccessGate, body_max_bytes: int
+    ) -> None:
         super().__init__(body_max_bytes, jobs.is_closing)
         self._jobs = jobs
+        self._gate = gate
 
     def handle(self, request: HttpRequest) -> HttpResponse:
-        configuration = self._jobs.configuration()
-        if configuration is None:
-            return _failure_response(
-                not_run(
-                    FailureCode.UNAVAILABLE,
-                    "no configuration was read yet",
-                    1_000,
-                )
-            )
-        host = request.headers_by_name.get("host", "").partition(":")[0]
-        queue = configuration.queue_for(host, request.path)
-        if queue is None:
-            return _failure_response(
-                not_run(
-                    FailureCode.NOT_FOUND,
-                    f"no queue serves host {host!r} and path {request.path}",
-                )
-            )
-        job_id = request.path[len(queue.path_prefix) :]
+        decision = self._gate.decide(
+            request.headers_by_name.get("host", "").partition(":")[0],
+            request.path,
+            request.headers_by_name.get("authorization", ""),
+        )
+        if isinstance(decision, Err):
+            return _failure_response(decision.err_value)
+        grant = decision.ok_value
+        job_id = request.path[len(grant.queue.path_prefix) :]
         if not job_id:
-            return json_response({"pending-jobs": self._jobs.pending(queue)})
-        return self._handle_job(request, queue, job_id)
+            pending = self._jobs.pending(grant.queue)
+            return json_response({"pending-jobs": pending})
+        return self._handle_job(request, grant, job_id)
 
     def _handle_job(
-        self, request: HttpRequest, queue: Queue, job_id: str
+        self, request: HttpRequest, grant: Grant, job_id: str
     ) -> HttpResponse:
-        timeout_ms = _timeout_ms(request, queue)
+        timeout_ms = _timeout_ms(request, grant.queue)
         if request.method == "POST":
-            return self._submit(request, queue, job_id, timeout_ms)
+            return self._submit(request, grant, job_id, timeout_ms)
         if request.method == "GET":
-            return self._state(job_id, timeout_ms)
+            return self._state(job_id, timeout_ms, grant.caller)
         if request.method == "DELETE":
-            return self._cancel(job_id, timeout_ms)
+            return self._cancel(job_id, timeout_ms, grant.caller)
         return _failure_response(
             not_run(
                 FailureCode.INVALID,
@@ -89,28 +100,32 @@
         )
 
     def _submit(
-        self, request: HttpRequest, queue: Queue, job_id: str, timeout_ms: int
+        self, request: HttpRequest, grant: Grant, job_id: str, timeout_ms: int
     ) -> HttpResponse:
         try:
-            job = _decode_job(request.json(), queue, job_id)
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            job = _decode_job(request.json(), grant, job_id)
+        except _DECODE_ERRORS as error:
             detail = f"the job cannot be read: {error!r}"
             return _failure_response(not_run(FailureCode.INVALID, detail))
-        outcome = self._jobs.submit(job, timeout_ms)
+        outcome = self._jobs.submit(job, timeout_ms, grant.caller)
         if isinstance(outcome, Err):
             return _failure_response(outcome.err_value)
         return HttpResponse(200, b"{}")
 
-    def _state(self, job_id: str, timeout_ms: int) -> HttpResponse:
-        outcome = self._jobs.state(job_id, timeout_ms)
+    def _state(
+        self, job_id: str, timeout_ms: int, caller: Caller
+    ) -> HttpResponse:
+        outcome = self._jobs.state(job_id, timeout_ms, caller)
         if isinstance(outcome, Err):
             return _failure_response(outcome.err_value)
         if outcome.ok_value is None:
             return HttpResponse(STATUS_GONE, b"{}")
         return json_response({"state": outcome.ok_value.value})
 
-    def _cancel(self, job_id: str, timeout_ms: int) -> HttpResponse:
-        outcome = self._jobs.cancel(job_id, timeout_ms)
+    def _cancel(
+        self, job_id: str, timeout_ms: int, caller: Caller
+    ) -> HttpResponse:
+        outcome = self._jobs.cancel(job_id, timeout_ms, caller)
         if isinstance(outcome, Err):
             return _failure_response(outcome.err_value)
         return HttpResponse(200 if outcome.ok_value else STATUS_GONE, b"{}")
@@ -127,13 +142,15 @@
 
 def _timeout_ms(request: HttpRequest, queue: Queue) -> int:
     header_value = request.headers_by_name.get(DEADLINE_HEADER, "")
-    requested_ms = (
-        int(header_value) if header_value.isdigit() else queue.timeout_ms
-    )
-    return min(requested_ms, queue.timeout_ms)
+    # Other scripts have digits that cannot be converted.
+    if not header_value.isascii() or not header_value.isdigit():
+        return queue.timeout_ms
+    if len(header_value) > MAX_HEADER_DIGITS:
+        return queue.timeout_ms
+    return min(int(header_value), queue.timeout_ms)
 
 
-def _decode_job(body: Any, queue: Queue, job_id: str) -> JobSpec:
+def _decode_job(body: Any, grant: Grant, job_id: str) -> JobSpec:
     if not job_id.isalnum() or len(job_id) > MAX_JOB_ID_CHARS:
         raise ValueError(
             f"job id {job_id!r} must have 1 to {MAX_JOB_ID_CHARS} letters and "
@@ -148,16 +165,19 @@
                 f"step {number} depends on steps {step.depends_on}; only "
                 "earlier steps are allowed"
             )
-    return JobSpec(
+    job = JobSpec(
         job_id,
-        queue.name,
+        grant.queue.name,
         str(body.get("spec") or ""),
         steps,
         int(body.get("run-count") or 0),
         int(body.get("start-at-ms") or 0),
         int(body.get("interval-ms") or 0),
         time.time_ns() // 1_000_000,
+        grant.caller.workspace,
     )
+    check_job_size(job)
+    return job
 
 
 def _decode_step(step: Any) -> StepSpec:
--- a/src/magnoliapitch/relay/client.py
+++ b/src/magnoliapitch/relay/client.py
@@ -9,6 +9,8 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.access import UNRESTRICTED
+from magnoliapitch.access import Caller
 from magnoliapitch.http.client import JSON_HEADERS
 from magnoliapitch.relay.messages import CANCEL_PATH
 from magnoliapitch.relay.messages import JOB_REPLY
@@ -39,6 +41,7 @@
 MAX_TIMEOUT_MS = 1_000
 # Time without calls after the leader did not answer one.
 FAILURE_BACKOFF_MS = 1_000
+STATUS_FORBIDDEN = 403
 STATUS_TIMEOUT = 504
 
 
@@ -70,32 +73,36 @@
             and self._clock.now_ms() >= self._usable_ms
         )
 
-    def submit(self, job: JobSpec, timeout_ms: int) -> Result[None, Failure]:
+    def submit(
+        self, job: JobSpec, timeout_ms: int, caller: Caller = UNRESTRICTED
+    ) -> Result[None, Failure]:
         """Submit a job.
 
         :param timeout_ms: time until the answer is needed.
         """
         timeout_ms = min(timeout_ms, MAX_TIMEOUT_MS)
-        body = SUBMIT_REQUEST.dump_json(SubmitRequest(job, timeout_ms))
+        body = SUBMIT_REQUEST.dump_json(SubmitRequest(job, timeout_ms, caller))
         return self._call(SUBMIT_PATH, body, timeout_ms).map(lambda _: None)
 
-    def cancel(self, job_id: str, timeout_ms: int) -> Result[bool, Failure]:
+    def cancel(
+        self, job_id: str, timeout_ms: int, caller: Caller = UNRESTRICTED
+    ) -> Result[bool, Failure]:
         """Cancel a job; return False if there is none."""
-        reply = self._call_about(CANCEL_PATH, job_id, timeout_ms)
+        reply = self._call_about(CANCEL_PATH, job_id, timeout_ms, caller)
         return reply.map(lambda found: found.exists)
 
     def state(
-        self, job_id: str, timeout_ms: int
+        self, job_id: str, timeout_ms: int, caller: Caller = UNRESTRICTED
     ) -> Result[JobState | None, Failure]:
         """Return a job's state, or None if there is no such job."""
-        reply = self._call_about(STATE_PATH, job_id, timeout_ms)
+        reply = self._call_about(STATE_PATH, job_id, timeout_ms, caller)
         return reply.map(lambda found: found.state)
 
     def _call_about(
-        self, path: str, job_id: str, timeout_ms: int
+        self, path: str, job_id: str, timeout_ms: int, caller: Caller
     ) -> Result[JobReply, Failure]:
         timeout_ms = min(timeout_ms, MAX_TIMEOUT_MS)
-        body = JOB_REQUEST.dump_json(JobRequest(job_id, timeout_ms))
+        body = JOB_REQUEST.dump_json(JobRequest(job_id, timeout_ms, caller))
         return self._call(path, body, timeout_ms)
 
     def _call(
@@ -115,6 +122,9 @@
 
 
 def _decode(reply: HttpReply) -> Result[JobReply, Failure]:
+    if reply.status == STATUS_FORBIDDEN:
+        detail = "the job belongs to another workspace"
+        return Err(not_run(FailureCode.FORBIDDEN, detail))
     if reply.status != 200:
         detail = f"the leader's instance answered with status {reply.status}"
         failed = may_have_run if reply.status == STATUS_TIMEOUT else not_run
--- a/src/magnoliapitch/relay/jobs.py
+++ b/src/magnoliapitch/relay/jobs.py
@@ -8,6 +8,8 @@
 from result import Err
 from result import Result
 
+from magnoliapitch.access import UNRESTRICTED
+from magnoliapitch.access import Caller
 from magnoliapitch.event import log_event
 from magnoliapitch.ledger.job_api import ANSWER_RESERVE_MS
 from magnoliapitch.verdict import FailureCode
@@ -22,7 +24,6 @@
     from magnoliapitch.ledger.state_table import JobState
     from magnoliapitch.relay.client import JobRelay
     from magnoliapitch.verdict import Failure
-    from magnoliapitch.workload.configuration import Configuration
     from magnoliapitch.workload.configuration import Queue
     from magnoliapitch.workload.job import JobSpec
 
@@ -45,7 +46,9 @@
         self._relay = relay
         self._clock = clock
 
-    def submit(self, job: JobSpec, timeout_ms: int) -> Result[None, Failure]:
+    def submit(
+        self, job: JobSpec, timeout_ms: int, caller: Caller = UNRESTRICTED
+    ) -> Result[None, Failure]:
         """Store a job; accept a known job again without storing it twice.
 
         :param timeout_ms: time until the caller needs the answer.
@@ -54,40 +57,42 @@
             "submit",
             job.job_id,
             timeout_ms,
-            lambda: self._job_api.submit(job, timeout_ms),
-            lambda remaining_ms: self._relay.submit(job, remaining_ms),
+            lambda: self._job_api.submit(job, timeout_ms, caller),
+            lambda remaining_ms: self._relay.submit(job, remaining_ms, caller),
         )
 
-    def cancel(self, job_id: str, timeout_ms: int) -> Result[bool, Failure]:
+    def cancel(
+        self, job_id: str, timeout_ms: int, caller: Caller = UNRESTRICTED
+    ) -> Result[bool, Failure]:
         """Store the cancellation of a job; return False if there is none."""
         return self._operate(
             "cancel",
             job_id,
             timeout_ms,
-            lambda: self._job_api.cancel(job_id, timeout_ms),
-            lambda remaining_ms: self._relay.cancel(job_id, remaining_ms),
+            lambda: self._job_api.cancel(job_id, timeout_ms, caller),
+            lambda remaining_ms: self._relay.cancel(
+                job_id, remaining_ms, caller
+            ),
         )
 
     def state(
-        self, job_id: str, timeout_ms: int
+        self, job_id: str, timeout_ms: int, caller: Caller = UNRESTRICTED
     ) -> Result[JobState | None, Failure]:
         """Return a job's state, or None if there is no such job."""
         return self._operate(
             "state",
             job_id,
             timeout_ms,
-            lambda: self._job_api.state(job_id, timeout_ms),
-            lambda remaining_ms: self._relay.state(job_id, remaining_ms),
+            lambda: self._job_api.state(job_id, timeout_ms, caller),
+            lambda remaining_ms: self._relay.state(
+                job_id, remaining_ms, caller
+            ),
         )
 
     def pending(self, queue: Queue) -> int:
         """Return the number of a queue's jobs without a started task."""
         return self._job_api.pending(queue)
 
-    def configuration(self) -> Configuration | None:
-        """Return the configuration in use, or None before the first one."""
-        return self._job_api.configuration()
-
     def is_closing(self) -> bool:
         """Return whether connections are closed after their next answer."""
         return self._job_api.is_closing()
@@ -117,6 +122,7 @@
         if (
             isinstance(relayed, Err)
             and relayed.err_value.verdict is Verdict.NOT_RUN
+            and relayed.err_value.code is not FailureCode.FORBIDDEN
         ):
             return outcome
         return relayed
--- a/src/magnoliapitch/relay/messages.py
+++ b/src/magnoliapitch/relay/messages.py
@@ -6,6 +6,8 @@
 
 from pydantic import TypeAdapter
 
+from magnoliapitch.access import UNRESTRICTED
+from magnoliapitch.access import Caller
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.workload.job import JobSpec
 
@@ -19,20 +21,24 @@
     """A submission that another instance has received.
 
     :param timeout_ms: time until that instance needs the answer.
+    :param caller: who submits, as that instance has found.
     """
 
     job: JobSpec
     timeout_ms: int
+    caller: Caller = UNRESTRICTED
 
 
 class JobRequest(NamedTuple):
     """A cancellation or a request for a job's state.
 
     :param timeout_ms: time until the other instance needs the answer.
+    :param caller: who asks, as the other instance has found.
     """
 
     job_id: str
     timeout_ms: int
+    caller: Caller = UNRESTRICTED
 
 
 class JobReply(NamedTuple):
--- a/src/magnoliapitch/verdict.py
+++ b/src/magnoliapitch/verdict.py
@@ -26,6 +26,10 @@
 
     INVALID = "invalid"
     NOT_FOUND = "not-found"
+    # No known API key was sent.
+    UNAUTHENTICATED = "unauthenticated"
+    # The API key is that of another workspace.
+    FORBIDDEN = "forbidden"
     CONFLICT = "conflict"
     PRECONDITION_REQUIRED = "precondition-required"
     OVERLOADED = "overloaded"
--- a/tests/relay/test_relayed_jobs.py
+++ b/tests/relay/test_relayed_jobs.py
@@ -32,6 +32,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from magnoliapitch.access import Caller
+
 
 ValueT = TypeVar("ValueT")
 
@@ -53,14 +55,18 @@
         self.failure = failure
         self.operations: list[tuple[str, str]] = []
 
-    def submit(self, job: JobSpec, timeout_ms: int) -> Result[None, Failure]:
+    def submit(
+        self, job: JobSpec, timeout_ms: int, caller: Caller
+    ) -> Result[None, Failure]:
         return self._operate("submit", job.job_id, Ok(None))
 
-    def cancel(self, job_id: str, timeout_ms: int) -> Result[bool, Failure]:
+    def cancel(
+        self, job_id: str, timeout_ms: int, caller: Caller
+    ) -> Result[bool, Failure]:
         return self._operate("cancel", job_id, Ok(True))
 
     def state(
-        self, job_id: str, timeout_ms: int
+        self, job_id: str, timeout_ms: int, caller: Caller
     ) -> Result[JobState | None, Failure]:
         found = JobState.RUNNING if job_id == JOB.job_id else None
         return self._operate("state", job_id, Ok(found))
