Test keys over partitions, pauses, restarts and malformed calls

Cause: keys that are withdrawn while an instance is paused, partitioned or restarting must not be accepted afterwards.

Change: checks are numbered, so that one that failed before a call arrived does not end that call's wait; with times alone, a call in the same millisecond was answered without a check (found by the test of a healed partition). Tests with injected clocks and in-memory streams, and over sockets.

--- a/src/magnoliapitch/access/freshness.py
+++ b/src/magnoliapitch/access/freshness.py
@@ -5,6 +5,7 @@
 import threading
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 
 if TYPE_CHECKING:
@@ -15,6 +16,17 @@
 MAX_WAIT_MS = 300
 
 
+class ConfigurationCheck(NamedTuple):
+    """A check of the configuration that has begun.
+
+    :param number: checks are numbered in the order of their begin.
+    :param started_ms: when it was sent to the store.
+    """
+
+    number: int
+    started_ms: int
+
+
 class ConfigurationFreshness:
     """Tracks the newest check of the configuration; thread-safe.
 
@@ -28,7 +40,8 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._succeeded_ms: int | None = None
-        self._ended_ms: int | None = None
+        self._begun_count = 0
+        self._last_ended_number = 0
         self._check_ended = threading.Event()
         self._check_requested = threading.Event()
 
@@ -43,16 +56,27 @@
         age_ms = self.age_ms()
         return age_ms is None or age_ms > MAX_AGE_MS
 
-    def record_check(self, started_ms: int, has_succeeded: bool) -> None:
+    def begin_check(self) -> ConfigurationCheck:
+        """Record that a check is about to be sent to the store."""
+        with self._lock:
+            self._begun_count += 1
+            return ConfigurationCheck(self._begun_count, self._clock.now_ms())
+
+    def end_check(
+        self, check: ConfigurationCheck, has_succeeded: bool
+    ) -> None:
         """Record the end of a check and wake the calls that wait for one.
 
-        :param started_ms: when the check was sent to the store.
         :param has_succeeded: whether the newest configuration is applied.
         """
         with self._lock:
-            self._ended_ms = _later(self._ended_ms, started_ms)
+            self._last_ended_number = max(
+                self._last_ended_number, check.number
+            )
             if has_succeeded:
-                self._succeeded_ms = _later(self._succeeded_ms, started_ms)
+                self._succeeded_ms = max(
+                    self._succeeded_ms or check.started_ms, check.started_ms
+                )
             check_ended, self._check_ended = (
                 self._check_ended,
                 threading.Event(),
@@ -65,13 +89,14 @@
         The wait also ends with a failed check that began after it, since the
         store is then out of reach.
         """
-        arrived_ms = self._clock.now_ms()
+        deadline_ms = self._clock.now_ms() + MAX_WAIT_MS
+        with self._lock:
+            begun_count = self._begun_count
         while self.is_stale():
             with self._lock:
-                ended_ms = self._ended_ms
+                has_ended = self._last_ended_number > begun_count
                 check_ended = self._check_ended
-            remaining_ms = arrived_ms + MAX_WAIT_MS - self._clock.now_ms()
-            has_ended = ended_ms is not None and ended_ms >= arrived_ms
+            remaining_ms = deadline_ms - self._clock.now_ms()
             if has_ended or remaining_ms <= 0:
                 return
             self._check_requested.set()
@@ -85,7 +110,3 @@
         is_requested = self._clock.wait(self._check_requested, timeout_ms)
         self._check_requested.clear()
         return is_requested
-
-
-def _later(known_ms: int | None, started_ms: int) -> int:
-    return started_ms if known_ms is None else max(known_ms, started_ms)
--- a/src/magnoliapitch/entry/configuration_watch.py
+++ b/src/magnoliapitch/entry/configuration_watch.py
@@ -15,7 +15,6 @@
     from collections.abc import Callable
 
     from magnoliapitch.access import ConfigurationFreshness
-    from magnoliapitch.clock import Clock
     from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.configuration import Configuration
 
@@ -25,7 +24,7 @@
 POLL_RETRY_MS = 200
 # A call waits at most this long for the check that it requests.
 CHECK_TIMEOUT_MS = 300
-REQUEST_WAIT_MS = 500
+REQUEST_WAIT_MS = 200
 
 
 class ConfigurationSource(Protocol):
@@ -50,12 +49,10 @@
         self,
         source: ConfigurationSource,
         freshness: ConfigurationFreshness,
-        clock: Clock,
         apply: Callable[[Configuration], None],
     ) -> None:
         self._source = source
         self._freshness = freshness
-        self._clock = clock
         self._apply = apply
         self._lock = threading.Lock()
         self._version: int | None = None
@@ -72,12 +69,12 @@
         return 0
 
     def _read(self, wait_ms: int, timeout_ms: int) -> bool:
-        started_ms = self._clock.now_ms()
+        check = self._freshness.begin_check()
         found = self._source.configuration(wait_ms, timeout_ms)
         has_succeeded = not isinstance(found, Err)
         if not isinstance(found, Err) and found.ok_value is not None:
             self._apply_newer(found.ok_value)
-        self._freshness.record_check(started_ms, has_succeeded)
+        self._freshness.end_check(check, has_succeeded)
         return has_succeeded
 
     def _apply_newer(self, configuration: Configuration) -> None:
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -139,7 +139,7 @@
         freshness = ConfigurationFreshness(self._clock)
         self._gate = AccessGate(freshness, self._metrics)
         self._configuration_watch = ConfigurationWatch(
-            PlatformDirectory(store), freshness, self._clock, self._configure
+            PlatformDirectory(store), freshness, self._configure
         )
         self._members = Members(
             store,
--- a/tests/access/test_freshness.py
+++ b/tests/access/test_freshness.py
@@ -36,6 +36,10 @@
         return event.is_set()
 
 
+def check_now(freshness: ConfigurationFreshness, has_succeeded: bool) -> None:
+    freshness.end_check(freshness.begin_check(), has_succeeded)
+
+
 @pytest.fixture
 def clock() -> WaitingClock:
     return WaitingClock()
@@ -44,7 +48,7 @@
 @pytest.fixture
 def freshness(clock: WaitingClock) -> ConfigurationFreshness:
     found = ConfigurationFreshness(clock)
-    found.record_check(clock.now_ms(), has_succeeded=True)
+    found.end_check(found.begin_check(), has_succeeded=True)
     return found
 
 
@@ -54,10 +58,12 @@
     freshness = ConfigurationFreshness(clock)
     assert freshness.age_ms() is None
     assert freshness.is_stale()
-    started_ms = clock.now_ms()
+    older = freshness.begin_check()
+    clock.advance(500)
+    newer = freshness.begin_check()
     clock.advance(700)
-    freshness.record_check(started_ms, has_succeeded=True)
-    freshness.record_check(started_ms - 500, has_succeeded=True)
+    freshness.end_check(newer, has_succeeded=True)
+    freshness.end_check(older, has_succeeded=True)
     assert freshness.age_ms() == 700
 
 
@@ -73,10 +79,10 @@
 def test_a_completed_poll_wakes_a_waiting_call(
     clock: WaitingClock, freshness: ConfigurationFreshness
 ) -> None:
-    clock.advance(MAX_AGE_MS + 1)
-    clock.actions = [
-        lambda: freshness.record_check(clock.now_ms() - 5, has_succeeded=True)
-    ]
+    clock.advance(MAX_AGE_MS - 5)
+    poll = freshness.begin_check()
+    clock.advance(10)
+    clock.actions = [lambda: freshness.end_check(poll, has_succeeded=True)]
     freshness.wait_for_check()
     assert clock.waits_ms == [MAX_WAIT_MS]
     assert not freshness.is_stale()
@@ -97,12 +103,12 @@
     clock: WaitingClock, freshness: ConfigurationFreshness
 ) -> None:
     """Its answer lay in a socket: a key withdrawn since would be accepted."""
-    sent_ms = clock.now_ms()
+    checks = [freshness.begin_check() for _ in range(2)]
     clock.advance(10_000)
     clock.actions = [
-        lambda: freshness.record_check(sent_ms, has_succeeded=True),
-        lambda: freshness.record_check(sent_ms, has_succeeded=False),
-        lambda: freshness.record_check(clock.now_ms(), has_succeeded=True),
+        lambda: freshness.end_check(checks[0], has_succeeded=True),
+        lambda: freshness.end_check(checks[1], has_succeeded=False),
+        lambda: check_now(freshness, has_succeeded=True),
     ]
     freshness.wait_for_check()
     assert clock.waits_ms == [300, 290, 280]
@@ -114,9 +120,7 @@
 ) -> None:
     """The store is out of reach; the call is answered with what is known."""
     clock.advance(10_000)
-    clock.actions = [
-        lambda: freshness.record_check(clock.now_ms(), has_succeeded=False)
-    ]
+    clock.actions = [lambda: check_now(freshness, has_succeeded=False)]
     freshness.wait_for_check()
     assert clock.waits_ms == [MAX_WAIT_MS]
     assert freshness.is_stale()
--- a/tests/access/test_gate.py
+++ b/tests/access/test_gate.py
@@ -27,7 +27,9 @@
         self.gate = AccessGate(self.freshness, self.metrics)
         workspaces = configuration() if has_workspaces else None
         self.gate.configure(workspaces or configuration(workspaces=()))
-        self.freshness.record_check(self.clock.now_ms(), has_succeeded=True)
+        self.freshness.end_check(
+            self.freshness.begin_check(), has_succeeded=True
+        )
 
     def code(self, path: str, authorization: str) -> FailureCode:
         decision = self.gate.decide(HOST, path, authorization)
--- a/tests/ledger/test_job_api.py
+++ b/tests/ledger/test_job_api.py
@@ -6,11 +6,14 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.access import Caller
 from magnoliapitch.clock import ManualClock
 from magnoliapitch.ledger.job_api import MAX_STATE_AGE_MS
 from magnoliapitch.ledger.job_api import JobApi
 from magnoliapitch.ledger.records import JOB_STREAM
 from magnoliapitch.ledger.records import LeaderRecord
+from magnoliapitch.ledger.records import decode_job
+from magnoliapitch.ledger.records import encode_job
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.ledger.state_table import PublishedJob
 from magnoliapitch.ledger.state_table import StateTable
@@ -37,6 +40,9 @@
 JOB = JobSpec("0a", "q", "text", (StepSpec(2),))
 QUEUE = queue("q")
 TIMEOUT_MS = 1_000
+NORTH = Caller("north", is_restricted=True)
+SOUTH = Caller("south", is_restricted=True)
+KEYLESS = Caller("", is_restricted=True)
 
 
 class FakeStore:
@@ -298,6 +304,63 @@
         ) == published_job(state)
 
 
+def test_a_published_workspace_is_read_as_it_was_written() -> None:
+    for state in JobState:
+        for queue_name in ("q", '"', "q\x00\n,ü"):
+            job = PublishedJob(state, queue_name, "north")
+            assert PublishedJob.decode(job.encode()) == job
+
+
+def test_records_without_a_workspace_are_the_same_bytes_as_before() -> None:
+    assert published_job(JobState.RUNNING).encode() == b"rq"
+    assert PublishedJob.decode(b"rq") == published_job(JobState.RUNNING)
+    before = b'["0a","q","text",[],0,0,0,0]'
+    job = JobSpec("0a", "q", "text", ())
+    assert encode_job(job) == before
+    assert decode_job(before) == job
+    of_workspace = job._replace(workspace="north")
+    assert decode_job(encode_job(of_workspace)) == of_workspace
+
+
+def test_an_unreadable_workspace_leaves_only_its_job_out() -> None:
+    states = StateTable()
+    values = {
+        f"s.0{number}": value
+        for number, value in enumerate(
+            (b"P", b"Pq", b"P[]", b'P["q"]', b'P["q",7]', b"P{}", b"P\xff")
+        )
+    }
+    values["s.0c"] = b'P["q","north"]'
+    states.apply(values, list(values))
+    assert states.pending("q") == 1
+    assert states.get("0c") == PublishedJob(JobState.PENDING, "q", "north")
+
+
+def test_a_job_of_another_workspace_is_forbidden_wherever_it_is_known() -> (
+    None
+):
+    """Known by its acceptance, by the stored jobs, by its published state."""
+    store = FakeStore()
+    accepting = store.job_api()
+    job = JOB._replace(workspace="north")
+    assert accepting.submit(job, TIMEOUT_MS, NORTH).is_ok()
+    reading = store.job_api()
+    for job_api in (accepting, reading):
+        for caller in (SOUTH, KEYLESS):
+            found = job_api.state("0a", TIMEOUT_MS, caller).unwrap_err()
+            assert found.code is FailureCode.FORBIDDEN
+            found = job_api.cancel("0a", TIMEOUT_MS, caller).unwrap_err()
+            assert found.code is FailureCode.FORBIDDEN
+        assert job_api.state("0a", TIMEOUT_MS, NORTH).is_ok()
+    store.states.put("0a", PublishedJob(JobState.COMPLETED, "q", "north"))
+    other_job = job._replace(workspace="south")
+    for job_api in (accepting, store.job_api()):
+        failure = job_api.submit(other_job, TIMEOUT_MS, SOUTH).unwrap_err()
+        assert failure.code is FailureCode.FORBIDDEN
+        assert failure.verdict is Verdict.NOT_RUN
+    assert list(store.stored) == ["j.0a"]
+
+
 def test_an_unreadable_record_changes_nothing_else() -> None:
     states = StateTable()
     values = {"s.0a": b"\xff", "s.0b": b"?q", "s.0c": b"pq", "x": b"1"}
--- a/tests/relay/test_relayed_jobs.py
+++ b/tests/relay/test_relayed_jobs.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import TypeVar
 
 import pytest
@@ -9,6 +10,8 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.access import UNRESTRICTED
+from magnoliapitch.access import Caller
 from magnoliapitch.clock import ManualClock
 from magnoliapitch.http import Application
 from magnoliapitch.http import HttpRequest
@@ -20,6 +23,9 @@
 from magnoliapitch.relay import RelayedJobs
 from magnoliapitch.relay import add_relay_routes
 from magnoliapitch.relay.client import FAILURE_BACKOFF_MS
+from magnoliapitch.relay.messages import JOB_REQUEST
+from magnoliapitch.relay.messages import STATE_PATH
+from magnoliapitch.relay.messages import JobRequest
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
@@ -32,8 +38,6 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from magnoliapitch.access import Caller
-
 
 ValueT = TypeVar("ValueT")
 
@@ -49,25 +53,30 @@
 
     :ivar failure: failure of every operation, or None.
     :ivar operations: name and job of every operation that was carried out.
+    :ivar callers: caller of every operation.
     """
 
     def __init__(self, failure: Failure | None = None) -> None:
         self.failure = failure
         self.operations: list[tuple[str, str]] = []
+        self.callers: list[Caller] = []
 
     def submit(
         self, job: JobSpec, timeout_ms: int, caller: Caller
     ) -> Result[None, Failure]:
+        self.callers.append(caller)
         return self._operate("submit", job.job_id, Ok(None))
 
     def cancel(
         self, job_id: str, timeout_ms: int, caller: Caller
     ) -> Result[bool, Failure]:
+        self.callers.append(caller)
         return self._operate("cancel", job_id, Ok(True))
 
     def state(
         self, job_id: str, timeout_ms: int, caller: Caller
     ) -> Result[JobState | None, Failure]:
+        self.callers.append(caller)
         found = JobState.RUNNING if job_id == JOB.job_id else None
         return self._operate("state", job_id, Ok(found))
 
@@ -134,6 +143,46 @@
     ]
 
 
+def test_the_caller_is_passed_on_with_every_operation() -> None:
+    """Else the other instance could not check the job's workspace."""
+    for caller in (UNRESTRICTED, Caller("north", True), Caller("", True)):
+        cluster = Cluster(STORE_DOWN)
+        job = JOB._replace(workspace=caller.workspace)
+        cluster.jobs.submit(job, TIMEOUT_MS, caller)
+        cluster.jobs.cancel("0a", TIMEOUT_MS, caller)
+        cluster.jobs.state("0a", TIMEOUT_MS, caller)
+        assert cluster.there.callers == [caller] * 3
+
+
+def test_a_job_of_another_workspace_is_forbidden_through_the_leader() -> None:
+    """The store's failure would make the caller try again without end."""
+    cluster = Cluster(STORE_DOWN, not_run(FailureCode.FORBIDDEN, "other"))
+    outcomes: tuple[Result[Any, Failure], ...] = (
+        cluster.jobs.submit(JOB, TIMEOUT_MS, Caller("south", True)),
+        cluster.jobs.cancel("0a", TIMEOUT_MS, Caller("south", True)),
+        cluster.jobs.state("0a", TIMEOUT_MS, Caller("south", True)),
+    )
+    for outcome in outcomes:
+        failure = outcome.unwrap_err()
+        assert failure.code is FailureCode.FORBIDDEN
+        assert failure.verdict is Verdict.NOT_RUN
+
+
+def test_a_request_of_the_former_release_is_read_as_unrestricted() -> None:
+    assert JOB_REQUEST.validate_json(b'["0a",200]') == JobRequest("0a", 200)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"\xff", b"7", b'["0a",200,["north",true,1]]', b'["0a",200,7]'],
+)
+def test_a_request_that_cannot_be_read_is_refused(body: bytes) -> None:
+    cluster = Cluster(STORE_DOWN)
+    url = f"http://{LEADER}{STATE_PATH}"
+    reply = cluster.exchange("POST", url, TIMEOUT_MS, body, {}).unwrap()
+    assert reply.status == 400
+
+
 def test_the_leader_is_not_called_while_the_store_answers() -> None:
     cluster = Cluster(None)
     cluster.jobs.submit(JOB, TIMEOUT_MS)
