--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -289,6 +289,7 @@
             "configuration-applied",
             version=configuration.version,
             queues=len(configuration.queues_by_name),
+            workspaces=len(configuration.workspaces_by_name),
         )
 
     def _serve_readiness(self, request: HttpRequest) -> HttpResponse:
