Log the workspace of stored submissions and cancellations

Cause: call-answered did not tell for which workspace a job was accepted.

Change: the line has the workspace if there is one, and is otherwise as before.

--- a/src/magnoliapitch/ledger/job_api.py
+++ b/src/magnoliapitch/ledger/job_api.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import TYPE_CHECKING
+from typing import Any
 
 from result import Err
 from result import Ok
@@ -121,7 +122,7 @@
         self._count("submit", outcome)
         if not isinstance(outcome, Err):
             self._remember_accepted(job)
-        _log_call("submit", job.job_id, outcome, job.queue)
+        _log_call("submit", job.job_id, outcome, job.queue, job.workspace)
         return outcome
 
     def cancel(
@@ -144,7 +145,7 @@
         record = KeyedRecord(CANCEL_PREFIX + job_id, CANCELLED)
         outcome = self._append(record, timeout_ms)
         self._count("cancel", outcome)
-        _log_call("cancel", job_id, outcome, job.queue)
+        _log_call("cancel", job_id, outcome, job.queue, job.workspace)
         return outcome.map(lambda _: True)
 
     def state(
@@ -262,9 +263,16 @@
 
 
 def _log_call(
-    call: str, job_id: str, outcome: Result[None, Failure], queue: str
+    call: str,
+    job_id: str,
+    outcome: Result[None, Failure],
+    queue: str,
+    workspace: str,
 ) -> None:
     failure = outcome.err_value if isinstance(outcome, Err) else None
+    workspace_field: dict[str, Any] = (
+        {"workspace": workspace} if workspace else {}
+    )
     log_event(
         "call-answered",
         call=call,
@@ -272,4 +280,5 @@
         queue=queue,
         outcome=failure.verdict if failure else "stored",
         reason=failure.detail if failure else "",
+        **workspace_field,
     )
--- a/tests/platform/test_job_application.py
+++ b/tests/platform/test_job_application.py
@@ -165,7 +165,9 @@
     assert instance.call("GET", "/plans/0a", {}) == 401
 
 
-def test_a_deployment_without_workspaces_is_served_as_before() -> None:
+def test_a_deployment_without_workspaces_is_served_as_before(
+    lines: list[dict[str, Any]],
+) -> None:
     """Keys are ignored; stored bytes are those of earlier releases."""
     instance = Instance(workspaces=())
     for number, headers in enumerate(({}, UNKNOWN_KEY, NORTH_KEY)):
@@ -175,6 +177,8 @@
         assert len(stored) == 8
     assert instance.call("GET", "/plans/", {}) == 200
     assert json.loads(instance.body) == {"pending-jobs": 3}
+    assert [line["event"] for line in lines] == ["call-answered"] * 3
+    assert not any("workspace" in line for line in lines)
 
 
 def test_jobs_stay_reachable_after_the_last_workspace_is_removed() -> None:
@@ -189,7 +193,7 @@
 ) -> None:
     instance = Instance()
     instance.submit("/plans/0a")
-    lines.clear()
+    assert lines.pop()["workspace"] == "north"
     request_id = {"HTTP_X_REQUEST_ID": "r-1"}
     instance.call("GET", "/plans/0a", {**SOUTH_KEY, **request_id})
     instance.call("GET", "/plans/0a", {**UNKNOWN_KEY, **request_id})
