Apply the quotas of workspaces in planning and at submission

Cause: a workspace could use any part of the capacity, since the planner did not know workspaces.

Change: usage by workspace is summed where runs are added to and removed from the scheduler's state. A round leaves out steps none of whose tasks passes the quota before it divides the calls to the advisor, limits the tasks of the others, and counts the starts that it plans. A planned start is checked again before its order is sent, since the quota may have been lowered during a slow commit. A gang that could never pass is rejected at submission, unless its job is stored already.

Conclusion: without configured workspaces no step is limited.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -17,6 +17,7 @@
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.planner import DEFAULT_OPTIONS
 from magnoliapitch.planner.planner import Planner
+from magnoliapitch.planner.reconfiguration import apply_configuration
 from magnoliapitch.planner.scheduler_state import SchedulerState
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
@@ -102,7 +103,9 @@
             metrics,
         )
         self._permit_requester = PermitRequester(self.state, effects)
-        self._planning_summary = PlanningSummary(self.state, claimed_ms)
+        self._planning_summary = PlanningSummary(
+            self.state, claimed_ms, metrics
+        )
         self._uncommitted_starts: list[PlannedStart] = []
         self._starts_in_commit: list[PlannedStart] = []
         self._end_sequences_in_commit_by_worker: dict[str, int] = {}
@@ -124,6 +127,7 @@
 
         :param job_end: offset up to which the job stream was read.
         """
+        apply_configuration(self.state, self._configuration())
         self._progress_batcher.load(now_ms)
         self._progress_batcher.record_read(job_end)
         for stored in self._job_table.jobs():
@@ -177,16 +181,14 @@
                 self.state.cancel_job(job_id)
 
     def handle_configuration_changed(self, now_ms: int) -> None:
-        """Apply a newer configuration to the jobs' queues.
+        """Apply a newer configuration to queues and workspaces.
 
         Stored jobs whose queue is defined again are added.
         """
         configuration = self._configuration()
         if configuration is None:
             return
-        for job in self.state.jobs_by_id.values():
-            queue = configuration.queues_by_name.get(job.spec.queue)
-            job.queue = queue or job.queue
+        apply_configuration(self.state, configuration)
         for stored in self._job_table.jobs():
             if stored.spec and stored.spec.job_id not in self.state.jobs_by_id:
                 self._add_job(stored, now_ms)
--- a/src/magnoliapitch/control/order_issuer.py
+++ b/src/magnoliapitch/control/order_issuer.py
@@ -7,6 +7,7 @@
 
 from magnoliapitch.control.log_fields import run_fields
 from magnoliapitch.event import log_event
+from magnoliapitch.planner.quota import exceeds_quota
 from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.workload.progress import JobOutcome
@@ -101,8 +102,8 @@
         """Order the start of a run whose record is stored.
 
         The run is removed instead if it may not be started any more. For
-        example, the ticket may have expired or the worker may have shrunk
-        during a slow commit, or no lease may be granted any more.
+        example, the ticket may have expired or the worker or the quota may
+        have shrunk during a slow commit, or no lease may be granted any more.
 
         :param deadline_ms: end of the worker's lease on its own clock; None
             if no lease may be granted.
@@ -119,6 +120,7 @@
             or info.is_draining
             or not self._has_room(planned.worker_id)
             or deadline_ms is None
+            or exceeds_quota(self._state, run)
             or _is_ticket_expired(planned, run, now_ms)
         ):
             self._state.lose_run(run)
--- a/src/magnoliapitch/control/planning_summary.py
+++ b/src/magnoliapitch/control/planning_summary.py
@@ -5,10 +5,12 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from magnoliapitch.control.workspace_report import WorkspaceReport
 from magnoliapitch.event import log_event
 
 
 if TYPE_CHECKING:
+    from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.plan import Plan
     from magnoliapitch.planner.scheduler_state import SchedulerState
 
@@ -23,8 +25,14 @@
     orders that may be sent, or because no round came to them.
     """
 
-    def __init__(self, state: SchedulerState, started_ms: int) -> None:
+    def __init__(
+        self,
+        state: SchedulerState,
+        started_ms: int,
+        metrics: Metrics | None = None,
+    ) -> None:
         self._state = state
+        self._workspace_report = WorkspaceReport(state, metrics)
         self._logged_ms = started_ms
         self._reset()
 
@@ -46,6 +54,7 @@
         :param max_starts: number of starts that the round could plan.
         """
         self._round_count += 1
+        self._workspace_report.record(plan.workspace_waits)
         self._cut_short_count += plan.unexamined_steps > 0
         self._max_unexamined_steps = max(
             self._max_unexamined_steps, plan.unexamined_steps
@@ -81,6 +90,7 @@
             free_cpu_millis=sum(worker.free.cpu_millis for worker in usable),
             runs_to_stop=len(self._state.runs_to_stop),
         )
+        self._workspace_report.log()
         self._logged_ms = now_ms
         self._reset()
 
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -36,6 +36,18 @@
     "What the leader's planning rounds of about one second did, and what "
     "waits; see docs/OPERATIONS.md.",
 )
+define_event(
+    "step-held",
+    EventLevel.INFO,
+    "A ready step is left out of planning, since none of its tasks passes "
+    "the quota of its workspace; logged once when that begins.",
+)
+define_event(
+    "workspace-summary",
+    EventLevel.INFO,
+    "Which workspaces have steps that wait for their quota, or are placed "
+    "last since they exceed the fair share; see docs/OPERATIONS.md.",
+)
 define_event(
     "step-done",
     EventLevel.INFO,
--- a/src/magnoliapitch/ledger/job_api.py
+++ b/src/magnoliapitch/ledger/job_api.py
@@ -22,6 +22,7 @@
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import not_run
+from magnoliapitch.workload.quota import find_quota_failure
 
 
 if TYPE_CHECKING:
@@ -107,6 +108,9 @@
         """
         if self._lookup(job.job_id) is not None:
             return Ok(None)
+        quota_failure = find_quota_failure(job, self._configuration)
+        if quota_failure is not None:
+            return self._reject(job, quota_failure)
         record = KeyedRecord(JOB_PREFIX + job.job_id, encode_job(job))
         with self._metrics.timing("submit"):
             outcome = self._append(record, timeout_ms)
@@ -116,6 +120,20 @@
         _log_call("submit", job.job_id, outcome, job.queue)
         return outcome
 
+    def _reject(self, job: JobSpec, failure: Failure) -> Result[None, Failure]:
+        """Reject a job, unless it turns out to be stored already."""
+        found = self._find(job.job_id)
+        outcome: Result[None, Failure] = Err(failure)
+        if isinstance(found, Err):
+            outcome = found
+        elif found.ok_value is not None:
+            outcome = Ok(None)
+        else:
+            self._metrics.count("submissions_rejected", failure.code.value)
+        self._count("submit", outcome)
+        _log_call("submit", job.job_id, outcome, job.queue)
+        return outcome
+
     def cancel(self, job_id: str, timeout_ms: int) -> Result[bool, Failure]:
         """Store the cancellation of a job, unless the job has ended.
 
--- a/src/magnoliapitch/planner/permit_budget.py
+++ b/src/magnoliapitch/planner/permit_budget.py
@@ -73,7 +73,7 @@
     def record_awaiting(self, step: TrackedStep) -> None:
         """Count the tasks of a step that has a call under way."""
         queue_name = step.job.queue.name
-        self._awaiting_count_by_queue[queue_name] += step.waiting_count
+        self._awaiting_count_by_queue[queue_name] += step.startable_count
 
     def may_request(self, step: TrackedStep, expected_call_ms: float) -> bool:
         """Return whether permits for a step would be used before they expire.
@@ -87,7 +87,7 @@
         )
         if not awaiting_count:
             return max_awaiting > 0
-        return awaiting_count + step.waiting_count <= max_awaiting
+        return awaiting_count + step.startable_count <= max_awaiting
 
     def add(self, step: TrackedStep, request: PlannedPermitRequest) -> None:
         """Grant a call, or defer it if its queue has used its share."""
--- a/src/magnoliapitch/planner/plan.py
+++ b/src/magnoliapitch/planner/plan.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from magnoliapitch.workload.job import StepKey
@@ -47,14 +49,32 @@
     expected_call_ms: float
 
 
+class WorkspaceWaits(NamedTuple):
+    """Steps that a round left out or placed last, by workspace.
+
+    :param held_steps: steps none of whose tasks passes the quota.
+    :param held_tasks: their waiting tasks.
+    :param steps_beyond_share: steps that would bring the workspace above its
+        fair share.
+    :param newly_held: steps that the round before did not leave out.
+    """
+
+    held_steps: Mapping[str, int] = MappingProxyType({})
+    held_tasks: Mapping[str, int] = MappingProxyType({})
+    steps_beyond_share: Mapping[str, int] = MappingProxyType({})
+    newly_held: tuple[StepKey, ...] = ()
+
+
 class Plan(NamedTuple):
     """Actions of one planning round.
 
     :param unexamined_steps: number of waiting steps that the round did not
         come to.
+    :param workspace_waits: what waits because of quotas and shares.
     """
 
     starts: tuple[PlannedStart, ...] = ()
     stops: tuple[PlannedStop, ...] = ()
     permit_requests: tuple[PlannedPermitRequest, ...] = ()
     unexamined_steps: int = 0
+    workspace_waits: WorkspaceWaits = WorkspaceWaits()
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -17,6 +17,7 @@
 from magnoliapitch.planner.ranking import rank_of
 from magnoliapitch.planner.worker_backoff import WorkerBackoff
 from magnoliapitch.planner.worker_isolation import WorkerIsolation
+from magnoliapitch.planner.workspace_round import WorkspaceRound
 from magnoliapitch.workload.progress import JobOutcome
 
 
@@ -110,12 +111,18 @@
             return Plan(stops=stops)
         if max_starts_in_flight is None:
             max_starts_in_flight = max_starts
-        ranked_steps = self._ranked_steps(state, now_ms)
+        workspace_round = WorkspaceRound(state)
+        ranked_steps = workspace_round.order(self._ranked_steps(state, now_ms))
         permit_budget = PermitBudget(
             ranked_steps, max_calls, max_starts_in_flight
         )
         planning_round = PlanningRound(
-            state, now_ms, permit_budget, max_starts, self._isolation
+            state,
+            now_ms,
+            permit_budget,
+            max_starts,
+            self._isolation,
+            workspace_round,
         )
         examined_count = 0
         remaining_by_queue = _examined_steps_by_queue(ranked_steps)
@@ -124,14 +131,18 @@
                 break
             if not remaining_by_queue[step.job.queue.name]:
                 continue
+            if not workspace_round.lets_start(step):
+                continue
             remaining_by_queue[step.job.queue.name] -= 1
             planning_round.place(step)
+            workspace_round.record_starts(step, len(planning_round.starts))
             examined_count += 1
         return Plan(
             tuple(planning_round.starts),
             stops,
             permit_budget.requests(),
-            len(ranked_steps) - examined_count,
+            len(ranked_steps) - examined_count - workspace_round.held_count,
+            workspace_round.waits(),
         )
 
     def _ranked_steps(
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -20,6 +20,7 @@
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedStep
     from magnoliapitch.planner.worker_isolation import WorkerIsolation
+    from magnoliapitch.planner.workspace_round import WorkspaceRound
     from magnoliapitch.workload.job import StepKey
 
 
@@ -55,6 +56,7 @@
 
     :param max_starts: number of start orders that can be sent now.
     :param isolation: keeps other jobs off the workers of some tasks.
+    :param workspace_round: limits the permits of workspaces with a quota.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         permit_budget: PermitBudget,
         max_starts: int,
         isolation: WorkerIsolation,
+        workspace_round: WorkspaceRound,
     ) -> None:
         self.starts: list[PlannedStart] = []
         self._now_ms = now_ms
@@ -71,6 +74,7 @@
         self._max_starts = max_starts
         self._workers = CandidateWorkers(state.workers_by_id.values())
         self._isolation = isolation
+        self._workspace_round = workspace_round
         isolation.begin_round(state, self._workers, now_ms)
         self._gangs_with_reserved_capacity = 0
         self._steps_with_request: set[StepKey] = set()
@@ -92,6 +96,7 @@
             return
         if step.has_call_in_flight:
             self._permit_budget.record_awaiting(step)
+            self._workspace_round.record_awaiting(step)
         candidates = self._allowed_candidates(step)
         chosen = self._choose(step, candidates) if candidates else []
         if is_gang and len(chosen) < step.waiting_count:
@@ -264,6 +269,9 @@
         expected_call_ms = _expected_call_ms(step, len(asked))
         if not self._permit_budget.may_request(step, expected_call_ms):
             return
+        if not self._workspace_round.may_request(step):
+            return
+        self._workspace_round.record_awaiting(step)
         self._steps_with_request.add(step.key)
         self._permit_budget.add(
             step,
@@ -284,7 +292,7 @@
         others. A gang that does not fit as a whole reserves nothing.
         """
         chosen: list[Candidate] = []
-        count = step.waiting_count
+        count = step.startable_count
         cpu_millis = step.reservation.cpu_millis
         fitting = [
             candidate
@@ -340,7 +348,7 @@
 ) -> list[Candidate]:
     """Return enough workers for a step to fit on those permitted of them."""
     needed_count = (
-        CAPACITY_MARGIN_RATIO * step.waiting_count / EXPECTED_PERMITTED_SHARE
+        CAPACITY_MARGIN_RATIO * step.startable_count / EXPECTED_PERMITTED_SHARE
     )
     selected: list[Candidate] = []
     fitting_count = 0
--- /dev/null
+++ b/src/magnoliapitch/planner/reconfiguration.py
@@ -0,0 +1,36 @@
+"""What a newer configuration changes in the scheduler's state."""
+
+from __future__ import annotations
+
+import sys
+
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.planner.scheduler_state import SchedulerState
+    from magnoliapitch.workload.configuration import Configuration
+
+
+def apply_configuration(
+    state: SchedulerState, configuration: Configuration | None
+) -> None:
+    """Replace the queues of the jobs and the workspaces.
+
+    Jobs whose queue is not defined any more keep it. Usage is summed afresh,
+    since the runs of a queue may have another priority now.
+
+    :param configuration: None if none was read yet, which changes nothing.
+    """
+    if configuration is None:
+        return
+    for job in state.jobs_by_id.values():
+        queue = configuration.queues_by_name.get(job.spec.queue)
+        job.queue = queue or job.queue
+        for step in job.all_steps():
+            step.start_limit = sys.maxsize
+            step.is_held = False
+    state.workspaces_by_name = configuration.workspaces_by_name
+    state.workspace_usage.recount(
+        run for worker in state.workers_by_id.values() for run in worker.runs
+    )
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner.restore import progress_of
@@ -11,14 +12,17 @@
 from magnoliapitch.planner.tracked import TrackedStep
 from magnoliapitch.planner.tracked import TrackedTask
 from magnoliapitch.planner.tracked import TrackedWorker
+from magnoliapitch.planner.workspace_usage import WorkspaceUsage
 from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.run import EndKind
 
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from magnoliapitch.workload.configuration import Queue
+    from magnoliapitch.workload.configuration import Workspace
     from magnoliapitch.workload.job import JobSpec
     from magnoliapitch.workload.job import StepKey
     from magnoliapitch.workload.job import TaskKey
@@ -40,6 +44,8 @@
         done and that wait for the start time of their occurrence.
     :ivar suspects_by_key: tasks that were lost with several workers.
     :ivar runs_to_stop: runs that must be stopped, by ``id()`` of the run.
+    :ivar workspaces_by_name: workspaces of the newest configuration.
+    :ivar workspace_usage: usage of all runs that may be active.
     """
 
     def __init__(self) -> None:
@@ -50,6 +56,8 @@
         self.scheduled_steps: dict[StepKey, TrackedStep] = {}
         self.suspects_by_key: dict[TaskKey, TrackedTask] = {}
         self.runs_to_stop: dict[int, TrackedRun] = {}
+        self.workspaces_by_name: Mapping[str, Workspace] = MappingProxyType({})
+        self.workspace_usage = WorkspaceUsage()
 
     def add_job(
         self,
@@ -225,6 +233,7 @@
         run = TrackedRun(task, number, worker_id, now_ms)
         task.active_runs.append(run)
         self.get_or_add_worker(worker_id).add(run)
+        self.workspace_usage.add(run)
         return run
 
     def _add_run_of_waiting_task(
@@ -281,6 +290,7 @@
         task = run.task
         task.active_runs.remove(run)
         self.get_or_add_worker(run.worker_id).remove(run)
+        self.workspace_usage.remove(run)
         self.runs_to_stop.pop(id(run), None)
         self.unsaved_job_ids.add(task.key.job_id)
         if not task.active_runs and not task.is_done:
@@ -299,16 +309,8 @@
         :param valid_until_ms: when the tickets of the permits expire.
         """
         step = self.step(key)
-        if step is None:
-            return
-        step.in_flight_worker_ids = frozenset()
-        step.asked_worker_ids.update(asked_worker_ids)
-        for permit in permits:
-            step.permitted_worker_ids.add(permit.worker_id)
-            step.tickets_by_worker[permit.worker_id] = (
-                permit.ticket,
-                valid_until_ms,
-            )
+        if step is not None:
+            step.record_permits(asked_worker_ids, permits, valid_until_ms)
 
     def progress(self, job_id: str) -> JobProgress:
         """Return the progress of a job in the form that is stored."""
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import sys
+
 from typing import TYPE_CHECKING
 
 from magnoliapitch.resource import NO_RESOURCES
-from magnoliapitch.resource import Resources
 from magnoliapitch.workload.job import StepKey
 from magnoliapitch.workload.progress import JobOutcome
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from magnoliapitch.workload.configuration import Queue
     from magnoliapitch.workload.job import JobSpec
     from magnoliapitch.workload.job import StepSpec
+    from magnoliapitch.workload.run import Permit
     from magnoliapitch.workload.worker import WorkerInfo
 
 
@@ -165,6 +169,10 @@
     :ivar unfinished_count: number of tasks that are not done.
     :ivar waiting_count: number of tasks that are not done and have no
         active run.
+    :ivar start_limit: most tasks that the quota and share of the step's
+        workspace let start in this planning round.
+    :ivar is_held: whether the step was left out of the newest round, since
+        none of its tasks passes its workspace's quota.
     :ivar tickets_by_worker: ticket and end of its validity in ms, by
         worker id.
     :ivar in_flight_worker_ids: workers in the advisor call that is under
@@ -177,6 +185,7 @@
         "failed_worker_ids",
         "hold_until_ms",
         "in_flight_worker_ids",
+        "is_held",
         "job",
         "key",
         "latest_start_ms",
@@ -186,6 +195,7 @@
         "ready_ms",
         "reservation",
         "spec",
+        "start_limit",
         "tasks",
         "tickets_by_worker",
         "unfinished_count",
@@ -196,7 +206,7 @@
         self.job = job
         self.key = StepKey(job.spec.job_id, occurrence, number)
         self.spec: StepSpec = job.spec.steps[number]
-        self.reservation = _reservation(self.spec)
+        self.reservation = self.spec.reservation
         self.tasks = [
             TrackedTask(self, position)
             for position in range(self.spec.task_count)
@@ -205,6 +215,8 @@
         self.waiting_count = self.spec.task_count
         self.ready_ms: int | None = None
         self.hold_until_ms = 0
+        self.start_limit = sys.maxsize
+        self.is_held = False
         self.permitted_worker_ids: set[str] = set()
         self.asked_worker_ids: set[str] = set()
         self.tickets_by_worker: dict[str, tuple[str, int]] = {}
@@ -220,6 +232,11 @@
         """Return whether an advisor call for the step is under way."""
         return bool(self.in_flight_worker_ids)
 
+    @property
+    def startable_count(self) -> int:
+        """Return how many of the waiting tasks may start in this round."""
+        return min(self.waiting_count, self.start_limit)
+
     @property
     def is_done(self) -> bool:
         """Return whether every task is done."""
@@ -250,6 +267,22 @@
         """Return whether a task that was started before has to start again."""
         return any(task.runs for task in self.startable_tasks())
 
+    def record_permits(
+        self,
+        asked_worker_ids: Iterable[str],
+        permits: Iterable[Permit],
+        valid_until_ms: int,
+    ) -> None:
+        """Record the answer to the advisor call that was under way."""
+        self.in_flight_worker_ids = frozenset()
+        self.asked_worker_ids.update(asked_worker_ids)
+        for permit in permits:
+            self.permitted_worker_ids.add(permit.worker_id)
+            self.tickets_by_worker[permit.worker_id] = (
+                permit.ticket,
+                valid_until_ms,
+            )
+
     def all_active_runs(self) -> list[TrackedRun]:
         """Return the active runs of all tasks."""
         return [run for task in self.tasks for run in task.active_runs]
@@ -353,9 +386,3 @@
         """Remove a run and free its capacity."""
         self.runs.remove(run)
         self.free = self.free.plus(run.resources)
-
-
-def _reservation(spec: StepSpec) -> Resources:
-    if spec.uses_leftover:
-        return spec.resources._replace(cpu_millis=0)
-    return spec.resources
--- a/src/magnoliapitch/planner/worker_isolation.py
+++ b/src/magnoliapitch/planner/worker_isolation.py
@@ -48,7 +48,7 @@
         waiting_by_id: dict[str, TrackedJob] = {}
         for task in state.suspects_by_key.values():
             job = task.step.job
-            if not task.active_runs:
+            if not task.active_runs and task.step.start_limit:
                 waiting_by_id[job.spec.job_id] = job
                 self._waiting_steps.add(task.step.key)
             for run in task.active_runs:
@@ -86,7 +86,7 @@
         free = [
             candidate for candidate in candidates if _is_free(candidate, job)
         ]
-        count = step.waiting_count - sum(
+        count = step.startable_count - sum(
             free_task_count(candidate, step) for candidate in free
         )
         self._keep(free, worker_count, job)
--- a/src/magnoliapitch/workload/job.py
+++ b/src/magnoliapitch/workload/job.py
@@ -85,6 +85,13 @@
     uses_leftover: bool = False
     max_unavailable: int | None = None
 
+    @property
+    def reservation(self) -> Resources:
+        """Return the capacity that one task reserves on a worker."""
+        if self.uses_leftover:
+            return self.resources._replace(cpu_millis=0)
+        return self.resources
+
 
 class JobSpec(NamedTuple):
     """A submitted job.
