Place work beyond a workspace's fair share last

Cause: one workspace with much work delayed the work of all others.

Change: if the demand of a service exceeds its usable capacity, the capacity is divided over the workspaces by weighted max-min division of the dominant resource. Ranked steps that would bring a workspace above its share are placed after all others.

--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -255,6 +255,7 @@
             not step.has_call_in_flight
             and step.key not in self._steps_with_request
             and step.job.queue.permit_timing is not None
+            and self._workspace_round.may_request(step)
         )
 
     def _add_permit_request(
@@ -269,8 +270,6 @@
         expected_call_ms = _expected_call_ms(step, len(asked))
         if not self._permit_budget.may_request(step, expected_call_ms):
             return
-        if not self._workspace_round.may_request(step):
-            return
         self._workspace_round.record_awaiting(step)
         self._steps_with_request.add(step.key)
         self._permit_budget.add(
--- a/src/magnoliapitch/planner/workspace_round.py
+++ b/src/magnoliapitch/planner/workspace_round.py
@@ -9,11 +9,14 @@
 
 from magnoliapitch.planner.plan import WorkspaceWaits
 from magnoliapitch.planner.quota import passing_tasks
+from magnoliapitch.planner.workspace_shares import order_by_shares
 from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.resource import Resources
 
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedStep
     from magnoliapitch.workload.job import StepKey
@@ -49,6 +52,8 @@
             self._quota_by_workspace, NO_RESOURCES
         )
         self._start_count = 0
+        self._started_workspaces: set[str] = set()
+        self._beyond_share: Mapping[str, int] = {}
         self._held_steps: Counter[str] = Counter()
         self._held_tasks: Counter[str] = Counter()
         self._newly_held: list[StepKey] = []
@@ -56,11 +61,15 @@
     def order(self, ranked_steps: list[TrackedStep]) -> list[TrackedStep]:
         """Return the steps to place, in the order in which to place them.
 
-        Steps none of whose tasks passes its quota are left out.
+        Steps none of whose tasks passes its quota are left out. Those that
+        exceed the fair share of their workspace come last.
         """
         if not self._state.workspaces_by_name:
             return ranked_steps
-        return [step for step in ranked_steps if self._passes(step)]
+        passing = [step for step in ranked_steps if self._passes(step)]
+        ordered = order_by_shares(self._state, passing)
+        self._beyond_share = ordered.beyond_count_by_workspace
+        return ordered.steps
 
     def _passes(self, step: TrackedStep) -> bool:
         step.start_limit = sys.maxsize
@@ -77,6 +86,8 @@
 
     def lets_start(self, step: TrackedStep) -> bool:
         """Return whether a task of a step may start now."""
+        if step.job.spec.workspace not in self._started_workspaces:
+            return True
         if self._limit(step):
             return True
         self.held_count += 1
@@ -101,6 +112,7 @@
         self._start_count = start_count
         name = step.job.spec.workspace
         if count and name in self._used_by_workspace:
+            self._started_workspaces.add(name)
             self._used_by_workspace[name] = self._used_by_workspace[name].plus(
                 step.reservation.times(count)
             )
@@ -134,6 +146,7 @@
         return WorkspaceWaits(
             self._held_steps,
             self._held_tasks,
+            self._beyond_share,
             newly_held=tuple(self._newly_held),
         )
 
