--- a/src/magnoliapitch/control/workspace_report.py
+++ b/src/magnoliapitch/control/workspace_report.py
@@ -13,13 +13,11 @@
 
     from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.scheduler_state import SchedulerState
-    from magnoliapitch.workload.job import StepKey
+    from magnoliapitch.planner.tracked import TrackedStep
 
 
 # Bounds the length of a line; those with the most waiting steps come first.
 MAX_WORKSPACES_PER_LINE = 10
-# Bounds the lines of one round when a workspace sends very many jobs.
-MAX_HELD_STEPS_PER_ROUND = 20
 
 
 class WorkspaceReport:
@@ -40,21 +38,17 @@
         self._newest = waits
         for key in waits.newly_held:
             step = self._state.step(key)
-            if step is not None and self._metrics is not None:
-                workspace = step.job.spec.workspace
-                self._metrics.count("steps_held_by_quota", workspace)
-        for key in waits.newly_held[:MAX_HELD_STEPS_PER_ROUND]:
-            self._log_held(key)
-
-    def _log_held(self, key: StepKey) -> None:
-        step = self._state.step(key)
-        if step is None:
-            return
+            if step is not None:
+                self._report_held(step)
+
+    def _report_held(self, step: TrackedStep) -> None:
         name = step.job.spec.workspace
+        if self._metrics is not None:
+            self._metrics.count("steps_held_by_quota", name)
         log_event(
             "step-held",
-            job=key.job_id,
-            step=key.step,
+            job=step.key.job_id,
+            step=step.key.step,
             workspace=name,
             waiting=step.waiting_count,
             task=_text(step.reservation),
--- a/src/magnoliapitch/planner/plan.py
+++ b/src/magnoliapitch/planner/plan.py
@@ -56,7 +56,8 @@
     :param held_tasks: their waiting tasks.
     :param steps_beyond_share: steps that would bring the workspace above its
         fair share.
-    :param newly_held: steps that the round before did not leave out.
+    :param newly_held: steps that are left out for the first time since their
+        last start.
     """
 
     held_steps: Mapping[str, int] = MappingProxyType({})
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -171,8 +171,8 @@
         active run.
     :ivar start_limit: most tasks that the quota and share of the step's
         workspace let start in this planning round.
-    :ivar is_held: whether the step was left out of the newest round, since
-        none of its tasks passes its workspace's quota.
+    :ivar is_held: whether the step was left out of a round since its last
+        start, because none of its tasks passed its workspace's quota.
     :ivar tickets_by_worker: ticket and end of its validity in ms, by
         worker id.
     :ivar in_flight_worker_ids: workers in the advisor call that is under
--- a/src/magnoliapitch/planner/workspace_round.py
+++ b/src/magnoliapitch/planner/workspace_round.py
@@ -74,7 +74,6 @@
     def _passes(self, step: TrackedStep) -> bool:
         step.start_limit = sys.maxsize
         if self._limit(step):
-            step.is_held = False
             return True
         name = step.job.spec.workspace
         self._held_steps[name] += 1
@@ -112,6 +111,7 @@
         self._start_count = start_count
         name = step.job.spec.workspace
         if count and name in self._used_by_workspace:
+            step.is_held = False
             self._started_workspaces.add(name)
             self._used_by_workspace[name] = self._used_by_workspace[name].plus(
                 step.reservation.times(count)
