Test permits and kept workers of steps beyond their quota

Cause: two effects of a quota were not covered by a test: tasks that a quota keeps waiting do not count as awaiting permits, and a suspect that waits for its quota keeps no worker free.

Change: a test of each.

Conclusion: covered.

--- a/tests/planner/test_workspace_quotas.py
+++ b/tests/planner/test_workspace_quotas.py
@@ -220,3 +220,33 @@
     assert (usage_key.priority, amount) == (7, CORE.times(2))
     end(state, key, 2)
     assert list(state.workspace_usage.items()) == []
+
+
+def test_a_step_wider_than_its_quota_leaves_permits_to_others() -> None:
+    """Tasks that the quota keeps waiting do not count as awaiting permits."""
+    state = make_state()
+    configure(state, a=2, b=0)
+    add_job(state, "a-wide", "a", StepSpec(500, CORE), PERMIT_TIMING)
+    key = add_job(state, "other", "b", StepSpec(1, CORE), PERMIT_TIMING)
+    plan = Planner().plan(state, 0, 0, 8, max_starts=5)
+    assert key in [request.step for request in plan.permit_requests]
+
+
+def test_a_suspect_that_waits_for_its_quota_keeps_no_worker_free() -> None:
+    state = make_state(1)
+    configure(state, a=0, b=0)
+    planner = Planner()
+    add_job(state, "a-busy", "a", StepSpec(1, CORE))
+    add_job(state, "b-busy", "b", StepSpec(5, CORE))
+    start(state, planner)
+    suspect_key = add_job(state, "suspect", "a", StepSpec(1, CORE))
+    suspect = state.task(suspect_key.task(0))
+    assert suspect is not None
+    suspect.worker_crashes = 2
+    state.add_suspect(suspect)
+    assert not start(state, planner).starts
+    add_job(state, "b-waiting", "b", StepSpec(1, CORE))
+    assert not start(state, planner).starts
+    configure(state, a=1, b=0)
+    plan = start(state, planner)
+    assert [planned.task.job_id for planned in plan.starts] == ["b-waiting"]
