--- a/src/magnoliapitch/metric/metrics.py
+++ b/src/magnoliapitch/metric/metrics.py
@@ -37,8 +37,11 @@
 
     def observe(self, name: str, duration_ms: float, label: str = "") -> None:
         """Record a duration, in milliseconds, in a timer."""
+        key = (name, label)
         with self._lock:
-            timer = self._timers_by_key.setdefault((name, label), Timer())
+            timer = self._timers_by_key.get(key)
+            if timer is None:
+                timer = self._timers_by_key[key] = Timer()
         timer.record(duration_ms)
 
     @contextmanager
