Learn the durations of tasks and the speeds of workers

Cause: with workers of 0.7 and 1.7 times the nominal speed, urgent tasks of 0.54 s that are placed on slow workers end just after their objective. The moving average by queue knows no workers, and counts the time in which orders and reports are under way as work.

Change: planner/duration.py becomes a package. With [planning] worker_speeds on, the work of each queue is a regression on the declared estimate, corrected by finished tasks of the same step, and each worker has a Kalman filter of its speed. Durations are measured by the worker's own clock, from the answer to the start order to the report of the end. The order of candidates moves to planner/candidate_order.py: the slowest workers that are in time, or else the fastest. With the option off, the moving average and the former order remain.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -226,6 +226,7 @@
         if not isinstance(event.outcome, Err):
             if run is not None:
                 run.is_order_settled = is_first_attempt(event)
+                run.start_clock_ms = event.outcome.ok_value
                 if run.confirmed_ms is None:
                     self.state.confirm_run(run, event.received_ms)
             return
--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from magnoliapitch.control.end_clocks import EndClocks
 from magnoliapitch.control.log_fields import run_fields
 from magnoliapitch.event import log_event
 from magnoliapitch.workload.run import EndKind
@@ -12,6 +13,7 @@
 
 
 if TYPE_CHECKING:
+    from magnoliapitch.control.end_clocks import EndClock
     from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.planner import Planner
     from magnoliapitch.planner.scheduler_state import SchedulerState
@@ -52,6 +54,7 @@
         self._planner = planner
         self._metrics = metrics
         self.last_end_sequence_by_worker: dict[str, int] = {}
+        self._end_clocks = EndClocks()
         self._workers_with_ends: set[str] = set()
         self._stopped_ms_by_worker: dict[str, dict[StopOrder, int]] = {}
 
@@ -59,6 +62,7 @@
         """Drop the data of a worker that is gone."""
         self.last_end_sequence_by_worker.pop(worker_id, None)
         self._stopped_ms_by_worker.pop(worker_id, None)
+        self._end_clocks.forget(worker_id)
 
     def take_end_sequences(self) -> dict[str, int]:
         """Return what to acknowledge once the state is stored.
@@ -86,11 +90,14 @@
             later may be missing from the report.
         """
         last_end_sequence = self.last_end_sequence_by_worker.get(worker_id, 0)
+        end_clock = self._end_clocks.record(
+            worker_id, report.clock_ms, sent_ms, received_ms
+        )
         if report.ended:
             self._workers_with_ends.add(worker_id)
         for end in report.ended:
             if end.sequence > last_end_sequence:
-                self._apply_end(worker_id, end, received_ms)
+                self._apply_end(worker_id, end, received_ms, end_clock)
                 last_end_sequence = end.sequence
             else:
                 self._log_ignored_end(worker_id, end, last_end_sequence)
@@ -116,9 +123,17 @@
             self._due_stops(worker_id, unexpected, received_ms),
         )
 
-    def _apply_end(self, worker_id: str, end: EndedRun, now_ms: int) -> None:
+    def _apply_end(
+        self,
+        worker_id: str,
+        end: EndedRun,
+        now_ms: int,
+        end_clock: EndClock | None,
+    ) -> None:
         run = self._state.run(end.task, end.run, worker_id)
         if run is not None and end.kind is EndKind.DONE:
+            if end_clock is not None:
+                run.end_clock_ms = end_clock.ms_if_exact(run.start_clock_ms)
             self._log_avoided_workers(self._planner.record_done(run, now_ms))
         if run is not None and end.kind is EndKind.FAILED:
             self._planner.record_failed(run)
--- /dev/null
+++ b/src/magnoliapitch/planner/candidate_order.py
@@ -0,0 +1,185 @@
+"""Order in which workers are chosen for a step and asked about."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliapitch.planner.candidates import free_task_count
+from magnoliapitch.planner.duration.speed_table import log_speed_of_class
+from magnoliapitch.planner.duration.spread import exp_ms
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from magnoliapitch.planner.candidates import Candidate
+    from magnoliapitch.planner.duration import LearnedDurations
+    from magnoliapitch.planner.tracked import TrackedStep
+
+
+# Time from the plan of a start to the work, and from the end of the work to
+# its publication: two writes to the store and an order.
+START_AND_END_MS = 60.0
+
+
+class CandidateOrder:
+    """Workers with the least free CPU first, all equally fast."""
+
+    def for_start(
+        self,
+        step: TrackedStep,
+        fitting: list[Candidate],
+        has_ticket: Callable[[Candidate], bool],
+        call_ms: float,  # noqa: ARG002
+        now_ms: int,  # noqa: ARG002
+    ) -> list[Candidate]:
+        """Return the workers for a step, the best first.
+
+        Workers without a failed run of the step come first. Next come
+        workers with a valid ticket, or for which one is being requested, so
+        that a gang does not have to wait for another call. Then those with
+        the least free CPU, which leaves capacity for large tasks on the
+        others.
+
+        :param fitting: workers with enough free CPU for a task.
+        :param call_ms: expected duration of an advisor call.
+        """
+        return sorted(
+            fitting,
+            key=lambda candidate: (
+                candidate.worker.worker_id in step.failed_worker_ids,
+                _must_be_asked(step, candidate, has_ticket),
+                candidate.free.cpu_millis,
+            ),
+        )
+
+    def for_request(
+        self,
+        step: TrackedStep,  # noqa: ARG002
+        candidates: Iterable[Candidate],
+        now_ms: int,  # noqa: ARG002
+    ) -> Iterable[Candidate]:
+        """Return the workers to ask the advisor about, the best first.
+
+        :param candidates: workers in the order of their free CPU.
+        """
+        return candidates
+
+
+class SpeedOrder(CandidateOrder):
+    """Slowest workers that are in time first, or else the fastest.
+
+    Fast workers so stay free for tasks that need them, but never idle while
+    others wait for capacity. Workers of one class of speeds keep the order of
+    ``CandidateOrder``.
+    """
+
+    def __init__(self, durations: LearnedDurations) -> None:
+        self._durations = durations
+        self._class_by_id = durations.speeds.class_by_id
+
+    def for_start(
+        self,
+        step: TrackedStep,
+        fitting: list[Candidate],
+        has_ticket: Callable[[Candidate], bool],
+        call_ms: float,
+        now_ms: int,
+    ) -> list[Candidate]:
+        """Return the workers for a step, the best first."""
+        classes = self._durations.speeds.classes
+        if len(classes) == 1:
+            return super().for_start(
+                step, fitting, has_ticket, call_ms, now_ms
+            )
+        limit = self._slowest_in_time(step, now_ms)
+        asked_limit = self._slowest_in_time(step, now_ms, call_ms)
+        if step.spec.is_gang:
+            limit = asked_limit = self._gang_limit(step, fitting, asked_limit)
+
+        def key(candidate: Candidate) -> tuple[bool, bool, bool, int, int]:
+            worker_id = candidate.worker.worker_id
+            number = self._class_by_id.get(worker_id, 0)
+            must_be_asked = _must_be_asked(step, candidate, has_ticket)
+            is_late = number < (asked_limit if must_be_asked else limit)
+            return (
+                worker_id in step.failed_worker_ids,
+                is_late,
+                must_be_asked,
+                -number if is_late else number,
+                candidate.free.cpu_millis,
+            )
+
+        return sorted(fitting, key=key)
+
+    def for_request(
+        self, step: TrackedStep, candidates: Iterable[Candidate], now_ms: int
+    ) -> Iterable[Candidate]:
+        """Return the workers to ask the advisor about, the best first."""
+        if len(self._durations.speeds.classes) == 1:
+            return candidates
+        limit = self._slowest_in_time(step, now_ms)
+
+        def key(candidate: Candidate) -> tuple[bool, bool, int]:
+            number = self._class_by_id.get(candidate.worker.worker_id, 0)
+            is_late = number < limit
+            is_full = candidate.free.cpu_millis < step.reservation.cpu_millis
+            return (is_late, is_full, -number if is_late else number)
+
+        return sorted(candidates, key=key)
+
+    def _slowest_in_time(
+        self, step: TrackedStep, now_ms: int, delay_ms: float = 0.0
+    ) -> int:
+        """Return the slowest class of workers on which a step is in time.
+
+        :param delay_ms: time until the step can start.
+        :return: the class; one above the fastest if none is in time.
+        """
+        classes = self._durations.speeds.classes
+        if step.latest_end_ms is None or step.spec.is_long_running:
+            return classes[0]
+        available_ms = (
+            step.latest_end_ms - now_ms - delay_ms - START_AND_END_MS
+        )
+        log_work, margin = self._durations.in_time_terms(step)
+        for number in classes:
+            log_duration = log_work - log_speed_of_class(number) + margin
+            if exp_ms(log_duration) <= available_ms:
+                return number
+        return classes[-1] + 1
+
+    def _gang_limit(
+        self, step: TrackedStep, fitting: list[Candidate], limit: int
+    ) -> int:
+        """Return the class above which a gang is placed slowest first.
+
+        A gang on workers of several classes would keep the faster ones busy
+        for as long as the slower ones take. So it is placed on the slowest
+        class that is in time and has room for all of it, or else on the
+        fastest workers.
+        """
+        count_by_class = dict.fromkeys(self._durations.speeds.classes, 0)
+        for candidate in fitting:
+            number = self._class_by_id.get(candidate.worker.worker_id, 0)
+            if number >= limit:
+                count_by_class[number] += free_task_count(candidate, step)
+        for number, count in count_by_class.items():
+            if number >= limit and count >= step.waiting_count:
+                return number
+        return max(count_by_class) + 1
+
+
+def _must_be_asked(
+    step: TrackedStep,
+    candidate: Candidate,
+    has_ticket: Callable[[Candidate], bool],
+) -> bool:
+    return (
+        candidate.worker.worker_id not in step.in_flight_worker_ids
+        and not has_ticket(candidate)
+    )
+
+
+__all__ = ["CandidateOrder", "SpeedOrder"]
--- /dev/null
+++ b/src/magnoliapitch/planner/duration/speed_table.py
@@ -0,0 +1,151 @@
+"""Speeds of all workers, and the classes in which they count as equal."""
+
+from __future__ import annotations
+
+import math
+
+from collections import defaultdict
+from itertools import chain
+from statistics import fmean
+from statistics import pvariance
+from typing import TYPE_CHECKING
+
+from magnoliapitch.planner.duration.worker_speed import PRIOR_SPEED_VARIANCE
+from magnoliapitch.planner.duration.worker_speed import SpeedEstimate
+from magnoliapitch.planner.duration.worker_speed import WorkerSpeed
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+
+# Logarithmic width of a class of speeds.
+CLASS_WIDTH = 0.3
+# A speed differs from the nominal one only if it does by this many deviations
+# of its error.
+MIN_CLASS_DEVIATIONS = 2.0
+# Workers whose speeds are at least this certain tell about those of others.
+MAX_KNOWN_VARIANCE = 0.04
+MIN_KNOWN_OF_KIND = 3
+# Kinds explain the speeds if these differ this much less within a kind.
+EXPLAINED_SHARE = 0.6
+MIN_PRIOR_VARIANCE = 0.01
+UNKNOWN = SpeedEstimate(0.0, PRIOR_SPEED_VARIANCE)
+
+
+class SpeedTable:
+    """Learned speed of each worker, by the id of its incarnation.
+
+    :ivar speeds_by_id: the speeds.
+    :ivar class_by_id: class of each worker whose speed is not nominal; the
+        classes are numbers that grow with the speed, and 0 is nominal.
+    :ivar classes: the classes of all workers, the slowest first.
+    """
+
+    def __init__(self) -> None:
+        self.speeds_by_id: dict[str, WorkerSpeed] = {}
+        self.class_by_id: dict[str, int] = {}
+        self.classes: tuple[int, ...] = (0,)
+
+    def estimate(self, worker_id: str) -> SpeedEstimate:
+        """Return what is learned of a worker's speed."""
+        speed = self.speeds_by_id.get(worker_id)
+        return UNKNOWN if speed is None else speed.estimate
+
+    def add_sample(
+        self,
+        worker_id: str,
+        log_speed: float,
+        error_variance: float,
+        now_ms: int,
+    ) -> None:
+        """Add a measured speed of a worker.
+
+        :param error_variance: variance of the error of the measurement.
+        """
+        speed = self.speeds_by_id.get(worker_id)
+        if speed is not None:
+            speed.add(log_speed, error_variance, now_ms)
+
+    def set_workers(self, kind_by_id: Mapping[str, str], now_ms: int) -> None:
+        """Add new workers and drop those that are gone.
+
+        :param kind_by_id: kind of each worker, from its labels.
+        """
+        if kind_by_id.keys() == self.speeds_by_id.keys():
+            return
+        known = self._known_by_kind()
+        self.speeds_by_id = {
+            worker_id: self.speeds_by_id.get(worker_id)
+            or WorkerSpeed(_prior(known, kind), kind, now_ms)
+            for worker_id, kind in kind_by_id.items()
+        }
+
+    def normalise(self) -> float:
+        """Make the mean speed of the known workers the nominal one.
+
+        :return: what was subtracted from each speed.
+        """
+        known = list(chain.from_iterable(self._known_by_kind().values()))
+        if not known:
+            return 0.0
+        mean = fmean(known)
+        for speed in self.speeds_by_id.values():
+            log_speed, variance = speed.estimate
+            speed.estimate = SpeedEstimate(log_speed - mean, variance)
+        return mean
+
+    def classify(self) -> None:
+        """Assign the workers to classes of speeds."""
+        class_by_id = {
+            worker_id: _class_of(speed.estimate)
+            for worker_id, speed in self.speeds_by_id.items()
+        }
+        self.classes = tuple(sorted(set(class_by_id.values()))) or (0,)
+        self.class_by_id = {
+            worker_id: number
+            for worker_id, number in class_by_id.items()
+            if number
+        }
+
+    def _known_by_kind(self) -> dict[str, list[float]]:
+        known: defaultdict[str, list[float]] = defaultdict(list)
+        for speed in self.speeds_by_id.values():
+            if speed.estimate.variance <= MAX_KNOWN_VARIANCE:
+                known[speed.kind].append(speed.estimate.log_speed)
+        return known
+
+
+def log_speed_of_class(number: int) -> float:
+    """Return the logarithm of the speed that stands for a class."""
+    return CLASS_WIDTH * number
+
+
+def kind_of(labels: Iterable[str], rack: str) -> str:
+    """Return the kind of a worker: its labels without that of its rack."""
+    return ",".join(sorted(label for label in labels if label != rack))
+
+
+def _class_of(estimate: SpeedEstimate) -> int:
+    log_speed, variance = estimate
+    if abs(log_speed) < MIN_CLASS_DEVIATIONS * math.sqrt(variance):
+        return 0
+    return round(log_speed / CLASS_WIDTH)
+
+
+def _prior(
+    known_by_kind: Mapping[str, list[float]], kind: str
+) -> SpeedEstimate:
+    """Return what is expected of the speed of a new worker."""
+    all_known = list(chain.from_iterable(known_by_kind.values()))
+    of_kind = known_by_kind.get(kind, [])
+    if len(of_kind) < MIN_KNOWN_OF_KIND or len(known_by_kind) < 2:
+        return UNKNOWN
+    variance = pvariance(of_kind)
+    if variance > EXPLAINED_SHARE * pvariance(all_known):
+        return UNKNOWN
+    return SpeedEstimate(fmean(of_kind), max(MIN_PRIOR_VARIANCE, variance))
+
+
+__all__ = ["SpeedTable", "kind_of", "log_speed_of_class"]
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -7,7 +7,10 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from magnoliapitch.planner.duration import DurationEstimator
+from magnoliapitch.planner.candidate_order import CandidateOrder
+from magnoliapitch.planner.candidate_order import SpeedOrder
+from magnoliapitch.planner.duration import LearnedDurations
+from magnoliapitch.planner.duration import MovingAverage
 from magnoliapitch.planner.fair_shares import fair_shares
 from magnoliapitch.planner.options import PlanningOptions
 from magnoliapitch.planner.permit_budget import PermitBudget
@@ -23,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from magnoliapitch.planner.duration import DurationEstimator
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedRun
     from magnoliapitch.planner.tracked import TrackedStep
@@ -37,11 +41,18 @@
     """Plans rounds; keeps expected durations and failures between them.
 
     :ivar options: optional behaviour that is switched on.
+    :ivar duration_estimator: expected durations of tasks.
+    :ivar learned_durations: the same with ``worker_speeds`` on, else None.
     """
 
     def __init__(self, options: PlanningOptions = DEFAULT_OPTIONS) -> None:
         self.options = options
-        self.duration_estimator = DurationEstimator()
+        self.learned_durations = (
+            LearnedDurations() if options.worker_speeds else None
+        )
+        self.duration_estimator: DurationEstimator = (
+            self.learned_durations or MovingAverage()
+        )
         self.worker_backoff = WorkerBackoff()
         self._isolation = WorkerIsolation()
 
@@ -69,19 +80,13 @@
             for worker_id in step.failed_worker_ids - {run.worker_id}
         }
         step.failed_worker_ids.clear()
-        self._add_duration_sample(run, now_ms)
+        self.duration_estimator.record_done(run, now_ms)
         return {
             avoided_worker_id: pause_ms
             for avoided_worker_id, pause_ms in pause_ms_by_worker.items()
             if pause_ms
         }
 
-    def _add_duration_sample(self, run: TrackedRun, now_ms: int) -> None:
-        if run.started_ms is not None and not run.resumed_percent:
-            self.duration_estimator.add_sample(
-                run.task.step.job.queue.name, now_ms - run.ordered_ms
-            )
-
     def plan(
         self,
         state: SchedulerState,
@@ -103,6 +108,7 @@
             sent now.
         """
         state.open_due_steps(now_ms, wall_ms)
+        self.duration_estimator.refresh(state.workers_by_id, now_ms)
         stops = tuple(
             _planned_stop(state, run) for run in state.runs_to_stop.values()
         )
@@ -115,7 +121,12 @@
             ranked_steps, max_calls, max_starts_in_flight
         )
         planning_round = PlanningRound(
-            state, now_ms, permit_budget, max_starts, self._isolation
+            state,
+            now_ms,
+            permit_budget,
+            max_starts,
+            self._isolation,
+            self._candidate_order(),
         )
         examined_count = 0
         remaining_by_queue = _examined_steps_by_queue(ranked_steps)
@@ -134,6 +145,11 @@
             len(ranked_steps) - examined_count,
         )
 
+    def _candidate_order(self) -> CandidateOrder:
+        if self.learned_durations is None:
+            return CandidateOrder()
+        return SpeedOrder(self.learned_durations)
+
     def _ranked_steps(
         self, state: SchedulerState, now_ms: int
     ) -> list[TrackedStep]:
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner.candidates import Candidate
@@ -16,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from magnoliapitch.planner.candidate_order import CandidateOrder
     from magnoliapitch.planner.permit_budget import PermitBudget
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedStep
@@ -55,6 +57,7 @@
 
     :param max_starts: number of start orders that can be sent now.
     :param isolation: keeps other jobs off the workers of some tasks.
+    :param candidate_order: tells which workers are the best for a step.
     """
 
     def __init__(
@@ -64,6 +67,7 @@
         permit_budget: PermitBudget,
         max_starts: int,
         isolation: WorkerIsolation,
+        candidate_order: CandidateOrder,
     ) -> None:
         self.starts: list[PlannedStart] = []
         self._now_ms = now_ms
@@ -71,6 +75,7 @@
         self._max_starts = max_starts
         self._workers = CandidateWorkers(state.workers_by_id.values())
         self._isolation = isolation
+        self._candidate_order = candidate_order
         isolation.begin_round(state, self._workers, now_ms)
         self._gangs_with_reserved_capacity = 0
         self._steps_with_request: set[StepKey] = set()
@@ -224,7 +229,10 @@
                 for candidate in self._workers.eligible(step)
                 if candidate.worker.worker_id not in step.asked_worker_ids
             )
-            self._add_permit_request(step, _enough_candidates(step, not_asked))
+            ordered = self._candidate_order.for_request(
+                step, not_asked, self._now_ms
+            )
+            self._add_permit_request(step, _enough_candidates(step, ordered))
 
     def _with_spare_candidates(
         self,
@@ -277,11 +285,7 @@
     ) -> list[Candidate]:
         """Reserve capacity and return the worker of each task that fits.
 
-        Workers without a failed run of the step come first. Next come
-        workers with a valid ticket, or for which one is being requested, so
-        that a gang does not have to wait for another call. Then those with
-        the least free CPU, which leaves capacity for large tasks on the
-        others. A gang that does not fit as a whole reserves nothing.
+        A gang that does not fit as a whole reserves nothing.
         """
         chosen: list[Candidate] = []
         count = step.waiting_count
@@ -291,15 +295,14 @@
             for candidate in candidates
             if candidate.free.cpu_millis >= cpu_millis
         ]
-        fitting.sort(
-            key=lambda candidate: (
-                candidate.worker.worker_id in step.failed_worker_ids,
-                candidate.worker.worker_id not in step.in_flight_worker_ids
-                and not self._has_ticket(step, candidate),
-                candidate.free.cpu_millis,
-            )
+        ordered = self._candidate_order.for_start(
+            step,
+            fitting,
+            partial(self._has_ticket, step),
+            _expected_call_ms(step, 1),
+            self._now_ms,
         )
-        for candidate in fitting:
+        for candidate in ordered:
             task_count = min(
                 count - len(chosen), free_task_count(candidate, step)
             )
--- a/src/magnoliapitch/planner/ranking.py
+++ b/src/magnoliapitch/planner/ranking.py
@@ -57,10 +57,13 @@
     ):
         step.rank_computed_ms = now_ms
         step.objective_ms = _objective_ms(job, duration_estimator)
-        step.latest_start_ms = (
+        step.latest_end_ms = (
             job.known_ms
             + step.objective_ms
-            - _remaining_path_ms(step, duration_estimator)
+            - _dependent_path_ms(step, duration_estimator)
+        )
+        step.latest_start_ms = step.latest_end_ms - (
+            duration_estimator.probable_ms(step, step.latest_end_ms - now_ms)
         )
     latest_start_ms, objective_ms = step.latest_start_ms, step.objective_ms
     lateness = 0
@@ -93,14 +96,20 @@
     step: TrackedStep, duration_estimator: DurationEstimator
 ) -> float:
     """Return the longest path from a step to the end of its job, in ms."""
-    job = step.job
     own_ms = duration_estimator.expected_ms(step)
+    return own_ms + _dependent_path_ms(step, duration_estimator)
+
+
+def _dependent_path_ms(
+    step: TrackedStep, duration_estimator: DurationEstimator
+) -> float:
+    """Return the longest path from the end of a step to that of its job."""
     dependent_paths_ms = [
         _remaining_path_ms(dependent, duration_estimator)
-        for dependent in job.steps[step.key.occurrence]
+        for dependent in step.job.steps[step.key.occurrence]
         if step.key.step in dependent.spec.depends_on
     ]
-    return own_ms + max(dependent_paths_ms, default=0.0)
+    return max(dependent_paths_ms, default=0.0)
 
 
 def _path_ms(
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -252,6 +252,7 @@
         if run.started_ms is None:
             run.resumed_percent = reported.percent
         self.confirm_run(run, now_ms)
+        run.percent = reported.percent
         run.has_ended_with_worker = False
         task = run.task
         if reported.checkpoint and reported.checkpoint != task.checkpoint:
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.planner.duration.step_work import StepWork
 from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.job import StepKey
@@ -43,24 +44,36 @@
     :ivar stopped_ms: when the worker accepted a stop order; None before.
     :ivar resumed_percent: progress in the first report, 0 to 100; above 0 if
         the run resumed from a checkpoint.
+    :ivar is_resumed: whether the run was ordered with a checkpoint.
+    :ivar percent: progress in the newest report, 0 to 100.
+    :ivar start_clock_ms: when the worker accepted the run at the first order,
+        by its own clock; None if that is not known.
+    :ivar end_clock_ms: when the run ended, by the worker's own clock; None if
+        that is not known exactly enough.
+    :ivar worker_rack: rack of the worker when the run was added.
     """
 
     __slots__ = (
         "confirmed_ms",
+        "end_clock_ms",
         "has_ended_with_worker",
         "is_order_settled",
         "is_restored",
+        "is_resumed",
         "is_stopping",
         "number",
         "order_sent_ms",
         "ordered_ms",
+        "percent",
         "resources",
         "resumed_percent",
+        "start_clock_ms",
         "started_ms",
         "stop_sent_ms",
         "stopped_ms",
         "task",
         "worker_id",
+        "worker_rack",
     )
 
     def __init__(
@@ -81,6 +94,11 @@
         self.stop_sent_ms: int | None = None
         self.stopped_ms: int | None = None
         self.resumed_percent = 0.0
+        self.is_resumed = task.checkpoint != ""
+        self.percent = 0.0
+        self.start_clock_ms: int | None = None
+        self.end_clock_ms: int | None = None
+        self.worker_rack = ""
 
     @property
     def may_have_been_ordered(self) -> bool:
@@ -127,7 +145,7 @@
         self.runs = 0
         self.failures = 0
         self.is_done = False
-        self.checkpoint = ""
+        self.checkpoint: str = ""
         self.active_runs: list[TrackedRun] = []
         self.worker_crashes = 0
         self.worker_losses = 0
@@ -150,6 +168,9 @@
     :ivar latest_start_ms: latest start with which the job can still
         complete within its objective; None before it is computed.
     :ivar objective_ms: time within which the job should complete.
+    :ivar latest_end_ms: latest end of the step with which it still can; None
+        before it is computed.
+    :ivar finished_work: work of the tasks that were measured.
     :ivar rank_computed_ms: when ``latest_start_ms`` and ``objective_ms``
         were computed.
     :ivar ready_ms: when the step became ready to start, its dependencies
@@ -175,10 +196,12 @@
         "asked_worker_ids",
         "failed_run_numbers",
         "failed_worker_ids",
+        "finished_work",
         "hold_until_ms",
         "in_flight_worker_ids",
         "job",
         "key",
+        "latest_end_ms",
         "latest_start_ms",
         "objective_ms",
         "permitted_worker_ids",
@@ -211,7 +234,9 @@
         self.in_flight_worker_ids: frozenset[str] = frozenset()
         self.failed_worker_ids: set[str] = set()
         self.failed_run_numbers: set[int] = set()
+        self.finished_work = StepWork()
         self.latest_start_ms: float | None = None
+        self.latest_end_ms: float | None = None
         self.objective_ms = 0.0
         self.rank_computed_ms = 0
 
@@ -347,6 +372,8 @@
     def add(self, run: TrackedRun) -> None:
         """Add a run and reserve its capacity."""
         self.runs.append(run)
+        if self.info is not None:
+            run.worker_rack = self.info.rack
         self.free = self.free.minus(run.resources)
 
     def remove(self, run: TrackedRun) -> None:
--- a/tests/control/simulated_worker.py
+++ b/tests/control/simulated_worker.py
@@ -296,12 +296,22 @@
         """Let a run work and schedule its end."""
         simulation, key = self._simulation, run.order.task
         run.working_since_ms = simulation.now_ms
-        run.duration_ms = simulation.actual_duration_ms(key)
+        run.duration_ms = simulation.actual_duration_ms(key) / self._speed(run)
         run_fails = simulation.run_fails(key, self.info.worker_id)
         kind = EndKind.FAILED if run_fails else EndKind.DONE
         delay_ms = 200 if run_fails else run.duration_ms
         simulation.schedule(delay_ms, lambda: self.end(run, kind))
 
+    def _speed(self, run: _Run) -> float:
+        """Return the speed of a run; a gang is as fast as its slowest."""
+        workers = [self]
+        if run.step.is_gang:
+            workers += [worker for worker, _ in self._members(run)]
+        return min(
+            self._simulation.speed_of(worker.info.worker_id)
+            for worker in workers
+        )
+
     def _members(self, run: _Run) -> list[tuple[SimulatedWorker, _Run]]:
         return [
             (worker, member)
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -27,6 +27,7 @@
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.ledger.state_table import StateTable
 from magnoliapitch.metric import Metrics
+from magnoliapitch.planner.planner import DEFAULT_OPTIONS
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.configuration import Configuration
 from magnoliapitch.workload.configuration import PermitTiming
@@ -49,6 +50,7 @@
     from collections.abc import Sequence
 
     from magnoliapitch.ledger.leadership import Batch
+    from magnoliapitch.planner.options import PlanningOptions
     from magnoliapitch.workload.job import JobSpec
     from magnoliapitch.workload.job import StepKey
     from magnoliapitch.workload.job import TaskKey
@@ -76,6 +78,7 @@
     :ivar violations: descriptions of violated invariants.
     :ivar actual_duration_ms: returns the actual duration of a task; by
         default 1 s.
+    :ivar speed_of: returns the speed of a worker; 1 by default.
     :ivar run_fails: returns whether runs of a task fail on a worker.
     :ivar crashes_worker: returns whether a task crashes each worker that
         starts it.
@@ -102,13 +105,16 @@
         workers: Sequence[WorkerInfo],
         advisor_call_limit: int = 6,
         effects_type: type[SimulatedEffects] = SimulatedEffects,
+        options: PlanningOptions = DEFAULT_OPTIONS,
     ) -> None:
+        self._options = options
         self.effects_type = effects_type
         self.now_ms = 0
         self.advisor_call_limit = advisor_call_limit
         self.violations: list[str] = []
         self.finished: dict[str, Finished] = {}
         self.actual_duration_ms: Callable[[TaskKey], float] = lambda _: 1_000.0
+        self.speed_of: Callable[[str], float] = lambda _: 1.0
         self.run_fails: Callable[[TaskKey, str], bool] = lambda *_: False
         self.crashes_worker: Callable[[TaskKey], bool] = lambda _: False
         self.crash_delay_ms = 30
@@ -195,6 +201,7 @@
             self.effects_type(self, self._epoch),
             lambda: self.configuration,
             Metrics(),
+            self._options,
         )
         controller.load(self.now_ms, self._job_end)
         self.controller = controller
