Take the start delay, all tasks and the error of the work into account

Change: the test of being in time allows for the learned delay of starts, for all waiting tasks of the step, and for work that is less or more than expected, with the objective that then applies.

--- a/src/magnoliapitch/planner/candidate_order.py
+++ b/src/magnoliapitch/planner/candidate_order.py
@@ -5,8 +5,6 @@
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner.candidates import free_task_count
-from magnoliapitch.planner.duration.speed_table import log_speed_of_class
-from magnoliapitch.planner.duration.spread import exp_ms
 
 
 if TYPE_CHECKING:
@@ -18,11 +16,6 @@
     from magnoliapitch.planner.tracked import TrackedStep
 
 
-# Time from the plan of a start to the work, and from the end of the work to
-# its publication: two writes to the store and an order.
-START_AND_END_MS = 60.0
-
-
 class CandidateOrder:
     """Workers with the least free CPU first, all equally fast."""
 
@@ -137,18 +130,11 @@
         :param delay_ms: time until the step can start.
         :return: the class; one above the fastest if none is in time.
         """
-        classes = self._durations.speeds.classes
         if step.latest_end_ms is None or step.spec.is_long_running:
-            return classes[0]
-        available_ms = (
-            step.latest_end_ms - now_ms - delay_ms - START_AND_END_MS
+            return self._durations.speeds.classes[0]
+        return self._durations.slowest_in_time(
+            step, step.latest_end_ms - now_ms - delay_ms
         )
-        log_work, margin = self._durations.in_time_terms(step)
-        for number in classes:
-            log_duration = log_work - log_speed_of_class(number) + margin
-            if exp_ms(log_duration) <= available_ms:
-                return number
-        return classes[-1] + 1
 
     def _gang_limit(
         self, step: TrackedStep, fitting: list[Candidate], limit: int
--- a/src/magnoliapitch/planner/duration/learned.py
+++ b/src/magnoliapitch/planner/duration/learned.py
@@ -4,6 +4,8 @@
 
 import math
 
+from functools import lru_cache
+from statistics import NormalDist
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner.duration.measurement import finished_task
@@ -29,8 +31,13 @@
 REFRESH_INTERVAL_MS = 1_000
 # Queues whose figures are kept; those of the least weight are dropped first.
 MAX_QUEUES = 2_000
-# Deviations that a task may take longer than expected and still be in time.
-IN_TIME_DEVIATIONS = 1.0
+# Chance of being in time from which a step counts as in time.
+IN_TIME_CHANCE = 0.9
+# Deviations of the work of a step for which it must be in time.
+WORK_DEVIATIONS = 1.0
+# Weight of a new sample of the time from a plan to the start.
+START_DELAY_WEIGHT = 0.02
+FIRST_START_DELAY_MS = 40.0
 # Progress below this is too little to tell the speed of a run.
 MIN_TELLING_PERCENT = 5.0
 
@@ -46,6 +53,7 @@
         self.work_by_queue: dict[str, QueueWork] = {}
         self.speeds = SpeedTable()
         self._refreshed_ms: int | None = None
+        self._start_delay_ms = FIRST_START_DELAY_MS
 
     def expected_ms(self, step: TrackedStep) -> float:
         """Return the nominal duration of one task of a step, in ms."""
@@ -91,21 +99,41 @@
         That is on the slowest workers on which it is in time, or else on the
         fastest.
         """
-        log_work, margin = self.in_time_terms(step)
-        for number in self.speeds.classes:
-            log_duration = log_work - log_speed_of_class(number)
-            if exp_ms(log_duration + margin) <= available_ms:
-                break
-        return exp_ms(log_duration)
+        number = min(
+            self.slowest_in_time(step, available_ms), self.speeds.classes[-1]
+        )
+        return exp_ms(self.work(step).mean - log_speed_of_class(number))
+
+    def slowest_in_time(self, step: TrackedStep, available_ms: float) -> int:
+        """Return the slowest class of workers on which a step is in time.
 
-    def in_time_terms(self, step: TrackedStep) -> tuple[float, float]:
-        """Return the logarithm of a step's work, and of its margin.
+        It must be for all its waiting tasks, with a margin for their spread,
+        and whether its work is less or more than expected. The objective is
+        a multiple of the work, so that it is less or more too.
 
-        The margin is only for the tasks of the step. The error of its whole
-        work changes its objective too, which is a multiple of its duration.
+        :param available_ms: time left until the step should have ended.
+        :return: the class; one above the fastest if none is in time.
         """
-        variance = self._task_variance(step)
-        return self.work(step).mean, IN_TIME_DEVIATIONS * math.sqrt(variance)
+        work = self.work(step)
+        work_ms = work.median_ms()
+        margin = _margin_deviations(step.waiting_count) * math.sqrt(
+            self._task_variance(step)
+        )
+        deviation = WORK_DEVIATIONS * math.sqrt(work.variance)
+        cases = [
+            (
+                log_work + margin,
+                available_ms
+                - 2 * self._start_delay_ms
+                + step.job.queue.stretch * (exp_ms(log_work) - work_ms),
+            )
+            for log_work in (work.mean - deviation, work.mean + deviation)
+        ]
+        for number in self.speeds.classes:
+            log_speed = log_speed_of_class(number)
+            if all(exp_ms(late - log_speed) <= ms for late, ms in cases):
+                return number
+        return self.speeds.classes[-1] + 1
 
     def work(self, step: TrackedStep) -> LogDuration:
         """Return the mean work of the tasks of a step."""
@@ -117,6 +145,10 @@
 
     def record_done(self, run: TrackedRun, now_ms: int) -> None:
         """Learn from a run that was done and is not removed yet."""
+        if run.started_ms is not None and not run.is_restored:
+            self._start_delay_ms += START_DELAY_WEIGHT * (
+                run.started_ms - run.ordered_ms - self._start_delay_ms
+            )
         task = finished_task(run)
         if task is not None:
             self.add(task, now_ms)
@@ -220,4 +252,11 @@
         )
 
 
+@lru_cache(maxsize=256)
+def _margin_deviations(task_count: int) -> float:
+    """Return the margin with which all of a number of tasks are in time."""
+    chance = IN_TIME_CHANCE ** (1 / max(1, task_count))
+    return NormalDist().inv_cdf(chance)
+
+
 __all__ = ["LearnedDurations"]
