Keep learned durations over a change of leader, report and replay them

Cause: a new leader started without history; operators could not see what is learned, nor check it on recorded ends.

Change: a record under the key speeds is stored with batches that are stored anyway, at most every 5 s. The events durations-learned and worker-slowed and the counter workers_slowed report what is learned; durations replay prints the errors of the estimates for recorded ends. While the errors of a queue are all on one side, samples of speeds count less. The first clock of a start is kept in control/accepted_starts.py.

--- a/src/magnoliapitch/console/application.py
+++ b/src/magnoliapitch/console/application.py
@@ -12,6 +12,7 @@
 from magnoliapitch.console.demo import demo
 from magnoliapitch.console.dev import dev
 from magnoliapitch.console.drain import drain
+from magnoliapitch.console.durations import durations
 from magnoliapitch.console.entry import entry
 from magnoliapitch.console.job import job
 from magnoliapitch.console.logs import logs
@@ -28,7 +29,7 @@
 )
 for command in (entry, request, state, drain, dev, demo):
     application.command(command)
-for group in (settings, catalogue, job, logs, bench):
+for group in (settings, catalogue, job, logs, durations, bench):
     application.command(group)
 
 
--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -6,8 +6,8 @@
 
 from result import Err
 
+from magnoliapitch.control.accepted_starts import record_accepted
 from magnoliapitch.control.order_issuer import OrderIssuer
-from magnoliapitch.control.order_sender import is_first_attempt
 from magnoliapitch.control.permit_requester import PermitRequester
 from magnoliapitch.control.planning_summary import PlanningSummary
 from magnoliapitch.control.progress_batcher import ProgressBatcher
@@ -109,7 +109,12 @@
         self._is_commit_in_flight = False
         self._stored_ms = claimed_ms
         self._progress_batcher = ProgressBatcher(
-            self.state, state_table, leader, timing, self._delete_jobs
+            self.state,
+            state_table,
+            leader,
+            timing,
+            self._delete_jobs,
+            self.planner.learned_durations,
         )
 
     @property
@@ -225,10 +230,7 @@
         run = self.state.run(planned.task, planned.run, planned.worker_id)
         if not isinstance(event.outcome, Err):
             if run is not None:
-                run.is_order_settled = is_first_attempt(event)
-                run.start_clock_ms = event.outcome.ok_value
-                if run.confirmed_ms is None:
-                    self.state.confirm_run(run, event.received_ms)
+                record_accepted(self.state, run, event, event.outcome.ok_value)
             return
         failure = event.outcome.err_value
         self._order_issuer.record_failed_start(planned, failure)
@@ -335,11 +337,7 @@
         """
         if not self.is_over:
             self.is_over = True
-            log_event(
-                "leadership-lost",
-                epoch=self._leader.epoch,
-                reason=reason,
-            )
+            log_event("leadership-lost", epoch=self.epoch, reason=reason)
 
     def _add_job(self, stored: StoredJob, now_ms: int) -> None:
         configuration = self._configuration()
--- a/src/magnoliapitch/control/progress_batcher.py
+++ b/src/magnoliapitch/control/progress_batcher.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.control.speed_record import SpeedRecord
 from magnoliapitch.ledger.leadership import Batch
 from magnoliapitch.ledger.records import LEADER_KEY
 from magnoliapitch.ledger.records import PROGRESS_PREFIX
@@ -24,6 +25,7 @@
     from magnoliapitch.control.timing import ControlTiming
     from magnoliapitch.ledger.records import LeaderRecord
     from magnoliapitch.ledger.state_table import StateTable
+    from magnoliapitch.planner.duration import LearnedDurations
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedJob
     from magnoliapitch.workload.progress import JobProgress
@@ -44,6 +46,8 @@
     """Collects changed progress and job states into one batch at a time.
 
     :param delete_jobs: deletes stored jobs that have ended.
+    :param learned_durations: what is learned of durations and speeds; None if
+        it is not kept.
     """
 
     def __init__(
@@ -53,12 +57,14 @@
         leader: LeaderRecord,
         timing: ControlTiming,
         delete_jobs: Callable[[Sequence[str]], None],
+        learned_durations: LearnedDurations | None = None,
     ) -> None:
         self._state = state
         self._state_table = state_table
         self._leader = leader
         self._timing = timing
         self._delete_jobs = delete_jobs
+        self._speed_record = SpeedRecord(learned_durations, state_table)
         self._heartbeat_ms = 0
         self._progress_in_commit_by_id: dict[str, JobProgress] = {}
         self._states_in_commit_by_id: dict[str, PublishedJob] = {}
@@ -72,6 +78,7 @@
     def load(self, now_ms: int) -> None:
         """Start from the job states that former leaders published."""
         self._heartbeat_ms = now_ms
+        self._speed_record.load(now_ms)
         for job_id in self._state_table.ended_job_ids():
             self._ended_ms_by_job[job_id] = now_ms
 
@@ -130,6 +137,7 @@
         for job_id, published in self._states_in_commit_by_id.items():
             self._state_table.put(job_id, published)
         self._states_in_commit_by_id = {}
+        self._speed_record.record_stored()
         if self._leader_in_commit is not None:
             self._state_table.leader = self._leader_in_commit
             self._leader_in_commit = None
@@ -201,7 +209,11 @@
             self._leader_in_commit = self._leader
             leader = encode_leader(self._leader)
             records.append(KeyedRecord(LEADER_KEY, leader))
-        return (*records, *self._expired_states(now_ms))
+        return (
+            *records,
+            *self._speed_record.due_records(now_ms),
+            *self._expired_states(now_ms),
+        )
 
     def _is_heartbeat_due(self, now_ms: int) -> bool:
         return now_ms - self._heartbeat_ms >= HEARTBEAT_INTERVAL_MS
--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -7,6 +7,7 @@
 
 from magnoliapitch.control.end_clocks import EndClocks
 from magnoliapitch.control.log_fields import run_fields
+from magnoliapitch.control.speed_report import SpeedReport
 from magnoliapitch.event import log_event
 from magnoliapitch.workload.run import EndKind
 from magnoliapitch.workload.run import StopOrder
@@ -55,6 +56,7 @@
         self._metrics = metrics
         self.last_end_sequence_by_worker: dict[str, int] = {}
         self._end_clocks = EndClocks()
+        self._speed_report = SpeedReport(planner.learned_durations, metrics)
         self._workers_with_ends: set[str] = set()
         self._stopped_ms_by_worker: dict[str, dict[StopOrder, int]] = {}
 
@@ -118,6 +120,7 @@
         worker = self._state.get_or_add_worker(worker_id)
         worker.unknown_run_count = len(unexpected)
         self._remove_absent_runs(worker_id, reported_run_identities, sent_ms)
+        self._speed_report.record(received_ms)
         return ReportOutcome(
             last_end_sequence,
             self._due_stops(worker_id, unexpected, received_ms),
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -36,6 +36,20 @@
     "What the leader's planning rounds of about one second did, and what "
     "waits; see docs/OPERATIONS.md.",
 )
+define_event(
+    "durations-learned",
+    EventLevel.INFO,
+    "What the leader has learned of task durations, about once a minute: the "
+    "slowest and fastest workers with their speeds, and for each queue the "
+    "errors of its estimates, of whole steps and of the tasks of a step, as "
+    "deviations of logarithms.",
+)
+define_event(
+    "worker-slowed",
+    EventLevel.WARNING,
+    "Tasks on a worker take much longer than they did there, compared with "
+    "the same work elsewhere; other workers are preferred.",
+)
 define_event(
     "step-done",
     EventLevel.INFO,
--- a/src/magnoliapitch/ledger/records.py
+++ b/src/magnoliapitch/ledger/records.py
@@ -22,6 +22,7 @@
 PROGRESS_PREFIX = "p."
 STATE_PREFIX = "s."
 LEADER_KEY = "leader"
+SPEEDS_KEY = "speeds"
 CANCELLED = b"1"
 
 
--- a/src/magnoliapitch/ledger/state_table.py
+++ b/src/magnoliapitch/ledger/state_table.py
@@ -11,6 +11,7 @@
 
 from magnoliapitch.event import log_event
 from magnoliapitch.ledger.records import LEADER_KEY
+from magnoliapitch.ledger.records import SPEEDS_KEY
 from magnoliapitch.ledger.records import STATE_PREFIX
 from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.ledger.records import decode_leader
@@ -71,10 +72,13 @@
     """Jobs whose state the leader has published; thread-safe.
 
     :ivar leader: newest claim of leadership, or None if none is stored.
+    :ivar speeds: what the leader has learned of durations and speeds, encoded
+        as only the next leader reads it; None if nothing is stored.
     """
 
     def __init__(self) -> None:
         self.leader: LeaderRecord | None = None
+        self.speeds: bytes | None = None
         self._lock = threading.Lock()
         self._job_by_id: dict[str, PublishedJob] = {}
         self._pending_by_queue: Counter[str] = Counter()
@@ -127,6 +131,8 @@
     def _apply_record(self, key: str, value: bytes | None) -> None:
         if key == LEADER_KEY:
             self.leader = None if value is None else decode_leader(value)
+        elif key == SPEEDS_KEY:
+            self.speeds = value
         elif key.startswith(STATE_PREFIX):
             job = None if value is None else PublishedJob.decode(value)
             self.put(key[len(STATE_PREFIX) :], job)
--- a/src/magnoliapitch/planner/duration/learned.py
+++ b/src/magnoliapitch/planner/duration/learned.py
@@ -170,7 +170,8 @@
             self.speeds.add_sample(
                 task.worker_ids[0],
                 expected.mean - log_duration,
-                expected.variance + task_variance,
+                expected.variance,
+                task_variance,
                 now_ms,
             )
         log_work = log_duration + log_speed
--- a/src/magnoliapitch/planner/duration/queue_work.py
+++ b/src/magnoliapitch/planner/duration/queue_work.py
@@ -30,7 +30,9 @@
 # many times as long do not distort what is learned of the others.
 MAX_DEVIATIONS = 2.5
 # Share of the former observations that is kept once their work has changed.
-KEPT_AFTER_CHANGE_SHARE = 0.04
+KEPT_AFTER_CHANGE_SHARE = 0.015
+# Weight of a step in the mean of the latest errors.
+RECENT_WEIGHT = 0.25
 
 
 class QueueFigures(NamedTuple):
@@ -66,11 +68,12 @@
     :ivar figures: what is learned.
     """
 
-    __slots__ = ("_change_detector", "figures")
+    __slots__ = ("_change_detector", "_recent_error", "figures")
 
     def __init__(self, figures: QueueFigures | None = None) -> None:
         self.figures = figures or QueueFigures()
         self._change_detector = ChangeDetector()
+        self._recent_error = 0.0
 
     @property
     def slope(self) -> float:
@@ -83,16 +86,20 @@
     def expected(self, declared_ms: float) -> LogDuration:
         """Return the work of a step before any of its tasks has ended.
 
+        While the latest errors are all on one side, the work has probably
+        changed, which must not be attributed to the workers.
+
         :param declared_ms: declared estimate; 0 if there is none.
         """
         figures = self.figures
+        variance = figures.step_variance + self._recent_error**2
         if not figures.weight:
             mean = log_ms(declared_ms or DEFAULT_DURATION_MS)
-            return LogDuration(mean, figures.step_variance)
+            return LogDuration(mean, variance)
         mean = figures.mean_y
         if declared_ms:
             mean += self.slope * (log_ms(declared_ms) - figures.mean_x)
-        return LogDuration(mean, figures.step_variance)
+        return LogDuration(mean, variance)
 
     def add(self, declared_ms: float, log_work: float, share: float) -> None:
         """Add the work of a finished task.
@@ -100,9 +107,15 @@
         :param share: share of the task in its step.
         """
         expected = self.expected(declared_ms)
-        variance = expected.variance + self.figures.task_variance
-        deviation = math.sqrt(variance)
+        deviation = math.sqrt(
+            self.figures.step_variance + self.figures.task_variance
+        )
         deviations = _clipped((log_work - expected.mean) / deviation)
+        self._recent_error += (
+            RECENT_WEIGHT
+            * share
+            * (deviations * deviation - self._recent_error)
+        )
         if self.figures.weight >= 1 and self._change_detector.add(
             deviations, share
         ):
--- a/src/magnoliapitch/planner/duration/speed_table.py
+++ b/src/magnoliapitch/planner/duration/speed_table.py
@@ -31,6 +31,8 @@
 # Kinds explain the speeds if these differ this much less within a kind.
 EXPLAINED_SHARE = 0.6
 MIN_PRIOR_VARIANCE = 0.01
+# Time in which a new leader has read the list of workers.
+KEEP_RESTORED_MS = 60_000
 UNKNOWN = SpeedEstimate(0.0, PRIOR_SPEED_VARIANCE)
 
 
@@ -47,6 +49,21 @@
         self.speeds_by_id: dict[str, WorkerSpeed] = {}
         self.class_by_id: dict[str, int] = {}
         self.classes: tuple[int, ...] = (0,)
+        self._restored_by_id: dict[str, SpeedEstimate] = {}
+        self._restored_until_ms: int | None = None
+
+    def restore(self, estimates_by_id: Mapping[str, SpeedEstimate]) -> None:
+        """Start from stored speeds, of workers that will be listed yet."""
+        self._restored_by_id = dict(estimates_by_id)
+        self._restored_until_ms = None
+
+    def estimates_by_id(self) -> dict[str, SpeedEstimate]:
+        """Return all speeds, with those restored of unlisted workers."""
+        listed = {
+            worker_id: speed.estimate
+            for worker_id, speed in self.speeds_by_id.items()
+        }
+        return {**self._restored_by_id, **listed}
 
     def estimate(self, worker_id: str) -> SpeedEstimate:
         """Return what is learned of a worker's speed."""
@@ -57,31 +74,51 @@
         self,
         worker_id: str,
         log_speed: float,
-        error_variance: float,
+        work_variance: float,
+        task_variance: float,
         now_ms: int,
     ) -> None:
         """Add a measured speed of a worker.
 
-        :param error_variance: variance of the error of the measurement.
+        :param work_variance: variance of the error of the step's work.
+        :param task_variance: variance of the tasks of one step.
         """
         speed = self.speeds_by_id.get(worker_id)
         if speed is not None:
-            speed.add(log_speed, error_variance, now_ms)
+            error_variance = work_variance + task_variance
+            speed.add(
+                log_speed,
+                error_variance,
+                now_ms,
+                task_variance / error_variance,
+            )
 
     def set_workers(self, kind_by_id: Mapping[str, str], now_ms: int) -> None:
         """Add new workers and drop those that are gone.
 
         :param kind_by_id: kind of each worker, from its labels.
         """
+        self._drop_restored(now_ms)
         if kind_by_id.keys() == self.speeds_by_id.keys():
             return
         known = self._known_by_kind()
         self.speeds_by_id = {
             worker_id: self.speeds_by_id.get(worker_id)
-            or WorkerSpeed(_prior(known, kind), kind, now_ms)
+            or WorkerSpeed(
+                self._restored_by_id.get(worker_id) or _prior(known, kind),
+                kind,
+                now_ms,
+            )
             for worker_id, kind in kind_by_id.items()
         }
 
+    def _drop_restored(self, now_ms: int) -> None:
+        """Drop restored speeds of workers that were not listed for long."""
+        if self._restored_until_ms is None:
+            self._restored_until_ms = now_ms + KEEP_RESTORED_MS
+        elif now_ms > self._restored_until_ms:
+            self._restored_by_id = {}
+
     def normalise(self) -> float:
         """Make the mean speed of the known workers the nominal one.
 
--- a/src/magnoliapitch/planner/duration/worker_speed.py
+++ b/src/magnoliapitch/planner/duration/worker_speed.py
@@ -45,11 +45,17 @@
         self._change_detector = ChangeDetector()
 
     def add(
-        self, log_speed: float, error_variance: float, now_ms: int
+        self,
+        log_speed: float,
+        error_variance: float,
+        now_ms: int,
+        own_share: float = 1.0,
     ) -> None:
         """Add a measured speed.
 
         :param error_variance: variance of the error of the measurement.
+        :param own_share: share of that variance that does not come from the
+            error of the step's work, which several workers have in common.
         """
         mean, variance = self.estimate
         elapsed_s = max(0, now_ms - self.updated_ms) / 1000
@@ -61,7 +67,7 @@
         deviation = math.sqrt(variance + error_variance)
         deviations = (log_speed - mean) / deviation
         deviations = max(-MAX_DEVIATIONS, min(MAX_DEVIATIONS, deviations))
-        if self._change_detector.add(deviations):
+        if self._change_detector.add(deviations, math.sqrt(own_share)):
             variance = max(variance, PRIOR_SPEED_VARIANCE)
         gain = variance / (variance + error_variance)
         self.estimate = SpeedEstimate(
