--- a/src/magnoliapitch/planner/duration/interface.py
+++ b/src/magnoliapitch/planner/duration/interface.py
@@ -49,7 +49,7 @@
     def refresh(
         self, workers_by_id: Mapping[str, TrackedWorker], now_ms: int
     ) -> None:
-        """Add new workers, drop those that are gone, at most once a second."""
+        """Add new workers and drop those that are gone, if that is due."""
 
 
 __all__ = ["DurationEstimator"]
--- a/src/magnoliapitch/planner/duration/learned.py
+++ b/src/magnoliapitch/planner/duration/learned.py
@@ -53,6 +53,7 @@
         self.work_by_queue: dict[str, QueueWork] = {}
         self.speeds = SpeedTable()
         self._refreshed_ms: int | None = None
+        self._worker_count = 0
         self._start_delay_ms = FIRST_START_DELAY_MS
 
     def expected_ms(self, step: TrackedStep) -> float:
@@ -193,13 +194,19 @@
     def refresh(
         self, workers_by_id: Mapping[str, TrackedWorker], now_ms: int
     ) -> None:
-        """Add new workers, drop those that are gone, at most once a second."""
+        """Add new workers and drop those that are gone.
+
+        It does so once a second, and when the number of workers changes, so
+        that a new leader uses restored speeds at once.
+        """
         if (
             self._refreshed_ms is not None
             and now_ms - self._refreshed_ms < REFRESH_INTERVAL_MS
+            and len(workers_by_id) == self._worker_count
         ):
             return
         self._refreshed_ms = now_ms
+        self._worker_count = len(workers_by_id)
         kind_by_id = {
             worker_id: kind_of(worker.info.labels, worker.info.rack)
             for worker_id, worker in workers_by_id.items()
