Choose workers to ask about by class of speed without sorting all

Change: candidates carry their class, and the workers of a class are listed once a round in the order of their free CPU.

--- a/src/magnoliapitch/planner/candidate_order.py
+++ b/src/magnoliapitch/planner/candidate_order.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import chain
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner.candidates import free_task_count
@@ -9,9 +10,11 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterable
+    from collections.abc import Iterator
+    from collections.abc import Sequence
 
     from magnoliapitch.planner.candidates import Candidate
+    from magnoliapitch.planner.candidates import CandidateWorkers
     from magnoliapitch.planner.duration import LearnedDurations
     from magnoliapitch.planner.tracked import TrackedStep
 
@@ -19,6 +22,9 @@
 class CandidateOrder:
     """Workers with the least free CPU first, all equally fast."""
 
+    def begin_round(self, workers: CandidateWorkers) -> None:
+        """Prepare the workers of a planning round."""
+
     def for_start(
         self,
         step: TrackedStep,
@@ -49,15 +55,12 @@
 
     def for_request(
         self,
-        step: TrackedStep,  # noqa: ARG002
-        candidates: Iterable[Candidate],
+        step: TrackedStep,
+        workers: CandidateWorkers,
         now_ms: int,  # noqa: ARG002
-    ) -> Iterable[Candidate]:
-        """Return the workers to ask the advisor about, the best first.
-
-        :param candidates: workers in the order of their free CPU.
-        """
-        return candidates
+    ) -> Iterator[Candidate]:
+        """Return the workers to ask the advisor about, the best first."""
+        return workers.eligible(step)
 
 
 class SpeedOrder(CandidateOrder):
@@ -70,7 +73,14 @@
 
     def __init__(self, durations: LearnedDurations) -> None:
         self._durations = durations
-        self._class_by_id = durations.speeds.class_by_id
+
+    def begin_round(self, workers: CandidateWorkers) -> None:
+        """Prepare the workers of a planning round."""
+        candidates_by_id = workers.candidates_by_id
+        for worker_id, number in self._durations.speeds.class_by_id.items():
+            candidate = candidates_by_id.get(worker_id)
+            if candidate is not None:
+                candidate.speed_class = number
 
     def for_start(
         self,
@@ -87,19 +97,19 @@
                 step, fitting, has_ticket, call_ms, now_ms
             )
         limit = self._slowest_in_time(step, now_ms)
-        asked_limit = self._slowest_in_time(step, now_ms, call_ms)
+        asked_limit = (
+            self._slowest_in_time(step, now_ms, call_ms) if call_ms else limit
+        )
         if step.spec.is_gang:
             limit = asked_limit = self._gang_limit(step, fitting, asked_limit)
 
-        def key(candidate: Candidate) -> tuple[bool, bool, bool, int, int]:
-            worker_id = candidate.worker.worker_id
-            number = self._class_by_id.get(worker_id, 0)
+        def key(candidate: Candidate) -> tuple[int, int, int]:
             must_be_asked = _must_be_asked(step, candidate, has_ticket)
+            number = candidate.speed_class
             is_late = number < (asked_limit if must_be_asked else limit)
+            has_failed = candidate.worker.worker_id in step.failed_worker_ids
             return (
-                worker_id in step.failed_worker_ids,
-                is_late,
-                must_be_asked,
+                4 * has_failed + 2 * is_late + must_be_asked,
                 -number if is_late else number,
                 candidate.free.cpu_millis,
             )
@@ -107,20 +117,23 @@
         return sorted(fitting, key=key)
 
     def for_request(
-        self, step: TrackedStep, candidates: Iterable[Candidate], now_ms: int
-    ) -> Iterable[Candidate]:
-        """Return the workers to ask the advisor about, the best first."""
-        if len(self._durations.speeds.classes) == 1:
-            return candidates
-        limit = self._slowest_in_time(step, now_ms)
-
-        def key(candidate: Candidate) -> tuple[bool, bool, int]:
-            number = self._class_by_id.get(candidate.worker.worker_id, 0)
-            is_late = number < limit
-            is_full = candidate.free.cpu_millis < step.reservation.cpu_millis
-            return (is_late, is_full, -number if is_late else number)
+        self, step: TrackedStep, workers: CandidateWorkers, now_ms: int
+    ) -> Iterator[Candidate]:
+        """Return the workers to ask the advisor about, the best first.
 
-        return sorted(candidates, key=key)
+        Among those in time, and among the others, workers with free capacity
+        come first.
+        """
+        classes = self._durations.speeds.classes
+        if len(classes) == 1:
+            return workers.eligible(step)
+        limit = self._slowest_in_time(step, now_ms)
+        in_time = [number for number in classes if number >= limit]
+        late = [number for number in reversed(classes) if number < limit]
+        return chain(
+            _free_first(step, workers, in_time),
+            _free_first(step, workers, late),
+        )
 
     def _slowest_in_time(
         self, step: TrackedStep, now_ms: int, delay_ms: float = 0.0
@@ -148,8 +161,8 @@
         """
         count_by_class = dict.fromkeys(self._durations.speeds.classes, 0)
         for candidate in fitting:
-            number = self._class_by_id.get(candidate.worker.worker_id, 0)
-            if number >= limit:
+            number = candidate.speed_class
+            if limit <= number and count_by_class[number] < step.waiting_count:
                 count_by_class[number] += free_task_count(candidate, step)
         for number, count in count_by_class.items():
             if number >= limit and count >= step.waiting_count:
@@ -157,6 +170,17 @@
         return max(count_by_class) + 1
 
 
+def _free_first(
+    step: TrackedStep, workers: CandidateWorkers, classes: Sequence[int]
+) -> Iterator[Candidate]:
+    """Return the workers of some classes, those with free capacity first."""
+    return chain.from_iterable(
+        workers.eligible_of_class(step, number, is_full=is_full)
+        for is_full in (False, True)
+        for number in classes
+    )
+
+
 def _must_be_asked(
     step: TrackedStep,
     candidate: Candidate,
--- a/src/magnoliapitch/planner/candidates.py
+++ b/src/magnoliapitch/planner/candidates.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 
@@ -21,15 +22,17 @@
 
     :ivar free: capacity that is left for the rest of the round.
     :ivar reserved_for: the only job that may be placed here; None if any may.
+    :ivar speed_class: class of the worker's learned speed; 0 is nominal.
     """
 
-    __slots__ = ("free", "info", "reserved_for", "worker")
+    __slots__ = ("free", "info", "reserved_for", "speed_class", "worker")
 
     def __init__(self, worker: TrackedWorker, info: WorkerInfo) -> None:
         self.worker = worker
         self.info = info
         self.free: Resources = worker.free
         self.reserved_for: TrackedJob | None = None
+        self.speed_class = 0
 
     def accepts(self, job: TrackedJob) -> bool:
         """Return whether the worker is not reserved for another job."""
@@ -57,6 +60,7 @@
             if worker.takes_new_runs and worker.info is not None
         }
         self._most_free_first: list[Candidate] | None = None
+        self._by_class: defaultdict[int, list[Candidate]] | None = None
 
     def eligible(self, step: TrackedStep) -> Iterator[Candidate]:
         """Return the workers that could run a step if the advisor permits.
@@ -64,16 +68,39 @@
         They are ordered by the free CPU at the first call in the round,
         the most first.
         """
+        return (
+            candidate
+            for candidate in self._by_free_cpu()
+            if _is_eligible(candidate, step)
+        )
+
+    def eligible_of_class(
+        self, step: TrackedStep, speed_class: int, *, is_full: bool
+    ) -> Iterator[Candidate]:
+        """Return the same workers, but only those of one class of speeds.
+
+        :param is_full: whether to return those without enough free CPU for a
+            task of the step, or the others.
+        """
+        if self._by_class is None:
+            self._by_class = defaultdict(list)
+            for candidate in self._by_free_cpu():
+                self._by_class[candidate.speed_class].append(candidate)
+        cpu_millis = step.reservation.cpu_millis
+        return (
+            candidate
+            for candidate in self._by_class[speed_class]
+            if (candidate.free.cpu_millis < cpu_millis) is is_full
+            and _is_eligible(candidate, step)
+        )
+
+    def _by_free_cpu(self) -> list[Candidate]:
         if self._most_free_first is None:
             self._most_free_first = sorted(
                 self.candidates_by_id.values(),
                 key=lambda candidate: -candidate.free.cpu_millis,
             )
-        return (
-            candidate
-            for candidate in self._most_free_first
-            if _is_eligible(candidate, step)
-        )
+        return self._most_free_first
 
     def permitted(self, step: TrackedStep) -> list[Candidate]:
         """Return the workers that the advisor has permitted for a step."""
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -76,6 +76,7 @@
         self._workers = CandidateWorkers(state.workers_by_id.values())
         self._isolation = isolation
         self._candidate_order = candidate_order
+        candidate_order.begin_round(self._workers)
         isolation.begin_round(state, self._workers, now_ms)
         self._gangs_with_reserved_capacity = 0
         self._steps_with_request: set[StepKey] = set()
@@ -224,15 +225,15 @@
     def _ask_about_unasked(self, step: TrackedStep) -> None:
         """Plan a call about workers that the advisor was not asked about."""
         if self._can_call_advisor(step):
+            ordered = self._candidate_order.for_request(
+                step, self._workers, self._now_ms
+            )
             not_asked = (
                 candidate
-                for candidate in self._workers.eligible(step)
+                for candidate in ordered
                 if candidate.worker.worker_id not in step.asked_worker_ids
             )
-            ordered = self._candidate_order.for_request(
-                step, not_asked, self._now_ms
-            )
-            self._add_permit_request(step, _enough_candidates(step, ordered))
+            self._add_permit_request(step, _enough_candidates(step, not_asked))
 
     def _with_spare_candidates(
         self,
