--- a/src/magnoliapitch/planner/duration/learned.py
+++ b/src/magnoliapitch/planner/duration/learned.py
@@ -32,7 +32,7 @@
 # Queues whose figures are kept; those of the least weight are dropped first.
 MAX_QUEUES = 2_000
 # Chance of being in time from which a step counts as in time.
-IN_TIME_CHANCE = 0.9
+IN_TIME_CHANCE = 0.98
 # Deviations of the work of a step for which it must be in time.
 WORK_DEVIATIONS = 1.0
 # Weight of a new sample of the time from a plan to the start.
@@ -117,9 +117,12 @@
         """
         work = self.work(step)
         work_ms = work.median_ms()
-        margin = _margin_deviations(step.waiting_count) * math.sqrt(
-            self._task_variance(step)
-        )
+        # The measured duration of a gang is that of its slowest task.
+        margin = 0.0
+        if not step.spec.is_gang:
+            margin = _margin_deviations(step.waiting_count) * math.sqrt(
+                self._task_variance(step)
+            )
         deviation = WORK_DEVIATIONS * math.sqrt(work.variance)
         cases = [
             (
