Compare the tasks of a step when it has ended

Cause: tasks end in the order of their durations, so each one looked long beside those that had ended before it. Workers that ran wide steps appeared slow, and their group drifted away from the others. Tasks of one worker were compared with each other, too, which tells nothing of its speed.

The tests' made-up tasks end in that order now.

--- a/src/magnoliapitch/planner/duration/learned.py
+++ b/src/magnoliapitch/planner/duration/learned.py
@@ -4,11 +4,14 @@
 
 import math
 
+from collections import defaultdict
 from functools import lru_cache
 from statistics import NormalDist
+from statistics import fmean
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner.duration.measurement import finished_task
+from magnoliapitch.planner.duration.queue_work import MAX_DEVIATIONS
 from magnoliapitch.planner.duration.queue_work import QueueWork
 from magnoliapitch.planner.duration.speed_table import SpeedTable
 from magnoliapitch.planner.duration.speed_table import kind_of
@@ -16,13 +19,15 @@
 from magnoliapitch.planner.duration.spread import LogDuration
 from magnoliapitch.planner.duration.spread import exp_ms
 from magnoliapitch.planner.duration.spread import log_ms
+from magnoliapitch.planner.duration.step_work import MeasuredTask
+from magnoliapitch.planner.duration.step_work import StepWork
+from magnoliapitch.planner.duration.step_work import limited
 
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from magnoliapitch.planner.duration.measurement import FinishedTask
-    from magnoliapitch.planner.duration.step_work import StepWork
     from magnoliapitch.planner.tracked import TrackedRun
     from magnoliapitch.planner.tracked import TrackedStep
     from magnoliapitch.planner.tracked import TrackedWorker
@@ -161,26 +166,63 @@
         """Learn from the measured duration of a task."""
         queue_work = self._queue_work(task.queue)
         self.work_by_queue[task.queue] = queue_work
-        task_variance = queue_work.figures.task_variance
-        expected = task.step_work.corrected(
-            queue_work.expected_lately(task.declared_ms), task_variance
-        )
         log_duration = log_ms(task.duration_ms)
         log_speed = min(
             self.speeds.estimate(worker_id).log_speed
             for worker_id in task.worker_ids
         )
-        if task.tells_speed:
-            self.speeds.add_sample(
-                task.worker_ids[0],
-                expected.mean - log_duration,
-                expected.variance,
-                task_variance,
-                now_ms,
-            )
         log_work = log_duration + log_speed
         queue_work.add(task.declared_ms, log_work, task.share)
         self._add_to_step(task.step_work, queue_work, log_work)
+        if task.tells_speed:
+            measured = MeasuredTask(task.worker_ids[0], log_duration)
+            self._compare(
+                queue_work,
+                task.declared_ms,
+                task.step_work.take_comparable(measured, is_last=task.is_last),
+                now_ms,
+            )
+
+    def _compare(
+        self,
+        queue_work: QueueWork,
+        declared_ms: float,
+        tasks: list[MeasuredTask],
+        now_ms: int,
+    ) -> None:
+        """Learn speeds from tasks of one step.
+
+        The tasks of each worker are compared with those of the others.
+        """
+        if not tasks:
+            return
+        task_variance = queue_work.figures.task_variance
+        expected = queue_work.expected_lately(declared_ms)
+        log_works = limited(
+            [
+                task.log_duration
+                + self.speeds.estimate(task.worker_id).log_speed
+                for task in tasks
+            ],
+            MAX_DEVIATIONS * math.sqrt(task_variance),
+        )
+        works_by_worker: defaultdict[str, list[float]] = defaultdict(list)
+        for task, log_work in zip(tasks, log_works, strict=True):
+            works_by_worker[task.worker_id].append(log_work)
+        total = sum(log_works)
+        for worker_id, own in works_by_worker.items():
+            other_count = len(log_works) - len(own)
+            others = StepWork(
+                other_count, (total - sum(own)) / max(1, other_count)
+            )
+            work = others.corrected(expected, task_variance)
+            self.speeds.add_error(
+                worker_id,
+                work.mean - fmean(own),
+                work.variance,
+                task_variance / len(own),
+                now_ms,
+            )
 
     def expected_of(
         self, queue: str, declared_ms: float, step_work: StepWork
--- a/src/magnoliapitch/planner/duration/measurement.py
+++ b/src/magnoliapitch/planner/duration/measurement.py
@@ -19,6 +19,7 @@
     :param share: share of the task in its step.
     :param step_work: finished tasks of the same step before.
     :param worker_ids: the workers of the run, several for a gang.
+    :param is_last: whether it is the last task of its step.
     :param tells_speed: whether the duration tells the speed of the worker.
     """
 
@@ -29,6 +30,7 @@
     worker_ids: tuple[str, ...]
     duration_ms: float
     tells_speed: bool
+    is_last: bool = False
 
 
 def finished_task(run: TrackedRun) -> FinishedTask | None:
@@ -63,6 +65,7 @@
         tuple(member.worker_id for member in members),
         duration_ms - _wait_for_members_ms(run, members),
         not step.spec.is_gang and not _may_be_slowed(run),
+        step.unfinished_count <= 1,
     )
 
 
--- a/src/magnoliapitch/planner/duration/replay.py
+++ b/src/magnoliapitch/planner/duration/replay.py
@@ -83,6 +83,7 @@
         step: 1 / count
         for step, count in Counter(end.step for end in ends).items()
     }
+    last_by_step = {end.step: number for number, end in enumerate(ends, 1)}
     average = MovingAverage()
     learned = LearnedDurations()
     learned.set_workers({end.worker: end.kind for end in ends}, 0)
@@ -110,6 +111,7 @@
                 (end.worker,),
                 end.duration_ms,
                 tells_speed=True,
+                is_last=number == last_by_step[end.step],
             ),
             now_ms,
         )
--- a/src/magnoliapitch/planner/duration/speed_table.py
+++ b/src/magnoliapitch/planner/duration/speed_table.py
@@ -70,16 +70,17 @@
         speed = self.speeds_by_id.get(worker_id)
         return UNKNOWN if speed is None else speed.estimate
 
-    def add_sample(
+    def add_error(
         self,
         worker_id: str,
-        log_speed: float,
+        error: float,
         work_variance: float,
         task_variance: float,
         now_ms: int,
     ) -> None:
-        """Add a measured speed of a worker.
+        """Add the error of a worker's speed in a measurement.
 
+        :param error: logarithm of the measured to the learned speed.
         :param work_variance: variance of the error of the step's work.
         :param task_variance: variance of the tasks of one step.
         """
@@ -87,7 +88,7 @@
         if speed is not None:
             error_variance = work_variance + task_variance
             speed.add(
-                log_speed,
+                speed.estimate.log_speed + error,
                 error_variance,
                 now_ms,
                 task_variance / error_variance,
--- a/tests/planner/durations.py
+++ b/tests/planner/durations.py
@@ -4,6 +4,7 @@
 
 import random
 
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 from magnoliapitch.planner.duration import LearnedDurations
@@ -11,6 +12,10 @@
 from magnoliapitch.planner.duration.step_work import StepWork
 
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
 TASK_INTERVAL_MS = 20
 
 
@@ -66,17 +71,28 @@
         declared_ms = work_ms * load.declared_share
         estimate_ms = declared_ms * self._factor(load.estimate_error)
         step_work = StepWork()
+        ends = sorted(self._ends(load, work_ms))
+        for number, (duration_ms, worker) in enumerate(ends, 1):
+            self.add(
+                load,
+                estimate_ms,
+                step_work,
+                (worker,),
+                duration_ms,
+                number == load.task_count,
+            )
+        return work_ms, estimate_ms, step_work
+
+    def _ends(
+        self, load: QueueLoad, work_ms: float
+    ) -> Iterator[tuple[float, str]]:
+        """Yield durations and workers of tasks that start together."""
         for _ in range(load.task_count):
             worker = self.random.choice(list(self.speed_by_worker))
             is_tail = self.random.random() < load.tail_share
-            duration_ms = (
-                work_ms
-                * self._factor(load.task_spread)
-                * (7 if is_tail else 1)
-                / self.speed_by_worker[worker]
-            )
-            self.add(load, estimate_ms, step_work, (worker,), duration_ms)
-        return work_ms, estimate_ms, step_work
+            work_of_task_ms = work_ms * self._factor(load.task_spread)
+            duration_ms = work_of_task_ms * (7 if is_tail else 1)
+            yield duration_ms / self.speed_by_worker[worker], worker
 
     def add(
         self,
@@ -85,6 +101,7 @@
         step_work: StepWork,
         workers: tuple[str, ...],
         duration_ms: float,
+        is_last: bool = True,
     ) -> None:
         """Let one task end; a gang has several workers."""
         self.now_ms += TASK_INTERVAL_MS
@@ -98,6 +115,7 @@
                 workers,
                 duration_ms,
                 not is_gang,
+                is_last,
             ),
             self.now_ms,
         )
