--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -5,13 +5,16 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from magnoliapitch.control.end_clocks import EndClocks
 from magnoliapitch.control.log_fields import run_fields
+from magnoliapitch.control.speed_report import SpeedReport
 from magnoliapitch.event import log_event
 from magnoliapitch.workload.run import EndKind
 from magnoliapitch.workload.run import StopOrder
 
 
 if TYPE_CHECKING:
+    from magnoliapitch.control.end_clocks import EndClock
     from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.planner import Planner
     from magnoliapitch.planner.scheduler_state import SchedulerState
@@ -52,6 +55,8 @@
         self._planner = planner
         self._metrics = metrics
         self.last_end_sequence_by_worker: dict[str, int] = {}
+        self._end_clocks = EndClocks()
+        self._speed_report = SpeedReport(planner.learned_durations, metrics)
         self._workers_with_ends: set[str] = set()
         self._stopped_ms_by_worker: dict[str, dict[StopOrder, int]] = {}
 
@@ -59,6 +64,7 @@
         """Drop the data of a worker that is gone."""
         self.last_end_sequence_by_worker.pop(worker_id, None)
         self._stopped_ms_by_worker.pop(worker_id, None)
+        self._end_clocks.forget(worker_id)
 
     def take_end_sequences(self) -> dict[str, int]:
         """Return what to acknowledge once the state is stored.
@@ -86,11 +92,14 @@
             later may be missing from the report.
         """
         last_end_sequence = self.last_end_sequence_by_worker.get(worker_id, 0)
+        end_clock = self._end_clocks.record(
+            worker_id, report.clock_ms, sent_ms, received_ms
+        )
         if report.ended:
             self._workers_with_ends.add(worker_id)
         for end in report.ended:
             if end.sequence > last_end_sequence:
-                self._apply_end(worker_id, end, received_ms)
+                self._apply_end(worker_id, end, received_ms, end_clock)
                 last_end_sequence = end.sequence
             else:
                 self._log_ignored_end(worker_id, end, last_end_sequence)
@@ -111,14 +120,23 @@
         worker = self._state.get_or_add_worker(worker_id)
         worker.unknown_run_count = len(unexpected)
         self._remove_absent_runs(worker_id, reported_run_identities, sent_ms)
+        self._speed_report.record(received_ms)
         return ReportOutcome(
             last_end_sequence,
             self._due_stops(worker_id, unexpected, received_ms),
         )
 
-    def _apply_end(self, worker_id: str, end: EndedRun, now_ms: int) -> None:
+    def _apply_end(
+        self,
+        worker_id: str,
+        end: EndedRun,
+        now_ms: int,
+        end_clock: EndClock | None,
+    ) -> None:
         run = self._state.run(end.task, end.run, worker_id)
         if run is not None and end.kind is EndKind.DONE:
+            if end_clock is not None:
+                run.end_clock_ms = end_clock.ms_if_exact(run.start_clock_ms)
             self._log_avoided_workers(self._planner.record_done(run, now_ms))
         if run is not None and end.kind is EndKind.FAILED:
             self._planner.record_failed(run)
--- /dev/null
+++ b/src/magnoliapitch/planner/candidate_order.py
@@ -0,0 +1,222 @@
+"""Order in which workers are chosen for a step and asked about."""
+
+from __future__ import annotations
+
+import zlib
+
+from itertools import chain
+from typing import TYPE_CHECKING
+
+from magnoliapitch.planner.candidates import free_task_count
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+    from collections.abc import Sequence
+
+    from magnoliapitch.planner.candidates import Candidate
+    from magnoliapitch.planner.candidates import CandidateWorkers
+    from magnoliapitch.planner.duration import LearnedDurations
+    from magnoliapitch.planner.tracked import TrackedStep
+
+
+# One step in so many is placed on workers of all speeds on which it is in
+# time. Otherwise fast and slow workers would run different queues only, and
+# their speeds could not be compared.
+MIXED_STEP_INTERVAL = 8
+
+
+class CandidateOrder:
+    """Workers with the least free CPU first, all equally fast."""
+
+    def begin_round(self, workers: CandidateWorkers) -> None:
+        """Prepare the workers of a planning round."""
+
+    def for_start(
+        self,
+        step: TrackedStep,
+        fitting: list[Candidate],
+        has_ticket: Callable[[Candidate], bool],
+        call_ms: float,  # noqa: ARG002
+        now_ms: int,  # noqa: ARG002
+    ) -> list[Candidate]:
+        """Return the workers for a step, the best first.
+
+        Workers without a failed run of the step come first. Next come
+        workers with a valid ticket, or for which one is being requested, so
+        that a gang does not have to wait for another call. Then those with
+        the least free CPU, which leaves capacity for large tasks on the
+        others.
+
+        :param fitting: workers with enough free CPU for a task.
+        :param call_ms: expected duration of an advisor call.
+        """
+        return sorted(
+            fitting,
+            key=lambda candidate: (
+                candidate.worker.worker_id in step.failed_worker_ids,
+                _must_be_asked(step, candidate, has_ticket),
+                candidate.free.cpu_millis,
+            ),
+        )
+
+    def for_request(
+        self,
+        step: TrackedStep,
+        workers: CandidateWorkers,
+        now_ms: int,  # noqa: ARG002
+    ) -> Iterator[Candidate]:
+        """Return the workers to ask the advisor about, the best first."""
+        return workers.eligible(step)
+
+
+class SpeedOrder(CandidateOrder):
+    """Slowest workers that are in time first, or else the fastest.
+
+    Fast workers so stay free for tasks that need them, but never idle while
+    others wait for capacity. Workers of one class of speeds keep the order of
+    ``CandidateOrder``.
+    """
+
+    def __init__(self, durations: LearnedDurations) -> None:
+        self._durations = durations
+
+    def begin_round(self, workers: CandidateWorkers) -> None:
+        """Prepare the workers of a planning round."""
+        candidates_by_id = workers.candidates_by_id
+        for worker_id, number in self._durations.speeds.class_by_id.items():
+            candidate = candidates_by_id.get(worker_id)
+            if candidate is not None:
+                candidate.speed_class = number
+
+    def for_start(
+        self,
+        step: TrackedStep,
+        fitting: list[Candidate],
+        has_ticket: Callable[[Candidate], bool],
+        call_ms: float,
+        now_ms: int,
+    ) -> list[Candidate]:
+        """Return the workers for a step, the best first."""
+        classes = self._durations.speeds.classes
+        if len(classes) == 1:
+            return super().for_start(
+                step, fitting, has_ticket, call_ms, now_ms
+            )
+        limit = self._slowest_in_time(step, now_ms)
+        asked_limit = (
+            self._slowest_in_time(step, now_ms, call_ms) if call_ms else limit
+        )
+        if step.spec.is_gang:
+            limit = asked_limit = self._gang_limit(step, fitting, asked_limit)
+
+        is_mixed = _is_mixed(step)
+
+        def key(candidate: Candidate) -> tuple[int, int, int]:
+            must_be_asked = _must_be_asked(step, candidate, has_ticket)
+            number = candidate.speed_class
+            is_late = number < (asked_limit if must_be_asked else limit)
+            has_failed = candidate.worker.worker_id in step.failed_worker_ids
+            rank = 4 * has_failed + 2 * is_late + must_be_asked
+            if is_mixed and not is_late:
+                return (rank, 0, _shuffled(step, candidate))
+            return (
+                rank,
+                -number if is_late else number,
+                candidate.free.cpu_millis,
+            )
+
+        return sorted(fitting, key=key)
+
+    def for_request(
+        self, step: TrackedStep, workers: CandidateWorkers, now_ms: int
+    ) -> Iterator[Candidate]:
+        """Return the workers to ask the advisor about, the best first.
+
+        Among those in time, and among the others, workers with free capacity
+        come first.
+        """
+        classes = self._durations.speeds.classes
+        if len(classes) == 1:
+            return workers.eligible(step)
+        limit = self._slowest_in_time(step, now_ms)
+        in_time = [number for number in classes if number >= limit]
+        late = [number for number in reversed(classes) if number < limit]
+        return chain(
+            _free_first(step, workers, in_time),
+            _free_first(step, workers, late),
+        )
+
+    def _slowest_in_time(
+        self, step: TrackedStep, now_ms: int, delay_ms: float = 0.0
+    ) -> int:
+        """Return the slowest class of workers on which a step is in time.
+
+        :param delay_ms: time until the step can start.
+        :return: the class; one above the fastest if none is in time.
+        """
+        if step.latest_end_ms is None or step.spec.is_long_running:
+            return self._durations.speeds.classes[0]
+        return self._durations.slowest_in_time(
+            step, step.latest_end_ms - now_ms - delay_ms
+        )
+
+    def _gang_limit(
+        self, step: TrackedStep, fitting: list[Candidate], limit: int
+    ) -> int:
+        """Return the class above which a gang is placed slowest first.
+
+        A gang on workers of several classes would keep the faster ones busy
+        for as long as the slower ones take. So it is placed on the slowest
+        class that is in time and has room for all of it, or else on the
+        fastest workers.
+        """
+        count_by_class = dict.fromkeys(self._durations.speeds.classes, 0)
+        for candidate in fitting:
+            number = candidate.speed_class
+            if limit <= number and count_by_class[number] < step.waiting_count:
+                count_by_class[number] += free_task_count(candidate, step)
+        for number, count in count_by_class.items():
+            if number >= limit and count >= step.waiting_count:
+                return number
+        return max(count_by_class) + 1
+
+
+def _free_first(
+    step: TrackedStep, workers: CandidateWorkers, classes: Sequence[int]
+) -> Iterator[Candidate]:
+    """Return the workers of some classes, those with free capacity first."""
+    return chain.from_iterable(
+        workers.eligible_of_class(step, number, is_full=is_full)
+        for is_full in (False, True)
+        for number in classes
+    )
+
+
+def _is_mixed(step: TrackedStep) -> bool:
+    """Return whether a step is placed on workers of all speeds."""
+    number = zlib.crc32(step.key.job_id.encode())
+    return not step.spec.is_gang and not number % MIXED_STEP_INTERVAL
+
+
+def _shuffled(step: TrackedStep, candidate: Candidate) -> int:
+    """Return a sort key that is random, but the same in every round."""
+    return zlib.crc32(
+        candidate.worker.worker_id.encode(),
+        zlib.crc32(step.key.job_id.encode()),
+    )
+
+
+def _must_be_asked(
+    step: TrackedStep,
+    candidate: Candidate,
+    has_ticket: Callable[[Candidate], bool],
+) -> bool:
+    return (
+        candidate.worker.worker_id not in step.in_flight_worker_ids
+        and not has_ticket(candidate)
+    )
+
+
+__all__ = ["CandidateOrder", "SpeedOrder"]
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner.candidates import Candidate
@@ -16,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from magnoliapitch.planner.candidate_order import CandidateOrder
     from magnoliapitch.planner.permit_budget import PermitBudget
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedStep
@@ -57,6 +59,7 @@
     :param max_starts: number of start orders that can be sent now.
     :param isolation: keeps other jobs off the workers of some tasks.
     :param workspace_round: limits the permits of workspaces with a quota.
+    :param candidate_order: tells which workers are the best for a step.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         max_starts: int,
         isolation: WorkerIsolation,
         workspace_round: WorkspaceRound,
+        candidate_order: CandidateOrder,
     ) -> None:
         self.starts: list[PlannedStart] = []
         self._now_ms = now_ms
@@ -75,6 +79,8 @@
         self._workers = CandidateWorkers(state.workers_by_id.values())
         self._isolation = isolation
         self._workspace_round = workspace_round
+        self._candidate_order = candidate_order
+        candidate_order.begin_round(self._workers)
         isolation.begin_round(state, self._workers, now_ms)
         self._gangs_with_reserved_capacity = 0
         self._steps_with_request: set[StepKey] = set()
@@ -224,9 +230,12 @@
     def _ask_about_unasked(self, step: TrackedStep) -> None:
         """Plan a call about workers that the advisor was not asked about."""
         if self._can_call_advisor(step):
+            ordered = self._candidate_order.for_request(
+                step, self._workers, self._now_ms
+            )
             not_asked = (
                 candidate
-                for candidate in self._workers.eligible(step)
+                for candidate in ordered
                 if candidate.worker.worker_id not in step.asked_worker_ids
             )
             self._add_permit_request(step, _enough_candidates(step, not_asked))
@@ -284,11 +293,7 @@
     ) -> list[Candidate]:
         """Reserve capacity and return the worker of each task that fits.
 
-        Workers without a failed run of the step come first. Next come
-        workers with a valid ticket, or for which one is being requested, so
-        that a gang does not have to wait for another call. Then those with
-        the least free CPU, which leaves capacity for large tasks on the
-        others. A gang that does not fit as a whole reserves nothing.
+        A gang that does not fit as a whole reserves nothing.
         """
         chosen: list[Candidate] = []
         count = step.startable_count
@@ -298,15 +303,14 @@
             for candidate in candidates
             if candidate.free.cpu_millis >= cpu_millis
         ]
-        fitting.sort(
-            key=lambda candidate: (
-                candidate.worker.worker_id in step.failed_worker_ids,
-                candidate.worker.worker_id not in step.in_flight_worker_ids
-                and not self._has_ticket(step, candidate),
-                candidate.free.cpu_millis,
-            )
+        ordered = self._candidate_order.for_start(
+            step,
+            fitting,
+            partial(self._has_ticket, step),
+            _expected_call_ms(step, 1),
+            self._now_ms,
         )
-        for candidate in fitting:
+        for candidate in ordered:
             task_count = min(
                 count - len(chosen), free_task_count(candidate, step)
             )
