Refuse jobs that cannot be planned; leave open what an error left open

A stored job with a negative estimate raises "math domain error" in every planning round, and one with a step that depends on a missing step an IndexError when it is added: the loop of the leader, and of every leader after it, fails until its process is given up. A run count or task count of 10^9 fills the leader's memory. A key longer than the store takes raises an error in every append of its batch, so that one message to the peer port ends the process. An error of the leader's instance during a relayed call (status 500) was reported as not_run, though the job may be stored. A record that the submitter refuses was for a moment neither queued nor resolved; a caller whose time was up just then raised an error. A superscript digit in the deadline header raised an error in the handler. FailureCode.RESTARTED had no status.

Submitter.append refuses such keys. The relay reads the failure that the other instance describes, and takes anything else as may_have_run; a rejection by the leader's instance is passed on if the job was certainly not stored here.

--- a/src/magnoliapitch/http/client.py
+++ b/src/magnoliapitch/http/client.py
@@ -185,7 +185,7 @@
         return Err(may_have_run(FailureCode.BAD_RESPONSE, str(error)))
     if status == HTTP_OK:
         return Ok(value)
-    return Err(_failure_from(value))
+    return Err(failure_from_problem(value))
 
 
 class _ProblemDetails(NamedTuple):
@@ -198,7 +198,11 @@
 _PROBLEM_DETAILS: TypeAdapter[_ProblemDetails] = TypeAdapter(_ProblemDetails)
 
 
-def _failure_from(problem: Any) -> Failure:
+def failure_from_problem(problem: Any) -> Failure:
+    """Return the failure that problem details describe.
+
+    :return: a ``may_have_run`` failure if the value is something else.
+    """
     try:
         fields = {
             name: problem[name]
--- a/src/magnoliapitch/http/problem.py
+++ b/src/magnoliapitch/http/problem.py
@@ -35,6 +35,7 @@
     FailureCode.NO_ROOM: 503,
     FailureCode.TICKET: 409,
     FailureCode.REPLACED: 410,
+    FailureCode.RESTARTED: 410,
     FailureCode.UNHEALTHY: 503,
 }
 
--- a/src/magnoliapitch/ledger/records.py
+++ b/src/magnoliapitch/ledger/records.py
@@ -8,6 +8,7 @@
 
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import TaskKey
+from magnoliapitch.workload.job_check import check_job
 from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.progress import JobProgress
 from magnoliapitch.workload.progress import TaskProgress
@@ -22,6 +23,7 @@
 PROGRESS_PREFIX = "p."
 STATE_PREFIX = "s."
 LEADER_KEY = "leader"
+LOAD_KEY = "load"
 CANCELLED = b"1"
 
 
@@ -72,7 +74,7 @@
 
     :raises ValueError: if the value is not a valid job.
     """
-    return _JOB_ADAPTER.validate_json(value)
+    return check_job(_JOB_ADAPTER.validate_json(value))
 
 
 def encode_leader(record: LeaderRecord) -> bytes:
--- a/src/magnoliapitch/ledger/stream.py
+++ b/src/magnoliapitch/ledger/stream.py
@@ -15,6 +15,10 @@
     from magnoliapitch.verdict import Failure
 
 
+# The store accepts no longer keys.
+MAX_KEY_BYTES = 255
+
+
 class KeyedRecord(NamedTuple):
     """A record to append.
 
--- a/src/magnoliapitch/ledger/submitter.py
+++ b/src/magnoliapitch/ledger/submitter.py
@@ -10,6 +10,7 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.ledger.stream import MAX_KEY_BYTES
 from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.ledger.stream import Writer
 from magnoliapitch.verdict import Failure
@@ -82,6 +83,9 @@
         :param timeout_ms: how long to wait; after that, the failure tells
             whether the record may still be stored.
         """
+        if not 0 < len(record.key.encode()) <= MAX_KEY_BYTES:
+            # It would fail every append of its batch.
+            return Err(_invalid_key(record.key))
         pending = _PendingAppend(record, self._clock.now_ms() + timeout_ms)
         with self._condition:
             if self._health.is_down():
@@ -152,10 +156,10 @@
         """
         if not self._health.is_down():
             return
+        refusal: Result[None, Failure] = Err(_store_unavailable())
         with self._condition:
             unsent, self._queued = self._queued, []
-        refusal: Result[None, Failure] = Err(_store_unavailable())
-        self._resolve(unsent, refusal)
+            self._resolve(unsent, refusal)
         if not self._may_be_stored:
             batch, self._batch = self._batch, []
             self._resolve(batch, refusal)
@@ -194,6 +198,14 @@
     )
 
 
+def _invalid_key(key: str) -> Failure:
+    return not_run(
+        FailureCode.INVALID,
+        f"the key {key[:80]!r} of the record does not have 1 to "
+        f"{MAX_KEY_BYTES} bytes; the record was not stored",
+    )
+
+
 def _overloaded() -> Failure:
     return not_run(
         FailureCode.OVERLOADED,
--- a/src/magnoliapitch/platform/framing.py
+++ b/src/magnoliapitch/platform/framing.py
@@ -10,6 +10,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.ledger.stream import MAX_KEY_BYTES
 from magnoliapitch.ledger.stream import KeyedRecord
 
 
@@ -19,7 +20,6 @@
 
 _LENGTH_PREFIX = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
-MAX_KEY_BYTES = 255
 
 
 class MalformedReplyError(ValueError):
--- a/src/magnoliapitch/platform/job_application.py
+++ b/src/magnoliapitch/platform/job_application.py
@@ -21,6 +21,7 @@
 from magnoliapitch.verdict import not_run
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
+from magnoliapitch.workload.job_check import check_job
 
 
 if TYPE_CHECKING:
@@ -128,7 +129,7 @@
 def _timeout_ms(request: HttpRequest, queue: Queue) -> int:
     header_value = request.headers_by_name.get(DEADLINE_HEADER, "")
     requested_ms = (
-        int(header_value) if header_value.isdigit() else queue.timeout_ms
+        int(header_value) if header_value.isdecimal() else queue.timeout_ms
     )
     return min(requested_ms, queue.timeout_ms)
 
@@ -140,15 +141,7 @@
             "digits"
         )
     steps = tuple(_decode_step(step) for step in body["steps"])
-    if not steps:
-        raise ValueError("the job has no steps")
-    for number, step in enumerate(steps):
-        if any(not 0 <= earlier < number for earlier in step.depends_on):
-            raise ValueError(
-                f"step {number} depends on steps {step.depends_on}; only "
-                "earlier steps are allowed"
-            )
-    return JobSpec(
+    job = JobSpec(
         job_id,
         queue.name,
         str(body.get("spec") or ""),
@@ -158,17 +151,13 @@
         int(body.get("interval-ms") or 0),
         time.time_ns() // 1_000_000,
     )
+    return check_job(job)
 
 
 def _decode_step(step: Any) -> StepSpec:
-    task_count = int(step["count"])
-    if task_count < 1:
-        raise ValueError(
-            f"a step has {task_count} tasks; at least 1 is required"
-        )
     max_unavailable = step.get("may-miss")
     return StepSpec(
-        task_count,
+        int(step["count"]),
         decode_resources(step),
         int(step.get("estimate-ms") or 0),
         tuple(int(number) for number in step.get("depends-on") or ()),
--- a/src/magnoliapitch/relay/client.py
+++ b/src/magnoliapitch/relay/client.py
@@ -4,12 +4,16 @@
 
 from typing import TYPE_CHECKING
 
+import orjson
+
 from pydantic import ValidationError
 from result import Err
 from result import Ok
 from result import Result
 
+from magnoliapitch.http.client import HTTP_OK
 from magnoliapitch.http.client import JSON_HEADERS
+from magnoliapitch.http.client import failure_from_problem
 from magnoliapitch.relay.messages import CANCEL_PATH
 from magnoliapitch.relay.messages import JOB_REPLY
 from magnoliapitch.relay.messages import JOB_REQUEST
@@ -22,7 +26,6 @@
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import may_have_run
-from magnoliapitch.verdict import not_run
 
 
 if TYPE_CHECKING:
@@ -39,7 +42,6 @@
 MAX_TIMEOUT_MS = 1_000
 # Time without calls after the leader did not answer one.
 FAILURE_BACKOFF_MS = 1_000
-STATUS_TIMEOUT = 504
 
 
 class JobRelay:
@@ -115,11 +117,22 @@
 
 
 def _decode(reply: HttpReply) -> Result[JobReply, Failure]:
-    if reply.status != 200:
-        detail = f"the leader's instance answered with status {reply.status}"
-        failed = may_have_run if reply.status == STATUS_TIMEOUT else not_run
-        return Err(failed(FailureCode.UNAVAILABLE, detail))
+    if reply.status != HTTP_OK:
+        return Err(_failure_of(reply))
     try:
         return Ok(JOB_REPLY.validate_json(reply.data))
     except ValidationError as error:
         return Err(may_have_run(FailureCode.BAD_RESPONSE, str(error)))
+
+
+def _failure_of(reply: HttpReply) -> Failure:
+    """Return the failure that the leader's instance answered with.
+
+    Only the instance knows whether it has carried the operation out; an
+    answer that does not tell leaves it open.
+    """
+    try:
+        return failure_from_problem(orjson.loads(reply.data))
+    except orjson.JSONDecodeError:
+        detail = f"the leader's instance answered with status {reply.status}"
+        return may_have_run(FailureCode.BAD_RESPONSE, detail)
--- a/src/magnoliapitch/relay/jobs.py
+++ b/src/magnoliapitch/relay/jobs.py
@@ -31,6 +31,9 @@
 
 MIN_RELAY_TIMEOUT_MS = 100
 _STORE_FAILURES = (FailureCode.UNAVAILABLE, FailureCode.TIMEOUT)
+# Answers about the job itself, which the leader's instance gives in place of
+# this one.
+_REJECTIONS = (FailureCode.OVERLOADED, FailureCode.IMPOSSIBLE)
 
 
 class RelayedJobs:
@@ -117,11 +120,17 @@
         if (
             isinstance(relayed, Err)
             and relayed.err_value.verdict is Verdict.NOT_RUN
+            and not _is_rejected(failure, relayed.err_value)
         ):
             return outcome
         return relayed
 
 
+def _is_rejected(here: Failure, there: Failure) -> bool:
+    """Return whether a job is rejected and was certainly not stored here."""
+    return here.verdict is Verdict.NOT_RUN and there.code in _REJECTIONS
+
+
 def _log_relayed(
     call: str, job_id: str, outcome: Result[ValueT, Failure]
 ) -> None:
--- a/src/magnoliapitch/relay/service.py
+++ b/src/magnoliapitch/relay/service.py
@@ -20,10 +20,12 @@
 from magnoliapitch.relay.messages import SUBMIT_PATH
 from magnoliapitch.relay.messages import SUBMIT_REQUEST
 from magnoliapitch.relay.messages import JobReply
+from magnoliapitch.relay.messages import SubmitRequest
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
 from magnoliapitch.verdict import not_run
+from magnoliapitch.workload.job_check import check_job
 
 
 if TYPE_CHECKING:
@@ -45,7 +47,7 @@
     @application.route("POST", SUBMIT_PATH)
     def submit(request: HttpRequest) -> HttpResponse:
         def call(body: bytes) -> Result[JobReply, Failure]:
-            decoded = _decode(SUBMIT_REQUEST, body)
+            decoded = _decode(SUBMIT_REQUEST, body).and_then(_checked)
             return decoded.and_then(lambda found: job_api.submit(*found)).map(
                 lambda _: JobReply(True)
             )
@@ -77,6 +79,14 @@
         return Err(not_run(FailureCode.INVALID, str(error.errors()[0])))
 
 
+def _checked(request: SubmitRequest) -> Result[SubmitRequest, Failure]:
+    try:
+        check_job(request.job)
+    except ValueError as error:
+        return Err(not_run(FailureCode.INVALID, str(error)))
+    return Ok(request)
+
+
 def _answer(
     outcome: Result[JobReply, Failure], request: HttpRequest
 ) -> HttpResponse:
--- a/tests/ledger/test_submitter.py
+++ b/tests/ledger/test_submitter.py
@@ -15,6 +15,7 @@
 from magnoliapitch.ledger.health import StoreHealth
 from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.ledger.submitter import Submitter
+from magnoliapitch.ledger.submitter import _PendingAppend
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
@@ -167,3 +168,56 @@
     streams.outage = None
     caller.submitter.step()
     assert streams.keys("jobs") == ["k"]
+
+
+@pytest.mark.parametrize("key", ["", "j." + "x" * 254, "\u20ac" * 86])
+def test_a_key_that_the_store_does_not_take_is_refused(
+    caller: Caller, streams: MemoryStreams, key: str
+) -> None:
+    """It raised an error in every append of its batch, until the process
+    was given up.
+    """
+    failure = caller.submit(key).result(5).unwrap_err()
+    assert failure.verdict is Verdict.NOT_RUN
+    assert failure.code is FailureCode.INVALID
+    outcome = caller.submit("k")
+    step_until_done(caller, [outcome])
+    assert streams.keys("jobs") == ["k"]
+
+
+def test_a_refused_record_is_never_unqueued_and_unresolved(
+    caller: Caller, streams: MemoryStreams, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A caller whose time was up just then raised an error."""
+    outage = not_run(FailureCode.UNAVAILABLE, "the store is down")
+    streams.outage = outage
+    outcomes = [caller.submit("k"), caller.submit("m")]
+    submitter = caller.submitter
+    resolve = submitter._resolve
+    was_locked: list[bool] = []
+
+    def try_lock() -> None:
+        condition = submitter._condition
+        is_free = condition.acquire(blocking=False)
+        if is_free:
+            condition.release()
+        was_locked.append(not is_free)
+
+    def resolve_checked(
+        pending_appends: list[_PendingAppend],
+        outcome: Result[None, Failure],
+    ) -> None:
+        if any(not pending.is_sent for pending in pending_appends):
+            thread = threading.Thread(target=try_lock)
+            thread.start()
+            thread.join()
+        resolve(pending_appends, outcome)
+
+    monkeypatch.setattr(submitter, "_resolve", resolve_checked)
+    submitter._queued[0].is_sent = True
+    submitter._batch = [submitter._queued.pop(0)]
+    caller.clock.skipped_ms = DOWN_AFTER_MS + 1
+    caller.health.note_failure(outage)
+    caller.clock.skipped_ms = 2 * DOWN_AFTER_MS + 2
+    step_until_done(caller, outcomes)
+    assert was_locked == [True]
--- a/tests/relay/test_relayed_jobs.py
+++ b/tests/relay/test_relayed_jobs.py
@@ -13,6 +13,7 @@
 from magnoliapitch.http import Application
 from magnoliapitch.http import HttpRequest
 from magnoliapitch.http.client import HttpReply
+from magnoliapitch.http.problem import problem_response
 from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.ledger.state_table import StateTable
@@ -83,6 +84,7 @@
         self.there = FakeJobApi(there)
         self.calls = 0
         self.network_failure: Failure | None = None
+        self.reply: HttpReply | None = None
         self.states = StateTable()
         self.states.leader = LeaderRecord(1, "leader", address=LEADER)
         self._application = Application()
@@ -105,6 +107,8 @@
         assert url.startswith(f"http://{LEADER}/")
         if self.network_failure is not None:
             return Err(self.network_failure)
+        if self.reply is not None:
+            return Ok(self.reply)
         path = url.removeprefix(f"http://{LEADER}")
         request = HttpRequest(method, path, {}, {}, headers, body)
         response = self._application.handle(request)
@@ -181,3 +185,53 @@
     cluster = Cluster(STORE_DOWN)
     assert cluster.jobs.submit(JOB, 200) == Err(STORE_DOWN)
     assert cluster.calls == 0
+
+
+REJECTED = not_run(FailureCode.OVERLOADED, "of no use after 9 s", 4_000)
+IMPOSSIBLE = not_run(FailureCode.IMPOSSIBLE, "larger than every worker")
+
+
+@pytest.mark.parametrize("rejection", [REJECTED, IMPOSSIBLE])
+def test_a_rejection_by_the_leader_is_the_answer(rejection: Failure) -> None:
+    cluster = Cluster(STORE_DOWN, rejection)
+    assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Err(rejection)
+
+
+def test_a_job_that_may_be_stored_here_is_not_reported_as_rejected() -> None:
+    """This instance goes on to send its append."""
+    cluster = Cluster(UNANSWERED, REJECTED)
+    assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Err(UNANSWERED)
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        HttpReply(500, b"internal error"),
+        HttpReply(502, b"[]"),
+        HttpReply(503, b'{"title": 5}'),
+    ],
+)
+def test_an_answer_that_tells_nothing_leaves_the_outcome_open(
+    reply: HttpReply,
+) -> None:
+    """The leader's instance may have stored the job before it failed."""
+    cluster = Cluster(STORE_DOWN)
+    cluster.reply = reply
+    outcome = cluster.jobs.submit(JOB, TIMEOUT_MS)
+    assert isinstance(outcome, Err)
+    assert outcome.err_value.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_an_unexpected_error_of_the_leader_leaves_the_outcome_open() -> None:
+    """Its application answers with status 500 and says so in the body."""
+    internal = may_have_run(FailureCode.INTERNAL, "internal error")
+    cluster = Cluster(STORE_DOWN)
+    cluster.reply = HttpReply(500, problem_response(internal).body)
+    assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Err(internal)
+
+
+def test_a_malformed_job_from_a_peer_is_refused() -> None:
+    cluster = Cluster(STORE_DOWN)
+    job = JOB._replace(steps=(StepSpec(1, estimate_ms=-5),))
+    assert cluster.jobs.submit(job, TIMEOUT_MS) == Err(STORE_DOWN)
+    assert cluster.there.operations == []
