Reject submissions that can certainly no longer be of use

An instance accepted every submission, also those behind so much work of more urgent queues that they end after three times their objective.

With planning.admission on, the leader publishes load figures (record `load` in the stream of states, at most every 500 ms, with the batches that are stored anyway), and JobApi.submit rejects by them before anything is stored. A job that may be stored already is never rejected: it is looked up first, and one whose append is in doubt is admitted. Figures count from when their read was sent, by the boot clock; ones of another epoch or unknown age are ignored.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -111,6 +111,7 @@
         self._progress_batcher = ProgressBatcher(
             self.state, state_table, leader, timing, self._delete_jobs
         )
+        self._progress_batcher.publish_load(self.planner, metrics)
 
     @property
     def epoch(self) -> int:
--- /dev/null
+++ b/src/magnoliapitch/control/load_publisher.py
@@ -0,0 +1,101 @@
+"""Publication of the leader's load figures."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliapitch.admission import encode_figures
+from magnoliapitch.event import log_event
+from magnoliapitch.ledger.records import LOAD_KEY
+from magnoliapitch.ledger.stream import KeyedRecord
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.admission import LoadFigures
+    from magnoliapitch.ledger.load_view import LoadView
+    from magnoliapitch.metric import Metrics
+    from magnoliapitch.planner.load import LoadEstimator
+
+
+MIN_INTERVAL_MS = 500
+# Instances use figures of up to 2 s, so unchanged ones are repeated.
+REPEAT_INTERVAL_MS = 1_000
+
+
+class LoadPublisher:
+    """Adds the load figures to the leader's batches.
+
+    :param view: figures of this instance, which does not read its own records
+        while it leads.
+    """
+
+    def __init__(
+        self,
+        estimator: LoadEstimator,
+        epoch: int,
+        view: LoadView,
+        metrics: Metrics,
+    ) -> None:
+        self._estimator = estimator
+        self._epoch = epoch
+        self._view = view
+        self._metrics = metrics
+        self._sequence = 0
+        self._computed_ms: int | None = None
+        self._published_ms = 0
+        self._published: LoadFigures | None = None
+        self._due: LoadFigures | None = None
+        self._in_commit: tuple[LoadFigures, int] | None = None
+
+    def is_due(self, now_ms: int) -> bool:
+        """Return whether figures are to be published; compute them if due."""
+        if self._due is not None:
+            return True
+        computed_ms = self._computed_ms
+        if computed_ms is not None and now_ms - computed_ms < MIN_INTERVAL_MS:
+            return False
+        self._computed_ms = now_ms
+        figures = self._compute(now_ms)
+        if figures is None:
+            return False
+        old = self._published
+        is_unchanged = old is not None and old[2:] == figures[2:]
+        age_ms = now_ms - self._published_ms
+        if is_unchanged and age_ms < REPEAT_INTERVAL_MS:
+            return False
+        self._due = figures
+        return True
+
+    def _compute(self, now_ms: int) -> LoadFigures | None:
+        """Return the figures; None if they cannot be computed.
+
+        Without figures every job is admitted. The leader's rounds must not
+        end with them.
+        """
+        try:
+            with self._metrics.timing("load_figures"):
+                return self._estimator.figures(
+                    self._epoch, self._sequence + 1, now_ms
+                )
+        except Exception as error:
+            log_event("load-figures-failed", error=error)
+            return None
+
+    def take_records(self, now_ms: int) -> tuple[KeyedRecord, ...]:
+        """Return the record of the figures that are due, if there are any."""
+        figures, self._due = self._due, None
+        if figures is None:
+            return ()
+        self._sequence = figures.sequence
+        self._published, self._published_ms = figures, now_ms
+        self._in_commit = (figures, now_ms)
+        return (KeyedRecord(LOAD_KEY, encode_figures(figures)),)
+
+    def record_stored(self) -> None:
+        """Record that the last batch was stored."""
+        if self._in_commit is not None:
+            self._view.update(*self._in_commit)
+            self._in_commit = None
+
+
+__all__ = ["LoadPublisher"]
--- a/src/magnoliapitch/control/progress_batcher.py
+++ b/src/magnoliapitch/control/progress_batcher.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.control.load_publisher import LoadPublisher
 from magnoliapitch.ledger.leadership import Batch
 from magnoliapitch.ledger.records import LEADER_KEY
 from magnoliapitch.ledger.records import PROGRESS_PREFIX
@@ -14,6 +15,7 @@
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.ledger.state_table import PublishedJob
 from magnoliapitch.ledger.stream import KeyedRecord
+from magnoliapitch.planner.load import LoadEstimator
 from magnoliapitch.workload.progress import JobOutcome
 
 
@@ -24,6 +26,8 @@
     from magnoliapitch.control.timing import ControlTiming
     from magnoliapitch.ledger.records import LeaderRecord
     from magnoliapitch.ledger.state_table import StateTable
+    from magnoliapitch.metric import Metrics
+    from magnoliapitch.planner.planner import Planner
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedJob
     from magnoliapitch.workload.progress import JobProgress
@@ -59,6 +63,7 @@
         self._leader = leader
         self._timing = timing
         self._delete_jobs = delete_jobs
+        self._load_publisher: LoadPublisher | None = None
         self._heartbeat_ms = 0
         self._progress_in_commit_by_id: dict[str, JobProgress] = {}
         self._states_in_commit_by_id: dict[str, PublishedJob] = {}
@@ -69,6 +74,16 @@
         self._finished_job_ids: set[str] = set()
         self._ended_ms_by_job: dict[str, int] = {}
 
+    def publish_load(self, planner: Planner, metrics: Metrics) -> None:
+        """Publish load figures from now on if the options ask for it."""
+        if planner.options.admission:
+            self._load_publisher = LoadPublisher(
+                LoadEstimator(self._state, planner),
+                self._leader.epoch,
+                self._state_table.load,
+                metrics,
+            )
+
     def load(self, now_ms: int) -> None:
         """Start from the job states that former leaders published."""
         self._heartbeat_ms = now_ms
@@ -113,6 +128,8 @@
             or self._state.unsaved_job_ids
             or self._unpublished_job_ids
         )
+        if self._load_publisher and self._load_publisher.is_due(now_ms):
+            has_changes = True
         if not has_changes and not self._is_heartbeat_due(now_ms):
             return None
         return Batch(self._progress_records(), self._state_records(now_ms))
@@ -133,6 +150,8 @@
         if self._leader_in_commit is not None:
             self._state_table.leader = self._leader_in_commit
             self._leader_in_commit = None
+        if self._load_publisher:
+            self._load_publisher.record_stored()
 
     def _progress_records(self) -> tuple[KeyedRecord, ...]:
         removed_job_ids = self._remove_finished_jobs()
@@ -201,6 +220,8 @@
             self._leader_in_commit = self._leader
             leader = encode_leader(self._leader)
             records.append(KeyedRecord(LEADER_KEY, leader))
+        if self._load_publisher:
+            records += self._load_publisher.take_records(now_ms)
         return (*records, *self._expired_states(now_ms))
 
     def _is_heartbeat_due(self, now_ms: int) -> bool:
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -28,6 +28,7 @@
 from magnoliapitch.http import HttpResponse
 from magnoliapitch.http import Listener
 from magnoliapitch.http.client import HttpClient
+from magnoliapitch.ledger.admission_gate import AdmissionGate
 from magnoliapitch.ledger.health import StoreHealth
 from magnoliapitch.ledger.job_api import JobApi
 from magnoliapitch.ledger.job_follower import JobFollower
@@ -136,6 +137,7 @@
             self._leadership.refresh,
             UnpublishedJobs(store, self._states, self._clock),
             self._metrics,
+            self._admission_gate(),
         )
         self._jobs = RelayedJobs(self._job_api, relay, self._clock)
         self._members = Members(
@@ -214,6 +216,13 @@
         """Return whether this instance is the leader."""
         return self._leadership.claim is not None
 
+    def _admission_gate(self) -> AdmissionGate | None:
+        if not self.settings.planning.admission:
+            return None
+        return AdmissionGate(
+            self._states, self._clock, random.Random(), self._metrics
+        )
+
     def _children(self) -> list[Child]:
         listen = self.settings.listen
         readiness = Application(BODY_MAX_BYTES)
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -11,6 +11,18 @@
     EventLevel.INFO,
     "A submission or cancellation was stored, or failed for the given reason.",
 )
+define_event(
+    "submission-rejected",
+    EventLevel.INFO,
+    "A job was not stored, since it could no longer be of use or no worker is "
+    "large enough; gives the figures that decided it.",
+)
+define_event(
+    "load-figures-failed",
+    EventLevel.ERROR,
+    "The leader could not compute the load figures; without new ones every "
+    "job is admitted.",
+)
 define_event(
     "call-relayed",
     EventLevel.INFO,
--- a/src/magnoliapitch/ledger/job_api.py
+++ b/src/magnoliapitch/ledger/job_api.py
@@ -25,6 +25,7 @@
 
 
 if TYPE_CHECKING:
+    from magnoliapitch.ledger.admission_gate import AdmissionGate
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.ledger.submitter import Submitter
     from magnoliapitch.ledger.unpublished_jobs import UnpublishedJobs
@@ -65,6 +66,7 @@
         a job that is missing in the table may still be stored.
     :param unpublished_jobs: jobs that are stored although the leader has not
         published their states.
+    :param admission_gate: rejects submissions; None to reject none.
     """
 
     def __init__(
@@ -74,7 +76,9 @@
         refresh: Callable[[int], Result[None, Failure]],
         unpublished_jobs: UnpublishedJobs,
         metrics: Metrics,
+        admission_gate: AdmissionGate | None = None,
     ) -> None:
+        self._admission_gate = admission_gate
         self._state_table = state_table
         self._submitter = submitter
         self._refresh = refresh
@@ -107,9 +111,18 @@
         """
         if self._lookup(job.job_id) is not None:
             return Ok(None)
+        gate = self._admission_gate
+        if gate is not None:
+            answer = gate.check(job, self._configuration, self._find)
+            if answer is not None:
+                self._count("submit", answer)
+                return answer
+            gate.begin(job.job_id)
         record = KeyedRecord(JOB_PREFIX + job.job_id, encode_job(job))
         with self._metrics.timing("submit"):
             outcome = self._append(record, timeout_ms)
+        if gate is not None:
+            gate.settle(job.job_id, outcome)
         self._count("submit", outcome)
         if not isinstance(outcome, Err):
             self._remember_accepted(job)
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -12,6 +12,7 @@
 from result import Result
 
 from magnoliapitch.event import log_event
+from magnoliapitch.ledger.load_view import ReadTimes
 from magnoliapitch.ledger.mirror import StreamMirror
 from magnoliapitch.ledger.records import LEADER_KEY
 from magnoliapitch.ledger.records import PROGRESS_STREAM
@@ -201,6 +202,7 @@
         :param wait_ms: how long to wait for a first new record.
         """
         sent_ms = self._clock.now_ms()
+        read = ReadTimes(sent_ms, self._read_ms)
         end_offset = self._mirror.end
         changed = self._mirror.refresh(wait_ms)
         if isinstance(changed, Err):
@@ -210,7 +212,7 @@
         self._read_ms = max(self._read_ms or 0, sent_ms)
         self.has_loaded = True
         if self._mirror.end != end_offset:
-            self._handle_changes(changed.ok_value)
+            self._handle_changes(changed.ok_value, read)
         return Ok(None)
 
     def fence_former_leaders(self) -> Result[int, Failure]:
@@ -292,9 +294,9 @@
         self._last_heard_ms = self._clock.now_ms()
         self._claim_delay_ms = self._random_claim_delay_ms()
 
-    def _handle_changes(self, keys: set[str]) -> None:
+    def _handle_changes(self, keys: set[str], read: ReadTimes) -> None:
         self._last_heard_ms = self._clock.now_ms()
-        self._state_table.apply(self._mirror.values_by_key, keys)
+        self._state_table.apply(self._mirror.values_by_key, keys, read)
         leader = self._state_table.leader
         if leader is not None and leader.has_resigned:
             jitter_ms = self._random.randrange(MAX_RESIGNED_JITTER_MS)
--- a/src/magnoliapitch/ledger/state_table.py
+++ b/src/magnoliapitch/ledger/state_table.py
@@ -9,8 +9,11 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from magnoliapitch.admission import decode_figures
 from magnoliapitch.event import log_event
+from magnoliapitch.ledger.load_view import LoadView
 from magnoliapitch.ledger.records import LEADER_KEY
+from magnoliapitch.ledger.records import LOAD_KEY
 from magnoliapitch.ledger.records import STATE_PREFIX
 from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.ledger.records import decode_leader
@@ -20,6 +23,8 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
+    from magnoliapitch.ledger.load_view import ReadTimes
+
 
 class JobState(StrEnum):
     """State of a job as callers see it."""
@@ -71,10 +76,12 @@
     """Jobs whose state the leader has published; thread-safe.
 
     :ivar leader: newest claim of leadership, or None if none is stored.
+    :ivar load: newest load figures of the leader.
     """
 
     def __init__(self) -> None:
         self.leader: LeaderRecord | None = None
+        self.load = LoadView()
         self._lock = threading.Lock()
         self._job_by_id: dict[str, PublishedJob] = {}
         self._pending_by_queue: Counter[str] = Counter()
@@ -109,7 +116,10 @@
                 self._pending_by_queue[job.queue] += 1
 
     def apply(
-        self, values_by_key: Mapping[str, bytes], keys: Iterable[str]
+        self,
+        values_by_key: Mapping[str, bytes],
+        keys: Iterable[str],
+        read: ReadTimes | None = None,
     ) -> None:
         """Apply changed records of the stream of states.
 
@@ -117,19 +127,25 @@
 
         :param values_by_key: newest value of each key that has one.
         :param keys: keys that have changed.
+        :param read: times of the read; None if they are not known.
         """
         for key in keys:
             try:
-                self._apply_record(key, values_by_key.get(key))
+                self._apply_record(key, values_by_key.get(key), read)
             except ValueError as error:
                 log_event("record-unreadable", key=key, reason=str(error))
 
-    def _apply_record(self, key: str, value: bytes | None) -> None:
+    def _apply_record(
+        self, key: str, value: bytes | None, read: ReadTimes | None
+    ) -> None:
         if key == LEADER_KEY:
             self.leader = None if value is None else decode_leader(value)
         elif key.startswith(STATE_PREFIX):
             job = None if value is None else PublishedJob.decode(value)
             self.put(key[len(STATE_PREFIX) :], job)
+        elif key == LOAD_KEY:
+            if value is not None:
+                self.load.apply(decode_figures(value), read)
         else:
             log_event("record-unreadable", key=key, reason="unknown prefix")
 
--- /dev/null
+++ b/tests/admission/__init__.py
@@ -0,0 +1,1 @@
+from __future__ import annotations
--- a/tests/control/load.py
+++ b/tests/control/load.py
@@ -4,9 +4,11 @@
 
 import random
 
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 from magnoliapitch.ledger.state_table import JobState
+from magnoliapitch.planner.planner import DEFAULT_OPTIONS
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.configuration import PermitTiming
 from magnoliapitch.workload.job import JobSpec
@@ -17,6 +19,10 @@
 from tests.control.simulation import workers
 
 
+if TYPE_CHECKING:
+    from magnoliapitch.planner.options import PlanningOptions
+
+
 class JobKind(NamedTuple):
     """Parameters of one kind of job.
 
@@ -41,7 +47,7 @@
     stretch: float
     target_ms: float
     gang_share: float
-    permit_timing: PermitTiming
+    permit_timing: PermitTiming | None
     permitted_share: float = 0.5
 
 
@@ -148,6 +154,7 @@
         seed: int = 1,
         advisor_call_limit: int = 6,
         kinds: tuple[JobKind, ...] = JOB_KINDS,
+        options: PlanningOptions = DEFAULT_OPTIONS,
     ) -> None:
         self._kinds = kinds
         self._random = random.Random(seed)
@@ -166,6 +173,7 @@
             ],
             workers(worker_count),
             advisor_call_limit,
+            options=options,
         )
         self.simulation.actual_duration_ms = (
             self._actual_duration_ms_by_task.__getitem__
@@ -236,7 +244,12 @@
         self._objective_ms_by_job[name] = (
             kind.target_ms + kind.stretch * longest_ms
         )
-        self.simulation.submit(JobSpec(name, kind.name, "text", (step,)))
+        self.submit(kind, JobSpec(name, kind.name, "text", (step,)))
+
+    def submit(self, kind: JobKind, job: JobSpec) -> None:
+        """Submit a job; replaced where submissions may be rejected."""
+        del kind
+        self.simulation.submit(job)
 
     def _skewed(self, mean: float, spread: float) -> float:
         return mean * self._random.lognormvariate(-spread * spread / 2, spread)
