--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -119,6 +119,9 @@
             self._delete_jobs,
             self.planner.learned_durations,
         )
+        self._progress_batcher.publish_load(
+            self.planner, configuration, metrics
+        )
 
     @property
     def epoch(self) -> int:
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -29,6 +29,7 @@
 from magnoliapitch.http import HttpResponse
 from magnoliapitch.http import Listener
 from magnoliapitch.http.client import HttpClient
+from magnoliapitch.ledger.admission_gate import AdmissionGate
 from magnoliapitch.ledger.health import StoreHealth
 from magnoliapitch.ledger.job_api import JobApi
 from magnoliapitch.ledger.job_follower import JobFollower
@@ -134,6 +135,7 @@
             self._leadership.refresh,
             UnpublishedJobs(store, self._states, self._clock),
             self._metrics,
+            self._admission_gate(),
         )
         self._jobs = RelayedJobs(self._job_api, relay, self._clock)
         freshness = ConfigurationFreshness(self._clock)
@@ -217,6 +219,13 @@
         """Return whether this instance is the leader."""
         return self._leadership.claim is not None
 
+    def _admission_gate(self) -> AdmissionGate | None:
+        if not self.settings.planning.admission:
+            return None
+        return AdmissionGate(
+            self._states, self._clock, random.Random(), self._metrics
+        )
+
     def _children(self) -> list[Child]:
         listen = self.settings.listen
         readiness = Application(BODY_MAX_BYTES)
--- a/src/magnoliapitch/ledger/job_api.py
+++ b/src/magnoliapitch/ledger/job_api.py
@@ -30,6 +30,7 @@
 
 
 if TYPE_CHECKING:
+    from magnoliapitch.ledger.admission_gate import AdmissionGate
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.ledger.submitter import Submitter
     from magnoliapitch.ledger.unpublished_jobs import UnpublishedJobs
@@ -70,6 +71,7 @@
         a job that is missing in the table may still be stored.
     :param unpublished_jobs: jobs that are stored although the leader has not
         published their states.
+    :param admission_gate: rejects submissions; None to reject none.
     """
 
     def __init__(
@@ -79,7 +81,9 @@
         refresh: Callable[[int], Result[None, Failure]],
         unpublished_jobs: UnpublishedJobs,
         metrics: Metrics,
+        admission_gate: AdmissionGate | None = None,
     ) -> None:
+        self._admission_gate = admission_gate
         self._state_table = state_table
         self._submitter = submitter
         self._refresh = refresh
@@ -120,9 +124,21 @@
         quota_failure = find_quota_failure(job, self._configuration)
         if quota_failure is not None:
             return self._reject(job, quota_failure, caller)
+        gate = self._admission_gate
+        if gate is not None:
+            answer = gate.check(job, self._configuration, self._find)
+            if isinstance(answer, Ok):
+                found = self._find_for("submit", job.job_id, caller)
+                answer = found.map(lambda _: None)
+            if answer is not None:
+                self._count("submit", answer)
+                return answer
+            gate.begin(job.job_id)
         record = KeyedRecord(JOB_PREFIX + job.job_id, encode_job(job))
         with self._metrics.timing("submit"):
             outcome = self._append(record, timeout_ms)
+        if gate is not None:
+            gate.settle(job.job_id, outcome)
         self._count("submit", outcome)
         if not isinstance(outcome, Err):
             self._remember_accepted(job)
--- a/src/magnoliapitch/platform/job_application.py
+++ b/src/magnoliapitch/platform/job_application.py
@@ -21,7 +21,7 @@
 from magnoliapitch.verdict import not_run
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
-from magnoliapitch.workload.job_size import check_job_size
+from magnoliapitch.workload.job_check import check_job
 
 
 if TYPE_CHECKING:
@@ -135,7 +135,7 @@
     status = None
     if failure.verdict is Verdict.MAY_HAVE_RUN:
         status = 504
-    elif failure.code is FailureCode.OVERLOADED:
+    elif failure.code in (FailureCode.OVERLOADED, FailureCode.IMPOSSIBLE):
         status = 429
     return problem_response(failure, status=status)
 
@@ -157,14 +157,6 @@
             "digits"
         )
     steps = tuple(_decode_step(step) for step in body["steps"])
-    if not steps:
-        raise ValueError("the job has no steps")
-    for number, step in enumerate(steps):
-        if any(not 0 <= earlier < number for earlier in step.depends_on):
-            raise ValueError(
-                f"step {number} depends on steps {step.depends_on}; only "
-                "earlier steps are allowed"
-            )
     job = JobSpec(
         job_id,
         grant.queue.name,
@@ -176,19 +168,13 @@
         time.time_ns() // 1_000_000,
         grant.caller.workspace,
     )
-    check_job_size(job)
-    return job
+    return check_job(job)
 
 
 def _decode_step(step: Any) -> StepSpec:
-    task_count = int(step["count"])
-    if task_count < 1:
-        raise ValueError(
-            f"a step has {task_count} tasks; at least 1 is required"
-        )
     max_unavailable = step.get("may-miss")
     return StepSpec(
-        task_count,
+        int(step["count"]),
         decode_resources(step),
         int(step.get("estimate-ms") or 0),
         tuple(int(number) for number in step.get("depends-on") or ()),
--- a/tests/platform/test_job_application.py
+++ b/tests/platform/test_job_application.py
@@ -18,7 +18,7 @@
 from magnoliapitch.metric import Metrics
 from magnoliapitch.platform import job_application
 from magnoliapitch.relay import RelayedJobs
-from magnoliapitch.workload.job_size import MAX_TASKS_PER_JOB
+from magnoliapitch.workload.job_check import MAX_TASKS_PER_JOB
 from tests.access.configurations import HOST
 from tests.access.configurations import NORTH
 from tests.access.configurations import SOUTH
