Ask for permits on workers of all speeds for steps that are spread over them

Cause: a step that is to be spread was permitted on slow workers only.

Change: its workers are asked about in the former order, by free CPU.

--- a/src/magnoliapitch/planner/candidate_order.py
+++ b/src/magnoliapitch/planner/candidate_order.py
@@ -135,12 +135,15 @@
         """Return the workers to ask the advisor about, the best first.
 
         Among those in time, and among the others, workers with free capacity
-        come first.
+        come first. A step that is to be spread over all speeds needs permits
+        for all of them.
         """
         classes = self._durations.speeds.classes
         if len(classes) == 1:
             return workers.eligible(step)
         limit = self._slowest_in_time(step, now_ms)
+        if limit <= classes[0] and _is_mixed(step):
+            return workers.eligible(step)
         in_time = [number for number in classes if number >= limit]
         late = [number for number in reversed(classes) if number < limit]
         return chain(
