Evacuate, preempt and copy runs where planning.preemption is on

Cause: a run that saves its progress was lost with a worker that left before its end; urgent steps waited behind batches that fill all workers; a task that takes several times as long as expected held up its step.

A failed copy uses up no attempt while the other goes on. A new leader stops the older of two restored runs of a task that is not speculative: marks are not stored, so that both went on.

--- a/src/magnoliapitch/control/order_issuer.py
+++ b/src/magnoliapitch/control/order_issuer.py
@@ -67,6 +67,10 @@
             self._state.add_ordered_run(
                 planned.task, planned.run, planned.worker_id, now_ms
             )
+            if planned.is_copy:
+                run = run_fields(planned.task, planned.run, planned.worker_id)
+                log_event("copy-starting", **run)
+                continue
             worker_ids_by_step.setdefault(planned.task.step_key, []).append(
                 planned.worker_id
             )
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -135,6 +135,12 @@
     EventLevel.WARNING,
     "A worker refused a start order or did not answer it.",
 )
+define_event(
+    "copy-starting",
+    EventLevel.INFO,
+    "A task takes unusually long, so a copy of its run starts on another "
+    "worker; the first that is done counts.",
+)
 define_event(
     "stop-ordered",
     EventLevel.INFO,
--- a/src/magnoliapitch/planner/candidates.py
+++ b/src/magnoliapitch/planner/candidates.py
@@ -89,11 +89,15 @@
 
 
 def _is_eligible(candidate: Candidate, step: TrackedStep) -> bool:
+    return candidate.accepts(step.job) and may_run(candidate.info, step)
+
+
+def may_run(info: WorkerInfo, step: TrackedStep) -> bool:
+    """Return whether an idle worker could run a step if it is permitted."""
     return (
-        candidate.accepts(step.job)
-        and candidate.info.service == step.job.queue.service
-        and (not step.spec.label or step.spec.label in candidate.info.labels)
-        and step.reservation.fits(candidate.info.capacity)
+        info.service == step.job.queue.service
+        and (not step.spec.label or step.spec.label in info.labels)
+        and step.reservation.fits(info.capacity)
     )
 
 
--- a/src/magnoliapitch/planner/plan.py
+++ b/src/magnoliapitch/planner/plan.py
@@ -14,12 +14,14 @@
     :param run: number of the run.
     :param ticket: ticket of the advisor's permit; empty if the queue needs
         none.
+    :param is_copy: whether another run of the task goes on meanwhile.
     """
 
     task: TaskKey
     run: int
     worker_id: str
     ticket: str = ""
+    is_copy: bool = False
 
 
 class PlannedStop(NamedTuple):
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -8,19 +8,24 @@
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner.duration import DurationEstimator
+from magnoliapitch.planner.evacuation import Evacuation
 from magnoliapitch.planner.fair_shares import fair_shares
 from magnoliapitch.planner.options import PlanningOptions
 from magnoliapitch.planner.permit_budget import PermitBudget
 from magnoliapitch.planner.plan import Plan
 from magnoliapitch.planner.plan import PlannedStop
 from magnoliapitch.planner.planning_round import PlanningRound
+from magnoliapitch.planner.preemption import Preemption
 from magnoliapitch.planner.ranking import rank_of
+from magnoliapitch.planner.run_durations import LogNormalRunDurations
+from magnoliapitch.planner.straggler import Stragglers
 from magnoliapitch.planner.worker_backoff import WorkerBackoff
 from magnoliapitch.planner.worker_isolation import WorkerIsolation
 from magnoliapitch.workload.progress import JobOutcome
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from magnoliapitch.planner.scheduler_state import SchedulerState
@@ -29,6 +34,7 @@
 
 
 DEFAULT_OPTIONS = PlanningOptions()
+COPY_LOST = "copy-lost"
 # Bounds the duration of a round when very many steps wait.
 MAX_STEPS_PER_ROUND = 150
 
@@ -37,6 +43,8 @@
     """Plans rounds; keeps expected durations and failures between them.
 
     :ivar options: optional behaviour that is switched on.
+    :ivar may_preempt: whether a waiting step may preempt runs; for example,
+        not one that a quota holds back.
     """
 
     def __init__(self, options: PlanningOptions = DEFAULT_OPTIONS) -> None:
@@ -44,6 +52,11 @@
         self.duration_estimator = DurationEstimator()
         self.worker_backoff = WorkerBackoff()
         self._isolation = WorkerIsolation()
+        self.may_preempt: Callable[[TrackedStep], bool] = lambda _: True
+        durations = LogNormalRunDurations(self.duration_estimator)
+        self._evacuation = Evacuation(durations)
+        self._preemption = Preemption(durations)
+        self._stragglers = Stragglers(durations)
 
     def record_failed(self, run: TrackedRun) -> None:
         """Record the worker of a failed run.
@@ -103,16 +116,19 @@
             sent now.
         """
         state.open_due_steps(now_ms, wall_ms)
-        stops = tuple(
-            _planned_stop(state, run) for run in state.runs_to_stop.values()
-        )
-        if not state.waiting_steps:
-            return Plan(stops=stops)
+        stragglers: list[TrackedRun] = []
+        if self.options.preemption:
+            self._evacuation.mark(state, now_ms)
+            stragglers = self._stragglers.find(state, now_ms)
+        if not state.waiting_steps and not stragglers:
+            return Plan(stops=self._planned_stops(state))
         if max_starts_in_flight is None:
             max_starts_in_flight = max_starts
         ranked_steps = self._ranked_steps(state, now_ms)
         permit_budget = PermitBudget(
-            ranked_steps, max_calls, max_starts_in_flight
+            [*ranked_steps, *(run.task.step for run in stragglers)],
+            max_calls,
+            max_starts_in_flight,
         )
         planning_round = PlanningRound(
             state, now_ms, permit_budget, max_starts, self._isolation
@@ -126,14 +142,32 @@
                 continue
             remaining_by_queue[step.job.queue.name] -= 1
             planning_round.place(step)
+            self._preemption.hold_room(step, planning_round, now_ms)
             examined_count += 1
+        if self.options.preemption:
+            self._preemption.mark(
+                state, ranked_steps, planning_round, now_ms, self.may_preempt
+            )
+            planning_round.starts += self._stragglers.copies(
+                stragglers,
+                ranked_steps,
+                planning_round,
+                now_ms,
+                max_starts - len(planning_round.starts),
+            )
         return Plan(
             tuple(planning_round.starts),
-            stops,
+            self._planned_stops(state),
             permit_budget.requests(),
             len(ranked_steps) - examined_count,
         )
 
+    def _planned_stops(self, state: SchedulerState) -> tuple[PlannedStop, ...]:
+        return tuple(
+            _planned_stop(state, run, has_copies=self.options.preemption)
+            for run in state.runs_to_stop.values()
+        )
+
     def _ranked_steps(
         self, state: SchedulerState, now_ms: int
     ) -> list[TrackedStep]:
@@ -159,11 +193,17 @@
     return fair_shares(waiting_count_by_queue, MAX_STEPS_PER_ROUND)
 
 
-def _planned_stop(state: SchedulerState, run: TrackedRun) -> PlannedStop:
+def _planned_stop(
+    state: SchedulerState, run: TrackedRun, *, has_copies: bool
+) -> PlannedStop:
     info = state.get_or_add_worker(run.worker_id).info
     outcome = run.task.step.job.outcome
-    if outcome is not JobOutcome.OPEN:
+    if has_copies and run.task.is_done and run.task.step.spec.is_speculative:
+        reason = COPY_LOST
+    elif outcome is not JobOutcome.OPEN:
         reason = f"job-{outcome}"
+    elif run.stop_reason:
+        reason = run.stop_reason
     elif info is not None and info.is_draining:
         reason = "worker-draining"
     else:
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -75,6 +75,11 @@
         self._gangs_with_reserved_capacity = 0
         self._steps_with_request: set[StepKey] = set()
 
+    @property
+    def workers(self) -> CandidateWorkers:
+        """Return the workers that take new runs, with what is left free."""
+        return self._workers
+
     @property
     def is_complete(self) -> bool:
         """Return whether no further start or permit request can be added."""
@@ -100,13 +105,13 @@
         without_ticket = [
             candidate
             for candidate in chosen
-            if not self._has_ticket(step, candidate)
+            if not self.has_ticket(step, candidate)
         ]
         if without_ticket and is_gang:
             without_ticket = self._with_spare_candidates(
                 step, chosen, candidates
             )
-        self._add_permit_request(step, without_ticket)
+        self.request_permits(step, without_ticket)
         if not chosen:
             self._ask_about_unasked(step)
         if without_ticket and is_gang:
@@ -140,7 +145,7 @@
             return
         self._gangs_with_reserved_capacity += 1
         if not self._has_fresh_tickets(step, candidates):
-            self._add_permit_request(
+            self.request_permits(
                 step, sorted(candidates, key=_most_free_cpu_first)
             )
         self._reserve_capacity(step, candidates, step.waiting_count)
@@ -208,7 +213,8 @@
             step, allowed, worker_count, self._now_ms
         )
 
-    def _has_ticket(self, step: TrackedStep, candidate: Candidate) -> bool:
+    def has_ticket(self, step: TrackedStep, candidate: Candidate) -> bool:
+        """Return whether a step may start on a worker at once."""
         if step.job.queue.permit_timing is None:
             return True
         _, valid_until_ms = step.tickets_by_worker.get(
@@ -224,7 +230,7 @@
                 for candidate in self._workers.eligible(step)
                 if candidate.worker.worker_id not in step.asked_worker_ids
             )
-            self._add_permit_request(step, _enough_candidates(step, not_asked))
+            self.request_permits(step, _enough_candidates(step, not_asked))
 
     def _with_spare_candidates(
         self,
@@ -252,9 +258,10 @@
             and step.job.queue.permit_timing is not None
         )
 
-    def _add_permit_request(
+    def request_permits(
         self, step: TrackedStep, candidates: list[Candidate]
     ) -> None:
+        """Plan a call about workers, unless one is planned or under way."""
         if not candidates or not self._can_call_advisor(step):
             return
         worker_ids = dict.fromkeys(
@@ -295,7 +302,7 @@
             key=lambda candidate: (
                 candidate.worker.worker_id in step.failed_worker_ids,
                 candidate.worker.worker_id not in step.in_flight_worker_ids
-                and not self._has_ticket(step, candidate),
+                and not self.has_ticket(step, candidate),
                 candidate.free.cpu_millis,
             )
         )
--- /dev/null
+++ b/src/magnoliapitch/planner/preemption.py
@@ -0,0 +1,367 @@
+"""Preemption of less urgent runs for steps that would miss their objective."""
+
+from __future__ import annotations
+
+import heapq
+
+from collections import Counter
+from collections import defaultdict
+from functools import cached_property
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from magnoliapitch.planner.planning_round import NO_TICKET
+from magnoliapitch.planner.planning_round import TICKET_MIN_REMAINING_MS
+from magnoliapitch.planner.room import WorkerRoom
+from magnoliapitch.resource import NO_RESOURCES
+from magnoliapitch.resource import Resources
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from magnoliapitch.planner.candidates import Candidate
+    from magnoliapitch.planner.planning_round import PlanningRound
+    from magnoliapitch.planner.run_durations import RunDurations
+    from magnoliapitch.planner.scheduler_state import SchedulerState
+    from magnoliapitch.planner.tracked import TrackedRun
+    from magnoliapitch.planner.tracked import TrackedStep
+    from magnoliapitch.planner.tracked import TrackedWorker
+    from magnoliapitch.workload.job import StepKey
+
+
+PREEMPTED = "preempted"
+# Gangs of less urgent queues need so much room that too much work would stop.
+MOST_URGENT_PRIORITY = 0
+MIN_WAIT_MS = 100
+# Longest stop that the workers' protocol allows.
+STOP_MS = 400
+# Report of the stop, round, commit and start order.
+START_MS = 60
+# Steps that wait for the ends of preempted runs at a time.
+MAX_PREEMPTING_STEPS = 8
+MAX_PREEMPTIONS_PER_TASK = 2
+# A run that was started lately is left alone, so that work gets on.
+MIN_RUN_MS = 500
+# Bound the duration of a round.
+PASS_INTERVAL_MS = 40
+MAX_EXAMINED_STEPS = 40
+# A gang whose room is not free by then has lost its turn.
+HOLD_ROOM_MS = 1_000
+
+
+class _HeldRoom(NamedTuple):
+    task_count_by_worker: Counter[str]
+    until_ms: int
+
+
+class Preemption:
+    """Marks runs for stopping whose room more urgent steps need.
+
+    Runs that are being stopped already, for whatever reason, count as room
+    of the steps that rank first. So nothing is stopped twice for one step,
+    and no record is needed of what was stopped for which step.
+    """
+
+    def __init__(self, durations: RunDurations) -> None:
+        self._durations = durations
+        self._next_pass_ms = 0
+        self._short_since_ms_by_step: dict[StepKey, int] = {}
+        self._held_by_step: dict[StepKey, _HeldRoom] = {}
+
+    def hold_room(
+        self, step: TrackedStep, planning_round: PlanningRound, now_ms: int
+    ) -> None:
+        """Keep later steps off the room that a gang has preempted.
+
+        The members of a gang start only once the room of all is free.
+        """
+        held = self._held_by_step.get(step.key)
+        if held is None:
+            return
+        if now_ms > held.until_ms:
+            del self._held_by_step[step.key]
+            return
+        if any(
+            start.task.step_key == step.key for start in planning_round.starts
+        ):
+            return
+        for worker_id, count in held.task_count_by_worker.items():
+            candidate = planning_round.workers.candidates_by_id.get(worker_id)
+            if candidate is not None:
+                candidate.reserve(step.reservation.times(count))
+
+    def mark(
+        self,
+        state: SchedulerState,
+        ranked_steps: Iterable[TrackedStep],
+        planning_round: PlanningRound,
+        now_ms: int,
+        may_preempt: Callable[[TrackedStep], bool] = lambda _: True,
+    ) -> None:
+        """Mark the runs to preempt, after the starts of a round are planned.
+
+        :param ranked_steps: the waiting steps in the order of their rank.
+        :param may_preempt: whether a step may preempt; for example, not one
+            that is held back by a quota.
+        """
+        if now_ms < self._next_pass_ms:
+            return
+        self._next_pass_ms = now_ms + PASS_INTERVAL_MS
+        preemption_pass = _Pass(state, planning_round, self._durations, now_ms)
+        self._forget_started(state)
+        for step in preemption_pass.short_steps(ranked_steps):
+            rooms = preemption_pass.ready_rooms(step)
+            if not rooms:
+                continue
+            since_ms = self._short_since_ms_by_step.setdefault(
+                step.key, now_ms
+            )
+            is_allowed = (
+                now_ms - since_ms > MIN_WAIT_MS
+                and preemption_pass.preempting_count < MAX_PREEMPTING_STEPS
+                and _may_meet_objective(step, now_ms)
+                and may_preempt(step)
+            )
+            counts = preemption_pass.make_room(
+                step, rooms, may_preempt=is_allowed
+            )
+            if counts and step.spec.is_gang:
+                self._held_by_step[step.key] = _HeldRoom(
+                    counts, now_ms + HOLD_ROOM_MS
+                )
+
+    def _forget_started(self, state: SchedulerState) -> None:
+        for key in self._short_since_ms_by_step.keys() - state.waiting_steps:
+            del self._short_since_ms_by_step[key]
+            self._held_by_step.pop(key, None)
+
+
+class _Pass:
+    """One look at the steps that are short of room, and at the workers.
+
+    :ivar preempting_count: number of steps whose tasks wait for runs that
+        are being stopped.
+    """
+
+    def __init__(
+        self,
+        state: SchedulerState,
+        planning_round: PlanningRound,
+        durations: RunDurations,
+        now_ms: int,
+    ) -> None:
+        self.preempting_count = 0
+        self._state = state
+        self._workers = planning_round.workers
+        self._durations = durations
+        self._now_ms = now_ms
+        self._started_by_step: Counter[StepKey] = Counter()
+        self._planned_by_worker: dict[str, Resources] = defaultdict(Resources)
+        self._room_by_worker: dict[str, WorkerRoom] = {}
+        for start in planning_round.starts:
+            key = start.task.step_key
+            self._started_by_step[key] += 1
+            step = state.waiting_steps[key]
+            self._planned_by_worker[start.worker_id] = self._planned_by_worker[
+                start.worker_id
+            ].plus(step.reservation)
+
+    def short_steps(
+        self, ranked_steps: Iterable[TrackedStep]
+    ) -> Iterable[TrackedStep]:
+        """Return the first steps that may use room that becomes free."""
+        examined_count = 0
+        for step in ranked_steps:
+            if not self._missing_count(step):
+                continue
+            if (
+                examined_count >= MAX_EXAMINED_STEPS
+                or step.job.queue.priority >= self._least_urgent_priority
+            ):
+                return
+            examined_count += 1
+            yield step
+
+    def ready_rooms(self, step: TrackedStep) -> list[WorkerRoom]:
+        """Return the workers on which a step may start after a stop."""
+        if step.job.queue.permit_timing is None:
+            candidates = list(self._workers.eligible(step))
+        else:
+            candidates = self._workers.permitted(step)
+        return [
+            self._room(candidate.worker)
+            for candidate in candidates
+            if self._is_ready(step, candidate)
+        ]
+
+    def make_room(
+        self, step: TrackedStep, rooms: list[WorkerRoom], *, may_preempt: bool
+    ) -> Counter[str] | None:
+        """Take the room of a step's waiting tasks, and preempt runs for it.
+
+        No run is preempted unless there is room for every waiting task then.
+
+        :param rooms: the workers on which the step may start.
+        :return: number of tasks on each worker if runs were preempted.
+        """
+        counts = self._take(step, rooms, may_preempt=may_preempt)
+        is_whole = counts.total() == self._missing_count(step)
+        if not is_whole and (may_preempt or step.spec.is_gang):
+            for room in rooms:
+                room.restore()
+            if step.spec.is_gang:
+                return None
+            counts = self._take(step, rooms, may_preempt=False)
+        used = [room for room in rooms if counts[room.worker.worker_id]]
+        if any(not NO_RESOURCES.fits(room.free_now) for room in used):
+            self.preempting_count += 1
+        victims = [
+            run
+            for room in rooms
+            for run in room.victims
+            if not run.is_stopping
+        ]
+        for room in rooms:
+            room.keep()
+        for run in victims:
+            run.task.preemptions += 1
+            self._state.mark_for_stop(run, PREEMPTED)
+        return counts if victims else None
+
+    def _take(
+        self, step: TrackedStep, rooms: list[WorkerRoom], *, may_preempt: bool
+    ) -> Counter[str]:
+        """Take room task by task where the fewest runs are preempted."""
+        counts: Counter[str] = Counter()
+        heap: list[tuple[int, int, int, list[TrackedRun]]] = []
+        for index in range(len(rooms)):
+            self._push(heap, index, step, rooms[index], counts, may_preempt)
+        missing_count = self._missing_count(step)
+        while heap and counts.total() < missing_count:
+            _, _, index, victims = heapq.heappop(heap)
+            room = rooms[index]
+            room.take(step.reservation, victims)
+            counts[room.worker.worker_id] += 1
+            self._push(heap, index, step, room, counts, may_preempt)
+        return counts
+
+    def _push(
+        self,
+        heap: list[tuple[int, int, int, list[TrackedRun]]],
+        index: int,
+        step: TrackedStep,
+        room: WorkerRoom,
+        counts: Counter[str],
+        may_preempt: bool,
+    ) -> None:
+        """Add a worker with what another task there costs, if it can fit."""
+        worker = room.worker
+        if step.spec.max_per_worker:
+            used = sum(run.task.step is step for run in worker.runs)
+            used += counts[worker.worker_id]
+            if used >= step.spec.max_per_worker:
+                return
+        victims = room.victims_for(
+            step, self._preemptible(worker, step) if may_preempt else ()
+        )
+        if victims is not None:
+            lost_ms = sum(self._elapsed_ms(run) for run in victims)
+            heapq.heappush(heap, (len(victims), lost_ms, index, victims))
+
+    def _missing_count(self, step: TrackedStep) -> int:
+        return step.waiting_count - self._started_by_step[step.key]
+
+    @cached_property
+    def _least_urgent_priority(self) -> int:
+        """Return the priority of the least urgent preemptible run."""
+        return max(
+            (
+                runs[0].task.step.job.queue.priority
+                for runs in self._preemptible_by_worker.values()
+                if runs
+            ),
+            default=MOST_URGENT_PRIORITY,
+        )
+
+    @cached_property
+    def _preemptible_by_worker(self) -> dict[str, list[TrackedRun]]:
+        """Return the preemptible runs, the least urgent and newest first."""
+        return {
+            worker_id: sorted(
+                filter(self._is_preemptible, candidate.worker.runs),
+                key=lambda run: (
+                    -run.task.step.job.queue.priority,
+                    self._elapsed_ms(run),
+                ),
+            )
+            for worker_id, candidate in self._workers.candidates_by_id.items()
+        }
+
+    def _preemptible(
+        self, worker: TrackedWorker, step: TrackedStep
+    ) -> list[TrackedRun]:
+        """Return the runs that a step may preempt, the first ones first."""
+        priority = step.job.queue.priority
+        return [
+            run
+            for run in self._preemptible_by_worker[worker.worker_id]
+            if run.task.step.job.queue.priority > priority
+            and self._durations.remaining_ms(run, self._now_ms) > 2 * STOP_MS
+        ]
+
+    def _is_preemptible(self, run: TrackedRun) -> bool:
+        """Return whether a run can be stopped without harm but for time.
+
+        Its order must have been carried out, once and for all.
+        """
+        spec = run.task.step.spec
+        return (
+            spec.saves_progress
+            and not spec.is_gang
+            and not spec.is_long_running
+            and run.started_ms is not None
+            and not run.is_stopping
+            and (run.is_order_settled or run.is_restored)
+            and not run.has_ended_with_worker
+            and self._elapsed_ms(run) >= MIN_RUN_MS
+            and run.task.preemptions < MAX_PREEMPTIONS_PER_TASK
+            and len(run.task.active_runs) == 1
+            and not run.task.is_suspect
+        )
+
+    def _elapsed_ms(self, run: TrackedRun) -> int:
+        return 0 if run.started_ms is None else self._now_ms - run.started_ms
+
+    def _room(self, worker: TrackedWorker) -> WorkerRoom:
+        room = self._room_by_worker.get(worker.worker_id)
+        if room is None:
+            planned = self._planned_by_worker[worker.worker_id]
+            room = WorkerRoom(worker, planned)
+            self._room_by_worker[worker.worker_id] = room
+        return room
+
+    def _is_ready(self, step: TrackedStep, candidate: Candidate) -> bool:
+        """Return whether a step may start on a worker after a stop."""
+        if step.job.queue.permit_timing is None:
+            return True
+        _, valid_until_ms = step.tickets_by_worker.get(
+            candidate.worker.worker_id, NO_TICKET
+        )
+        min_valid_until_ms = self._now_ms + STOP_MS + TICKET_MIN_REMAINING_MS
+        return valid_until_ms >= min_valid_until_ms
+
+
+def _may_meet_objective(step: TrackedStep, now_ms: int) -> bool:
+    """Return whether a step that preempts can still meet its objective.
+
+    A service has no objective, and suspects are placed apart.
+    """
+    if step.spec.is_long_running or step.latest_start_ms is None:
+        return False
+    if step.spec.is_gang and step.job.queue.priority > MOST_URGENT_PRIORITY:
+        return False
+    if any(task.is_suspect for task in step.startable_tasks()):
+        return False
+    return now_ms + STOP_MS + START_MS <= step.latest_start_ms
--- a/src/magnoliapitch/planner/restore.py
+++ b/src/magnoliapitch/planner/restore.py
@@ -56,8 +56,9 @@
     """Set a new job's tasks and runs from its stored progress.
 
     Which runs are to be stopped is not stored but follows from the progress:
-    those of an ended job, those of tasks that are done, and those of a gang
-    that has lost a member.
+    those of an ended job, those of tasks that are done, those that a later
+    run of the same task has followed, and those of a gang that has lost a
+    member.
     """
     job.outcome = progress.outcome
     job.has_begun = progress.has_begun
@@ -91,6 +92,19 @@
         run.has_ended_with_worker = placement.has_ended_with_worker
         if is_over:
             state.mark_for_stop(run)
+    if not task.step.spec.is_speculative:
+        _stop_superseded_runs(state, task)
+
+
+def _stop_superseded_runs(state: SchedulerState, task: TrackedTask) -> None:
+    """Mark all but the newest restored run of a task for stopping.
+
+    The former leader had found an older run that it had taken as ended.
+    """
+    newest = max((run.number for run in task.active_runs), default=0)
+    for run in task.active_runs:
+        if run.number < newest:
+            state.mark_for_stop(run)
 
 
 def _stop_incomplete_gang(state: SchedulerState, step: TrackedStep) -> None:
--- /dev/null
+++ b/src/magnoliapitch/planner/room.py
@@ -0,0 +1,102 @@
+"""Capacity of workers once the runs that are being stopped have ended."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from magnoliapitch.planner.tracked import TrackedRun
+from magnoliapitch.resource import Resources
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from magnoliapitch.planner.tracked import TrackedStep
+    from magnoliapitch.planner.tracked import TrackedWorker
+
+
+class _Saved(NamedTuple):
+    free: Resources
+    free_now: Resources
+    victims: list[TrackedRun]
+
+
+class WorkerRoom:
+    """Capacity of one worker that waiting steps will get.
+
+    :ivar free: capacity without the runs that are being stopped, less what
+        was taken.
+    :ivar free_now: the part of it that is free already; it may become
+        negative.
+    :ivar victims: runs that were chosen to be preempted for it.
+    :param planned: capacity that starts of this round reserve.
+    """
+
+    __slots__ = ("_saved", "free", "free_now", "victims", "worker")
+
+    def __init__(self, worker: TrackedWorker, planned: Resources) -> None:
+        self.worker = worker
+        self.free_now = worker.free.minus(planned)
+        self.free = self.free_now
+        self.victims: list[TrackedRun] = []
+        self._saved: _Saved | None = None
+        for run in worker.runs:
+            if run.is_stopping:
+                self.free = self.free.plus(run.resources)
+
+    def take(self, amount: Resources, victims: Iterable[TrackedRun]) -> None:
+        """Take capacity, after that of further victims was added."""
+        if self._saved is None:
+            self._saved = _Saved(self.free, self.free_now, [*self.victims])
+        for run in victims:
+            self.victims.append(run)
+            self.free = self.free.plus(run.resources)
+        self.free = self.free.minus(amount)
+        self.free_now = self.free_now.minus(amount)
+
+    def restore(self) -> None:
+        """Undo what was taken since the last ``keep``."""
+        if self._saved is not None:
+            self.free, self.free_now, self.victims = self._saved
+            self._saved = None
+
+    def keep(self) -> None:
+        """Make what was taken final."""
+        self._saved = None
+
+    def victims_for(
+        self, step: TrackedStep, preemptible: Iterable[TrackedRun]
+    ) -> list[TrackedRun] | None:
+        """Return the fewest and least advanced runs that free a task's room.
+
+        :param preemptible: runs of this worker that may be preempted, the
+            least advanced first.
+        :return: empty if the task fits without, None if it never fits.
+        """
+        needed = step.reservation
+        if needed.fits(self.free):
+            return []
+        left = [run for run in preemptible if run not in self.victims]
+        for run in left:
+            if needed.fits(self.free.plus(run.resources)):
+                return [run]
+        return self._several_victims_for(needed, left)
+
+    def _several_victims_for(
+        self, needed: Resources, runs: list[TrackedRun]
+    ) -> list[TrackedRun] | None:
+        chosen: list[TrackedRun] = []
+        free = self.free
+        for run in sorted(runs, key=lambda run: -run.resources.cpu_millis):
+            chosen.append(run)
+            free = free.plus(run.resources)
+            if needed.fits(free):
+                break
+        else:
+            return None
+        for run in list(chosen):
+            if needed.fits(free.minus(run.resources)):
+                chosen.remove(run)
+                free = free.minus(run.resources)
+        return chosen
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -198,15 +198,19 @@
         self.mark_for_stop(run)
         return run
 
-    def mark_for_stop(self, run: TrackedRun) -> None:
-        """Mark a run that must be stopped."""
+    def mark_for_stop(self, run: TrackedRun, reason: str = "") -> None:
+        """Mark a run that must be stopped.
+
+        :param reason: reason that the log gives.
+        """
         run.is_stopping = True
+        run.stop_reason = run.stop_reason or reason
         self.runs_to_stop[id(run)] = run
 
-    def stop_step(self, step: TrackedStep) -> None:
+    def stop_step(self, step: TrackedStep, reason: str = "") -> None:
         """Mark all active runs of a step for stopping."""
         for run in step.all_active_runs():
-            self.mark_for_stop(run)
+            self.mark_for_stop(run, reason)
 
     def evacuate_services(self, worker_id: str) -> None:
         """Mark the runs of services on a worker that leaves for stopping.
@@ -270,7 +274,7 @@
         elif run is None:
             return False
         elif end.kind is EndKind.FAILED:
-            self._record_failed(task, end.run)
+            task.record_failure(run)
         if run is not None:
             self.remove_run(run)
         self._update_outcome(task.step.job)
@@ -343,14 +347,6 @@
         if task.step.is_done and task.step.job.outcome is JobOutcome.OPEN:
             self._open_steps(task.step.job, now_ms)
 
-    def _record_failed(self, task: TrackedTask, number: int) -> None:
-        # Failures of several gang members in one run count once.
-        if task.step.spec.is_gang and number in task.step.failed_run_numbers:
-            return
-        task.step.failed_run_numbers.add(number)
-        task.failures += 1
-        self.unsaved_job_ids.add(task.key.job_id)
-
     def _update_outcome(self, job: TrackedJob) -> None:
         """Close an open job if its steps have all ended or one has failed."""
         if job.outcome is not JobOutcome.OPEN:
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -39,6 +39,8 @@
     :ivar has_ended_with_worker: whether the incarnation that was ordered to
         start the run has ended. Only an order that is still under way could
         begin the run on the next one.
+    :ivar stop_reason: reason for stopping the run; empty if it follows from
+        the state of its job or worker.
     :ivar stop_sent_ms: when the newest stop order was sent; None before.
     :ivar stopped_ms: when the worker accepted a stop order; None before.
     :ivar resumed_percent: progress in the first report, 0 to 100; above 0 if
@@ -57,6 +59,7 @@
         "resources",
         "resumed_percent",
         "started_ms",
+        "stop_reason",
         "stop_sent_ms",
         "stopped_ms",
         "task",
@@ -78,6 +81,7 @@
         self.is_restored = False
         self.is_stopping = False
         self.has_ended_with_worker = False
+        self.stop_reason = ""
         self.stop_sent_ms: int | None = None
         self.stopped_ms: int | None = None
         self.resumed_percent = 0.0
@@ -104,6 +108,8 @@
     :ivar failures: number of failed runs; a failed run of a gang counts for
         only one of its tasks.
     :ivar active_runs: runs that were ordered and may still be active.
+    :ivar preemptions: number of runs that were stopped for more urgent work
+        under this leader.
     :ivar worker_crashes: workers that ended while a run was active there.
     :ivar worker_losses: workers that were lost so, but may only have been
         cut off.
@@ -115,6 +121,7 @@
         "failures",
         "is_done",
         "key",
+        "preemptions",
         "runs",
         "step",
         "worker_crashes",
@@ -129,6 +136,7 @@
         self.is_done = False
         self.checkpoint = ""
         self.active_runs: list[TrackedRun] = []
+        self.preemptions = 0
         self.worker_crashes = 0
         self.worker_losses = 0
 
@@ -142,6 +150,22 @@
         """Return whether the task may be what ends its workers."""
         return self.lost_worker_count >= MIN_SUSPECT_LOSSES
 
+    def record_failure(self, run: TrackedRun) -> None:
+        """Count a failed run as an attempt.
+
+        Failures of several gang members in one run count once. The failure
+        of one copy does not count while another goes on.
+        """
+        step = self.step
+        if step.spec.is_gang and run.number in step.failed_run_numbers:
+            return
+        if step.spec.is_speculative and not run.is_stopping:
+            others = [other for other in self.active_runs if other is not run]
+            if any(not other.is_stopping for other in others):
+                return
+        step.failed_run_numbers.add(run.number)
+        self.failures += 1
+
 
 class TrackedStep:
     """A step of one occurrence of a job.
