--- a/src/magnoliapitch/planner/candidates.py
+++ b/src/magnoliapitch/planner/candidates.py
@@ -72,7 +72,7 @@
         return (
             candidate
             for candidate in self._most_free_first
-            if _is_eligible(candidate, step)
+            if is_eligible(candidate, step)
         )
 
     def permitted(self, step: TrackedStep) -> list[Candidate]:
@@ -88,16 +88,13 @@
         ]
 
 
-def _is_eligible(candidate: Candidate, step: TrackedStep) -> bool:
-    return candidate.accepts(step.job) and may_run(candidate.info, step)
-
-
-def may_run(info: WorkerInfo, step: TrackedStep) -> bool:
-    """Return whether an idle worker could run a step if it is permitted."""
+def is_eligible(candidate: Candidate, step: TrackedStep) -> bool:
+    """Return whether a worker could run a step if the advisor permits."""
     return (
-        info.service == step.job.queue.service
-        and (not step.spec.label or step.spec.label in info.labels)
-        and step.reservation.fits(info.capacity)
+        candidate.accepts(step.job)
+        and candidate.info.service == step.job.queue.service
+        and (not step.spec.label or step.spec.label in candidate.info.labels)
+        and step.reservation.fits(candidate.info.capacity)
     )
 
 
--- a/src/magnoliapitch/planner/evacuation.py
+++ b/src/magnoliapitch/planner/evacuation.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from magnoliapitch.planner.candidates import may_run
+from magnoliapitch.planner.candidates import Candidate
+from magnoliapitch.planner.candidates import is_eligible
 
 
 if TYPE_CHECKING:
@@ -129,7 +130,7 @@
     return any(
         worker.takes_new_runs
         and worker.info is not None
-        and may_run(worker.info, step)
+        and is_eligible(Candidate(worker, worker.info), step)
         and step.reservation.fits(worker.free)
         for worker in state.workers_by_id.values()
     )
--- a/src/magnoliapitch/planner/preemption.py
+++ b/src/magnoliapitch/planner/preemption.py
@@ -44,9 +44,14 @@
 MAX_PREEMPTIONS_PER_TASK = 2
 # A run that was started lately is left alone, so that work gets on.
 MIN_RUN_MS = 500
+# Room of a run that ends sooner is free almost as soon without a stop.
+MIN_REMAINING_MS = 2 * STOP_MS
 # Bound the duration of a round.
-PASS_INTERVAL_MS = 40
-MAX_EXAMINED_STEPS = 40
+PASS_INTERVAL_MS = 50
+MAX_EXAMINED_STEPS = 24
+# Workers on which runs to preempt are looked for.
+MIN_EXAMINED_ROOMS = 16
+EXAMINED_ROOMS_PER_TASK = 8
 # A gang whose room is not free by then has lost its turn.
 HOLD_ROOM_MS = 1_000
 
@@ -112,6 +117,8 @@
         preemption_pass = _Pass(state, planning_round, self._durations, now_ms)
         self._forget_started(state)
         for step in preemption_pass.short_steps(ranked_steps):
+            if preemption_pass.preempting_count >= MAX_PREEMPTING_STEPS:
+                return
             rooms = preemption_pass.ready_rooms(step)
             if not rooms:
                 continue
@@ -120,7 +127,6 @@
             )
             is_allowed = (
                 now_ms - since_ms > MIN_WAIT_MS
-                and preemption_pass.preempting_count < MAX_PREEMPTING_STEPS
                 and _may_meet_objective(step, now_ms)
                 and may_preempt(step)
             )
@@ -159,6 +165,8 @@
         self._now_ms = now_ms
         self._started_by_step: Counter[StepKey] = Counter()
         self._planned_by_worker: dict[str, Resources] = defaultdict(Resources)
+        self._preemptible_by_key: dict[tuple[str, int], list[TrackedRun]] = {}
+        self._ends_soon_by_run: dict[int, bool] = {}
         self._room_by_worker: dict[str, WorkerRoom] = {}
         for start in planning_round.starts:
             key = start.task.step_key
@@ -236,9 +244,13 @@
         """Take room task by task where the fewest runs are preempted."""
         counts: Counter[str] = Counter()
         heap: list[tuple[int, int, int, list[TrackedRun]]] = []
-        for index in range(len(rooms)):
-            self._push(heap, index, step, rooms[index], counts, may_preempt)
         missing_count = self._missing_count(step)
+        max_rooms = (
+            MIN_EXAMINED_ROOMS + EXAMINED_ROOMS_PER_TASK * missing_count
+        )
+        for index, room in enumerate(rooms):
+            is_examined = may_preempt and index < max_rooms
+            self._push(heap, index, step, room, counts, is_examined)
         while heap and counts.total() < missing_count:
             _, _, index, victims = heapq.heappop(heap)
             room = rooms[index]
@@ -263,9 +275,8 @@
             used += counts[worker.worker_id]
             if used >= step.spec.max_per_worker:
                 return
-        victims = room.victims_for(
-            step, self._preemptible(worker, step) if may_preempt else ()
-        )
+        preemptible = self._preemptible(worker, step) if may_preempt else []
+        victims = room.victims_for(step, preemptible, self._ends_soon)
         if victims is not None:
             lost_ms = sum(self._elapsed_ms(run) for run in victims)
             heapq.heappush(heap, (len(victims), lost_ms, index, victims))
@@ -275,41 +286,45 @@
 
     @cached_property
     def _least_urgent_priority(self) -> int:
-        """Return the priority of the least urgent preemptible run."""
+        """Return the priority of the least urgent run."""
         return max(
             (
-                runs[0].task.step.job.queue.priority
-                for runs in self._preemptible_by_worker.values()
-                if runs
+                run.task.step.job.queue.priority
+                for candidate in self._workers.candidates_by_id.values()
+                for run in candidate.worker.runs
             ),
             default=MOST_URGENT_PRIORITY,
         )
 
-    @cached_property
-    def _preemptible_by_worker(self) -> dict[str, list[TrackedRun]]:
-        """Return the preemptible runs, the least urgent and newest first."""
-        return {
-            worker_id: sorted(
-                filter(self._is_preemptible, candidate.worker.runs),
-                key=lambda run: (
-                    -run.task.step.job.queue.priority,
-                    self._elapsed_ms(run),
-                ),
-            )
-            for worker_id, candidate in self._workers.candidates_by_id.items()
-        }
-
     def _preemptible(
         self, worker: TrackedWorker, step: TrackedStep
     ) -> list[TrackedRun]:
         """Return the runs that a step may preempt, the first ones first."""
-        priority = step.job.queue.priority
-        return [
-            run
-            for run in self._preemptible_by_worker[worker.worker_id]
-            if run.task.step.job.queue.priority > priority
-            and self._durations.remaining_ms(run, self._now_ms) > 2 * STOP_MS
-        ]
+        key = (worker.worker_id, step.job.queue.priority)
+        runs = self._preemptible_by_key.get(key)
+        if runs is None:
+            runs = [
+                run
+                for run in worker.runs
+                if run.task.step.job.queue.priority > step.job.queue.priority
+                and self._is_preemptible(run)
+            ]
+            runs.sort(
+                key=lambda run: (
+                    -run.task.step.job.queue.priority,
+                    self._elapsed_ms(run),
+                )
+            )
+            self._preemptible_by_key[key] = runs
+        return runs
+
+    def _ends_soon(self, run: TrackedRun) -> bool:
+        ends_soon = self._ends_soon_by_run.get(id(run))
+        if ends_soon is None:
+            remaining_ms = self._durations.remaining_ms(run, self._now_ms)
+            ends_soon = remaining_ms < MIN_REMAINING_MS
+            self._ends_soon_by_run[id(run)] = ends_soon
+        return ends_soon
 
     def _is_preemptible(self, run: TrackedRun) -> bool:
         """Return whether a run can be stopped without harm but for time.
--- a/src/magnoliapitch/planner/room.py
+++ b/src/magnoliapitch/planner/room.py
@@ -10,6 +10,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from magnoliapitch.planner.tracked import TrackedStep
@@ -66,29 +67,43 @@
         self._saved = None
 
     def victims_for(
-        self, step: TrackedStep, preemptible: Iterable[TrackedRun]
+        self,
+        step: TrackedStep,
+        preemptible: Iterable[TrackedRun],
+        ends_soon: Callable[[TrackedRun], bool],
     ) -> list[TrackedRun] | None:
         """Return the fewest and least advanced runs that free a task's room.
 
         :param preemptible: runs of this worker that may be preempted, the
             least advanced first.
+        :param ends_soon: whether stopping a run saves no time.
         :return: empty if the task fits without, None if it never fits.
         """
         needed = step.reservation
         if needed.fits(self.free):
             return []
-        left = [run for run in preemptible if run not in self.victims]
-        for run in left:
-            if needed.fits(self.free.plus(run.resources)):
+        left: list[TrackedRun] = []
+        for run in preemptible:
+            if run in self.victims:
+                continue
+            if needed.fits(self.free.plus(run.resources)) and not ends_soon(
+                run
+            ):
                 return [run]
-        return self._several_victims_for(needed, left)
+            left.append(run)
+        return self._several_victims_for(needed, left, ends_soon)
 
     def _several_victims_for(
-        self, needed: Resources, runs: list[TrackedRun]
+        self,
+        needed: Resources,
+        runs: list[TrackedRun],
+        ends_soon: Callable[[TrackedRun], bool],
     ) -> list[TrackedRun] | None:
         chosen: list[TrackedRun] = []
         free = self.free
         for run in sorted(runs, key=lambda run: -run.resources.cpu_millis):
+            if ends_soon(run):
+                continue
             chosen.append(run)
             free = free.plus(run.resources)
             if needed.fits(free):
