Let a run go on whose worker reports it after a lost answer

Cause: the start order of a run was carried out, but all its answers were lost, or the worker was silent for some seconds. The leader marked the run for stopping and stopped it as soon as the worker answered again, although the report of that moment listed it as running; the task then started again. Likewise, a preempted run on a worker that became silent would be stopped after it was back, for a step that was gone.

The stop has the reason start-unanswered.

--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -6,6 +6,7 @@
 
 from magnoliapitch.planner.restore import progress_of
 from magnoliapitch.planner.restore import restore_progress
+from magnoliapitch.planner.tracked import START_UNANSWERED
 from magnoliapitch.planner.tracked import TrackedJob
 from magnoliapitch.planner.tracked import TrackedRun
 from magnoliapitch.planner.tracked import TrackedStep
@@ -199,14 +200,15 @@
         return run
 
     def mark_for_stop(self, run: TrackedRun, reason: str = "") -> None:
-        """Mark a run that must be stopped.
-
-        :param reason: reason that the log gives.
-        """
-        run.is_stopping = True
-        run.stop_reason = run.stop_reason or reason
+        """Mark a run that must be stopped, for the reason in the log."""
+        run.mark_for_stop(reason)
         self.runs_to_stop[id(run)] = run
 
+    def withdraw_stop(self, run: TrackedRun) -> None:
+        """Let a run go on that was marked but not ordered to stop."""
+        run.is_stopping = False
+        self.runs_to_stop.pop(id(run), None)
+
     def stop_step(self, step: TrackedStep, reason: str = "") -> None:
         """Mark all active runs of a step for stopping."""
         for run in step.all_active_runs():
@@ -257,6 +259,8 @@
             run.resumed_percent = reported.percent
         self.confirm_run(run, now_ms)
         run.has_ended_with_worker = False
+        if run.stop_reason == START_UNANSWERED and run.stop_sent_ms is None:
+            self.withdraw_stop(run)
         task = run.task
         if reported.checkpoint and reported.checkpoint != task.checkpoint:
             self._save_checkpoint(task, reported.checkpoint)
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -19,6 +19,8 @@
 
 # A task that was lost with this many workers is placed apart from other jobs.
 MIN_SUSPECT_LOSSES = 2
+# Reason for stopping a run whose worker did not answer the start order.
+START_UNANSWERED = "start-unanswered"
 
 
 class TrackedRun:
@@ -91,6 +93,16 @@
         """Return whether the worker may have received a start order."""
         return self.is_restored or self.order_sent_ms is not None
 
+    def mark_for_stop(self, reason: str) -> None:
+        """Record that the run must be stopped.
+
+        A known reason is kept, unless it may turn out to be mistaken.
+        """
+        was_doubtful = self.stop_reason == START_UNANSWERED
+        if reason or was_doubtful or not self.is_stopping:
+            self.stop_reason = reason
+        self.is_stopping = True
+
     def move_to(self, worker: TrackedWorker) -> None:
         """Count as active on the next incarnation of the run's worker."""
         self.worker_id = worker.worker_id
--- a/tests/control/test_preemption_load.py
+++ b/tests/control/test_preemption_load.py
@@ -32,9 +32,9 @@
 BATCH_MS = 2_200.0
 BATCH_TASKS = 25
 # Fills the workers for longer than urgent steps arrive.
-BATCH_COUNT = 90
+BATCH_COUNT = 150
 FILL_MS = 3_000
-DURATION_MS = 6_000
+DURATION_MS = 12_000
 # As the other load patterns require of urgent jobs.
 MIN_IN_TIME_SHARE = 0.9
 # The urgent steps use less than an eighth of the capacity.
--- a/tests/planner/test_preemption.py
+++ b/tests/planner/test_preemption.py
@@ -10,8 +10,8 @@
 
 from magnoliapitch.planner.preemption import HOLD_ROOM_MS
 from magnoliapitch.planner.preemption import MAX_PREEMPTING_STEPS
-from magnoliapitch.planner.preemption import MAX_PREEMPTIONS_PER_TASK
-from magnoliapitch.planner.preemption import MIN_RUN_MS
+from magnoliapitch.planner.preemption_pass import MAX_PREEMPTIONS_PER_TASK
+from magnoliapitch.planner.preemption_pass import MIN_RUN_MS
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.configuration import PermitTiming
 from magnoliapitch.workload.job import StepKey
@@ -286,3 +286,26 @@
     assert later.stopping() == {}
     later.advance(MIN_RUN_MS + WAIT_MS)
     assert preempted(later) == 1
+
+
+# A worker that is silent for a second would have its run stopped afterwards.
+def test_a_stop_that_was_not_sent_to_a_silent_worker_is_withdrawn() -> None:
+    work = full_work()
+    work.add_job("urgent", URGENT_STEP, URGENT)
+    work.advance(WAIT_MS)
+    [run] = [run for run in work.runs("batch") if run.is_stopping]
+    work.state.workers_by_id[run.worker_id].is_usable = False
+    work.advance(100)
+    assert not run.is_stopping
+    assert run.task.preemptions == 0
+
+
+def test_a_stop_that_was_sent_is_not_withdrawn() -> None:
+    work = full_work()
+    work.add_job("urgent", URGENT_STEP, URGENT)
+    work.advance(WAIT_MS)
+    [run] = [run for run in work.runs("batch") if run.is_stopping]
+    run.stop_sent_ms = work.now_ms
+    work.state.workers_by_id[run.worker_id].is_usable = False
+    work.advance(100)
+    assert run.is_stopping
