--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -251,7 +251,7 @@
                 run, planned, failure, event.received_ms
             )
         else:
-            self._order_issuer.stop_unanswered_start(run)
+            self.state.mark_for_stop(run)
 
     def handle_stop_answer(self, event: StopAnswered) -> None:
         """Apply the answer to a stop order, or its failure."""
--- a/src/magnoliapitch/control/order_issuer.py
+++ b/src/magnoliapitch/control/order_issuer.py
@@ -7,7 +7,6 @@
 
 from magnoliapitch.control.log_fields import run_fields
 from magnoliapitch.event import log_event
-from magnoliapitch.planner.tracked import START_UNANSWERED
 from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.workload.progress import JobOutcome
@@ -189,11 +188,6 @@
         if info is not None:
             self._effects.order_stop(info, order._replace(token=self._epoch))
 
-    def stop_unanswered_start(self, run: TrackedRun) -> None:
-        """Stop a run that a worker may have begun, unless it reports it."""
-        if not run.is_stopping:
-            self._state.mark_for_stop(run, START_UNANSWERED)
-
     def undo_refused_start(
         self,
         run: TrackedRun,
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -6,7 +6,6 @@
 
 from magnoliapitch.planner.restore import progress_of
 from magnoliapitch.planner.restore import restore_progress
-from magnoliapitch.planner.tracked import START_UNANSWERED
 from magnoliapitch.planner.tracked import TrackedJob
 from magnoliapitch.planner.tracked import TrackedRun
 from magnoliapitch.planner.tracked import TrackedStep
@@ -259,8 +258,6 @@
             run.resumed_percent = reported.percent
         self.confirm_run(run, now_ms)
         run.has_ended_with_worker = False
-        if run.stop_reason == START_UNANSWERED and run.stop_sent_ms is None:
-            self.withdraw_stop(run)
         task = run.task
         if reported.checkpoint and reported.checkpoint != task.checkpoint:
             self._save_checkpoint(task, reported.checkpoint)
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -19,8 +19,6 @@
 
 # A task that was lost with this many workers is placed apart from other jobs.
 MIN_SUSPECT_LOSSES = 2
-# Reason for stopping a run whose worker did not answer the start order.
-START_UNANSWERED = "start-unanswered"
 
 
 class TrackedRun:
@@ -96,10 +94,9 @@
     def mark_for_stop(self, reason: str) -> None:
         """Record that the run must be stopped.
 
-        A known reason is kept, unless it may turn out to be mistaken.
+        Of a run that is being stopped a known reason is kept.
         """
-        was_doubtful = self.stop_reason == START_UNANSWERED
-        if reason or was_doubtful or not self.is_stopping:
+        if reason or not self.is_stopping:
             self.stop_reason = reason
         self.is_stopping = True
 
--- a/tests/control/test_slow_workers.py
+++ b/tests/control/test_slow_workers.py
@@ -24,9 +24,9 @@
     return simulation
 
 
-# The start was carried out but its answer was lost. The leader stopped the
-# run although the worker reported it as running meanwhile, and started the
-# task again.
+# The start is carried out but its answer is lost. The leader stops the run
+# although the worker reports it as running meanwhile, and starts the task
+# again.
 def test_a_run_that_is_reported_after_a_lost_answer_goes_on() -> None:
     simulation = simulation_of_one_task(5_000.0)
     simulation.start_answer_lost = lambda _: True
