--- a/src/magnoliapitch/planner/candidates.py
+++ b/src/magnoliapitch/planner/candidates.py
@@ -71,7 +71,7 @@
         return (
             candidate
             for candidate in self._by_free_cpu()
-            if _is_eligible(candidate, step)
+            if is_eligible(candidate, step)
         )
 
     def eligible_of_class(
@@ -91,7 +91,7 @@
             candidate
             for candidate in self._by_class[speed_class]
             if (candidate.free.cpu_millis < cpu_millis) is is_full
-            and _is_eligible(candidate, step)
+            and is_eligible(candidate, step)
         )
 
     def _by_free_cpu(self) -> list[Candidate]:
@@ -115,7 +115,8 @@
         ]
 
 
-def _is_eligible(candidate: Candidate, step: TrackedStep) -> bool:
+def is_eligible(candidate: Candidate, step: TrackedStep) -> bool:
+    """Return whether a worker could run a step if the advisor permits."""
     return (
         candidate.accepts(step.job)
         and candidate.info.service == step.job.queue.service
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -11,13 +11,16 @@
 from magnoliapitch.planner.candidate_order import SpeedOrder
 from magnoliapitch.planner.duration import LearnedDurations
 from magnoliapitch.planner.duration import MovingAverage
+from magnoliapitch.planner.evacuation import Evacuation
 from magnoliapitch.planner.fair_shares import fair_shares
 from magnoliapitch.planner.options import PlanningOptions
 from magnoliapitch.planner.permit_budget import PermitBudget
 from magnoliapitch.planner.plan import Plan
 from magnoliapitch.planner.plan import PlannedStop
 from magnoliapitch.planner.planning_round import PlanningRound
+from magnoliapitch.planner.preemption import Preemption
 from magnoliapitch.planner.ranking import rank_of
+from magnoliapitch.planner.straggler import Stragglers
 from magnoliapitch.planner.worker_backoff import WorkerBackoff
 from magnoliapitch.planner.worker_isolation import WorkerIsolation
 from magnoliapitch.planner.workspace_round import WorkspaceRound
@@ -25,6 +28,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from magnoliapitch.planner.duration import DurationEstimator
@@ -34,6 +38,7 @@
 
 
 DEFAULT_OPTIONS = PlanningOptions()
+COPY_LOST = "copy-lost"
 # Bounds the duration of a round when very many steps wait.
 MAX_STEPS_PER_ROUND = 150
 
@@ -44,6 +49,8 @@
     :ivar options: optional behaviour that is switched on.
     :ivar duration_estimator: expected durations of tasks.
     :ivar learned_durations: the same with ``worker_speeds`` on, else None.
+    :ivar may_preempt: whether a waiting step may preempt runs; for example,
+        not one that a quota holds back.
     """
 
     def __init__(self, options: PlanningOptions = DEFAULT_OPTIONS) -> None:
@@ -56,6 +63,11 @@
         )
         self.worker_backoff = WorkerBackoff()
         self._isolation = WorkerIsolation()
+        self.may_preempt: Callable[[TrackedStep], bool] = _may_start_whole
+        durations = self.duration_estimator
+        self._evacuation = Evacuation(durations)
+        self._preemption = Preemption(durations)
+        self._stragglers = Stragglers(durations)
 
     def record_failed(self, run: TrackedRun) -> None:
         """Record the worker of a failed run.
@@ -110,17 +122,20 @@
         """
         state.open_due_steps(now_ms, wall_ms)
         self.duration_estimator.refresh(state.workers_by_id, now_ms)
-        stops = tuple(
-            _planned_stop(state, run) for run in state.runs_to_stop.values()
-        )
-        if not state.waiting_steps:
-            return Plan(stops=stops)
+        stragglers: list[TrackedRun] = []
+        if self.options.preemption:
+            self._evacuation.mark(state, now_ms)
+            stragglers = self._stragglers.find(state, now_ms)
+        if not state.waiting_steps and not stragglers:
+            return Plan(stops=self._planned_stops(state))
         if max_starts_in_flight is None:
             max_starts_in_flight = max_starts
         workspace_round = WorkspaceRound(state)
         ranked_steps = workspace_round.order(self._ranked_steps(state, now_ms))
         permit_budget = PermitBudget(
-            ranked_steps, max_calls, max_starts_in_flight
+            [*ranked_steps, *(run.task.step for run in stragglers)],
+            max_calls,
+            max_starts_in_flight,
         )
         planning_round = PlanningRound(
             state,
@@ -143,10 +158,22 @@
             remaining_by_queue[step.job.queue.name] -= 1
             planning_round.place(step)
             workspace_round.record_starts(step, len(planning_round.starts))
+            self._preemption.hold_room(step, planning_round, now_ms)
             examined_count += 1
+        if self.options.preemption:
+            self._preemption.mark(
+                state, ranked_steps, planning_round, now_ms, self.may_preempt
+            )
+            planning_round.starts += self._stragglers.copies(
+                stragglers,
+                ranked_steps,
+                planning_round,
+                now_ms,
+                max_starts - len(planning_round.starts),
+            )
         return Plan(
             tuple(planning_round.starts),
-            stops,
+            self._planned_stops(state),
             permit_budget.requests(),
             len(ranked_steps) - examined_count - workspace_round.held_count,
             workspace_round.waits(),
@@ -157,6 +184,12 @@
             return CandidateOrder()
         return SpeedOrder(self.learned_durations)
 
+    def _planned_stops(self, state: SchedulerState) -> tuple[PlannedStop, ...]:
+        return tuple(
+            _planned_stop(state, run, has_copies=self.options.preemption)
+            for run in state.runs_to_stop.values()
+        )
+
     def _ranked_steps(
         self, state: SchedulerState, now_ms: int
     ) -> list[TrackedStep]:
@@ -168,6 +201,11 @@
         return [state.waiting_steps[key] for _, key in ranked]
 
 
+def _may_start_whole(step: TrackedStep) -> bool:
+    """Return whether quota and share let all waiting tasks start."""
+    return step.startable_count == step.waiting_count
+
+
 def _examined_steps_by_queue(
     ranked_steps: Iterable[TrackedStep],
 ) -> dict[str, int]:
@@ -182,11 +220,17 @@
     return fair_shares(waiting_count_by_queue, MAX_STEPS_PER_ROUND)
 
 
-def _planned_stop(state: SchedulerState, run: TrackedRun) -> PlannedStop:
+def _planned_stop(
+    state: SchedulerState, run: TrackedRun, *, has_copies: bool
+) -> PlannedStop:
     info = state.get_or_add_worker(run.worker_id).info
     outcome = run.task.step.job.outcome
-    if outcome is not JobOutcome.OPEN:
+    if has_copies and run.task.is_done and run.task.step.spec.is_speculative:
+        reason = COPY_LOST
+    elif outcome is not JobOutcome.OPEN:
         reason = f"job-{outcome}"
+    elif run.stop_reason:
+        reason = run.stop_reason
     elif info is not None and info.is_draining:
         reason = "worker-draining"
     else:
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -85,6 +85,11 @@
         self._gangs_with_reserved_capacity = 0
         self._steps_with_request: set[StepKey] = set()
 
+    @property
+    def workers(self) -> CandidateWorkers:
+        """Return the workers that take new runs, with what is left free."""
+        return self._workers
+
     @property
     def is_complete(self) -> bool:
         """Return whether no further start or permit request can be added."""
@@ -111,13 +116,13 @@
         without_ticket = [
             candidate
             for candidate in chosen
-            if not self._has_ticket(step, candidate)
+            if not self.has_ticket(step, candidate)
         ]
         if without_ticket and is_gang:
             without_ticket = self._with_spare_candidates(
                 step, chosen, candidates
             )
-        self._add_permit_request(step, without_ticket)
+        self.request_permits(step, without_ticket)
         if not chosen:
             self._ask_about_unasked(step)
         if without_ticket and is_gang:
@@ -151,7 +156,7 @@
             return
         self._gangs_with_reserved_capacity += 1
         if not self._has_fresh_tickets(step, candidates):
-            self._add_permit_request(
+            self.request_permits(
                 step, sorted(candidates, key=_most_free_cpu_first)
             )
         self._reserve_capacity(step, candidates, step.waiting_count)
@@ -219,7 +224,8 @@
             step, allowed, worker_count, self._now_ms
         )
 
-    def _has_ticket(self, step: TrackedStep, candidate: Candidate) -> bool:
+    def has_ticket(self, step: TrackedStep, candidate: Candidate) -> bool:
+        """Return whether a step may start on a worker at once."""
         if step.job.queue.permit_timing is None:
             return True
         _, valid_until_ms = step.tickets_by_worker.get(
@@ -238,7 +244,7 @@
                 for candidate in ordered
                 if candidate.worker.worker_id not in step.asked_worker_ids
             )
-            self._add_permit_request(step, _enough_candidates(step, not_asked))
+            self.request_permits(step, _enough_candidates(step, not_asked))
 
     def _with_spare_candidates(
         self,
@@ -267,9 +273,10 @@
             and self._workspace_round.may_request(step)
         )
 
-    def _add_permit_request(
+    def request_permits(
         self, step: TrackedStep, candidates: list[Candidate]
     ) -> None:
+        """Plan a call about workers, unless one is planned or under way."""
         if not candidates or not self._can_call_advisor(step):
             return
         worker_ids = dict.fromkeys(
@@ -306,7 +313,7 @@
         ordered = self._candidate_order.for_start(
             step,
             fitting,
-            partial(self._has_ticket, step),
+            partial(self.has_ticket, step),
             _expected_call_ms(step, 1),
             self._now_ms,
         )
