Leave work beyond shares and quotas out of the bound of a wait

Cause: admission and shares were built side by side. The load figures counted steps that wait for their workspace's quota, and those placed last since they exceed its share, as work ahead of everybody: a caller of a small workspace could be rejected behind the backlog of a large one. Change: a round marks the steps beyond a share; the bound counts only the tasks that may start, and excess only for jobs of the same workspace.

--- a/src/magnoliapitch/planner/load.py
+++ b/src/magnoliapitch/planner/load.py
@@ -38,17 +38,9 @@
 MAX_FREE_CAPACITIES = 8
 
 
-def never_in_excess(step: TrackedStep) -> bool:
-    """Return False: without workspaces, no step is beyond a share."""
-    del step
-    return False
-
-
 class LoadEstimator:
     """Computes lower bounds of the waits of new jobs.
 
-    :param is_in_excess: returns whether a waiting step is beyond the share
-        of its workspace, so that it ranks behind the others.
     :param standby_services: returns services whose workers may be moved to
         any other one.
     """
@@ -57,12 +49,10 @@
         self,
         state: SchedulerState,
         planner: Planner,
-        is_in_excess: Callable[[TrackedStep], bool] = never_in_excess,
         standby_services: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         self._state = state
         self._planner = planner
-        self._is_in_excess = is_in_excess
         self._standby_services = standby_services
         self._memory = CapacityMemory()
         self._first_ms: int | None = None
@@ -174,13 +164,13 @@
         rank = rank_of(step, estimator, now_ms)
         slack_ms = None if rank.lateness else rank.latest_start_ms - now_ms
         duration_ms = CERTAIN_DURATION_SHARE * estimator.expected_ms(step)
-        cpu_millis = step.waiting_count * step.reservation.cpu_millis
+        cpu_millis = step.startable_count * step.reservation.cpu_millis
         return WaitingStep(
             step,
             size,
             Work(duration_ms, cpu_millis),
             slack_ms,
-            self._is_in_excess(step),
+            step.is_beyond_share,
         )
 
 
@@ -197,6 +187,8 @@
         and not is_confined
         and not spec.is_long_running
         and step.hold_until_ms <= now_ms
+        # None may start while the quota of the workspace is used up.
+        and step.startable_count
         and step.reservation.cpu_millis
         and step.reservation.fits(smallest)
     )
@@ -223,4 +215,4 @@
     return Resources(*(max(values) for values in zip(*amounts, strict=True)))
 
 
-__all__ = ["LoadEstimator", "never_in_excess"]
+__all__ = ["LoadEstimator"]
--- a/src/magnoliapitch/planner/reconfiguration.py
+++ b/src/magnoliapitch/planner/reconfiguration.py
@@ -30,6 +30,7 @@
         for step in job.all_steps():
             step.start_limit = sys.maxsize
             step.is_held = False
+            step.is_beyond_share = False
     state.workspaces_by_name = configuration.workspaces_by_name
     state.workspace_usage.recount(
         run for worker in state.workers_by_id.values() for run in worker.runs
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -225,6 +225,8 @@
         active run.
     :ivar start_limit: most tasks that the quota and share of the step's
         workspace let start in this planning round.
+    :ivar is_beyond_share: whether the newest round placed the step last,
+        since it would bring its workspace above its fair share.
     :ivar is_held: whether the step was left out of a round since its last
         start, because none of its tasks passed its workspace's quota.
     :ivar tickets_by_worker: ticket and end of its validity in ms, by
@@ -240,6 +242,7 @@
         "finished_work",
         "hold_until_ms",
         "in_flight_worker_ids",
+        "is_beyond_share",
         "is_held",
         "job",
         "key",
@@ -273,6 +276,7 @@
         self.hold_until_ms = 0
         self.start_limit = sys.maxsize
         self.is_held = False
+        self.is_beyond_share = False
         self.permitted_worker_ids: set[str] = set()
         self.asked_worker_ids: set[str] = set()
         self.tickets_by_worker: dict[str, tuple[str, int]] = {}
--- a/src/magnoliapitch/planner/workspace_shares.py
+++ b/src/magnoliapitch/planner/workspace_shares.py
@@ -54,12 +54,11 @@
     :param ranked_steps: steps that may start, in the order of their rank.
     """
     shares = _WorkspaceShares(state, ranked_steps)
-    if not shares.pools_by_service:
-        return OrderedSteps(ranked_steps, {})
     within: list[TrackedStep] = []
     beyond: list[TrackedStep] = []
     for step in ranked_steps:
-        (within if shares.admit(step) else beyond).append(step)
+        step.is_beyond_share = not shares.admit(step)
+        (beyond if step.is_beyond_share else within).append(step)
     count_by_workspace = Counter(step.job.spec.workspace for step in beyond)
     return OrderedSteps(within + beyond, count_by_workspace)
 
--- a/tests/planner/test_load.py
+++ b/tests/planner/test_load.py
@@ -17,9 +17,11 @@
 from magnoliapitch.planner.load import LoadEstimator
 from magnoliapitch.planner.wait_bound import Work
 from magnoliapitch.planner.wait_bound import wait_bound_ms
+from magnoliapitch.planner.workspace_round import WorkspaceRound
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.configuration import PermitTiming
 from magnoliapitch.workload.configuration import Queue
+from magnoliapitch.workload.configuration import Workspace
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
 from magnoliapitch.workload.worker import WorkerInfo
@@ -304,18 +306,38 @@
     """Callers of a small workspace beside a large backlog of another."""
     cluster = Cluster()
     cluster.add(NORMAL, 1, "small")
-    cluster.add(NORMAL, 1, "large")
-    cluster.add(URGENT, BACKLOG_TASKS, "large")
-    cluster.estimator = LoadEstimator(
-        cluster.state,
-        cluster.planner,
-        lambda step: step.job.spec.workspace == "large",
-    )
-    cluster.estimator.figures(1, 1, NOW_MS - WARM_UP_MS)
+    cluster.add(NORMAL, 1, "large").is_beyond_share = True
+    cluster.add(URGENT, BACKLOG_TASKS, "large").is_beyond_share = True
     assert cluster.wait_ms(workspace="small") == 0
     assert cluster.wait_ms(workspace="large") == BACKLOG_WAIT_MS
 
 
+def test_tasks_that_wait_for_their_quota_delay_nobody() -> None:
+    cluster = Cluster()
+    cluster.add(NORMAL)
+    step = cluster.add_backlog()
+    assert cluster.wait_ms() == BACKLOG_WAIT_MS
+    step.start_limit = 0
+    assert cluster.wait_ms() == 0
+
+
+def test_a_round_marks_the_steps_beyond_a_share() -> None:
+    """Those of the burst of a large workspace, until the burst has passed."""
+    cluster = Cluster()
+    cluster.state.workspaces_by_name = {
+        name: Workspace(name) for name in ("small", "large")
+    }
+    first = cluster.add(URGENT, BACKLOG_TASKS, "large")
+    second = cluster.add(URGENT, BACKLOG_TASKS, "large")
+    small = cluster.add(NORMAL, 1, "small")
+    steps = [first, second, small]
+    ordered = WorkspaceRound(cluster.state).order(steps)
+    assert ordered == [first, small, second]
+    assert [step.is_beyond_share for step in steps] == [False, True, False]
+    WorkspaceRound(cluster.state).order([second])
+    assert not second.is_beyond_share
+
+
 def test_other_services_do_not_delay_a_job() -> None:
     cluster = Cluster()
     cluster.add_worker("other", service="other")
