Move the loading of stored jobs out of the controller

Change: JobLoader in control/job_loader.py holds these rules, unchanged; the controller calls it when a leadership begins, when jobs change and when the configuration changes. No change in behaviour.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from magnoliapitch.control.accepted_starts import record_accepted
+from magnoliapitch.control.job_loader import JobLoader
 from magnoliapitch.control.order_issuer import OrderIssuer
 from magnoliapitch.control.permit_requester import PermitRequester
 from magnoliapitch.control.planning_summary import PlanningSummary
@@ -38,7 +39,6 @@
     from magnoliapitch.control.events import WorkersListed
     from magnoliapitch.control.timing import ControlTiming
     from magnoliapitch.ledger.job_table import JobTable
-    from magnoliapitch.ledger.job_table import StoredJob
     from magnoliapitch.ledger.records import LeaderRecord
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.metric import Metrics
@@ -122,6 +122,13 @@
         self._progress_batcher.publish_load(
             self.planner, configuration, metrics
         )
+        self._job_loader = JobLoader(
+            self.state,
+            job_table,
+            self._progress_batcher,
+            configuration,
+            self._delete_jobs,
+        )
 
     @property
     def epoch(self) -> int:
@@ -138,8 +145,7 @@
         apply_configuration(self.state, self._configuration())
         self._progress_batcher.load(now_ms)
         self._progress_batcher.record_read(job_end)
-        for stored in self._job_table.jobs():
-            self._add_job(stored, now_ms)
+        self._job_loader.add_all(now_ms)
         open_count = sum(
             job.outcome is JobOutcome.OPEN
             for job in self.state.jobs_by_id.values()
@@ -178,15 +184,7 @@
     def handle_jobs_changed(self, event: JobsChanged, now_ms: int) -> None:
         """Add submitted jobs and cancel cancelled ones."""
         self._progress_batcher.record_read(event.end)
-        for job_id in event.job_ids:
-            stored = self._job_table.get(job_id)
-            known = self.state.jobs_by_id.get(job_id)
-            if stored is None:
-                continue
-            if known is None:
-                self._add_job(stored, now_ms)
-            elif stored.is_cancelled:
-                self.state.cancel_job(job_id)
+        self._job_loader.apply_changes(event.job_ids, now_ms)
 
     def handle_configuration_changed(self, now_ms: int) -> None:
         """Apply a newer configuration to queues and workspaces.
@@ -197,9 +195,7 @@
         if configuration is None:
             return
         apply_configuration(self.state, configuration)
-        for stored in self._job_table.jobs():
-            if stored.spec and stored.spec.job_id not in self.state.jobs_by_id:
-                self._add_job(stored, now_ms)
+        self._job_loader.add_missing(now_ms)
 
     def handle_report(self, event: WorkerReported) -> None:
         """Apply a worker's report of active and ended runs, or a failure."""
@@ -344,26 +340,6 @@
             self.is_over = True
             log_event("leadership-lost", epoch=self.epoch, reason=reason)
 
-    def _add_job(self, stored: StoredJob, now_ms: int) -> None:
-        configuration = self._configuration()
-        spec = stored.spec
-        if spec is None or configuration is None:
-            return
-        has_ended = self._progress_batcher.has_ended(spec.job_id)
-        if has_ended and not stored.has_final_progress:
-            # Its progress was deleted after its last run had ended.
-            self._delete_jobs([spec.job_id])
-            return
-        queue = configuration.queues_by_name.get(spec.queue)
-        if queue is None:
-            # The queue was removed; its jobs wait until it is defined again.
-            log_event("queue-missing", job=spec.job_id, queue=spec.queue)
-            return
-        self.state.add_job(spec, queue, now_ms, stored.progress)
-        self._progress_batcher.record_added(spec.job_id)
-        if stored.is_cancelled:
-            self.state.cancel_job(spec.job_id)
-
     def _delete_jobs(self, job_ids: Sequence[str]) -> None:
         """Delete ended jobs, of which no run can be active any more."""
         self._job_table.forget_progress(job_ids)
