Use the reservation of a step in the admission decision

Cause: admission/decision.py repeated the rule by which a step that uses leftover capacity reserves no processors; StepSpec.reservation has it. Change: the decision calls the property; its own copy is removed. No change in behaviour.

--- a/src/magnoliapitch/admission/decision.py
+++ b/src/magnoliapitch/admission/decision.py
@@ -79,7 +79,7 @@
     if queue_load is None or not _loses_value_late(job, queue):
         return None
     wait_ms = min(
-        queue_load.wait_ms(job.workspace, _task(step))
+        queue_load.wait_ms(job.workspace, step.reservation)
         for step in _first_steps(job)
     )
     max_wait_ms = _max_useful_wait_ms(job, queue, queue_load)
@@ -100,7 +100,9 @@
     job: JobSpec, capacity: ServiceCapacity
 ) -> StepSpec | None:
     for step in job.steps:
-        if not any(_task(step).fits(worker) for worker in capacity.largest):
+        if not any(
+            step.reservation.fits(worker) for worker in capacity.largest
+        ):
             return step
     return None
 
@@ -108,8 +110,8 @@
 def _impossible(step: StepSpec, queue: Queue) -> Failure:
     return not_run(
         FailureCode.IMPOSSIBLE,
-        f"a task needs {_describe(_task(step))}, which no worker of service "
-        f"{queue.service!r} has; the job was not stored",
+        f"a task needs {_describe(step.reservation)}, which no worker of "
+        f"service {queue.service!r} has; the job was not stored",
     )
 
 
@@ -168,8 +170,10 @@
     all of its tasks.
     """
     return any(
-        _task(step).times(_least_task_count(step)).fits(capacity.free_total)
-        and any(_task(step).fits(worker) for worker in capacity.free)
+        step.reservation.times(_least_task_count(step)).fits(
+            capacity.free_total
+        )
+        and any(step.reservation.fits(worker) for worker in capacity.free)
         for step in _first_steps(job)
     )
 
@@ -182,10 +186,4 @@
     return step.task_count if step.is_gang else 1
 
 
-def _task(step: StepSpec) -> Resources:
-    if step.uses_leftover:
-        return step.resources._replace(cpu_millis=0)
-    return step.resources
-
-
 __all__ = ["MAX_AGE_MS", "AgedFigures", "Rejection", "decide"]
