Split admission and storing out of JobApi.submit

Cause: submit held access, quota, admission and the append in one body, and its first lookup hid why the admission's answer is looked up again. Change: _answer_unless_admitted and _store hold the steps; their order and answers are unchanged.

--- a/src/magnoliapitch/ledger/job_api.py
+++ b/src/magnoliapitch/ledger/job_api.py
@@ -124,15 +124,36 @@
         quota_failure = find_quota_failure(job, self._configuration)
         if quota_failure is not None:
             return self._reject(job, quota_failure, caller)
+        answer = self._answer_unless_admitted(job, caller)
+        if answer is not None:
+            self._count("submit", answer)
+            return answer
+        outcome = self._store(job, timeout_ms)
+        _log_call("submit", job.job_id, outcome, job.queue, job.workspace)
+        return outcome
+
+    def _answer_unless_admitted(
+        self, job: JobSpec, caller: Caller
+    ) -> Result[None, Failure] | None:
+        """Return the answer to a submission that is not to be stored.
+
+        A job that is stored already is accepted if the caller may use it.
+
+        :return: None if the job is to be stored.
+        """
+        if self._admission_gate is None:
+            return None
+        answer = self._admission_gate.check(
+            job, self._configuration, self._find
+        )
+        if isinstance(answer, Ok):
+            found = self._find_for("submit", job.job_id, caller)
+            return found.map(lambda _: None)
+        return answer
+
+    def _store(self, job: JobSpec, timeout_ms: int) -> Result[None, Failure]:
         gate = self._admission_gate
         if gate is not None:
-            answer = gate.check(job, self._configuration, self._find)
-            if isinstance(answer, Ok):
-                found = self._find_for("submit", job.job_id, caller)
-                answer = found.map(lambda _: None)
-            if answer is not None:
-                self._count("submit", answer)
-                return answer
             gate.begin(job.job_id)
         record = KeyedRecord(JOB_PREFIX + job.job_id, encode_job(job))
         with self._metrics.timing("submit"):
@@ -142,7 +163,6 @@
         self._count("submit", outcome)
         if not isinstance(outcome, Err):
             self._remember_accepted(job)
-        _log_call("submit", job.job_id, outcome, job.queue, job.workspace)
         return outcome
 
     def _reject(
