Name the speeds that the speed report compares

Cause: the "usual" speed of a worker was its best one since the last report, and the threshold of a loss was named like a speed. Change: the names and the doc comment say this; one condition is simpler. Result: ruff and mypy pass; no test covers the report itself, and the event and its keys are the same. The conditions were compared by reading.

--- a/src/magnoliapitch/control/speed_report.py
+++ b/src/magnoliapitch/control/speed_report.py
@@ -20,10 +20,10 @@
 MAX_LISTED_WORKERS = 4
 MAX_LISTED_QUEUES = 12
 MAX_SLOWED_PER_INTERVAL = 5
-# Loss of speed, as a logarithm, from which a worker has become slow.
-SLOWED_LOG_SPEED = 0.4
-# Largest deviation of the error of a speed that a change is judged by.
-MAX_JUDGED_DEVIATION = 0.15
+# Loss of speed, as a logarithm, from which a worker is reported: a third.
+SLOWED_LOG_LOSS = 0.4
+# Speeds with a larger standard deviation (log) are not compared.
+MAX_COMPARED_DEVIATION = 0.15
 
 
 class SpeedReport:
@@ -40,7 +40,7 @@
         self._logged_ms: int | None = None
         self._checked_ms = 0
         self._slowed_count = 0
-        self._usual_by_worker: dict[str, float] = {}
+        self._best_log_speed_by_worker: dict[str, float] = {}
 
     def record(self, now_ms: int) -> None:
         """Log what is due."""
@@ -59,25 +59,28 @@
             self._log(self._learned)
 
     def _report_slowed(self, speeds: SpeedTable) -> None:
-        """Log workers that have lost much of the speed that they had."""
-        usual_by_worker: dict[str, float] = {}
+        """Log workers that have lost much of their best speed.
+
+        After that, a worker's losses count from its new speed.
+        """
+        best_by_worker: dict[str, float] = {}
         for worker_id, speed in speeds.speeds_by_id.items():
             log_speed, variance = speed.estimate
-            usual = self._usual_by_worker.get(worker_id)
-            if math.sqrt(variance) > MAX_JUDGED_DEVIATION:
-                if usual is not None:
-                    usual_by_worker[worker_id] = usual
+            best = self._best_log_speed_by_worker.get(worker_id)
+            if math.sqrt(variance) > MAX_COMPARED_DEVIATION:
+                if best is not None:
+                    best_by_worker[worker_id] = best
                 continue
-            if usual is not None and usual - log_speed >= SLOWED_LOG_SPEED:
-                self._log_slowed(worker_id, log_speed, usual)
-                usual = log_speed
-            usual_by_worker[worker_id] = max(
-                log_speed, log_speed if usual is None else usual
-            )
-        self._usual_by_worker = usual_by_worker
+            if best is None:
+                best = log_speed
+            if best - log_speed >= SLOWED_LOG_LOSS:
+                self._log_slowed(worker_id, log_speed, best)
+                best = log_speed
+            best_by_worker[worker_id] = max(log_speed, best)
+        self._best_log_speed_by_worker = best_by_worker
 
     def _log_slowed(
-        self, worker_id: str, log_speed: float, usual: float
+        self, worker_id: str, log_speed: float, best_log_speed: float
     ) -> None:
         self._metrics.count("workers_slowed")
         self._slowed_count += 1
@@ -86,7 +89,7 @@
                 "worker-slowed",
                 worker=worker_id,
                 speed=_ratio(log_speed),
-                former_speed=_ratio(usual),
+                former_speed=_ratio(best_log_speed),
             )
 
     def _log(self, learned: LearnedDurations) -> None:
