Separate the preparation of load figures from their comparison

Cause: LoadPublisher.is_due computed figures although it read as a question, compared them by slices of a tuple, and kept their time in a bare tuple. Change: prepare computes them, LoadFigures.has_same_load compares them, and _Publication holds figures and time. No change in behaviour.

--- a/src/magnoliapitch/admission/figures.py
+++ b/src/magnoliapitch/admission/figures.py
@@ -81,6 +81,13 @@
         """Return the position in the order of publication."""
         return self.epoch, self.sequence
 
+    def has_same_load(self, other: LoadFigures) -> bool:
+        """Return whether other figures differ at most in their position."""
+        return (
+            self.queues_by_name == other.queues_by_name
+            and self.services_by_name == other.services_by_name
+        )
+
 
 _ADAPTER: TypeAdapter[LoadFigures] = TypeAdapter(LoadFigures)
 
--- a/src/magnoliapitch/control/load_publisher.py
+++ b/src/magnoliapitch/control/load_publisher.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
+from magnoliapitch.admission import LoadFigures
 from magnoliapitch.admission import encode_figures
 from magnoliapitch.event import log_event
 from magnoliapitch.ledger.records import LOAD_KEY
@@ -11,7 +13,6 @@
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.admission import LoadFigures
     from magnoliapitch.ledger.load_view import LoadView
     from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.load import LoadEstimator
@@ -22,6 +23,11 @@
 REPEAT_INTERVAL_MS = 1_000
 
 
+class _Publication(NamedTuple):
+    figures: LoadFigures
+    taken_ms: int
+
+
 class LoadPublisher:
     """Adds the load figures to the leader's batches.
 
@@ -42,13 +48,15 @@
         self._metrics = metrics
         self._sequence = 0
         self._computed_ms: int | None = None
-        self._published_ms = 0
-        self._published: LoadFigures | None = None
+        self._newest: _Publication | None = None
         self._due: LoadFigures | None = None
-        self._in_commit: tuple[LoadFigures, int] | None = None
+        self._in_commit: _Publication | None = None
+
+    def prepare(self, now_ms: int) -> bool:
+        """Compute the figures if it is time to.
 
-    def is_due(self, now_ms: int) -> bool:
-        """Return whether figures are to be published; compute them if due."""
+        :return: whether figures are to be published with the next batch.
+        """
         if self._due is not None:
             return True
         computed_ms = self._computed_ms
@@ -58,14 +66,21 @@
         figures = self._compute(now_ms)
         if figures is None:
             return False
-        old = self._published
-        is_unchanged = old is not None and old[2:] == figures[2:]
-        age_ms = now_ms - self._published_ms
-        if is_unchanged and age_ms < REPEAT_INTERVAL_MS:
+        if self._is_recently_published(figures, now_ms):
             return False
         self._due = figures
         return True
 
+    def _is_recently_published(
+        self, figures: LoadFigures, now_ms: int
+    ) -> bool:
+        newest = self._newest
+        return (
+            newest is not None
+            and newest.figures.has_same_load(figures)
+            and now_ms - newest.taken_ms < REPEAT_INTERVAL_MS
+        )
+
     def _compute(self, now_ms: int) -> LoadFigures | None:
         """Return the figures; None if they cannot be computed.
 
@@ -87,8 +102,7 @@
         if figures is None:
             return ()
         self._sequence = figures.sequence
-        self._published, self._published_ms = figures, now_ms
-        self._in_commit = (figures, now_ms)
+        self._newest = self._in_commit = _Publication(figures, now_ms)
         return (KeyedRecord(LOAD_KEY, encode_figures(figures)),)
 
     def record_stored(self) -> None:
--- a/src/magnoliapitch/control/progress_batcher.py
+++ b/src/magnoliapitch/control/progress_batcher.py
@@ -146,7 +146,7 @@
             or self._state.unsaved_job_ids
             or self._unpublished_job_ids
         )
-        if self._load_publisher and self._load_publisher.is_due(now_ms):
+        if self._load_publisher and self._load_publisher.prepare(now_ms):
             has_changes = True
         if not has_changes and not self._is_heartbeat_due(now_ms):
             return None
