Build the publisher of load figures in its own module

Cause: ProgressBatcher.publish_load built the estimator, knew the standby services and had to be called after the constructor. Change: LoadPublisher.from_planner does this; the batcher gets the publisher, or None, as a parameter. No change in behaviour.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -8,6 +8,7 @@
 
 from magnoliapitch.control.accepted_starts import record_accepted
 from magnoliapitch.control.job_loader import JobLoader
+from magnoliapitch.control.load_publisher import LoadPublisher
 from magnoliapitch.control.order_issuer import OrderIssuer
 from magnoliapitch.control.permit_requester import PermitRequester
 from magnoliapitch.control.planning_summary import PlanningSummary
@@ -118,9 +119,14 @@
             timing,
             self._delete_jobs,
             self.planner.learned_durations,
-        )
-        self._progress_batcher.publish_load(
-            self.planner, configuration, metrics
+            LoadPublisher.from_planner(
+                self.planner,
+                self.state,
+                leader.epoch,
+                state_table.load,
+                configuration,
+                metrics,
+            ),
         )
         self._job_loader = JobLoader(
             self.state,
--- a/src/magnoliapitch/control/load_publisher.py
+++ b/src/magnoliapitch/control/load_publisher.py
@@ -10,12 +10,17 @@
 from magnoliapitch.event import log_event
 from magnoliapitch.ledger.records import LOAD_KEY
 from magnoliapitch.ledger.stream import KeyedRecord
+from magnoliapitch.planner.load import LoadEstimator
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from magnoliapitch.ledger.load_view import LoadView
     from magnoliapitch.metric import Metrics
-    from magnoliapitch.planner.load import LoadEstimator
+    from magnoliapitch.planner.planner import Planner
+    from magnoliapitch.planner.scheduler_state import SchedulerState
+    from magnoliapitch.workload.configuration import Configuration
 
 
 MIN_INTERVAL_MS = 500
@@ -52,6 +57,26 @@
         self._due: LoadFigures | None = None
         self._in_commit: _Publication | None = None
 
+    @classmethod
+    def from_planner(
+        cls,
+        planner: Planner,
+        state: SchedulerState,
+        epoch: int,
+        view: LoadView,
+        configuration: Callable[[], Configuration | None],
+        metrics: Metrics,
+    ) -> LoadPublisher | None:
+        """Return the publisher, or None if the options do not ask for it."""
+        if not planner.options.admission:
+            return None
+        estimator = LoadEstimator(
+            state,
+            planner,
+            standby_services=lambda: _standby_services(configuration()),
+        )
+        return cls(estimator, epoch, view, metrics)
+
     def prepare(self, now_ms: int) -> bool:
         """Compute the figures if it is time to.
 
@@ -112,4 +137,14 @@
             self._in_commit = None
 
 
+def _standby_services(configuration: Configuration | None) -> frozenset[str]:
+    if configuration is None:
+        return frozenset()
+    return frozenset(
+        service.name
+        for service in configuration.services_by_name.values()
+        if service.is_standby
+    )
+
+
 __all__ = ["LoadPublisher"]
--- a/src/magnoliapitch/control/progress_batcher.py
+++ b/src/magnoliapitch/control/progress_batcher.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from magnoliapitch.control.load_publisher import LoadPublisher
 from magnoliapitch.control.speed_record import SpeedRecord
 from magnoliapitch.ledger.leadership import Batch
 from magnoliapitch.ledger.records import LEADER_KEY
@@ -16,7 +15,6 @@
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.ledger.state_table import PublishedJob
 from magnoliapitch.ledger.stream import KeyedRecord
-from magnoliapitch.planner.load import LoadEstimator
 from magnoliapitch.workload.progress import JobOutcome
 
 
@@ -24,15 +22,13 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
+    from magnoliapitch.control.load_publisher import LoadPublisher
     from magnoliapitch.control.timing import ControlTiming
     from magnoliapitch.ledger.records import LeaderRecord
     from magnoliapitch.ledger.state_table import StateTable
-    from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.duration import LearnedDurations
-    from magnoliapitch.planner.planner import Planner
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedJob
-    from magnoliapitch.workload.configuration import Configuration
     from magnoliapitch.workload.progress import JobProgress
 
 
@@ -53,6 +49,7 @@
     :param delete_jobs: deletes stored jobs that have ended.
     :param learned_durations: what is learned of durations and speeds; None if
         it is not kept.
+    :param load_publisher: adds the load figures; None to publish none.
     """
 
     def __init__(
@@ -63,6 +60,7 @@
         timing: ControlTiming,
         delete_jobs: Callable[[Sequence[str]], None],
         learned_durations: LearnedDurations | None = None,
+        load_publisher: LoadPublisher | None = None,
     ) -> None:
         self._state = state
         self._state_table = state_table
@@ -70,7 +68,7 @@
         self._timing = timing
         self._delete_jobs = delete_jobs
         self._speed_record = SpeedRecord(learned_durations, state_table)
-        self._load_publisher: LoadPublisher | None = None
+        self._load_publisher = load_publisher
         self._heartbeat_ms = 0
         self._progress_in_commit_by_id: dict[str, JobProgress] = {}
         self._states_in_commit_by_id: dict[str, PublishedJob] = {}
@@ -81,26 +79,6 @@
         self._finished_job_ids: set[str] = set()
         self._ended_ms_by_job: dict[str, int] = {}
 
-    def publish_load(
-        self,
-        planner: Planner,
-        configuration: Callable[[], Configuration | None],
-        metrics: Metrics,
-    ) -> None:
-        """Publish load figures from now on if the options ask for it."""
-        if planner.options.admission:
-            estimator = LoadEstimator(
-                self._state,
-                planner,
-                standby_services=lambda: _standby_services(configuration()),
-            )
-            self._load_publisher = LoadPublisher(
-                estimator,
-                self._leader.epoch,
-                self._state_table.load,
-                metrics,
-            )
-
     def load(self, now_ms: int) -> None:
         """Start from the job states that former leaders published."""
         self._heartbeat_ms = now_ms
@@ -264,16 +242,6 @@
         return expired
 
 
-def _standby_services(configuration: Configuration | None) -> frozenset[str]:
-    if configuration is None:
-        return frozenset()
-    return frozenset(
-        service.name
-        for service in configuration.services_by_name.values()
-        if service.is_standby
-    )
-
-
 def _job_state(job: TrackedJob) -> JobState:
     if job.outcome is not JobOutcome.OPEN:
         return _STATE_BY_OUTCOME[job.outcome]
