Name the order of prefixes and import types for checking only

Cause: a reversed slice of a sorted set hid the order of the lengths, and that the first queue keeps a prefix stood nowhere; two types of the admission decision were imported at run time.

--- a/src/magnoliapitch/access/table.py
+++ b/src/magnoliapitch/access/table.py
@@ -82,15 +82,18 @@
     by_host: dict[str, dict[str, Queue]] = {}
     for queue in queues:
         by_prefix = by_host.setdefault(queue.host, {})
+        # The first of two queues keeps a prefix.
         by_prefix.setdefault(queue.path_prefix, queue)
     return {
-        host: _HostQueues(
-            by_prefix, tuple(sorted({len(key) for key in by_prefix})[::-1])
-        )
+        host: _HostQueues(by_prefix, _lengths_longest_first(by_prefix))
         for host, by_prefix in by_host.items()
     }
 
 
+def _lengths_longest_first(prefixes: Iterable[str]) -> tuple[int, ...]:
+    return tuple(sorted({len(prefix) for prefix in prefixes}, reverse=True))
+
+
 def _callers_by_key(workspaces: Iterable[Workspace]) -> dict[bytes, Caller]:
     """Return callers by key; the first of two workspaces keeps a key."""
     callers_by_key: dict[bytes, Caller] = {}
--- a/src/magnoliapitch/admission/decision.py
+++ b/src/magnoliapitch/admission/decision.py
@@ -6,8 +6,6 @@
 from typing import NamedTuple
 
 from magnoliapitch.admission.figures import LoadFigures
-from magnoliapitch.admission.figures import QueueLoad
-from magnoliapitch.admission.figures import ServiceCapacity
 from magnoliapitch.admission.retry import retry_after_ms
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
@@ -17,6 +15,8 @@
 if TYPE_CHECKING:
     import random
 
+    from magnoliapitch.admission.figures import QueueLoad
+    from magnoliapitch.admission.figures import ServiceCapacity
     from magnoliapitch.resource import Resources
     from magnoliapitch.workload.configuration import Queue
     from magnoliapitch.workload.job import JobSpec
