Move the tracked task to a module of its own

Change: TrackedTask and its constant are in planner/tracked_task.py. Nothing but imports changes; the packages beside planner import neither.

--- a/src/magnoliapitch/planner/restore.py
+++ b/src/magnoliapitch/planner/restore.py
@@ -14,7 +14,7 @@
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedJob
     from magnoliapitch.planner.tracked import TrackedStep
-    from magnoliapitch.planner.tracked import TrackedTask
+    from magnoliapitch.planner.tracked_task import TrackedTask
 
 
 def progress_of(job: TrackedJob) -> JobProgress:
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -10,7 +10,6 @@
 from magnoliapitch.planner.tracked import TrackedJob
 from magnoliapitch.planner.tracked import TrackedRun
 from magnoliapitch.planner.tracked import TrackedStep
-from magnoliapitch.planner.tracked import TrackedTask
 from magnoliapitch.planner.tracked import TrackedWorker
 from magnoliapitch.planner.workspace_usage import WorkspaceUsage
 from magnoliapitch.workload.progress import JobOutcome
@@ -21,6 +20,7 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
+    from magnoliapitch.planner.tracked_task import TrackedTask
     from magnoliapitch.workload.configuration import Queue
     from magnoliapitch.workload.configuration import Workspace
     from magnoliapitch.workload.job import JobSpec
--- a/src/magnoliapitch/planner/worker_loss.py
+++ b/src/magnoliapitch/planner/worker_loss.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from magnoliapitch.planner.tracked import TrackedTask
+from magnoliapitch.planner.tracked_task import TrackedTask
 
 
 if TYPE_CHECKING:
--- a/tests/control/test_unproven_losses.py
+++ b/tests/control/test_unproven_losses.py
@@ -16,7 +16,7 @@
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.planner.tracked import TrackedTask
+    from magnoliapitch.planner.tracked_task import TrackedTask
 
 
 ADDRESS = "10.0.0.1:80"
