Look tickets up in one place

Cause: five places read a ticket with its default, and the preemption pass repeated the check of a ticket. Some comments used images, and the pass did not say what it means by room. Change: TrackedStep.ticket returns a ticket or the default; PlanningRound.has_ticket takes a delay, which the preemption pass gives. Comments are reworded, and the latest time of a draining worker is computed with an explicit test for None. No decision changes.

--- a/src/magnoliapitch/planner/duration/moving_average.py
+++ b/src/magnoliapitch/planner/duration/moving_average.py
@@ -85,7 +85,7 @@
     def remaining_ms(self, run: TrackedRun, now_ms: int) -> float:
         """Return the expected time until an active run ends, in ms."""
         started_ms = (
-            run.ordered_ms if run.started_ms is None else (run.started_ms)
+            run.ordered_ms if run.started_ms is None else run.started_ms
         )
         return self._distribution(run.task.step).remaining_ms(
             now_ms - started_ms
--- a/src/magnoliapitch/planner/evacuation.py
+++ b/src/magnoliapitch/planner/evacuation.py
@@ -72,7 +72,9 @@
             leaves_ms = now_ms + info.drain_remaining_ms
             if known.is_draining:
                 former_ms = self._leaves_ms_by_worker.get(worker_id)
-                leaves_ms = former_ms and min(former_ms, leaves_ms)
+                leaves_ms = (
+                    None if former_ms is None else min(former_ms, leaves_ms)
+                )
         self._leaves_ms_by_worker[worker_id] = leaves_ms
 
     def _evacuate(
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -45,8 +45,6 @@
 MAX_CAPACITY_RESERVATION_MS = 20_000
 # Share of a worker's reserved CPU that is expected to become free soon.
 SOON_FREED_SHARE = 0.5
-# Stands for a missing ticket: empty text, and expired since time 0.
-NO_TICKET = ("", 0)
 
 
 class PlanningRound:
@@ -203,10 +201,7 @@
             self._now_ms + TICKET_MIN_REMAINING_MS + renewal_ms
         )
         fresh_count = sum(
-            step.tickets_by_worker.get(candidate.worker.worker_id, NO_TICKET)[
-                1
-            ]
-            >= min_valid_until_ms
+            step.ticket(candidate.worker.worker_id)[1] >= min_valid_until_ms
             for candidate in candidates
         )
         return fresh_count * 2 >= len(candidates)
@@ -224,14 +219,15 @@
             step, allowed, worker_count, self._now_ms
         )
 
-    def has_ticket(self, step: TrackedStep, candidate: Candidate) -> bool:
-        """Return whether a step may start on a worker at once."""
+    def has_ticket(
+        self, step: TrackedStep, candidate: Candidate, delay_ms: int = 0
+    ) -> bool:
+        """Return whether a step may start on a worker after a delay."""
         if step.job.queue.permit_timing is None:
             return True
-        _, valid_until_ms = step.tickets_by_worker.get(
-            candidate.worker.worker_id, NO_TICKET
-        )
-        return valid_until_ms >= self._now_ms + TICKET_MIN_REMAINING_MS
+        _, valid_until_ms = step.ticket(candidate.worker.worker_id)
+        start_ms = self._now_ms + delay_ms
+        return valid_until_ms >= start_ms + TICKET_MIN_REMAINING_MS
 
     def _ask_about_unasked(self, step: TrackedStep) -> None:
         """Plan a call about workers that the advisor was not asked about."""
@@ -347,7 +343,7 @@
         ):
             worker_id = candidate.worker.worker_id
             number = run_number if step.spec.is_gang else task.runs + 1
-            ticket = step.tickets_by_worker.get(worker_id, NO_TICKET)[0]
+            ticket, _ = step.ticket(worker_id)
             self.starts.append(
                 PlannedStart(task.key, number, worker_id, ticket)
             )
--- a/src/magnoliapitch/planner/preemption.py
+++ b/src/magnoliapitch/planner/preemption.py
@@ -31,7 +31,7 @@
 MAX_PREEMPTING_STEPS = 8
 # Bounds the duration of a round.
 PASS_INTERVAL_MS = 40
-# A gang whose room is not free by then has lost its turn.
+# Other steps may use the room of a gang that has not started by then.
 HOLD_ROOM_MS = 1_000
 
 
--- a/src/magnoliapitch/planner/preemption_pass.py
+++ b/src/magnoliapitch/planner/preemption_pass.py
@@ -1,4 +1,4 @@
-"""One look at the steps that are short of room, and at what could free it."""
+"""Steps that lack capacity, and the runs whose stop would free it."""
 
 from __future__ import annotations
 
@@ -9,8 +9,6 @@
 from functools import cached_property
 from typing import TYPE_CHECKING
 
-from magnoliapitch.planner.planning_round import NO_TICKET
-from magnoliapitch.planner.planning_round import TICKET_MIN_REMAINING_MS
 from magnoliapitch.planner.room import WorkerRoom
 from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.resource import Resources
@@ -19,7 +17,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from magnoliapitch.planner.candidates import Candidate
     from magnoliapitch.planner.duration import DurationEstimator
     from magnoliapitch.planner.planning_round import PlanningRound
     from magnoliapitch.planner.scheduler_state import SchedulerState
@@ -46,7 +43,11 @@
 
 
 class PreemptionPass:
-    """One look at the steps that are short of room, and at the workers.
+    """One pass over the steps that lack capacity.
+
+    Each step takes the room that it may get on the workers before the steps
+    that rank behind it. Room is capacity that is free, or is when the runs
+    that are being stopped have ended.
 
     :ivar preempting_count: number of steps whose tasks wait for runs that
         are being stopped.
@@ -61,6 +62,7 @@
     ) -> None:
         self.preempting_count = 0
         self._state = state
+        self._planning_round = planning_round
         self._workers = planning_round.workers
         self._durations = durations
         self._now_ms = now_ms
@@ -102,7 +104,7 @@
         return [
             self._room(candidate.worker)
             for candidate in candidates
-            if self._is_ready(step, candidate)
+            if self._planning_round.has_ticket(step, candidate, STOP_MS)
         ]
 
     def make_room(
@@ -257,13 +259,3 @@
             room = WorkerRoom(worker, planned)
             self._room_by_worker[worker.worker_id] = room
         return room
-
-    def _is_ready(self, step: TrackedStep, candidate: Candidate) -> bool:
-        """Return whether a step may start on a worker after a stop."""
-        if step.job.queue.permit_timing is None:
-            return True
-        _, valid_until_ms = step.tickets_by_worker.get(
-            candidate.worker.worker_id, NO_TICKET
-        )
-        min_valid_until_ms = self._now_ms + STOP_MS + TICKET_MIN_REMAINING_MS
-        return valid_until_ms >= min_valid_until_ms
--- a/src/magnoliapitch/planner/straggler.py
+++ b/src/magnoliapitch/planner/straggler.py
@@ -7,7 +7,6 @@
 
 from magnoliapitch.planner.candidates import free_task_count
 from magnoliapitch.planner.plan import PlannedStart
-from magnoliapitch.planner.planning_round import NO_TICKET
 
 
 if TYPE_CHECKING:
@@ -166,7 +165,7 @@
 def _copy_of(run: TrackedRun, candidate: Candidate) -> PlannedStart:
     worker_id = candidate.worker.worker_id
     task = run.task
-    ticket = task.step.tickets_by_worker.get(worker_id, NO_TICKET)[0]
+    ticket, _ = task.step.ticket(worker_id)
     return PlannedStart(
         task.key, task.runs + 1, worker_id, ticket, is_copy=True
     )
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -23,6 +23,10 @@
     from magnoliapitch.workload.worker import WorkerInfo
 
 
+# Stands for a missing ticket: empty text, and expired since time 0.
+NO_TICKET = ("", 0)
+
+
 class TrackedRun:
     """A run that was ordered and whose end is not known.
 
@@ -256,6 +260,10 @@
         """Return whether a task that was started before has to start again."""
         return any(task.runs for task in self.startable_tasks())
 
+    def ticket(self, worker_id: str) -> tuple[str, int]:
+        """Return the ticket for a worker and the end of its validity in ms."""
+        return self.tickets_by_worker.get(worker_id, NO_TICKET)
+
     def record_permits(
         self,
         asked_worker_ids: Iterable[str],
