Split the placement of steps out of the planning of a round

Cause: Planner.plan prepares a round, places its steps and assembles the plan, and the sort key of SpeedOrder packs three flags into one number. Change: Planner._place places the steps. The key is a tuple of the flags, which has the same order.

--- a/src/magnoliapitch/planner/candidate_order.py
+++ b/src/magnoliapitch/planner/candidate_order.py
@@ -110,22 +110,19 @@
         )
         if step.spec.is_gang:
             limit = asked_limit = self._gang_limit(step, fitting, asked_limit)
-
         is_mixed = _is_mixed(step)
 
-        def key(candidate: Candidate) -> tuple[int, int, int]:
+        def key(candidate: Candidate) -> tuple[bool, bool, bool, int, int]:
             must_be_asked = _must_be_asked(step, candidate, has_ticket)
             number = candidate.speed_class
             is_late = number < (asked_limit if must_be_asked else limit)
             has_failed = candidate.worker.worker_id in step.failed_worker_ids
-            rank = 4 * has_failed + 2 * is_late + must_be_asked
             if is_mixed and not is_late:
-                return (rank, 0, _shuffled(step, candidate))
-            return (
-                rank,
-                -number if is_late else number,
-                candidate.free.cpu_millis,
-            )
+                order = (0, _shuffled(step, candidate))
+            else:
+                speed_order = -number if is_late else number
+                order = (speed_order, candidate.free.cpu_millis)
+            return (has_failed, is_late, must_be_asked, *order)
 
         return sorted(fitting, key=key)
 
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -146,20 +146,9 @@
             workspace_round,
             self._candidate_order(),
         )
-        examined_count = 0
-        remaining_by_queue = _examined_steps_by_queue(ranked_steps)
-        for step in ranked_steps:
-            if planning_round.is_complete:
-                break
-            if not remaining_by_queue[step.job.queue.name]:
-                continue
-            if not workspace_round.lets_start(step):
-                continue
-            remaining_by_queue[step.job.queue.name] -= 1
-            planning_round.place(step)
-            workspace_round.record_starts(step, len(planning_round.starts))
-            self._preemption.hold_room(step, planning_round, now_ms)
-            examined_count += 1
+        examined_count = self._place(
+            ranked_steps, planning_round, workspace_round, now_ms
+        )
         if self.options.preemption:
             self._preemption.mark(
                 state, ranked_steps, planning_round, now_ms, self.may_preempt
@@ -179,6 +168,30 @@
             workspace_round.waits(),
         )
 
+    def _place(
+        self,
+        ranked_steps: list[TrackedStep],
+        planning_round: PlanningRound,
+        workspace_round: WorkspaceRound,
+        now_ms: int,
+    ) -> int:
+        """Place the steps in their order; return how many were examined."""
+        examined_count = 0
+        remaining_by_queue = _examined_steps_by_queue(ranked_steps)
+        for step in ranked_steps:
+            if planning_round.is_complete:
+                break
+            if not remaining_by_queue[step.job.queue.name]:
+                continue
+            if not workspace_round.lets_start(step):
+                continue
+            remaining_by_queue[step.job.queue.name] -= 1
+            planning_round.place(step)
+            workspace_round.record_starts(step, len(planning_round.starts))
+            self._preemption.hold_room(step, planning_round, now_ms)
+            examined_count += 1
+        return examined_count
+
     def _candidate_order(self) -> CandidateOrder:
         if self.learned_durations is None:
             return CandidateOrder()
