Mend faults that the review of the merged parts found

Cause, each seen in a trial or by reading: a refused retry cleared the doubt of a lost submission, so that a later refusal said "not stored" of a job that the store may still hold, also for quotas and through the relay; very different weights kept the division of shares from ending; progress of a task that a job does not have failed every new leader; steps held back by a quota or share preempted runs, and a service that waits kept all others from preempting; copies of stragglers ignored quotas and limits a worker.

Change: JobApi remembers submissions in doubt itself, rejects none of them, and answers "may have run" for a refused retry; weights are divided by their sum, and a resource without users stops the next participant; unknown tasks are left out with a log line; preemption counts the tasks that may start and skips steps beyond their share; jobs of workspaces and steps with a limit a worker get no copies.

--- a/src/magnoliapitch/ledger/admission_gate.py
+++ b/src/magnoliapitch/ledger/admission_gate.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import threading
-
-from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -14,7 +11,6 @@
 from magnoliapitch.admission import Rejection
 from magnoliapitch.admission import decide
 from magnoliapitch.event import log_event
-from magnoliapitch.verdict import Verdict
 
 
 if TYPE_CHECKING:
@@ -32,15 +28,11 @@
     from magnoliapitch.workload.job import JobSpec
 
 
-# Jobs whose append may still be carried out, the latest ones.
-MAX_UNSETTLED_JOBS = 20_000
-
-
 class AdmissionGate:
     """Checks submissions against the load figures; thread-safe.
 
-    A job that may already be stored is never rejected, since the rejection
-    says that it was not stored.
+    A job that is stored already is never rejected, since the rejection says
+    that it was not stored.
     """
 
     def __init__(
@@ -54,8 +46,6 @@
         self._clock = clock
         self._random = randomness
         self._metrics = metrics
-        self._lock = threading.Lock()
-        self._unsettled_job_ids: OrderedDict[str, None] = OrderedDict()
 
     def check(
         self,
@@ -70,7 +60,7 @@
         :param find: looks a job up in the published and stored jobs.
         :return: None if the job is to be stored.
         """
-        if configuration is None or job.job_id in self._unsettled_job_ids:
+        if configuration is None:
             return None
         queue = configuration.queues_by_name.get(job.queue)
         load = self._state_table.load.current(
@@ -89,23 +79,6 @@
         self._record(job, rejection, load)
         return Err(rejection.failure)
 
-    def begin(self, job_id: str) -> None:
-        """Record that a job is about to be sent to the store."""
-        with self._lock:
-            self._unsettled_job_ids[job_id] = None
-            if len(self._unsettled_job_ids) > MAX_UNSETTLED_JOBS:
-                self._unsettled_job_ids.popitem(last=False)
-
-    def settle(self, job_id: str, outcome: Result[None, Failure]) -> None:
-        """Record the outcome, unless the job may still be stored later."""
-        if (
-            isinstance(outcome, Err)
-            and outcome.err_value.verdict is not Verdict.NOT_RUN
-        ):
-            return
-        with self._lock:
-            self._unsettled_job_ids.pop(job_id, None)
-
     def _record(
         self, job: JobSpec, rejection: Rejection, load: AgedFigures
     ) -> None:
--- a/src/magnoliapitch/ledger/job_api.py
+++ b/src/magnoliapitch/ledger/job_api.py
@@ -15,6 +15,7 @@
 from magnoliapitch.access import Caller
 from magnoliapitch.access import forbidden_failure
 from magnoliapitch.event import log_event
+from magnoliapitch.ledger.doubtful_submissions import DoubtfulSubmissions
 from magnoliapitch.ledger.records import CANCEL_PREFIX
 from magnoliapitch.ledger.records import CANCELLED
 from magnoliapitch.ledger.records import JOB_PREFIX
@@ -84,6 +85,7 @@
         admission_gate: AdmissionGate | None = None,
     ) -> None:
         self._admission_gate = admission_gate
+        self._doubtful = DoubtfulSubmissions()
         self._state_table = state_table
         self._submitter = submitter
         self._refresh = refresh
@@ -121,16 +123,26 @@
         if known is not None:
             allowed = self._check_access("submit", job.job_id, known, caller)
             return allowed.map(lambda _: None)
+        # A rejection says that the job is not stored, so it must be certain.
+        if not self._doubtful.is_doubtful(job.job_id):
+            answer = self._rejection(job, caller)
+            if answer is not None:
+                return answer
+        outcome = self._store(job, timeout_ms)
+        _log_call("submit", job.job_id, outcome, job.queue, job.workspace)
+        return outcome
+
+    def _rejection(
+        self, job: JobSpec, caller: Caller
+    ) -> Result[None, Failure] | None:
+        """Return the answer to a submission that must not be stored."""
         quota_failure = find_quota_failure(job, self._configuration)
         if quota_failure is not None:
             return self._reject(job, quota_failure, caller)
         answer = self._answer_unless_admitted(job, caller)
         if answer is not None:
             self._count("submit", answer)
-            return answer
-        outcome = self._store(job, timeout_ms)
-        _log_call("submit", job.job_id, outcome, job.queue, job.workspace)
-        return outcome
+        return answer
 
     def _answer_unless_admitted(
         self, job: JobSpec, caller: Caller
@@ -152,14 +164,11 @@
         return answer
 
     def _store(self, job: JobSpec, timeout_ms: int) -> Result[None, Failure]:
-        gate = self._admission_gate
-        if gate is not None:
-            gate.begin(job.job_id)
+        self._doubtful.begin(job.job_id)
         record = KeyedRecord(JOB_PREFIX + job.job_id, encode_job(job))
         with self._metrics.timing("submit"):
-            outcome = self._append(record, timeout_ms)
-        if gate is not None:
-            gate.settle(job.job_id, outcome)
+            appended = self._append(record, timeout_ms)
+        outcome = self._doubtful.settle(job.job_id, appended)
         self._count("submit", outcome)
         if not isinstance(outcome, Err):
             self._remember_accepted(job)
--- a/src/magnoliapitch/planner/dominant_shares.py
+++ b/src/magnoliapitch/planner/dominant_shares.py
@@ -55,6 +55,11 @@
     others divide what is left. Each uses the resources in the proportions of
     its demand.
     """
+    total_weight = sum(demand.weight for demand in demand_by_key.values())
+    demand_by_key = {
+        key: demand._replace(weight=demand.weight / total_weight)
+        for key, demand in demand_by_key.items()
+    }
     share_by_key = dict.fromkeys(demand_by_key, 0.0)
     growing = [key for key, demand in demand_by_key.items() if demand.dominant]
     # The next one to be met is at the end.
@@ -75,6 +80,9 @@
             stopped = [growing.pop()]
         else:
             stopped, growing = _split(growing, demand_by_key, exhausted)
+            if not stopped:
+                # Rounding has left a rate of a resource that nobody uses.
+                stopped = [growing.pop()]
         for key in stopped:
             demand = demand_by_key[key]
             share_by_key[key] = min(demand.dominant, level * demand.weight)
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -216,6 +216,8 @@
 
 def _may_start_whole(step: TrackedStep) -> bool:
     """Return whether quota and share let all waiting tasks start."""
+    if step.is_beyond_share:
+        return False
     return step.startable_count == step.waiting_count
 
 
--- a/src/magnoliapitch/planner/preemption_pass.py
+++ b/src/magnoliapitch/planner/preemption_pass.py
@@ -87,11 +87,10 @@
         for step in ranked_steps:
             if not self._missing_count(step):
                 continue
-            if (
-                examined_count >= MAX_EXAMINED_STEPS
-                or step.job.queue.priority >= self._least_urgent_priority
-            ):
+            if examined_count >= MAX_EXAMINED_STEPS:
                 return
+            if step.job.queue.priority >= self._least_urgent_priority:
+                continue
             examined_count += 1
             yield step
 
@@ -185,7 +184,7 @@
             heapq.heappush(heap, (len(victims), lost_ms, index, victims))
 
     def _missing_count(self, step: TrackedStep) -> int:
-        return step.waiting_count - self._started_by_step[step.key]
+        return step.startable_count - self._started_by_step[step.key]
 
     @cached_property
     def _least_urgent_priority(self) -> int:
--- a/src/magnoliapitch/planner/restore.py
+++ b/src/magnoliapitch/planner/restore.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.event import log_event
 from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.progress import JobProgress
 from magnoliapitch.workload.progress import Placement
@@ -63,7 +64,11 @@
     job.outcome = progress.outcome
     job.has_begun = progress.has_begun
     for key, task_progress in progress.tasks_by_key.items():
-        task = job.steps[key.occurrence][key.step].tasks[key.position]
+        task = state.task(key)
+        if task is None:
+            # Two submissions with one id: the other one had more tasks.
+            log_event("record-unreadable", key=job.spec.job_id, reason=key)
+            continue
         _restore_task(state, task, task_progress, now_ms)
     for step in job.all_steps():
         step.unfinished_count = sum(not task.is_done for task in step.tasks)
--- a/src/magnoliapitch/planner/straggler.py
+++ b/src/magnoliapitch/planner/straggler.py
@@ -78,7 +78,7 @@
             start.task.step_key for start in planning_round.starts
         )
         for step in ranked_steps:
-            count = step.waiting_count - started_by_step[step.key]
+            count = step.startable_count - started_by_step[step.key]
             _reserve(planning_round.workers.eligible(step), step, count)
         copies: list[PlannedStart] = []
         for run in stragglers[: max(0, max_copies)]:
@@ -101,6 +101,9 @@
         if (
             spec.is_gang
             or spec.is_long_running
+            # Copies are not counted against these limits.
+            or spec.max_per_worker
+            or task.step.job.spec.workspace
             or task.is_done
             or len(task.active_runs) > 1
             or run.number < task.runs
--- a/tests/planner/test_dominant_shares.py
+++ b/tests/planner/test_dominant_shares.py
@@ -35,6 +35,25 @@
     assert shares == pytest.approx({"cpu": 0.5, "both": 0.5, "memory": 5 / 6})
 
 
+# Rounding left a rate of a resource that no participant uses, and the
+# division did not end.
+def test_weights_of_very_different_sizes_end_the_division() -> None:
+    source = random.Random(1)
+    for _ in range(300):
+        demands = {
+            number: Demand(
+                10 ** source.uniform(-6, 8),
+                (source.uniform(0, 3), source.choice((0.0, 1.5))),
+            )
+            for number in range(20)
+        }
+        shares = divide(demands)
+        assert all(
+            0 <= shares[key] <= demand.dominant + 1e-9
+            for key, demand in demands.items()
+        )
+
+
 def test_no_demand_has_no_share() -> None:
     assert divide({"none": Demand(1.0, (0.0, 0.0))}) == {"none": 0.0}
     assert divide({}) == {}
--- a/tests/planner/test_preemption.py
+++ b/tests/planner/test_preemption.py
@@ -72,6 +72,23 @@
     assert preempted(work) == 3
 
 
+# The leader's rounds would otherwise stop runs for tasks that may not start.
+def test_tasks_beyond_a_quota_preempt_nothing() -> None:
+    work = full_work()
+    urgent = work.add_job("urgent", URGENT_STEP._replace(task_count=4), URGENT)
+    urgent.all_steps()[0].start_limit = 1
+    work.advance(WAIT_MS)
+    assert preempted(work) == 0
+
+
+def test_a_step_beyond_its_share_preempts_nothing() -> None:
+    work = full_work()
+    urgent = work.add_job("urgent", URGENT_STEP, URGENT)
+    urgent.all_steps()[0].is_beyond_share = True
+    work.advance(WAIT_MS)
+    assert preempted(work) == 0
+
+
 def test_nothing_is_preempted_without_the_option() -> None:
     work = full_work(preemption=False)
     work.add_job("urgent", URGENT_STEP, URGENT)
