Keep renewals and the list of workers going after an unexpected error

Cause: an unexpected error ended the thread that renews one worker's lease, or exchanges commands with an agent, until the next leader; one in the reading of the list of workers left a flag set, so that the list was never read again and workers that had left stayed in use. Found in the review, by reading.

Change: such an error counts as a call without an answer and is logged (call-error).

Result: two new tests fail without the change's guard (the thread ends, the list is read once); tests of renewals, driver, delegation and events pass.

--- a/src/magnoliapitch/control/delegation/link.py
+++ b/src/magnoliapitch/control/delegation/link.py
@@ -7,7 +7,10 @@
 from typing import TYPE_CHECKING
 
 from result import Err
+from result import Ok
+from result import Result
 
+from magnoliapitch.control.guard import guarded
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 
@@ -115,16 +118,24 @@
 
     def _exchange(self, batch: CommandBatch) -> bool:
         """Make one call; return whether it was answered."""
+        outcome = guarded("agent", lambda: self._exchange_once(batch))
+        now_ms = self._clock.now_ms()
+        if isinstance(outcome, Err):
+            self._record_failure(outcome.err_value, now_ms)
+            return False
+        with self._lock:
+            self._answered_ms = now_ms
+        return True
+
+    def _exchange_once(self, batch: CommandBatch) -> Result[None, Failure]:
         sent_ms = self._clock.now_ms()
         outcome = self._client.exchange(self.address, batch, ANSWER_TIMEOUT_MS)
-        now_ms = self._clock.now_ms()
-        if not isinstance(outcome, Err):
-            with self._lock:
-                self._answered_ms = now_ms
-            self.session.handle_reply(batch, outcome.ok_value, sent_ms, now_ms)
-            return True
-        self._record_failure(outcome.err_value, now_ms)
-        return False
+        if isinstance(outcome, Err):
+            return outcome
+        self.session.handle_reply(
+            batch, outcome.ok_value, sent_ms, self._clock.now_ms()
+        )
+        return Ok(None)
 
     def _record_failure(self, failure: Failure, now_ms: int) -> None:
         is_final = failure.code in (FailureCode.FENCED, FailureCode.SEQUENCE)
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from result import Err
+from result import Result
 
 from magnoliapitch.control.committer import Committer
 from magnoliapitch.control.controller import Controller
@@ -23,6 +24,7 @@
 from magnoliapitch.control.events import StopAnswered
 from magnoliapitch.control.events import WorkerReported
 from magnoliapitch.control.events import WorkersListed
+from magnoliapitch.control.guard import guarded
 from magnoliapitch.control.worker_group import WorkerGroup
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.planner import DEFAULT_OPTIONS
@@ -275,7 +277,7 @@
         if is_due and not self._is_refreshing:
             self._is_refreshing = True
             self._refreshed_ms = now_ms
-            self._list_executor.submit(self._refresh_now)
+            self._list_executor.submit(self._refresh_list)
 
     def _delete_jobs_now(self) -> None:
         job_follower = self._job_follower
@@ -285,7 +287,15 @@
         if not isinstance(job_follower.delete_jobs(job_ids), Err):
             self._job_ids_to_delete.difference_update(job_ids)
 
-    def _refresh_now(self) -> None:
+    def _refresh_list(self) -> None:
+        outcome = guarded("worker list", self._refresh_now)
+        self._is_refreshing = False
+        if isinstance(outcome, Err):
+            log_event(
+                "worker-list-unavailable", reason=outcome.err_value.detail
+            )
+
+    def _refresh_now(self) -> Result[None, Failure]:
         self._delete_jobs_now()
         peers = self._clients.members.peers()
         if not isinstance(peers, Err):
@@ -296,13 +306,7 @@
             if router is not None:
                 router.set_agents(peers.ok_value)
         outcome = self._clients.directory.workers()
-        self._is_refreshing = False
-        if isinstance(outcome, Err):
-            log_event(
-                "worker-list-unavailable", reason=outcome.err_value.detail
-            )
-            return
-        self.post(WorkersListed(outcome.ok_value))
+        return outcome.map(lambda found: self.post(WorkersListed(found)))
 
     def start_lease_renewal(self, worker: WorkerInfo) -> None:
         """Renew a worker's lease repeatedly."""
--- a/src/magnoliapitch/control/lease_renewer.py
+++ b/src/magnoliapitch/control/lease_renewer.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from magnoliapitch.control.events import WorkerReported
+from magnoliapitch.control.guard import guarded
 from magnoliapitch.control.renewal_pacing import RenewalPacing
 
 
@@ -93,13 +94,16 @@
         sent_ms = self._clock.now_ms()
         deadline_ms = self._next_deadline(sent_ms)
         timing = self._pacing.next_renewal(sent_ms)
-        outcome = self._client.renew(
-            self._worker,
-            self._token,
-            deadline_ms,
-            self._acknowledged_sequence if self._is_answered else 0,
-            timing.wait_ms if deadline_ms is not None else 0,
-            timing.timeout_ms,
+        outcome = guarded(
+            "renew",
+            lambda: self._client.renew(
+                self._worker,
+                self._token,
+                deadline_ms,
+                self._acknowledged_sequence if self._is_answered else 0,
+                timing.wait_ms if deadline_ms is not None else 0,
+                timing.timeout_ms,
+            ),
         )
         if self._is_stopped:
             return 0
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -233,6 +233,12 @@
     EventLevel.WARNING,
     "An entry in the list of workers is invalid; it is ignored.",
 )
+define_event(
+    "call-error",
+    EventLevel.ERROR,
+    "A call of the leader or an agent ended with an unexpected error, which "
+    "counts as a call without an answer.",
+)
 define_event(
     "worker-list-unavailable",
     EventLevel.WARNING,
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -120,6 +120,41 @@
     assert first is not second
 
 
+class BrokenDirectory(NoSystems):
+    """Fails unexpectedly at the first look at the list of workers."""
+
+    def __init__(self) -> None:
+        self.looks = 0
+
+    def workers(self) -> Result[Any, Failure]:
+        self.looks += 1
+        if self.looks == 1:
+            raise ValueError("unexpected")
+        return Ok({})
+
+
+# The list was never read again: workers that left stayed in use.
+def test_an_unexpected_error_does_not_end_the_reading_of_workers() -> None:
+    clock = MonotonicClock()
+    leadership = SlowLeadership(clock)
+    leadership.release.set()
+    systems: Any = NoSystems()
+    directory: Any = BrokenDirectory()
+    driver = ControlDriver(
+        leadership,  # type: ignore[arg-type]
+        StateTable(),
+        Clients(systems, systems, systems, directory, systems),
+        ControlTiming(lease_ms=6_000),
+        clock,
+        lambda: None,
+        lambda _: EmptyFollower(),  # type: ignore[arg-type, return-value]
+        Metrics(),
+        OrderSender(systems, clock, Metrics()),
+    )
+    leadership.claim_with(epoch=1)
+    step_until(driver, lambda: directory.looks >= 2)
+
+
 def step_until(driver: ControlDriver, is_reached: Any) -> None:
     deadline_s = time.monotonic() + DEADLINE_S
     while not is_reached():
--- a/tests/control/test_lease_renewer.py
+++ b/tests/control/test_lease_renewer.py
@@ -3,6 +3,7 @@
 import threading
 
 from typing import TYPE_CHECKING
+from typing import Any
 
 from result import Err
 from result import Ok
@@ -23,6 +24,7 @@
 if TYPE_CHECKING:
     import pytest
 
+    from magnoliapitch.control.events import WorkerReported
     from magnoliapitch.verdict import Failure
 
 
@@ -99,6 +101,37 @@
         renewer.stop()
 
 
+class OneError(OneEnd):
+    """A worker whose first report cannot be handled."""
+
+    def renew(self, *arguments: Any) -> Result[WorkerReport, Failure]:
+        outcome = super().renew(*arguments)
+        if len(self.acknowledged) == 1:
+            raise ValueError("unexpected")
+        return outcome
+
+
+# The thread ended, and the worker's lease expired with all that it ran.
+def test_an_unexpected_error_does_not_end_the_renewals() -> None:
+    worker = OneError()
+    reports: list[WorkerReported] = []
+    renewer = LeaseRenewer(
+        WorkerInfo("w", "app", "10.0.0.1:1", "a", "r"),
+        7,
+        worker,  # type: ignore[arg-type]
+        MonotonicClock(),
+        lambda _: 1_000,
+        reports.append,
+    )
+    renewer.start()
+    try:
+        assert worker.wait_for_renewals(2)
+        assert isinstance(reports[0].outcome, Err)
+        assert reports[0].outcome.err_value.code is FailureCode.INTERNAL
+    finally:
+        renewer.stop()
+
+
 # Incident TWICE: a worker that has restarted would forget its first ends.
 def test_a_renewal_after_an_unanswered_one_acknowledges_nothing() -> None:
     worker = OneEnd(lost_answer=2)
