--- a/src/magnoliapitch/http/client.py
+++ b/src/magnoliapitch/http/client.py
@@ -5,6 +5,7 @@
 import time
 
 from collections.abc import Callable
+from functools import lru_cache
 from typing import TYPE_CHECKING
 from typing import Annotated
 from typing import Any
@@ -36,6 +37,8 @@
 ValueT = TypeVar("ValueT")
 
 DEFAULT_TIMEOUT_MS = 5_000
+# Servers to which idle connections are kept open, the latest ones.
+MAX_SERVERS = 512
 HTTP_OK = 200
 JSON_HEADERS = {"Content-Type": "application/json"}
 
@@ -70,9 +73,9 @@
         self, connections: int = 8, observe: CallObserver | None = None
     ) -> None:
         self._observe = observe or _ignore_call
-        self._pool = urllib3.PoolManager(
-            num_pools=512, maxsize=connections, retries=False
-        )
+        self._connections = connections
+        # A PoolManager would normalise the URL and its options at each call.
+        self._pool_of = lru_cache(MAX_SERVERS)(self._open_pool)
 
     def exchange(
         self,
@@ -91,9 +94,13 @@
         started_ns = time.perf_counter_ns()
         outcome = self._send(method, url, timeout_ms, body, headers)
         duration_ms = (time.perf_counter_ns() - started_ns) / 1_000_000
-        self._observe(urlsplit(url).path, duration_ms, outcome.is_ok())
+        path = urlsplit(url).path
+        self._observe(path, duration_ms, outcome.is_ok())
         return outcome
 
+    def _open_pool(self, origin: str) -> urllib3.HTTPConnectionPool:
+        return urllib3.connection_from_url(origin, maxsize=self._connections)
+
     def _send(
         self,
         method: str,
@@ -102,13 +109,16 @@
         body: bytes | None,
         headers: Mapping[str, str] | None,
     ) -> Result[HttpReply, Failure]:
+        origin, target = _split_url(url)
         try:
-            response = self._pool.request(
+            response = self._pool_of(origin).urlopen(
                 method,
-                url,
+                target,
                 body=body,
-                timeout=timeout_ms / 1000,
                 headers=headers,
+                retries=False,
+                redirect=False,
+                timeout=timeout_ms / 1000,
             )
         except (
             urllib3.exceptions.NewConnectionError,
@@ -120,6 +130,14 @@
         return Ok(HttpReply(response.status, response.data))
 
 
+def _split_url(url: str) -> tuple[str, str]:
+    """Return the origin of a URL, and its path with the query."""
+    parts = urlsplit(url)
+    path = parts.path or "/"
+    target = f"{path}?{parts.query}" if parts.query else path
+    return f"{parts.scheme}://{parts.netloc}", target
+
+
 class JsonClient:
     """Sends JSON requests once, without retries or redirects.
 
