Use learned speeds only where workers are uneven

Errors of the estimates put some alike workers into classes of their own, and the ranks followed learned durations.

Change: the planner uses learned durations and speeds for ranks and placement only while the spread of the known speeds, less their errors, is at least 0.25 in logarithms, which is what the tasks of one step differ by; otherwise the moving average and the former order.

--- a/src/magnoliapitch/planner/duration/speed_table.py
+++ b/src/magnoliapitch/planner/duration/speed_table.py
@@ -22,6 +22,8 @@
 
 # Logarithmic width of a class of speeds.
 CLASS_WIDTH = 0.3
+# Deviation of the logarithms of the speeds from which workers are uneven.
+MIN_SPREAD = 0.25
 # A speed differs from the nominal one only if it does by this many deviations
 # of its error.
 MIN_CLASS_DEVIATIONS = 2.0
@@ -42,6 +44,8 @@
     :ivar speeds_by_id: the speeds.
     :ivar class_by_id: class of each worker whose speed is not nominal; the
         classes are numbers that grow with the speed, and 0 is nominal.
+    :ivar is_uneven: whether the workers differ by more than the tasks of a
+        step usually do.
     :ivar classes: the classes of all workers, the slowest first.
     """
 
@@ -49,6 +53,7 @@
         self.speeds_by_id: dict[str, WorkerSpeed] = {}
         self.class_by_id: dict[str, int] = {}
         self.classes: tuple[int, ...] = (0,)
+        self.is_uneven = False
         self._restored_by_id: dict[str, SpeedEstimate] = {}
         self._restored_until_ms: int | None = None
 
@@ -136,6 +141,7 @@
 
     def classify(self) -> None:
         """Assign the workers to classes of speeds."""
+        self.is_uneven = self._spread() >= MIN_SPREAD
         class_by_id = {
             worker_id: _class_of(speed.estimate)
             for worker_id, speed in self.speeds_by_id.items()
@@ -147,6 +153,19 @@
             if number
         }
 
+    def _spread(self) -> float:
+        """Return the deviation of the known speeds, without their errors."""
+        known = [
+            speed.estimate
+            for speed in self.speeds_by_id.values()
+            if speed.estimate.variance <= MAX_KNOWN_VARIANCE
+        ]
+        if not known:
+            return 0.0
+        variance = pvariance(estimate.log_speed for estimate in known)
+        error = fmean(estimate.variance for estimate in known)
+        return math.sqrt(max(0.0, variance - error))
+
     def _known_by_kind(self) -> dict[str, list[float]]:
         known: defaultdict[str, list[float]] = defaultdict(list)
         for speed in self.speeds_by_id.values():
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -55,11 +55,12 @@
 
     def __init__(self, options: PlanningOptions = DEFAULT_OPTIONS) -> None:
         self.options = options
+        self._moving_average = MovingAverage()
         self.learned_durations = (
             LearnedDurations() if options.worker_speeds else None
         )
         self.duration_estimator: DurationEstimator = (
-            self.learned_durations or MovingAverage()
+            self.learned_durations or self._moving_average
         )
         self.worker_backoff = WorkerBackoff()
         self._isolation = WorkerIsolation()
@@ -93,7 +94,9 @@
             for worker_id in step.failed_worker_ids - {run.worker_id}
         }
         step.failed_worker_ids.clear()
-        self.duration_estimator.record_done(run, now_ms)
+        self._moving_average.record_done(run, now_ms)
+        if self.learned_durations is not None:
+            self.learned_durations.record_done(run, now_ms)
         return {
             avoided_worker_id: pause_ms
             for avoided_worker_id, pause_ms in pause_ms_by_worker.items()
@@ -192,8 +195,13 @@
             examined_count += 1
         return examined_count
 
+    @property
+    def _has_uneven_workers(self) -> bool:
+        learned = self.learned_durations
+        return learned is not None and learned.speeds.is_uneven
+
     def _candidate_order(self) -> CandidateOrder:
-        if self.learned_durations is None:
+        if self.learned_durations is None or not self._has_uneven_workers:
             return CandidateOrder()
         return SpeedOrder(self.learned_durations)
 
@@ -207,8 +215,11 @@
         self, state: SchedulerState, now_ms: int
     ) -> list[TrackedStep]:
         """Return the waiting steps in the order in which they are placed."""
+        estimator: DurationEstimator = self._moving_average
+        if self._has_uneven_workers:
+            estimator = self.duration_estimator
         ranked = sorted(
-            (rank_of(step, self.duration_estimator, now_ms), step.key)
+            (rank_of(step, estimator, now_ms), step.key)
             for step in state.waiting_steps.values()
         )
         return [state.waiting_steps[key] for _, key in ranked]
--- a/tests/planner/test_learned_durations.py
+++ b/tests/planner/test_learned_durations.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import math
+import random
 
 import pytest
 
 from magnoliapitch.planner.duration.record import encode_learned
 from magnoliapitch.planner.duration.record import restore_learned
+from magnoliapitch.planner.duration.speed_table import SpeedTable
 from magnoliapitch.planner.duration.spread import LogDuration
 from magnoliapitch.planner.duration.step_work import StepWork
 from tests.planner.durations import QueueLoad
@@ -224,3 +226,25 @@
     distribution = LogDuration(math.log(1_000), 0.25)
     assert distribution.quantile_ms(0.5) == pytest.approx(1_000)
     assert distribution.quantile_ms(0.95) == pytest.approx(2_276, rel=0.01)
+
+
+# Even workers seemed uneven by chance, and were served worse than before.
+@pytest.mark.parametrize(
+    ("deviation", "is_uneven"), [(0.0, False), (0.15, False), (0.5, True)]
+)
+def test_workers_are_uneven_only_if_they_differ_more_than_tasks(
+    deviation: float, is_uneven: bool
+) -> None:
+    speeds = SpeedTable()
+    source = random.Random(1)
+    log_speed_by_id = {
+        f"w{number}": (-1) ** number * deviation for number in range(24)
+    }
+    speeds.set_workers(dict.fromkeys(log_speed_by_id, "a"), 0)
+    for round_number in range(20):
+        for worker_id, log_speed in log_speed_by_id.items():
+            measured = log_speed + source.gauss(0, 0.3)
+            worker = speeds.speeds_by_id[worker_id]
+            worker.add(measured, 0.09, round_number * 500)
+    speeds.classify()
+    assert speeds.is_uneven is is_uneven
