--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -94,9 +94,9 @@
             for worker_id in step.failed_worker_ids - {run.worker_id}
         }
         step.failed_worker_ids.clear()
-        self._moving_average.record_done(run, now_ms)
-        if self.learned_durations is not None:
-            self.learned_durations.record_done(run, now_ms)
+        self.duration_estimator.record_done(run, now_ms)
+        if self.duration_estimator is not self._moving_average:
+            self._moving_average.record_done(run, now_ms)
         return {
             avoided_worker_id: pause_ms
             for avoided_worker_id, pause_ms in pause_ms_by_worker.items()
