Place the tasks of a step in as few zones as possible

Cause: workers were chosen by free CPU alone, so that the tasks of a step sat on three or four workers of any zones, and the cut of one zone held up nearly every job for as long as it lasted. Change: rank_zones orders the zones for each step: where it runs already, where all waiting tasks fit, most room. Services are left as they were.

--- a/src/magnoliapitch/planner/candidate_order.py
+++ b/src/magnoliapitch/planner/candidate_order.py
@@ -4,10 +4,12 @@
 
 import zlib
 
+from functools import partial
 from itertools import chain
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner.candidates import free_task_count
+from magnoliapitch.planner.zone_order import rank_zones
 
 
 if TYPE_CHECKING:
@@ -28,7 +30,10 @@
 
 
 class CandidateOrder:
-    """Workers with the least free CPU first, all equally fast."""
+    """One zone after the other, workers with the least free CPU first.
+
+    All workers count as equally fast.
+    """
 
     def begin_round(self, workers: CandidateWorkers) -> None:
         """Prepare the workers of a planning round."""
@@ -45,18 +50,22 @@
 
         Workers without a failed run of the step come first. Next come
         workers with a valid ticket, or for which one is being requested, so
-        that a gang does not have to wait for another call. Then those with
-        the least free CPU, which leaves capacity for large tasks on the
-        others.
+        that a gang does not have to wait for another call. Then those of the
+        zone in which the step is to run, so that a zone that is cut off holds
+        up few jobs. Then those with the least free CPU, which leaves capacity
+        for large tasks on the others.
 
         :param fitting: workers with enough free CPU for a task.
         :param call_ms: expected duration of an advisor call.
         """
+        must_be_asked = partial(_must_be_asked, step, has_ticket)
+        zone_ranks = rank_zones(step, fitting, must_be_asked)
         return sorted(
             fitting,
             key=lambda candidate: (
                 candidate.worker.worker_id in step.failed_worker_ids,
-                _must_be_asked(step, candidate, has_ticket),
+                must_be_asked(candidate),
+                zone_ranks.get(candidate.info.zone, 0),
                 candidate.free.cpu_millis,
             ),
         )
@@ -111,17 +120,23 @@
         if step.spec.is_gang:
             limit = asked_limit = self._gang_limit(step, fitting, asked_limit)
         is_mixed = _is_mixed(step)
+        zone_ranks = rank_zones(
+            step, fitting, partial(_must_be_asked, step, has_ticket)
+        )
 
-        def key(candidate: Candidate) -> tuple[bool, bool, bool, int, int]:
-            must_be_asked = _must_be_asked(step, candidate, has_ticket)
+        def key(
+            candidate: Candidate,
+        ) -> tuple[bool, bool, bool, int, int, int]:
+            must_be_asked = _must_be_asked(step, has_ticket, candidate)
             number = candidate.speed_class
             is_late = number < (asked_limit if must_be_asked else limit)
             has_failed = candidate.worker.worker_id in step.failed_worker_ids
             if is_mixed and not is_late:
-                order = (0, _shuffled(step, candidate))
+                order = (0, 0, _shuffled(step, candidate))
             else:
                 speed_order = -number if is_late else number
-                order = (speed_order, candidate.free.cpu_millis)
+                zone_rank = zone_ranks.get(candidate.info.zone, 0)
+                order = (speed_order, zone_rank, candidate.free.cpu_millis)
             return (has_failed, is_late, must_be_asked, *order)
 
         return sorted(fitting, key=key)
@@ -210,8 +225,8 @@
 
 def _must_be_asked(
     step: TrackedStep,
-    candidate: Candidate,
     has_ticket: Callable[[Candidate], bool],
+    candidate: Candidate,
 ) -> bool:
     return (
         candidate.worker.worker_id not in step.in_flight_worker_ids
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -58,6 +58,7 @@
     :ivar end_clock_ms: when the run ended, by the worker's own clock; None if
         that is not known exactly enough.
     :ivar worker_rack: rack of the worker when the run was added.
+    :ivar worker_zone: availability zone of the worker when the run was added.
     """
 
     __slots__ = (
@@ -82,6 +83,7 @@
         "task",
         "worker_id",
         "worker_rack",
+        "worker_zone",
     )
 
     def __init__(
@@ -108,6 +110,7 @@
         self.start_clock_ms: int | None = None
         self.end_clock_ms: int | None = None
         self.worker_rack = ""
+        self.worker_zone = ""
 
     @property
     def may_have_been_ordered(self) -> bool:
@@ -383,6 +386,7 @@
         self.runs.append(run)
         if self.info is not None:
             run.worker_rack = self.info.rack
+            run.worker_zone = self.info.zone
         self.free = self.free.minus(run.resources)
 
     def remove(self, run: TrackedRun) -> None:
