--- a/src/magnoliapitch/planner/candidate_order.py
+++ b/src/magnoliapitch/planner/candidate_order.py
@@ -27,14 +27,24 @@
 # time. Otherwise fast and slow workers would run different queues only, and
 # their speeds could not be compared.
 MIXED_STEP_INTERVAL = 8
+# The same while all workers count as equally fast. Every zone must then run
+# tasks of some steps of the others, or else its speeds would remain unknown.
+COMPARED_STEP_INTERVAL = 4
 
 
 class CandidateOrder:
     """One zone after the other, workers with the least free CPU first.
 
     All workers count as equally fast.
+
+    :param compares_speeds: whether some steps are placed without regard to
+        zones, so that the workers of all zones run tasks of one step and
+        their speeds can be compared.
     """
 
+    def __init__(self, *, compares_speeds: bool = False) -> None:
+        self._compares_speeds = compares_speeds
+
     def begin_round(self, workers: CandidateWorkers) -> None:
         """Prepare the workers of a planning round."""
 
@@ -59,7 +69,11 @@
         :param call_ms: expected duration of an advisor call.
         """
         must_be_asked = partial(_must_be_asked, step, has_ticket)
-        zone_ranks = rank_zones(step, fitting, must_be_asked)
+        zone_ranks: dict[str, int] = {}
+        if not (
+            self._compares_speeds and _is_mixed(step, COMPARED_STEP_INTERVAL)
+        ):
+            zone_ranks = rank_zones(step, fitting, must_be_asked)
         return sorted(
             fitting,
             key=lambda candidate: (
@@ -89,6 +103,7 @@
     """
 
     def __init__(self, durations: LearnedDurations) -> None:
+        super().__init__(compares_speeds=True)
         self._durations = durations
 
     def begin_round(self, workers: CandidateWorkers) -> None:
@@ -209,10 +224,10 @@
     )
 
 
-def _is_mixed(step: TrackedStep) -> bool:
-    """Return whether a step is placed on workers of all speeds."""
+def _is_mixed(step: TrackedStep, interval: int = MIXED_STEP_INTERVAL) -> bool:
+    """Return whether a step is placed on workers of all speeds and zones."""
     number = zlib.crc32(step.key.job_id.encode())
-    return not step.spec.is_gang and not number % MIXED_STEP_INTERVAL
+    return not step.spec.is_gang and not number % interval
 
 
 def _shuffled(step: TrackedStep, candidate: Candidate) -> int:
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -202,7 +202,9 @@
 
     def _candidate_order(self) -> CandidateOrder:
         if self.learned_durations is None or not self._has_uneven_workers:
-            return CandidateOrder()
+            return CandidateOrder(
+                compares_speeds=self.learned_durations is not None
+            )
         return SpeedOrder(self.learned_durations)
 
     def _planned_stops(self, state: SchedulerState) -> tuple[PlannedStop, ...]:
