Order starts once their progress is stored, as the window allows

Change: the committer posts ProgressStored; the controller orders starts and acknowledges ends then. StartQueue keeps planned, unstored and stored starts; the more the store delays them, the more may be planned; they are sent as the order window allows.

--- a/src/magnoliapitch/control/committer.py
+++ b/src/magnoliapitch/control/committer.py
@@ -12,6 +12,7 @@
 from result import Result
 
 from magnoliapitch.control.events import Committed
+from magnoliapitch.control.events import ProgressStored
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import not_run
@@ -51,7 +52,7 @@
         """Store a batch; try again until it is stored or refused for good.
 
         :param is_wanted: returns whether the batch may still be stored.
-        :param post: called with the outcome.
+        :param post: called when the progress is stored, and with the outcome.
         """
         self._executor.submit(self._commit_now, batch, is_wanted, post)
 
@@ -71,7 +72,9 @@
         sent_ms = self._clock.now_ms()
         while is_wanted():
             sent_ms = self._clock.now_ms()
-            outcome = self._leadership.commit(batch)
+            outcome = self._leadership.commit(
+                batch, lambda: post(ProgressStored())
+            )
             if isinstance(outcome, Ok):
                 break
             if outcome.err_value.code in _PERMANENT_CODES:
--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -15,6 +15,7 @@
 from magnoliapitch.control.progress_batcher import ProgressBatcher
 from magnoliapitch.control.reachability import WorkerReachability
 from magnoliapitch.control.reports import ReportApplier
+from magnoliapitch.control.start_queue import StartQueue
 from magnoliapitch.control.worker_roster import WorkerRoster
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.planner import DEFAULT_OPTIONS
@@ -44,7 +45,6 @@
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.options import PlanningOptions
-    from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.configuration import Configuration
 
@@ -107,8 +107,7 @@
         self._planning_summary = PlanningSummary(
             self.state, claimed_ms, metrics
         )
-        self._uncommitted_starts: list[PlannedStart] = []
-        self._starts_in_commit: list[PlannedStart] = []
+        self._start_queue = StartQueue()
         self._end_sequences_in_commit_by_worker: dict[str, int] = {}
         self._is_commit_in_flight = False
         self._stored_ms = claimed_ms
@@ -277,8 +276,29 @@
                 event.worker_id, event.received_ms
             )
 
+    def handle_progress_stored(self, now_ms: int) -> None:
+        """Acknowledge ends and issue starts that waited to be stored.
+
+        These do not wait for the states, which only callers need. On a slow
+        store that halves the time until a start is ordered.
+        """
+        sequences_by_worker, self._end_sequences_in_commit_by_worker = (
+            self._end_sequences_in_commit_by_worker,
+            {},
+        )
+        for worker_id, sequence in sequences_by_worker.items():
+            self._effects.acknowledge(worker_id, sequence)
+        self._start_queue.record_stored(now_ms)
+        self._issue_stored_starts(now_ms)
+
+    def _issue_stored_starts(self, now_ms: int) -> None:
+        count = self._effects.available_start_orders()
+        for planned in self._start_queue.take_stored(count):
+            deadline_ms = self.next_lease_deadline(planned.worker_id, now_ms)
+            self._order_issuer.start(planned, deadline_ms, now_ms)
+
     def handle_commit(self, event: Committed, now_ms: int) -> None:
-        """Acknowledge ends and issue starts that waited for the commit.
+        """Record that a batch is stored, with its progress and its states.
 
         A failed commit ends the leadership.
         """
@@ -288,15 +308,7 @@
             return
         self._stored_ms = max(self._stored_ms, event.sent_ms)
         self._progress_batcher.record_stored(now_ms)
-        for (
-            worker_id,
-            sequence,
-        ) in self._end_sequences_in_commit_by_worker.items():
-            self._effects.acknowledge(worker_id, sequence)
-        starts, self._starts_in_commit = self._starts_in_commit, []
-        for planned in starts:
-            deadline_ms = self.next_lease_deadline(planned.worker_id, now_ms)
-            self._order_issuer.start(planned, deadline_ms, now_ms)
+        self.handle_progress_stored(now_ms)
 
     def handle_permits(self, event: PermitsAnswered) -> None:
         """Record the permits that the advisor gave, or log its failure."""
@@ -310,33 +322,30 @@
         if self.is_over:
             return
         self._roster.check(now_ms)
+        self._issue_stored_starts(now_ms)
         max_calls = self._effects.available_advisor_calls()
-        max_starts = self._available_starts()
+        max_orders = self._effects.max_start_orders()
+        max_starts = self._start_queue.available(
+            self._effects.available_start_orders(), max_orders, now_ms
+        )
         plan = self.planner.plan(
             self.state,
             now_ms,
             wall_ms,
             max_calls,
             max_starts,
-            self._effects.max_start_orders(),
+            self._start_queue.max_unanswered(max_orders, now_ms),
         )
         self._planning_summary.record(plan, max_calls, max_starts, now_ms)
         if self.may_issue_orders(now_ms):
             self._order_issuer.record_planned(plan.starts, now_ms)
-            self._uncommitted_starts.extend(plan.starts)
+            self._start_queue.add(plan.starts)
             for stop in plan.stops:
                 if self._reachability.is_answering(stop.worker_id):
                     self._order_issuer.stop(stop, now_ms)
             self._permit_requester.request(plan.permit_requests)
         self._commit(now_ms)
 
-    def _available_starts(self) -> int:
-        """Return how many starts may be planned, less those not sent yet."""
-        unsent_count = len(self._uncommitted_starts) + len(
-            self._starts_in_commit
-        )
-        return max(0, self._effects.available_start_orders() - unsent_count)
-
     def stop_leading(self, reason: str) -> None:
         """End the leadership; no more orders are issued.
 
@@ -372,16 +381,13 @@
         if self._is_commit_in_flight:
             return
         batch = self._progress_batcher.next_batch(
-            now_ms, bool(self._uncommitted_starts)
+            now_ms, self._start_queue.has_planned
         )
         if batch is None:
             return
         self._end_sequences_in_commit_by_worker = (
             self._report_applier.take_end_sequences()
         )
-        self._starts_in_commit, self._uncommitted_starts = (
-            self._uncommitted_starts,
-            [],
-        )
+        self._start_queue.begin_commit(now_ms)
         self._is_commit_in_flight = True
         self._effects.commit(batch)
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -20,6 +20,7 @@
 from magnoliapitch.control.events import Event
 from magnoliapitch.control.events import JobsChanged
 from magnoliapitch.control.events import PermitsAnswered
+from magnoliapitch.control.events import ProgressStored
 from magnoliapitch.control.events import StartAnswered
 from magnoliapitch.control.events import StopAnswered
 from magnoliapitch.control.events import WorkerReported
@@ -252,6 +253,8 @@
             controller.handle_start_answer(event)
         elif isinstance(event, StopAnswered):
             controller.handle_stop_answer(event)
+        elif isinstance(event, ProgressStored):
+            controller.handle_progress_stored(now_ms)
         elif isinstance(event, Committed):
             controller.handle_commit(event, now_ms)
         elif isinstance(event, JobsChanged):
--- a/src/magnoliapitch/control/events.py
+++ b/src/magnoliapitch/control/events.py
@@ -75,6 +75,13 @@
     received_ms: int
 
 
+class ProgressStored(NamedTuple):
+    """The progress of the batch that is being stored is stored.
+
+    Its states, and with them the batch, may not be stored yet.
+    """
+
+
 class Committed(NamedTuple):
     """A batch was stored, or failed for good, which ends the leadership.
 
@@ -100,6 +107,7 @@
     | WorkerReported
     | StartAnswered
     | StopAnswered
+    | ProgressStored
     | Committed
     | PermitsAnswered
 )
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -222,11 +222,18 @@
         """
         return self._append_progress(self._appender, [])
 
-    def commit(self, batch: Batch) -> Result[int, Failure]:
+    def commit(
+        self,
+        batch: Batch,
+        on_progress_stored: Callable[[], object] = lambda: None,
+    ) -> Result[int, Failure]:
         """Store progress, then the states that follow from it.
 
         After a failure, the same batch can be committed again: nothing is
         stored twice.
+
+        :param on_progress_stored: called once the progress is stored, before
+            the states are.
         """
         appender = self._appender
         if batch.progress and not appender.is_progress_stored:
@@ -234,6 +241,7 @@
             if isinstance(outcome, Err):
                 return outcome
             appender.is_progress_stored = True
+            on_progress_stored()
         if batch.states:
             outcome = self._append_states(appender, batch.states)
             if isinstance(outcome, Err):
--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -167,12 +167,21 @@
             if not simulation.freezes_job_table:
                 simulation.job_table.apply(values, list(values))  # type: ignore[arg-type]
             simulation.record_progress(values)
+            simulation.controller.handle_progress_stored(simulation.now_ms)
+            if simulation.state_commit_ms:
+                simulation.schedule(simulation.state_commit_ms, finish_states)
+            else:
+                finish_states()
+
+        def finish_states() -> None:
+            if not self._is_current():
+                return
             simulation.controller.handle_commit(
                 Committed(Ok(0), sent_ms), simulation.now_ms
             )
             simulation.record_stored()
 
-        simulation.schedule(COMMIT_DURATION_MS, finish)
+        simulation.schedule(simulation.progress_commit_ms, finish)
 
     def delete_jobs(self, job_ids: Sequence[str]) -> None:
         if self._simulation.freezes_job_table:
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -96,6 +96,9 @@
     :ivar order_queue: orders that wait on the leader's own machine.
     :ivar freezes_job_table: whether the leader's table of stored jobs stays
         as it was read when the leadership began.
+    :ivar progress_commit_ms: time that the storing of a batch's progress takes.
+    :ivar state_commit_ms: time from the storing of a batch's progress to that
+        of its states; 0 by default.
     :ivar on_commit: called with every batch that is to be stored.
     """
 
@@ -136,6 +139,8 @@
         self.unreachable_worker_ids: set[str] = set()
         self.store_is_unavailable = False
         self.commit_count = 0
+        self.progress_commit_ms = COMMIT_DURATION_MS
+        self.state_commit_ms = 0
         self.expired_ticket_count = 0
         self.advisor_call_count = 0
         self.stop_orders: Counter[TaskKey] = Counter()
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -26,6 +26,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from magnoliapitch.verdict import Failure
 
 UNANSWERED = Err(may_have_run(FailureCode.TIMEOUT, "no answer"))
@@ -58,7 +60,12 @@
     def step_down(self) -> None:
         self.claim = None
 
-    def commit(self, batch: Batch) -> Result[int, Failure]:
+    def commit(
+        self,
+        batch: Batch,
+        on_progress_stored: Callable[[], object] = lambda: None,
+    ) -> Result[int, Failure]:
+        del on_progress_stored
         self.batches.append(batch)
         self.is_first_committing.set()
         self.release.wait(DEADLINE_S)
