Relay calls through any instance that reaches the store

Cause: an instance that the store turns away passed its calls on to the instance that led last only. Change: every instance reads the announcements of the others every 5 s; a relayed call goes to the last leader, then to one other; who cannot store either is left alone for 1 s, so that a real outage is answered at once. Doubt of any attempt is kept in the verdict. Conclusion: the six new tests in tests/relay describe the case.

--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -119,7 +119,24 @@
             _claim_delay_ms(settings.machine),
             peer_address,
         )
-        relay = JobRelay(self._states, peer_address, client, self._clock)
+        self._members = Members(
+            store,
+            settings.instance_id,
+            Member(
+                peer_address,
+                settings.zone,
+                _cores(settings.machine),
+                settings.machine.link_mbps,
+            ),
+        )
+        relay = JobRelay(
+            self._states,
+            peer_address,
+            client,
+            self._clock,
+            random.Random(),
+            lambda: self._members.known_addresses,
+        )
         producer = f"{settings.instance_id}.{os.urandom(6).hex()}"
         self._submitter = Submitter(
             store,
@@ -143,16 +160,6 @@
         self._configuration_watch = ConfigurationWatch(
             PlatformDirectory(store), freshness, self._configure
         )
-        self._members = Members(
-            store,
-            settings.instance_id,
-            Member(
-                peer_address,
-                settings.zone,
-                _cores(settings.machine),
-                settings.machine.link_mbps,
-            ),
-        )
         self._advisor = PlatformAdvisor(settings.endpoints.advisor, client)
         workers = PlatformWorkers(client)
         order_sender = OrderSender(workers, self._clock, self._metrics)
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -102,6 +102,12 @@
     "A call to the advisor through another instance failed; that instance is "
     "not used for this for some seconds.",
 )
+define_event(
+    "peers-unread",
+    EventLevel.WARNING,
+    "The announcements of the other instances could not be read; the last "
+    "ones that were read stay in use.",
+)
 define_event(
     "agent-used",
     EventLevel.INFO,
--- a/src/magnoliapitch/ledger/members.py
+++ b/src/magnoliapitch/ledger/members.py
@@ -21,8 +21,8 @@
 
 MEMBER_STREAM = "members"
 ANNOUNCE_RETRY_DELAY_MS = 300
-# Interval of the loop once there is nothing left to announce.
-ANNOUNCED_IDLE_MS = 10_000
+# Interval at which an instance that does not lead reads the others.
+READ_INTERVAL_MS = 5_000
 
 
 class Member(NamedTuple):
@@ -47,6 +47,8 @@
     """Announces this instance and reads the announcements of others.
 
     :param own: what this instance announces.
+    :ivar known_addresses: ``IP:PORT`` of the other instances, as they were
+        read last.
     """
 
     def __init__(
@@ -56,15 +58,20 @@
         self._instance_id = instance_id
         self._own = own
         self._is_announced = False
+        self.known_addresses: tuple[str, ...] = ()
         self._mirror = StreamMirror(streams, MEMBER_STREAM)
 
     def step(self) -> int:
-        """Announce this instance if that has not succeeded yet.
+        """Announce this instance, then read the others now and then.
 
         :return: pause until the next call, in milliseconds.
         """
         if self._is_announced:
-            return ANNOUNCED_IDLE_MS
+            read = self.peers()
+            if isinstance(read, Err):
+                log_event("peers-unread", reason=read.err_value.detail)
+                return ANNOUNCE_RETRY_DELAY_MS
+            return READ_INTERVAL_MS
         value = _MEMBER_ADAPTER.dump_json(self._own)
         record = KeyedRecord(self._instance_id, value)
         outcome = self._streams.append(MEMBER_STREAM, [record])
@@ -80,7 +87,12 @@
 
     def peers(self) -> Result[tuple[Member, ...], Failure]:
         """Return every other instance that is announced."""
-        return self._mirror.refresh().map(lambda _: self._others())
+        outcome = self._mirror.refresh().map(lambda _: self._others())
+        if not isinstance(outcome, Err):
+            self.known_addresses = tuple(
+                member.address for member in outcome.ok_value
+            )
+        return outcome
 
     def _others(self) -> tuple[Member, ...]:
         members: list[Member] = []
--- a/src/magnoliapitch/relay/client.py
+++ b/src/magnoliapitch/relay/client.py
@@ -1,4 +1,4 @@
-"""Client that operates on jobs through the leader's instance."""
+"""Client that operates on jobs through other instances."""
 
 from __future__ import annotations
 
@@ -27,10 +27,17 @@
 from magnoliapitch.relay.messages import SubmitRequest
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import Verdict
 from magnoliapitch.verdict import may_have_run
+from magnoliapitch.verdict import not_run
 
 
 if TYPE_CHECKING:
+    import random
+
+    from collections.abc import Callable
+    from collections.abc import Collection
+
     from magnoliapitch.clock import Clock
     from magnoliapitch.http.client import HttpClient
     from magnoliapitch.http.client import HttpReply
@@ -39,19 +46,27 @@
     from magnoliapitch.workload.job import JobSpec
 
 
-# Longest wait for the leader's answer; it answers within a few milliseconds
-# unless it is cut off as well.
+# Longest wait for another instance's answer; it answers within a few
+# milliseconds unless it is cut off as well.
 MAX_TIMEOUT_MS = 1_000
-# Time without calls after the leader did not answer one.
+# Time without calls to an instance that did not answer one, or whose own
+# calls to the store fail.
 FAILURE_BACKOFF_MS = 1_000
+# Instances that are called for one operation.
+MAX_ATTEMPTS = 2
+_STORE_FAILURES = (FailureCode.UNAVAILABLE, FailureCode.TIMEOUT)
 
 
 class JobRelay:
-    """Calls the instance that led last, as far as this instance knows.
+    """Calls the instance that led last, or else any other one.
 
-    An instance that leads no more still reaches the store, as a rule.
+    An instance that leads no more still reaches the store, as a rule. It may
+    also be the one that the store turns away, so that another is tried then.
 
     :param own_address: ``IP:PORT`` at which peers call this instance.
+    :param randomness: spreads the calls over the instances.
+    :param peer_addresses: returns ``IP:PORT`` of the other instances that
+        are known.
     """
 
     def __init__(
@@ -60,19 +75,20 @@
         own_address: str,
         client: HttpClient,
         clock: Clock,
+        randomness: random.Random,
+        peer_addresses: Callable[[], Collection[str]] = tuple,
     ) -> None:
         self._state_table = state_table
         self._own_address = own_address
         self._client = client
         self._clock = clock
-        self._usable_ms = 0
+        self._random = randomness
+        self._peer_addresses = peer_addresses
+        self._usable_ms_by_address: dict[str, int] = {}
 
     def is_available(self) -> bool:
         """Return whether there is another instance to call."""
-        return (
-            self._address() not in ("", self._own_address)
-            and self._clock.now_ms() >= self._usable_ms
-        )
+        return bool(self._usable_addresses())
 
     def submit(
         self, job: JobSpec, timeout_ms: int, caller: Caller = UNRESTRICTED
@@ -109,17 +125,53 @@
     def _call(
         self, path: str, body: bytes, timeout_ms: int
     ) -> Result[JobReply, Failure]:
-        url = f"http://{self._address()}{path}"
+        """Call one instance after the other until one has an answer."""
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        may_have_stored: Failure | None = None
+        outcome: Result[JobReply, Failure] = Err(_nobody_to_call())
+        for address in self._usable_addresses()[:MAX_ATTEMPTS]:
+            remaining_ms = deadline_ms - self._clock.now_ms()
+            if remaining_ms <= 0:
+                break
+            outcome = self._call_at(address, path, body, remaining_ms)
+            if not isinstance(outcome, Err):
+                return outcome
+            failure = outcome.err_value
+            if failure.verdict is Verdict.MAY_HAVE_RUN:
+                may_have_stored = failure
+            if failure.code not in _STORE_FAILURES:
+                break
+        return outcome if may_have_stored is None else Err(may_have_stored)
+
+    def _call_at(
+        self, address: str, path: str, body: bytes, timeout_ms: int
+    ) -> Result[JobReply, Failure]:
         reply = self._client.exchange(
-            "POST", url, timeout_ms, body, JSON_HEADERS
+            "POST", f"http://{address}{path}", timeout_ms, body, JSON_HEADERS
         )
-        if isinstance(reply, Err):
-            self._usable_ms = self._clock.now_ms() + FAILURE_BACKOFF_MS
-        return reply.and_then(_decode)
-
-    def _address(self) -> str:
+        outcome = reply.and_then(_decode)
+        if (
+            isinstance(outcome, Err)
+            and outcome.err_value.code in _STORE_FAILURES
+        ):
+            self._usable_ms_by_address[address] = (
+                self._clock.now_ms() + FAILURE_BACKOFF_MS
+            )
+        return outcome
+
+    def _usable_addresses(self) -> list[str]:
+        """Return the instances to call, the one that led last first."""
         leader = self._state_table.leader
-        return leader.address if leader is not None else ""
+        peers = list(self._peer_addresses())
+        self._random.shuffle(peers)
+        leader_address = leader.address if leader is not None else ""
+        now_ms = self._clock.now_ms()
+        return [
+            address
+            for address in dict.fromkeys((leader_address, *peers))
+            if address not in ("", self._own_address)
+            and now_ms >= self._usable_ms_by_address.get(address, 0)
+        ]
 
 
 def _decode(reply: HttpReply) -> Result[JobReply, Failure]:
@@ -131,14 +183,20 @@
         return Err(may_have_run(FailureCode.BAD_RESPONSE, str(error)))
 
 
+def _nobody_to_call() -> Failure:
+    return not_run(
+        FailureCode.UNAVAILABLE, "there is no other instance to call"
+    )
+
+
 def _failure_of(reply: HttpReply) -> Failure:
     """Return the failure that the leader's instance answered with.
 
-    Only the instance knows whether it has carried the operation out; an
+    Only that instance knows whether it has carried the operation out; an
     answer that does not tell leaves it open.
     """
     try:
         return failure_from_problem(orjson.loads(reply.data))
     except orjson.JSONDecodeError:
-        detail = f"the leader's instance answered with status {reply.status}"
+        detail = f"another instance answered with status {reply.status}"
         return may_have_run(FailureCode.BAD_RESPONSE, detail)
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -96,7 +96,7 @@
     :ivar order_queue: orders that wait on the leader's own machine.
     :ivar freezes_job_table: whether the leader's table of stored jobs stays
         as it was read when the leadership began.
-    :ivar progress_commit_ms: time that the storing of a batch's progress takes.
+    :ivar progress_commit_ms: time that storing a batch's progress takes.
     :ivar state_commit_ms: time from the storing of a batch's progress to that
         of its states; 0 by default.
     :ivar on_commit: called with every batch that is to be stored.
--- a/tests/relay/test_relayed_jobs.py
+++ b/tests/relay/test_relayed_jobs.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import random
+
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
@@ -47,6 +49,7 @@
 STORE_DOWN = not_run(FailureCode.UNAVAILABLE, "the store is down", 1_000)
 UNANSWERED = may_have_run(FailureCode.TIMEOUT, "no answer")
 LEADER = "10.0.0.1:7200"
+PEERS = ("10.0.0.3:7200", "10.0.0.4:7200", "10.0.0.5:7200")
 
 
 class FakeJobApi:
@@ -97,17 +100,24 @@
         self.clock = ManualClock(1_000)
         self.here = FakeJobApi(here)
         self.there = FakeJobApi(there)
+        self.peers: dict[str, FakeJobApi] = {}
         self.calls = 0
+        self.called: list[str] = []
         self.network_failure: Failure | None = None
         self.reply: HttpReply | None = None
         self.states = StateTable()
         self.states.leader = LeaderRecord(1, "leader", address=LEADER)
-        self._application = Application()
-        add_relay_routes(self._application, self.there)  # type: ignore[arg-type]
         self.jobs = self.jobs_at("10.0.0.2:7200")
 
     def jobs_at(self, own_address: str) -> RelayedJobs:
-        relay = JobRelay(self.states, own_address, self, self.clock)  # type: ignore[arg-type]
+        relay = JobRelay(
+            self.states,
+            own_address,
+            self,  # type: ignore[arg-type]
+            self.clock,
+            random.Random(1),
+            self.peers.keys,
+        )
         return RelayedJobs(self.here, relay, self.clock)  # type: ignore[arg-type]
 
     def exchange(
@@ -119,14 +129,17 @@
         headers: Mapping[str, str],
     ) -> Result[HttpReply, Failure]:
         self.calls += 1
-        assert url.startswith(f"http://{LEADER}/")
+        address, _, path = url.removeprefix("http://").partition("/")
+        self.called.append(address)
         if self.network_failure is not None:
             return Err(self.network_failure)
         if self.reply is not None:
             return Ok(self.reply)
-        path = url.removeprefix(f"http://{LEADER}")
-        request = HttpRequest(method, path, {}, {}, headers, body)
-        response = self._application.handle(request)
+        application = Application()
+        instances = {LEADER: self.there, **self.peers}
+        add_relay_routes(application, instances[address])  # type: ignore[arg-type]
+        request = HttpRequest(method, f"/{path}", {}, {}, headers, body)
+        response = application.handle(request)
         return Ok(HttpReply(response.status, response.body))
 
 
@@ -290,3 +303,62 @@
     job = JOB._replace(steps=(StepSpec(1, estimate_ms=-5),))
     assert cluster.jobs.submit(job, TIMEOUT_MS) == Err(STORE_DOWN)
     assert cluster.there.operations == []
+
+
+class TurnedAway(Cluster):
+    """The store turns this instance and the leader's away, not the peers."""
+
+    def __init__(self, there: Failure | None = STORE_DOWN) -> None:
+        super().__init__(STORE_DOWN, there)
+        self.peers.update((address, FakeJobApi()) for address in PEERS)
+
+
+# Every call got 503 as long as the last known leader was turned away too.
+def test_another_instance_is_called_if_the_leader_is_turned_away() -> None:
+    cluster = TurnedAway()
+    assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Ok(None)
+    assert cluster.called[0] == LEADER
+    assert cluster.called[1] in PEERS
+
+
+def test_the_instance_that_led_last_calls_another_one() -> None:
+    cluster = TurnedAway()
+    assert cluster.jobs_at(LEADER).submit(JOB, TIMEOUT_MS) == Ok(None)
+    assert cluster.called[0] in PEERS
+
+
+def test_an_instance_that_is_turned_away_is_not_called_for_a_while() -> None:
+    cluster = TurnedAway()
+    for number in range(10):
+        cluster.jobs.submit(JOB._replace(job_id=f"{number}a"), TIMEOUT_MS)
+    assert cluster.called.count(LEADER) == 1
+    assert len(cluster.called) == 11
+
+
+def test_every_call_is_refused_at_once_while_the_store_is_down() -> None:
+    """Instances that were turned away a moment ago are not called again."""
+    cluster = TurnedAway()
+    for peer in cluster.peers.values():
+        peer.failure = STORE_DOWN
+    for _ in range(10):
+        assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Err(STORE_DOWN)
+    assert sorted(cluster.called) == [LEADER, *PEERS]
+
+
+def test_a_job_that_one_of_two_may_have_stored_is_not_refused() -> None:
+    cluster = TurnedAway(UNANSWERED)
+    for peer in cluster.peers.values():
+        peer.failure = STORE_DOWN
+    failure = cluster.jobs.submit(JOB, TIMEOUT_MS).unwrap_err()
+    assert failure.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_a_rejection_of_the_second_does_not_hide_the_doubt_of_the_first() -> (
+    None
+):
+    """The first may have stored what the second one rejects."""
+    cluster = TurnedAway(UNANSWERED)
+    for peer in cluster.peers.values():
+        peer.failure = REJECTED
+    failure = cluster.jobs.submit(JOB, TIMEOUT_MS).unwrap_err()
+    assert failure.verdict is Verdict.MAY_HAVE_RUN
