Submit through the leader's instance while the store is slow

Cause: the store carries out the appends of a stream one after the other. Change: an append that takes 150 ms makes an instance hand submissions to the leader's instance for 1.5 s, which stores those of all in one append at a time; without an answer from there it stores them itself. Failed appends are repeated after 60 ms, doubling up to 400 ms. The doubt of an unanswered relayed submission is kept in the verdict.

--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -67,7 +67,8 @@
 BODY_MAX_BYTES = 1 << 20
 CALLER_THREADS = 24
 MONITORING_THREADS = 2
-PEER_THREADS = 8
+# While the store is slow, each job of other instances occupies one.
+PEER_THREADS = 32
 PEER_BODY_MAX_BYTES = 4 << 20
 # The load balancer needs up to two checks to notice that an instance is not
 # ready.
@@ -154,7 +155,9 @@
             self._metrics,
             self._admission_gate(),
         )
-        self._jobs = RelayedJobs(self._job_api, relay, self._clock)
+        self._jobs = RelayedJobs(
+            self._job_api, relay, self._clock, self._submitter.is_slow
+        )
         freshness = ConfigurationFreshness(self._clock)
         self._gate = AccessGate(freshness, self._metrics)
         self._configuration_watch = ConfigurationWatch(
--- a/src/magnoliapitch/ledger/job_api.py
+++ b/src/magnoliapitch/ledger/job_api.py
@@ -171,7 +171,7 @@
         outcome = self._doubtful.settle(job.job_id, appended)
         self._count("submit", outcome)
         if not isinstance(outcome, Err):
-            self._remember_accepted(job)
+            self.record_accepted(job)
         return outcome
 
     def _reject(
@@ -266,7 +266,8 @@
         job = self._state_table.get(job_id)
         return self._accepted_by_id.get(job_id) if job is None else job
 
-    def _remember_accepted(self, job: JobSpec) -> None:
+    def record_accepted(self, job: JobSpec) -> None:
+        """Remember a job that is stored, until its state is published."""
         self._accepted_by_id[job.job_id] = PublishedJob(
             JobState.PENDING, job.queue, job.workspace
         )
--- a/src/magnoliapitch/ledger/submitter.py
+++ b/src/magnoliapitch/ledger/submitter.py
@@ -30,6 +30,14 @@
 
 APPEND_TIMEOUT_MS = 800
 RETRY_DELAY_MS = 60
+# The delay doubles with each failure, so that many instances together do not
+# reach the store's limit of calls. After an outage it bounds the wait.
+MAX_RETRY_DELAY_MS = 400
+# The store carries out the appends of a stream one after the other. When one
+# takes this long, a single instance should make them for all.
+SLOW_APPEND_MS = 150
+# How long the store counts as slow after such an append.
+SLOW_PERIOD_MS = 1_500
 MAX_BATCH_RECORDS = 128
 MAX_QUEUED_RECORDS = 2_000
 RETRY_AFTER_MS = 1_000
@@ -74,6 +82,9 @@
         self._batch: list[_PendingAppend] = []
         # Whether the current batch may have been stored by a failed append.
         self._may_be_stored = False
+        self._consecutive_failures = 0
+        self._sent_ms: int | None = None
+        self._slow_until_ms = 0
 
     def append(
         self, record: KeyedRecord, timeout_ms: int
@@ -101,6 +112,14 @@
                 self._condition.wait(remaining_ms / 1000)
         return pending.outcome
 
+    def is_slow(self) -> bool:
+        """Return whether the store takes long for this instance's appends."""
+        now_ms = self._clock.now_ms()
+        sent_ms = self._sent_ms
+        if sent_ms is not None and now_ms - sent_ms >= SLOW_APPEND_MS:
+            return True
+        return now_ms < self._slow_until_ms
+
     def step(self) -> int:
         """Append the current batch, or a new one of the queued records.
 
@@ -119,14 +138,16 @@
         return self._append_batch()
 
     def _append_batch(self) -> int:
-        sent_ms = self._clock.now_ms()
+        sent_ms = self._sent_ms = self._clock.now_ms()
         outcome = self._streams.append(
             self._stream,
             [pending.record for pending in self._batch],
             self._writer,
             timeout_ms=APPEND_TIMEOUT_MS,
         )
+        self._record_duration(sent_ms)
         if isinstance(outcome, Ok):
+            self._consecutive_failures = 0
             self._health.note_success(sent_ms)
             self._writer = self._writer._replace(
                 sequence=self._writer.sequence + 1
@@ -147,7 +168,15 @@
         if failure.verdict is not Verdict.NOT_RUN:
             self._may_be_stored = True
         self._refuse_unsent()
-        return RETRY_DELAY_MS
+        delay_ms = RETRY_DELAY_MS << min(self._consecutive_failures, 8)
+        self._consecutive_failures += 1
+        return min(delay_ms, MAX_RETRY_DELAY_MS)
+
+    def _record_duration(self, sent_ms: int) -> None:
+        now_ms = self._clock.now_ms()
+        self._sent_ms = None
+        if now_ms - sent_ms >= SLOW_APPEND_MS:
+            self._slow_until_ms = now_ms + SLOW_PERIOD_MS
 
     def _refuse_unsent(self) -> None:
         """Refuse records that are certainly not stored if the store is down.
--- a/src/magnoliapitch/relay/client.py
+++ b/src/magnoliapitch/relay/client.py
@@ -90,6 +90,11 @@
         """Return whether there is another instance to call."""
         return bool(self._usable_addresses())
 
+    def has_other_leader(self) -> bool:
+        """Return whether another instance led last and may be called."""
+        leader = self._state_table.leader
+        return leader is not None and self._is_usable(leader.address)
+
     def submit(
         self, job: JobSpec, timeout_ms: int, caller: Caller = UNRESTRICTED
     ) -> Result[None, Failure]:
@@ -101,6 +106,20 @@
         body = SUBMIT_REQUEST.dump_json(SubmitRequest(job, timeout_ms, caller))
         return self._call(SUBMIT_PATH, body, timeout_ms).map(lambda _: None)
 
+    def submit_to_leader(
+        self, job: JobSpec, timeout_ms: int, caller: Caller = UNRESTRICTED
+    ) -> Result[None, Failure]:
+        """Submit a job to the instance that led last.
+
+        :param timeout_ms: time until the answer is needed.
+        """
+        leader = self._state_table.leader
+        if leader is None:
+            return Err(_nobody_to_call())
+        body = SUBMIT_REQUEST.dump_json(SubmitRequest(job, timeout_ms, caller))
+        reply = self._call_at(leader.address, SUBMIT_PATH, body, timeout_ms)
+        return reply.map(lambda _: None)
+
     def cancel(
         self, job_id: str, timeout_ms: int, caller: Caller = UNRESTRICTED
     ) -> Result[bool, Failure]:
@@ -165,14 +184,19 @@
         peers = list(self._peer_addresses())
         self._random.shuffle(peers)
         leader_address = leader.address if leader is not None else ""
-        now_ms = self._clock.now_ms()
         return [
             address
             for address in dict.fromkeys((leader_address, *peers))
-            if address not in ("", self._own_address)
-            and now_ms >= self._usable_ms_by_address.get(address, 0)
+            if self._is_usable(address)
         ]
 
+    def _is_usable(self, address: str) -> bool:
+        usable_ms = self._usable_ms_by_address.get(address, 0)
+        return (
+            address not in ("", self._own_address)
+            and self._clock.now_ms() >= usable_ms
+        )
+
 
 def _decode(reply: HttpReply) -> Result[JobReply, Failure]:
     if reply.status != HTTP_OK:
--- a/src/magnoliapitch/relay/jobs.py
+++ b/src/magnoliapitch/relay/jobs.py
@@ -43,16 +43,28 @@
 
 
 class RelayedJobs:
-    """Operations on jobs by this instance, else by the leader's.
+    """Operations on jobs by this instance, else by another.
 
     Every operation is idempotent, so one that may have reached the store can
     be made again through the other instance.
+
+    :param is_store_slow: returns whether appends of this instance take long.
+        Jobs are then submitted through the leader's instance, which stores
+        those of all instances together: many small appends would wait for
+        each other.
     """
 
-    def __init__(self, job_api: JobApi, relay: JobRelay, clock: Clock) -> None:
+    def __init__(
+        self,
+        job_api: JobApi,
+        relay: JobRelay,
+        clock: Clock,
+        is_store_slow: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._job_api = job_api
         self._relay = relay
         self._clock = clock
+        self._is_store_slow = is_store_slow
 
     def submit(
         self, job: JobSpec, timeout_ms: int, caller: Caller = UNRESTRICTED
@@ -61,13 +73,45 @@
 
         :param timeout_ms: time until the caller needs the answer.
         """
-        return self._operate(
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        led = self._submit_to_leader(job, timeout_ms, caller)
+        if led is not None and not _is_store_failure(led):
+            return led
+        remaining_ms = max(1, deadline_ms - self._clock.now_ms())
+        outcome = self._operate(
             "submit",
             job.job_id,
-            timeout_ms,
-            lambda: self._job_api.submit(job, timeout_ms, caller),
-            lambda remaining_ms: self._relay.submit(job, remaining_ms, caller),
+            remaining_ms,
+            lambda: self._job_api.submit(job, remaining_ms, caller),
+            lambda left_ms: self._relay.submit(job, left_ms, caller),
         )
+        if (
+            isinstance(led, Err)
+            and led.err_value.verdict is Verdict.MAY_HAVE_RUN
+            and isinstance(outcome, Err)
+        ):
+            return led
+        return outcome
+
+    def _submit_to_leader(
+        self, job: JobSpec, timeout_ms: int, caller: Caller
+    ) -> Result[None, Failure] | None:
+        """Submit a job through the leader's instance if that is better.
+
+        A part of the time is kept for another way.
+
+        :return: None if the job was not submitted in this way.
+        """
+        if not self._is_store_slow() or not self._relay.has_other_leader():
+            return None
+        relay_ms = (timeout_ms - ANSWER_RESERVE_MS) * 2 // 3
+        if relay_ms < MIN_RELAY_TIMEOUT_MS:
+            return None
+        outcome = self._relay.submit_to_leader(job, relay_ms, caller)
+        _log_relayed("submit", job.job_id, outcome)
+        if not isinstance(outcome, Err):
+            self._job_api.record_accepted(job)
+        return outcome
 
     def cancel(
         self, job_id: str, timeout_ms: int, caller: Caller = UNRESTRICTED
@@ -136,6 +180,13 @@
         return relayed
 
 
+def _is_store_failure(outcome: Result[None, Failure]) -> bool:
+    """Return whether an operation failed although the job is in order."""
+    return (
+        isinstance(outcome, Err) and outcome.err_value.code not in _REJECTIONS
+    )
+
+
 def _is_rejected(here: Failure, there: Failure) -> bool:
     """Return whether a job is rejected and was certainly not stored here."""
     return here.verdict is Verdict.NOT_RUN and there.code in _REJECTIONS
--- a/tests/ledger/memory_streams.py
+++ b/tests/ledger/memory_streams.py
@@ -21,6 +21,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
 
@@ -42,6 +43,7 @@
     :ivar outage: failure that every call returns, or None.
     :ivar responses_to_lose: number of appends that are carried out but fail
         with a timeout.
+    :ivar before_append: called before every append.
     :ivar appends: number of calls to append.
     :ivar reads: number of calls to read.
     """
@@ -49,6 +51,7 @@
     def __init__(self) -> None:
         self.outage: Failure | None = None
         self.responses_to_lose = 0
+        self.before_append: Callable[[], object] = lambda: None
         self.appends = 0
         self.reads = 0
         self._by_name: dict[str, _Stream] = {}
@@ -63,6 +66,7 @@
     ) -> Result[Appended, Failure]:
         del timeout_ms
         self.appends += 1
+        self.before_append()
         if self.outage:
             return Err(self.outage)
         content = self._stream(stream)
--- a/tests/ledger/test_submitter.py
+++ b/tests/ledger/test_submitter.py
@@ -4,6 +4,7 @@
 
 from concurrent.futures import Future
 from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import wait
 from typing import TYPE_CHECKING
 
 import pytest
@@ -14,6 +15,9 @@
 from magnoliapitch.ledger.health import DOWN_AFTER_MS
 from magnoliapitch.ledger.health import StoreHealth
 from magnoliapitch.ledger.stream import KeyedRecord
+from magnoliapitch.ledger.submitter import MAX_RETRY_DELAY_MS
+from magnoliapitch.ledger.submitter import SLOW_APPEND_MS
+from magnoliapitch.ledger.submitter import SLOW_PERIOD_MS
 from magnoliapitch.ledger.submitter import Submitter
 from magnoliapitch.ledger.submitter import _PendingAppend
 from magnoliapitch.verdict import Failure
@@ -86,6 +90,8 @@
         if all(outcome.done() for outcome in outcomes):
             return
         caller.submitter.step()
+        # The callers' threads need a turn to take what the step resolved.
+        wait(outcomes, timeout=0.001)
     raise AssertionError("some appends have no outcome after 1000 steps")
 
 
@@ -221,3 +227,39 @@
     caller.clock.skipped_ms = 2 * DOWN_AFTER_MS + 2
     step_until_done(caller, outcomes)
     assert was_locked == [True]
+
+
+def test_the_store_counts_as_slow_during_and_after_a_slow_append(
+    caller: Caller, streams: MemoryStreams
+) -> None:
+    """Other instances' appends to the stream then have to wait as well."""
+    assert not caller.submitter.is_slow()
+    slow_by: list[bool] = []
+
+    def delay() -> None:
+        caller.clock.skipped_ms += SLOW_APPEND_MS
+        slow_by.append(caller.submitter.is_slow())
+
+    streams.before_append = delay
+    outcome = caller.submit("k")
+    step_until_done(caller, [outcome])
+    assert slow_by == [True]
+    assert caller.submitter.is_slow()
+    caller.clock.skipped_ms += SLOW_PERIOD_MS
+    assert not caller.submitter.is_slow()
+
+
+# Many instances that retry every 60 ms reached the store's limit of calls.
+def test_appends_that_fail_again_and_again_are_sent_ever_more_seldom(
+    caller: Caller, streams: MemoryStreams
+) -> None:
+    streams.outage = not_run(FailureCode.OVERLOADED, "too many calls")
+    caller.submit("k")
+    delays_ms = [caller.submitter.step() for _ in range(6)]
+    assert delays_ms == sorted(delays_ms)
+    assert delays_ms[-1] == MAX_RETRY_DELAY_MS
+    streams.outage = None
+    caller.submitter.step()
+    streams.outage = not_run(FailureCode.OVERLOADED, "too many calls")
+    caller.submit("l")
+    assert caller.submitter.step() == delays_ms[0]
--- a/tests/relay/test_relayed_jobs.py
+++ b/tests/relay/test_relayed_jobs.py
@@ -64,6 +64,10 @@
         self.failure = failure
         self.operations: list[tuple[str, str]] = []
         self.callers: list[Caller] = []
+        self.accepted_ids: list[str] = []
+
+    def record_accepted(self, job: JobSpec) -> None:
+        self.accepted_ids.append(job.job_id)
 
     def submit(
         self, job: JobSpec, timeout_ms: int, caller: Caller
@@ -362,3 +366,58 @@
         peer.failure = REJECTED
     failure = cluster.jobs.submit(JOB, TIMEOUT_MS).unwrap_err()
     assert failure.verdict is Verdict.MAY_HAVE_RUN
+
+
+class SlowStore(Cluster):
+    """Every append of this instance takes long."""
+
+    def jobs_at(self, own_address: str) -> RelayedJobs:
+        relay = JobRelay(
+            self.states,
+            own_address,
+            self,  # type: ignore[arg-type]
+            self.clock,
+            random.Random(1),
+            self.peers.keys,
+        )
+        return RelayedJobs(self.here, relay, self.clock, lambda: True)  # type: ignore[arg-type]
+
+
+# The appends of 45 instances to one stream waited for each other for seconds.
+def test_jobs_are_submitted_through_the_leader_while_the_store_is_slow() -> (
+    None
+):
+    cluster = SlowStore(None)
+    assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Ok(None)
+    assert cluster.there.operations == [("submit", "0a")]
+    assert cluster.here.operations == []
+    assert cluster.here.accepted_ids == ["0a"]
+
+
+def test_the_leader_stores_its_own_jobs_while_the_store_is_slow() -> None:
+    cluster = SlowStore(None)
+    assert cluster.jobs_at(LEADER).submit(JOB, TIMEOUT_MS) == Ok(None)
+    assert cluster.here.operations == [("submit", "0a")]
+
+
+@pytest.mark.parametrize("failure", [STORE_DOWN, UNANSWERED])
+def test_a_job_that_the_leader_cannot_store_is_stored_here(
+    failure: Failure,
+) -> None:
+    cluster = SlowStore(None, failure)
+    assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Ok(None)
+    assert cluster.here.operations == [("submit", "0a")]
+
+
+def test_a_job_that_the_leader_may_have_stored_is_never_called_refused() -> (
+    None
+):
+    cluster = SlowStore(STORE_DOWN, UNANSWERED)
+    failure = cluster.jobs.submit(JOB, TIMEOUT_MS).unwrap_err()
+    assert failure.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_a_job_that_the_leader_rejects_is_not_stored_here() -> None:
+    cluster = SlowStore(None, REJECTED)
+    assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Err(REJECTED)
+    assert cluster.here.operations == []
