Ask the last leader again at once while the store fails

Cause: with the relay through any instance, a refusal made an instance rest for 1 s, the last leader too, which notices the end of an outage first. Change: only an instance that does not answer rests for 1 s; another one that refuses rests for 0.4 s, the last leader not at all.

--- a/src/magnoliapitch/relay/client.py
+++ b/src/magnoliapitch/relay/client.py
@@ -49,9 +49,11 @@
 # Longest wait for another instance's answer; it answers within a few
 # milliseconds unless it is cut off as well.
 MAX_TIMEOUT_MS = 1_000
-# Time without calls to an instance that did not answer one, or whose own
-# calls to the store fail.
+# Time without calls to an instance that did not answer one.
 FAILURE_BACKOFF_MS = 1_000
+# The same after an answer that the store fails there too. The last leader is
+# asked again at once, since it notices the end of an outage first.
+REFUSAL_BACKOFF_MS = 400
 # Instances that are called for one operation.
 MAX_ATTEMPTS = 2
 _STORE_FAILURES = (FailureCode.UNAVAILABLE, FailureCode.TIMEOUT)
@@ -92,8 +94,7 @@
 
     def has_other_leader(self) -> bool:
         """Return whether another instance led last and may be called."""
-        leader = self._state_table.leader
-        return leader is not None and self._is_usable(leader.address)
+        return self._is_usable(self._leader_address())
 
     def submit(
         self, job: JobSpec, timeout_ms: int, caller: Caller = UNRESTRICTED
@@ -113,11 +114,11 @@
 
         :param timeout_ms: time until the answer is needed.
         """
-        leader = self._state_table.leader
-        if leader is None:
+        address = self._leader_address()
+        if not self._is_usable(address):
             return Err(_nobody_to_call())
         body = SUBMIT_REQUEST.dump_json(SubmitRequest(job, timeout_ms, caller))
-        reply = self._call_at(leader.address, SUBMIT_PATH, body, timeout_ms)
+        reply = self._call_at(address, SUBMIT_PATH, body, timeout_ms)
         return reply.map(lambda _: None)
 
     def cancel(
@@ -168,28 +169,36 @@
         reply = self._client.exchange(
             "POST", f"http://{address}{path}", timeout_ms, body, JSON_HEADERS
         )
-        outcome = reply.and_then(_decode)
+        if isinstance(reply, Err):
+            self._avoid(address, FAILURE_BACKOFF_MS)
+            return reply
+        outcome = _decode(reply.ok_value)
         if (
             isinstance(outcome, Err)
             and outcome.err_value.code in _STORE_FAILURES
+            and address != self._leader_address()
         ):
-            self._usable_ms_by_address[address] = (
-                self._clock.now_ms() + FAILURE_BACKOFF_MS
-            )
+            self._avoid(address, REFUSAL_BACKOFF_MS)
         return outcome
 
+    def _avoid(self, address: str, duration_ms: int) -> None:
+        until_ms = self._clock.now_ms() + duration_ms
+        self._usable_ms_by_address[address] = until_ms
+
     def _usable_addresses(self) -> list[str]:
         """Return the instances to call, the one that led last first."""
-        leader = self._state_table.leader
         peers = list(self._peer_addresses())
         self._random.shuffle(peers)
-        leader_address = leader.address if leader is not None else ""
         return [
             address
-            for address in dict.fromkeys((leader_address, *peers))
+            for address in dict.fromkeys((self._leader_address(), *peers))
             if self._is_usable(address)
         ]
 
+    def _leader_address(self) -> str:
+        leader = self._state_table.leader
+        return leader.address if leader is not None else ""
+
     def _is_usable(self, address: str) -> bool:
         usable_ms = self._usable_ms_by_address.get(address, 0)
         return (
