Give up calls through instances that are cut off sooner

Change: a connection is given 0.5 s; an advisor call twice its expected duration and 0.7 s, 2 s and its expected duration before.

--- a/src/magnoliapitch/control/permit_requester.py
+++ b/src/magnoliapitch/control/permit_requester.py
@@ -18,8 +18,10 @@
     from magnoliapitch.planner.scheduler_state import SchedulerState
 
 
-# Added to the expected duration of an advisor call.
-ADVISOR_BASE_TIMEOUT_MS = 2_000
+# Timeout of an advisor call, as a multiple of its expected duration, and what
+# is added to it. An urgent step must not wait for a peer that is cut off.
+TIMEOUT_FACTOR = 2
+BASE_TIMEOUT_MS = 700
 
 
 class PermitRequester:
@@ -35,8 +37,8 @@
             step = self._state.step(request.step)
             if step is None or step.has_call_in_flight:
                 continue
-            timeout_ms = ADVISOR_BASE_TIMEOUT_MS + int(
-                request.expected_call_ms
+            timeout_ms = BASE_TIMEOUT_MS + int(
+                TIMEOUT_FACTOR * request.expected_call_ms
             )
             if self._effects.request_permits(request, timeout_ms):
                 step.in_flight_worker_ids = frozenset(request.worker_ids)
--- a/src/magnoliapitch/http/client.py
+++ b/src/magnoliapitch/http/client.py
@@ -37,6 +37,9 @@
 ValueT = TypeVar("ValueT")
 
 DEFAULT_TIMEOUT_MS = 5_000
+# A connection is established within milliseconds, unless the server or the
+# path to it is gone.
+MAX_CONNECT_TIMEOUT_MS = 500
 # Servers to which idle connections are kept open, the latest ones.
 MAX_SERVERS = 512
 HTTP_OK = 200
@@ -87,7 +90,8 @@
     ) -> Result[HttpReply, Failure]:
         """Send a request and return the complete response.
 
-        :param timeout_ms: limit for connecting, and for each wait for data.
+        :param timeout_ms: limit for each wait for data, and for connecting if
+            that is shorter than ``MAX_CONNECT_TIMEOUT_MS``.
         :return: the response with any status, or a failure: ``not_run``
             if no connection could be established, else ``may_have_run``.
         """
@@ -118,7 +122,10 @@
                 headers=headers,
                 retries=False,
                 redirect=False,
-                timeout=timeout_ms / 1000,
+                timeout=urllib3.Timeout(
+                    connect=min(timeout_ms, MAX_CONNECT_TIMEOUT_MS) / 1000,
+                    read=timeout_ms / 1000,
+                ),
             )
         except (
             urllib3.exceptions.NewConnectionError,
