--- a/src/magnoliapitch/console/logs.py
+++ b/src/magnoliapitch/console/logs.py
@@ -2,25 +2,26 @@
 
 from __future__ import annotations
 
-import re
 import sys
 
-from datetime import datetime
+from collections import Counter
 from itertools import zip_longest
 from pathlib import Path
-from typing import NamedTuple
 
 from cyclopts import App
 
 from magnoliapitch.console.exceptions import CommandError
 from magnoliapitch.console.exit_code import ExitCode
+from magnoliapitch.logfile import JobDelay
+from magnoliapitch.logfile import LogEvent
+from magnoliapitch.logfile import find_delays
+from magnoliapitch.logfile import parse_events
 
 
 logs = App(name="logs", help="Analyse the logs of instances.")
 
 # Longer gaps between two events of a job are reported.
 MIN_REPORTED_GAP_MS = 1_000
-_KEY_AND_VALUE = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 # Instance events this soon after a job's last event may explain its end.
 AFTER_LAST_EVENT_MS = 10_000
 MAX_BACKGROUND_LINES = 8
@@ -42,21 +43,6 @@
 _OMITTED_KEYS = ("time", "level", "event", "instance", "zone", "job")
 
 
-class LogEvent(NamedTuple):
-    """One event, parsed from a log line.
-
-    :param time_ms: wall-clock time in milliseconds since 1970.
-    :param name: name of the event.
-    :param instance: id of the instance that logged it.
-    :param fields: all keys and values of the line.
-    """
-
-    time_ms: int
-    name: str
-    instance: str
-    fields: dict[str, str]
-
-
 @logs.command
 def explain(job_or_request: str, *files: Path) -> None:
     """Print the events of a job or request on all instances, in time order.
@@ -92,6 +78,46 @@
         _print_background(background, event.time_ms, end_ms, first_ms)
 
 
+@logs.command
+def delays(*files: Path, slower_than_ms: int = 3_000, queue: str = "") -> None:
+    """Print the jobs that took long or never ended, and what they waited for.
+
+    :param files: log files of all instances, in any order.
+    :param slower_than_ms: leave out jobs that were complete after this time.
+    :param queue: queue whose jobs are printed; by default those of all.
+    """
+    events = _read_events(files)
+    if not events:
+        raise CommandError(
+            f"no event in {len(files)} log files", ExitCode.FAILED
+        )
+    found = [
+        delay
+        for delay in find_delays(events, slower_than_ms)
+        if queue in ("", delay.queue)
+    ]
+    first_ms = events[0].time_ms
+    for delay in found:
+        print(_format_delay(delay, first_ms))
+    count_by_cause = Counter(delay.cause for delay in found)
+    for cause, count in count_by_cause.most_common():
+        print(f"{count:>7}  {cause}")
+
+
+def _format_delay(delay: JobDelay, first_ms: int) -> str:
+    submitted_ms = delay.submitted_ms - first_ms
+    return (
+        f"{submitted_ms:>7} ms  {delay.instance}  {delay.job_id}  "
+        f"queue={delay.queue} start_after_ms={_or_none(delay.start_after_ms)} "
+        f"end_after_ms={_or_none(delay.end_after_ms)} cause={delay.cause} "
+        f"cause_ms={delay.cause_ms}"
+    )
+
+
+def _or_none(duration_ms: int | None) -> str:
+    return "none" if duration_ms is None else str(duration_ms)
+
+
 def _print_background(
     background: list[LogEvent], from_ms: int, to_ms: int, first_ms: int
 ) -> None:
@@ -122,8 +148,7 @@
 
 
 def _read_events(files: tuple[Path, ...]) -> list[LogEvent]:
-    events = [event for event in map(_parse_line, _read_lines(files)) if event]
-    return sorted(events, key=lambda event: event.time_ms)
+    return parse_events(_read_lines(files))
 
 
 def _events_of_id(
@@ -160,23 +185,6 @@
     return lines
 
 
-def _parse_line(line: str) -> LogEvent | None:
-    fields = {
-        key: value.strip('"') for key, value in _KEY_AND_VALUE.findall(line)
-    }
-    try:
-        logged_at = datetime.fromisoformat(fields["time"])
-        return LogEvent(
-            int(logged_at.timestamp() * 1_000),
-            fields["event"],
-            fields["instance"],
-            fields,
-        )
-    except (KeyError, ValueError):
-        # The file may also hold lines of other programs.
-        return None
-
-
 def _format_with_time(event: LogEvent, first_ms: int) -> str:
     return f"{event.time_ms - first_ms:>7} ms  {_format_event(event)}"
 
--- a/tests/console/test_logs.py
+++ b/tests/console/test_logs.py
@@ -87,3 +87,45 @@
         ["c", "leadership-claimed"],
         ["c", "store-unavailable"],
     ]
+
+
+def test_delays_prints_slow_jobs_and_counts_their_causes(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file = tmp_path / "a.log"
+    submitted = "call=submit queue=q outcome=stored"
+    file.write_text(
+        line("01.000000", "call-answered", "a", f"job=0a {submitted}")
+        + line("06.000000", "step-starting", "a", "job=0a step=0")
+        + line("07.000000", "step-done", "a", "job=0a outcome=completed")
+    )
+    with pytest.raises(SystemExit) as ended:
+        main(["logs", "delays", str(file)])
+    assert not ended.value.code
+    printed = capsys.readouterr().out.splitlines()
+    assert "0a" in printed[0]
+    assert printed[-1].split() == ["1", "room"]
+
+
+@pytest.mark.parametrize("options", [["--queue", "r"], []])
+def test_delays_filters_by_queue_and_duration(
+    options: list[str], tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file = tmp_path / "a.log"
+    submitted = "call=submit queue=q outcome=stored"
+    file.write_text(
+        line("01.000000", "call-answered", "a", f"job=0a {submitted}")
+        + line("03.000000", "step-done", "a", "job=0a outcome=completed")
+    )
+    with pytest.raises(SystemExit):
+        main(["logs", "delays", *options, str(file)])
+    assert capsys.readouterr().out == ""
+
+
+def test_delays_of_files_without_events_is_an_error(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    with pytest.raises(SystemExit) as ended:
+        main(["logs", "delays", str(tmp_path / "missing.log")])
+    assert ended.value.code
+    assert "no event in 1 log files" in capsys.readouterr().err
