Let restarted instances follow a leader that is restarted

Change: after a resignation an instance that ran before the leader came into office waits 100 ms longer before it claims. Conclusion: the new test fails without the longer delay.

--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -50,6 +50,9 @@
 # Random delays spread the claims of several instances.
 MAX_CLAIM_JITTER_MS = 300
 MAX_RESIGNED_JITTER_MS = 60
+# A leader that resigns is being restarted, and the instances often are in
+# turn. Those that have not been yet leave the claim to one that has.
+LONGER_RUNNING_CLAIM_DELAY_MS = 100
 FIRST_CLAIM_DELAY_MS = 300
 APPEND_TIMEOUT_MS = 800
 READ_WAIT_MS = 800
@@ -148,6 +151,7 @@
             else READ_INTERVAL_MS
         )
         self._read_ms: int | None = None
+        self._first_read_epoch: int | None = None
         self._has_claimed = threading.Event()
 
     def step(self) -> int:
@@ -306,9 +310,10 @@
         self._last_heard_ms = self._clock.now_ms()
         self._state_table.apply(self._mirror.values_by_key, keys, read)
         leader = self._state_table.leader
+        if self._first_read_epoch is None:
+            self._first_read_epoch = leader.epoch if leader else 0
         if leader is not None and leader.has_resigned:
-            jitter_ms = self._random.randrange(MAX_RESIGNED_JITTER_MS)
-            self._claim_delay_ms = jitter_ms + self._extra_claim_delay_ms
+            self._claim_delay_ms = self._resigned_claim_delay_ms(leader)
         elif leader is not None and leader.instance_id == self._instance_id:
             # The leader was an earlier process of this instance, which has
             # certainly ended.
@@ -316,6 +321,20 @@
         else:
             self._claim_delay_ms = self._random_claim_delay_ms()
 
+    def _resigned_claim_delay_ms(self, leader: LeaderRecord) -> int:
+        """Return the delay of a claim after a resignation.
+
+        An instance that found the leader in office when it started has been
+        started later than the leader.
+        """
+        jitter_ms = self._random.randrange(MAX_RESIGNED_JITTER_MS)
+        is_younger = self._first_read_epoch == leader.epoch
+        return (
+            jitter_ms
+            + self._extra_claim_delay_ms
+            + (0 if is_younger else LONGER_RUNNING_CLAIM_DELAY_MS)
+        )
+
     def _random_claim_delay_ms(self) -> int:
         jitter_ms = self._random.randrange(MAX_CLAIM_JITTER_MS)
         return LEADER_TIMEOUT_MS + jitter_ms + self._extra_claim_delay_ms
--- a/tests/ledger/test_leadership.py
+++ b/tests/ledger/test_leadership.py
@@ -6,6 +6,8 @@
 from result import Err
 
 from magnoliapitch.ledger.leadership import LEADER_TIMEOUT_MS
+from magnoliapitch.ledger.leadership import LONGER_RUNNING_CLAIM_DELAY_MS
+from magnoliapitch.ledger.leadership import MAX_RESIGNED_JITTER_MS
 from magnoliapitch.ledger.leadership import Batch
 from magnoliapitch.ledger.leadership import Leadership
 from magnoliapitch.ledger.records import PROGRESS_STREAM
@@ -83,6 +85,42 @@
     assert other.claim is None
 
 
+# During a restart of all instances in turn, each hand-over went to any of
+# them, and the next leader was soon restarted as well.
+def test_a_restarted_instance_follows_a_leader_that_is_restarted(
+    make_leadership: MakeLeadership, clock: ManualClock
+) -> None:
+    for number in range(20):
+        older = make_leadership(f"older-{number}")
+        older.step()
+        leader = make_leadership(f"leader-{number}")
+        become_leader(leader, clock)
+        older.step()
+        restarted = make_leadership(f"restarted-{number}")
+        restarted.step()
+        leader.resign()
+        while older.claim is None and restarted.claim is None:
+            clock.advance(10)
+            older.step()
+            restarted.step()
+        assert restarted.claim is not None
+        restarted.resign()
+
+
+def test_an_instance_that_was_not_restarted_follows_if_no_other_does(
+    make_leadership: MakeLeadership, clock: ManualClock
+) -> None:
+    older, leader = make_leadership("older"), make_leadership("leader")
+    older.step()
+    become_leader(leader, clock)
+    older.step()
+    leader.resign()
+    older.step()
+    clock.advance(MAX_RESIGNED_JITTER_MS + LONGER_RUNNING_CLAIM_DELAY_MS)
+    older.step()
+    assert older.claim is not None
+
+
 def test_a_resigned_leader_is_replaced_before_the_timeout(
     make_leadership: MakeLeadership, clock: ManualClock
 ) -> None:
