--- a/tests/relay/test_relayed_jobs.py
+++ b/tests/relay/test_relayed_jobs.py
@@ -1,10 +1,6 @@
 from __future__ import annotations
 
-import random
-
-from typing import TYPE_CHECKING
 from typing import Any
-from typing import TypeVar
 
 import pytest
 
@@ -14,17 +10,9 @@
 
 from magnoliapitch.access import UNRESTRICTED
 from magnoliapitch.access import Caller
-from magnoliapitch.clock import ManualClock
-from magnoliapitch.http import Application
-from magnoliapitch.http import HttpRequest
 from magnoliapitch.http.client import HttpReply
 from magnoliapitch.http.problem import problem_response
-from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.ledger.state_table import JobState
-from magnoliapitch.ledger.state_table import StateTable
-from magnoliapitch.relay import JobRelay
-from magnoliapitch.relay import RelayedJobs
-from magnoliapitch.relay import add_relay_routes
 from magnoliapitch.relay.client import FAILURE_BACKOFF_MS
 from magnoliapitch.relay.messages import JOB_REQUEST
 from magnoliapitch.relay.messages import STATE_PATH
@@ -34,117 +22,16 @@
 from magnoliapitch.verdict import Verdict
 from magnoliapitch.verdict import may_have_run
 from magnoliapitch.verdict import not_run
-from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
-
-
-if TYPE_CHECKING:
-    from collections.abc import Mapping
-
-
-ValueT = TypeVar("ValueT")
-
-JOB = JobSpec("0a", "q", "text", (StepSpec(2),))
-TIMEOUT_MS = 3_000
-STORE_DOWN = not_run(FailureCode.UNAVAILABLE, "the store is down", 1_000)
-UNANSWERED = may_have_run(FailureCode.TIMEOUT, "no answer")
-LEADER = "10.0.0.1:7200"
-PEERS = ("10.0.0.3:7200", "10.0.0.4:7200", "10.0.0.5:7200")
-
-
-class FakeJobApi:
-    """Operations of one instance.
-
-    :ivar failure: failure of every operation, or None.
-    :ivar operations: name and job of every operation that was carried out.
-    :ivar callers: caller of every operation.
-    """
-
-    def __init__(self, failure: Failure | None = None) -> None:
-        self.failure = failure
-        self.operations: list[tuple[str, str]] = []
-        self.callers: list[Caller] = []
-        self.accepted_ids: list[str] = []
-
-    def record_accepted(self, job: JobSpec) -> None:
-        self.accepted_ids.append(job.job_id)
-
-    def submit(
-        self, job: JobSpec, timeout_ms: int, caller: Caller
-    ) -> Result[None, Failure]:
-        self.callers.append(caller)
-        return self._operate("submit", job.job_id, Ok(None))
-
-    def cancel(
-        self, job_id: str, timeout_ms: int, caller: Caller
-    ) -> Result[bool, Failure]:
-        self.callers.append(caller)
-        return self._operate("cancel", job_id, Ok(True))
-
-    def state(
-        self, job_id: str, timeout_ms: int, caller: Caller
-    ) -> Result[JobState | None, Failure]:
-        self.callers.append(caller)
-        found = JobState.RUNNING if job_id == JOB.job_id else None
-        return self._operate("state", job_id, Ok(found))
-
-    def _operate(
-        self, call: str, job_id: str, outcome: Ok[ValueT]
-    ) -> Result[ValueT, Failure]:
-        if self.failure is not None:
-            return Err(self.failure)
-        self.operations.append((call, job_id))
-        return outcome
-
-
-class Cluster:
-    """An instance ``here`` and the leader's instance ``there``."""
-
-    def __init__(self, here: Failure | None, there: Failure | None = None):
-        self.clock = ManualClock(1_000)
-        self.here = FakeJobApi(here)
-        self.there = FakeJobApi(there)
-        self.peers: dict[str, FakeJobApi] = {}
-        self.calls = 0
-        self.called: list[str] = []
-        self.network_failure: Failure | None = None
-        self.reply: HttpReply | None = None
-        self.states = StateTable()
-        self.states.leader = LeaderRecord(1, "leader", address=LEADER)
-        self.jobs = self.jobs_at("10.0.0.2:7200")
-
-    def jobs_at(self, own_address: str) -> RelayedJobs:
-        relay = JobRelay(
-            self.states,
-            own_address,
-            self,  # type: ignore[arg-type]
-            self.clock,
-            random.Random(1),
-            self.peers.keys,
-        )
-        return RelayedJobs(self.here, relay, self.clock)  # type: ignore[arg-type]
-
-    def exchange(
-        self,
-        method: str,
-        url: str,
-        timeout_ms: int,
-        body: bytes,
-        headers: Mapping[str, str],
-    ) -> Result[HttpReply, Failure]:
-        self.calls += 1
-        address, _, path = url.removeprefix("http://").partition("/")
-        self.called.append(address)
-        if self.network_failure is not None:
-            return Err(self.network_failure)
-        if self.reply is not None:
-            return Ok(self.reply)
-        application = Application()
-        instances = {LEADER: self.there, **self.peers}
-        add_relay_routes(application, instances[address])  # type: ignore[arg-type]
-        request = HttpRequest(method, f"/{path}", {}, {}, headers, body)
-        response = application.handle(request)
-        return Ok(HttpReply(response.status, response.body))
+from tests.relay.cluster import JOB
+from tests.relay.cluster import LEADER
+from tests.relay.cluster import PEERS
+from tests.relay.cluster import STORE_DOWN
+from tests.relay.cluster import TIMEOUT_MS
+from tests.relay.cluster import UNANSWERED
+from tests.relay.cluster import Cluster
+from tests.relay.cluster import TurnedAway
+from tests.relay.cluster import slow_store
 
 
 @pytest.mark.parametrize("failure", [STORE_DOWN, UNANSWERED])
@@ -309,14 +196,6 @@
     assert cluster.there.operations == []
 
 
-class TurnedAway(Cluster):
-    """The store turns this instance and the leader's away, not the peers."""
-
-    def __init__(self, there: Failure | None = STORE_DOWN) -> None:
-        super().__init__(STORE_DOWN, there)
-        self.peers.update((address, FakeJobApi()) for address in PEERS)
-
-
 # Every call got 503 as long as the last known leader was turned away too.
 def test_another_instance_is_called_if_the_leader_is_turned_away() -> None:
     cluster = TurnedAway()
@@ -370,26 +249,11 @@
     assert failure.verdict is Verdict.MAY_HAVE_RUN
 
 
-class SlowStore(Cluster):
-    """Every append of this instance takes long."""
-
-    def jobs_at(self, own_address: str) -> RelayedJobs:
-        relay = JobRelay(
-            self.states,
-            own_address,
-            self,  # type: ignore[arg-type]
-            self.clock,
-            random.Random(1),
-            self.peers.keys,
-        )
-        return RelayedJobs(self.here, relay, self.clock, lambda: True)  # type: ignore[arg-type]
-
-
 # The appends of 45 instances to one stream waited for each other for seconds.
 def test_jobs_are_submitted_through_the_leader_while_the_store_is_slow() -> (
     None
 ):
-    cluster = SlowStore(None)
+    cluster = slow_store(None)
     assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Ok(None)
     assert cluster.there.operations == [("submit", "0a")]
     assert cluster.here.operations == []
@@ -397,7 +261,7 @@
 
 
 def test_the_leader_stores_its_own_jobs_while_the_store_is_slow() -> None:
-    cluster = SlowStore(None)
+    cluster = slow_store(None)
     assert cluster.jobs_at(LEADER).submit(JOB, TIMEOUT_MS) == Ok(None)
     assert cluster.here.operations == [("submit", "0a")]
 
@@ -406,7 +270,7 @@
 def test_a_job_that_the_leader_cannot_store_is_stored_here(
     failure: Failure,
 ) -> None:
-    cluster = SlowStore(None, failure)
+    cluster = slow_store(None, failure)
     assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Ok(None)
     assert cluster.here.operations == [("submit", "0a")]
 
@@ -414,12 +278,12 @@
 def test_a_job_that_the_leader_may_have_stored_is_never_called_refused() -> (
     None
 ):
-    cluster = SlowStore(STORE_DOWN, UNANSWERED)
+    cluster = slow_store(STORE_DOWN, UNANSWERED)
     failure = cluster.jobs.submit(JOB, TIMEOUT_MS).unwrap_err()
     assert failure.verdict is Verdict.MAY_HAVE_RUN
 
 
 def test_a_job_that_the_leader_rejects_is_not_stored_here() -> None:
-    cluster = SlowStore(None, REJECTED)
+    cluster = slow_store(None, REJECTED)
     assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Err(REJECTED)
     assert cluster.here.operations == []
