--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -26,8 +26,8 @@
 define_event(
     "call-relayed",
     EventLevel.INFO,
-    "The store does not answer this instance, so an operation on a job was "
-    "passed on to the leader's instance.",
+    "The store does not answer this instance, or slowly, so an operation on a "
+    "job was passed on to another instance, the leader's if possible.",
 )
 define_event(
     "call-rejected",
