Submit through the leader's instance on large fleets

Change: with 16 instances or more, submissions always go through the leader's instance first; for 1.5 s at most, then they are stored here.

--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -68,7 +68,10 @@
 CALLER_THREADS = 24
 MONITORING_THREADS = 2
 # While the store is slow, each job of other instances occupies one.
-PEER_THREADS = 32
+PEER_THREADS = 64
+# The store carries out the appends of a stream one after the other, so that
+# those of many instances would wait for each other once it gets slow.
+MANY_INSTANCES = 16
 PEER_BODY_MAX_BYTES = 4 << 20
 # The load balancer needs up to two checks to notice that an instance is not
 # ready.
@@ -156,7 +159,7 @@
             self._admission_gate(),
         )
         self._jobs = RelayedJobs(
-            self._job_api, relay, self._clock, self._submitter.is_slow
+            self._job_api, relay, self._clock, self._prefers_leader
         )
         freshness = ConfigurationFreshness(self._clock)
         self._gate = AccessGate(freshness, self._metrics)
@@ -229,6 +232,11 @@
         """Return whether this instance is the leader."""
         return self._leadership.claim is not None
 
+    def _prefers_leader(self) -> bool:
+        """Return whether the leader's instance should store jobs for all."""
+        instance_count = len(self._members.known_addresses) + 1
+        return instance_count >= MANY_INSTANCES or self._submitter.is_slow()
+
     def _admission_gate(self) -> AdmissionGate | None:
         if not self.settings.planning.admission:
             return None
--- a/src/magnoliapitch/relay/jobs.py
+++ b/src/magnoliapitch/relay/jobs.py
@@ -31,6 +31,9 @@
 ValueT = TypeVar("ValueT")
 
 MIN_RELAY_TIMEOUT_MS = 100
+# Longest wait for the leader before a job is stored here: two appends of a
+# store that is slow.
+MAX_LEADER_TIMEOUT_MS = 1_500
 _STORE_FAILURES = (FailureCode.UNAVAILABLE, FailureCode.TIMEOUT)
 # Answers about the job itself, which the leader's instance gives in place of
 # this one.
@@ -48,10 +51,8 @@
     Every operation is idempotent, so one that may have reached the store can
     be made again through the other instance.
 
-    :param is_store_slow: returns whether appends of this instance take long.
-        Jobs are then submitted through the leader's instance, which stores
-        those of all instances together: many small appends would wait for
-        each other.
+    :param prefers_leader: returns whether jobs are to be submitted through
+        the leader's instance, which stores those of all instances together.
     """
 
     def __init__(
@@ -59,12 +60,12 @@
         job_api: JobApi,
         relay: JobRelay,
         clock: Clock,
-        is_store_slow: Callable[[], bool] = lambda: False,
+        prefers_leader: Callable[[], bool] = lambda: False,
     ) -> None:
         self._job_api = job_api
         self._relay = relay
         self._clock = clock
-        self._is_store_slow = is_store_slow
+        self._prefers_leader = prefers_leader
 
     def submit(
         self, job: JobSpec, timeout_ms: int, caller: Caller = UNRESTRICTED
@@ -102,9 +103,11 @@
 
         :return: None if the job was not submitted in this way.
         """
-        if not self._is_store_slow() or not self._relay.has_other_leader():
+        if not self._prefers_leader() or not self._relay.has_other_leader():
             return None
-        relay_ms = (timeout_ms - ANSWER_RESERVE_MS) * 2 // 3
+        relay_ms = min(
+            (timeout_ms - ANSWER_RESERVE_MS) * 2 // 3, MAX_LEADER_TIMEOUT_MS
+        )
         if relay_ms < MIN_RELAY_TIMEOUT_MS:
             return None
         outcome = self._relay.submit_to_leader(job, relay_ms, caller)
--- a/tests/relay/cluster.py
+++ b/tests/relay/cluster.py
@@ -100,7 +100,7 @@
         self.peers: dict[str, FakeJobApi] = {}
         self.calls = 0
         self.called: list[str] = []
-        self.is_store_slow = False
+        self.prefers_leader = False
         self.network_failure: Failure | None = None
         self.reply: HttpReply | None = None
         self.states = StateTable()
@@ -120,7 +120,7 @@
             self.here,  # type: ignore[arg-type]
             relay,
             self.clock,
-            lambda: self.is_store_slow,
+            lambda: self.prefers_leader,
         )
 
     def exchange(
@@ -154,8 +154,10 @@
         self.peers.update((address, FakeJobApi()) for address in PEERS)
 
 
-def slow_store(here: Failure | None, there: Failure | None = None) -> Cluster:
-    """Return a cluster in which appends of this instance take long."""
+def leader_first(
+    here: Failure | None, there: Failure | None = None
+) -> Cluster:
+    """Return a cluster in which jobs are submitted through the leader."""
     cluster = Cluster(here, there)
-    cluster.is_store_slow = True
+    cluster.prefers_leader = True
     return cluster
--- a/tests/relay/test_relayed_jobs.py
+++ b/tests/relay/test_relayed_jobs.py
@@ -31,7 +31,7 @@
 from tests.relay.cluster import UNANSWERED
 from tests.relay.cluster import Cluster
 from tests.relay.cluster import TurnedAway
-from tests.relay.cluster import slow_store
+from tests.relay.cluster import leader_first
 
 
 @pytest.mark.parametrize("failure", [STORE_DOWN, UNANSWERED])
@@ -253,7 +253,7 @@
 def test_jobs_are_submitted_through_the_leader_while_the_store_is_slow() -> (
     None
 ):
-    cluster = slow_store(None)
+    cluster = leader_first(None)
     assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Ok(None)
     assert cluster.there.operations == [("submit", "0a")]
     assert cluster.here.operations == []
@@ -261,7 +261,7 @@
 
 
 def test_the_leader_stores_its_own_jobs_while_the_store_is_slow() -> None:
-    cluster = slow_store(None)
+    cluster = leader_first(None)
     assert cluster.jobs_at(LEADER).submit(JOB, TIMEOUT_MS) == Ok(None)
     assert cluster.here.operations == [("submit", "0a")]
 
@@ -270,7 +270,7 @@
 def test_a_job_that_the_leader_cannot_store_is_stored_here(
     failure: Failure,
 ) -> None:
-    cluster = slow_store(None, failure)
+    cluster = leader_first(None, failure)
     assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Ok(None)
     assert cluster.here.operations == [("submit", "0a")]
 
@@ -278,12 +278,12 @@
 def test_a_job_that_the_leader_may_have_stored_is_never_called_refused() -> (
     None
 ):
-    cluster = slow_store(STORE_DOWN, UNANSWERED)
+    cluster = leader_first(STORE_DOWN, UNANSWERED)
     failure = cluster.jobs.submit(JOB, TIMEOUT_MS).unwrap_err()
     assert failure.verdict is Verdict.MAY_HAVE_RUN
 
 
 def test_a_job_that_the_leader_rejects_is_not_stored_here() -> None:
-    cluster = slow_store(None, REJECTED)
+    cluster = leader_first(None, REJECTED)
     assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Err(REJECTED)
     assert cluster.here.operations == []
