--- a/tests/relay/test_relayed_jobs.py
+++ b/tests/relay/test_relayed_jobs.py
@@ -250,9 +250,7 @@
 
 
 # The appends of 45 instances to one stream waited for each other for seconds.
-def test_jobs_are_submitted_through_the_leader_while_the_store_is_slow() -> (
-    None
-):
+def test_jobs_are_submitted_through_the_leader_where_it_is_preferred() -> None:
     cluster = leader_first(None)
     assert cluster.jobs.submit(JOB, TIMEOUT_MS) == Ok(None)
     assert cluster.there.operations == [("submit", "0a")]
@@ -260,7 +258,7 @@
     assert cluster.here.accepted_ids == ["0a"]
 
 
-def test_the_leader_stores_its_own_jobs_while_the_store_is_slow() -> None:
+def test_the_leader_stores_its_own_jobs_where_it_is_preferred() -> None:
     cluster = leader_first(None)
     assert cluster.jobs_at(LEADER).submit(JOB, TIMEOUT_MS) == Ok(None)
     assert cluster.here.operations == [("submit", "0a")]
