--- a/src/magnoliapitch/planner/candidate_order.py
+++ b/src/magnoliapitch/planner/candidate_order.py
@@ -10,7 +10,6 @@
 
 from magnoliapitch.planner.candidates import free_task_count
 from magnoliapitch.planner.zone_order import rank_zones
-from magnoliapitch.workload.configuration import MOST_URGENT_PRIORITY
 
 
 if TYPE_CHECKING:
@@ -28,10 +27,9 @@
 # time. Otherwise fast and slow workers would run different queues only, and
 # their speeds could not be compared.
 MIXED_STEP_INTERVAL = 8
-# The same for the most urgent steps while all workers count as equally fast.
-# Their callers would wait for a zone that is cut off, those of others
-# hardly.
-COMPARED_STEP_INTERVAL = 16
+# The same while all workers count as equally fast. Every zone must then run
+# tasks of some steps of the others, or else its speeds would remain unknown.
+COMPARED_STEP_INTERVAL = 4
 
 
 class CandidateOrder:
@@ -72,7 +70,9 @@
         """
         must_be_asked = partial(_must_be_asked, step, has_ticket)
         zone_ranks: dict[str, int] = {}
-        if not (self._compares_speeds and _is_compared(step)):
+        if not (
+            self._compares_speeds and _is_mixed(step, COMPARED_STEP_INTERVAL)
+        ):
             zone_ranks = rank_zones(step, fitting, must_be_asked)
         return sorted(
             fitting,
@@ -224,16 +224,6 @@
     )
 
 
-def _is_compared(step: TrackedStep) -> bool:
-    """Return whether a step is placed without regard to zones.
-
-    Every zone must run tasks of some steps of the others, or else the speeds
-    of its workers could not be compared with theirs.
-    """
-    is_urgent = step.job.queue.priority == MOST_URGENT_PRIORITY
-    return not is_urgent or _is_mixed(step, COMPARED_STEP_INTERVAL)
-
-
 def _is_mixed(step: TrackedStep, interval: int = MIXED_STEP_INTERVAL) -> bool:
     """Return whether a step is placed on workers of all speeds and zones."""
     number = zlib.crc32(step.key.job_id.encode())
--- a/src/magnoliapitch/planner/preemption.py
+++ b/src/magnoliapitch/planner/preemption.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from magnoliapitch.planner.preemption_pass import MOST_URGENT_PRIORITY
 from magnoliapitch.planner.preemption_pass import PREEMPTED
 from magnoliapitch.planner.preemption_pass import STOP_MS
 from magnoliapitch.planner.preemption_pass import PreemptionPass
-from magnoliapitch.workload.configuration import MOST_URGENT_PRIORITY
 from magnoliapitch.workload.progress import JobOutcome
 
 
--- a/src/magnoliapitch/planner/preemption_pass.py
+++ b/src/magnoliapitch/planner/preemption_pass.py
@@ -12,7 +12,6 @@
 from magnoliapitch.planner.room import WorkerRoom
 from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.resource import Resources
-from magnoliapitch.workload.configuration import MOST_URGENT_PRIORITY
 
 
 if TYPE_CHECKING:
@@ -28,6 +27,7 @@
 
 
 PREEMPTED = "preempted"
+MOST_URGENT_PRIORITY = 0
 # Longest stop that the workers' protocol allows.
 STOP_MS = 400
 MAX_PREEMPTIONS_PER_TASK = 2
--- a/src/magnoliapitch/workload/configuration.py
+++ b/src/magnoliapitch/workload/configuration.py
@@ -10,10 +10,6 @@
 from magnoliapitch.resource import Resources
 
 
-# Priority of the queues whose jobs come first.
-MOST_URGENT_PRIORITY = 0
-
-
 class PermitTiming(NamedTuple):
     """Expected duration of a queue's advisor calls and validity of permits.
 
