--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -71,7 +71,7 @@
 PEER_THREADS = 64
 # The store carries out the appends of a stream one after the other, so that
 # those of many instances would wait for each other once it gets slow.
-MANY_INSTANCES = 4
+MANY_INSTANCES = 16
 PEER_BODY_MAX_BYTES = 4 << 20
 # The load balancer needs up to two checks to notice that an instance is not
 # ready.
