Keep one list of store failures, and check called addresses again

Cause: read once more: relay/client.py and relay/jobs.py each listed the failures of the store; the cluster of the relay's tests no longer asserted the address of a call that gets no answer or a fixed one; a comment in members.py was wrong for the leader. Change: STORE_FAILURES of the client serves both; the assertion is back, for every call; the comment and one name say what is meant.

--- a/src/magnoliapitch/ledger/members.py
+++ b/src/magnoliapitch/ledger/members.py
@@ -21,7 +21,8 @@
 
 MEMBER_STREAM = "members"
 ANNOUNCE_RETRY_DELAY_MS = 300
-# Interval at which an instance that does not lead reads the others.
+# Interval at which every instance reads the others; the leader also reads them
+# with the list of workers.
 READ_INTERVAL_MS = 5_000
 
 
--- a/src/magnoliapitch/relay/client.py
+++ b/src/magnoliapitch/relay/client.py
@@ -56,7 +56,8 @@
 REFUSAL_BACKOFF_MS = 400
 # Instances that are called for one operation.
 MAX_ATTEMPTS = 2
-_STORE_FAILURES = (FailureCode.UNAVAILABLE, FailureCode.TIMEOUT)
+# Failures of the store, which another instance may not have.
+STORE_FAILURES = (FailureCode.UNAVAILABLE, FailureCode.TIMEOUT)
 
 
 class JobRelay:
@@ -159,7 +160,7 @@
             failure = outcome.err_value
             if failure.verdict is Verdict.MAY_HAVE_RUN:
                 may_have_stored = failure
-            if failure.code not in _STORE_FAILURES:
+            if failure.code not in STORE_FAILURES:
                 break
         return outcome if may_have_stored is None else Err(may_have_stored)
 
@@ -175,7 +176,7 @@
         outcome = _decode(reply.ok_value)
         if (
             isinstance(outcome, Err)
-            and outcome.err_value.code in _STORE_FAILURES
+            and outcome.err_value.code in STORE_FAILURES
             and address != self._leader_address()
         ):
             self._avoid(address, REFUSAL_BACKOFF_MS)
--- a/src/magnoliapitch/relay/jobs.py
+++ b/src/magnoliapitch/relay/jobs.py
@@ -12,6 +12,7 @@
 from magnoliapitch.access import Caller
 from magnoliapitch.event import log_event
 from magnoliapitch.ledger.job_api import ANSWER_RESERVE_MS
+from magnoliapitch.relay.client import STORE_FAILURES
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
 
@@ -34,7 +35,6 @@
 # Longest wait for the leader before a job is stored here: two appends of a
 # store that is slow.
 MAX_LEADER_TIMEOUT_MS = 1_500
-_STORE_FAILURES = (FailureCode.UNAVAILABLE, FailureCode.TIMEOUT)
 # Answers about the job itself, which the leader's instance gives in place of
 # this one.
 _REJECTIONS = (
@@ -76,7 +76,7 @@
         """
         deadline_ms = self._clock.now_ms() + timeout_ms
         led = self._submit_to_leader(job, timeout_ms, caller)
-        if led is not None and not _is_store_failure(led):
+        if led is not None and not _needs_another_way(led):
             return led
         remaining_ms = max(1, deadline_ms - self._clock.now_ms())
         outcome = self._operate(
@@ -167,7 +167,7 @@
         failure = outcome.err_value
         remaining_ms = deadline_ms - self._clock.now_ms()
         if (
-            failure.code not in _STORE_FAILURES
+            failure.code not in STORE_FAILURES
             or remaining_ms < MIN_RELAY_TIMEOUT_MS
             or not self._relay.is_available()
         ):
@@ -183,8 +183,8 @@
         return relayed
 
 
-def _is_store_failure(outcome: Result[None, Failure]) -> bool:
-    """Return whether an operation failed although the job is in order."""
+def _needs_another_way(outcome: Result[None, Failure]) -> bool:
+    """Return whether the leader's instance did not settle an operation."""
     return (
         isinstance(outcome, Err) and outcome.err_value.code not in _REJECTIONS
     )
--- a/tests/relay/cluster.py
+++ b/tests/relay/cluster.py
@@ -134,12 +134,13 @@
         self.calls += 1
         address, _, path = url.removeprefix("http://").partition("/")
         self.called.append(address)
+        instances = {LEADER: self.there, **self.peers}
+        assert address in instances
         if self.network_failure is not None:
             return Err(self.network_failure)
         if self.reply is not None:
             return Ok(self.reply)
         application = Application()
-        instances = {LEADER: self.there, **self.peers}
         add_relay_routes(application, instances[address])  # type: ignore[arg-type]
         request = HttpRequest(method, f"/{path}", {}, {}, headers, body)
         response = application.handle(request)
