Write the log of the delays tests in one place

Cause: two tests wrote the same submission; the events that a delay covers were chosen by a list made for each event. Change: write_submitted in test_logs.py; last_ms in job_delay.py. Conclusion: no behaviour changes, assertions as they were.

--- a/src/magnoliapitch/logfile/job_delay.py
+++ b/src/magnoliapitch/logfile/job_delay.py
@@ -97,14 +97,11 @@
     starts = [
         event.time_ms for event in events if event.name == "step-starting"
     ]
-    cause, cause_ms = _main_cause(
-        [
-            event
-            for event in events
-            if first.time_ms <= event.time_ms <= (ends or [event.time_ms])[0]
-        ],
-        leaderless,
-    )
+    last_ms = ends[0] if ends else events[-1].time_ms
+    considered = [
+        event for event in events if first.time_ms <= event.time_ms <= last_ms
+    ]
+    cause, cause_ms = _main_cause(considered, leaderless)
     return JobDelay(
         job_id,
         first.fields.get("queue", ""),
--- a/tests/console/test_logs.py
+++ b/tests/console/test_logs.py
@@ -89,18 +89,25 @@
     ]
 
 
+def write_submitted(tmp_path: Path, *later_lines: str) -> str:
+    """Write the log of a job that was submitted; return the file's path."""
+    file = tmp_path / "a.log"
+    fields = "job=0a call=submit queue=q outcome=stored"
+    submitted = line("01.000000", "call-answered", "a", fields)
+    file.write_text("".join((submitted, *later_lines)))
+    return str(file)
+
+
 def test_delays_prints_slow_jobs_and_counts_their_causes(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    file = tmp_path / "a.log"
-    submitted = "call=submit queue=q outcome=stored"
-    file.write_text(
-        line("01.000000", "call-answered", "a", f"job=0a {submitted}")
-        + line("06.000000", "step-starting", "a", "job=0a step=0")
-        + line("07.000000", "step-done", "a", "job=0a outcome=completed")
+    file = write_submitted(
+        tmp_path,
+        line("06.000000", "step-starting", "a", "job=0a step=0"),
+        line("07.000000", "step-done", "a", "job=0a outcome=completed"),
     )
     with pytest.raises(SystemExit) as ended:
-        main(["logs", "delays", str(file)])
+        main(["logs", "delays", file])
     assert not ended.value.code
     printed = capsys.readouterr().out.splitlines()
     assert "0a" in printed[0]
@@ -111,14 +118,10 @@
 def test_delays_filters_by_queue_and_duration(
     options: list[str], tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    file = tmp_path / "a.log"
-    submitted = "call=submit queue=q outcome=stored"
-    file.write_text(
-        line("01.000000", "call-answered", "a", f"job=0a {submitted}")
-        + line("03.000000", "step-done", "a", "job=0a outcome=completed")
-    )
+    done = line("03.000000", "step-done", "a", "job=0a outcome=completed")
+    file = write_submitted(tmp_path, done)
     with pytest.raises(SystemExit):
-        main(["logs", "delays", *options, str(file)])
+        main(["logs", "delays", *options, file])
     assert capsys.readouterr().out == ""
 
 
