Tell the age of the list of workers and of start orders

Change: WorkersListed carries the time at which the read was sent. step-starting gives list_age_ms, worker_list_age_ms counts it for each order; start-failed gives order_age_ms; start-delayed tells starts answered after a second or more; stream-partly-read tells reads that end before the stream does; worker-draining gives the worker's runs.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -16,6 +16,7 @@
 from magnoliapitch.control.reachability import WorkerReachability
 from magnoliapitch.control.reports import ReportApplier
 from magnoliapitch.control.start_queue import StartQueue
+from magnoliapitch.control.worker_list_age import WorkerListAge
 from magnoliapitch.control.worker_roster import WorkerRoster
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.planner import DEFAULT_OPTIONS
@@ -95,11 +96,13 @@
             self._reachability,
             self._report_applier,
         )
+        self._list_age = WorkerListAge()
         self._order_issuer = OrderIssuer(
             leader.epoch,
             self.state,
             self.planner,
             self._roster.info_by_id,
+            self._list_age,
             effects,
             metrics,
         )
@@ -184,6 +187,7 @@
 
     def handle_worker_list(self, event: WorkersListed, now_ms: int) -> None:
         """Update the workers from the platform's list."""
+        self._list_age.record_read(event.read_ms)
         self._roster.update(event.info_by_id, now_ms)
 
     def handle_jobs_changed(self, event: JobsChanged, now_ms: int) -> None:
@@ -234,12 +238,12 @@
         """Apply the answer to a start order, or its failure."""
         planned = event.planned
         run = self.state.run(planned.task, planned.run, planned.worker_id)
+        self._order_issuer.record_start_answer(event, run)
         if not isinstance(event.outcome, Err):
             if run is not None:
                 record_accepted(self.state, run, event, event.outcome.ok_value)
             return
         failure = event.outcome.err_value
-        self._order_issuer.record_failed_start(planned, failure)
         if run is not None and failure.verdict is Verdict.NOT_RUN:
             # The worker did not begin the run, so it cannot end with it.
             run.order_sent_ms = None
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -308,8 +308,11 @@
             router = self._router
             if router is not None:
                 router.set_agents(peers.ok_value)
+        read_ms = self._clock.now_ms()
         outcome = self._clients.directory.workers()
-        return outcome.map(lambda found: self.post(WorkersListed(found)))
+        return outcome.map(
+            lambda found: self.post(WorkersListed(found, read_ms))
+        )
 
     def start_lease_renewal(self, worker: WorkerInfo) -> None:
         """Renew a worker's lease repeatedly."""
--- a/src/magnoliapitch/control/events.py
+++ b/src/magnoliapitch/control/events.py
@@ -17,9 +17,14 @@
 
 
 class WorkersListed(NamedTuple):
-    """The platform's list of workers was read."""
+    """The platform's list of workers was read.
+
+    :param read_ms: when the call that read it was sent, by this instance's
+        clock.
+    """
 
     info_by_id: Mapping[str, WorkerInfo]
+    read_ms: int
 
 
 class JobsChanged(NamedTuple):
--- a/src/magnoliapitch/control/order_issuer.py
+++ b/src/magnoliapitch/control/order_issuer.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from result import Err
+
 from magnoliapitch.control.log_fields import run_fields
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.quota import exceeds_quota
@@ -19,6 +21,8 @@
     from collections.abc import Mapping
 
     from magnoliapitch.control.effects import Effects
+    from magnoliapitch.control.events import StartAnswered
+    from magnoliapitch.control.worker_list_age import WorkerListAge
     from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.planner.plan import PlannedStop
@@ -32,6 +36,8 @@
 
 # An unanswered stop order is sent again after this time.
 STOP_RETRY_DELAY_MS = 600
+# A start order that is answered later is logged.
+SLOW_ORDER_MS = 1_000
 # A worker that refused a start gets no new runs for this long.
 REFUSED_START_BACKOFF_MS = 1_500
 
@@ -41,6 +47,7 @@
 
     :param info_by_worker_id: the platform's newest list of workers, which
         the caller keeps up to date.
+    :param list_age: age of that list.
     """
 
     def __init__(
@@ -49,10 +56,12 @@
         state: SchedulerState,
         planner: Planner,
         info_by_worker_id: Mapping[str, WorkerInfo],
+        list_age: WorkerListAge,
         effects: Effects,
         metrics: Metrics,
     ) -> None:
         self._info_by_worker_id = info_by_worker_id
+        self._list_age = list_age
         self._epoch = epoch
         self._state = state
         self._planner = planner
@@ -89,6 +98,7 @@
                 tasks=count,
                 waiting=step.waiting_count if step else 0,
                 ready_age_ms=now_ms - ready_ms,
+                list_age_ms=self._list_age.age_ms(now_ms),
                 placements=self._describe_placements(worker_ids),
             )
 
@@ -139,6 +149,9 @@
             planned.ticket,
         )
         run.order_sent_ms = now_ms
+        list_age_ms = self._list_age.age_ms(now_ms)
+        if list_age_ms is not None:
+            self._metrics.observe("worker_list_age", list_age_ms)
         self._effects.start(info, planned, order)
 
     def _has_room(self, worker_id: str) -> bool:
@@ -210,18 +223,30 @@
             until_ms = now_ms + REFUSED_START_BACKOFF_MS
             self._planner.worker_backoff.avoid(planned.worker_id, until_ms)
 
-    def record_failed_start(
-        self, planned: PlannedStart, failure: Failure
+    def record_start_answer(
+        self, event: StartAnswered, run: TrackedRun | None
     ) -> None:
-        """Log and count a start order that failed."""
-        self._metrics.count("starts_failed", failure.code.value)
-        log_event(
-            "start-failed",
-            **run_fields(planned.task, planned.run, planned.worker_id),
-            verdict=failure.verdict,
-            code=failure.code,
-            reason=failure.detail,
-        )
+        """Log and count a start order that failed or took long.
+
+        :param run: the ordered run, or None if it is not tracked any more.
+        """
+        planned = event.planned
+        ordered_ms = run.order_sent_ms if run is not None else None
+        age_ms = None if ordered_ms is None else event.received_ms - ordered_ms
+        fields = run_fields(planned.task, planned.run, planned.worker_id)
+        if isinstance(event.outcome, Err):
+            failure = event.outcome.err_value
+            self._metrics.count("starts_failed", failure.code.value)
+            log_event(
+                "start-failed",
+                **fields,
+                verdict=failure.verdict,
+                code=failure.code,
+                reason=failure.detail,
+                order_age_ms=age_ms,
+            )
+        elif age_ms is not None and age_ms >= SLOW_ORDER_MS:
+            log_event("start-delayed", **fields, order_age_ms=age_ms)
 
 
 def _is_ticket_expired(
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -92,7 +92,9 @@
                 self._effects.start_lease_renewal(info)
             was_draining = old_info is not None and old_info.is_draining
             if info.is_draining and not was_draining:
-                log_event("worker-draining", worker=worker_id)
+                log_event(
+                    "worker-draining", worker=worker_id, runs=_run_count(known)
+                )
                 self._state.evacuate_services(worker_id)
 
     def _replace(
@@ -214,6 +216,10 @@
             )
 
 
+def _run_count(worker: TrackedWorker | None) -> int:
+    return 0 if worker is None else len(worker.runs)
+
+
 def _without_former(
     info_by_id: Mapping[str, WorkerInfo], known_ids: Iterable[str]
 ) -> dict[str, WorkerInfo]:
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -45,8 +45,9 @@
     "step-starting",
     EventLevel.INFO,
     "Start orders for tasks of a step are about to be sent; gives the time "
-    "since the step became ready, and in `placements` each worker with its "
-    "new tasks and the thousandths of a core that are left there.",
+    "since the step became ready, the age of the list of workers, and in "
+    "`placements` each worker with its new tasks and the thousandths of a "
+    "core that are left there.",
 )
 define_event(
     "planning-summary",
@@ -183,7 +184,13 @@
 define_event(
     "start-failed",
     EventLevel.WARNING,
-    "A worker refused a start order or did not answer it.",
+    "A worker refused a start order or did not answer it; gives the time "
+    "since the order was decided.",
+)
+define_event(
+    "start-delayed",
+    EventLevel.WARNING,
+    "A worker began a run a second or more after the order was decided.",
 )
 define_event(
     "copy-starting",
@@ -277,6 +284,12 @@
     EventLevel.INFO,
     "A call to the store succeeded after earlier ones had failed.",
 )
+define_event(
+    "stream-partly-read",
+    EventLevel.INFO,
+    "A read of a stream ended before the stream did; gives the number of "
+    "records that are left.",
+)
 define_event(
     "record-unreadable",
     EventLevel.WARNING,
--- a/src/magnoliapitch/ledger/mirror.py
+++ b/src/magnoliapitch/ledger/mirror.py
@@ -10,6 +10,7 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.event import log_event
 from magnoliapitch.verdict import FailureCode
 
 
@@ -66,6 +67,12 @@
         with self._lock:
             changed = self._apply(records)
             self.end = max(self.end, records[-1].offset + 1)
+        if self.end < read.ok_value.end:
+            log_event(
+                "stream-partly-read",
+                stream=self._stream,
+                left=read.ok_value.end - self.end,
+            )
         return Ok(changed)
 
     def skip_to(self, end: int) -> None:
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -343,7 +343,7 @@
 
     def _list_workers(self) -> None:
         self.controller.handle_worker_list(
-            WorkersListed(self.listed()), self.now_ms
+            WorkersListed(self.listed(), self.now_ms), self.now_ms
         )
         self.schedule(500, self._list_workers)
 
