Hold starts back while the list of workers is too old

Cause: the list is read every 500 ms; if a read fails, the list before it stays in use without a bound on its age, and starts go on as long as commits succeed. Change: WorkerListAge bounds the age by the notice of a leaving worker (setting leases.drain_notice_ms) less clock error and margin. While it is too old, stored starts keep their place and nothing new is planned; starts-held and starts-resumed tell it. Conclusion: the decision rests on a list of bounded age.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -96,7 +96,7 @@
             self._reachability,
             self._report_applier,
         )
-        self._list_age = WorkerListAge()
+        self._list_age = WorkerListAge(timing.start_validity_ms)
         self._order_issuer = OrderIssuer(
             leader.epoch,
             self.state,
@@ -296,6 +296,12 @@
         self._issue_stored_starts(now_ms)
 
     def _issue_stored_starts(self, now_ms: int) -> None:
+        """Order starts that are stored, unless the list is too old for that.
+
+        What is held back keeps its place until a list was read.
+        """
+        if not self._list_age.allows_starts(now_ms):
+            return
         count = self._effects.available_start_orders()
         for planned in self._start_queue.take_stored(count):
             deadline_ms = self.next_lease_deadline(planned.worker_id, now_ms)
@@ -329,9 +335,7 @@
         self._issue_stored_starts(now_ms)
         max_calls = self._effects.available_advisor_calls()
         max_orders = self._effects.max_start_orders()
-        max_starts = self._start_queue.available(
-            self._effects.available_start_orders(), max_orders, now_ms
-        )
+        max_starts = self._max_new_starts(max_orders, now_ms)
         plan = self.planner.plan(
             self.state,
             now_ms,
@@ -350,6 +354,13 @@
             self._permit_requester.request(plan.permit_requests)
         self._commit(now_ms)
 
+    def _max_new_starts(self, max_orders: int, now_ms: int) -> int:
+        if not self._list_age.allows_starts(now_ms):
+            return 0
+        return self._start_queue.available(
+            self._effects.available_start_orders(), max_orders, now_ms
+        )
+
     def stop_leading(self, reason: str) -> None:
         """End the leadership; no more orders are issued.
 
--- a/src/magnoliapitch/control/timing.py
+++ b/src/magnoliapitch/control/timing.py
@@ -19,11 +19,14 @@
     :param max_leader_silence_ms: how long after its last stored record a
         leader may issue leases and orders.
     :param keep_states_ms: how long the state of an ended job stays published.
+    :param drain_notice_ms: how long a worker that has said that it leaves may
+        still be sent starts.
     """
 
     lease_ms: int
     max_leader_silence_ms: int = 2_500
     keep_states_ms: int = 130_000
+    drain_notice_ms: int = 2_000
 
     @property
     def takeover_ms(self) -> int:
@@ -35,3 +38,12 @@
             self.max_leader_silence_ms + self.lease_ms
         ) / MIN_CLOCK_RATE_RATIO
         return int(longest_ms) + LEASE_EXPIRY_MARGIN_MS
+
+    @property
+    def start_validity_ms(self) -> int:
+        """Return how long after the list was read a run may begin.
+
+        The worker measures it, maybe on the slowest clock.
+        """
+        shortest_ms = self.drain_notice_ms * MIN_CLOCK_RATE_RATIO
+        return int(shortest_ms) - LEASE_EXPIRY_MARGIN_MS
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -198,6 +198,17 @@
     "A task takes unusually long, so a copy of its run starts on another "
     "worker; the first that is done counts.",
 )
+define_event(
+    "starts-held",
+    EventLevel.WARNING,
+    "The list of workers is too old to start runs on: a worker may have said "
+    "since that it leaves. Starts wait until the list is read.",
+)
+define_event(
+    "starts-resumed",
+    EventLevel.INFO,
+    "The list of workers was read again, and starts go on.",
+)
 define_event(
     "stop-ordered",
     EventLevel.INFO,
@@ -255,7 +266,8 @@
 define_event(
     "worker-list-unavailable",
     EventLevel.WARNING,
-    "The list of workers cannot be read; the last known list is used.",
+    "The list of workers cannot be read; the last known list is used until "
+    "it is too old.",
 )
 define_event(
     "configuration-applied",
--- a/src/magnoliapitch/settings/cluster.py
+++ b/src/magnoliapitch/settings/cluster.py
@@ -63,10 +63,13 @@
 
     :param longest_ms: longest lease that a worker grants.
     :param keep_states_ms: how long the state of an ended job stays published.
+    :param drain_notice_ms: how long a worker that has said that it leaves may
+        still be sent starts.
     """
 
     longest_ms: Milliseconds = 10_000
     keep_states_ms: Milliseconds = 130_000
+    drain_notice_ms: Annotated[int, Field(ge=1_000, le=86_400_000)] = 2_000
 
 
 class MachineSettings(NamedTuple):
--- a/tests/control/simulated_worker.py
+++ b/tests/control/simulated_worker.py
@@ -40,6 +40,8 @@
 SHRUNK_CAPACITY_GRACE_MS = 4_500
 # Progress between two checkpoints of a task that saves its progress.
 CHECKPOINT_INTERVAL_MS = 250
+# A worker that has said that it leaves may be sent starts for this long.
+DRAIN_NOTICE_MS = 2_000
 
 
 class _Run:
@@ -93,6 +95,17 @@
         self.born_ms = 0
         self._done_ms_by_sequence: dict[int, int] = {}
         self._resized_ms = 0
+        self._leaving_since_ms: int | None = None
+
+    def leave(self) -> None:
+        """Say that it leaves; what runs goes on."""
+        self.info = self.info._replace(is_draining=True)
+        self._leaving_since_ms = self._simulation.now_ms
+
+    def stay(self) -> None:
+        """Take back that it leaves."""
+        self.info = self.info._replace(is_draining=False)
+        self._leaving_since_ms = None
 
     def resize(self, capacity: Resources) -> None:
         """Shrink or grow; what runs goes on."""
@@ -292,6 +305,15 @@
 
     def _check_start(self, order: StartOrder) -> None:
         simulation = self._simulation
+        since_ms = self._leaving_since_ms
+        if since_ms is not None and (
+            simulation.now_ms - since_ms > DRAIN_NOTICE_MS
+        ):
+            simulation.violations.append(
+                f"{order.task} was started on {self.info.worker_id}, which "
+                f"had said {simulation.now_ms - since_ms} ms ago that it "
+                "leaves"
+            )
         if self.used().fits(self.info.capacity):
             return
         resized_ms = simulation.now_ms - self._resized_ms
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -99,6 +99,7 @@
     :ivar progress_commit_ms: time that storing a batch's progress takes.
     :ivar state_commit_ms: time from the storing of a batch's progress to that
         of its states; 0 by default.
+    :ivar list_is_unavailable: whether the list of workers cannot be read.
     :ivar on_commit: called with every batch that is to be stored.
     """
 
@@ -138,6 +139,7 @@
         self.on_commit: Callable[[Batch], object] = lambda _: None
         self.unreachable_worker_ids: set[str] = set()
         self.store_is_unavailable = False
+        self.list_is_unavailable = False
         self.commit_count = 0
         self.progress_commit_ms = COMMIT_DURATION_MS
         self.state_commit_ms = 0
@@ -342,9 +344,10 @@
         )
 
     def _list_workers(self) -> None:
-        self.controller.handle_worker_list(
-            WorkersListed(self.listed(), self.now_ms), self.now_ms
-        )
+        if not self.list_is_unavailable:
+            self.controller.handle_worker_list(
+                WorkersListed(self.listed(), self.now_ms), self.now_ms
+            )
         self.schedule(500, self._list_workers)
 
     def listed(self) -> Mapping[str, WorkerInfo]:
