Let workers refuse starts whose list of workers has become too old

Cause: an order carries the end of the lease as its deadline, 10 s after the decision. An order that waits on the way (a leader that stands still or is slow between the decision and the call, a batch for an agent that is repeated, an agent's full queue) is carried out however long ago it was decided, by an agent that is in touch. Evidence: in virtual time an order that takes 3 s begins on a worker 2,933 ms after that has said that it leaves, also with the age of the list bounded; the random schedules with leaving workers find the same. Change: the deadline of a start is the sooner of the lease and of the time until which the list may be relied on, on the worker's clock, which is estimated too early rather than too late. The worker refuses what comes later, so the bound holds from end to end. Such a refusal does not keep the worker from new runs. Conclusion: an order ends with what it rests on.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -304,9 +304,23 @@
             return
         count = self._effects.available_start_orders()
         for planned in self._start_queue.take_stored(count):
-            deadline_ms = self.next_lease_deadline(planned.worker_id, now_ms)
+            deadline_ms = self._start_deadline(planned.worker_id, now_ms)
             self._order_issuer.start(planned, deadline_ms, now_ms)
 
+    def _start_deadline(self, worker_id: str, now_ms: int) -> int | None:
+        """Return the time until which a worker may begin a run.
+
+        It ends with what the order rests on, which is sooner than the lease.
+        Renewals extend the lease of the run.
+
+        :return: time on the worker's clock, or None if no run may begin.
+        """
+        lease_ms = self.next_lease_deadline(worker_id, now_ms)
+        clock_ms = self._reachability.estimated_clock_ms(worker_id, now_ms)
+        if lease_ms is None or clock_ms is None:
+            return None
+        return min(lease_ms, clock_ms + self._list_age.remaining_ms(now_ms))
+
     def handle_commit(self, event: Committed, now_ms: int) -> None:
         """Record that a batch is stored, with its progress and its states.
 
--- a/src/magnoliapitch/control/lease.py
+++ b/src/magnoliapitch/control/lease.py
@@ -49,17 +49,26 @@
             self._clock_ms = clock_ms
             self._sent_ms, self._received_ms = sent_ms, received_ms
 
+    def estimated_clock_ms(self, now_ms: int) -> int | None:
+        """Return the worker's clock as if no time passed on the way here.
+
+        :return: the clock in ms, or None if no answer has reported it.
+        """
+        if self._clock_ms is None:
+            return None
+        return self._clock_ms + now_ms - self._received_ms
+
     def next_deadline(self, now_ms: int) -> int:
         """Return the end of a lease that is granted now, and record it.
 
         :raises ValueError: if no answer has reported the worker's clock.
         """
-        if self._clock_ms is None:
+        clock_ms = self.estimated_clock_ms(now_ms)
+        if clock_ms is None:
             raise ValueError(
                 "no lease can be granted: the worker's clock is not known"
             )
-        elapsed_ms = now_ms - self._received_ms
-        deadline_ms = self._clock_ms + elapsed_ms + self._timing.lease_ms
+        deadline_ms = clock_ms + self._timing.lease_ms
         self._deadline_ms = max(self._deadline_ms, deadline_ms)
         return deadline_ms
 
--- a/src/magnoliapitch/control/order_issuer.py
+++ b/src/magnoliapitch/control/order_issuer.py
@@ -40,6 +40,8 @@
 SLOW_ORDER_MS = 1_000
 # A worker that refused a start gets no new runs for this long.
 REFUSED_START_BACKOFF_MS = 1_500
+# Refusals that do not tell against the worker.
+_BLAMELESS_CODES = (FailureCode.STALE, FailureCode.EXPIRED)
 
 
 class OrderIssuer:
@@ -119,8 +121,8 @@
         example, the ticket may have expired or the worker or the quota may
         have shrunk during a slow commit, or no lease may be granted any more.
 
-        :param deadline_ms: end of the worker's lease on its own clock; None
-            if no lease may be granted.
+        :param deadline_ms: until when the run may begin, on the worker's
+            clock; None if it may not.
         """
         run = self._state.run(planned.task, planned.run, planned.worker_id)
         if run is None:
@@ -213,13 +215,13 @@
         """Undo a start that a worker has certainly not carried out.
 
         A ticket that was refused is dropped. Other refusals, except of a
-        stale run, keep the worker from new runs for a while.
+        stale run or a late order, keep the worker from new runs for a while.
         """
         step = run.task.step
         self._state.lose_run(run)
         if failure.code is FailureCode.TICKET:
             step.tickets_by_worker.pop(planned.worker_id, None)
-        elif failure.code is not FailureCode.STALE:
+        elif failure.code not in _BLAMELESS_CODES:
             until_ms = now_ms + REFUSED_START_BACKOFF_MS
             self._planner.worker_backoff.avoid(planned.worker_id, until_ms)
 
--- a/src/magnoliapitch/control/reachability.py
+++ b/src/magnoliapitch/control/reachability.py
@@ -75,6 +75,14 @@
             return None
         return lease.next_deadline(now_ms)
 
+    def estimated_clock_ms(self, worker_id: str, now_ms: int) -> int | None:
+        """Return a worker's clock, rather too early than too late.
+
+        :return: the clock in ms, or None if it is not known.
+        """
+        lease = self._lease_by_worker.get(worker_id)
+        return None if lease is None else lease.estimated_clock_ms(now_ms)
+
     def leases_expired_at_ms(self, worker_id: str) -> int:
         """Return when every lease of a worker has certainly expired."""
         return self._lease_of(worker_id).all_leases_expired_at_ms()
--- a/tests/control/test_leaving_workers.py
+++ b/tests/control/test_leaving_workers.py
@@ -1,14 +1,27 @@
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+import pytest
+
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
+from magnoliapitch.workload.run import StartOrder
+from tests.control.delegation.simulated_agents import DelegatedEffects
+from tests.control.simulated_effects import SimulatedEffects
 from tests.control.simulation import Simulation
 from tests.control.simulation import queue
 from tests.control.simulation import workers
+from tests.control.test_capacity_under_faults import FaultyRun
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.workload.run import StopOrder
 
 
 SIZE = Resources(2_000, 4_000)
+EFFECTS_TYPES = (SimulatedEffects, DelegatedEffects)
 
 
 def make_simulation(worker_count: int = 1) -> Simulation:
@@ -46,3 +59,58 @@
     simulation.run(5_000)
     assert set(simulation.finished) == {"job"}
     assert simulation.violations == []
+
+
+# Incident DRAIN: an order was decided before the worker said that it leaves,
+# and was carried out seconds later, since its deadline was that of a lease.
+def test_an_order_that_took_long_is_not_begun_on_a_worker_that_leaves() -> (
+    None
+):
+    simulation = make_simulation()
+    simulation.order_late_ms = lambda order: (
+        3_000 if isinstance(order, StartOrder) else 60_000
+    )
+    submit(simulation, "job")
+    simulation.run(100)
+    simulation.workers["w000"].leave()
+    simulation.run(4_000)
+    assert simulation.violations == []
+
+
+class LeavingRun(FaultyRun):
+    """A faulty run in which workers leave and the list cannot be read."""
+
+    def _cause_faults(self) -> None:
+        super()._cause_faults()
+        simulation = self.simulation
+        if not simulation.list_is_unavailable and self._happens(0.1):
+            simulation.list_is_unavailable = True
+            simulation.schedule(
+                self._random.randrange(500, 9_000), self._list_again
+            )
+        if self._happens(0.1):
+            worker_id = self._random.choice(self._live_worker_ids())
+            worker = simulation.workers[worker_id]
+            worker.leave()
+            simulation.schedule(
+                self._random.randrange(3_000, 9_000), worker.stay
+            )
+
+    def _list_again(self) -> None:
+        self.simulation.list_is_unavailable = False
+
+    def _order_late_ms(self, order: StartOrder | StopOrder) -> int:
+        if not self._happens(0.1):
+            return super()._order_late_ms(order)
+        return self._random.randrange(200, 8_000)
+
+
+@pytest.mark.parametrize("effects_type", EFFECTS_TYPES)
+@pytest.mark.parametrize("seed", range(6))
+def test_no_start_follows_a_workers_notice_for_long_under_faults(
+    seed: int, effects_type: type[SimulatedEffects]
+) -> None:
+    run = LeavingRun(seed, effects_type)
+    run.play()
+    assert run.simulation.violations == []
+    assert set(run.simulation.finished) == set(run.job_ids)
