Read streams up to their end, not up to the size of one answer

Cause: one read returns 1 MB at most, and the local copy was taken as current after one read. An instance that leads again after a pause reads what the workers have written since, and takes their states of seconds ago for the newest; the copy of the published states behind GET answers has the same fault. Evidence: tests/ledger/test_mirror.py, two tests, fail before: with four records a read, 4 of 30 records are read. Change: a refresh reads on until what was the end at its first read. Keys that were read before a call that failed are returned by the next refresh, instead of never. Conclusion: the age of a list is now that of its read.

--- a/src/magnoliapitch/ledger/mirror.py
+++ b/src/magnoliapitch/ledger/mirror.py
@@ -42,11 +42,13 @@
         self._stream = stream
         self._lock = threading.Lock()
         self._offset_by_key: dict[str, int] = {}
+        # Keys that have changed in reads before one that failed.
+        self._unreported_keys: set[str] = set()
 
     def refresh(
         self, wait_ms: int = 0, timeout_ms: int = READ_TIMEOUT_MS
     ) -> Result[set[str], Failure]:
-        """Read new records and return the keys whose value has changed.
+        """Read up to the end and return the keys whose value has changed.
 
         The first call, and one after old records have expired unread, reads
         the newest record of every key instead.
@@ -54,27 +56,55 @@
         :param wait_ms: how long to wait for a first new record.
         :param timeout_ms: how long each call may take beyond that.
         """
-        if self.end < 0:
-            return self._load(timeout_ms)
-        read = self._streams.read(self._stream, self.end, wait_ms, timeout_ms)
-        if isinstance(read, Err):
-            if read.err_value.code is FailureCode.TRUNCATED:
-                return self._load(timeout_ms)
-            return read
-        records = read.ok_value.records
-        if not records:
-            return Ok(set())
+        changed: set[str] = set()
+        outcome = (
+            self._load(changed, timeout_ms)
+            if self.end < 0
+            else self._read_to_end(changed, wait_ms, timeout_ms)
+        )
         with self._lock:
-            changed = self._apply(records)
-            self.end = max(self.end, records[-1].offset + 1)
-        if self.end < read.ok_value.end:
-            log_event(
-                "stream-partly-read",
-                stream=self._stream,
-                left=read.ok_value.end - self.end,
-            )
+            if isinstance(outcome, Err):
+                self._unreported_keys |= changed
+                return outcome
+            changed |= self._unreported_keys
+            self._unreported_keys = set()
         return Ok(changed)
 
+    def _read_to_end(
+        self, changed: set[str], wait_ms: int, timeout_ms: int
+    ) -> Result[None, Failure]:
+        """Read until what was the end of the stream at the first read.
+
+        One read returns a limited size, and what it leaves may be newer than
+        the copy by seconds.
+
+        :param changed: gets the keys whose value has changed.
+        """
+        first_end: int | None = None
+        while first_end is None or self.end < first_end:
+            read = self._streams.read(
+                self._stream, self.end, wait_ms, timeout_ms
+            )
+            if isinstance(read, Err):
+                if read.err_value.code is FailureCode.TRUNCATED:
+                    return self._load(changed, timeout_ms)
+                return read
+            content = read.ok_value
+            if not content.records:
+                break
+            with self._lock:
+                changed |= self._apply(content.records)
+                self.end = max(self.end, content.records[-1].offset + 1)
+            first_end = content.end if first_end is None else first_end
+            wait_ms = 0
+            if self.end < first_end:
+                log_event(
+                    "stream-partly-read",
+                    stream=self._stream,
+                    left=first_end - self.end,
+                )
+        return Ok(None)
+
     def skip_to(self, end: int) -> None:
         """Continue at an offset; the caller knows the records before it.
 
@@ -82,8 +112,13 @@
         """
         self.end = end
 
-    def _load(self, timeout_ms: int) -> Result[set[str], Failure]:
-        """Read the newest record of every key, page by page."""
+    def _load(
+        self, changed: set[str], timeout_ms: int
+    ) -> Result[None, Failure]:
+        """Read the newest record of every key, page by page.
+
+        :param changed: gets the keys whose value has changed.
+        """
         records: list[StoredRecord] = []
         end: int | None = None
         after_key = ""
@@ -100,10 +135,10 @@
             has_more = content.has_more and bool(content.records)
             after_key = records[-1].key if records else ""
         with self._lock:
-            changed = self._apply(records)
+            changed |= self._apply(records)
             changed |= self._remove_absent(records, end or 0)
             self.end = max(self.end, end or 0)
-        return Ok(changed)
+        return Ok(None)
 
     def _remove_absent(
         self, records: list[StoredRecord], end: int
--- a/tests/ledger/memory_streams.py
+++ b/tests/ledger/memory_streams.py
@@ -46,6 +46,9 @@
     :ivar before_append: called before every append.
     :ivar appends: number of calls to append.
     :ivar reads: number of calls to read.
+    :ivar max_read_records: most records that one read returns.
+    :ivar reads_until_outage: number of reads until they fail with a timeout;
+        None if they do not.
     """
 
     def __init__(self) -> None:
@@ -54,6 +57,8 @@
         self.before_append: Callable[[], object] = lambda: None
         self.appends = 0
         self.reads = 0
+        self.max_read_records = 1_000_000
+        self.reads_until_outage: int | None = None
         self._by_name: dict[str, _Stream] = {}
 
     def append(
@@ -107,12 +112,17 @@
         self.reads += 1
         if self.outage:
             return Err(self.outage)
+        if self.reads_until_outage is not None:
+            if not self.reads_until_outage:
+                return Err(may_have_run(FailureCode.TIMEOUT, "no answer"))
+            self.reads_until_outage -= 1
         content = self._stream(stream)
         if from_offset < content.first:
             return Err(
                 not_run(FailureCode.TRUNCATED, "the records have expired")
             )
-        records = tuple(content.records[from_offset:])
+        last = from_offset + self.max_read_records
+        records = tuple(content.records[from_offset:last])
         return Ok(StreamSlice(records, content.first, len(content.records)))
 
     def newest(
--- a/tests/ledger/test_mirror.py
+++ b/tests/ledger/test_mirror.py
@@ -70,3 +70,30 @@
     mirror.skip_to(0)
     assert changed(mirror) == set()
     assert mirror.values_by_key["k"] == b"new"
+
+
+# Incident DRAIN: a read that returned a part was taken for the whole.
+def test_refresh_reads_to_the_end_what_one_read_does_not_return(
+    streams: MemoryStreams,
+) -> None:
+    streams.max_read_records = 4
+    mirror = StreamMirror(streams, "s")
+    changed(mirror)
+    for number in range(30):
+        put(streams, f"k{number % 10}", str(number).encode())
+    assert len(changed(mirror)) == 10
+    assert mirror.values_by_key["k9"] == b"29"
+
+
+def test_keys_read_before_a_failure_are_returned_by_the_next_refresh(
+    streams: MemoryStreams,
+) -> None:
+    streams.max_read_records = 2
+    mirror = StreamMirror(streams, "s")
+    changed(mirror)
+    for number in range(6):
+        put(streams, f"k{number}", b"1")
+    streams.reads_until_outage = 2
+    assert isinstance(mirror.refresh(), Err)
+    streams.reads_until_outage = None
+    assert changed(mirror) == {f"k{number}" for number in range(6)}
