Read the list of workers in a thread of its own

Cause: one thread deleted ended jobs, then read the list of instances, then that of workers. While the store is slow the first two take up to 1.6 s a round, and the list of workers is read that much less often. Its read was given up after 600 ms, although a list that is 1 s old can still be relied on; with the age bounded, that would hold starts back in outages that they survived before. Evidence: test_the_list_of_workers_does_not_wait_for_other_calls fails before: with a call for the instances that is not answered, the list is not read. Change: PeriodicCall repeats a call in a thread of its own; the leader has one for the list of workers and one for the rest. A read of the list may take half of the time for which it can be relied on. A failed read of the instances gets a line, leader-upkeep-failed; it had none. Conclusion: what bounds the age of the list is the read itself.

--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from result import Err
+from result import Ok
 from result import Result
 
 from magnoliapitch.control.committer import Committer
@@ -25,7 +26,7 @@
 from magnoliapitch.control.events import StopAnswered
 from magnoliapitch.control.events import WorkerReported
 from magnoliapitch.control.events import WorkersListed
-from magnoliapitch.control.guard import guarded
+from magnoliapitch.control.periodic_call import PeriodicCall
 from magnoliapitch.control.worker_group import WorkerGroup
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.planner import DEFAULT_OPTIONS
@@ -58,6 +59,10 @@
 
 ADVISOR_THREAD_COUNT = 96
 WORKER_LIST_INTERVAL_MS = 500
+# A slow list is better than none as long as starts may still rest on it, so
+# that a read is given this part of that time.
+LIST_TIMEOUT_DIVISOR = 2
+UPKEEP_INTERVAL_MS = 500
 ROUND_INTERVAL_MS = 10
 MAX_EVENT_WAIT_MS = 200
 # Limit for one call to the store.
@@ -118,9 +123,22 @@
         self._advisor_executor = ThreadPoolExecutor(
             ADVISOR_THREAD_COUNT, "asks"
         )
-        self._list_executor = ThreadPoolExecutor(1, "lists")
-        self._is_refreshing = False
-        self._refreshed_ms = 0
+        self._worker_reading = PeriodicCall(
+            "workers",
+            WORKER_LIST_INTERVAL_MS,
+            self._read_workers,
+            lambda failure: log_event(
+                "worker-list-unavailable", reason=failure.detail
+            ),
+        )
+        self._upkeep = PeriodicCall(
+            "upkeep",
+            UPKEEP_INTERVAL_MS,
+            self._maintain,
+            lambda failure: log_event(
+                "leader-upkeep-failed", reason=failure.detail
+            ),
+        )
         self._is_stopping = False
 
     def post(self, event: Event) -> None:
@@ -161,7 +179,8 @@
                 self._handle_unprepared(outcome.err_value)
                 return None
         self._events = queue.SimpleQueue()
-        self._refreshed_ms = 0
+        self._worker_reading.expedite()
+        self._upkeep.expedite()
         controller = Controller(
             claim.record,
             claim.stored_ms,
@@ -227,7 +246,8 @@
 
     def _run_round(self, controller: Controller) -> int:
         started_ms = self._clock.now_ms()
-        self._refresh_worker_list(started_ms)
+        self._worker_reading.begin_if_due(started_ms)
+        self._upkeep.begin_if_due(started_ms)
         for event in self._next_events():
             self._dispatch(controller, event)
         now_ms = self._clock.now_ms()
@@ -275,44 +295,38 @@
             deadline_ms = controller.next_lease_deadline(worker_id, now_ms)
             self._router.grant(worker_id, deadline_ms)
 
-    def _refresh_worker_list(self, now_ms: int) -> None:
-        is_due = now_ms - self._refreshed_ms >= WORKER_LIST_INTERVAL_MS
-        if is_due and not self._is_refreshing:
-            self._is_refreshing = True
-            self._refreshed_ms = now_ms
-            self._list_executor.submit(self._refresh_list)
+    def _read_workers(self) -> Result[None, Failure]:
+        read_ms = self._clock.now_ms()
+        found = self._clients.directory.workers(
+            self._timing.start_validity_ms // LIST_TIMEOUT_DIVISOR
+        )
+        return found.map(
+            lambda info_by_id: self.post(WorkersListed(info_by_id, read_ms))
+        )
+
+    def _maintain(self) -> Result[None, Failure]:
+        """Delete ended jobs, and read which instances may be agents."""
+        deleted = self._delete_jobs_now()
+        peers = self._clients.members.peers()
+        if isinstance(peers, Err):
+            return peers
+        self._clients.advisor_channels.set_peers(
+            member.address for member in peers.ok_value
+        )
+        router = self._router
+        if router is not None:
+            router.set_agents(peers.ok_value)
+        return deleted
 
-    def _delete_jobs_now(self) -> None:
+    def _delete_jobs_now(self) -> Result[None, Failure]:
         job_follower = self._job_follower
         if job_follower is None or not self._job_ids_to_delete:
-            return
+            return Ok(None)
         job_ids = sorted(self._job_ids_to_delete)[:MAX_JOBS_PER_DELETION]
-        if not isinstance(job_follower.delete_jobs(job_ids), Err):
+        deleted = job_follower.delete_jobs(job_ids)
+        if not isinstance(deleted, Err):
             self._job_ids_to_delete.difference_update(job_ids)
-
-    def _refresh_list(self) -> None:
-        outcome = guarded("worker list", self._refresh_now)
-        self._is_refreshing = False
-        if isinstance(outcome, Err):
-            log_event(
-                "worker-list-unavailable", reason=outcome.err_value.detail
-            )
-
-    def _refresh_now(self) -> Result[None, Failure]:
-        self._delete_jobs_now()
-        peers = self._clients.members.peers()
-        if not isinstance(peers, Err):
-            self._clients.advisor_channels.set_peers(
-                member.address for member in peers.ok_value
-            )
-            router = self._router
-            if router is not None:
-                router.set_agents(peers.ok_value)
-        read_ms = self._clock.now_ms()
-        outcome = self._clients.directory.workers()
-        return outcome.map(
-            lambda found: self.post(WorkersListed(found, read_ms))
-        )
+        return deleted
 
     def start_lease_renewal(self, worker: WorkerInfo) -> None:
         """Renew a worker's lease repeatedly."""
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -269,6 +269,12 @@
     "The list of workers cannot be read; the last known list is used until "
     "it is too old.",
 )
+define_event(
+    "leader-upkeep-failed",
+    EventLevel.WARNING,
+    "The leader could not read the list of instances or delete ended jobs; it "
+    "tries again.",
+)
 define_event(
     "configuration-applied",
     EventLevel.INFO,
--- a/src/magnoliapitch/platform/directory.py
+++ b/src/magnoliapitch/platform/directory.py
@@ -57,9 +57,15 @@
         self._configuration_value = b""
         self._configuration: Configuration | None = None
 
-    def workers(self) -> Result[Mapping[str, WorkerInfo], Failure]:
-        """Return every listed worker, by worker id."""
-        changed = self._worker_mirror.refresh()
+    def workers(
+        self, timeout_ms: int = READ_TIMEOUT_MS
+    ) -> Result[Mapping[str, WorkerInfo], Failure]:
+        """Return every worker that is listed when the call is sent.
+
+        :param timeout_ms: how long each call to the store may take.
+        :return: the workers by their id.
+        """
+        changed = self._worker_mirror.refresh(timeout_ms=timeout_ms)
         if isinstance(changed, Err):
             return changed
         for key in changed.ok_value:
--- a/src/magnoliapitch/workload/client.py
+++ b/src/magnoliapitch/workload/client.py
@@ -111,8 +111,14 @@
     After a failure, callers keep what was read before.
     """
 
-    def workers(self) -> Result[Mapping[str, WorkerInfo], Failure]:
-        """Return every listed worker, by worker id."""
+    def workers(
+        self, timeout_ms: int
+    ) -> Result[Mapping[str, WorkerInfo], Failure]:
+        """Return every worker that is listed when the call is sent.
+
+        :param timeout_ms: how long each call to the store may take.
+        :return: the workers by their id.
+        """
 
     def configuration(
         self, wait_ms: int
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -89,7 +89,8 @@
     def peers(self) -> Result[Any, Failure]:
         return UNANSWERED
 
-    def workers(self) -> Result[Any, Failure]:
+    def workers(self, timeout_ms: int = 0) -> Result[Any, Failure]:
+        del timeout_ms
         return UNANSWERED
 
     def idle_count(self) -> int:
@@ -101,18 +102,7 @@
 def test_a_batch_is_not_stored_under_the_next_leadership() -> None:
     clock = MonotonicClock()
     leadership = SlowLeadership(clock)
-    systems: Any = NoSystems()
-    driver = ControlDriver(
-        leadership,  # type: ignore[arg-type]
-        StateTable(),
-        Clients(systems, systems, systems, systems, systems),
-        ControlTiming(lease_ms=6_000),
-        clock,
-        lambda: None,
-        lambda _: EmptyFollower(),  # type: ignore[arg-type, return-value]
-        Metrics(),
-        OrderSender(systems, clock, Metrics()),
-    )
+    driver = make_driver(clock, leadership, NoSystems(), NoSystems())
     leadership.claim_with(epoch=1)
     step_until(driver, leadership.is_first_committing.is_set)
     controller = driver._controller
@@ -133,7 +123,8 @@
     def __init__(self) -> None:
         self.looks = 0
 
-    def workers(self) -> Result[Any, Failure]:
+    def workers(self, timeout_ms: int = 0) -> Result[Any, Failure]:
+        del timeout_ms
         self.looks += 1
         if self.looks == 1:
             raise ValueError("unexpected")
@@ -145,12 +136,48 @@
     clock = MonotonicClock()
     leadership = SlowLeadership(clock)
     leadership.release.set()
-    systems: Any = NoSystems()
     directory: Any = BrokenDirectory()
-    driver = ControlDriver(
+    driver = make_driver(clock, leadership, NoSystems(), directory)
+    leadership.claim_with(epoch=1)
+    step_until(driver, lambda: directory.looks >= 2)
+
+
+class StuckMembers(NoSystems):
+    """Does not answer for the list of instances until released."""
+
+    def __init__(self) -> None:
+        self.release = threading.Event()
+
+    def peers(self) -> Result[Any, Failure]:
+        self.release.wait(DEADLINE_S)
+        return UNANSWERED
+
+
+# Incident DRAIN: the list of workers was read after other calls to the store,
+# and grew old while these were slow.
+def test_the_list_of_workers_does_not_wait_for_other_calls() -> None:
+    clock = MonotonicClock()
+    leadership = SlowLeadership(clock)
+    leadership.release.set()
+    members = StuckMembers()
+    directory: Any = BrokenDirectory()
+    driver = make_driver(clock, leadership, members, directory)
+    leadership.claim_with(epoch=1)
+    step_until(driver, lambda: directory.looks >= 2)
+    members.release.set()
+
+
+def make_driver(
+    clock: MonotonicClock,
+    leadership: SlowLeadership,
+    members: Any,
+    directory: Any,
+) -> ControlDriver:
+    systems: Any = NoSystems()
+    return ControlDriver(
         leadership,  # type: ignore[arg-type]
         StateTable(),
-        Clients(systems, systems, systems, directory, systems),
+        Clients(systems, systems, members, directory, systems),
         ControlTiming(lease_ms=6_000),
         clock,
         lambda: None,
@@ -158,8 +185,6 @@
         Metrics(),
         OrderSender(systems, clock, Metrics()),
     )
-    leadership.claim_with(epoch=1)
-    step_until(driver, lambda: directory.looks >= 2)
 
 
 def step_until(driver: ControlDriver, is_reached: Any) -> None:
