Let starts rest on jobs that were read a short while ago only

Evidence: with the age of the jobs ignored, test_no_start_rests_on_jobs_that_could_not_be_read_for_long fails. Change: SourceAges tracks list of workers and jobs; a start rests on both, and its deadline ends with the sooner (setting leases.cancel_notice_ms). The follower tells of each read, also one without changes; a new leader begins with the time at which it read the jobs in. Conclusion: both inputs of a start have a bounded age.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -15,8 +15,9 @@
 from magnoliapitch.control.progress_batcher import ProgressBatcher
 from magnoliapitch.control.reachability import WorkerReachability
 from magnoliapitch.control.reports import ReportApplier
+from magnoliapitch.control.source_ages import Source
+from magnoliapitch.control.source_ages import SourceAges
 from magnoliapitch.control.start_queue import StartQueue
-from magnoliapitch.control.worker_list_age import WorkerListAge
 from magnoliapitch.control.worker_roster import WorkerRoster
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.planner import DEFAULT_OPTIONS
@@ -34,7 +35,7 @@
 
     from magnoliapitch.control.effects import Effects
     from magnoliapitch.control.events import Committed
-    from magnoliapitch.control.events import JobsChanged
+    from magnoliapitch.control.events import JobsRead
     from magnoliapitch.control.events import PermitsAnswered
     from magnoliapitch.control.events import StartAnswered
     from magnoliapitch.control.events import StopAnswered
@@ -96,13 +97,13 @@
             self._reachability,
             self._report_applier,
         )
-        self._list_age = WorkerListAge(timing.start_validity_ms)
+        self._source_ages = SourceAges.from_timing(timing)
         self._order_issuer = OrderIssuer(
             leader.epoch,
             self.state,
             self.planner,
             self._roster.info_by_id,
-            self._list_age,
+            self._source_ages,
             effects,
             metrics,
         )
@@ -143,13 +144,15 @@
         """Return the epoch, which is the fencing token of every order."""
         return self._leader.epoch
 
-    def load(self, now_ms: int, job_end: int) -> None:
+    def load(self, now_ms: int, job_end: int, jobs_read_ms: int) -> None:
         """Add the stored jobs, ended ones too if runs of them may be active.
 
         Their runs use capacity until they have ended.
 
         :param job_end: offset up to which the job stream was read.
+        :param jobs_read_ms: when the call that read it was sent.
         """
+        self._source_ages.record_read(Source.JOBS, jobs_read_ms)
         apply_configuration(self.state, self._configuration())
         self._progress_batcher.load(now_ms)
         self._progress_batcher.record_read(job_end)
@@ -187,11 +190,12 @@
 
     def handle_worker_list(self, event: WorkersListed, now_ms: int) -> None:
         """Update the workers from the platform's list."""
-        self._list_age.record_read(event.read_ms)
+        self._source_ages.record_read(Source.WORKERS, event.read_ms)
         self._roster.update(event.info_by_id, now_ms)
 
-    def handle_jobs_changed(self, event: JobsChanged, now_ms: int) -> None:
+    def handle_jobs_read(self, event: JobsRead, now_ms: int) -> None:
         """Add submitted jobs and cancel cancelled ones."""
+        self._source_ages.record_read(Source.JOBS, event.read_ms)
         self._progress_batcher.record_read(event.end)
         self._job_loader.apply_changes(event.job_ids, now_ms)
 
@@ -296,11 +300,11 @@
         self._issue_stored_starts(now_ms)
 
     def _issue_stored_starts(self, now_ms: int) -> None:
-        """Order starts that are stored, unless the list is too old for that.
+        """Order starts that are stored, unless what was read is too old.
 
-        What is held back keeps its place until a list was read.
+        What is held back keeps its place.
         """
-        if not self._list_age.allows_starts(now_ms):
+        if not self._source_ages.allows_starts(now_ms):
             return
         count = self._effects.available_start_orders()
         for planned in self._start_queue.take_stored(count):
@@ -319,7 +323,8 @@
         clock_ms = self._reachability.estimated_clock_ms(worker_id, now_ms)
         if lease_ms is None or clock_ms is None:
             return None
-        return min(lease_ms, clock_ms + self._list_age.remaining_ms(now_ms))
+        valid_ms = self._source_ages.remaining_ms(now_ms)
+        return min(lease_ms, clock_ms + valid_ms)
 
     def handle_commit(self, event: Committed, now_ms: int) -> None:
         """Record that a batch is stored, with its progress and its states.
@@ -369,7 +374,7 @@
         self._commit(now_ms)
 
     def _max_new_starts(self, max_orders: int, now_ms: int) -> int:
-        if not self._list_age.allows_starts(now_ms):
+        if not self._source_ages.allows_starts(now_ms):
             return 0
         return self._start_queue.available(
             self._effects.available_start_orders(), max_orders, now_ms
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -19,7 +19,7 @@
 from magnoliapitch.control.events import Committed
 from magnoliapitch.control.events import ConfigurationChanged
 from magnoliapitch.control.events import Event
-from magnoliapitch.control.events import JobsChanged
+from magnoliapitch.control.events import JobsRead
 from magnoliapitch.control.events import PermitsAnswered
 from magnoliapitch.control.events import ProgressStored
 from magnoliapitch.control.events import StartAnswered
@@ -79,9 +79,8 @@
 
     :param configuration: returns the newest configuration, or None if none
         was read yet.
-    :param open_job_follower: returns a new follower of the stored jobs; takes
-        a callback for the ids of jobs that were submitted or cancelled, and
-        for the offset up to which they were read.
+    :param open_job_follower: returns a new follower of the stored jobs, which
+        calls back after each read as :class:`JobFollower` tells.
     :param order_sender: sends the orders to workers that this instance calls.
     :param own_cores: processor cores of this instance.
     """
@@ -95,7 +94,7 @@
         clock: Clock,
         configuration: Callable[[], Configuration | None],
         open_job_follower: Callable[
-            [Callable[[frozenset[str], int], None]], JobFollower
+            [Callable[[frozenset[str], int, int], None]], JobFollower
         ],
         metrics: Metrics,
         order_sender: OrderSender,
@@ -168,7 +167,7 @@
         if claim is None or self._is_stopping:
             return None
         job_follower = self._open_job_follower(
-            lambda ids, end: self.post(JobsChanged(ids, end))
+            lambda *read: self.post(JobsRead(*read))
         )
         for prepare in (
             self._leadership.fence_former_leaders,
@@ -193,7 +192,9 @@
             self._options,
         )
         self._router = self._open_router(controller)
-        controller.load(self._clock.now_ms(), job_follower.end)
+        controller.load(
+            self._clock.now_ms(), job_follower.end, job_follower.read_ms
+        )
         self._controller = controller
         self._job_follower = job_follower
         self._is_following.set()
@@ -277,8 +278,8 @@
             controller.handle_progress_stored(now_ms)
         elif isinstance(event, Committed):
             controller.handle_commit(event, now_ms)
-        elif isinstance(event, JobsChanged):
-            controller.handle_jobs_changed(event, now_ms)
+        elif isinstance(event, JobsRead):
+            controller.handle_jobs_read(event, now_ms)
         elif isinstance(event, WorkersListed):
             controller.handle_worker_list(event, now_ms)
             if self._router is not None:
@@ -298,7 +299,7 @@
     def _read_workers(self) -> Result[None, Failure]:
         read_ms = self._clock.now_ms()
         found = self._clients.directory.workers(
-            self._timing.start_validity_ms // LIST_TIMEOUT_DIVISOR
+            self._timing.worker_list_validity_ms // LIST_TIMEOUT_DIVISOR
         )
         return found.map(
             lambda info_by_id: self.post(WorkersListed(info_by_id, read_ms))
--- a/src/magnoliapitch/control/events.py
+++ b/src/magnoliapitch/control/events.py
@@ -27,14 +27,18 @@
     read_ms: int
 
 
-class JobsChanged(NamedTuple):
-    """Jobs were submitted or cancelled.
+class JobsRead(NamedTuple):
+    """The job stream was read.
 
+    :param job_ids: jobs that were submitted or cancelled.
     :param end: offset up to which the job stream was read.
+    :param read_ms: when the call that read it was sent, by this instance's
+        clock.
     """
 
     job_ids: frozenset[str]
     end: int
+    read_ms: int
 
 
 class ConfigurationChanged(NamedTuple):
@@ -107,7 +111,7 @@
 
 Event = (
     WorkersListed
-    | JobsChanged
+    | JobsRead
     | ConfigurationChanged
     | WorkerReported
     | StartAnswered
--- a/src/magnoliapitch/control/order_issuer.py
+++ b/src/magnoliapitch/control/order_issuer.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from magnoliapitch.control.log_fields import run_fields
+from magnoliapitch.control.source_ages import Source
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.quota import exceeds_quota
 from magnoliapitch.resource import NO_RESOURCES
@@ -22,7 +23,7 @@
 
     from magnoliapitch.control.effects import Effects
     from magnoliapitch.control.events import StartAnswered
-    from magnoliapitch.control.worker_list_age import WorkerListAge
+    from magnoliapitch.control.source_ages import SourceAges
     from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.planner.plan import PlannedStop
@@ -49,7 +50,7 @@
 
     :param info_by_worker_id: the platform's newest list of workers, which
         the caller keeps up to date.
-    :param list_age: age of that list.
+    :param source_ages: ages of that list and of the jobs.
     """
 
     def __init__(
@@ -58,12 +59,12 @@
         state: SchedulerState,
         planner: Planner,
         info_by_worker_id: Mapping[str, WorkerInfo],
-        list_age: WorkerListAge,
+        source_ages: SourceAges,
         effects: Effects,
         metrics: Metrics,
     ) -> None:
         self._info_by_worker_id = info_by_worker_id
-        self._list_age = list_age
+        self._source_ages = source_ages
         self._epoch = epoch
         self._state = state
         self._planner = planner
@@ -100,10 +101,13 @@
                 tasks=count,
                 waiting=step.waiting_count if step else 0,
                 ready_age_ms=now_ms - ready_ms,
-                list_age_ms=self._list_age.age_ms(now_ms),
+                list_age_ms=self._list_age_ms(now_ms),
                 placements=self._describe_placements(worker_ids),
             )
 
+    def _list_age_ms(self, now_ms: int) -> int | None:
+        return self._source_ages.age_ms(Source.WORKERS, now_ms)
+
     def _describe_placements(self, worker_ids: list[str]) -> str:
         """Return each worker with its new tasks and the CPU left, as text."""
         return ",".join(
@@ -151,7 +155,7 @@
             planned.ticket,
         )
         run.order_sent_ms = now_ms
-        list_age_ms = self._list_age.age_ms(now_ms)
+        list_age_ms = self._list_age_ms(now_ms)
         if list_age_ms is not None:
             self._metrics.observe("worker_list_age", list_age_ms)
         self._effects.start(info, planned, order)
--- a/src/magnoliapitch/control/timing.py
+++ b/src/magnoliapitch/control/timing.py
@@ -21,12 +21,15 @@
     :param keep_states_ms: how long the state of an ended job stays published.
     :param drain_notice_ms: how long a worker that has said that it leaves may
         still be sent starts.
+    :param cancel_notice_ms: how long after a job's cancellation was stored its
+        tasks may still be started.
     """
 
     lease_ms: int
     max_leader_silence_ms: int = 2_500
     keep_states_ms: int = 130_000
     drain_notice_ms: int = 2_000
+    cancel_notice_ms: int = 3_000
 
     @property
     def takeover_ms(self) -> int:
@@ -40,10 +43,19 @@
         return int(longest_ms) + LEASE_EXPIRY_MARGIN_MS
 
     @property
-    def start_validity_ms(self) -> int:
-        """Return how long after the list was read a run may begin.
+    def worker_list_validity_ms(self) -> int:
+        """Return how long after the list of workers was read a run may begin.
 
         The worker measures it, maybe on the slowest clock.
         """
-        shortest_ms = self.drain_notice_ms * MIN_CLOCK_RATE_RATIO
-        return int(shortest_ms) - LEASE_EXPIRY_MARGIN_MS
+        return _shortest_ms(self.drain_notice_ms)
+
+    @property
+    def job_validity_ms(self) -> int:
+        """Return how long after the jobs were read a run may begin."""
+        return _shortest_ms(self.cancel_notice_ms)
+
+
+def _shortest_ms(duration_ms: int) -> int:
+    """Return what of a duration has certainly not passed on any clock."""
+    return int(duration_ms * MIN_CLOCK_RATE_RATIO) - LEASE_EXPIRY_MARGIN_MS
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -184,6 +184,7 @@
                 settings.leases.longest_ms,
                 keep_states_ms=settings.leases.keep_states_ms,
                 drain_notice_ms=settings.leases.drain_notice_ms,
+                cancel_notice_ms=settings.leases.cancel_notice_ms,
             ),
             self._clock,
             self._job_api.configuration,
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -201,13 +201,14 @@
 define_event(
     "starts-held",
     EventLevel.WARNING,
-    "The list of workers is too old to start runs on: a worker may have said "
-    "since that it leaves. Starts wait until the list is read.",
+    "The list of workers, or the jobs, were read too long ago to start runs: "
+    "a worker may have said since that it leaves, or a job may have been "
+    "cancelled. Starts wait until both are read.",
 )
 define_event(
     "starts-resumed",
     EventLevel.INFO,
-    "The list of workers was read again, and starts go on.",
+    "The list of workers and the jobs were read, and starts go on.",
 )
 define_event(
     "stop-ordered",
--- a/src/magnoliapitch/ledger/job_follower.py
+++ b/src/magnoliapitch/ledger/job_follower.py
@@ -37,9 +37,11 @@
 
     Only the leader has a follower.
 
-    :param notify_changed: called with the ids of jobs whose records have
-        changed, and with the offset up to which the job stream was read.
+    :param notify_read: called after each read with the ids of jobs whose
+        records have changed, with the offset up to which the job stream was
+        read, and with the time at which the call was sent.
     :ivar job_table: the jobs, as far as the streams were read.
+    :ivar read_ms: when the newest successful call was sent; 0 before it.
     """
 
     def __init__(
@@ -47,12 +49,13 @@
         streams: KeyedStreams,
         clock: Clock,
         health: StoreHealth,
-        notify_changed: Callable[[frozenset[str], int], None],
+        notify_read: Callable[[frozenset[str], int, int], None],
     ) -> None:
         self.job_table = JobTable()
         self._clock = clock
         self._health = health
-        self._notify_changed = notify_changed
+        self.read_ms = 0
+        self._notify_read = notify_read
         self._streams = streams
         self._job_mirror = StreamMirror(streams, JOB_STREAM)
 
@@ -111,6 +114,6 @@
         changed_job_ids = self.job_table.apply(
             self._job_mirror.values_by_key, changed_keys
         )
-        if changed_job_ids:
-            self._notify_changed(frozenset(changed_job_ids), self.end)
+        self.read_ms = sent_ms
+        self._notify_read(frozenset(changed_job_ids), self.end, sent_ms)
         return Ok(None)
--- a/src/magnoliapitch/settings/cluster.py
+++ b/src/magnoliapitch/settings/cluster.py
@@ -25,6 +25,8 @@
 
 
 Milliseconds = Annotated[int, Field(ge=1, le=86_400_000)]
+# Shorter notices would hold back all starts.
+NoticeMilliseconds = Annotated[int, Field(ge=1_000, le=86_400_000)]
 HostAndPort = Annotated[str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 OptionalHostAndPort = Annotated[
     str, Field(pattern=r"^(\d{1,3}(\.\d{1,3}){3}:\d{1,5})?$")
@@ -65,11 +67,14 @@
     :param keep_states_ms: how long the state of an ended job stays published.
     :param drain_notice_ms: how long a worker that has said that it leaves may
         still be sent starts.
+    :param cancel_notice_ms: how long after a job's cancellation was stored its
+        tasks may still be started.
     """
 
     longest_ms: Milliseconds = 10_000
     keep_states_ms: Milliseconds = 130_000
-    drain_notice_ms: Annotated[int, Field(ge=1_000, le=86_400_000)] = 2_000
+    drain_notice_ms: NoticeMilliseconds = 2_000
+    cancel_notice_ms: NoticeMilliseconds = 3_000
 
 
 class MachineSettings(NamedTuple):
--- a/tests/control/simulated_worker.py
+++ b/tests/control/simulated_worker.py
@@ -42,6 +42,8 @@
 CHECKPOINT_INTERVAL_MS = 250
 # A worker that has said that it leaves may be sent starts for this long.
 DRAIN_NOTICE_MS = 2_000
+# Tasks of a cancelled job may be started for this long.
+CANCEL_NOTICE_MS = 3_000
 
 
 class _Run:
@@ -314,6 +316,14 @@
                 f"had said {simulation.now_ms - since_ms} ms ago that it "
                 "leaves"
             )
+        cancelled_ms = simulation.cancelled_ms_by_job.get(order.task.job_id)
+        if cancelled_ms is not None and (
+            simulation.now_ms - cancelled_ms > CANCEL_NOTICE_MS
+        ):
+            simulation.violations.append(
+                f"{order.task} was started, although its job was cancelled "
+                f"{simulation.now_ms - cancelled_ms} ms ago"
+            )
         if self.used().fits(self.info.capacity):
             return
         resized_ms = simulation.now_ms - self._resized_ms
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -78,6 +78,7 @@
     def __init__(self) -> None:
         self.job_table = JobTable()
         self.end = 0
+        self.read_ms = 0
 
     def load(self) -> Result[None, Failure]:
         return Ok(None)
--- a/tests/control/test_leaving_workers.py
+++ b/tests/control/test_leaving_workers.py
@@ -77,6 +77,23 @@
     assert simulation.violations == []
 
 
+# The cause of incident DRAIN elsewhere: cancellations could not be read.
+def test_no_start_rests_on_jobs_that_could_not_be_read_for_long() -> None:
+    simulation = make_simulation()
+    for number in range(20):
+        submit(simulation, f"j{number}")
+    simulation.run(100)
+    simulation.jobs_are_unavailable = True
+    for number in range(20):
+        simulation.cancel(f"j{number}")
+    simulation.run(6_000)
+    assert simulation.violations == []
+    simulation.jobs_are_unavailable = False
+    submit(simulation, "later")
+    simulation.run(6_000)
+    assert "later" in simulation.finished
+
+
 class LeavingRun(FaultyRun):
     """A faulty run in which workers leave and the list cannot be read."""
 
@@ -88,6 +105,11 @@
             simulation.schedule(
                 self._random.randrange(500, 9_000), self._list_again
             )
+        if not simulation.jobs_are_unavailable and self._happens(0.05):
+            simulation.jobs_are_unavailable = True
+            simulation.schedule(
+                self._random.randrange(500, 7_000), self._jobs_again
+            )
         if self._happens(0.1):
             worker_id = self._random.choice(self._live_worker_ids())
             worker = simulation.workers[worker_id]
@@ -96,6 +118,9 @@
                 self._random.randrange(3_000, 9_000), worker.stay
             )
 
+    def _jobs_again(self) -> None:
+        self.simulation.jobs_are_unavailable = False
+
     def _list_again(self) -> None:
         self.simulation.list_is_unavailable = False
 
