Split what orders starts from the controller, and advisor calls from the driver

Change: StartDispatcher orders stored starts while what they rest on is fresh; AdvisorCalls makes the calls to the advisor. No change of behaviour. Conclusion: one job a module again.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -17,7 +17,7 @@
 from magnoliapitch.control.reports import ReportApplier
 from magnoliapitch.control.source_ages import Source
 from magnoliapitch.control.source_ages import SourceAges
-from magnoliapitch.control.start_queue import StartQueue
+from magnoliapitch.control.start_dispatcher import StartDispatcher
 from magnoliapitch.control.worker_roster import WorkerRoster
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.planner import DEFAULT_OPTIONS
@@ -111,7 +111,13 @@
         self._planning_summary = PlanningSummary(
             self.state, claimed_ms, metrics
         )
-        self._start_queue = StartQueue()
+        self._starts = StartDispatcher(
+            self._source_ages,
+            self._order_issuer,
+            self._reachability,
+            effects,
+            self.next_lease_deadline,
+        )
         self._end_sequences_in_commit_by_worker: dict[str, int] = {}
         self._is_commit_in_flight = False
         self._stored_ms = claimed_ms
@@ -296,35 +302,8 @@
         )
         for worker_id, sequence in sequences_by_worker.items():
             self._effects.acknowledge(worker_id, sequence)
-        self._start_queue.record_stored(now_ms)
-        self._issue_stored_starts(now_ms)
-
-    def _issue_stored_starts(self, now_ms: int) -> None:
-        """Order starts that are stored, unless what was read is too old.
-
-        What is held back keeps its place.
-        """
-        if not self._source_ages.allows_starts(now_ms):
-            return
-        count = self._effects.available_start_orders()
-        for planned in self._start_queue.take_stored(count):
-            deadline_ms = self._start_deadline(planned.worker_id, now_ms)
-            self._order_issuer.start(planned, deadline_ms, now_ms)
-
-    def _start_deadline(self, worker_id: str, now_ms: int) -> int | None:
-        """Return the time until which a worker may begin a run.
-
-        It ends with what the order rests on, which is sooner than the lease.
-        Renewals extend the lease of the run.
-
-        :return: time on the worker's clock, or None if no run may begin.
-        """
-        lease_ms = self.next_lease_deadline(worker_id, now_ms)
-        clock_ms = self._reachability.estimated_clock_ms(worker_id, now_ms)
-        if lease_ms is None or clock_ms is None:
-            return None
-        valid_ms = self._source_ages.remaining_ms(now_ms)
-        return min(lease_ms, clock_ms + valid_ms)
+        self._starts.queue.record_stored(now_ms)
+        self._starts.order_stored(now_ms)
 
     def handle_commit(self, event: Committed, now_ms: int) -> None:
         """Record that a batch is stored, with its progress and its states.
@@ -351,35 +330,28 @@
         if self.is_over:
             return
         self._roster.check(now_ms)
-        self._issue_stored_starts(now_ms)
+        self._starts.order_stored(now_ms)
         max_calls = self._effects.available_advisor_calls()
         max_orders = self._effects.max_start_orders()
-        max_starts = self._max_new_starts(max_orders, now_ms)
+        max_starts = self._starts.max_new(max_orders, now_ms)
         plan = self.planner.plan(
             self.state,
             now_ms,
             wall_ms,
             max_calls,
             max_starts,
-            self._start_queue.max_unanswered(max_orders, now_ms),
+            self._starts.queue.max_unanswered(max_orders, now_ms),
         )
         self._planning_summary.record(plan, max_calls, max_starts, now_ms)
         if self.may_issue_orders(now_ms):
             self._order_issuer.record_planned(plan.starts, now_ms)
-            self._start_queue.add(plan.starts)
+            self._starts.queue.add(plan.starts)
             for stop in plan.stops:
                 if self._reachability.is_answering(stop.worker_id):
                     self._order_issuer.stop(stop, now_ms)
             self._permit_requester.request(plan.permit_requests)
         self._commit(now_ms)
 
-    def _max_new_starts(self, max_orders: int, now_ms: int) -> int:
-        if not self._source_ages.allows_starts(now_ms):
-            return 0
-        return self._start_queue.available(
-            self._effects.available_start_orders(), max_orders, now_ms
-        )
-
     def stop_leading(self, reason: str) -> None:
         """End the leadership; no more orders are issued.
 
@@ -415,13 +387,13 @@
         if self._is_commit_in_flight:
             return
         batch = self._progress_batcher.next_batch(
-            now_ms, self._start_queue.has_planned
+            now_ms, self._starts.queue.has_planned
         )
         if batch is None:
             return
         self._end_sequences_in_commit_by_worker = (
             self._report_applier.take_end_sequences()
         )
-        self._start_queue.begin_commit(now_ms)
+        self._starts.queue.begin_commit(now_ms)
         self._is_commit_in_flight = True
         self._effects.commit(batch)
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -6,13 +6,13 @@
 import threading
 import time
 
-from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
 from result import Err
 from result import Ok
 from result import Result
 
+from magnoliapitch.control.advisor_calls import AdvisorCalls
 from magnoliapitch.control.committer import Committer
 from magnoliapitch.control.controller import Controller
 from magnoliapitch.control.delegation.router import WorkerRouter
@@ -38,7 +38,6 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
-    from magnoliapitch.advice.channels import AdvisorChannel
     from magnoliapitch.clock import Clock
     from magnoliapitch.control.clients import Clients
     from magnoliapitch.control.order_sender import OrderSender
@@ -57,7 +56,6 @@
     from magnoliapitch.workload.worker import WorkerInfo
 
 
-ADVISOR_THREAD_COUNT = 96
 WORKER_LIST_INTERVAL_MS = 500
 # A slow list is better than none as long as starts may still rest on it, so
 # that a read is given this part of that time.
@@ -119,9 +117,7 @@
         self._own_cores = own_cores
         self._options = options
         self._committer = Committer(leadership, clock)
-        self._advisor_executor = ThreadPoolExecutor(
-            ADVISOR_THREAD_COUNT, "asks"
-        )
+        self._advisor_calls = AdvisorCalls(clients.advisor_channels, clock)
         self._worker_reading = PeriodicCall(
             "workers",
             WORKER_LIST_INTERVAL_MS,
@@ -380,21 +376,11 @@
 
         :return: whether the call was started.
         """
-        channel = self._clients.advisor_channels.reserve(request)
-        if channel is None:
-            return False
-        self._advisor_executor.submit(
-            self._request_permits_now,
-            channel,
-            request,
-            timeout_ms,
-            self._events.put,
-        )
-        return True
+        return self._advisor_calls.begin(request, timeout_ms, self._events.put)
 
     def available_advisor_calls(self) -> int:
         """Return the number of advisor calls that can be started now."""
-        return self._clients.advisor_channels.idle_count()
+        return self._advisor_calls.idle_count()
 
     def available_start_orders(self) -> int:
         """Return the number of start orders that may be sent now."""
@@ -405,16 +391,3 @@
         """Return how many start orders may be unanswered at a time."""
         router = self._router
         return 0 if router is None else router.max_start_orders()
-
-    def _request_permits_now(
-        self,
-        channel: AdvisorChannel,
-        request: PlannedPermitRequest,
-        timeout_ms: int,
-        post: Callable[[Event], None],
-    ) -> None:
-        sent_ms = self._clock.now_ms()
-        outcome = self._clients.advisor_channels.call(
-            channel, request, timeout_ms
-        )
-        post(PermitsAnswered(request, outcome, sent_ms))
