Tell claims of two instances with the same epoch apart

Callers could see: all work started twice. Cause: a claim is an append as producer leader with a random epoch and sequence number 1. The store answers a repeat of an epoch and number as it did the first time. Two instances that claim at the same offset with the same random epoch, 1 in 65,536, would both be told that they lead, with the same fencing token. Evidence: the new test of tests/ledger/test_leadership.py fails before, against MemoryStreams; whether the users' store checks the repeat before the offset is not known. Change: the first sequence number of a claim is a random one of 30 bits, mixed with the instance's name; the protocol allows any for a higher epoch.

--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import zlib
 
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -42,6 +43,8 @@
 # A claim's epoch is the next multiple of this step plus a random number below
 # it, so that claims made at the same time get different epochs.
 EPOCH_STEP = 1 << 16
+# A claim's first sequence number is a random one of this size.
+SEQUENCE_BITS = 30
 # Time without a record of the leader after which others may claim.
 LEADER_TIMEOUT_MS = 1_000
 # A slow store delivers the leader's records late, so that a claim waits longer
@@ -359,7 +362,7 @@
             job_offset=job_offset,
             address=self._address,
         )
-        writer = Writer(PRODUCER, epoch, 1)
+        writer = Writer(PRODUCER, epoch, self._first_sequence())
         outcome = self._streams.append(
             STATE_STREAM,
             [KeyedRecord(LEADER_KEY, encode_leader(record))],
@@ -377,6 +380,16 @@
         self._has_claimed.set()
         log_event("leadership-claimed", epoch=epoch, silent_ms=silent_ms)
 
+    def _first_sequence(self) -> int:
+        """Return a sequence number that no other instance begins with.
+
+        The store takes an append with the same epoch and number for a repeat,
+        and would answer a second claim as it did the first.
+        """
+        own = zlib.crc32(self._instance_id.encode())
+        number = own ^ self._random.randrange(1 << SEQUENCE_BITS)
+        return 1 + number % (1 << SEQUENCE_BITS)
+
     def _handle_failed_claim(
         self, record: LeaderRecord, failure: Failure
     ) -> None:
--- a/tests/ledger/test_leadership.py
+++ b/tests/ledger/test_leadership.py
@@ -1,10 +1,13 @@
 from __future__ import annotations
 
+import random
+
 from typing import TYPE_CHECKING
 from typing import Any
 
 from result import Err
 
+from magnoliapitch.ledger.health import StoreHealth
 from magnoliapitch.ledger.leadership import LEADER_TIMEOUT_MS
 from magnoliapitch.ledger.leadership import LONGER_RUNNING_CLAIM_DELAY_MS
 from magnoliapitch.ledger.leadership import MAX_RESIGNED_JITTER_MS
@@ -12,6 +15,7 @@
 from magnoliapitch.ledger.leadership import Leadership
 from magnoliapitch.ledger.records import PROGRESS_STREAM
 from magnoliapitch.ledger.records import STATE_STREAM
+from magnoliapitch.ledger.state_table import StateTable
 from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import not_run
@@ -48,6 +52,36 @@
     assert (first.claim is None) != (second.claim is None)
 
 
+# The store took the second claim for a repeat of the first, and both led.
+def test_claims_that_happen_to_have_the_same_epoch_are_told_apart(
+    streams: MemoryStreams, clock: ManualClock
+) -> None:
+    first, second = (
+        Leadership(
+            streams,
+            name,
+            StateTable(),
+            clock,
+            StoreHealth(clock),
+            random.Random(1),
+            lambda: True,
+        )
+        for name in ("a", "b")
+    )
+    first.step()
+    second.step()
+    clock.advance(AFTER_TIMEOUT_MS)
+
+    def claim_at_the_same_time() -> None:
+        streams.before_append = lambda: None
+        second.step()
+
+    streams.before_append = claim_at_the_same_time
+    first.step()
+    assert second.claim is not None
+    assert first.claim is None
+
+
 def test_a_replaced_leader_cannot_store_any_more(
     make_leadership: MakeLeadership, clock: ManualClock
 ) -> None:
