--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -145,6 +145,7 @@
         self.jobs_are_unavailable = False
         self.cancelled_ms_by_job: dict[str, int] = {}
         self._unread_job_ids: set[str] = set()
+        self._read_end = 0
         self.commit_count = 0
         self.progress_commit_ms = COMMIT_DURATION_MS
         self.state_commit_ms = 0
@@ -355,11 +356,12 @@
             return
         changed |= self._unread_job_ids
         self._unread_job_ids.clear()
-        event = JobsRead(changed, end, self.now_ms)
+        self._read_end = max(self._read_end, end)
+        event = JobsRead(changed, self._read_end, self.now_ms)
         self.controller.handle_jobs_read(event, self.now_ms)
 
     def _follow_jobs(self) -> None:
-        self._read_jobs(frozenset(), self._job_end)
+        self._read_jobs(frozenset(), self._read_end)
         self.schedule(500, self._follow_jobs)
 
     def _list_workers(self) -> None:
