Build the log fields of a start only if it is logged

Cause: reading the change once more: record_start_answer built them for every answered start, also for the nearly all that write no line. Conclusion: no change of behaviour.

--- a/src/magnoliapitch/control/order_issuer.py
+++ b/src/magnoliapitch/control/order_issuer.py
@@ -239,20 +239,23 @@
         planned = event.planned
         ordered_ms = run.order_sent_ms if run is not None else None
         age_ms = None if ordered_ms is None else event.received_ms - ordered_ms
-        fields = run_fields(planned.task, planned.run, planned.worker_id)
         if isinstance(event.outcome, Err):
             failure = event.outcome.err_value
             self._metrics.count("starts_failed", failure.code.value)
             log_event(
                 "start-failed",
-                **fields,
+                **run_fields(planned.task, planned.run, planned.worker_id),
                 verdict=failure.verdict,
                 code=failure.code,
                 reason=failure.detail,
                 order_age_ms=age_ms,
             )
         elif age_ms is not None and age_ms >= SLOW_ORDER_MS:
-            log_event("start-delayed", **fields, order_age_ms=age_ms)
+            log_event(
+                "start-delayed",
+                **run_fields(planned.task, planned.run, planned.worker_id),
+                order_age_ms=age_ms,
+            )
 
 
 def _is_ticket_expired(
