--- a/review/standin/runner.py
+++ b/review/standin/runner.py
@@ -27,14 +27,16 @@
     :param task_s: takes the name of a task; returns its duration.
     :param record: called with a line for each thing that happens.
     :ivar runs: (task, run, event, time) of all starts and ends.
+    :ivar noted: (task, run) of the ends that the system has taken note of.
     """
 
     def __init__(
         self, ip, runner_id, service, store, rack, task_s, record, cpu=32_000,
-        zone="z1",
+        zone="z1", port=0,
     ):
         self.runner_id = runner_id
         self.runs = []
+        self.noted = set()
         self._service = service
         self._store = store
         self._rack = rack
@@ -53,7 +55,7 @@
         self._beat = 0
         self._is_dead = False
         self.state = "ready"
-        super().__init__(ip)
+        super().__init__(ip, port)
         self._send_beat()
         for work in (self._send_beats, self._watch):
             threading.Thread(target=work, daemon=True).start()
@@ -132,6 +134,7 @@
         acknowledged = call.get("ack-seq", 0)
         for row in self._ended:
             if row[0] <= acknowledged:
+                self.noted.add((row[1], row[2]))
                 self._record(
                     f"runner {self.runner_id}: end {row[0]} of {row[1]} run "
                     f"{row[2]} {row[3]} is taken note of"
