--- a/review/standin/runner.py
+++ b/review/standin/runner.py
@@ -32,7 +32,7 @@
 
     def __init__(
         self, ip, runner_id, service, store, rack, task_s, record, cpu=32_000,
-        zone="z1", port=0,
+        zone="z1", port=0, kind="a",
     ):
         self.runner_id = runner_id
         self.runs = []
@@ -42,6 +42,7 @@
         self._rack = rack
         self._zone = zone
         self._cpu = cpu
+        self._kind = kind
         self._task_s = task_s
         self._record = record
         self._changed = threading.Condition()
@@ -209,7 +210,7 @@
             "state": self.state,
             "cold-left-ms": 0,
             "capacity": {"cpu": self._cpu, "mem-mb": 131_072, "gpu": 0},
-            "labels": ["a", self._rack],
+            "labels": [self._kind, self._rack],
             "clock-ms": int(time.monotonic() * 1_000),
             "seq": self._beat,
         }
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -45,12 +45,14 @@
     """The store; partition 0 of keyed topics only.
 
     :ivar refused_sizes: sizes of records that were refused as too large.
+    :ivar is_down: whether every call of the system gets 503.
     """
 
     def __init__(self, ip):
         self._changed = threading.Condition()
         self._partitions = {}
         self.refused_sizes = []
+        self.is_down = False
         super().__init__(ip)
 
     def put(self, topic, key, value):
@@ -74,6 +76,8 @@
     def handle(self, method, path, query, headers, body):
         if path not in ("/log-append", "/log-read", "/log-newest"):
             return Answer(404)
+        if self.is_down:
+            return Answer(503)
         topic = query.get("topic", "")
         if not topic.startswith("keyed.") or query.get("part") != "0":
             return Answer(400)
