--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,8 @@
 """Routes are removed by new configurations while jobs are handed in.
 
-Only jobs that were accepted count. With ``TROUBLE=0`` the configurations
-change a time-out and keep all routes.
+Every second one is replaced by a route of another name at the same path, so
+that its jobs can still be asked for. Only jobs that were accepted count. With
+``TROUBLE=0`` the configurations change a time-out and keep all routes.
 """
 
 from __future__ import annotations
@@ -38,6 +39,7 @@
             for number in range(ROUTES)
         ]
         base = route("r-base", "/base/")
+        replacements = []
         system.configure([base, *routes])
         runners = [
             Runner(
@@ -49,6 +51,7 @@
         ]
         system.start()
         record(f"the leader is {system.leader().name}")
+        client = Client(system)
         accepted = {}
         target = {"prefix": "/queue0/", "is_over": False}
         lock = threading.Lock()
@@ -84,7 +87,12 @@
             target["prefix"] = f"/queue{number}/"
             time.sleep(GAP_S)
             if has_trouble:
-                system.configure([base, *routes[number + 1 :]])
+                if number % 2:
+                    prefix = f"/queue{number}/"
+                    replacements.append(route(f"r-{number}-new", prefix))
+                system.configure(
+                    [base, *replacements, *routes[number + 1 :]]
+                )
             else:
                 changed = {"timeout-ms": 2900 - number}
                 system.configure(
@@ -122,7 +130,16 @@
                 f"{count_by_job.get(name, 0)} of its 2 tasks are done and "
                 f"nothing has run for {IDLE_S:.0f} s"
             )
+        replaced = {one["path-prefix"] for one in replacements}
+        gone = 0
+        for name in idle:
+            for instance in system.instances:
+                if accepted[name] not in replaced:
+                    break
+                found = client.state(accepted[name], name, [instance])
+                gone += found == 410
         record(f"{len(accepted)} jobs were accepted, {len(idle)} never ran")
+        record(f"{gone} times an instance said 410 for one of them")
         for instance in system.instances:
             count = instance.text().count("queue-missing")
             record(f"{instance.name}: {count} times queue-missing")
