--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,7 @@
-"""The leader is killed while a route is out of the configuration.
+"""One job whose steps depend on two earlier steps each.
 
-A job is accepted on the route, the route is removed, the leader's process is
-killed, and a later configuration has the route again. With ``TROUBLE=0`` no
-process is killed.
+Ordinary jobs are handed in all the while. With ``TROUBLE=0`` each step of the
+same job depends on one earlier step.
 """
 
 from __future__ import annotations
@@ -11,7 +10,6 @@
 
 from standin.runner import Runner
 from standin.system import SERVICE
-from standin.system import CannotRun
 from standin.system import Client
 from standin.system import System
 from standin.system import job_id
@@ -19,87 +17,109 @@
 from standin.system import route
 
 
-PREFIX = "/fee-reconcile/"
-TASKS = 24
-SHORTEST_S = 0.6
-STEP_S = 0.2
-RESTART_S = 1.0
-REMOVED_S = 6.0
-WATCH_S = 12.0
-JOB = {
-    "spec": "s",
-    "steps": [
-        {"count": TASKS, "cpu": 2000, "mem-mb": 1000, "estimate-ms": 2500}
-    ],
-}
+PREFIX = "/seat-check/"
+STEPS = 36
+TASK_S = 0.3
+CALM_S = 4.0
+BUSY_S = 20.0
+# ``finish_s`` of the sheet, after which jobs are asked for, and the span for
+# which a job must not be idle then.
+FINISH_S = 14.0
+IDLE_S = 3.0
+SMALL = {"spec": "s", "steps": [{"count": 2, "cpu": 2800, "mem-mb": 5700}]}
 
 
-def task_s(name):
-    """Return a duration: 0.6 s for the first task, 5.2 s for the last."""
-    return SHORTEST_S + STEP_S * int(name.rpartition(".")[2])
+def staged_job(has_trouble):
+    reach = 2 if has_trouble else 1
+    steps = []
+    for number in range(STEPS):
+        step = {"count": 1, "cpu": 500, "mem-mb": 256, "estimate-ms": 300}
+        earlier = list(range(max(0, number - reach), number))
+        if earlier:
+            step["depends-on"] = earlier
+        steps.append(step)
+    return {"spec": "staged", "steps": steps}
 
 
 def play(folder, record, has_trouble):
     system = System(folder, 3, record)
     try:
-        base = route("r-base", "/base/")
-        payments = route("r-payments", PREFIX, attempts=2, priority=2)
-        system.configure([base, payments])
+        system.configure([route("seat-check", PREFIX, priority=0, attempts=3)])
         runners = [
             Runner(
-                system.platform_ip, f"i-{number}", SERVICE, system.store,
-                f"r1-{number % 2}", task_s, record,
+                system.platform_ip,
+                f"i-{number}",
+                SERVICE,
+                system.store,
+                f"r1-{number % 2}",
+                lambda _: TASK_S,
+                record,
                 zone=f"z{1 + number % 3}",
             )
             for number in range(6)
         ]
         system.start()
-        leader = system.leader()
-        record(f"the leader is {leader.name}")
+        record(f"the leader is {system.leader().name}")
         client = Client(system)
-        name = job_id(1)
-        if client.submit(PREFIX, name, JOB) != 200:
-            raise CannotRun("the job was not accepted")
-        until_s = time.monotonic() + 3.0
-        while sum(len(runner.runs) for runner in runners) < TASKS:
-            if time.monotonic() > until_s:
-                raise CannotRun("the tasks were not started")
-            time.sleep(0.02)
-        system.configure([base])
-        time.sleep(0.5)
-        if has_trouble:
-            leader.kill()
-            time.sleep(RESTART_S)
-            leader.start()
-        time.sleep(REMOVED_S)
-        system.configure([base, payments])
-        time.sleep(WATCH_S)
-        state = client.state(PREFIX, name)
-        runs = sorted(
-            (run for runner in runners for run in runner.runs),
-            key=lambda run: run[3],
-        )
-        noted = set().union(*(runner.noted for runner in runners))
-        lapsed = sum(event == "lapsed" for _, _, event, _ in runs)
-        record(f"{lapsed} runs lapsed")
-        done_s = {}
-        repeated = set()
-        for task, run, event, at_s in runs:
-            # Only an end that the system took note of counts.
-            if event == "done" and (task, run) in noted:
-                done_s.setdefault(task, at_s)
-            elif event == "start" and task in done_s:
-                repeated.add(task)
+        accepted = []
+
+        def hand_in_for(duration_s):
+            until_s = time.monotonic() + duration_s
+            while time.monotonic() < until_s:
+                name = job_id(len(accepted))
+                if client.submit(PREFIX, name, SMALL) == 200:
+                    accepted.append(name)
+                time.sleep(0.4)
+
+        hand_in_for(CALM_S)
+        staged = job_id(9_999)
+        if client.submit(PREFIX, staged, staged_job(has_trouble)) == 200:
+            accepted.append(staged)
+        hand_in_for(BUSY_S)
+        record("the traffic has ended")
+        time.sleep(FINISH_S)
+        begun_s = time.monotonic()
+        runs = []
+        while time.monotonic() < begun_s + IDLE_S:
+            time.sleep(0.05)
+        for runner in runners:
+            runs += runner.runs
+        starts = {}
+        for task, _, event, _ in runs:
+            if event == "start":
+                starts.setdefault(task.partition(".")[0], []).append(task)
+        active = {
+            task.partition(".")[0]
+            for runner in runners
+            for task in runner.active()
+        }
+        ends = {task for task, _, event, _ in runs if event == "done"}
+        idle = []
+        for name in accepted:
+            count = STEPS if name == staged else 2
+            done = sum(task.startswith(f"{name}.") for task in ends)
+            began_late = any(
+                task.startswith(f"{name}.") and at_s >= begun_s
+                for task, _, _, at_s in runs
+            )
+            if done < count and name not in active and not began_late:
+                idle.append(name)
                 record(
-                    f"{task}: run {run} began {at_s - done_s[task]:.1f} s "
-                    "after an earlier run had ended done, which was taken "
-                    "note of"
+                    f"job {name}: {done} of {count} tasks are done, and "
+                    f"nothing ran for {IDLE_S:.0f} s at the end"
                 )
         record(
-            f"{len(done_s)} of {TASKS} tasks are done, {len(repeated)} were "
-            f"started again after that; the job is {state}"
+            f"{len(accepted)} jobs were accepted; {len(idle)} of them have "
+            "tasks to run and nothing running"
         )
-        return bool(repeated)
+        for name in idle[:3]:
+            client.state(PREFIX, name)
+        for instance in system.instances:
+            record(
+                f"{instance.name}: running {instance.is_running()}, "
+                f"claims {instance.text().count('leadership-claimed')}"
+            )
+        return bool(idle)
     finally:
         system.close()
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -43,8 +43,13 @@
         system.configure([base, *routes])
         runners = [
             Runner(
-                system.platform_ip, f"i-{number}", SERVICE, system.store,
-                f"r1-{number % 2}", lambda _: TASK_S, record,
+                system.platform_ip,
+                f"i-{number}",
+                SERVICE,
+                system.store,
+                f"r1-{number % 2}",
+                lambda _: TASK_S,
+                record,
                 zone=f"z{1 + number % 3}",
             )
             for number in range(6)
@@ -69,8 +74,7 @@
                 except OSError as error:
                     status = error
                 record(
-                    f"client: POST {prefix}{name} at {instance.name}: "
-                    f"{status}"
+                    f"client: POST {prefix}{name} at {instance.name}: {status}"
                 )
                 if status == 200:
                     with lock:
@@ -90,9 +94,7 @@
                 if number % 2:
                     prefix = f"/queue{number}/"
                     replacements.append(route(f"r-{number}-new", prefix))
-                system.configure(
-                    [base, *replacements, *routes[number + 1 :]]
-                )
+                system.configure([base, *replacements, *routes[number + 1 :]])
             else:
                 changed = {"timeout-ms": 2900 - number}
                 system.configure(
@@ -106,7 +108,9 @@
         time.sleep(FINISH_S + IDLE_S)
         until_s = time.monotonic() - IDLE_S
         runs = [run for runner in runners for run in runner.runs]
-        late = {task.partition(".")[0] for task, _, _, at in runs if at > until_s}
+        late = {
+            task.partition(".")[0] for task, _, _, at in runs if at > until_s
+        }
         done = [task for task, _, event, _ in runs if event == "done"]
         count_by_job = {}
         for task in set(done):
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -50,9 +50,15 @@
         system.configure([route("route-watch", PREFIX, attempts=3)])
         runners = [
             Runner(
-                system.platform_ip, f"i-{number}", SERVICE, system.store,
-                f"r1-{number % 2}", task_s, record,
-                zone=f"z{1 + number % 3}", cpu=16_000,
+                system.platform_ip,
+                f"i-{number}",
+                SERVICE,
+                system.store,
+                f"r1-{number % 2}",
+                task_s,
+                record,
+                zone=f"z{1 + number % 3}",
+                cpu=16_000,
             )
             for number in range(6)
         ]
--- a/review/standin/runner.py
+++ b/review/standin/runner.py
@@ -31,8 +31,18 @@
     """
 
     def __init__(
-        self, ip, runner_id, service, store, rack, task_s, record, cpu=32_000,
-        zone="z1", port=0, kind="a",
+        self,
+        ip,
+        runner_id,
+        service,
+        store,
+        rack,
+        task_s,
+        record,
+        cpu=32_000,
+        zone="z1",
+        port=0,
+        kind="a",
     ):
         self.runner_id = runner_id
         self.runs = []
