--- a/review/standin/runner.py
+++ b/review/standin/runner.py
@@ -26,10 +26,17 @@
 
     :param task_s: takes the name of a task; returns its duration.
     :param record: called with a line for each thing that happens.
+    :ivar born_ms: Unix time of the start; None where ids are not used again.
+    :ivar began_s: when this life was first seen, by this process's clock.
+    :ivar uptime_ms: what the runner's clock showed then.
     :ivar runs: (task, run, event, time) of all starts and ends.
     :ivar noted: (task, run) of the ends that the system has taken note of.
     """
 
+    born_ms = None
+    # Runners have been up for some time when a case begins.
+    uptime_ms = 480_000
+
     def __init__(
         self,
         ip,
@@ -45,6 +52,7 @@
         kind="a",
     ):
         self.runner_id = runner_id
+        self.began_s = time.monotonic()
         self.runs = []
         self.noted = set()
         self._service = service
@@ -117,7 +125,7 @@
     def _start(self, call):
         task, run = call["task"], call["run-id"]
         now_s = time.monotonic()
-        if now_s * 1_000 > call["deadline-ms"]:
+        if self._clock_ms() > call["deadline-ms"]:
             return self._answer(409, reason="late")
         self._extend(call["deadline-ms"])
         if run <= self._highest_over.get(task, 0):
@@ -166,12 +174,21 @@
 
     def _extend(self, deadline_ms):
         longest_s = time.monotonic() + MAX_HOLD_S
-        wanted_s = min(deadline_ms / 1_000, longest_s)
+        left_s = (deadline_ms - self._clock_ms()) / 1_000
+        wanted_s = min(time.monotonic() + left_s, longest_s)
         self._lease_end_s = max(self._lease_end_s, wanted_s)
 
     def _answer(self, status, **fields):
-        clock_ms = int(time.monotonic() * 1_000)
-        return Answer.of({"clock-ms": clock_ms, **fields}, status)
+        fields = {**self._born(), **fields}
+        return Answer.of({"clock-ms": self._clock_ms(), **fields}, status)
+
+    def _clock_ms(self):
+        """Return the runner's own clock, which begins anew with each life."""
+        return int((time.monotonic() - self.began_s) * 1_000) + self.uptime_ms
+
+    def _born(self):
+        """Return the field that tells one life under an id from the next."""
+        return {} if self.born_ms is None else {"born": self.born_ms}
 
     def _watch(self):
         while not self._is_dead:
@@ -221,7 +238,8 @@
             "cold-left-ms": 0,
             "capacity": {"cpu": self._cpu, "mem-mb": 131_072, "gpu": 0},
             "labels": [self._kind, self._rack],
-            "clock-ms": int(time.monotonic() * 1_000),
+            "clock-ms": self._clock_ms(),
+            **self._born(),
             "seq": self._beat,
         }
         self._store.put("keyed.servers", self.runner_id, entry)
