--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,8 @@
-"""One job whose steps depend on two earlier steps each.
+"""One job of steps that run one after the other.
 
-Ordinary jobs are handed in all the while. With ``TROUBLE=0`` each step of the
-same job depends on one earlier step.
+Each step lists all earlier ones in ``depends-on``. Ordinary jobs are handed in
+all the while. With ``TROUBLE=0`` each step lists only the one before it, which
+is the same order of work.
 """
 
 from __future__ import annotations
@@ -18,7 +19,7 @@
 
 
 PREFIX = "/seat-check/"
-STEPS = 36
+STEPS = 26
 TASK_S = 0.3
 CALM_S = 4.0
 BUSY_S = 20.0
@@ -30,7 +31,7 @@
 
 
 def staged_job(has_trouble):
-    reach = 2 if has_trouble else 1
+    reach = STEPS if has_trouble else 1
     steps = []
     for number in range(STEPS):
         step = {"count": 1, "cpu": 500, "mem-mb": 256, "estimate-ms": 300}
