--- a/review/standin/system.py
+++ b/review/2/standin/system.py
@@ -23,7 +23,7 @@
 from .web import free_port
 
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[3]
 SERVICE = "clubes-app"
 HOST = "clubes.example"
 READY_TIMEOUT_S = 30.0
@@ -339,7 +339,7 @@
         returns whether the rule was broken.
     """
     folder = pathlib.Path(sys.argv[0]).resolve().parent
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    has_trouble = sys.argv[1:] != ["without"]
     # Stand-ins and processes must also end with the script.
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, lambda *_: sys.exit(2))
