Log what the runs of a silent worker wait for

Cause: no line says why a task on a worker that does not answer waits, or until when; the first one that names the worker gives its runs up. Change: worker-silent, once a worker and leadership, with the time until its leases have certainly expired and whether this leader granted one.

--- a/src/magnoliapitch/control/lease.py
+++ b/src/magnoliapitch/control/lease.py
@@ -34,6 +34,11 @@
         """Return whether an answer has reported the worker's clock."""
         return self._clock_ms is not None
 
+    @property
+    def is_granted(self) -> bool:
+        """Return whether this leader has granted a lease."""
+        return self._deadline_ms > 0
+
     def record_clock(
         self, clock_ms: int, sent_ms: int, received_ms: int
     ) -> None:
--- a/src/magnoliapitch/control/reachability.py
+++ b/src/magnoliapitch/control/reachability.py
@@ -26,6 +26,7 @@
         self._claimed_ms = claimed_ms
         self._lease_by_worker: dict[str, WorkerLease] = {}
         self._answered_ms_by_worker: dict[str, int] = {}
+        self._last_answer_ms_by_worker: dict[str, int] = {}
         self._unanswered_order_ms_by_worker: dict[str, int] = {}
 
     def record_answer(
@@ -37,6 +38,7 @@
         make the worker reachable again.
         """
         self._lease_of(worker_id).record_clock(clock_ms, sent_ms, received_ms)
+        self._last_answer_ms_by_worker[worker_id] = received_ms
         if sent_ms >= self._unanswered_order_ms_by_worker.get(worker_id, 0):
             self._answered_ms_by_worker[worker_id] = received_ms
 
@@ -53,6 +55,18 @@
         """Return whether the worker's last call was answered."""
         return worker_id in self._answered_ms_by_worker
 
+    def silent_ms(self, worker_id: str, now_ms: int) -> int:
+        """Return since when a worker has not answered this leader, in ms."""
+        answered_ms = self._last_answer_ms_by_worker.get(
+            worker_id, self._claimed_ms
+        )
+        return now_ms - answered_ms
+
+    def has_granted(self, worker_id: str) -> bool:
+        """Return whether this leader has granted a lease to a worker."""
+        lease = self._lease_by_worker.get(worker_id)
+        return lease is not None and lease.is_granted
+
     def is_reachable(self, worker_id: str, now_ms: int) -> bool:
         """Return whether the last call was answered, and recently."""
         answered_ms = self._answered_ms_by_worker.get(worker_id)
@@ -101,6 +115,7 @@
         """Drop the data of a worker that is gone."""
         self._lease_by_worker.pop(worker_id, None)
         self._answered_ms_by_worker.pop(worker_id, None)
+        self._last_answer_ms_by_worker.pop(worker_id, None)
         self._unanswered_order_ms_by_worker.pop(worker_id, None)
 
     def _lease_of(self, worker_id: str) -> WorkerLease:
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -32,6 +32,8 @@
 
 # Interval at which it is checked which workers are usable.
 CHECK_INTERVAL_MS = 100
+# A listed worker that has not answered for this long counts as silent.
+SILENT_AFTER_MS = 1_000
 
 
 class WorkerRoster:
@@ -59,6 +61,7 @@
         self.doubtful_orders = DoubtfulOrders()
         self._unproven_losses = UnprovenLosses(state)
         self._checked_ms: int | None = None
+        self._silent_worker_ids: set[str] = set()
 
     def update(
         self, info_by_id: Mapping[str, WorkerInfo], now_ms: int
@@ -135,6 +138,7 @@
 
     def record_answer(self, worker_id: str) -> None:
         """Record that a worker answers, so that it has not ended."""
+        self._silent_worker_ids.discard(worker_id)
         self._unproven_losses.record_answer(worker_id)
 
     def check(self, now_ms: int) -> None:
@@ -161,8 +165,32 @@
                 and worker_id in self.info_by_id
             )
             if not is_reachable:
+                self._record_silence(worker, now_ms)
                 self._lose_runs_if_leases_expired(worker, now_ms)
 
+    def _record_silence(self, worker: TrackedWorker, now_ms: int) -> None:
+        """Log once that the runs of a silent worker wait for its leases."""
+        worker_id = worker.worker_id
+        if worker_id in self._silent_worker_ids or not worker.runs:
+            return
+        if self._reachability.is_answering(worker_id):
+            return
+        is_listed = worker_id in self.info_by_id
+        silent_ms = self._reachability.silent_ms(worker_id, now_ms)
+        if is_listed and silent_ms < SILENT_AFTER_MS:
+            return
+        self._silent_worker_ids.add(worker_id)
+        log_event(
+            "worker-silent",
+            worker=worker_id,
+            is_listed=is_listed,
+            silent_ms=silent_ms,
+            runs=len(worker.runs),
+            has_granted=self._reachability.has_granted(worker_id),
+            leases_end_in_ms=self._reachability.leases_expired_at_ms(worker_id)
+            - now_ms,
+        )
+
     def remove(
         self, worker_id: str, reason: str, now_ms: int, *, has_crashed: bool
     ) -> None:
@@ -193,6 +221,7 @@
         self._forget(worker_id)
 
     def _forget(self, worker_id: str) -> None:
+        self._silent_worker_ids.discard(worker_id)
         self._reachability.forget(worker_id)
         self._report_applier.forget(worker_id)
         self._planner.worker_backoff.forget(worker_id)
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -247,6 +247,13 @@
     "the former incarnation has ended and waits again once a stop order has "
     "made sure of it.",
 )
+define_event(
+    "worker-silent",
+    EventLevel.WARNING,
+    "A worker with runs does not answer; its tasks wait until every lease "
+    "that it may hold has certainly expired. Gives that time, and whether "
+    "this leader has granted one or only former leaders may have.",
+)
 define_event(
     "worker-lease-over",
     EventLevel.WARNING,
