Keep the wait for a silent worker's leases over changes of leader

Cause: a leader that has not reached a worker waited for the whole of a former leader's longest silence and a lease, 13 s, from its own claim. Nothing stored said since when the worker got no lease, so each leader began anew, and leaders lost every few seconds held a task for as long as they went on. Change: leaders share a clock through their heartbeats that never runs ahead of the time that has passed; by it they store when the leases of a silent worker with runs have certainly expired. Such a worker gets no lease before the deletion of that record is stored. Without a record the wait counts from the former leader's last heartbeat instead of from the claim. Conclusion: the wait is 13 s from the last heartbeat before the silence, plus the times without a leader that a new instance has not seen.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -18,6 +18,7 @@
 from magnoliapitch.control.source_ages import Source
 from magnoliapitch.control.source_ages import SourceAges
 from magnoliapitch.control.start_dispatcher import StartDispatcher
+from magnoliapitch.control.stored_leases import StoredLeases
 from magnoliapitch.control.worker_roster import WorkerRoster
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.planner import DEFAULT_OPTIONS
@@ -42,6 +43,7 @@
     from magnoliapitch.control.events import WorkerReported
     from magnoliapitch.control.events import WorkersListed
     from magnoliapitch.control.timing import ControlTiming
+    from magnoliapitch.ledger.elapsed_clock import LeaderClock
     from magnoliapitch.ledger.job_table import JobTable
     from magnoliapitch.ledger.records import LeaderRecord
     from magnoliapitch.ledger.state_table import StateTable
@@ -61,6 +63,7 @@
 
     :param leader: stored claim of leadership, with its epoch.
     :param claimed_ms: when the claim was stored, by this instance's clock.
+    :param clock: the shared clock as the leader continues it.
     :param configuration: returns the newest configuration, or None if none
         was read yet.
     :ivar is_over: whether the leadership has ended; no leases or orders may
@@ -71,6 +74,7 @@
         self,
         leader: LeaderRecord,
         claimed_ms: int,
+        clock: LeaderClock,
         timing: ControlTiming,
         job_table: JobTable,
         state_table: StateTable,
@@ -88,7 +92,10 @@
         self._effects = effects
         self._configuration = configuration
         self._metrics = metrics
-        self._reachability = WorkerReachability(timing, claimed_ms)
+        self._stored_leases = StoredLeases(clock, state_table)
+        self._reachability = WorkerReachability(
+            timing, claimed_ms, clock, self._stored_leases
+        )
         self._report_applier = ReportApplier(self.state, self.planner, metrics)
         self._roster = WorkerRoster(
             self.state,
@@ -126,6 +133,8 @@
             state_table,
             leader,
             timing,
+            clock,
+            self._stored_leases,
             self._delete_jobs,
             self.planner.learned_durations,
             LoadPublisher.from_planner(
@@ -163,6 +172,8 @@
         self._progress_batcher.load(now_ms)
         self._progress_batcher.record_read(job_end)
         self._job_loader.add_all(now_ms)
+        if self._configuration() is not None:
+            self._stored_leases.keep_only(self._worker_ids_with_runs())
         open_count = sum(
             job.outcome is JobOutcome.OPEN
             for job in self.state.jobs_by_id.values()
@@ -361,6 +372,13 @@
             self.is_over = True
             log_event("leadership-lost", epoch=self.epoch, reason=reason)
 
+    def _worker_ids_with_runs(self) -> set[str]:
+        return {
+            worker.worker_id
+            for worker in self.state.workers_by_id.values()
+            if worker.runs
+        }
+
     def _delete_jobs(self, job_ids: Sequence[str]) -> None:
         """Delete ended jobs, of which no run can be active any more."""
         self._job_table.forget_progress(job_ids)
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -179,6 +179,7 @@
         controller = Controller(
             claim.record,
             claim.stored_ms,
+            claim.clock,
             self._timing,
             job_follower.job_table,
             self._state_table,
--- a/src/magnoliapitch/control/progress_batcher.py
+++ b/src/magnoliapitch/control/progress_batcher.py
@@ -6,9 +6,11 @@
 
 from magnoliapitch.control.speed_record import SpeedRecord
 from magnoliapitch.ledger.leadership import Batch
+from magnoliapitch.ledger.records import CLOCK_KEY
 from magnoliapitch.ledger.records import LEADER_KEY
 from magnoliapitch.ledger.records import PROGRESS_PREFIX
 from magnoliapitch.ledger.records import STATE_PREFIX
+from magnoliapitch.ledger.records import encode_clock
 from magnoliapitch.ledger.records import encode_leader
 from magnoliapitch.ledger.records import encode_progress
 from magnoliapitch.ledger.state_table import FINAL_STATES
@@ -23,7 +25,9 @@
     from collections.abc import Sequence
 
     from magnoliapitch.control.load_publisher import LoadPublisher
+    from magnoliapitch.control.stored_leases import StoredLeases
     from magnoliapitch.control.timing import ControlTiming
+    from magnoliapitch.ledger.elapsed_clock import LeaderClock
     from magnoliapitch.ledger.records import LeaderRecord
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.planner.duration import LearnedDurations
@@ -46,6 +50,8 @@
 class ProgressBatcher:
     """Collects changed progress and job states into one batch at a time.
 
+    :param clock: the shared clock as the leader continues it.
+    :param stored_leases: ends of leases that are stored with the states.
     :param delete_jobs: deletes stored jobs that have ended.
     :param learned_durations: what is learned of durations and speeds; None if
         it is not kept.
@@ -58,6 +64,8 @@
         state_table: StateTable,
         leader: LeaderRecord,
         timing: ControlTiming,
+        clock: LeaderClock,
+        stored_leases: StoredLeases,
         delete_jobs: Callable[[Sequence[str]], None],
         learned_durations: LearnedDurations | None = None,
         load_publisher: LoadPublisher | None = None,
@@ -66,6 +74,8 @@
         self._state_table = state_table
         self._leader = leader
         self._timing = timing
+        self._clock = clock
+        self._stored_leases = stored_leases
         self._delete_jobs = delete_jobs
         self._speed_record = SpeedRecord(learned_durations, state_table)
         self._load_publisher = load_publisher
@@ -123,6 +133,7 @@
             has_starts
             or self._state.unsaved_job_ids
             or self._unpublished_job_ids
+            or self._stored_leases.has_changes
         )
         if self._load_publisher and self._load_publisher.prepare(now_ms):
             has_changes = True
@@ -144,6 +155,7 @@
             self._state_table.put(job_id, published)
         self._states_in_commit_by_id = {}
         self._speed_record.record_stored()
+        self._stored_leases.record_stored()
         if self._leader_in_commit is not None:
             self._state_table.leader = self._leader_in_commit
             self._leader_in_commit = None
@@ -219,10 +231,13 @@
             self._leader_in_commit = self._leader
             leader = encode_leader(self._leader)
             records.append(KeyedRecord(LEADER_KEY, leader))
+            clock = encode_clock(self._clock.stamp(now_ms))
+            records.append(KeyedRecord(CLOCK_KEY, clock))
         if self._load_publisher:
             records += self._load_publisher.take_records(now_ms)
         return (
             *records,
+            *self._stored_leases.take_records(),
             *self._speed_record.due_records(now_ms),
             *self._expired_states(now_ms),
         )
--- a/src/magnoliapitch/control/reachability.py
+++ b/src/magnoliapitch/control/reachability.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import threading
+
 from typing import TYPE_CHECKING
 
 from magnoliapitch.control.lease import WorkerLease
 
 
 if TYPE_CHECKING:
+    from magnoliapitch.control.stored_leases import StoredLeases
     from magnoliapitch.control.timing import ControlTiming
+    from magnoliapitch.ledger.elapsed_clock import LeaderClock
 
 
 # A worker whose last answer is older gets no new runs.
@@ -18,12 +22,30 @@
 class WorkerReachability:
     """Last answers and leases of each worker, as far as the leader knows.
 
+    Lease renewal threads call ``next_lease_deadline``; one other thread calls
+    the rest.
+
     :param claimed_ms: when the leader's claim was stored, by its clock.
+    :param clock: the shared clock as the leader continues it.
     """
 
-    def __init__(self, timing: ControlTiming, claimed_ms: int) -> None:
+    def __init__(
+        self,
+        timing: ControlTiming,
+        claimed_ms: int,
+        clock: LeaderClock,
+        stored_leases: StoredLeases,
+    ) -> None:
         self._timing = timing
         self._claimed_ms = claimed_ms
+        self._stored_leases = stored_leases
+        self._inherited_leases_end_ms = claimed_ms + timing.takeover_ms
+        if clock.inherited_ms is not None:
+            self._inherited_leases_end_ms = (
+                clock.local_ms(clock.inherited_ms) + timing.takeover_ms
+            )
+        # Held while a lease is granted, or is found not to be any more.
+        self._lock = threading.Lock()
         self._lease_by_worker: dict[str, WorkerLease] = {}
         self._answered_ms_by_worker: dict[str, int] = {}
         self._last_answer_ms_by_worker: dict[str, int] = {}
@@ -39,12 +61,14 @@
         """
         self._lease_of(worker_id).record_clock(clock_ms, sent_ms, received_ms)
         self._last_answer_ms_by_worker[worker_id] = received_ms
+        self._stored_leases.discard(worker_id)
         if sent_ms >= self._unanswered_order_ms_by_worker.get(worker_id, 0):
             self._answered_ms_by_worker[worker_id] = received_ms
 
     def record_unanswered_renewal(self, worker_id: str) -> None:
         """Record a renewal that was not answered."""
-        self._answered_ms_by_worker.pop(worker_id, None)
+        with self._lock:
+            self._answered_ms_by_worker.pop(worker_id, None)
 
     def record_unanswered_order(self, worker_id: str, now_ms: int) -> None:
         """Record an unanswered order; only renewals sent later count."""
@@ -82,12 +106,30 @@
         So a worker that did not answer gets no further lease; otherwise the
         time when its leases have expired would move on without end.
         """
-        lease = self._lease_by_worker.get(worker_id)
-        if lease is None or not lease.has_clock:
-            return None
-        if not self.is_answering(worker_id):
-            return None
-        return lease.next_deadline(now_ms)
+        with self._lock:
+            lease = self._lease_by_worker.get(worker_id)
+            if lease is None or not lease.has_clock:
+                return None
+            if not self.is_answering(worker_id):
+                return None
+            if not self.may_grant(worker_id):
+                return None
+            return lease.next_deadline(now_ms)
+
+    def may_grant(self, worker_id: str) -> bool:
+        """Return whether no end of the worker's leases is stored."""
+        return self._stored_leases.may_grant(worker_id)
+
+    def record_silent(self, worker_id: str) -> None:
+        """Store when the leases of a worker that does not answer end."""
+        with self._lock:
+            self._stored_leases.put(
+                worker_id, self.leases_expired_at_ms(worker_id)
+            )
+
+    def record_idle(self, worker_id: str) -> None:
+        """Record that a worker has no runs, so that no end need be stored."""
+        self._stored_leases.discard(worker_id)
 
     def estimated_clock_ms(self, worker_id: str, now_ms: int) -> int | None:
         """Return a worker's clock, rather too early than too late.
@@ -108,7 +150,10 @@
         one already.
         """
         self._lease_by_worker[worker_id] = WorkerLease(
-            self._timing, now_ms + self._timing.takeover_ms
+            self._timing,
+            self._inherited_end_ms(
+                worker_id, now_ms + self._timing.takeover_ms
+            ),
         )
 
     def forget(self, worker_id: str) -> None:
@@ -117,13 +162,19 @@
         self._answered_ms_by_worker.pop(worker_id, None)
         self._last_answer_ms_by_worker.pop(worker_id, None)
         self._unanswered_order_ms_by_worker.pop(worker_id, None)
+        self._stored_leases.discard(worker_id)
 
     def _lease_of(self, worker_id: str) -> WorkerLease:
         lease = self._lease_by_worker.get(worker_id)
         if lease is None:
-            inherited_leases_end_ms = (
-                self._claimed_ms + self._timing.takeover_ms
+            end_ms = self._inherited_end_ms(
+                worker_id, self._inherited_leases_end_ms
             )
-            lease = WorkerLease(self._timing, inherited_leases_end_ms)
+            lease = WorkerLease(self._timing, end_ms)
             self._lease_by_worker[worker_id] = lease
         return lease
+
+    def _inherited_end_ms(self, worker_id: str, latest_ms: int) -> int:
+        """Return the stored end of a worker's leases, or the latest one."""
+        stored_ms = self._stored_leases.inherited_end_ms(worker_id)
+        return latest_ms if stored_ms is None else min(stored_ms, latest_ms)
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -161,6 +161,7 @@
             )
             worker.is_usable = (
                 is_reachable
+                and self._reachability.may_grant(worker_id)
                 and not is_avoided
                 and worker_id in self.info_by_id
             )
@@ -169,7 +170,7 @@
                 self._lose_runs_if_leases_expired(worker, now_ms)
 
     def _record_silence(self, worker: TrackedWorker, now_ms: int) -> None:
-        """Log once that the runs of a silent worker wait for its leases."""
+        """Log and store until when the runs of a silent worker wait."""
         worker_id = worker.worker_id
         if worker_id in self._silent_worker_ids or not worker.runs:
             return
@@ -180,6 +181,7 @@
         if is_listed and silent_ms < SILENT_AFTER_MS:
             return
         self._silent_worker_ids.add(worker_id)
+        self._reachability.record_silent(worker_id)
         log_event(
             "worker-silent",
             worker=worker_id,
@@ -239,6 +241,7 @@
         lost = suspect_runs(worker, now_ms)
         self._unproven_losses.add(worker, lost, now_ms, is_listed=True)
         lost_count = self._state.lose_runs(worker_id)
+        self._reachability.record_idle(worker_id)
         if lost_count:
             log_event(
                 "worker-lease-over", worker=worker_id, lost_runs=lost_count
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -13,12 +13,15 @@
 from result import Result
 
 from magnoliapitch.event import log_event
+from magnoliapitch.ledger.elapsed_clock import LeaderClock
 from magnoliapitch.ledger.load_view import ReadTimes
 from magnoliapitch.ledger.mirror import StreamMirror
+from magnoliapitch.ledger.records import CLOCK_KEY
 from magnoliapitch.ledger.records import LEADER_KEY
 from magnoliapitch.ledger.records import PROGRESS_STREAM
 from magnoliapitch.ledger.records import STATE_STREAM
 from magnoliapitch.ledger.records import LeaderRecord
+from magnoliapitch.ledger.records import encode_clock
 from magnoliapitch.ledger.records import encode_leader
 from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.ledger.stream import Writer
@@ -70,10 +73,12 @@
     """A claim of leadership that was stored.
 
     :param stored_ms: time at which the call that stored it was answered.
+    :param clock: the shared clock, from the claim on.
     """
 
     record: LeaderRecord
     stored_ms: int
+    clock: LeaderClock
 
 
 class Batch(NamedTuple):
@@ -209,7 +214,7 @@
         :param wait_ms: how long to wait for a first new record.
         """
         sent_ms = self._clock.now_ms()
-        read = ReadTimes(sent_ms, self._read_ms)
+        previous_ms = self._read_ms
         end_offset = self._mirror.end
         changed = self._mirror.refresh(wait_ms)
         if isinstance(changed, Err):
@@ -219,6 +224,7 @@
         self._read_ms = max(self._read_ms or 0, sent_ms)
         self.has_loaded = True
         if self._mirror.end != end_offset:
+            read = ReadTimes(sent_ms, previous_ms, self._clock.now_ms())
             self._handle_changes(changed.ok_value, read)
         return Ok(None)
 
@@ -362,10 +368,15 @@
             job_offset=job_offset,
             address=self._address,
         )
+        now_ms = self._clock.now_ms()
+        clock = self._state_table.clock.continue_as(epoch, last_epoch, now_ms)
         writer = Writer(PRODUCER, epoch, self._first_sequence())
         outcome = self._streams.append(
             STATE_STREAM,
-            [KeyedRecord(LEADER_KEY, encode_leader(record))],
+            [
+                KeyedRecord(LEADER_KEY, encode_leader(record)),
+                KeyedRecord(CLOCK_KEY, encode_clock(clock.stamp(now_ms))),
+            ],
             writer,
             self._mirror.end,
             APPEND_TIMEOUT_MS,
@@ -376,7 +387,7 @@
         self._mirror.skip_to(outcome.ok_value.end)
         self._state_table.leader = record
         self._appender = _LeaderAppender(_with_next_sequence(writer), writer)
-        self.claim = Claim(record, self._clock.now_ms())
+        self.claim = Claim(record, self._clock.now_ms(), clock)
         self._has_claimed.set()
         log_event("leadership-claimed", epoch=epoch, silent_ms=silent_ms)
 
--- a/src/magnoliapitch/ledger/load_view.py
+++ b/src/magnoliapitch/ledger/load_view.py
@@ -24,10 +24,12 @@
     :param sent_ms: when the read was sent.
     :param previous_ms: when the previous successful one was sent; None if
         there was none.
+    :param received_ms: when the read was answered.
     """
 
     sent_ms: int
     previous_ms: int | None
+    received_ms: int
 
 
 class _Known(NamedTuple):
--- a/src/magnoliapitch/ledger/records.py
+++ b/src/magnoliapitch/ledger/records.py
@@ -6,6 +6,8 @@
 
 from pydantic import TypeAdapter
 
+from magnoliapitch.ledger.elapsed_clock import ClockStamp
+from magnoliapitch.ledger.elapsed_clock import LeaseEnd
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import TaskKey
 from magnoliapitch.workload.job_check import check_job
@@ -22,7 +24,9 @@
 CANCEL_PREFIX = "c."
 PROGRESS_PREFIX = "p."
 STATE_PREFIX = "s."
+LEASE_PREFIX = "l."
 LEADER_KEY = "leader"
+CLOCK_KEY = "clock"
 SPEEDS_KEY = "speeds"
 LOAD_KEY = "load"
 CANCELLED = b"1"
@@ -62,6 +66,8 @@
 
 _JOB_ADAPTER: TypeAdapter[JobSpec] = TypeAdapter(JobSpec)
 _LEADER_ADAPTER: TypeAdapter[LeaderRecord] = TypeAdapter(LeaderRecord)
+_CLOCK_ADAPTER: TypeAdapter[ClockStamp] = TypeAdapter(ClockStamp)
+_LEASE_END_ADAPTER: TypeAdapter[LeaseEnd] = TypeAdapter(LeaseEnd)
 _PROGRESS_ADAPTER: TypeAdapter[_ProgressRecord] = TypeAdapter(_ProgressRecord)
 
 
@@ -95,6 +101,32 @@
     return _LEADER_ADAPTER.validate_json(value)
 
 
+def encode_clock(stamp: ClockStamp) -> bytes:
+    """Encode a reading of the shared clock as JSON."""
+    return _CLOCK_ADAPTER.dump_json(stamp)
+
+
+def decode_clock(value: bytes) -> ClockStamp:
+    """Decode a reading of the shared clock.
+
+    :raises ValueError: if the value is not a valid reading.
+    """
+    return _CLOCK_ADAPTER.validate_json(value)
+
+
+def encode_lease_end(end: LeaseEnd) -> bytes:
+    """Encode the end of a worker's leases as JSON."""
+    return _LEASE_END_ADAPTER.dump_json(end)
+
+
+def decode_lease_end(value: bytes) -> LeaseEnd:
+    """Decode the end of a worker's leases.
+
+    :raises ValueError: if the value is not a valid end.
+    """
+    return _LEASE_END_ADAPTER.validate_json(value)
+
+
 def encode_progress(progress: JobProgress) -> bytes:
     """Encode a job's progress as JSON, without the job's id."""
     rows = tuple(
--- a/src/magnoliapitch/ledger/state_table.py
+++ b/src/magnoliapitch/ledger/state_table.py
@@ -14,19 +14,25 @@
 
 from magnoliapitch.admission import decode_figures
 from magnoliapitch.event import log_event
+from magnoliapitch.ledger.elapsed_clock import ElapsedClock
 from magnoliapitch.ledger.load_view import LoadView
+from magnoliapitch.ledger.records import CLOCK_KEY
 from magnoliapitch.ledger.records import LEADER_KEY
+from magnoliapitch.ledger.records import LEASE_PREFIX
 from magnoliapitch.ledger.records import LOAD_KEY
 from magnoliapitch.ledger.records import SPEEDS_KEY
 from magnoliapitch.ledger.records import STATE_PREFIX
 from magnoliapitch.ledger.records import LeaderRecord
+from magnoliapitch.ledger.records import decode_clock
 from magnoliapitch.ledger.records import decode_leader
+from magnoliapitch.ledger.records import decode_lease_end
 
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Mapping
 
+    from magnoliapitch.ledger.elapsed_clock import LeaseEnd
     from magnoliapitch.ledger.load_view import ReadTimes
 
 
@@ -100,12 +106,17 @@
     :ivar speeds: what the leader has learned of durations and speeds, encoded
         as only the next leader reads it; None if nothing is stored.
     :ivar load: newest load figures of the leader.
+    :ivar clock: clock that successive leaders share.
+    :ivar lease_end_by_worker: when the leases of workers that did not answer
+        the leader have certainly expired.
     """
 
     def __init__(self) -> None:
         self.leader: LeaderRecord | None = None
         self.speeds: bytes | None = None
         self.load = LoadView()
+        self.clock = ElapsedClock()
+        self.lease_end_by_worker: dict[str, LeaseEnd] = {}
         self._lock = threading.Lock()
         self._job_by_id: dict[str, PublishedJob] = {}
         self._pending_by_queue: Counter[str] = Counter()
@@ -169,12 +180,23 @@
         elif key.startswith(STATE_PREFIX):
             job = None if value is None else PublishedJob.decode(value)
             self.put(key[len(STATE_PREFIX) :], job)
+        elif key == CLOCK_KEY:
+            if value is not None and read is not None:
+                self.clock.record(decode_clock(value), read.received_ms)
+        elif key.startswith(LEASE_PREFIX):
+            self._put_lease_end(key[len(LEASE_PREFIX) :], value)
         elif key == LOAD_KEY:
             if value is not None:
                 self.load.apply(decode_figures(value), read)
         else:
             log_event("record-unreadable", key=key, reason="unknown prefix")
 
+    def _put_lease_end(self, worker_id: str, value: bytes | None) -> None:
+        if value is None:
+            self.lease_end_by_worker.pop(worker_id, None)
+        else:
+            self.lease_end_by_worker[worker_id] = decode_lease_end(value)
+
 
 def _decode_names(text: str) -> list[str]:
     names = orjson.loads(text)
--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -176,6 +176,7 @@
         def finish_states() -> None:
             if not self._is_current():
                 return
+            simulation.apply_states(batch.states)
             simulation.controller.handle_commit(
                 Committed(Ok(0), sent_ms), simulation.now_ms
             )
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -18,14 +18,18 @@
 from magnoliapitch.control.events import WorkersListed
 from magnoliapitch.control.timing import ControlTiming
 from magnoliapitch.ledger.job_table import JobTable
+from magnoliapitch.ledger.load_view import ReadTimes
 from magnoliapitch.ledger.records import CANCEL_PREFIX
 from magnoliapitch.ledger.records import CANCELLED
+from magnoliapitch.ledger.records import CLOCK_KEY
 from magnoliapitch.ledger.records import JOB_PREFIX
 from magnoliapitch.ledger.records import LeaderRecord
+from magnoliapitch.ledger.records import encode_clock
 from magnoliapitch.ledger.records import encode_job
 from magnoliapitch.ledger.state_table import FINAL_STATES
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.ledger.state_table import StateTable
+from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.metric import Metrics
 from magnoliapitch.planner.planner import DEFAULT_OPTIONS
 from magnoliapitch.resource import Resources
@@ -170,6 +174,7 @@
         self._submitted_ms: dict[str, int] = {}
         self._advisor_calls_in_flight_count = 0
         self._epoch = 0
+        self._clock_records: list[KeyedRecord] = []
         self._job_end = 0
         self.controller = self.take_over()
         self._list_workers()
@@ -205,10 +210,16 @@
 
     def take_over(self) -> Controller:
         """Replace the controller by a new leader that knows only the store."""
+        clock = self.states.clock.continue_as(
+            self._epoch + 1, self._epoch, self.now_ms
+        )
         self._epoch += 1
+        stamp = encode_clock(clock.stamp(self.now_ms))
+        self.apply_states([KeyedRecord(CLOCK_KEY, stamp)])
         controller = Controller(
             LeaderRecord(self._epoch, f"entry-{self._epoch}"),
             self.now_ms,
+            clock,
             TIMING,
             self.job_table,
             self.states,
@@ -221,6 +232,10 @@
         self.controller = controller
         return controller
 
+    def forget_reading_times(self) -> None:
+        """Let the next leader be an instance that has only just started."""
+        self.apply_states(self._clock_records)
+
     def valid_ms(self, step: StepKey) -> int:
         """Return how long a permit for a step is valid."""
         spec = self.specs[step.job_id]
@@ -278,6 +293,18 @@
             else:
                 self.stored_progress_keys.add(key)
 
+    def apply_states(self, records: Sequence[KeyedRecord]) -> None:
+        """Let every instance read what the leader has stored."""
+        values = {
+            record.key: record.value for record in records if record.value
+        }
+        keys = [record.key for record in records]
+        read = ReadTimes(self.now_ms, None, self.now_ms)
+        self.states.apply(values, keys, read)
+        self._clock_records = [
+            record for record in records if record.key == CLOCK_KEY
+        ] or self._clock_records
+
     def record_stored(self) -> None:
         """Record the jobs that have ended since the last commit."""
         self.commit_count += 1
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -15,6 +15,7 @@
 from magnoliapitch.control.driver import ControlDriver
 from magnoliapitch.control.order_sender import OrderSender
 from magnoliapitch.control.timing import ControlTiming
+from magnoliapitch.ledger.elapsed_clock import LeaderClock
 from magnoliapitch.ledger.job_table import JobTable
 from magnoliapitch.ledger.leadership import Batch
 from magnoliapitch.ledger.leadership import Claim
@@ -48,7 +49,11 @@
         self._clock = clock
 
     def claim_with(self, epoch: int) -> None:
-        self.claim = Claim(LeaderRecord(epoch, "a"), self._clock.now_ms())
+        self.claim = Claim(
+            LeaderRecord(epoch, "a"),
+            self._clock.now_ms(),
+            LeaderClock(epoch, epoch, 0),
+        )
 
     def wait_for_claim(self, timeout_ms: int) -> Claim | None:
         del timeout_ms
--- /dev/null
+++ b/tests/control/test_lost_leaders.py
@@ -0,0 +1,148 @@
+"""Workers fall silent while one leader after the other is lost."""
+
+from __future__ import annotations
+
+import pytest
+
+from magnoliapitch.resource import Resources
+from magnoliapitch.workload.job import JobSpec
+from magnoliapitch.workload.job import StepSpec
+from magnoliapitch.workload.job import TaskKey
+from tests.control.delegation.simulated_agents import DelegatedEffects
+from tests.control.simulated_effects import SimulatedEffects
+from tests.control.simulation import TIMING
+from tests.control.simulation import Simulation
+from tests.control.simulation import queue
+from tests.control.simulation import workers
+from tests.control.test_capacity_under_faults import FaultyRun
+
+
+SIZE = Resources(2_000, 4_000)
+TASK = TaskKey("service", 0, 0, 0)
+EFFECTS_TYPES = (SimulatedEffects, DelegatedEffects)
+# Time without a leader at each loss.
+LEADERLESS_MS = 1_200
+
+
+def make_simulation(
+    effects_type: type[SimulatedEffects] = SimulatedEffects,
+) -> Simulation:
+    simulation = Simulation(
+        [queue("q")], workers(3, SIZE.times(4)), effects_type=effects_type
+    )
+    simulation.actual_duration_ms = lambda _: 1e9
+    step = StepSpec(1, SIZE, is_long_running=True)
+    simulation.submit(JobSpec("service", "q", "text", (step,)))
+    simulation.run_until(lambda: simulation.starts[TASK])
+    simulation.run(3_000)
+    return simulation
+
+
+def lose_leader(simulation: Simulation, *, is_known: bool = True) -> None:
+    """Lose the leader; another one begins a while later.
+
+    :param is_known: whether the next one had read the former one's records.
+    """
+    simulation.controller.is_over = True
+    simulation.run(LEADERLESS_MS)
+    if not is_known:
+        simulation.forget_reading_times()
+    simulation.take_over()
+
+
+def take_worker_away(simulation: Simulation) -> None:
+    [worker] = [w for w in simulation.workers.values() if w.running]
+    worker.running.clear()
+    worker.is_gone = True
+    simulation.unreachable_worker_ids = {worker.info.worker_id}
+
+
+# Incident LOST: a task that lasts was not started again for as long as leaders
+# were lost, since each of them waited for all leases anew.
+@pytest.mark.parametrize("effects_type", EFFECTS_TYPES)
+@pytest.mark.parametrize("interval_ms", [2_500, 5_000])
+def test_the_wait_for_leases_goes_on_over_changes_of_leader(
+    interval_ms: int, effects_type: type[SimulatedEffects]
+) -> None:
+    simulation = make_simulation(effects_type)
+    take_worker_away(simulation)
+    gone_ms = simulation.now_ms
+    while simulation.starts[TASK] < 2:
+        lose_leader(simulation)
+        simulation.run(interval_ms - LEADERLESS_MS)
+        longest_ms = TIMING.takeover_ms + LEADERLESS_MS + interval_ms
+        assert simulation.now_ms - gone_ms < longest_ms
+    assert simulation.violations == []
+
+
+# The same when every instance is replaced, so that no next leader has read the
+# records of the former one before it is lost.
+def test_the_wait_for_leases_goes_on_with_instances_that_know_nothing() -> (
+    None
+):
+    simulation = make_simulation()
+    take_worker_away(simulation)
+    gone_ms = simulation.now_ms
+    interval_ms = 5_000
+    while simulation.starts[TASK] < 2:
+        lose_leader(simulation, is_known=False)
+        simulation.run(interval_ms - LEADERLESS_MS)
+        leading_share = 1 - LEADERLESS_MS / interval_ms
+        longest_ms = TIMING.takeover_ms / leading_share + 2 * interval_ms
+        assert simulation.now_ms - gone_ms < longest_ms
+    assert simulation.violations == []
+
+
+# A worker whose stored end has been relied on must not get a lease that the
+# next leader does not know of.
+def test_a_worker_that_answers_again_gets_a_lease_once_that_is_stored() -> (
+    None
+):
+    simulation = make_simulation()
+    [worker] = [w for w in simulation.workers.values() if w.running]
+    worker_id = worker.info.worker_id
+    simulation.unreachable_worker_ids = {worker_id}
+    simulation.run(2_000)
+    assert worker_id in simulation.states.lease_end_by_worker
+    simulation.unreachable_worker_ids = set()
+    simulation.store_is_unavailable = True
+    simulation.run(400)
+    controller = simulation.controller
+    granted = controller.next_lease_deadline(worker_id, simulation.now_ms)
+    assert granted is None
+    simulation.store_is_unavailable = False
+    simulation.run(1_000)
+    assert worker_id not in simulation.states.lease_end_by_worker
+    assert controller.next_lease_deadline(worker_id, simulation.now_ms)
+    simulation.run(10_000)
+    assert simulation.starts[TASK] == 1
+
+
+class LostLeadersRun(FaultyRun):
+    """A faulty run whose leaders are lost all the time.
+
+    Some instances have read the former leader's records before it is lost.
+    """
+
+    def _cause_faults(self) -> None:
+        super()._cause_faults()
+        if self._happens(0.25):
+            delay_ms = self._random.randrange(100, 3_000)
+            self.simulation.controller.is_over = True
+            self.simulation.schedule(delay_ms, self._take_over)
+
+    def _take_over(self) -> None:
+        if self._happens(0.5):
+            self.simulation.forget_reading_times()
+        super()._take_over()
+
+
+@pytest.mark.parametrize("effects_type", EFFECTS_TYPES)
+@pytest.mark.parametrize("seed", range(4))
+def test_no_task_runs_twice_while_leaders_are_lost_under_faults(
+    seed: int, effects_type: type[SimulatedEffects]
+) -> None:
+    run = LostLeadersRun(seed, effects_type)
+    run.play()
+    assert run.simulation.violations == []
+    assert set(run.simulation.finished) == set(run.job_ids)
