Start tasks of long-running steps again however they end

Cause: an end `done` marked a task as done for good, whether its step is long-running or not (scheduler state, record_end). So one such end left the task down, and the job was shown as completed once all had ended so. The time that such a run took was also averaged with the durations of its queue.

Change: a step decides which ends complete its tasks; none does for a long-running step. Its tasks start again at once. Only while their runs end by themselves (done or failed) within 5 s they pause, from the second such end in a row on: 250 ms, doubled up to 2 s. The series is kept in `failures`, which is stored already and had no meaning for these steps; the pause itself is not stored. So a new leader starts the task at once, one start a leadership, and goes on with the series. A gang has one series. Progress that an earlier release stored with a long-running task as done lets it start again; a job whose outcome is stored as completed stays so. Ends of services teach no durations and clear no worker. A step that depends on a long-running one never starts (as before, now also if all its tasks have ended done): its job is shown as running. After a change of leader the older of two runs of a speculative service is stopped, since only tasks that may have copies may have two.

--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -134,7 +134,9 @@
         end_clock: EndClock | None,
     ) -> None:
         run = self._state.run(end.task, end.run, worker_id)
-        if run is not None and end.kind is EndKind.DONE:
+        task = self._state.task(end.task)
+        completes = task is not None and task.step.is_completed_by(end.kind)
+        if run is not None and completes:
             if end_clock is not None:
                 run.end_clock_ms = end_clock.ms_if_exact(run.start_clock_ms)
             self._log_avoided_workers(self._planner.record_done(run, now_ms))
@@ -142,7 +144,7 @@
             self._planner.record_failed(run)
         is_news = self._state.record_end(worker_id, end, now_ms)
         self._metrics.count("runs_ended", end.kind.value)
-        if end.kind is EndKind.DONE and is_news:
+        if completes and is_news:
             self._log_step_done(end)
             return
         log_event(
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -8,6 +8,7 @@
 from magnoliapitch.control.log_fields import run_fields
 from magnoliapitch.control.unproven_losses import UnprovenLosses
 from magnoliapitch.event import log_event
+from magnoliapitch.planner.evacuation import evacuate_services
 from magnoliapitch.planner.worker_loss import count_crash
 from magnoliapitch.planner.worker_loss import move_runs
 from magnoliapitch.planner.worker_loss import suspect_runs
@@ -95,7 +96,7 @@
                 log_event(
                     "worker-draining", worker=worker_id, runs=_run_count(known)
                 )
-                self._state.evacuate_services(worker_id)
+                evacuate_services(self._state, worker_id)
 
     def _replace(
         self, former: Incarnation, current: Incarnation, now_ms: int
--- a/src/magnoliapitch/planner/evacuation.py
+++ b/src/magnoliapitch/planner/evacuation.py
@@ -120,6 +120,17 @@
         return run.started_ms + shortest_ms > leaves_ms + UNSAVED_MARGIN_MS
 
 
+def evacuate_services(state: SchedulerState, worker_id: str) -> None:
+    """Mark the runs of services on a worker that leaves for stopping.
+
+    Their tasks start again elsewhere. They would otherwise be down from when
+    the worker leaves until its lease has certainly expired.
+    """
+    for run in state.get_or_add_worker(worker_id).runs:
+        if run.task.step.spec.is_long_running:
+            state.mark_for_stop(run)
+
+
 def _mark(state: SchedulerState, run: TrackedRun) -> None:
     step = run.task.step
     if step.spec.is_gang:
--- a/src/magnoliapitch/planner/restore.py
+++ b/src/magnoliapitch/planner/restore.py
@@ -84,7 +84,8 @@
 ) -> None:
     task.runs = progress.runs
     task.failures = progress.failures
-    task.is_done = progress.is_done
+    is_long_running = task.step.spec.is_long_running
+    task.is_done = progress.is_done and not is_long_running
     task.checkpoint = progress.checkpoint
     task.worker_crashes = progress.worker_crashes
     task.worker_losses = progress.worker_losses
@@ -97,7 +98,7 @@
         run.has_ended_with_worker = placement.has_ended_with_worker
         if is_over:
             state.mark_for_stop(run)
-    if not task.step.spec.is_speculative:
+    if not task.step.spec.may_have_copies:
         _stop_superseded_runs(state, task)
 
 
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -5,6 +5,7 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
+from magnoliapitch.planner.restart_pause import RestartPauses
 from magnoliapitch.planner.restore import progress_of
 from magnoliapitch.planner.restore import restore_progress
 from magnoliapitch.planner.tracked import TrackedJob
@@ -54,6 +55,7 @@
         self.unsaved_job_ids: set[str] = set()
         self.waiting_steps: dict[StepKey, TrackedStep] = {}
         self.scheduled_steps: dict[StepKey, TrackedStep] = {}
+        self._restart_pauses = RestartPauses()
         self.suspects_by_key: dict[TaskKey, TrackedTask] = {}
         self.runs_to_stop: dict[int, TrackedRun] = {}
         self.workspaces_by_name: Mapping[str, Workspace] = MappingProxyType({})
@@ -86,6 +88,12 @@
                 del self.scheduled_steps[key]
                 self._open_step(step, now_ms)
 
+    def end_due_pauses(self, now_ms: int) -> None:
+        """Let the tasks start again whose pause is over."""
+        for task in self._restart_pauses.take_due(now_ms):
+            if task.is_waiting:
+                self._adjust_waiting_count(task.step, 1)
+
     def cancel_job(self, job_id: str) -> None:
         """Cancel an open job and mark its runs for stopping."""
         job = self.jobs_by_id.get(job_id)
@@ -221,16 +229,6 @@
         for run in step.all_active_runs():
             self.mark_for_stop(run, reason)
 
-    def evacuate_services(self, worker_id: str) -> None:
-        """Mark the runs of services on a worker that leaves for stopping.
-
-        Their tasks start again elsewhere. They would otherwise be down from
-        when the worker leaves until its lease has certainly expired.
-        """
-        for run in self.get_or_add_worker(worker_id).runs:
-            if run.task.step.spec.is_long_running:
-                self.mark_for_stop(run)
-
     def add_run(
         self, task: TrackedTask, number: int, worker_id: str, now_ms: int
     ) -> TrackedRun:
@@ -245,7 +243,7 @@
         self, task: TrackedTask, number: int, worker_id: str, now_ms: int
     ) -> TrackedRun:
         """Add a run of a task that may be waiting, which it then is not."""
-        if not task.active_runs and not task.is_done:
+        if task.is_waiting:
             self._adjust_waiting_count(task.step, -1)
         return self.add_run(task, number, worker_id, now_ms)
 
@@ -280,10 +278,12 @@
         run = self.run(end.task, end.run, worker_id)
         if end.checkpoint and not task.is_done:
             self._save_checkpoint(task, end.checkpoint)
-        if end.kind is EndKind.DONE:
+        if task.step.is_completed_by(end.kind):
             self._record_done(task, end.run, now_ms)
         elif run is None:
             return False
+        elif task.step.spec.is_long_running:
+            self._restart_pauses.record_end(run, end.kind, now_ms)
         elif end.kind is EndKind.FAILED:
             task.record_failure(run)
         if run is not None:
@@ -299,7 +299,7 @@
         self.workspace_usage.remove(run)
         self.runs_to_stop.pop(id(run), None)
         self.unsaved_job_ids.add(task.key.job_id)
-        if not task.active_runs and not task.is_done:
+        if task.is_waiting:
             self._adjust_waiting_count(task.step, 1)
 
     def record_permits(
@@ -340,10 +340,10 @@
         done_tasks = task.step.tasks if task.step.spec.is_gang else [task]
         for member in done_tasks:
             if not member.is_done:
+                if member.is_waiting:
+                    self._adjust_waiting_count(task.step, -1)
                 member.is_done = True
                 task.step.unfinished_count -= 1
-                if not member.active_runs:
-                    self._adjust_waiting_count(task.step, -1)
                 self.unsaved_job_ids.add(task.key.job_id)
             for run in member.active_runs:
                 if run.number != number:
--- a/src/magnoliapitch/planner/straggler.py
+++ b/src/magnoliapitch/planner/straggler.py
@@ -53,7 +53,7 @@
             run
             for worker in state.workers_by_id.values()
             for run in worker.runs
-            if run.task.step.spec.is_speculative
+            if run.task.step.spec.may_have_copies
             and self._is_straggler(run, now_ms)
         ]
         found.sort(key=lambda run: run.started_ms or 0)
@@ -99,10 +99,8 @@
         task = run.task
         spec = task.step.spec
         if (
-            spec.is_gang
-            or spec.is_long_running
             # Copies are not counted against these limits.
-            or spec.max_per_worker
+            spec.max_per_worker
             or task.step.job.spec.workspace
             or task.is_done
             or len(task.active_runs) > 1
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -11,6 +11,7 @@
 from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.workload.job import StepKey
 from magnoliapitch.workload.progress import JobOutcome
+from magnoliapitch.workload.run import EndKind
 
 
 if TYPE_CHECKING:
@@ -158,9 +159,9 @@
         members of a gang share a number.
     :ivar hold_until_ms: until when suspects wait for word of a worker that
         they were lost with; 0 if there is none.
-    :ivar unfinished_count: number of tasks that are not done.
-    :ivar waiting_count: number of tasks that are not done and have no
-        active run.
+    :ivar unfinished_count: number of tasks that are not done; those of a
+        long-running step never are.
+    :ivar waiting_count: number of tasks that are waiting to be started.
     :ivar start_limit: most tasks that the quota and share of the step's
         workspace let start in this planning round.
     :ivar is_beyond_share: whether the newest round placed the step last,
@@ -255,13 +256,16 @@
             for task in self.tasks
         )
 
+    def is_completed_by(self, kind: EndKind) -> bool:
+        """Return whether a run that ends so completes its task.
+
+        Tasks of long-running steps start again however they end.
+        """
+        return kind is EndKind.DONE and not self.spec.is_long_running
+
     def startable_tasks(self) -> list[TrackedTask]:
-        """Return the tasks that are not done and have no active run."""
-        return [
-            task
-            for task in self.tasks
-            if not task.is_done and not task.active_runs
-        ]
+        """Return the tasks that are waiting to be started."""
+        return [task for task in self.tasks if task.is_waiting]
 
     def has_interrupted_task(self) -> bool:
         """Return whether a task that was started before has to start again."""
--- a/src/magnoliapitch/planner/tracked_task.py
+++ b/src/magnoliapitch/planner/tracked_task.py
@@ -19,8 +19,11 @@
 
     :ivar runs: highest run number ordered so far; 0 before the first.
     :ivar failures: number of failed runs; a failed run of a gang counts for
-        only one of its tasks.
+        only one of its tasks. Of a long-running step, number of runs in a row
+        that ended early.
     :ivar active_runs: runs that were ordered and may still be active.
+    :ivar paused_until_ms: until when the task is not started again; 0 if it
+        does not pause.
     :ivar preemptions: number of runs that were stopped for more urgent work
         under this leader.
     :ivar worker_crashes: workers that ended while a run was active there.
@@ -34,6 +37,7 @@
         "failures",
         "is_done",
         "key",
+        "paused_until_ms",
         "preemptions",
         "runs",
         "step",
@@ -49,10 +53,16 @@
         self.is_done = False
         self.checkpoint: str = ""
         self.active_runs: list[TrackedRun] = []
+        self.paused_until_ms = 0
         self.preemptions = 0
         self.worker_crashes = 0
         self.worker_losses = 0
 
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether the task may be started now."""
+        return not (self.is_done or self.active_runs or self.paused_until_ms)
+
     @property
     def lost_worker_count(self) -> int:
         """Return with how many workers a run of the task was lost."""
--- a/src/magnoliapitch/workload/job.py
+++ b/src/magnoliapitch/workload/job.py
@@ -56,8 +56,10 @@
     :param max_per_worker: most tasks of the step on one worker; 0 for no
         limit.
     :param is_speculative: whether copies of a task may run in parallel; the
-        first that is done counts.
-    :param is_long_running: whether tasks run until the job is cancelled.
+        first that is done counts. Gangs and long-running tasks have none.
+    :param is_long_running: whether tasks run until the job is cancelled. They
+        start again however they end, so that no step that depends on theirs
+        ever starts.
     :param image: name of the program; tasks of one image behave alike.
     :param tail_target_ms: tail latency that long-running tasks must keep
         for their own users; 0 if there is no target.
@@ -85,6 +87,13 @@
     uses_leftover: bool = False
     max_unavailable: int | None = None
 
+    @property
+    def may_have_copies(self) -> bool:
+        """Return whether a task may have several runs at the same time."""
+        return self.is_speculative and not (
+            self.is_gang or self.is_long_running
+        )
+
     @property
     def reservation(self) -> Resources:
         """Return the capacity that one task reserves on a worker."""
