Planner: the cost of a job is linear in its steps and dependencies

Cause: ranks walked every path through a job's steps (2^24 for 26 steps that each list all earlier ones) and recursed once a step of a chain; each end of a run read all steps, and with them all tasks, of its job to find out whether it had ended or failed, and which steps were free.

Change: JobPaths computes the longest paths of an occurrence in one pass over steps and dependencies, at most once for each time; StepDependencies counts what each step still waits for; an end checks only the task that has failed. After a change of a queue's attempts all tasks are checked once, at the next end, as before. No recursion over steps is left.

--- a/src/magnoliapitch/control/progress_batcher.py
+++ b/src/magnoliapitch/control/progress_batcher.py
@@ -28,7 +28,7 @@
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.planner.duration import LearnedDurations
     from magnoliapitch.planner.scheduler_state import SchedulerState
-    from magnoliapitch.planner.tracked import TrackedJob
+    from magnoliapitch.planner.tracked_job import TrackedJob
     from magnoliapitch.workload.progress import JobProgress
 
 
--- a/src/magnoliapitch/planner/ranking.py
+++ b/src/magnoliapitch/planner/ranking.py
@@ -8,7 +8,6 @@
 
 if TYPE_CHECKING:
     from magnoliapitch.planner.duration import DurationEstimator
-    from magnoliapitch.planner.tracked import TrackedJob
     from magnoliapitch.planner.tracked import TrackedStep
 
 
@@ -56,11 +55,15 @@
         or now_ms >= step.rank_computed_ms + RANK_REFRESH_INTERVAL_MS
     ):
         step.rank_computed_ms = now_ms
-        step.objective_ms = _objective_ms(job, duration_estimator)
+        step.objective_ms = (
+            job.queue.target_ms
+            + job.queue.stretch
+            * job.paths.longest_ms(duration_estimator, now_ms)
+        )
         step.latest_end_ms = (
             job.known_ms
             + step.objective_ms
-            - _dependent_path_ms(step, duration_estimator)
+            - job.paths.dependent_path_ms(step, duration_estimator, now_ms)
         )
         step.latest_start_ms = step.latest_end_ms - (
             duration_estimator.probable_ms(step, step.latest_end_ms - now_ms)
@@ -77,53 +80,3 @@
         lateness = 1 if now_ms <= latest_useful_start_ms else 2
         latest_start_ms = latest_useful_start_ms
     return Rank(True, job.queue.priority, lateness, latest_start_ms)
-
-
-def _objective_ms(
-    job: TrackedJob, duration_estimator: DurationEstimator
-) -> float:
-    longest_path_ms = max(
-        (
-            _path_ms(job, number, duration_estimator)
-            for number in _step_numbers(job)
-        ),
-        default=0.0,
-    )
-    return job.queue.target_ms + job.queue.stretch * longest_path_ms
-
-
-def _remaining_path_ms(
-    step: TrackedStep, duration_estimator: DurationEstimator
-) -> float:
-    """Return the longest path from a step to the end of its job, in ms."""
-    own_ms = duration_estimator.expected_ms(step)
-    return own_ms + _dependent_path_ms(step, duration_estimator)
-
-
-def _dependent_path_ms(
-    step: TrackedStep, duration_estimator: DurationEstimator
-) -> float:
-    """Return the longest path from the end of a step to that of its job."""
-    dependent_paths_ms = [
-        _remaining_path_ms(dependent, duration_estimator)
-        for dependent in step.job.steps[step.key.occurrence]
-        if step.key.step in dependent.spec.depends_on
-    ]
-    return max(dependent_paths_ms, default=0.0)
-
-
-def _path_ms(
-    job: TrackedJob, number: int, duration_estimator: DurationEstimator
-) -> float:
-    step = job.steps[0][number]
-    dependency_paths_ms = [
-        _path_ms(job, dependency, duration_estimator)
-        for dependency in step.spec.depends_on
-    ]
-    return duration_estimator.expected_ms(step) + max(
-        dependency_paths_ms, default=0.0
-    )
-
-
-def _step_numbers(job: TrackedJob) -> range:
-    return range(len(job.spec.steps))
--- a/src/magnoliapitch/planner/reconfiguration.py
+++ b/src/magnoliapitch/planner/reconfiguration.py
@@ -26,6 +26,8 @@
         return
     for job in state.jobs_by_id.values():
         queue = configuration.queues_by_name.get(job.spec.queue)
+        if queue is not None and queue.attempts != job.queue.attempts:
+            job.must_check_failures = True
         job.queue = queue or job.queue
         for step in job.all_steps():
             step.start_limit = sys.maxsize
--- a/src/magnoliapitch/planner/restore.py
+++ b/src/magnoliapitch/planner/restore.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from magnoliapitch.event import log_event
+from magnoliapitch.planner.step_dependencies import StepDependencies
 from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.progress import JobProgress
 from magnoliapitch.workload.progress import Placement
@@ -13,8 +14,8 @@
 
 if TYPE_CHECKING:
     from magnoliapitch.planner.scheduler_state import SchedulerState
-    from magnoliapitch.planner.tracked import TrackedJob
     from magnoliapitch.planner.tracked import TrackedStep
+    from magnoliapitch.planner.tracked_job import TrackedJob
     from magnoliapitch.planner.tracked_task import TrackedTask
 
 
@@ -74,6 +75,7 @@
         step.unfinished_count = sum(not task.is_done for task in step.tasks)
         step.waiting_count = len(step.startable_tasks())
         _stop_incomplete_gang(state, step)
+    job.dependencies = StepDependencies(job.steps)
 
 
 def _restore_task(
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -7,10 +7,10 @@
 
 from magnoliapitch.planner.restore import progress_of
 from magnoliapitch.planner.restore import restore_progress
-from magnoliapitch.planner.tracked import TrackedJob
 from magnoliapitch.planner.tracked import TrackedRun
 from magnoliapitch.planner.tracked import TrackedStep
 from magnoliapitch.planner.tracked import TrackedWorker
+from magnoliapitch.planner.tracked_job import TrackedJob
 from magnoliapitch.planner.workspace_usage import WorkspaceUsage
 from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.run import EndKind
@@ -73,7 +73,7 @@
             restore_progress(self, job, progress, now_ms)
         self._update_outcome(job)
         if job.outcome is JobOutcome.OPEN:
-            self._open_steps(job, now_ms)
+            self._open_steps(job.dependencies.released_steps(), now_ms)
         return job
 
     def open_due_steps(self, now_ms: int, wall_ms: int) -> None:
@@ -278,17 +278,18 @@
         if task is None:
             return False
         run = self.run(end.task, end.run, worker_id)
+        failed_task: TrackedTask | None = None
         if end.checkpoint and not task.is_done:
             self._save_checkpoint(task, end.checkpoint)
         if end.kind is EndKind.DONE:
             self._record_done(task, end.run, now_ms)
         elif run is None:
             return False
-        elif end.kind is EndKind.FAILED:
-            task.record_failure(run)
+        elif end.kind is EndKind.FAILED and task.record_failure(run):
+            failed_task = task
         if run is not None:
             self.remove_run(run)
-        self._update_outcome(task.step.job)
+        self._update_outcome(task.step.job, failed_task)
         return True
 
     def remove_run(self, run: TrackedRun) -> None:
@@ -337,27 +338,35 @@
 
         :param number: number of the run.
         """
-        done_tasks = task.step.tasks if task.step.spec.is_gang else [task]
-        for member in done_tasks:
+        step, was_done = task.step, task.step.is_done
+        is_end_of_gang = step.spec.is_gang and not was_done
+        for member in step.tasks if is_end_of_gang else [task]:
             if not member.is_done:
                 member.is_done = True
-                task.step.unfinished_count -= 1
+                step.unfinished_count -= 1
                 if not member.active_runs:
-                    self._adjust_waiting_count(task.step, -1)
+                    self._adjust_waiting_count(step, -1)
                 self.unsaved_job_ids.add(task.key.job_id)
             for run in member.active_runs:
                 if run.number != number:
                     self.mark_for_stop(run)
-        if task.step.is_done and task.step.job.outcome is JobOutcome.OPEN:
-            self._open_steps(task.step.job, now_ms)
+        if step.is_done and not was_done:
+            released = step.job.dependencies.record_done(step)
+            if step.job.outcome is JobOutcome.OPEN:
+                self._open_steps(released, now_ms)
 
-    def _update_outcome(self, job: TrackedJob) -> None:
-        """Close an open job if its steps have all ended or one has failed."""
+    def _update_outcome(
+        self, job: TrackedJob, failed_task: TrackedTask | None = None
+    ) -> None:
+        """Close an open job if its steps have all ended or one has failed.
+
+        :param failed_task: task that has failed once more.
+        """
         if job.outcome is not JobOutcome.OPEN:
             return
-        if any(step.has_failed for step in job.all_steps()):
+        if job.has_failed(failed_task):
             self._close_job(job, JobOutcome.FAILED)
-        elif all(step.is_done for step in job.all_steps()):
+        elif not job.dependencies.unfinished_count:
             self._close_job(job, JobOutcome.COMPLETED)
 
     def _close_job(self, job: TrackedJob, outcome: JobOutcome) -> None:
@@ -369,21 +378,13 @@
             if outcome is not JobOutcome.COMPLETED:
                 self.stop_step(step)
 
-    def _open_steps(self, job: TrackedJob, now_ms: int) -> None:
-        """Open or schedule the steps whose dependencies are done."""
-        for steps in job.steps:
-            for step in steps:
-                if step.is_done or step.ready_ms is not None:
-                    continue
-                if step.key in self.scheduled_steps:
-                    continue
-                if all(
-                    steps[number].is_done for number in step.spec.depends_on
-                ):
-                    if job.spec.run_count:
-                        self.scheduled_steps[step.key] = step
-                    else:
-                        self._open_step(step, now_ms)
+    def _open_steps(self, steps: Iterable[TrackedStep], now_ms: int) -> None:
+        """Open or schedule steps whose dependencies are done."""
+        for step in steps:
+            if step.job.spec.run_count:
+                self.scheduled_steps[step.key] = step
+            else:
+                self._open_step(step, now_ms)
 
     def _open_step(self, step: TrackedStep, now_ms: int) -> None:
         step.ready_ms = now_ms
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -10,14 +10,12 @@
 from magnoliapitch.planner.tracked_task import TrackedTask
 from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.workload.job import StepKey
-from magnoliapitch.workload.progress import JobOutcome
 
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from magnoliapitch.workload.configuration import Queue
-    from magnoliapitch.workload.job import JobSpec
+    from magnoliapitch.planner.tracked_job import TrackedJob
     from magnoliapitch.workload.job import StepSpec
     from magnoliapitch.workload.run import Permit
     from magnoliapitch.workload.worker import WorkerInfo
@@ -292,43 +290,6 @@
         return [run for task in self.tasks for run in task.active_runs]
 
 
-class TrackedJob:
-    """A submitted job with the steps of all its occurrences.
-
-    :ivar known_ms: when this instance learned of the job, by its own clock.
-    :ivar outcome: final state, or ``OPEN``.
-    :ivar has_begun: whether a worker has certainly begun one of its tasks.
-    :ivar steps: the steps of each occurrence.
-    """
-
-    __slots__ = (
-        "has_begun",
-        "known_ms",
-        "outcome",
-        "queue",
-        "spec",
-        "steps",
-    )
-
-    def __init__(self, spec: JobSpec, queue: Queue, known_ms: int) -> None:
-        self.spec = spec
-        self.queue = queue
-        self.known_ms = known_ms
-        self.outcome = JobOutcome.OPEN
-        self.has_begun = False
-        self.steps = [
-            [
-                TrackedStep(self, occurrence, number)
-                for number in range(len(spec.steps))
-            ]
-            for occurrence in range(spec.occurrences)
-        ]
-
-    def all_steps(self) -> list[TrackedStep]:
-        """Return the steps of every occurrence."""
-        return [step for steps in self.steps for step in steps]
-
-
 class TrackedWorker:
     """A worker and the runs that may be active on it.
 
--- /dev/null
+++ b/src/magnoliapitch/planner/tracked_job.py
@@ -0,0 +1,77 @@
+"""Jobs as the scheduler tracks them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from magnoliapitch.planner.job_paths import JobPaths
+from magnoliapitch.planner.step_dependencies import StepDependencies
+from magnoliapitch.planner.tracked import TrackedStep
+from magnoliapitch.workload.progress import JobOutcome
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.planner.tracked_task import TrackedTask
+    from magnoliapitch.workload.configuration import Queue
+    from magnoliapitch.workload.job import JobSpec
+
+
+class TrackedJob:
+    """A submitted job with the steps of all its occurrences.
+
+    :ivar known_ms: when this instance learned of the job, by its own clock.
+    :ivar outcome: final state, or ``OPEN``.
+    :ivar has_begun: whether a worker has certainly begun one of its tasks.
+    :ivar steps: the steps of each occurrence.
+    :ivar paths: longest paths through its steps.
+    :ivar dependencies: which of its steps wait for others.
+    :ivar must_check_failures: whether a task may have used up its attempts
+        without a run that failed just now.
+    """
+
+    __slots__ = (
+        "dependencies",
+        "has_begun",
+        "known_ms",
+        "must_check_failures",
+        "outcome",
+        "paths",
+        "queue",
+        "spec",
+        "steps",
+    )
+
+    def __init__(self, spec: JobSpec, queue: Queue, known_ms: int) -> None:
+        self.spec = spec
+        self.queue = queue
+        self.known_ms = known_ms
+        self.outcome = JobOutcome.OPEN
+        self.has_begun = False
+        self.steps = [
+            [
+                TrackedStep(self, occurrence, number)
+                for number in range(len(spec.steps))
+            ]
+            for occurrence in range(spec.occurrences)
+        ]
+        self.paths = JobPaths(self)
+        self.dependencies = StepDependencies(self.steps)
+        self.must_check_failures = True
+
+    def has_failed(self, failed_task: TrackedTask | None) -> bool:
+        """Return whether a task, or a gang, has used up its attempts.
+
+        :param failed_task: task that has failed since the last call; None if
+            none has.
+        """
+        if self.must_check_failures:
+            self.must_check_failures = False
+            return any(step.has_failed for step in self.all_steps())
+        return failed_task is not None and failed_task.has_failed
+
+    def all_steps(self) -> list[TrackedStep]:
+        """Return the steps of every occurrence."""
+        return [step for steps in self.steps for step in steps]
+
+
+__all__ = ["TrackedJob"]
--- a/src/magnoliapitch/planner/tracked_task.py
+++ b/src/magnoliapitch/planner/tracked_task.py
@@ -63,18 +63,31 @@
         """Return whether the task may be what ends its workers."""
         return self.lost_worker_count >= MIN_SUSPECT_LOSSES
 
-    def record_failure(self, run: TrackedRun) -> None:
+    @property
+    def has_failed(self) -> bool:
+        """Return whether the task, or its gang, has used up its attempts."""
+        spec = self.step.spec
+        if spec.is_gang or spec.is_long_running:
+            return self.step.has_failed
+        return not self.is_done and (
+            self.failures >= self.step.job.queue.attempts
+        )
+
+    def record_failure(self, run: TrackedRun) -> bool:
         """Count a failed run as an attempt.
 
         Failures of several gang members in one run count once. The failure
         of one copy does not count while another goes on.
+
+        :return: whether it counts.
         """
         step = self.step
         if step.spec.is_gang and run.number in step.failed_run_numbers:
-            return
+            return False
         if step.spec.is_speculative and not run.is_stopping:
             others = [other for other in self.active_runs if other is not run]
             if any(not other.is_stopping for other in others):
-                return
+                return False
         step.failed_run_numbers.add(run.number)
         self.failures += 1
+        return True
--- a/src/magnoliapitch/planner/worker_isolation.py
+++ b/src/magnoliapitch/planner/worker_isolation.py
@@ -12,8 +12,8 @@
     from magnoliapitch.planner.candidates import Candidate
     from magnoliapitch.planner.candidates import CandidateWorkers
     from magnoliapitch.planner.scheduler_state import SchedulerState
-    from magnoliapitch.planner.tracked import TrackedJob
     from magnoliapitch.planner.tracked import TrackedStep
+    from magnoliapitch.planner.tracked_job import TrackedJob
     from magnoliapitch.workload.job import StepKey
 
 
--- a/tests/planner/running_work.py
+++ b/tests/planner/running_work.py
@@ -21,8 +21,8 @@
 
 if TYPE_CHECKING:
     from magnoliapitch.planner.plan import Plan
-    from magnoliapitch.planner.tracked import TrackedJob
     from magnoliapitch.planner.tracked import TrackedRun
+    from magnoliapitch.planner.tracked_job import TrackedJob
 
 
 CAPACITY = Resources(8_000, 32_000)
