Intake: refuse jobs above stated limits with 400

Cause: only tasks were limited. Steps and dependencies were not, and a job with 4,500 steps in a body of 117 KB made a record above the store's record-bytes, which the submitter repeated for ever.

--- a/src/magnoliapitch/ledger/job_api.py
+++ b/src/magnoliapitch/ledger/job_api.py
@@ -23,10 +23,13 @@
 from magnoliapitch.ledger.state_table import FINAL_STATES
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.ledger.state_table import PublishedJob
+from magnoliapitch.ledger.stream import MAX_RECORD_BYTES
 from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import not_run
+from magnoliapitch.workload.job_limits import find_limit_failure
+from magnoliapitch.workload.job_limits import too_large
 from magnoliapitch.workload.quota import find_quota_failure
 
 
@@ -136,9 +139,13 @@
         self, job: JobSpec, caller: Caller
     ) -> Result[None, Failure] | None:
         """Return the answer to a submission that must not be stored."""
-        quota_failure = find_quota_failure(job, self._configuration)
-        if quota_failure is not None:
-            return self._reject(job, quota_failure, caller)
+        failure = (
+            find_limit_failure(job)
+            or _find_record_failure(job)
+            or find_quota_failure(job, self._configuration)
+        )
+        if failure is not None:
+            return self._reject(job, failure, caller)
         answer = self._answer_unless_admitted(job, caller)
         if answer is not None:
             self._count("submit", answer)
@@ -165,7 +172,7 @@
 
     def _store(self, job: JobSpec, timeout_ms: int) -> Result[None, Failure]:
         self._doubtful.begin(job.job_id)
-        record = KeyedRecord(JOB_PREFIX + job.job_id, encode_job(job))
+        record = _job_record(job)
         with self._metrics.timing("submit"):
             appended = self._append(record, timeout_ms)
         outcome = self._doubtful.settle(job.job_id, appended)
@@ -328,6 +335,18 @@
     return not_run(FailureCode.UNAVAILABLE, detail, STORE_RETRY_AFTER_MS)
 
 
+def _job_record(job: JobSpec) -> KeyedRecord:
+    return KeyedRecord(JOB_PREFIX + job.job_id, encode_job(job))
+
+
+def _find_record_failure(job: JobSpec) -> Failure | None:
+    """Return why a job is refused because of the size of its record."""
+    size_bytes = _job_record(job).size_bytes
+    if size_bytes <= MAX_RECORD_BYTES:
+        return None
+    return too_large(size_bytes, "bytes as it is stored", MAX_RECORD_BYTES)
+
+
 def _log_call(
     call: str,
     job_id: str,
--- a/src/magnoliapitch/ledger/stream.py
+++ b/src/magnoliapitch/ledger/stream.py
@@ -17,6 +17,13 @@
 
 # The store accepts no longer keys.
 MAX_KEY_BYTES = 255
+# The store refuses larger records, with the key and its length.
+MAX_RECORD_BYTES = 262_144
+# Length of the key, and of the record.
+KEY_LENGTH_BYTES = 1
+RECORD_LENGTH_BYTES = 4
+# It refuses calls with more.
+MAX_CALL_BYTES = 2_097_152
 
 
 class KeyedRecord(NamedTuple):
@@ -28,6 +35,11 @@
     key: str
     value: bytes
 
+    @property
+    def size_bytes(self) -> int:
+        """Return the size that the store's limit of a record applies to."""
+        return KEY_LENGTH_BYTES + len(self.key.encode()) + len(self.value)
+
 
 class StoredRecord(NamedTuple):
     """A record of a stream and its offset."""
--- a/tests/platform/test_job_application.py
+++ b/tests/platform/test_job_application.py
@@ -279,6 +279,26 @@
     assert instance.call("POST", "/plans/0b", NORTH_KEY, body) == 400
 
 
+# 4,500 steps in a body of 117 KB made a record that the store refused.
+@pytest.mark.parametrize(
+    ("job", "limit"),
+    [
+        ({"steps": [{"count": 1, "cpu": 100}] * 4_500}, "262144 are allowed"),
+        ({"steps": [{"count": 1}], "run-count": 5_001}, "5000 are allowed"),
+        ({"steps": [{"count": 1}], "spec": "a" * 4_001}, "4000 are allowed"),
+        ({"steps": [{"count": 501, "gang": True}]}, "500 are allowed"),
+    ],
+)
+def test_a_job_above_a_limit_is_refused_with_the_limit(
+    job: Mapping[str, Any], limit: str
+) -> None:
+    instance = Instance()
+    body = json.dumps(job).encode()
+    assert instance.call("POST", "/plans/0a", NORTH_KEY, body) == 400
+    assert limit in json.loads(instance.body)["detail"]
+    assert not instance.store.stored
+
+
 def test_a_published_job_is_checked_by_its_published_workspace() -> None:
     """The submission is deleted from the stored jobs once it has ended."""
     instance = Instance()
