Submitter: a record that the store refuses ends its own submission only

Cause: INVALID from the store was no end of a batch, so that it was repeated for ever, and nothing else of that instance was stored. A batch of 128 records could also exceed the store's call-bytes.

Change: a batch holds at most call-bytes; a record above record-bytes is refused before it is queued; a batch that is refused as invalid is divided until the record is found, which is logged (record-refused) and refused as not_run, or as may_have_run after an unanswered append. MemoryStreams refuses records above record-bytes, calls above call-bytes, and keys that a test names.

--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -314,6 +314,13 @@
     EventLevel.WARNING,
     "A stored record cannot be decoded and is skipped.",
 )
+define_event(
+    "record-refused",
+    EventLevel.ERROR,
+    "The store has refused a record for good. Only that record is not "
+    "stored; a submission is answered with 400, and a job whose progress it "
+    "was fails.",
+)
 define_event(
     "leadership-claimed",
     EventLevel.INFO,
--- a/src/magnoliapitch/ledger/submitter.py
+++ b/src/magnoliapitch/ledger/submitter.py
@@ -10,7 +10,10 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.event import log_event
+from magnoliapitch.ledger.record_calls import leading_count
 from magnoliapitch.ledger.stream import MAX_KEY_BYTES
+from magnoliapitch.ledger.stream import MAX_RECORD_BYTES
 from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.ledger.stream import Writer
 from magnoliapitch.verdict import Failure
@@ -80,6 +83,8 @@
         self._condition = threading.Condition()
         self._queued: list[_PendingAppend] = []
         self._batch: list[_PendingAppend] = []
+        # Parts of a batch that the store has refused as a whole.
+        self._parts: list[list[_PendingAppend]] = []
         # Whether the current batch may have been stored by a failed append.
         self._may_be_stored = False
         self._consecutive_failures = 0
@@ -97,6 +102,8 @@
         if not 0 < len(record.key.encode()) <= MAX_KEY_BYTES:
             # It would fail every append of its batch.
             return Err(_invalid_key(record.key))
+        if record.size_bytes > MAX_RECORD_BYTES:
+            return Err(_too_large(record))
         pending = _PendingAppend(record, self._clock.now_ms() + timeout_ms)
         with self._condition:
             if self._health.is_down():
@@ -125,18 +132,28 @@
 
         :return: pause until the next call, in milliseconds.
         """
-        with self._condition:
-            if not self._batch:
-                if not self._queued:
-                    self._condition.wait(0.5)
-                self._batch = self._queued[:MAX_BATCH_RECORDS]
-                del self._queued[:MAX_BATCH_RECORDS]
-                for pending in self._batch:
-                    pending.is_sent = True
+        if not self._batch:
+            self._batch = self._next_batch()
         if not self._batch:
             return 0
         return self._append_batch()
 
+    def _next_batch(self) -> list[_PendingAppend]:
+        """Return the records of the next append; none if there are none."""
+        if self._parts:
+            return self._parts.pop(0)
+        with self._condition:
+            if not self._queued:
+                self._condition.wait(0.5)
+            if not self._queued:
+                return []
+            batch = self._queued[:MAX_BATCH_RECORDS]
+            batch = batch[: leading_count(item.record for item in batch)]
+            del self._queued[: len(batch)]
+            for pending in batch:
+                pending.is_sent = True
+        return batch
+
     def _append_batch(self) -> int:
         sent_ms = self._sent_ms = self._clock.now_ms()
         outcome = self._streams.append(
@@ -164,6 +181,10 @@
                 self._writer.producer, self._writer.epoch + 1, 1
             )
             return 0
+        if failure.code is FailureCode.INVALID:
+            self._health.note_success(sent_ms)
+            self._handle_invalid_batch(failure)
+            return 0
         self._health.note_failure(failure)
         if failure.verdict is not Verdict.NOT_RUN:
             self._may_be_stored = True
@@ -172,6 +193,27 @@
         self._consecutive_failures += 1
         return min(delay_ms, MAX_RETRY_DELAY_MS)
 
+    def _handle_invalid_batch(self, failure: Failure) -> None:
+        """Refuse a record that the store refuses, and no other.
+
+        A batch of several is divided until that one is found.
+        """
+        batch, self._batch = self._batch, []
+        middle = len(batch) // 2
+        if middle:
+            self._parts[:0] = [batch[:middle], batch[middle:]]
+            return
+        record = batch[0].record
+        log_event(
+            "record-refused",
+            key=record.key,
+            bytes=record.size_bytes,
+            reason=failure.detail,
+        )
+        outcome = _unanswered() if self._may_be_stored else _refused(failure)
+        self._may_be_stored = False
+        self._resolve(batch, Err(outcome))
+
     def _record_duration(self, sent_ms: int) -> None:
         now_ms = self._clock.now_ms()
         self._sent_ms = None
@@ -191,7 +233,9 @@
             self._resolve(unsent, refusal)
         if not self._may_be_stored:
             batch, self._batch = self._batch, []
-            self._resolve(batch, refusal)
+            parts, self._parts = self._parts, []
+            for unsent in (batch, *parts):
+                self._resolve(unsent, refusal)
         elif self._has_other_way():
             self._resolve(self._batch, Err(_unanswered()))
 
@@ -235,6 +279,22 @@
     )
 
 
+def _too_large(record: KeyedRecord) -> Failure:
+    return not_run(
+        FailureCode.INVALID,
+        f"the record has {record.size_bytes} bytes with its key; at most "
+        f"{MAX_RECORD_BYTES} are allowed; the record was not stored",
+    )
+
+
+def _refused(failure: Failure) -> Failure:
+    return not_run(
+        FailureCode.INVALID,
+        f"the store has refused the record, which was not stored: "
+        f"{failure.detail}",
+    )
+
+
 def _overloaded() -> Failure:
     return not_run(
         FailureCode.OVERLOADED,
--- a/tests/ledger/memory_streams.py
+++ b/tests/ledger/memory_streams.py
@@ -8,6 +8,10 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.ledger.stream import KEY_LENGTH_BYTES
+from magnoliapitch.ledger.stream import MAX_CALL_BYTES
+from magnoliapitch.ledger.stream import MAX_RECORD_BYTES
+from magnoliapitch.ledger.stream import RECORD_LENGTH_BYTES
 from magnoliapitch.ledger.stream import Appended
 from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.ledger.stream import NewestPage
@@ -47,6 +51,7 @@
     :ivar appends: number of calls to append.
     :ivar reads: number of calls to read.
     :ivar max_read_records: most records that one read returns.
+    :ivar invalid_keys: keys of records that the store refuses.
     :ivar reads_until_outage: number of reads until they fail with a timeout;
         None if they do not.
     """
@@ -56,6 +61,7 @@
         self.responses_to_lose = 0
         self.before_append: Callable[[], object] = lambda: None
         self.appends = 0
+        self.invalid_keys: set[str] = set()
         self.reads = 0
         self.max_read_records = 1_000_000
         self.reads_until_outage: int | None = None
@@ -74,6 +80,9 @@
         self.before_append()
         if self.outage:
             return Err(self.outage)
+        refusal = self._refusal(records)
+        if refusal:
+            return Err(not_run(FailureCode.INVALID, refusal))
         content = self._stream(stream)
         if writer is not None:
             answer = self._check_writer(content, writer)
@@ -154,6 +163,20 @@
     def _stream(self, name: str) -> _Stream:
         return self._by_name.setdefault(name, _Stream())
 
+    def _refusal(self, records: Sequence[KeyedRecord]) -> str:
+        """Return why the store refuses records; empty if it does not."""
+        sizes = [
+            KEY_LENGTH_BYTES + len(record.key.encode()) + len(record.value)
+            for record in records
+        ]
+        if max(sizes, default=0) > MAX_RECORD_BYTES:
+            return f"a record has {max(sizes)} bytes"
+        if sum(sizes) + RECORD_LENGTH_BYTES * len(sizes) > MAX_CALL_BYTES:
+            return f"the call has {sum(sizes)} bytes"
+        if any(record.key in self.invalid_keys for record in records):
+            return "a record is not valid"
+        return ""
+
     def _check_writer(
         self, stream: _Stream, writer: Writer
     ) -> Result[Appended, Failure] | None:
--- a/tests/ledger/test_submitter.py
+++ b/tests/ledger/test_submitter.py
@@ -14,6 +14,7 @@
 from magnoliapitch.clock import MonotonicClock
 from magnoliapitch.ledger.health import DOWN_AFTER_MS
 from magnoliapitch.ledger.health import StoreHealth
+from magnoliapitch.ledger.stream import MAX_RECORD_BYTES
 from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.ledger.submitter import MAX_RETRY_DELAY_MS
 from magnoliapitch.ledger.submitter import SLOW_APPEND_MS
@@ -53,6 +54,7 @@
             lambda: self.has_other_way,
         )
         self.has_other_way = False
+        self.value = b"1"
         self._pool = ThreadPoolExecutor(64)
 
     def submit(self, key: str, timeout_ms: int = TIMEOUT_MS) -> Outcome:
@@ -60,7 +62,7 @@
 
         def call() -> Result[None, Failure]:
             is_queued.set()
-            record = KeyedRecord(key, b"1")
+            record = KeyedRecord(key, self.value)
             return self.submitter.append(record, timeout_ms)
 
         future = self._pool.submit(call)
@@ -117,6 +119,41 @@
     assert streams.keys("jobs") == ["k"]
 
 
+# One job that the store refused kept an instance from storing any other.
+def test_a_refused_record_ends_its_own_append_only(
+    caller: Caller, streams: MemoryStreams
+) -> None:
+    streams.invalid_keys = {"k3", "k11"}
+    outcomes = [caller.submit(f"k{number}") for number in range(20)]
+    step_until_done(caller, outcomes)
+    refused = {
+        f"k{number}": outcome.result().unwrap_err()
+        for number, outcome in enumerate(outcomes)
+        if outcome.result().is_err()
+    }
+    assert {
+        (failure.verdict, failure.code) for failure in refused.values()
+    } == {(Verdict.NOT_RUN, FailureCode.INVALID)}
+    assert set(refused) == streams.invalid_keys
+    assert len(streams.keys("jobs")) == 18
+
+
+def test_large_records_are_divided_over_calls_that_the_store_accepts(
+    caller: Caller, streams: MemoryStreams
+) -> None:
+    caller.value = b"1" * 200_000
+    outcomes = [caller.submit(f"k{number}") for number in range(30)]
+    step_until_done(caller, outcomes)
+    assert all(outcome.result().is_ok() for outcome in outcomes)
+    assert streams.appends >= 3
+    appends = streams.appends
+    caller.value = b"1" * MAX_RECORD_BYTES
+    failure = caller.submit("k").result(5).unwrap_err()
+    assert failure.code is FailureCode.INVALID
+    assert str(MAX_RECORD_BYTES) in failure.detail
+    assert streams.appends == appends
+
+
 def test_append_is_refused_at_once_while_the_store_is_down(
     caller: Caller, streams: MemoryStreams
 ) -> None:
