Stored progress: records bounded below the store's limit, refused ones fail their own job only

Cause: the progress of a job was one record with a row for each started task. With 9,500 tasks it outgrows record-bytes (454,906 bytes with worker ids of 3 characters); the store refuses it, and the commit ended the leadership of every leader in turn. A batch of many jobs could exceed call-bytes.

Change: the progress of more than 500 tasks is stored in several records of 500 tasks (p.JOB, p.JOB.1, ...), of which only those that have changed are written, the first one last; checkpoints above 128 bytes are not kept (checkpoint-too-long). Up to 500 tasks the record is the same bytes as before, but that an ended job has no checkpoints. Records of former releases are read and divided. RecordCalls divides a commit over calls within call-bytes and goes on where it was after a failure. A record that the store refuses as invalid, while it takes a call without records, is left out of the commit; its job is logged (record-refused, progress-refused) and failed, its starts are not ordered, and ends are acknowledged with the next commit only.

--- a/src/magnoliapitch/control/committer.py
+++ b/src/magnoliapitch/control/committer.py
@@ -73,7 +73,8 @@
         while is_wanted():
             sent_ms = self._clock.now_ms()
             outcome = self._leadership.commit(
-                batch, lambda: post(ProgressStored())
+                batch,
+                lambda: post(ProgressStored(self._leadership.refused_keys())),
             )
             if isinstance(outcome, Ok):
                 break
--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -13,6 +13,7 @@
 from magnoliapitch.control.permit_requester import PermitRequester
 from magnoliapitch.control.planning_summary import PlanningSummary
 from magnoliapitch.control.progress_batcher import ProgressBatcher
+from magnoliapitch.control.progress_records import fail_refused_jobs
 from magnoliapitch.control.reachability import WorkerReachability
 from magnoliapitch.control.reports import ReportApplier
 from magnoliapitch.control.source_ages import Source
@@ -118,7 +119,7 @@
             effects,
             self.next_lease_deadline,
         )
-        self._end_sequences_in_commit_by_worker: dict[str, int] = {}
+        self._acks_by_worker: dict[str, int] = {}
         self._is_commit_in_flight = False
         self._stored_ms = claimed_ms
         self._progress_batcher = ProgressBatcher(
@@ -290,17 +291,18 @@
                 event.worker_id, event.received_ms
             )
 
-    def handle_progress_stored(self, now_ms: int) -> None:
+    def handle_progress_stored(
+        self, now_ms: int, refused_keys: Sequence[str] = ()
+    ) -> None:
         """Acknowledge ends and issue starts that waited to be stored.
 
-        These do not wait for the states, which only callers need. On a slow
-        store that halves the time until a start is ordered.
+        They do not wait for the states, which only callers need. The jobs of
+        refused records fail, and workers report the ends again.
         """
-        sequences_by_worker, self._end_sequences_in_commit_by_worker = (
-            self._end_sequences_in_commit_by_worker,
-            {},
-        )
-        for worker_id, sequence in sequences_by_worker.items():
+        fail_refused_jobs(self.state, refused_keys)
+        acks_by_worker = {} if refused_keys else self._acks_by_worker
+        self._acks_by_worker = {}
+        for worker_id, sequence in acks_by_worker.items():
             self._effects.acknowledge(worker_id, sequence)
         self._starts.queue.record_stored(now_ms)
         self._starts.order_stored(now_ms)
@@ -391,9 +393,7 @@
         )
         if batch is None:
             return
-        self._end_sequences_in_commit_by_worker = (
-            self._report_applier.take_end_sequences()
-        )
+        self._acks_by_worker = self._report_applier.take_end_sequences()
         self._starts.queue.begin_commit(now_ms)
         self._is_commit_in_flight = True
         self._effects.commit(batch)
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -271,7 +271,7 @@
         elif isinstance(event, StopAnswered):
             controller.handle_stop_answer(event)
         elif isinstance(event, ProgressStored):
-            controller.handle_progress_stored(now_ms)
+            controller.handle_progress_stored(now_ms, event.refused_keys)
         elif isinstance(event, Committed):
             controller.handle_commit(event, now_ms)
         elif isinstance(event, JobsRead):
--- a/src/magnoliapitch/control/events.py
+++ b/src/magnoliapitch/control/events.py
@@ -88,8 +88,13 @@
     """The progress of the batch that is being stored is stored.
 
     Its states, and with them the batch, may not be stored yet.
+
+    :param refused_keys: keys of the records that the store has refused, and
+        that are not stored.
     """
 
+    refused_keys: tuple[str, ...] = ()
+
 
 class Committed(NamedTuple):
     """A batch was stored, or failed for good, which ends the leadership.
--- a/src/magnoliapitch/control/progress_batcher.py
+++ b/src/magnoliapitch/control/progress_batcher.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.control.progress_records import deletion_records
+from magnoliapitch.control.progress_records import take_changed_records
 from magnoliapitch.control.speed_record import SpeedRecord
 from magnoliapitch.ledger.leadership import Batch
 from magnoliapitch.ledger.records import LEADER_KEY
-from magnoliapitch.ledger.records import PROGRESS_PREFIX
 from magnoliapitch.ledger.records import STATE_PREFIX
 from magnoliapitch.ledger.records import encode_leader
-from magnoliapitch.ledger.records import encode_progress
 from magnoliapitch.ledger.state_table import FINAL_STATES
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.ledger.state_table import PublishedJob
@@ -29,7 +29,6 @@
     from magnoliapitch.planner.duration import LearnedDurations
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked_job import TrackedJob
-    from magnoliapitch.workload.progress import JobProgress
 
 
 # Interval of the records that show the other instances that the leader is
@@ -70,7 +69,7 @@
         self._speed_record = SpeedRecord(learned_durations, state_table)
         self._load_publisher = load_publisher
         self._heartbeat_ms = 0
-        self._progress_in_commit_by_id: dict[str, JobProgress] = {}
+        self._outcome_in_commit_by_id: dict[str, JobOutcome] = {}
         self._states_in_commit_by_id: dict[str, PublishedJob] = {}
         self._leader_in_commit: LeaderRecord | None = None
         # Jobs whose current state may differ from the published one.
@@ -132,12 +131,12 @@
 
     def record_stored(self, now_ms: int) -> None:
         """Record that the last batch was stored."""
-        stored, self._progress_in_commit_by_id = (
-            self._progress_in_commit_by_id,
+        stored, self._outcome_in_commit_by_id = (
+            self._outcome_in_commit_by_id,
             {},
         )
-        for job_id, progress in stored.items():
-            if progress.outcome is not JobOutcome.OPEN:
+        for job_id, outcome in stored.items():
+            if outcome is not JobOutcome.OPEN:
                 self._finished_job_ids.add(job_id)
                 self._ended_ms_by_job[job_id] = now_ms
         for job_id, published in self._states_in_commit_by_id.items():
@@ -151,31 +150,21 @@
             self._load_publisher.record_stored()
 
     def _progress_records(self) -> tuple[KeyedRecord, ...]:
-        removed_job_ids = self._remove_finished_jobs()
+        records = self._remove_finished_jobs()
         self._unpublished_job_ids |= self._state.unsaved_job_ids
-        self._progress_in_commit_by_id = {
-            job_id: self._state.progress(job_id)
-            for job_id in sorted(self._state.unsaved_job_ids)
-            if job_id in self._state.jobs_by_id
-        }
+        self._outcome_in_commit_by_id = {}
+        for job_id in sorted(self._state.unsaved_job_ids):
+            job = self._state.jobs_by_id.get(job_id)
+            if job is not None:
+                self._outcome_in_commit_by_id[job_id] = job.outcome
+                records += take_changed_records(job)
         self._state.unsaved_job_ids.clear()
-        return (
-            *(
-                KeyedRecord(PROGRESS_PREFIX + job_id, b"")
-                for job_id in removed_job_ids
-            ),
-            *(
-                KeyedRecord(
-                    PROGRESS_PREFIX + job_id, encode_progress(progress)
-                )
-                for job_id, progress in self._progress_in_commit_by_id.items()
-            ),
-        )
+        return tuple(records)
 
-    def _remove_finished_jobs(self) -> list[str]:
+    def _remove_finished_jobs(self) -> list[KeyedRecord]:
         """Remove jobs whose final progress is stored and without active runs.
 
-        :return: ids of the removed jobs.
+        :return: records that delete their progress.
         """
         removed_job_ids = [
             job_id
@@ -183,12 +172,16 @@
             if job_id not in self._state.unsaved_job_ids
             and not self._has_active_runs(job_id)
         ]
+        records: list[KeyedRecord] = []
         for job_id in removed_job_ids:
             self._finished_job_ids.discard(job_id)
+            job = self._state.jobs_by_id.get(job_id)
+            if job is not None:
+                records += deletion_records(job)
             self._state.remove_job(job_id)
         if removed_job_ids:
             self._delete_jobs(removed_job_ids)
-        return removed_job_ids
+        return records
 
     def _has_active_runs(self, job_id: str) -> bool:
         job = self._state.jobs_by_id.get(job_id)
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -127,7 +127,7 @@
                     order.task, order.run, worker_id, now_ms
                 )
                 if run is not None:
-                    run.has_ended_with_worker = True
+                    run.set_ended_with_worker(True)
 
     def _count_crash(self, worker_id: str, lost: Sequence[LostRun]) -> None:
         count_crash(self._state, lost)
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -321,6 +321,18 @@
     "stored; a submission is answered with 400, and a job whose progress it "
     "was fails.",
 )
+define_event(
+    "progress-refused",
+    EventLevel.ERROR,
+    "The store has refused the progress of a job, which therefore fails; "
+    "none of its starts that waited for it is ordered.",
+)
+define_event(
+    "checkpoint-too-long",
+    EventLevel.WARNING,
+    "A worker reported a checkpoint that is too long to be stored; the task "
+    "keeps its former one.",
+)
 define_event(
     "leadership-claimed",
     EventLevel.INFO,
--- a/src/magnoliapitch/ledger/job_table.py
+++ b/src/magnoliapitch/ledger/job_table.py
@@ -4,6 +4,8 @@
 
 import threading
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -13,6 +15,7 @@
 from magnoliapitch.ledger.records import PROGRESS_PREFIX
 from magnoliapitch.ledger.records import decode_job
 from magnoliapitch.ledger.records import decode_progress
+from magnoliapitch.ledger.records import split_progress_key
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.progress import JobProgress
@@ -20,19 +23,43 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
-    from collections.abc import Mapping
+
+
+NO_PROGRESS: Mapping[int, JobProgress] = MappingProxyType({})
 
 
 class StoredJob(NamedTuple):
     """The stored records of a job.
 
     :param spec: None while only a cancellation or progress has been read.
-    :param progress: None until the leader has stored the first progress.
+    :param first_progress: first record of the progress, with the outcome;
+        None until the leader has stored it.
+    :param later_progress: further records of the progress, by number.
     """
 
     spec: JobSpec | None = None
     is_cancelled: bool = False
-    progress: JobProgress | None = None
+    first_progress: JobProgress | None = None
+    later_progress: Mapping[int, JobProgress] = NO_PROGRESS
+
+    @property
+    def progress(self) -> JobProgress | None:
+        """Return the progress; None until the leader has stored the first.
+
+        A former release stored all tasks in the first record, so that the
+        others are newer.
+        """
+        if not self.later_progress:
+            return self.first_progress
+        first = self.first_progress
+        if first is None:
+            # The first record is stored last.
+            any_part = next(iter(self.later_progress.values()))
+            first = JobProgress(any_part.job_id, JobOutcome.OPEN, {})
+        tasks_by_key = dict(first.tasks_by_key)
+        for part in self.later_progress.values():
+            tasks_by_key.update(part.tasks_by_key)
+        return first._replace(tasks_by_key=tasks_by_key)
 
     @property
     def outcome(self) -> JobOutcome:
@@ -40,16 +67,17 @@
 
         A stored final outcome takes precedence over a cancellation.
         """
-        if self.progress and self.progress.outcome is not JobOutcome.OPEN:
-            return self.progress.outcome
+        first = self.first_progress
+        if first and first.outcome is not JobOutcome.OPEN:
+            return first.outcome
         return JobOutcome.CANCELLED if self.is_cancelled else JobOutcome.OPEN
 
     @property
     def has_final_progress(self) -> bool:
         """Return whether the stored progress says how the job has ended."""
         return (
-            self.progress is not None
-            and self.progress.outcome is not JobOutcome.OPEN
+            self.first_progress is not None
+            and self.first_progress.outcome is not JobOutcome.OPEN
         )
 
 
@@ -86,7 +114,10 @@
         for job_id in job_ids:
             job = self._jobs_by_id.get(job_id)
             if job is not None:
-                self._replace_job(job_id, job._replace(progress=None))
+                job = job._replace(
+                    first_progress=None, later_progress=NO_PROGRESS
+                )
+                self._replace_job(job_id, job)
 
     def apply(
         self, values_by_key: Mapping[str, bytes], keys: Iterable[str]
@@ -111,6 +142,9 @@
 
     def _apply_record(self, key: str, value: bytes | None) -> str:
         prefix, job_id = key[:2], key[2:]
+        part = 0
+        if prefix == PROGRESS_PREFIX:
+            job_id, part = split_progress_key(key)
         job = self._jobs_by_id.get(job_id, EMPTY_JOB)
         if prefix == JOB_PREFIX:
             spec = None if value is None else decode_job(value)
@@ -121,7 +155,7 @@
             )
         elif prefix == PROGRESS_PREFIX:
             progress = None if not value else decode_progress(job_id, value)
-            self._replace_job(job_id, job._replace(progress=progress))
+            self._replace_job(job_id, _with_progress(job, part, progress))
         else:
             log_event("record-unreadable", key=key, reason="unknown prefix")
             return ""
@@ -133,3 +167,15 @@
                 self._jobs_by_id.pop(job_id, None)
             else:
                 self._jobs_by_id[job_id] = job
+
+
+def _with_progress(
+    job: StoredJob, part: int, progress: JobProgress | None
+) -> StoredJob:
+    if not part:
+        return job._replace(first_progress=progress)
+    later_progress = dict(job.later_progress)
+    later_progress.pop(part, None)
+    if progress is not None:
+        later_progress[part] = progress
+    return job._replace(later_progress=later_progress)
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -15,6 +15,7 @@
 from magnoliapitch.event import log_event
 from magnoliapitch.ledger.load_view import ReadTimes
 from magnoliapitch.ledger.mirror import StreamMirror
+from magnoliapitch.ledger.record_calls import RecordCalls
 from magnoliapitch.ledger.records import LEADER_KEY
 from magnoliapitch.ledger.records import PROGRESS_STREAM
 from magnoliapitch.ledger.records import STATE_STREAM
@@ -95,14 +96,24 @@
 
     :ivar state_writer: writer of the stream of states.
     :ivar progress_writer: writer of the stream of progress.
-    :ivar is_progress_stored: whether the progress of the batch that is
-        being committed is stored.
+    :ivar batch: batch that is being committed; None between two.
+    :ivar progress_calls: calls that store its progress.
+    :ivar state_calls: calls that store its states.
     """
 
     def __init__(self, state_writer: Writer, progress_writer: Writer) -> None:
         self.state_writer = state_writer
         self.progress_writer = progress_writer
-        self.is_progress_stored = False
+        self.batch: Batch | None = None
+        self.progress_calls = RecordCalls(())
+        self.state_calls = RecordCalls(())
+
+    def begin(self, batch: Batch) -> None:
+        """Begin to commit a batch, or go on with it."""
+        if batch is not self.batch:
+            self.batch = batch
+            self.progress_calls = RecordCalls(batch.progress)
+            self.state_calls = RecordCalls(batch.states)
 
 
 class Leadership:
@@ -237,24 +248,37 @@
         """Store progress, then the states that follow from it.
 
         After a failure, the same batch can be committed again: nothing is
-        stored twice.
+        stored twice. A record that the store refuses for good is left out.
 
         :param on_progress_stored: called once the progress is stored, before
             the states are.
         """
         appender = self._appender
-        if batch.progress and not appender.is_progress_stored:
-            outcome = self._append_progress(appender, batch.progress)
+        appender.begin(batch)
+        if not appender.progress_calls.has_ended:
+            outcome = appender.progress_calls.store(
+                lambda records: self._append_progress(appender, records),
+                lambda: self._accepts_calls(PROGRESS_STREAM),
+            )
             if isinstance(outcome, Err):
                 return outcome
-            appender.is_progress_stored = True
             on_progress_stored()
-        if batch.states:
-            outcome = self._append_states(appender, batch.states)
-            if isinstance(outcome, Err):
-                return outcome
-        appender.is_progress_stored = False
-        return Ok(0)
+        outcome = appender.state_calls.store(
+            lambda records: self._append_states(appender, records),
+            lambda: self._accepts_calls(STATE_STREAM),
+        )
+        if not isinstance(outcome, Err):
+            appender.batch = None
+        return outcome
+
+    def refused_keys(self) -> tuple[str, ...]:
+        """Return the keys of progress that the store refused in this batch."""
+        return tuple(self._appender.progress_calls.refused_keys)
+
+    def _accepts_calls(self, stream: str) -> bool:
+        return self._streams.append(
+            stream, [], timeout_ms=APPEND_TIMEOUT_MS
+        ).is_ok()
 
     def _append_progress(
         self, appender: _LeaderAppender, records: Sequence[KeyedRecord]
--- a/src/magnoliapitch/ledger/records.py
+++ b/src/magnoliapitch/ledger/records.py
@@ -95,6 +95,23 @@
     return _LEADER_ADAPTER.validate_json(value)
 
 
+def progress_key(job_id: str, part: int) -> str:
+    """Return the key of a record of a job's progress.
+
+    :param part: number of the record; that of the first is left out.
+    """
+    return PROGRESS_PREFIX + job_id + (f".{part}" if part else "")
+
+
+def split_progress_key(key: str) -> tuple[str, int]:
+    """Return the id of a job and the number of a record of its progress.
+
+    :raises ValueError: if the key has no such form.
+    """
+    job_id, _, part = key.removeprefix(PROGRESS_PREFIX).partition(".")
+    return job_id, int(part or 0)
+
+
 def encode_progress(progress: JobProgress) -> bytes:
     """Encode a job's progress as JSON, without the job's id."""
     rows = tuple(
--- a/src/magnoliapitch/planner/restore.py
+++ b/src/magnoliapitch/planner/restore.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import sys
+
+from bisect import bisect_right
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.step_dependencies import StepDependencies
+from magnoliapitch.workload.progress import TASKS_PER_PROGRESS_RECORD
 from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.progress import JobProgress
 from magnoliapitch.workload.progress import Placement
@@ -13,33 +18,53 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedStep
     from magnoliapitch.planner.tracked_job import TrackedJob
     from magnoliapitch.planner.tracked_task import TrackedTask
 
 
-def progress_of(job: TrackedJob) -> JobProgress:
-    """Return the progress of a job in the form that is stored."""
+def progress_of(job: TrackedJob, part: int | None = None) -> JobProgress:
+    """Return the progress of a job in the form that is stored.
+
+    :param part: number of the record whose tasks are wanted; None for all.
+    """
     return JobProgress(
         job.spec.job_id,
         job.outcome,
         {
             task.key: _task_progress(task)
-            for step in job.all_steps()
-            for task in step.tasks
+            for task in _tasks(job, part)
             if task.runs
         },
         job.has_begun,
     )
 
 
+def _tasks(job: TrackedJob, part: int | None) -> Iterator[TrackedTask]:
+    steps = job.all_steps()
+    begin, end = 0, sys.maxsize
+    if part is not None:
+        begin = part * TASKS_PER_PROGRESS_RECORD
+        end = begin + TASKS_PER_PROGRESS_RECORD
+    index = bisect_right(steps, begin, key=lambda step: step.first_number)
+    for step in islice(steps, index - 1, None):
+        if step.first_number >= end:
+            return
+        first = max(0, begin - step.first_number)
+        yield from step.tasks[first : end - step.first_number]
+
+
 def _task_progress(task: TrackedTask) -> TaskProgress:
+    is_open = task.step.job.outcome is JobOutcome.OPEN
     return TaskProgress(
         task.runs,
         task.failures,
         task.is_done,
-        task.checkpoint,
+        # The tasks of a job that has ended are not started again.
+        task.checkpoint if is_open else "",
         tuple(
             Placement(run.number, run.worker_id, run.has_ended_with_worker)
             for run in task.active_runs
@@ -84,6 +109,8 @@
     progress: TaskProgress,
     now_ms: int,
 ) -> None:
+    # A former release stored the progress of all tasks in one record.
+    task.note_change()
     task.runs = progress.runs
     task.failures = progress.failures
     task.is_done = progress.is_done
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -236,7 +236,7 @@
     ) -> TrackedRun:
         """Add a run that may be active, and reserve its capacity."""
         run = TrackedRun(task, number, worker_id, now_ms)
-        task.active_runs.append(run)
+        task.add(run)
         self.get_or_add_worker(worker_id).add(run)
         self.workspace_usage.add(run)
         return run
@@ -267,7 +267,7 @@
             run.resumed_percent = reported.percent
         self.confirm_run(run, now_ms)
         run.percent = reported.percent
-        run.has_ended_with_worker = False
+        run.set_ended_with_worker(False)
         task = run.task
         if reported.checkpoint and reported.checkpoint != task.checkpoint:
             self._save_checkpoint(task, reported.checkpoint)
@@ -295,7 +295,7 @@
     def remove_run(self, run: TrackedRun) -> None:
         """Remove a run that is certainly not active."""
         task = run.task
-        task.active_runs.remove(run)
+        task.remove(run)
         self.get_or_add_worker(run.worker_id).remove(run)
         self.workspace_usage.remove(run)
         self.runs_to_stop.pop(id(run), None)
@@ -326,7 +326,7 @@
     def _save_checkpoint(self, task: TrackedTask, checkpoint: str) -> None:
         tasks = task.step.tasks if task.step.spec.is_gang else [task]
         for member in tasks:
-            member.checkpoint = checkpoint
+            member.save_checkpoint(checkpoint)
         self.unsaved_job_ids.add(task.key.job_id)
 
     def _record_done(
@@ -342,7 +342,7 @@
         is_end_of_gang = step.spec.is_gang and not was_done
         for member in step.tasks if is_end_of_gang else [task]:
             if not member.is_done:
-                member.is_done = True
+                member.finish()
                 step.unfinished_count -= 1
                 if not member.active_runs:
                     self._adjust_waiting_count(step, -1)
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -127,12 +127,19 @@
     def move_to(self, worker: TrackedWorker) -> None:
         """Count as active on the next incarnation of the run's worker."""
         self.worker_id = worker.worker_id
-        self.has_ended_with_worker = True
+        self.set_ended_with_worker(True)
         self.confirmed_ms = None
         self.stop_sent_ms = None
         self.stopped_ms = None
+        self.task.note_change()
         worker.add(self)
 
+    def set_ended_with_worker(self, has_ended: bool) -> None:
+        """Set whether the run has ended with its worker's incarnation."""
+        if has_ended != self.has_ended_with_worker:
+            self.has_ended_with_worker = has_ended
+            self.task.note_change()
+
 
 class TrackedStep:
     """A step of one occurrence of a job.
@@ -143,6 +150,7 @@
     :ivar objective_ms: time within which the job should complete.
     :ivar latest_end_ms: latest end of the step with which it still can; None
         before it is computed.
+    :ivar first_number: number of its first task among those of the job.
     :ivar finished_work: work of the tasks that were measured.
     :ivar rank_computed_ms: when ``latest_start_ms`` and ``objective_ms``
         were computed.
@@ -176,6 +184,7 @@
         "failed_run_numbers",
         "failed_worker_ids",
         "finished_work",
+        "first_number",
         "hold_until_ms",
         "in_flight_worker_ids",
         "is_beyond_share",
@@ -206,6 +215,7 @@
             TrackedTask(self, position)
             for position in range(self.spec.task_count)
         ]
+        self.first_number = 0
         self.unfinished_count = self.spec.task_count
         self.waiting_count = self.spec.task_count
         self.ready_ms: int | None = None
--- a/src/magnoliapitch/planner/tracked_job.py
+++ b/src/magnoliapitch/planner/tracked_job.py
@@ -7,6 +7,7 @@
 from magnoliapitch.planner.job_paths import JobPaths
 from magnoliapitch.planner.step_dependencies import StepDependencies
 from magnoliapitch.planner.tracked import TrackedStep
+from magnoliapitch.workload.progress import TASKS_PER_PROGRESS_RECORD
 from magnoliapitch.workload.progress import JobOutcome
 
 
@@ -23,18 +24,23 @@
     :ivar outcome: final state, or ``OPEN``.
     :ivar has_begun: whether a worker has certainly begun one of its tasks.
     :ivar steps: the steps of each occurrence.
+    :ivar part_count: number of records that have its progress.
     :ivar paths: longest paths through its steps.
     :ivar dependencies: which of its steps wait for others.
+    :ivar changed_parts: numbers of the records of its progress that are not
+        stored as they should be.
     :ivar must_check_failures: whether a task may have used up its attempts
         without a run that failed just now.
     """
 
     __slots__ = (
+        "changed_parts",
         "dependencies",
         "has_begun",
         "known_ms",
         "must_check_failures",
         "outcome",
+        "part_count",
         "paths",
         "queue",
         "spec",
@@ -57,6 +63,12 @@
         self.paths = JobPaths(self)
         self.dependencies = StepDependencies(self.steps)
         self.must_check_failures = True
+        self.changed_parts: set[int] = set()
+        task_count = 0
+        for step in self.all_steps():
+            step.first_number = task_count
+            task_count += step.spec.task_count
+        self.part_count = max(1, -(-task_count // TASKS_PER_PROGRESS_RECORD))
 
     def has_failed(self, failed_task: TrackedTask | None) -> bool:
         """Return whether a task, or a gang, has used up its attempts.
--- a/src/magnoliapitch/planner/tracked_task.py
+++ b/src/magnoliapitch/planner/tracked_task.py
@@ -4,6 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.event import log_event
+from magnoliapitch.workload.progress import MAX_CHECKPOINT_BYTES
+from magnoliapitch.workload.progress import TASKS_PER_PROGRESS_RECORD
+
 
 if TYPE_CHECKING:
     from magnoliapitch.planner.tracked import TrackedRun
@@ -53,6 +57,46 @@
         self.worker_crashes = 0
         self.worker_losses = 0
 
+    @property
+    def progress_part(self) -> int:
+        """Return the number of the record that has the task's progress."""
+        number = self.step.first_number + self.key.position
+        return number // TASKS_PER_PROGRESS_RECORD
+
+    def note_change(self) -> None:
+        """Have the task's progress stored with that of its job."""
+        self.step.job.changed_parts.add(self.progress_part)
+
+    def add(self, run: TrackedRun) -> None:
+        """Add a run that may be active."""
+        self.active_runs.append(run)
+        self.note_change()
+
+    def remove(self, run: TrackedRun) -> None:
+        """Remove a run that is certainly not active."""
+        self.active_runs.remove(run)
+        self.note_change()
+
+    def finish(self) -> None:
+        """Record that the task is done."""
+        self.is_done = True
+        self.note_change()
+
+    def save_checkpoint(self, checkpoint: str) -> None:
+        """Keep the newest checkpoint, unless it is too long to be stored."""
+        if len(checkpoint.encode()) > MAX_CHECKPOINT_BYTES:
+            log_event(
+                "checkpoint-too-long",
+                job=self.key.job_id,
+                step=self.key.step,
+                task=self.key.position,
+                bytes=len(checkpoint.encode()),
+                limit=MAX_CHECKPOINT_BYTES,
+            )
+            return
+        self.checkpoint = checkpoint
+        self.note_change()
+
     @property
     def lost_worker_count(self) -> int:
         """Return with how many workers a run of the task was lost."""
@@ -90,4 +134,5 @@
                 return False
         step.failed_run_numbers.add(run.number)
         self.failures += 1
+        self.note_change()
         return True
--- a/src/magnoliapitch/planner/worker_loss.py
+++ b/src/magnoliapitch/planner/worker_loss.py
@@ -124,6 +124,7 @@
 def _note_count(state: SchedulerState, task: TrackedTask) -> None:
     """Store the counts of a task, and place it apart if it is suspect."""
     job_id = task.key.job_id
+    task.note_change()
     if job_id in state.jobs_by_id:
         state.unsaved_job_ids.add(job_id)
         if task.is_suspect:
--- a/src/magnoliapitch/workload/progress.py
+++ b/src/magnoliapitch/workload/progress.py
@@ -9,6 +9,13 @@
 from magnoliapitch.workload.job import TaskKey
 
 
+# The progress of more tasks is stored in several records, each of which is to
+# stay below the store's limit.
+TASKS_PER_PROGRESS_RECORD = 500
+# Longer checkpoints are not kept.
+MAX_CHECKPOINT_BYTES = 128
+
+
 class JobOutcome(StrEnum):
     """Final state of a job; ``OPEN`` while it has not ended."""
 
--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -16,6 +16,7 @@
 from magnoliapitch.control.events import WorkerReported
 from magnoliapitch.ledger.records import CANCEL_PREFIX
 from magnoliapitch.ledger.records import JOB_PREFIX
+from magnoliapitch.ledger.stream import MAX_RECORD_BYTES
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import may_have_run
@@ -154,6 +155,11 @@
     def commit(self, batch: Batch) -> None:
         simulation, sent_ms = self._simulation, self._simulation.now_ms
         simulation.on_commit(batch)
+        simulation.violations += [
+            f"record {record.key} has {record.size_bytes} bytes"
+            for record in (*batch.progress, *batch.states)
+            if record.size_bytes > MAX_RECORD_BYTES
+        ]
 
         def finish() -> None:
             if simulation.store_is_unavailable:
@@ -162,12 +168,21 @@
             if not self._is_current():
                 return
             values = {
-                record.key: record.value or None for record in batch.progress
+                record.key: record.value or None
+                for record in batch.progress
+                if not simulation.refuses_record(record)
             }
+            refused_keys = tuple(
+                record.key
+                for record in batch.progress
+                if record.key not in values
+            )
             if not simulation.freezes_job_table:
                 simulation.job_table.apply(values, list(values))  # type: ignore[arg-type]
             simulation.record_progress(values)
-            simulation.controller.handle_progress_stored(simulation.now_ms)
+            simulation.controller.handle_progress_stored(
+                simulation.now_ms, refused_keys
+            )
             if simulation.state_commit_ms:
                 simulation.schedule(simulation.state_commit_ms, finish_states)
             else:
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -50,6 +50,7 @@
     from collections.abc import Sequence
 
     from magnoliapitch.ledger.leadership import Batch
+    from magnoliapitch.ledger.stream import KeyedRecord
     from magnoliapitch.planner.options import PlanningOptions
     from magnoliapitch.workload.job import JobSpec
     from magnoliapitch.workload.job import StepKey
@@ -102,6 +103,8 @@
     :ivar list_is_unavailable: whether the list of workers cannot be read.
     :ivar jobs_are_unavailable: whether the leader cannot read the job stream.
     :ivar cancelled_ms_by_job: when the cancellation of a job was stored.
+    :ivar refuses_record: returns whether the store refuses a record of
+        progress for good.
     :ivar on_commit: called with every batch that is to be stored.
     """
 
@@ -139,6 +142,7 @@
         self.order_queue = OrderQueue(self)
         self.freezes_job_table = False
         self.on_commit: Callable[[Batch], object] = lambda _: None
+        self.refuses_record: Callable[[KeyedRecord], bool] = lambda _: False
         self.unreachable_worker_ids: set[str] = set()
         self.store_is_unavailable = False
         self.list_is_unavailable = False
--- a/tests/ledger/test_leadership.py
+++ b/tests/ledger/test_leadership.py
@@ -40,6 +40,58 @@
     assert leadership.claim is not None
 
 
+# A batch that the store refused ended each leadership anew.
+def test_a_commit_leaves_out_refused_records_only(
+    make_leadership: MakeLeadership, clock: ManualClock, streams: MemoryStreams
+) -> None:
+    leader = make_leadership("a")
+    become_leader(leader, clock)
+    refused: list[str] = []
+    streams.invalid_keys = {"p.3", "s.1"}
+    batch = Batch(
+        tuple(KeyedRecord(f"p.{number}", b"1") for number in range(7)),
+        tuple(KeyedRecord(f"s.{number}", b"pq") for number in range(3)),
+    )
+    stored = leader.commit(
+        batch, lambda: refused.extend(leader.refused_keys())
+    )
+    assert stored.is_ok()
+    assert refused == ["p.3"]
+    assert streams.keys(PROGRESS_STREAM) == [
+        f"p.{number}" for number in range(7) if number != 3
+    ]
+    assert streams.keys(STATE_STREAM)[-2:] == ["s.0", "s.2"]
+    assert leader.commit(BATCH).is_ok()
+    assert leader.refused_keys() == ()
+
+
+def test_a_large_commit_is_divided_and_goes_on_after_a_lost_answer(
+    make_leadership: MakeLeadership, clock: ManualClock, streams: MemoryStreams
+) -> None:
+    leader = make_leadership("a")
+    become_leader(leader, clock)
+    keys = [f"p.{number}" for number in range(30)]
+    batch = Batch(tuple(KeyedRecord(key, b"1" * 250_000) for key in keys))
+    told: list[bool] = []
+    streams.responses_to_lose = 1
+    for _ in range(2):
+        outcome = leader.commit(batch, lambda: told.append(True))
+    assert outcome.is_ok()
+    assert streams.keys(PROGRESS_STREAM) == keys
+    assert told == [True]
+
+
+def test_a_store_that_takes_no_call_at_all_refuses_no_record(
+    make_leadership: MakeLeadership, clock: ManualClock, streams: MemoryStreams
+) -> None:
+    """Otherwise every job would fail with a malformed answer of the store."""
+    leader = make_leadership("a")
+    become_leader(leader, clock)
+    streams.outage = not_run(FailureCode.INVALID, "the store answered 403")
+    assert leader.commit(BATCH).is_err()
+    assert leader.refused_keys() == ()
+
+
 def test_only_one_of_two_claims_wins(
     make_leadership: MakeLeadership, clock: ManualClock
 ) -> None:
