Load figures and learned speeds: records bounded in bytes

Cause: the record of load figures grew with the queues that have waiting work (about 1,600 fill record-bytes), the one of learned speeds with the length of worker ids and queue names (2,000 workers with ids of 250 bytes).

Change: both have at most 196,608 bytes. Of the load figures the queues with the longest waits are kept; jobs of the others are admitted. Of the speeds the numbers of workers and queues are halved until they fit.

--- a/src/magnoliapitch/admission/__init__.py
+++ b/src/magnoliapitch/admission/__init__.py
@@ -11,6 +11,7 @@
 from magnoliapitch.admission.figures import SizedWait
 from magnoliapitch.admission.figures import decode_figures
 from magnoliapitch.admission.figures import encode_figures
+from magnoliapitch.admission.figures import limited_figures
 
 
 __all__ = [
@@ -23,4 +24,5 @@
     "decide",
     "decode_figures",
     "encode_figures",
+    "limited_figures",
 ]
--- a/src/magnoliapitch/admission/figures.py
+++ b/src/magnoliapitch/admission/figures.py
@@ -15,6 +15,10 @@
 _Count = Annotated[int, Field(ge=0, strict=True)]
 
 
+# Part of the queues that certainly fits; they differ in size.
+KEPT_SHARE = 0.9
+
+
 class SizedWait(NamedTuple):
     """Lower bound of the wait of tasks of at least some size.
 
@@ -97,6 +101,36 @@
     return _ADAPTER.dump_json(figures)
 
 
+def limited_figures(figures: LoadFigures, max_bytes: int) -> LoadFigures:
+    """Return the figures, without some queues if they are too long else.
+
+    Those with the longest waits are kept. The jobs of a queue without figures
+    are admitted, as are all if the services alone are too long.
+
+    :param max_bytes: largest encoding.
+    """
+    queues = figures.queues_by_name
+    names = sorted(queues, key=lambda name: -_longest_ms(queues[name]))
+    size_bytes = len(encode_figures(figures))
+    while size_bytes > max_bytes:
+        if not names:
+            return figures._replace(services_by_name={})
+        count = int(len(names) * KEPT_SHARE * max_bytes / size_bytes)
+        names = names[:count]
+        figures = figures._replace(
+            queues_by_name={name: queues[name] for name in names}
+        )
+        size_bytes = len(encode_figures(figures))
+    return figures
+
+
+def _longest_ms(load: QueueLoad) -> int:
+    all_waits = (load.waits, *load.waits_by_workspace.values())
+    return max(
+        (wait.wait_ms for waits in all_waits for wait in waits), default=0
+    )
+
+
 def decode_figures(value: bytes) -> LoadFigures:
     """Decode load figures.
 
@@ -112,4 +146,5 @@
     "SizedWait",
     "decode_figures",
     "encode_figures",
+    "limited_figures",
 ]
--- a/src/magnoliapitch/control/load_publisher.py
+++ b/src/magnoliapitch/control/load_publisher.py
@@ -7,6 +7,7 @@
 
 from magnoliapitch.admission import LoadFigures
 from magnoliapitch.admission import encode_figures
+from magnoliapitch.admission import limited_figures
 from magnoliapitch.event import log_event
 from magnoliapitch.ledger.records import LOAD_KEY
 from magnoliapitch.ledger.stream import KeyedRecord
@@ -26,6 +27,8 @@
 MIN_INTERVAL_MS = 500
 # Instances use figures of up to 2 s, so unchanged ones are repeated.
 REPEAT_INTERVAL_MS = 1_000
+# The store's limit of a record is 262,144.
+MAX_LOAD_BYTES = 196_608
 
 
 class _Publication(NamedTuple):
@@ -127,8 +130,10 @@
         if figures is None:
             return ()
         self._sequence = figures.sequence
-        self._newest = self._in_commit = _Publication(figures, now_ms)
-        return (KeyedRecord(LOAD_KEY, encode_figures(figures)),)
+        self._newest = _Publication(figures, now_ms)
+        limited = limited_figures(figures, MAX_LOAD_BYTES)
+        self._in_commit = _Publication(limited, now_ms)
+        return (KeyedRecord(LOAD_KEY, encode_figures(limited)),)
 
     def record_stored(self) -> None:
         """Record that the last batch was stored."""
--- a/src/magnoliapitch/planner/duration/record.py
+++ b/src/magnoliapitch/planner/duration/record.py
@@ -21,6 +21,8 @@
 # Bounds the size of the record; the queues with the most steps are kept.
 MAX_STORED_QUEUES = 200
 MAX_STORED_WORKERS = 2_000
+# Names may be long; the numbers above are halved until the record fits.
+MAX_STORED_BYTES = 196_608
 # Speeds are stored in whole hundredths.
 SPEED_SCALE = 100
 FIGURE_DIGITS = 3
@@ -46,14 +48,26 @@
 
 
 def encode_learned(learned: LearnedDurations) -> bytes:
-    """Return the value of the record."""
+    """Return the value of the record, of at most ``MAX_STORED_BYTES``."""
+    max_workers, max_queues = MAX_STORED_WORKERS, MAX_STORED_QUEUES
+    value = _encode(learned, max_workers, max_queues)
+    while len(value) > MAX_STORED_BYTES:
+        max_workers //= 2
+        max_queues //= 2
+        value = _encode(learned, max_workers, max_queues)
+    return value
+
+
+def _encode(
+    learned: LearnedDurations, max_workers: int, max_queues: int
+) -> bytes:
     estimates = sorted(learned.speeds.estimates_by_id().items())
     workers = {
         worker_id: (
             round(SPEED_SCALE * estimate.log_speed),
             round(SPEED_SCALE * math.sqrt(estimate.variance)),
         )
-        for worker_id, estimate in estimates[:MAX_STORED_WORKERS]
+        for worker_id, estimate in estimates[:max_workers]
     }
     queues = sorted(
         (
@@ -66,10 +80,7 @@
     return _ADAPTER.dump_json(
         _Record(
             workers,
-            {
-                name: _rounded(figures)
-                for name, figures in queues[:MAX_STORED_QUEUES]
-            },
+            {name: _rounded(figures) for name, figures in queues[:max_queues]},
         )
     )
 
--- a/tests/admission/test_decision.py
+++ b/tests/admission/test_decision.py
@@ -14,7 +14,9 @@
 from magnoliapitch.admission import decide
 from magnoliapitch.admission import decode_figures
 from magnoliapitch.admission import encode_figures
+from magnoliapitch.admission import limited_figures
 from magnoliapitch.admission.retry import retry_after_ms
+from magnoliapitch.control.load_publisher import MAX_LOAD_BYTES
 from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.resource import Resources
 from magnoliapitch.verdict import FailureCode
@@ -149,6 +151,22 @@
     assert decision(spec, figures(90_000)) is None
 
 
+# With about 1,600 queues the record outgrew what the store takes.
+def test_figures_keep_the_longest_waits_within_a_limit() -> None:
+    queues = {
+        f"queue-{number}": QueueLoad(waits(number) * 4, 2_000, {})
+        for number in range(3_000)
+    }
+    load = LoadFigures(1, 1, queues, {"app": FULL})
+    limited = limited_figures(load, MAX_LOAD_BYTES)
+    size_bytes = len(encode_figures(limited))
+    assert 0.7 * MAX_LOAD_BYTES < size_bytes <= MAX_LOAD_BYTES
+    kept = set(limited.queues_by_name)
+    assert kept == {f"queue-{3_000 - 1 - n}" for n in range(len(kept))}
+    assert limited_figures(limited, MAX_LOAD_BYTES) == limited
+    assert not limited_figures(load, 40).services_by_name
+
+
 def test_a_queue_without_an_objective_is_admitted() -> None:
     aged = AgedFigures(figures(90_000), 0)
     queue = QUEUE._replace(stretch=1.0, target_ms=0.0)
--- a/tests/planner/test_learned_durations.py
+++ b/tests/planner/test_learned_durations.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from magnoliapitch.planner.duration.record import MAX_STORED_BYTES
 from magnoliapitch.planner.duration.record import encode_learned
 from magnoliapitch.planner.duration.record import restore_learned
 from magnoliapitch.planner.duration.speed_table import SpeedTable
@@ -195,6 +196,16 @@
     )
 
 
+def test_the_record_is_bounded_with_the_longest_names() -> None:
+    names = [f"{number:0250}" for number in range(2_000)]
+    site = Site(dict.fromkeys(names, 1.0))
+    for name in names:
+        site.run(QueueLoad(name, task_count=1), 1)
+    value = encode_learned(site.learned)
+    assert 0.4 * MAX_STORED_BYTES < len(value) <= MAX_STORED_BYTES
+    restore_learned(Site({}).learned, value)
+
+
 @pytest.mark.parametrize(
     "value",
     [
