Restore: a gang of which one member is stored as done is done

Cause: the members of a gang of over 500 positions of its job can lie in two records since progress is divided, and a leader that ends between two calls stores one of them only. The next one would start a gang again whose first member is done.

Change: restoring takes the whole gang as done. The hand-over test now also compares what is stored with the scheduler's state at every commit, with failed runs and a worker that restarts.

Test: test_a_gang_of_which_one_member_is_stored_as_done_is_done fails before.

--- a/src/magnoliapitch/planner/restore.py
+++ b/src/magnoliapitch/planner/restore.py
@@ -97,6 +97,7 @@
             continue
         _restore_task(state, task, task_progress, now_ms)
     for step in job.all_steps():
+        _finish_gang(state, step)
         step.unfinished_count = sum(not task.is_done for task in step.tasks)
         step.waiting_count = len(step.startable_tasks())
         _stop_incomplete_gang(state, step)
@@ -141,6 +142,19 @@
             state.mark_for_stop(run)
 
 
+def _finish_gang(state: SchedulerState, step: TrackedStep) -> None:
+    """Take a gang as done if one member is, since it ends as a whole.
+
+    Members in another record of the progress may not have been stored.
+    """
+    if step.spec.is_gang and any(task.is_done for task in step.tasks):
+        for task in step.tasks:
+            if not task.is_done:
+                task.finish()
+                for run in task.active_runs:
+                    state.mark_for_stop(run)
+
+
 def _stop_incomplete_gang(state: SchedulerState, step: TrackedStep) -> None:
     """Mark the restored members of a gang that has lost one for stopping.
 
--- a/tests/control/test_large_jobs.py
+++ b/tests/control/test_large_jobs.py
@@ -43,6 +43,7 @@
 
 
 if TYPE_CHECKING:
+    from magnoliapitch.ledger.leadership import Batch
     from magnoliapitch.planner.tracked_job import TrackedJob
     from magnoliapitch.workload.progress import JobProgress
 
@@ -119,10 +120,26 @@
 
 
 def test_a_job_of_many_tasks_goes_on_under_the_next_leader() -> None:
-    simulation = Simulation([QUEUE], workers(3))
+    """Records that have not changed are not stored, so none may be missed."""
+    simulation = Simulation([QUEUE._replace(attempts=9)], workers(3))
     task_count = 2 * TASKS_PER_PROGRESS_RECORD + 100
-    simulation.submit(JobSpec("a", "q", "", (StepSpec(task_count, SMALL),)))
-    simulation.run(2_500)
+    spec = JobSpec("a", "q", "", (StepSpec(task_count, SMALL),))
+    randomness = random.Random(1)
+    simulation.run_fails = lambda *_: randomness.random() < 0.05
+    store = Store()
+
+    def check(batch: Batch) -> None:
+        values = {record.key: record.value for record in batch.progress}
+        store.values.update(values)
+        if values.get("p.a"):
+            stored = store.progress(spec)
+            assert stored == simulation.controller.state.progress("a")
+
+    simulation.on_commit = check
+    simulation.submit(spec)
+    simulation.run(1_500)
+    simulation.restart_worker(simulation.workers["w001"])
+    simulation.run(1_000)
     simulation.take_over()
     simulation.run_until(lambda: "a" in simulation.finished)
     assert simulation.finished["a"].outcome is JobState.COMPLETED
@@ -131,6 +148,25 @@
     assert not simulation.stored_progress_keys
 
 
+def test_a_gang_of_which_one_member_is_stored_as_done_is_done() -> None:
+    """Its members may lie in two records, one of which was not stored."""
+    spec = JobSpec("a", "q", "", (StepSpec(600, is_gang=True),))
+    state, store = SchedulerState(), Store()
+    job = state.add_job(spec, QUEUE, 0)
+    for task in job.steps[0][0].tasks:
+        state.add_ordered_run(task.key, 1, "w", 0)
+    store.store(job)
+    first = job.steps[0][0].tasks[0].key
+    state.record_end("w", EndedRun(1, first, 1, EndKind.DONE), 1)
+    former = store.values["p.a.1"]
+    store.store(job)
+    store.values["p.a.1"] = former
+    restored = SchedulerState()
+    job = restored.add_job(spec, QUEUE, 0, store.progress(spec))
+    assert job.steps[0][0].is_done
+    assert not restored.waiting_steps
+
+
 # The refused record was stored again and again, and ended each leadership.
 def test_only_the_job_of_a_refused_record_fails() -> None:
     simulation = Simulation([QUEUE], workers(2))
