--- a/src/magnoliapitch/planner/restart_pause.py
+++ b/src/magnoliapitch/planner/restart_pause.py
@@ -47,13 +47,13 @@
         members = step.tasks if step.spec.is_gang else [task]
         if now_ms - _began_ms(run) >= EARLY_END_MS:
             for member in members:
-                member.failures = 0
+                member.reset_failures()
             return
         if step.spec.is_gang:
             if run.number in step.failed_run_numbers:
                 return
             step.failed_run_numbers = {run.number}
-        task.failures += 1
+        task.add_failure()
         early_ends = sum(member.failures for member in members)
         pause_ms = restart_pause_ms(early_ends)
         if pause_ms:
--- a/src/magnoliapitch/planner/restore.py
+++ b/src/magnoliapitch/planner/restore.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import sys
+
+from bisect import bisect_right
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from magnoliapitch.event import log_event
+from magnoliapitch.planner.step_dependencies import StepDependencies
+from magnoliapitch.workload.progress import TASKS_PER_PROGRESS_RECORD
 from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.progress import JobProgress
 from magnoliapitch.workload.progress import Placement
@@ -12,33 +18,53 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from magnoliapitch.planner.scheduler_state import SchedulerState
-    from magnoliapitch.planner.tracked import TrackedJob
     from magnoliapitch.planner.tracked import TrackedStep
+    from magnoliapitch.planner.tracked_job import TrackedJob
     from magnoliapitch.planner.tracked_task import TrackedTask
 
 
-def progress_of(job: TrackedJob) -> JobProgress:
-    """Return the progress of a job in the form that is stored."""
+def progress_of(job: TrackedJob, part: int | None = None) -> JobProgress:
+    """Return the progress of a job in the form that is stored.
+
+    :param part: number of the record whose tasks are wanted; None for all.
+    """
     return JobProgress(
         job.spec.job_id,
         job.outcome,
         {
             task.key: _task_progress(task)
-            for step in job.all_steps()
-            for task in step.tasks
+            for task in _tasks(job, part)
             if task.runs
         },
         job.has_begun,
     )
 
 
+def _tasks(job: TrackedJob, part: int | None) -> Iterator[TrackedTask]:
+    steps = job.all_steps()
+    begin, end = 0, sys.maxsize
+    if part is not None:
+        begin = part * TASKS_PER_PROGRESS_RECORD
+        end = begin + TASKS_PER_PROGRESS_RECORD
+    index = bisect_right(steps, begin, key=lambda step: step.first_number)
+    for step in islice(steps, index - 1, None):
+        if step.first_number >= end:
+            return
+        first = max(0, begin - step.first_number)
+        yield from step.tasks[first : end - step.first_number]
+
+
 def _task_progress(task: TrackedTask) -> TaskProgress:
+    is_open = task.step.job.outcome is JobOutcome.OPEN
     return TaskProgress(
         task.runs,
         task.failures,
         task.is_done,
-        task.checkpoint,
+        # The tasks of a job that has ended are not started again.
+        task.checkpoint if is_open else "",
         tuple(
             Placement(run.number, run.worker_id, run.has_ended_with_worker)
             for run in task.active_runs
@@ -71,9 +97,11 @@
             continue
         _restore_task(state, task, task_progress, now_ms)
     for step in job.all_steps():
+        _finish_gang(state, step)
         step.unfinished_count = sum(not task.is_done for task in step.tasks)
         step.waiting_count = len(step.startable_tasks())
         _stop_incomplete_gang(state, step)
+    job.dependencies = StepDependencies(job.steps)
 
 
 def _restore_task(
@@ -82,6 +110,8 @@
     progress: TaskProgress,
     now_ms: int,
 ) -> None:
+    # A former release stored the progress of all tasks in one record.
+    task.note_change()
     task.runs = progress.runs
     task.failures = progress.failures
     is_long_running = task.step.spec.is_long_running
@@ -113,6 +143,19 @@
             state.mark_for_stop(run)
 
 
+def _finish_gang(state: SchedulerState, step: TrackedStep) -> None:
+    """Take a gang as done if one member is, since it ends as a whole.
+
+    Members in another record of the progress may not have been stored.
+    """
+    if step.spec.is_gang and any(task.is_done for task in step.tasks):
+        for task in step.tasks:
+            if not task.is_done:
+                task.finish()
+                for run in task.active_runs:
+                    state.mark_for_stop(run)
+
+
 def _stop_incomplete_gang(state: SchedulerState, step: TrackedStep) -> None:
     """Mark the restored members of a gang that has lost one for stopping.
 
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -8,10 +8,10 @@
 from magnoliapitch.planner.restart_pause import RestartPauses
 from magnoliapitch.planner.restore import progress_of
 from magnoliapitch.planner.restore import restore_progress
-from magnoliapitch.planner.tracked import TrackedJob
 from magnoliapitch.planner.tracked import TrackedRun
 from magnoliapitch.planner.tracked import TrackedStep
 from magnoliapitch.planner.tracked import TrackedWorker
+from magnoliapitch.planner.tracked_job import TrackedJob
 from magnoliapitch.planner.workspace_usage import WorkspaceUsage
 from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.run import EndKind
@@ -75,7 +75,7 @@
             restore_progress(self, job, progress, now_ms)
         self._update_outcome(job)
         if job.outcome is JobOutcome.OPEN:
-            self._open_steps(job, now_ms)
+            self._open_steps(job.dependencies.released_steps(), now_ms)
         return job
 
     def open_due_steps(self, now_ms: int, wall_ms: int) -> None:
@@ -156,7 +156,7 @@
         if step.spec.is_gang and not step.is_done:
             self.stop_step(step)
         elif run.task.has_failed:
-            self._update_outcome(step.job)
+            self._update_outcome(step.job, run.task)
 
     def task(self, key: TaskKey) -> TrackedTask | None:
         """Return a task, or None if its job is not known."""
@@ -233,7 +233,7 @@
     ) -> TrackedRun:
         """Add a run that may be active, and reserve its capacity."""
         run = TrackedRun(task, number, worker_id, now_ms)
-        task.active_runs.append(run)
+        task.add(run)
         self.get_or_add_worker(worker_id).add(run)
         self.workspace_usage.add(run)
         return run
@@ -264,7 +264,7 @@
             run.resumed_percent = reported.percent
         self.confirm_run(run, now_ms)
         run.percent = reported.percent
-        run.has_ended_with_worker = False
+        run.set_ended_with_worker(False)
         task = run.task
         if reported.checkpoint and reported.checkpoint != task.checkpoint:
             self._save_checkpoint(task, reported.checkpoint)
@@ -275,6 +275,8 @@
         if task is None:
             return False
         run = self.run(end.task, end.run, worker_id)
+        # Of a gang, only a failure that counts can use up the attempts.
+        failed_task = None if task.step.spec.is_gang else task
         if end.checkpoint and not task.is_done:
             self._save_checkpoint(task, end.checkpoint)
         if task.step.is_completed_by(end.kind):
@@ -283,17 +285,17 @@
             return False
         elif task.step.spec.is_long_running:
             self._restart_pauses.record_end(run, end.kind, now_ms)
-        elif end.kind is EndKind.FAILED:
-            task.record_failure(run)
+        elif end.kind is EndKind.FAILED and task.record_failure(run):
+            failed_task = task
         if run is not None:
             self.remove_run(run)
-        self._update_outcome(task.step.job)
+        self._update_outcome(task.step.job, failed_task)
         return True
 
     def remove_run(self, run: TrackedRun) -> None:
         """Remove a run that is certainly not active."""
         task = run.task
-        task.active_runs.remove(run)
+        task.remove(run)
         self.get_or_add_worker(run.worker_id).remove(run)
         self.workspace_usage.remove(run)
         self.runs_to_stop.pop(id(run), None)
@@ -324,7 +326,7 @@
     def _save_checkpoint(self, task: TrackedTask, checkpoint: str) -> None:
         tasks = task.step.tasks if task.step.spec.is_gang else [task]
         for member in tasks:
-            member.checkpoint = checkpoint
+            member.save_checkpoint(checkpoint)
         self.unsaved_job_ids.add(task.key.job_id)
 
     def _record_done(
@@ -336,27 +338,35 @@
 
         :param number: number of the run.
         """
-        done_tasks = task.step.tasks if task.step.spec.is_gang else [task]
-        for member in done_tasks:
+        step, was_done = task.step, task.step.is_done
+        is_end_of_gang = step.spec.is_gang and not was_done
+        for member in step.tasks if is_end_of_gang else [task]:
             if not member.is_done:
                 if member.is_waiting:
-                    self._adjust_waiting_count(task.step, -1)
-                member.is_done = True
-                task.step.unfinished_count -= 1
+                    self._adjust_waiting_count(step, -1)
+                member.finish()
+                step.unfinished_count -= 1
                 self.unsaved_job_ids.add(task.key.job_id)
             for run in member.active_runs:
                 if run.number != number:
                     self.mark_for_stop(run)
-        if task.step.is_done and task.step.job.outcome is JobOutcome.OPEN:
-            self._open_steps(task.step.job, now_ms)
+        if step.is_done and not was_done:
+            released = step.job.dependencies.record_done(step)
+            if step.job.outcome is JobOutcome.OPEN:
+                self._open_steps(released, now_ms)
 
-    def _update_outcome(self, job: TrackedJob) -> None:
-        """Close an open job if its steps have all ended or one has failed."""
+    def _update_outcome(
+        self, job: TrackedJob, failed_task: TrackedTask | None = None
+    ) -> None:
+        """Close an open job if its steps have all ended or one has failed.
+
+        :param failed_task: task that may have used up its attempts.
+        """
         if job.outcome is not JobOutcome.OPEN:
             return
-        if any(step.has_failed for step in job.all_steps()):
+        if job.has_failed(failed_task):
             self._close_job(job, JobOutcome.FAILED)
-        elif all(step.is_done for step in job.all_steps()):
+        elif not job.dependencies.unfinished_count:
             self._close_job(job, JobOutcome.COMPLETED)
 
     def _close_job(self, job: TrackedJob, outcome: JobOutcome) -> None:
@@ -368,21 +378,13 @@
             if outcome is not JobOutcome.COMPLETED:
                 self.stop_step(step)
 
-    def _open_steps(self, job: TrackedJob, now_ms: int) -> None:
-        """Open or schedule the steps whose dependencies are done."""
-        for steps in job.steps:
-            for step in steps:
-                if step.is_done or step.ready_ms is not None:
-                    continue
-                if step.key in self.scheduled_steps:
-                    continue
-                if all(
-                    steps[number].is_done for number in step.spec.depends_on
-                ):
-                    if job.spec.run_count:
-                        self.scheduled_steps[step.key] = step
-                    else:
-                        self._open_step(step, now_ms)
+    def _open_steps(self, steps: Iterable[TrackedStep], now_ms: int) -> None:
+        """Open or schedule steps whose dependencies are done."""
+        for step in steps:
+            if step.job.spec.run_count:
+                self.scheduled_steps[step.key] = step
+            else:
+                self._open_step(step, now_ms)
 
     def _open_step(self, step: TrackedStep, now_ms: int) -> None:
         step.ready_ms = now_ms
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -10,15 +10,13 @@
 from magnoliapitch.planner.tracked_task import TrackedTask
 from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.workload.job import StepKey
-from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.run import EndKind
 
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from magnoliapitch.workload.configuration import Queue
-    from magnoliapitch.workload.job import JobSpec
+    from magnoliapitch.planner.tracked_job import TrackedJob
     from magnoliapitch.workload.job import StepSpec
     from magnoliapitch.workload.run import Permit
     from magnoliapitch.workload.worker import WorkerInfo
@@ -130,12 +128,19 @@
     def move_to(self, worker: TrackedWorker) -> None:
         """Count as active on the next incarnation of the run's worker."""
         self.worker_id = worker.worker_id
-        self.has_ended_with_worker = True
+        self.set_ended_with_worker(True)
         self.confirmed_ms = None
         self.stop_sent_ms = None
         self.stopped_ms = None
+        self.task.note_change()
         worker.add(self)
 
+    def set_ended_with_worker(self, has_ended: bool) -> None:
+        """Set whether the run has ended with its worker's incarnation."""
+        if has_ended != self.has_ended_with_worker:
+            self.has_ended_with_worker = has_ended
+            self.task.note_change()
+
 
 class TrackedStep:
     """A step of one occurrence of a job.
@@ -146,6 +151,7 @@
     :ivar objective_ms: time within which the job should complete.
     :ivar latest_end_ms: latest end of the step with which it still can; None
         before it is computed.
+    :ivar first_number: number of its first task among those of the job.
     :ivar finished_work: work of the tasks that were measured.
     :ivar rank_computed_ms: when ``latest_start_ms`` and ``objective_ms``
         were computed.
@@ -179,6 +185,7 @@
         "failed_run_numbers",
         "failed_worker_ids",
         "finished_work",
+        "first_number",
         "hold_until_ms",
         "in_flight_worker_ids",
         "is_beyond_share",
@@ -209,6 +216,7 @@
             TrackedTask(self, position)
             for position in range(self.spec.task_count)
         ]
+        self.first_number = 0
         self.unfinished_count = self.spec.task_count
         self.waiting_count = self.spec.task_count
         self.ready_ms: int | None = None
@@ -293,43 +301,6 @@
         return [run for task in self.tasks for run in task.active_runs]
 
 
-class TrackedJob:
-    """A submitted job with the steps of all its occurrences.
-
-    :ivar known_ms: when this instance learned of the job, by its own clock.
-    :ivar outcome: final state, or ``OPEN``.
-    :ivar has_begun: whether a worker has certainly begun one of its tasks.
-    :ivar steps: the steps of each occurrence.
-    """
-
-    __slots__ = (
-        "has_begun",
-        "known_ms",
-        "outcome",
-        "queue",
-        "spec",
-        "steps",
-    )
-
-    def __init__(self, spec: JobSpec, queue: Queue, known_ms: int) -> None:
-        self.spec = spec
-        self.queue = queue
-        self.known_ms = known_ms
-        self.outcome = JobOutcome.OPEN
-        self.has_begun = False
-        self.steps = [
-            [
-                TrackedStep(self, occurrence, number)
-                for number in range(len(spec.steps))
-            ]
-            for occurrence in range(spec.occurrences)
-        ]
-
-    def all_steps(self) -> list[TrackedStep]:
-        """Return the steps of every occurrence."""
-        return [step for steps in self.steps for step in steps]
-
-
 class TrackedWorker:
     """A worker and the runs that may be active on it.
 
--- a/src/magnoliapitch/planner/tracked_task.py
+++ b/src/magnoliapitch/planner/tracked_task.py
@@ -4,6 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.event import log_event
+from magnoliapitch.workload.progress import MAX_CHECKPOINT_BYTES
+from magnoliapitch.workload.progress import TASKS_PER_PROGRESS_RECORD
+
 
 if TYPE_CHECKING:
     from magnoliapitch.planner.tracked import TrackedRun
@@ -72,15 +76,57 @@
 
     @property
     def has_failed(self) -> bool:
-        """Return whether the task cannot be done any more.
+        """Return whether the task, or its gang, cannot be done any more.
 
         A run that goes on after the last attempt has failed may still be
         done.
         """
+        if self.step.spec.is_gang:
+            return self.step.has_failed
         if self.is_done or self.has_attempts_left:
             return False
         return all(run.is_stopping for run in self.active_runs)
 
+    @property
+    def progress_part(self) -> int:
+        """Return the number of the record that has the task's progress."""
+        number = self.step.first_number + self.key.position
+        return number // TASKS_PER_PROGRESS_RECORD
+
+    def note_change(self) -> None:
+        """Have the task's progress stored with that of its job."""
+        self.step.job.changed_parts.add(self.progress_part)
+
+    def add(self, run: TrackedRun) -> None:
+        """Add a run that may be active."""
+        self.active_runs.append(run)
+        self.note_change()
+
+    def remove(self, run: TrackedRun) -> None:
+        """Remove a run that is certainly not active."""
+        self.active_runs.remove(run)
+        self.note_change()
+
+    def finish(self) -> None:
+        """Record that the task is done."""
+        self.is_done = True
+        self.note_change()
+
+    def save_checkpoint(self, checkpoint: str) -> None:
+        """Keep the newest checkpoint, unless it is too long to be stored."""
+        if len(checkpoint.encode()) > MAX_CHECKPOINT_BYTES:
+            log_event(
+                "checkpoint-too-long",
+                job=self.key.job_id,
+                step=self.key.step,
+                task=self.key.position,
+                bytes=len(checkpoint.encode()),
+                limit=MAX_CHECKPOINT_BYTES,
+            )
+            return
+        self.checkpoint = checkpoint
+        self.note_change()
+
     @property
     def lost_worker_count(self) -> int:
         """Return with how many workers a run of the task was lost."""
@@ -91,14 +137,28 @@
         """Return whether the task may be what ends its workers."""
         return self.lost_worker_count >= MIN_SUSPECT_LOSSES
 
-    def record_failure(self, run: TrackedRun) -> None:
+    def record_failure(self, run: TrackedRun) -> bool:
         """Count a failed run as an attempt, whether it is a copy or not.
 
         Failures of several gang members in one run count once.
+
+        :return: whether it counts.
         """
         step = self.step
         if step.spec.is_gang:
             if run.number in step.failed_run_numbers:
-                return
+                return False
             step.failed_run_numbers.add(run.number)
+        self.add_failure()
+        return True
+
+    def add_failure(self) -> None:
+        """Count one failure more."""
         self.failures += 1
+        self.note_change()
+
+    def reset_failures(self) -> None:
+        """Begin to count failures anew."""
+        if self.failures:
+            self.failures = 0
+            self.note_change()
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -106,6 +106,8 @@
     :ivar list_is_unavailable: whether the list of workers cannot be read.
     :ivar jobs_are_unavailable: whether the leader cannot read the job stream.
     :ivar cancelled_ms_by_job: when the cancellation of a job was stored.
+    :ivar refuses_record: returns whether the store refuses a record of
+        progress for good.
     :ivar on_commit: called with every batch that is to be stored.
     """
 
@@ -143,6 +145,7 @@
         self.order_queue = OrderQueue(self)
         self.freezes_job_table = False
         self.on_commit: Callable[[Batch], object] = lambda _: None
+        self.refuses_record: Callable[[KeyedRecord], bool] = lambda _: False
         self.unreachable_worker_ids: set[str] = set()
         self.store_is_unavailable = False
         self.list_is_unavailable = False
