Jobs keep what their queue was when it accepted them

Cause: the leader left a stored job out while the newest configuration lacked its queue (JobLoader._add, "queue-missing"), and published all the same that it had read up to there. The job never ran, and instances that had not accepted it answered 410 (LOST). After a change of leader the ends of such a job's tasks were acknowledged without being recorded, so that done tasks ran again once the queue was back (TWICE). An accepting instance may know a queue that the leader has never seen, since the watch skips versions that follow quickly.

Change: the accepting instance stores in the job what its runs need of the queue (JobSpec.accepting_queue: service, priority, attempts, stretch, target, permit timing). The leader adds every job that it reads: by the queue of the newest configuration, else by the stored one, else (records of older releases) as a job that is tracked, published and cancelled like any other but starts nothing and fails of nothing until its queue is back. Nothing waits to be added any more, so JobLoader.add_missing is gone. A queue that comes back with fewer attempts than a job has used closes the job at once (BUDGET).

Calls stay with the newest configuration (CONFIG): without a queue at the path 404, with another one at the same path the job's state or its cancellation.

Cost: 38 bytes in a stored job (51 on a queue with advice), on 323 to 1,223 bytes for a job of two steps with a text of 100 to 1,000 bytes; published states and progress are as before.

Other members looked at: permits go on by the stored timing; services are used only of standby machines, so a service that leaves the configuration with its queue takes nothing from its jobs; a workspace that is removed has no quota any more and the default weight; a withdrawn key is 401 for calls (CONFIG) and nothing to accepted jobs. Not changed: a gang that was admitted waits for as long as a lowered quota of its workspace never passes it.

One existing assertion is replaced: test_a_deployment_without_workspaces_is_served_as_before asserted that a stored job has 8 fields, as in releases before workspaces. It now asserts the two fields after these exactly (no workspace, the queue). Jobs without accepting_queue are still the same bytes (test_job_api, unchanged). Three tests call handle_configuration_changed without its argument, which has gone.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -205,16 +205,9 @@
         self._progress_batcher.record_read(event.end)
         self._job_loader.apply_changes(event.job_ids, now_ms)
 
-    def handle_configuration_changed(self, now_ms: int) -> None:
-        """Apply a newer configuration to queues and workspaces.
-
-        Stored jobs whose queue is defined again are added.
-        """
-        configuration = self._configuration()
-        if configuration is None:
-            return
-        apply_configuration(self.state, configuration)
-        self._job_loader.add_missing(now_ms)
+    def handle_configuration_changed(self) -> None:
+        """Apply a newer configuration to queues and workspaces."""
+        apply_configuration(self.state, self._configuration())
 
     def handle_report(self, event: WorkerReported) -> None:
         """Apply a worker's report of active and ended runs, or a failure."""
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -283,7 +283,7 @@
         elif isinstance(event, PermitsAnswered):
             controller.handle_permits(event)
         elif isinstance(event, ConfigurationChanged):
-            controller.handle_configuration_changed(now_ms)
+            controller.handle_configuration_changed()
 
     def _grant_lease(
         self, controller: Controller, worker_id: str, now_ms: int
--- a/src/magnoliapitch/control/job_loader.py
+++ b/src/magnoliapitch/control/job_loader.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import sys
+
 from typing import TYPE_CHECKING
 
 from magnoliapitch.event import log_event
+from magnoliapitch.workload.configuration import QueueSnapshot
 
 
 if TYPE_CHECKING:
@@ -17,13 +20,20 @@
     from magnoliapitch.ledger.job_table import StoredJob
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.workload.configuration import Configuration
+    from magnoliapitch.workload.configuration import Queue
+    from magnoliapitch.workload.job import JobSpec
+
+
+# Jobs of such a queue can't start, since no worker has this service, nor fail;
+# what runs of them goes on.
+UNKNOWN_QUEUE = QueueSnapshot(service="", attempts=sys.maxsize)
 
 
 class JobLoader:
     """Adds stored jobs to the scheduler state.
 
     :param configuration: returns the newest configuration, or None if none
-        was read yet; no job is added before.
+        was read yet.
     :param delete_jobs: deletes stored jobs that have ended.
     """
 
@@ -46,15 +56,6 @@
         for stored in self._job_table.jobs():
             self._add(stored, now_ms)
 
-    def add_missing(self, now_ms: int) -> None:
-        """Add the stored jobs that are not in the scheduler state."""
-        for stored in self._job_table.jobs():
-            if (
-                stored.spec
-                and stored.spec.job_id not in self._state.jobs_by_id
-            ):
-                self._add(stored, now_ms)
-
     def apply_changes(self, job_ids: Iterable[str], now_ms: int) -> None:
         """Add the new ones of some jobs and cancel the cancelled ones.
 
@@ -71,24 +72,35 @@
                 self._state.cancel_job(job_id)
 
     def _add(self, stored: StoredJob, now_ms: int) -> None:
-        configuration = self._configuration()
         spec = stored.spec
-        if spec is None or configuration is None:
+        if spec is None:
             return
         has_ended = self._progress_batcher.has_ended(spec.job_id)
         if has_ended and not stored.has_final_progress:
             # Its progress was deleted after its last run had ended.
             self._delete_jobs([spec.job_id])
             return
-        queue = configuration.queues_by_name.get(spec.queue)
-        if queue is None:
-            # The queue was removed; its jobs wait until it is defined again.
-            log_event("queue-missing", job=spec.job_id, queue=spec.queue)
-            return
+        queue = self._queue_of(spec)
         self._state.add_job(spec, queue, now_ms, stored.progress)
         self._progress_batcher.record_added(spec.job_id)
         if stored.is_cancelled:
             self._state.cancel_job(spec.job_id)
 
+    def _queue_of(self, spec: JobSpec) -> Queue:
+        """Return a job's queue, if need be as it was when it accepted it."""
+        configuration = self._configuration()
+        if configuration is not None:
+            queue = configuration.queues_by_name.get(spec.queue)
+            if queue is not None:
+                return queue
+        snapshot = spec.accepting_queue or UNKNOWN_QUEUE
+        log_event(
+            "queue-missing",
+            job=spec.job_id,
+            queue=spec.queue,
+            service=snapshot.service,
+        )
+        return snapshot.to_queue(spec.queue)
+
 
 __all__ = ["JobLoader"]
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -290,8 +290,9 @@
 define_event(
     "queue-missing",
     EventLevel.WARNING,
-    "A stored job names a queue that the configuration does not define; the "
-    "job waits.",
+    "The leader took over a job whose queue the configuration does not "
+    "define. The job runs on the service of the queue that accepted it, and "
+    "waits if that is not known.",
 )
 define_event(
     "store-unavailable",
--- a/src/magnoliapitch/ledger/records.py
+++ b/src/magnoliapitch/ledger/records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 from pydantic import TypeAdapter
@@ -14,6 +16,10 @@
 from magnoliapitch.workload.progress import TaskProgress
 
 
+if TYPE_CHECKING:
+    from magnoliapitch.workload.configuration import QueueSnapshot
+
+
 JOB_STREAM = "jobs"
 STATE_STREAM = "states"
 PROGRESS_STREAM = "runs"
@@ -27,6 +33,8 @@
 LOAD_KEY = "load"
 CANCELLED = b"1"
 
+MAX_SHARED_QUEUES = 1_024
+
 
 class LeaderRecord(NamedTuple):
     """A claim of leadership.
@@ -68,9 +76,13 @@
 def encode_job(job: JobSpec) -> bytes:
     """Encode a submitted job as JSON.
 
-    Without a workspace, the record ends as in releases that have none.
+    Without the queue, and then without a workspace, the record ends as in
+    releases that have none.
     """
     value = _JOB_ADAPTER.dump_json(job)
+    if job.accepting_queue is not None:
+        return value
+    value = value.removesuffix(b",null]") + b"]"
     return value if job.workspace else value.removesuffix(b',""]') + b"]"
 
 
@@ -79,7 +91,16 @@
 
     :raises ValueError: if the value is not a valid job.
     """
-    return check_job(_JOB_ADAPTER.validate_json(value))
+    job = check_job(_JOB_ADAPTER.validate_json(value))
+    if job.accepting_queue is None:
+        return job
+    return job._replace(accepting_queue=_shared(job.accepting_queue))
+
+
+@lru_cache(maxsize=MAX_SHARED_QUEUES)
+def _shared(queue: QueueSnapshot) -> QueueSnapshot:
+    """Return one object for all equal ones, of which each job has one."""
+    return queue
 
 
 def encode_leader(record: LeaderRecord) -> bytes:
--- a/src/magnoliapitch/planner/reconfiguration.py
+++ b/src/magnoliapitch/planner/reconfiguration.py
@@ -17,8 +17,9 @@
 ) -> None:
     """Replace the queues of the jobs and the workspaces.
 
-    Jobs whose queue is not defined any more keep it. Usage is summed afresh,
-    since the runs of a queue may have another priority now.
+    Jobs whose queue is not defined any more keep it. Those that have failed
+    by the attempts of their queue are closed. Usage is summed afresh, since
+    the runs of a queue may have another priority now.
 
     :param configuration: None if none was read yet, which changes nothing.
     """
@@ -27,6 +28,8 @@
     for job in state.jobs_by_id.values():
         queue = configuration.queues_by_name.get(job.spec.queue)
         job.queue = queue or job.queue
+        if any(step.has_failed for step in job.all_steps()):
+            state.fail_job(job)
         for step in job.all_steps():
             step.start_limit = sys.maxsize
             step.is_held = False
--- a/src/magnoliapitch/platform/job_application.py
+++ b/src/magnoliapitch/platform/job_application.py
@@ -19,6 +19,7 @@
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
 from magnoliapitch.verdict import not_run
+from magnoliapitch.workload.configuration import QueueSnapshot
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
 from magnoliapitch.workload.job_check import check_job
@@ -167,6 +168,7 @@
         int(body.get("interval-ms") or 0),
         time.time_ns() // 1_000_000,
         grant.caller.workspace,
+        QueueSnapshot.from_queue(grant.queue),
     )
     return check_job(job)
 
--- a/src/magnoliapitch/workload/configuration.py
+++ b/src/magnoliapitch/workload/configuration.py
@@ -54,6 +54,46 @@
     is_public: bool = False
 
 
+class QueueSnapshot(NamedTuple):
+    """What a queue was when it accepted a job, as far as the job's runs need.
+
+    The parameters are those of :class:`Queue`.
+    """
+
+    service: str
+    priority: int = 0
+    attempts: int = 1
+    stretch: float = 1.0
+    target_ms: float = 0.0
+    permit_timing: PermitTiming | None = None
+
+    @classmethod
+    def from_queue(cls, queue: Queue) -> QueueSnapshot:
+        """Take the snapshot of a queue."""
+        return cls(
+            queue.service,
+            queue.priority,
+            queue.attempts,
+            queue.stretch,
+            queue.target_ms,
+            queue.permit_timing,
+        )
+
+    def to_queue(self, name: str) -> Queue:
+        """Return the queue, which serves no path any more."""
+        return Queue(
+            name,
+            "",
+            "",
+            self.service,
+            self.priority,
+            self.attempts,
+            self.stretch,
+            self.target_ms,
+            permit_timing=self.permit_timing,
+        )
+
+
 class Workspace(NamedTuple):
     """A workspace, on whose account jobs run.
 
--- a/src/magnoliapitch/workload/job.py
+++ b/src/magnoliapitch/workload/job.py
@@ -6,6 +6,7 @@
 
 from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.resource import Resources
+from magnoliapitch.workload.configuration import QueueSnapshot
 
 
 class TaskKey(NamedTuple):
@@ -107,6 +108,8 @@
         by the clock of the instance that accepted it.
     :param workspace: name of the workspace whose API key the caller sent;
         empty if the queue is public or there are no workspaces.
+    :param accepting_queue: the queue when it accepted the job; None in jobs
+        of releases that did not store it.
     """
 
     job_id: str
@@ -118,6 +121,7 @@
     interval_ms: int = 0
     submitted_ms: int = 0
     workspace: str = ""
+    accepting_queue: QueueSnapshot | None = None
 
     @property
     def occurrences(self) -> int:
--- a/tests/control/test_takeover_capacity.py
+++ b/tests/control/test_takeover_capacity.py
@@ -211,7 +211,7 @@
     assert "a" in controller.state.jobs_by_id
     simulation.run(10_000)
     assert "a" not in controller.state.jobs_by_id
-    controller.handle_configuration_changed(simulation.now_ms)
+    controller.handle_configuration_changed()
     assert "a" not in controller.state.jobs_by_id
     (worker,) = controller.state.workers_by_id.values()
     assert worker.runs == []
--- a/tests/control/test_workspace_loads.py
+++ b/tests/control/test_workspace_loads.py
@@ -134,7 +134,7 @@
     simulation.configuration = simulation.configuration._replace(
         queues_by_name={"urgent": urgent._replace(permit_timing=timing)}
     )
-    simulation.controller.handle_configuration_changed(simulation.now_ms)
+    simulation.controller.handle_configuration_changed()
     for _ in range(40):
         load.submit("a", StepSpec(2, TASK))
     simulation.run(4_000)
--- a/tests/control/workspace_simulation.py
+++ b/tests/control/workspace_simulation.py
@@ -68,7 +68,7 @@
         if newer.version <= self.configuration.version:
             return
         self.configuration = newer
-        self.controller.handle_configuration_changed(self.now_ms)
+        self.controller.handle_configuration_changed()
 
     def late_ms(self, order: StartOrder | StopOrder, late_ms: int) -> int:
         """Record when a start order that is carried out late was sent."""
--- a/tests/ledger/test_job_api.py
+++ b/tests/ledger/test_job_api.py
@@ -24,6 +24,8 @@
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
 from magnoliapitch.verdict import not_run
+from magnoliapitch.workload.configuration import PermitTiming
+from magnoliapitch.workload.configuration import QueueSnapshot
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
 from tests.control.simulation import queue
@@ -323,6 +325,21 @@
     assert decode_job(encode_job(of_workspace)) == of_workspace
 
 
+# A leader that did not know the queue of a stored job any more lost the job.
+def test_a_stored_job_has_what_its_queue_was_when_it_accepted_it() -> None:
+    for permit_timing in (None, PermitTiming(20.0, 1.5, 2_000)):
+        accepting = queue("q", 2, permit_timing)
+        snapshot = QueueSnapshot.from_queue(accepting)
+        job = JobSpec("0a", "q", "", (StepSpec(1),), accepting_queue=snapshot)
+        stored = [decode_job(encode_job(job)) for _ in range(2)]
+        assert stored == [job, job]
+        assert stored[0].accepting_queue is stored[1].accepting_queue
+        restored = snapshot.to_queue("q")._replace(
+            host=accepting.host, path_prefix=accepting.path_prefix
+        )
+        assert restored == accepting
+
+
 def test_an_unreadable_workspace_leaves_only_its_job_out() -> None:
     states = StateTable()
     values = {
--- a/tests/platform/test_job_application.py
+++ b/tests/platform/test_job_application.py
@@ -18,9 +18,11 @@
 from magnoliapitch.metric import Metrics
 from magnoliapitch.platform import job_application
 from magnoliapitch.relay import RelayedJobs
+from magnoliapitch.workload.configuration import QueueSnapshot
 from magnoliapitch.workload.job_check import MAX_TASKS_PER_JOB
 from tests.access.configurations import HOST
 from tests.access.configurations import NORTH
+from tests.access.configurations import PRIVATE_QUEUE
 from tests.access.configurations import SOUTH
 from tests.access.configurations import configuration
 from tests.ledger.test_job_api import FakeStore
@@ -58,7 +60,7 @@
         clock = ManualClock(10_000)
         freshness = ConfigurationFreshness(clock)
         freshness.end_check(freshness.begin_check(), has_succeeded=True)
-        gate = AccessGate(freshness, Metrics())
+        self.gate = gate = AccessGate(freshness, Metrics())
         gate.configure(configuration(workspaces=workspaces))
         jobs = RelayedJobs(self.store.job_api(), NoRelay(), clock)  # type: ignore[arg-type]
         self._application = job_application(jobs, gate, 1 << 20)
@@ -116,6 +118,20 @@
         assert decode_job(stored).workspace == ""
 
 
+# A job whose queue was replaced was lost, and callers were told 410. Without
+# any queue at its path, calls get 404, as the newest configuration says.
+def test_a_job_is_served_by_whatever_queue_has_its_path() -> None:
+    instance = Instance()
+    assert instance.submit("/plans/0a") == 200
+    stored = decode_job(instance.store.stored["j.0a"])
+    assert stored.accepting_queue == QueueSnapshot.from_queue(PRIVATE_QUEUE)
+    other = PRIVATE_QUEUE._replace(name="plans-2", service="other")
+    for queues, status in (((other,), 200), ((), 404)):
+        instance.gate.configure(configuration(queues=queues))
+        assert instance.call("GET", "/plans/0a") == status
+        assert instance.call("DELETE", "/plans/0a") == status
+
+
 @pytest.mark.parametrize("headers", [{}, UNKNOWN_KEY])
 @pytest.mark.parametrize("method", ["POST", "GET", "DELETE", "PUT"])
 @pytest.mark.parametrize("job_id", ["0a", ""])
@@ -168,13 +184,13 @@
 def test_a_deployment_without_workspaces_is_served_as_before(
     lines: list[dict[str, Any]],
 ) -> None:
-    """Keys are ignored; stored bytes are those of earlier releases."""
+    """Keys are ignored; a stored job has no workspace, only its queue."""
     instance = Instance(workspaces=())
     for number, headers in enumerate(({}, UNKNOWN_KEY, NORTH_KEY)):
         assert instance.submit(f"/plans/0{number}", headers) == 200
         assert instance.call("GET", f"/plans/0{number}", headers) == 200
         stored = json.loads(instance.store.stored[f"j.0{number}"])
-        assert len(stored) == 8
+        assert stored[8:] == ["", ["app", 0, 1, 1.0, 0.0, None]]
     assert instance.call("GET", "/plans/", {}) == 200
     assert json.loads(instance.body) == {"pending-jobs": 3}
     assert [line["event"] for line in lines] == ["call-answered"] * 3
