Runs count as active until a worker has listed all its ends

Cause: a worker lists its ends 500 at a time. ReportApplier took each report for a complete one: a run that it lists neither as active nor as ended was taken as never begun, so that at a change of leader with over 1,000 ends of one worker done tasks were started again (TWICE).

Change: a report says whether it has all ends (WorkerReport.has_all_ends); platform/workers.py, which knows the size of a page, sets it to false for a full one. Until a report has all ends, nothing is concluded from what it does not list: neither that restored, stopped, confirmed or moved runs are gone, with what follows from that for the members of a gang, nor that what ended with a former incarnation is to be stopped. The runs keep their capacity and their tasks do not wait meanwhile. Ends and active runs that are listed apply at once, and each page is acknowledged as before, which brings the next. Agents pass the statement on (AgentEvent.has_all_ends), and never take such a report for an unchanged one. New in the log: ends-partly-listed.

Looked at besides: unknown runs and what they keep a worker from rest on the list of active runs, which is whole; unanswered orders end a run only through the same function, after the stop; answers to orders draw no conclusion from reports.

--- a/src/magnoliapitch/control/delegation/agent.py
+++ b/src/magnoliapitch/control/delegation/agent.py
@@ -280,6 +280,7 @@
                 clock_ms=report.clock_ms,
                 running=None if is_unchanged else report.running,
                 ended=report.ended,
+                has_all_ends=report.has_all_ends,
             )
         )
 
--- a/src/magnoliapitch/control/delegation/event_buffer.py
+++ b/src/magnoliapitch/control/delegation/event_buffer.py
@@ -72,4 +72,5 @@
         and event.failure is None
         and event.running is None
         and not event.ended
+        and event.has_all_ends
     )
--- a/src/magnoliapitch/control/delegation/messages.py
+++ b/src/magnoliapitch/control/delegation/messages.py
@@ -110,6 +110,7 @@
     :param running: active runs in the answer to a renewal; None if they are
         those of the worker's previous answer.
     :param ended: ended runs in the answer to a renewal.
+    :param has_all_ends: whether the worker has certainly no further ones.
     """
 
     kind: AgentEventKind
@@ -122,6 +123,7 @@
     run: int = 0
     running: tuple[ActiveRun, ...] | None = None
     ended: tuple[EndedRun, ...] = ()
+    has_all_ends: bool = True
 
 
 class EventBatch(NamedTuple):
--- a/src/magnoliapitch/control/delegation/session.py
+++ b/src/magnoliapitch/control/delegation/session.py
@@ -316,7 +316,11 @@
                 # It repeats a report from before the worker was released and
                 # assigned again.
                 return
-            outcome = Ok(WorkerReport(event.clock_ms, running, event.ended))
+            outcome = Ok(
+                WorkerReport(
+                    event.clock_ms, running, event.ended, event.has_all_ends
+                )
+            )
         self._post(
             WorkerReported(
                 worker_id, outcome, event.sent_ms, event.received_ms
--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -119,7 +119,17 @@
             self._state.record_running(run, running, received_ms)
         worker = self._state.get_or_add_worker(worker_id)
         worker.unknown_run_count = len(unexpected)
-        self._remove_absent_runs(worker_id, reported_run_identities, sent_ms)
+        if report.has_all_ends:
+            self._remove_absent_runs(
+                worker_id, reported_run_identities, sent_ms
+            )
+        else:
+            log_event(
+                "ends-partly-listed",
+                worker=worker_id,
+                ends=len(report.ended),
+                last_end_sequence=last_end_sequence,
+            )
         self._speed_report.record(received_ms)
         return ReportOutcome(
             last_end_sequence,
@@ -184,7 +194,10 @@
     def _remove_absent_runs(
         self, worker_id: str, reported_run_identities: set[int], sent_ms: int
     ) -> None:
-        """Remove runs that the worker would report if they were active."""
+        """Remove runs that the worker would report if they were active.
+
+        It must have listed all its ends, since a run may be among the others.
+        """
         for run in list(self._state.get_or_add_worker(worker_id).runs):
             if id(run) in reported_run_identities:
                 continue
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -287,6 +287,12 @@
     "The newest configuration cannot be decoded; the previous one stays in "
     "force.",
 )
+define_event(
+    "ends-partly-listed",
+    EventLevel.INFO,
+    "A worker lists only a part of its ended runs at a time; runs that are "
+    "missing in the report are kept until it has listed all.",
+)
 define_event(
     "queue-missing",
     EventLevel.WARNING,
--- a/src/magnoliapitch/platform/workers.py
+++ b/src/magnoliapitch/platform/workers.py
@@ -36,6 +36,8 @@
 # Names the incarnation of a worker that a call is meant for; another one at
 # the same address refuses the call with status 421.
 EXPECTED_WORKER_HEADER = "X-Magnoliapitch-Expect-Instance"
+# A worker lists no more ended runs at a time.
+MAX_LISTED_ENDS = 500
 
 _CODE_BY_REASON = {
     "fence": FailureCode.FENCED,
@@ -217,11 +219,13 @@
 
 def _decode_report(body: Any) -> Result[WorkerReport, Failure]:
     try:
+        ended = tuple(map(_decode_ended, body.get("ended-runs", ())))
         return Ok(
             WorkerReport(
                 int(body["clock-ms"]),
                 tuple(map(_decode_running, body.get("running", ()))),
-                tuple(map(_decode_ended, body.get("ended-runs", ()))),
+                ended,
+                len(ended) < MAX_LISTED_ENDS,
             )
         )
     except (KeyError, TypeError, ValueError, IndexError) as error:
--- a/src/magnoliapitch/workload/run.py
+++ b/src/magnoliapitch/workload/run.py
@@ -92,12 +92,15 @@
     """Answer of a worker to the renewal of its lease.
 
     :param clock_ms: the worker's own monotonic clock.
-    :param ended: ended runs that are not acknowledged yet.
+    :param ended: ended runs that are not acknowledged yet, the oldest ones.
+    :param has_all_ends: whether these are certainly all; otherwise the next
+        reports list further ones, once these are acknowledged.
     """
 
     clock_ms: int
     running: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
+    has_all_ends: bool = True
 
 
 class Permit(NamedTuple):
--- a/tests/control/delegation/test_session.py
+++ b/tests/control/delegation/test_session.py
@@ -74,6 +74,16 @@
     assert leader.reports()[-1].sent_ms == 100
 
 
+# The leader took a part of a worker's ends that an agent reported for all.
+def test_a_report_tells_whether_it_has_all_ends() -> None:
+    leader = Leader()
+    partly = report((RUN,))._replace(has_all_ends=False)
+    leader.reply(partly, report(None))
+    assert [
+        event.outcome.unwrap().has_all_ends for event in leader.reports()
+    ] == [False, True]
+
+
 def test_a_report_without_changes_repeats_the_active_runs() -> None:
     leader = Leader()
     leader.reply(report((RUN,)), report(None))
--- a/tests/control/simulated_worker.py
+++ b/tests/control/simulated_worker.py
@@ -193,7 +193,8 @@
             )
 
     def report(self) -> WorkerReport:
-        """Return the report of active and ended runs."""
+        """Return the report of active runs and of the oldest ended ones."""
+        page = tuple(self.ended[: self._simulation.ends_per_report])
         return WorkerReport(
             self.clock_ms,
             tuple(
@@ -205,7 +206,8 @@
                 )
                 for key, run in self.running.items()
             ),
-            tuple(self.ended),
+            page,
+            len(page) < self._simulation.ends_per_report,
         )
 
     def start(self, order: StartOrder) -> Result[int, Failure]:
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -99,6 +99,7 @@
     :ivar progress_commit_ms: time that storing a batch's progress takes.
     :ivar state_commit_ms: time from the storing of a batch's progress to that
         of its states; 0 by default.
+    :ivar ends_per_report: most ended runs that a worker lists at a time.
     :ivar list_is_unavailable: whether the list of workers cannot be read.
     :ivar jobs_are_unavailable: whether the leader cannot read the job stream.
     :ivar cancelled_ms_by_job: when the cancellation of a job was stored.
@@ -141,6 +142,7 @@
         self.on_commit: Callable[[Batch], object] = lambda _: None
         self.unreachable_worker_ids: set[str] = set()
         self.store_is_unavailable = False
+        self.ends_per_report = 500
         self.list_is_unavailable = False
         self.jobs_are_unavailable = False
         self.cancelled_ms_by_job: dict[str, int] = {}
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -13,6 +13,7 @@
 from magnoliapitch.http.client import HttpReply
 from magnoliapitch.platform.advisor import PlatformAdvisor
 from magnoliapitch.platform.workers import EXPECTED_WORKER_HEADER
+from magnoliapitch.platform.workers import MAX_LISTED_ENDS
 from magnoliapitch.platform.workers import PlatformWorkers
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
@@ -71,6 +72,18 @@
     assert renew(worker_id, REPORT).is_ok()
 
 
+# A full page of ends was taken for all of them.
+def test_a_report_with_a_full_page_of_ends_may_not_have_all() -> None:
+    rows = [
+        [n, f"job.0.0.{n}", 1, "done", ""]
+        for n in range(1, MAX_LISTED_ENDS + 1)
+    ]
+    for ended, has_all_ends in ((rows, False), (rows[1:], True)):
+        report = renew("w", {**REPORT, "ended-runs": ended}).unwrap()
+        assert report.ended[-1].sequence == MAX_LISTED_ENDS
+        assert report.has_all_ends is has_all_ends
+
+
 def test_a_list_entry_without_a_start_time_accepts_any_report() -> None:
     assert renew("w", {**REPORT, "born": BORN_MS}).is_ok()
 
