--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -174,8 +174,7 @@
         self._progress_batcher.load(now_ms)
         self._progress_batcher.record_read(job_end)
         self._job_loader.add_all(now_ms)
-        if self._configuration() is not None:
-            self._stored_leases.keep_only(self._worker_ids_with_runs())
+        self._stored_leases.keep_only(self._worker_ids_with_runs())
         open_count = sum(
             job.outcome is JobOutcome.OPEN
             for job in self.state.jobs_by_id.values()
@@ -224,16 +223,9 @@
         self._progress_batcher.record_read(event.end)
         self._job_loader.apply_changes(event.job_ids, now_ms)
 
-    def handle_configuration_changed(self, now_ms: int) -> None:
-        """Apply a newer configuration to queues and workspaces.
-
-        Stored jobs whose queue is defined again are added.
-        """
-        configuration = self._configuration()
-        if configuration is None:
-            return
-        apply_configuration(self.state, configuration)
-        self._job_loader.add_missing(now_ms)
+    def handle_configuration_changed(self) -> None:
+        """Apply a newer configuration to queues and workspaces."""
+        apply_configuration(self.state, self._configuration())
 
     def handle_report(self, event: WorkerReported) -> None:
         """Apply a worker's report of active and ended runs, or a failure."""
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -294,11 +294,18 @@
     "The newest configuration cannot be decoded; the previous one stays in "
     "force.",
 )
+define_event(
+    "ends-partly-listed",
+    EventLevel.INFO,
+    "A worker lists only a part of its ended runs at a time; runs that are "
+    "missing in the report are kept until it has listed all.",
+)
 define_event(
     "queue-missing",
     EventLevel.WARNING,
-    "A stored job names a queue that the configuration does not define; the "
-    "job waits.",
+    "The leader took over a job whose queue the configuration does not "
+    "define. The job runs on the service of the queue that accepted it, and "
+    "waits if that is not known.",
 )
 define_event(
     "store-unavailable",
--- a/src/magnoliapitch/planner/tracked_job.py
+++ b/src/magnoliapitch/planner/tracked_job.py
@@ -78,9 +78,13 @@
         """
         if self.must_check_failures:
             self.must_check_failures = False
-            return any(step.has_failed for step in self.all_steps())
+            return self.has_failed_step()
         return failed_task is not None and failed_task.has_failed
 
+    def has_failed_step(self) -> bool:
+        """Return whether any task, or gang, has used up its attempts."""
+        return any(step.has_failed for step in self.all_steps())
+
     def all_steps(self) -> list[TrackedStep]:
         """Return the steps of every occurrence."""
         return [step for steps in self.steps for step in steps]
