Bound leases by the leader's newest stored reading of the shared clock

What callers could see: a task that runs twice. Cause: leases began 1 s after the newest record at the latest, whose age counted from the attempt that was answered. If an answer is lost and the repeat is answered, the record itself is older, and the next leader counts from it. Change: the age counts from when the newest reading of the clock was taken that is certainly stored; orders go by the newest record as before. Test: test_a_repeat_that_is_answered_late_grants_no_longer_leases fails before. Conclusion: reading taken <= record sent <= stored <= read by the next leader.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -136,6 +136,7 @@
             leader,
             timing,
             clock,
+            claimed_ms,
             self._stored_leases,
             self._delete_jobs,
             self.planner.learned_durations,
@@ -200,14 +201,15 @@
     def next_lease_deadline(self, worker_id: str, now_ms: int) -> int | None:
         """Return the end of a worker's next lease on the worker's clock.
 
-        Without newer stored records the end moves on for a short time only,
-        since the next leader waits for it.
+        It moves on for a short time only after the newest stored reading of
+        the shared clock, from which the next leader counts.
 
         :return: the end in ms, or None if no lease may be granted.
         """
         if not self.may_issue_orders(now_ms):
             return None
-        latest_ms = self._stored_ms + self._timing.max_grant_silence_ms
+        stamped_ms = self._progress_batcher.stamped_ms
+        latest_ms = stamped_ms + self._timing.max_grant_silence_ms
         return self._reachability.next_lease_deadline(
             worker_id, min(now_ms, latest_ms)
         )
--- a/src/magnoliapitch/control/progress_batcher.py
+++ b/src/magnoliapitch/control/progress_batcher.py
@@ -50,11 +50,14 @@
     """Collects changed progress and job states into one batch at a time.
 
     :param clock: the shared clock as the leader continues it.
+    :param claimed_ms: when the reading in the leader's claim was taken.
     :param stored_leases: ends of leases that are stored with the states.
     :param delete_jobs: deletes stored jobs that have ended.
     :param learned_durations: what is learned of durations and speeds; None if
         it is not kept.
     :param load_publisher: adds the load figures; None to publish none.
+    :ivar stamped_ms: when the newest reading of the shared clock that is
+        certainly stored was taken, by this instance's clock.
     """
 
     def __init__(
@@ -64,6 +67,7 @@
         leader: LeaderRecord,
         timing: ControlTiming,
         clock: LeaderClock,
+        claimed_ms: int,
         stored_leases: StoredLeases,
         delete_jobs: Callable[[Sequence[str]], None],
         learned_durations: LearnedDurations | None = None,
@@ -79,6 +83,8 @@
         self._speed_record = SpeedRecord(learned_durations, state_table)
         self._load_publisher = load_publisher
         self._heartbeat_ms = 0
+        self.stamped_ms = claimed_ms
+        self._stamp_in_commit_ms: int | None = None
         self._outcome_in_commit_by_id: dict[str, JobOutcome] = {}
         self._states_in_commit_by_id: dict[str, PublishedJob] = {}
         self._leader_in_commit: LeaderRecord | None = None
@@ -155,6 +161,9 @@
         self._states_in_commit_by_id = {}
         self._speed_record.record_stored()
         self._stored_leases.record_stored()
+        if self._stamp_in_commit_ms is not None:
+            self.stamped_ms = self._stamp_in_commit_ms
+            self._stamp_in_commit_ms = None
         if self._leader_in_commit is not None:
             self._state_table.leader = self._leader_in_commit
             self._leader_in_commit = None
@@ -226,6 +235,7 @@
             records.append(KeyedRecord(LEADER_KEY, leader))
             clock = encode_clock(self._clock.stamp(now_ms))
             records.append(KeyedRecord(CLOCK_KEY, clock))
+            self._stamp_in_commit_ms = now_ms
         if self._load_publisher:
             records += self._load_publisher.take_records(now_ms)
         return (
--- a/src/magnoliapitch/control/reachability.py
+++ b/src/magnoliapitch/control/reachability.py
@@ -152,7 +152,7 @@
         self._lease_by_worker[worker_id] = WorkerLease(
             self._timing,
             self._inherited_end_ms(
-                worker_id, now_ms + self._timing.takeover_ms
+                worker_id, now_ms + self._timing.restart_ms
             ),
         )
 
--- a/src/magnoliapitch/control/timing.py
+++ b/src/magnoliapitch/control/timing.py
@@ -18,8 +18,8 @@
     :param lease_ms: length of a worker's lease.
     :param max_leader_silence_ms: how long after its last stored record a
         leader may issue leases and orders.
-    :param max_grant_silence_ms: how long after that record the leases that it
-        grants begin at the latest.
+    :param max_grant_silence_ms: how long after its last stored reading of the
+        shared clock the leases that it grants begin at the latest.
     :param keep_states_ms: how long the state of an ended job stays published.
     :param drain_notice_ms: how long a worker that has said that it leaves may
         still be sent starts.
@@ -38,13 +38,19 @@
     def takeover_ms(self) -> int:
         """Return how long leases of a replaced leader may last.
 
-        It is counted from the leader's last stored record, and is the time
-        that a lease may begin later and a whole lease on the slowest clock.
+        It is counted from the leader's last stored reading of the shared
+        clock, and is the time that a lease may begin later and a whole lease
+        on the slowest clock.
         """
-        longest_ms = (
-            self.max_grant_silence_ms + self.lease_ms
-        ) / MIN_CLOCK_RATE_RATIO
-        return int(longest_ms) + LEASE_EXPIRY_MARGIN_MS
+        return _longest_ms(self.max_grant_silence_ms + self.lease_ms)
+
+    @property
+    def restart_ms(self) -> int:
+        """Return how long calls meant for a former incarnation may matter.
+
+        They may be carried out late on the next one, with a whole lease.
+        """
+        return _longest_ms(self.max_leader_silence_ms + self.lease_ms)
 
     @property
     def worker_list_validity_ms(self) -> int:
@@ -60,6 +66,11 @@
         return _shortest_ms(self.cancel_notice_ms)
 
 
+def _longest_ms(duration_ms: int) -> int:
+    """Return when a duration has certainly passed on any clock."""
+    return int(duration_ms / MIN_CLOCK_RATE_RATIO) + LEASE_EXPIRY_MARGIN_MS
+
+
 def _shortest_ms(duration_ms: int) -> int:
     """Return what of a duration has certainly not passed on any clock."""
     return int(duration_ms * MIN_CLOCK_RATE_RATIO) - LEASE_EXPIRY_MARGIN_MS
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -221,6 +221,7 @@
         self._epoch += 1
         stamp = encode_clock(clock.stamp(self.now_ms))
         self.apply_states([KeyedRecord(CLOCK_KEY, stamp)])
+        self.effects = self.effects_type(self, self._epoch)
         controller = Controller(
             LeaderRecord(self._epoch, f"entry-{self._epoch}"),
             self.now_ms,
@@ -228,7 +229,7 @@
             TIMING,
             self.job_table,
             self.states,
-            self.effects_type(self, self._epoch),
+            self.effects,
             lambda: self.configuration,
             Metrics(),
             self.options,
--- a/tests/control/test_lost_leaders.py
+++ b/tests/control/test_lost_leaders.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
+from result import Ok
+
+from magnoliapitch.control.events import Committed
+from magnoliapitch.control.timing import MIN_CLOCK_RATE_RATIO
+from magnoliapitch.ledger.records import CLOCK_KEY
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
@@ -17,6 +24,10 @@
 from tests.control.test_capacity_under_faults import FaultyRun
 
 
+if TYPE_CHECKING:
+    from magnoliapitch.ledger.leadership import Batch
+
+
 SIZE = Resources(2_000, 4_000)
 TASK = TaskKey("service", 0, 0, 0)
 EFFECTS_TYPES = (SimulatedEffects, DelegatedEffects)
@@ -146,3 +157,63 @@
     run.play()
     assert run.simulation.violations == []
     assert set(run.simulation.finished) == set(run.job_ids)
+
+
+class LateAnswerEffects(SimulatedEffects):
+    """Loses the answer to a heartbeat, and answers its repeat.
+
+    The leader is cut off from the store then, without being told.
+
+    :ivar stored_ms: when the heartbeat that is repeated was stored; None
+        before.
+    """
+
+    REPEATED_AFTER_MS = 880
+
+    def __init__(self, simulation: Simulation, epoch: int) -> None:
+        super().__init__(simulation, epoch)
+        self.is_armed = False
+        self.stored_ms: int | None = None
+
+    def commit(self, batch: Batch) -> None:
+        if self.stored_ms is not None:
+            return
+        has_clock = any(record.key == CLOCK_KEY for record in batch.states)
+        if not self.is_armed or not has_clock:
+            super().commit(batch)
+            return
+        simulation, controller = self._simulation, self._simulation.controller
+        sent_ms = simulation.now_ms + self.REPEATED_AFTER_MS
+        self.stored_ms = simulation.now_ms
+        simulation.apply_states(batch.states)
+        simulation.schedule(
+            self.REPEATED_AFTER_MS,
+            lambda: controller.handle_commit(
+                Committed(Ok(0), sent_ms), simulation.now_ms
+            ),
+        )
+
+
+# Two runs at a time would follow from a lease that a former leader grants on
+# the answer to a repeat, where the next one counts from what was stored.
+def test_a_repeat_that_is_answered_late_grants_no_longer_leases() -> None:
+    simulation = make_simulation(LateAnswerEffects)
+    [worker] = [w for w in simulation.workers.values() if w.running]
+    worker_id = worker.info.worker_id
+    former, effects = simulation.controller, simulation.effects
+    assert isinstance(effects, LateAnswerEffects)
+    effects.is_armed = True
+    simulation.run_until(lambda: effects.stored_ms is not None, step_ms=1)
+    simulation.run(1_300)
+    ends_ms = []
+    for later_ms in range(0, 1_200, 100):
+        now_ms = simulation.now_ms + later_ms
+        deadline_ms = former.next_lease_deadline(worker_id, now_ms)
+        if deadline_ms is not None:
+            length_ms = deadline_ms - now_ms
+            ends_ms.append(now_ms + length_ms / MIN_CLOCK_RATE_RATIO)
+    simulation.unreachable_worker_ids = {worker_id}
+    successor = simulation.take_over()
+    expired_ms = successor._reachability.leases_expired_at_ms(worker_id)
+    assert ends_ms
+    assert expired_ms >= max(ends_ms)
