Apply records in the order read, whichever thread has read them

What callers could see: a task that runs twice, once the stored end of a worker's leases is relied on. Cause: a read that was answered late brought a deleted record back, since the offset of a deleted key was forgotten; a thread could pair a newer reading of the shared clock with its own older time (300 ms ahead in the test), and could claim at the end of the stream before another one had applied what it had read. Change: the mirror keeps what has changed until one thread takes it, and ignores records before its end; records are applied under a lock, their time is taken after the values, and a claim is made at an offset up to which all are applied. Conclusion: a claim rests on all records before it.

--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import threading
 import zlib
 
@@ -32,6 +33,8 @@
     import random
 
     from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from magnoliapitch.clock import Clock
@@ -159,6 +162,11 @@
         self._can_lead = can_lead
         self._extra_claim_delay_ms = extra_claim_delay_ms
         self._mirror = StreamMirror(streams, STATE_STREAM)
+        # Held while records that were read are applied, in the order read.
+        self._apply_lock = threading.Lock()
+        self._applied_end = self._mirror.end
+        self._read_numbers = itertools.count()
+        self._sent_ms_by_read: dict[int, int] = {}
         no_writer = Writer(PRODUCER, 0, 0)
         self._appender = _LeaderAppender(no_writer, no_writer)
         self._last_heard_ms = clock.now_ms()
@@ -226,19 +234,45 @@
         """
         sent_ms = self._clock.now_ms()
         previous_ms = self._read_ms
-        end_offset = self._mirror.end
-        changed = self._mirror.refresh(wait_ms)
-        if isinstance(changed, Err):
-            self._health.note_failure(changed.err_value)
-            return changed
-        self._health.note_success(sent_ms)
-        self._read_ms = max(self._read_ms or 0, sent_ms)
-        self.has_loaded = True
-        if self._mirror.end != end_offset:
-            read = ReadTimes(sent_ms, previous_ms, self._clock.now_ms())
-            self._handle_changes(changed.ok_value, read)
+        read_number = next(self._read_numbers)
+        self._sent_ms_by_read[read_number] = sent_ms
+        try:
+            outcome = self._mirror.read(wait_ms)
+            if isinstance(outcome, Err):
+                self._health.note_failure(outcome.err_value)
+                return outcome
+            self._health.note_success(sent_ms)
+            self._read_ms = max(self._read_ms or 0, sent_ms)
+            self.has_loaded = True
+            self._apply_changes(previous_ms)
+        finally:
+            del self._sent_ms_by_read[read_number]
         return Ok(None)
 
+    def _apply_changes(self, previous_ms: int | None) -> int:
+        """Apply the records that any thread has read.
+
+        Their age counts from the earliest read under way. The time of receipt
+        is taken after the values, so that no reading of the shared clock is
+        taken to be from before it was stored.
+
+        :param previous_ms: when the previous successful read was sent.
+        :return: offset before which all records are applied.
+        """
+        with self._apply_lock:
+            value_by_key, end = self._mirror.take_changes()
+            if value_by_key or end != self._applied_end:
+                received_ms = self._clock.now_ms()
+                sent_ms = min(
+                    self._sent_ms_by_read.copy().values(),
+                    default=received_ms,
+                )
+                values = {key: v for key, v in value_by_key.items() if v}
+                read = ReadTimes(sent_ms, previous_ms, received_ms)
+                self._handle_changes(values, value_by_key.keys(), read)
+            self._applied_end = end
+        return end
+
     def fence_former_leaders(self) -> Result[int, Failure]:
         """Prevent former leaders from storing progress.
 
@@ -339,9 +373,14 @@
         self._last_heard_ms = self._clock.now_ms()
         self._claim_delay_ms = self._random_claim_delay_ms()
 
-    def _handle_changes(self, keys: set[str], read: ReadTimes) -> None:
+    def _handle_changes(
+        self,
+        values_by_key: Mapping[str, bytes],
+        keys: Iterable[str],
+        read: ReadTimes,
+    ) -> None:
         self._last_heard_ms = self._clock.now_ms()
-        self._state_table.apply(self._mirror.values_by_key, keys, read)
+        self._state_table.apply(values_by_key, keys, read)
         leader = self._state_table.leader
         if self._first_read_epoch is None:
             self._first_read_epoch = leader.epoch if leader else 0
@@ -373,6 +412,7 @@
         return LEADER_TIMEOUT_MS + jitter_ms + self._extra_claim_delay_ms
 
     def _claim_if_leader_silent(self, read_duration_ms: int) -> None:
+        end_offset = self._apply_changes(self._read_ms)
         silent_ms = self._clock.now_ms() - self._last_heard_ms
         required_ms = (
             self._claim_delay_ms + READ_DURATION_FACTOR * read_duration_ms
@@ -402,7 +442,7 @@
                 KeyedRecord(CLOCK_KEY, encode_clock(clock.stamp(now_ms))),
             ],
             writer,
-            self._mirror.end,
+            end_offset,
             APPEND_TIMEOUT_MS,
         )
         if isinstance(outcome, Err):
--- a/src/magnoliapitch/ledger/mirror.py
+++ b/src/magnoliapitch/ledger/mirror.py
@@ -5,6 +5,7 @@
 import threading
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from result import Err
 from result import Ok
@@ -25,6 +26,17 @@
 READ_TIMEOUT_MS = 600
 
 
+class StreamChanges(NamedTuple):
+    """Keys that have changed, with all records before an offset applied.
+
+    :param value_by_key: newest value of each changed key; None if the key was
+        deleted.
+    """
+
+    value_by_key: dict[str, bytes | None]
+    end: int
+
+
 class StreamMirror:
     """Local copy of one stream; can be refreshed from several threads.
 
@@ -42,7 +54,7 @@
         self._stream = stream
         self._lock = threading.Lock()
         self._offset_by_key: dict[str, int] = {}
-        # Keys that have changed in reads before one that failed.
+        # Keys that have changed and were not returned yet.
         self._unreported_keys: set[str] = set()
 
     def refresh(
@@ -50,35 +62,40 @@
     ) -> Result[set[str], Failure]:
         """Read up to the end and return the keys whose value has changed.
 
+        The parameters are those of ``read``.
+        """
+        outcome = self.read(wait_ms, timeout_ms)
+        return outcome.map(lambda _: set(self.take_changes().value_by_key))
+
+    def take_changes(self) -> StreamChanges:
+        """Return what has changed since the last call, in any thread."""
+        with self._lock:
+            keys, self._unreported_keys = self._unreported_keys, set()
+            values = {key: self.values_by_key.get(key) for key in keys}
+            return StreamChanges(values, self.end)
+
+    def read(
+        self, wait_ms: int = 0, timeout_ms: int = READ_TIMEOUT_MS
+    ) -> Result[None, Failure]:
+        """Read up to the end.
+
         The first call, and one after old records have expired unread, reads
         the newest record of every key instead.
 
         :param wait_ms: how long to wait for a first new record.
         :param timeout_ms: how long each call may take beyond that.
         """
-        changed: set[str] = set()
-        outcome = (
-            self._load(changed, timeout_ms)
-            if self.end < 0
-            else self._read_to_end(changed, wait_ms, timeout_ms)
-        )
-        with self._lock:
-            if isinstance(outcome, Err):
-                self._unreported_keys |= changed
-                return outcome
-            changed |= self._unreported_keys
-            self._unreported_keys = set()
-        return Ok(changed)
+        if self.end < 0:
+            return self._load(timeout_ms)
+        return self._read_to_end(wait_ms, timeout_ms)
 
     def _read_to_end(
-        self, changed: set[str], wait_ms: int, timeout_ms: int
+        self, wait_ms: int, timeout_ms: int
     ) -> Result[None, Failure]:
         """Read until what was the end of the stream at the first read.
 
         One read returns a limited size, and what it leaves may be newer than
         the copy by seconds.
-
-        :param changed: gets the keys whose value has changed.
         """
         first_end: int | None = None
         while first_end is None or self.end < first_end:
@@ -87,13 +104,13 @@
             )
             if isinstance(read, Err):
                 if read.err_value.code is FailureCode.TRUNCATED:
-                    return self._load(changed, timeout_ms)
+                    return self._load(timeout_ms)
                 return read
             content = read.ok_value
             if not content.records:
                 break
             with self._lock:
-                changed |= self._apply(content.records)
+                self._unreported_keys |= self._apply(content.records)
                 self.end = max(self.end, content.records[-1].offset + 1)
             first_end = content.end if first_end is None else first_end
             wait_ms = 0
@@ -112,13 +129,8 @@
         """
         self.end = end
 
-    def _load(
-        self, changed: set[str], timeout_ms: int
-    ) -> Result[None, Failure]:
-        """Read the newest record of every key, page by page.
-
-        :param changed: gets the keys whose value has changed.
-        """
+    def _load(self, timeout_ms: int) -> Result[None, Failure]:
+        """Read the newest record of every key, page by page."""
         records: list[StoredRecord] = []
         end: int | None = None
         after_key = ""
@@ -135,8 +147,8 @@
             has_more = content.has_more and bool(content.records)
             after_key = records[-1].key if records else ""
         with self._lock:
-            changed |= self._apply(records)
-            changed |= self._remove_absent(records, end or 0)
+            self._unreported_keys |= self._apply(records)
+            self._unreported_keys |= self._remove_absent(records, end or 0)
             self.end = max(self.end, end or 0)
         return Ok(None)
 
@@ -164,7 +176,9 @@
         return {record.key for record in records if self._apply_record(record)}
 
     def _apply_record(self, record: StoredRecord) -> bool:
-        if record.offset <= self._offset_by_key.get(record.key, -1):
+        known_offset = self._offset_by_key.get(record.key, -1)
+        # Of a deleted key no offset is known, but all before the end was read.
+        if record.offset < self.end or record.offset <= known_offset:
             return False
         if record.value:
             self._offset_by_key[record.key] = record.offset
