--- a/src/magnoliapitch/planner/worker_isolation.py
+++ b/src/magnoliapitch/planner/worker_isolation.py
@@ -21,6 +21,8 @@
 MAX_KEPT_SHARE = 0.125
 # Services may never free a worker, so that a task is then placed beside them.
 MAX_WAIT_MS = 10_000
+# A service is down while it waits.
+MAX_SERVICE_WAIT_MS = 1_000
 
 
 class WorkerIsolation:
@@ -94,7 +96,9 @@
             return free
         kept_count = self._keep_more(step, candidates, count, worker_count)
         since_ms = self._waiting_since_ms_by_job.get(job.spec.job_id, now_ms)
-        is_overdue = now_ms - since_ms > MAX_WAIT_MS
+        is_service = step.spec.is_long_running
+        max_wait_ms = MAX_SERVICE_WAIT_MS if is_service else MAX_WAIT_MS
+        is_overdue = now_ms - since_ms > max_wait_ms
         return candidates if is_overdue or not kept_count else free
 
     def _keep_more(
