Take no worker as silent that was not called, and grant whole leases only

Silence counts from the first call, and nobody is unlisted before a list. - the renewal thread could see the new clock of a worker with the old time, so that its lease was longer by the time between two answers (1,000 ms). - a service that was lost with a second worker was held for 5 s after its lease had expired; what the worker has been silent for counts now. Tests: test_reachability.py and four of test_lost_leaders.py fail before.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -329,7 +329,9 @@
             self.stop_leading(event.outcome.err_value.detail)
             return
         self._stored_ms = max(self._stored_ms, event.sent_ms)
+        deleted_ids = self._stored_leases.deleted_in_commit
         self._progress_batcher.record_stored(now_ms)
+        self._roster.record_grantable(deleted_ids, now_ms)
         self.handle_progress_stored(now_ms)
 
     def handle_permits(self, event: PermitsAnswered) -> None:
--- a/src/magnoliapitch/control/reachability.py
+++ b/src/magnoliapitch/control/reachability.py
@@ -44,13 +44,18 @@
             self._inherited_leases_end_ms = (
                 clock.local_ms(clock.inherited_ms) + timing.takeover_ms
             )
-        # Held while a lease is granted, or is found not to be any more.
+        # Held while a lease is granted, and while what it rests on changes.
         self._lock = threading.Lock()
         self._lease_by_worker: dict[str, WorkerLease] = {}
         self._answered_ms_by_worker: dict[str, int] = {}
+        # Without an answer, when the worker was first called.
         self._last_answer_ms_by_worker: dict[str, int] = {}
         self._unanswered_order_ms_by_worker: dict[str, int] = {}
 
+    def record_called(self, worker_id: str, now_ms: int) -> None:
+        """Record that the leader calls a worker from now on."""
+        self._last_answer_ms_by_worker.setdefault(worker_id, now_ms)
+
     def record_answer(
         self, worker_id: str, clock_ms: int, sent_ms: int, received_ms: int
     ) -> None:
@@ -59,7 +64,9 @@
         A renewal that was sent before the last unanswered order does not
         make the worker reachable again.
         """
-        self._lease_of(worker_id).record_clock(clock_ms, sent_ms, received_ms)
+        lease = self._lease_of(worker_id)
+        with self._lock:
+            lease.record_clock(clock_ms, sent_ms, received_ms)
         self._last_answer_ms_by_worker[worker_id] = received_ms
         self._stored_leases.discard(worker_id)
         if sent_ms >= self._unanswered_order_ms_by_worker.get(worker_id, 0):
@@ -80,7 +87,10 @@
         return worker_id in self._answered_ms_by_worker
 
     def silent_ms(self, worker_id: str, now_ms: int) -> int:
-        """Return since when a worker has not answered this leader, in ms."""
+        """Return since when a worker has not answered this leader, in ms.
+
+        It counts from the claim if the worker was never called.
+        """
         answered_ms = self._last_answer_ms_by_worker.get(
             worker_id, self._claimed_ms
         )
--- a/src/magnoliapitch/control/stored_leases.py
+++ b/src/magnoliapitch/control/stored_leases.py
@@ -24,6 +24,7 @@
     until the deletion of its record is stored.
 
     :param clock: the shared clock as this leader continues it.
+    :ivar deleted_in_commit: workers whose end the commit under way deletes.
     """
 
     def __init__(self, clock: LeaderClock, state_table: StateTable) -> None:
@@ -36,7 +37,7 @@
             if clock.knows(end)
         }
         self._wanted_by_worker = dict(self._inherited_by_worker)
-        self._deleted_in_commit: Collection[str] = ()
+        self.deleted_in_commit: Collection[str] = ()
 
     @property
     def has_changes(self) -> bool:
@@ -77,7 +78,7 @@
     def take_records(self) -> list[KeyedRecord]:
         """Return the records to store with the next batch."""
         wanted, stored = self._wanted_by_worker, self._stored_by_worker
-        self._deleted_in_commit = stored.keys() - wanted.keys()
+        self.deleted_in_commit = stored.keys() - wanted.keys()
         changed: dict[str, LeaseEnd] = {
             worker_id: end
             for worker_id, end in wanted.items()
@@ -91,15 +92,15 @@
             ),
             *(
                 KeyedRecord(LEASE_PREFIX + worker_id, b"")
-                for worker_id in sorted(self._deleted_in_commit)
+                for worker_id in sorted(self.deleted_in_commit)
             ),
         ]
 
     def record_stored(self) -> None:
         """Record that the last batch is stored."""
-        for worker_id in self._deleted_in_commit:
+        for worker_id in self.deleted_in_commit:
             self._stored_by_worker.pop(worker_id, None)
-        self._deleted_in_commit = ()
+        self.deleted_in_commit = ()
 
 
 __all__ = ["StoredLeases"]
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -62,6 +62,7 @@
         self.doubtful_orders = DoubtfulOrders()
         self._unproven_losses = UnprovenLosses(state)
         self._checked_ms: int | None = None
+        self._has_list = False
         self._silent_worker_ids: set[str] = set()
 
     def update(
@@ -72,10 +73,11 @@
         Workers that have restarted take the place of their former
         incarnations.
         """
+        self._has_list = True
         known_ids = list(self._state.workers_by_id)
         self.info_by_id.clear()
         self.info_by_id.update(_without_former(info_by_id, known_ids))
-        self._add_listed()
+        self._add_listed(now_ms)
         listed_by_name = incarnations_by_name(self.info_by_id)
         for former in map(Incarnation.from_worker_id, known_ids):
             current = listed_by_name.get(former.name)
@@ -85,7 +87,7 @@
         for worker_id, lost in proven.items():
             self._count_crash(worker_id, lost)
 
-    def _add_listed(self) -> None:
+    def _add_listed(self, now_ms: int) -> None:
         for worker_id, info in self.info_by_id.items():
             known = self._state.workers_by_id.get(worker_id)
             old_info = known.info if known is not None else None
@@ -93,6 +95,7 @@
                 continue
             self._state.update_worker(info)
             if old_info is None:
+                self._reachability.record_called(worker_id, now_ms)
                 self._effects.start_lease_renewal(info)
             was_draining = old_info is not None and old_info.is_draining
             if info.is_draining and not was_draining:
@@ -142,6 +145,13 @@
         self._silent_worker_ids.discard(worker_id)
         self._unproven_losses.record_answer(worker_id)
 
+    def record_grantable(self, worker_ids: Iterable[str], now_ms: int) -> None:
+        """Use workers at once that may be granted leases again."""
+        for worker_id in worker_ids:
+            worker = self._state.workers_by_id.get(worker_id)
+            if worker is not None:
+                worker.is_usable = self._is_usable(worker_id, now_ms)
+
     def check(self, now_ms: int) -> None:
         """Update which workers are usable; end runs of expired leases.
 
@@ -156,20 +166,19 @@
         self._checked_ms = now_ms
         for worker in list(self._state.workers_by_id.values()):
             worker_id = worker.worker_id
-            is_reachable = self._reachability.is_reachable(worker_id, now_ms)
-            is_avoided = self._planner.worker_backoff.is_avoided(
-                worker_id, now_ms
-            )
-            worker.is_usable = (
-                is_reachable
-                and self._reachability.may_grant(worker_id)
-                and not is_avoided
-                and worker_id in self.info_by_id
-            )
-            if not is_reachable:
+            worker.is_usable = self._is_usable(worker_id, now_ms)
+            if not self._reachability.is_reachable(worker_id, now_ms):
                 self._record_silence(worker, now_ms)
                 self._lose_runs_if_leases_expired(worker, now_ms)
 
+    def _is_usable(self, worker_id: str, now_ms: int) -> bool:
+        return (
+            worker_id in self.info_by_id
+            and self._reachability.is_reachable(worker_id, now_ms)
+            and self._reachability.may_grant(worker_id)
+            and not self._planner.worker_backoff.is_avoided(worker_id, now_ms)
+        )
+
     def _record_silence(self, worker: TrackedWorker, now_ms: int) -> None:
         """Log and store until when the runs of a silent worker wait."""
         worker_id = worker.worker_id
@@ -177,6 +186,8 @@
             return
         if self._reachability.is_answering(worker_id):
             return
+        if not self._has_list:
+            return
         is_listed = worker_id in self.info_by_id
         silent_ms = self._reachability.silent_ms(worker_id, now_ms)
         if is_listed and silent_ms < SILENT_AFTER_MS:
@@ -215,11 +226,14 @@
         _log_lost_runs(worker, reason, now_ms)
         self._effects.stop_lease_renewal(worker_id)
         lost = suspect_runs(worker, now_ms)
+        silent_ms = self._reachability.silent_ms(worker_id, now_ms)
         self._state.remove_worker(worker_id)
         if has_crashed:
             self._count_crash(worker_id, lost)
         else:
-            self._unproven_losses.add(worker, lost, now_ms, is_listed=False)
+            self._unproven_losses.add(
+                worker, lost, now_ms, is_listed=False, silent_ms=silent_ms
+            )
         self.info_by_id.pop(worker_id, None)
         self._forget(worker_id)
 
@@ -240,7 +254,13 @@
             return
         _log_lost_runs(worker, "lease-over", now_ms)
         lost = suspect_runs(worker, now_ms)
-        self._unproven_losses.add(worker, lost, now_ms, is_listed=True)
+        self._unproven_losses.add(
+            worker,
+            lost,
+            now_ms,
+            is_listed=True,
+            silent_ms=self._reachability.silent_ms(worker_id, now_ms),
+        )
         lost_count = self._state.lose_runs(worker_id)
         self._reachability.record_idle(worker_id)
         if lost_count:
--- a/src/magnoliapitch/planner/worker_loss.py
+++ b/src/magnoliapitch/planner/worker_loss.py
@@ -112,13 +112,20 @@
             state.stop_step(run.task.step)
 
 
-def hold_suspects(lost: Iterable[LostRun], until_ms: int) -> None:
+def hold_suspects(
+    lost: Iterable[LostRun], until_ms: int, silent_ms: int = 0
+) -> None:
     """Start no suspect among the tasks before a time.
 
     Otherwise it could end another worker before the last one is counted.
+
+    :param silent_ms: for how long the worker has been silent; long-running
+        tasks, which have been down since, are held for as much less.
     """
     for run in lost:
-        run.task.step.hold_until_ms = until_ms if run.task.is_suspect else 0
+        step = run.task.step
+        passed_ms = silent_ms if step.spec.is_long_running else 0
+        step.hold_until_ms = until_ms - passed_ms if run.task.is_suspect else 0
 
 
 def _note_count(state: SchedulerState, task: TrackedTask) -> None:
--- a/tests/control/test_lost_leaders.py
+++ b/tests/control/test_lost_leaders.py
@@ -9,8 +9,10 @@
 from result import Ok
 
 from magnoliapitch.control.events import Committed
+from magnoliapitch.control.events import WorkersListed
 from magnoliapitch.control.timing import MIN_CLOCK_RATE_RATIO
 from magnoliapitch.ledger.records import CLOCK_KEY
+from magnoliapitch.ledger.records import LEASE_PREFIX
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
@@ -26,6 +28,7 @@
 
 if TYPE_CHECKING:
     from magnoliapitch.ledger.leadership import Batch
+    from magnoliapitch.ledger.stream import KeyedRecord
 
 
 SIZE = Resources(2_000, 4_000)
@@ -217,3 +220,95 @@
     expired_ms = successor._reachability.leases_expired_at_ms(worker_id)
     assert ends_ms
     assert expired_ms >= max(ends_ms)
+
+
+def _lease_records(simulation: Simulation) -> list[KeyedRecord]:
+    found: list[KeyedRecord] = []
+    real = simulation.apply_states
+
+    def apply(records: list[KeyedRecord]) -> None:
+        found.extend(r for r in records if r.key.startswith(LEASE_PREFIX))
+        real(records)
+
+    simulation.apply_states = apply  # type: ignore[assignment, method-assign]
+    return found
+
+
+# The first list of workers comes after the first round: every worker with runs
+# is taken as one that is not listed.
+def test_a_leader_without_a_list_takes_no_worker_as_silent() -> None:
+    simulation = make_simulation()
+    simulation.run(1_000)
+    found = _lease_records(simulation)
+    simulation.controller.is_over = True
+    simulation.list_is_unavailable = True
+    simulation.run(1_200)
+    simulation.take_over()
+    simulation.run(250)
+    simulation.list_is_unavailable = False
+    simulation.run(2_000)
+    assert found == []
+
+
+# Loading took longer than a second: no worker has been called yet.
+def test_a_leader_that_loads_slowly_takes_no_worker_as_silent() -> None:
+    simulation = make_simulation()
+    found = _lease_records(simulation)
+    simulation.controller.is_over = True
+    simulation.run(1_200)
+    successor = simulation.take_over()
+    successor._reachability._claimed_ms -= 1_100
+    successor.handle_worker_list(
+        WorkersListed(simulation.listed(), simulation.now_ms),
+        simulation.now_ms,
+    )
+    successor.run_round(simulation.now_ms, simulation.now_ms)
+    simulation.run(2_000)
+    assert found == []
+
+
+# On a slow store, the records of workers that are not silent cost two commits
+# before the first lease and the first start.
+def test_a_late_list_delays_leases_on_a_slow_store_by_the_list_only() -> None:
+    granted_after_ms = []
+    for late_ms in (0, 250):
+        simulation = make_simulation()
+        [worker] = [w for w in simulation.workers.values() if w.running]
+        simulation.progress_commit_ms = 700
+        simulation.controller.is_over = True
+        simulation.list_is_unavailable = True
+        simulation.run(1_200)
+        successor = simulation.take_over()
+        if not late_ms:
+            successor.handle_worker_list(
+                WorkersListed(simulation.listed(), simulation.now_ms),
+                simulation.now_ms,
+            )
+        else:
+            simulation.run(late_ms)
+            successor.handle_worker_list(
+                WorkersListed(simulation.listed(), simulation.now_ms),
+                simulation.now_ms,
+            )
+        listed_ms = simulation.now_ms
+        worker_id = worker.info.worker_id
+        simulation.run_until(
+            lambda c=successor, w=worker_id, s=simulation: (  # type: ignore[misc]
+                c.next_lease_deadline(w, s.now_ms) is not None
+            )
+        )
+        granted_after_ms.append(simulation.now_ms - listed_ms)
+    assert granted_after_ms[1] < granted_after_ms[0] + 250
+
+
+# A task that lasts and was lost with two workers is held for 5 s more.
+def test_a_task_that_lasts_starts_again_in_time_after_a_second_loss() -> None:
+    simulation = make_simulation()
+    waits = []
+    for count in (1, 2):
+        take_worker_away(simulation)
+        gone_ms = simulation.now_ms
+        simulation.run_until(lambda n=count: simulation.starts[TASK] > n)  # type: ignore[misc]
+        waits.append(simulation.now_ms - gone_ms)
+        simulation.run(3_000)
+    assert waits[1] < waits[0] + 1_000
