--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -274,7 +274,7 @@
                 run, planned, failure, event.received_ms
             )
         else:
-            run.doubtful_since_ms = event.received_ms
+            self.state.mark_for_stop(run)
 
     def handle_stop_answer(self, event: StopAnswered) -> None:
         """Apply the answer to a stop order, or its failure."""
--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -196,12 +196,6 @@
                     **run_fields(run.task.key, run.number, worker_id),
                 )
                 self._state.lose_run(run)
-            elif (
-                run.doubtful_since_ms is not None
-                and sent_ms >= run.doubtful_since_ms
-                and not run.is_stopping
-            ):
-                self._state.mark_for_stop(run)
             elif run.has_ended_with_worker and not run.is_stopping:
                 # Once it is stopped, no late order can begin it here.
                 self._state.mark_for_stop(run)
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -249,7 +249,6 @@
     def confirm_run(self, run: TrackedRun, now_ms: int) -> None:
         """Record that the worker has certainly begun a run."""
         run.confirmed_ms = now_ms
-        run.doubtful_since_ms = None
         if run.started_ms is None:
             run.started_ms = now_ms
         job = run.task.step.job
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -64,7 +64,6 @@
 
     __slots__ = (
         "confirmed_ms",
-        "doubtful_since_ms",
         "end_clock_ms",
         "has_ended_with_worker",
         "is_order_settled",
@@ -100,7 +99,6 @@
         self.is_order_settled = False
         self.started_ms: int | None = None
         self.confirmed_ms: int | None = None
-        self.doubtful_since_ms: int | None = None
         self.is_restored = False
         self.is_stopping = False
         self.has_ended_with_worker = False
