Skip tasks with attempts left before their runs are looked at

Each end of a run asks all tasks of its job whether they have failed. Two calls a task are spared for those with few failures, as before; no figure was taken.

--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -248,10 +248,13 @@
         """Return whether a task, or the gang, cannot be done any more."""
         if self.spec.is_long_running or self.is_done:
             return False
+        attempts = self.job.queue.attempts
         if self.spec.is_gang:
-            failures = sum(task.failures for task in self.tasks)
-            return failures >= self.job.queue.attempts
-        return any(task.has_failed for task in self.tasks)
+            return sum(task.failures for task in self.tasks) >= attempts
+        return any(
+            task.failures >= attempts and task.has_failed
+            for task in self.tasks
+        )
 
     def is_completed_by(self, kind: EndKind) -> bool:
         """Return whether a run that ends so completes its task.
