--- a/tests/planner/test_load_patterns.py
+++ b/tests/planner/test_load_patterns.py
@@ -228,8 +228,8 @@
     """Its objective passes while it waits, but it still has its full value."""
     simulation = Simulation([queue("q")], workers(1))
     size = Resources(32_000, 16_000)
-    durations_ms = {"first": 20_000.0, "service": 60_000.0}
-    simulation.actual_duration_ms = lambda key: durations_ms.get(
+    duration_ms_by_job = {"first": 20_000.0, "service": 3_600_000.0}
+    simulation.actual_duration_ms = lambda key: duration_ms_by_job.get(
         key.job_id, 1_000.0
     )
     simulation.submit(JobSpec("first", "q", "text", (StepSpec(1, size, 500),)))
