Hold two connections to a worker, and close those not used

Cause: a worker accepts 64 connections and keeps those of a machine that lost power. An instance opened one for each order under way to the worker and kept up to 32 idle, for as long as it lived. Traced with a stand-in: 1, 4, 15 and 45 orders at once to one worker opened 2, 4, 12 and 18 connections (1 for the renewal, the rest for starts and stops), all open after the leadership ended. Change: orders to one worker are sent one after the other, in a queue that occupies no thread; one that has waited 500 ms is not sent (not_run), so that a start goes elsewhere, and is no sign of an unreachable worker. Workers have a client of their own, with two connections each: one for the renewal, one for orders. Pools that were not used for 2 to 4 s are closed, so that instances that lead no more hold none. Weighed: a pool that blocks would hold a sender thread for each waiting order; two orders at a time leave 3 connections, which 21 losses use up instead of 32; orders on the renewal's connection would wait for its long poll. A larger max-conns is no reason for more connections.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -283,8 +283,12 @@
             if run is not None:
                 run.stopped_ms = event.received_ms
             return
-        if not self._handle_final_failure(
-            event.worker_id, event.outcome.err_value, event.received_ms
+        failure = event.outcome.err_value
+        if (
+            not self._handle_final_failure(
+                event.worker_id, failure, event.received_ms
+            )
+            and failure.code is not FailureCode.OVERLOADED
         ):
             self._reachability.record_unanswered_order(
                 event.worker_id, event.received_ms
--- a/src/magnoliapitch/control/order_sender.py
+++ b/src/magnoliapitch/control/order_sender.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -10,11 +9,14 @@
 
 from magnoliapitch.control.events import StartAnswered
 from magnoliapitch.control.events import StopAnswered
+from magnoliapitch.control.guard import guarded
+from magnoliapitch.control.order_queues import OrderQueues
 from magnoliapitch.control.order_window import OrderWindow
 from magnoliapitch.control.round_trip import MIN_TIMEOUT_MS
 from magnoliapitch.control.round_trip import RoundTripEstimator
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
+from magnoliapitch.verdict import not_run
 
 
 if TYPE_CHECKING:
@@ -32,10 +34,9 @@
     from magnoliapitch.workload.worker import WorkerInfo
 
 
-# Unanswered orders must not delay others: enough for 1,000 orders a second of
-# which one in ten is unanswered for 150 ms, while 40 orders are under way to
-# an unreachable zone.
-SENDER_THREAD_COUNT = 96
+# An order that has waited longer for others to the same worker is not sent,
+# so that a start can go to another worker.
+MAX_QUEUED_MS = 500
 # Timeouts of the attempts of one order, as multiples of the timeout that
 # follows from the measured round trips. Workers normally answer within a few
 # milliseconds, so the first retry is early.
@@ -63,7 +64,7 @@
         self._workers = workers
         self._clock = clock
         self._metrics = metrics
-        self._executor = ThreadPoolExecutor(SENDER_THREAD_COUNT, "orders")
+        self._queues = OrderQueues(clock)
         self._round_trips = RoundTripEstimator()
         self.window = OrderWindow()
 
@@ -80,8 +81,11 @@
         """
         now_ms = self._clock.now_ms()
         self.window.record_sent()
-        self._executor.submit(
-            self._start_now, worker, planned, order, post, now_ms
+        self._queues.submit(
+            worker.worker_id,
+            lambda waited_ms: self._start_now(
+                worker, planned, order, post, now_ms, waited_ms
+            ),
         )
 
     def order_stop(
@@ -95,7 +99,12 @@
         :param post: called with the outcome.
         """
         now_ms = self._clock.now_ms()
-        self._executor.submit(self._stop_now, worker, order, post, now_ms)
+        self._queues.submit(
+            worker.worker_id,
+            lambda waited_ms: self._stop_now(
+                worker, order, post, now_ms, waited_ms
+            ),
+        )
 
     def _start_now(
         self,
@@ -104,16 +113,18 @@
         order: StartOrder,
         post: Callable[[Event], None],
         queued_ms: int,
+        waited_ms: int,
     ) -> None:
         sent_ms = self._record_queue_time("start", queued_ms)
         outcome = self._send(
-            lambda timeout_ms: self._workers.start(worker, order, timeout_ms)
+            lambda timeout_ms: self._workers.start(worker, order, timeout_ms),
+            waited_ms,
         )
         now_ms = self._clock.now_ms()
-        if is_unanswered(outcome):
+        if is_unanswered(outcome) or waited_ms > MAX_QUEUED_MS:
             self.window.record_unanswered(now_ms)
         else:
-            self.window.record_answered(queued_ms, now_ms)
+            self.window.record_answered(queued_ms + waited_ms, now_ms)
         post(StartAnswered(planned, outcome, sent_ms, now_ms))
 
     def _stop_now(
@@ -122,10 +133,12 @@
         order: StopOrder,
         post: Callable[[Event], None],
         queued_ms: int,
+        waited_ms: int,
     ) -> None:
         self._record_queue_time("stop", queued_ms)
         outcome = self._send(
-            lambda timeout_ms: self._workers.stop(worker, order, timeout_ms)
+            lambda timeout_ms: self._workers.stop(worker, order, timeout_ms),
+            waited_ms,
         )
         post(
             StopAnswered(
@@ -138,13 +151,19 @@
         )
 
     def _send(
-        self, call: Callable[[int], Result[int, Failure]]
+        self, call: Callable[[int], Result[int, Failure]], waited_ms: int
     ) -> Result[int, Failure]:
+        if waited_ms > MAX_QUEUED_MS:
+            detail = f"waited {waited_ms} ms for other orders to the worker"
+            return Err(not_run(FailureCode.OVERLOADED, detail))
         timeout_ms = self._round_trips.timeout_ms()
-        return retry_unanswered(
-            lambda attempt_ms: self._measure(call, attempt_ms),
-            tuple(
-                int(timeout_ms * factor) for factor in ATTEMPT_TIMEOUT_FACTORS
+        timeouts_ms = tuple(
+            int(timeout_ms * factor) for factor in ATTEMPT_TIMEOUT_FACTORS
+        )
+        return guarded(
+            "order",
+            lambda: retry_unanswered(
+                lambda attempt_ms: self._measure(call, attempt_ms), timeouts_ms
             ),
         )
 
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -20,6 +20,7 @@
 from magnoliapitch.control.delegation import AgentClient
 from magnoliapitch.control.delegation import add_agent_route
 from magnoliapitch.control.events import ConfigurationChanged
+from magnoliapitch.control.order_queues import MAX_ORDERS_PER_WORKER
 from magnoliapitch.control.order_sender import OrderSender
 from magnoliapitch.entry.configuration_watch import ConfigurationWatch
 from magnoliapitch.event import log_event
@@ -77,6 +78,10 @@
 # ready.
 LOAD_BALANCER_DELAY_MS = 2_500
 STOP_TIMEOUT_S = 2
+# One for the renewals of the lease, the others for orders.
+WORKER_CONNECTIONS = 1 + MAX_ORDERS_PER_WORKER
+# Longer than a renewal and the pause after it.
+UNUSED_CONNECTION_CHECK_MS = 2_000
 # The leader makes and sends all scheduling decisions, which takes CPU time
 # and network bandwidth.
 MIN_LEADER_CORES = 1.0
@@ -167,7 +172,10 @@
             PlatformDirectory(store), freshness, self._configure
         )
         self._advisor = PlatformAdvisor(settings.endpoints.advisor, client)
-        workers = PlatformWorkers(client)
+        self._worker_client = HttpClient(
+            WORKER_CONNECTIONS, self._observe_call
+        )
+        workers = PlatformWorkers(self._worker_client)
         order_sender = OrderSender(workers, self._clock, self._metrics)
         self._agent = Agent(workers, self._clock, order_sender)
         self._driver = ControlDriver(
@@ -262,6 +270,7 @@
             "submitter": self._submitter.step,
             "control": self._driver.step,
             "agent": self._agent.step,
+            "worker-connections": self._close_unused_connections,
         }
         return [
             Listener(
@@ -303,6 +312,10 @@
         add_relay_routes(application, self._job_api)
         return application
 
+    def _close_unused_connections(self) -> int:
+        self._worker_client.close_unused()
+        return UNUSED_CONNECTION_CHECK_MS
+
     def _observe_call(
         self, path: str, duration_ms: float, is_ok: bool
     ) -> None:
--- a/src/magnoliapitch/http/client.py
+++ b/src/magnoliapitch/http/client.py
@@ -5,7 +5,6 @@
 import time
 
 from collections.abc import Callable
-from functools import lru_cache
 from typing import TYPE_CHECKING
 from typing import Annotated
 from typing import Any
@@ -23,6 +22,7 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.http.pools import ConnectionPools
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
@@ -40,8 +40,6 @@
 # A connection is established within milliseconds, unless the server or the
 # path to it is gone.
 MAX_CONNECT_TIMEOUT_MS = 500
-# Servers to which idle connections are kept open, the latest ones.
-MAX_SERVERS = 512
 HTTP_OK = 200
 JSON_HEADERS = {"Content-Type": "application/json"}
 
@@ -76,9 +74,7 @@
         self, connections: int = 8, observe: CallObserver | None = None
     ) -> None:
         self._observe = observe or _ignore_call
-        self._connections = connections
-        # A PoolManager would normalise the URL and its options at each call.
-        self._pool_of = lru_cache(MAX_SERVERS)(self._open_pool)
+        self._pools = ConnectionPools(connections)
 
     def exchange(
         self,
@@ -102,8 +98,9 @@
         self._observe(path, duration_ms, outcome.is_ok())
         return outcome
 
-    def _open_pool(self, origin: str) -> urllib3.HTTPConnectionPool:
-        return urllib3.connection_from_url(origin, maxsize=self._connections)
+    def close_unused(self) -> None:
+        """Close the connections to servers unused since the last two calls."""
+        self._pools.close_unused()
 
     def _send(
         self,
@@ -115,7 +112,7 @@
     ) -> Result[HttpReply, Failure]:
         origin, target = _split_url(url)
         try:
-            response = self._pool_of(origin).urlopen(
+            response = self._pools.pool_of(origin).urlopen(
                 method,
                 target,
                 body=body,
@@ -128,6 +125,7 @@
                 ),
             )
         except (
+            urllib3.exceptions.ClosedPoolError,
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
         ) as error:
--- a/tests/control/test_controller.py
+++ b/tests/control/test_controller.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from magnoliapitch.control.events import StartAnswered
+from magnoliapitch.control.events import StopAnswered
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.planner.plan import PlannedStart
 from magnoliapitch.resource import Resources
@@ -254,6 +255,19 @@
     assert not simulation.controller.is_over
 
 
+# A worker to which many orders queue would get no lease and no work.
+def test_an_order_that_was_not_sent_does_not_count_as_unanswered() -> None:
+    simulation = make_simulation(1)
+    simulation.submit(job("a", StepSpec(1, SIZE)))
+    simulation.run(500)
+    controller = simulation.controller
+    [task] = simulation.starts
+    not_sent = Err(not_run(FailureCode.OVERLOADED, "waited"))
+    answer = StopAnswered(task, 1, "w000", not_sent, simulation.now_ms)
+    controller.handle_stop_answer(answer)
+    assert controller.next_lease_deadline("w000", simulation.now_ms)
+
+
 # A gang that had lost a member when a new leader began was left as it was: its
 # other members waited for the lost one and it was not started again.
 def test_a_new_leader_starts_a_gang_again_that_has_lost_a_member() -> None:
