Log why the lease of a worker is not renewed

Change: renewal-failed with the worker, the code and the reason, for the first four different reasons of a worker in a leadership.

--- a/src/magnoliapitch/control/lease_renewer.py
+++ b/src/magnoliapitch/control/lease_renewer.py
@@ -11,12 +11,14 @@
 from magnoliapitch.control.events import WorkerReported
 from magnoliapitch.control.guard import guarded
 from magnoliapitch.control.renewal_pacing import RenewalPacing
+from magnoliapitch.event import log_event
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from magnoliapitch.clock import Clock
+    from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.client import WorkerClient
     from magnoliapitch.workload.worker import WorkerInfo
 
@@ -24,6 +26,8 @@
 # Longest wait for ended runs to be stored and acknowledged before the next
 # renewal; without the wait the worker would report them again.
 MAX_ACKNOWLEDGE_WAIT_MS = 400
+# Different reasons of failed renewals that are logged for a worker.
+MAX_LOGGED_REASONS = 4
 
 
 class LeaseRenewer:
@@ -58,6 +62,7 @@
         self._acknowledged_sequence = 0
         self._last_end_sequence = 0
         self._is_answered = False
+        self._logged_reasons: set[str] = set()
         self._pacing = RenewalPacing()
         self._is_stopped = False
         self._thread = threading.Thread(
@@ -113,6 +118,7 @@
         )
         self._is_answered = not isinstance(outcome, Err)
         if isinstance(outcome, Err):
+            self._log_failure(outcome.err_value)
             return self._pacing.record_unanswered(now_ms)
         for end in outcome.ok_value.ended:
             self._last_end_sequence = max(
@@ -122,6 +128,18 @@
             lease_granted=deadline_ms is not None
         )
 
+    def _log_failure(self, failure: Failure) -> None:
+        reasons = self._logged_reasons
+        if failure.detail in reasons or len(reasons) == MAX_LOGGED_REASONS:
+            return
+        reasons.add(failure.detail)
+        log_event(
+            "renewal-failed",
+            worker=self._worker.worker_id,
+            code=failure.code,
+            reason=failure.detail,
+        )
+
     def _wait_for_acknowledgement(self) -> None:
         with self._condition:
             self._condition.wait_for(
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -253,6 +253,12 @@
     "A worker was silent until its lease had certainly expired; the tasks it "
     "ran wait again.",
 )
+define_event(
+    "renewal-failed",
+    EventLevel.WARNING,
+    "A worker refused or did not answer the renewal of its lease; logged for "
+    "the first four different reasons of each worker in a leadership.",
+)
 define_event(
     "worker-unreadable",
     EventLevel.WARNING,
--- a/tests/control/test_lease_renewer.py
+++ b/tests/control/test_lease_renewer.py
@@ -132,6 +132,45 @@
         renewer.stop()
 
 
+class ResetConnections(OneEnd):
+    """A worker that resets every connection."""
+
+    def renew(self, *arguments: Any) -> Result[WorkerReport, Failure]:
+        super().renew(*arguments)
+        return Err(may_have_run(FailureCode.TIMEOUT, "reset by peer"))
+
+
+# Workers that reset all connections looked like dead ones in the log.
+def test_the_reason_of_a_failed_renewal_is_logged_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    logged: list[object] = []
+    monkeypatch.setattr(
+        lease_renewer, "log_event", lambda *_, **fields: logged.append(fields)
+    )
+    worker = ResetConnections()
+    renewer = LeaseRenewer(
+        WorkerInfo("w", "app", "10.0.0.1:1", "a", "r"),
+        7,
+        worker,  # type: ignore[arg-type]
+        MonotonicClock(),
+        lambda _: 1_000,
+        lambda _: None,
+    )
+    renewer.start()
+    try:
+        assert worker.wait_for_renewals(3)
+        assert logged == [
+            {
+                "worker": "w",
+                "code": FailureCode.TIMEOUT,
+                "reason": "reset by peer",
+            }
+        ]
+    finally:
+        renewer.stop()
+
+
 # Incident TWICE: a worker that has restarted would forget its first ends.
 def test_a_renewal_after_an_unanswered_one_acknowledges_nothing() -> None:
     worker = OneEnd(lost_answer=2)
