Check for unused connections less often than leases are renewed

Cause: after lost answers two renewals may begin up to 2.2 s apart (1.5 s for the call, 0.4 s for acknowledgements, 0.3 s of pause), longer than the 2 s between two checks, so that a pool in use could be closed. Change: 2.5 s between checks; connections are closed 2.5 to 5 s after their last use.

--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -81,7 +81,7 @@
 # One for the renewals of the lease, the others for orders.
 WORKER_CONNECTIONS = 1 + MAX_ORDERS_PER_WORKER
 # Longer than a renewal and the pause after it.
-UNUSED_CONNECTION_CHECK_MS = 2_000
+UNUSED_CONNECTION_CHECK_MS = 2_500
 # The leader makes and sends all scheduling decisions, which takes CPU time
 # and network bandwidth.
 MIN_LEADER_CORES = 1.0
