Raise the fencing token of a worker that has restarted

Cause: a worker that starts again under its id has seen no token, and the deadline of a start lies far ahead on its new clock.

Change: an epoch has 1,024 tokens (a claim's epoch is a multiple of that; the step between claims grows to 2^20, so that 2^33 claims stay below 2^53). The leader raises a worker's token by one with each other incarnation that is listed. The lease renewer does so itself, at once, when the next incarnation answers, and then grants no lease; the leader arrives at the same number. A refused token of a worker that is known to have restarted does not end the leadership. What a report of the next incarnation does not list has not begun: any order for it has a lower token. Tokens of successive leaders stay ordered, whatever the counts, also after a leader of a release whose only token is its epoch, and before one: its next multiple of 2^16 lies above all 1,024. Agents get the token with the worker.

Ruled out: the header of a call names the id only, so that it cannot name an incarnation; a token from the start time (41 bits) leaves no room for epochs; to remember orders of ended jobs and stop them comes no sooner than the fence; to read the list at once is later than the renewer's own second call; shorter pauses of renewals to a worker that is down cost connections.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -19,6 +19,7 @@
 from magnoliapitch.control.source_ages import SourceAges
 from magnoliapitch.control.start_dispatcher import StartDispatcher
 from magnoliapitch.control.worker_roster import WorkerRoster
+from magnoliapitch.control.worker_tokens import WorkerTokens
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.planner import DEFAULT_OPTIONS
 from magnoliapitch.planner.planner import Planner
@@ -90,16 +91,18 @@
         self._metrics = metrics
         self._reachability = WorkerReachability(timing, claimed_ms)
         self._report_applier = ReportApplier(self.state, self.planner, metrics)
+        tokens = WorkerTokens(leader.epoch)
         self._roster = WorkerRoster(
             self.state,
             self.planner,
             effects,
             self._reachability,
             self._report_applier,
+            tokens,
         )
         self._source_ages = SourceAges.from_timing(timing)
         self._order_issuer = OrderIssuer(
-            leader.epoch,
+            tokens,
             self.state,
             self.planner,
             self._roster.info_by_id,
@@ -147,7 +150,7 @@
 
     @property
     def epoch(self) -> int:
-        """Return the epoch, which is the fencing token of every order."""
+        """Return the epoch, the lowest fencing token of the leadership."""
         return self._leader.epoch
 
     def load(self, now_ms: int, job_end: int, jobs_read_ms: int) -> None:
@@ -263,8 +266,6 @@
             return
         if run is None or run.confirmed_ms is not None:
             return
-        if failure.verdict is not Verdict.NOT_RUN:
-            self._roster.doubtful_orders.add(planned, event.received_ms)
         if failure.code in (FailureCode.UNAVAILABLE, FailureCode.TIMEOUT):
             self._reachability.record_unanswered_order(
                 planned.worker_id, event.received_ms
@@ -371,9 +372,15 @@
     ) -> bool:
         """Handle a failure that ends the leadership or removes the worker.
 
+        The token of a worker that has restarted was raised by this leader.
+
         :return: whether the failure was of that kind.
         """
-        if failure.code is FailureCode.FENCED:
+        if failure.code is FailureCode.RESTARTED:
+            self._roster.record_restart(worker_id)
+            return False
+        is_current = self._roster.is_current(worker_id)
+        if failure.code is FailureCode.FENCED and is_current:
             self.stop_leading("a worker has seen a higher fencing token")
         elif failure.code is FailureCode.REPLACED:
             self._roster.remove(
--- a/src/magnoliapitch/control/delegation/agent.py
+++ b/src/magnoliapitch/control/delegation/agent.py
@@ -164,7 +164,6 @@
         self.last_number = 0
         self.events = EventBuffer()
         self.group = WorkerGroup(
-            key.epoch,
             workers,
             clock,
             order_sender,
@@ -174,6 +173,7 @@
         self._clock = clock
         self._condition = condition
         self._worker_by_id: dict[str, WorkerInfo] = {}
+        self._token_by_worker: dict[str, int] = {}
         self._deadline_by_worker: dict[str, int | None] = {}
         self._running_by_worker: dict[str, Hashable] = {}
 
@@ -182,10 +182,11 @@
         self.last_number = batch.number
         for worker_id in batch.released_worker_ids:
             self._release(worker_id)
-        for worker_id, address in batch.assigned:
+        for worker_id, address, token in batch.assigned:
             worker = WorkerInfo(worker_id, "", address, "")
             self._worker_by_id[worker_id] = worker
-            self.group.add(worker)
+            self._token_by_worker[worker_id] = token
+            self.group.add(worker, token)
         for grant in batch.grants:
             self._deadline_by_worker[grant.worker_id] = grant.deadline_ms
             self.group.acknowledge(
@@ -200,6 +201,7 @@
     def _release(self, worker_id: str) -> None:
         self.group.remove(worker_id)
         self._worker_by_id.pop(worker_id, None)
+        self._token_by_worker.pop(worker_id, None)
         self._deadline_by_worker.pop(worker_id, None)
         self._running_by_worker.pop(worker_id, None)
 
@@ -217,7 +219,7 @@
             start.task,
             start.run,
             payload,
-            self.key.epoch,
+            self._token_by_worker[start.worker_id],
             start.deadline_ms,
             start.checkpoint,
             start.ticket,
@@ -235,7 +237,8 @@
                 )
             )
             return
-        order = StopOrder(stop.task, stop.run, self.key.epoch)
+        token = self._token_by_worker[stop.worker_id]
+        order = StopOrder(stop.task, stop.run, token)
         self.group.order_stop(worker, order)
 
     def _record(self, event: Event) -> None:
--- a/src/magnoliapitch/control/delegation/messages.py
+++ b/src/magnoliapitch/control/delegation/messages.py
@@ -14,7 +14,7 @@
 class SessionKey(NamedTuple):
     """Identity of a session; a later one is greater.
 
-    :param epoch: the leader's epoch, which is its fencing token.
+    :param epoch: the leader's epoch, its lowest fencing token.
     :param number: number of the session among those of the leader.
     """
 
@@ -26,10 +26,12 @@
     """A worker that the agent is to call.
 
     :param address: ``IP:PORT``.
+    :param token: fencing token of all calls to it.
     """
 
     worker_id: str
     address: str
+    token: int
 
 
 class LeaseGrant(NamedTuple):
--- a/src/magnoliapitch/control/delegation/router.py
+++ b/src/magnoliapitch/control/delegation/router.py
@@ -67,6 +67,7 @@
         self._post = post
         self._lock = threading.RLock()
         self._worker_by_id: dict[str, WorkerInfo] = {}
+        self._token_by_worker: dict[str, int] = {}
         self._address_by_worker: dict[str, str] = {}
         self._agents_by_address: dict[str, Member] = {}
         self._link_by_address: dict[str, AgentLink] = {}
@@ -92,15 +93,20 @@
             self._reassign()
             self._close_idle_links()
 
-    def start_lease_renewal(self, worker: WorkerInfo) -> None:
-        """Renew a worker's lease repeatedly, from the next ``assign`` on."""
+    def start_lease_renewal(self, worker: WorkerInfo, token: int) -> None:
+        """Renew a worker's lease repeatedly, from the next ``assign`` on.
+
+        :param token: fencing token of all calls to the worker.
+        """
         with self._lock:
+            self._token_by_worker[worker.worker_id] = token
             self._worker_by_id[worker.worker_id] = worker
 
     def stop_lease_renewal(self, worker_id: str) -> None:
         """Stop renewing a worker's lease."""
         with self._lock:
             self._worker_by_id.pop(worker_id, None)
+            self._token_by_worker.pop(worker_id, None)
             self._detach(worker_id)
 
     def grant(self, worker_id: str, deadline_ms: int | None) -> None:
@@ -162,6 +168,7 @@
             self._link_by_address.clear()
             self._address_by_worker.clear()
             self._worker_by_id.clear()
+            self._token_by_worker.clear()
             self._closing_links = []
         for link in links:
             link.stop()
@@ -192,13 +199,14 @@
 
     def _attach(self, worker: WorkerInfo, address: str) -> None:
         self._address_by_worker[worker.worker_id] = address
+        token = self._token_by_worker[worker.worker_id]
         if address == LOCAL:
-            self._local_group.add(worker)
+            self._local_group.add(worker, token)
             return
         link = self._link_by_address.get(address)
         if link is None:
             link = self._open_link(address)
-        link.session.assign(worker)
+        link.session.assign(worker, token)
 
     def _detach(self, worker_id: str) -> None:
         address = self._address_by_worker.pop(worker_id, None)
--- a/src/magnoliapitch/control/delegation/session.py
+++ b/src/magnoliapitch/control/delegation/session.py
@@ -84,7 +84,7 @@
         self._acknowledged_by_worker: dict[str, int] = {}
         self._deadline_by_worker: dict[str, int | None] = {}
         # Commands of the next batch.
-        self._address_by_new_worker: dict[str, str] = {}
+        self._new_workers_by_id: dict[str, WorkerAddress] = {}
         self._released_worker_ids: set[str] = set()
         self._changed_grants: set[str] = set()
         self._payload_by_job: dict[str, str] = {}
@@ -110,11 +110,16 @@
                 or self._has_commands.is_set()
             )
 
-    def assign(self, worker: WorkerInfo) -> None:
-        """Let the agent call a worker."""
+    def assign(self, worker: WorkerInfo, token: int) -> None:
+        """Let the agent call a worker.
+
+        :param token: fencing token of all calls to it.
+        """
         with self._lock:
             self._worker_ids.add(worker.worker_id)
-            self._address_by_new_worker[worker.worker_id] = worker.address
+            self._new_workers_by_id[worker.worker_id] = WorkerAddress(
+                worker.worker_id, worker.address, token
+            )
             self._has_commands.set()
 
     def release(self, worker_id: str) -> None:
@@ -125,7 +130,7 @@
             self._deadline_by_worker.pop(worker_id, None)
             self._acknowledged_by_worker.pop(worker_id, None)
             self._changed_grants.discard(worker_id)
-            self._address_by_new_worker.pop(worker_id, None)
+            self._new_workers_by_id.pop(worker_id, None)
             self._released_worker_ids.add(worker_id)
             self._has_commands.set()
 
@@ -262,17 +267,14 @@
             self._last_number,
             self._received_event,
             0,
-            tuple(
-                WorkerAddress(*item)
-                for item in self._address_by_new_worker.items()
-            ),
+            tuple(self._new_workers_by_id.values()),
             tuple(sorted(self._released_worker_ids)),
             grants,
             self._payload_by_job,
             tuple(self._new_starts),
             tuple(self._new_stops),
         )
-        self._address_by_new_worker = {}
+        self._new_workers_by_id = {}
         self._released_worker_ids = set()
         self._changed_grants = set()
         self._payload_by_job = {}
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -199,7 +199,6 @@
     def _open_router(self, controller: Controller) -> WorkerRouter:
         post = self._events.put
         local_group = WorkerGroup(
-            controller.epoch,
             self._clients.workers,
             self._clock,
             self._order_sender,
@@ -325,10 +324,10 @@
             self._job_ids_to_delete.difference_update(job_ids)
         return deleted
 
-    def start_lease_renewal(self, worker: WorkerInfo) -> None:
+    def start_lease_renewal(self, worker: WorkerInfo, token: int) -> None:
         """Renew a worker's lease repeatedly."""
         if self._router is not None:
-            self._router.start_lease_renewal(worker)
+            self._router.start_lease_renewal(worker, token)
 
     def stop_lease_renewal(self, worker_id: str) -> None:
         """Stop renewing a worker's lease, if it is renewed."""
--- a/src/magnoliapitch/control/effects.py
+++ b/src/magnoliapitch/control/effects.py
@@ -23,8 +23,11 @@
     The outcome of each arrives later as an event, except where noted.
     """
 
-    def start_lease_renewal(self, worker: WorkerInfo) -> None:
-        """Renew a worker's lease repeatedly; an event follows each call."""
+    def start_lease_renewal(self, worker: WorkerInfo, token: int) -> None:
+        """Renew a worker's lease repeatedly; an event follows each call.
+
+        :param token: fencing token of all calls to the worker.
+        """
 
     def stop_lease_renewal(self, worker_id: str) -> None:
         """Stop renewing a worker's lease; no event follows."""
--- a/src/magnoliapitch/control/lease_renewer.py
+++ b/src/magnoliapitch/control/lease_renewer.py
@@ -11,6 +11,8 @@
 from magnoliapitch.control.events import WorkerReported
 from magnoliapitch.control.guard import guarded
 from magnoliapitch.control.renewal_pacing import RenewalPacing
+from magnoliapitch.control.worker_tokens import next_token
+from magnoliapitch.verdict import FailureCode
 
 
 if TYPE_CHECKING:
@@ -32,7 +34,10 @@
     A renewal that follows an unanswered one acknowledges nothing: the worker
     may have restarted, and would forget ends that it has not reported.
 
-    :param token: fencing token of the leader.
+    Once the next incarnation has answered, renewals carry the token that the
+    leader will use for it, so that it refuses orders to the former one.
+
+    :param token: fencing token of the leader for the worker.
     :param next_deadline: takes the current time; returns the end of the next
         lease on the worker's clock in ms, or None to get a report without
         extending the lease.
@@ -58,6 +63,7 @@
         self._acknowledged_sequence = 0
         self._last_end_sequence = 0
         self._is_answered = False
+        self._has_restarted = False
         self._pacing = RenewalPacing()
         self._is_stopped = False
         self._thread = threading.Thread(
@@ -92,7 +98,9 @@
     def _renew_once(self) -> int:
         """Renew once; return the pause before the next renewal, in ms."""
         sent_ms = self._clock.now_ms()
-        deadline_ms = self._next_deadline(sent_ms)
+        deadline_ms = (
+            None if self._has_restarted else self._next_deadline(sent_ms)
+        )
         timing = self._pacing.next_renewal(sent_ms)
         outcome = guarded(
             "renew",
@@ -113,7 +121,12 @@
         )
         self._is_answered = not isinstance(outcome, Err)
         if isinstance(outcome, Err):
-            return self._pacing.record_unanswered(now_ms)
+            pause_ms = self._pacing.record_unanswered(now_ms)
+            is_restart = outcome.err_value.code is FailureCode.RESTARTED
+            if is_restart and not self._has_restarted:
+                self._fence_former()
+                return 0
+            return pause_ms
         for end in outcome.ok_value.ended:
             self._last_end_sequence = max(
                 self._last_end_sequence, end.sequence
@@ -122,6 +135,13 @@
             lease_granted=deadline_ms is not None
         )
 
+    def _fence_former(self) -> None:
+        """Let the next renewal fence orders to the former incarnation."""
+        self._has_restarted = True
+        self._token = next_token(self._token)
+        # Its ends are lost.
+        self._last_end_sequence = 0
+
     def _wait_for_acknowledgement(self) -> None:
         with self._condition:
             self._condition.wait_for(
--- a/src/magnoliapitch/control/order_issuer.py
+++ b/src/magnoliapitch/control/order_issuer.py
@@ -24,6 +24,7 @@
     from magnoliapitch.control.effects import Effects
     from magnoliapitch.control.events import StartAnswered
     from magnoliapitch.control.source_ages import SourceAges
+    from magnoliapitch.control.worker_tokens import WorkerTokens
     from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.planner.plan import PlannedStop
@@ -48,6 +49,7 @@
 class OrderIssuer:
     """Issues start and stop orders under one epoch of leadership.
 
+    :param tokens: fencing tokens of the orders.
     :param info_by_worker_id: the platform's newest list of workers, which
         the caller keeps up to date.
     :param source_ages: ages of that list and of the jobs.
@@ -55,7 +57,7 @@
 
     def __init__(
         self,
-        epoch: int,
+        tokens: WorkerTokens,
         state: SchedulerState,
         planner: Planner,
         info_by_worker_id: Mapping[str, WorkerInfo],
@@ -65,7 +67,7 @@
     ) -> None:
         self._info_by_worker_id = info_by_worker_id
         self._source_ages = source_ages
-        self._epoch = epoch
+        self._tokens = tokens
         self._state = state
         self._planner = planner
         self._effects = effects
@@ -149,7 +151,7 @@
             planned.task,
             planned.run,
             job.spec.payload,
-            self._epoch,
+            self._tokens.token(planned.worker_id),
             deadline_ms,
             run.task.checkpoint,
             planned.ticket,
@@ -186,7 +188,8 @@
             reason=stop.reason,
         )
         self._effects.order_stop(
-            info, StopOrder(stop.task, stop.run, self._epoch)
+            info,
+            StopOrder(stop.task, stop.run, self._tokens.token(stop.worker_id)),
         )
 
     def stop_unknown(
@@ -207,7 +210,8 @@
         )
         info = self._info_by_worker_id.get(worker_id)
         if info is not None:
-            self._effects.order_stop(info, order._replace(token=self._epoch))
+            token = self._tokens.token(worker_id)
+            self._effects.order_stop(info, order._replace(token=token))
 
     def undo_refused_start(
         self,
--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -194,9 +194,6 @@
                     **run_fields(run.task.key, run.number, worker_id),
                 )
                 self._state.lose_run(run)
-            elif run.has_ended_with_worker and not run.is_stopping:
-                # Once it is stopped, no late order can begin it here.
-                self._state.mark_for_stop(run)
 
     def _due_stops(
         self, worker_id: str, orders: list[StopOrder], now_ms: int
@@ -222,13 +219,10 @@
 
 
 def _is_certainly_absent(run: TrackedRun, sent_ms: int) -> bool:
-    if run.is_restored:
+    if run.is_restored or run.has_ended_with_worker:
         # The renewal carried a higher fencing token than any order to start
         # the run, so the worker will not start it any more.
         return True
-    if run.has_ended_with_worker and run.is_order_settled:
-        # The order was carried out once, by the former incarnation.
-        return True
     if run.stopped_ms is not None:
         return sent_ms > run.stopped_ms
     return run.confirmed_ms is not None and sent_ms > run.confirmed_ms
--- a/src/magnoliapitch/control/worker_group.py
+++ b/src/magnoliapitch/control/worker_group.py
@@ -25,7 +25,6 @@
 class WorkerGroup:
     """Renews the leases of workers and sends them orders; thread-safe.
 
-    :param token: fencing token of the leader that decides.
     :param next_deadline: takes a worker's id and the time; returns the end of
         its next lease on its own clock, or None to only get a report.
     :param post: called with the outcome of every call.
@@ -33,14 +32,12 @@
 
     def __init__(
         self,
-        token: int,
         workers: WorkerClient,
         clock: Clock,
         order_sender: OrderSender,
         next_deadline: Callable[[str, int], int | None],
         post: Callable[[Event], None],
     ) -> None:
-        self._token = token
         self._workers = workers
         self._clock = clock
         self._order_sender = order_sender
@@ -49,12 +46,15 @@
         self._lock = threading.Lock()
         self._renewer_by_worker: dict[str, LeaseRenewer] = {}
 
-    def add(self, worker: WorkerInfo) -> None:
-        """Renew a worker's lease repeatedly."""
+    def add(self, worker: WorkerInfo, token: int) -> None:
+        """Renew a worker's lease repeatedly.
+
+        :param token: fencing token of the leader for the worker.
+        """
         worker_id = worker.worker_id
         renewer = LeaseRenewer(
             worker,
-            self._token,
+            token,
             self._workers,
             self._clock,
             lambda now_ms: self._next_deadline(worker_id, now_ms),
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from magnoliapitch.control.doubtful_orders import DoubtfulOrders
 from magnoliapitch.control.log_fields import run_fields
 from magnoliapitch.control.unproven_losses import UnprovenLosses
 from magnoliapitch.event import log_event
@@ -23,6 +22,7 @@
     from magnoliapitch.control.effects import Effects
     from magnoliapitch.control.reachability import WorkerReachability
     from magnoliapitch.control.reports import ReportApplier
+    from magnoliapitch.control.worker_tokens import WorkerTokens
     from magnoliapitch.planner.planner import Planner
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedWorker
@@ -39,7 +39,6 @@
 
     :ivar info_by_id: the platform's newest list, without the workers that
         were removed since; the same mapping for the whole leadership.
-    :ivar doubtful_orders: unanswered start orders.
     """
 
     def __init__(
@@ -49,6 +48,7 @@
         effects: Effects,
         reachability: WorkerReachability,
         report_applier: ReportApplier,
+        tokens: WorkerTokens,
     ) -> None:
         self.info_by_id: dict[str, WorkerInfo] = {}
         self._state = state
@@ -56,7 +56,8 @@
         self._effects = effects
         self._reachability = reachability
         self._report_applier = report_applier
-        self.doubtful_orders = DoubtfulOrders()
+        self._tokens = tokens
+        self._restarted_ids: set[str] = set()
         self._unproven_losses = UnprovenLosses(state)
         self._checked_ms: int | None = None
 
@@ -89,7 +90,9 @@
                 continue
             self._state.update_worker(info)
             if old_info is None:
-                self._effects.start_lease_renewal(info)
+                self._tokens.record_listed(worker_id)
+                token = self._tokens.token(worker_id)
+                self._effects.start_lease_renewal(info, token)
             was_draining = old_info is not None and old_info.is_draining
             if info.is_draining and not was_draining:
                 log_event(
@@ -114,21 +117,9 @@
         move_runs(self._state, former.worker_id, current.worker_id)
         if current.has_followed(former):
             self._count_crash(former.worker_id, lost)
-        self._stop_doubtful_runs(current, now_ms)
         self._forget(former.worker_id)
         self._reachability.record_restart(current.worker_id, now_ms)
 
-    def _stop_doubtful_runs(self, current: Incarnation, now_ms: int) -> None:
-        """Stop what late orders to former incarnations could begin here."""
-        worker_id = current.worker_id
-        for order in self.doubtful_orders.of(current.name, now_ms):
-            if self._state.run(order.task, order.run, worker_id) is None:
-                run = self._state.stop_unexpected_run(
-                    order.task, order.run, worker_id, now_ms
-                )
-                if run is not None:
-                    run.has_ended_with_worker = True
-
     def _count_crash(self, worker_id: str, lost: Sequence[LostRun]) -> None:
         count_crash(self._state, lost)
         _log_suspects(worker_id, lost)
@@ -137,6 +128,17 @@
         """Record that a worker answers, so that it has not ended."""
         self._unproven_losses.record_answer(worker_id)
 
+    def record_restart(self, worker_id: str) -> None:
+        """Record that the next incarnation, not listed yet, has answered."""
+        self._restarted_ids.add(worker_id)
+
+    def is_current(self, worker_id: str) -> bool:
+        """Return whether a worker is used and has not restarted so far."""
+        return (
+            worker_id in self._state.workers_by_id
+            and worker_id not in self._restarted_ids
+        )
+
     def check(self, now_ms: int) -> None:
         """Update which workers are usable; end runs of expired leases.
 
@@ -193,6 +195,7 @@
         self._forget(worker_id)
 
     def _forget(self, worker_id: str) -> None:
+        self._restarted_ids.discard(worker_id)
         self._reachability.forget(worker_id)
         self._report_applier.forget(worker_id)
         self._planner.worker_backoff.forget(worker_id)
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -18,6 +18,7 @@
 from magnoliapitch.ledger.records import LEADER_KEY
 from magnoliapitch.ledger.records import PROGRESS_STREAM
 from magnoliapitch.ledger.records import STATE_STREAM
+from magnoliapitch.ledger.records import TOKENS_PER_EPOCH
 from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.ledger.records import encode_leader
 from magnoliapitch.ledger.stream import KeyedRecord
@@ -41,8 +42,9 @@
 # leader once it has seen a higher epoch.
 PRODUCER = "leader"
 # A claim's epoch is the next multiple of this step plus a random number below
-# it, so that claims made at the same time get different epochs.
-EPOCH_STEP = 1 << 16
+# it, so that claims made at the same time get different epochs. It leaves room
+# for the fencing tokens of the claim.
+EPOCH_STEP = 1 << 20
 # A claim's first sequence number is a random one of this size.
 SEQUENCE_BITS = 30
 # Time without a record of the leader after which others may claim.
@@ -354,7 +356,9 @@
         leader = self._state_table.leader
         last_epoch = leader.epoch if leader else 0
         base_epoch = (last_epoch // EPOCH_STEP + 1) * EPOCH_STEP
-        epoch = base_epoch + self._random.randrange(EPOCH_STEP)
+        epoch = base_epoch + self._random.randrange(
+            0, EPOCH_STEP, TOKENS_PER_EPOCH
+        )
         job_offset = leader.job_offset if leader else -1
         record = LeaderRecord(
             epoch,
--- a/src/magnoliapitch/ledger/records.py
+++ b/src/magnoliapitch/ledger/records.py
@@ -26,12 +26,15 @@
 SPEEDS_KEY = "speeds"
 LOAD_KEY = "load"
 CANCELLED = b"1"
+# A leader raises the token of a worker that restarts, up to the last of these.
+TOKENS_PER_EPOCH = 1 << 10
 
 
 class LeaderRecord(NamedTuple):
     """A claim of leadership.
 
-    :param epoch: fencing token; a later claim has a higher one.
+    :param epoch: lowest of the ``TOKENS_PER_EPOCH`` fencing tokens of the
+        claim; all those of a later claim are higher.
     :param instance_id: instance that claimed.
     :param has_resigned: whether the leader has stopped leading, so that other
         instances may claim at once.
--- a/src/magnoliapitch/planner/worker_loss.py
+++ b/src/magnoliapitch/planner/worker_loss.py
@@ -94,8 +94,8 @@
     """Move the runs of a worker that has restarted to the next incarnation.
 
     They have ended, but an order that is still under way could begin one of
-    them there. Such a run counts as active until the worker reports it, or a
-    stop order and a report have shown that it is not. The members of a gang
+    them there. Such a run counts as active until a report of the worker tells
+    whether it is. The members of a gang
     cannot work on without those that have ended.
 
     :param former_id: id of the incarnation that has ended.
--- a/tests/control/restarting_workers.py
+++ b/tests/control/restarting_workers.py
@@ -16,11 +16,13 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.control.worker_tokens import next_token
 from magnoliapitch.http.client import HttpReply
 from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.platform.directory import PlatformDirectory
 from magnoliapitch.platform.names import encode_task
 from magnoliapitch.platform.workers import PlatformWorkers
+from magnoliapitch.verdict import FailureCode
 from magnoliapitch.workload.run import EndKind
 from magnoliapitch.workload.run import WorkerReport
 from tests.control.delegation.simulated_agents import DelegatedEffects
@@ -137,14 +139,27 @@
 class _WireReports(SimulatedEffects):
     """Encodes reports as workers do and decodes them as the adapter does."""
 
+    def __init__(self, simulation: Simulation, epoch: int) -> None:
+        super().__init__(simulation, epoch)
+        self._fenced_ids: set[str] = set()
+
     def _report(self, worker_id: str, outcome: object, sent_ms: int) -> None:
         if isinstance(outcome, Ok):
             worker = self._simulation.worker_of(worker_id)
             outcome = _decode(worker_id, worker, outcome.ok_value)
         if isinstance(outcome, Err):
             self._answering_worker_ids.discard(worker_id)
+            if outcome.err_value.code is FailureCode.RESTARTED:
+                self._fence_former(worker_id)
         super()._report(worker_id, outcome, sent_ms)
 
+    def _fence_former(self, worker_id: str) -> None:
+        """Renew with the raised token from now on, as a lease renewer does."""
+        if worker_id not in self._fenced_ids:
+            self._fenced_ids.add(worker_id)
+            token = self._token_by_worker[worker_id]
+            self._token_by_worker[worker_id] = next_token(token)
+
 
 class WireEffects(_WireReports, SimulatedEffects):
     """Effects of a leader that calls the workers itself."""
--- a/tests/control/test_controller.py
+++ b/tests/control/test_controller.py
@@ -7,10 +7,12 @@
 from result import Err
 
 from magnoliapitch.control.events import StartAnswered
+from magnoliapitch.control.events import WorkerReported
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.planner.plan import PlannedStart
 from magnoliapitch.resource import Resources
 from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import may_have_run
 from magnoliapitch.verdict import not_run
 from magnoliapitch.workload.configuration import PermitTiming
 from magnoliapitch.workload.job import JobSpec
@@ -238,6 +240,22 @@
     assert old.is_over
 
 
+# A worker that has restarted refuses orders to its former incarnation, since
+# the leader has raised its token.
+def test_an_order_to_a_former_incarnation_does_not_end_the_leadership() -> (
+    None
+):
+    simulation = make_simulation(1)
+    simulation.run(500)
+    controller = simulation.controller
+    restarted = Err(may_have_run(FailureCode.RESTARTED, "another start"))
+    controller.handle_report(WorkerReported("w000", restarted, 500, 500))
+    start = PlannedStart(TaskKey("a", 0, 0, 0), 1, "w000")
+    fenced = Err(not_run(FailureCode.FENCED, "a higher token was seen"))
+    controller.handle_start_answer(StartAnswered(start, fenced, 500, 500))
+    assert not controller.is_over
+
+
 def test_a_start_order_to_a_replaced_worker_frees_its_tasks() -> None:
     simulation = make_simulation(2)
     simulation.actual_duration_ms = lambda _: 60_000.0
--- a/tests/control/test_worker_restarts.py
+++ b/tests/control/test_worker_restarts.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from magnoliapitch.control.renewal_pacing import LONG_POLL_WAIT_MS
+from magnoliapitch.control.renewal_pacing import REPEATED_PAUSE_MS
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.configuration import PermitTiming
@@ -24,6 +26,9 @@
 
 SIZE = Resources(4_000, 8_000)
 EFFECTS_TYPES = (WireEffects, DelegatedWireEffects)
+# A worker that restarts is called again by then, even if a waiting renewal
+# does not break.
+RENEWED_AFTER_MS = LONG_POLL_WAIT_MS + REPEATED_PAUSE_MS + 50
 
 
 def make_simulation(
@@ -201,8 +206,8 @@
     assert simulation.violations == []
 
 
-# Random schedules with quotas, seed 4: nothing stops a late order of a job
-# that has ended, since the leader no longer knows the job.
+# Random schedules with quotas, seed 4: nothing stopped a late order of a job
+# that had ended, since the leader no longer knew the job.
 def test_a_late_order_of_a_finished_job_is_not_begun_after_a_restart() -> None:
     simulation = make_simulation(worker_count=2)
     simulation.actual_duration_ms = lambda _: 300.0
@@ -221,3 +226,32 @@
         restart(simulation, 300, name)
     simulation.run(10_000)
     assert simulation.violations == []
+
+
+# Incident TWICE: until the platform lists the next incarnation, and the leader
+# reads it, a late order was begun. Now it is until the next renewal.
+@pytest.mark.parametrize("effects_type", EFFECTS_TYPES)
+def test_a_late_order_is_refused_soon_after_a_restart(
+    effects_type: type[WireEffects],
+) -> None:
+    simulation = make_simulation(effects_type, worker_count=2)
+    simulation.actual_duration_ms = lambda _: 300.0
+    simulation.run(1_000)
+    arrivals_ms: list[int] = []
+
+    def late_ms(_: StartOrder | StopOrder) -> int:
+        arrivals_ms.append(simulation.now_ms + 10_000)
+        return 10_000 if len(arrivals_ms) == 1 else 0
+
+    simulation.order_late_ms = late_ms
+    submit(simulation, "job", 1)
+    simulation.run_until(lambda: "job" in simulation.finished)
+    simulation.listing_delay_ms = 3_000
+    down_ms = 300
+    restart_ms = arrivals_ms[0] - RENEWED_AFTER_MS - down_ms
+    simulation.run(restart_ms - simulation.now_ms)
+    for name in sorted(simulation.workers):
+        restart(simulation, down_ms, name)
+    simulation.run(10_000)
+    assert simulation.violations == []
+    assert not simulation.controller.is_over
--- a/tests/ledger/test_leadership.py
+++ b/tests/ledger/test_leadership.py
@@ -7,14 +7,19 @@
 
 from result import Err
 
+from magnoliapitch.control.worker_tokens import next_token
 from magnoliapitch.ledger.health import StoreHealth
 from magnoliapitch.ledger.leadership import LEADER_TIMEOUT_MS
 from magnoliapitch.ledger.leadership import LONGER_RUNNING_CLAIM_DELAY_MS
 from magnoliapitch.ledger.leadership import MAX_RESIGNED_JITTER_MS
 from magnoliapitch.ledger.leadership import Batch
 from magnoliapitch.ledger.leadership import Leadership
+from magnoliapitch.ledger.records import LEADER_KEY
 from magnoliapitch.ledger.records import PROGRESS_STREAM
 from magnoliapitch.ledger.records import STATE_STREAM
+from magnoliapitch.ledger.records import TOKENS_PER_EPOCH
+from magnoliapitch.ledger.records import LeaderRecord
+from magnoliapitch.ledger.records import encode_leader
 from magnoliapitch.ledger.state_table import StateTable
 from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.verdict import FailureCode
@@ -107,6 +112,26 @@
     assert epochs == sorted(set(epochs))
 
 
+# Incident TWICE: a leader raises the token of a worker that restarts. The
+# first leader is of a release whose only token was its epoch.
+def test_all_tokens_of_a_claim_are_below_those_of_the_next(
+    streams: MemoryStreams, make_leadership: MakeLeadership, clock: ManualClock
+) -> None:
+    older = LeaderRecord((7 << 20) - 1, "older")
+    streams.append(
+        STATE_STREAM, [KeyedRecord(LEADER_KEY, encode_leader(older))]
+    )
+    last_token = older.epoch
+    for name in ("a", "b", "c", "a"):
+        leadership = make_leadership(name)
+        become_leader(leadership, clock)
+        assert leadership.claim is not None
+        epoch = leadership.claim.record.epoch
+        assert last_token < epoch
+        last_token = epoch + TOKENS_PER_EPOCH - 1
+        assert next_token(last_token) == last_token
+
+
 def test_nobody_claims_while_the_leader_stores(
     make_leadership: MakeLeadership, clock: ManualClock
 ) -> None:
