Count a crash only under runs that the next incarnation does not report

Cause: when a worker restarted under its id, every run that had been ordered counted as one that may have ended it.

Change: the runs wait for the first report of the next incarnation. Those that it lists, active or ended, do not count. If it ends or is removed without a report, all count, as before. Their tasks cannot start meanwhile: the runs count as active until that report.

The new test in test_worker_restarts fails on and on (one crash is counted) and passes now.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -232,7 +232,7 @@
                 self._reachability.record_unanswered_renewal(worker_id)
             return
         report = event.outcome.ok_value
-        self._roster.record_answer(worker_id)
+        self._roster.record_report(worker_id, report)
         self._reachability.record_answer(
             worker_id, report.clock_ms, event.sent_ms, event.received_ms
         )
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -6,6 +6,8 @@
 
 from magnoliapitch.control.log_fields import run_fields
 from magnoliapitch.control.unproven_losses import UnprovenLosses
+from magnoliapitch.control.unreported_losses import UnreportedLoss
+from magnoliapitch.control.unreported_losses import UnreportedLosses
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.worker_loss import count_crash
 from magnoliapitch.planner.worker_loss import move_runs
@@ -27,6 +29,7 @@
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedWorker
     from magnoliapitch.planner.worker_loss import LostRun
+    from magnoliapitch.workload.run import WorkerReport
     from magnoliapitch.workload.worker import WorkerInfo
 
 
@@ -58,6 +61,7 @@
         self._report_applier = report_applier
         self._tokens = tokens
         self._restarted_ids: set[str] = set()
+        self._unreported_losses = UnreportedLosses()
         self._unproven_losses = UnprovenLosses(state)
         self._checked_ms: int | None = None
 
@@ -115,18 +119,34 @@
         self._effects.stop_lease_renewal(former.worker_id)
         lost = suspect_runs(worker, now_ms)
         move_runs(self._state, former.worker_id, current.worker_id)
+        self._count_unreported(former.worker_id)
         if current.has_followed(former):
-            self._count_crash(former.worker_id, lost)
+            self._unreported_losses.add(
+                current.worker_id,
+                UnreportedLoss(former.worker_id, tuple(lost)),
+            )
         self._forget(former.worker_id)
         self._reachability.record_restart(current.worker_id, now_ms)
 
+    def _count_unreported(
+        self, worker_id: str, report: WorkerReport | None = None
+    ) -> None:
+        """Count the crash of a former incarnation under its runs.
+
+        :param report: report of the incarnation that has followed, if any.
+        """
+        loss = self._unreported_losses.take(worker_id, report)
+        if loss is not None:
+            self._count_crash(loss.former_id, loss.lost)
+
     def _count_crash(self, worker_id: str, lost: Sequence[LostRun]) -> None:
         count_crash(self._state, lost)
         _log_suspects(worker_id, lost)
 
-    def record_answer(self, worker_id: str) -> None:
+    def record_report(self, worker_id: str, report: WorkerReport) -> None:
         """Record that a worker answers, so that it has not ended."""
         self._unproven_losses.record_answer(worker_id)
+        self._count_unreported(worker_id, report)
 
     def record_restart(self, worker_id: str) -> None:
         """Record that the next incarnation, not listed yet, has answered."""
@@ -186,6 +206,7 @@
         _log_lost_runs(worker, reason, now_ms)
         self._effects.stop_lease_renewal(worker_id)
         lost = suspect_runs(worker, now_ms)
+        self._count_unreported(worker_id)
         self._state.remove_worker(worker_id)
         if has_crashed:
             self._count_crash(worker_id, lost)
--- a/src/magnoliapitch/planner/worker_loss.py
+++ b/src/magnoliapitch/planner/worker_loss.py
@@ -27,11 +27,13 @@
 class LostRun(NamedTuple):
     """A run that may have caused the loss of its worker.
 
+    :param number: number of the run among the runs of its task.
     :param is_alone: whether the worker had certainly begun the run and had no
         run of another job.
     """
 
     task: TrackedTask
+    number: int
     is_alone: bool
 
     @property
@@ -53,6 +55,7 @@
     return [
         LostRun(
             run.task,
+            run.number,
             run.confirmed_ms is not None
             and worker.runs_only(run.task.step.job),
         )
--- a/tests/control/test_worker_restarts.py
+++ b/tests/control/test_worker_restarts.py
@@ -12,6 +12,7 @@
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
 from magnoliapitch.workload.job import TaskKey
+from tests.control.restarting_workers import BEGIN_UNIX_MS
 from tests.control.restarting_workers import DelegatedWireEffects
 from tests.control.restarting_workers import RestartingSimulation
 from tests.control.restarting_workers import WireEffects
@@ -255,3 +256,22 @@
     simulation.run(10_000)
     assert simulation.violations == []
     assert not simulation.controller.is_over
+
+
+# A job was given up after one crash: a restart before an order reached the
+# worker counted as a crash under the run that the next incarnation began.
+def test_a_restart_before_an_order_is_no_crash_under_its_run() -> None:
+    simulation = make_simulation()
+    simulation.actual_duration_ms = lambda _: 5_000.0
+    simulation.run(2_300)
+    simulation.listing_delay_ms = 400
+    restart(simulation, 20)
+    simulation.run(30)
+    submit(simulation, "job", 1)
+    simulation.run(3_000)
+    key = TaskKey("job", 0, 0, 0)
+    task = simulation.controller.state.task(key)
+    assert task is not None
+    [run] = task.active_runs
+    assert run.worker_id.endswith(f"@{BEGIN_UNIX_MS + 2_320}")
+    assert task.worker_crashes == 0
--- a/tests/control/test_worker_restarts_under_faults.py
+++ b/tests/control/test_worker_restarts_under_faults.py
@@ -57,8 +57,8 @@
     check_schedule(seed, effects_type)
 
 
-# A job is given up after one crash: the restart of a worker before an order
-# reached it counts as a crash under the run that its next incarnation began.
+# A job was given up after one crash: the restart of a worker before an order
+# reached it counted as a crash under the run that its next incarnation began.
 def test_a_restart_before_an_order_does_not_count_as_a_crash() -> None:
     check_schedule(*SCHEDULE_WITH_A_WRONG_CRASH)
 
