--- a/tests/control/test_load_publisher.py
+++ b/tests/control/test_load_publisher.py
@@ -6,6 +6,7 @@
 
 from magnoliapitch.admission import decode_figures
 from magnoliapitch.ledger.records import LOAD_KEY
+from magnoliapitch.ledger.records import TOKENS_PER_EPOCH
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.planner.load import LoadEstimator
 from magnoliapitch.planner.options import PlanningOptions
@@ -134,7 +135,10 @@
     published.simulation.run(2_000)
     positions = [figures.position for _, figures in published.figures]
     assert positions == sorted(positions)
-    assert {epoch for epoch, _ in positions} == {1, 2}
+    assert {epoch for epoch, _ in positions} == {
+        TOKENS_PER_EPOCH,
+        2 * TOKENS_PER_EPOCH,
+    }
     assert (2, 1) in positions
 
 
