--- a/tests/control/test_load_publisher.py
+++ b/tests/control/test_load_publisher.py
@@ -139,7 +139,7 @@
         TOKENS_PER_EPOCH,
         2 * TOKENS_PER_EPOCH,
     }
-    assert (2, 1) in positions
+    assert (2 * TOKENS_PER_EPOCH, 1) in positions
 
 
 def test_nothing_is_published_while_admission_is_off() -> None:
