--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -4,9 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from magnoliapitch.control.doubtful_orders import DoubtfulOrders
 from magnoliapitch.control.log_fields import run_fields
 from magnoliapitch.control.unproven_losses import UnprovenLosses
+from magnoliapitch.control.unreported_losses import UnreportedLoss
+from magnoliapitch.control.unreported_losses import UnreportedLosses
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.evacuation import evacuate_services
 from magnoliapitch.planner.worker_loss import count_crash
@@ -24,10 +25,12 @@
     from magnoliapitch.control.effects import Effects
     from magnoliapitch.control.reachability import WorkerReachability
     from magnoliapitch.control.reports import ReportApplier
+    from magnoliapitch.control.worker_tokens import WorkerTokens
     from magnoliapitch.planner.planner import Planner
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedWorker
     from magnoliapitch.planner.worker_loss import LostRun
+    from magnoliapitch.workload.run import WorkerReport
     from magnoliapitch.workload.worker import WorkerInfo
 
 
@@ -42,7 +45,6 @@
 
     :ivar info_by_id: the platform's newest list, without the workers that
         were removed since; the same mapping for the whole leadership.
-    :ivar doubtful_orders: unanswered start orders.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         effects: Effects,
         reachability: WorkerReachability,
         report_applier: ReportApplier,
+        tokens: WorkerTokens,
     ) -> None:
         self.info_by_id: dict[str, WorkerInfo] = {}
         self._state = state
@@ -59,7 +62,9 @@
         self._effects = effects
         self._reachability = reachability
         self._report_applier = report_applier
-        self.doubtful_orders = DoubtfulOrders()
+        self._tokens = tokens
+        self._restarted_ids: set[str] = set()
+        self._unreported_losses = UnreportedLosses()
         self._unproven_losses = UnprovenLosses(state)
         self._checked_ms: int | None = None
         self._has_list = False
@@ -96,7 +101,9 @@
             self._state.update_worker(info)
             if old_info is None:
                 self._reachability.record_called(worker_id, now_ms)
-                self._effects.start_lease_renewal(info)
+                self._tokens.record_listed(worker_id)
+                token = self._tokens.token(worker_id)
+                self._effects.start_lease_renewal(info, token)
             was_draining = old_info is not None and old_info.is_draining
             if info.is_draining and not was_draining:
                 log_event(
@@ -119,31 +126,46 @@
         self._effects.stop_lease_renewal(former.worker_id)
         lost = suspect_runs(worker, now_ms)
         move_runs(self._state, former.worker_id, current.worker_id)
+        self._count_unreported(former.worker_id)
         if current.has_followed(former):
-            self._count_crash(former.worker_id, lost)
-        self._stop_doubtful_runs(current, now_ms)
+            self._unreported_losses.add(
+                current.worker_id,
+                UnreportedLoss(former.worker_id, tuple(lost)),
+            )
         self._forget(former.worker_id)
         self._reachability.record_restart(current.worker_id, now_ms)
 
-    def _stop_doubtful_runs(self, current: Incarnation, now_ms: int) -> None:
-        """Stop what late orders to former incarnations could begin here."""
-        worker_id = current.worker_id
-        for order in self.doubtful_orders.of(current.name, now_ms):
-            if self._state.run(order.task, order.run, worker_id) is None:
-                run = self._state.stop_unexpected_run(
-                    order.task, order.run, worker_id, now_ms
-                )
-                if run is not None:
-                    run.set_ended_with_worker(True)
+    def _count_unreported(
+        self, worker_id: str, report: WorkerReport | None = None
+    ) -> None:
+        """Count the crash of a former incarnation under its runs.
+
+        :param report: report of the incarnation that has followed, if any.
+        """
+        loss = self._unreported_losses.take(worker_id, report)
+        if loss is not None:
+            self._count_crash(loss.former_id, loss.lost)
 
     def _count_crash(self, worker_id: str, lost: Sequence[LostRun]) -> None:
         count_crash(self._state, lost)
         _log_suspects(worker_id, lost)
 
-    def record_answer(self, worker_id: str) -> None:
+    def record_report(self, worker_id: str, report: WorkerReport) -> None:
         """Record that a worker answers, so that it has not ended."""
         self._silent_worker_ids.discard(worker_id)
         self._unproven_losses.record_answer(worker_id)
+        self._count_unreported(worker_id, report)
+
+    def record_restart(self, worker_id: str) -> None:
+        """Record that the next incarnation, not listed yet, has answered."""
+        self._restarted_ids.add(worker_id)
+
+    def is_current(self, worker_id: str) -> bool:
+        """Return whether a worker is used and has not restarted so far."""
+        return (
+            worker_id in self._state.workers_by_id
+            and worker_id not in self._restarted_ids
+        )
 
     def record_grantable(self, worker_ids: Iterable[str], now_ms: int) -> None:
         """Use workers at once that may be granted leases again."""
@@ -227,6 +249,7 @@
         self._effects.stop_lease_renewal(worker_id)
         lost = suspect_runs(worker, now_ms)
         silent_ms = self._reachability.silent_ms(worker_id, now_ms)
+        self._count_unreported(worker_id)
         self._state.remove_worker(worker_id)
         if has_crashed:
             self._count_crash(worker_id, lost)
@@ -239,6 +262,7 @@
 
     def _forget(self, worker_id: str) -> None:
         self._silent_worker_ids.discard(worker_id)
+        self._restarted_ids.discard(worker_id)
         self._reachability.forget(worker_id)
         self._report_applier.forget(worker_id)
         self._planner.worker_backoff.forget(worker_id)
--- a/src/magnoliapitch/planner/worker_loss.py
+++ b/src/magnoliapitch/planner/worker_loss.py
@@ -27,11 +27,13 @@
 class LostRun(NamedTuple):
     """A run that may have caused the loss of its worker.
 
+    :param number: number of the run among the runs of its task.
     :param is_alone: whether the worker had certainly begun the run and had no
         run of another job.
     """
 
     task: TrackedTask
+    number: int
     is_alone: bool
 
     @property
@@ -53,6 +55,7 @@
     return [
         LostRun(
             run.task,
+            run.number,
             run.confirmed_ms is not None
             and worker.runs_only(run.task.step.job),
         )
@@ -94,8 +97,8 @@
     """Move the runs of a worker that has restarted to the next incarnation.
 
     They have ended, but an order that is still under way could begin one of
-    them there. Such a run counts as active until the worker reports it, or a
-    stop order and a report have shown that it is not. The members of a gang
+    them there. Such a run counts as active until a report of the worker tells
+    whether it is. The members of a gang
     cannot work on without those that have ended.
 
     :param former_id: id of the incarnation that has ended.
