--- a/src/magnoliapitch/control/committer.py
+++ b/src/magnoliapitch/control/committer.py
@@ -23,7 +23,7 @@
 
     from magnoliapitch.clock import Clock
     from magnoliapitch.control.events import Event
-    from magnoliapitch.ledger.leadership import Batch
+    from magnoliapitch.ledger.leader_appender import Batch
     from magnoliapitch.ledger.leadership import Leadership
 
 
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -43,7 +43,7 @@
     from magnoliapitch.control.order_sender import OrderSender
     from magnoliapitch.control.timing import ControlTiming
     from magnoliapitch.ledger.job_follower import JobFollower
-    from magnoliapitch.ledger.leadership import Batch
+    from magnoliapitch.ledger.leader_appender import Batch
     from magnoliapitch.ledger.leadership import Leadership
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.metric import Metrics
--- a/src/magnoliapitch/control/effects.py
+++ b/src/magnoliapitch/control/effects.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from magnoliapitch.ledger.leadership import Batch
+    from magnoliapitch.ledger.leader_appender import Batch
     from magnoliapitch.planner.plan import PlannedPermitRequest
     from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.workload.run import StartOrder
--- a/src/magnoliapitch/control/progress_batcher.py
+++ b/src/magnoliapitch/control/progress_batcher.py
@@ -7,7 +7,7 @@
 from magnoliapitch.control.progress_records import deletion_records
 from magnoliapitch.control.progress_records import take_changed_records
 from magnoliapitch.control.speed_record import SpeedRecord
-from magnoliapitch.ledger.leadership import Batch
+from magnoliapitch.ledger.leader_appender import Batch
 from magnoliapitch.ledger.records import CLOCK_KEY
 from magnoliapitch.ledger.records import LEADER_KEY
 from magnoliapitch.ledger.records import STATE_PREFIX
--- /dev/null
+++ b/src/magnoliapitch/ledger/leader_appender.py
@@ -0,0 +1,154 @@
+"""Records that a leader stores under its epoch."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from result import Err
+from result import Ok
+from result import Result
+
+from magnoliapitch.ledger.record_calls import RecordCalls
+from magnoliapitch.ledger.records import PROGRESS_STREAM
+from magnoliapitch.ledger.records import STATE_STREAM
+from magnoliapitch.ledger.stream import KeyedRecord
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from magnoliapitch.clock import Clock
+    from magnoliapitch.ledger.health import StoreHealth
+    from magnoliapitch.ledger.stream import KeyedStreams
+    from magnoliapitch.ledger.stream import Writer
+    from magnoliapitch.verdict import Failure
+
+
+APPEND_TIMEOUT_MS = 800
+
+
+class Batch(NamedTuple):
+    """Records that the leader stores in one commit.
+
+    :param progress: progress of jobs, which only the next leader reads.
+    :param states: states of jobs, which every instance reads.
+    """
+
+    progress: tuple[KeyedRecord, ...] = ()
+    states: tuple[KeyedRecord, ...] = ()
+
+
+class LeaderAppender:
+    """Stores the records of one claim, under its epoch.
+
+    A commit that is still under way when the instance claims again stays
+    with the appender that it began with, so that the store refuses it.
+
+    :param state_writer: writer of the stream of states.
+    :param progress_writer: writer of the stream of progress.
+    """
+
+    def __init__(
+        self,
+        streams: KeyedStreams,
+        clock: Clock,
+        health: StoreHealth,
+        state_writer: Writer,
+        progress_writer: Writer,
+    ) -> None:
+        self._streams = streams
+        self._clock = clock
+        self._health = health
+        self._state_writer = state_writer
+        self._progress_writer = progress_writer
+        self._batch: Batch | None = None
+        self._progress_calls = RecordCalls(())
+        self._state_calls = RecordCalls(())
+
+    def commit(
+        self, batch: Batch, on_progress_stored: Callable[[], object]
+    ) -> Result[int, Failure]:
+        """Store progress, then the states that follow from it.
+
+        The parameters are those of :meth:`Leadership.commit`.
+        """
+        self._begin(batch)
+        if not self._progress_calls.has_ended:
+            outcome = self._progress_calls.store(
+                self.append_progress,
+                lambda: self._accepts_calls(PROGRESS_STREAM),
+            )
+            if isinstance(outcome, Err):
+                return outcome
+            on_progress_stored()
+        outcome = self._state_calls.store(
+            self.append_states, lambda: self._accepts_calls(STATE_STREAM)
+        )
+        if not isinstance(outcome, Err):
+            self._batch = None
+        return outcome
+
+    def refused_keys(self) -> tuple[str, ...]:
+        """Return the keys of progress that the store refused in this batch."""
+        return tuple(self._progress_calls.refused_keys)
+
+    def append_progress(
+        self, records: Sequence[KeyedRecord]
+    ) -> Result[int, Failure]:
+        """Append records of progress in one call.
+
+        :return: the end of the stream.
+        """
+        writer = self._progress_writer
+        outcome = self._append(PROGRESS_STREAM, records, writer)
+        if not isinstance(outcome, Err):
+            self._progress_writer = with_next_sequence(writer)
+        return outcome
+
+    def append_states(
+        self, records: Sequence[KeyedRecord]
+    ) -> Result[int, Failure]:
+        """Append records of states in one call.
+
+        :return: the end of the stream.
+        """
+        writer = self._state_writer
+        outcome = self._append(STATE_STREAM, records, writer)
+        if not isinstance(outcome, Err):
+            self._state_writer = with_next_sequence(writer)
+        return outcome
+
+    def _begin(self, batch: Batch) -> None:
+        """Begin to commit a batch, or go on with it."""
+        if batch is not self._batch:
+            self._batch = batch
+            self._progress_calls = RecordCalls(batch.progress)
+            self._state_calls = RecordCalls(batch.states)
+
+    def _accepts_calls(self, stream: str) -> bool:
+        return self._streams.append(
+            stream, [], timeout_ms=APPEND_TIMEOUT_MS
+        ).is_ok()
+
+    def _append(
+        self, stream: str, records: Sequence[KeyedRecord], writer: Writer
+    ) -> Result[int, Failure]:
+        sent_ms = self._clock.now_ms()
+        outcome = self._streams.append(
+            stream, records, writer, timeout_ms=APPEND_TIMEOUT_MS
+        )
+        if isinstance(outcome, Err):
+            self._health.note_failure(outcome.err_value)
+            return outcome
+        self._health.note_success(sent_ms)
+        return Ok(outcome.ok_value.end)
+
+
+def with_next_sequence(writer: Writer) -> Writer:
+    """Return the writer of the append that follows."""
+    return writer._replace(sequence=writer.sequence + 1)
+
+
+__all__ = ["Batch", "LeaderAppender", "with_next_sequence"]
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -15,12 +15,13 @@
 
 from magnoliapitch.event import log_event
 from magnoliapitch.ledger.elapsed_clock import LeaderClock
+from magnoliapitch.ledger.leader_appender import APPEND_TIMEOUT_MS
+from magnoliapitch.ledger.leader_appender import LeaderAppender
+from magnoliapitch.ledger.leader_appender import with_next_sequence
 from magnoliapitch.ledger.load_view import ReadTimes
 from magnoliapitch.ledger.mirror import StreamMirror
-from magnoliapitch.ledger.record_calls import RecordCalls
 from magnoliapitch.ledger.records import CLOCK_KEY
 from magnoliapitch.ledger.records import LEADER_KEY
-from magnoliapitch.ledger.records import PROGRESS_STREAM
 from magnoliapitch.ledger.records import STATE_STREAM
 from magnoliapitch.ledger.records import TOKENS_PER_EPOCH
 from magnoliapitch.ledger.records import LeaderRecord
@@ -36,10 +37,10 @@
     from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Mapping
-    from collections.abc import Sequence
 
     from magnoliapitch.clock import Clock
     from magnoliapitch.ledger.health import StoreHealth
+    from magnoliapitch.ledger.leader_appender import Batch
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.ledger.stream import KeyedStreams
     from magnoliapitch.verdict import Failure
@@ -66,7 +67,6 @@
 # turn. Those that have not been yet leave the claim to one that has.
 LONGER_RUNNING_CLAIM_DELAY_MS = 100
 FIRST_CLAIM_DELAY_MS = 300
-APPEND_TIMEOUT_MS = 800
 READ_WAIT_MS = 800
 # Records accumulate between two reads, which saves calls to the store. An
 # instance that claims late does not need to notice a silent leader soon.
@@ -87,45 +87,6 @@
     clock: LeaderClock
 
 
-class Batch(NamedTuple):
-    """Records that the leader stores in one commit.
-
-    :param progress: progress of jobs, which only the next leader reads.
-    :param states: states of jobs, which every instance reads.
-    """
-
-    progress: tuple[KeyedRecord, ...] = ()
-    states: tuple[KeyedRecord, ...] = ()
-
-
-class _LeaderAppender:
-    """Stores the records of one claim, under its epoch.
-
-    A commit that is still under way when the instance claims again stays
-    with the appender that it began with, so that the store refuses it.
-
-    :ivar state_writer: writer of the stream of states.
-    :ivar progress_writer: writer of the stream of progress.
-    :ivar batch: batch that is being committed; None between two.
-    :ivar progress_calls: calls that store its progress.
-    :ivar state_calls: calls that store its states.
-    """
-
-    def __init__(self, state_writer: Writer, progress_writer: Writer) -> None:
-        self.state_writer = state_writer
-        self.progress_writer = progress_writer
-        self.batch: Batch | None = None
-        self.progress_calls = RecordCalls(())
-        self.state_calls = RecordCalls(())
-
-    def begin(self, batch: Batch) -> None:
-        """Begin to commit a batch, or go on with it."""
-        if batch is not self.batch:
-            self.batch = batch
-            self.progress_calls = RecordCalls(batch.progress)
-            self.state_calls = RecordCalls(batch.states)
-
-
 class Leadership:
     """Reads published job states and claims leadership if nobody leads.
 
@@ -170,7 +131,7 @@
         self._read_numbers = itertools.count()
         self._sent_ms_by_read: dict[int, int] = {}
         no_writer = Writer(PRODUCER, 0, 0)
-        self._appender = _LeaderAppender(no_writer, no_writer)
+        self._appender = self._open_appender(no_writer, no_writer)
         self._last_heard_ms = clock.now_ms()
         self._claim_delay_ms = FIRST_CLAIM_DELAY_MS + extra_claim_delay_ms
         self._may_claim = True
@@ -280,7 +241,7 @@
 
         An empty append under the new epoch makes the store refuse lower ones.
         """
-        return self._append_progress(self._appender, [])
+        return self._appender.append_progress([])
 
     def commit(
         self,
@@ -295,63 +256,11 @@
         :param on_progress_stored: called once the progress is stored, before
             the states are.
         """
-        appender = self._appender
-        appender.begin(batch)
-        if not appender.progress_calls.has_ended:
-            outcome = appender.progress_calls.store(
-                lambda records: self._append_progress(appender, records),
-                lambda: self._accepts_calls(PROGRESS_STREAM),
-            )
-            if isinstance(outcome, Err):
-                return outcome
-            on_progress_stored()
-        outcome = appender.state_calls.store(
-            lambda records: self._append_states(appender, records),
-            lambda: self._accepts_calls(STATE_STREAM),
-        )
-        if not isinstance(outcome, Err):
-            appender.batch = None
-        return outcome
+        return self._appender.commit(batch, on_progress_stored)
 
     def refused_keys(self) -> tuple[str, ...]:
         """Return the keys of progress that the store refused in this batch."""
-        return tuple(self._appender.progress_calls.refused_keys)
-
-    def _accepts_calls(self, stream: str) -> bool:
-        return self._streams.append(
-            stream, [], timeout_ms=APPEND_TIMEOUT_MS
-        ).is_ok()
-
-    def _append_progress(
-        self, appender: _LeaderAppender, records: Sequence[KeyedRecord]
-    ) -> Result[int, Failure]:
-        writer = appender.progress_writer
-        outcome = self._append(PROGRESS_STREAM, records, writer)
-        if not isinstance(outcome, Err):
-            appender.progress_writer = _with_next_sequence(writer)
-        return outcome
-
-    def _append_states(
-        self, appender: _LeaderAppender, records: Sequence[KeyedRecord]
-    ) -> Result[int, Failure]:
-        writer = appender.state_writer
-        outcome = self._append(STATE_STREAM, records, writer)
-        if not isinstance(outcome, Err):
-            appender.state_writer = _with_next_sequence(writer)
-        return outcome
-
-    def _append(
-        self, stream: str, records: Sequence[KeyedRecord], writer: Writer
-    ) -> Result[int, Failure]:
-        sent_ms = self._clock.now_ms()
-        outcome = self._streams.append(
-            stream, records, writer, timeout_ms=APPEND_TIMEOUT_MS
-        )
-        if isinstance(outcome, Err):
-            self._health.note_failure(outcome.err_value)
-            return outcome
-        self._health.note_success(sent_ms)
-        return Ok(outcome.ok_value.end)
+        return self._appender.refused_keys()
 
     def resign(self) -> None:
         """Publish that this instance stops leading, so that others claim."""
@@ -362,8 +271,8 @@
         # The newest record, which has the leader's position in the jobs.
         newest = self._state_table.leader or claim.record
         record = newest._replace(has_resigned=True)
-        outcome = self._append_states(
-            self._appender, [KeyedRecord(LEADER_KEY, encode_leader(record))]
+        outcome = self._appender.append_states(
+            [KeyedRecord(LEADER_KEY, encode_leader(record))]
         )
         result = "failed" if isinstance(outcome, Err) else "stored"
         log_event("leadership-resigned", outcome=result)
@@ -454,11 +363,24 @@
             return
         self._mirror.skip_to(outcome.ok_value.end)
         self._state_table.leader = record
-        self._appender = _LeaderAppender(_with_next_sequence(writer), writer)
+        self._appender = self._open_appender(
+            with_next_sequence(writer), writer
+        )
         self.claim = Claim(record, now_ms, clock)
         self._has_claimed.set()
         log_event("leadership-claimed", epoch=epoch, silent_ms=silent_ms)
 
+    def _open_appender(
+        self, state_writer: Writer, progress_writer: Writer
+    ) -> LeaderAppender:
+        return LeaderAppender(
+            self._streams,
+            self._clock,
+            self._health,
+            state_writer,
+            progress_writer,
+        )
+
     def _first_sequence(self) -> int:
         """Return a sequence number that no other instance begins with.
 
@@ -480,7 +402,3 @@
             code=failure.code,
             reason=failure.detail,
         )
-
-
-def _with_next_sequence(writer: Writer) -> Writer:
-    return writer._replace(sequence=writer.sequence + 1)
--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -29,7 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from magnoliapitch.ledger.leadership import Batch
+    from magnoliapitch.ledger.leader_appender import Batch
     from magnoliapitch.planner.plan import PlannedPermitRequest
     from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.workload.worker import WorkerInfo
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -54,7 +54,7 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
-    from magnoliapitch.ledger.leadership import Batch
+    from magnoliapitch.ledger.leader_appender import Batch
     from magnoliapitch.planner.options import PlanningOptions
     from magnoliapitch.workload.job import JobSpec
     from magnoliapitch.workload.job import StepKey
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -17,7 +17,6 @@
 from magnoliapitch.control.timing import ControlTiming
 from magnoliapitch.ledger.elapsed_clock import LeaderClock
 from magnoliapitch.ledger.job_table import JobTable
-from magnoliapitch.ledger.leadership import Batch
 from magnoliapitch.ledger.leadership import Claim
 from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.ledger.state_table import StateTable
@@ -29,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from magnoliapitch.ledger.leader_appender import Batch
     from magnoliapitch.verdict import Failure
 
 UNANSWERED = Err(may_have_run(FailureCode.TIMEOUT, "no answer"))
--- a/tests/control/test_large_jobs.py
+++ b/tests/control/test_large_jobs.py
@@ -43,7 +43,7 @@
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.ledger.leadership import Batch
+    from magnoliapitch.ledger.leader_appender import Batch
     from magnoliapitch.planner.tracked_job import TrackedJob
     from magnoliapitch.workload.progress import JobProgress
 
--- a/tests/control/test_load_publisher.py
+++ b/tests/control/test_load_publisher.py
@@ -24,7 +24,7 @@
     import pytest
 
     from magnoliapitch.admission import LoadFigures
-    from magnoliapitch.ledger.leadership import Batch
+    from magnoliapitch.ledger.leader_appender import Batch
 
 
 ADMISSION = PlanningOptions(admission=True)
--- a/tests/control/test_lost_leaders.py
+++ b/tests/control/test_lost_leaders.py
@@ -29,7 +29,7 @@
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.ledger.leadership import Batch
+    from magnoliapitch.ledger.leader_appender import Batch
     from magnoliapitch.ledger.stream import KeyedRecord
 
 
--- a/tests/control/test_progress_batcher.py
+++ b/tests/control/test_progress_batcher.py
@@ -13,7 +13,7 @@
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.ledger.leadership import Batch
+    from magnoliapitch.ledger.leader_appender import Batch
 
 JOB_COUNT = 200
 SUBMISSION_INTERVAL_MS = 17
--- a/tests/control/test_speed_record.py
+++ b/tests/control/test_speed_record.py
@@ -18,7 +18,7 @@
 
 
 if TYPE_CHECKING:
-    from magnoliapitch.ledger.leadership import Batch
+    from magnoliapitch.ledger.leader_appender import Batch
     from magnoliapitch.planner.duration import LearnedDurations
 
 RUN_MS = 30_000
--- a/tests/ledger/test_leadership.py
+++ b/tests/ledger/test_leadership.py
@@ -9,10 +9,10 @@
 
 from magnoliapitch.control.worker_tokens import next_token
 from magnoliapitch.ledger.health import StoreHealth
+from magnoliapitch.ledger.leader_appender import Batch
 from magnoliapitch.ledger.leadership import LEADER_TIMEOUT_MS
 from magnoliapitch.ledger.leadership import LONGER_RUNNING_CLAIM_DELAY_MS
 from magnoliapitch.ledger.leadership import MAX_RESIGNED_JITTER_MS
-from magnoliapitch.ledger.leadership import Batch
 from magnoliapitch.ledger.leadership import Leadership
 from magnoliapitch.ledger.records import LEADER_KEY
 from magnoliapitch.ledger.records import PROGRESS_STREAM
