--- a/src/magnoliapitch/control/reachability.py
+++ b/src/magnoliapitch/control/reachability.py
@@ -130,15 +130,15 @@
         """Return whether no end of the worker's leases is stored."""
         return self._stored_leases.may_grant(worker_id)
 
-    def record_silent(self, worker_id: str) -> None:
+    def store_lease_end(self, worker_id: str) -> None:
         """Store when the leases of a worker that does not answer end."""
         with self._lock:
             self._stored_leases.put(
                 worker_id, self.leases_expired_at_ms(worker_id)
             )
 
-    def record_idle(self, worker_id: str) -> None:
-        """Record that a worker has no runs, so that no end need be stored."""
+    def discard_lease_end(self, worker_id: str) -> None:
+        """Delete the stored end of a worker's leases, since it has no runs."""
         self._stored_leases.discard(worker_id)
 
     def estimated_clock_ms(self, worker_id: str, now_ms: int) -> int | None:
--- a/src/magnoliapitch/control/stored_leases.py
+++ b/src/magnoliapitch/control/stored_leases.py
@@ -67,7 +67,10 @@
         self._wanted_by_worker[worker_id] = self._clock.lease_end(end_ms)
 
     def discard(self, worker_id: str) -> None:
-        """Delete the end of a worker that answers or has no runs."""
+        """Delete the end of a worker that answers or has no runs.
+
+        What a former leader stored stays known: it bounds that one's leases.
+        """
         self._wanted_by_worker.pop(worker_id, None)
 
     def keep_only(self, worker_ids: Collection[str]) -> None:
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -215,7 +215,7 @@
         if is_listed and silent_ms < SILENT_AFTER_MS:
             return
         self._silent_worker_ids.add(worker_id)
-        self._reachability.record_silent(worker_id)
+        self._reachability.store_lease_end(worker_id)
         log_event(
             "worker-silent",
             worker=worker_id,
@@ -286,7 +286,7 @@
             silent_ms=self._reachability.silent_ms(worker_id, now_ms),
         )
         lost_count = self._state.lose_runs(worker_id)
-        self._reachability.record_idle(worker_id)
+        self._reachability.discard_lease_end(worker_id)
         if lost_count:
             log_event(
                 "worker-lease-over", worker=worker_id, lost_runs=lost_count
--- a/src/magnoliapitch/ledger/state_table.py
+++ b/src/magnoliapitch/ledger/state_table.py
@@ -108,7 +108,8 @@
     :ivar load: newest load figures of the leader.
     :ivar clock: clock that successive leaders share.
     :ivar lease_end_by_worker: when the leases of workers that did not answer
-        the leader have certainly expired.
+        the leader have certainly expired. A claim may rest on both, as the
+        caller applies records in the order of the stream.
     """
 
     def __init__(self) -> None:
--- a/tests/control/test_lost_leaders.py
+++ b/tests/control/test_lost_leaders.py
@@ -11,6 +11,7 @@
 from magnoliapitch.control.events import Committed
 from magnoliapitch.control.events import WorkersListed
 from magnoliapitch.control.timing import MIN_CLOCK_RATE_RATIO
+from magnoliapitch.ledger.elapsed_clock import LeaseEnd
 from magnoliapitch.ledger.records import CLOCK_KEY
 from magnoliapitch.ledger.records import LEASE_PREFIX
 from magnoliapitch.resource import Resources
@@ -402,3 +403,30 @@
         assert task is not None
         crashes.append(task.worker_crashes)
     assert crashes == [0, 0]
+
+
+def test_a_leader_that_cannot_store_grants_leases_that_end_no_later() -> None:
+    simulation = make_simulation()
+    [worker] = [w for w in simulation.workers.values() if w.running]
+    simulation.store_is_unavailable = True
+    controller = simulation.controller
+    stamped_ms = controller._progress_batcher.stamped_ms
+    latest_ms = stamped_ms + TIMING.max_grant_silence_ms + TIMING.lease_ms
+    ends_ms = []
+    for _ in range(20):
+        simulation.run(100)
+        end_ms = controller.next_lease_deadline(
+            worker.info.worker_id, simulation.now_ms
+        )
+        ends_ms.append(end_ms or 0)
+    assert latest_ms - 500 < max(ends_ms) <= latest_ms
+
+
+# Records of workers that nobody waits for would stay for good.
+def test_a_new_leader_deletes_the_ends_of_workers_without_runs() -> None:
+    simulation = make_simulation()
+    end = LeaseEnd(simulation.states.clock.continue_as(0, 0, 0).origin, 1)
+    simulation.states.lease_end_by_worker["gone"] = end
+    lose_leader(simulation)
+    simulation.run(1_000)
+    assert "gone" not in simulation.states.lease_end_by_worker
--- a/tests/control/test_stored_leases.py
+++ b/tests/control/test_stored_leases.py
@@ -58,7 +58,7 @@
                 answers = self.random.random() < 0.9
             else:
                 reachability.record_unanswered_renewal(WORKER)
-                reachability.record_silent(WORKER)
+                reachability.store_lease_end(WORKER)
                 answers = self.random.random() < 0.1
             records = [(r.key, r.value) for r in stored.take_records()]
             stamp = encode_clock(clock.stamp(self._local(instance, stamp_ms)))
@@ -137,7 +137,7 @@
         clock = table.clock.continue_as(epoch, epoch - 1, chain.now_ms)
         stored = StoredLeases(clock, table)
         reachability = WorkerReachability(TIMING, chain.now_ms, clock, stored)
-        reachability.record_silent(WORKER)
+        reachability.store_lease_end(WORKER)
         ends.append(reachability.leases_expired_at_ms(WORKER))
         read = ReadTimes(chain.now_ms, None, chain.now_ms)
         stamp = encode_clock(clock.stamp(chain.now_ms))
