--- a/review/5/standin/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins for the users' platform, and processes of the system."""
