--- a/tests/control/test_lease_renewer.py
+++ b/tests/control/test_lease_renewer.py
@@ -22,6 +22,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import pytest
 
     from magnoliapitch.control.events import WorkerReported
@@ -73,6 +75,21 @@
             )
 
 
+def make_renewer(
+    worker: OneEnd,
+    post: Callable[[WorkerReported], None] = lambda _: None,
+) -> LeaseRenewer:
+    """Return a renewer with the token 7 that grants leases until 1,000 ms."""
+    return LeaseRenewer(
+        WorkerInfo("w", "app", "10.0.0.1:1", "a", "r"),
+        7,
+        worker,  # type: ignore[arg-type]
+        MonotonicClock(),
+        lambda _: 1_000,
+        post,
+    )
+
+
 # Guards against renewals that only repeat what was reported before.
 def test_a_new_lease_alone_does_not_renew_before_the_ends_are_stored(
     monkeypatch: pytest.MonkeyPatch,
@@ -80,14 +97,7 @@
     """An agent passes leases on long before the leader has stored an end."""
     monkeypatch.setattr(lease_renewer, "MAX_ACKNOWLEDGE_WAIT_MS", LONG_WAIT_MS)
     worker = OneEnd()
-    renewer = LeaseRenewer(
-        WorkerInfo("w", "app", "10.0.0.1:1", "a", "r"),
-        7,
-        worker,  # type: ignore[arg-type]
-        MonotonicClock(),
-        lambda _: 1_000,
-        lambda _: None,
-    )
+    renewer = make_renewer(worker)
     renewer.start()
     try:
         assert worker.wait_for_renewals(1)
@@ -115,14 +125,7 @@
 def test_an_unexpected_error_does_not_end_the_renewals() -> None:
     worker = OneError()
     reports: list[WorkerReported] = []
-    renewer = LeaseRenewer(
-        WorkerInfo("w", "app", "10.0.0.1:1", "a", "r"),
-        7,
-        worker,  # type: ignore[arg-type]
-        MonotonicClock(),
-        lambda _: 1_000,
-        reports.append,
-    )
+    renewer = make_renewer(worker, reports.append)
     renewer.start()
     try:
         assert worker.wait_for_renewals(2)
@@ -149,14 +152,7 @@
         lease_renewer, "log_event", lambda *_, **fields: logged.append(fields)
     )
     worker = ResetConnections()
-    renewer = LeaseRenewer(
-        WorkerInfo("w", "app", "10.0.0.1:1", "a", "r"),
-        7,
-        worker,  # type: ignore[arg-type]
-        MonotonicClock(),
-        lambda _: 1_000,
-        lambda _: None,
-    )
+    renewer = make_renewer(worker)
     renewer.start()
     try:
         assert worker.wait_for_renewals(3)
@@ -174,14 +170,7 @@
 # Incident TWICE: a worker that has restarted would forget its first ends.
 def test_a_renewal_after_an_unanswered_one_acknowledges_nothing() -> None:
     worker = OneEnd(lost_answer=2)
-    renewer = LeaseRenewer(
-        WorkerInfo("w", "app", "10.0.0.1:1", "a", "r"),
-        7,
-        worker,  # type: ignore[arg-type]
-        MonotonicClock(),
-        lambda _: 1_000,
-        lambda _: None,
-    )
+    renewer = make_renewer(worker)
     renewer.acknowledge(END.sequence)
     renewer.start()
     try:
@@ -218,14 +207,7 @@
     None
 ):
     worker = Restarted()
-    renewer = LeaseRenewer(
-        WorkerInfo("w", "app", "10.0.0.1:1", "a", "r"),
-        7,
-        worker,  # type: ignore[arg-type]
-        MonotonicClock(),
-        lambda _: 1_000,
-        lambda _: None,
-    )
+    renewer = make_renewer(worker)
     renewer.start()
     try:
         assert worker.wait_for_renewals(3)
