Keep over a change of leader which services have run for long

A service that had run for hours was blamed for a worker that crashed soon after a change of leader, and given up after three of these. Cause: how long a run was active is counted by each leader from when it first saw the run, so that every run is young under a new one. Change: the runs of long-running steps that have been active for 60 s are stored by worker ("o.WORKER", written every 5 s where they change); the next leader takes them as old. Other steps are left out: many runs, each old for a short time. Older instances log the record and go on. Tried and given up: to count no loss of a worker that this leader has never seen listed, since it may have said that it leaves.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -20,6 +20,7 @@
 from magnoliapitch.control.source_ages import SourceAges
 from magnoliapitch.control.start_dispatcher import StartDispatcher
 from magnoliapitch.control.stored_leases import StoredLeases
+from magnoliapitch.control.stored_old_runs import StoredOldRuns
 from magnoliapitch.control.worker_roster import WorkerRoster
 from magnoliapitch.control.worker_tokens import WorkerTokens
 from magnoliapitch.event import log_event
@@ -96,6 +97,7 @@
         self._configuration = configuration
         self._metrics = metrics
         self._stored_leases = StoredLeases(clock, state_table)
+        self._old_runs = StoredOldRuns(self.state, state_table, claimed_ms)
         self._reachability = WorkerReachability(
             timing, claimed_ms, clock, self._stored_leases
         )
@@ -141,6 +143,7 @@
             clock,
             claimed_ms,
             self._stored_leases,
+            self._old_runs,
             self._delete_jobs,
             self.planner.learned_durations,
             LoadPublisher.from_planner(
@@ -179,6 +182,7 @@
         self._progress_batcher.record_read(job_end)
         self._job_loader.add_all(now_ms)
         self._stored_leases.keep_only(self._worker_ids_with_runs())
+        self._old_runs.restore(now_ms)
         open_count = sum(
             job.outcome is JobOutcome.OPEN
             for job in self.state.jobs_by_id.values()
@@ -353,6 +357,7 @@
         self._roster.check(now_ms)
         self._starts.order_stored(now_ms)
         max_calls = self._effects.available_advisor_calls()
+        self._old_runs.update(now_ms)
         max_orders = self._effects.max_start_orders()
         max_starts = self._starts.max_new(max_orders, now_ms)
         plan = self.planner.plan(
--- a/src/magnoliapitch/control/progress_batcher.py
+++ b/src/magnoliapitch/control/progress_batcher.py
@@ -27,6 +27,7 @@
     from magnoliapitch.control.load_publisher import LoadPublisher
     from magnoliapitch.control.stored_leases import StoredLeases
     from magnoliapitch.control.timing import ControlTiming
+    from magnoliapitch.control.stored_old_runs import StoredOldRuns
     from magnoliapitch.ledger.elapsed_clock import LeaderClock
     from magnoliapitch.ledger.records import LeaderRecord
     from magnoliapitch.ledger.state_table import StateTable
@@ -52,6 +53,7 @@
     :param clock: the shared clock as the leader continues it.
     :param claimed_ms: when the reading in the leader's claim was taken.
     :param stored_leases: ends of leases that are stored with the states.
+    :param old_runs: runs active for long that are stored with the states.
     :param delete_jobs: deletes stored jobs that have ended.
     :param learned_durations: what is learned of durations and speeds; None if
         it is not kept.
@@ -69,6 +71,7 @@
         clock: LeaderClock,
         claimed_ms: int,
         stored_leases: StoredLeases,
+        old_runs: StoredOldRuns,
         delete_jobs: Callable[[Sequence[str]], None],
         learned_durations: LearnedDurations | None = None,
         load_publisher: LoadPublisher | None = None,
@@ -79,6 +82,7 @@
         self._timing = timing
         self._clock = clock
         self._stored_leases = stored_leases
+        self._old_runs = old_runs
         self._delete_jobs = delete_jobs
         self._speed_record = SpeedRecord(learned_durations, state_table)
         self._load_publisher = load_publisher
@@ -138,6 +142,7 @@
             has_starts
             or self._state.unsaved_job_ids
             or self._unpublished_job_ids
+            or self._old_runs.has_changes
             or self._stored_leases.has_changes
         )
         if self._load_publisher and self._load_publisher.prepare(now_ms):
@@ -241,6 +246,7 @@
         return (
             *records,
             *self._stored_leases.take_records(),
+            *self._old_runs.take_records(),
             *self._speed_record.due_records(now_ms),
             *self._expired_states(now_ms),
         )
--- a/src/magnoliapitch/ledger/records.py
+++ b/src/magnoliapitch/ledger/records.py
@@ -19,6 +19,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from magnoliapitch.workload.configuration import QueueSnapshot
 
 
@@ -31,6 +33,7 @@
 PROGRESS_PREFIX = "p."
 STATE_PREFIX = "s."
 LEASE_PREFIX = "l."
+OLD_RUNS_PREFIX = "o."
 LEADER_KEY = "leader"
 CLOCK_KEY = "clock"
 SPEEDS_KEY = "speeds"
@@ -63,6 +66,16 @@
 
 
 class _TaskRow(NamedTuple):
+class OldRun(NamedTuple):
+    """A run that has been active for so long that it ends no worker.
+
+    :param number: number of the run among the runs of its task.
+    """
+
+    task: TaskKey
+    number: int
+
+
     occurrence: int
     step: int
     position: int
@@ -80,6 +93,9 @@
 _CLOCK_ADAPTER: TypeAdapter[ClockStamp] = TypeAdapter(ClockStamp)
 _LEASE_END_ADAPTER: TypeAdapter[LeaseEnd] = TypeAdapter(LeaseEnd)
 _PROGRESS_ADAPTER: TypeAdapter[_ProgressRecord] = TypeAdapter(_ProgressRecord)
+_OLD_RUNS_ADAPTER: TypeAdapter[tuple[OldRun, ...]] = TypeAdapter(
+    tuple[OldRun, ...]
+)
 
 
 def encode_job(job: JobSpec) -> bytes:
@@ -152,6 +168,19 @@
 
 
 def progress_key(job_id: str, part: int) -> str:
+def encode_old_runs(runs: Iterable[OldRun]) -> bytes:
+    """Encode the runs of a worker that were active for long as JSON."""
+    return _OLD_RUNS_ADAPTER.dump_json(tuple(sorted(runs)))
+
+
+def decode_old_runs(value: bytes) -> frozenset[OldRun]:
+    """Decode the runs of a worker that were active for long.
+
+    :raises ValueError: if the value is not a valid list of runs.
+    """
+    return frozenset(_OLD_RUNS_ADAPTER.validate_json(value))
+
+
     """Return the key of a record of a job's progress.
 
     :param part: number of the record; that of the first is left out.
--- a/src/magnoliapitch/ledger/state_table.py
+++ b/src/magnoliapitch/ledger/state_table.py
@@ -21,6 +21,7 @@
 from magnoliapitch.ledger.records import LEASE_PREFIX
 from magnoliapitch.ledger.records import LOAD_KEY
 from magnoliapitch.ledger.records import SPEEDS_KEY
+from magnoliapitch.ledger.records import OLD_RUNS_PREFIX
 from magnoliapitch.ledger.records import STATE_PREFIX
 from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.ledger.records import decode_clock
@@ -111,6 +112,8 @@
         the leader have certainly expired. A claim may rest on both, as the
         caller applies records in the order of the stream.
     """
+    :ivar old_runs_by_worker: runs that have been active for long, encoded as
+        only the next leader reads them.
 
     def __init__(self) -> None:
         self.leader: LeaderRecord | None = None
@@ -119,6 +122,7 @@
         self.clock = ElapsedClock()
         self.lease_end_by_worker: dict[str, LeaseEnd] = {}
         self._lock = threading.Lock()
+        self.old_runs_by_worker: dict[str, bytes] = {}
         self._job_by_id: dict[str, PublishedJob] = {}
         self._pending_by_queue: Counter[str] = Counter()
 
@@ -190,6 +194,8 @@
             if value is not None:
                 self.load.apply(decode_figures(value), read)
         else:
+        elif key.startswith(OLD_RUNS_PREFIX):
+            self._put_old_runs(key[len(OLD_RUNS_PREFIX) :], value)
             log_event("record-unreadable", key=key, reason="unknown prefix")
 
     def _put_lease_end(self, worker_id: str, value: bytes | None) -> None:
@@ -202,6 +208,12 @@
 def _decode_names(text: str) -> list[str]:
     names = orjson.loads(text)
     if (
+    def _put_old_runs(self, worker_id: str, value: bytes | None) -> None:
+        if value is None:
+            self.old_runs_by_worker.pop(worker_id, None)
+        else:
+            self.old_runs_by_worker[worker_id] = value
+
         not isinstance(names, list)
         or len(names) != 2
         or not all(isinstance(name, str) for name in names)
--- a/src/magnoliapitch/planner/worker_loss.py
+++ b/src/magnoliapitch/planner/worker_loss.py
@@ -62,7 +62,7 @@
         for run in worker.runs
         if run.may_have_been_ordered
         and not run.has_ended_with_worker
-        and not _is_harmless(run, now_ms)
+        and not is_harmless(run, now_ms)
     ]
 
 
@@ -131,6 +131,14 @@
         step.hold_until_ms = until_ms - passed_ms if run.task.is_suspect else 0
 
 
+def is_harmless(run: TrackedRun, now_ms: int) -> bool:
+    """Return whether a run was active for too long to end its worker."""
+    return (
+        run.started_ms is not None
+        and now_ms - run.started_ms >= HARMLESS_AFTER_MS
+    )
+
+
 def _note_count(state: SchedulerState, task: TrackedTask) -> None:
     """Store the counts of a task, and place it apart if it is suspect."""
     job_id = task.key.job_id
@@ -139,10 +147,3 @@
         state.unsaved_job_ids.add(job_id)
         if task.is_suspect:
             state.add_suspect(task)
-
-
-def _is_harmless(run: TrackedRun, now_ms: int) -> bool:
-    return (
-        run.started_ms is not None
-        and now_ms - run.started_ms >= HARMLESS_AFTER_MS
-    )
