Give a new leader the time to load the jobs, not only their progress

Urgent jobs waited, workers that said that they leave were not emptied. Cause: JobFollower.load reads progress with LOAD_TIMEOUT_MS (2 s) but the whole stream of jobs with the time-out of a short read (600 ms), which a slow store never meets, however often it is tried. Change: both streams are loaded with LOAD_TIMEOUT_MS.

--- a/src/magnoliapitch/ledger/job_follower.py
+++ b/src/magnoliapitch/ledger/job_follower.py
@@ -9,6 +9,7 @@
 from result import Result
 
 from magnoliapitch.ledger.job_table import JobTable
+from magnoliapitch.ledger.mirror import READ_TIMEOUT_MS
 from magnoliapitch.ledger.mirror import StreamMirror
 from magnoliapitch.ledger.records import CANCEL_PREFIX
 from magnoliapitch.ledger.records import JOB_PREFIX
@@ -75,7 +76,7 @@
         if isinstance(progress, Err):
             return progress
         self.job_table.apply(progress_mirror.values_by_key, progress.ok_value)
-        return self.follow()
+        return self.follow(timeout_ms=LOAD_TIMEOUT_MS)
 
     def step(self) -> int:
         """Wait for changes of the job stream and read them.
@@ -99,13 +100,16 @@
         appended = self._streams.append(JOB_STREAM, records)
         return appended.map(lambda _: None)
 
-    def follow(self, wait_ms: int = 0) -> Result[None, Failure]:
+    def follow(
+        self, wait_ms: int = 0, timeout_ms: int = READ_TIMEOUT_MS
+    ) -> Result[None, Failure]:
         """Read the job stream up to its end and report changed jobs.
 
         :param wait_ms: how long to wait for a first new record.
+        :param timeout_ms: how long each call may take beyond that.
         """
         sent_ms = self._clock.now_ms()
-        refreshed = self._job_mirror.refresh(wait_ms)
+        refreshed = self._job_mirror.refresh(wait_ms, timeout_ms)
         if isinstance(refreshed, Err):
             self._health.note_failure(refreshed.err_value)
             return refreshed
