Let leases rest on what a prepared leader has stored, not on claims

Cause: a leader stores a reading of the shared clock with its claim, and the next one takes leases to rest on that reading. Under a slow store four leaders claimed in turn (7.2, 9.5, 10.7, 11.9 s) and none was prepared before the next; they granted nothing, and yet each moved the end of the wait. The log of the last: worker-silent ... has_granted=false leases_end_in_ms=9962 at 12.2 s, that is 11.5 s from the claim at 10.7 s; the last leader that led was lost at 4.9 s. Change: "lease-basis", beside each reading, is the newest one that leases may rest on. A heartbeat stores its own; a claim hands on what it found. A leader stores its first heartbeat at once and grants no lease before. A leader of an earlier release stores none, and then the reading itself counts as before; such an instance logs the record as unreadable and goes on.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -131,6 +131,7 @@
             self._reachability,
             effects,
             self.next_lease_deadline,
+            lambda: self._progress_batcher.stamped_ms is not None,
         )
         self._acks_by_worker: dict[str, int] = {}
         self._is_commit_in_flight = False
@@ -141,7 +142,6 @@
             leader,
             timing,
             clock,
-            claimed_ms,
             self._stored_leases,
             self._old_runs,
             self._delete_jobs,
@@ -216,6 +216,8 @@
         if not self.may_issue_orders(now_ms):
             return None
         stamped_ms = self._progress_batcher.stamped_ms
+        if stamped_ms is None:
+            return None
         latest_ms = stamped_ms + self._timing.max_grant_silence_ms
         return self._reachability.next_lease_deadline(
             worker_id, min(now_ms, latest_ms)
@@ -355,9 +357,9 @@
         if self.is_over:
             return
         self._roster.check(now_ms)
+        self._old_runs.update(now_ms)
         self._starts.order_stored(now_ms)
         max_calls = self._effects.available_advisor_calls()
-        self._old_runs.update(now_ms)
         max_orders = self._effects.max_start_orders()
         max_starts = self._starts.max_new(max_orders, now_ms)
         plan = self.planner.plan(
--- a/src/magnoliapitch/control/progress_batcher.py
+++ b/src/magnoliapitch/control/progress_batcher.py
@@ -10,6 +10,7 @@
 from magnoliapitch.ledger.leader_appender import Batch
 from magnoliapitch.ledger.records import CLOCK_KEY
 from magnoliapitch.ledger.records import LEADER_KEY
+from magnoliapitch.ledger.records import LEASE_BASIS_KEY
 from magnoliapitch.ledger.records import STATE_PREFIX
 from magnoliapitch.ledger.records import encode_clock
 from magnoliapitch.ledger.records import encode_leader
@@ -26,8 +27,8 @@
 
     from magnoliapitch.control.load_publisher import LoadPublisher
     from magnoliapitch.control.stored_leases import StoredLeases
-    from magnoliapitch.control.timing import ControlTiming
     from magnoliapitch.control.stored_old_runs import StoredOldRuns
+    from magnoliapitch.control.timing import ControlTiming
     from magnoliapitch.ledger.elapsed_clock import LeaderClock
     from magnoliapitch.ledger.records import LeaderRecord
     from magnoliapitch.ledger.state_table import StateTable
@@ -51,15 +52,15 @@
     """Collects changed progress and job states into one batch at a time.
 
     :param clock: the shared clock as the leader continues it.
-    :param claimed_ms: when the reading in the leader's claim was taken.
     :param stored_leases: ends of leases that are stored with the states.
     :param old_runs: runs active for long that are stored with the states.
     :param delete_jobs: deletes stored jobs that have ended.
     :param learned_durations: what is learned of durations and speeds; None if
         it is not kept.
     :param load_publisher: adds the load figures; None to publish none.
-    :ivar stamped_ms: when the newest reading of the shared clock that is
-        certainly stored was taken, by this instance's clock.
+    :ivar stamped_ms: when the newest reading of the shared clock that leases
+        may rest on was taken, by this instance's clock; None before one of
+        this leader is certainly stored.
     """
 
     def __init__(
@@ -69,7 +70,6 @@
         leader: LeaderRecord,
         timing: ControlTiming,
         clock: LeaderClock,
-        claimed_ms: int,
         stored_leases: StoredLeases,
         old_runs: StoredOldRuns,
         delete_jobs: Callable[[Sequence[str]], None],
@@ -86,8 +86,8 @@
         self._delete_jobs = delete_jobs
         self._speed_record = SpeedRecord(learned_durations, state_table)
         self._load_publisher = load_publisher
-        self._heartbeat_ms = 0
-        self.stamped_ms = claimed_ms
+        self._heartbeat_ms: int | None = None
+        self.stamped_ms: int | None = None
         self._stamp_in_commit_ms: int | None = None
         self._outcome_in_commit_by_id: dict[str, JobOutcome] = {}
         self._states_in_commit_by_id: dict[str, PublishedJob] = {}
@@ -100,7 +100,6 @@
 
     def load(self, now_ms: int) -> None:
         """Start from the job states that former leaders published."""
-        self._heartbeat_ms = now_ms
         self._speed_record.load(now_ms)
         for job_id in self._state_table.ended_job_ids():
             self._ended_ms_by_job[job_id] = now_ms
@@ -142,8 +141,8 @@
             has_starts
             or self._state.unsaved_job_ids
             or self._unpublished_job_ids
-            or self._old_runs.has_changes
             or self._stored_leases.has_changes
+            or self._old_runs.has_changes
         )
         if self._load_publisher and self._load_publisher.prepare(now_ms):
             has_changes = True
@@ -240,6 +239,7 @@
             records.append(KeyedRecord(LEADER_KEY, leader))
             clock = encode_clock(self._clock.stamp(now_ms))
             records.append(KeyedRecord(CLOCK_KEY, clock))
+            records.append(KeyedRecord(LEASE_BASIS_KEY, clock))
             self._stamp_in_commit_ms = now_ms
         if self._load_publisher:
             records += self._load_publisher.take_records(now_ms)
@@ -252,7 +252,10 @@
         )
 
     def _is_heartbeat_due(self, now_ms: int) -> bool:
-        return now_ms - self._heartbeat_ms >= HEARTBEAT_INTERVAL_MS
+        return (
+            self._heartbeat_ms is None
+            or now_ms - self._heartbeat_ms >= HEARTBEAT_INTERVAL_MS
+        )
 
     def _expired_states(self, now_ms: int) -> list[KeyedRecord]:
         """Remove old states of ended jobs; return records that delete them."""
--- a/src/magnoliapitch/control/start_dispatcher.py
+++ b/src/magnoliapitch/control/start_dispatcher.py
@@ -19,11 +19,14 @@
 class StartDispatcher:
     """Orders stored starts, and tells how many more may be planned.
 
-    While the list of workers or the jobs were read too long ago, it orders
-    nothing: what is held back keeps its place.
+    While the list of workers or the jobs were read too long ago, or leases
+    have nothing to rest on yet, it orders nothing: what is held back keeps its
+    place.
 
     :param next_lease_deadline: returns the end of a worker's next lease on its
         clock, or None if no lease may be granted.
+    :param has_lease_basis: returns whether this leader has stored what its
+        leases rest on.
     :ivar queue: starts on their way to the workers.
     """
 
@@ -34,6 +37,7 @@
         reachability: WorkerReachability,
         effects: Effects,
         next_lease_deadline: Callable[[str, int], int | None],
+        has_lease_basis: Callable[[], bool],
     ) -> None:
         self.queue = StartQueue()
         self._source_ages = source_ages
@@ -41,10 +45,11 @@
         self._reachability = reachability
         self._effects = effects
         self._next_lease_deadline = next_lease_deadline
+        self._has_lease_basis = has_lease_basis
 
     def order_stored(self, now_ms: int) -> None:
         """Order stored starts, as many as may be in flight."""
-        if not self._source_ages.allows_starts(now_ms):
+        if not self._allows_starts(now_ms):
             return
         count = self._effects.available_start_orders()
         for planned in self.queue.take_stored(count):
@@ -56,12 +61,17 @@
 
         :param max_orders: number of orders that may be in flight.
         """
-        if not self._source_ages.allows_starts(now_ms):
+        if not self._allows_starts(now_ms):
             return 0
         return self.queue.available(
             self._effects.available_start_orders(), max_orders, now_ms
         )
 
+    def _allows_starts(self, now_ms: int) -> bool:
+        return self._has_lease_basis() and self._source_ages.allows_starts(
+            now_ms
+        )
+
     def _deadline(self, worker_id: str, now_ms: int) -> int | None:
         """Return the time until which a worker may begin a run.
 
--- a/src/magnoliapitch/ledger/elapsed_clock.py
+++ b/src/magnoliapitch/ledger/elapsed_clock.py
@@ -6,6 +6,10 @@
 clock stands still while nobody leads and nobody has read it; it never runs
 ahead of the time that has passed. A time that a leader stores by this clock
 has therefore certainly come once a later leader's clock shows it.
+
+Leases rest on readings that a leader stores once it is prepared. Beside each
+reading stands the newest of these, since a leader may be lost after its claim
+and before it has granted anything.
 """
 
 from __future__ import annotations
@@ -43,8 +47,8 @@
 
     :param epoch: the leader's epoch.
     :param offset_ms: elapsed time less the instance's own clock, in ms.
-    :param inherited_ms: elapsed time in the last record of the former leader;
-        None if it is not known.
+    :param inherited_ms: newest elapsed time on which leases of former leaders
+        may rest; None if it is not known.
     """
 
     epoch: int
@@ -56,6 +60,15 @@
         """Return the reading to store with a record."""
         return ClockStamp(self.epoch, self.origin, now_ms + self.offset_ms)
 
+    def claim_basis(self, now_ms: int) -> ClockStamp:
+        """Return what leases rest on, to store with a claim.
+
+        The leader that claims now has granted none.
+        """
+        if self.inherited_ms is None:
+            return self.stamp(now_ms)
+        return ClockStamp(self.epoch, self.origin, self.inherited_ms)
+
     def lease_end(self, local_ms: int) -> LeaseEnd:
         """Return the end of a worker's leases as it is stored.
 
@@ -82,6 +95,7 @@
 
     def __init__(self) -> None:
         self._reading: _Reading | None = None
+        self._basis: ClockStamp | None = None
 
     def record(self, stamp: ClockStamp, received_ms: int) -> None:
         """Record a reading.
@@ -91,6 +105,10 @@
         """
         self._reading = _Reading(stamp, received_ms)
 
+    def record_basis(self, stamp: ClockStamp) -> None:
+        """Record the newest reading on which leases may rest."""
+        self._basis = stamp
+
     def continue_as(
         self, epoch: int, former_epoch: int, now_ms: int
     ) -> LeaderClock:
@@ -105,7 +123,20 @@
             return LeaderClock(epoch, epoch, -now_ms)
         stamp, received_ms = reading
         offset_ms = stamp.elapsed_ms - received_ms
-        return LeaderClock(epoch, stamp.origin, offset_ms, stamp.elapsed_ms)
+        return LeaderClock(
+            epoch, stamp.origin, offset_ms, self._basis_ms(stamp)
+        )
+
+    def _basis_ms(self, stamp: ClockStamp) -> int:
+        """Return the elapsed time on which leases rest up to a reading.
+
+        Leaders of earlier releases store no such record; their leases may
+        rest on the reading itself.
+        """
+        basis = self._basis
+        if basis is None or basis[:2] != stamp[:2]:
+            return stamp.elapsed_ms
+        return basis.elapsed_ms
 
 
 __all__ = ["ClockStamp", "ElapsedClock", "LeaderClock", "LeaseEnd"]
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -22,6 +22,7 @@
 from magnoliapitch.ledger.mirror import StreamMirror
 from magnoliapitch.ledger.records import CLOCK_KEY
 from magnoliapitch.ledger.records import LEADER_KEY
+from magnoliapitch.ledger.records import LEASE_BASIS_KEY
 from magnoliapitch.ledger.records import STATE_STREAM
 from magnoliapitch.ledger.records import TOKENS_PER_EPOCH
 from magnoliapitch.ledger.records import LeaderRecord
@@ -353,6 +354,9 @@
             [
                 KeyedRecord(LEADER_KEY, encode_leader(record)),
                 KeyedRecord(CLOCK_KEY, encode_clock(clock.stamp(now_ms))),
+                KeyedRecord(
+                    LEASE_BASIS_KEY, encode_clock(clock.claim_basis(now_ms))
+                ),
             ],
             writer,
             end_offset,
--- a/src/magnoliapitch/ledger/records.py
+++ b/src/magnoliapitch/ledger/records.py
@@ -36,6 +36,7 @@
 OLD_RUNS_PREFIX = "o."
 LEADER_KEY = "leader"
 CLOCK_KEY = "clock"
+LEASE_BASIS_KEY = "lease-basis"
 SPEEDS_KEY = "speeds"
 LOAD_KEY = "load"
 CANCELLED = b"1"
@@ -65,7 +66,6 @@
     address: str = ""
 
 
-class _TaskRow(NamedTuple):
 class OldRun(NamedTuple):
     """A run that has been active for so long that it ends no worker.
 
@@ -76,6 +76,7 @@
     number: int
 
 
+class _TaskRow(NamedTuple):
     occurrence: int
     step: int
     position: int
@@ -92,10 +93,10 @@
 _LEADER_ADAPTER: TypeAdapter[LeaderRecord] = TypeAdapter(LeaderRecord)
 _CLOCK_ADAPTER: TypeAdapter[ClockStamp] = TypeAdapter(ClockStamp)
 _LEASE_END_ADAPTER: TypeAdapter[LeaseEnd] = TypeAdapter(LeaseEnd)
-_PROGRESS_ADAPTER: TypeAdapter[_ProgressRecord] = TypeAdapter(_ProgressRecord)
 _OLD_RUNS_ADAPTER: TypeAdapter[tuple[OldRun, ...]] = TypeAdapter(
     tuple[OldRun, ...]
 )
+_PROGRESS_ADAPTER: TypeAdapter[_ProgressRecord] = TypeAdapter(_ProgressRecord)
 
 
 def encode_job(job: JobSpec) -> bytes:
@@ -167,7 +168,6 @@
     return _LEASE_END_ADAPTER.validate_json(value)
 
 
-def progress_key(job_id: str, part: int) -> str:
 def encode_old_runs(runs: Iterable[OldRun]) -> bytes:
     """Encode the runs of a worker that were active for long as JSON."""
     return _OLD_RUNS_ADAPTER.dump_json(tuple(sorted(runs)))
@@ -181,6 +181,7 @@
     return frozenset(_OLD_RUNS_ADAPTER.validate_json(value))
 
 
+def progress_key(job_id: str, part: int) -> str:
     """Return the key of a record of a job's progress.
 
     :param part: number of the record; that of the first is left out.
--- a/src/magnoliapitch/ledger/state_table.py
+++ b/src/magnoliapitch/ledger/state_table.py
@@ -18,10 +18,11 @@
 from magnoliapitch.ledger.load_view import LoadView
 from magnoliapitch.ledger.records import CLOCK_KEY
 from magnoliapitch.ledger.records import LEADER_KEY
+from magnoliapitch.ledger.records import LEASE_BASIS_KEY
 from magnoliapitch.ledger.records import LEASE_PREFIX
 from magnoliapitch.ledger.records import LOAD_KEY
-from magnoliapitch.ledger.records import SPEEDS_KEY
 from magnoliapitch.ledger.records import OLD_RUNS_PREFIX
+from magnoliapitch.ledger.records import SPEEDS_KEY
 from magnoliapitch.ledger.records import STATE_PREFIX
 from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.ledger.records import decode_clock
@@ -111,9 +112,9 @@
     :ivar lease_end_by_worker: when the leases of workers that did not answer
         the leader have certainly expired. A claim may rest on both, as the
         caller applies records in the order of the stream.
-    """
     :ivar old_runs_by_worker: runs that have been active for long, encoded as
         only the next leader reads them.
+    """
 
     def __init__(self) -> None:
         self.leader: LeaderRecord | None = None
@@ -121,8 +122,8 @@
         self.load = LoadView()
         self.clock = ElapsedClock()
         self.lease_end_by_worker: dict[str, LeaseEnd] = {}
-        self._lock = threading.Lock()
         self.old_runs_by_worker: dict[str, bytes] = {}
+        self._lock = threading.Lock()
         self._job_by_id: dict[str, PublishedJob] = {}
         self._pending_by_queue: Counter[str] = Counter()
 
@@ -188,14 +189,17 @@
         elif key == CLOCK_KEY:
             if value is not None and read is not None:
                 self.clock.record(decode_clock(value), read.received_ms)
+        elif key == LEASE_BASIS_KEY:
+            if value is not None:
+                self.clock.record_basis(decode_clock(value))
         elif key.startswith(LEASE_PREFIX):
             self._put_lease_end(key[len(LEASE_PREFIX) :], value)
+        elif key.startswith(OLD_RUNS_PREFIX):
+            self._put_old_runs(key[len(OLD_RUNS_PREFIX) :], value)
         elif key == LOAD_KEY:
             if value is not None:
                 self.load.apply(decode_figures(value), read)
         else:
-        elif key.startswith(OLD_RUNS_PREFIX):
-            self._put_old_runs(key[len(OLD_RUNS_PREFIX) :], value)
             log_event("record-unreadable", key=key, reason="unknown prefix")
 
     def _put_lease_end(self, worker_id: str, value: bytes | None) -> None:
@@ -204,16 +208,16 @@
         else:
             self.lease_end_by_worker[worker_id] = decode_lease_end(value)
 
-
-def _decode_names(text: str) -> list[str]:
-    names = orjson.loads(text)
-    if (
     def _put_old_runs(self, worker_id: str, value: bytes | None) -> None:
         if value is None:
             self.old_runs_by_worker.pop(worker_id, None)
         else:
             self.old_runs_by_worker[worker_id] = value
 
+
+def _decode_names(text: str) -> list[str]:
+    names = orjson.loads(text)
+    if (
         not isinstance(names, list)
         or len(names) != 2
         or not all(isinstance(name, str) for name in names)
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -23,6 +23,7 @@
 from magnoliapitch.ledger.records import CANCELLED
 from magnoliapitch.ledger.records import CLOCK_KEY
 from magnoliapitch.ledger.records import JOB_PREFIX
+from magnoliapitch.ledger.records import LEASE_BASIS_KEY
 from magnoliapitch.ledger.records import TOKENS_PER_EPOCH
 from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.ledger.records import encode_clock
@@ -54,6 +55,7 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from magnoliapitch.ledger.elapsed_clock import LeaderClock
     from magnoliapitch.ledger.leader_appender import Batch
     from magnoliapitch.planner.options import PlanningOptions
     from magnoliapitch.workload.job import JobSpec
@@ -216,13 +218,7 @@
 
     def take_over(self) -> Controller:
         """Replace the controller by a new leader that knows only the store."""
-        former_epoch = self._epoch
-        self._epoch += TOKENS_PER_EPOCH
-        clock = self.states.clock.continue_as(
-            self._epoch, former_epoch, self.now_ms
-        )
-        stamp = encode_clock(clock.stamp(self.now_ms))
-        self.apply_states([KeyedRecord(CLOCK_KEY, stamp)])
+        clock = self.claim()
         self.effects = self.effects_type(self, self._epoch)
         controller = Controller(
             LeaderRecord(self._epoch, f"entry-{self._epoch}"),
@@ -240,6 +236,23 @@
         self.controller = controller
         return controller
 
+    def claim(self) -> LeaderClock:
+        """Store the claim of a leader, which may never begin to lead."""
+        former_epoch = self._epoch
+        self._epoch += TOKENS_PER_EPOCH
+        clock = self.states.clock.continue_as(
+            self._epoch, former_epoch, self.now_ms
+        )
+        stamp = encode_clock(clock.stamp(self.now_ms))
+        basis = encode_clock(clock.claim_basis(self.now_ms))
+        self.apply_states(
+            [
+                KeyedRecord(CLOCK_KEY, stamp),
+                KeyedRecord(LEASE_BASIS_KEY, basis),
+            ]
+        )
+        return clock
+
     def forget_reading_times(self) -> None:
         """Let the next leader be an instance that has only just started."""
         self.apply_states(self._clock_records)
@@ -310,7 +323,9 @@
         read = ReadTimes(self.now_ms, None, self.now_ms)
         self.states.apply(values, keys, read)
         self._clock_records = [
-            record for record in records if record.key == CLOCK_KEY
+            record
+            for record in records
+            if record.key in (CLOCK_KEY, LEASE_BASIS_KEY)
         ] or self._clock_records
 
     def record_stored(self) -> None:
--- a/tests/control/test_lost_leaders.py
+++ b/tests/control/test_lost_leaders.py
@@ -108,6 +108,24 @@
     assert simulation.violations == []
 
 
+# Incident LOST, again: leaders that claimed under a slow store and were not
+# prepared before the next claim had granted nothing, and yet each of them made
+# the wait for leases begin anew.
+def test_claims_of_leaders_that_never_begin_do_not_prolong_the_wait() -> None:
+    simulation = make_simulation()
+    simulation.controller.is_over = True
+    take_worker_away(simulation)
+    lost_ms = simulation.now_ms
+    for _ in range(4):
+        simulation.run(LEADERLESS_MS)
+        simulation.claim()
+    simulation.run(LEADERLESS_MS)
+    simulation.take_over()
+    simulation.run_until(lambda: simulation.starts[TASK] > 1)
+    assert simulation.now_ms - lost_ms < TIMING.takeover_ms + LEADERLESS_MS
+    assert simulation.violations == []
+
+
 # A worker whose stored end has been relied on must not get a lease that the
 # next leader does not know of.
 def test_a_worker_that_answers_again_gets_a_lease_once_that_is_stored() -> (
@@ -308,6 +326,7 @@
     simulation.store_is_unavailable = True
     controller = simulation.controller
     stamped_ms = controller._progress_batcher.stamped_ms
+    assert stamped_ms is not None
     latest_ms = stamped_ms + TIMING.max_grant_silence_ms + TIMING.lease_ms
     ends_ms = []
     for _ in range(20):
--- a/tests/ledger/test_elapsed_clock.py
+++ b/tests/ledger/test_elapsed_clock.py
@@ -54,3 +54,32 @@
     table.apply({"clock": b"{", "l.w": b"[1]"}, ["clock", "l.w"])
     assert table.lease_end_by_worker == {}
     assert table.clock.continue_as(1, 0, 5).inherited_ms is None
+
+
+# Incident LOST, again: a leader that claims but is lost before it is prepared
+# has granted no lease, and must not make the next one wait for longer.
+def test_a_claim_leaves_what_leases_rest_on_as_the_former_leader_stored_it(
+    make_leadership: MakeLeadership, clock: ManualClock
+) -> None:
+    leaderships = [make_leadership(name) for name in "abc"]
+    for leadership in leaderships:
+        leadership.step()
+        clock.advance(2 * LEADER_TIMEOUT_MS)
+        leadership.step()
+    last = leaderships[-1].claim
+    assert last is not None
+    assert last.clock.inherited_ms == 0
+    elapsed_ms = last.clock.stamp(clock.now_ms()).elapsed_ms
+    assert elapsed_ms >= 2 * LEADER_TIMEOUT_MS
+
+
+# A leader of an earlier release stores no such record. One of a leader before
+# it must not be taken for it.
+def test_what_leases_rest_on_is_used_only_beside_its_own_reading() -> None:
+    clock = ElapsedClock()
+    clock.record(ClockStamp(epoch=7, origin=3, elapsed_ms=9_000), 10_000)
+    assert clock.continue_as(8, 7, 10_200).inherited_ms == 9_000
+    clock.record_basis(ClockStamp(epoch=6, origin=3, elapsed_ms=4_000))
+    assert clock.continue_as(8, 7, 10_200).inherited_ms == 9_000
+    clock.record_basis(ClockStamp(epoch=7, origin=3, elapsed_ms=4_000))
+    assert clock.continue_as(8, 7, 10_200).inherited_ms == 4_000
