--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,21 @@
 
 import pytest
 
+from hypothesis import settings
+
+
+# Searches draw the same cases each time, unless new ones are asked for.
+settings.register_profile(
+    "repeatable",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=20,
+)
+settings.register_profile(
+    "search", deadline=None, database=None, max_examples=400, print_blob=True
+)
+settings.load_profile("repeatable")
 
 KNOWN_RED_PAGE = Path(__file__).parents[1] / "KNOWN-RED.txt"
 # An entry names its test first: "- tests/package/test_unit.py::test_name".
