Split the models: changes of states from steps, states from transitions

Change: moved as they are: spec/claim_changes.py, spec/state_machine_world.py; a local name that hid a function is now expiry_by_key. No behaviour changes; no process runs these modules.

--- a/src/magnoliapitch/spec/claim.py
+++ b/src/magnoliapitch/spec/claim.py
@@ -18,6 +18,14 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from magnoliapitch.spec.claim_changes import add_lease
+from magnoliapitch.spec.claim_changes import advance_clock
+from magnoliapitch.spec.claim_changes import all_leases
+from magnoliapitch.spec.claim_changes import lists_higher_epoch
+from magnoliapitch.spec.claim_changes import own_claims
+from magnoliapitch.spec.claim_changes import renew_leases
+from magnoliapitch.spec.claim_changes import send
+from magnoliapitch.spec.claim_changes import with_owner
 from magnoliapitch.spec.claim_state import NO_VALUE
 from magnoliapitch.spec.claim_state import Attempt
 from magnoliapitch.spec.claim_state import Bounds
@@ -105,7 +113,7 @@
     ) -> Iterator[Transition]:
         worker = state.workers[worker_index]
         if worker.now < self._bounds.max_clock_ticks[worker_index]:
-            next_worker = _advance_clock(worker)
+            next_worker = advance_clock(worker)
             yield (
                 f"tick {worker_index}",
                 self._with_worker(state, worker_index, next_worker),
@@ -123,7 +131,7 @@
         if owner.epoch == 0:
             epoch = state.log_epoch + 1
             claimed = state._replace(log_epoch=epoch)
-            next_state = _with_owner(
+            next_state = with_owner(
                 claimed, owner_index, owner._replace(epoch=epoch)
             )
             yield f"claim {owner_index}", next_state
@@ -133,7 +141,7 @@
                 retried = owner._replace(may_attempt=True)
                 yield (
                     f"retry {owner_index}",
-                    _with_owner(state, owner_index, retried),
+                    with_owner(state, owner_index, retried),
                 )
 
     def _worker_call_steps(
@@ -142,12 +150,12 @@
         """Yield what an owner may do after it has read one worker's state."""
         worker = state.workers[worker_index]
         owner = self._apply_view(state, owner_index, worker_index)
-        seen_state = _with_owner(state, owner_index, owner)
+        seen_state = with_owner(state, owner_index, owner)
         if owner != state.owners[owner_index]:
             yield f"view {owner_index} {worker_index}", seen_state
         if len(state.messages) >= self._bounds.max_messages:
             return
-        if self._guards.stops_on_higher_epoch and _lists_higher_epoch(
+        if self._guards.stops_on_higher_epoch and lists_higher_epoch(
             state, owner_index, worker
         ):
             return
@@ -165,7 +173,7 @@
                 message = Message(worker_index, worker.boot, "place", lease)
                 yield (
                     f"place {owner_index} {worker_index}",
-                    _send(seen_state, message),
+                    send(seen_state, message),
                 )
             return
         lease = Lease(
@@ -173,10 +181,10 @@
         )
         tasks = tuple(held.owner for held in worker.tasks)
         renewal = Message(worker_index, worker.boot, "renew", lease, tasks)
-        if any(held.expiry < lease.expiry for held in _all_leases(worker)):
+        if any(held.expiry < lease.expiry for held in all_leases(worker)):
             yield (
                 f"renew {owner_index} {worker_index}",
-                _send(seen_state, renewal),
+                send(seen_state, renewal),
             )
         if self._can_grant(owner, worker, view):
             yield (
@@ -204,12 +212,12 @@
         expiry = worker.now + self._bounds.ttl_ticks
         if self._guards.grants_end_with_claim:
             claim_key = owner.views[worker_index].claim_key
-            expiry = min(expiry, _own_claims(worker, owner_index)[claim_key])
+            expiry = min(expiry, own_claims(worker, owner_index)[claim_key])
         attempt = Attempt(worker_index, worker.boot, expiry)
         owner = owner._replace(attempt=attempt, may_attempt=False)
         lease = Lease(owner_index, 0, expiry)
         message = Message(worker_index, worker.boot, "grant", lease)
-        return _send(_with_owner(state, owner_index, owner), message)
+        return send(with_owner(state, owner_index, owner), message)
 
     def _apply_view(
         self, state: State, owner_index: int, worker_index: int
@@ -237,7 +245,7 @@
             or not self._guards.adopts_listed_tasks
         ):
             return False
-        return bool(worker.tasks) and not _lists_higher_epoch(
+        return bool(worker.tasks) and not lists_higher_epoch(
             state, owner_index, worker
         )
 
@@ -255,15 +263,15 @@
         view = owner.views[worker_index]
         if view.boot != worker.boot:
             view = OwnerView(worker.boot, was_settled=view.was_settled)
-        own_claims = _own_claims(worker, owner_index)
+        expiry_by_key = own_claims(worker, owner_index)
         is_superseded = (
             self._guards.stops_on_higher_epoch
-            and _lists_higher_epoch(state, owner_index, worker)
+            and lists_higher_epoch(state, owner_index, worker)
         )
-        if not own_claims or is_superseded:
+        if not expiry_by_key or is_superseded:
             return view._replace(claim_key=NO_VALUE, settled_at=NO_VALUE)
-        if view.claim_key not in own_claims:
-            claim_key = max(own_claims, key=lambda key: own_claims[key])
+        if view.claim_key not in expiry_by_key:
+            claim_key = max(expiry_by_key, key=lambda key: expiry_by_key[key])
             must_wait = self._guards.waits_after_claim and owner.epoch > 1
             settled_at = worker.now + (
                 self._bounds.ttl_ticks if must_wait else 0
@@ -306,12 +314,12 @@
         if not self._guards.absolute_expiry:
             lease = lease._replace(expiry=worker.now + self._bounds.ttl_ticks)
         if message.action == "renew":
-            return _renew_leases(worker, lease, message.tasks)
+            return renew_leases(worker, lease, message.tasks)
         if lease.expiry <= worker.now:
             return worker
         if message.action == "grant":
-            return worker._replace(tasks=_add_lease(worker.tasks, lease))
-        return worker._replace(claims=_add_lease(worker.claims, lease))
+            return worker._replace(tasks=add_lease(worker.tasks, lease))
+        return worker._replace(claims=add_lease(worker.claims, lease))
 
     def _with_worker(
         self, state: State, worker_index: int, worker: Worker
@@ -368,77 +376,3 @@
 
 def _has_one_running_task(values: dict[str, Any]) -> bool:
     return sum(len(worker.tasks) for worker in values["workers"]) <= 1
-
-
-def _advance_clock(worker: Worker) -> Worker:
-    now = worker.now + 1
-    return Worker(
-        now,
-        worker.boot,
-        tuple(lease for lease in worker.claims if lease.expiry > now),
-        tuple(lease for lease in worker.tasks if lease.expiry > now),
-    )
-
-
-def _lists_higher_epoch(
-    state: State, owner_index: int, worker: Worker
-) -> bool:
-    """Return whether a worker lists a lease of a higher epoch."""
-    epoch = state.owners[owner_index].epoch
-    return any(
-        state.owners[lease.owner].epoch > epoch
-        for lease in _all_leases(worker)
-    )
-
-
-def _all_leases(worker: Worker) -> tuple[Lease, ...]:
-    return (*worker.claims, *worker.tasks)
-
-
-def _own_claims(worker: Worker, owner_index: int) -> dict[int, int]:
-    return {
-        lease.claim_key: lease.expiry
-        for lease in worker.claims
-        if lease.owner == owner_index
-    }
-
-
-def _renew_leases(
-    worker: Worker, claim: Lease, tasks: tuple[int, ...]
-) -> Worker:
-    claims = tuple(
-        lease._replace(expiry=max(lease.expiry, claim.expiry))
-        if (lease.owner, lease.claim_key) == (claim.owner, claim.claim_key)
-        else lease
-        for lease in worker.claims
-    )
-    renewed = tuple(
-        lease._replace(expiry=max(lease.expiry, claim.expiry))
-        if lease.owner in tasks
-        else lease
-        for lease in worker.tasks
-    )
-    return worker._replace(claims=claims, tasks=renewed)
-
-
-def _add_lease(leases: tuple[Lease, ...], lease: Lease) -> tuple[Lease, ...]:
-    present = {(item.owner, item.claim_key) for item in leases}
-    if (lease.owner, lease.claim_key) in present:
-        return leases
-    return tuple(sorted((*leases, lease)))
-
-
-def _send(state: State, message: Message) -> State:
-    if message in state.messages:
-        return state
-    messages = tuple(sorted((*state.messages, message)))
-    return state._replace(messages=messages)
-
-
-def _with_owner(state: State, owner_index: int, owner: Owner) -> State:
-    owners = (
-        *state.owners[:owner_index],
-        owner,
-        *state.owners[owner_index + 1 :],
-    )
-    return state._replace(owners=owners)
--- a/tests/spec/test_state_machine.py
+++ b/tests/spec/test_state_machine.py
@@ -4,9 +4,9 @@
 
 from minicheck import check_safety
 
-from magnoliapitch.spec.state_machine import Bounds
-from magnoliapitch.spec.state_machine import Guards
 from magnoliapitch.spec.state_machine import state_machine_protocol
+from magnoliapitch.spec.state_machine_world import Bounds
+from magnoliapitch.spec.state_machine_world import Guards
 
 
 EQUAL_STATES = "equal offsets, equal states"
