--- a/src/magnoliapitch/job/manager.py
+++ b/src/magnoliapitch/job/manager.py
@@ -8,16 +8,14 @@
 
 from result import Err
 
-from magnoliapitch.decision.interface import EvictionAction
 from magnoliapitch.decision.interface import WorkerShape
 from magnoliapitch.event import log_event
-from magnoliapitch.job.attempt import Attempt
 from magnoliapitch.job.attempt import TaskKey
 from magnoliapitch.job.backlog import Backlog
 from magnoliapitch.job.call import perform_call
 from magnoliapitch.job.channel import CallKind
 from magnoliapitch.job.channel import WorkerChannel
-from magnoliapitch.job.spec import parse_lease_id
+from magnoliapitch.job.decision_applier import DecisionApplier
 from magnoliapitch.job.tracker import AttemptTracker
 from magnoliapitch.job.unit import OwnedUnit
 from magnoliapitch.membership.instance import InstanceInfo
@@ -35,9 +33,7 @@
 
 if TYPE_CHECKING:
     from magnoliapitch.clock import Clock
-    from magnoliapitch.decision.interface import Eviction
     from magnoliapitch.decision.interface import Explanation
-    from magnoliapitch.decision.interface import Placement
     from magnoliapitch.decision.interface import Scheduler
     from magnoliapitch.journal.job_change import JobChange
     from magnoliapitch.journal.journal import Journal
@@ -49,7 +45,6 @@
     from magnoliapitch.worker.pool import WorkerPool
 
 
-MAX_DECISIONS_PER_STEP = 16
 STEP_INTERVAL_MS = 50
 
 
@@ -99,7 +94,15 @@
         )
         self._state: ClusterState | None = None
         self._catalogue_offset = -1
-        self._metrics = metrics or Metrics()
+        self._decisions = DecisionApplier(
+            journal,
+            scheduler,
+            self._backlog,
+            self._tracker,
+            self._channels_by_worker,
+            self._is_releasing,
+            metrics or Metrics(),
+        )
         self._lock = threading.Lock()
 
     def step(self) -> int:
@@ -141,20 +144,11 @@
         self._settle_units(now_ms)
         self._apply_job_changes(now_ms)
         self._tracker.end_expired_unreachable(self._channels_by_worker, now_ms)
-        self._decide(now_ms)
+        self._decisions.apply_decisions(now_ms)
         for channel in self._channels_by_worker.values():
             self._submit_next_call(channel, now_ms)
         self._release_units()
 
-    def _decide(self, now_ms: int) -> None:
-        for _ in range(MAX_DECISIONS_PER_STEP):
-            with self._metrics.timing("decision"):
-                decision = self._scheduler.decide(now_ms)
-            self._apply_placements(decision.placements, now_ms)
-            self._apply_evictions(decision.evictions)
-            if not decision.has_more:
-                break
-
     def _process_reply(self, reply: WorkerReply, now_ms: int) -> None:
         channel = self._channels_by_worker.get(reply.worker_id)
         if channel is None or channel.in_flight is None:
@@ -358,53 +352,6 @@
         if job is not None and not job.is_done:
             self._admit(job)
 
-    def _apply_placements(
-        self, placements: tuple[Placement, ...], now_ms: int
-    ) -> None:
-        for placement in placements:
-            attempt_key = parse_lease_id(placement.attempt_id)
-            channel = self._channels_by_worker.get(placement.worker_id)
-            if attempt_key is None or channel is None:
-                continue
-            task_key = TaskKey(attempt_key.job_id, attempt_key.task)
-            request = self._backlog.pop(task_key)
-            if request is None:
-                continue
-            attempt = Attempt(
-                attempt_key,
-                request,
-                placement.worker_id,
-                placement.reserved,
-                self._payload(attempt_key.job_id),
-            )
-            self._tracker.add(channel, attempt)
-            waited_ms = now_ms - request.submitted_ms
-            self._metrics.observe("task_wait", waited_ms, request.work_class)
-            is_releasing = self._is_releasing(channel)
-            if channel.accepts_starts and not is_releasing:
-                channel.pending_starts[request.attempt_id] = None
-            else:
-                self._tracker.requeue(channel, attempt, now_ms)
-
-    def _payload(self, job_id: str) -> str:
-        with self._journal.locked_state() as state:
-            job = state.jobs_by_id.get(job_id)
-            return job.spec.payload if job else ""
-
-    def _apply_evictions(self, evictions: tuple[Eviction, ...]) -> None:
-        for eviction in evictions:
-            channel = self._channels_by_worker.get(eviction.worker_id)
-            if channel is None:
-                continue
-            if eviction.action is EvictionAction.THROTTLE:
-                channel.pending_throttles_by_lease[eviction.attempt_id] = (
-                    eviction.cpu_millis
-                )
-            elif eviction.action is EvictionAction.CHECKPOINT:
-                channel.pending_checkpoints[eviction.attempt_id] = None
-            else:
-                channel.pending_stops[eviction.attempt_id] = None
-
     def _submit_next_call(self, channel: WorkerChannel, now_ms: int) -> None:
         is_releasing = self._is_releasing(channel)
         if channel.pending_starts and (
