Shutdown test: hold 100 requests in flight until SIGTERM is sent

Cause, traced: test_shutdown_cuts_off_none_of_100_requests_in_flight failed at loads of 14 to 50 as "not counted in flight at the same moment within 60 s". A request ran for 1 s, so that the hundredth had to be sent within 1 s of the first. With a pause of 15 ms between the starts of the threads (1.5 s in all) the test fails so each time, without any load; nothing is stuck. Change: requests run until the test lets them end, after SIGTERM and the refusals. Stricter: no request at all may be answered before SIGTERM (before: not all).

--- a/src/magnoliapitch/standin/backend.py
+++ b/src/magnoliapitch/standin/backend.py
@@ -69,6 +69,7 @@
         shutting down.
     :ivar faults_by_server: faults of the next calls to each server.
     :ivar duration_ms: run time of each request, in milliseconds.
+    :ivar has_released: once set, running requests end at once.
     :ivar on_send: called with the server's id before each call.
     :ivar observer: called with the request's id, the server's id and whether
         the request starts (``True``) or ends.
@@ -87,6 +88,7 @@
         self.history: list[Execution] = []
         self.max_in_flight_by_server: dict[str, int] = {}
         self._clock = clock or MonotonicClock()
+        self.has_released = threading.Event()
         self._never_set = threading.Event()
         self._in_flight_by_server: dict[str, int] = {}
         self._lock = threading.Lock()
@@ -109,7 +111,7 @@
         self._record_start(server_id, request)
         try:
             if self.duration_ms:
-                self._clock.wait(self._never_set, self.duration_ms)
+                self._clock.wait(self.has_released, self.duration_ms)
             return self._respond(server_id, request, fault)
         finally:
             self._record_end(server_id, request)
--- a/tests/process/test_shutdown.py
+++ b/tests/process/test_shutdown.py
@@ -18,7 +18,8 @@
 
 REQUESTS_IN_FLIGHT = 100
 MAX_CONCURRENT = 40
-DURATION_MS = 1_000
+# Until the test lets them end, all requests are in flight at the same moment.
+DURATION_MS = 50_000
 WAIT_S = 60
 ENTRY = {
     "name": "seat-check",
@@ -38,7 +39,8 @@
     url = f"{entry.admin_url}/v1/catalogue/seat-check"
     assert urllib3.request("PUT", url, json=ENTRY).status == 200
     _wait_until(lambda: _post(entry, "warm").status == 200)
-    process_cluster.cluster.backends.duration_ms = DURATION_MS
+    backends = process_cluster.cluster.backends
+    backends.duration_ms = DURATION_MS
     answers: dict[int, urllib3.BaseHTTPResponse] = {}
 
     def call(number: int) -> None:
@@ -54,18 +56,19 @@
     entry.process.send_signal(signal.SIGTERM)
     _wait_until(lambda: _ready_status(entry) == 503)
     refused = _post(entry, "late")
-    assert not answers or len(answers) < REQUESTS_IN_FLIGHT
+    assert not answers
     assert (refused.status, refused.json()["verdict"]) == (503, "not_run")
     assert refused.headers["Connection"] == "close"
     job = urllib3.request("POST", f"{entry.url}/v1/jobs", body=b"{}")
     assert (job.status, job.json()["verdict"]) == (503, "not_run")
+    backends.has_released.set()
     for thread in threads:
         thread.join(WAIT_S)
     assert entry.process.wait(WAIT_S) == 0
     for number in range(REQUESTS_IN_FLIGHT):
         assert answers[number].status == 200, answers[number].data
         assert answers[number].json()["echo"] == f"seat {number}"
-    bodies = [run.body for run in process_cluster.cluster.backends.history]
+    bodies = [run.body for run in backends.history]
     assert b"late" not in bodies
     assert len(bodies) == len(set(bodies))
 
