Search: workers crash and leave too

Change: two more kinds of events, a crash and a notice of leaving, after which another worker takes the place. A first try lost workers for good without making them unreachable; the stand-in answered on, and the search did not end within 5 minutes. It is not kept.

--- a/tests/control/test_accepted_jobs_search.py
+++ b/tests/control/test_accepted_jobs_search.py
@@ -30,12 +30,14 @@
     from magnoliapitch.workload.job import JobSpec
     from magnoliapitch.workload.job import TaskKey
     from tests.control.job_strategies import Step
+    from tests.control.simulated_worker import SimulatedWorker
 
 
 WORKER_COUNT = 6
 CAPACITY = Resources(8_000, 32_000)
 JOB_COUNT = 6
 BEFORE_MS = 300
+LEAVE_MS = 4_000
 # Longer than all leases and pauses, and the work of all jobs.
 SETTLE_MS = 90_000
 KINDS = (
@@ -51,7 +53,11 @@
     "mend",
     "end_done",
     "end_failed",
+    "crash",
+    "leave",
 )
+# Workers that may be lost before a task that ran on all of them is given up.
+MIN_CRASHES_TO_GIVE_UP = 2
 
 
 class Search:
@@ -138,6 +144,28 @@
         del choice
         self.simulation.unreachable_worker_ids = set()
 
+    def crash(self, choice: int) -> None:
+        """Crash a worker; another one takes its place."""
+        live = self._live_workers()
+        if live:
+            live[choice % len(live)].crash()
+
+    def leave(self, choice: int) -> None:
+        """Let a worker say that it leaves; another one takes its place."""
+        live = self._live_workers()
+        if live:
+            worker = live[choice % len(live)]
+            worker.leave()
+            self.simulation.schedule(LEAVE_MS, lambda: _end_leaving(worker))
+
+    def _live_workers(self) -> list[SimulatedWorker]:
+        return [
+            worker
+            for worker in self.simulation.workers.values()
+            if not (worker.is_gone or worker.is_down)
+            and not worker.info.is_draining
+        ]
+
     def end_done(self, choice: int) -> None:
         self._end(choice, EndKind.DONE)
 
@@ -178,14 +206,27 @@
                     step.task_count for step in spec.steps
                 )
             elif outcome is JobState.FAILED:
-                assert any(
-                    count
-                    for key, count in simulation.failures_of.items()
-                    if key.job_id == spec.job_id
-                )
+                assert self._may_have_failed(spec)
             else:
                 assert outcome is JobState.COMPLETED
 
+    def _may_have_failed(self, spec: JobSpec) -> bool:
+        """Return whether failed runs or lost workers explain a failure."""
+        simulation = self.simulation
+        return any(
+            count and key.job_id == spec.job_id
+            for key, count in simulation.failures_of.items()
+        ) or any(
+            count >= MIN_CRASHES_TO_GIVE_UP and key.job_id == spec.job_id
+            for key, count in simulation.crashes_under.items()
+        )
+
+
+def _end_leaving(worker: SimulatedWorker) -> None:
+    """End a worker; the one that takes its place does not leave."""
+    worker.stay()
+    worker.crash()
+
 
 @given(
     st.tuples(*(jobs(f"j{number}") for number in range(JOB_COUNT))),
