Give searches settings of their own, and other property tests theirs back

Cause: the profile that the search loaded for all tests lowered tests/planner/test_fair_shares.py from 100 random cases to 20 fixed ones: a weaker test, by oversight. Change: no profile is loaded; the two searches take their settings from search_settings. The fair shares draw 100 new cases each time again.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,18 +11,8 @@
 from hypothesis import settings
 
 
-# Searches draw the same cases each time, unless new ones are asked for.
-settings.register_profile(
-    "repeatable",
-    derandomize=True,
-    deadline=None,
-    database=None,
-    max_examples=20,
-)
-settings.register_profile(
-    "search", deadline=None, database=None, max_examples=400, print_blob=True
-)
-settings.load_profile("repeatable")
+# For searches by hand, see ``tests/control/search_settings.py``.
+settings.register_profile("search")
 
 KNOWN_RED_PAGE = Path(__file__).parents[1] / "KNOWN-RED.txt"
 # An entry names its test first: "- tests/package/test_unit.py::test_name".
--- a/tests/control/test_accepted_jobs_search.py
+++ b/tests/control/test_accepted_jobs_search.py
@@ -20,6 +20,7 @@
 from tests.control.job_strategies import QUEUE_NAMES
 from tests.control.job_strategies import jobs
 from tests.control.job_strategies import schedules
+from tests.control.search_settings import search_settings
 from tests.control.simulation import Simulation
 from tests.control.simulation import queue
 from tests.control.simulation import workers
@@ -228,6 +229,7 @@
     worker.crash()
 
 
+@search_settings(20)
 @given(
     st.tuples(*(jobs(f"j{number}") for number in range(JOB_COUNT))),
     schedules(KINDS),
--- a/tests/control/test_leaders_lost_at_each_step.py
+++ b/tests/control/test_leaders_lost_at_each_step.py
@@ -9,13 +9,13 @@
 from typing import NamedTuple
 
 from hypothesis import given
-from hypothesis import settings
 from hypothesis import strategies as st
 
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
+from tests.control.search_settings import search_settings
 from tests.control.simulation import TIMING
 from tests.control.simulation import Simulation
 from tests.control.simulation import queue
@@ -174,7 +174,7 @@
         assert stored.progress == state.progress(SERVICE.job_id)
 
 
-@settings(max_examples=3 * settings.default.max_examples)  # type: ignore[union-attr]
+@search_settings(60)
 @given(CASES)
 def test_nothing_is_lost_or_done_twice_wherever_a_leader_is_lost(
     case: Case,
