Log what a new leader counts leases from

Change: leadership-claimed has leases_began_ms_ago. Result: tests/ledger, tests/docs, tests/event, tests/logfile and tests/console pass.

--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -356,7 +356,9 @@
 define_event(
     "leadership-claimed",
     EventLevel.INFO,
-    "This instance became the leader under the given epoch.",
+    "This instance became the leader under the given epoch; "
+    "leases_began_ms_ago tells how long ago the newest lease of a former "
+    "leader began, as far as this instance knows.",
 )
 define_event(
     "leadership-claim-failed",
--- a/src/magnoliapitch/ledger/elapsed_clock.py
+++ b/src/magnoliapitch/ledger/elapsed_clock.py
@@ -69,6 +69,15 @@
             return self.stamp(now_ms)
         return ClockStamp(self.epoch, self.origin, self.inherited_ms)
 
+    def inherited_age_ms(self, now_ms: int) -> int | None:
+        """Return how long ago leases of former leaders began at the latest.
+
+        :return: time in ms; None if no reading of theirs is known.
+        """
+        if self.inherited_ms is None:
+            return None
+        return now_ms - self.local_ms(self.inherited_ms)
+
     def lease_end(self, local_ms: int) -> LeaseEnd:
         """Return the end of a worker's leases as it is stored.
 
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -372,7 +372,12 @@
         )
         self.claim = Claim(record, now_ms, clock)
         self._has_claimed.set()
-        log_event("leadership-claimed", epoch=epoch, silent_ms=silent_ms)
+        log_event(
+            "leadership-claimed",
+            epoch=epoch,
+            silent_ms=silent_ms,
+            leases_began_ms_ago=clock.inherited_age_ms(now_ms),
+        )
 
     def _open_appender(
         self, state_writer: Writer, progress_writer: Writer
--- a/tests/ledger/test_elapsed_clock.py
+++ b/tests/ledger/test_elapsed_clock.py
@@ -33,6 +33,13 @@
     assert leader.stamp(10_300) == ClockStamp(9, 9, 100)
 
 
+def test_a_claim_tells_how_long_ago_leases_of_former_leaders_began() -> None:
+    clock = ElapsedClock()
+    assert clock.continue_as(8, 7, 10_200).inherited_age_ms(10_200) is None
+    clock.record(ClockStamp(epoch=7, origin=3, elapsed_ms=500), 10_000)
+    assert clock.continue_as(8, 7, 10_200).inherited_age_ms(10_200) == 200
+
+
 # The wait would begin anew with each leader that is lost before its first
 # heartbeat.
 def test_a_claim_stores_a_reading_that_the_next_leader_continues_from(
