Store the end of a worker's leases after its second unanswered renewal

Cause: a worker with runs counted as silent 1 s after its last answer. A leader that was lost within that second had stored nothing of the worker, so that the next one counted from the leader's last moment. Change: two renewals in a row without an answer are enough; the end of its leases is stored at once and not with the next check. test_two_unanswered_renewals_are_enough_to_store_the_end_of_leases failed before.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -245,7 +245,9 @@
             if not self._handle_final_failure(
                 worker_id, event.outcome.err_value, event.received_ms
             ):
-                self._reachability.record_unanswered_renewal(worker_id)
+                self._roster.record_unanswered_renewal(
+                    worker_id, event.received_ms
+                )
             return
         report = event.outcome.ok_value
         self._roster.record_report(worker_id, report)
--- a/src/magnoliapitch/control/reachability.py
+++ b/src/magnoliapitch/control/reachability.py
@@ -4,6 +4,7 @@
 
 import threading
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from magnoliapitch.control.lease import WorkerLease
@@ -17,6 +18,10 @@
 
 # A worker whose last answer is older gets no new runs.
 MAX_ANSWER_AGE_MS = 2_200
+# A worker that has not answered for this long, or left this many renewals in a
+# row unanswered, counts as silent.
+SILENT_AFTER_MS = 1_000
+SILENT_AFTER_RENEWALS = 2
 
 
 class WorkerReachability:
@@ -51,6 +56,8 @@
         # Without an answer, when the worker was first called.
         self._last_answer_ms_by_worker: dict[str, int] = {}
         self._unanswered_order_ms_by_worker: dict[str, int] = {}
+        # Renewals in a row, since the last answer.
+        self._unanswered_count_by_worker: Counter[str] = Counter()
 
     def record_called(self, worker_id: str, now_ms: int) -> None:
         """Record that the leader calls a worker from now on."""
@@ -68,19 +75,24 @@
         with self._lock:
             lease.record_clock(clock_ms, sent_ms, received_ms)
         self._last_answer_ms_by_worker[worker_id] = received_ms
+        self._unanswered_count_by_worker.pop(worker_id, None)
         self._stored_leases.discard(worker_id)
         if sent_ms >= self._unanswered_order_ms_by_worker.get(worker_id, 0):
             self._answered_ms_by_worker[worker_id] = received_ms
 
     def record_unanswered_renewal(self, worker_id: str) -> None:
         """Record a renewal that was not answered."""
-        with self._lock:
-            self._answered_ms_by_worker.pop(worker_id, None)
+        self._unanswered_count_by_worker[worker_id] += 1
+        self._record_unanswered(worker_id)
 
     def record_unanswered_order(self, worker_id: str, now_ms: int) -> None:
         """Record an unanswered order; only renewals sent later count."""
         self._unanswered_order_ms_by_worker[worker_id] = now_ms
-        self.record_unanswered_renewal(worker_id)
+        self._record_unanswered(worker_id)
+
+    def _record_unanswered(self, worker_id: str) -> None:
+        with self._lock:
+            self._answered_ms_by_worker.pop(worker_id, None)
 
     def is_answering(self, worker_id: str) -> bool:
         """Return whether the worker's last call was answered."""
@@ -96,6 +108,16 @@
         )
         return now_ms - answered_ms
 
+    def is_silent(self, worker_id: str, now_ms: int) -> bool:
+        """Return whether a worker has not answered for some time."""
+        if self.is_answering(worker_id):
+            return False
+        return (
+            self._unanswered_count_by_worker[worker_id]
+            >= SILENT_AFTER_RENEWALS
+            or self.silent_ms(worker_id, now_ms) >= SILENT_AFTER_MS
+        )
+
     def has_granted(self, worker_id: str) -> bool:
         """Return whether this leader has granted a lease to a worker."""
         lease = self._lease_by_worker.get(worker_id)
@@ -172,6 +194,7 @@
         self._answered_ms_by_worker.pop(worker_id, None)
         self._last_answer_ms_by_worker.pop(worker_id, None)
         self._unanswered_order_ms_by_worker.pop(worker_id, None)
+        self._unanswered_count_by_worker.pop(worker_id, None)
         self._stored_leases.discard(worker_id)
 
     def _lease_of(self, worker_id: str) -> WorkerLease:
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -36,8 +36,6 @@
 
 # Interval at which it is checked which workers are usable.
 CHECK_INTERVAL_MS = 100
-# A listed worker that has not answered for this long counts as silent.
-SILENT_AFTER_MS = 1_000
 
 
 class WorkerRoster:
@@ -156,6 +154,17 @@
         self._unproven_losses.record_answer(worker_id)
         self._count_unreported(worker_id, report)
 
+    def record_unanswered_renewal(self, worker_id: str, now_ms: int) -> None:
+        """Record a renewal that was not answered.
+
+        What the runs of a worker that falls silent wait for is stored at
+        once, since this leader may be lost as well.
+        """
+        self._reachability.record_unanswered_renewal(worker_id)
+        worker = self._state.workers_by_id.get(worker_id)
+        if worker is not None:
+            self._record_silence(worker, now_ms)
+
     def record_restart(self, worker_id: str) -> None:
         """Record that the next incarnation, not listed yet, has answered."""
         self._restarted_ids.add(worker_id)
@@ -206,13 +215,10 @@
         worker_id = worker.worker_id
         if worker_id in self._silent_worker_ids or not worker.runs:
             return
-        if self._reachability.is_answering(worker_id):
-            return
-        if not self._has_list:
+        if not self._has_list or self._reachability.is_answering(worker_id):
             return
         is_listed = worker_id in self.info_by_id
-        silent_ms = self._reachability.silent_ms(worker_id, now_ms)
-        if is_listed and silent_ms < SILENT_AFTER_MS:
+        if is_listed and not self._reachability.is_silent(worker_id, now_ms):
             return
         self._silent_worker_ids.add(worker_id)
         self._reachability.store_lease_end(worker_id)
@@ -220,7 +226,7 @@
             "worker-silent",
             worker=worker_id,
             is_listed=is_listed,
-            silent_ms=silent_ms,
+            silent_ms=self._reachability.silent_ms(worker_id, now_ms),
             runs=len(worker.runs),
             has_granted=self._reachability.has_granted(worker_id),
             leases_end_in_ms=self._reachability.leases_expired_at_ms(worker_id)
--- a/tests/control/test_lost_leaders.py
+++ b/tests/control/test_lost_leaders.py
@@ -6,19 +6,24 @@
 
 import pytest
 
+from result import Err
 from result import Ok
 
 from magnoliapitch.control.events import Committed
+from magnoliapitch.control.events import WorkerReported
 from magnoliapitch.control.events import WorkersListed
 from magnoliapitch.control.timing import MIN_CLOCK_RATE_RATIO
 from magnoliapitch.ledger.elapsed_clock import LeaseEnd
 from magnoliapitch.ledger.records import CLOCK_KEY
 from magnoliapitch.ledger.records import LEASE_PREFIX
 from magnoliapitch.resource import Resources
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import not_run
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
 from magnoliapitch.workload.job import TaskKey
 from tests.control.delegation.simulated_agents import DelegatedEffects
+from tests.control.simulated_effects import COMMIT_DURATION_MS
 from tests.control.simulated_effects import SimulatedEffects
 from tests.control.simulation import TIMING
 from tests.control.simulation import Simulation
@@ -151,6 +156,26 @@
     assert simulation.starts[TASK] == 1
 
 
+# Incident LOST: a worker was gone 0.2 s before its leader. Nothing of that was
+# stored, so that the next leader waited as if the worker had been granted a
+# lease in the leader's last moment.
+def test_two_unanswered_renewals_are_enough_to_store_the_end_of_leases() -> (
+    None
+):
+    simulation = make_simulation()
+    [worker] = [w for w in simulation.workers.values() if w.running]
+    worker_id = worker.info.worker_id
+    unanswered = Err(not_run(FailureCode.UNAVAILABLE, "refused"))
+    now_ms = simulation.now_ms
+    for _ in range(2):
+        assert worker_id not in simulation.states.lease_end_by_worker
+        simulation.controller.handle_report(
+            WorkerReported(worker_id, unanswered, now_ms, now_ms)
+        )
+        simulation.run(COMMIT_DURATION_MS + 5)
+    assert worker_id in simulation.states.lease_end_by_worker
+
+
 class LostLeadersRun(FaultyRun):
     """A faulty run whose leaders are lost all the time.
 
