Hold each suspect alone, not its whole step

Cause: `TrackedStep.hold_until_ms` was one for all tasks of a step. A suspect held the innocent tasks beside it for up to 5 s, and an innocent task that was lost with the same worker set the hold to 0 if it came after the suspect.

Change: the hold belongs to the task. The isolation leaves held tasks out of the round; a gang with a held member waits as before. Permits are still asked while all waiting tasks are held. The check in `load.py` goes, since steps with suspects do not count there anyway; its test makes the task a suspect as the leader does, and then holds it, where it set a field that is no more. Nothing is added to the store.

--- a/src/magnoliapitch/planner/load.py
+++ b/src/magnoliapitch/planner/load.py
@@ -151,7 +151,7 @@
         for step in self._state.waiting_steps.values():
             if step.job.queue.service != service or step.key in suspect_steps:
                 continue
-            if not _waits_for_capacity_only(step, smallest, now_ms):
+            if not _waits_for_capacity_only(step, smallest):
                 continue
             size = gap_sizes.size_of(step.reservation)
             found.append(self._waiting(step, size, now_ms))
@@ -174,9 +174,7 @@
         )
 
 
-def _waits_for_capacity_only(
-    step: TrackedStep, smallest: Resources, now_ms: int
-) -> bool:
+def _waits_for_capacity_only(step: TrackedStep, smallest: Resources) -> bool:
     spec = step.spec
     has_permits = (
         step.job.queue.permit_timing is None or step.permitted_worker_ids
@@ -186,7 +184,6 @@
         has_permits
         and not is_confined
         and not spec.is_long_running
-        and step.hold_until_ms <= now_ms
         # None may start while the quota of the workspace is used up.
         and step.startable_count
         and step.reservation.cpu_millis
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -299,7 +299,7 @@
         A gang that does not fit as a whole reserves nothing.
         """
         chosen: list[Candidate] = []
-        count = step.startable_count
+        count = self._isolation.startable_count(step)
         cpu_millis = step.reservation.cpu_millis
         fitting = [
             candidate
@@ -339,7 +339,7 @@
             candidates = candidates[:remaining_starts]
         run_number = max(task.runs for task in step.tasks) + 1
         for task, candidate in zip(
-            step.startable_tasks(), candidates, strict=False
+            self._isolation.startable_tasks(step), candidates, strict=False
         ):
             worker_id = candidate.worker.worker_id
             number = run_number if step.spec.is_gang else task.runs + 1
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -163,8 +163,6 @@
         run that was done.
     :ivar failed_run_numbers: numbers of the runs that have failed; the
         members of a gang share a number.
-    :ivar hold_until_ms: until when suspects wait for word of a worker that
-        they were lost with; 0 if there is none.
     :ivar unfinished_count: number of tasks that are not done; those of a
         long-running step never are.
     :ivar waiting_count: number of tasks that are waiting to be started.
@@ -186,7 +184,6 @@
         "failed_worker_ids",
         "finished_work",
         "first_number",
-        "hold_until_ms",
         "in_flight_worker_ids",
         "is_beyond_share",
         "is_held",
@@ -220,7 +217,6 @@
         self.unfinished_count = self.spec.task_count
         self.waiting_count = self.spec.task_count
         self.ready_ms: int | None = None
-        self.hold_until_ms = 0
         self.start_limit = sys.maxsize
         self.is_held = False
         self.is_beyond_share = False
--- a/src/magnoliapitch/planner/tracked_task.py
+++ b/src/magnoliapitch/planner/tracked_task.py
@@ -28,6 +28,8 @@
     :ivar active_runs: runs that were ordered and may still be active.
     :ivar paused_until_ms: until when the task is not started again; 0 if it
         does not pause.
+    :ivar hold_until_ms: until when the task, a suspect, waits for word of a
+        worker that it was lost with; 0 if it does not.
     :ivar preemptions: number of runs that were stopped for more urgent work
         under this leader.
     :ivar worker_crashes: workers that ended while a run was active there.
@@ -39,6 +41,7 @@
         "active_runs",
         "checkpoint",
         "failures",
+        "hold_until_ms",
         "is_done",
         "key",
         "paused_until_ms",
@@ -58,6 +61,7 @@
         self.checkpoint: str = ""
         self.active_runs: list[TrackedRun] = []
         self.paused_until_ms = 0
+        self.hold_until_ms = 0
         self.preemptions = 0
         self.worker_crashes = 0
         self.worker_losses = 0
@@ -67,6 +71,10 @@
         """Return whether the task may be started now."""
         return not (self.is_done or self.active_runs or self.paused_until_ms)
 
+    def is_held(self, now_ms: int) -> bool:
+        """Return whether the task waits for word of a worker."""
+        return now_ms < self.hold_until_ms
+
     @property
     def has_attempts_left(self) -> bool:
         """Return whether the task may be started after its failed runs."""
--- a/src/magnoliapitch/planner/worker_isolation.py
+++ b/src/magnoliapitch/planner/worker_isolation.py
@@ -14,6 +14,7 @@
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedStep
     from magnoliapitch.planner.tracked_job import TrackedJob
+    from magnoliapitch.planner.tracked_task import TrackedTask
     from magnoliapitch.workload.job import StepKey
 
 
@@ -37,6 +38,7 @@
         self._job_by_worker: dict[str, TrackedJob] = {}
         self._waiting_since_ms_by_job: dict[str, int] = {}
         self._waiting_steps: set[StepKey] = set()
+        self._held_by_step: dict[StepKey, set[TrackedTask]] = {}
 
     def begin_round(
         self,
@@ -47,12 +49,17 @@
         """Keep other jobs off the workers that are kept free or in use."""
         state.forget_ended_suspects()
         self._waiting_steps = set()
+        self._held_by_step = {}
         waiting_by_id: dict[str, TrackedJob] = {}
         for task in state.suspects_by_key.values():
             job = task.step.job
             if not task.active_runs and task.step.start_limit:
                 waiting_by_id[job.spec.job_id] = job
-                self._waiting_steps.add(task.step.key)
+                if task.is_held(now_ms):
+                    held = self._held_by_step.setdefault(task.step.key, set())
+                    held.add(task)
+                else:
+                    self._waiting_steps.add(task.step.key)
             for run in task.active_runs:
                 _reserve(workers, run.worker_id, job)
         self._job_by_worker = {
@@ -68,6 +75,18 @@
             for job_id in waiting_by_id
         }
 
+    def startable_count(self, step: TrackedStep) -> int:
+        """Return how many tasks of a step may start in this round."""
+        held = self._held_by_step.get(step.key)
+        if held is None:
+            return step.startable_count
+        return min(len(self.startable_tasks(step)), step.start_limit)
+
+    def startable_tasks(self, step: TrackedStep) -> list[TrackedTask]:
+        """Return the waiting tasks of a step that are not held."""
+        held = self._held_by_step.get(step.key, ())
+        return [task for task in step.startable_tasks() if task not in held]
+
     def select(
         self,
         step: TrackedStep,
@@ -80,15 +99,15 @@
         :param candidates: workers that may run the step.
         :param worker_count: number of workers that take new runs.
         """
+        if step.spec.is_gang and step.key in self._held_by_step:
+            return []
         if step.key not in self._waiting_steps:
             return candidates
-        if now_ms < step.hold_until_ms:
-            return []
         job = step.job
         free = [
             candidate for candidate in candidates if _is_free(candidate, job)
         ]
-        count = step.startable_count - sum(
+        count = self.startable_count(step) - sum(
             free_task_count(candidate, step) for candidate in free
         )
         self._keep(free, worker_count, job)
--- a/src/magnoliapitch/planner/worker_loss.py
+++ b/src/magnoliapitch/planner/worker_loss.py
@@ -126,9 +126,9 @@
         tasks, which have been down since, are held for as much less.
     """
     for run in lost:
-        step = run.task.step
-        passed_ms = silent_ms if step.spec.is_long_running else 0
-        step.hold_until_ms = until_ms - passed_ms if run.task.is_suspect else 0
+        task = run.task
+        passed_ms = silent_ms if task.step.spec.is_long_running else 0
+        task.hold_until_ms = until_ms - passed_ms if task.is_suspect else 0
 
 
 def is_harmless(run: TrackedRun, now_ms: int) -> bool:
--- a/tests/control/test_unproven_losses.py
+++ b/tests/control/test_unproven_losses.py
@@ -102,6 +102,6 @@
     fixture = Fixture()
     fixture.task.worker_crashes = 2
     fixture.lose()
-    assert fixture.task.step.hold_until_ms > 0
+    assert fixture.task.hold_until_ms > 0
     fixture.proven(("w@2000", ADDRESS))
-    assert fixture.task.step.hold_until_ms == 0
+    assert fixture.task.hold_until_ms == 0
--- a/tests/planner/test_load.py
+++ b/tests/planner/test_load.py
@@ -15,8 +15,12 @@
 from magnoliapitch.planner.capacity_memory import RETENTION_MS
 from magnoliapitch.planner.load import WARM_UP_MS
 from magnoliapitch.planner.load import LoadEstimator
+from magnoliapitch.planner.tracked_task import MIN_SUSPECT_LOSSES
 from magnoliapitch.planner.wait_bound import Work
 from magnoliapitch.planner.wait_bound import wait_bound_ms
+from magnoliapitch.planner.worker_loss import LostRun
+from magnoliapitch.planner.worker_loss import count_loss
+from magnoliapitch.planner.worker_loss import hold_suspects
 from magnoliapitch.planner.workspace_round import WorkspaceRound
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.configuration import PermitTiming
@@ -199,7 +203,11 @@
 def test_tasks_that_wait_for_word_of_a_worker_do_not_count() -> None:
     cluster = Cluster()
     step = cluster.add_backlog()
-    step.hold_until_ms = NOW_MS + 1
+    lost = [LostRun(step.tasks[0], 1, is_alone=True)]
+    for _ in range(MIN_SUSPECT_LOSSES):
+        count_loss(cluster.state, lost)
+    hold_suspects(lost, NOW_MS + 1)
+    assert step.tasks[0].is_held(NOW_MS)
     assert cluster.wait_ms() == 0
 
 
--- a/tests/planner/test_worker_isolation.py
+++ b/tests/planner/test_worker_isolation.py
@@ -1,8 +1,12 @@
 from __future__ import annotations
 
+import pytest
+
 from magnoliapitch.planner.planner import Planner
 from magnoliapitch.planner.scheduler_state import SchedulerState
 from magnoliapitch.planner.worker_isolation import MAX_WAIT_MS
+from magnoliapitch.planner.worker_loss import LostRun
+from magnoliapitch.planner.worker_loss import hold_suspects
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
@@ -93,3 +97,32 @@
     fixture.submit("large", StepSpec(2, Resources(20_000, 4_000)))
     plan = fixture.planner.plan(fixture.state, 10, 10)
     assert {planned.worker_id for planned in plan.starts} == {"w000", "w001"}
+
+
+# Incident LOST, again: a suspect held the innocent tasks of its step, and an
+# innocent one that was lost with it ended its hold.
+@pytest.mark.parametrize("is_suspect_last", [True, False])
+def test_a_suspect_is_held_alone_whatever_was_lost_with_it(
+    is_suspect_last: bool,
+) -> None:
+    state, planner = SchedulerState(), Planner()
+    for info in workers(3):
+        state.update_worker(info).is_usable = True
+    step = StepSpec(2, SIZE, is_long_running=True)
+    state.add_job(JobSpec("suspect", "q", "text", (step,)), queue("q"), 0)
+    suspect, innocent = state.jobs_by_id["suspect"].all_steps()[0].tasks
+    suspect.worker_losses = 2
+    state.add_suspect(suspect)
+    lost = [LostRun(task, 1, is_alone=False) for task in (suspect, innocent)]
+    hold_suspects(reversed(lost) if is_suspect_last else lost, 100)
+
+    def start(now_ms: int) -> list[TaskKey]:
+        starts = planner.plan(state, now_ms, now_ms).starts
+        for planned in starts:
+            state.add_ordered_run(
+                planned.task, planned.run, planned.worker_id, now_ms
+            )
+        return [planned.task for planned in starts]
+
+    assert start(99) == [innocent.key]
+    assert start(100) == [suspect.key]
