Count a worker's silence from the leases of former leaders too

Cause: a suspect is held for 5 s after its leases have ended, less the time for which its worker was silent. A leader that never reached the worker counted that from its own claim, so that each leader held the task anew.

Change: `WorkerReachability.lost_ms`. If the worker has not answered this leader, its silence counts from when the newest lease of a former leader began: the end of that lease, stored or inherited, less the length of the longest one. Both outlive the leader already, by the shared clock, so no byte and no store call are added.

--- a/src/magnoliapitch/control/reachability.py
+++ b/src/magnoliapitch/control/reachability.py
@@ -96,6 +96,19 @@
         )
         return now_ms - answered_ms
 
+    def lost_ms(self, worker_id: str, now_ms: int) -> int:
+        """Return for how long a worker has answered no leader, in ms.
+
+        If it has not answered this one, it counts from when the newest lease
+        of a former leader began, which follows from the end of that lease.
+        """
+        silent_ms = self.silent_ms(worker_id, now_ms)
+        lease = self._lease_of(worker_id)
+        if lease.has_clock:
+            return silent_ms
+        began_ms = lease.all_leases_expired_at_ms() - self._timing.takeover_ms
+        return max(silent_ms, now_ms - began_ms)
+
     def has_granted(self, worker_id: str) -> bool:
         """Return whether this leader has granted a lease to a worker."""
         lease = self._lease_by_worker.get(worker_id)
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -248,14 +248,14 @@
         _log_lost_runs(worker, reason, now_ms)
         self._effects.stop_lease_renewal(worker_id)
         lost = suspect_runs(worker, now_ms)
-        silent_ms = self._reachability.silent_ms(worker_id, now_ms)
+        lost_ms = self._reachability.lost_ms(worker_id, now_ms)
         self._count_unreported(worker_id)
         self._state.remove_worker(worker_id)
         if has_crashed:
             self._count_crash(worker_id, lost)
         else:
             self._unproven_losses.add(
-                worker, lost, now_ms, is_listed=False, silent_ms=silent_ms
+                worker, lost, now_ms, is_listed=False, silent_ms=lost_ms
             )
         self.info_by_id.pop(worker_id, None)
         self._forget(worker_id)
@@ -283,7 +283,7 @@
             lost,
             now_ms,
             is_listed=True,
-            silent_ms=self._reachability.silent_ms(worker_id, now_ms),
+            silent_ms=self._reachability.lost_ms(worker_id, now_ms),
         )
         lost_count = self._state.lose_runs(worker_id)
         self._reachability.discard_lease_end(worker_id)
--- a/tests/control/test_suspects_over_leaders.py
+++ b/tests/control/test_suspects_over_leaders.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
 from magnoliapitch.control.events import WorkersListed
@@ -12,6 +14,7 @@
 from tests.control.simulation import Simulation
 from tests.control.simulation import queue
 from tests.control.simulation import workers
+from tests.control.test_lost_leaders import EFFECTS_TYPES
 from tests.control.test_lost_leaders import LEADERLESS_MS
 from tests.control.test_lost_leaders import SIZE
 from tests.control.test_lost_leaders import TASK
@@ -20,6 +23,10 @@
 from tests.control.test_lost_leaders import take_worker_away
 
 
+if TYPE_CHECKING:
+    from tests.control.simulated_effects import SimulatedEffects
+
+
 # A worker that was about to leave was not lost to any of its tasks; the next
 # leader does not know that it was.
 def test_a_task_is_not_blamed_for_a_worker_that_left_before_this_leader() -> (
@@ -119,3 +126,28 @@
         waits.append(simulation.now_ms - gone_ms)
         simulation.run(3_000)
     assert waits[1] < waits[0] + 1_000
+
+
+# Incident LOST, again: a leader counted since its own claim for how long a
+# worker had been silent, so that a suspect was held anew by each leader.
+@pytest.mark.parametrize("effects_type", EFFECTS_TYPES)
+@pytest.mark.parametrize("lost_after_ms", [500, 2_000, 4_000, 6_000])
+def test_a_suspect_starts_again_as_soon_as_others_after_a_change_of_leader(
+    lost_after_ms: int, effects_type: type[SimulatedEffects]
+) -> None:
+    waits_ms = []
+    for losses in (0, 1):
+        simulation = make_simulation(effects_type)
+        task = simulation.controller.state.task(TASK)
+        assert task is not None
+        task.worker_losses = losses
+        simulation.controller.state.unsaved_job_ids.add("service")
+        simulation.run(1_000)
+        take_worker_away(simulation)
+        gone_ms = simulation.now_ms
+        simulation.run(lost_after_ms)
+        lose_leader(simulation)
+        simulation.run_until(lambda s=simulation: s.starts[TASK] > 1)  # type: ignore[misc]
+        waits_ms.append(simulation.now_ms - gone_ms)
+        assert simulation.violations == []
+    assert waits_ms[1] <= waits_ms[0]
