Let a service under suspicion wait for its own worker from its loss on

Cause: a suspect waited for a worker without other jobs only once the lease of the lost one had ended, for 1 s more, and anew with each leader.

Change: that wait counts from the silence of the worker (`down_since_ms`), which a new leader takes from the stored or inherited end of the leases; so none is left once a lease has ended. Crashes that are proven count as before. While the lease runs, a worker is kept free for services that will be suspects (of at most an eighth of the workers), since otherwise they would end more workers of others. Nothing is added to the store; a round looks at one more field of each worker.

--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -12,6 +12,7 @@
 from magnoliapitch.planner.evacuation import evacuate_services
 from magnoliapitch.planner.worker_loss import count_crash
 from magnoliapitch.planner.worker_loss import move_runs
+from magnoliapitch.planner.worker_loss import note_silence
 from magnoliapitch.planner.worker_loss import suspect_runs
 from magnoliapitch.workload.worker import Incarnation
 from magnoliapitch.workload.worker import incarnations_by_name
@@ -153,6 +154,7 @@
     def record_report(self, worker_id: str, report: WorkerReport) -> None:
         """Record that a worker answers, so that it has not ended."""
         self._silent_worker_ids.discard(worker_id)
+        self._state.workers_by_id[worker_id].silent_since_ms = None
         self._unproven_losses.record_answer(worker_id)
         self._count_unreported(worker_id, report)
 
@@ -215,6 +217,8 @@
         if is_listed and silent_ms < SILENT_AFTER_MS:
             return
         self._silent_worker_ids.add(worker_id)
+        lost_ms = self._reachability.lost_ms(worker_id, now_ms)
+        worker.silent_since_ms = now_ms - lost_ms
         self._reachability.store_lease_end(worker_id)
         log_event(
             "worker-silent",
@@ -249,6 +253,8 @@
         self._effects.stop_lease_renewal(worker_id)
         lost = suspect_runs(worker, now_ms)
         lost_ms = self._reachability.lost_ms(worker_id, now_ms)
+        if not has_crashed:
+            note_silence(worker, now_ms - lost_ms)
         self._count_unreported(worker_id)
         self._state.remove_worker(worker_id)
         if has_crashed:
@@ -278,12 +284,10 @@
             return
         _log_lost_runs(worker, "lease-over", now_ms)
         lost = suspect_runs(worker, now_ms)
+        lost_ms = self._reachability.lost_ms(worker_id, now_ms)
+        note_silence(worker, now_ms - lost_ms)
         self._unproven_losses.add(
-            worker,
-            lost,
-            now_ms,
-            is_listed=True,
-            silent_ms=self._reachability.lost_ms(worker_id, now_ms),
+            worker, lost, now_ms, is_listed=True, silent_ms=lost_ms
         )
         lost_count = self._state.lose_runs(worker_id)
         self._reachability.discard_lease_end(worker_id)
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -306,6 +306,8 @@
     :ivar info: newest entry in the platform's list; None before the first.
     :ivar is_usable: whether it is listed, answered lately and is not avoided
         after failures.
+    :ivar silent_since_ms: when it answered last, if its runs wait for the end
+        of its leases; None otherwise.
     :ivar free: capacity that no run in ``runs`` reserves.
     :ivar unknown_run_count: number of runs in the worker's newest report that
         are not in ``runs``. They use capacity too, but how much is not known.
@@ -316,6 +318,7 @@
         "info",
         "is_usable",
         "runs",
+        "silent_since_ms",
         "unknown_run_count",
         "worker_id",
     )
@@ -324,6 +327,7 @@
         self.worker_id = worker_id
         self.info: WorkerInfo | None = None
         self.is_usable = False
+        self.silent_since_ms: int | None = None
         self.free = NO_RESOURCES
         self.runs: list[TrackedRun] = []
         self.unknown_run_count = 0
--- a/src/magnoliapitch/planner/tracked_task.py
+++ b/src/magnoliapitch/planner/tracked_task.py
@@ -28,6 +28,8 @@
     :ivar active_runs: runs that were ordered and may still be active.
     :ivar paused_until_ms: until when the task is not started again; 0 if it
         does not pause.
+    :ivar down_since_ms: when the silent worker that the newest run was lost
+        with answered last; None if the run was not lost so.
     :ivar hold_until_ms: until when the task, a suspect, waits for word of a
         worker that it was lost with; 0 if it does not.
     :ivar preemptions: number of runs that were stopped for more urgent work
@@ -40,6 +42,7 @@
     __slots__ = (
         "active_runs",
         "checkpoint",
+        "down_since_ms",
         "failures",
         "hold_until_ms",
         "is_done",
@@ -62,6 +65,7 @@
         self.active_runs: list[TrackedRun] = []
         self.paused_until_ms = 0
         self.hold_until_ms = 0
+        self.down_since_ms: int | None = None
         self.preemptions = 0
         self.worker_crashes = 0
         self.worker_losses = 0
@@ -108,6 +112,7 @@
     def add(self, run: TrackedRun) -> None:
         """Add a run that may be active."""
         self.active_runs.append(run)
+        self.down_since_ms = None
         self.note_change()
 
     def remove(self, run: TrackedRun) -> None:
--- a/src/magnoliapitch/planner/worker_isolation.py
+++ b/src/magnoliapitch/planner/worker_isolation.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner.candidates import free_task_count
 from magnoliapitch.planner.candidates import idle_task_count
+from magnoliapitch.planner.tracked_task import MIN_SUSPECT_LOSSES
 
 
 if TYPE_CHECKING:
@@ -62,10 +64,14 @@
                     self._waiting_steps.add(task.step.key)
             for run in task.active_runs:
                 _reserve(workers, run.worker_id, job)
+        silent = _services_on_silent_workers(state)
+        kept_ids = waiting_by_id.keys() | {
+            step.job.spec.job_id for step in silent
+        }
         self._job_by_worker = {
             worker_id: job
             for worker_id, job in self._job_by_worker.items()
-            if job.spec.job_id in waiting_by_id
+            if job.spec.job_id in kept_ids
             and worker_id in workers.candidates_by_id
         }
         for worker_id, job in self._job_by_worker.items():
@@ -75,6 +81,36 @@
             for job_id in waiting_by_id
         }
 
+        for step, count in silent.items():
+            self._keep_ahead(step, workers, count)
+
+    def _keep_ahead(
+        self, step: TrackedStep, workers: CandidateWorkers, count: int
+    ) -> None:
+        """Keep workers free for tasks that still wait for leases to end.
+
+        :param count: number of these tasks.
+        """
+        worker_count = len(workers.candidates_by_id)
+        job = step.job
+        rest: list[Candidate] = []
+        candidates = (
+            workers.permitted(step)
+            if step.asked_worker_ids
+            else workers.eligible(step)
+        )
+        for candidate in sorted(candidates, key=_worker_id):
+            if candidate.reserved_for is job:
+                count -= idle_task_count(candidate, step)
+            else:
+                rest.append(candidate)
+        for candidate in rest:
+            if count > 0 and _is_free(candidate, job):
+                self._keep([candidate], worker_count, job)
+                count -= idle_task_count(candidate, step)
+        if count > 0:
+            self._keep_more(step, rest, count, worker_count)
+
     def startable_count(self, step: TrackedStep) -> int:
         """Return how many tasks of a step may start in this round."""
         held = self._held_by_step.get(step.key)
@@ -114,11 +150,26 @@
         if count <= 0:
             return free
         kept_count = self._keep_more(step, candidates, count, worker_count)
-        since_ms = self._waiting_since_ms_by_job.get(job.spec.job_id, now_ms)
-        is_service = step.spec.is_long_running
-        max_wait_ms = MAX_SERVICE_WAIT_MS if is_service else MAX_WAIT_MS
-        is_overdue = now_ms - since_ms > max_wait_ms
-        return candidates if is_overdue or not kept_count else free
+        if kept_count and not self._is_overdue(step, now_ms):
+            return free
+        return candidates
+
+    def _is_overdue(self, step: TrackedStep, now_ms: int) -> bool:
+        """Return whether a step has waited for workers long enough.
+
+        Services wait since their runs were lost, not since that was certain.
+        """
+        job_id = step.job.spec.job_id
+        since_ms = self._waiting_since_ms_by_job.get(job_id, now_ms)
+        if not step.spec.is_long_running:
+            return now_ms - since_ms > MAX_WAIT_MS
+        down_since_ms = (
+            task.down_since_ms
+            for task in self.startable_tasks(step)
+            if task.is_suspect and task.down_since_ms is not None
+        )
+        since_ms = min(down_since_ms, default=since_ms)
+        return now_ms - since_ms > MAX_SERVICE_WAIT_MS
 
     def _keep_more(
         self,
@@ -160,6 +211,22 @@
             candidate.reserved_for = job
 
 
+def _services_on_silent_workers(state: SchedulerState) -> Counter[TrackedStep]:
+    """Return the steps of services that are suspects once leases have ended.
+
+    :return: number of such tasks by step.
+    """
+    return Counter(
+        run.task.step
+        for worker in state.workers_by_id.values()
+        if worker.silent_since_ms is not None
+        for run in worker.runs
+        if run.task.step.spec.is_long_running
+        and not run.is_stopping
+        and run.task.lost_worker_count >= MIN_SUSPECT_LOSSES - 1
+    )
+
+
 def _reserve(
     workers: CandidateWorkers, worker_id: str, job: TrackedJob
 ) -> None:
@@ -176,6 +243,10 @@
     )
 
 
+def _worker_id(candidate: Candidate) -> str:
+    return candidate.worker.worker_id
+
+
 def _has_service(candidate: Candidate) -> bool:
     return any(
         run.task.step.spec.is_long_running for run in candidate.worker.runs
--- a/src/magnoliapitch/planner/worker_loss.py
+++ b/src/magnoliapitch/planner/worker_loss.py
@@ -115,6 +115,15 @@
             state.stop_step(run.task.step)
 
 
+def note_silence(worker: TrackedWorker, since_ms: int) -> None:
+    """Record since when the runs that are lost with a worker are down.
+
+    :param since_ms: when the worker answered last.
+    """
+    for run in worker.runs:
+        run.task.down_since_ms = since_ms
+
+
 def hold_suspects(
     lost: Iterable[LostRun], until_ms: int, silent_ms: int = 0
 ) -> None:
--- a/tests/control/test_suspects_over_leaders.py
+++ b/tests/control/test_suspects_over_leaders.py
@@ -151,3 +151,32 @@
         waits_ms.append(simulation.now_ms - gone_ms)
         assert simulation.violations == []
     assert waits_ms[1] <= waits_ms[0]
+
+
+# Incident LOST, again: a suspect began to wait for a worker of its own only
+# once the lease of the lost one had ended, and anew with each leader.
+@pytest.mark.parametrize("is_leader_lost", [False, True])
+def test_a_suspect_waits_for_a_worker_of_its_own_from_its_loss_on(
+    is_leader_lost: bool,
+) -> None:
+    waits_ms = []
+    for losses in (0, 1):
+        simulation = _with_fillers()
+        task = simulation.controller.state.task(TASK)
+        assert task is not None
+        task.worker_losses = losses
+        simulation.controller.state.unsaved_job_ids.add("service")
+        simulation.run(1_000)
+        [worker] = [
+            w for w in simulation.workers.values() if TASK in w.running
+        ]
+        worker.running.clear()
+        worker.is_gone = True
+        simulation.unreachable_worker_ids = {worker.info.worker_id}
+        gone_ms = simulation.now_ms
+        simulation.run(2_000)
+        if is_leader_lost:
+            lose_leader(simulation)
+        simulation.run_until(lambda s=simulation: s.starts[TASK] > 1)  # type: ignore[misc]
+        waits_ms.append(simulation.now_ms - gone_ms)
+    assert waits_ms[1] <= waits_ms[0]
--- a/tests/planner/test_worker_isolation.py
+++ b/tests/planner/test_worker_isolation.py
@@ -126,3 +126,27 @@
 
     assert start(99) == [innocent.key]
     assert start(100) == [suspect.key]
+
+
+# Incident BUDGET: a service does not wait for a worker of its own once leases
+# have ended, so that it would end workers of others if none were kept before.
+def test_a_worker_is_kept_for_a_service_while_its_lease_ends() -> None:
+    state, planner = SchedulerState(), Planner()
+    for info in workers(3):
+        state.update_worker(info).is_usable = True
+    service = StepSpec(1, SIZE, is_long_running=True)
+    state.add_job(JobSpec("suspect", "q", "text", (service,)), queue("q"), 0)
+    task = state.add_ordered_run(KEY, 1, "w000", 0).task
+    task.worker_losses = 1
+    worker = state.workers_by_id["w000"]
+    worker.is_usable, worker.silent_since_ms = False, 0
+    large = StepSpec(2, Resources(20_000, 4_000))
+    state.add_job(JobSpec("large", "q", "text", (large,)), queue("q"), 0)
+    [planned] = planner.plan(state, 10, 10).starts
+    state.add_ordered_run(planned.task, 1, planned.worker_id, 10)
+    state.remove_worker("w000")
+    task.worker_losses, task.down_since_ms = 2, 0
+    state.add_suspect(task)
+    starts = planner.plan(state, 5_000, 5_000).starts
+    assert [start.task for start in starts] == [KEY]
+    assert starts[0].worker_id != planned.worker_id
