--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -163,8 +163,6 @@
         run that was done.
     :ivar failed_run_numbers: numbers of the runs that have failed; the
         members of a gang share a number.
-    :ivar hold_until_ms: until when suspects wait for word of a worker that
-        they were lost with; 0 if there is none.
     :ivar unfinished_count: number of tasks that are not done; those of a
         long-running step never are.
     :ivar waiting_count: number of tasks that are waiting to be started.
@@ -186,7 +184,6 @@
         "failed_worker_ids",
         "finished_work",
         "first_number",
-        "hold_until_ms",
         "in_flight_worker_ids",
         "is_beyond_share",
         "is_held",
@@ -220,7 +217,6 @@
         self.unfinished_count = self.spec.task_count
         self.waiting_count = self.spec.task_count
         self.ready_ms: int | None = None
-        self.hold_until_ms = 0
         self.start_limit = sys.maxsize
         self.is_held = False
         self.is_beyond_share = False
@@ -310,6 +306,8 @@
     :ivar info: newest entry in the platform's list; None before the first.
     :ivar is_usable: whether it is listed, answered lately and is not avoided
         after failures.
+    :ivar silent_since_ms: when it answered last, if its runs wait for the end
+        of its leases; None otherwise.
     :ivar free: capacity that no run in ``runs`` reserves.
     :ivar unknown_run_count: number of runs in the worker's newest report that
         are not in ``runs``. They use capacity too, but how much is not known.
@@ -320,6 +318,7 @@
         "info",
         "is_usable",
         "runs",
+        "silent_since_ms",
         "unknown_run_count",
         "worker_id",
     )
@@ -328,6 +327,7 @@
         self.worker_id = worker_id
         self.info: WorkerInfo | None = None
         self.is_usable = False
+        self.silent_since_ms: int | None = None
         self.free = NO_RESOURCES
         self.runs: list[TrackedRun] = []
         self.unknown_run_count = 0
--- a/src/magnoliapitch/planner/worker_loss.py
+++ b/src/magnoliapitch/planner/worker_loss.py
@@ -115,6 +115,15 @@
             state.stop_step(run.task.step)
 
 
+def note_silence(worker: TrackedWorker, since_ms: int) -> None:
+    """Record since when the runs that are lost with a worker are down.
+
+    :param since_ms: when the worker answered last.
+    """
+    for run in worker.runs:
+        run.task.down_since_ms = since_ms
+
+
 def hold_suspects(
     lost: Iterable[LostRun], until_ms: int, silent_ms: int = 0
 ) -> None:
@@ -126,9 +135,9 @@
         tasks, which have been down since, are held for as much less.
     """
     for run in lost:
-        step = run.task.step
-        passed_ms = silent_ms if step.spec.is_long_running else 0
-        step.hold_until_ms = until_ms - passed_ms if run.task.is_suspect else 0
+        task = run.task
+        passed_ms = silent_ms if task.step.spec.is_long_running else 0
+        task.hold_until_ms = until_ms - passed_ms if task.is_suspect else 0
 
 
 def is_harmless(run: TrackedRun, now_ms: int) -> bool:
--- a/tests/planner/test_worker_isolation.py
+++ b/tests/planner/test_worker_isolation.py
@@ -1,8 +1,12 @@
 from __future__ import annotations
 
+import pytest
+
 from magnoliapitch.planner.planner import Planner
 from magnoliapitch.planner.scheduler_state import SchedulerState
 from magnoliapitch.planner.worker_isolation import MAX_WAIT_MS
+from magnoliapitch.planner.worker_loss import LostRun
+from magnoliapitch.planner.worker_loss import hold_suspects
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
@@ -93,3 +97,56 @@
     fixture.submit("large", StepSpec(2, Resources(20_000, 4_000)))
     plan = fixture.planner.plan(fixture.state, 10, 10)
     assert {planned.worker_id for planned in plan.starts} == {"w000", "w001"}
+
+
+# Incident LOST, again: a suspect held the innocent tasks of its step, and an
+# innocent one that was lost with it ended its hold.
+@pytest.mark.parametrize("is_suspect_last", [True, False])
+def test_a_suspect_is_held_alone_whatever_was_lost_with_it(
+    is_suspect_last: bool,
+) -> None:
+    state, planner = SchedulerState(), Planner()
+    for info in workers(3):
+        state.update_worker(info).is_usable = True
+    step = StepSpec(2, SIZE, is_long_running=True)
+    state.add_job(JobSpec("suspect", "q", "text", (step,)), queue("q"), 0)
+    suspect, innocent = state.jobs_by_id["suspect"].all_steps()[0].tasks
+    suspect.worker_losses = 2
+    state.add_suspect(suspect)
+    lost = [LostRun(task, 1, is_alone=False) for task in (suspect, innocent)]
+    hold_suspects(reversed(lost) if is_suspect_last else lost, 100)
+
+    def start(now_ms: int) -> list[TaskKey]:
+        starts = planner.plan(state, now_ms, now_ms).starts
+        for planned in starts:
+            state.add_ordered_run(
+                planned.task, planned.run, planned.worker_id, now_ms
+            )
+        return [planned.task for planned in starts]
+
+    assert start(99) == [innocent.key]
+    assert start(100) == [suspect.key]
+
+
+# Incident BUDGET: a service does not wait for a worker of its own once leases
+# have ended, so that it would end workers of others if none were kept before.
+def test_a_worker_is_kept_for_a_service_while_its_lease_ends() -> None:
+    state, planner = SchedulerState(), Planner()
+    for info in workers(3):
+        state.update_worker(info).is_usable = True
+    service = StepSpec(1, SIZE, is_long_running=True)
+    state.add_job(JobSpec("suspect", "q", "text", (service,)), queue("q"), 0)
+    task = state.add_ordered_run(KEY, 1, "w000", 0).task
+    task.worker_losses = 1
+    worker = state.workers_by_id["w000"]
+    worker.is_usable, worker.silent_since_ms = False, 0
+    large = StepSpec(2, Resources(20_000, 4_000))
+    state.add_job(JobSpec("large", "q", "text", (large,)), queue("q"), 0)
+    [planned] = planner.plan(state, 10, 10).starts
+    state.add_ordered_run(planned.task, 1, planned.worker_id, 10)
+    state.remove_worker("w000")
+    task.worker_losses, task.down_since_ms = 2, 0
+    state.add_suspect(task)
+    starts = planner.plan(state, 5_000, 5_000).starts
+    assert [start.task for start in starts] == [KEY]
+    assert starts[0].worker_id != planned.worker_id
