Let a waiting renewal fail once its worker is silent, in the new search

The simulation grants one more lease after a waiting renewal whose worker has fallen silent; the lease renewer posts the failure first, and gets none. A switch turns it on, so that the older schedules stay the same.

--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -296,7 +296,13 @@
                 simulation.schedule(20, lambda: self._renew(worker_id))
                 return
             if simulation.is_silent(worker_id) or worker.is_replaced:
-                self._renew(worker_id)
+                if not simulation.fails_waiting_renewals:
+                    self._renew(worker_id)
+                    return
+                self._answering_worker_ids.discard(worker_id)
+                lost = Err(may_have_run(FailureCode.TIMEOUT, "unreachable"))
+                self._report(worker_id, lost, sent_ms)
+                simulation.schedule(20, lambda: self._renew(worker_id))
                 return
             self._answering_worker_ids.add(worker_id)
             self._report(worker_id, Ok(worker.report()), sent_ms)
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -112,6 +112,9 @@
     :ivar cancelled_ms_by_job: when the cancellation of a job was stored.
     :ivar refuses_record: returns whether the store refuses a record of
         progress for good.
+    :ivar fails_waiting_renewals: whether a renewal that waits is reported as
+        failed once its worker has fallen silent, as by the lease renewer;
+        otherwise, another lease is granted first.
     :ivar on_commit: called with every batch that is to be stored.
     """
 
@@ -148,6 +151,7 @@
         )
         self.order_queue = OrderQueue(self)
         self.freezes_job_table = False
+        self.fails_waiting_renewals = False
         self.on_commit: Callable[[Batch], object] = lambda _: None
         self.refuses_record: Callable[[KeyedRecord], bool] = lambda _: False
         self.unreachable_worker_ids: set[str] = set()
