Let services that are down call the advisor first

Cause: calls to the advisor were divided between the queues by fair shares alone, so that all services that lost their workers at one moment shared a few calls with all other waiting work. Among themselves they came by their queue's priority and objective, not by how long they had been down.

Change: long-running steps that are down take calls before all others and beyond the shares of their queues, the one that was down longest first. Each queue with other steps and no urgent one keeps a call. Since when a task is down is when its last run was last reported; a new leader counts the runs that it took over as older than its own.

The new test of the order fails on (['a', 'b'] for ['b', 'a']); those of the budget need its new parameter.

--- a/src/magnoliapitch/planner/permit_budget.py
+++ b/src/magnoliapitch/planner/permit_budget.py
@@ -10,9 +10,11 @@
 
 if TYPE_CHECKING:
     from collections.abc import Collection
+    from collections.abc import Mapping
 
     from magnoliapitch.planner.plan import PlannedPermitRequest
     from magnoliapitch.planner.tracked import TrackedStep
+    from magnoliapitch.workload.job import StepKey
 
 
 # Tasks that may wait for permits, as a multiple of the starts in flight,
@@ -22,6 +24,8 @@
 # latency, orders queue on this machine or its link, and the order window
 # shrinks; so this is about the latency of orders that use all of it.
 TARGET_ORDER_LATENCY_MS = 100.0
+# Stands for the urgent steps of all queues; no queue has this name.
+URGENT = ""
 
 
 class PermitBudget:
@@ -33,11 +37,18 @@
     leaves of its share goes to the others. If there are fewer channels than
     queues, those with the steps of the lowest ranks get one each.
 
-    :param ranked_steps: all steps that wait for starts, in the order of
-        their rank.
+    Long-running steps that are down, or are about to be, are urgent: they
+    take calls before all others and beyond the shares of their queues, in the
+    order in which they are placed, the one that was down longest first. Each
+    queue that has other steps and no urgent one keeps a call as long as there
+    is a second one, so that none starves.
+
+    :param ranked_steps: all steps that wait for starts, or will, in the order
+        in which they are placed.
     :param max_calls: number of advisor calls that can be started now.
     :param max_starts_in_flight: number of start orders that may be without
         an answer at the same time.
+    :param urgent_keys: the steps among them that are urgent.
     """
 
     def __init__(
@@ -45,26 +56,38 @@
         ranked_steps: Collection[TrackedStep],
         max_calls: int,
         max_starts_in_flight: int,
+        urgent_keys: Collection[StepKey] = (),
     ) -> None:
+        self._urgent_keys = urgent_keys
         self._remaining_calls = max_calls
         self._max_starts_in_flight = max_starts_in_flight
         self._granted: list[PlannedPermitRequest] = []
         self._deferred: list[PlannedPermitRequest] = []
         self._awaiting_count_by_queue: Counter[str] = Counter()
         self._call_count_by_queue = Counter(
-            step.job.queue.name
+            self._queue_name(step)
             for step in ranked_steps
             if step.has_call_in_flight
         )
-        demand_by_queue = Counter(
-            step.job.queue.name
+        asking = [
+            step
             for step in ranked_steps
             if step.job.queue.permit_timing is not None
-        )
-        self._share_by_queue = fair_shares(
-            demand_by_queue, max_calls + self._call_count_by_queue.total()
+        ]
+        self._share_by_queue = _shares(
+            Counter(map(self._queue_name, asking)),
+            {
+                step.job.queue.name
+                for step in asking
+                if step.key in urgent_keys
+            },
+            max_calls + self._call_count_by_queue.total(),
         )
 
+    def _queue_name(self, step: TrackedStep) -> str:
+        """Return the queue whose share a step uses."""
+        return URGENT if step.key in self._urgent_keys else step.job.queue.name
+
     @property
     def is_used_up(self) -> bool:
         """Return whether no more calls can be made."""
@@ -72,7 +95,7 @@
 
     def record_awaiting(self, step: TrackedStep) -> None:
         """Count the tasks of a step that has a call under way."""
-        queue_name = step.job.queue.name
+        queue_name = self._queue_name(step)
         self._awaiting_count_by_queue[queue_name] += step.startable_count
 
     def may_request(self, step: TrackedStep, expected_call_ms: float) -> bool:
@@ -81,7 +104,7 @@
         They would not if more tasks of its queue wait for permits than can
         start until the advisor has answered, and shortly after.
         """
-        awaiting_count = self._awaiting_count_by_queue[step.job.queue.name]
+        awaiting_count = self._awaiting_count_by_queue[self._queue_name(step)]
         max_awaiting = self._max_starts_in_flight * (
             PREPARED_STARTS_FACTOR + expected_call_ms / TARGET_ORDER_LATENCY_MS
         )
@@ -91,7 +114,7 @@
 
     def add(self, step: TrackedStep, request: PlannedPermitRequest) -> None:
         """Grant a call, or defer it if its queue has used its share."""
-        queue_name = step.job.queue.name
+        queue_name = self._queue_name(step)
         self.record_awaiting(step)
         calls = self._call_count_by_queue[queue_name]
         if self.is_used_up or calls >= self._share_by_queue[queue_name]:
@@ -105,3 +128,26 @@
         """Return the calls to make; deferred ones use what is left."""
         left_over = self._deferred[: max(0, self._remaining_calls)]
         return (*self._granted, *left_over)
+
+
+def _shares(
+    demand_by_queue: Mapping[str, int],
+    urgent_queue_names: Collection[str],
+    total: int,
+) -> dict[str, int]:
+    """Return how many calls each queue, and all urgent steps, may have.
+
+    :param urgent_queue_names: queues that have urgent steps.
+    """
+    others = {name: demand for name, demand in demand_by_queue.items() if name}
+    ordered = dict(
+        sorted(others.items(), key=lambda item: item[0] in urgent_queue_names)
+    )
+    kept_count = len(others.keys() - urgent_queue_names)
+    urgent_share = min(
+        demand_by_queue.get(URGENT, 0), max(1, total - kept_count)
+    )
+    return {
+        URGENT: urgent_share,
+        **fair_shares(ordered, total - urgent_share),
+    }
--- a/src/magnoliapitch/planner/ranking.py
+++ b/src/magnoliapitch/planner/ranking.py
@@ -23,12 +23,13 @@
 
     :param is_planned: False for a long-running step of which a task has
         lost its run; True for every other step.
-    :param priority: the queue's priority.
+    :param priority: the queue's priority; 0 for all that are not planned.
     :param lateness: 0 while the job can complete within its objective, 1
         while a late completion still has some value, 2 after that.
     :param latest_start_ms: latest start of the step that still meets the
         objective; once that is missed, the latest start for a completion
-        that still has some value.
+        that still has some value; since when a task that has lost its run
+        has been without one.
     """
 
     is_planned: bool
@@ -37,14 +38,20 @@
     latest_start_ms: float
 
 
+def is_down(step: TrackedStep) -> bool:
+    """Return whether a long-running step has lost a run and waits."""
+    return step.spec.is_long_running and step.has_interrupted_task()
+
+
 def rank_of(
     step: TrackedStep, duration_estimator: DurationEstimator, now_ms: int
 ) -> Rank:
     """Return the rank of a step.
 
     A service whose task has ended is down for its users until the task runs
-    again, so it ranks before all work that has not begun. A service that
-    starts late still has its full value, so its lateness is always 0.
+    again, so it ranks before all work that has not begun, and before those
+    that went down later. A service that starts late still has its full value,
+    so its lateness is always 0.
 
     The objective and the latest start are kept on the step and computed
     again after ``RANK_REFRESH_INTERVAL_MS``.
@@ -70,9 +77,10 @@
         )
     latest_start_ms, objective_ms = step.latest_start_ms, step.objective_ms
     lateness = 0
+    if is_down(step):
+        return Rank(False, 0, lateness, step.down_since_ms())
     if step.spec.is_long_running:
-        is_planned = not step.has_interrupted_task()
-        return Rank(is_planned, job.queue.priority, lateness, latest_start_ms)
+        return Rank(True, job.queue.priority, lateness, latest_start_ms)
     if now_ms > latest_start_ms:
         latest_useful_start_ms = (
             latest_start_ms + (MAX_USEFUL_COMPLETION_RATIO - 1) * objective_ms
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -116,6 +116,16 @@
         """Return whether the worker may have received a start order."""
         return self.is_restored or self.order_sent_ms is not None
 
+    @property
+    def last_active_ms(self) -> int:
+        """Return when the run was last known to be active, or ordered.
+
+        A run of a former leader counts as ordered when this one began.
+        """
+        if self.confirmed_ms is None:
+            return self.ordered_ms
+        return self.confirmed_ms
+
     def mark_for_stop(self, reason: str) -> None:
         """Record that the run must be stopped.
 
@@ -279,6 +289,12 @@
         """Return whether a task that was started before has to start again."""
         return any(task.runs for task in self.startable_tasks())
 
+    def down_since_ms(self) -> int:
+        """Return since when an interrupted task has had no run."""
+        return min(
+            task.last_active_ms for task in self.startable_tasks() if task.runs
+        )
+
     def ticket(self, worker_id: str) -> tuple[str, int]:
         """Return the ticket for a worker and the end of its validity in ms."""
         return self.tickets_by_worker.get(worker_id, NO_TICKET)
--- a/src/magnoliapitch/planner/tracked_task.py
+++ b/src/magnoliapitch/planner/tracked_task.py
@@ -30,6 +30,8 @@
         does not pause.
     :ivar preemptions: number of runs that were stopped for more urgent work
         under this leader.
+    :ivar last_active_ms: when the last of its ended runs was last known to be
+        active; 0 if this leader knows of none.
     :ivar worker_crashes: workers that ended while a run was active there.
     :ivar worker_losses: workers that were lost so, but may only have been
         cut off.
@@ -41,6 +43,7 @@
         "failures",
         "is_done",
         "key",
+        "last_active_ms",
         "paused_until_ms",
         "preemptions",
         "runs",
@@ -59,6 +62,7 @@
         self.active_runs: list[TrackedRun] = []
         self.paused_until_ms = 0
         self.preemptions = 0
+        self.last_active_ms = 0
         self.worker_crashes = 0
         self.worker_losses = 0
 
@@ -105,6 +109,7 @@
     def remove(self, run: TrackedRun) -> None:
         """Remove a run that is certainly not active."""
         self.active_runs.remove(run)
+        self.last_active_ms = max(self.last_active_ms, run.last_active_ms)
         self.note_change()
 
     def finish(self) -> None:
--- a/tests/planner/test_permit_budget.py
+++ b/tests/planner/test_permit_budget.py
@@ -113,3 +113,42 @@
     requested = [asked.step for asked in budget.requests()]
     assert requested[0] == urgent.key
     assert len(requested) == 6
+
+
+# All tasks that were lost at one moment shared few calls with all other work.
+def test_urgent_steps_come_before_the_shares_of_other_queues() -> None:
+    urgent = [make_step(f"u{n}", queue="services") for n in range(10)]
+    planned = [make_step(f"s{n}", queue="services") for n in range(10)]
+    first = [make_step(f"a{n}", queue="a") for n in range(10)]
+    second = [make_step(f"b{n}", queue="b") for n in range(10)]
+    steps = [*urgent, *planned, *first, *second]
+    budget = PermitBudget(steps, 7, UNLIMITED, {step.key for step in urgent})
+    for step in steps:
+        budget.add(step, request(step))
+    assert budget.requests() == tuple(
+        map(request, [*urgent[:5], first[0], second[0]])
+    )
+
+
+def test_urgent_calls_under_way_leave_one_to_each_other_queue() -> None:
+    urgent = [
+        make_step(f"u{n}", queue="services", has_call=n < 5) for n in range(9)
+    ]
+    others = [make_step(f"a{n}", queue=f"q{n % 2}") for n in range(9)]
+    budget = PermitBudget(
+        [*urgent, *others], 2, UNLIMITED, {step.key for step in urgent}
+    )
+    for step in [*urgent[5:], *others]:
+        budget.add(step, request(step))
+    assert budget.requests() == tuple(map(request, others[:2]))
+
+
+def test_urgent_steps_use_what_other_queues_leave() -> None:
+    urgent = [make_step(f"u{n}", queue="services") for n in range(9)]
+    others = [make_step(f"a{n}", queue=f"q{n % 2}") for n in range(9)]
+    budget = PermitBudget(
+        [*urgent, *others], 7, UNLIMITED, {step.key for step in urgent}
+    )
+    for step in urgent:
+        budget.add(step, request(step))
+    assert budget.requests() == tuple(map(request, urgent[:7]))
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -8,6 +8,7 @@
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepKey
 from magnoliapitch.workload.job import StepSpec
+from magnoliapitch.workload.job import TaskKey
 from magnoliapitch.workload.run import Permit
 from magnoliapitch.workload.worker import WorkerInfo
 
@@ -201,3 +202,16 @@
     assert len(planner.plan(state, 1, 1, max_starts=8).starts) == 8
     starts = planner.plan(state, 1, 1, max_starts=13).starts
     assert sum(start.task.job_id == "c" for start in starts) == 6
+
+
+# Of services that were down, the one with the first objective came first.
+def test_the_service_that_was_down_longest_comes_first() -> None:
+    state = make_state(1)
+    service = StepSpec(1, Resources(1_000, 1_000), is_long_running=True)
+    for name, lost_ms, priority in (("a", 300, 0), ("b", 100, 5)):
+        add_job(state, service, name=name, priority=priority)
+        run = state.add_ordered_run(TaskKey(name, 0, 0, 0), 1, "w0", 0)
+        state.confirm_run(run, lost_ms)
+    state.lose_runs("w0")
+    starts = Planner().plan(state, 400, 400).starts
+    assert [start.task.job_id for start in starts] == ["b", "a"]
