Ask for permits before the lease of a lost worker ends

Cause: the advisor was asked only once the runs of a silent worker were given up. A call takes half a second and more, and few go on at a time, so that services started 0.6 s and more after the wait for the lease.

Change: the roster tells the state when the runs of a worker that does not answer are given up. From the first moment at which a permit outlasts that time, the planner requests permits for the long-running tasks there, with the urgent calls. It asks about a few workers that were permitted before and have room, else about others; a new leader knows none. The room is not kept, so that a worker that comes back costs a call. Nothing starts earlier: the runs count as active until they are given up. Permits for a suspect that is held are no longer requested while they would expire before it may start, but in time for it.

--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -153,6 +153,7 @@
     def record_report(self, worker_id: str, report: WorkerReport) -> None:
         """Record that a worker answers, so that it has not ended."""
         self._silent_worker_ids.discard(worker_id)
+        self._state.get_or_add_worker(worker_id).runs_lost_at_ms = None
         self._unproven_losses.record_answer(worker_id)
         self._count_unreported(worker_id, report)
 
@@ -189,6 +190,7 @@
         for worker in list(self._state.workers_by_id.values()):
             worker_id = worker.worker_id
             worker.is_usable = self._is_usable(worker_id, now_ms)
+            worker.runs_lost_at_ms = None
             if not self._reachability.is_reachable(worker_id, now_ms):
                 self._record_silence(worker, now_ms)
                 self._lose_runs_if_leases_expired(worker, now_ms)
@@ -271,7 +273,9 @@
         self, worker: TrackedWorker, now_ms: int
     ) -> None:
         worker_id = worker.worker_id
-        if now_ms < self._reachability.leases_expired_at_ms(worker_id):
+        lost_at_ms = self._reachability.leases_expired_at_ms(worker_id)
+        if now_ms < lost_at_ms:
+            worker.runs_lost_at_ms = lost_at_ms
             return
         if worker_id not in self.info_by_id:
             self.remove(worker_id, "unlisted", now_ms, has_crashed=False)
--- a/src/magnoliapitch/planner/candidates.py
+++ b/src/magnoliapitch/planner/candidates.py
@@ -34,6 +34,14 @@
         self.reserved_for: TrackedJob | None = None
         self.speed_class = 0
 
+    def copy(self) -> Candidate:
+        """Return a copy that can be reserved independently."""
+        copy = Candidate(self.worker, self.info)
+        copy.free = self.free
+        copy.reserved_for = self.reserved_for
+        copy.speed_class = self.speed_class
+        return copy
+
     def accepts(self, job: TrackedJob) -> bool:
         """Return whether the worker is not reserved for another job."""
         return self.reserved_for is None or self.reserved_for is job
@@ -62,6 +70,15 @@
         self._most_free_first: list[Candidate] | None = None
         self._by_class: defaultdict[int, list[Candidate]] | None = None
 
+    def copy(self) -> CandidateWorkers:
+        """Return copies that can be reserved independently."""
+        copy = CandidateWorkers(())
+        copy.candidates_by_id = {
+            worker_id: candidate.copy()
+            for worker_id, candidate in self.candidates_by_id.items()
+        }
+        return copy
+
     def eligible(self, step: TrackedStep) -> Iterator[Candidate]:
         """Return the workers that could run a step if the advisor permits.
 
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -7,11 +7,14 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from magnoliapitch.planner.ahead_requests import AheadRequests
 from magnoliapitch.planner.candidate_order import CandidateOrder
 from magnoliapitch.planner.candidate_order import SpeedOrder
 from magnoliapitch.planner.duration import LearnedDurations
 from magnoliapitch.planner.duration import MovingAverage
 from magnoliapitch.planner.evacuation import Evacuation
+from magnoliapitch.planner.expected_starts import expected_starts
+from magnoliapitch.planner.expected_starts import in_order
 from magnoliapitch.planner.fair_shares import fair_shares
 from magnoliapitch.planner.options import PlanningOptions
 from magnoliapitch.planner.permit_budget import PermitBudget
@@ -130,17 +133,20 @@
         if self.options.preemption:
             self._evacuation.mark(state, now_ms)
             stragglers = self._stragglers.find(state, now_ms)
-        if not state.waiting_steps and not stragglers:
+        expected = expected_starts(state, now_ms)
+        if not state.waiting_steps and not stragglers and not expected:
             return Plan(stops=self._planned_stops(state))
         if max_starts_in_flight is None:
             max_starts_in_flight = max_starts
         workspace_round = WorkspaceRound(state)
         ranked_steps = workspace_round.order(self._ranked_steps(state, now_ms))
+        ordered_steps = in_order(ranked_steps, expected)
         permit_budget = PermitBudget(
-            [*ranked_steps, *(run.task.step for run in stragglers)],
+            [*ordered_steps, *(run.task.step for run in stragglers)],
             max_calls,
             max_starts_in_flight,
-            {step.key for step in ranked_steps if is_down(step)},
+            {step.key for step in ranked_steps if is_down(step)}
+            | expected.keys(),
         )
         planning_round = PlanningRound(
             state,
@@ -151,8 +157,15 @@
             workspace_round,
             self._candidate_order(),
         )
+        ahead_requests = AheadRequests(
+            planning_round, expected, self._candidate_order(), now_ms
+        )
         examined_count = self._place(
-            ranked_steps, planning_round, workspace_round, now_ms
+            ordered_steps,
+            planning_round,
+            workspace_round,
+            ahead_requests,
+            now_ms,
         )
         if self.options.preemption:
             self._preemption.mark(
@@ -175,17 +188,24 @@
 
     def _place(
         self,
-        ranked_steps: list[TrackedStep],
+        ordered_steps: list[TrackedStep],
         planning_round: PlanningRound,
         workspace_round: WorkspaceRound,
+        ahead_requests: AheadRequests,
         now_ms: int,
     ) -> int:
-        """Place the steps in their order; return how many were examined."""
+        """Place the steps in their order; return how many were examined.
+
+        Those without a waiting task only have permits requested ahead.
+        """
         examined_count = 0
-        remaining_by_queue = _examined_steps_by_queue(ranked_steps)
-        for step in ranked_steps:
+        remaining_by_queue = _examined_steps_by_queue(ordered_steps)
+        for step in ordered_steps:
             if planning_round.is_complete:
                 break
+            ahead_requests.request(step)
+            if not step.waiting_count:
+                continue
             if not remaining_by_queue[step.job.queue.name]:
                 continue
             if not workspace_round.lets_start(step):
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -9,14 +9,17 @@
 from magnoliapitch.planner.candidates import CandidateWorkers
 from magnoliapitch.planner.candidates import free_task_count
 from magnoliapitch.planner.candidates import idle_task_count
+from magnoliapitch.planner.expected_starts import is_held
+from magnoliapitch.planner.permit_calls import MAX_WORKERS_PER_CALL
+from magnoliapitch.planner.permit_calls import TICKET_MIN_REMAINING_MS
+from magnoliapitch.planner.permit_calls import enough_candidates
+from magnoliapitch.planner.permit_calls import expected_call_ms
 from magnoliapitch.planner.plan import PlannedPermitRequest
 from magnoliapitch.planner.plan import PlannedStart
 from magnoliapitch.resource import NO_RESOURCES
 
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from magnoliapitch.planner.candidate_order import CandidateOrder
     from magnoliapitch.planner.permit_budget import PermitBudget
     from magnoliapitch.planner.scheduler_state import SchedulerState
@@ -26,18 +29,6 @@
     from magnoliapitch.workload.job import StepKey
 
 
-# A ticket must still be valid when the start order reaches the worker.
-TICKET_MIN_REMAINING_MS = 400
-# The advisor accepts no more workers in one call.
-MAX_WORKERS_PER_CALL = 100
-# A large part of a call's duration does not depend on the number of workers,
-# so calls about fewer of them save little.
-MIN_WORKERS_PER_CALL = 30
-# Share of the workers in a call that the advisor is expected to permit.
-EXPECTED_PERMITTED_SHARE = 0.35
-# Free capacity that the permitted workers should have together, as a multiple
-# of what the waiting tasks of the step need.
-CAPACITY_MARGIN_RATIO = 1.5
 # Gangs that do not fit yet and for which capacity is reserved. The limit is
 # low because each occupies an advisor call most of the time, to renew tickets.
 MAX_GANGS_WITH_RESERVED_CAPACITY = 4
@@ -106,6 +97,8 @@
         if step.has_call_in_flight:
             self._permit_budget.record_awaiting(step)
             self._workspace_round.record_awaiting(step)
+        if is_held(step, self._now_ms):
+            return
         candidates = self._allowed_candidates(step)
         chosen = self._choose(step, candidates) if candidates else []
         if is_gang and len(chosen) < step.waiting_count:
@@ -194,7 +187,7 @@
         self, step: TrackedStep, candidates: list[Candidate]
     ) -> bool:
         """Return whether at least half the tickets outlast their renewal."""
-        renewal_ms = _expected_call_ms(
+        renewal_ms = expected_call_ms(
             step, min(len(candidates), MAX_WORKERS_PER_CALL)
         )
         min_valid_until_ms = (
@@ -240,7 +233,9 @@
                 for candidate in ordered
                 if candidate.worker.worker_id not in step.asked_worker_ids
             )
-            self.request_permits(step, _enough_candidates(step, not_asked))
+            self.request_permits(
+                step, enough_candidates(step, not_asked, step.startable_count)
+            )
 
     def _with_spare_candidates(
         self,
@@ -263,31 +258,44 @@
 
     def _can_call_advisor(self, step: TrackedStep) -> bool:
         return (
-            not step.has_call_in_flight
-            and step.key not in self._steps_with_request
+            not self._has_call(step)
             and step.job.queue.permit_timing is not None
             and self._workspace_round.may_request(step)
         )
 
+    def _has_call(self, step: TrackedStep) -> bool:
+        return step.has_call_in_flight or step.key in self._steps_with_request
+
     def request_permits(
         self, step: TrackedStep, candidates: list[Candidate]
     ) -> None:
         """Plan a call about workers, unless one is planned or under way."""
-        if not candidates or not self._can_call_advisor(step):
-            return
+        if candidates and self._can_call_advisor(step):
+            self._add_request(step, candidates)
+
+    def request_ahead(
+        self, step: TrackedStep, candidates: list[Candidate]
+    ) -> None:
+        """Plan a call for tasks whose runs count towards quotas as yet."""
+        if candidates and not self._has_call(step):
+            self._add_request(step, candidates)
+
+    def _add_request(
+        self, step: TrackedStep, candidates: list[Candidate]
+    ) -> None:
         worker_ids = dict.fromkeys(
             candidate.worker.worker_id for candidate in candidates
         )
         asked = tuple(worker_ids)[:MAX_WORKERS_PER_CALL]
-        expected_call_ms = _expected_call_ms(step, len(asked))
-        if not self._permit_budget.may_request(step, expected_call_ms):
+        call_ms = expected_call_ms(step, len(asked))
+        if not self._permit_budget.may_request(step, call_ms):
             return
         self._workspace_round.record_awaiting(step)
         self._steps_with_request.add(step.key)
         self._permit_budget.add(
             step,
             PlannedPermitRequest(
-                step.key, asked, step.job.queue.priority, expected_call_ms
+                step.key, asked, step.job.queue.priority, call_ms
             ),
         )
 
@@ -310,7 +318,7 @@
             step,
             fitting,
             partial(self.has_ticket, step),
-            _expected_call_ms(step, 1),
+            expected_call_ms(step, 1),
             self._now_ms,
         )
         for candidate in ordered:
@@ -349,28 +357,6 @@
             )
 
 
-def _enough_candidates(
-    step: TrackedStep, candidates: Iterable[Candidate]
-) -> list[Candidate]:
-    """Return enough workers for a step to fit on those permitted of them."""
-    needed_count = (
-        CAPACITY_MARGIN_RATIO * step.startable_count / EXPECTED_PERMITTED_SHARE
-    )
-    selected: list[Candidate] = []
-    fitting_count = 0
-    for candidate in candidates:
-        if len(selected) >= MAX_WORKERS_PER_CALL:
-            break
-        if (
-            fitting_count >= needed_count
-            and len(selected) >= MIN_WORKERS_PER_CALL
-        ):
-            break
-        selected.append(candidate)
-        fitting_count += free_task_count(candidate, step)
-    return selected
-
-
 def _most_free_cpu_first(candidate: Candidate) -> int:
     return -candidate.free.cpu_millis
 
@@ -383,12 +369,3 @@
         free_task_count(candidate, step),
         int(free_soon // max(1, step.reservation.cpu_millis)),
     )
-
-
-def _expected_call_ms(step: TrackedStep, worker_count: int) -> float:
-    permit_timing = step.job.queue.permit_timing
-    if permit_timing is None:
-        return 0.0
-    return (
-        permit_timing.decision_ms + permit_timing.per_worker_ms * worker_count
-    )
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -327,6 +327,8 @@
     :ivar is_usable: whether it is listed, answered lately and is not avoided
         after failures.
     :ivar free: capacity that no run in ``runs`` reserves.
+    :ivar runs_lost_at_ms: when its runs are given up unless it answers
+        before, for a worker that does not answer; None for one that does.
     :ivar unknown_run_count: number of runs in the worker's newest report that
         are not in ``runs``. They use capacity too, but how much is not known.
     """
@@ -336,6 +338,7 @@
         "info",
         "is_usable",
         "runs",
+        "runs_lost_at_ms",
         "unknown_run_count",
         "worker_id",
     )
@@ -346,6 +349,7 @@
         self.is_usable = False
         self.free = NO_RESOURCES
         self.runs: list[TrackedRun] = []
+        self.runs_lost_at_ms: int | None = None
         self.unknown_run_count = 0
 
     @property
