Count the tasks that will start, rather than their steps

Held suspects are looked up among the suspects instead of among all waiting steps, and each task has its own time from which it may start: one place, _hold_until_ms, tells it. A step of which only some tasks are held asks for the others at once.

--- a/src/magnoliapitch/planner/expected_starts.py
+++ b/src/magnoliapitch/planner/expected_starts.py
@@ -17,6 +17,7 @@
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedRun
     from magnoliapitch.planner.tracked import TrackedStep
+    from magnoliapitch.planner.tracked_task import TrackedTask
     from magnoliapitch.workload.job import StepKey
 
 
@@ -51,30 +52,22 @@
         self.down_since_ms = now_ms
         self.may_be_suspect = False
 
-    def add_run(self, run: TrackedRun, lost_at_ms: int) -> None:
-        """Add the task of a run that is given up at a time."""
-        members = self.step.tasks if self.step.spec.is_gang else [run.task]
-        self.task_count = min(
-            self.task_count + len(members), len(self.step.tasks)
-        )
-        self.start_ms = max(self.start_ms, lost_at_ms)
-        self.down_since_ms = min(self.down_since_ms, run.last_active_ms)
-        if run.task.lost_worker_count + 1 >= MIN_SUSPECT_LOSSES:
-            self.may_be_suspect = True
-
-    def add_waiting(self, held_until_ms: int) -> None:
-        """Add the tasks of the step that wait already.
+    def add(
+        self, task: TrackedTask, start_ms: int, down_since_ms: int
+    ) -> None:
+        """Add a task, with its whole gang.
 
-        :param held_until_ms: until when they are held; 0 if they are not.
+        :param start_ms: from when the task may start.
+        :param down_since_ms: since when it has no run.
         """
         step = self.step
-        self.task_count = min(
-            self.task_count + step.waiting_count, len(step.tasks)
-        )
-        self.start_ms = max(self.start_ms, held_until_ms)
-        if is_down(step):
-            self.down_since_ms = min(self.down_since_ms, step.down_since_ms())
-        if any(task.is_suspect for task in step.startable_tasks()):
+        count = len(step.tasks) if step.spec.is_gang else 1
+        self.task_count = min(self.task_count + count, len(step.tasks))
+        self.start_ms = max(self.start_ms, start_ms)
+        self.down_since_ms = min(self.down_since_ms, down_since_ms)
+        # The loss of an active run counts once more.
+        losses = task.lost_worker_count + len(task.active_runs)
+        if losses >= MIN_SUSPECT_LOSSES:
             self.may_be_suspect = True
 
 
@@ -88,37 +81,42 @@
     longer held as suspects.
     """
     expected: dict[StepKey, ExpectedStart] = {}
+
+    def add(task: TrackedTask, start_ms: int, down_since_ms: int) -> None:
+        if _is_due(task.step, start_ms, now_ms):
+            key = task.step.key
+            start = expected.setdefault(key, ExpectedStart(task.step, now_ms))
+            start.add(task, start_ms, down_since_ms)
+
     for worker in state.workers_by_id.values():
-        lost_at_ms = worker.runs_lost_at_ms
-        if lost_at_ms is None:
-            continue
-        for run in worker.runs:
-            step = run.task.step
-            if _starts_again(run) and _is_due(step, lost_at_ms, now_ms):
-                start = expected.setdefault(
-                    step.key, ExpectedStart(step, now_ms)
-                )
-                start.add_run(run, lost_at_ms)
-    for step in state.waiting_steps.values():
-        if not step.spec.is_long_running:
-            continue
-        held_until_ms = step.hold_until_ms if is_held(step, now_ms) else 0
-        if not _is_due(step, held_until_ms, now_ms):
-            expected.pop(step.key, None)
-        elif step.key in expected or held_until_ms:
-            start = expected.setdefault(step.key, ExpectedStart(step, now_ms))
-            start.add_waiting(held_until_ms)
+        if worker.runs_lost_at_ms is not None:
+            for run in filter(_starts_again, worker.runs):
+                add(run.task, worker.runs_lost_at_ms, run.last_active_ms)
+    for task in state.suspects_by_key.values():
+        hold_until_ms = _hold_until_ms(task)
+        if _waits_as_service(task) and now_ms < hold_until_ms:
+            add(task, hold_until_ms, task.last_active_ms)
+    for step in [start.step for start in expected.values()]:
+        for task in step.startable_tasks():
+            if now_ms >= _hold_until_ms(task):
+                add(task, 0, task.last_active_ms)
     return expected
 
 
 def is_held(step: TrackedStep, now_ms: int) -> bool:
-    """Return whether a long-running step is held as a suspect.
+    """Return whether no task of a long-running step may start as yet.
 
-    Permits that it gets meanwhile may expire before it can start.
+    Permits that a held suspect gets may expire before it can start.
     """
-    if not step.spec.is_long_running or now_ms >= step.hold_until_ms:
+    if not step.spec.is_long_running:
         return False
-    return any(task.is_suspect for task in step.startable_tasks())
+    held = (now_ms < _hold_until_ms(task) for task in step.startable_tasks())
+    return any(held) if step.spec.is_gang else all(held)
+
+
+def _hold_until_ms(task: TrackedTask) -> int:
+    """Return until when a task is held as a suspect; 0 if it is not."""
+    return task.step.hold_until_ms if task.is_suspect else 0
 
 
 def in_order(
@@ -148,6 +146,15 @@
     return ordered
 
 
+def _waits_as_service(task: TrackedTask) -> bool:
+    step = task.step
+    return (
+        step.spec.is_long_running
+        and task.is_waiting
+        and step.job.outcome is JobOutcome.OPEN
+    )
+
+
 def _is_down_before(step: TrackedStep, since_ms: int) -> bool:
     return is_down(step) and step.down_since_ms() <= since_ms
 
--- a/tests/control/test_permits_ahead.py
+++ b/tests/control/test_permits_ahead.py
@@ -137,3 +137,15 @@
     simulation.run(10_000)
     assert simulation.starts[outage.tasks[0]] <= 2
     assert simulation.violations == []
+
+
+# A task that is placed apart from other jobs can use few of the workers.
+def test_a_suspect_starts_as_soon_as_its_lease_is_over() -> None:
+    outage = Outage(services=1)
+    task = outage.simulation.controller.state.task(outage.tasks[0])
+    assert task is not None
+    task.worker_losses = 1
+    outage.take_workers_away()
+    outage.backlog(30)
+    assert outage.start_delays_ms()[-1] <= MAX_START_MS
+    assert task.is_suspect
