--- a/src/magnoliapitch/planner/tracked_task.py
+++ b/src/magnoliapitch/planner/tracked_task.py
@@ -32,6 +32,8 @@
         worker that it was lost with; 0 if it does not.
     :ivar preemptions: number of runs that were stopped for more urgent work
         under this leader.
+    :ivar last_active_ms: when the last of its ended runs was last known to be
+        active; 0 if this leader knows of none.
     :ivar worker_crashes: workers that ended while a run was active there.
     :ivar worker_losses: workers that were lost so, but may only have been
         cut off.
@@ -44,6 +46,7 @@
         "hold_until_ms",
         "is_done",
         "key",
+        "last_active_ms",
         "paused_until_ms",
         "preemptions",
         "runs",
@@ -63,6 +66,7 @@
         self.paused_until_ms = 0
         self.hold_until_ms = 0
         self.preemptions = 0
+        self.last_active_ms = 0
         self.worker_crashes = 0
         self.worker_losses = 0
 
@@ -113,6 +117,7 @@
     def remove(self, run: TrackedRun) -> None:
         """Remove a run that is certainly not active."""
         self.active_runs.remove(run)
+        self.last_active_ms = max(self.last_active_ms, run.last_active_ms)
         self.note_change()
 
     def finish(self) -> None:
