--- a/src/magnoliapitch/planner/expected_starts.py
+++ b/src/magnoliapitch/planner/expected_starts.py
@@ -116,7 +116,7 @@
 
 def _hold_until_ms(task: TrackedTask) -> int:
     """Return until when a task is held as a suspect; 0 if it is not."""
-    return task.step.hold_until_ms if task.is_suspect else 0
+    return task.hold_until_ms if task.is_suspect else 0
 
 
 def in_order(
--- a/tests/control/missing_runs.py
+++ b/tests/control/missing_runs.py
@@ -31,7 +31,7 @@
 
 # From the end of the last lease to the start, permits and commits included.
 START_BOUND_MS = 900
-# A leader that begins has read a list of workers and heard from workers through
+# A leader that begins has read a list of workers and heard from them through
 # its agents after this time; a worker that answers again has been called.
 HEARD_AFTER_MS = 1_200
 # What the shared clock loses with each claim, since readings are as old as
