--- a/tests/planner/test_ahead_requests.py
+++ b/tests/planner/test_ahead_requests.py
@@ -137,7 +137,7 @@
     step.tasks[0].worker_losses = 2
     fixture.state.lose_runs("w0")
     fixture.state.add_suspect(step.tasks[0])
-    step.hold_until_ms = LOST_AT_MS
+    step.tasks[0].hold_until_ms = LOST_AT_MS
     assert not fixture.plan(FIRST_ASK_MS - 1).permit_requests
     plan = fixture.plan(FIRST_ASK_MS)
     assert len(plan.permit_requests) == 1
