--- a/tests/control/test_search_finds_faults.py
+++ b/tests/control/test_search_finds_faults.py
@@ -20,7 +20,14 @@
 from hypothesis.strategies import SearchStrategy
 
 from magnoliapitch.control.job_loader import JobLoader
+from magnoliapitch.control.reachability import WorkerReachability
+from magnoliapitch.control.stored_leases import StoredLeases
+from magnoliapitch.control.timing import LEASE_EXPIRY_MARGIN_MS
+from magnoliapitch.control.timing import MIN_CLOCK_RATE_RATIO
+from magnoliapitch.control.timing import ControlTiming
 from magnoliapitch.ledger.elapsed_clock import ElapsedClock
+from magnoliapitch.ledger.elapsed_clock import LeaderClock
+from magnoliapitch.planner.ahead_requests import AheadRequests
 from magnoliapitch.planner.tracked import TrackedStep
 from magnoliapitch.workload.run import EndKind
 from tests.control.job_strategies import jobs
@@ -30,6 +37,8 @@
 from tests.control.test_accepted_jobs_search import Search
 from tests.control.test_leaders_lost_at_each_step import CASES
 from tests.control.test_leaders_lost_at_each_step import LostLeader
+from tests.control.test_time_without_run import CASES as WAIT_CASES
+from tests.control.test_time_without_run import play as play_wait
 
 
 MAX_CASES = 60
@@ -61,6 +70,7 @@
     _play_search,
 )
 LOST_LEADERS = _Kind(CASES, _play_lost_leader)
+WAITS = _Kind(WAIT_CASES, play_wait)
 
 
 class Mutant(NamedTuple):
@@ -72,7 +82,7 @@
 
     owner: type
     name: str
-    patch: Callable[..., Any]
+    patch: Any
     kind: _Kind
 
 
@@ -85,6 +95,11 @@
     return add
 
 
+def _takeover_ms_and_a_second(timing: ControlTiming) -> int:
+    longest_ms = (timing.lease_ms + 1_000) / MIN_CLOCK_RATE_RATIO
+    return int(longest_ms) + LEASE_EXPIRY_MARGIN_MS
+
+
 MUTANTS = {
     "review/4: jobs of queues that were removed are left out": Mutant(
         JobLoader, "_add", _skip_unknown_queues(JobLoader._add), ACCEPTED_JOBS
@@ -101,6 +116,27 @@
         lambda _, stamp: stamp.elapsed_ms,
         LOST_LEADERS,
     ),
+    "LOST, issue 46: the wait for leases begins anew": Mutant(
+        ElapsedClock,
+        "continue_as",
+        lambda _, epoch, former, now_ms: LeaderClock(epoch, epoch, -now_ms),
+        WAITS,
+    ),
+    "LOST, issue 46: stored silence is not used": Mutant(
+        StoredLeases, "inherited_end_ms", lambda *_: None, WAITS
+    ),
+    "LOST: leases are waited for a second longer": Mutant(
+        ControlTiming,
+        "takeover_ms",
+        property(_takeover_ms_and_a_second),
+        WAITS,
+    ),
+    "LOST: advice is asked for after the wait": Mutant(
+        AheadRequests, "request", lambda *_: None, WAITS
+    ),
+    "LOST: suspects are held anew by each leader": Mutant(
+        WorkerReachability, "lost_ms", WorkerReachability.silent_ms, WAITS
+    ),
 }
 
 
