--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -322,6 +322,8 @@
     :ivar info: newest entry in the platform's list; None before the first.
     :ivar is_usable: whether it is listed, answered lately and is not avoided
         after failures.
+    :ivar silent_since_ms: when it answered last, if its runs wait for the end
+        of its leases; None otherwise.
     :ivar free: capacity that no run in ``runs`` reserves.
     :ivar runs_lost_at_ms: when its runs are given up unless it answers
         before, for a worker that does not answer; None for one that does.
@@ -335,6 +337,7 @@
         "is_usable",
         "runs",
         "runs_lost_at_ms",
+        "silent_since_ms",
         "unknown_run_count",
         "worker_id",
     )
@@ -343,6 +346,7 @@
         self.worker_id = worker_id
         self.info: WorkerInfo | None = None
         self.is_usable = False
+        self.silent_since_ms: int | None = None
         self.free = NO_RESOURCES
         self.runs: list[TrackedRun] = []
         self.runs_lost_at_ms: int | None = None
