--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -116,6 +116,16 @@
         """Return whether the worker may have received a start order."""
         return self.is_restored or self.order_sent_ms is not None
 
+    @property
+    def last_active_ms(self) -> int:
+        """Return when the run was last known to be active, or ordered.
+
+        A run of a former leader counts as ordered when this one began.
+        """
+        if self.confirmed_ms is None:
+            return self.ordered_ms
+        return self.confirmed_ms
+
     def mark_for_stop(self, reason: str) -> None:
         """Record that the run must be stopped.
 
@@ -275,6 +285,12 @@
         """Return whether a task that was started before has to start again."""
         return any(task.runs for task in self.startable_tasks())
 
+    def down_since_ms(self) -> int:
+        """Return since when an interrupted task has had no run."""
+        return min(
+            task.last_active_ms for task in self.startable_tasks() if task.runs
+        )
+
     def ticket(self, worker_id: str) -> tuple[str, int]:
         """Return the ticket for a worker and the end of its validity in ms."""
         return self.tickets_by_worker.get(worker_id, NO_TICKET)
@@ -309,6 +325,8 @@
     :ivar silent_since_ms: when it answered last, if its runs wait for the end
         of its leases; None otherwise.
     :ivar free: capacity that no run in ``runs`` reserves.
+    :ivar runs_lost_at_ms: when its runs are given up unless it answers
+        before, for a worker that does not answer; None for one that does.
     :ivar unknown_run_count: number of runs in the worker's newest report that
         are not in ``runs``. They use capacity too, but how much is not known.
     """
@@ -318,6 +336,7 @@
         "info",
         "is_usable",
         "runs",
+        "runs_lost_at_ms",
         "silent_since_ms",
         "unknown_run_count",
         "worker_id",
@@ -330,6 +349,7 @@
         self.silent_since_ms: int | None = None
         self.free = NO_RESOURCES
         self.runs: list[TrackedRun] = []
+        self.runs_lost_at_ms: int | None = None
         self.unknown_run_count = 0
 
     @property
