Count the validity of tickets from the advisor's answer

Cause: a ticket counted as expired `valid-ms` after the call had been sent, although the advisor issues it when it answers, after its set time for the call.

Change: the validity begins at the call's sending and its set duration, or at the answer if that came sooner. A call that waits at the advisor or behind another instance is answered later, never sooner.

--- a/src/magnoliapitch/control/advisor_calls.py
+++ b/src/magnoliapitch/control/advisor_calls.py
@@ -24,6 +24,9 @@
 class AdvisorCalls:
     """Makes advisor calls without waiting for their answers.
 
+    Tickets are valid from the answer of the advisor, which takes its set time
+    for each call, on its own or on a relaying instance's connection.
+
     :param channels: channels for advisor calls.
     """
 
@@ -62,7 +65,10 @@
     ) -> None:
         sent_ms = self._clock.now_ms()
         outcome = self._channels.call(channel, request, timeout_ms)
-        post(PermitsAnswered(request, outcome, sent_ms))
+        issued_ms = min(
+            sent_ms + int(request.expected_call_ms), self._clock.now_ms()
+        )
+        post(PermitsAnswered(request, outcome, issued_ms))
 
 
 __all__ = ["AdvisorCalls"]
--- a/src/magnoliapitch/control/events.py
+++ b/src/magnoliapitch/control/events.py
@@ -107,11 +107,15 @@
 
 
 class PermitsAnswered(NamedTuple):
-    """An advisor call was answered or has failed."""
+    """An advisor call was answered or has failed.
+
+    :param issued_ms: earliest time at which the advisor can have issued the
+        tickets, by this instance's clock.
+    """
 
     request: PlannedPermitRequest
     outcome: Result[tuple[Permit, ...], Failure]
-    sent_ms: int
+    issued_ms: int
 
 
 Event = (
--- a/src/magnoliapitch/control/permit_requester.py
+++ b/src/magnoliapitch/control/permit_requester.py
@@ -69,5 +69,5 @@
             permitted=len(permits),
         )
         self._state.record_permits(
-            key, event.request.worker_ids, permits, event.sent_ms + valid_ms
+            key, event.request.worker_ids, permits, event.issued_ms + valid_ms
         )
