Move the delay before a claim into a module of its own

Leadership read the stream, stored the leader's records and also decided how long an instance waits for a silent leader. No change of behaviour: tests/ledger passes with only its imports changed.

--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -14,6 +14,7 @@
 from result import Result
 
 from magnoliapitch.event import log_event
+from magnoliapitch.ledger.claim_delay import ClaimDelay
 from magnoliapitch.ledger.elapsed_clock import LeaderClock
 from magnoliapitch.ledger.leader_appender import APPEND_TIMEOUT_MS
 from magnoliapitch.ledger.leader_appender import LeaderAppender
@@ -56,18 +57,6 @@
 EPOCH_STEP = 1 << 20
 # A claim's first sequence number is a random one of this size.
 SEQUENCE_BITS = 30
-# Time without a record of the leader after which others may claim.
-LEADER_TIMEOUT_MS = 1_000
-# A slow store delivers the leader's records late, so that a claim waits longer
-# by the duration of this many reads.
-READ_DURATION_FACTOR = 3
-# Random delays spread the claims of several instances.
-MAX_CLAIM_JITTER_MS = 300
-MAX_RESIGNED_JITTER_MS = 60
-# A leader that resigns is being restarted, and the instances often are in
-# turn. Those that have not been yet leave the claim to one that has.
-LONGER_RUNNING_CLAIM_DELAY_MS = 100
-FIRST_CLAIM_DELAY_MS = 300
 READ_WAIT_MS = 800
 # Records accumulate between two reads, which saves calls to the store. An
 # instance that claims late does not need to notice a silent leader soon.
@@ -124,7 +113,6 @@
         self._health = health
         self._random = randomness
         self._can_lead = can_lead
-        self._extra_claim_delay_ms = extra_claim_delay_ms
         self._mirror = StreamMirror(streams, STATE_STREAM)
         # Held while records that were read are applied, in the order read.
         self._apply_lock = threading.Lock()
@@ -133,8 +121,9 @@
         self._sent_ms_by_read: dict[int, int] = {}
         no_writer = Writer(PRODUCER, 0, 0)
         self._appender = self._open_appender(no_writer, no_writer)
-        self._last_heard_ms = clock.now_ms()
-        self._claim_delay_ms = FIRST_CLAIM_DELAY_MS + extra_claim_delay_ms
+        self._claim_delay = ClaimDelay(
+            instance_id, randomness, extra_claim_delay_ms, clock.now_ms()
+        )
         self._may_claim = True
         self._read_interval_ms = (
             LATE_CLAIMANT_READ_INTERVAL_MS
@@ -142,7 +131,6 @@
             else READ_INTERVAL_MS
         )
         self._read_ms: int | None = None
-        self._first_read_epoch: int | None = None
         self._has_claimed = threading.Event()
 
     def step(self) -> int:
@@ -152,16 +140,14 @@
         """
         if self.claim is not None:
             return self._read_interval_ms
-        remaining_ms = self._claim_delay_ms - (
-            self._clock.now_ms() - self._last_heard_ms
-        )
+        remaining_ms = self._claim_delay.remaining_ms(self._clock.now_ms())
         wait_ms = min(READ_WAIT_MS, max(0, remaining_ms))
         started_ms = self._clock.now_ms()
         followed = self.follow(wait_ms)
         if isinstance(followed, Err):
             # The leader's records could not be read, so that its timeout
             # starts anew.
-            self._last_heard_ms = self._clock.now_ms()
+            self._claim_delay.postpone(self._clock.now_ms())
             return RETRY_DELAY_MS
         if wait_ms < READ_WAIT_MS:
             read_duration_ms = self._clock.now_ms() - started_ms - wait_ms
@@ -282,8 +268,7 @@
         """Stop leading, since another claim was seen or the instance stops."""
         self.claim = None
         self._has_claimed.clear()
-        self._last_heard_ms = self._clock.now_ms()
-        self._claim_delay_ms = self._random_claim_delay_ms()
+        self._claim_delay.restart(self._clock.now_ms())
 
     def _handle_changes(
         self,
@@ -291,47 +276,16 @@
         keys: Iterable[str],
         read: ReadTimes,
     ) -> None:
-        self._last_heard_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
         self._state_table.apply(values_by_key, keys, read)
-        leader = self._state_table.leader
-        if self._first_read_epoch is None:
-            self._first_read_epoch = leader.epoch if leader else 0
-        if leader is not None and leader.has_resigned:
-            self._claim_delay_ms = self._resigned_claim_delay_ms(leader)
-        elif leader is not None and leader.instance_id == self._instance_id:
-            # The leader was an earlier process of this instance, which has
-            # certainly ended.
-            self._claim_delay_ms = 0
-        else:
-            self._claim_delay_ms = self._random_claim_delay_ms()
-
-    def _resigned_claim_delay_ms(self, leader: LeaderRecord) -> int:
-        """Return the delay of a claim after a resignation.
-
-        An instance that found the leader in office when it started has been
-        started later than the leader.
-        """
-        jitter_ms = self._random.randrange(MAX_RESIGNED_JITTER_MS)
-        is_younger = self._first_read_epoch == leader.epoch
-        return (
-            jitter_ms
-            + self._extra_claim_delay_ms
-            + (0 if is_younger else LONGER_RUNNING_CLAIM_DELAY_MS)
-        )
-
-    def _random_claim_delay_ms(self) -> int:
-        jitter_ms = self._random.randrange(MAX_CLAIM_JITTER_MS)
-        return LEADER_TIMEOUT_MS + jitter_ms + self._extra_claim_delay_ms
+        self._claim_delay.record_heard(self._state_table.leader, now_ms)
 
     def _claim_if_leader_silent(self, read_duration_ms: int) -> None:
         end_offset = self._apply_changes(self._read_ms)
-        silent_ms = self._clock.now_ms() - self._last_heard_ms
-        required_ms = (
-            self._claim_delay_ms + READ_DURATION_FACTOR * read_duration_ms
-        )
-        if silent_ms < required_ms or not self._may_claim:
+        checked_ms = self._clock.now_ms()
+        if not self._claim_delay.is_over(checked_ms, read_duration_ms):
             return
-        if not self._can_lead():
+        if not self._may_claim or not self._can_lead():
             return
         leader = self._state_table.leader
         last_epoch = leader.epoch if leader else 0
@@ -372,7 +326,11 @@
         )
         self.claim = Claim(record, now_ms, clock)
         self._has_claimed.set()
-        log_event("leadership-claimed", epoch=epoch, silent_ms=silent_ms)
+        log_event(
+            "leadership-claimed",
+            epoch=epoch,
+            silent_ms=self._claim_delay.silent_ms(checked_ms),
+        )
 
     def _open_appender(
         self, state_writer: Writer, progress_writer: Writer
@@ -398,8 +356,7 @@
     def _handle_failed_claim(
         self, record: LeaderRecord, failure: Failure
     ) -> None:
-        self._claim_delay_ms = self._random_claim_delay_ms()
-        self._last_heard_ms = self._clock.now_ms()
+        self._claim_delay.restart(self._clock.now_ms())
         log_event(
             "leadership-claim-failed",
             epoch=record.epoch,
--- a/tests/ledger/test_elapsed_clock.py
+++ b/tests/ledger/test_elapsed_clock.py
@@ -2,9 +2,9 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.ledger.claim_delay import LEADER_TIMEOUT_MS
 from magnoliapitch.ledger.elapsed_clock import ClockStamp
 from magnoliapitch.ledger.elapsed_clock import ElapsedClock
-from magnoliapitch.ledger.leadership import LEADER_TIMEOUT_MS
 from magnoliapitch.ledger.state_table import StateTable
 
 
--- a/tests/ledger/test_leadership.py
+++ b/tests/ledger/test_leadership.py
@@ -8,11 +8,11 @@
 from result import Err
 
 from magnoliapitch.control.worker_tokens import next_token
+from magnoliapitch.ledger.claim_delay import LEADER_TIMEOUT_MS
+from magnoliapitch.ledger.claim_delay import LONGER_RUNNING_CLAIM_DELAY_MS
+from magnoliapitch.ledger.claim_delay import MAX_RESIGNED_JITTER_MS
 from magnoliapitch.ledger.health import StoreHealth
 from magnoliapitch.ledger.leader_appender import Batch
-from magnoliapitch.ledger.leadership import LEADER_TIMEOUT_MS
-from magnoliapitch.ledger.leadership import LONGER_RUNNING_CLAIM_DELAY_MS
-from magnoliapitch.ledger.leadership import MAX_RESIGNED_JITTER_MS
 from magnoliapitch.ledger.leadership import Leadership
 from magnoliapitch.ledger.records import LEADER_KEY
 from magnoliapitch.ledger.records import PROGRESS_STREAM
