Claim after a resignation without waiting out slow reads

Cause: under a slow store a claim waits longer by three reads, since the leader's records come late, and it is preceded by another read. A leader that has resigned stores nothing more, so that both only delayed the hand-over.

Change: after a resignation the delay is not prolonged, and no read precedes the claim if it would take longer than what is left of the delay. The store refuses a claim that another one has overtaken. An instance that may not lead reads on. No further calls: one read less.

Test: test_a_resigned_leader_is_followed_without_another_slow_read failed before (840 ms after the resignation was heard, allowed 170).

--- a/src/magnoliapitch/ledger/claim_delay.py
+++ b/src/magnoliapitch/ledger/claim_delay.py
@@ -32,6 +32,8 @@
 
     :param extra_ms: how much longer than other instances this one waits.
     :param now_ms: the present time by this instance's clock.
+    :ivar follows_resignation: whether the leader has said that it stops, so
+        that it can't be heard any more.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         extra_ms: int,
         now_ms: int,
     ) -> None:
+        self.follows_resignation = False
         self._instance_id = instance_id
         self._random = randomness
         self._extra_ms = extra_ms
@@ -56,6 +59,7 @@
         self._heard_ms = now_ms
         if self._first_read_epoch is None:
             self._first_read_epoch = leader.epoch if leader else 0
+        self.follows_resignation = leader is not None and leader.has_resigned
         if leader is not None and leader.has_resigned:
             self._delay_ms = self._resigned_delay_ms(leader)
         elif leader is not None and leader.instance_id == self._instance_id:
@@ -67,6 +71,7 @@
 
     def restart(self, now_ms: int) -> None:
         """Begin a new delay, as if a leader had been heard now."""
+        self.follows_resignation = False
         self._heard_ms = now_ms
         self._delay_ms = self._random_delay_ms()
 
@@ -88,6 +93,8 @@
         :param read_duration_ms: how long the store took for the newest read.
         """
         late_ms = READ_DURATION_FACTOR * read_duration_ms
+        if self.follows_resignation:
+            late_ms = 0
         return self.remaining_ms(now_ms) + late_ms <= 0
 
     def _resigned_delay_ms(self, leader: LeaderRecord) -> int:
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -131,6 +131,8 @@
             else READ_INTERVAL_MS
         )
         self._read_ms: int | None = None
+        # How long the store took for the newest read that no record ended.
+        self._read_duration_ms = 0
         self._has_claimed = threading.Event()
 
     def step(self) -> int:
@@ -142,6 +144,9 @@
             return self._read_interval_ms
         remaining_ms = self._claim_delay.remaining_ms(self._clock.now_ms())
         wait_ms = min(READ_WAIT_MS, max(0, remaining_ms))
+        if self._claims_unread(remaining_ms):
+            self._claim_if_leader_silent(0)
+            return wait_ms
         started_ms = self._clock.now_ms()
         followed = self.follow(wait_ms)
         if isinstance(followed, Err):
@@ -156,6 +161,21 @@
             return 0
         return self._read_interval_ms
 
+    def _claims_unread(self, remaining_ms: int) -> bool:
+        """Return whether to claim without another read.
+
+        A leader that has resigned stores nothing more, and the store refuses
+        the claim if another one has been stored since the last read.
+
+        :param remaining_ms: time until this instance may claim.
+        """
+        return (
+            self._claim_delay.follows_resignation
+            and remaining_ms < self._read_duration_ms
+            and self._may_claim
+            and self._can_lead()
+        )
+
     def wait_for_claim(self, timeout_ms: int) -> Claim | None:
         """Wait until this instance leads; return its claim, or None."""
         self._has_claimed.wait(timeout_ms / 1000)
@@ -183,7 +203,7 @@
         :param wait_ms: how long to wait for a first new record.
         """
         sent_ms = self._clock.now_ms()
-        previous_ms = self._read_ms
+        previous_ms, former_end = self._read_ms, self._mirror.end
         read_number = next(self._read_numbers)
         self._sent_ms_by_read[read_number] = sent_ms
         try:
@@ -192,6 +212,9 @@
                 self._health.note_failure(outcome.err_value)
                 return outcome
             self._health.note_success(sent_ms)
+            if self._mirror.end == former_end:
+                waited_ms = self._clock.now_ms() - sent_ms
+                self._read_duration_ms = max(0, waited_ms - wait_ms)
             self._read_ms = max(self._read_ms or 0, sent_ms)
             self.has_loaded = True
             self._apply_changes(previous_ms)
--- a/tests/ledger/memory_streams.py
+++ b/tests/ledger/memory_streams.py
@@ -48,6 +48,7 @@
     :ivar responses_to_lose: number of appends that are carried out but fail
         with a timeout.
     :ivar before_append: called before every append.
+    :ivar before_read: called before every read.
     :ivar appends: number of calls to append.
     :ivar reads: number of calls to read.
     :ivar max_read_records: most records that one read returns.
@@ -60,6 +61,7 @@
         self.outage: Failure | None = None
         self.responses_to_lose = 0
         self.before_append: Callable[[], object] = lambda: None
+        self.before_read: Callable[[], object] = lambda: None
         self.appends = 0
         self.invalid_keys: set[str] = set()
         self.reads = 0
@@ -119,6 +121,7 @@
     ) -> Result[StreamSlice, Failure]:
         del wait_ms, timeout_ms
         self.reads += 1
+        self.before_read()
         if self.outage:
             return Err(self.outage)
         if self.reads_until_outage is not None:
--- a/tests/ledger/test_leadership.py
+++ b/tests/ledger/test_leadership.py
@@ -36,6 +36,7 @@
 
 BATCH = Batch((KeyedRecord("p.0", b"1"),), (KeyedRecord("s.0", b"pq"),))
 AFTER_TIMEOUT_MS = 2 * LEADER_TIMEOUT_MS
+SLOW_READ_MS = 200
 
 
 def become_leader(leadership: Leadership, clock: ManualClock) -> None:
@@ -369,3 +370,41 @@
     assert leadership.wait_for_claim(60_000) is leadership.claim
     leadership.step_down()
     assert leadership.wait_for_claim(0) is None
+
+
+# Under a slow store, the first claim after a resignation came as late as
+# three reads of the silence, and a fourth before the claim, take.
+def test_a_resigned_leader_is_followed_without_another_slow_read(
+    make_leadership: MakeLeadership, streams: MemoryStreams, clock: ManualClock
+) -> None:
+    leader, other = make_leadership("a"), make_leadership("b")
+    become_leader(leader, clock)
+    other.step()
+    streams.before_read = lambda: clock.advance(SLOW_READ_MS)
+    other.follow()
+    leader.resign()
+    other.follow()
+    heard_ms, reads = clock.now_ms(), streams.reads
+    while other.claim is None:
+        clock.advance(10)
+        other.step()
+    delay_ms = MAX_RESIGNED_JITTER_MS + LONGER_RUNNING_CLAIM_DELAY_MS
+    assert clock.now_ms() - heard_ms <= delay_ms + 10
+    assert streams.reads == reads
+
+
+def test_an_instance_that_may_not_lead_reads_on_after_a_resignation(
+    make_leadership: MakeLeadership, streams: MemoryStreams, clock: ManualClock
+) -> None:
+    leader, other = make_leadership("a"), make_leadership("b")
+    become_leader(leader, clock)
+    streams.before_read = lambda: clock.advance(SLOW_READ_MS)
+    other.follow()
+    other.follow()
+    leader.resign()
+    other.resign()
+    for _ in range(3):
+        reads = streams.reads
+        other.step()
+        assert streams.reads > reads
+    assert other.claim is None
