Let a load go on after the pages that were read

Cause: when one page of the newest records came too late, the next attempt began with the first page again, which under a slow store costs the same time once more.

Change: the mirror keeps the pages and the end that the first one names; the next attempt goes on after the last key.

Test: test_a_load_goes_on_after_the_pages_that_were_read failed before (the second attempt read the first page again, and failed as well).

--- a/src/magnoliapitch/ledger/mirror.py
+++ b/src/magnoliapitch/ledger/mirror.py
@@ -12,6 +12,7 @@
 from result import Result
 
 from magnoliapitch.event import log_event
+from magnoliapitch.ledger.stream import StoredRecord
 from magnoliapitch.verdict import FailureCode
 
 
@@ -19,7 +20,6 @@
     from collections.abc import Iterable
 
     from magnoliapitch.ledger.stream import KeyedStreams
-    from magnoliapitch.ledger.stream import StoredRecord
     from magnoliapitch.verdict import Failure
 
 
@@ -37,6 +37,16 @@
     end: int
 
 
+class _PartialLoad(NamedTuple):
+    """Pages of the newest records, as far as they were read.
+
+    :param end: end of the stream that the first page names.
+    """
+
+    records: tuple[StoredRecord, ...]
+    end: int
+
+
 class StreamMirror:
     """Local copy of one stream; can be refreshed from several threads.
 
@@ -56,6 +66,8 @@
         self._offset_by_key: dict[str, int] = {}
         # Keys that have changed and were not returned yet.
         self._unreported_keys: set[str] = set()
+        # Pages of a load that failed, which the next one goes on from.
+        self._partial_load: _PartialLoad | None = None
 
     def refresh(
         self, wait_ms: int = 0, timeout_ms: int = READ_TIMEOUT_MS
@@ -131,13 +143,17 @@
 
     def _load(self, timeout_ms: int) -> Result[None, Failure]:
         """Read the newest record of every key, page by page."""
-        records: list[StoredRecord] = []
-        end: int | None = None
-        after_key = ""
+        with self._lock:
+            partial, self._partial_load = self._partial_load, None
+        records = list(partial.records) if partial else []
+        end = partial.end if partial else None
         has_more = True
         while has_more:
+            after_key = records[-1].key if records else ""
             page = self._streams.newest(self._stream, after_key, timeout_ms)
             if isinstance(page, Err):
+                if end is not None:
+                    self._partial_load = _PartialLoad(tuple(records), end)
                 return page
             content = page.ok_value
             # Pages are not one snapshot: reading continues at the end that the
@@ -145,7 +161,6 @@
             end = content.end if end is None else end
             records += content.records
             has_more = content.has_more and bool(content.records)
-            after_key = records[-1].key if records else ""
         with self._lock:
             self._unreported_keys |= self._apply(records)
             self._unreported_keys |= self._remove_absent(records, end or 0)
--- a/tests/ledger/test_mirror.py
+++ b/tests/ledger/test_mirror.py
@@ -1,16 +1,21 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Any
 
 from result import Err
 
 from magnoliapitch.ledger.mirror import StreamMirror
 from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import may_have_run
 from magnoliapitch.verdict import not_run
+from tests.ledger.memory_streams import PAGE_RECORD_COUNT
 
 
 if TYPE_CHECKING:
+    import pytest
+
     from tests.ledger.memory_streams import MemoryStreams
 
 
@@ -97,3 +102,28 @@
     assert isinstance(mirror.refresh(), Err)
     streams.reads_until_outage = None
     assert changed(mirror) == {f"k{number}" for number in range(6)}
+
+
+# Under a slow store, a new leader whose last page was late began anew with the
+# first one.
+def test_a_load_goes_on_after_the_pages_that_were_read(
+    streams: MemoryStreams, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for number in range(2 * PAGE_RECORD_COUNT):
+        put(streams, f"k{number}", b"1")
+    newest = streams.newest
+    after_keys: list[str] = []
+
+    def answer_every_other(stream: str, after_key: str, _: int) -> Any:
+        after_keys.append(after_key)
+        if len(after_keys) % 2 == 0:
+            return Err(may_have_run(FailureCode.TIMEOUT, "no answer"))
+        return newest(stream, after_key)
+
+    monkeypatch.setattr(streams, "newest", answer_every_other)
+    mirror = StreamMirror(streams, "s")
+    assert mirror.refresh().is_err()
+    put(streams, "k0", b"2")
+    assert len(changed(mirror)) == 2 * PAGE_RECORD_COUNT
+    assert after_keys == ["", "k2", "k2"]
+    assert changed(mirror) == {"k0"}
