Load progress and jobs at the same time

Change: both are read at the same time, after former leaders are fenced. That is safe in either order: once they are fenced no progress is added, and whatever job has some was submitted before, so that the jobs include it. They are applied one after the other, as one job's records must be. The load can be given up early. No calls are added.

Test: test_progress_and_jobs_are_loaded_at_the_same_time and test_a_load_that_is_not_wanted_any_more_is_not_waited_for failed before (TypeError: load() had no such parameter).

--- a/src/magnoliapitch/ledger/job_follower.py
+++ b/src/magnoliapitch/ledger/job_follower.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import wait
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -16,6 +18,8 @@
 from magnoliapitch.ledger.records import JOB_STREAM
 from magnoliapitch.ledger.records import PROGRESS_STREAM
 from magnoliapitch.ledger.stream import KeyedRecord
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import not_run
 
 
 if TYPE_CHECKING:
@@ -30,6 +34,7 @@
 
 READ_WAIT_MS = 800
 LOAD_TIMEOUT_MS = 2_000
+LOAD_POLL_MS = 100
 RETRY_DELAY_MS = 200
 
 
@@ -59,24 +64,51 @@
         self._notify_read = notify_read
         self._streams = streams
         self._job_mirror = StreamMirror(streams, JOB_STREAM)
+        self._progress_mirror = StreamMirror(streams, PROGRESS_STREAM)
 
     @property
     def end(self) -> int:
         """Return the offset up to which the job stream was read."""
         return self._job_mirror.end
 
-    def load(self) -> Result[None, Failure]:
-        """Read all progress, then all jobs, into the job table.
+    def load(
+        self,
+        timeout_ms: int = LOAD_TIMEOUT_MS,
+        goes_on: Callable[[], bool] = lambda: True,
+    ) -> Result[None, Failure]:
+        """Read all progress and all jobs into the job table.
 
         Former leaders must be fenced before this call, so that they cannot
-        store more progress after it was read.
+        store more progress: whatever job has some is then among the jobs,
+        which are read at the same time. A call after a failure goes on from
+        what was read.
+
+        :param timeout_ms: how long each call may take.
+        :param goes_on: called repeatedly meanwhile; returns whether to wait
+            any longer.
         """
-        progress_mirror = StreamMirror(self._streams, PROGRESS_STREAM)
-        progress = progress_mirror.refresh(timeout_ms=LOAD_TIMEOUT_MS)
-        if isinstance(progress, Err):
-            return progress
-        self.job_table.apply(progress_mirror.values_by_key, progress.ok_value)
-        return self.follow(timeout_ms=LOAD_TIMEOUT_MS)
+        mirrors = (self._progress_mirror, self._job_mirror)
+        sent_ms = self._clock.now_ms()
+        executor = ThreadPoolExecutor(len(mirrors), "loading")
+        reads = [
+            executor.submit(mirror.read, timeout_ms=timeout_ms)
+            for mirror in mirrors
+        ]
+        executor.shutdown(wait=False)
+        while wait(reads, LOAD_POLL_MS / 1000).not_done:
+            if not goes_on():
+                return Err(not_run(FailureCode.SHUTTING_DOWN, "not wanted"))
+        for read in reads:
+            outcome = read.result()
+            if isinstance(outcome, Err):
+                self._health.note_failure(outcome.err_value)
+                return outcome
+        self._health.note_success(sent_ms)
+        for mirror in mirrors:
+            changed_keys = mirror.take_changes().value_by_key
+            self.job_table.apply(mirror.values_by_key, changed_keys)
+        self.read_ms = sent_ms
+        return Ok(None)
 
     def step(self) -> int:
         """Wait for changes of the job stream and read them.
--- a/tests/ledger/test_job_follower.py
+++ b/tests/ledger/test_job_follower.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import threading
+
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -16,6 +18,9 @@
     import pytest
 
 
+DEADLINE_S = 10.0
+
+
 # Under a slow store, each new leader gave up reading the jobs after 0.6 s and
 # the next one claimed, so that nobody led for seconds.
 def test_a_new_leader_gives_every_read_the_time_to_load(
@@ -37,3 +42,47 @@
         PROGRESS_STREAM: LOAD_TIMEOUT_MS,
         JOB_STREAM: LOAD_TIMEOUT_MS,
     }
+
+
+class BlockingStreams(MemoryStreams):
+    """Answers no reading of newest records before the test lets it.
+
+    :ivar begun: streams that such a reading has begun of.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.begun: set[str] = set()
+        self.release = threading.Event()
+
+    def newest(
+        self, stream: str, after_key: str = "", timeout_ms: int = 1_000
+    ) -> Any:
+        self.begun.add(stream)
+        self.release.wait(DEADLINE_S)
+        return super().newest(stream, after_key, timeout_ms)
+
+
+# Under a slow store, a new leader waited for the progress and then for the
+# jobs, each of which takes seconds.
+def test_progress_and_jobs_are_loaded_at_the_same_time() -> None:
+    streams = BlockingStreams()
+    clock = ManualClock(0)
+    follower = JobFollower(streams, clock, StoreHealth(clock), lambda *_: None)
+
+    def goes_on() -> bool:
+        if streams.begun == {PROGRESS_STREAM, JOB_STREAM}:
+            streams.release.set()
+        return True
+
+    assert follower.load(goes_on=goes_on).is_ok()
+    assert streams.release.is_set()
+
+
+def test_a_load_that_is_not_wanted_any_more_is_not_waited_for() -> None:
+    streams = BlockingStreams()
+    clock = ManualClock(0)
+    follower = JobFollower(streams, clock, StoreHealth(clock), lambda *_: None)
+    assert follower.load(goes_on=lambda: False).is_err()
+    assert not streams.release.is_set()
+    streams.release.set()
