Keep a claim while its leader waits for a slow store

Cause: a new leader stores nothing between its claim and its first heartbeat. Under a store 60 times as slow it reads the jobs for longer than the others wait for a silent leader, so that one after the other claimed and was replaced; and a whole read was given up after 2 s, with its claim kept by nobody. Slow was taken for away.

Change: between claim and first states the leader stores its claim again every 0.3 s, under its own epoch, for 10 s at most: one that can store but not read still gives way. A kept claim without an answer is repeated before its sequence number stands for other records, which the store would take for a repeat. Once states are stored, a claim never is again. A replaced leader learns it from its claim, not after its read. A leader that is cut off stores nothing, so that its place is lost as before.

--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -26,12 +26,12 @@
 from magnoliapitch.control.events import StopAnswered
 from magnoliapitch.control.events import WorkerReported
 from magnoliapitch.control.events import WorkersListed
+from magnoliapitch.control.leader_preparation import REPLACED_CODES
+from magnoliapitch.control.leader_preparation import LeaderPreparation
 from magnoliapitch.control.periodic_call import PeriodicCall
 from magnoliapitch.control.worker_group import WorkerGroup
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.planner import DEFAULT_OPTIONS
-from magnoliapitch.verdict import Failure
-from magnoliapitch.verdict import FailureCode
 
 
 if TYPE_CHECKING:
@@ -50,6 +50,7 @@
     from magnoliapitch.planner.options import PlanningOptions
     from magnoliapitch.planner.plan import PlannedPermitRequest
     from magnoliapitch.planner.plan import PlannedStart
+    from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.configuration import Configuration
     from magnoliapitch.workload.run import StartOrder
     from magnoliapitch.workload.run import StopOrder
@@ -117,6 +118,9 @@
         self._own_cores = own_cores
         self._options = options
         self._committer = Committer(leadership, clock)
+        self._preparation = LeaderPreparation(
+            leadership, clock, lambda: not self._is_stopping
+        )
         self._advisor_calls = AdvisorCalls(clients.advisor_channels, clock)
         self._worker_reading = PeriodicCall(
             "workers",
@@ -165,14 +169,10 @@
         job_follower = self._open_job_follower(
             lambda *read: self.post(JobsRead(*read))
         )
-        for prepare in (
-            self._leadership.fence_former_leaders,
-            job_follower.load,
-        ):
-            outcome = prepare()
-            if isinstance(outcome, Err):
-                self._handle_unprepared(outcome.err_value)
-                return None
+        prepared = self._preparation.run(claim, job_follower)
+        if isinstance(prepared, Err):
+            self._handle_unprepared(prepared.err_value)
+            return None
         self._events = queue.SimpleQueue()
         self._worker_reading.expedite()
         self._upkeep.expedite()
@@ -225,7 +225,7 @@
         return 0 if job_follower is None else job_follower.step()
 
     def _handle_unprepared(self, failure: Failure) -> None:
-        if failure.code in (FailureCode.FENCED, FailureCode.SEQUENCE):
+        if failure.code in REPLACED_CODES:
             self._leadership.step_down()
         log_event("leadership-unprepared", reason=failure.detail)
 
@@ -245,6 +245,7 @@
         started_ms = self._clock.now_ms()
         self._worker_reading.begin_if_due(started_ms)
         self._upkeep.begin_if_due(started_ms)
+        self._preparation.keep_claim()
         for event in self._next_events():
             self._dispatch(controller, event)
         now_ms = self._clock.now_ms()
--- a/src/magnoliapitch/ledger/leader_appender.py
+++ b/src/magnoliapitch/ledger/leader_appender.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -48,6 +50,7 @@
 
     :param state_writer: writer of the stream of states.
     :param progress_writer: writer of the stream of progress.
+    :param claim: record of the claim, stored again by :meth:`keep_claim`.
     """
 
     def __init__(
@@ -57,12 +60,19 @@
         health: StoreHealth,
         state_writer: Writer,
         progress_writer: Writer,
+        claim: KeyedRecord | None = None,
     ) -> None:
         self._streams = streams
         self._clock = clock
         self._health = health
         self._state_writer = state_writer
         self._progress_writer = progress_writer
+        self._claim = claim
+        # Whether the claim may have been stored under the next sequence
+        # number. It is sent again before that number stands for other records.
+        self._is_claim_unanswered = False
+        # Held during each append of states.
+        self._state_lock = threading.Lock()
         self._batch: Batch | None = None
         self._progress_calls = RecordCalls(())
         self._state_calls = RecordCalls(())
@@ -112,8 +122,41 @@
     ) -> Result[int, Failure]:
         """Append records of states in one call.
 
+        From then on, the claim is not stored again.
+
         :return: the end of the stream.
         """
+        with self._state_lock:
+            if self._is_claim_unanswered:
+                outcome = self._append_claim()
+                if isinstance(outcome, Err):
+                    return outcome
+            self._claim = None
+            return self._append_states(records)
+
+    def keep_claim(self) -> Result[int, Failure]:
+        """Store the claim again, unless states were stored since.
+
+        Other instances see that the leader is there while it still prepares.
+
+        :return: the end of the stream; 0 if nothing was to be stored.
+        """
+        with self._state_lock:
+            return Ok(0) if self._claim is None else self._append_claim()
+
+    def _append_claim(self) -> Result[int, Failure]:
+        claim = self._claim
+        if claim is None:
+            return Ok(0)
+        self._is_claim_unanswered = True
+        outcome = self._append_states([claim])
+        if not isinstance(outcome, Err):
+            self._is_claim_unanswered = False
+        return outcome
+
+    def _append_states(
+        self, records: Sequence[KeyedRecord]
+    ) -> Result[int, Failure]:
         writer = self._state_writer
         outcome = self._append(STATE_STREAM, records, writer)
         if not isinstance(outcome, Err):
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -253,6 +253,14 @@
         """
         return self._appender.append_progress([])
 
+    def keep_claim(self) -> Result[None, Failure]:
+        """Store the claim again, while this instance prepares to lead.
+
+        Others do not take it for silent then. Once the leader has stored
+        states, nothing more is stored.
+        """
+        return self._appender.keep_claim().map(lambda _: None)
+
     def commit(
         self,
         batch: Batch,
@@ -345,7 +353,9 @@
         self._mirror.skip_to(outcome.ok_value.end)
         self._state_table.leader = record
         self._appender = self._open_appender(
-            with_next_sequence(writer), writer
+            with_next_sequence(writer),
+            writer,
+            KeyedRecord(LEADER_KEY, encode_leader(record)),
         )
         self.claim = Claim(record, now_ms, clock)
         self._has_claimed.set()
@@ -356,7 +366,10 @@
         )
 
     def _open_appender(
-        self, state_writer: Writer, progress_writer: Writer
+        self,
+        state_writer: Writer,
+        progress_writer: Writer,
+        claim: KeyedRecord | None = None,
     ) -> LeaderAppender:
         return LeaderAppender(
             self._streams,
@@ -364,6 +377,7 @@
             self._health,
             state_writer,
             progress_writer,
+            claim,
         )
 
     def _first_sequence(self) -> int:
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -62,6 +62,9 @@
     def fence_former_leaders(self) -> Result[int, Failure]:
         return Ok(0)
 
+    def keep_claim(self) -> Result[None, Failure]:
+        return Ok(None)
+
     def step_down(self) -> None:
         self.claim = None
 
@@ -85,7 +88,7 @@
         self.end = 0
         self.read_ms = 0
 
-    def load(self) -> Result[None, Failure]:
+    def load(self, *_: object) -> Result[None, Failure]:
         return Ok(None)
 
 
