Resign when told to stop before the leadership is prepared

Change: the preparation ends when the instance stops, and it resigns.

Test: test_an_instance_that_stops_before_it_is_prepared_resigns failed before (the driver never gave up its claim).

--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -164,7 +164,10 @@
 
     def _start_leading(self) -> Controller | None:
         claim = self._leadership.wait_for_claim(STANDBY_WAIT_MS)
-        if claim is None or self._is_stopping:
+        if claim is None:
+            return None
+        if self._is_stopping:
+            self._stop_leading()
             return None
         job_follower = self._open_job_follower(
             lambda *read: self.post(JobsRead(*read))
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -39,11 +39,13 @@
     """Answers no commit until released; the first one then fails.
 
     :ivar batches: the batches of all calls to ``commit``.
+    :ivar has_resigned: whether the leader said that it stops.
     """
 
     def __init__(self, clock: MonotonicClock) -> None:
         self.claim: Claim | None = None
         self.batches: list[Batch] = []
+        self.has_resigned = False
         self.is_first_committing = threading.Event()
         self.release = threading.Event()
         self._clock = clock
@@ -65,6 +67,9 @@
     def keep_claim(self) -> Result[None, Failure]:
         return Ok(None)
 
+    def resign(self) -> None:
+        self.has_resigned = True
+
     def step_down(self) -> None:
         self.claim = None
 
@@ -176,6 +181,18 @@
     members.release.set()
 
 
+# It read all jobs first, or never resigned if it could not: others waited for
+# it as for a leader that is lost.
+def test_an_instance_that_stops_before_it_is_prepared_resigns() -> None:
+    clock = MonotonicClock()
+    leadership = SlowLeadership(clock)
+    driver = make_driver(clock, leadership, NoSystems(), NoSystems())
+    leadership.claim_with(epoch=1)
+    driver.stop()
+    step_until(driver, lambda: leadership.claim is None)
+    assert leadership.has_resigned
+
+
 def make_driver(
     clock: MonotonicClock,
     leadership: SlowLeadership,
