--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -172,13 +172,12 @@
         job_follower = self._open_job_follower(
             lambda *read: self.post(JobsRead(*read))
         )
-        self._events = queue.SimpleQueue()
-        self._worker_reading.expedite()
-        self._worker_reading.begin_if_due(self._clock.now_ms())
         prepared = self._preparation.run(claim, job_follower)
         if isinstance(prepared, Err):
             self._handle_unprepared(prepared.err_value)
             return None
+        self._events = queue.SimpleQueue()
+        self._worker_reading.expedite()
         self._upkeep.expedite()
         controller = Controller(
             claim.record,
@@ -303,7 +302,7 @@
             self._timing.worker_list_validity_ms // LIST_TIMEOUT_DIVISOR
         )
         return found.map(
-            lambda info: self._events.put(WorkersListed(info, read_ms))
+            lambda info_by_id: self.post(WorkersListed(info_by_id, read_ms))
         )
 
     def _maintain(self) -> Result[None, Failure]:
