--- a/src/magnoliapitch/ledger/leader_appender.py
+++ b/src/magnoliapitch/ledger/leader_appender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import zlib
 
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -18,6 +19,8 @@
 
 
 if TYPE_CHECKING:
+    import random
+
     from collections.abc import Callable
     from collections.abc import Sequence
 
@@ -29,6 +32,8 @@
 
 
 APPEND_TIMEOUT_MS = 800
+# A claim's first sequence number is a random one of this size.
+SEQUENCE_BITS = 30
 
 
 class Batch(NamedTuple):
@@ -189,9 +194,20 @@
         return Ok(outcome.ok_value.end)
 
 
+def first_sequence(instance_id: str, randomness: random.Random) -> int:
+    """Return a sequence number that no other instance's claim begins with.
+
+    The store takes an append with the same epoch and number for a repeat,
+    and would answer a second claim as it did the first.
+    """
+    own = zlib.crc32(instance_id.encode())
+    number = own ^ randomness.randrange(1 << SEQUENCE_BITS)
+    return 1 + number % (1 << SEQUENCE_BITS)
+
+
 def with_next_sequence(writer: Writer) -> Writer:
     """Return the writer of the append that follows."""
     return writer._replace(sequence=writer.sequence + 1)
 
 
-__all__ = ["Batch", "LeaderAppender", "with_next_sequence"]
+__all__ = ["Batch", "LeaderAppender", "first_sequence", "with_next_sequence"]
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -4,7 +4,6 @@
 
 import itertools
 import threading
-import zlib
 
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -18,6 +17,7 @@
 from magnoliapitch.ledger.elapsed_clock import LeaderClock
 from magnoliapitch.ledger.leader_appender import APPEND_TIMEOUT_MS
 from magnoliapitch.ledger.leader_appender import LeaderAppender
+from magnoliapitch.ledger.leader_appender import first_sequence
 from magnoliapitch.ledger.leader_appender import with_next_sequence
 from magnoliapitch.ledger.load_view import ReadTimes
 from magnoliapitch.ledger.mirror import StreamMirror
@@ -55,8 +55,6 @@
 # it, so that claims made at the same time get different epochs. It leaves room
 # for the fencing tokens of the claim.
 EPOCH_STEP = 1 << 20
-# A claim's first sequence number is a random one of this size.
-SEQUENCE_BITS = 30
 READ_WAIT_MS = 800
 # Records accumulate between two reads, which saves calls to the store. An
 # instance that claims late does not need to notice a silent leader soon.
@@ -333,7 +331,9 @@
         )
         now_ms = self._clock.now_ms()
         clock = self._state_table.clock.continue_as(epoch, last_epoch, now_ms)
-        writer = Writer(PRODUCER, epoch, self._first_sequence())
+        writer = Writer(
+            PRODUCER, epoch, first_sequence(self._instance_id, self._random)
+        )
         outcome = self._streams.append(
             STATE_STREAM,
             [
@@ -380,16 +380,6 @@
             claim,
         )
 
-    def _first_sequence(self) -> int:
-        """Return a sequence number that no other instance begins with.
-
-        The store takes an append with the same epoch and number for a repeat,
-        and would answer a second claim as it did the first.
-        """
-        own = zlib.crc32(self._instance_id.encode())
-        number = own ^ self._random.randrange(1 << SEQUENCE_BITS)
-        return 1 + number % (1 << SEQUENCE_BITS)
-
     def _handle_failed_claim(
         self, record: LeaderRecord, failure: Failure
     ) -> None:
