--- a/src/magnoliapitch/ledger/leader_appender.py
+++ b/src/magnoliapitch/ledger/leader_appender.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import threading
+import zlib
+
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -16,6 +19,8 @@
 
 
 if TYPE_CHECKING:
+    import random
+
     from collections.abc import Callable
     from collections.abc import Sequence
 
@@ -27,6 +32,8 @@
 
 
 APPEND_TIMEOUT_MS = 800
+# A claim's first sequence number is a random one of this size.
+SEQUENCE_BITS = 30
 
 
 class Batch(NamedTuple):
@@ -48,6 +55,7 @@
 
     :param state_writer: writer of the stream of states.
     :param progress_writer: writer of the stream of progress.
+    :param claim: record of the claim, stored again by :meth:`keep_claim`.
     """
 
     def __init__(
@@ -57,12 +65,19 @@
         health: StoreHealth,
         state_writer: Writer,
         progress_writer: Writer,
+        claim: KeyedRecord | None = None,
     ) -> None:
         self._streams = streams
         self._clock = clock
         self._health = health
         self._state_writer = state_writer
         self._progress_writer = progress_writer
+        self._claim = claim
+        # Whether the claim may have been stored under the next sequence
+        # number. It is sent again before that number stands for other records.
+        self._is_claim_unanswered = False
+        # Held during each append of states.
+        self._state_lock = threading.Lock()
         self._batch: Batch | None = None
         self._progress_calls = RecordCalls(())
         self._state_calls = RecordCalls(())
@@ -112,8 +127,41 @@
     ) -> Result[int, Failure]:
         """Append records of states in one call.
 
+        From then on, the claim is not stored again.
+
         :return: the end of the stream.
         """
+        with self._state_lock:
+            if self._is_claim_unanswered:
+                outcome = self._append_claim()
+                if isinstance(outcome, Err):
+                    return outcome
+            self._claim = None
+            return self._append_states(records)
+
+    def keep_claim(self) -> Result[int, Failure]:
+        """Store the claim again, unless states were stored since.
+
+        Other instances see that the leader is there while it still prepares.
+
+        :return: the end of the stream; 0 if nothing was to be stored.
+        """
+        with self._state_lock:
+            return Ok(0) if self._claim is None else self._append_claim()
+
+    def _append_claim(self) -> Result[int, Failure]:
+        claim = self._claim
+        if claim is None:
+            return Ok(0)
+        self._is_claim_unanswered = True
+        outcome = self._append_states([claim])
+        if not isinstance(outcome, Err):
+            self._is_claim_unanswered = False
+        return outcome
+
+    def _append_states(
+        self, records: Sequence[KeyedRecord]
+    ) -> Result[int, Failure]:
         writer = self._state_writer
         outcome = self._append(STATE_STREAM, records, writer)
         if not isinstance(outcome, Err):
@@ -146,9 +194,20 @@
         return Ok(outcome.ok_value.end)
 
 
+def first_sequence(instance_id: str, randomness: random.Random) -> int:
+    """Return a sequence number that no other instance's claim begins with.
+
+    The store takes an append with the same epoch and number for a repeat,
+    and would answer a second claim as it did the first.
+    """
+    own = zlib.crc32(instance_id.encode())
+    number = own ^ randomness.randrange(1 << SEQUENCE_BITS)
+    return 1 + number % (1 << SEQUENCE_BITS)
+
+
 def with_next_sequence(writer: Writer) -> Writer:
     """Return the writer of the append that follows."""
     return writer._replace(sequence=writer.sequence + 1)
 
 
-__all__ = ["Batch", "LeaderAppender", "with_next_sequence"]
+__all__ = ["Batch", "LeaderAppender", "first_sequence", "with_next_sequence"]
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -4,7 +4,6 @@
 
 import itertools
 import threading
-import zlib
 
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -14,9 +13,11 @@
 from result import Result
 
 from magnoliapitch.event import log_event
+from magnoliapitch.ledger.claim_delay import ClaimDelay
 from magnoliapitch.ledger.elapsed_clock import LeaderClock
 from magnoliapitch.ledger.leader_appender import APPEND_TIMEOUT_MS
 from magnoliapitch.ledger.leader_appender import LeaderAppender
+from magnoliapitch.ledger.leader_appender import first_sequence
 from magnoliapitch.ledger.leader_appender import with_next_sequence
 from magnoliapitch.ledger.load_view import ReadTimes
 from magnoliapitch.ledger.mirror import StreamMirror
@@ -54,20 +55,6 @@
 # it, so that claims made at the same time get different epochs. It leaves room
 # for the fencing tokens of the claim.
 EPOCH_STEP = 1 << 20
-# A claim's first sequence number is a random one of this size.
-SEQUENCE_BITS = 30
-# Time without a record of the leader after which others may claim.
-LEADER_TIMEOUT_MS = 1_000
-# A slow store delivers the leader's records late, so that a claim waits longer
-# by the duration of this many reads.
-READ_DURATION_FACTOR = 3
-# Random delays spread the claims of several instances.
-MAX_CLAIM_JITTER_MS = 300
-MAX_RESIGNED_JITTER_MS = 60
-# A leader that resigns is being restarted, and the instances often are in
-# turn. Those that have not been yet leave the claim to one that has.
-LONGER_RUNNING_CLAIM_DELAY_MS = 100
-FIRST_CLAIM_DELAY_MS = 300
 READ_WAIT_MS = 800
 # Records accumulate between two reads, which saves calls to the store. An
 # instance that claims late does not need to notice a silent leader soon.
@@ -124,7 +111,6 @@
         self._health = health
         self._random = randomness
         self._can_lead = can_lead
-        self._extra_claim_delay_ms = extra_claim_delay_ms
         self._mirror = StreamMirror(streams, STATE_STREAM)
         # Held while records that were read are applied, in the order read.
         self._apply_lock = threading.Lock()
@@ -133,8 +119,9 @@
         self._sent_ms_by_read: dict[int, int] = {}
         no_writer = Writer(PRODUCER, 0, 0)
         self._appender = self._open_appender(no_writer, no_writer)
-        self._last_heard_ms = clock.now_ms()
-        self._claim_delay_ms = FIRST_CLAIM_DELAY_MS + extra_claim_delay_ms
+        self._claim_delay = ClaimDelay(
+            instance_id, randomness, extra_claim_delay_ms, clock.now_ms()
+        )
         self._may_claim = True
         self._read_interval_ms = (
             LATE_CLAIMANT_READ_INTERVAL_MS
@@ -142,7 +129,8 @@
             else READ_INTERVAL_MS
         )
         self._read_ms: int | None = None
-        self._first_read_epoch: int | None = None
+        # How long the store took for the newest read that no record ended.
+        self._read_duration_ms = 0
         self._has_claimed = threading.Event()
 
     def step(self) -> int:
@@ -152,16 +140,17 @@
         """
         if self.claim is not None:
             return self._read_interval_ms
-        remaining_ms = self._claim_delay_ms - (
-            self._clock.now_ms() - self._last_heard_ms
-        )
+        remaining_ms = self._claim_delay.remaining_ms(self._clock.now_ms())
         wait_ms = min(READ_WAIT_MS, max(0, remaining_ms))
+        if self._claims_unread(remaining_ms):
+            self._claim_if_leader_silent(0)
+            return wait_ms
         started_ms = self._clock.now_ms()
         followed = self.follow(wait_ms)
         if isinstance(followed, Err):
             # The leader's records could not be read, so that its timeout
             # starts anew.
-            self._last_heard_ms = self._clock.now_ms()
+            self._claim_delay.postpone(self._clock.now_ms())
             return RETRY_DELAY_MS
         if wait_ms < READ_WAIT_MS:
             read_duration_ms = self._clock.now_ms() - started_ms - wait_ms
@@ -170,6 +159,21 @@
             return 0
         return self._read_interval_ms
 
+    def _claims_unread(self, remaining_ms: int) -> bool:
+        """Return whether to claim without another read.
+
+        A leader that has resigned stores nothing more, and the store refuses
+        the claim if another one has been stored since the last read.
+
+        :param remaining_ms: time until this instance may claim.
+        """
+        return (
+            self._claim_delay.follows_resignation
+            and remaining_ms < self._read_duration_ms
+            and self._may_claim
+            and self._can_lead()
+        )
+
     def wait_for_claim(self, timeout_ms: int) -> Claim | None:
         """Wait until this instance leads; return its claim, or None."""
         self._has_claimed.wait(timeout_ms / 1000)
@@ -197,7 +201,7 @@
         :param wait_ms: how long to wait for a first new record.
         """
         sent_ms = self._clock.now_ms()
-        previous_ms = self._read_ms
+        previous_ms, former_end = self._read_ms, self._mirror.end
         read_number = next(self._read_numbers)
         self._sent_ms_by_read[read_number] = sent_ms
         try:
@@ -206,6 +210,9 @@
                 self._health.note_failure(outcome.err_value)
                 return outcome
             self._health.note_success(sent_ms)
+            if self._mirror.end == former_end:
+                waited_ms = self._clock.now_ms() - sent_ms
+                self._read_duration_ms = max(0, waited_ms - wait_ms)
             self._read_ms = max(self._read_ms or 0, sent_ms)
             self.has_loaded = True
             self._apply_changes(previous_ms)
@@ -244,6 +251,14 @@
         """
         return self._appender.append_progress([])
 
+    def keep_claim(self) -> Result[None, Failure]:
+        """Store the claim again, while this instance prepares to lead.
+
+        Others do not take it for silent then. Once the leader has stored
+        states, nothing more is stored.
+        """
+        return self._appender.keep_claim().map(lambda _: None)
+
     def commit(
         self,
         batch: Batch,
@@ -282,8 +297,7 @@
         """Stop leading, since another claim was seen or the instance stops."""
         self.claim = None
         self._has_claimed.clear()
-        self._last_heard_ms = self._clock.now_ms()
-        self._claim_delay_ms = self._random_claim_delay_ms()
+        self._claim_delay.restart(self._clock.now_ms())
 
     def _handle_changes(
         self,
@@ -291,47 +305,16 @@
         keys: Iterable[str],
         read: ReadTimes,
     ) -> None:
-        self._last_heard_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
         self._state_table.apply(values_by_key, keys, read)
-        leader = self._state_table.leader
-        if self._first_read_epoch is None:
-            self._first_read_epoch = leader.epoch if leader else 0
-        if leader is not None and leader.has_resigned:
-            self._claim_delay_ms = self._resigned_claim_delay_ms(leader)
-        elif leader is not None and leader.instance_id == self._instance_id:
-            # The leader was an earlier process of this instance, which has
-            # certainly ended.
-            self._claim_delay_ms = 0
-        else:
-            self._claim_delay_ms = self._random_claim_delay_ms()
-
-    def _resigned_claim_delay_ms(self, leader: LeaderRecord) -> int:
-        """Return the delay of a claim after a resignation.
-
-        An instance that found the leader in office when it started has been
-        started later than the leader.
-        """
-        jitter_ms = self._random.randrange(MAX_RESIGNED_JITTER_MS)
-        is_younger = self._first_read_epoch == leader.epoch
-        return (
-            jitter_ms
-            + self._extra_claim_delay_ms
-            + (0 if is_younger else LONGER_RUNNING_CLAIM_DELAY_MS)
-        )
-
-    def _random_claim_delay_ms(self) -> int:
-        jitter_ms = self._random.randrange(MAX_CLAIM_JITTER_MS)
-        return LEADER_TIMEOUT_MS + jitter_ms + self._extra_claim_delay_ms
+        self._claim_delay.record_heard(self._state_table.leader, now_ms)
 
     def _claim_if_leader_silent(self, read_duration_ms: int) -> None:
         end_offset = self._apply_changes(self._read_ms)
-        silent_ms = self._clock.now_ms() - self._last_heard_ms
-        required_ms = (
-            self._claim_delay_ms + READ_DURATION_FACTOR * read_duration_ms
-        )
-        if silent_ms < required_ms or not self._may_claim:
+        checked_ms = self._clock.now_ms()
+        if not self._claim_delay.is_over(checked_ms, read_duration_ms):
             return
-        if not self._can_lead():
+        if not self._may_claim or not self._can_lead():
             return
         leader = self._state_table.leader
         last_epoch = leader.epoch if leader else 0
@@ -348,7 +331,9 @@
         )
         now_ms = self._clock.now_ms()
         clock = self._state_table.clock.continue_as(epoch, last_epoch, now_ms)
-        writer = Writer(PRODUCER, epoch, self._first_sequence())
+        writer = Writer(
+            PRODUCER, epoch, first_sequence(self._instance_id, self._random)
+        )
         outcome = self._streams.append(
             STATE_STREAM,
             [
@@ -368,19 +353,24 @@
         self._mirror.skip_to(outcome.ok_value.end)
         self._state_table.leader = record
         self._appender = self._open_appender(
-            with_next_sequence(writer), writer
+            with_next_sequence(writer),
+            writer,
+            KeyedRecord(LEADER_KEY, encode_leader(record)),
         )
         self.claim = Claim(record, now_ms, clock)
         self._has_claimed.set()
         log_event(
             "leadership-claimed",
             epoch=epoch,
-            silent_ms=silent_ms,
+            silent_ms=self._claim_delay.silent_ms(checked_ms),
             leases_began_ms_ago=clock.inherited_age_ms(now_ms),
         )
 
     def _open_appender(
-        self, state_writer: Writer, progress_writer: Writer
+        self,
+        state_writer: Writer,
+        progress_writer: Writer,
+        claim: KeyedRecord | None = None,
     ) -> LeaderAppender:
         return LeaderAppender(
             self._streams,
@@ -388,23 +378,13 @@
             self._health,
             state_writer,
             progress_writer,
+            claim,
         )
 
-    def _first_sequence(self) -> int:
-        """Return a sequence number that no other instance begins with.
-
-        The store takes an append with the same epoch and number for a repeat,
-        and would answer a second claim as it did the first.
-        """
-        own = zlib.crc32(self._instance_id.encode())
-        number = own ^ self._random.randrange(1 << SEQUENCE_BITS)
-        return 1 + number % (1 << SEQUENCE_BITS)
-
     def _handle_failed_claim(
         self, record: LeaderRecord, failure: Failure
     ) -> None:
-        self._claim_delay_ms = self._random_claim_delay_ms()
-        self._last_heard_ms = self._clock.now_ms()
+        self._claim_delay.restart(self._clock.now_ms())
         log_event(
             "leadership-claim-failed",
             epoch=record.epoch,
