Grant workers that leave shorter leases

Cause: a worker that has said that it leaves may be gone at any moment, and its tasks then wait for its whole lease. Change: such a worker gets 5 s, five renewals, at a time. A leader that has granted it only these still counts with the whole lease of a former one. Conclusion: work on a worker that leaves and is cut off for 4 s and more is thrown away sooner; it would be moved anyway.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -218,7 +218,12 @@
         stamped_ms = self._progress_batcher.stamped_ms
         if stamped_ms is None:
             return None
-        return self._reachability.next_lease_deadline(worker_id, stamped_ms)
+        worker = self.state.workers_by_id.get(worker_id)
+        return self._reachability.next_lease_deadline(
+            worker_id,
+            stamped_ms,
+            is_leaving=worker is not None and worker.is_leaving,
+        )
 
     def handle_worker_list(self, event: WorkersListed, now_ms: int) -> None:
         """Update the workers from the platform's list."""
--- a/src/magnoliapitch/control/lease.py
+++ b/src/magnoliapitch/control/lease.py
@@ -28,6 +28,8 @@
         self._sent_ms = 0
         self._received_ms = 0
         self._deadline_ms = 0
+        # Whether a lease was granted that outlasts those of former leaders.
+        self._has_full_lease = False
 
     @property
     def has_clock(self) -> bool:
@@ -63,9 +65,11 @@
             return None
         return self._clock_ms + now_ms - self._received_ms
 
-    def next_deadline(self, begin_ms: int) -> int:
+    def next_deadline(self, begin_ms: int, *, is_leaving: bool = False) -> int:
         """Return the end of a lease that begins at a time, and record it.
 
+        :param is_leaving: whether the worker has said that it leaves; it may
+            be gone at any moment, and gets shorter leases.
         :raises ValueError: if no answer has reported the worker's clock.
         """
         clock_ms = self.estimated_clock_ms(begin_ms)
@@ -73,7 +77,12 @@
             raise ValueError(
                 "no lease can be granted: the worker's clock is not known"
             )
-        deadline_ms = clock_ms + self._timing.lease_ms
+        lease_ms = self._timing.lease_ms
+        if is_leaving:
+            lease_ms = min(lease_ms, self._timing.leaving_lease_ms)
+        else:
+            self._has_full_lease = True
+        deadline_ms = clock_ms + lease_ms
         self._deadline_ms = max(self._deadline_ms, deadline_ms)
         return deadline_ms
 
@@ -90,9 +99,6 @@
         granted_end_ms = (
             self._received_ms + int(remaining_ms) + LEASE_EXPIRY_MARGIN_MS
         )
-        return max(
-            granted_end_ms,
-            self._inherited_leases_end_ms
-            if self._sent_ms == 0
-            else granted_end_ms,
-        )
+        if self._has_full_lease and self._sent_ms:
+            return granted_end_ms
+        return max(granted_end_ms, self._inherited_leases_end_ms)
--- a/src/magnoliapitch/control/reachability.py
+++ b/src/magnoliapitch/control/reachability.py
@@ -144,7 +144,9 @@
             and now_ms - answered_ms <= MAX_ANSWER_AGE_MS
         )
 
-    def next_lease_deadline(self, worker_id: str, begin_ms: int) -> int | None:
+    def next_lease_deadline(
+        self, worker_id: str, begin_ms: int, *, is_leaving: bool = False
+    ) -> int | None:
         """Return the end of a lease that begins at a time, or None.
 
         A renewal may take effect on the worker although its answer is lost.
@@ -159,7 +161,7 @@
                 return None
             if not self.may_grant(worker_id):
                 return None
-            return lease.next_deadline(begin_ms)
+            return lease.next_deadline(begin_ms, is_leaving=is_leaving)
 
     def may_grant(self, worker_id: str) -> bool:
         """Return whether no end of the worker's leases is stored."""
--- a/src/magnoliapitch/control/timing.py
+++ b/src/magnoliapitch/control/timing.py
@@ -19,6 +19,8 @@
     """Times of one deployment, in milliseconds.
 
     :param lease_ms: length of a worker's lease.
+    :param leaving_lease_ms: length of the lease of a worker that has said that
+        it leaves.
     :param max_leader_silence_ms: how long after its last stored record a
         leader may issue leases and orders.
     :param keep_states_ms: how long the state of an ended job stays published.
@@ -29,6 +31,7 @@
     """
 
     lease_ms: int
+    leaving_lease_ms: int = 5_000
     max_leader_silence_ms: int = 2_500
     keep_states_ms: int = 130_000
     drain_notice_ms: int = 2_000
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -352,6 +352,11 @@
         self.runs_lost_at_ms: int | None = None
         self.unknown_run_count = 0
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the worker has said that it leaves."""
+        return self.info is not None and self.info.is_draining
+
     @property
     def takes_new_runs(self) -> bool:
         """Return whether new runs may be placed on the worker."""
--- a/tests/control/test_lease.py
+++ b/tests/control/test_lease.py
@@ -60,3 +60,23 @@
 def test_takeover_with_the_longest_lease_leaves_time_to_start_again() -> None:
     longest_away_ms = 7_000 + 4_500
     assert ControlTiming(MAX_LEASE_MS).takeover_ms <= longest_away_ms - 1_500
+
+
+# Incident LOST: a worker was gone seconds after it had said that it leaves.
+# Its tasks waited for a whole lease that a leader had granted meanwhile.
+def test_a_worker_that_leaves_gets_a_shorter_lease() -> None:
+    lease = WorkerLease(TIMING, inherited_leases_end_ms=0)
+    lease.record_clock(1_000, sent_ms=500, received_ms=510)
+    deadline_ms = lease.next_deadline(begin_ms=510, is_leaving=True)
+    assert deadline_ms == 1_000 + TIMING.leaving_lease_ms
+
+
+# Two runs at a time would follow: a former leader may have granted a whole
+# lease, which a shorter one does not outlast.
+def test_a_shorter_lease_does_not_end_those_of_former_leaders() -> None:
+    lease = WorkerLease(TIMING, inherited_leases_end_ms=9_000)
+    lease.record_clock(1_000, sent_ms=500, received_ms=510)
+    lease.next_deadline(begin_ms=510, is_leaving=True)
+    assert lease.all_leases_expired_at_ms() == 9_000
+    full_ms = lease.next_deadline(begin_ms=510) - 1_000 + 510
+    assert full_ms < lease.all_leases_expired_at_ms() < 9_000
--- a/tests/control/test_stored_leases.py
+++ b/tests/control/test_stored_leases.py
@@ -14,7 +14,7 @@
 from magnoliapitch.ledger.state_table import StateTable
 
 
-TIMING = ControlTiming(lease_ms=6_000)
+TIMING = ControlTiming(lease_ms=6_000, leaving_lease_ms=1_000)
 WORKER = "w"
 WORKER_CLOCK_RATE = 0.981
 INSTANCE_COUNT = 4
@@ -104,7 +104,9 @@
         :param sent_ms: when its newest stored record was sent.
         """
         local_ms = self._local(instance, sent_ms)
-        deadline_ms = reachability.next_lease_deadline(WORKER, local_ms)
+        deadline_ms = reachability.next_lease_deadline(
+            WORKER, local_ms, is_leaving=self.random.random() < 0.5
+        )
         if deadline_ms is not None:
             end_ms = deadline_ms / WORKER_CLOCK_RATE
             self._lease_end_by_grant_ms[grant_ms] = end_ms
