Give no calls beyond its share to a service that fails by itself

Cause: every long-running step that is down took advisor calls beyond its queue's share, also if its runs end early by their own fault. Change: only tasks without such ends in a row are urgent. test_services_in_a_crash_loop_leave_other_queues_their_calls failed before. Conclusion: services that lost their workers still come first (tests of permits asked ahead and of the whole time pass).

--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -22,7 +22,7 @@
 from magnoliapitch.planner.plan import PlannedStop
 from magnoliapitch.planner.planning_round import PlanningRound
 from magnoliapitch.planner.preemption import Preemption
-from magnoliapitch.planner.ranking import is_down
+from magnoliapitch.planner.ranking import is_urgent
 from magnoliapitch.planner.ranking import rank_of
 from magnoliapitch.planner.straggler import Stragglers
 from magnoliapitch.planner.worker_backoff import WorkerBackoff
@@ -145,7 +145,7 @@
             [*ordered_steps, *(run.task.step for run in stragglers)],
             max_calls,
             max_starts_in_flight,
-            {step.key for step in ranked_steps if is_down(step)}
+            {step.key for step in ranked_steps if is_urgent(step)}
             | expected.keys(),
         )
         planning_round = PlanningRound(
--- a/src/magnoliapitch/planner/ranking.py
+++ b/src/magnoliapitch/planner/ranking.py
@@ -43,6 +43,16 @@
     return step.spec.is_long_running and step.has_interrupted_task()
 
 
+def is_urgent(step: TrackedStep) -> bool:
+    """Return whether a long-running step is down, not by its own fault.
+
+    One whose runs end early again and again would use up what all share.
+    """
+    return step.spec.is_long_running and any(
+        task.runs and not task.failures for task in step.startable_tasks()
+    )
+
+
 def rank_of(
     step: TrackedStep, duration_estimator: DurationEstimator, now_ms: int
 ) -> Rank:
