--- a/tests/control/test_worker_crashes.py
+++ b/tests/control/test_worker_crashes.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
 from magnoliapitch.ledger.state_table import JobState
@@ -14,6 +16,10 @@
 from tests.control.simulation import workers
 
 
+if TYPE_CHECKING:
+    from tests.control.simulated_worker import SimulatedWorker
+
+
 SIZE = Resources(4_000, 8_000)
 WORKER_COUNT = 8
 TASK_MS = 2_000.0
@@ -197,3 +203,25 @@
     simulation.run(10_000)
     assert simulation.violations == []
     assert sum(len(w.running) for w in simulation.workers.values()) == 1
+
+
+# BUDGET: a leader that is lost at each restart never learns that the worker
+# has ended, and the next one counts a loss, which gives no task up.
+@pytest.mark.parametrize("effects_type", EFFECTS_TYPES)
+def test_a_deadly_task_is_given_up_while_leaders_are_lost_with_its_workers(
+    effects_type: type[SimulatedEffects],
+) -> None:
+    simulation = make_simulation(effects_type)
+    restart_worker = simulation.restart_worker
+    lost_leaders: list[int] = []
+
+    def restart(worker: SimulatedWorker) -> None:
+        restart_worker(worker)
+        if len(lost_leaders) < 5:
+            lost_leaders.append(simulation.now_ms)
+            simulation.take_over()
+
+    simulation.restart_worker = restart  # type: ignore[method-assign]
+    submit(simulation, "deadly", StepSpec(1, SIZE))
+    simulation.run(200_000)
+    assert simulation.violations == []
