--- a/tests/control/test_lease.py
+++ b/tests/control/test_lease.py
@@ -60,3 +60,13 @@
 def test_takeover_with_the_longest_lease_leaves_time_to_start_again() -> None:
     longest_away_ms = 7_000 + 4_500
     assert ControlTiming(MAX_LEASE_MS).takeover_ms <= longest_away_ms - 1_500
+
+
+# A call meant for the former incarnation has a deadline by a clock that has
+# begun anew since, so the worker cuts it to the longest lease that it grants,
+# which is longer than the leader's. Two runs at a time could follow.
+def test_restart_time_covers_the_longest_lease_that_a_worker_grants() -> None:
+    worker_longest_ms = 10_000
+    timing = ControlTiming(min(worker_longest_ms, MAX_LEASE_MS))
+    latest_ms = timing.max_leader_silence_ms + worker_longest_ms
+    assert timing.restart_ms > latest_ms / SLOWEST_CLOCK_RATE_RATIO
