--- a/src/magnoliapitch/control/unproven_losses.py
+++ b/src/magnoliapitch/control/unproven_losses.py
@@ -58,13 +58,13 @@
         now_ms: int,
         *,
         is_listed: bool,
-        silent_ms: int,
+        lost_ms: int,
     ) -> None:
         """Add the runs of a worker whose leases have expired.
 
         :param is_listed: whether the platform still lists the worker, so that
             it is probably only cut off and is not counted meanwhile.
-        :param silent_ms: for how long the worker has not answered.
+        :param lost_ms: for how long the worker has answered no leader.
         """
         worker_id = worker.worker_id
         if not lost or worker_id in self._loss_by_worker:
@@ -72,7 +72,7 @@
         address = "" if worker.info is None else worker.info.address
         if not is_listed:
             count_loss(self._state, lost)
-        hold_suspects(lost, now_ms + HOLD_SUSPECTS_MS, silent_ms)
+        hold_suspects(lost, now_ms + HOLD_SUSPECTS_MS, lost_ms)
         self._loss_by_worker[worker_id] = _Loss(
             address, tuple(lost), not is_listed, now_ms
         )
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -152,8 +152,9 @@
     def record_report(self, worker_id: str, report: WorkerReport) -> None:
         """Record that a worker answers, so that it has not ended."""
         self._silent_worker_ids.discard(worker_id)
-        self._state.get_or_add_worker(worker_id).runs_lost_at_ms = None
-        self._state.workers_by_id[worker_id].silent_since_ms = None
+        worker = self._state.workers_by_id[worker_id]
+        worker.runs_lost_at_ms = None
+        worker.silent_since_ms = None
         self._unproven_losses.record_answer(worker_id)
         self._count_unreported(worker_id, report)
 
@@ -269,7 +270,7 @@
             self._count_crash(worker_id, lost)
         else:
             self._unproven_losses.add(
-                worker, lost, now_ms, is_listed=False, silent_ms=lost_ms
+                worker, lost, now_ms, is_listed=False, lost_ms=lost_ms
             )
         self.info_by_id.pop(worker_id, None)
         self._forget(worker_id)
@@ -297,7 +298,7 @@
         lost_ms = self._reachability.lost_ms(worker_id, now_ms)
         note_silence(worker, now_ms - lost_ms)
         self._unproven_losses.add(
-            worker, lost, now_ms, is_listed=True, silent_ms=lost_ms
+            worker, lost, now_ms, is_listed=True, lost_ms=lost_ms
         )
         lost_count = self._state.lose_runs(worker_id)
         self._reachability.discard_lease_end(worker_id)
--- a/src/magnoliapitch/planner/worker_loss.py
+++ b/src/magnoliapitch/planner/worker_loss.py
@@ -125,18 +125,18 @@
 
 
 def hold_suspects(
-    lost: Iterable[LostRun], until_ms: int, silent_ms: int = 0
+    lost: Iterable[LostRun], until_ms: int, lost_ms: int = 0
 ) -> None:
     """Start no suspect among the tasks before a time.
 
     Otherwise it could end another worker before the last one is counted.
 
-    :param silent_ms: for how long the worker has been silent; long-running
+    :param lost_ms: for how long the worker has been silent; long-running
         tasks, which have been down since, are held for as much less.
     """
     for run in lost:
         task = run.task
-        passed_ms = silent_ms if task.step.spec.is_long_running else 0
+        passed_ms = lost_ms if task.step.spec.is_long_running else 0
         task.hold_until_ms = until_ms - passed_ms if task.is_suspect else 0
 
 
--- a/tests/control/test_unproven_losses.py
+++ b/tests/control/test_unproven_losses.py
@@ -38,7 +38,7 @@
         worker = self.state.update_worker(
             WorkerInfo(FORMER, "app", ADDRESS, "z")
         )
-        self.losses.add(worker, lost, 0, is_listed=is_listed, silent_ms=0)
+        self.losses.add(worker, lost, 0, is_listed=is_listed, lost_ms=0)
 
     def proven(
         self, *listed: tuple[str, str], now_ms: int = 10
