Share become_leader of the ledger's tests, and ask workers if they leave

Change: become_leader and its time stand in conftest.py; suspect_runs and takes_new_runs call is_leaving. Behaviour and assertions are as before.

--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -363,7 +363,7 @@
         return (
             self.is_usable
             and self.info is not None
-            and not self.info.is_draining
+            and not self.is_leaving
             and not self.unknown_run_count
         )
 
--- a/src/magnoliapitch/planner/worker_loss.py
+++ b/src/magnoliapitch/planner/worker_loss.py
@@ -50,7 +50,7 @@
     The one that did cannot be told from those beside it. A worker that was
     about to leave was not lost to any.
     """
-    if worker.info is not None and worker.info.is_draining:
+    if worker.is_leaving:
         return []
     return [
         LostRun(
--- a/tests/ledger/conftest.py
+++ b/tests/ledger/conftest.py
@@ -7,6 +7,7 @@
 import pytest
 
 from magnoliapitch.clock import ManualClock
+from magnoliapitch.ledger.claim_delay import LEADER_TIMEOUT_MS
 from magnoliapitch.ledger.health import StoreHealth
 from magnoliapitch.ledger.leadership import Leadership
 from magnoliapitch.ledger.state_table import StateTable
@@ -14,6 +15,15 @@
 
 
 MakeLeadership = Callable[[str], Leadership]
+AFTER_TIMEOUT_MS = 2 * LEADER_TIMEOUT_MS
+
+
+def become_leader(leadership: Leadership, clock: ManualClock) -> None:
+    """Let an instance claim once the leader has been silent for long."""
+    leadership.step()
+    clock.advance(AFTER_TIMEOUT_MS)
+    leadership.step()
+    assert leadership.claim is not None
 
 
 @pytest.fixture
--- a/tests/ledger/test_kept_claims.py
+++ b/tests/ledger/test_kept_claims.py
@@ -12,11 +12,11 @@
 from magnoliapitch.ledger.records import STATE_STREAM
 from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.verdict import FailureCode
+from tests.ledger.conftest import become_leader
 
 
 if TYPE_CHECKING:
     from magnoliapitch.clock import ManualClock
-    from magnoliapitch.ledger.leadership import Leadership
     from tests.ledger.conftest import MakeLeadership
     from tests.ledger.memory_streams import MemoryStreams
 
@@ -24,13 +24,6 @@
 BATCH = Batch((), (KeyedRecord("s.0", b"pq"),))
 
 
-def become_leader(leadership: Leadership, clock: ManualClock) -> None:
-    leadership.step()
-    clock.advance(2 * LEADER_TIMEOUT_MS)
-    leadership.step()
-    assert leadership.claim is not None
-
-
 # Under a slow store, three leaders in turn were replaced while they read the
 # jobs, and nobody led for seconds.
 def test_nobody_claims_while_the_new_leader_still_prepares(
--- a/tests/ledger/test_leadership.py
+++ b/tests/ledger/test_leadership.py
@@ -24,6 +24,8 @@
 from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import not_run
+from tests.ledger.conftest import AFTER_TIMEOUT_MS
+from tests.ledger.conftest import become_leader
 
 
 if TYPE_CHECKING:
@@ -35,17 +37,9 @@
 
 
 BATCH = Batch((KeyedRecord("p.0", b"1"),), (KeyedRecord("s.0", b"pq"),))
-AFTER_TIMEOUT_MS = 2 * LEADER_TIMEOUT_MS
 SLOW_READ_MS = 200
 
 
-def become_leader(leadership: Leadership, clock: ManualClock) -> None:
-    leadership.step()
-    clock.advance(AFTER_TIMEOUT_MS)
-    leadership.step()
-    assert leadership.claim is not None
-
-
 # A batch that the store refused ended each leadership anew.
 def test_a_commit_leaves_out_refused_records_only(
     make_leadership: MakeLeadership, clock: ManualClock, streams: MemoryStreams
