--- a/tests/control/restarting_workers.py
+++ b/tests/control/restarting_workers.py
@@ -96,7 +96,8 @@
         entries = {
             name: orjson.dumps(self._entry(worker))
             for name, worker in self.workers.items()
-            if name not in self.unreachable_worker_ids
+            if name
+            not in self.unreachable_worker_ids | self.unlisted_worker_ids
             and self._has_entry(worker)
         }
         names = sorted(entries.keys() | self._entries_by_name.keys())
--- a/tests/control/run_history.py
+++ b/tests/control/run_history.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from tests.control.attempt_history import AttemptHistory
+
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -26,12 +28,14 @@
     :ivar crashes_under: number of workers that crashed under a run of each
         task, whichever task caused it.
     :ivar failures_of: number of runs of each task that ended as failed.
+    :ivar attempts: checks of the attempts that failed runs use up.
     """
 
     def __init__(self, simulation: Simulation) -> None:
         self.starts: Counter[TaskKey] = Counter()
         self.crashes_under: Counter[TaskKey] = Counter()
         self.failures_of: Counter[TaskKey] = Counter()
+        self.attempts = AttemptHistory(simulation)
         self._simulation = simulation
         self._starts_after_crashes: Counter[TaskKey] = Counter()
         self._last_start_ms: dict[TaskKey, int] = {}
--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -50,7 +50,7 @@
     if worker.is_down or worker.is_replaced:
         return
     if isinstance(order, StartOrder):
-        worker.start(order)
+        worker.start(order, is_late=True)
     else:
         worker.stop(order)
 
@@ -182,6 +182,7 @@
             )
             if not simulation.freezes_job_table:
                 simulation.job_table.apply(values, list(values))  # type: ignore[arg-type]
+            simulation.history.attempts.record_refused(refused_keys)
             simulation.record_progress(values)
             simulation.controller.handle_progress_stored(
                 simulation.now_ms, refused_keys
--- a/tests/control/simulated_worker.py
+++ b/tests/control/simulated_worker.py
@@ -27,6 +27,7 @@
     from magnoliapitch.workload.job import StepSpec
     from magnoliapitch.workload.job import TaskKey
     from magnoliapitch.workload.worker import WorkerInfo
+    from tests.control.attempt_history import FailedRun
     from tests.control.simulation import Simulation
 
 
@@ -96,6 +97,7 @@
         self.crashed_ms = 0
         self.born_ms = 0
         self._done_ms_by_sequence: dict[int, int] = {}
+        self._failed_by_sequence: dict[int, FailedRun] = {}
         self._resized_ms = 0
         self._leaving_since_ms: int | None = None
 
@@ -142,6 +144,7 @@
         self._last_end_sequence = 0
         self._highest_run_by_task = {}
         self._done_ms_by_sequence = {}
+        self._failed_by_sequence = {}
 
     @property
     def is_listed(self) -> bool:
@@ -197,6 +200,9 @@
             self._simulation.history.record_acknowledged_done(
                 end.task, done_ms
             )
+        failed = self._failed_by_sequence.pop(end.sequence, None)
+        if failed is not None:
+            self._simulation.history.attempts.record_noted(failed)
 
     def report(self) -> WorkerReport:
         """Return the report of active runs and of the oldest ended ones."""
@@ -216,8 +222,10 @@
             len(page) < self._simulation.ends_per_report,
         )
 
-    def start(self, order: StartOrder) -> Result[int, Failure]:
-        """Carry out a start order."""
+    def start(
+        self, order: StartOrder, *, is_late: bool = False
+    ) -> Result[int, Failure]:
+        """Carry out a start order, in time or late."""
         if order.token < self._token:
             return Err(not_run(FailureCode.FENCED, "a higher token was seen"))
         self._token = order.token
@@ -232,7 +240,7 @@
         if order.ticket and not self._is_valid(order.ticket):
             self._simulation.expired_ticket_count += 1
             return Err(not_run(FailureCode.TICKET, "the ticket has expired"))
-        self._begin(order)
+        self._begin(order, is_late=is_late)
         return Ok(self.clock_ms)
 
     def _is_valid(self, ticket: str) -> bool:
@@ -261,9 +269,14 @@
         if self.running.get(key) is not run:
             return
         del self.running[key]
+        self._last_end_sequence += 1
         if kind is EndKind.FAILED:
             self._simulation.failures_of[key] += 1
-        self._last_end_sequence += 1
+            self._failed_by_sequence[self._last_end_sequence] = (
+                self._simulation.history.attempts.record_failed(
+                    key, run.order.run
+                )
+            )
         self._highest_run_by_task[key] = max(
             run.order.run, self._highest_run_by_task.get(key, 0)
         )
@@ -287,7 +300,19 @@
                 kind if kind is EndKind.DONE else EndKind.MEMBER_ENDED
             )
             for worker, member in self._members(run):
-                worker.end(member, member_kind)
+                worker.end_after_member(member, member_kind)
+
+    def end_after_member(self, run: _Run, kind: EndKind) -> None:
+        """End a member of a gang after another one, or let it fail itself."""
+        delay_ms = None
+        if kind is EndKind.MEMBER_ENDED:
+            delay_ms = self._simulation.member_failure_delay_ms(run.order.task)
+        if delay_ms is None:
+            self.end(run, kind)
+            return
+        self._simulation.schedule(
+            delay_ms, lambda: self.end(run, EndKind.FAILED)
+        )
 
     def used(self) -> Resources:
         """Return the capacity that active runs use."""
@@ -296,13 +321,15 @@
             used = used.plus(run.step.reservation)
         return used
 
-    def _begin(self, order: StartOrder) -> None:
+    def _begin(self, order: StartOrder, *, is_late: bool) -> None:
         spec = self._simulation.specs[order.task.job_id]
         step = spec.steps[order.task.step]
         run = _Run(order, step, self._simulation.now_ms)
         self.running[order.task] = run
         self._check_start(order)
-        self._simulation.history.record_start(order.task)
+        history = self._simulation.history
+        history.record_start(order.task)
+        history.attempts.record_start(order.task, order.run, is_late=is_late)
         self._simulation.check()
         self._crash_if_deadly(order.task)
         if self.is_down:
@@ -367,7 +394,11 @@
         run.resumed_ms = float(run.order.checkpoint or 0)
         run_fails = simulation.run_fails(key, self.info.worker_id)
         kind = EndKind.FAILED if run_fails else EndKind.DONE
-        delay_ms = 200 if run_fails else run.duration_ms - run.resumed_ms
+        delay_ms = (
+            simulation.failure_delay_ms(key)
+            if run_fails
+            else run.duration_ms - run.resumed_ms
+        )
         simulation.schedule(delay_ms, lambda: self.end(run, kind))
 
     def _speed(self, run: _Run) -> float:
@@ -404,6 +435,7 @@
             return
         # Nobody can have relied on ends that were not acknowledged in time.
         self._done_ms_by_sequence.clear()
+        self._failed_by_sequence.clear()
         for run in list(self.running.values()):
             self.end(run, EndKind.LEASE_EXPIRED)
 
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -87,6 +87,10 @@
         default 1 s.
     :ivar speed_of: returns the speed of a worker; 1 by default.
     :ivar run_fails: returns whether runs of a task fail on a worker.
+    :ivar failure_delay_ms: time that a run of a task works until it fails.
+    :ivar member_failure_delay_ms: returns after which time a member of a gang
+        fails by itself once another one has failed; None, as by default, if
+        it ends with it.
     :ivar crashes_worker: returns whether a task crashes each worker that
         starts it.
     :ivar crash_delay_ms: time from the start of such a task to the crash; 0
@@ -115,6 +119,9 @@
     :ivar fails_waiting_renewals: whether a renewal that waits is reported as
         failed once its worker has fallen silent, as by the lease renewer;
         otherwise, another lease is granted first.
+    :ivar unreachable_worker_ids: workers that are neither listed nor answer.
+    :ivar silent_worker_ids: workers that do not answer.
+    :ivar unlisted_worker_ids: workers that the platform does not list.
     :ivar on_commit: called with every batch that is to be stored.
     """
 
@@ -135,6 +142,10 @@
         self.actual_duration_ms: Callable[[TaskKey], float] = lambda _: 1_000.0
         self.speed_of: Callable[[str], float] = lambda _: 1.0
         self.run_fails: Callable[[TaskKey, str], bool] = lambda *_: False
+        self.failure_delay_ms: Callable[[TaskKey], int] = lambda _: 200
+        self.member_failure_delay_ms: Callable[[TaskKey], int | None] = (
+            lambda _: None
+        )
         self.crashes_worker: Callable[[TaskKey], bool] = lambda _: False
         self.crash_delay_ms = 30
         self.restart_delay_ms = 2_000
@@ -155,6 +166,8 @@
         self.on_commit: Callable[[Batch], object] = lambda _: None
         self.refuses_record: Callable[[KeyedRecord], bool] = lambda _: False
         self.unreachable_worker_ids: set[str] = set()
+        self.silent_worker_ids: set[str] = set()
+        self.unlisted_worker_ids: set[str] = set()
         self.store_is_unavailable = False
         self.ends_per_report = 500
         self.list_is_unavailable = False
@@ -342,13 +355,14 @@
             if published.state in FINAL_STATES:
                 after_ms = self.now_ms - submitted_ms
                 self.finished[job_id] = Finished(published.state, after_ms)
+                if published.state is JobState.FAILED:
+                    self.history.attempts.record_shown_as_failed(job_id)
 
     def is_silent(self, worker_id: str) -> bool:
         """Return whether calls to a worker get no answer."""
-        return (
-            self.worker_of(worker_id).info.worker_id
-            in self.unreachable_worker_ids
-            or self.worker_of(worker_id).is_down
+        worker = self.worker_of(worker_id)
+        return worker.is_down or worker.info.worker_id in (
+            self.unreachable_worker_ids | self.silent_worker_ids
         )
 
     def worker_of(self, worker_id: str) -> SimulatedWorker:
@@ -430,11 +444,13 @@
         return {
             worker_id: worker.info
             for worker_id, worker in self.workers.items()
-            if worker_id not in self.unreachable_worker_ids
+            if worker_id
+            not in self.unreachable_worker_ids | self.unlisted_worker_ids
             and worker.is_listed
         }
 
     def _next_round(self) -> None:
+        self.history.attempts.record_configuration()
         if not self.controller.is_over:
             self.controller.run_round(self.now_ms, self.now_ms)
         self.check()
