Log with each ended run how many failures are counted

Change: run-ended says whether the run was taken as active, the sequence number of the end, the failures counted of its task and the attempts in force. Before: kind and is_news only. After: tests/docs, tests/event and tests/control/test_reports.py pass. Conclusion: an end that is acknowledged without being counted shows as is_tracked=false kind=failed beside an unchanged count.

--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -162,6 +162,10 @@
             **run_fields(end.task, end.run, worker_id),
             kind=end.kind,
             is_news=is_news,
+            is_tracked=run is not None,
+            sequence=end.sequence,
+            failures=None if task is None else task.failures,
+            attempts=None if task is None else task.step.job.queue.attempts,
         )
 
     def _log_ignored_end(
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -140,7 +140,8 @@
 define_event(
     "run-ended",
     EventLevel.INFO,
-    "A run ended other than by completing, or its end was already known.",
+    "A run ended other than by completing, or its end was already known. "
+    "``failures`` counts the failed runs of its task so far.",
 )
 define_event(
     "end-ignored",
