Store the numbers of failed runs, so that each counts once

Callers saw a job shown as failed although no task had used up its attempts. Cause: the numbers of a gang's failed runs were kept in the leader's memory only. When the leader changed between the ends of two members of one run, the next one counted the run again. A single task's run was counted twice too if a worker still listed it as active after its end had been counted. Change: the progress of a task names its newest 16 failed runs; a step knows those of its gang. A failed run counts once by its number, whoever leads. Conclusion: fixed; an older instance cannot read the progress, so all are stopped for the upgrade.

--- a/src/magnoliapitch/planner/restart_pause.py
+++ b/src/magnoliapitch/planner/restart_pause.py
@@ -49,13 +49,9 @@
             for member in members:
                 member.reset_failures()
             return
-        if step.spec.is_gang:
-            if run.number in step.failed_run_numbers:
-                return
-            step.failed_run_numbers = {run.number}
-        task.add_failure()
-        early_ends = sum(member.failures for member in members)
-        pause_ms = restart_pause_ms(early_ends)
+        if not task.record_failure(run.number):
+            return
+        pause_ms = restart_pause_ms(task.used_attempts)
         if pause_ms:
             task.paused_until_ms = now_ms + pause_ms
             self._tasks_by_key[task.key] = task
--- a/src/magnoliapitch/planner/restore.py
+++ b/src/magnoliapitch/planner/restore.py
@@ -71,6 +71,7 @@
         ),
         task.worker_crashes,
         task.worker_losses,
+        task.failed_runs,
     )
 
 
@@ -113,7 +114,7 @@
     # A former release stored the progress of all tasks in one record.
     task.note_change()
     task.runs = progress.runs
-    task.failures = progress.failures
+    task.set_failures(progress.failures, progress.failed_runs)
     is_long_running = task.step.spec.is_long_running
     task.is_done = progress.is_done and not is_long_running
     task.checkpoint = progress.checkpoint
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -285,7 +285,7 @@
             return False
         elif task.step.spec.is_long_running:
             self._restart_pauses.record_end(run, end.kind, now_ms)
-        elif end.kind is EndKind.FAILED and task.record_failure(run):
+        elif end.kind is EndKind.FAILED and task.record_failure(end.run):
             failed_task = task
         if run is not None:
             self.remove_run(run)
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -171,8 +171,9 @@
     :ivar asked_worker_ids: workers that the advisor has answered about.
     :ivar failed_worker_ids: workers on which a run failed since the last
         run that was done.
-    :ivar failed_run_numbers: numbers of the runs that have failed; the
-        members of a gang share a number.
+    :ivar failures: number of failed runs of all its tasks; the members of a
+        gang fail together, as one run.
+    :ivar failed_runs: of a gang, numbers of the newest ones among these.
     :ivar unfinished_count: number of tasks that are not done; those of a
         long-running step never are.
     :ivar waiting_count: number of tasks that are waiting to be started.
@@ -190,8 +191,9 @@
 
     __slots__ = (
         "asked_worker_ids",
-        "failed_run_numbers",
+        "failed_runs",
         "failed_worker_ids",
+        "failures",
         "finished_work",
         "first_number",
         "in_flight_worker_ids",
@@ -235,7 +237,8 @@
         self.tickets_by_worker: dict[str, tuple[str, int]] = {}
         self.in_flight_worker_ids: frozenset[str] = frozenset()
         self.failed_worker_ids: set[str] = set()
-        self.failed_run_numbers: set[int] = set()
+        self.failures = 0
+        self.failed_runs: set[int] = set()
         self.finished_work = StepWork()
         self.latest_start_ms: float | None = None
         self.latest_end_ms: float | None = None
@@ -264,7 +267,7 @@
             return False
         attempts = self.job.queue.attempts
         if self.spec.is_gang:
-            return sum(task.failures for task in self.tasks) >= attempts
+            return self.failures >= attempts
         return any(
             task.failures >= attempts and task.has_failed
             for task in self.tasks
--- a/src/magnoliapitch/planner/tracked_task.py
+++ b/src/magnoliapitch/planner/tracked_task.py
@@ -14,6 +14,8 @@
     from magnoliapitch.planner.tracked import TrackedStep
 
 
+# Workers list the ends of older runs no more.
+MAX_KEPT_FAILED_RUNS = 16
 # A task that was lost with this many workers is placed apart from other jobs.
 MIN_SUSPECT_LOSSES = 2
 
@@ -25,6 +27,7 @@
     :ivar failures: number of failed runs; a failed run of a gang counts for
         only one of its tasks. Of a long-running step, number of runs in a row
         that ended early.
+    :ivar failed_runs: numbers of the newest runs among these.
     :ivar active_runs: runs that were ordered and may still be active.
     :ivar paused_until_ms: until when the task is not started again; 0 if it
         does not pause.
@@ -45,6 +48,7 @@
         "active_runs",
         "checkpoint",
         "down_since_ms",
+        "failed_runs",
         "failures",
         "hold_until_ms",
         "is_done",
@@ -63,6 +67,7 @@
         self.key = step.key.task(position)
         self.runs = 0
         self.failures = 0
+        self.failed_runs: tuple[int, ...] = ()
         self.is_done = False
         self.checkpoint: str = ""
         self.active_runs: list[TrackedRun] = []
@@ -88,7 +93,13 @@
         """Return whether the task may be started after its failed runs."""
         if self.step.spec.is_long_running:
             return True
-        return self.failures < self.step.job.queue.attempts
+        return self.used_attempts < self.step.job.queue.attempts
+
+    @property
+    def used_attempts(self) -> int:
+        """Return the number of failed runs of the task, or of its gang."""
+        step = self.step
+        return step.failures if step.spec.is_gang else self.failures
 
     @property
     def has_failed(self) -> bool:
@@ -155,28 +166,41 @@
         """Return whether the task may be what ends its workers."""
         return self.lost_worker_count >= MIN_SUSPECT_LOSSES
 
-    def record_failure(self, run: TrackedRun) -> bool:
-        """Count a failed run as an attempt, whether it is a copy or not.
+    def record_failure(self, number: int) -> bool:
+        """Count a failed run, whether it is a copy or not, but only once.
 
         Failures of several gang members in one run count once.
 
+        :param number: number of the run.
         :return: whether it counts.
         """
-        step = self.step
-        if step.spec.is_gang:
-            if run.number in step.failed_run_numbers:
-                return False
-            step.failed_run_numbers.add(run.number)
-        self.add_failure()
-        return True
-
-    def add_failure(self) -> None:
-        """Count one failure more."""
-        self.failures += 1
+        if self._has_counted_failure(number):
+            return False
+        kept = sorted((*self.failed_runs, number))[-MAX_KEPT_FAILED_RUNS:]
+        self.set_failures(self.failures + 1, tuple(kept))
         self.note_change()
+        return True
 
     def reset_failures(self) -> None:
         """Begin to count failures anew."""
         if self.failures:
-            self.failures = 0
+            self.set_failures(0, ())
             self.note_change()
+
+    def set_failures(self, count: int, failed_runs: tuple[int, ...]) -> None:
+        """Set the number of failed runs, and the newest ones among them."""
+        step = self.step
+        step.failures += count - self.failures
+        if step.spec.is_gang:
+            step.failed_runs.difference_update(self.failed_runs)
+            step.failed_runs.update(failed_runs)
+        self.failures = count
+        self.failed_runs = failed_runs
+
+    def _has_counted_failure(self, number: int) -> bool:
+        if self.step.spec.is_gang:
+            return number in self.step.failed_runs
+        if number in self.failed_runs:
+            return True
+        is_full = len(self.failed_runs) == MAX_KEPT_FAILED_RUNS
+        return is_full and number < self.failed_runs[0]
--- a/src/magnoliapitch/workload/progress.py
+++ b/src/magnoliapitch/workload/progress.py
@@ -44,13 +44,16 @@
     """Progress of a task.
 
     :param runs: highest run number ordered so far; 0 before the first.
-    :param failures: number of runs that ended as ``failed``.
+    :param failures: number of runs that ended as ``failed``; of a
+        long-running step, of those in a row that ended early.
     :param checkpoint: newest saved checkpoint; empty if there is none.
     :param placements: runs that may still be active.
     :param worker_crashes: number of workers that certainly ended while a run
         of the task may have been active there.
     :param worker_losses: number of workers that were lost likewise, but may
         only have been cut off.
+    :param failed_runs: numbers of the newest ones among ``failures``; of a
+        former release's progress they are not known.
     """
 
     runs: int = 0
@@ -60,6 +63,7 @@
     placements: tuple[Placement, ...] = ()
     worker_crashes: int = 0
     worker_losses: int = 0
+    failed_runs: tuple[int, ...] = ()
 
 
 class JobProgress(NamedTuple):
