Judge starts after any acknowledged failure, and find the miscounts by search

In 200 schedules of the search the lease of each worker whose run was given up had lapsed before the end was acknowledged, so that the users' BUDGET never broke and the first miscount (ends of runs that were given up) was not found. A stricter check finds it: no start in time over 1 s after as many failed ends as allowed were acknowledged, lapsed or not; the leader has stored them by then. Jobs that are shown as failed are now explained exactly in the two older searches too; before, any failed run, or two crashes, were reason enough.

--- a/tests/control/attempt_history.py
+++ b/tests/control/attempt_history.py
@@ -9,6 +9,9 @@
   worker expired between the two; that stands for good. Starts of steps that
   may have copies are judged only from a moment after the last of these ends
   was taken note of, and only if the worker carried the order out in time.
+- Stricter than the users' rule: no task starts a moment after so many ends
+  were acknowledged, whether a lease has expired before or not, unless the
+  worker carried the order out late. The leader knew of them.
 - LOST: no job is shown as failed unless one of its tasks has ended as failed
   so often, whether that was taken note of or not, or enough workers have
   crashed under it, or the store has refused its progress.
@@ -39,8 +42,8 @@
 
 # Longest time from the decision to start a task until the worker begins it.
 MAX_ORDER_AGE_MS = 10_000
-# A copy may be started for this long after the last attempt was noted.
-COPY_NOTICE_MS = 1_000
+# Starts may be begun for this long after the last end was acknowledged.
+ACKNOWLEDGED_NOTICE_MS = 1_000
 # Workers that crash under a task before it may be given up.
 MIN_CRASHES_TO_GIVE_UP = 3
 
@@ -50,10 +53,19 @@
 
     :ivar number: number of the run; members of a gang share it.
     :ivar event: number of the end among all events of the history.
-    :ivar noted_ms: when the end was taken note of; None if it was not.
+    :ivar acknowledged_ms: when the acknowledgement of the end reached the
+        worker; None before.
+    :ivar has_lapsed: whether the lease of the worker expired before.
     """
 
-    __slots__ = ("ended_ms", "event", "noted_ms", "number", "task")
+    __slots__ = (
+        "acknowledged_ms",
+        "ended_ms",
+        "event",
+        "has_lapsed",
+        "number",
+        "task",
+    )
 
     def __init__(
         self, task: TaskKey, number: int, event: int, ended_ms: int
@@ -62,7 +74,19 @@
         self.number = number
         self.event = event
         self.ended_ms = ended_ms
-        self.noted_ms: int | None = None
+        self.acknowledged_ms: int | None = None
+        self.has_lapsed = False
+
+    @property
+    def is_noted(self) -> bool:
+        """Return whether the end was taken note of."""
+        return self.acknowledged_ms is not None and not self.has_lapsed
+
+    def is_acknowledged_before(self, time_ms: int) -> bool:
+        """Return whether the leader knew of the end before a time."""
+        return (
+            self.acknowledged_ms is not None and self.acknowledged_ms < time_ms
+        )
 
 
 class _Start(NamedTuple):
@@ -146,9 +170,9 @@
         self._failed_by_unit[self._unit(task)].append(failed)
         return failed
 
-    def record_noted(self, failed: FailedRun) -> None:
-        """Record that an end was taken note of, and judge the starts."""
-        failed.noted_ms = self._simulation.now_ms
+    def record_acknowledged(self, failed: FailedRun) -> None:
+        """Record that an end was acknowledged, and judge the starts."""
+        failed.acknowledged_ms = self._simulation.now_ms
         self._judge_starts(self._unit(failed.task))
 
     def record_refused(self, keys: Iterable[str]) -> None:
@@ -208,7 +232,10 @@
 
     def _judge_starts(self, unit: TaskKey | StepKey) -> None:
         for start in self._starts_by_unit[unit]:
-            count = _count_runs(self._noted_before(unit, start))
+            count = max(
+                _count_runs(self._noted_before(unit, start)),
+                _count_runs(self._known_before(unit, start)),
+            )
             if count >= start.attempts and start not in self._reported:
                 self._reported.add(start)
                 self._add_violation(
@@ -220,18 +247,27 @@
     def _noted_before(
         self, unit: TaskKey | StepKey, start: _Start
     ) -> Iterable[FailedRun]:
-        """Return the noted failed runs after which a start is judged."""
+        """Return the noted failed runs that the users' rule counts."""
         spec = self._simulation.specs[start.task.job_id]
-        has_copies = spec.steps[start.task.step].is_speculative
-        if has_copies and start.is_late:
+        if spec.steps[start.task.step].is_speculative:
+            return []
+        return [
+            failed
+            for failed in self._failed_by_unit.get(unit, ())
+            if failed.is_noted and failed.event < start.event
+        ]
+
+    def _known_before(
+        self, unit: TaskKey | StepKey, start: _Start
+    ) -> Iterable[FailedRun]:
+        """Return the failed runs of which the leader knew well before."""
+        if start.is_late:
             return []
-        latest_ms = start.started_ms - COPY_NOTICE_MS
+        latest_ms = start.started_ms - ACKNOWLEDGED_NOTICE_MS
         return [
             failed
             for failed in self._failed_by_unit.get(unit, ())
-            if failed.noted_ms is not None
-            and failed.event < start.event
-            and (not has_copies or failed.noted_ms < latest_ms)
+            if failed.is_acknowledged_before(latest_ms)
         ]
 
     def _unit(self, task: TaskKey) -> TaskKey | StepKey:
--- a/tests/control/simulated_worker.py
+++ b/tests/control/simulated_worker.py
@@ -202,7 +202,7 @@
             )
         failed = self._failed_by_sequence.pop(end.sequence, None)
         if failed is not None:
-            self._simulation.history.attempts.record_noted(failed)
+            self._simulation.history.attempts.record_acknowledged(failed)
 
     def report(self) -> WorkerReport:
         """Return the report of active runs and of the oldest ended ones."""
@@ -435,7 +435,8 @@
             return
         # Nobody can have relied on ends that were not acknowledged in time.
         self._done_ms_by_sequence.clear()
-        self._failed_by_sequence.clear()
+        for failed in self._failed_by_sequence.values():
+            failed.has_lapsed = True
         for run in list(self.running.values()):
             self.end(run, EndKind.LEASE_EXPIRED)
 
--- a/tests/control/test_accepted_jobs_search.py
+++ b/tests/control/test_accepted_jobs_search.py
@@ -57,8 +57,6 @@
     "crash",
     "leave",
 )
-# Workers that may be lost before a task that ran on all of them is given up.
-MIN_CRASHES_TO_GIVE_UP = 2
 
 
 class Search:
@@ -207,21 +205,11 @@
                     step.task_count for step in spec.steps
                 )
             elif outcome is JobState.FAILED:
-                assert self._may_have_failed(spec)
+                attempts = simulation.history.attempts
+                assert attempts.explains_failure(spec.job_id)
             else:
                 assert outcome is JobState.COMPLETED
 
-    def _may_have_failed(self, spec: JobSpec) -> bool:
-        """Return whether failed runs or lost workers explain a failure."""
-        simulation = self.simulation
-        return any(
-            count and key.job_id == spec.job_id
-            for key, count in simulation.failures_of.items()
-        ) or any(
-            count >= MIN_CRASHES_TO_GIVE_UP and key.job_id == spec.job_id
-            for key, count in simulation.crashes_under.items()
-        )
-
 
 def _end_leaving(worker: SimulatedWorker) -> None:
     """End a worker; the one that takes its place does not leave."""
--- a/tests/control/test_search_finds_faults.py
+++ b/tests/control/test_search_finds_faults.py
@@ -27,14 +27,20 @@
 from magnoliapitch.control.timing import ControlTiming
 from magnoliapitch.ledger.elapsed_clock import ElapsedClock
 from magnoliapitch.ledger.elapsed_clock import LeaderClock
+from magnoliapitch.planner import restore
 from magnoliapitch.planner.ahead_requests import AheadRequests
+from magnoliapitch.planner.scheduler_state import SchedulerState
 from magnoliapitch.planner.tracked import TrackedStep
+from magnoliapitch.planner.tracked_task import TrackedTask
+from magnoliapitch.workload.run import EndedRun
 from magnoliapitch.workload.run import EndKind
 from tests.control.job_strategies import jobs
 from tests.control.job_strategies import schedules
 from tests.control.test_accepted_jobs_search import JOB_COUNT
 from tests.control.test_accepted_jobs_search import KINDS
 from tests.control.test_accepted_jobs_search import Search
+from tests.control.test_attempts_under_faults import EFFECTS_TYPES
+from tests.control.test_attempts_under_faults import FailingRun
 from tests.control.test_leaders_lost_at_each_step import CASES
 from tests.control.test_leaders_lost_at_each_step import LostLeader
 from tests.control.test_time_without_run import CASES as WAIT_CASES
@@ -57,6 +63,12 @@
     lost.check()
 
 
+def _play_failing_runs(case: Any) -> None:
+    run = FailingRun(*case)
+    run.play()
+    run.check()
+
+
 class _Kind(NamedTuple):
     cases: SearchStrategy[Any]
     play: Callable[[Any], None]
@@ -71,6 +83,10 @@
 )
 LOST_LEADERS = _Kind(CASES, _play_lost_leader)
 WAITS = _Kind(WAIT_CASES, play_wait)
+FAILING_RUNS = _Kind(
+    st.tuples(st.integers(0, 100_000), st.sampled_from(EFFECTS_TYPES)),
+    _play_failing_runs,
+)
 
 
 class Mutant(NamedTuple):
@@ -80,7 +96,7 @@
     :param kind: the search that is to find the fault.
     """
 
-    owner: type
+    owner: Any
     name: str
     patch: Any
     kind: _Kind
@@ -95,6 +111,28 @@
     return add
 
 
+def _restore_without_failures(original: Callable[..., Any]) -> Any:
+    def restore_task(
+        state: Any, task: Any, progress: Any, now_ms: int
+    ) -> None:
+        forgotten = progress._replace(failures=0, failed_runs=())
+        original(state, task, forgotten, now_ms)
+
+    return restore_task
+
+
+def _ignore_ends_of_lost_runs(original: Callable[..., Any]) -> Any:
+    def record_end(
+        state: Any, worker_id: str, end: EndedRun, now_ms: int
+    ) -> bool:
+        is_tracked = state.run(end.task, end.run, worker_id) is not None
+        if end.kind is EndKind.FAILED and not is_tracked:
+            return False
+        return bool(original(state, worker_id, end, now_ms))
+
+    return record_end
+
+
 def _takeover_ms_and_a_second(timing: ControlTiming) -> int:
     longest_ms = (timing.lease_ms + 1_000) / MIN_CLOCK_RATE_RATIO
     return int(longest_ms) + LEASE_EXPIRY_MARGIN_MS
@@ -137,6 +175,24 @@
     "LOST: suspects are held anew by each leader": Mutant(
         WorkerReachability, "lost_ms", WorkerReachability.silent_ms, WAITS
     ),
+    "BUDGET, issue 57: failed runs are forgotten with the leader": Mutant(
+        restore,
+        "_restore_task",
+        _restore_without_failures(restore._restore_task),
+        FAILING_RUNS,
+    ),
+    "LOST, issue 57: each member of a gang counts": Mutant(
+        TrackedTask, "_has_counted_failure", lambda *_: False, FAILING_RUNS
+    ),
+    "BUDGET, issue 57: failed runs that were given up do not count": Mutant(
+        SchedulerState,
+        "record_end",
+        _ignore_ends_of_lost_runs(SchedulerState.record_end),
+        FAILING_RUNS,
+    ),
+    "BUDGET: tasks start whatever has failed": Mutant(
+        TrackedStep, "has_failed", property(lambda _: False), FAILING_RUNS
+    ),
 }
 
 
--- a/tests/control/test_worker_crashes_under_faults.py
+++ b/tests/control/test_worker_crashes_under_faults.py
@@ -19,8 +19,6 @@
 
 SEEDS = range(8)
 EFFECTS_TYPES = (SimulatedEffects, DelegatedEffects)
-# Workers that the users' rules let crash under a task before it is given up.
-MIN_CRASHES_TO_GIVE_UP = 2
 
 
 class CrashingRun(FaultyRun):
@@ -59,28 +57,14 @@
 
     def wrongly_failed(self) -> set[str]:
         """Return failed jobs that neither failed runs nor crashes explain."""
+        attempts = self.simulation.history.attempts
         return {
             job_id
             for job_id, finished in self.simulation.finished.items()
             if finished.outcome is JobState.FAILED
-            and job_id not in self.deadly_job_ids
-            and not self._is_explained(job_id)
+            and not attempts.explains_failure(job_id)
         }
 
-    def _is_explained(self, job_id: str) -> bool:
-        simulation = self.simulation
-        attempts = simulation.configuration.queues_by_name["q"].attempts
-        failures = sum(
-            count
-            for task, count in simulation.failures_of.items()
-            if task.job_id == job_id
-        )
-        return failures >= attempts or any(
-            count >= MIN_CRASHES_TO_GIVE_UP
-            for task, count in simulation.crashes_under.items()
-            if task.job_id == job_id
-        )
-
 
 # Incident BUDGET: with cuts, late orders, lost answers and new leaders, too.
 @pytest.mark.parametrize("effects_type", EFFECTS_TYPES)
