--- a/tests/control/test_attempts_under_faults.py
+++ b/tests/control/test_attempts_under_faults.py
@@ -64,6 +64,7 @@
     ) -> None:
         self._random = random.Random(seed)
         self.job_ids: list[str] = []
+        self._is_leaderless = False
         self._failure_share_by_job: dict[str, float] = {}
         is_wire = effects_type in (WireEffects, DelegatedWireEffects)
         simulation_type = RestartingSimulation if is_wire else Simulation
@@ -131,7 +132,7 @@
             self._withhold_worker()
         if self._happens(0.05):
             self._live_worker_crashes()
-        if self._happens(0.06):
+        if self._happens(0.06) or simulation.controller.is_over:
             self._lose_leader()
         if self._happens(0.1):
             self._change_queue()
@@ -225,8 +226,9 @@
     def _lose_leader(self) -> None:
         """Lose the leader; another one claims at once and leads later."""
         simulation = self.simulation
-        if simulation.store_is_unavailable or simulation.controller.is_over:
+        if simulation.store_is_unavailable or self._is_leaderless:
             return
+        self._is_leaderless = True
         simulation.controller.is_over = True
         simulation.claim()
         simulation.schedule(
@@ -240,6 +242,7 @@
             return
         if self._happens(0.5):
             simulation.forget_reading_times()
+        self._is_leaderless = False
         simulation.take_over()
 
     def _end_outage(self) -> None:
@@ -256,6 +259,8 @@
         simulation.list_is_unavailable = False
         simulation.jobs_are_unavailable = False
         simulation.order_late_ms = lambda _: 0
+        if simulation.controller.is_over:
+            self._lose_leader()
         queues = simulation.configuration.queues_by_name
         simulation.configuration = simulation.configuration._replace(
             queues_by_name={name: queue(name) for name in QUEUE_NAMES}
