One log line for each closed job, with its reason and figures

Change: SchedulerState.close_job is the one place that closes a job; its callers give a typed JobClosing, which logs `job-closed`: attempts used (step, task, failures, attempts), attempts lowered (from, to, version), crashed workers (task and counts), a refused record (key), cancelled; completed without a reason, so that these lines are limited like others. `ends-acknowledged` is written only if a failed end is among those acknowledged. `logs delays` takes the new line for the end of runs, or for a failed run. No decision changes.

Before: no such lines, so the new tests had nothing to fail on. After: tests of the new file, of planner, events, pages, log files and removed queues pass.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from magnoliapitch.control.accepted_starts import record_accepted
+from magnoliapitch.control.end_acknowledger import EndAcknowledger
 from magnoliapitch.control.job_loader import JobLoader
 from magnoliapitch.control.load_publisher import LoadPublisher
 from magnoliapitch.control.order_issuer import OrderIssuer
@@ -133,6 +134,7 @@
             self.next_lease_deadline,
             lambda: self._progress_batcher.stamped_ms is not None,
         )
+        self._end_acknowledger = EndAcknowledger(effects)
         self._acks_by_worker: dict[str, int] = {}
         self._is_commit_in_flight = False
         self._stored_ms = claimed_ms
@@ -259,6 +261,10 @@
         self._reachability.record_answer(
             worker_id, report.clock_ms, event.sent_ms, event.received_ms
         )
+        last_sequences = self._report_applier.last_end_sequence_by_worker
+        self._end_acknowledger.note(
+            worker_id, report.ended, last_sequences.get(worker_id, 0)
+        )
         applied = self._report_applier.apply(
             worker_id, report, event.sent_ms, event.received_ms
         )
@@ -268,7 +274,9 @@
             )
             self._order_issuer.stop_unknown(worker_id, order, job_state)
         if not self.state.unsaved_job_ids and not self._is_commit_in_flight:
-            self._effects.acknowledge(worker_id, applied.last_end_sequence)
+            self._end_acknowledger.acknowledge(
+                worker_id, applied.last_end_sequence
+            )
 
     def handle_start_answer(self, event: StartAnswered) -> None:
         """Apply the answer to a start order, or its failure."""
@@ -330,7 +338,7 @@
         acks_by_worker = {} if refused_keys else self._acks_by_worker
         self._acks_by_worker = {}
         for worker_id, sequence in acks_by_worker.items():
-            self._effects.acknowledge(worker_id, sequence)
+            self._end_acknowledger.acknowledge(worker_id, sequence)
         self._starts.queue.record_stored(now_ms)
         self._starts.order_stored(now_ms)
 
--- a/src/magnoliapitch/control/progress_records.py
+++ b/src/magnoliapitch/control/progress_records.py
@@ -9,6 +9,7 @@
 from magnoliapitch.ledger.records import progress_key
 from magnoliapitch.ledger.records import split_progress_key
 from magnoliapitch.ledger.stream import KeyedRecord
+from magnoliapitch.planner.job_closing import JobClosing
 from magnoliapitch.planner.restore import progress_of
 
 
@@ -51,11 +52,12 @@
 
     :param keys: keys of the refused records.
     """
-    for job_id in sorted({split_progress_key(key)[0] for key in keys}):
+    key_by_job = {split_progress_key(key)[0]: key for key in keys}
+    for job_id, key in sorted(key_by_job.items()):
         job = state.jobs_by_id.get(job_id)
         if job is not None:
             log_event("progress-refused", job=job_id, state=job.outcome)
-            state.fail_job(job)
+            state.close_job(job, JobClosing.record_refused(key))
 
 
 __all__ = ["deletion_records", "fail_refused_jobs", "take_changed_records"]
--- a/src/magnoliapitch/logfile/delay_cause.py
+++ b/src/magnoliapitch/logfile/delay_cause.py
@@ -93,14 +93,19 @@
 @_rule(DelayCause.FAILED_RUN)
 def _is_run_failed(gap: Gap, leaderless: LeaderlessPeriods) -> bool:
     del leaderless
-    return gap.following.fields.get("kind") == "failed"
+    fields = gap.following.fields
+    return (
+        fields.get("kind") == "failed"
+        or fields.get("reason") == "attempts-used"
+    )
 
 
 @_rule(DelayCause.RUNNING)
 def _is_running(gap: Gap, leaderless: LeaderlessPeriods) -> bool:
     """Return whether only the end of runs was waited for."""
     del leaderless
-    return gap.following.name in ("step-done", "run-ended", "stop-ordered")
+    names = {"step-done", "run-ended", "stop-ordered", "job-closed"}
+    return gap.following.name in names
 
 
 @_rule(DelayCause.HAND_OVER)
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -5,6 +5,7 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
+from magnoliapitch.planner.job_closing import JobClosing
 from magnoliapitch.planner.restart_pause import RestartPauses
 from magnoliapitch.planner.restore import progress_of
 from magnoliapitch.planner.restore import restore_progress
@@ -94,13 +95,21 @@
     def cancel_job(self, job_id: str) -> None:
         """Cancel an open job and mark its runs for stopping."""
         job = self.jobs_by_id.get(job_id)
-        if job is not None and job.outcome is JobOutcome.OPEN:
-            self._close_job(job, JobOutcome.CANCELLED)
+        if job is not None:
+            self.close_job(job, JobClosing.cancelled())
 
-    def fail_job(self, job: TrackedJob) -> None:
-        """Fail an open job and mark its runs for stopping."""
-        if job.outcome is JobOutcome.OPEN:
-            self._close_job(job, JobOutcome.FAILED)
+    def close_job(self, job: TrackedJob, closing: JobClosing) -> None:
+        """Close an open job; unless it is done, mark its runs for stopping."""
+        if job.outcome is not JobOutcome.OPEN:
+            return
+        job.outcome = closing.outcome
+        closing.log(job)
+        self.unsaved_job_ids.add(job.spec.job_id)
+        for step in job.all_steps():
+            self.waiting_steps.pop(step.key, None)
+            self.scheduled_steps.pop(step.key, None)
+            if closing.outcome is not JobOutcome.COMPLETED:
+                self.stop_step(step)
 
     def remove_job(self, job_id: str) -> None:
         """Remove a job that has ended and has no active runs."""
@@ -365,18 +374,9 @@
         if job.outcome is not JobOutcome.OPEN:
             return
         if job.has_failed(failed_task):
-            self._close_job(job, JobOutcome.FAILED)
+            self.close_job(job, JobClosing.attempts_used(job))
         elif not job.dependencies.unfinished_count:
-            self._close_job(job, JobOutcome.COMPLETED)
-
-    def _close_job(self, job: TrackedJob, outcome: JobOutcome) -> None:
-        job.outcome = outcome
-        self.unsaved_job_ids.add(job.spec.job_id)
-        for step in job.all_steps():
-            self.waiting_steps.pop(step.key, None)
-            self.scheduled_steps.pop(step.key, None)
-            if outcome is not JobOutcome.COMPLETED:
-                self.stop_step(step)
+            self.close_job(job, JobClosing.completed())
 
     def _open_steps(self, steps: Iterable[TrackedStep], now_ms: int) -> None:
         """Open or schedule steps whose dependencies are done."""
--- a/src/magnoliapitch/planner/worker_loss.py
+++ b/src/magnoliapitch/planner/worker_loss.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from magnoliapitch.planner.job_closing import JobClosing
 from magnoliapitch.planner.tracked_task import TrackedTask
 
 
@@ -73,7 +74,10 @@
         _note_count(state, run.task)
     for run in lost:
         if run.gives_up:
-            state.fail_job(run.task.step.job)
+            state.close_job(
+                run.task.step.job,
+                JobClosing.workers_crashed(run.task, is_alone=run.is_alone),
+            )
 
 
 def count_loss(state: SchedulerState, lost: Iterable[LostRun]) -> None:
