A job keeps at least the attempts that it was accepted with

A version in which `attempts` is smaller, missing or 0 (both read as 1) failed all jobs of the queue with one failed task, with no run that failed then; a negative number failed even jobs without any.

Weighed: keep the smaller number without closing (the job would hang with a task that may neither start nor fail); take it for new failures only (the next failure closes the job after fewer than its attempts all the same). The job's record holds the queue that accepted it, so the larger of both numbers is in force: nobody has fewer attempts than promised, a raise applies to all. Jobs of older releases, whose record has no queue, are closed as before; so are those whose attempts had been raised above what they were accepted with.

Change: Queue.for_job, used when a job is loaded and when a configuration is applied; a queue's attempts are never below 1. `attempts-changed` tells the configured number and the one in force.

Before: test_a_job_keeps_the_attempts_that_it_was_accepted_with failed in both cases (the job was closed after the first failure, one run a task in place of two). After: it passes, with the tests of removed queues, accepted jobs and their search, reconfiguration, platform and pages.

Conclusion: a configuration alone fails no job that this release accepted.

--- a/src/magnoliapitch/control/job_loader.py
+++ b/src/magnoliapitch/control/job_loader.py
@@ -87,12 +87,15 @@
             self._state.cancel_job(spec.job_id)
 
     def _queue_of(self, spec: JobSpec) -> Queue:
-        """Return a job's queue, if need be as it was when it accepted it."""
+        """Return a job's queue, if need be as it was when it accepted it.
+
+        The job keeps at least the attempts that it was accepted with.
+        """
         configuration = self._configuration()
         if configuration is not None:
             queue = configuration.queues_by_name.get(spec.queue)
             if queue is not None:
-                return queue
+                return queue.for_job(spec.accepting_queue)
         snapshot = spec.accepting_queue or UNKNOWN_QUEUE
         log_event(
             "queue-missing",
--- a/src/magnoliapitch/event/end_definitions.py
+++ b/src/magnoliapitch/event/end_definitions.py
@@ -15,7 +15,8 @@
 define_event(
     "attempts-changed",
     EventLevel.INFO,
-    "A configuration changes the attempts of a queue that has open jobs.",
+    "A configuration gives a queue other attempts than are in force for open "
+    "jobs; these keep at least those that they were accepted with.",
 )
 define_event(
     "ends-acknowledged",
--- a/src/magnoliapitch/planner/reconfiguration.py
+++ b/src/magnoliapitch/planner/reconfiguration.py
@@ -6,6 +6,7 @@
 
 from collections import Counter
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.job_closing import JobClosing
@@ -14,7 +15,23 @@
 
 if TYPE_CHECKING:
     from magnoliapitch.planner.scheduler_state import SchedulerState
+    from magnoliapitch.planner.tracked_job import TrackedJob
     from magnoliapitch.workload.configuration import Configuration
+    from magnoliapitch.workload.configuration import Queue
+
+
+class _Change(NamedTuple):
+    """Attempts of a queue that differ from those in force for a job.
+
+    :param former: attempts in force for the job before.
+    :param configured: attempts in the newer configuration.
+    :param attempts: attempts in force for the job from now on.
+    """
+
+    queue: str
+    former: int
+    configured: int
+    attempts: int
 
 
 def apply_configuration(
@@ -22,29 +39,22 @@
 ) -> None:
     """Replace the queues of the jobs and the workspaces.
 
-    Jobs whose queue is not defined any more keep it. Those that have failed
-    by the attempts of their queue are closed. Usage is summed afresh, since
-    the runs of a queue may have another priority now.
+    Jobs whose queue is not defined any more keep it. Each keeps at least the
+    attempts that it was accepted with; those that have failed by the attempts
+    in force for them are closed. Usage is summed afresh, since the runs of a
+    queue may have another priority now.
 
     :param configuration: None if none was read yet, which changes nothing.
     """
     if configuration is None:
         return
-    changes: Counter[tuple[str, int, int]] = Counter()
+    changes: Counter[_Change] = Counter()
     for job in state.jobs_by_id.values():
         queue = configuration.queues_by_name.get(job.spec.queue)
-        attempts = job.queue.attempts
-        job.queue = queue or job.queue
-        if job.queue.attempts != attempts:
-            change = (job.spec.queue, attempts, job.queue.attempts)
+        if queue is not None:
+            change = _replace_queue(job, queue)
             changes[change] += job.outcome is JobOutcome.OPEN
-            if job.has_failed_step():
-                state.close_job(
-                    job,
-                    JobClosing.attempts_lowered(
-                        job, attempts, configuration.version
-                    ),
-                )
+            _close_if_failed(state, job, change, configuration.version)
         for step in job.all_steps():
             step.start_limit = sys.maxsize
             step.is_held = False
@@ -56,18 +66,34 @@
     )
 
 
-def _log_changes(changes: Counter[tuple[str, int, int]], version: int) -> None:
+def _replace_queue(job: TrackedJob, queue: Queue) -> _Change:
+    former = job.queue.attempts
+    job.queue = queue.for_job(job.spec.accepting_queue)
+    return _Change(queue.name, former, queue.attempts, job.queue.attempts)
+
+
+def _close_if_failed(
+    state: SchedulerState, job: TrackedJob, change: _Change, version: int
+) -> None:
+    if change.attempts != change.former and job.has_failed_step():
+        state.close_job(
+            job, JobClosing.attempts_lowered(job, change.former, version)
+        )
+
+
+def _log_changes(changes: Counter[_Change], version: int) -> None:
     """Log the attempts that have changed.
 
-    :param changes: number of open jobs by queue, former and new attempts.
+    :param changes: number of open jobs by change.
     """
-    for (queue, former, attempts), open_jobs in changes.items():
-        if open_jobs:
+    for change, open_jobs in changes.items():
+        if open_jobs and change.configured != change.former:
             log_event(
                 "attempts-changed",
-                queue=queue,
-                former_attempts=former,
-                attempts=attempts,
+                queue=change.queue,
+                former_attempts=change.former,
+                configured_attempts=change.configured,
+                attempts=change.attempts,
                 open_jobs=open_jobs,
                 version=version,
             )
--- a/src/magnoliapitch/platform/configuration.py
+++ b/src/magnoliapitch/platform/configuration.py
@@ -60,7 +60,7 @@
         _require_text(route["path-prefix"], "path-prefix"),
         route["service"],
         int(route.get("priority") or 0),
-        int(route.get("attempts") or 1),
+        max(1, int(route.get("attempts") or 1)),
         float(route.get("stretch") or 1.0),
         float(route.get("target-duration-ms") or 0.0),
         int(route.get("timeout-ms") or 3_000),
--- a/src/magnoliapitch/workload/configuration.py
+++ b/src/magnoliapitch/workload/configuration.py
@@ -53,6 +53,21 @@
     permit_timing: PermitTiming | None = None
     is_public: bool = False
 
+    def for_job(self, accepting_queue: QueueSnapshot | None) -> Queue:
+        """Return the queue as it applies to an accepted job.
+
+        The job keeps at least the attempts that it was accepted with.
+
+        :param accepting_queue: the queue when it accepted the job; None if
+            that is not known.
+        """
+        if (
+            accepting_queue is None
+            or accepting_queue.attempts <= self.attempts
+        ):
+            return self
+        return self._replace(attempts=accepting_queue.attempts)
+
 
 class QueueSnapshot(NamedTuple):
     """What a queue was when it accepted a job, as far as the job's runs need.
--- a/tests/control/test_removed_queues.py
+++ b/tests/control/test_removed_queues.py
@@ -112,3 +112,34 @@
     simulation.run(500)
     assert simulation.finished["a"].outcome is JobState.FAILED
     assert set(simulation.starts.values()) == {1}
+
+
+# Incident LOST: a configuration with fewer attempts, or without the number of
+# attempts, closed every job of the queue that had failed that often before.
+@pytest.mark.parametrize("is_taken_over", [False, True])
+def test_a_job_keeps_the_attempts_that_it_was_accepted_with(
+    *, is_taken_over: bool
+) -> None:
+    accepting = queue("q")._replace(attempts=3)
+    simulation = Simulation([accepting], workers(3))
+    simulation.actual_duration_ms = lambda _: 2_000.0
+    submit(simulation, QueueSnapshot.from_queue(accepting))
+    simulation.run(900)
+    for attempts in (1, 2):
+        simulation.configuration = simulation.configuration._replace(
+            queues_by_name={"q": accepting._replace(attempts=attempts)}
+        )
+        simulation.controller.handle_configuration_changed()
+        job = simulation.controller.state.jobs_by_id["a"]
+        assert job.queue.attempts == 3
+        if is_taken_over:
+            simulation.take_over()
+            simulation.run(500)
+        for worker in simulation.workers.values():
+            for run in list(worker.running.values()):
+                worker.end(run, EndKind.FAILED)
+        simulation.run(900)
+    assert max(simulation.failures_of.values()) == 2
+    simulation.run(8_000)
+    assert simulation.finished["a"].outcome is JobState.COMPLETED
+    assert simulation.violations == []
