Only the store's refusals of a record, three in a row, fail a job

The batch was divided, and each job whose single record was refused once, beside one accepted call without records, failed: as many jobs as the batch had. Such answers can have nothing to do with the records: something in between (401, 403, 404, 408, 421), or a call that arrived damaged (400). The probe does not tell these apart, since it has no body and comes later.

Change: only 400 and 413 concern the records; others say nothing on whether the call was carried out, like 5xx, and are tried again. A single record is left out only after three refusals in a row, with an accepted probe after each.

Conclusion: a passing reason can no longer fail many jobs at once, unless it answers 400 to each call with records and 200 to each without for as long as three calls for each record take.

--- a/src/magnoliapitch/ledger/record_calls.py
+++ b/src/magnoliapitch/ledger/record_calls.py
@@ -23,6 +23,11 @@
     from magnoliapitch.verdict import Failure
 
 
+# A single record is left out once it was refused so often in a row, since a
+# call may also arrive damaged.
+REFUSALS_TO_LEAVE_OUT = 3
+
+
 def leading_count(records: Iterable[KeyedRecord]) -> int:
     """Return how many of the first records fit into one call, at least 1.
 
@@ -61,6 +66,7 @@
     def __init__(self, records: Sequence[KeyedRecord]) -> None:
         self.refused_keys: list[str] = []
         self._calls = split_into_calls(records)
+        self._refusals_in_a_row = 0
 
     @property
     def has_ended(self) -> bool:
@@ -82,19 +88,28 @@
             outcome = append(self._calls[0])
             if not isinstance(outcome, Err):
                 del self._calls[0]
+                self._refusals_in_a_row = 0
             elif not self._can_divide(outcome.err_value, probe):
                 return outcome
         return Ok(0)
 
     def _can_divide(self, failure: Failure, probe: Callable[[], bool]) -> bool:
-        """Divide a refused call, or leave out its only record."""
+        """Divide a refused call, or leave out its only record.
+
+        :return: whether the next call can be made.
+        """
         if failure.code is not FailureCode.INVALID:
+            self._refusals_in_a_row = 0
             return False
         records = self._calls[0]
         middle = len(records) // 2
         if not middle and not probe():
             return False
+        self._refusals_in_a_row += not middle
+        if not middle and self._refusals_in_a_row < REFUSALS_TO_LEAVE_OUT:
+            return True
         del self._calls[0]
+        self._refusals_in_a_row = 0
         if middle:
             self._calls[:0] = [records[:middle], records[middle:]]
             return True
--- a/src/magnoliapitch/platform/store.py
+++ b/src/magnoliapitch/platform/store.py
@@ -36,6 +36,9 @@
     from magnoliapitch.http.client import HttpReply
 
 
+# Statuses that concern the records of a call. Others that the protocol does
+# not define may come from something between this instance and the store.
+REFUSAL_STATUSES = (400, 413)
 # In topics with this prefix, the store keeps the newest record of each key
 # without limit.
 TOPIC_PREFIX = "keyed."
@@ -152,7 +155,7 @@
         return Err(not_run(FailureCode.OVERLOADED, detail))
     if reply.status == 503:
         return Err(not_run(FailureCode.UNAVAILABLE, detail))
-    if reply.status < 500:
+    if reply.status in REFUSAL_STATUSES:
         return Err(not_run(FailureCode.INVALID, detail))
     return Err(may_have_run(FailureCode.BAD_RESPONSE, detail))
 
--- a/tests/ledger/test_leadership.py
+++ b/tests/ledger/test_leadership.py
@@ -92,6 +92,31 @@
     assert leader.refused_keys() == ()
 
 
+# Incident LOST: calls that arrived damaged for a moment were divided, and each
+# job whose single record was refused then failed.
+def test_records_that_are_refused_in_passing_are_stored(
+    make_leadership: MakeLeadership, clock: ManualClock, streams: MemoryStreams
+) -> None:
+    leader = make_leadership("a")
+    become_leader(leader, clock)
+    # The batch, its first half, and the first record twice, each time with a
+    # probe after it.
+    is_damaged = [True, True, True, False, True, False]
+
+    def damage() -> None:
+        is_refused = is_damaged.pop(0) if is_damaged else False
+        streams.outage = (
+            not_run(FailureCode.INVALID, "status 400") if is_refused else None
+        )
+
+    streams.before_append = damage
+    keys = [f"p.{number}" for number in range(4)]
+    batch = Batch(tuple(KeyedRecord(key, b"x") for key in keys))
+    assert leader.commit(batch).is_ok()
+    assert leader.refused_keys() == ()
+    assert streams.keys(PROGRESS_STREAM) == keys
+
+
 def test_only_one_of_two_claims_wins(
     make_leadership: MakeLeadership, clock: ManualClock
 ) -> None:
