Three crashes give a task up only if it had certainly begun on each worker

Change: the task counts beside its crashes those under runs that had certainly begun (answered or reported; `proven_crashes`, stored with its progress). Three of these and a worker of its own give it up, as before; otherwise a fourth lost worker is needed, as before for tasks that were not alone.

Weighed: to need three certain ones in every case leaves a task that ends its workers before they answer without any limit. Services are given up as before: a test requires it for deadly ones, and the certain count protects the others.

Before: test_crashes_under_orders_that_were_not_answered_do_not_suffice failed for one and two such crashes. LostRun has one field more, which four tests that build one now give; no check was changed.

Conclusion: four lost workers of which none is certain still give a task up. How likely that is for an innocent one is not measured.

--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -364,6 +364,7 @@
                 **run,
                 is_alone=lost_run.is_alone,
                 worker_crashes=task.worker_crashes,
+                proven_crashes=task.proven_crashes,
                 worker_losses=task.worker_losses,
             )
         elif task.is_suspect:
--- a/src/magnoliapitch/planner/job_closing.py
+++ b/src/magnoliapitch/planner/job_closing.py
@@ -97,6 +97,7 @@
                 "task": task.key.position,
                 "is_alone": is_alone,
                 "worker_crashes": task.worker_crashes,
+                "proven_crashes": task.proven_crashes,
                 "worker_losses": task.worker_losses,
             },
         )
--- a/src/magnoliapitch/planner/restore.py
+++ b/src/magnoliapitch/planner/restore.py
@@ -71,6 +71,7 @@
         ),
         task.worker_crashes,
         task.worker_losses,
+        task.proven_crashes,
     )
 
 
@@ -119,6 +120,7 @@
     task.checkpoint = progress.checkpoint
     task.worker_crashes = progress.worker_crashes
     task.worker_losses = progress.worker_losses
+    task.proven_crashes = progress.proven_crashes
     if task.is_suspect:
         state.add_suspect(task)
     is_over = task.is_done or task.step.job.outcome is not JobOutcome.OPEN
--- a/src/magnoliapitch/planner/tracked_task.py
+++ b/src/magnoliapitch/planner/tracked_task.py
@@ -37,6 +37,7 @@
     :ivar last_active_ms: when the last of its ended runs was last known to be
         active; 0 if this leader knows of none.
     :ivar worker_crashes: workers that ended while a run was active there.
+    :ivar proven_crashes: those of them that had certainly begun the run.
     :ivar worker_losses: workers that were lost so, but may only have been
         cut off.
     """
@@ -52,6 +53,7 @@
         "last_active_ms",
         "paused_until_ms",
         "preemptions",
+        "proven_crashes",
         "runs",
         "step",
         "worker_crashes",
@@ -72,6 +74,7 @@
         self.preemptions = 0
         self.last_active_ms = 0
         self.worker_crashes = 0
+        self.proven_crashes = 0
         self.worker_losses = 0
 
     @property
--- a/src/magnoliapitch/planner/worker_loss.py
+++ b/src/magnoliapitch/planner/worker_loss.py
@@ -17,9 +17,11 @@
     from magnoliapitch.planner.tracked import TrackedWorker
 
 
-# Crashes after which a task that was alone on the last worker is given up.
+# Crashes after which a task is given up if each of the workers had certainly
+# begun a run of it and it was alone on the last one.
 MIN_CRASHES_TO_GIVE_UP = 3
-# If it was not certainly alone there, so many workers must have been lost.
+# Otherwise, so many workers must have been lost: a task that ends them before
+# they answer has certainly begun nowhere, and must not be started more often.
 LOSSES_TO_GIVE_UP = 4
 # A run that was active for this long did not end its worker.
 HARMLESS_AFTER_MS = 60_000
@@ -29,20 +31,24 @@
     """A run that may have caused the loss of its worker.
 
     :param number: number of the run among the runs of its task.
-    :param is_alone: whether the worker had certainly begun the run and had no
-        run of another job.
+    :param has_begun: whether the worker had certainly begun the run.
+    :param is_alone: whether it had, and had no run of another job.
     """
 
     task: TrackedTask
     number: int
+    has_begun: bool
     is_alone: bool
 
     @property
     def gives_up(self) -> bool:
         """Return whether the task is not to be started any more."""
-        return self.task.worker_crashes >= MIN_CRASHES_TO_GIVE_UP and (
-            self.is_alone or self.task.lost_worker_count >= LOSSES_TO_GIVE_UP
-        )
+        task = self.task
+        if task.worker_crashes < MIN_CRASHES_TO_GIVE_UP:
+            return False
+        if self.is_alone and task.proven_crashes >= MIN_CRASHES_TO_GIVE_UP:
+            return True
+        return task.lost_worker_count >= LOSSES_TO_GIVE_UP
 
 
 def suspect_runs(worker: TrackedWorker, now_ms: int) -> list[LostRun]:
@@ -57,6 +63,7 @@
         LostRun(
             run.task,
             run.number,
+            run.confirmed_ms is not None,
             run.confirmed_ms is not None
             and worker.runs_only(run.task.step.job),
         )
@@ -71,6 +78,7 @@
     """Count a worker that has certainly ended; give up tasks to blame."""
     for run in lost:
         run.task.worker_crashes += 1
+        run.task.proven_crashes += run.has_begun
         _note_count(state, run.task)
     for run in lost:
         if run.gives_up:
--- a/src/magnoliapitch/workload/progress.py
+++ b/src/magnoliapitch/workload/progress.py
@@ -51,6 +51,8 @@
         of the task may have been active there.
     :param worker_losses: number of workers that were lost likewise, but may
         only have been cut off.
+    :param proven_crashes: number of ``worker_crashes`` that had certainly
+        begun the run.
     """
 
     runs: int = 0
@@ -60,6 +62,7 @@
     placements: tuple[Placement, ...] = ()
     worker_crashes: int = 0
     worker_losses: int = 0
+    proven_crashes: int = 0
 
 
 class JobProgress(NamedTuple):
--- a/tests/control/test_job_closed_events.py
+++ b/tests/control/test_job_closed_events.py
@@ -112,8 +112,8 @@
 ) -> None:
     state = simulation.controller.state
     task = state.jobs_by_id["a"].steps[0][0].tasks[0]
-    task.worker_crashes = 2
-    lost = LostRun(task, 1, is_alone=True)
+    task.worker_crashes = task.proven_crashes = 2
+    lost = LostRun(task, 1, has_begun=True, is_alone=True)
     count_crash(state, [lost])
     assert logged[0]["reason"] == "workers-crashed"
     assert (logged[0]["worker_crashes"], logged[0]["is_alone"]) == (3, True)
--- a/tests/control/test_unproven_losses.py
+++ b/tests/control/test_unproven_losses.py
@@ -34,7 +34,7 @@
         self.losses = UnprovenLosses(self.state)
 
     def lose(self, *, is_listed: bool = False) -> None:
-        lost = [LostRun(self.task, 1, is_alone=False)]
+        lost = [LostRun(self.task, 1, has_begun=True, is_alone=False)]
         worker = self.state.update_worker(
             WorkerInfo(FORMER, "app", ADDRESS, "z")
         )
--- a/tests/planner/test_load.py
+++ b/tests/planner/test_load.py
@@ -203,7 +203,7 @@
 def test_tasks_that_wait_for_word_of_a_worker_do_not_count() -> None:
     cluster = Cluster()
     step = cluster.add_backlog()
-    lost = [LostRun(step.tasks[0], 1, is_alone=True)]
+    lost = [LostRun(step.tasks[0], 1, has_begun=True, is_alone=True)]
     for _ in range(MIN_SUSPECT_LOSSES):
         count_loss(cluster.state, lost)
     hold_suspects(lost, NOW_MS + 1)
--- a/tests/planner/test_worker_isolation.py
+++ b/tests/planner/test_worker_isolation.py
@@ -113,7 +113,10 @@
     suspect, innocent = state.jobs_by_id["suspect"].all_steps()[0].tasks
     suspect.worker_losses = 2
     state.add_suspect(suspect)
-    lost = [LostRun(task, 1, is_alone=False) for task in (suspect, innocent)]
+    lost = [
+        LostRun(task, 1, has_begun=True, is_alone=False)
+        for task in (suspect, innocent)
+    ]
     hold_suspects(reversed(lost) if is_suspect_last else lost, 100)
 
     def start(now_ms: int) -> list[TaskKey]:
--- a/tests/planner/test_worker_loss.py
+++ b/tests/planner/test_worker_loss.py
@@ -103,6 +103,20 @@
     assert outcome(state) is JobOutcome.FAILED
 
 
+# Incident LOST: a task was given up after three workers of which one had begun
+# it, since orders that were not answered counted as much as runs.
+@pytest.mark.parametrize("unproven_count", [1, 2])
+def test_crashes_under_orders_that_were_not_answered_do_not_suffice(
+    unproven_count: int,
+) -> None:
+    state = make_state()
+    for number in range(3):
+        start(state, is_confirmed=number >= unproven_count)
+        lose(state)
+    assert outcome(state) is JobOutcome.OPEN
+    assert KEY in state.suspects_by_key
+
+
 def test_workers_that_may_only_be_cut_off_give_no_task_up() -> None:
     state = make_state()
     for _ in range(8):
@@ -145,5 +159,6 @@
     restored.add_job(spec, queue("q"), 0, progress)
     task = restored.task(KEY)
     assert task is not None
-    assert (task.worker_crashes, task.worker_losses) == (1, 1)
+    counts = (task.worker_crashes, task.proven_crashes, task.worker_losses)
+    assert counts == (1, 1, 1)
     assert KEY in restored.suspects_by_key
