--- a/tests/control/test_measured_durations.py
+++ b/tests/control/test_measured_durations.py
@@ -7,6 +7,7 @@
 from result import Ok
 
 from magnoliapitch.control.accepted_starts import record_accepted
+from magnoliapitch.control.end_acknowledger import EndAcknowledger
 from magnoliapitch.control.events import StartAnswered
 from magnoliapitch.control.reports import ReportApplier
 from magnoliapitch.metric import Metrics
@@ -62,7 +63,12 @@
             info = info._replace(capacity=Resources(16_000, 64_000))
             self.state.update_worker(info).is_usable = True
         self.state.add_job(JobSpec("a", "q", "", (step,)), QUEUE, 0)
-        self.reports = ReportApplier(self.state, self.planner, Metrics())
+        self.reports = ReportApplier(
+            self.state,
+            self.planner,
+            EndAcknowledger(lambda *_: None),
+            Metrics(),
+        )
 
     def start(
         self, position: int, worker_id: str, at_ms: int, answer_ms: int = 5
--- a/tests/control/test_reports.py
+++ b/tests/control/test_reports.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from magnoliapitch.control.end_acknowledger import EndAcknowledger
 from magnoliapitch.control.reports import ReportApplier
 from magnoliapitch.metric import Metrics
 from magnoliapitch.planner.planner import Planner
@@ -32,6 +33,8 @@
     state.add_job(JobSpec("a", "q", "text", (step,)), queue("q"), 0)
     run = state.add_ordered_run(TASK, 1, "w", 0)
     run.stopped_ms = STOPPED_MS
-    applier = ReportApplier(state, Planner(), Metrics())
+    applier = ReportApplier(
+        state, Planner(), EndAcknowledger(lambda *_: None), Metrics()
+    )
     applier.apply("w", WorkerReport(0, (), ()), sent_ms, sent_ms)
     assert (state.run(TASK, 1, "w") is not None) is is_active
