--- a/tests/platform/platform_standin.py
+++ b/tests/platform/platform_standin.py
@@ -28,6 +28,8 @@
 LOOPBACK = "127.0.0.1"
 THREAD_COUNT = 24
 PAGE_RECORD_COUNT = 500
+# The store answers a repeat of one of these appends as it did first.
+REPEATED_APPEND_COUNT = 5
 
 
 class Reply(NamedTuple):
@@ -41,17 +43,18 @@
     return Reply(status, json.dumps(value).encode())
 
 
-class _HttpServer:
-    """HTTP server on a free port that answers with ``handle``.
+class HttpServer:
+    """HTTP server that answers with ``handle``.
 
+    :param port: 0 to listen on a free port.
     :ivar responses_to_lose: number of calls that are carried out but answered
         with status 502 after a delay.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, port: int = 0, threads: int = THREAD_COUNT) -> None:
         self.responses_to_lose = 0
         self._server = wsgi.Server(
-            (LOOPBACK, 0), self._serve, numthreads=THREAD_COUNT
+            (LOOPBACK, port), self._serve, numthreads=threads
         )
         self._server.shutdown_timeout = 0
         self._server.prepare()
@@ -97,14 +100,14 @@
         self.answers: dict[str, dict[int, bytes]] = {}
 
 
-class StandinStore(_HttpServer):
+class StandinStore(HttpServer):
     """The platform's store, with partition 0 of keyed topics only."""
 
-    def __init__(self) -> None:
+    def __init__(self, threads: int = THREAD_COUNT) -> None:
         self._condition = threading.Condition()
         self._by_topic: dict[str, _Partition] = {}
         self.is_down = False
-        super().__init__()
+        super().__init__(threads=threads)
 
     def put(self, topic: str, key: str, value: object) -> None:
         """Append a record as an operator or a worker does."""
@@ -119,6 +122,14 @@
             partition = self._partition(topic)
             partition.first = len(partition.records)
 
+    def newest_value(self, topic: str, key: str) -> Any:
+        """Return the newest record of a key, or None."""
+        with self._condition:
+            for name, value in reversed(self._partition(topic).records):
+                if name == key:
+                    return json.loads(value) if value else None
+            return None
+
     def keys(self, topic: str) -> list[str]:
         with self._condition:
             return [key for key, _ in self._partition(topic).records]
@@ -150,12 +161,14 @@
                 return refusal
         if "at" in query and int(query["at"]) != end:
             return json_reply({"end": end}, 412)
-        partition.records += _decode_records(body)
+        partition.records += decode_records(body)
         answer = {"offset": end, "end": len(partition.records)}
         if producer is not None:
             partition.epochs[producer] = int(query["epoch"])
             answers = partition.answers.setdefault(producer, {})
             answers[int(query["seq"])] = json.dumps(answer).encode()
+            for sequence in list(answers)[:-REPEATED_APPEND_COUNT]:
+                del answers[sequence]
         self._condition.notify_all()
         return json_reply(answer)
 
@@ -169,9 +182,7 @@
         )
         head = struct.pack(">QQ", len(partition.records), partition.first)
         rows = partition.records[start:]
-        return Reply(
-            200, head + b"".join(_encode_record(*row) for row in rows)
-        )
+        return Reply(200, head + b"".join(encode_record(*row) for row in rows))
 
     def _newest(self, partition: _Partition, query: dict[str, str]) -> Reply:
         newest = {
@@ -195,7 +206,7 @@
         return json_reply({"items": items, "more": more, "end": end})
 
 
-class StandinRunner(_HttpServer):
+class StandinRunner(HttpServer):
     """A worker on which every task takes ``task_s`` seconds."""
 
     def __init__(self, runner_id: str, task_s: float = 0.2) -> None:
@@ -265,7 +276,7 @@
         return json_reply({"clock-ms": clock_ms, **fields}, status)
 
 
-class StandinAdvisor(_HttpServer):
+class StandinAdvisor(HttpServer):
     """Advisor that permits every worker."""
 
     def handle(
@@ -285,16 +296,22 @@
     if epoch > known_epoch:
         partition.answers.pop(producer, None)
         return None
-    answer = partition.answers.get(producer, {}).get(int(query["seq"]))
-    return None if answer is None else Reply(200, answer)
+    answers = partition.answers.get(producer, {})
+    answer = answers.get(int(query["seq"]))
+    if answer is not None:
+        return Reply(200, answer)
+    expected = max(answers, default=int(query["seq"]) - 1) + 1
+    if int(query["seq"]) != expected:
+        return json_reply({"reason": "seq", "seq": expected}, 409)
+    return None
 
 
-def _encode_record(key: str, value: bytes) -> bytes:
+def encode_record(key: str, value: bytes) -> bytes:
     data = bytes((len(key),)) + key.encode() + value
     return struct.pack(">I", len(data)) + data
 
 
-def _decode_records(body: bytes) -> list[tuple[str, bytes]]:
+def decode_records(body: bytes) -> list[tuple[str, bytes]]:
     records = []
     while body:
         (length,) = struct.unpack_from(">I", body)
