--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -119,19 +119,22 @@
 def _jobs(draw: random.Random, seed: int, busy_s: float) -> list[JobPlan]:
     # A part of them fails whatever it runs.
     share = draw.choice((0.5, 0.7, 0.9))
+    gang_share = draw.choice((0.1, 0.5))
     return [
         JobPlan(
             draw.uniform(0, busy_s - 2),
             f"{seed & 0xFFFFFF:06x}{number:010x}",
             draw.choice(QUEUES),
-            _job(draw, share, number),
+            _job(draw, share, gang_share, number),
         )
         for number in range(int(busy_s * JOBS_PER_S))
     ]
 
 
-def _job(draw: random.Random, share: float, number: int) -> dict[str, Any]:
-    is_gang = draw.random() < 0.2
+def _job(
+    draw: random.Random, share: float, gang_share: float, number: int
+) -> dict[str, Any]:
+    is_gang = draw.random() < gang_share
     cpu, mem = draw.choice((500, 1_000, 2_000)), 256
     step = {"count": draw.randint(1, 5), "cpu": cpu, "mem-mb": mem}
     steps: list[dict[str, Any]] = [step]
