Soak: no second process of an instance that is started twice

Cause: an instance that is terminated by one fault and killed by another at once was started by both, and the first process was left over. Change: a process is started under a lock and only if it is gone; SIGTERM ends a play with its processes; the faults are a table.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 import time
 
@@ -45,6 +46,8 @@
     :param source: checkout of which the instances are run.
     :param kinds: only faults of these kinds.
     """
+    # Ends the processes of a play before this one.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(number))
     first, _, last = (seeds or str(seed)).partition("..")
     broken = [
         number
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -8,6 +8,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 
 from pathlib import Path
@@ -51,8 +52,15 @@
         self.name = name
         self.stopped_s: float | None = None
         self._history = history
+        self._lock = threading.Lock()
         self._process: subprocess.Popen[bytes] | None = None
 
+    def start(self) -> None:
+        """Start it, unless another fault has done so."""
+        with self._lock:
+            if not self.is_alive():
+                self._spawn()
+
     def is_alive(self) -> bool:
         return self._process is not None and self._process.poll() is None
 
@@ -87,7 +95,10 @@
         except subprocess.TimeoutExpired:
             self.kill()
 
-    def _spawn(self, command: list[str], log: Path, **options: Any) -> None:
+    def _spawn(self) -> None:
+        raise NotImplementedError
+
+    def _open(self, command: list[str], log: Path, **options: Any) -> None:
         with log.open("ab") as output:
             self._process = subprocess.Popen(
                 command, stdout=output, stderr=subprocess.STDOUT, **options
@@ -131,14 +142,14 @@
         template = source / "deploy" / "settings.toml.tmpl"
         self._settings.write_text(_render(template.read_text(), fields))
 
-    def start(self) -> None:
+    def _spawn(self) -> None:
         environment = {
             name: os.environ[name]
             for name in KEPT_VARIABLES
             if name in os.environ
         }
         environment["MAGNOLIAPITCH_CONFIG"] = str(self._settings)
-        self._spawn(
+        self._open(
             [sys.executable, "deploy/main.py", "entry"],
             self._folder / f"{self.name}.log",
             cwd=self._source,
@@ -157,7 +168,7 @@
         self._port = free_ports(1)[0]
         self.link = cluster.proxy(f"{LOOPBACK}:{self._port}")
 
-    def start(self) -> None:
+    def _spawn(self) -> None:
         cluster = self._cluster
         self._life += 1
         self.name = f"i-{self._number:02d}-{self._life}"
@@ -178,7 +189,7 @@
             SERVICE,
             cluster.schedule.checks_admission,
         )
-        self._spawn(
+        self._open(
             [
                 sys.executable,
                 "-m",
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,15 +30,6 @@
 # What a fault returns is called when it ends.
 Undo = Callable[[], Any]
 Fault = Callable[["SoakCluster", random.Random], "tuple[str, Undo]"]
-_fault_by_kind: dict[str, Fault] = {}
-
-
-def _fault(kind: str) -> Callable[[Fault], Fault]:
-    def register(fault: Fault) -> Fault:
-        _fault_by_kind[kind] = fault
-        return fault
-
-    return register
 
 
 class FaultPlayer(threading.Thread):
@@ -61,7 +52,7 @@
 
     def _begin(self, plan: FaultPlan) -> None:
         draw = random.Random(plan.draw)
-        target, undo = _fault_by_kind[plan.kind](self._cluster, draw)
+        target, undo = _FAULT_BY_KIND[plan.kind](self._cluster, draw)
         record = self._cluster.history.record
         record("fault", kind=plan.kind, target=target, s=plan.duration_s)
 
@@ -90,18 +81,10 @@
     return process.name, process.resume
 
 
-def _restart(process: Any) -> Undo:
-    def start() -> None:
-        if not process.is_alive():
-            process.start()
-
-    return start
-
-
-def _kill(process: Any) -> tuple[str, Undo]:
+def _kill(process: ManagedProcess) -> tuple[str, Undo]:
     name = process.name
     process.kill()
-    return name, _restart(process)
+    return name, process.start
 
 
 def _terminate(entry: Entry) -> tuple[str, Undo]:
@@ -114,62 +97,6 @@
     return entry.name, thread.join
 
 
-@_fault("worker-stop")
-def _stop_worker(
-    cluster: SoakCluster, draw: random.Random
-) -> tuple[str, Undo]:
-    return _stop(draw.choice(cluster.machines))
-
-
-@_fault("worker-kill")
-def _kill_worker(
-    cluster: SoakCluster, draw: random.Random
-) -> tuple[str, Undo]:
-    return _kill(draw.choice(cluster.machines))
-
-
-@_fault("instance-stop")
-def _stop_instance(
-    cluster: SoakCluster, draw: random.Random
-) -> tuple[str, Undo]:
-    return _stop(draw.choice(cluster.entries))
-
-
-@_fault("leader-stop")
-def _stop_leader(
-    cluster: SoakCluster, draw: random.Random
-) -> tuple[str, Undo]:
-    return _stop(_leader(cluster))
-
-
-@_fault("instance-kill")
-def _kill_instance(
-    cluster: SoakCluster, draw: random.Random
-) -> tuple[str, Undo]:
-    return _kill(draw.choice(cluster.entries))
-
-
-@_fault("leader-kill")
-def _kill_leader(
-    cluster: SoakCluster, draw: random.Random
-) -> tuple[str, Undo]:
-    return _kill(_leader(cluster))
-
-
-@_fault("instance-term")
-def _terminate_instance(
-    cluster: SoakCluster, draw: random.Random
-) -> tuple[str, Undo]:
-    return _terminate(draw.choice(cluster.entries))
-
-
-@_fault("leader-term")
-def _terminate_leader(
-    cluster: SoakCluster, draw: random.Random
-) -> tuple[str, Undo]:
-    return _terminate(_leader(cluster))
-
-
 def _link_fault(is_worker: bool, name: str, value: Any) -> Fault:
     """Return a fault that sets a field of one proxy for a while."""
 
@@ -201,17 +128,6 @@
     return draw.choice(cluster.entries)
 
 
-for _prefix, _is_worker in (("worker", True), ("link", False)):
-    for _name, _field, _value in (
-        ("hold-requests", "holds_requests", True),
-        ("hold-answers", "holds_answers", True),
-        ("slow", "delay_s", SLOW_LINK_S),
-    ):
-        _fault(f"{_prefix}-{_name}")(_link_fault(_is_worker, _field, _value))
-    for _name in ("reset", "mute"):
-        _fault(f"{_prefix}-{_name}")(_break_fault(_is_worker, _name))
-
-
 def _store_fault(name: str, value: Any) -> Fault:
     def begin(cluster: SoakCluster, draw: random.Random) -> tuple[str, Undo]:
         setattr(cluster.store, name, value)
@@ -221,18 +137,12 @@
     return begin
 
 
-_fault("store-down")(_store_fault("is_down", True))
-_fault("store-slow")(_store_fault("delay_s", SLOW_STORE_S))
-
-
-@_fault("store-expire")
 def _expire(cluster: SoakCluster, draw: random.Random) -> tuple[str, Undo]:
     for topic in ("jobs", "states", "runs", "servers", "op", "members"):
         cluster.store.expire(f"keyed.{topic}")
     return "store", _none
 
 
-@_fault("config-attempts")
 def _change_attempts(
     cluster: SoakCluster, draw: random.Random
 ) -> tuple[str, Undo]:
@@ -242,7 +152,6 @@
     return queue, _none
 
 
-@_fault("config-route")
 def _remove_route(
     cluster: SoakCluster, draw: random.Random
 ) -> tuple[str, Undo]:
@@ -255,3 +164,29 @@
         cluster.put_configuration()
 
     return queue, restore
+
+
+_FAULT_BY_KIND: dict[str, Fault] = {
+    "worker-stop": lambda it, draw: _stop(draw.choice(it.machines)),
+    "worker-kill": lambda it, draw: _kill(draw.choice(it.machines)),
+    "worker-reset": _break_fault(True, "reset"),
+    "worker-mute": _break_fault(True, "mute"),
+    "worker-hold-requests": _link_fault(True, "holds_requests", True),
+    "worker-hold-answers": _link_fault(True, "holds_answers", True),
+    "worker-slow": _link_fault(True, "delay_s", SLOW_LINK_S),
+    "instance-stop": lambda it, draw: _stop(draw.choice(it.entries)),
+    "leader-stop": lambda it, draw: _stop(_leader(it)),
+    "instance-kill": lambda it, draw: _kill(draw.choice(it.entries)),
+    "leader-kill": lambda it, draw: _kill(_leader(it)),
+    "instance-term": lambda it, draw: _terminate(draw.choice(it.entries)),
+    "leader-term": lambda it, draw: _terminate(_leader(it)),
+    "link-hold-requests": _link_fault(False, "holds_requests", True),
+    "link-hold-answers": _link_fault(False, "holds_answers", True),
+    "link-reset": _break_fault(False, "reset"),
+    "link-mute": _break_fault(False, "mute"),
+    "store-down": _store_fault("is_down", True),
+    "store-slow": _store_fault("delay_s", SLOW_STORE_S),
+    "store-expire": _expire,
+    "config-attempts": _change_attempts,
+    "config-route": _remove_route,
+}
