--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -77,6 +77,8 @@
 
     :param attempts: of each queue at the start.
     :param clock_rates: of each worker's steady clock.
+    :param cpu_share: of each instance; a leader with little of it leaves the
+        calls to workers to other instances.
     """
 
     seed: int
@@ -87,6 +89,7 @@
     checks_admission: bool
     attempts: dict[str, int]
     clock_rates: list[float]
+    cpu_share: float
     jobs: list[JobPlan]
     faults: list[FaultPlan]
 
@@ -111,6 +114,7 @@
             draw.random() < 0.5,
             {name: draw.randint(1, 3) for name in QUEUES},
             [draw.uniform(0.98, 1.0) for _ in range(worker_count)],
+            draw.choice((1.0, 0.1)),
             _jobs(draw, seed, busy_s),
             _faults(draw, busy_s, kinds or tuple(FAULTS)),
         )
