--- a/tests/soak/oracles.py
+++ b/tests/soak/oracles.py
@@ -170,7 +170,10 @@
             found.append(Violation("REFUSED", job_id, task, text))
     found += _check_states(history)
     found += _check_end(history)
-    return found
+    for row in history.rows_of("gone"):
+        text = f"{row['name']} ended by itself"
+        found.append(Violation("FAULT", "", "", text))
+    return list(dict.fromkeys(found))
 
 
 def _check_budget(
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -60,6 +60,9 @@
         calm_s = began_s + schedule.seconds - CALM_S
         time.sleep(max(0, calm_s + CALM_S - time.monotonic()))
         _ask_for_all(clients, cluster)
+        for process in cluster.processes():
+            if not process.is_alive():
+                cluster.history.record("gone", name=process.name)
     finally:
         cluster.close()
     history = TrueHistory(folder, schedule)
