Soak: no configuration from long before a job excuses its attempts

Cause: LOST took the fewest attempts of the two configurations before a job, however old, so that a leader with an old configuration would not be found. Change: those in force from 7 s before the job (the bound with a disturbed store); unknown kinds of faults and too short plays are refused by name. Plays with this oracle have not been run.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -16,11 +16,14 @@
 from tests.soak.oracles import TrueHistory
 from tests.soak.play import describe
 from tests.soak.play import play
+from tests.soak.schedule import CALM_S
+from tests.soak.schedule import FAULTS
 from tests.soak.schedule import Schedule
 
 
 application = App(name="soak")
 MAX_DESCRIBED = 5
+MIN_SECONDS = CALM_S + 5
 
 
 @application.default
@@ -46,6 +49,11 @@
     :param source: checkout of which the instances are run.
     :param kinds: only faults of these kinds.
     """
+    unknown = set(kinds) - set(FAULTS)
+    if unknown:
+        sys.exit(f"unknown kinds {sorted(unknown)}; allowed are {[*FAULTS]}")
+    if seconds < MIN_SECONDS:
+        sys.exit(f"--seconds {seconds:g} is below the least, {MIN_SECONDS:g}")
     # Ends the processes of a play before this one.
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(number))
     first, _, last = (seeds or str(seed)).partition("..")
--- a/tests/soak/oracles.py
+++ b/tests/soak/oracles.py
@@ -26,6 +26,8 @@
 # must be visible after its acknowledgement.
 STABLE_S = 3.0
 VISIBLE_S = 3.0
+# Until when a configuration is in force, with a store that is disturbed.
+APPLY_S = 7.0
 # How long a job may have nothing running at the end.
 IDLE_S = 3.0
 ENDED_STATES = ("completed", "failed")
@@ -100,10 +102,11 @@
             row for row in self.rows_of("configuration") if row["t"] <= until_s
         ]
         sent_s = self._sent_s[job_id]
-        values = [row["attempts"][queue] for row in rows if row["t"] > sent_s]
-        # An instance may not know the newest one yet.
-        former = [row for row in rows if row["t"] <= sent_s]
-        values += [row["attempts"][queue] for row in former[-2:]]
+        # The one that was in force then, and those that it has replaced lately.
+        begin_s = sent_s - APPLY_S
+        later = [row for row in rows if row["t"] > begin_s]
+        former = [row for row in rows if row["t"] <= begin_s]
+        values = [row["attempts"][queue] for row in former[-1:] + later]
         return min(values), max(values)
 
     def is_in_touch(self, entry: str, at_s: float) -> bool:
