--- a/tests/soak/oracles.py
+++ b/tests/soak/oracles.py
@@ -102,7 +102,7 @@
             row for row in self.rows_of("configuration") if row["t"] <= until_s
         ]
         sent_s = self._sent_s[job_id]
-        # The one that was in force then, and those that it has replaced lately.
+        # That in force then, and those that it has replaced lately.
         begin_s = sent_s - APPLY_S
         later = [row for row in rows if row["t"] > begin_s]
         former = [row for row in rows if row["t"] <= begin_s]
