A leader whose commit has failed acknowledges no ends any more

Cause: a leader handles all waiting events of a round one after the other. The failure of its commit ended the leadership and cleared the mark of a commit in flight; the jobs of that commit had already been taken off the unsaved ones. A report handled next in the same round then acknowledged the last end that was applied, which no leader has stored. The worker forgets it, and the next leader starts the task again: a failed run that counts for nobody (BUDGET), or a start after `done` (TWICE). Workers refuse the call only once they have seen the next leader's token.

Change: no end is acknowledged once the leadership is over. The simulation's effects tell what was acknowledged last.

The test fails before, for `failed` and for `done`: end 1 is acknowledged; passes after. tests/control: test_unstored_ends, test_controller, test_progress_stored, test_driver pass.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -271,7 +271,7 @@
                 order.task.job_id
             )
             self._order_issuer.stop_unknown(worker_id, order, job_state)
-        if not self.state.unsaved_job_ids and not self._is_commit_in_flight:
+        if self._is_all_stored:
             self._end_acknowledger.acknowledge(
                 worker_id, applied.last_end_sequence
             )
@@ -399,6 +399,19 @@
             self.is_over = True
             log_event("leadership-lost", epoch=self.epoch, reason=reason)
 
+    @property
+    def _is_all_stored(self) -> bool:
+        """Return whether no change waits to be stored, or was not stored.
+
+        The changes of a commit that has failed, which ends the leadership,
+        are not known to be stored.
+        """
+        return not (
+            self.is_over
+            or self._is_commit_in_flight
+            or self.state.unsaved_job_ids
+        )
+
     def _worker_ids_with_runs(self) -> set[str]:
         return {
             worker.worker_id
--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -83,6 +83,10 @@
     def acknowledge(self, worker_id: str, sequence: int) -> None:
         self._acknowledged_sequence_by_worker[worker_id] = sequence
 
+    def acknowledged(self, worker_id: str) -> int:
+        """Return the last end of a worker that was acknowledged."""
+        return self._acknowledged_sequence_by_worker.get(worker_id, 0)
+
     def start(
         self, worker: WorkerInfo, planned: PlannedStart, order: StartOrder
     ) -> None:
@@ -273,9 +277,7 @@
         acknowledged_sequence = 0
         is_answering = worker_id in self._answering_worker_ids
         if is_answering:
-            acknowledged_sequence = self._acknowledged_sequence_by_worker.get(
-                worker_id, 0
-            )
+            acknowledged_sequence = self.acknowledged(worker_id)
         if not worker.renew_lease(
             self._token_by_worker[worker_id],
             deadline_ms,
