Failures that a former release counted do not count once more

Cause: a former release stored how many runs of a task had failed, not which. If all instances were stopped for the upgrade between the storing of a failure and its acknowledgement, the worker lists that end again, and the next release counted it a second time: a job with two attempts was shown as failed after one failed run (LOST).

Change: of such progress, each run that had ended counts as one of those that have failed. Runs that it had not seen end count as before. In a gang, a member that fails in a run that another member had ended before the upgrade is not counted: one attempt too many, only over that upgrade.

The new test fails before (the end counts again) and passes after; the second new one, of a run that the former release began, passed before too. tests/planner/test_failed_attempts, test_restore, test_restart_pause, test_copy_attempts pass.

--- a/src/magnoliapitch/planner/restore.py
+++ b/src/magnoliapitch/planner/restore.py
@@ -10,6 +10,7 @@
 
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.step_dependencies import StepDependencies
+from magnoliapitch.planner.tracked_task import MAX_KEPT_FAILED_RUNS
 from magnoliapitch.workload.progress import TASKS_PER_PROGRESS_RECORD
 from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.progress import JobProgress
@@ -115,7 +116,7 @@
     # A former release stored the progress of all tasks in one record.
     task.note_change()
     task.runs = progress.runs
-    task.set_failures(progress.failures, progress.failed_runs)
+    task.set_failures(progress.failures, _failed_runs(progress))
     is_long_running = task.step.spec.is_long_running
     task.is_done = progress.is_done and not is_long_running
     task.checkpoint = progress.checkpoint
@@ -135,6 +136,23 @@
         _stop_superseded_runs(state, task)
 
 
+def _failed_runs(progress: TaskProgress) -> tuple[int, ...]:
+    """Return the numbers of the newest runs whose failure is counted.
+
+    A former release stored only how many there were: each run that had ended
+    may be one of them.
+    """
+    if progress.failed_runs or not progress.failures:
+        return progress.failed_runs
+    active = {placement.run for placement in progress.placements}
+    ended = [
+        number
+        for number in range(1, progress.runs + 1)
+        if number not in active
+    ]
+    return tuple(ended[-MAX_KEPT_FAILED_RUNS:])
+
+
 def _stop_superseded_runs(state: SchedulerState, task: TrackedTask) -> None:
     """Mark all but the newest restored run of a task for stopping.
 
--- a/tests/planner/test_failed_attempts.py
+++ b/tests/planner/test_failed_attempts.py
@@ -163,3 +163,31 @@
     assert run.number == 2
     work.end(run, EndKind.FAILED)
     assert work.outcome() is JobOutcome.FAILED
+
+
+# All instances were stopped for an upgrade before a worker was told that the
+# end of its failed run is stored; the next release counted it once more.
+def test_a_failure_that_a_former_release_counted_does_not_count_again() -> (
+    None
+):
+    work = AttemptWork()
+    work.add_job("a", STEP, attempts=2)
+    (run,) = work.next_runs()
+    stored = b'["open",true,[[0,0,0,[1,1,false,"",[],0,0]]]]'
+    work = work.change_leader(stored)
+    assert not work.report_failed(run)
+    assert work.outcome() is JobOutcome.OPEN
+    (later,) = work.next_runs()
+    work.end(later, EndKind.FAILED)
+    assert work.outcome() is JobOutcome.FAILED
+
+
+# Of a run that a former release had not seen end, the failure counts.
+def test_a_failure_of_a_run_that_a_former_release_began_counts() -> None:
+    work = AttemptWork()
+    work.add_job("a", STEP, attempts=2)
+    stored = b'["open",true,[[0,0,0,[2,1,false,"",[[2,"w0",false]],0,0]]]]'
+    work = work.change_leader(stored)
+    (run,) = work.runs("a")
+    assert work.report_failed(run)
+    assert work.outcome() is JobOutcome.FAILED
