Let services that are down displace work where they fit nowhere

Cause: preemption left long-running steps out, as they have no objective. A task that lost its worker waited while all workers that it may use were full, and small tasks took each part of the room that became free. Change: such a task displaces the work that loses least, of the same or a less urgent queue, from 1.5 s before its run is given up or 2 s after its run, and the room is kept for it (restart_room.py, in the passes of preemption, with its reasons and limits). The advisor is asked about full workers first. Tasks that ran start before those of their step that never did. Runs that save nothing may be stopped for this only.

--- a/src/magnoliapitch/planner/ahead_requests.py
+++ b/src/magnoliapitch/planner/ahead_requests.py
@@ -63,7 +63,7 @@
         too little room, about others.
         """
         expected = self._expected.get(step.key)
-        if expected is None:
+        if expected is None or step.job.queue.permit_timing is None:
             return
         if step.spec.is_gang:
             self._free_members(step)
--- a/src/magnoliapitch/planner/expected_starts.py
+++ b/src/magnoliapitch/planner/expected_starts.py
@@ -24,12 +24,15 @@
 # From when a task may start until its start is planned: the checks of leases,
 # and rounds that cannot send it at once.
 START_ALLOWANCE_MS = 300
+# A call for advice, a stop and its report, before the tasks may start.
+ROOM_AHEAD_MS = 1_500
 
 
 class ExpectedStart:
     """Tasks of one step that are expected to need a start.
 
     :ivar task_count: number of these tasks.
+    :ivar coming_count: number of those that may not start as yet.
     :ivar start_ms: from when the last of them may start.
     :ivar down_since_ms: since when the first of them has no run, as far as
         that is known.
@@ -38,6 +41,7 @@
     """
 
     __slots__ = (
+        "coming_count",
         "down_since_ms",
         "may_be_suspect",
         "start_ms",
@@ -48,6 +52,7 @@
     def __init__(self, step: TrackedStep, now_ms: int) -> None:
         self.step = step
         self.task_count = 0
+        self.coming_count = 0
         self.start_ms = 0
         self.down_since_ms = now_ms
         self.may_be_suspect = False
@@ -57,12 +62,13 @@
     ) -> None:
         """Add a task, with its whole gang.
 
-        :param start_ms: from when the task may start.
+        :param start_ms: from when the task may start; 0 if it may now.
         :param down_since_ms: since when it has no run.
         """
         step = self.step
         count = len(step.tasks) if step.spec.is_gang else 1
         self.task_count = min(self.task_count + count, len(step.tasks))
+        self.coming_count += count if start_ms else 0
         self.start_ms = max(self.start_ms, start_ms)
         self.down_since_ms = min(self.down_since_ms, down_since_ms)
         # The loss of an active run counts once more.
@@ -74,11 +80,12 @@
 def expected_starts(
     state: SchedulerState, now_ms: int
 ) -> dict[StepKey, ExpectedStart]:
-    """Return the starts for which permits are requested now, by step.
+    """Return the starts that are prepared now, by step.
 
     A permit that is requested now is still valid when the tasks may start:
     when the leases of their silent worker have ended, or when they are no
-    longer held as suspects.
+    longer held as suspects. Tasks that need no permit are prepared for later,
+    since only room is made for them.
     """
     expected: dict[StepKey, ExpectedStart] = {}
 
@@ -93,12 +100,12 @@
             for run in filter(_starts_again, worker.runs):
                 add(run.task, worker.runs_lost_at_ms, run.last_active_ms)
     for task in state.suspects_by_key.values():
-        hold_until_ms = _hold_until_ms(task)
-        if _waits_as_service(task) and now_ms < hold_until_ms:
-            add(task, hold_until_ms, task.last_active_ms)
+        until_ms = hold_until_ms(task)
+        if _waits_as_service(task) and now_ms < until_ms:
+            add(task, until_ms, task.last_active_ms)
     for step in [start.step for start in expected.values()]:
         for task in step.startable_tasks():
-            if now_ms >= _hold_until_ms(task):
+            if now_ms >= hold_until_ms(task):
                 add(task, 0, task.last_active_ms)
     return expected
 
@@ -110,11 +117,11 @@
     """
     if not step.spec.is_long_running:
         return False
-    held = (now_ms < _hold_until_ms(task) for task in step.startable_tasks())
+    held = (now_ms < hold_until_ms(task) for task in step.startable_tasks())
     return any(held) if step.spec.is_gang else all(held)
 
 
-def _hold_until_ms(task: TrackedTask) -> int:
+def hold_until_ms(task: TrackedTask) -> int:
     """Return until when a task is held as a suspect; 0 if it is not."""
     return task.hold_until_ms if task.is_suspect else 0
 
@@ -172,7 +179,7 @@
 def _is_due(step: TrackedStep, start_ms: int, now_ms: int) -> bool:
     permit_timing = step.job.queue.permit_timing
     if permit_timing is None:
-        return False
+        return now_ms >= start_ms - ROOM_AHEAD_MS
     valid_until_ms = now_ms + permit_timing.valid_ms
     return valid_until_ms >= needed_until_ms(start_ms)
 
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -169,7 +169,12 @@
         )
         if self.options.preemption:
             self._preemption.mark(
-                state, ranked_steps, planning_round, now_ms, self.may_preempt
+                state,
+                ordered_steps,
+                planning_round,
+                now_ms,
+                self.may_preempt,
+                expected,
             )
             planning_round.starts += self._stragglers.copies(
                 stragglers,
@@ -205,6 +210,7 @@
                 break
             ahead_requests.request(step)
             if not step.waiting_count:
+                self._preemption.hold_room(step, planning_round, now_ms)
                 continue
             if not remaining_by_queue[step.job.queue.name]:
                 continue
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -357,9 +357,11 @@
         if not step.spec.is_gang:
             candidates = candidates[:remaining_starts]
         run_number = max(task.runs for task in step.tasks) + 1
-        for task, candidate in zip(
-            self._isolation.startable_tasks(step), candidates, strict=False
-        ):
+        tasks = self._isolation.startable_tasks(step)
+        if step.spec.is_long_running and not step.spec.is_gang:
+            # Room was made only for tasks that are down.
+            tasks.sort(key=lambda task: not task.runs)
+        for task, candidate in zip(tasks, candidates, strict=False):
             worker_id = candidate.worker.worker_id
             number = run_number if step.spec.is_gang else task.runs + 1
             ticket, _ = step.ticket(worker_id)
--- a/src/magnoliapitch/planner/preemption_pass.py
+++ b/src/magnoliapitch/planner/preemption_pass.py
@@ -15,8 +15,11 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
+    from magnoliapitch.planner.candidates import Candidate
     from magnoliapitch.planner.duration import DurationEstimator
     from magnoliapitch.planner.planning_round import PlanningRound
     from magnoliapitch.planner.scheduler_state import SchedulerState
@@ -80,32 +83,41 @@
             ].plus(step.reservation)
 
     def short_steps(
-        self, ranked_steps: Iterable[TrackedStep]
+        self,
+        ranked_steps: Iterable[TrackedStep],
+        restart_count: Callable[[TrackedStep], int],
     ) -> Iterable[TrackedStep]:
-        """Return the first steps that may use room that becomes free."""
+        """Return the first steps that may use room that becomes free.
+
+        :param restart_count: returns for how many tasks of a service, which
+            are down, room is to be made.
+        """
         examined_count = 0
         for step in ranked_steps:
-            if not self._missing_count(step):
-                continue
             if examined_count >= MAX_EXAMINED_STEPS:
                 return
-            if step.job.queue.priority >= self._least_urgent_priority:
-                continue
+            if not restart_count(step):
+                if not self._missing_count(step):
+                    continue
+                if step.job.queue.priority >= self._least_urgent_priority:
+                    continue
             examined_count += 1
             yield step
 
     def ready_rooms(self, step: TrackedStep) -> list[WorkerRoom]:
         """Return the workers on which a step may start after a stop."""
-        if step.job.queue.permit_timing is None:
-            candidates = list(self._workers.eligible(step))
-        else:
-            candidates = self._workers.permitted(step)
         return [
-            self._room(candidate.worker)
-            for candidate in candidates
+            self.room(candidate.worker)
+            for candidate in self.candidates(step)
             if self._planning_round.has_ticket(step, candidate, STOP_MS)
         ]
 
+    def candidates(self, step: TrackedStep) -> Iterable[Candidate]:
+        """Return the workers that may run a step, full ones too."""
+        if step.job.queue.permit_timing is None:
+            return self._workers.eligible(step)
+        return self._workers.permitted(step)
+
     def make_room(
         self, step: TrackedStep, rooms: list[WorkerRoom], *, may_preempt: bool
     ) -> Counter[str] | None:
@@ -127,18 +139,29 @@
         used = [room for room in rooms if counts[room.worker.worker_id]]
         if any(not NO_RESOURCES.fits(room.free_now) for room in used):
             self.preempting_count += 1
-        victims = [
-            run
-            for room in rooms
-            for run in room.victims
-            if not run.is_stopping
-        ]
+        has_preempted = self.settle(rooms, may_preempt=True)
+        return counts if has_preempted else None
+
+    def settle(
+        self, rooms: Iterable[WorkerRoom], *, may_preempt: bool
+    ) -> bool:
+        """Make the room that was taken final, and preempt runs for it.
+
+        :param may_preempt: whether the runs that were chosen may be stopped;
+            otherwise the room is only taken.
+        :return: whether runs were preempted.
+        """
+        victims: list[TrackedRun] = []
         for room in rooms:
+            if may_preempt:
+                victims += [run for run in room.victims if not run.is_stopping]
+            else:
+                room.spare_victims()
             room.keep()
         for run in victims:
             run.task.preemptions += 1
             self._state.mark_for_stop(run, PREEMPTED)
-        return counts if victims else None
+        return bool(victims)
 
     def _take(
         self, step: TrackedStep, rooms: list[WorkerRoom], *, may_preempt: bool
@@ -172,19 +195,20 @@
     ) -> None:
         """Add a worker with what another task there costs, if it can fit."""
         worker = room.worker
-        if step.spec.max_per_worker:
-            used = sum(run.task.step is step for run in worker.runs)
-            used += counts[worker.worker_id]
-            if used >= step.spec.max_per_worker:
-                return
+        if is_at_worker_limit(step, worker, counts):
+            return
         preemptible = self._preemptible(worker, step) if may_preempt else []
-        victims = room.victims_for(step, preemptible, self._ends_soon)
+        victims = room.victims_for(step, preemptible, self.ends_soon)
         if victims is not None:
-            lost_ms = sum(self._elapsed_ms(run) for run in victims)
+            lost_ms = sum(self.elapsed_ms(run) for run in victims)
             heapq.heappush(heap, (len(victims), lost_ms, index, victims))
 
     def _missing_count(self, step: TrackedStep) -> int:
-        return step.startable_count - self._started_by_step[step.key]
+        return step.startable_count - self.started_count(step)
+
+    def started_count(self, step: TrackedStep) -> int:
+        """Return how many tasks of a step this round starts."""
+        return self._started_by_step[step.key]
 
     @cached_property
     def _least_urgent_priority(self) -> int:
@@ -209,18 +233,21 @@
                 run
                 for run in worker.runs
                 if run.task.step.job.queue.priority > step.job.queue.priority
-                and self._is_preemptible(run)
+                and run.task.step.spec.saves_progress
+                and is_settled(run)
+                and self.may_be_stopped(run)
             ]
             runs.sort(
                 key=lambda run: (
                     -run.task.step.job.queue.priority,
-                    self._elapsed_ms(run),
+                    self.elapsed_ms(run),
                 )
             )
             self._preemptible_by_key[key] = runs
         return runs
 
-    def _ends_soon(self, run: TrackedRun) -> bool:
+    def ends_soon(self, run: TrackedRun) -> bool:
+        """Return whether stopping a run saves no time."""
         ends_soon = self._ends_soon_by_run.get(id(run))
         if ends_soon is None:
             remaining_ms = self._durations.remaining_ms(run, self._now_ms)
@@ -228,34 +255,50 @@
             self._ends_soon_by_run[id(run)] = ends_soon
         return ends_soon
 
-    def _is_preemptible(self, run: TrackedRun) -> bool:
-        """Return whether a run can be stopped without harm but for time.
-
-        Its order must have been carried out, once and for all.
-        """
+    def may_be_stopped(self, run: TrackedRun) -> bool:
+        """Return whether a run can be stopped without harm but for time."""
         spec = run.task.step.spec
         return (
-            spec.saves_progress
-            and not spec.is_gang
+            not spec.is_gang
             and not spec.is_long_running
             and run.started_ms is not None
             and not run.is_stopping
-            and (run.is_order_settled or run.is_restored)
             and not run.has_ended_with_worker
-            and self._elapsed_ms(run) >= MIN_RUN_MS
+            and self.elapsed_ms(run) >= MIN_RUN_MS
             and run.task.preemptions < MAX_PREEMPTIONS_PER_TASK
             and len(run.task.active_runs) == 1
             and run.task.has_attempts_left
             and not run.task.is_suspect
         )
 
-    def _elapsed_ms(self, run: TrackedRun) -> int:
+    def elapsed_ms(self, run: TrackedRun) -> int:
+        """Return how long a run has been running, as far as is known."""
         return 0 if run.started_ms is None else self._now_ms - run.started_ms
 
-    def _room(self, worker: TrackedWorker) -> WorkerRoom:
+    def room(self, worker: TrackedWorker) -> WorkerRoom:
+        """Return the room of a worker, as this pass has left it."""
         room = self._room_by_worker.get(worker.worker_id)
         if room is None:
             planned = self._planned_by_worker[worker.worker_id]
             room = WorkerRoom(worker, planned)
             self._room_by_worker[worker.worker_id] = room
         return room
+
+
+def is_settled(run: TrackedRun) -> bool:
+    """Return whether a run's order was carried out, once and for all."""
+    return run.is_order_settled or run.is_restored
+
+
+def is_at_worker_limit(
+    step: TrackedStep, worker: TrackedWorker, counts: Mapping[str, int]
+) -> bool:
+    """Return whether a worker has as many tasks of a step as it may have.
+
+    :param counts: number of tasks that are to be added, by worker.
+    """
+    if not step.spec.max_per_worker:
+        return False
+    used = sum(run.task.step is step for run in worker.runs)
+    used += counts.get(worker.worker_id, 0)
+    return used >= step.spec.max_per_worker
--- a/src/magnoliapitch/planner/room.py
+++ b/src/magnoliapitch/planner/room.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from magnoliapitch.planner.tracked import TrackedRun
+from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.resource import Resources
 
 
@@ -62,6 +63,19 @@
             self.free, self.free_now, self.victims = self._saved
             self._saved = None
 
+    def spare_victims(self) -> None:
+        """Let the runs go on that were chosen since the last ``keep``.
+
+        What was taken stays taken, so that ``free`` may become negative.
+        """
+        if self._saved is None:
+            return
+        former = self._saved.victims
+        for run in self.victims:
+            if run not in former:
+                self.free = self.free.minus(run.resources)
+        self.victims = former
+
     def keep(self) -> None:
         """Make what was taken final."""
         self._saved = None
@@ -71,47 +85,48 @@
         step: TrackedStep,
         preemptible: Iterable[TrackedRun],
         ends_soon: Callable[[TrackedRun], bool],
+        coming: Resources = NO_RESOURCES,
     ) -> list[TrackedRun] | None:
         """Return the fewest and least advanced runs that free a task's room.
 
         :param preemptible: runs of this worker that may be preempted, the
             least advanced first.
         :param ends_soon: whether stopping a run saves no time.
+        :param coming: capacity of runs that are waited for besides.
         :return: empty if the task fits without, None if it never fits.
         """
         needed = step.reservation
-        if needed.fits(self.free):
+        free = self.free.plus(coming)
+        if needed.fits(free):
             return []
         left: list[TrackedRun] = []
         for run in preemptible:
             if run in self.victims:
                 continue
-            if needed.fits(self.free.plus(run.resources)) and not ends_soon(
-                run
-            ):
+            if needed.fits(free.plus(run.resources)) and not ends_soon(run):
                 return [run]
             left.append(run)
-        return self._several_victims_for(needed, left, ends_soon)
-
-    def _several_victims_for(
-        self,
-        needed: Resources,
-        runs: list[TrackedRun],
-        ends_soon: Callable[[TrackedRun], bool],
-    ) -> list[TrackedRun] | None:
-        chosen: list[TrackedRun] = []
-        free = self.free
-        for run in sorted(runs, key=lambda run: -run.resources.cpu_millis):
-            if ends_soon(run):
-                continue
-            chosen.append(run)
-            free = free.plus(run.resources)
-            if needed.fits(free):
-                break
-        else:
-            return None
-        for run in list(chosen):
-            if needed.fits(free.minus(run.resources)):
-                chosen.remove(run)
-                free = free.minus(run.resources)
-        return chosen
+        return _several_victims_for(needed, free, left, ends_soon)
+
+
+def _several_victims_for(
+    needed: Resources,
+    free: Resources,
+    runs: list[TrackedRun],
+    ends_soon: Callable[[TrackedRun], bool],
+) -> list[TrackedRun] | None:
+    chosen: list[TrackedRun] = []
+    for run in sorted(runs, key=lambda run: -run.resources.cpu_millis):
+        if ends_soon(run):
+            continue
+        chosen.append(run)
+        free = free.plus(run.resources)
+        if needed.fits(free):
+            break
+    else:
+        return None
+    for run in list(chosen):
+        if needed.fits(free.minus(run.resources)):
+            chosen.remove(run)
+            free = free.minus(run.resources)
+    return chosen
--- a/tests/planner/test_restart_room.py
+++ b/tests/planner/test_restart_room.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+import sys
+
 import pytest
 
+from magnoliapitch.planner.expected_starts import ROOM_AHEAD_MS
+from magnoliapitch.planner.preemption_pass import MAX_PREEMPTIONS_PER_TASK
 from magnoliapitch.planner.preemption_pass import MIN_RUN_MS
+from magnoliapitch.planner.restart_room import MIN_DOWN_MS
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.configuration import PermitTiming
+from magnoliapitch.workload.job import StepKey
 from magnoliapitch.workload.job import StepSpec
 from magnoliapitch.workload.job import TaskKey
 from magnoliapitch.workload.run import EndKind
+from magnoliapitch.workload.run import Permit
 from tests.planner.running_work import BATCH
 from tests.planner.running_work import PLANS
 from tests.planner.running_work import URGENT
@@ -79,6 +86,84 @@
     assert (start.task, start.run) == (TASK, 2)
 
 
+# A stop takes longer than is left once the runs are given up.
+def test_room_is_made_shortly_before_the_runs_are_given_up() -> None:
+    outage = Outage()
+    outage.fill(FULL)
+    outage.work.now_ms = LOST_AT_MS - ROOM_AHEAD_MS - SHORT_MS - 20
+    assert outage.displaced() == []
+    outage.work.advance(40)
+    assert outage.displaced() == ["a"]
+    outage.end_stopped()
+    assert outage.work.plan().starts == ()
+    outage.give_up()
+    [start] = outage.work.plan().starts
+    assert start.task == TASK
+
+
+def test_a_service_waits_for_a_moment_before_it_displaces_work() -> None:
+    outage = Outage()
+    outage.fill(FULL)
+    outage.give_up()
+    outage.step.tasks[0].last_active_ms = outage.work.now_ms
+    outage.work.advance(MIN_DOWN_MS - 2 * SHORT_MS)
+    assert outage.displaced() == []
+    outage.work.advance(SHORT_MS)
+    assert outage.displaced() == ["a"]
+
+
+def test_the_first_start_of_a_service_displaces_nothing() -> None:
+    work = RunningWork(1)
+    work.add_job("a", SAVING)
+    work.advance(MIN_RUN_MS)
+    work.add_job("service", SERVICE, URGENT)
+    work.advance(MIN_DOWN_MS + SHORT_MS)
+    assert work.stopping() == {}
+
+
+def test_only_the_tasks_that_ran_displace_work_and_get_its_room() -> None:
+    outage = Outage(SERVICE._replace(task_count=3))
+    outage.step.start_limit = 0
+    outage.fill(FULL)
+    outage.step.start_limit = sys.maxsize
+    outage.give_up()
+    tasks = outage.step.tasks
+    tasks[0].runs, tasks[2].runs = 0, 1
+    assert outage.displaced() == ["a"]
+    outage.end_stopped()
+    [start] = outage.work.plan().starts
+    assert start.task == tasks[2].key
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        SERVICE._replace(task_count=4),
+        SAVING._replace(is_gang=True),
+    ],
+    ids=("service", "gang"),
+)
+def test_some_work_is_never_displaced(step: StepSpec) -> None:
+    outage = Outage()
+    outage.fill(step)
+    outage.give_up()
+    assert outage.displaced() == []
+
+
+def test_work_of_a_more_urgent_queue_is_not_displaced() -> None:
+    outage = Outage()
+    outage.fill(SAVING, priority=URGENT)
+    outage.give_up()
+    assert outage.displaced() == []
+
+
+def test_work_of_the_same_queue_is_displaced() -> None:
+    outage = Outage()
+    outage.fill(SAVING, priority=PLANS)
+    outage.give_up()
+    assert outage.displaced() == ["a"]
+
+
 # Small urgent tasks, one after the other, took each part that became free.
 def test_what_becomes_free_is_kept_for_a_service_that_fits_nowhere() -> None:
     outage = Outage(SERVICE._replace(resources=SIZE.times(2)))
@@ -90,3 +175,103 @@
         outage.work.end(run, EndKind.DONE)
     [start] = outage.work.plan().starts
     assert start.task == TASK
+
+
+def test_work_that_saves_its_progress_is_displaced_first() -> None:
+    outage = Outage()
+    outage.fill(SAVING._replace(task_count=1), FULL._replace(task_count=3))
+    outage.give_up()
+    assert outage.displaced() == ["a"]
+
+
+def test_the_youngest_work_is_displaced_and_no_more_than_needed() -> None:
+    outage = Outage()
+    old, young = FULL._replace(task_count=2), FULL._replace(task_count=2)
+    outage.fill(old, young)
+    outage.give_up()
+    assert outage.displaced() == ["b"]
+    outage.work.advance(1_000)
+    assert outage.displaced() == ["b"]
+
+
+def test_room_beside_a_run_that_ends_soon_is_waited_for() -> None:
+    outage = Outage()
+    outage.fill(FULL._replace(task_count=3), StepSpec(1, SIZE, 50))
+    outage.give_up()
+    [run] = outage.work.runs("b")
+    run.started_ms = outage.work.now_ms
+    assert outage.displaced() == []
+    assert outage.work.runs("service") == []
+
+
+def test_a_task_is_displaced_twice_at_most() -> None:
+    outage = Outage(SERVICE._replace(resources=SIZE.times(4)))
+    outage.fill(FULL._replace(task_count=1))
+    [run] = outage.work.runs("a")
+    run.task.preemptions = MAX_PREEMPTIONS_PER_TASK
+    outage.give_up()
+    assert outage.displaced() == []
+
+
+def test_a_service_beyond_the_share_of_its_workspace_displaces_nothing() -> (
+    None
+):
+    outage = Outage()
+    outage.fill(SAVING)
+    outage.give_up()
+    outage.step.is_beyond_share = True
+    assert outage.displaced() == []
+
+
+def test_a_service_beyond_a_quota_displaces_nothing() -> None:
+    outage = Outage()
+    outage.fill(SAVING)
+    outage.give_up()
+    outage.step.start_limit = 0
+    assert outage.displaced() == []
+
+
+def test_the_limit_of_tasks_on_a_worker_is_kept() -> None:
+    outage = Outage(SERVICE._replace(task_count=2, max_per_worker=1))
+    run = outage.work.state.add_ordered_run(
+        outage.step.tasks[1].key, 1, "w1", 0
+    )
+    outage.work.state.confirm_run(run, 0)
+    outage.fill(SAVING._replace(task_count=3))
+    outage.give_up()
+    assert outage.displaced() == []
+
+
+# Permits were requested for workers with room only.
+def test_permits_are_requested_for_full_workers_before_work_is_displaced() -> (
+    None
+):
+    outage = Outage(permit_timing=TIMING)
+    outage.work.list_worker("w2")
+    outage.fill(FULL._replace(task_count=8))
+    outage.step.record_permits(["w1", "w2"], [Permit("w1", "old")], 0)
+    outage.give_up()
+    requests = [
+        request
+        for plan in outage.work.advance(SHORT_MS)
+        for request in plan.permit_requests
+    ]
+    assert {request.worker_ids for request in requests} == {("w1",)}
+    assert outage.displaced() == []
+    valid_until_ms = outage.work.now_ms + TIMING.valid_ms
+    outage.work.state.record_permits(
+        StepKey("service", 0, 0), ["w1"], [Permit("w1", "t")], valid_until_ms
+    )
+    assert outage.displaced() == ["a"]
+    [run] = outage.work.state.runs_to_stop.values()
+    assert run.worker_id == "w1"
+
+
+def test_a_gang_displaces_as_a_whole_or_not_at_all() -> None:
+    for count, displaced in ((4, ["a"] * 4), (5, [])):
+        outage = Outage(SERVICE._replace(task_count=count, is_gang=True))
+        outage.fill(SAVING)
+        for task in outage.step.tasks:
+            task.runs = 1
+        outage.give_up()
+        assert outage.displaced() == displaced
