Let first starts of services leave room for those that lost their workers

Services are not displaced, so nothing could be done for the lost ones afterwards. Change: a worker is chosen for each task that is down or whose worker is silent, among those that are permitted; first starts of services leave its room, all other work may use it (kept_room.py). If no permitted worker is left, the advisor is asked early, by a call that is left over. Work is displaced also while the permit is being renewed. Measured: two new planner tests failed before (the room taken by the first start; no early call) and pass.

--- a/src/magnoliapitch/planner/ahead_requests.py
+++ b/src/magnoliapitch/planner/ahead_requests.py
@@ -89,6 +89,16 @@
             lacking += self._unasked(step, missing_count)
         self._planning_round.request_ahead(step, lacking)
 
+    def request_unasked(self, step: TrackedStep, task_count: int) -> None:
+        """Plan a call that tells early which workers a step may use.
+
+        :param task_count: number of tasks for which no worker is known.
+        """
+        if step.job.queue.permit_timing is None or step.waiting_count:
+            return
+        lacking = self._unasked(step, task_count)
+        self._planning_round.request_ahead(step, lacking)
+
     def _permitted(self, expected: ExpectedStart) -> list[Candidate]:
         """Return the permitted workers with room, the best first.
 
--- a/src/magnoliapitch/planner/expected_starts.py
+++ b/src/magnoliapitch/planner/expected_starts.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from magnoliapitch.planner.permit_calls import TICKET_MIN_REMAINING_MS
 from magnoliapitch.planner.ranking import is_down
+from magnoliapitch.planner.tracked import TrackedRun
 from magnoliapitch.planner.tracked_task import MIN_SUSPECT_LOSSES
 from magnoliapitch.workload.progress import JobOutcome
 
@@ -15,7 +17,6 @@
     from collections.abc import Mapping
 
     from magnoliapitch.planner.scheduler_state import SchedulerState
-    from magnoliapitch.planner.tracked import TrackedRun
     from magnoliapitch.planner.tracked import TrackedStep
     from magnoliapitch.planner.tracked_task import TrackedTask
     from magnoliapitch.workload.job import StepKey
@@ -77,8 +78,29 @@
             self.may_be_suspect = True
 
 
+class LostRun(NamedTuple):
+    """A run on a silent worker, whose task is to start again.
+
+    :param lost_at_ms: when the run is given up.
+    """
+
+    run: TrackedRun
+    lost_at_ms: int
+
+
+def lost_service_runs(state: SchedulerState) -> list[LostRun]:
+    """Return the runs of services on workers that do not answer."""
+    return [
+        LostRun(run, worker.runs_lost_at_ms)
+        for worker in state.workers_by_id.values()
+        if worker.runs_lost_at_ms is not None
+        for run in worker.runs
+        if _starts_again(run)
+    ]
+
+
 def expected_starts(
-    state: SchedulerState, now_ms: int
+    state: SchedulerState, lost_runs: Iterable[LostRun], now_ms: int
 ) -> dict[StepKey, ExpectedStart]:
     """Return the starts that are prepared now, by step.
 
@@ -95,10 +117,8 @@
             start = expected.setdefault(key, ExpectedStart(task.step, now_ms))
             start.add(task, start_ms, down_since_ms)
 
-    for worker in state.workers_by_id.values():
-        if worker.runs_lost_at_ms is not None:
-            for run in filter(_starts_again, worker.runs):
-                add(run.task, worker.runs_lost_at_ms, run.last_active_ms)
+    for run, lost_at_ms in lost_runs:
+        add(run.task, lost_at_ms, run.last_active_ms)
     for task in state.suspects_by_key.values():
         until_ms = hold_until_ms(task)
         if _waits_as_service(task) and now_ms < until_ms:
@@ -110,6 +130,27 @@
     return expected
 
 
+def restarts(
+    state: SchedulerState, lost_runs: Iterable[LostRun], now_ms: int
+) -> dict[StepKey, ExpectedStart]:
+    """Return all starts of services that are down, or are about to be."""
+    found: dict[StepKey, ExpectedStart] = {}
+
+    def add(task: TrackedTask, start_ms: int, down_since_ms: int) -> None:
+        key = task.step.key
+        start = found.setdefault(key, ExpectedStart(task.step, now_ms))
+        start.add(task, start_ms, down_since_ms)
+
+    for run, lost_at_ms in lost_runs:
+        add(run.task, lost_at_ms, run.last_active_ms)
+    for step in state.waiting_steps.values():
+        if step.spec.is_long_running:
+            for task in step.startable_tasks():
+                if task.runs:
+                    add(task, 0, task.last_active_ms)
+    return found
+
+
 def is_held(step: TrackedStep, now_ms: int) -> bool:
     """Return whether no task of a long-running step may start as yet.
 
--- a/src/magnoliapitch/planner/permit_budget.py
+++ b/src/magnoliapitch/planner/permit_budget.py
@@ -115,12 +115,14 @@
     def add(self, step: TrackedStep, request: PlannedPermitRequest) -> bool:
         """Grant a call, or defer it if its queue has used its share.
 
+        A step that was not among those ranked has no share.
+
         :return: whether the call was granted.
         """
         queue_name = self._queue_name(step)
         self.record_awaiting(step)
         calls = self._call_count_by_queue[queue_name]
-        if self.is_used_up or calls >= self._share_by_queue[queue_name]:
+        if self.is_used_up or calls >= self._share_by_queue.get(queue_name, 0):
             self._deferred.append(request)
             return False
         self._call_count_by_queue[queue_name] += 1
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -15,7 +15,9 @@
 from magnoliapitch.planner.evacuation import Evacuation
 from magnoliapitch.planner.expected_starts import expected_starts
 from magnoliapitch.planner.expected_starts import in_order
+from magnoliapitch.planner.expected_starts import lost_service_runs
 from magnoliapitch.planner.fair_shares import fair_shares
+from magnoliapitch.planner.kept_room import KeptRoom
 from magnoliapitch.planner.options import PlanningOptions
 from magnoliapitch.planner.permit_budget import PermitBudget
 from magnoliapitch.planner.plan import Plan
@@ -72,6 +74,7 @@
         durations = self.duration_estimator
         self._evacuation = Evacuation(durations)
         self._preemption = Preemption(durations)
+        self._kept_room = KeptRoom()
         self._stragglers = Stragglers(durations)
 
     def record_failed(self, run: TrackedRun) -> None:
@@ -133,8 +136,9 @@
         if self.options.preemption:
             self._evacuation.mark(state, now_ms)
             stragglers = self._stragglers.find(state, now_ms)
-        expected = expected_starts(state, now_ms)
-        if not state.waiting_steps and not stragglers and not expected:
+        lost_runs = lost_service_runs(state)
+        expected = expected_starts(state, lost_runs, now_ms)
+        if not (state.waiting_steps or stragglers or expected or lost_runs):
             return Plan(stops=self._planned_stops(state))
         if max_starts_in_flight is None:
             max_starts_in_flight = max_starts
@@ -156,7 +160,12 @@
             self._isolation,
             workspace_round,
             self._candidate_order(),
+            self._kept_room,
         )
+        if self.options.preemption:
+            self._kept_room.refresh(
+                state, lost_runs, planning_round.workers, now_ms
+            )
         ahead_requests = AheadRequests(
             planning_round, expected, self._candidate_order(), now_ms
         )
@@ -167,6 +176,8 @@
             ahead_requests,
             now_ms,
         )
+        for start, task_count in self._kept_room.unplaced:
+            ahead_requests.request_unasked(start.step, task_count)
         if self.options.preemption:
             self._preemption.mark(
                 state,
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     from magnoliapitch.planner.candidate_order import CandidateOrder
+    from magnoliapitch.planner.kept_room import KeptRoom
     from magnoliapitch.planner.permit_budget import PermitBudget
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedStep
@@ -50,6 +51,7 @@
     :param isolation: keeps other jobs off the workers of some tasks.
     :param workspace_round: limits the permits of workspaces with a quota.
     :param candidate_order: tells which workers are the best for a step.
+    :param kept_room: room that only services which are down may use for good.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         isolation: WorkerIsolation,
         workspace_round: WorkspaceRound,
         candidate_order: CandidateOrder,
+        kept_room: KeptRoom,
     ) -> None:
         self.starts: list[PlannedStart] = []
         self._now_ms = now_ms
@@ -70,6 +73,7 @@
         self._isolation = isolation
         self._workspace_round = workspace_round
         self._candidate_order = candidate_order
+        self._kept_room = kept_room
         candidate_order.begin_round(self._workers)
         isolation.begin_round(state, self._workers, now_ms)
         self._gangs_with_reserved_capacity = 0
@@ -215,6 +219,12 @@
         else:
             self._ask_about_unasked(step)
             return []
+        if step.spec.is_long_running and not step.has_interrupted_task():
+            allowed = [
+                candidate
+                for candidate in allowed
+                if self._kept_room.leaves_room(candidate, step)
+            ]
         worker_count = len(self._workers.candidates_by_id)
         return self._isolation.select(
             step, allowed, worker_count, self._now_ms
--- a/src/magnoliapitch/planner/restart_room.py
+++ b/src/magnoliapitch/planner/restart_room.py
@@ -65,10 +65,10 @@
 class RestartRoom:
     """Makes room for service tasks that are down, in one pass.
 
-    Room is taken first where a permit is valid and where stopping the runs
-    loses the least work, of the same or a less urgent queue. Runs that end
-    soon, or may not be stopped, are waited for. Nothing is stopped for tasks
-    that never ran.
+    Room is taken first where a permit is valid, or is being renewed, and
+    where stopping the runs loses the least work, of the same or a less urgent
+    queue. Runs that end soon, or may not be stopped, are waited for. Nothing
+    is stopped for tasks that never ran.
 
     :param expected: tasks whose runs will be given up soon, by step.
     """
@@ -138,10 +138,11 @@
         for candidate in islice(
             self._pass.candidates(step), MAX_EXAMINED_WORKERS
         ):
-            has_ticket = self._planning_round.has_ticket(
-                step, candidate, delay_ms
+            is_ready = (
+                candidate.worker.worker_id in step.in_flight_worker_ids
+                or self._planning_round.has_ticket(step, candidate, delay_ms)
             )
-            (ready if has_ticket else others).append(candidate)
+            (ready if is_ready else others).append(candidate)
         choice = _Choice(step, self.count(step), held)
         rooms = self._rooms(ready)
         self._take(choice, rooms, self._victims)
--- a/tests/planner/test_restart_room.py
+++ b/tests/planner/test_restart_room.py
@@ -275,3 +275,32 @@
             task.runs = 1
         outage.give_up()
         assert outage.displaced() == displaced
+
+
+# A service that started for the first time took the room for good.
+def test_the_first_start_of_a_service_leaves_room_for_one_that_is_lost() -> (
+    None
+):
+    outage = Outage()
+    outage.fill(FULL._replace(task_count=3))
+    outage.work.add_job("new", SERVICE, URGENT)
+    outage.work.advance(SHORT_MS)
+    assert len(outage.work.runs("new")) == 1
+    outage.work.add_job("newer", SERVICE._replace(task_count=3), URGENT)
+    for run in outage.work.runs("a"):
+        outage.work.end(run, EndKind.DONE)
+    outage.work.advance(SHORT_MS)
+    assert outage.work.runs("newer") == []
+    outage.give_up()
+    outage.work.advance(SHORT_MS)
+    assert len(outage.work.runs("service")) == 1
+    assert len(outage.work.runs("newer")) == 2
+
+
+def test_the_advisor_is_asked_early_if_no_permitted_worker_is_left() -> None:
+    outage = Outage(permit_timing=TIMING)
+    [request] = outage.work.plan().permit_requests
+    assert request.worker_ids == ("w1",)
+    outage.step.record_permits(["w1"], [Permit("w1", "t")], 0)
+    outage.work.advance(SHORT_MS)
+    assert outage.work.plan().permit_requests == ()
