Copy only workers that permits may be requested for ahead

Cause: in each round with an expected start AheadRequests copied all workers and sorted the copies, also for steps that have a call under way and when no call was left. Change: a worker is copied when it is first looked at, workers come in the round's own order, and unasked ones are looked at only if a call may be made.

--- a/src/magnoliapitch/planner/ahead_requests.py
+++ b/src/magnoliapitch/planner/ahead_requests.py
@@ -17,7 +17,6 @@
 
     from magnoliapitch.planner.candidate_order import CandidateOrder
     from magnoliapitch.planner.candidates import Candidate
-    from magnoliapitch.planner.candidates import CandidateWorkers
     from magnoliapitch.planner.expected_starts import ExpectedStart
     from magnoliapitch.planner.planning_round import PlanningRound
     from magnoliapitch.planner.tracked import TrackedStep
@@ -47,14 +46,15 @@
         self._expected = expected
         self._candidate_order = candidate_order
         self._now_ms = now_ms
-        self._copied_workers: CandidateWorkers | None = None
+        self._copies_by_id: dict[str, Candidate] = {}
 
-    @property
-    def _workers(self) -> CandidateWorkers:
-        """Return copies of the workers, made when first needed."""
-        if self._copied_workers is None:
-            self._copied_workers = self._planning_round.workers.copy()
-        return self._copied_workers
+    def _copy(self, candidate: Candidate) -> Candidate:
+        """Return this object's copy of a worker, made when first needed."""
+        worker_id = candidate.worker.worker_id
+        copy = self._copies_by_id.get(worker_id)
+        if copy is None:
+            copy = self._copies_by_id[worker_id] = candidate.copy()
+        return copy
 
     def request(self, step: TrackedStep) -> None:
         """Plan a call for the permits that the tasks of a step will lack.
@@ -85,6 +85,8 @@
             if not self._has_permit(expected, candidate):
                 lacking.append(candidate)
         missing_count = expected.task_count - fitting_count
+        if not self._planning_round.may_call(step):
+            return
         if missing_count > 0:
             lacking += self._unasked(step, missing_count)
         self._planning_round.request_ahead(step, lacking)
@@ -96,8 +98,9 @@
         """
         if step.job.queue.permit_timing is None or step.waiting_count:
             return
-        lacking = self._unasked(step, task_count)
-        self._planning_round.request_ahead(step, lacking)
+        if self._planning_round.may_call(step):
+            lacking = self._unasked(step, task_count)
+            self._planning_round.request_ahead(step, lacking)
 
     def _permitted(self, expected: ExpectedStart) -> list[Candidate]:
         """Return the permitted workers with room, the best first.
@@ -108,7 +111,9 @@
         return sorted(
             (
                 candidate
-                for candidate in self._workers.permitted(step)
+                for candidate in map(
+                    self._copy, self._planning_round.workers.permitted(step)
+                )
                 if free_task_count(candidate, step)
             ),
             key=lambda candidate: (
@@ -132,9 +137,9 @@
 
     def _unasked(self, step: TrackedStep, task_count: int) -> list[Candidate]:
         not_asked = (
-            candidate
+            self._copy(candidate)
             for candidate in self._candidate_order.for_request(
-                step, self._workers, self._now_ms
+                step, self._planning_round.workers, self._now_ms
             )
             if candidate.worker.worker_id not in step.asked_worker_ids
         )
@@ -142,7 +147,8 @@
 
     def _free_members(self, step: TrackedStep) -> None:
         """Count the room of a gang as free, which stops with its member."""
+        candidates_by_id = self._planning_round.workers.candidates_by_id
         for run in step.all_active_runs():
-            candidate = self._workers.candidates_by_id.get(run.worker_id)
+            candidate = candidates_by_id.get(run.worker_id)
             if candidate is not None:
-                candidate.release(step.reservation)
+                self._copy(candidate).release(step.reservation)
--- a/src/magnoliapitch/planner/candidates.py
+++ b/src/magnoliapitch/planner/candidates.py
@@ -74,15 +74,6 @@
         self._most_free_first: list[Candidate] | None = None
         self._by_class: defaultdict[int, list[Candidate]] | None = None
 
-    def copy(self) -> CandidateWorkers:
-        """Return copies that can be reserved independently."""
-        copy = CandidateWorkers(())
-        copy.candidates_by_id = {
-            worker_id: candidate.copy()
-            for worker_id, candidate in self.candidates_by_id.items()
-        }
-        return copy
-
     def eligible(self, step: TrackedStep) -> Iterator[Candidate]:
         """Return the workers that could run a step if the advisor permits.
 
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -281,6 +281,10 @@
             and self._workspace_round.may_request(step)
         )
 
+    def may_call(self, step: TrackedStep) -> bool:
+        """Return whether a call is left, and none for a step is planned."""
+        return not (self._permit_budget.is_used_up or self._has_call(step))
+
     def _has_call(self, step: TrackedStep) -> bool:
         return step.has_call_in_flight or step.key in self._steps_with_request
 
--- a/tests/planner/test_ahead_requests.py
+++ b/tests/planner/test_ahead_requests.py
@@ -4,7 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+import pytest
+
 from magnoliapitch.planner import Planner
+from magnoliapitch.planner.candidates import Candidate
 from magnoliapitch.planner.expected_starts import START_ALLOWANCE_MS
 from magnoliapitch.planner.permit_calls import TICKET_MIN_REMAINING_MS
 from magnoliapitch.workload.job import StepKey
@@ -156,3 +159,24 @@
     fixture.permit(["w1", "w2", "w3"], 0)
     [request] = fixture.plan(FIRST_ASK_MS).permit_requests
     assert set(request.worker_ids) == {"w1", "w2", "w3"}
+
+
+# Every round copied all workers of the fleet, also for steps with a call.
+@pytest.mark.parametrize("has_call", [False, True])
+def test_only_workers_that_may_be_asked_about_are_copied(
+    monkeypatch: pytest.MonkeyPatch, has_call: bool
+) -> None:
+    copied: list[str] = []
+    copy = Candidate.copy
+
+    def record(candidate: Candidate) -> Candidate:
+        copied.append(candidate.worker.worker_id)
+        return copy(candidate)
+
+    monkeypatch.setattr(Candidate, "copy", record)
+    fixture = Fixture(workers=400)
+    fixture.permit(["w1", "w2", "w3"], 0)
+    if has_call:
+        fixture.step().in_flight_worker_ids = frozenset(["w1"])
+    fixture.plan(FIRST_ASK_MS)
+    assert copied == ["w1", "w2", "w3"]
