--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     from magnoliapitch.planner.candidate_order import CandidateOrder
+    from magnoliapitch.planner.kept_room import KeptRoom
     from magnoliapitch.planner.permit_budget import PermitBudget
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedStep
@@ -50,6 +51,7 @@
     :param isolation: keeps other jobs off the workers of some tasks.
     :param workspace_round: limits the permits of workspaces with a quota.
     :param candidate_order: tells which workers are the best for a step.
+    :param kept_room: room that only services which are down may use for good.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         isolation: WorkerIsolation,
         workspace_round: WorkspaceRound,
         candidate_order: CandidateOrder,
+        kept_room: KeptRoom,
     ) -> None:
         self.starts: list[PlannedStart] = []
         self._now_ms = now_ms
@@ -70,6 +73,7 @@
         self._isolation = isolation
         self._workspace_round = workspace_round
         self._candidate_order = candidate_order
+        self._kept_room = kept_room
         candidate_order.begin_round(self._workers)
         isolation.begin_round(state, self._workers, now_ms)
         self._gangs_with_reserved_capacity = 0
@@ -215,6 +219,12 @@
         else:
             self._ask_about_unasked(step)
             return []
+        if step.spec.is_long_running and not step.has_interrupted_task():
+            allowed = [
+                candidate
+                for candidate in allowed
+                if self._kept_room.leaves_room(candidate, step)
+            ]
         worker_count = len(self._workers.candidates_by_id)
         return self._isolation.select(
             step, allowed, worker_count, self._now_ms
@@ -271,6 +281,10 @@
             and self._workspace_round.may_request(step)
         )
 
+    def may_call(self, step: TrackedStep) -> bool:
+        """Return whether a call is left, and none for a step is planned."""
+        return not (self._permit_budget.is_used_up or self._has_call(step))
+
     def _has_call(self, step: TrackedStep) -> bool:
         return step.has_call_in_flight or step.key in self._steps_with_request
 
@@ -357,9 +371,11 @@
         if not step.spec.is_gang:
             candidates = candidates[:remaining_starts]
         run_number = max(task.runs for task in step.tasks) + 1
-        for task, candidate in zip(
-            self._isolation.startable_tasks(step), candidates, strict=False
-        ):
+        tasks = self._isolation.startable_tasks(step)
+        if step.spec.is_long_running and not step.spec.is_gang:
+            # Room was made only for tasks that are down.
+            tasks.sort(key=lambda task: not task.runs)
+        for task, candidate in zip(tasks, candidates, strict=False):
             worker_id = candidate.worker.worker_id
             number = run_number if step.spec.is_gang else task.runs + 1
             ticket, _ = step.ticket(worker_id)
