--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -46,7 +46,7 @@
         """
         seconds = self._cluster.schedule.seconds
         self._calm_s = began_s + seconds - CALM_S
-        asker = threading.Thread(target=self._ask_at_random)
+        asker = threading.Thread(target=self._ask_at_random, daemon=True)
         asker.start()
         with ThreadPoolExecutor(THREADS) as pool:
             for job in sorted(self._cluster.schedule.jobs):
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -53,14 +53,21 @@
         self.stopped_s: float | None = None
         self._history = history
         self._lock = threading.Lock()
+        self._is_retired = False
         self._process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
         """Start it, unless another fault has done so."""
         with self._lock:
-            if not self.is_alive():
+            if not self.is_alive() and not self._is_retired:
                 self._spawn()
 
+    def retire(self) -> None:
+        """End it for good."""
+        with self._lock:
+            self._is_retired = True
+        self.kill()
+
     def is_alive(self) -> bool:
         return self._process is not None and self._process.poll() is None
 
@@ -273,7 +280,7 @@
     def close(self) -> None:
         """End all processes that this cluster has started."""
         for process in self.processes():
-            process.kill()
+            process.retire()
         for server in (self.store, self.advisor, self.gangs):
             server.close()
         self._network.close()
