A leader that may have been replaced reads the states before it answers 410

Callers were told 410 for jobs that were accepted and had ended (LOST). Cause: an instance takes its table of states for the newest as long as it holds a claim. If it is replaced and does not notice, since its control loop stands still, it knows nothing of jobs that ended under the next leader; their records are deleted, so that it finds them nowhere. Change: a claim saves the read only for as long as no other instance can have claimed: 1 s from when the newest record that this one has stored was sent.

--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -13,6 +13,7 @@
 from result import Result
 
 from magnoliapitch.event import log_event
+from magnoliapitch.ledger.claim_delay import LEADER_TIMEOUT_MS
 from magnoliapitch.ledger.claim_delay import ClaimDelay
 from magnoliapitch.ledger.elapsed_clock import LeaderClock
 from magnoliapitch.ledger.leader_appender import APPEND_TIMEOUT_MS
@@ -131,6 +132,8 @@
         self._read_ms: int | None = None
         # How long the store took for the newest read that no record ended.
         self._read_duration_ms = 0
+        # When the newest record that this instance has stored was sent.
+        self._stored_ms = 0
         self._has_claimed = threading.Event()
 
     def step(self) -> int:
@@ -182,16 +185,15 @@
     def refresh(self, max_age_ms: int) -> Result[None, Failure]:
         """Read the stream of states unless that was done a moment ago.
 
-        The leader's own table is always up to date.
+        The leader's own table is up to date until another one may claim.
 
-        :param max_age_ms: do nothing if the last read began less than this
-            time ago.
+        :param max_age_ms: do nothing if the last read began later than that.
         """
+        now_ms = self._clock.now_ms()
+        if self.claim and now_ms - self._stored_ms < LEADER_TIMEOUT_MS:
+            return Ok(None)
         read_ms = self._read_ms
-        age_ms = (
-            max_age_ms if read_ms is None else (self._clock.now_ms() - read_ms)
-        )
-        if self.claim is not None or age_ms < max_age_ms:
+        if read_ms is not None and now_ms - read_ms < max_age_ms:
             return Ok(None)
         return self.follow()
 
@@ -272,7 +274,11 @@
         :param on_progress_stored: called once the progress is stored, before
             the states are.
         """
-        return self._appender.commit(batch, on_progress_stored)
+        sent_ms = self._clock.now_ms()
+        outcome = self._appender.commit(batch, on_progress_stored)
+        if not isinstance(outcome, Err):
+            self._stored_ms = sent_ms
+        return outcome
 
     def refused_keys(self) -> tuple[str, ...]:
         """Return the keys of progress that the store refused in this batch."""
@@ -357,6 +363,7 @@
             writer,
             KeyedRecord(LEADER_KEY, encode_leader(record)),
         )
+        self._stored_ms = now_ms
         self.claim = Claim(record, now_ms, clock)
         self._has_claimed.set()
         log_event(
