The next leader proves the crash of a worker that the former saw silent

It counts a loss, which gives no task up, so that a task that ends its workers is started again and again if a leader is lost with each of them (BUDGET).

Change: a leader that finds a worker with runs silent stores its address with the end of its leases; the next one takes it for the worker's, so that another worker listed there proves the crash. The address of a worker that leaves is not stored: the next leader, which does not know that it left, would blame its tasks (LOST).

Conclusion: a leader that is lost before it has noticed the silence still leaves a loss.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -183,6 +183,8 @@
         self._progress_batcher.load(now_ms)
         self._progress_batcher.record_read(job_end)
         self._job_loader.add_all(now_ms)
+        for worker in self.state.workers_by_id.values():
+            worker.address = self._stored_leases.address(worker.worker_id)
         self._stored_leases.keep_only(self._worker_ids_with_runs())
         self._old_runs.restore(now_ms)
         open_count = sum(
--- a/src/magnoliapitch/control/reachability.py
+++ b/src/magnoliapitch/control/reachability.py
@@ -167,11 +167,15 @@
         """Return whether no end of the worker's leases is stored."""
         return self._stored_leases.may_grant(worker_id)
 
-    def store_lease_end(self, worker_id: str) -> None:
-        """Store when the leases of a worker that does not answer end."""
+    def store_lease_end(self, worker_id: str, address: str = "") -> None:
+        """Store when the leases of a worker that does not answer end.
+
+        :param address: address of the worker, by which the next leader finds
+            the worker that has taken its place.
+        """
         with self._lock:
             self._stored_leases.put(
-                worker_id, self.leases_expired_at_ms(worker_id)
+                worker_id, self.leases_expired_at_ms(worker_id), address
             )
 
     def discard_lease_end(self, worker_id: str) -> None:
--- a/src/magnoliapitch/control/stored_leases.py
+++ b/src/magnoliapitch/control/stored_leases.py
@@ -31,6 +31,10 @@
         self._clock = clock
         # What the store has, or may have once a commit under way is stored.
         self._stored_by_worker = dict(state_table.lease_end_by_worker)
+        self._address_by_worker = {
+            worker_id: end.address
+            for worker_id, end in self._stored_by_worker.items()
+        }
         self._inherited_by_worker = {
             worker_id: end
             for worker_id, end in self._stored_by_worker.items()
@@ -52,6 +56,10 @@
         end = self._inherited_by_worker.get(worker_id)
         return None if end is None else self._clock.local_ms(end.elapsed_ms)
 
+    def address(self, worker_id: str) -> str:
+        """Return the address that a former leader stored; empty if none."""
+        return self._address_by_worker.get(worker_id, "")
+
     def may_grant(self, worker_id: str) -> bool:
         """Return whether a worker may be granted a lease."""
         return (
@@ -59,12 +67,15 @@
             and worker_id not in self._stored_by_worker
         )
 
-    def put(self, worker_id: str, end_ms: int) -> None:
+    def put(self, worker_id: str, end_ms: int, address: str = "") -> None:
         """Store the end of a worker's leases; it gets none from now on.
 
         :param end_ms: time in ms by this instance's clock.
+        :param address: address of the worker.
         """
-        self._wanted_by_worker[worker_id] = self._clock.lease_end(end_ms)
+        self._wanted_by_worker[worker_id] = self._clock.lease_end(
+            end_ms, address
+        )
 
     def discard(self, worker_id: str) -> None:
         """Delete the end of a worker that answers or has no runs.
--- a/src/magnoliapitch/control/unproven_losses.py
+++ b/src/magnoliapitch/control/unproven_losses.py
@@ -69,12 +69,11 @@
         worker_id = worker.worker_id
         if not lost or worker_id in self._loss_by_worker:
             return
-        address = "" if worker.info is None else worker.info.address
         if not is_listed:
             count_loss(self._state, lost)
         hold_suspects(lost, now_ms + HOLD_SUSPECTS_MS, lost_ms)
         self._loss_by_worker[worker_id] = _Loss(
-            address, tuple(lost), not is_listed, now_ms
+            worker.address, tuple(lost), not is_listed, now_ms
         )
 
     def record_answer(self, worker_id: str) -> None:
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -228,7 +228,9 @@
         self._silent_worker_ids.add(worker_id)
         lost_ms = self._reachability.lost_ms(worker_id, now_ms)
         worker.silent_since_ms = now_ms - lost_ms
-        self._reachability.store_lease_end(worker_id)
+        # The next leader could take one that leaves for one that has crashed.
+        address = "" if worker.is_leaving else worker.address
+        self._reachability.store_lease_end(worker_id, address)
         log_event(
             "worker-silent",
             worker=worker_id,
--- a/src/magnoliapitch/ledger/elapsed_clock.py
+++ b/src/magnoliapitch/ledger/elapsed_clock.py
@@ -36,10 +36,13 @@
 
     :param origin: series of the clock that the time is given by.
     :param elapsed_ms: the time by that clock, in ms.
+    :param address: address of the worker, by which its successor is found;
+        empty if it is not known.
     """
 
     origin: int
     elapsed_ms: int
+    address: str = ""
 
 
 class LeaderClock(NamedTuple):
@@ -78,12 +81,12 @@
             return None
         return now_ms - self.local_ms(self.inherited_ms)
 
-    def lease_end(self, local_ms: int) -> LeaseEnd:
+    def lease_end(self, local_ms: int, address: str = "") -> LeaseEnd:
         """Return the end of a worker's leases as it is stored.
 
         :param local_ms: the end by this instance's own clock.
         """
-        return LeaseEnd(self.origin, local_ms + self.offset_ms)
+        return LeaseEnd(self.origin, local_ms + self.offset_ms, address)
 
     def local_ms(self, elapsed_ms: int) -> int:
         """Return an elapsed time by this instance's own clock."""
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -320,6 +320,7 @@
     """A worker and the runs that may be active on it.
 
     :ivar info: newest entry in the platform's list; None before the first.
+    :ivar address: its address, which a former leader may have stored; or "".
     :ivar is_usable: whether it is listed, answered lately and is not avoided
         after failures.
     :ivar silent_since_ms: when it answered last, if its runs wait for the end
@@ -332,6 +333,7 @@
     """
 
     __slots__ = (
+        "address",
         "free",
         "info",
         "is_usable",
@@ -345,6 +347,7 @@
     def __init__(self, worker_id: str) -> None:
         self.worker_id = worker_id
         self.info: WorkerInfo | None = None
+        self.address = ""
         self.is_usable = False
         self.silent_since_ms: int | None = None
         self.free = NO_RESOURCES
@@ -376,6 +379,7 @@
     def update(self, info: WorkerInfo) -> None:
         """Update the worker from the platform's list."""
         self.info = info
+        self.address = info.address
         used = NO_RESOURCES
         for run in self.runs:
             used = used.plus(run.resources)
--- a/tests/control/test_suspects_over_leaders.py
+++ b/tests/control/test_suspects_over_leaders.py
@@ -180,3 +180,30 @@
         simulation.run_until(lambda s=simulation: s.starts[TASK] > 1)  # type: ignore[misc]
         waits_ms.append(simulation.now_ms - gone_ms)
     assert waits_ms[1] <= waits_ms[0]
+
+
+# The next leader finds what has taken the place of a silent worker by the
+# address that is stored with the end of its leases.
+@pytest.mark.parametrize("is_leaving", [False, True])
+def test_the_next_leader_proves_a_crash_but_not_that_of_a_leaving_worker(
+    *, is_leaving: bool
+) -> None:
+    simulation = Simulation([queue("q")], workers(2))
+    simulation.permitted_share = 1.0
+    simulation.actual_duration_ms = lambda _: 20_000.0
+    simulation.restart_delay_ms = 3_000
+    step = StepSpec(1, SIZE)
+    simulation.submit(JobSpec("service", "q", "text", (step,)))
+    simulation.run(2_000)
+    [worker] = [w for w in simulation.workers.values() if w.running]
+    if is_leaving:
+        worker.leave()
+        simulation.run(600)
+    worker.crash()
+    simulation.run_until(lambda: worker.is_replaced)
+    simulation.take_over()
+    simulation.run(20_000)
+    task = simulation.controller.state.task(TASK)
+    assert task is not None
+    assert task.worker_crashes == int(not is_leaving)
+    assert simulation.starts[TASK] == 2
