An agent that is used again at once does not end the leadership

Cause: a link to an agent without workers stays open until its orders are answered. If the agent got a worker meanwhile, the leader opened a second link. The agent has one session at a time, ends the first one and refuses its calls as fenced; the leader then failed both sessions with `fenced`, took itself for replaced and stopped leading, with its failed ends on the way. The answers of the first session were lost, and their orders counted as certainly not carried out (`not_run`), though they may have been.

Change: the leader takes back the link that it still has to that agent.

Conclusion: a leadership can be lost without another leader, beside orders with a wrong verdict. It is not shown to be behind the users' cases.

--- a/src/magnoliapitch/control/delegation/router.py
+++ b/src/magnoliapitch/control/delegation/router.py
@@ -204,8 +204,11 @@
             self._local_group.add(worker, token)
             return
         link = self._link_by_address.get(address)
+        if link is None:
+            link = self._take_closing_link(address)
         if link is None:
             link = self._open_link(address)
+        self._link_by_address[address] = link
         link.session.assign(worker, token)
 
     def _detach(self, worker_id: str) -> None:
@@ -215,6 +218,18 @@
         elif address is not None and address in self._link_by_address:
             self._link_by_address[address].session.release(worker_id)
 
+    def _take_closing_link(self, address: str) -> AgentLink | None:
+        """Return the link to an agent that still has unanswered orders.
+
+        The agent has one session at a time: another one would end this one,
+        and would make the leader take itself for replaced.
+        """
+        for link in self._closing_links:
+            if link.address == address:
+                self._closing_links.remove(link)
+                return link
+        return None
+
     def _open_link(self, address: str) -> AgentLink:
         self._session_count += 1
         key = SessionKey(self._epoch, self._session_count)
@@ -226,7 +241,6 @@
             self._interval_ms,
             self._handle_lost_agent,
         )
-        self._link_by_address[address] = link
         log_event(
             "agent-used", epoch=self._epoch, number=key.number, agent=address
         )
--- a/tests/control/delegation/test_router.py
+++ b/tests/control/delegation/test_router.py
@@ -1,10 +1,13 @@
 from __future__ import annotations
 
+import threading
 import time
 
 from typing import TYPE_CHECKING
 
 from result import Err
+from result import Ok
+from result import Result
 
 from magnoliapitch.clock import MonotonicClock
 from magnoliapitch.control.delegation.agent import Agent
@@ -27,6 +30,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from magnoliapitch.verdict import Failure
+
 
 WAIT_S = 15.0
 WEAK_LEADER_CORES = 0.01
@@ -156,3 +161,29 @@
         assert fleet.router.max_start_orders() == limit
     finally:
         fleet.router.close()
+
+
+# A leader took itself for replaced: an agent without workers, but with an
+# order still unanswered, got a worker again and so a second session.
+def test_an_agent_that_is_used_again_at_once_replaces_no_leader() -> None:
+    fleet = Fleet()
+    fleet.wait_until(lambda: fleet.events)
+    has_begun, may_end = threading.Event(), threading.Event()
+
+    def start(*_: object) -> Result[int, Failure]:
+        has_begun.set()
+        return Ok(int(may_end.wait(WAIT_S)))
+
+    fleet.workers.start = start  # type: ignore[assignment, method-assign]
+    fleet.router.start(worker("w"), *start_order(0, "w"))
+    assert has_begun.wait(WAIT_S)
+    fleet.router.set_agents([member("y", "a")])
+    fleet.events.clear()
+    fleet.wait_until(lambda: fleet.events)
+    fleet.router.set_agents([member("x", "a", 2.0)])
+    fleet.events.clear()
+    fleet.wait_until(lambda: len(fleet.events) >= 2)
+    may_end.set()
+    fleet.wait_until(fleet.answers)
+    fleet.router.close()
+    assert fleet.failures() == []
