Log the failures of a gang as a whole

Cause: `run-ended` and `run-lost` gave the failures that were counted for one member of a gang, beside the attempts of the gang. A member that failed in the second run showed 1 of 3, so that the lines could not tell a failure that was counted twice, or not at all, from one that was counted for another member.

Change: both give the failed runs that use up the attempts, as `job-closed` does.

The new test fails before (1 and 1 in place of 1 and 2) and passes after; tests/control/test_job_closed_events and tests/event pass.

--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -172,7 +172,7 @@
             is_news=is_news,
             is_tracked=run is not None,
             sequence=end.sequence,
-            failures=None if task is None else task.failures,
+            failures=None if task is None else task.used_attempts,
             attempts=None if task is None else task.step.job.queue.attempts,
         )
 
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -347,7 +347,7 @@
             may_have_been_ordered=run.may_have_been_ordered,
             age_ms=None if run.started_ms is None else now_ms - run.started_ms,
             is_alone=worker.runs_only(run.task.step.job),
-            failures=run.task.failures,
+            failures=run.task.used_attempts,
             worker_crashes=run.task.worker_crashes,
             worker_losses=run.task.worker_losses,
         )
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -141,7 +141,7 @@
     "run-ended",
     EventLevel.INFO,
     "A run ended other than by completing, or its end was already known. "
-    "``failures`` counts the failed runs of its task so far.",
+    "``failures`` counts the failed runs of its task, or of its gang, so far.",
 )
 define_event(
     "end-ignored",
--- a/tests/control/test_job_closed_events.py
+++ b/tests/control/test_job_closed_events.py
@@ -7,6 +7,7 @@
 import pytest
 
 from magnoliapitch.control import end_acknowledger
+from magnoliapitch.control import reports
 from magnoliapitch.control.progress_records import fail_refused_jobs
 from magnoliapitch.ledger.records import progress_key
 from magnoliapitch.planner import job_closing
@@ -16,6 +17,7 @@
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
+from magnoliapitch.workload.job import TaskKey
 from magnoliapitch.workload.run import EndKind
 from tests.control.simulation import Simulation
 from tests.control.simulation import queue
@@ -135,3 +137,30 @@
     assert closed["reason"] == "attempts-lowered"
     assert (closed["former_attempts"], closed["attempts"]) == (5, 1)
     assert (closed["failures"], closed["version"]) == (1, 7)
+
+
+# Of a gang whose members failed in turn, no line showed more than one failure.
+def test_an_ended_run_shows_the_failures_of_its_gang(
+    simulation: Simulation, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lines: Logged = []
+    monkeypatch.setattr(
+        reports,
+        "log_event",
+        lambda event, **fields: lines.append({"event": event, **fields}),
+    )
+    gang = StepSpec(2, Resources(1_000, 1_000), is_gang=True)
+    simulation.submit(JobSpec("g", "q", "text", (gang,)))
+    simulation.run(500)
+    for position in range(2):
+        for worker in simulation.workers.values():
+            for key, run in list(worker.running.items()):
+                if key == TaskKey("g", 0, 0, position):
+                    worker.end(run, EndKind.FAILED)
+        simulation.run(600)
+    failed = [
+        line["failures"]
+        for line in of(lines, "run-ended")
+        if line["kind"] is EndKind.FAILED
+    ]
+    assert failed == [1, 2]
