The oldest failed runs of a gang count once, too

Cause: a task keeps the numbers of its newest 16 failed runs. Of a task alone, an older number is taken as counted; of a gang it was not, so that an end that was listed again after more than 16 failed runs counted again. The number of attempts is not bounded.

Change: of a gang, a number older than those that a full member keeps is taken as counted.

The test fails before for the gang and passes for the single task; passes for both after. tests/planner/test_failed_attempts, test_copy_attempts and test_restart_pause pass.

--- a/src/magnoliapitch/planner/tracked_task.py
+++ b/src/magnoliapitch/planner/tracked_task.py
@@ -219,9 +219,14 @@
         self.failed_runs = failed_runs
 
     def _has_counted_failure(self, number: int) -> bool:
-        if self.step.spec.is_gang:
-            return number in self.step.failed_runs
-        if number in self.failed_runs:
-            return True
+        step = self.step
+        if not step.spec.is_gang:
+            return number in self.failed_runs or self._is_older(number)
+        return number in step.failed_runs or any(
+            member._is_older(number) for member in step.tasks
+        )
+
+    def _is_older(self, number: int) -> bool:
+        """Return whether a run is older than the failed ones that are kept."""
         is_full = len(self.failed_runs) == MAX_KEPT_FAILED_RUNS
         return is_full and number < self.failed_runs[0]
--- a/tests/planner/test_failed_attempts.py
+++ b/tests/planner/test_failed_attempts.py
@@ -2,6 +2,8 @@
 
 from typing import TYPE_CHECKING
 
+import pytest
+
 from magnoliapitch.ledger.records import decode_progress
 from magnoliapitch.ledger.records import encode_progress
 from magnoliapitch.resource import Resources
@@ -191,3 +193,23 @@
     (run,) = work.runs("a")
     assert work.report_failed(run)
     assert work.outcome() is JobOutcome.FAILED
+
+
+# With many attempts, the oldest of the failed runs of a gang counted again.
+@pytest.mark.parametrize("step", [STEP, GANG])
+def test_a_failure_counts_once_however_many_have_followed(
+    step: StepSpec,
+) -> None:
+    work = AttemptWork()
+    work.add_job("a", step, attempts=40)
+    oldest = work.next_runs()
+    runs = oldest
+    for _ in range(20):
+        first, *others = runs
+        work.end(first, EndKind.FAILED)
+        for run in others:
+            work.end(run, EndKind.MEMBER_ENDED)
+        runs = work.next_runs()
+    for run in oldest:
+        assert not work.report_failed(run)
+    assert sum(work.failures()) == 20
