--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from magnoliapitch.control.accepted_starts import record_accepted
+from magnoliapitch.control.end_acknowledger import EndAcknowledger
 from magnoliapitch.control.job_loader import JobLoader
 from magnoliapitch.control.load_publisher import LoadPublisher
 from magnoliapitch.control.order_issuer import OrderIssuer
@@ -101,7 +102,10 @@
         self._reachability = WorkerReachability(
             timing, claimed_ms, clock, self._stored_leases
         )
-        self._report_applier = ReportApplier(self.state, self.planner, metrics)
+        self._end_acknowledger = EndAcknowledger(effects.acknowledge)
+        self._report_applier = ReportApplier(
+            self.state, self.planner, self._end_acknowledger, metrics
+        )
         tokens = WorkerTokens(leader.epoch)
         self._roster = WorkerRoster(
             self.state,
@@ -181,6 +185,8 @@
         self._progress_batcher.load(now_ms)
         self._progress_batcher.record_read(job_end)
         self._job_loader.add_all(now_ms)
+        for worker in self.state.workers_by_id.values():
+            worker.address = self._stored_leases.address(worker.worker_id)
         self._stored_leases.keep_only(self._worker_ids_with_runs())
         self._old_runs.restore(now_ms)
         open_count = sum(
@@ -267,8 +273,10 @@
                 order.task.job_id
             )
             self._order_issuer.stop_unknown(worker_id, order, job_state)
-        if not self.state.unsaved_job_ids and not self._is_commit_in_flight:
-            self._effects.acknowledge(worker_id, applied.last_end_sequence)
+        if self._is_all_stored:
+            self._end_acknowledger.acknowledge(
+                worker_id, applied.last_end_sequence
+            )
 
     def handle_start_answer(self, event: StartAnswered) -> None:
         """Apply the answer to a start order, or its failure."""
@@ -330,7 +338,7 @@
         acks_by_worker = {} if refused_keys else self._acks_by_worker
         self._acks_by_worker = {}
         for worker_id, sequence in acks_by_worker.items():
-            self._effects.acknowledge(worker_id, sequence)
+            self._end_acknowledger.acknowledge(worker_id, sequence)
         self._starts.queue.record_stored(now_ms)
         self._starts.order_stored(now_ms)
 
@@ -393,6 +401,19 @@
             self.is_over = True
             log_event("leadership-lost", epoch=self.epoch, reason=reason)
 
+    @property
+    def _is_all_stored(self) -> bool:
+        """Return whether no change waits to be stored, or was not stored.
+
+        The changes of a commit that has failed, which ends the leadership,
+        are not known to be stored.
+        """
+        return not (
+            self.is_over
+            or self._is_commit_in_flight
+            or self.state.unsaved_job_ids
+        )
+
     def _worker_ids_with_runs(self) -> set[str]:
         return {
             worker.worker_id
--- a/src/magnoliapitch/control/reports.py
+++ b/src/magnoliapitch/control/reports.py
@@ -14,6 +14,7 @@
 
 
 if TYPE_CHECKING:
+    from magnoliapitch.control.end_acknowledger import EndAcknowledger
     from magnoliapitch.control.end_clocks import EndClock
     from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.planner import Planner
@@ -49,10 +50,15 @@
     """
 
     def __init__(
-        self, state: SchedulerState, planner: Planner, metrics: Metrics
+        self,
+        state: SchedulerState,
+        planner: Planner,
+        end_acknowledger: EndAcknowledger,
+        metrics: Metrics,
     ) -> None:
         self._state = state
         self._planner = planner
+        self._end_acknowledger = end_acknowledger
         self._metrics = metrics
         self.last_end_sequence_by_worker: dict[str, int] = {}
         self._end_clocks = EndClocks()
@@ -65,6 +71,7 @@
         self.last_end_sequence_by_worker.pop(worker_id, None)
         self._stopped_ms_by_worker.pop(worker_id, None)
         self._end_clocks.forget(worker_id)
+        self._end_acknowledger.forget(worker_id)
 
     def take_end_sequences(self) -> dict[str, int]:
         """Return what to acknowledge once the state is stored.
@@ -153,6 +160,7 @@
         if run is not None and end.kind is EndKind.FAILED:
             self._planner.record_failed(run)
         is_news = self._state.record_end(worker_id, end, now_ms)
+        self._end_acknowledger.note(worker_id, end)
         self._metrics.count("runs_ended", end.kind.value)
         if completes and is_news:
             self._log_step_done(end)
@@ -164,7 +172,7 @@
             is_news=is_news,
             is_tracked=run is not None,
             sequence=end.sequence,
-            failures=None if task is None else task.failures,
+            failures=None if task is None else task.used_attempts,
             attempts=None if task is None else task.step.job.queue.attempts,
         )
 
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -228,7 +228,9 @@
         self._silent_worker_ids.add(worker_id)
         lost_ms = self._reachability.lost_ms(worker_id, now_ms)
         worker.silent_since_ms = now_ms - lost_ms
-        self._reachability.store_lease_end(worker_id)
+        # The next leader could take one that leaves for one that has crashed.
+        address = "" if worker.is_leaving else worker.address
+        self._reachability.store_lease_end(worker_id, address)
         log_event(
             "worker-silent",
             worker=worker_id,
@@ -347,7 +349,7 @@
             may_have_been_ordered=run.may_have_been_ordered,
             age_ms=None if run.started_ms is None else now_ms - run.started_ms,
             is_alone=worker.runs_only(run.task.step.job),
-            failures=run.task.failures,
+            failures=run.task.used_attempts,
             worker_crashes=run.task.worker_crashes,
             worker_losses=run.task.worker_losses,
         )
@@ -364,6 +366,7 @@
                 **run,
                 is_alone=lost_run.is_alone,
                 worker_crashes=task.worker_crashes,
+                proven_crashes=task.proven_crashes,
                 worker_losses=task.worker_losses,
             )
         elif task.is_suspect:
--- a/src/magnoliapitch/planner/expected_starts.py
+++ b/src/magnoliapitch/planner/expected_starts.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from magnoliapitch.planner.permit_calls import TICKET_MIN_REMAINING_MS
 from magnoliapitch.planner.ranking import is_down
+from magnoliapitch.planner.tracked import TrackedRun
 from magnoliapitch.planner.tracked_task import MIN_SUSPECT_LOSSES
 from magnoliapitch.workload.progress import JobOutcome
 
@@ -15,7 +17,6 @@
     from collections.abc import Mapping
 
     from magnoliapitch.planner.scheduler_state import SchedulerState
-    from magnoliapitch.planner.tracked import TrackedRun
     from magnoliapitch.planner.tracked import TrackedStep
     from magnoliapitch.planner.tracked_task import TrackedTask
     from magnoliapitch.workload.job import StepKey
@@ -24,12 +25,15 @@
 # From when a task may start until its start is planned: the checks of leases,
 # and rounds that cannot send it at once.
 START_ALLOWANCE_MS = 300
+# A call for advice, a stop and its report, before the tasks may start.
+ROOM_AHEAD_MS = 1_500
 
 
 class ExpectedStart:
     """Tasks of one step that are expected to need a start.
 
     :ivar task_count: number of these tasks.
+    :ivar coming_count: number of those that may not start as yet.
     :ivar start_ms: from when the last of them may start.
     :ivar down_since_ms: since when the first of them has no run, as far as
         that is known.
@@ -38,6 +42,7 @@
     """
 
     __slots__ = (
+        "coming_count",
         "down_since_ms",
         "may_be_suspect",
         "start_ms",
@@ -48,6 +53,7 @@
     def __init__(self, step: TrackedStep, now_ms: int) -> None:
         self.step = step
         self.task_count = 0
+        self.coming_count = 0
         self.start_ms = 0
         self.down_since_ms = now_ms
         self.may_be_suspect = False
@@ -57,12 +63,13 @@
     ) -> None:
         """Add a task, with its whole gang.
 
-        :param start_ms: from when the task may start.
+        :param start_ms: from when the task may start; 0 if it may now.
         :param down_since_ms: since when it has no run.
         """
         step = self.step
         count = len(step.tasks) if step.spec.is_gang else 1
         self.task_count = min(self.task_count + count, len(step.tasks))
+        self.coming_count += count if start_ms else 0
         self.start_ms = max(self.start_ms, start_ms)
         self.down_since_ms = min(self.down_since_ms, down_since_ms)
         # The loss of an active run counts once more.
@@ -71,14 +78,36 @@
             self.may_be_suspect = True
 
 
+class LostRun(NamedTuple):
+    """A run on a silent worker, whose task is to start again.
+
+    :param lost_at_ms: when the run is given up.
+    """
+
+    run: TrackedRun
+    lost_at_ms: int
+
+
+def lost_service_runs(state: SchedulerState) -> list[LostRun]:
+    """Return the runs of services on workers that do not answer."""
+    return [
+        LostRun(run, worker.runs_lost_at_ms)
+        for worker in state.workers_by_id.values()
+        if worker.runs_lost_at_ms is not None
+        for run in worker.runs
+        if _starts_again(run)
+    ]
+
+
 def expected_starts(
-    state: SchedulerState, now_ms: int
+    state: SchedulerState, lost_runs: Iterable[LostRun], now_ms: int
 ) -> dict[StepKey, ExpectedStart]:
-    """Return the starts for which permits are requested now, by step.
+    """Return the starts that are prepared now, by step.
 
     A permit that is requested now is still valid when the tasks may start:
     when the leases of their silent worker have ended, or when they are no
-    longer held as suspects.
+    longer held as suspects. Tasks that need no permit are prepared for later,
+    since only room is made for them.
     """
     expected: dict[StepKey, ExpectedStart] = {}
 
@@ -88,21 +117,40 @@
             start = expected.setdefault(key, ExpectedStart(task.step, now_ms))
             start.add(task, start_ms, down_since_ms)
 
-    for worker in state.workers_by_id.values():
-        if worker.runs_lost_at_ms is not None:
-            for run in filter(_starts_again, worker.runs):
-                add(run.task, worker.runs_lost_at_ms, run.last_active_ms)
+    for run, lost_at_ms in lost_runs:
+        add(run.task, lost_at_ms, run.last_active_ms)
     for task in state.suspects_by_key.values():
-        hold_until_ms = _hold_until_ms(task)
-        if _waits_as_service(task) and now_ms < hold_until_ms:
-            add(task, hold_until_ms, task.last_active_ms)
+        until_ms = hold_until_ms(task)
+        if _waits_as_service(task) and now_ms < until_ms:
+            add(task, until_ms, task.last_active_ms)
     for step in [start.step for start in expected.values()]:
         for task in step.startable_tasks():
-            if now_ms >= _hold_until_ms(task):
+            if now_ms >= hold_until_ms(task):
                 add(task, 0, task.last_active_ms)
     return expected
 
 
+def restarts(
+    state: SchedulerState, lost_runs: Iterable[LostRun], now_ms: int
+) -> dict[StepKey, ExpectedStart]:
+    """Return all starts of services that are down, or are about to be."""
+    found: dict[StepKey, ExpectedStart] = {}
+
+    def add(task: TrackedTask, start_ms: int, down_since_ms: int) -> None:
+        key = task.step.key
+        start = found.setdefault(key, ExpectedStart(task.step, now_ms))
+        start.add(task, start_ms, down_since_ms)
+
+    for run, lost_at_ms in lost_runs:
+        add(run.task, lost_at_ms, run.last_active_ms)
+    for step in state.waiting_steps.values():
+        if step.spec.is_long_running:
+            for task in step.startable_tasks():
+                if task.runs:
+                    add(task, 0, task.last_active_ms)
+    return found
+
+
 def is_held(step: TrackedStep, now_ms: int) -> bool:
     """Return whether no task of a long-running step may start as yet.
 
@@ -110,11 +158,11 @@
     """
     if not step.spec.is_long_running:
         return False
-    held = (now_ms < _hold_until_ms(task) for task in step.startable_tasks())
+    held = (now_ms < hold_until_ms(task) for task in step.startable_tasks())
     return any(held) if step.spec.is_gang else all(held)
 
 
-def _hold_until_ms(task: TrackedTask) -> int:
+def hold_until_ms(task: TrackedTask) -> int:
     """Return until when a task is held as a suspect; 0 if it is not."""
     return task.hold_until_ms if task.is_suspect else 0
 
@@ -172,7 +220,7 @@
 def _is_due(step: TrackedStep, start_ms: int, now_ms: int) -> bool:
     permit_timing = step.job.queue.permit_timing
     if permit_timing is None:
-        return False
+        return now_ms >= start_ms - ROOM_AHEAD_MS
     valid_until_ms = now_ms + permit_timing.valid_ms
     return valid_until_ms >= needed_until_ms(start_ms)
 
--- a/src/magnoliapitch/planner/restore.py
+++ b/src/magnoliapitch/planner/restore.py
@@ -10,6 +10,7 @@
 
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.step_dependencies import StepDependencies
+from magnoliapitch.planner.tracked_task import MAX_KEPT_FAILED_RUNS
 from magnoliapitch.workload.progress import TASKS_PER_PROGRESS_RECORD
 from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.progress import JobProgress
@@ -72,6 +73,7 @@
         task.worker_crashes,
         task.worker_losses,
         task.failed_runs,
+        task.proven_crashes,
     )
 
 
@@ -114,12 +116,13 @@
     # A former release stored the progress of all tasks in one record.
     task.note_change()
     task.runs = progress.runs
-    task.set_failures(progress.failures, progress.failed_runs)
+    task.set_failures(progress.failures, _failed_runs(progress))
     is_long_running = task.step.spec.is_long_running
     task.is_done = progress.is_done and not is_long_running
     task.checkpoint = progress.checkpoint
     task.worker_crashes = progress.worker_crashes
     task.worker_losses = progress.worker_losses
+    task.proven_crashes = progress.proven_crashes
     if task.is_suspect:
         state.add_suspect(task)
     is_over = task.is_done or task.step.job.outcome is not JobOutcome.OPEN
@@ -133,6 +136,23 @@
         _stop_superseded_runs(state, task)
 
 
+def _failed_runs(progress: TaskProgress) -> tuple[int, ...]:
+    """Return the numbers of the newest runs whose failure is counted.
+
+    A former release stored only how many there were: each run that had ended
+    may be one of them.
+    """
+    if progress.failed_runs or not progress.failures:
+        return progress.failed_runs
+    active = {placement.run for placement in progress.placements}
+    ended = [
+        number
+        for number in range(1, progress.runs + 1)
+        if number not in active
+    ]
+    return tuple(ended[-MAX_KEPT_FAILED_RUNS:])
+
+
 def _stop_superseded_runs(state: SchedulerState, task: TrackedTask) -> None:
     """Mark all but the newest restored run of a task for stopping.
 
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -5,6 +5,7 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
+from magnoliapitch.planner.job_closing import JobClosing
 from magnoliapitch.planner.restart_pause import RestartPauses
 from magnoliapitch.planner.restore import progress_of
 from magnoliapitch.planner.restore import restore_progress
@@ -94,13 +95,21 @@
     def cancel_job(self, job_id: str) -> None:
         """Cancel an open job and mark its runs for stopping."""
         job = self.jobs_by_id.get(job_id)
-        if job is not None and job.outcome is JobOutcome.OPEN:
-            self._close_job(job, JobOutcome.CANCELLED)
+        if job is not None:
+            self.close_job(job, JobClosing.cancelled())
 
-    def fail_job(self, job: TrackedJob) -> None:
-        """Fail an open job and mark its runs for stopping."""
-        if job.outcome is JobOutcome.OPEN:
-            self._close_job(job, JobOutcome.FAILED)
+    def close_job(self, job: TrackedJob, closing: JobClosing) -> None:
+        """Close an open job; unless it is done, mark its runs for stopping."""
+        if job.outcome is not JobOutcome.OPEN:
+            return
+        job.outcome = closing.outcome
+        closing.log(job)
+        self.unsaved_job_ids.add(job.spec.job_id)
+        for step in job.all_steps():
+            self.waiting_steps.pop(step.key, None)
+            self.scheduled_steps.pop(step.key, None)
+            if closing.outcome is not JobOutcome.COMPLETED:
+                self.stop_step(step)
 
     def remove_job(self, job_id: str) -> None:
         """Remove a job that has ended and has no active runs."""
@@ -155,7 +164,7 @@
         step = run.task.step
         if step.spec.is_gang and not step.is_done:
             self.stop_step(step)
-        elif run.task.has_failed:
+        if run.task.has_failed:
             self._update_outcome(step.job, run.task)
 
     def task(self, key: TaskKey) -> TrackedTask | None:
@@ -270,26 +279,28 @@
             self._save_checkpoint(task, reported.checkpoint)
 
     def record_end(self, worker_id: str, end: EndedRun, now_ms: int) -> bool:
-        """Record the end of a run; return whether it changed anything."""
+        """Record the end of a run; return whether it changed anything.
+
+        A failure counts also if the run was given up before.
+        """
         task = self.task(end.task)
         if task is None:
             return False
         run = self.run(end.task, end.run, worker_id)
-        # Of a gang, only a failure that counts can use up the attempts.
-        failed_task = None if task.step.spec.is_gang else task
         if end.checkpoint and not task.is_done:
             self._save_checkpoint(task, end.checkpoint)
         if task.step.is_completed_by(end.kind):
             self._record_done(task, end.run, now_ms)
+        elif end.kind is EndKind.FAILED and task.may_count_failure(end.run):
+            task.record_failure(end.run)
+            self.unsaved_job_ids.add(end.task.job_id)
         elif run is None:
             return False
         elif task.step.spec.is_long_running:
             self._restart_pauses.record_end(run, end.kind, now_ms)
-        elif end.kind is EndKind.FAILED and task.record_failure(end.run):
-            failed_task = task
         if run is not None:
             self.remove_run(run)
-        self._update_outcome(task.step.job, failed_task)
+        self._update_outcome(task.step.job, task)
         return True
 
     def remove_run(self, run: TrackedRun) -> None:
@@ -365,18 +376,9 @@
         if job.outcome is not JobOutcome.OPEN:
             return
         if job.has_failed(failed_task):
-            self._close_job(job, JobOutcome.FAILED)
+            self.close_job(job, JobClosing.attempts_used(job))
         elif not job.dependencies.unfinished_count:
-            self._close_job(job, JobOutcome.COMPLETED)
-
-    def _close_job(self, job: TrackedJob, outcome: JobOutcome) -> None:
-        job.outcome = outcome
-        self.unsaved_job_ids.add(job.spec.job_id)
-        for step in job.all_steps():
-            self.waiting_steps.pop(step.key, None)
-            self.scheduled_steps.pop(step.key, None)
-            if outcome is not JobOutcome.COMPLETED:
-                self.stop_step(step)
+            self.close_job(job, JobClosing.completed())
 
     def _open_steps(self, steps: Iterable[TrackedStep], now_ms: int) -> None:
         """Open or schedule steps whose dependencies are done."""
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -267,12 +267,19 @@
             return False
         attempts = self.job.queue.attempts
         if self.spec.is_gang:
-            return self.failures >= attempts
+            return self.failures >= attempts and not self._may_end_done()
         return any(
             task.failures >= attempts and task.has_failed
             for task in self.tasks
         )
 
+    def _may_end_done(self) -> bool:
+        """Return whether a run of the gang goes on that has not failed."""
+        return any(
+            not run.is_stopping and run.number not in self.failed_runs
+            for run in self.all_active_runs()
+        )
+
     def is_completed_by(self, kind: EndKind) -> bool:
         """Return whether a run that ends so completes its task.
 
@@ -323,6 +330,7 @@
     """A worker and the runs that may be active on it.
 
     :ivar info: newest entry in the platform's list; None before the first.
+    :ivar address: its address, which a former leader may have stored; or "".
     :ivar is_usable: whether it is listed, answered lately and is not avoided
         after failures.
     :ivar silent_since_ms: when it answered last, if its runs wait for the end
@@ -335,6 +343,7 @@
     """
 
     __slots__ = (
+        "address",
         "free",
         "info",
         "is_usable",
@@ -348,6 +357,7 @@
     def __init__(self, worker_id: str) -> None:
         self.worker_id = worker_id
         self.info: WorkerInfo | None = None
+        self.address = ""
         self.is_usable = False
         self.silent_since_ms: int | None = None
         self.free = NO_RESOURCES
@@ -379,6 +389,7 @@
     def update(self, info: WorkerInfo) -> None:
         """Update the worker from the platform's list."""
         self.info = info
+        self.address = info.address
         used = NO_RESOURCES
         for run in self.runs:
             used = used.plus(run.resources)
--- a/src/magnoliapitch/planner/tracked_task.py
+++ b/src/magnoliapitch/planner/tracked_task.py
@@ -7,6 +7,7 @@
 from magnoliapitch.event import log_event
 from magnoliapitch.workload.progress import MAX_CHECKPOINT_BYTES
 from magnoliapitch.workload.progress import TASKS_PER_PROGRESS_RECORD
+from magnoliapitch.workload.progress import JobOutcome
 
 
 if TYPE_CHECKING:
@@ -40,6 +41,7 @@
     :ivar last_active_ms: when the last of its ended runs was last known to be
         active; 0 if this leader knows of none.
     :ivar worker_crashes: workers that ended while a run was active there.
+    :ivar proven_crashes: those of them that had certainly begun the run.
     :ivar worker_losses: workers that were lost so, but may only have been
         cut off.
     """
@@ -56,6 +58,7 @@
         "last_active_ms",
         "paused_until_ms",
         "preemptions",
+        "proven_crashes",
         "runs",
         "step",
         "worker_crashes",
@@ -77,6 +80,7 @@
         self.preemptions = 0
         self.last_active_ms = 0
         self.worker_crashes = 0
+        self.proven_crashes = 0
         self.worker_losses = 0
 
     @property
@@ -166,6 +170,23 @@
         """Return whether the task may be what ends its workers."""
         return self.lost_worker_count >= MIN_SUSPECT_LOSSES
 
+    def may_count_failure(self, number: int) -> bool:
+        """Return whether a failed run uses up an attempt.
+
+        Whether the run is still taken as active makes no difference.
+
+        :param number: number of the run.
+        """
+        step = self.step
+        is_open = step.job.outcome is JobOutcome.OPEN and not self.is_done
+        was_ordered = number <= self.runs
+        return (
+            is_open
+            and was_ordered
+            and not step.spec.is_long_running
+            and not self._has_counted_failure(number)
+        )
+
     def record_failure(self, number: int) -> bool:
         """Count a failed run, whether it is a copy or not, but only once.
 
@@ -198,9 +219,14 @@
         self.failed_runs = failed_runs
 
     def _has_counted_failure(self, number: int) -> bool:
-        if self.step.spec.is_gang:
-            return number in self.step.failed_runs
-        if number in self.failed_runs:
-            return True
+        step = self.step
+        if not step.spec.is_gang:
+            return number in self.failed_runs or self._is_older(number)
+        return number in step.failed_runs or any(
+            member._is_older(number) for member in step.tasks
+        )
+
+    def _is_older(self, number: int) -> bool:
+        """Return whether a run is older than the failed ones that are kept."""
         is_full = len(self.failed_runs) == MAX_KEPT_FAILED_RUNS
         return is_full and number < self.failed_runs[0]
--- a/src/magnoliapitch/workload/progress.py
+++ b/src/magnoliapitch/workload/progress.py
@@ -54,6 +54,8 @@
         only have been cut off.
     :param failed_runs: numbers of the newest ones among ``failures``; of a
         former release's progress they are not known.
+    :param proven_crashes: number of ``worker_crashes`` that had certainly
+        begun the run.
     """
 
     runs: int = 0
@@ -64,6 +66,7 @@
     worker_crashes: int = 0
     worker_losses: int = 0
     failed_runs: tuple[int, ...] = ()
+    proven_crashes: int = 0
 
 
 class JobProgress(NamedTuple):
--- a/tests/planner/test_failed_attempts.py
+++ b/tests/planner/test_failed_attempts.py
@@ -2,6 +2,8 @@
 
 from typing import TYPE_CHECKING
 
+import pytest
+
 from magnoliapitch.ledger.records import decode_progress
 from magnoliapitch.ledger.records import encode_progress
 from magnoliapitch.resource import Resources
@@ -163,3 +165,51 @@
     assert run.number == 2
     work.end(run, EndKind.FAILED)
     assert work.outcome() is JobOutcome.FAILED
+
+
+# All instances were stopped for an upgrade before a worker was told that the
+# end of its failed run is stored; the next release counted it once more.
+def test_a_failure_that_a_former_release_counted_does_not_count_again() -> (
+    None
+):
+    work = AttemptWork()
+    work.add_job("a", STEP, attempts=2)
+    (run,) = work.next_runs()
+    stored = b'["open",true,[[0,0,0,[1,1,false,"",[],0,0]]]]'
+    work = work.change_leader(stored)
+    assert not work.report_failed(run)
+    assert work.outcome() is JobOutcome.OPEN
+    (later,) = work.next_runs()
+    work.end(later, EndKind.FAILED)
+    assert work.outcome() is JobOutcome.FAILED
+
+
+# Of a run that a former release had not seen end, the failure counts.
+def test_a_failure_of_a_run_that_a_former_release_began_counts() -> None:
+    work = AttemptWork()
+    work.add_job("a", STEP, attempts=2)
+    stored = b'["open",true,[[0,0,0,[2,1,false,"",[[2,"w0",false]],0,0]]]]'
+    work = work.change_leader(stored)
+    (run,) = work.runs("a")
+    assert work.report_failed(run)
+    assert work.outcome() is JobOutcome.FAILED
+
+
+# With many attempts, the oldest of the failed runs of a gang counted again.
+@pytest.mark.parametrize("step", [STEP, GANG])
+def test_a_failure_counts_once_however_many_have_followed(
+    step: StepSpec,
+) -> None:
+    work = AttemptWork()
+    work.add_job("a", step, attempts=40)
+    oldest = work.next_runs()
+    runs = oldest
+    for _ in range(20):
+        first, *others = runs
+        work.end(first, EndKind.FAILED)
+        for run in others:
+            work.end(run, EndKind.MEMBER_ENDED)
+        runs = work.next_runs()
+    for run in oldest:
+        assert not work.report_failed(run)
+    assert sum(work.failures()) == 20
