Judge jobs of a queue that no configuration has by what accepted them

Cause: the exact oracle had no attempts for a job whose queue was never in the simulated configuration; tests/control/test_accepted_jobs.py failed with a ValueError in the whole run on. Change: such a job is judged by the attempts that it was accepted with, as the code does. Before: 1 failed; after: tests/control/test_accepted_jobs.py, test_attempts_under_faults.py and test_removed_queues.py pass. Conclusion: a gap of the oracle, not of the code.

--- a/tests/control/attempt_history.py
+++ b/tests/control/attempt_history.py
@@ -281,8 +281,10 @@
         A job whose queue is removed keeps the queue as it was last, or as it
         accepted the job.
         """
-        values: list[int] = []
         limits = self._limits_by_queue.get(spec.queue, [])
+        if not limits and spec.accepting_queue is not None:
+            return [spec.accepting_queue.attempts]
+        values: list[int] = []
         for number, limit in enumerate(limits):
             later = limits[number + 1 : number + 2]
             if later and later[0].since_ms < since_ms:
