Move tracked workers into a module of their own

Change: TrackedWorker is in planner/tracked_worker.py; one docstring and one comment are shorter and right. No behaviour changed; tests/planner, tests/docs and two files of tests/control pass.

--- a/src/magnoliapitch/control/stored_old_runs.py
+++ b/src/magnoliapitch/control/stored_old_runs.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.planner.scheduler_state import SchedulerState
-    from magnoliapitch.planner.tracked import TrackedWorker
+    from magnoliapitch.planner.tracked_worker import TrackedWorker
 
 
 UPDATE_INTERVAL_MS = 5_000
--- a/src/magnoliapitch/control/unproven_losses.py
+++ b/src/magnoliapitch/control/unproven_losses.py
@@ -17,7 +17,7 @@
     from collections.abc import Mapping
 
     from magnoliapitch.planner.scheduler_state import SchedulerState
-    from magnoliapitch.planner.tracked import TrackedWorker
+    from magnoliapitch.planner.tracked_worker import TrackedWorker
     from magnoliapitch.workload.worker import WorkerInfo
 
 
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -29,7 +29,7 @@
     from magnoliapitch.control.worker_tokens import WorkerTokens
     from magnoliapitch.planner.planner import Planner
     from magnoliapitch.planner.scheduler_state import SchedulerState
-    from magnoliapitch.planner.tracked import TrackedWorker
+    from magnoliapitch.planner.tracked_worker import TrackedWorker
     from magnoliapitch.planner.worker_loss import LostRun
     from magnoliapitch.workload.run import WorkerReport
     from magnoliapitch.workload.worker import WorkerInfo
--- a/src/magnoliapitch/planner/candidates.py
+++ b/src/magnoliapitch/planner/candidates.py
@@ -11,8 +11,8 @@
     from collections.abc import Iterator
 
     from magnoliapitch.planner.tracked import TrackedStep
-    from magnoliapitch.planner.tracked import TrackedWorker
     from magnoliapitch.planner.tracked_job import TrackedJob
+    from magnoliapitch.planner.tracked_worker import TrackedWorker
     from magnoliapitch.resource import Resources
     from magnoliapitch.workload.worker import WorkerInfo
 
--- a/src/magnoliapitch/planner/capacity_memory.py
+++ b/src/magnoliapitch/planner/capacity_memory.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from magnoliapitch.planner.tracked import TrackedWorker
+    from magnoliapitch.planner.tracked_worker import TrackedWorker
 
 
 # Workers that leave, shrink, are avoided or do not answer are often back
--- a/src/magnoliapitch/planner/duration/interface.py
+++ b/src/magnoliapitch/planner/duration/interface.py
@@ -11,7 +11,7 @@
 
     from magnoliapitch.planner.tracked import TrackedRun
     from magnoliapitch.planner.tracked import TrackedStep
-    from magnoliapitch.planner.tracked import TrackedWorker
+    from magnoliapitch.planner.tracked_worker import TrackedWorker
 
 
 class DurationEstimator(Protocol):
--- a/src/magnoliapitch/planner/duration/learned.py
+++ b/src/magnoliapitch/planner/duration/learned.py
@@ -30,7 +30,7 @@
     from magnoliapitch.planner.duration.measurement import FinishedTask
     from magnoliapitch.planner.tracked import TrackedRun
     from magnoliapitch.planner.tracked import TrackedStep
-    from magnoliapitch.planner.tracked import TrackedWorker
+    from magnoliapitch.planner.tracked_worker import TrackedWorker
 
 
 REFRESH_INTERVAL_MS = 1_000
--- a/src/magnoliapitch/planner/duration/moving_average.py
+++ b/src/magnoliapitch/planner/duration/moving_average.py
@@ -15,7 +15,7 @@
 
     from magnoliapitch.planner.tracked import TrackedRun
     from magnoliapitch.planner.tracked import TrackedStep
-    from magnoliapitch.planner.tracked import TrackedWorker
+    from magnoliapitch.planner.tracked_worker import TrackedWorker
 
 
 DEFAULT_DURATION_MS = 2_000.0
--- a/src/magnoliapitch/planner/gap_size.py
+++ b/src/magnoliapitch/planner/gap_size.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from magnoliapitch.planner.tracked import TrackedWorker
+    from magnoliapitch.planner.tracked_worker import TrackedWorker
     from magnoliapitch.resource import Resources
 
 
--- a/src/magnoliapitch/planner/preemption_pass.py
+++ b/src/magnoliapitch/planner/preemption_pass.py
@@ -25,7 +25,7 @@
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedRun
     from magnoliapitch.planner.tracked import TrackedStep
-    from magnoliapitch.planner.tracked import TrackedWorker
+    from magnoliapitch.planner.tracked_worker import TrackedWorker
     from magnoliapitch.workload.job import StepKey
 
 
--- a/src/magnoliapitch/planner/room.py
+++ b/src/magnoliapitch/planner/room.py
@@ -15,7 +15,7 @@
     from collections.abc import Iterable
 
     from magnoliapitch.planner.tracked import TrackedStep
-    from magnoliapitch.planner.tracked import TrackedWorker
+    from magnoliapitch.planner.tracked_worker import TrackedWorker
 
 
 class _Saved(NamedTuple):
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -11,8 +11,8 @@
 from magnoliapitch.planner.restore import restore_progress
 from magnoliapitch.planner.tracked import TrackedRun
 from magnoliapitch.planner.tracked import TrackedStep
-from magnoliapitch.planner.tracked import TrackedWorker
 from magnoliapitch.planner.tracked_job import TrackedJob
+from magnoliapitch.planner.tracked_worker import TrackedWorker
 from magnoliapitch.planner.workspace_usage import WorkspaceUsage
 from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.run import EndKind
@@ -279,10 +279,7 @@
             self._save_checkpoint(task, reported.checkpoint)
 
     def record_end(self, worker_id: str, end: EndedRun, now_ms: int) -> bool:
-        """Record the end of a run; return whether it changed anything.
-
-        A failure counts also if the run was given up before.
-        """
+        """Record an end, also of a run given up; return if it is news."""
         task = self.task(end.task)
         if task is None:
             return False
--- a/src/magnoliapitch/planner/tracked_task.py
+++ b/src/magnoliapitch/planner/tracked_task.py
@@ -15,7 +15,7 @@
     from magnoliapitch.planner.tracked import TrackedStep
 
 
-# Workers list the ends of older runs no more.
+# Bounds the size of the stored progress.
 MAX_KEPT_FAILED_RUNS = 16
 # A task that was lost with this many workers is placed apart from other jobs.
 MIN_SUSPECT_LOSSES = 2
--- a/src/magnoliapitch/planner/worker_loss.py
+++ b/src/magnoliapitch/planner/worker_loss.py
@@ -14,7 +14,7 @@
 
     from magnoliapitch.planner.scheduler_state import SchedulerState
     from magnoliapitch.planner.tracked import TrackedRun
-    from magnoliapitch.planner.tracked import TrackedWorker
+    from magnoliapitch.planner.tracked_worker import TrackedWorker
 
 
 # Crashes after which a task is given up if each of the workers had certainly
