Log where starts wait and what the control loop spends its time on

Change: start-summary (starts by what they wait for, the window, answers), control-loop-summary (time in events, rounds and pauses), and in planning-summary starts by queue, steps with a valid ticket and steps beyond a share. No logic changes.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -20,6 +20,7 @@
 from magnoliapitch.control.source_ages import Source
 from magnoliapitch.control.source_ages import SourceAges
 from magnoliapitch.control.start_dispatcher import StartDispatcher
+from magnoliapitch.control.start_summary import StartSummary
 from magnoliapitch.control.stored_leases import StoredLeases
 from magnoliapitch.control.stored_old_runs import StoredOldRuns
 from magnoliapitch.control.worker_roster import WorkerRoster
@@ -137,6 +138,9 @@
             self.next_lease_deadline,
             lambda: self._progress_batcher.stamped_ms is not None,
         )
+        self._start_summary = StartSummary(
+            self._starts.queue, effects, claimed_ms
+        )
         self._acks_by_worker: dict[str, int] = {}
         self._is_commit_in_flight = False
         self._stored_ms = claimed_ms
@@ -283,6 +287,7 @@
         planned = event.planned
         run = self.state.run(planned.task, planned.run, planned.worker_id)
         self._order_issuer.record_start_answer(event, run)
+        self._start_summary.record_answer(event, run)
         if not isinstance(event.outcome, Err):
             if run is not None:
                 record_accepted(self.state, run, event, event.outcome.ok_value)
@@ -383,6 +388,7 @@
             self._starts.queue.max_unanswered(max_orders, now_ms),
         )
         self._planning_summary.record(plan, max_calls, max_starts, now_ms)
+        self._start_summary.log_if_due(now_ms)
         if self.may_issue_orders(now_ms):
             self._order_issuer.record_planned(plan.starts, now_ms)
             self._starts.queue.add(plan.starts)
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -28,6 +28,7 @@
 from magnoliapitch.control.events import WorkersListed
 from magnoliapitch.control.leader_preparation import REPLACED_CODES
 from magnoliapitch.control.leader_preparation import LeaderPreparation
+from magnoliapitch.control.loop_summary import LoopSummary
 from magnoliapitch.control.periodic_call import PeriodicCall
 from magnoliapitch.control.worker_group import WorkerGroup
 from magnoliapitch.event import log_event
@@ -138,6 +139,7 @@
                 "leader-upkeep-failed", reason=failure.detail
             ),
         )
+        self._loop_summary = LoopSummary(clock.now_ms())
         self._is_stopping = False
 
     def post(self, event: Event) -> None:
@@ -249,12 +251,17 @@
         self._worker_reading.begin_if_due(started_ms)
         self._upkeep.begin_if_due(started_ms)
         self._preparation.keep_claim()
-        for event in self._next_events():
+        events = self._next_events()
+        received_ms = self._clock.now_ms()
+        for event in events:
             self._dispatch(controller, event)
         now_ms = self._clock.now_ms()
+        self._loop_summary.record_events(len(events), now_ms - received_ms)
         controller.run_round(now_ms, time.time_ns() // 1_000_000)
-        elapsed_ms = self._clock.now_ms() - started_ms
-        return max(0, ROUND_INTERVAL_MS - elapsed_ms)
+        ended_ms = self._clock.now_ms()
+        pause_ms = max(0, ROUND_INTERVAL_MS - (ended_ms - started_ms))
+        self._loop_summary.record_round(ended_ms - now_ms, pause_ms, ended_ms)
+        return pause_ms
 
     def _next_events(self) -> list[Event]:
         events: list[Event] = []
--- a/src/magnoliapitch/control/planning_summary.py
+++ b/src/magnoliapitch/control/planning_summary.py
@@ -4,15 +4,20 @@
 
 from collections import Counter
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from magnoliapitch.control.workspace_report import WorkspaceReport
 from magnoliapitch.event import log_event
 
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.plan import Plan
+    from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.planner.scheduler_state import SchedulerState
+    from magnoliapitch.planner.tracked import TrackedStep
 
 
 SUMMARY_INTERVAL_MS = 1_000
@@ -44,6 +49,7 @@
         self._permit_request_count = 0
         self._no_order_count = 0
         self._no_call_count = 0
+        self._start_count_by_queue: Counter[str] = Counter()
 
     def record(
         self, plan: Plan, max_calls: int, max_starts: int, now_ms: int
@@ -61,11 +67,18 @@
         )
         self._start_count += len(plan.starts)
         self._permit_request_count += len(plan.permit_requests)
+        for start in plan.starts:
+            self._count_start(start)
         self._no_order_count += max_starts <= len(plan.starts)
         self._no_call_count += max_calls <= len(plan.permit_requests)
         if now_ms - self._logged_ms >= SUMMARY_INTERVAL_MS:
             self._log(max_calls, max_starts, now_ms)
 
+    def _count_start(self, start: PlannedStart) -> None:
+        step = self._state.step(start.task.step_key)
+        if step is not None:
+            self._start_count_by_queue[step.job.queue.name] += 1
+
     def _log(self, max_calls: int, max_starts: int, now_ms: int) -> None:
         usable = [
             worker
@@ -84,7 +97,8 @@
             rounds_without_calls=self._no_call_count,
             orders_available=max_starts,
             calls_available=max_calls,
-            waiting=self._describe_waiting(),
+            starts_by_queue=_pairs(self._start_count_by_queue),
+            waiting=self._describe_waiting(now_ms),
             workers=len(self._state.workers_by_id),
             usable_workers=len(usable),
             free_cpu_millis=sum(worker.free.cpu_millis for worker in usable),
@@ -94,17 +108,45 @@
         self._logged_ms = now_ms
         self._reset()
 
-    def _describe_waiting(self) -> str:
-        """Return steps, waiting tasks and open permit calls by queue."""
-        steps: Counter[str] = Counter()
-        tasks: Counter[str] = Counter()
-        calls: Counter[str] = Counter()
+    def _describe_waiting(self, now_ms: int) -> str:
+        """Return what waits by queue, as text.
+
+        Steps, tasks, open permit calls, steps that have a valid ticket, and
+        steps that are placed last since they exceed their workspace's share.
+        """
+        waiting_by_queue: dict[str, _Waiting] = {}
         for step in self._state.waiting_steps.values():
             queue = step.job.queue.name
-            steps[queue] += 1
-            tasks[queue] += step.waiting_count
-            calls[queue] += step.has_call_in_flight
+            waiting = waiting_by_queue.get(queue, _Waiting())
+            waiting_by_queue[queue] = waiting.plus(step, now_ms)
         return ",".join(
-            f"{queue}:{steps[queue]}:{tasks[queue]}:{calls[queue]}"
-            for queue in sorted(steps)
+            ":".join((queue, *map(str, waiting_by_queue[queue])))
+            for queue in sorted(waiting_by_queue)
         )
+
+
+class _Waiting(NamedTuple):
+    """What waits of one queue."""
+
+    steps: int = 0
+    tasks: int = 0
+    calls: int = 0
+    permitted: int = 0
+    beyond_share: int = 0
+
+    def plus(self, step: TrackedStep, now_ms: int) -> _Waiting:
+        """Return the sum with one more step."""
+        return _Waiting(
+            self.steps + 1,
+            self.tasks + step.waiting_count,
+            self.calls + step.has_call_in_flight,
+            self.permitted + step.has_valid_ticket(now_ms),
+            self.beyond_share + step.is_beyond_share,
+        )
+
+
+def _pairs(count_by_key: Mapping[str, int]) -> str:
+    """Return each key with its count, as text."""
+    return ",".join(
+        f"{key}:{count_by_key[key]}" for key in sorted(count_by_key)
+    )
--- a/src/magnoliapitch/control/start_queue.py
+++ b/src/magnoliapitch/control/start_queue.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from magnoliapitch.planner.permit_budget import TARGET_ORDER_LATENCY_MS
 
@@ -18,6 +19,19 @@
 MAX_STORE_DELAY_FACTOR = 16.0
 
 
+class StartCounts(NamedTuple):
+    """Starts that wait, by what they wait for.
+
+    :param planned: for the next commit.
+    :param in_commit: for the commit that is under way.
+    :param stored: for room in the window of orders.
+    """
+
+    planned: int
+    in_commit: int
+    stored: int
+
+
 class StartQueue:
     """Starts that are planned, then being stored, then waiting to be sent.
 
@@ -62,6 +76,19 @@
         count = min(max_count, len(self._stored))
         return [self._stored.popleft() for _ in range(count)]
 
+    def counts(self) -> StartCounts:
+        """Return how many starts wait for what."""
+        return StartCounts(
+            len(self._planned), len(self._in_commit), len(self._stored)
+        )
+
+    def store_duration_ms(self, now_ms: int) -> int:
+        """Return how long the newest commit with starts takes, or took."""
+        duration_ms = self._store_duration_ms
+        if self._commit_began_ms is not None:
+            duration_ms = max(duration_ms, now_ms - self._commit_began_ms)
+        return duration_ms
+
     def max_unanswered(self, max_orders: int, now_ms: int) -> int:
         """Return how many starts may be planned and not yet answered.
 
@@ -70,10 +97,7 @@
 
         :param max_orders: number of orders that may be in flight.
         """
-        duration_ms = self._store_duration_ms
-        if self._commit_began_ms is not None:
-            duration_ms = max(duration_ms, now_ms - self._commit_began_ms)
-        factor = duration_ms / TARGET_ORDER_LATENCY_MS
+        factor = self.store_duration_ms(now_ms) / TARGET_ORDER_LATENCY_MS
         return int(max_orders * min(max(1.0, factor), MAX_STORE_DELAY_FACTOR))
 
     def available(
@@ -84,12 +108,10 @@
         :param available_orders: number of orders that can be sent now.
         :param max_orders: number of orders that may be in flight.
         """
-        unsent_count = (
-            len(self._planned) + len(self._in_commit) + len(self._stored)
-        )
+        unsent_count = sum(self.counts())
         in_flight_count = max_orders - available_orders
         limit = self.max_unanswered(max_orders, now_ms)
         return max(0, limit - in_flight_count - unsent_count)
 
 
-__all__ = ["StartQueue"]
+__all__ = ["StartCounts", "StartQueue"]
--- a/src/magnoliapitch/event/__init__.py
+++ b/src/magnoliapitch/event/__init__.py
@@ -5,6 +5,7 @@
 from magnoliapitch.event import definitions as _definitions  # noqa: F401
 from magnoliapitch.event import end_definitions as _end_definitions  # noqa: F401
 from magnoliapitch.event import job_definitions as _job_definitions  # noqa: F401
+from magnoliapitch.event import planning_definitions as _planning  # noqa: F401
 from magnoliapitch.event.line import format_line
 from magnoliapitch.event.log import configure_logging
 from magnoliapitch.event.log import log_event
--- a/src/magnoliapitch/event/definitions.py
+++ b/src/magnoliapitch/event/definitions.py
@@ -1,7 +1,7 @@
 """Definitions of the events that the instances log.
 
-``job_definitions`` has those of scheduling jobs from a shared store;
-docs/events.md lists the events of both modules.
+``job_definitions`` and ``planning_definitions`` have those of scheduling jobs
+from a shared store; docs/events.md lists the events of all modules.
 """
 
 from __future__ import annotations
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -17,12 +17,6 @@
     "A job was not stored, since it could no longer be of use or no worker is "
     "large enough; gives the figures that decided it.",
 )
-define_event(
-    "load-figures-failed",
-    EventLevel.ERROR,
-    "The leader could not compute the load figures; without new ones every "
-    "job is admitted.",
-)
 define_event(
     "call-relayed",
     EventLevel.INFO,
@@ -41,51 +35,6 @@
     "The stored jobs cannot be read, so the number of pending jobs leaves out "
     "those that the leader has not published yet.",
 )
-define_event(
-    "step-starting",
-    EventLevel.INFO,
-    "Start orders for tasks of a step are about to be sent; gives the time "
-    "since the step became ready, the age of the list of workers, and in "
-    "`placements` each worker with its new tasks and the thousandths of a "
-    "core that are left there.",
-)
-define_event(
-    "planning-summary",
-    EventLevel.INFO,
-    "What the leader's planning rounds of about one second did, and what "
-    "waits; see docs/OPERATIONS.md.",
-)
-define_event(
-    "step-held",
-    EventLevel.INFO,
-    "A ready step is left out of planning, since none of its tasks passes "
-    "the quota of its workspace; logged once when that begins.",
-)
-define_event(
-    "workspace-summary",
-    EventLevel.INFO,
-    "Which workspaces have steps that wait for their quota, or are placed "
-    "last since they exceed the fair share; see docs/OPERATIONS.md.",
-)
-define_event(
-    "durations-learned",
-    EventLevel.INFO,
-    "What the leader has learned of task durations, about once a minute: the "
-    "slowest and fastest workers with their speeds, and for each queue the "
-    "errors of its estimates, of whole steps and of the tasks of a step, as "
-    "deviations of logarithms.",
-)
-define_event(
-    "worker-slowed",
-    EventLevel.WARNING,
-    "Tasks on a worker take much longer than they did there, compared with "
-    "the same work elsewhere; other workers are preferred.",
-)
-define_event(
-    "step-done",
-    EventLevel.INFO,
-    "Every task of a step is done.",
-)
 define_event(
     "advice-received",
     EventLevel.INFO,
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -304,6 +304,13 @@
         """Return the ticket for a worker and the end of its validity in ms."""
         return self.tickets_by_worker.get(worker_id, NO_TICKET)
 
+    def has_valid_ticket(self, now_ms: int) -> bool:
+        """Return whether the step has a ticket that has not expired."""
+        return any(
+            valid_until_ms >= now_ms
+            for _, valid_until_ms in self.tickets_by_worker.values()
+        )
+
     def record_permits(
         self,
         asked_worker_ids: Iterable[str],
--- a/tests/control/test_planning_summary.py
+++ b/tests/control/test_planning_summary.py
@@ -61,6 +61,24 @@
     step.in_flight_worker_ids = frozenset({"w0"})
     PlanningSummary(state, 0).record(Plan(), 1, 1, 1_000)
     (line,) = lines
-    assert line["waiting"] == "q:1:3:1"
+    assert line["waiting"] == "q:1:3:1:0:0"
     assert (line["workers"], line["usable_workers"]) == (2, 2)
     assert line["free_cpu_millis"] == 16_000
+
+
+# It could not be told which queue the scarce orders went to, nor whether the
+# others lacked tickets or were placed last.
+def test_summary_tells_starts_tickets_and_steps_beyond_a_share_by_queue(
+    lines: list[dict[str, object]],
+) -> None:
+    state = make_state(2)
+    add_job(state, StepSpec(3, SIZE), permit_timing=PERMIT_TIMING)
+    step = state.step(STEP)
+    assert step is not None
+    step.tickets_by_worker["w0"] = ("text", 1_000)
+    step.is_beyond_share = True
+    plan = Plan((PlannedStart(TaskKey(*STEP, 0), 1, "w0"),))
+    PlanningSummary(state, 0).record(plan, 1, 1, 1_000)
+    (line,) = lines
+    assert line["starts_by_queue"] == "q:1"
+    assert line["waiting"] == "q:1:3:0:1:1"
