Attempts that workers leave unanswered do not shrink the order window

Cause: the window of start orders judges load by the time from the hand-over of an order to its answer, including attempts that the worker left unanswered. A retry comes after 150 ms at the earliest, the target is 100 ms, so each retried order looked like overload of this machine. Change: the time of unanswered attempts is taken off; what the last attempt took, and what the order waited on this machine, still counts. Tests: test_attempts_that_workers_leave_unanswered_do_not_shrink_the_window (test_order_sender.py) failed before; a slow answer after lost attempts shrinks the window as before.

--- a/src/magnoliapitch/control/order_sender.py
+++ b/src/magnoliapitch/control/order_sender.py
@@ -116,15 +116,25 @@
         waited_ms: int,
     ) -> None:
         sent_ms = self._record_queue_time("start", queued_ms)
-        outcome = self._send(
-            lambda timeout_ms: self._workers.start(worker, order, timeout_ms),
-            waited_ms,
-        )
+        lost_ms = 0
+
+        def call(timeout_ms: int) -> Result[int, Failure]:
+            nonlocal lost_ms
+            began_ms = self._clock.now_ms()
+            outcome = self._workers.start(worker, order, timeout_ms)
+            if is_unanswered(outcome):
+                lost_ms += self._clock.now_ms() - began_ms
+            return outcome
+
+        outcome = self._send(call, waited_ms)
         now_ms = self._clock.now_ms()
         if is_unanswered(outcome) or waited_ms > MAX_QUEUED_MS:
             self.window.record_unanswered(now_ms)
         else:
-            self.window.record_answered(queued_ms + waited_ms, now_ms)
+            # What other orders to the worker and lost attempts took is no
+            # sign of load here.
+            begun_ms = queued_ms + waited_ms + lost_ms
+            self.window.record_answered(begun_ms, now_ms)
         post(StartAnswered(planned, outcome, sent_ms, now_ms))
 
     def _stop_now(
--- a/src/magnoliapitch/control/order_window.py
+++ b/src/magnoliapitch/control/order_window.py
@@ -65,7 +65,9 @@
         The limit decreases at most once for the orders that were in flight
         together.
 
-        :param sent_ms: when the order was handed over for sending.
+        :param sent_ms: when the order was handed over for sending; later by
+            the time that the worker alone has cost, such as an attempt
+            without an answer.
         """
         with self._lock:
             is_near_limit = 2 * self._in_flight_count >= self._limit
--- a/tests/control/test_order_sender.py
+++ b/tests/control/test_order_sender.py
@@ -10,11 +10,14 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.clock import ManualClock
 from magnoliapitch.clock import MonotonicClock
 from magnoliapitch.control.events import StartAnswered
 from magnoliapitch.control.order_sender import ATTEMPT_TIMEOUT_FACTORS
 from magnoliapitch.control.order_sender import OrderSender
 from magnoliapitch.control.order_sender import retry_unanswered
+from magnoliapitch.control.order_window import INITIAL_LIMIT
+from magnoliapitch.control.order_window import MIN_LIMIT
 from magnoliapitch.control.round_trip import MIN_TIMEOUT_MS
 from magnoliapitch.metric import Metrics
 from magnoliapitch.planner.plan import PlannedStart
@@ -146,3 +149,68 @@
     planned = PlannedStart(TaskKey("a", 0, 0, number), 1, worker_id, "")
     order = StartOrder(planned.task, 1, "text", 1, 1_000)
     sender.start(info, planned, order, post)
+
+
+class LateWorkers:
+    """Leaves the first attempt of some orders unanswered.
+
+    :param interval: one order in so many is concerned.
+    """
+
+    def __init__(self, clock: ManualClock, interval: int) -> None:
+        self._clock = clock
+        self._interval = interval
+        self._attempted: set[TaskKey] = set()
+
+    def start(
+        self, worker: WorkerInfo, order: StartOrder, timeout_ms: int
+    ) -> Result[int, Failure]:
+        del worker
+        is_first = order.task not in self._attempted
+        self._attempted.add(order.task)
+        if is_first and order.task.position % self._interval == 0:
+            self._clock.advance(timeout_ms)
+            return LOST
+        self._clock.advance(5)
+        return Ok(1)
+
+
+def send_all(clock: ManualClock, workers: object, count: int) -> OrderSender:
+    """Send orders one after the other and return their sender."""
+    sender = OrderSender(workers, clock, Metrics())  # type: ignore[arg-type]
+    for number in range(count):
+        answered = threading.Event()
+        send(sender, "w", number, lambda _, event=answered: event.set())  # type: ignore[misc]
+        assert answered.wait(5)
+    return sender
+
+
+# Incident SHORT: workers that left one order in sixteen unanswered shrank the
+# window to its minimum within a second, for all workers.
+def test_attempts_that_workers_leave_unanswered_do_not_shrink_the_window() -> (
+    None
+):
+    clock = ManualClock()
+    sender = send_all(clock, LateWorkers(clock, 16), 160)
+    assert sender.window.limit() >= INITIAL_LIMIT
+
+
+class SlowWorkers:
+    """Answers late, as through a full link, whatever the attempt."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+
+    def start(
+        self, worker: WorkerInfo, order: StartOrder, timeout_ms: int
+    ) -> Result[int, Failure]:
+        del worker, order
+        is_lost = timeout_ms < 2 * MIN_TIMEOUT_MS
+        self._clock.advance(timeout_ms if is_lost else 300)
+        return LOST if is_lost else Ok(1)
+
+
+def test_a_slow_answer_after_lost_attempts_shrinks_the_window() -> None:
+    clock = ManualClock()
+    sender = send_all(clock, SlowWorkers(clock), 40)
+    assert sender.window.limit() == MIN_LIMIT
