Steps that can get no order and no call do not use up a planning round

Cause: a round places 150 steps, divided between the queues by max-min shares, in the order of their ranks. Change: a step is placed only if an order, or a call to the advisor, can be of use to it in this round. Others are passed over, and do not count. Whether a call can be made is known before workers are chosen for it. Tests (test_work_conservation.py), both failed before: an urgent step starts behind 200 without tickets; a round without orders examines only the steps that get a call. tests/planner pass.

--- a/src/magnoliapitch/planner/permit_budget.py
+++ b/src/magnoliapitch/planner/permit_budget.py
@@ -93,6 +93,22 @@
         """Return whether no more calls can be made."""
         return self._remaining_calls <= 0
 
+    def has_call_for(self, step: TrackedStep) -> bool:
+        """Return whether a call for a step could be made in this round.
+
+        Beyond the share of its queue, only as many calls are deferred as are
+        left.
+        """
+        if self.is_used_up:
+            return False
+        return self._has_share_left(self._queue_name(step)) or (
+            len(self._deferred) < self._remaining_calls
+        )
+
+    def _has_share_left(self, queue_name: str) -> bool:
+        calls = self._call_count_by_queue[queue_name]
+        return calls < self._share_by_queue.get(queue_name, 0)
+
     def record_awaiting(self, step: TrackedStep) -> None:
         """Count the tasks of a step that has a call under way."""
         queue_name = self._queue_name(step)
@@ -121,8 +137,7 @@
         """
         queue_name = self._queue_name(step)
         self.record_awaiting(step)
-        calls = self._call_count_by_queue[queue_name]
-        if self.is_used_up or calls >= self._share_by_queue.get(queue_name, 0):
+        if self.is_used_up or not self._has_share_left(queue_name):
             self._deferred.append(request)
             return False
         self._call_count_by_queue[queue_name] += 1
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -212,7 +212,9 @@
     ) -> int:
         """Place the steps in their order; return how many were examined.
 
-        Those without a waiting task only have permits requested ahead.
+        Those without a waiting task only have permits requested ahead. Those
+        that nothing can be done for do not use up the steps that a round
+        places, or else they would keep those behind them from the orders.
         """
         examined_count = 0
         remaining_by_queue = _examined_steps_by_queue(ordered_steps)
@@ -227,11 +229,13 @@
                 continue
             if not workspace_round.lets_start(step):
                 continue
-            remaining_by_queue[step.job.queue.name] -= 1
-            planning_round.place(step)
-            workspace_round.record_starts(step, len(planning_round.starts))
-            self._preemption.hold_room(step, planning_round, now_ms)
             examined_count += 1
+            planning_round.record_call(step)
+            if planning_round.can_serve(step):
+                remaining_by_queue[step.job.queue.name] -= 1
+                planning_round.place(step)
+                workspace_round.record_starts(step, len(planning_round.starts))
+            self._preemption.hold_room(step, planning_round, now_ms)
         return examined_count
 
     @property
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -14,6 +14,7 @@
 from magnoliapitch.planner.candidates import release
 from magnoliapitch.planner.expected_starts import is_held
 from magnoliapitch.planner.permit_calls import MAX_WORKERS_PER_CALL
+from magnoliapitch.planner.permit_calls import MIN_WORKERS_PER_CALL
 from magnoliapitch.planner.permit_calls import TICKET_MIN_REMAINING_MS
 from magnoliapitch.planner.permit_calls import enough_candidates
 from magnoliapitch.planner.permit_calls import expected_call_ms
@@ -87,8 +88,35 @@
     @property
     def is_complete(self) -> bool:
         """Return whether no further start or permit request can be added."""
-        has_no_orders = len(self.starts) >= self._max_starts
-        return has_no_orders and self._permit_budget.is_used_up
+        return not self._has_orders_left and self._permit_budget.is_used_up
+
+    @property
+    def _has_orders_left(self) -> bool:
+        return len(self.starts) < self._max_starts
+
+    def record_call(self, step: TrackedStep) -> None:
+        """Count the tasks of a step if a call for it is under way."""
+        if step.has_call_in_flight:
+            self._permit_budget.record_awaiting(step)
+            self._workspace_round.record_awaiting(step)
+
+    def can_serve(self, step: TrackedStep) -> bool:
+        """Return whether a step can use an order or a call in this round.
+
+        One without a ticket cannot start, and only keeps capacity while it
+        waits for its call. Without orders, only calls are of use, to steps
+        whose tickets do not outlast their renewal.
+        """
+        if step.job.queue.permit_timing is None:
+            return self._has_orders_left
+        if step.has_call_in_flight:
+            return self._has_orders_left
+        needed_until_ms: float = self._now_ms + TICKET_MIN_REMAINING_MS
+        if not self._has_orders_left:
+            needed_until_ms += expected_call_ms(step, MIN_WORKERS_PER_CALL)
+        if step.newest_ticket_until_ms >= needed_until_ms:
+            return self._has_orders_left
+        return self._can_call_advisor(step)
 
     def place(self, step: TrackedStep) -> None:
         """Plan starts for the waiting tasks of a step that fit.
@@ -102,9 +130,6 @@
         is_gang = step.spec.is_gang
         if is_gang and step.waiting_count < step.spec.task_count:
             return
-        if step.has_call_in_flight:
-            self._permit_budget.record_awaiting(step)
-            self._workspace_round.record_awaiting(step)
         if is_held(step, self._now_ms):
             return
         candidates = self._allowed_candidates(step)
@@ -275,9 +300,12 @@
         return [*chosen, *spares]
 
     def _can_call_advisor(self, step: TrackedStep) -> bool:
+        if self._has_call(step) or step.job.queue.permit_timing is None:
+            return False
+        longest_call_ms = expected_call_ms(step, MAX_WORKERS_PER_CALL)
         return (
-            not self._has_call(step)
-            and step.job.queue.permit_timing is not None
+            self._permit_budget.has_call_for(step)
+            and self._permit_budget.may_request(step, longest_call_ms)
             and self._workspace_round.may_request(step)
         )
 
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -184,6 +184,8 @@
         start, because none of its tasks passed its workspace's quota.
     :ivar tickets_by_worker: ticket and end of its validity in ms, by
         worker id.
+    :ivar newest_ticket_until_ms: end of the validity of the newest tickets; 0
+        if there are none.
     :ivar in_flight_worker_ids: workers in the advisor call that is under
         way; empty if there is none.
     """
@@ -202,6 +204,7 @@
         "key",
         "latest_end_ms",
         "latest_start_ms",
+        "newest_ticket_until_ms",
         "objective_ms",
         "permitted_worker_ids",
         "rank_computed_ms",
@@ -234,6 +237,7 @@
         self.permitted_worker_ids: set[str] = set()
         self.asked_worker_ids: set[str] = set()
         self.tickets_by_worker: dict[str, tuple[str, int]] = {}
+        self.newest_ticket_until_ms = 0
         self.in_flight_worker_ids: frozenset[str] = frozenset()
         self.failed_worker_ids: set[str] = set()
         self.failures = 0
@@ -321,6 +325,7 @@
         self.in_flight_worker_ids = frozenset()
         self.asked_worker_ids.update(asked_worker_ids)
         for permit in permits:
+            self.newest_ticket_until_ms = valid_until_ms
             self.permitted_worker_ids.add(permit.worker_id)
             self.tickets_by_worker[permit.worker_id] = (
                 permit.ticket,
--- a/tests/planner/test_work_conservation.py
+++ b/tests/planner/test_work_conservation.py
@@ -4,10 +4,15 @@
 
 import random
 
+from typing import TYPE_CHECKING
+from typing import Any
+
 import pytest
 
 from magnoliapitch.planner import Planner
 from magnoliapitch.planner import SchedulerState
+from magnoliapitch.planner import planner as planner_module
+from magnoliapitch.planner.candidate_order import CandidateOrder
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.configuration import PermitTiming
 from magnoliapitch.workload.configuration import Queue
@@ -18,6 +23,12 @@
 from tests.planner.test_planner import make_state
 
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from magnoliapitch.planner.candidates import Candidate
+
+
 QUEUE_COUNT = 3
 MAX_JOBS = 120
 TICKET_VALID_UNTIL_MS = 2_000
@@ -81,3 +92,77 @@
     assert len(plan.starts) <= max_starts
     if len(plan.starts) < max_starts:
         assert startable_tasks(state) == []
+
+
+def add_permitted_job(
+    state: SchedulerState, name: str, queue: Queue, known_ms: int
+) -> None:
+    """Add a job of four tasks with tickets for all workers."""
+    spec = StepSpec(4, Resources(1_000, 1_000))
+    state.add_job(JobSpec(name, queue.name, "", (spec,)), queue, known_ms)
+    worker_ids = list(state.workers_by_id)
+    permits = [Permit(worker_id, "ticket") for worker_id in worker_ids]
+    key = StepKey(name, 0, 0)
+    state.record_permits(key, worker_ids, permits, TICKET_VALID_UNTIL_MS)
+
+
+# Incident SHORT: urgent steps that had no tickets used up the steps that a
+# round places, so that scarce orders went to less urgent queues.
+def test_an_urgent_step_starts_behind_many_that_have_no_tickets() -> None:
+    state = make_state(20)
+    base = Queue("urgent", "h", "/", "app", 0, 3, 2.0, 500, 3_000)
+    urgent = base._replace(permit_timing=PERMIT_TIMING)
+    batches = urgent._replace(name="batches", priority=2)
+    waiting = StepSpec(4, Resources(1_000, 1_000))
+    for number in range(200):
+        state.add_job(
+            JobSpec(f"a{number}", "urgent", "", (waiting,)), urgent, 0
+        )
+    add_permitted_job(state, "ready", urgent, 1)
+    for number in range(100):
+        add_permitted_job(state, f"b{number}", batches, 0)
+    plan = Planner().plan(state, 1, 1, max_calls=0, max_starts=4)
+    assert [start.task.job_id for start in plan.starts] == ["ready"] * 4
+
+
+class CountingOrder(CandidateOrder):
+    """Counts the steps for which workers are chosen or asked about."""
+
+    count = 0
+
+    def for_start(self, *args: Any) -> list[Candidate]:
+        CountingOrder.count += 1
+        return super().for_start(*args)
+
+    def for_request(self, *args: Any) -> Iterator[Candidate]:
+        CountingOrder.count += 1
+        return super().for_request(*args)
+
+
+# Incident SHORT: rounds without orders went through the workers for every step
+# that waited, and took the processor from the threads that pass orders on.
+@pytest.mark.parametrize("max_calls", [0, 4])
+def test_a_round_without_orders_examines_only_steps_that_get_a_call(
+    monkeypatch: pytest.MonkeyPatch, max_calls: int
+) -> None:
+    monkeypatch.setattr(planner_module, "CandidateOrder", CountingOrder)
+    state = make_state(20)
+    base = Queue("urgent", "h", "/", "app", 0, 3, 2.0, 500, 3_000)
+    urgent = base._replace(permit_timing=PERMIT_TIMING)
+    waiting = StepSpec(4, Resources(1_000, 1_000))
+    for number in range(50):
+        add_permitted_job(state, f"R{number}", urgent, 0)
+        state.add_job(
+            JobSpec(f"a{number}", "urgent", "", (waiting,)), urgent, 0
+        )
+    CountingOrder.count = 0
+    plan = Planner().plan(
+        state,
+        1,
+        1,
+        max_calls=max_calls,
+        max_starts=0,
+        max_starts_in_flight=100,
+    )
+    assert len(plan.permit_requests) == max_calls
+    assert CountingOrder.count == max_calls
