--- a/src/magnoliapitch/planner/ranking.py
+++ b/src/magnoliapitch/planner/ranking.py
@@ -16,6 +16,8 @@
 MAX_USEFUL_COMPLETION_RATIO = 3.0
 # Expected durations change slowly, so ranks need not be computed each round.
 RANK_REFRESH_INTERVAL_MS = 1_000
+# Lateness of a step whose job can be of no use to its caller any more.
+USELESS = 2
 
 
 class Rank(NamedTuple):
@@ -63,38 +65,57 @@
     that went down later. A service that starts late still has its full value,
     so its lateness is always 0.
 
-    The objective and the latest start are kept on the step and computed
-    again after ``RANK_REFRESH_INTERVAL_MS``.
+    The objective, the latest start and the rank are kept on the step; they
+    are computed again after ``RANK_REFRESH_INTERVAL_MS``, the rank also when
+    its lateness changes.
     """
-    job = step.job
+    if step.rank is not None and now_ms <= step.rank_until_ms:
+        return step.rank
     if (
         step.latest_start_ms is None
         or now_ms >= step.rank_computed_ms + RANK_REFRESH_INTERVAL_MS
     ):
-        step.rank_computed_ms = now_ms
-        step.objective_ms = (
-            job.queue.target_ms
-            + job.queue.stretch
-            * job.paths.longest_ms(duration_estimator, now_ms)
-        )
-        step.latest_end_ms = (
-            job.known_ms
-            + step.objective_ms
-            - job.paths.dependent_path_ms(step, duration_estimator, now_ms)
-        )
-        step.latest_start_ms = step.latest_end_ms - (
-            duration_estimator.probable_ms(step, step.latest_end_ms - now_ms)
-        )
-    latest_start_ms, objective_ms = step.latest_start_ms, step.objective_ms
-    lateness = 0
+        _compute_latest_start(step, duration_estimator, now_ms)
     if is_down(step):
-        return Rank(False, 0, lateness, step.down_since_ms())
+        return Rank(False, 0, 0, step.down_since_ms())
+    latest_start_ms = step.latest_start_ms or 0.0
     if step.spec.is_long_running:
-        return Rank(True, job.queue.priority, lateness, latest_start_ms)
-    if now_ms > latest_start_ms:
-        latest_useful_start_ms = (
-            latest_start_ms + (MAX_USEFUL_COMPLETION_RATIO - 1) * objective_ms
-        )
-        lateness = 1 if now_ms <= latest_useful_start_ms else 2
-        latest_start_ms = latest_useful_start_ms
-    return Rank(True, job.queue.priority, lateness, latest_start_ms)
+        return Rank(True, step.job.queue.priority, 0, latest_start_ms)
+    step.rank = _rank_by_lateness(step, latest_start_ms, now_ms)
+    step.rank_until_ms = step.rank_computed_ms + RANK_REFRESH_INTERVAL_MS - 1
+    if step.rank.lateness < USELESS:
+        last_ms = step.rank.latest_start_ms
+        step.rank_until_ms = min(step.rank_until_ms, int(last_ms))
+    return step.rank
+
+
+def _compute_latest_start(
+    step: TrackedStep, duration_estimator: DurationEstimator, now_ms: int
+) -> None:
+    job = step.job
+    step.rank_computed_ms = now_ms
+    step.objective_ms = (
+        job.queue.target_ms
+        + job.queue.stretch * job.paths.longest_ms(duration_estimator, now_ms)
+    )
+    step.latest_end_ms = (
+        job.known_ms
+        + step.objective_ms
+        - job.paths.dependent_path_ms(step, duration_estimator, now_ms)
+    )
+    step.latest_start_ms = step.latest_end_ms - (
+        duration_estimator.probable_ms(step, step.latest_end_ms - now_ms)
+    )
+
+
+def _rank_by_lateness(
+    step: TrackedStep, latest_start_ms: float, now_ms: int
+) -> Rank:
+    priority = step.job.queue.priority
+    if now_ms <= latest_start_ms:
+        return Rank(True, priority, 0, latest_start_ms)
+    latest_useful_start_ms = (
+        latest_start_ms + (MAX_USEFUL_COMPLETION_RATIO - 1) * step.objective_ms
+    )
+    lateness = 1 if now_ms <= latest_useful_start_ms else USELESS
+    return Rank(True, priority, lateness, latest_useful_start_ms)
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from magnoliapitch.planner.ranking import Rank
     from magnoliapitch.planner.tracked_job import TrackedJob
     from magnoliapitch.planner.tracked_worker import TrackedWorker
     from magnoliapitch.workload.job import StepSpec
@@ -162,6 +163,8 @@
         before it is computed.
     :ivar first_number: number of its first task among those of the job.
     :ivar finished_work: work of the tasks that were measured.
+    :ivar rank: rank that holds until ``rank_until_ms``; None before it is
+        computed, and for a long-running step.
     :ivar rank_computed_ms: when ``latest_start_ms`` and ``objective_ms``
         were computed.
     :ivar ready_ms: when the step became ready to start, its dependencies
@@ -207,7 +210,9 @@
         "newest_ticket_until_ms",
         "objective_ms",
         "permitted_worker_ids",
+        "rank",
         "rank_computed_ms",
+        "rank_until_ms",
         "ready_ms",
         "reservation",
         "spec",
@@ -247,6 +252,8 @@
         self.latest_end_ms: float | None = None
         self.objective_ms = 0.0
         self.rank_computed_ms = 0
+        self.rank: Rank | None = None
+        self.rank_until_ms = 0
 
     @property
     def has_call_in_flight(self) -> bool:
