Planning rounds take at most half of the control loop's time

Cause: a round followed the one before at once if that had taken its interval of 10 ms or longer. Change: the pause after a round is as long as the round itself, where that is longer than what is left of the interval. Also a type-only import of test_ranking.py in its place.

--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -30,6 +30,7 @@
 from magnoliapitch.control.leader_preparation import LeaderPreparation
 from magnoliapitch.control.loop_summary import LoopSummary
 from magnoliapitch.control.periodic_call import PeriodicCall
+from magnoliapitch.control.round_pacing import round_pause_ms
 from magnoliapitch.control.worker_group import WorkerGroup
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.planner import DEFAULT_OPTIONS
@@ -63,7 +64,6 @@
 # that a read is given this part of that time.
 LIST_TIMEOUT_DIVISOR = 2
 UPKEEP_INTERVAL_MS = 500
-ROUND_INTERVAL_MS = 10
 MAX_EVENT_WAIT_MS = 200
 # Limit for one call to the store.
 MAX_JOBS_PER_DELETION = 500
@@ -259,7 +259,7 @@
         self._loop_summary.record_events(len(events), now_ms - received_ms)
         controller.run_round(now_ms, time.time_ns() // 1_000_000)
         ended_ms = self._clock.now_ms()
-        pause_ms = max(0, ROUND_INTERVAL_MS - (ended_ms - started_ms))
+        pause_ms = round_pause_ms(ended_ms - started_ms, ended_ms - now_ms)
         self._loop_summary.record_round(ended_ms - now_ms, pause_ms, ended_ms)
         return pause_ms
 
--- a/tests/planner/test_ranking.py
+++ b/tests/planner/test_ranking.py
@@ -1,9 +1,10 @@
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from magnoliapitch.planner.duration import MovingAverage
 from magnoliapitch.planner.ranking import RANK_REFRESH_INTERVAL_MS
 from magnoliapitch.planner.ranking import rank_of
-from magnoliapitch.planner.tracked import TrackedStep
 from magnoliapitch.workload.job import StepSpec
 from tests.planner.test_planner import SIZE
 from tests.planner.test_planner import STEP
@@ -11,6 +12,10 @@
 from tests.planner.test_planner import make_state
 
 
+if TYPE_CHECKING:
+    from magnoliapitch.planner.tracked import TrackedStep
+
+
 def make_step() -> TrackedStep:
     state = make_state()
     add_job(state, StepSpec(2, SIZE, estimate_ms=400))
