The leader knows at once what its own instance has stored

Cause: with 16 instances or more, the leader's instance stores the jobs of all, but its controller hears of them only by its waiting read of the job stream. Change: what the submitter has stored goes into the leader's copy of the stream with its offset, and is reported at once. How far the stream was read, and when, does not change by it, so that the age of the jobs is judged as before; reading passes over what it finds again. Changes are taken and applied by one thread at a time.

--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -48,6 +48,7 @@
     from magnoliapitch.ledger.leader_appender import Batch
     from magnoliapitch.ledger.leadership import Leadership
     from magnoliapitch.ledger.state_table import StateTable
+    from magnoliapitch.ledger.stream import KeyedRecord
     from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.options import PlanningOptions
     from magnoliapitch.planner.plan import PlannedPermitRequest
@@ -229,6 +230,17 @@
         job_follower = self._job_follower
         return 0 if job_follower is None else job_follower.step()
 
+    def add_appended_jobs(
+        self, records: Sequence[KeyedRecord], first_offset: int
+    ) -> None:
+        """Take in what this instance has appended to the job stream.
+
+        :param first_offset: offset of the first record.
+        """
+        job_follower = self._job_follower
+        if job_follower is not None:
+            job_follower.add_appended(records, first_offset)
+
     def _handle_unprepared(self, failure: Failure) -> None:
         if failure.code in REPLACED_CODES:
             self._leadership.step_down()
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -154,6 +154,7 @@
             self._clock,
             self._health,
             relay.is_available,
+            lambda *appended: self._driver.add_appended_jobs(*appended),
         )
         self._job_api = JobApi(
             self._states,
--- a/src/magnoliapitch/ledger/job_follower.py
+++ b/src/magnoliapitch/ledger/job_follower.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+
 from concurrent.futures import ThreadPoolExecutor
 from concurrent.futures import wait
 from typing import TYPE_CHECKING
@@ -25,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from magnoliapitch.clock import Clock
     from magnoliapitch.ledger.health import StoreHealth
@@ -43,9 +46,9 @@
 
     Only the leader has a follower.
 
-    :param notify_read: called after each read with the ids of jobs whose
-        records have changed, with the offset up to which the job stream was
-        read, and with the time at which the call was sent.
+    :param notify_read: called with the ids of jobs whose records have changed,
+        with the offset up to which the job stream was read, and with the time
+        at which the call was sent that read it.
     :ivar job_table: the jobs, as far as the streams were read.
     :ivar read_ms: when the newest successful call was sent; 0 before it.
     """
@@ -62,6 +65,7 @@
         self._health = health
         self.read_ms = 0
         self._notify_read = notify_read
+        self._report_lock = threading.Lock()
         self._streams = streams
         self._job_mirror = StreamMirror(streams, JOB_STREAM)
         self._progress_mirror = StreamMirror(streams, PROGRESS_STREAM)
@@ -141,15 +145,34 @@
         :param timeout_ms: how long each call may take beyond that.
         """
         sent_ms = self._clock.now_ms()
-        refreshed = self._job_mirror.refresh(wait_ms, timeout_ms)
-        if isinstance(refreshed, Err):
-            self._health.note_failure(refreshed.err_value)
-            return refreshed
+        read = self._job_mirror.read(wait_ms, timeout_ms)
+        if isinstance(read, Err):
+            self._health.note_failure(read.err_value)
+            return read
         self._health.note_success(sent_ms)
-        changed_keys = refreshed.ok_value
-        changed_job_ids = self.job_table.apply(
-            self._job_mirror.values_by_key, changed_keys
-        )
         self.read_ms = sent_ms
-        self._notify_read(frozenset(changed_job_ids), self.end, sent_ms)
+        self._report_changes()
         return Ok(None)
+
+    def add_appended(
+        self, records: Sequence[KeyedRecord], first_offset: int
+    ) -> None:
+        """Report what this instance has appended to the job stream.
+
+        The store can be late to tell of it by a second or more.
+
+        :param first_offset: offset of the first record.
+        """
+        if self._job_mirror.add_appended(records, first_offset):
+            self._report_changes()
+
+    def _report_changes(self) -> None:
+        """Apply what has changed to the job table and report it.
+
+        Changes are taken and applied by one thread at a time, so that an
+        older value never replaces a newer one.
+        """
+        with self._report_lock:
+            values, end = self._job_mirror.take_changes()
+            job_ids = self.job_table.apply(values, values)
+            self._notify_read(frozenset(job_ids), end, self.read_ms)
--- a/src/magnoliapitch/ledger/job_table.py
+++ b/src/magnoliapitch/ledger/job_table.py
@@ -120,13 +120,14 @@
                 self._replace_job(job_id, job)
 
     def apply(
-        self, values_by_key: Mapping[str, bytes], keys: Iterable[str]
+        self, values_by_key: Mapping[str, bytes | None], keys: Iterable[str]
     ) -> set[str]:
         """Apply changed records and return the ids of the jobs concerned.
 
         Records that cannot be read are logged and skipped.
 
-        :param values_by_key: newest value of each key that has one.
+        :param values_by_key: newest value of each key; a deleted one has None
+            or is missing.
         :param keys: keys that have changed.
         """
         changed_job_ids: set[str] = set()
--- a/src/magnoliapitch/ledger/mirror.py
+++ b/src/magnoliapitch/ledger/mirror.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from magnoliapitch.ledger.stream import KeyedRecord
     from magnoliapitch.ledger.stream import KeyedStreams
     from magnoliapitch.verdict import Failure
 
@@ -134,6 +135,29 @@
                 )
         return Ok(None)
 
+    def add_appended(
+        self, records: Iterable[KeyedRecord], first_offset: int
+    ) -> bool:
+        """Add records that this process has appended, before they are read.
+
+        Reading goes on where it was, and passes over what it finds again.
+        Deletions are left to it, since records before them may be unread.
+
+        :param first_offset: offset of the first record.
+        :return: whether a value has changed.
+        """
+        stored = [
+            StoredRecord(offset, record.key, record.value)
+            for offset, record in enumerate(records, first_offset)
+            if record.value
+        ]
+        with self._lock:
+            if self.end < 0:
+                return False
+            changed_keys = self._apply(stored)
+            self._unreported_keys |= changed_keys
+            return bool(changed_keys)
+
     def skip_to(self, end: int) -> None:
         """Continue at an offset; the caller knows the records before it.
 
--- a/src/magnoliapitch/ledger/submitter.py
+++ b/src/magnoliapitch/ledger/submitter.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from magnoliapitch.clock import Clock
     from magnoliapitch.ledger.health import StoreHealth
@@ -59,6 +60,8 @@
 
     :param stream: stream to append to.
     :param producer: name for deduplication, unique for each process.
+    :param on_stored: called with the records of each append that was stored,
+        and with the offset of the first, before their callers are answered.
     :param has_other_way: returns whether callers can store their records in
         another way while the store does not answer this instance. They then
         do not wait for a batch whose answer was lost, which is still sent
@@ -73,6 +76,9 @@
         clock: Clock,
         health: StoreHealth,
         has_other_way: Callable[[], bool] = lambda: False,
+        on_stored: Callable[[Sequence[KeyedRecord], int], None] = (
+            lambda *_: None
+        ),
     ) -> None:
         self._streams = streams
         self._stream = stream
@@ -80,6 +86,7 @@
         self._clock = clock
         self._health = health
         self._has_other_way = has_other_way
+        self._on_stored = on_stored
         self._condition = threading.Condition()
         self._queued: list[_PendingAppend] = []
         self._batch: list[_PendingAppend] = []
@@ -156,11 +163,9 @@
 
     def _append_batch(self) -> int:
         sent_ms = self._sent_ms = self._clock.now_ms()
+        records = [pending.record for pending in self._batch]
         outcome = self._streams.append(
-            self._stream,
-            [pending.record for pending in self._batch],
-            self._writer,
-            timeout_ms=APPEND_TIMEOUT_MS,
+            self._stream, records, self._writer, timeout_ms=APPEND_TIMEOUT_MS
         )
         self._record_duration(sent_ms)
         if isinstance(outcome, Ok):
@@ -170,6 +175,7 @@
                 sequence=self._writer.sequence + 1
             )
             self._may_be_stored = False
+            self._on_stored(records, outcome.ok_value.offset)
             self._resolve(self._batch, Ok(None))
             self._batch = []
             return 0
--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -185,7 +185,7 @@
                 if record.key not in values
             )
             if not simulation.freezes_job_table:
-                simulation.job_table.apply(values, list(values))  # type: ignore[arg-type]
+                simulation.job_table.apply(values, list(values))
             simulation.history.attempts.record_refused(refused_keys)
             simulation.record_progress(values)
             simulation.controller.handle_progress_stored(
--- a/tests/control/test_attempts_under_faults.py
+++ b/tests/control/test_attempts_under_faults.py
@@ -219,7 +219,7 @@
             record.key: record.value or None
             for record in batch.progress[:count]
         }
-        simulation.job_table.apply(values, list(values))  # type: ignore[arg-type]
+        simulation.job_table.apply(values, list(values))
         simulation.record_progress(values)
         self._lose_leader()
 
--- a/tests/ledger/test_mirror.py
+++ b/tests/ledger/test_mirror.py
@@ -127,3 +127,54 @@
     assert len(changed(mirror)) == 2 * PAGE_RECORD_COUNT
     assert after_keys == ["", "k2", "k2"]
     assert changed(mirror) == {"k0"}
+
+
+def test_an_appended_record_is_known_before_it_is_read(
+    streams: MemoryStreams,
+) -> None:
+    put(streams, "a", b"1")
+    mirror = StreamMirror(streams, "s")
+    changed(mirror)
+    put(streams, "b", b"1")
+    put(streams, "c", b"1")
+    assert mirror.add_appended([KeyedRecord("c", b"1")], 2)
+    assert mirror.take_changes().value_by_key == {"c": b"1"}
+    assert mirror.end == 1
+    assert changed(mirror) == {"b"}
+    assert mirror.end == 3
+    assert not mirror.add_appended([KeyedRecord("c", b"1")], 2)
+
+
+def test_an_appended_record_outlasts_the_reading_of_older_ones(
+    streams: MemoryStreams,
+) -> None:
+    put(streams, "a", b"1")
+    mirror = StreamMirror(streams, "s")
+    changed(mirror)
+    put(streams, "a", b"")
+    put(streams, "a", b"2")
+    mirror.add_appended([KeyedRecord("a", b"2")], 2)
+    assert changed(mirror) == {"a"}
+    assert mirror.values_by_key == {"a": b"2"}
+
+
+def test_an_appended_deletion_waits_until_it_is_read(
+    streams: MemoryStreams,
+) -> None:
+    put(streams, "a", b"1")
+    mirror = StreamMirror(streams, "s")
+    changed(mirror)
+    put(streams, "a", b"2")
+    put(streams, "a", b"")
+    assert not mirror.add_appended([KeyedRecord("a", b"")], 2)
+    assert changed(mirror) == {"a"}
+    assert mirror.values_by_key == {}
+
+
+def test_nothing_is_added_before_the_first_read(
+    streams: MemoryStreams,
+) -> None:
+    put(streams, "a", b"1")
+    mirror = StreamMirror(streams, "s")
+    assert not mirror.add_appended([KeyedRecord("a", b"1")], 0)
+    assert changed(mirror) == {"a"}
--- a/tests/ledger/test_submitter.py
+++ b/tests/ledger/test_submitter.py
@@ -52,7 +52,11 @@
             self.clock,
             self.health,
             lambda: self.has_other_way,
+            lambda records, offset: self.stored.append(
+                ([record.key for record in records], offset)
+            ),
         )
+        self.stored: list[tuple[list[str], int]] = []
         self.has_other_way = False
         self.value = b"1"
         self._pool = ThreadPoolExecutor(64)
@@ -300,3 +304,13 @@
     streams.outage = not_run(FailureCode.OVERLOADED, "too many calls")
     caller.submit("l")
     assert caller.submitter.step() == delays_ms[0]
+
+
+def test_stored_records_are_reported_once_with_their_offset(
+    caller: Caller, streams: MemoryStreams
+) -> None:
+    streams.append("jobs", [KeyedRecord("before", b"1")])
+    streams.responses_to_lose = 1
+    outcome = caller.submit("k")
+    step_until_done(caller, [outcome])
+    assert caller.stored == [(["k"], 1)]
