The queue that ranks first may use half of the calls to the advisor

Cause: calls were divided equally between the queues that ask. Change: the queue with the step that ranks first may use half; the others divide the rest equally, and what it leaves. Tests: test_permit_budget.py; the first failed before.

--- a/src/magnoliapitch/planner/permit_budget.py
+++ b/src/magnoliapitch/planner/permit_budget.py
@@ -33,9 +33,11 @@
 
     Steps of one queue may wait for permits, or for capacity after that, as
     long as they like: another queue still gets its share of the calls.
-    Inside a queue, the steps that are placed first come first. What a queue
-    leaves of its share goes to the others. If there are fewer channels than
-    queues, those with the steps of the lowest ranks get one each.
+    Inside a queue, the steps that are placed first come first. The queue with
+    the step that ranks first may use half of the calls, the others equal
+    shares. What a queue leaves of its share goes to the others. If there are
+    fewer channels than queues, those with the steps of the lowest ranks get
+    one each.
 
     Long-running steps that are down, or are about to be, are urgent: they
     take calls before all others and beyond the shares of their queues, in the
@@ -170,5 +172,25 @@
     )
     return {
         URGENT: urgent_share,
-        **fair_shares(ordered, total - urgent_share),
+        **_shares_by_rank(ordered, total - urgent_share),
+    }
+
+
+def _shares_by_rank(
+    demand_by_queue: dict[str, int], total: int
+) -> dict[str, int]:
+    """Return max-min shares, but up to half of the calls for the first queue.
+
+    :param demand_by_queue: demands in the order of the first steps' ranks.
+    """
+    shares = fair_shares(demand_by_queue, total)
+    first = next(iter(demand_by_queue), None)
+    if first is None:
+        return shares
+    preferred = min(demand_by_queue.pop(first), total // 2)
+    if preferred <= shares[first]:
+        return shares
+    return {
+        first: preferred,
+        **fair_shares(demand_by_queue, total - preferred),
     }
--- a/tests/planner/test_permit_budget.py
+++ b/tests/planner/test_permit_budget.py
@@ -152,3 +152,25 @@
     for step in urgent:
         budget.add(step, request(step))
     assert budget.requests() == tuple(map(request, urgent[:7]))
+
+
+# Incident SHORT: a third of the calls was too little for the most urgent
+# queue, while less urgent ones used theirs for work that had no room.
+def test_the_first_queue_may_use_half_of_the_calls() -> None:
+    first = [make_step(f"a{n}", queue="a") for n in range(12)]
+    others = [make_step(f"b{n}", queue=f"q{n % 2}") for n in range(24)]
+    budget = PermitBudget([*first, *others], 16, UNLIMITED)
+    for step in [*others, *first]:
+        budget.add(step, request(step))
+    requested = [asked.step for asked in budget.requests()]
+    assert set(requested) == {step.key for step in [*first[:8], *others[:8]]}
+
+
+def test_the_first_queue_gets_no_more_than_it_can_use() -> None:
+    first = [make_step(f"a{n}", queue="a") for n in range(3)]
+    others = [make_step(f"b{n}", queue=f"q{n % 2}") for n in range(24)]
+    budget = PermitBudget([*first, *others], 17, UNLIMITED)
+    for step in [*first, *others]:
+        budget.add(step, request(step))
+    requested = {asked.step for asked in budget.requests()}
+    assert requested == {step.key for step in [*first, *others[:14]]}
