Steps without a ticket do not use up a pass of preemption

Those without a ticket for the time after a stop have no worker to make room on, but counted, so that behind 24 of them no step preempted anything. Change: they are passed over. Test: test_a_step_with_a_ticket_preempts_behind_many_that_have_none; failed before (0 runs preempted). tests/planner pass.

--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -111,10 +111,10 @@
             return self._has_orders_left
         if step.has_call_in_flight:
             return self._has_orders_left
-        needed_until_ms: float = self._now_ms + TICKET_MIN_REMAINING_MS
+        delay_ms = 0.0
         if not self._has_orders_left:
-            needed_until_ms += expected_call_ms(step, MIN_WORKERS_PER_CALL)
-        if step.newest_ticket_until_ms >= needed_until_ms:
+            delay_ms = expected_call_ms(step, MIN_WORKERS_PER_CALL)
+        if self.has_any_ticket(step, delay_ms):
             return self._has_orders_left
         return self._can_call_advisor(step)
 
@@ -265,6 +265,15 @@
         start_ms = self._now_ms + delay_ms
         return valid_until_ms >= start_ms + TICKET_MIN_REMAINING_MS
 
+    def has_any_ticket(self, step: TrackedStep, delay_ms: float = 0) -> bool:
+        """Return whether a step may start on some worker after a delay."""
+        if step.job.queue.permit_timing is None:
+            return True
+        start_ms = self._now_ms + delay_ms
+        return (
+            step.newest_ticket_until_ms >= start_ms + TICKET_MIN_REMAINING_MS
+        )
+
     def _ask_about_unasked(self, step: TrackedStep) -> None:
         """Plan a call about workers that the advisor was not asked about."""
         if self._can_call_advisor(step):
--- a/src/magnoliapitch/planner/preemption_pass.py
+++ b/src/magnoliapitch/planner/preemption_pass.py
@@ -89,6 +89,8 @@
     ) -> Iterable[TrackedStep]:
         """Return the first steps that may use room that becomes free.
 
+        Those that lack a ticket for what follows a stop are passed over.
+
         :param restart_count: returns for how many tasks of a service, which
             are down, room is to be made.
         """
@@ -101,6 +103,8 @@
                     continue
                 if step.job.queue.priority >= self._least_urgent_priority:
                     continue
+                if not self._planning_round.has_any_ticket(step, STOP_MS):
+                    continue
             examined_count += 1
             yield step
 
--- a/tests/planner/test_preemption.py
+++ b/tests/planner/test_preemption.py
@@ -10,6 +10,7 @@
 
 from magnoliapitch.planner.preemption import HOLD_ROOM_MS
 from magnoliapitch.planner.preemption import MAX_PREEMPTING_STEPS
+from magnoliapitch.planner.preemption_pass import MAX_EXAMINED_STEPS
 from magnoliapitch.planner.preemption_pass import MAX_PREEMPTIONS_PER_TASK
 from magnoliapitch.planner.preemption_pass import MIN_RUN_MS
 from magnoliapitch.resource import Resources
@@ -326,3 +327,18 @@
     work.state.workers_by_id[run.worker_id].is_usable = False
     work.advance(100)
     assert run.is_stopping
+
+
+# Incident SHORT, the same cause elsewhere: steps that could not start for want
+# of a ticket used up those that a pass examines.
+def test_a_step_with_a_ticket_preempts_behind_many_that_have_none() -> None:
+    work = full_work()
+    timing = PermitTiming(5, 1, 60_000)
+    for number in range(2 * MAX_EXAMINED_STEPS):
+        work.add_job(f"a{number}", URGENT_STEP, URGENT, timing)
+    work.add_job("b", URGENT_STEP, URGENT, timing)
+    names = list(work.state.workers_by_id)
+    permits = [Permit(name, "text") for name in names]
+    work.state.record_permits(StepKey("b", 0, 0), names, permits, 60_000)
+    work.advance(WAIT_MS)
+    assert preempted(work) == 1
