--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 # order.
 export PYTHONHASHSEED = 0
 
+# Crowds of clients are played one at a time, apart from other tests.
 .PHONY: setup demo test lint format bench
 
 $(VENV)/.ready: requirements.lock pyproject.toml Makefile
@@ -21,7 +22,9 @@
 	$(PYTHON) -m magnoliapitch demo
 
 test: setup
-	$(PYTHON) -m pytest -n $(TEST_PROCESSES) --dist loadfile
+	$(PYTHON) -m pytest -n $(TEST_PROCESSES) --dist loadfile \
+		--ignore=tests/crowds
+	$(PYTHON) -m pytest tests/crowds
 
 lint: setup
 	$(VENV)/bin/ruff format --check src tests
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -25,7 +25,6 @@
 from magnoliapitch.entry.configuration_watch import ConfigurationWatch
 from magnoliapitch.event import log_event
 from magnoliapitch.http import Application
-from magnoliapitch.http import HttpLimits
 from magnoliapitch.http import HttpRequest
 from magnoliapitch.http import HttpResponse
 from magnoliapitch.http import Listener
@@ -257,6 +256,7 @@
 
     def _children(self) -> list[Child]:
         listen = self.settings.listen
+        http = self.settings.http
         readiness = Application(BODY_MAX_BYTES)
         readiness.route("GET", "/readyz")(self._serve_readiness)
         metrics = Application(BODY_MAX_BYTES)
@@ -299,10 +299,10 @@
             Listener(
                 "callers",
                 _address(listen.callers),
-                job_application(self._jobs, self._gate, BODY_MAX_BYTES),
+                job_application(self._jobs, self._gate, http.body_max_bytes),
                 CALLER_THREADS,
                 STOP_TIMEOUT_S,
-                HttpLimits(body_max_bytes=BODY_MAX_BYTES),
+                http,
             ),
         ]
 
--- a/src/magnoliapitch/settings/cluster.py
+++ b/src/magnoliapitch/settings/cluster.py
@@ -11,6 +11,7 @@
 from pydantic import ValidationError
 
 from magnoliapitch.event.registry import EventLevel
+from magnoliapitch.http.limits import HttpLimits
 from magnoliapitch.planner.options import PlanningOptions
 from magnoliapitch.settings.check import check_ip_address
 from magnoliapitch.settings.exceptions import InvalidSettingsError
@@ -96,6 +97,7 @@
     :param instance_id: unique name of the instance.
     :param zone: availability zone of the instance.
     :param planning: optional behaviour of the planner.
+    :param http: limits of the callers' listener.
     :param log_level: lowest level of the events that are logged.
     """
 
@@ -106,6 +108,7 @@
     leases: LeaseSettings = LeaseSettings()
     machine: MachineSettings = MachineSettings()
     planning: PlanningOptions = PlanningOptions()
+    http: HttpLimits = HttpLimits()
     log_level: EventLevel = EventLevel.INFO
 
 
--- a/tests/process/test_job_node.py
+++ b/tests/process/test_job_node.py
@@ -53,7 +53,7 @@
         self.http = urllib3.PoolManager(retries=False)
         for runner in self.runners:
             self.store.put(
-                "keyed.servers", runner.runner_id, _server_record(runner)
+                "keyed.servers", runner.runner_id, server_record(runner)
             )
         body = {"version": 1, "routes": [QUEUE], "services": [{"name": "app"}]}
         self.store.put("keyed.op", "config", body)
@@ -112,7 +112,7 @@
         return JobNode(settings, lambda: None)
 
 
-def _server_record(runner: StandinRunner) -> dict[str, object]:
+def server_record(runner: StandinRunner) -> dict[str, object]:
     return {
         "service": "app",
         "address": runner.address,
