The lines with the sizes of chunks are bounded

Cause: the library reads the line with a chunk's size without a bound, so that a line without end, or an extension in it, is kept in memory as it comes, until the read timeout; the length of the body is checked afterwards. Change: the line is read up to http.line_max_bytes, 4096 by default, and refused beyond it with 400, not_run, and the connection is closed. Clients inside the users' limits send a few digits. Test without processes: test_a_size_line_beyond_its_limit_is_refused.

--- a/src/magnoliapitch/http/limits.py
+++ b/src/magnoliapitch/http/limits.py
@@ -19,6 +19,8 @@
     :param body_max_bytes: longest body of a request.
     :param header_max_bytes: longest request line, and largest total size of
         the headers of a request.
+    :param line_max_bytes: longest line with the size of a chunk, in a chunked
+        body.
     :param connections: open connections; requests on connections beyond
         the limit are refused, and connections beyond twice the limit are
         closed at once.
@@ -32,6 +34,7 @@
 
     body_max_bytes: Bytes = 1 << 20
     header_max_bytes: Bytes = 16 << 10
+    line_max_bytes: Bytes = 4 << 10
     connections: Count = 2_048
     waiting_connections: Count = 512
     reserve_threads: Count = 4
--- a/src/magnoliapitch/http/server.py
+++ b/src/magnoliapitch/http/server.py
@@ -18,6 +18,7 @@
 from cheroot import server
 from cheroot import wsgi
 
+from magnoliapitch.http.chunked import ChunkedBody
 from magnoliapitch.http.problem import problem_response
 from magnoliapitch.http.reader import make_file
 from magnoliapitch.http.request_id import REQUEST_ID_HEADER
@@ -95,7 +96,23 @@
             self.close_connection = True
             return
         self.has_called_application = True
-        super().respond()
+        if self.chunked_read:
+            self._respond_to_chunked()
+        else:
+            super().respond()
+
+    def _respond_to_chunked(self) -> None:
+        """Call the application as the library does, with a bounded body."""
+        self.rfile = ChunkedBody(
+            self.conn.rfile,
+            self.server.max_request_body_size,
+            self.server.limits.line_max_bytes,
+        )
+        self.server.gateway(self).respond()
+        if self.ready:
+            self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(b"0\r\n\r\n")
 
     def send_headers(self) -> None:
         if (b"Connection", b"close") in self.outheaders:
@@ -219,7 +236,7 @@
         self.max_request_header_size = limits.header_max_bytes
         self.max_request_body_size = limits.body_max_bytes
         self.keep_alive_conn_limit = limits.connections
-        self._limits = limits
+        self.limits = limits
         self._open_count = 0
         self._open_count_lock = threading.Lock()
 
@@ -245,8 +262,8 @@
     def _accept(self, conn: Any) -> None:
         conn.is_new = False
         open_count = self.change_open_count(1)
-        conn.is_over_limit = open_count > self._limits.connections
-        if open_count > 2 * self._limits.connections:
+        conn.is_over_limit = open_count > self.limits.connections
+        if open_count > 2 * self.limits.connections:
             conn.close()
             return
         self.put_conn(conn)
--- a/tests/http/test_listener.py
+++ b/tests/http/test_listener.py
@@ -247,3 +247,36 @@
             except TimeoutError:
                 continue
     assert status == 408
+
+
+CHUNKED_POST = (
+    b"POST /echo HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+
+# Incident of issue 60: a line with a chunk's size that had no end was read
+# until the memory was used up.
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"0" * 5_000,
+        b"1;" + b"a" * 5_000,
+        b"1\r\na\r\n0;" + b"a" * 5_000,
+    ],
+)
+def test_a_size_line_beyond_its_limit_is_refused(
+    server: RunningServer, body: bytes
+) -> None:
+    status, headers, problem = server.exchange(CHUNKED_POST + body)
+    assert status == 400
+    assert headers["Connection"] == "close"
+    fields = orjson.loads(problem)
+    assert fields["verdict"] == "not_run"
+    assert "longer than 4096 bytes" in fields["detail"]
+    assert server.handler_calls == 0
+
+
+def test_extensions_of_chunks_are_ignored(server: RunningServer) -> None:
+    body = b"2;a=b\r\nab\r\nA ; c\r\n0123456789\r\n0;d\r\n\r\n"
+    status, _, answer = server.exchange(CHUNKED_POST + body)
+    assert (status, answer) == (200, b"ab0123456789")
