The size of a chunk is hexadecimal digits

Change: anything but 1 to 16 digits, with an extension, is refused with 400, not_run, and the connection is closed (RFC 9112). Test: test_a_chunk_size_of_other_than_digits_is_refused; five of its six cases failed before (an empty size was refused).

--- a/src/magnoliapitch/http/chunked.py
+++ b/src/magnoliapitch/http/chunked.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from typing import TYPE_CHECKING
 
 from cheroot.server import ChunkedRFile
@@ -11,6 +13,11 @@
     from magnoliapitch.http.reader import DeadlineReader
 
 
+# Sizes are hexadecimal digits (RFC 9112), of which the library's conversion
+# would also take signs and underscores.
+_SIZE_LINE = re.compile(rb"[0-9A-Fa-f]{1,16}[ \t]*(;[^\r\n]*)?\r\n")
+
+
 class _SizeLines:
     """Reads the lines with the sizes of the chunks, and their content.
 
@@ -26,7 +33,7 @@
     def readline(self) -> bytes:
         """Read the line with the size of a chunk.
 
-        :raises ValueError: if it is too long.
+        :raises ValueError: if it is too long, or no such line.
         """
         line = self._reader.readline(self._line_max_bytes + 1)
         if len(line) > self._line_max_bytes:
@@ -34,6 +41,10 @@
                 "the line with the size of a chunk is longer than "
                 f"{self._line_max_bytes} bytes"
             )
+        if not _SIZE_LINE.fullmatch(line):
+            raise ValueError(
+                f"the size of a chunk must be hexadecimal, found {line[:40]!r}"
+            )
         return line
 
 
--- a/tests/http/test_listener.py
+++ b/tests/http/test_listener.py
@@ -276,6 +276,19 @@
     assert server.handler_calls == 0
 
 
+# The library takes these for sizes, one of them for the end of the body.
+@pytest.mark.parametrize("size", [b"-1", b"+1", b"0_1", b" 1", b"0x1", b""])
+def test_a_chunk_size_of_other_than_digits_is_refused(
+    server: RunningServer, size: bytes
+) -> None:
+    body = size + b"\r\na\r\n0\r\n\r\n"
+    status, headers, problem = server.exchange(CHUNKED_POST + body)
+    assert status == 400
+    assert headers["Connection"] == "close"
+    assert "hexadecimal" in orjson.loads(problem)["detail"]
+    assert server.handler_calls == 0
+
+
 def test_extensions_of_chunks_are_ignored(server: RunningServer) -> None:
     body = b"2;a=b\r\nab\r\nA ; c\r\n0123456789\r\n0;d\r\n\r\n"
     status, _, answer = server.exchange(CHUNKED_POST + body)
