Trailers of a chunked body are skipped, not taken for a request

What stood behind it was parsed as the next request. A correct client that sent a trailer got 400 for its next call on the connection, and trailers that spell a request were served as one, with two answers to one message: behind a balancer, another caller's answer. Change: before the answer is sent, the trailers that have arrived are skipped, up to http.header_max_bytes. If their end has not arrived, nothing waits for it: the connection is closed after the answer, since it cannot carry another message. So trailers without end take neither memory nor a thread.

--- a/src/magnoliapitch/http/chunked.py
+++ b/src/magnoliapitch/http/chunked.py
@@ -18,6 +18,9 @@
 _SIZE_LINE = re.compile(rb"[0-9A-Fa-f]{1,16}[ \t]*(;[^\r\n]*)?\r\n")
 
 
+_CRLF = b"\r\n"
+
+
 class _SizeLines:
     """Reads the lines with the sizes of the chunks, and their content.
 
@@ -61,4 +64,16 @@
         super().__init__(_SizeLines(reader, line_max_bytes), max_bytes)
 
 
-__all__ = ["ChunkedBody"]
+def trailers_length(data: bytes) -> int | None:
+    """Return the length of the trailers, with the empty line that ends them.
+
+    :param data: what follows the last chunk.
+    :return: the length in bytes; None if the end is not there.
+    """
+    if data.startswith(_CRLF):
+        return len(_CRLF)
+    end = data.find(2 * _CRLF)
+    return None if end < 0 else end + 2 * len(_CRLF)
+
+
+__all__ = ["ChunkedBody", "trailers_length"]
--- a/src/magnoliapitch/http/reader.py
+++ b/src/magnoliapitch/http/reader.py
@@ -22,6 +22,30 @@
         self._timeout_s = timeout_s
         self._deadline_s = time.monotonic() + timeout_s
         self.bytes_received = 0
+        self.prefetched = bytearray()
+
+    def prefetch(self, max_bytes: int) -> bool:
+        """Receive what has arrived, without waiting for more.
+
+        :param max_bytes: most bytes to keep until they are read.
+        :return: whether more may come; not if the client has closed its side
+            or the connection is broken.
+        """
+        missing_bytes = max_bytes - len(self.prefetched)
+        if missing_bytes <= 0:
+            return True
+        self._stream.settimeout(0)
+        try:
+            data = self._stream.recv(missing_bytes)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        finally:
+            self._stream.settimeout(self._timeout_s)
+        self.prefetched += data
+        self.bytes_received += len(data)
+        return bool(data)
 
     def restart_deadline(self) -> None:
         """Restart the deadline for the next request."""
@@ -32,6 +56,11 @@
 
         :raises TimeoutError: if the deadline of the request has passed.
         """
+        if self.prefetched:
+            count = min(len(buffer), len(self.prefetched))
+            buffer[:count] = self.prefetched[:count]
+            del self.prefetched[:count]
+            return count
         remaining_s = self._deadline_s - time.monotonic()
         if remaining_s <= 0:
             # cheroot recognises a timeout by this text and responds with 408.
@@ -66,6 +95,20 @@
         """Return whether received bytes are still in the buffer."""
         return self._deadline_io.bytes_received > self.bytes_read
 
+    def arrived(self, max_bytes: int) -> tuple[bytes, bool]:
+        """Return what has arrived and was not read, without waiting for more.
+
+        :param max_bytes: most bytes to receive beyond those in the buffer.
+        :return: the bytes, which remain to be read, and whether more may come.
+        """
+        may_go_on = self._deadline_io.prefetch(max_bytes)
+        prefetched = bytes(self._deadline_io.prefetched)
+        unread_bytes = self._deadline_io.bytes_received - self.bytes_read
+        if unread_bytes > len(prefetched):
+            # There is something in the buffer, so that nothing is read for it.
+            return self.peek() + prefetched, may_go_on
+        return prefetched, may_go_on
+
     def read(self, size: int | None = -1, /) -> bytes:
         """Read bytes and add them to ``bytes_read``."""
         data = super().read(size)
--- a/src/magnoliapitch/http/server.py
+++ b/src/magnoliapitch/http/server.py
@@ -19,6 +19,7 @@
 from cheroot import wsgi
 
 from magnoliapitch.http.chunked import ChunkedBody
+from magnoliapitch.http.chunked import trailers_length
 from magnoliapitch.http.problem import problem_response
 from magnoliapitch.http.reader import make_file
 from magnoliapitch.http.request_id import REQUEST_ID_HEADER
@@ -115,10 +116,28 @@
             self.conn.wfile.write(b"0\r\n\r\n")
 
     def send_headers(self) -> None:
-        if (b"Connection", b"close") in self.outheaders:
+        if (b"Connection", b"close") in self.outheaders or (
+            self.chunked_read and not self._skip_trailers()
+        ):
             self.close_connection = True
         super().send_headers()
 
+    def _skip_trailers(self) -> bool:
+        """Skip what follows the last chunk; return whether all of it is there.
+
+        Nothing waits for the rest: a connection on which the end of the
+        message is not known cannot carry another one.
+        """
+        if not self.rfile.closed:
+            return False
+        reader = self.conn.rfile
+        arrived, _ = reader.arrived(self.server.limits.header_max_bytes)
+        length = trailers_length(arrived)
+        if length is None:
+            return False
+        reader.read(length)
+        return True
+
     def simple_response(self, status: Any, msg: Any = "") -> None:
         status_code = int(str(status)[:3])
         self.close_connection = True
