Connections whose request head has not arrived occupy no thread

Cause: a connection got a thread as soon as it had sent a byte, and the thread waited for the rest of the head, 10 s at most. As many slow connections as there are threads, the reserve included, kept everybody else waiting, since the refusal with 503 needs a thread as well. Change: what arrives is received without waiting, up to http.header_max_bytes, and a connection is handed to a thread once the head is whole, too long, malformed, or will not come. Tests without processes (test_listener.py): heads that arrive in part occupy no thread (failed before), a head in pieces, one that never ends, requests sent together.

--- a/src/magnoliapitch/http/reader.py
+++ b/src/magnoliapitch/http/reader.py
@@ -91,23 +91,31 @@
         """Restart the deadline for the next request."""
         self._deadline_io.restart_deadline()
 
+    @property
+    def unread_count(self) -> int:
+        """Return how many bytes were received and not read."""
+        return self._deadline_io.bytes_received - self.bytes_read
+
     def has_data(self) -> bool:
-        """Return whether received bytes are still in the buffer."""
-        return self._deadline_io.bytes_received > self.bytes_read
+        """Return whether received bytes were not read."""
+        return self.unread_count > 0
 
-    def arrived(self, max_bytes: int) -> tuple[bytes, bool]:
-        """Return what has arrived and was not read, without waiting for more.
+    def receive(self, max_bytes: int) -> bool:
+        """Receive what has arrived, without waiting for more.
 
-        :param max_bytes: most bytes to receive beyond those in the buffer.
-        :return: the bytes, which remain to be read, and whether more may come.
+        :param max_bytes: most bytes to keep beyond those in the buffer.
+        :return: whether more may come; not if the client has closed its side
+            or the connection is broken.
         """
-        may_go_on = self._deadline_io.prefetch(max_bytes)
+        return self._deadline_io.prefetch(max_bytes)
+
+    def unread(self) -> bytes:
+        """Return the received bytes, which remain to be read."""
         prefetched = bytes(self._deadline_io.prefetched)
-        unread_bytes = self._deadline_io.bytes_received - self.bytes_read
-        if unread_bytes > len(prefetched):
+        if self.unread_count > len(prefetched):
             # There is something in the buffer, so that nothing is read for it.
-            return self.peek() + prefetched, may_go_on
-        return prefetched, may_go_on
+            return self.peek() + prefetched
+        return prefetched
 
     def read(self, size: int | None = -1, /) -> bytes:
         """Read bytes and add them to ``bytes_read``."""
--- a/src/magnoliapitch/http/server.py
+++ b/src/magnoliapitch/http/server.py
@@ -8,7 +8,7 @@
 
 import contextlib
 import queue
-import socket
+import re
 import threading
 
 from http import HTTPStatus
@@ -20,6 +20,7 @@
 
 from magnoliapitch.http.chunked import ChunkedBody
 from magnoliapitch.http.chunked import trailers_length
+from magnoliapitch.http.partial_heads import PartialHeads
 from magnoliapitch.http.problem import problem_response
 from magnoliapitch.http.reader import make_file
 from magnoliapitch.http.request_id import REQUEST_ID_HEADER
@@ -38,6 +39,8 @@
 
 RETRY_AFTER_MS = 1_000
 DISCARD_MAX_BYTES = 1 << 16
+# The end of a head; or a line that ends otherwise, which is refused at once.
+_HEAD_END = re.compile(rb"\r\n\r\n|(?<!\r)\n")
 
 _CODE_BY_STATUS = {
     400: FailureCode.INVALID,
@@ -131,8 +134,8 @@
         if not self.rfile.closed:
             return False
         reader = self.conn.rfile
-        arrived, _ = reader.arrived(self.server.limits.header_max_bytes)
-        length = trailers_length(arrived)
+        reader.receive(self.server.limits.header_max_bytes)
+        length = trailers_length(reader.unread())
         if length is None:
             return False
         reader.read(length)
@@ -202,15 +205,32 @@
         self.is_new = True
         self.is_over_limit = False
         self._is_closed = False
+        # How much of the next head was looked at.
+        self._checked_count = 0
 
-    def refuse(self) -> None:
-        """Respond with 503 without reading the request, then close."""
-        with contextlib.suppress(OSError):
-            self.socket.recv(DISCARD_MAX_BYTES, socket.MSG_DONTWAIT)
-        _Request(self.server, self).simple_response(
-            "503 Service Unavailable",
-            "too many requests are waiting for a thread",
-        )
+    def has_head(self) -> bool:
+        """Return whether a thread can read the next head without waiting.
+
+        That is also so if it is too long, is malformed, or will not come.
+        """
+        max_bytes = self.server.limits.header_max_bytes
+        may_go_on = self.rfile.receive(max_bytes + 1)
+        count = self.rfile.unread_count
+        if not may_go_on or count > max_bytes:
+            return True
+        if count == self._checked_count:
+            return False
+        self._checked_count = count
+        return _HEAD_END.search(self.rfile.unread()) is not None
+
+    def reset_head(self) -> None:
+        """Begin to look for the head of the request after the next one."""
+        self._checked_count = 0
+
+    def refuse(self, status: str, detail: str) -> None:
+        """Respond without reading the request, then close."""
+        self.rfile.receive(DISCARD_MAX_BYTES)
+        _Request(self.server, self).simple_response(status, detail)
         self.close()
 
     def close(self) -> None:
@@ -223,7 +243,8 @@
 class BoundedServer(wsgi.Server):
     """A cheroot server that enforces ``HttpLimits``.
 
-    A connection occupies a thread only once it has sent data.
+    A connection occupies a thread only once it has sent the whole head of a
+    request.
 
     :param address: IP address and port to bind.
     :param threads: worker threads, including the reserve that refuses
@@ -256,6 +277,7 @@
         self.max_request_body_size = limits.body_max_bytes
         self.keep_alive_conn_limit = limits.connections
         self.limits = limits
+        self._partial_heads = PartialHeads(self._queue, self.timeout)
         self._open_count = 0
         self._open_count_lock = threading.Lock()
 
@@ -266,17 +288,32 @@
             return self._open_count
 
     def process_conn(self, conn: Any) -> None:
-        """Count a new connection; queue one that has sent data for a thread.
+        """Count a new connection; queue one that has sent a head for a thread.
 
         A connection that finds the queue full is refused and closed.
         """
         if conn.is_new:
             self._accept(conn)
             return
+        if conn.has_head():
+            self._queue(conn)
+        else:
+            self._partial_heads.add(conn)
+
+    def stop(self) -> None:
+        """Stop accepting connections and wait for requests in flight."""
+        super().stop()
+        self._partial_heads.stop()
+
+    def _queue(self, conn: Any) -> None:
+        conn.reset_head()
         try:
             self.requests.put(conn)
         except queue.Full:
-            conn.refuse()
+            conn.refuse(
+                "503 Service Unavailable",
+                "too many requests are waiting for a thread",
+            )
 
     def _accept(self, conn: Any) -> None:
         conn.is_new = False
--- a/tests/http/test_listener.py
+++ b/tests/http/test_listener.py
@@ -1,7 +1,9 @@
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
+import time
 
 from typing import TYPE_CHECKING
 
@@ -347,3 +349,50 @@
     status, headers, body = server.exchange(chunked)
     assert (status, body) == (200, b"ab")
     assert headers["Connection"] == "close"
+
+
+# Threads waited for the rest of heads, those that only refuse included, so
+# that other callers got no answer.
+@pytest.mark.parametrize("head", [b"P", b"POST /echo HTTP/1.1\r\nHost: h\r\n"])
+def test_heads_that_arrive_in_part_occupy_no_thread(
+    server: RunningServer, head: bytes
+) -> None:
+    with contextlib.ExitStack() as stack:
+        for _ in range(2 * THREADS):
+            stream = stack.enter_context(server.connect())
+            stream.sendall(head)
+        status, _, body = server.exchange(PLAIN_POST)
+    assert (status, body) == (200, b"hi")
+
+
+def test_a_head_that_arrives_in_pieces_is_served(
+    server: RunningServer,
+) -> None:
+    with server.connect() as stream:
+        for number in range(0, len(PLAIN_POST), 8):
+            stream.sendall(PLAIN_POST[number : number + 8])
+            time.sleep(0.005)
+        status, _, body = read_response(stream)
+    assert (status, body) == (200, b"hi")
+
+
+def test_a_head_that_never_ends_is_refused_in_time(
+    server: RunningServer,
+) -> None:
+    status, headers, body = server.exchange(b"GET / HTTP/1.1\r\nHost: ")
+    assert (status, orjson.loads(body)["verdict"]) == (408, "not_run")
+    assert headers["Connection"] == "close"
+
+
+def test_requests_sent_together_are_served_one_after_the_other(
+    server: RunningServer,
+) -> None:
+    with server.connect() as stream:
+        stream.sendall(PLAIN_POST * 3 + PLAIN_POST[:20])
+        data = b""
+        while data.count(b"\r\n\r\nhi") < 3:
+            data += stream.recv(65_536)
+        stream.sendall(PLAIN_POST[20:])
+        while data.count(b"\r\n\r\nhi") < 4:
+            data += stream.recv(65_536)
+    assert data.count(b"HTTP/1.1 200 OK") == 4
