--- a/tests/http/test_listener.py
+++ b/tests/http/test_listener.py
@@ -34,12 +34,12 @@
 
 
 class RunningServer:
-    def __init__(self) -> None:
+    def __init__(self, limits: HttpLimits = LIMITS) -> None:
         self.handler_calls = 0
         self.release_handlers = threading.Event()
         self.application = Application(LIMITS.body_max_bytes)
         self.listener = Listener(
-            "test", ("127.0.0.1", 0), self.application, THREADS, limits=LIMITS
+            "test", ("127.0.0.1", 0), self.application, THREADS, limits=limits
         )
 
         @self.application.route("POST", "/echo")
@@ -351,17 +351,27 @@
     assert headers["Connection"] == "close"
 
 
+@pytest.fixture
+def patient_server() -> Iterator[RunningServer]:
+    """Return a server that waits for a request for longer than its clients."""
+    limits = LIMITS._replace(read_timeout_ms=3_000 * TIMEOUT_S)
+    server = RunningServer(limits)
+    server.listener.start()
+    yield server
+    server.listener.stop()
+
+
 # Threads waited for the rest of heads, those that only refuse included, so
 # that other callers got no answer.
 @pytest.mark.parametrize("head", [b"P", b"POST /echo HTTP/1.1\r\nHost: h\r\n"])
 def test_heads_that_arrive_in_part_occupy_no_thread(
-    server: RunningServer, head: bytes
+    patient_server: RunningServer, head: bytes
 ) -> None:
     with contextlib.ExitStack() as stack:
         for _ in range(2 * THREADS):
-            stream = stack.enter_context(server.connect())
+            stream = stack.enter_context(patient_server.connect())
             stream.sendall(head)
-        status, _, body = server.exchange(PLAIN_POST)
+        status, _, body = patient_server.exchange(PLAIN_POST)
     assert (status, body) == (200, b"hi")
 
 
