The default limit of connections fits the smallest machine

Without descriptors, accepting fails again and again. Change: http.connections is 512 by default, so that 1,024 may be open; the users' clients are some 60 a zone. The readiness and metrics listeners allow 32, since one caller each calls them; that of the other instances keeps 2,048, and its limit of a body is that of its application, 4 MiB.

--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -25,6 +25,7 @@
 from magnoliapitch.entry.configuration_watch import ConfigurationWatch
 from magnoliapitch.event import log_event
 from magnoliapitch.http import Application
+from magnoliapitch.http import HttpLimits
 from magnoliapitch.http import HttpRequest
 from magnoliapitch.http import HttpResponse
 from magnoliapitch.http import Listener
@@ -67,12 +68,16 @@
 BODY_MAX_BYTES = 1 << 20
 CALLER_THREADS = 24
 MONITORING_THREADS = 2
+# Only the load balancer and the collector of metrics call these.
+MONITORING_LIMITS = HttpLimits(connections=32)
 # While the store is slow, each job of other instances occupies one.
 PEER_THREADS = 64
 # The store carries out the appends of a stream one after the other, so that
 # those of many instances would wait for each other once it gets slow.
 MANY_INSTANCES = 16
 PEER_BODY_MAX_BYTES = 4 << 20
+# Each other instance may have tens of connections to the leader's.
+PEER_LIMITS = HttpLimits(PEER_BODY_MAX_BYTES, connections=2_048)
 # The load balancer needs up to two checks to notice that an instance is not
 # ready.
 LOAD_BALANCER_DELAY_MS = 2_500
@@ -280,6 +285,7 @@
                 readiness,
                 MONITORING_THREADS,
                 STOP_TIMEOUT_S,
+                MONITORING_LIMITS,
             ),
             Listener(
                 "metrics",
@@ -287,6 +293,7 @@
                 metrics,
                 MONITORING_THREADS,
                 STOP_TIMEOUT_S,
+                MONITORING_LIMITS,
             ),
             Listener(
                 "peers",
@@ -294,6 +301,7 @@
                 self._peer_application(),
                 PEER_THREADS,
                 STOP_TIMEOUT_S,
+                PEER_LIMITS,
             ),
             *(Loop(name, step, self._clock) for name, step in steps.items()),
             Listener(
--- a/src/magnoliapitch/http/limits.py
+++ b/src/magnoliapitch/http/limits.py
@@ -35,7 +35,7 @@
     body_max_bytes: Bytes = 1 << 20
     header_max_bytes: Bytes = 16 << 10
     line_max_bytes: Bytes = 4 << 10
-    connections: Count = 2_048
+    connections: Count = 512
     waiting_connections: Count = 512
     reserve_threads: Count = 4
     read_timeout_ms: Milliseconds = 10_000
--- a/tests/crowds/crowd.py
+++ b/tests/crowds/crowd.py
@@ -32,6 +32,8 @@
 ).encode()
 # Connections that are opened and send nothing, or one byte after the other.
 SILENT_COUNT = 700
+# More than the users' smallest machine has descriptors.
+MANY_SILENT_COUNT = 2_000
 SLOW_COUNT = 150
 SLOW_INTERVAL_S = 0.2
 PASSES_TO_BEGIN = 5
@@ -63,9 +65,9 @@
 class SilentCrowd:
     """Connections that are open and send nothing."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, count: int = SILENT_COUNT) -> None:
         self._streams: list[socket.socket] = []
-        for _ in range(SILENT_COUNT):
+        for _ in range(count):
             with contextlib.suppress(OSError):
                 self._streams.append(socket.create_connection(address, 10))
 
--- a/tests/crowds/instance.py
+++ b/tests/crowds/instance.py
@@ -42,11 +42,14 @@
 class Instance:
     """An instance with lowered limits, and the platform that it runs on.
 
+    :param http_settings: table of limits; empty for the defaults.
     :ivar callers: address of the callers' listener.
     :ivar readiness: address of the readiness listener.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(
+        self, folder: Path, http_settings: str = HTTP_SETTINGS
+    ) -> None:
         self.store = StandinStore()
         self.advisor = StandinAdvisor()
         self.runner = StandinRunner("i-0")
@@ -65,7 +68,7 @@
             f'[listen]\ncallers = "{LOOPBACK}:{ports[0]}"\n'
             f'readiness = "{LOOPBACK}:{ports[1]}"\n'
             f"peer_port = {ports[2]}\nmetrics_port = {ports[3]}\n"
-            f"{HTTP_SETTINGS}"
+            f"{http_settings}"
         )
         with self.log.open("ab") as output:
             self._process = subprocess.Popen(
@@ -102,6 +105,13 @@
     def descriptor_count(self) -> int:
         return len(os.listdir(f"/proc/{self._process.pid}/fd"))
 
+    def settled_descriptor_count(self) -> int:
+        """Return the number once it does not grow any more."""
+        count = -1
+        while count < (count := self.descriptor_count()):
+            time.sleep(1)
+        return count
+
     def accepts_ordinary_request(self) -> bool:
         """Return whether a job is accepted, tried again after each refusal.
 
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -11,6 +11,7 @@
 import pytest
 
 from tests.crowds.crowd import CHUNKED_HEAD
+from tests.crowds.crowd import MANY_SILENT_COUNT
 from tests.crowds.crowd import SilentCrowd
 from tests.crowds.crowd import SlowCrowd
 from tests.crowds.crowd import send_unread
@@ -30,6 +31,8 @@
 # Twice the connections of the lowered limits, and what an instance has open
 # in calm: its listeners, and connections to the store and the worker.
 MAX_DESCRIPTORS = 2 * 256 + 100
+# Those of the users' smallest machine, less the ones kept for files.
+MAX_SMALL_DESCRIPTORS = 1_638 - 200
 PLAIN_HEAD = f"POST {PREFIX}00000000000000aa HTTP/1.1\r\nHost: {HOST}\r\n"
 
 
@@ -111,6 +114,23 @@
         crowd.close()
 
 
+# By default, 4,096 connections of callers could be open.
+def test_the_default_limits_leave_descriptors_on_a_small_machine(
+    tmp_path: Path,
+) -> None:
+    instance = Instance(tmp_path, http_settings="")
+    try:
+        instance.wait_ready()
+        crowd = SilentCrowd(instance.callers, MANY_SILENT_COUNT)
+        count = instance.settled_descriptor_count()
+        crowd.close()
+        assert count <= MAX_SMALL_DESCRIPTORS
+        assert instance.peak_memory_mib() <= MAX_MEMORY_MIB
+        assert instance.accepts_ordinary_request()
+    finally:
+        instance.close()
+
+
 # All threads of the listener waited for the rest of request lines, headers and
 # trailers, so that ordinary calls got no answer.
 @pytest.mark.parametrize(
