--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -6,10 +6,10 @@
 
 from result import Err
 
-from magnoliapitch.control.accepted_starts import record_accepted
 from magnoliapitch.control.end_acknowledger import EndAcknowledger
 from magnoliapitch.control.job_loader import JobLoader
 from magnoliapitch.control.load_publisher import LoadPublisher
+from magnoliapitch.control.order_answers import OrderAnswers
 from magnoliapitch.control.order_issuer import OrderIssuer
 from magnoliapitch.control.permit_requester import PermitRequester
 from magnoliapitch.control.planning_summary import PlanningSummary
@@ -30,8 +30,6 @@
 from magnoliapitch.planner.planner import Planner
 from magnoliapitch.planner.reconfiguration import apply_configuration
 from magnoliapitch.planner.scheduler_state import SchedulerState
-from magnoliapitch.verdict import FailureCode
-from magnoliapitch.verdict import Verdict
 from magnoliapitch.workload.progress import JobOutcome
 
 
@@ -54,7 +52,6 @@
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.options import PlanningOptions
-    from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.configuration import Configuration
 
 
@@ -141,6 +138,14 @@
         self._start_summary = StartSummary(
             self._starts.queue, effects, claimed_ms
         )
+        self._order_answers = OrderAnswers(
+            self.state,
+            self._roster,
+            self._reachability,
+            self._order_issuer,
+            self._start_summary,
+            self.stop_leading,
+        )
         self._acks_by_worker: dict[str, int] = {}
         self._is_commit_in_flight = False
         self._stored_ms = claimed_ms
@@ -257,7 +262,7 @@
             # It was removed while the renewal was under way.
             return
         if isinstance(event.outcome, Err):
-            if not self._handle_final_failure(
+            if not self._order_answers.handle_final_failure(
                 worker_id, event.outcome.err_value, event.received_ms
             ):
                 self._roster.record_unanswered_renewal(
@@ -284,52 +289,11 @@
 
     def handle_start_answer(self, event: StartAnswered) -> None:
         """Apply the answer to a start order, or its failure."""
-        planned = event.planned
-        run = self.state.run(planned.task, planned.run, planned.worker_id)
-        self._order_issuer.record_start_answer(event, run)
-        self._start_summary.record_answer(event, run)
-        if not isinstance(event.outcome, Err):
-            if run is not None:
-                record_accepted(self.state, run, event, event.outcome.ok_value)
-            return
-        failure = event.outcome.err_value
-        if run is not None and failure.verdict is Verdict.NOT_RUN:
-            # The worker did not begin the run, so it cannot end with it.
-            run.order_sent_ms = None
-        if self._handle_final_failure(
-            planned.worker_id, failure, event.received_ms
-        ):
-            return
-        if run is None or run.confirmed_ms is not None:
-            return
-        if failure.code in (FailureCode.UNAVAILABLE, FailureCode.TIMEOUT):
-            self._reachability.record_unanswered_order(
-                planned.worker_id, event.received_ms
-            )
-        if failure.verdict is Verdict.NOT_RUN:
-            self._order_issuer.undo_refused_start(
-                run, planned, failure, event.received_ms
-            )
-        else:
-            self.state.mark_for_stop(run)
+        self._order_answers.handle_start(event)
 
     def handle_stop_answer(self, event: StopAnswered) -> None:
         """Apply the answer to a stop order, or its failure."""
-        run = self.state.run(event.task, event.run, event.worker_id)
-        if not isinstance(event.outcome, Err):
-            if run is not None:
-                run.stopped_ms = event.received_ms
-            return
-        failure = event.outcome.err_value
-        if (
-            not self._handle_final_failure(
-                event.worker_id, failure, event.received_ms
-            )
-            and failure.code is not FailureCode.OVERLOADED
-        ):
-            self._reachability.record_unanswered_order(
-                event.worker_id, event.received_ms
-            )
+        self._order_answers.handle_stop(event)
 
     def handle_progress_stored(
         self, now_ms: int, refused_keys: Sequence[str] = ()
@@ -432,29 +396,6 @@
         self._job_table.forget_progress(job_ids)
         self._effects.delete_jobs(job_ids)
 
-    def _handle_final_failure(
-        self, worker_id: str, failure: Failure, now_ms: int
-    ) -> bool:
-        """Handle a failure that ends the leadership or removes the worker.
-
-        The token of a worker that has restarted was raised by this leader.
-
-        :return: whether the failure was of that kind.
-        """
-        if failure.code is FailureCode.RESTARTED:
-            self._roster.record_restart(worker_id)
-            return False
-        is_current = self._roster.is_current(worker_id)
-        if failure.code is FailureCode.FENCED and is_current:
-            self.stop_leading("a worker has seen a higher fencing token")
-        elif failure.code is FailureCode.REPLACED:
-            self._roster.remove(
-                worker_id, "replaced", now_ms, has_crashed=True
-            )
-        else:
-            return False
-        return True
-
     def _commit(self, now_ms: int) -> None:
         if self._is_commit_in_flight:
             return
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -16,15 +16,10 @@
 from magnoliapitch.control.committer import Committer
 from magnoliapitch.control.controller import Controller
 from magnoliapitch.control.delegation.router import WorkerRouter
-from magnoliapitch.control.events import Committed
-from magnoliapitch.control.events import ConfigurationChanged
+from magnoliapitch.control.event_dispatch import Leading
+from magnoliapitch.control.event_dispatch import dispatch
 from magnoliapitch.control.events import Event
 from magnoliapitch.control.events import JobsRead
-from magnoliapitch.control.events import PermitsAnswered
-from magnoliapitch.control.events import ProgressStored
-from magnoliapitch.control.events import StartAnswered
-from magnoliapitch.control.events import StopAnswered
-from magnoliapitch.control.events import WorkerReported
 from magnoliapitch.control.events import WorkersListed
 from magnoliapitch.control.leader_preparation import REPLACED_CODES
 from magnoliapitch.control.leader_preparation import LeaderPreparation
@@ -265,8 +260,9 @@
         self._preparation.keep_claim()
         events = self._next_events()
         received_ms = self._clock.now_ms()
+        leading = Leading(controller, self._router)
         for event in events:
-            self._dispatch(controller, event)
+            dispatch(event, leading, self._clock.now_ms())
         now_ms = self._clock.now_ms()
         self._loop_summary.record_events(len(events), now_ms - received_ms)
         controller.run_round(now_ms, time.time_ns() // 1_000_000)
@@ -284,37 +280,6 @@
         except queue.Empty:
             return events
 
-    def _dispatch(self, controller: Controller, event: Event) -> None:
-        now_ms = self._clock.now_ms()
-        if isinstance(event, WorkerReported):
-            controller.handle_report(event)
-            self._grant_lease(controller, event.worker_id, now_ms)
-        elif isinstance(event, StartAnswered):
-            controller.handle_start_answer(event)
-        elif isinstance(event, StopAnswered):
-            controller.handle_stop_answer(event)
-        elif isinstance(event, ProgressStored):
-            controller.handle_progress_stored(now_ms, event.refused_keys)
-        elif isinstance(event, Committed):
-            controller.handle_commit(event, now_ms)
-        elif isinstance(event, JobsRead):
-            controller.handle_jobs_read(event, now_ms)
-        elif isinstance(event, WorkersListed):
-            controller.handle_worker_list(event, now_ms)
-            if self._router is not None:
-                self._router.assign()
-        elif isinstance(event, PermitsAnswered):
-            controller.handle_permits(event)
-        elif isinstance(event, ConfigurationChanged):
-            controller.handle_configuration_changed()
-
-    def _grant_lease(
-        self, controller: Controller, worker_id: str, now_ms: int
-    ) -> None:
-        if self._router is not None:
-            deadline_ms = controller.next_lease_deadline(worker_id, now_ms)
-            self._router.grant(worker_id, deadline_ms)
-
     def _read_workers(self) -> Result[None, Failure]:
         read_ms = self._clock.now_ms()
         found = self._clients.directory.workers(
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -7,12 +7,12 @@
 
 from magnoliapitch.planner.candidates import Candidate
 from magnoliapitch.planner.candidates import CandidateWorkers
-from magnoliapitch.planner.candidates import expected_task_count_soon
 from magnoliapitch.planner.candidates import free_task_count
-from magnoliapitch.planner.candidates import idle_task_count
 from magnoliapitch.planner.candidates import most_free_cpu_first
 from magnoliapitch.planner.candidates import release
 from magnoliapitch.planner.expected_starts import is_held
+from magnoliapitch.planner.gang_room import GangRoom
+from magnoliapitch.planner.gang_room import reserve
 from magnoliapitch.planner.permit_calls import MAX_WORKERS_PER_CALL
 from magnoliapitch.planner.permit_calls import MIN_WORKERS_PER_CALL
 from magnoliapitch.planner.permit_calls import TICKET_MIN_REMAINING_MS
@@ -20,7 +20,6 @@
 from magnoliapitch.planner.permit_calls import expected_call_ms
 from magnoliapitch.planner.plan import PlannedPermitRequest
 from magnoliapitch.planner.plan import PlannedStart
-from magnoliapitch.resource import NO_RESOURCES
 
 
 if TYPE_CHECKING:
@@ -34,13 +33,6 @@
     from magnoliapitch.workload.job import StepKey
 
 
-# Gangs that do not fit yet and for which capacity is reserved. The limit is
-# low because each occupies an advisor call most of the time, to renew tickets.
-MAX_GANGS_WITH_RESERVED_CAPACITY = 4
-# After this time a waiting gang no longer keeps capacity from other steps.
-MAX_CAPACITY_RESERVATION_MS = 20_000
-
-
 class PlanningRound:
     """Collects the starts and permit requests of one round.
 
@@ -77,7 +69,7 @@
         self._kept_room = kept_room
         candidate_order.begin_round(self._workers)
         isolation.begin_round(state, self._workers, now_ms)
-        self._gangs_with_reserved_capacity = 0
+        self._gang_room = GangRoom(now_ms)
         self._steps_with_request: set[StepKey] = set()
 
     @property
@@ -175,50 +167,13 @@
         will probably fit. They can then start as soon as they fit.
         """
         self._ask_about_unasked(step)
-        if (
-            self._gangs_with_reserved_capacity
-            >= MAX_GANGS_WITH_RESERVED_CAPACITY
-        ):
+        if not self._gang_room.may_reserve(step, candidates):
             return
-        if not self._may_fit_when_idle(step, candidates):
-            return
-        self._gangs_with_reserved_capacity += 1
         if not self._has_fresh_tickets(step, candidates):
             self.request_permits(
                 step, sorted(candidates, key=most_free_cpu_first)
             )
-        self._reserve_capacity(step, candidates, step.waiting_count)
-
-    def _may_fit_when_idle(
-        self, step: TrackedStep, candidates: list[Candidate]
-    ) -> bool:
-        """Return whether reserving capacity for a gang can be of use.
-
-        A gang that has too many tasks for its permitted workers, or waits
-        for capacity that long-running services never free, must not keep
-        capacity from other steps.
-        """
-        ready_ms = step.ready_ms if step.ready_ms is not None else self._now_ms
-        if self._now_ms - ready_ms > MAX_CAPACITY_RESERVATION_MS:
-            return False
-        fitting_count = sum(
-            idle_task_count(candidate, step) for candidate in candidates
-        )
-        return fitting_count >= step.waiting_count
-
-    def _reserve_capacity(
-        self, step: TrackedStep, candidates: list[Candidate], count: int
-    ) -> None:
-        """Keep later steps of this round away from workers.
-
-        :param count: tasks that should fit on these workers soon.
-        """
-        expected_count = 0
-        for candidate in sorted(candidates, key=most_free_cpu_first):
-            if expected_count >= count:
-                break
-            expected_count += expected_task_count_soon(candidate, step)
-            candidate.free = NO_RESOURCES
+        reserve(step, candidates)
 
     def _has_fresh_tickets(
         self, step: TrackedStep, candidates: list[Candidate]
