An unexpected error of one partial head keeps no other waiting

It is logged as listener-error, and that connection is closed. Tests: tests/http/test_partial_heads.py; the first fails without it.

--- a/src/magnoliapitch/http/partial_heads.py
+++ b/src/magnoliapitch/http/partial_heads.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from magnoliapitch.event import log_event
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -75,10 +77,18 @@
     def _check_all(self) -> None:
         now_s = time.monotonic()
         for connection, deadline_s in self._kept():
-            if connection.has_head():
-                self._remove(connection, self._on_complete)
-            elif now_s >= deadline_s:
-                self._remove(connection, _refuse)
+            try:
+                self._check(connection, now_s >= deadline_s)
+            except Exception as error:
+                # One connection must not keep the others from being served.
+                log_event("listener-error", listener="heads", error=error)
+                self._remove(connection, _close)
+
+    def _check(self, connection: Any, is_overdue: bool) -> None:
+        if connection.has_head():
+            self._remove(connection, self._on_complete)
+        elif is_overdue:
+            self._remove(connection, _refuse)
 
     def _kept(self) -> list[tuple[Any, float]]:
         with self._lock:
@@ -94,6 +104,10 @@
         action(connection)
 
 
+def _close(connection: Any) -> None:
+    connection.close()
+
+
 def _refuse(connection: Any) -> None:
     connection.refuse(
         "408 Request Timeout", "the request did not arrive in time"
