Channels that take no long calls are granted to none

What callers saw: LOST, steps stand beside free capacity while one channel to the advisor is idle all the time. Cause: a round was told how many channels are idle, the leader's own among them, which takes short calls only while another instance can be used. So the last idle channel was granted to the long call that ranks first, round after round. It could not be reserved; short calls behind it were not granted, and the step kept room as if its call were under way. Change: IdleCalls says how many idle channels there are and how many of them take long calls; the budget grants by both. planning-summary says both. Random rounds draw the limit too.

--- a/src/magnoliapitch/advice/channels.py
+++ b/src/magnoliapitch/advice/channels.py
@@ -15,6 +15,8 @@
 
 from magnoliapitch.advice.service import PeerAdvisor
 from magnoliapitch.event import log_event
+from magnoliapitch.planner.permit_calls import is_long_call
+from magnoliapitch.planner.plan import IdleCalls
 
 
 if TYPE_CHECKING:
@@ -28,9 +30,6 @@
     from magnoliapitch.workload.run import Permit
 
 
-# Longer calls go through other instances while there are any, so that short
-# calls of this instance never wait behind them.
-MAX_SHORT_CALL_MS = 40.0
 # Time without calls through a peer after a call through it has failed.
 FAILURE_BACKOFF_MS = 2_000
 
@@ -53,6 +52,9 @@
 class AdvisorChannelPool:
     """Chooses an idle channel for each advisor call; thread-safe.
 
+    Long calls go through other instances while there are any, so that short
+    calls of this instance never wait behind them.
+
     :param local_advisor: client with which this instance itself calls the
         advisor.
     """
@@ -94,17 +96,13 @@
                     return channel
         return None
 
-    def idle_count(self) -> int:
-        """Return the number of channels that can be reserved now."""
+    def idle_calls(self) -> IdleCalls:
+        """Return how many channels can be reserved now."""
         now_ms = self._clock.now_ms()
         with self._lock:
-            channels = [
-                self._local_channel,
-                *self._peer_channels_by_address.values(),
-            ]
-            return sum(
-                not channel.is_busy and now_ms >= channel.retry_at_ms
-                for channel in channels
+            return IdleCalls(
+                _idle_count(self._short_call_channels(now_ms)),
+                _idle_count(self._long_call_channels(now_ms)),
             )
 
     def call(
@@ -136,11 +134,23 @@
     def _usable_channels(
         self, request: PlannedPermitRequest, now_ms: int
     ) -> list[AdvisorChannel]:
-        peers = [
+        if is_long_call(request.expected_call_ms):
+            return self._long_call_channels(now_ms)
+        return self._short_call_channels(now_ms)
+
+    def _short_call_channels(self, now_ms: int) -> list[AdvisorChannel]:
+        return [self._local_channel, *self._usable_peers(now_ms)]
+
+    def _long_call_channels(self, now_ms: int) -> list[AdvisorChannel]:
+        return self._usable_peers(now_ms) or [self._local_channel]
+
+    def _usable_peers(self, now_ms: int) -> list[AdvisorChannel]:
+        return [
             channel
             for channel in self._peer_channels_by_address.values()
             if now_ms >= channel.retry_at_ms
         ]
-        if request.expected_call_ms <= MAX_SHORT_CALL_MS:
-            return [self._local_channel, *peers]
-        return peers or [self._local_channel]
+
+
+def _idle_count(channels: Iterable[AdvisorChannel]) -> int:
+    return sum(not channel.is_busy for channel in channels)
--- a/src/magnoliapitch/control/advisor_calls.py
+++ b/src/magnoliapitch/control/advisor_calls.py
@@ -15,6 +15,7 @@
     from magnoliapitch.advice.channels import AdvisorChannel
     from magnoliapitch.clock import Clock
     from magnoliapitch.control.events import Event
+    from magnoliapitch.planner.plan import IdleCalls
     from magnoliapitch.planner.plan import PlannedPermitRequest
 
 
@@ -35,9 +36,9 @@
         self._clock = clock
         self._executor = ThreadPoolExecutor(ADVISOR_THREAD_COUNT, "asks")
 
-    def idle_count(self) -> int:
-        """Return the number of calls that can be started now."""
-        return self._channels.idle_count()
+    def idle_calls(self) -> IdleCalls:
+        """Return the calls that can be started now."""
+        return self._channels.idle_calls()
 
     def begin(
         self,
--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -340,18 +340,18 @@
         self._roster.check(now_ms)
         self._old_runs.update(now_ms)
         self._starts.order_stored(now_ms)
-        max_calls = self._effects.available_advisor_calls()
+        idle_calls = self._effects.idle_advisor_calls()
         max_orders = self._effects.max_start_orders()
         max_starts = self._starts.max_new(max_orders, now_ms)
         plan = self.planner.plan(
             self.state,
             now_ms,
             wall_ms,
-            max_calls,
+            idle_calls,
             max_starts,
             self._starts.queue.max_unanswered(max_orders, now_ms),
         )
-        self._planning_summary.record(plan, max_calls, max_starts, now_ms)
+        self._planning_summary.record(plan, idle_calls, max_starts, now_ms)
         self._start_summary.log_if_due(now_ms)
         if self.may_issue_orders(now_ms):
             self._order_issuer.record_planned(plan.starts, now_ms)
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -46,6 +46,7 @@
     from magnoliapitch.ledger.stream import KeyedRecord
     from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.options import PlanningOptions
+    from magnoliapitch.planner.plan import IdleCalls
     from magnoliapitch.planner.plan import PlannedPermitRequest
     from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.verdict import Failure
@@ -366,9 +367,9 @@
         """
         return self._advisor_calls.begin(request, timeout_ms, self._events.put)
 
-    def available_advisor_calls(self) -> int:
-        """Return the number of advisor calls that can be started now."""
-        return self._advisor_calls.idle_count()
+    def idle_advisor_calls(self) -> IdleCalls:
+        """Return the advisor calls that can be started now."""
+        return self._advisor_calls.idle_calls()
 
     def available_start_orders(self) -> int:
         """Return the number of start orders that may be sent now."""
--- a/src/magnoliapitch/control/effects.py
+++ b/src/magnoliapitch/control/effects.py
@@ -10,6 +10,7 @@
     from collections.abc import Sequence
 
     from magnoliapitch.ledger.leader_appender import Batch
+    from magnoliapitch.planner.plan import IdleCalls
     from magnoliapitch.planner.plan import PlannedPermitRequest
     from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.workload.run import StartOrder
@@ -60,8 +61,8 @@
         :return: whether the call was started and an event will follow.
         """
 
-    def available_advisor_calls(self) -> int:
-        """Return the number of advisor calls that can be started now."""
+    def idle_advisor_calls(self) -> IdleCalls:
+        """Return the advisor calls that can be started now."""
 
     def available_start_orders(self) -> int:
         """Return the number of start orders that may be sent now."""
--- a/src/magnoliapitch/control/planning_summary.py
+++ b/src/magnoliapitch/control/planning_summary.py
@@ -14,6 +14,7 @@
     from collections.abc import Mapping
 
     from magnoliapitch.metric import Metrics
+    from magnoliapitch.planner.plan import IdleCalls
     from magnoliapitch.planner.plan import Plan
     from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.planner.scheduler_state import SchedulerState
@@ -52,11 +53,15 @@
         self._start_count_by_queue: Counter[str] = Counter()
 
     def record(
-        self, plan: Plan, max_calls: int, max_starts: int, now_ms: int
+        self,
+        plan: Plan,
+        idle_calls: IdleCalls,
+        max_starts: int,
+        now_ms: int,
     ) -> None:
         """Count a round, and log the rounds since the last line.
 
-        :param max_calls: number of advisor calls that the round could plan.
+        :param idle_calls: advisor calls that the round could plan.
         :param max_starts: number of starts that the round could plan.
         """
         self._round_count += 1
@@ -70,16 +75,18 @@
         for start in plan.starts:
             self._count_start(start)
         self._no_order_count += max_starts <= len(plan.starts)
-        self._no_call_count += max_calls <= len(plan.permit_requests)
+        self._no_call_count += idle_calls.total <= len(plan.permit_requests)
         if now_ms - self._logged_ms >= SUMMARY_INTERVAL_MS:
-            self._log(max_calls, max_starts, now_ms)
+            self._log(idle_calls, max_starts, now_ms)
 
     def _count_start(self, start: PlannedStart) -> None:
         step = self._state.step(start.task.step_key)
         if step is not None:
             self._start_count_by_queue[step.job.queue.name] += 1
 
-    def _log(self, max_calls: int, max_starts: int, now_ms: int) -> None:
+    def _log(
+        self, idle_calls: IdleCalls, max_starts: int, now_ms: int
+    ) -> None:
         usable = [
             worker
             for worker in self._state.workers_by_id.values()
@@ -96,7 +103,8 @@
             rounds_without_orders=self._no_order_count,
             rounds_without_calls=self._no_call_count,
             orders_available=max_starts,
-            calls_available=max_calls,
+            calls_available=idle_calls.total,
+            long_calls_available=idle_calls.long,
             starts_by_queue=_pairs(self._start_count_by_queue),
             waiting=self._describe_waiting(now_ms),
             workers=len(self._state.workers_by_id),
--- a/src/magnoliapitch/planner/permit_budget.py
+++ b/src/magnoliapitch/planner/permit_budget.py
@@ -6,12 +6,15 @@
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner.fair_shares import fair_shares
+from magnoliapitch.planner.permit_calls import expected_call_ms
+from magnoliapitch.planner.permit_calls import is_long_call
 
 
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Mapping
 
+    from magnoliapitch.planner.plan import IdleCalls
     from magnoliapitch.planner.plan import PlannedPermitRequest
     from magnoliapitch.planner.tracked import TrackedStep
     from magnoliapitch.workload.job import StepKey
@@ -47,7 +50,10 @@
 
     :param ranked_steps: all steps that wait for starts, or will, in the order
         in which they are placed.
-    :param max_calls: number of advisor calls that can be started now.
+    Some channels take no long calls. What such a channel is left for is
+    granted to short calls only, whatever ranks before them.
+
+    :param idle_calls: advisor calls that can be started now.
     :param max_starts_in_flight: number of start orders that may be without
         an answer at the same time.
     :param urgent_keys: the steps among them that are urgent.
@@ -56,12 +62,13 @@
     def __init__(
         self,
         ranked_steps: Collection[TrackedStep],
-        max_calls: int,
+        idle_calls: IdleCalls,
         max_starts_in_flight: int,
         urgent_keys: Collection[StepKey] = (),
     ) -> None:
         self._urgent_keys = urgent_keys
-        self._remaining_calls = max_calls
+        self._remaining_calls = idle_calls.total
+        self._remaining_long_calls = idle_calls.long
         self._max_starts_in_flight = max_starts_in_flight
         self._granted: list[PlannedPermitRequest] = []
         self._deferred: list[PlannedPermitRequest] = []
@@ -83,7 +90,7 @@
                 for step in asking
                 if step.key in urgent_keys
             },
-            max_calls + self._call_count_by_queue.total(),
+            idle_calls.total + self._call_count_by_queue.total(),
         )
 
     def _queue_name(self, step: TrackedStep) -> str:
@@ -101,12 +108,29 @@
         Beyond the share of its queue, only as many calls are deferred as are
         left.
         """
-        if self.is_used_up:
+        remaining = self._remaining_for(expected_call_ms(step, 1))
+        if remaining <= 0:
             return False
         return self._has_share_left(self._queue_name(step)) or (
-            len(self._deferred) < self._remaining_calls
+            len(self._deferred) < remaining
         )
 
+    def has_channel_for(self, call_ms: float) -> bool:
+        """Return whether a channel is left for a call of some duration.
+
+        :param call_ms: expected duration of the call.
+        """
+        return self._remaining_for(call_ms) > 0
+
+    def _remaining_for(self, call_ms: float) -> int:
+        if is_long_call(call_ms):
+            return min(self._remaining_calls, self._remaining_long_calls)
+        return self._remaining_calls
+
+    def _use_channel(self, call_ms: float) -> None:
+        self._remaining_calls -= 1
+        self._remaining_long_calls -= is_long_call(call_ms)
+
     def _has_share_left(self, queue_name: str) -> bool:
         calls = self._call_count_by_queue[queue_name]
         return calls < self._share_by_queue.get(queue_name, 0)
@@ -139,18 +163,25 @@
         """
         queue_name = self._queue_name(step)
         self.record_awaiting(step)
-        if self.is_used_up or not self._has_share_left(queue_name):
+        call_ms = request.expected_call_ms
+        if not (
+            self.has_channel_for(call_ms) and self._has_share_left(queue_name)
+        ):
             self._deferred.append(request)
             return False
         self._call_count_by_queue[queue_name] += 1
-        self._remaining_calls -= 1
+        self._use_channel(call_ms)
         self._granted.append(request)
         return True
 
     def requests(self) -> tuple[PlannedPermitRequest, ...]:
         """Return the calls to make; deferred ones use what is left."""
-        left_over = self._deferred[: max(0, self._remaining_calls)]
-        return (*self._granted, *left_over)
+        requests = list(self._granted)
+        for request in self._deferred:
+            if self.has_channel_for(request.expected_call_ms):
+                self._use_channel(request.expected_call_ms)
+                requests.append(request)
+        return tuple(requests)
 
 
 def _shares(
--- a/src/magnoliapitch/planner/permit_calls.py
+++ b/src/magnoliapitch/planner/permit_calls.py
@@ -18,6 +18,8 @@
 TICKET_MIN_REMAINING_MS = 400
 # The advisor accepts no more workers in one call.
 MAX_WORKERS_PER_CALL = 100
+# Longer calls are long calls, for which not every channel may be used.
+MAX_SHORT_CALL_MS = 40.0
 # A large part of a call's duration does not depend on the number of workers,
 # so calls about fewer of them save little.
 MIN_WORKERS_PER_CALL = 30
@@ -50,6 +52,11 @@
     return selected
 
 
+def is_long_call(call_ms: float) -> bool:
+    """Return whether a call of an expected duration is a long one."""
+    return call_ms > MAX_SHORT_CALL_MS
+
+
 def expected_call_ms(step: TrackedStep, worker_count: int) -> float:
     """Return how long a call about some workers probably takes."""
     permit_timing = step.job.queue.permit_timing
--- a/src/magnoliapitch/planner/plan.py
+++ b/src/magnoliapitch/planner/plan.py
@@ -51,6 +51,17 @@
     expected_call_ms: float
 
 
+class IdleCalls(NamedTuple):
+    """Calls to the advisor that can be started now.
+
+    :param total: number of calls.
+    :param long: how many of them may be long ones.
+    """
+
+    total: int
+    long: int
+
+
 class WorkspaceWaits(NamedTuple):
     """Steps that a round left out or placed last, by workspace.
 
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -20,6 +20,7 @@
 from magnoliapitch.planner.kept_room import KeptRoom
 from magnoliapitch.planner.options import PlanningOptions
 from magnoliapitch.planner.permit_budget import PermitBudget
+from magnoliapitch.planner.plan import IdleCalls
 from magnoliapitch.planner.plan import Plan
 from magnoliapitch.planner.plan import PlannedStop
 from magnoliapitch.planner.planning_round import PlanningRound
@@ -47,6 +48,7 @@
 COPY_LOST = "copy-lost"
 # Bounds the duration of a round when very many steps wait.
 MAX_STEPS_PER_ROUND = 150
+UNLIMITED_CALLS = IdleCalls(MAX_STEPS_PER_ROUND, MAX_STEPS_PER_ROUND)
 
 
 class Planner:
@@ -115,7 +117,7 @@
         state: SchedulerState,
         now_ms: int,
         wall_ms: int,
-        max_calls: int = MAX_STEPS_PER_ROUND,
+        idle_calls: IdleCalls = UNLIMITED_CALLS,
         max_starts: int = sys.maxsize,
         max_starts_in_flight: int | None = None,
     ) -> Plan:
@@ -124,7 +126,7 @@
         :param now_ms: current time, by the clock that the state's times
             were taken from.
         :param wall_ms: wall-clock time, ms since 1970.
-        :param max_calls: number of advisor calls that can be started now.
+        :param idle_calls: advisor calls that can be started now.
         :param max_starts: number of start orders that can be sent now.
         :param max_starts_in_flight: number of start orders that may be
             without an answer at the same time; by default as many as can be
@@ -147,7 +149,7 @@
         ordered_steps = in_order(ranked_steps, expected)
         permit_budget = PermitBudget(
             [*ordered_steps, *(run.task.step for run in stragglers)],
-            max_calls,
+            idle_calls,
             max_starts_in_flight,
             {step.key for step in ranked_steps if is_urgent(step)}
             | expected.keys(),
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -275,7 +275,10 @@
 
     def may_call(self, step: TrackedStep) -> bool:
         """Return whether a call is left, and none for a step is planned."""
-        return not (self._permit_budget.is_used_up or self._has_call(step))
+        shortest_call_ms = expected_call_ms(step, 1)
+        return self._permit_budget.has_channel_for(
+            shortest_call_ms
+        ) and not self._has_call(step)
 
     def _has_call(self, step: TrackedStep) -> bool:
         return step.has_call_in_flight or step.key in self._steps_with_request
@@ -306,7 +309,10 @@
         )
         asked = tuple(worker_ids)[:MAX_WORKERS_PER_CALL]
         call_ms = expected_call_ms(step, len(asked))
-        if not self._permit_budget.may_request(step, call_ms):
+        if not (
+            self._permit_budget.has_channel_for(call_ms)
+            and self._permit_budget.may_request(step, call_ms)
+        ):
             return False
         self._workspace_round.record_awaiting(step)
         self._steps_with_request.add(step.key)
--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -17,6 +17,7 @@
 from magnoliapitch.ledger.records import CANCEL_PREFIX
 from magnoliapitch.ledger.records import JOB_PREFIX
 from magnoliapitch.ledger.stream import MAX_RECORD_BYTES
+from magnoliapitch.planner.plan import IdleCalls
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import may_have_run
@@ -255,8 +256,9 @@
     def max_start_orders(self) -> int:
         return self._simulation.order_queue.limit()
 
-    def available_advisor_calls(self) -> int:
-        return self._simulation.available_advisor_calls()
+    def idle_advisor_calls(self) -> IdleCalls:
+        count = self._simulation.available_advisor_calls()
+        return IdleCalls(count, count)
 
     def _is_current(self) -> bool:
         return self._simulation.is_current(self._epoch)
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -21,6 +21,7 @@
 from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.ledger.state_table import StateTable
 from magnoliapitch.metric import Metrics
+from magnoliapitch.planner.plan import IdleCalls
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import may_have_run
 
@@ -107,8 +108,8 @@
         del timeout_ms
         return UNANSWERED
 
-    def idle_count(self) -> int:
-        return 0
+    def idle_calls(self) -> IdleCalls:
+        return IdleCalls(0, 0)
 
 
 # A batch that could not be stored before its leadership ended was tried again
--- a/tests/control/test_planning_summary.py
+++ b/tests/control/test_planning_summary.py
@@ -4,6 +4,7 @@
 
 from magnoliapitch.control import planning_summary
 from magnoliapitch.control.planning_summary import PlanningSummary
+from magnoliapitch.planner.plan import IdleCalls
 from magnoliapitch.planner.plan import Plan
 from magnoliapitch.planner.plan import PlannedStart
 from magnoliapitch.workload.job import StepSpec
@@ -32,7 +33,7 @@
     summary = PlanningSummary(make_state(), 0)
     plan = Plan((PlannedStart(TaskKey("a", 0, 0, 0), 1, "w0"),))
     for now_ms in range(100, 2_100, 100):
-        summary.record(plan, 5, 7, now_ms)
+        summary.record(plan, IdleCalls(5, 5), 7, now_ms)
     assert [line["event"] for line in lines] == ["planning-summary"] * 2
     assert [line["rounds"] for line in lines] == [10, 10]
     assert [line["starts"] for line in lines] == [10, 10]
@@ -42,9 +43,9 @@
     lines: list[dict[str, object]],
 ) -> None:
     summary = PlanningSummary(make_state(), 0)
-    summary.record(Plan(unexamined_steps=3), 5, 7, 10)
-    summary.record(Plan(unexamined_steps=9), 0, 0, 20)
-    summary.record(Plan(), 5, 7, 1_000)
+    summary.record(Plan(unexamined_steps=3), IdleCalls(5, 5), 7, 10)
+    summary.record(Plan(unexamined_steps=9), IdleCalls(0, 0), 0, 20)
+    summary.record(Plan(), IdleCalls(5, 5), 7, 1_000)
     (line,) = lines
     assert (line["cut_short"], line["unexamined_steps"]) == (2, 9)
     assert line["rounds_without_orders"] == 1
@@ -59,7 +60,7 @@
     step = state.step(STEP)
     assert step is not None
     step.in_flight_worker_ids = frozenset({"w0"})
-    PlanningSummary(state, 0).record(Plan(), 1, 1, 1_000)
+    PlanningSummary(state, 0).record(Plan(), IdleCalls(1, 1), 1, 1_000)
     (line,) = lines
     assert line["waiting"] == "q:1:3:1:0:0"
     assert (line["workers"], line["usable_workers"]) == (2, 2)
@@ -78,7 +79,7 @@
     step.tickets_by_worker["w0"] = ("text", 1_000)
     step.is_beyond_share = True
     plan = Plan((PlannedStart(TaskKey(*STEP, 0), 1, "w0"),))
-    PlanningSummary(state, 0).record(plan, 1, 1, 1_000)
+    PlanningSummary(state, 0).record(plan, IdleCalls(1, 1), 1, 1_000)
     (line,) = lines
     assert line["starts_by_queue"] == "q:1"
     assert line["waiting"] == "q:1:3:0:1:1"
--- a/tests/planner/test_ahead_requests.py
+++ b/tests/planner/test_ahead_requests.py
@@ -10,6 +10,7 @@
 from magnoliapitch.planner.candidates import Candidate
 from magnoliapitch.planner.expected_starts import START_ALLOWANCE_MS
 from magnoliapitch.planner.permit_calls import TICKET_MIN_REMAINING_MS
+from magnoliapitch.planner.plan import IdleCalls
 from magnoliapitch.workload.job import StepKey
 from magnoliapitch.workload.job import StepSpec
 from magnoliapitch.workload.job import TaskKey
@@ -61,7 +62,8 @@
         return step
 
     def plan(self, now_ms: int, max_calls: int = 10) -> Plan:
-        return self.planner.plan(self.state, now_ms, now_ms, max_calls)
+        idle_calls = IdleCalls(max_calls, max_calls)
+        return self.planner.plan(self.state, now_ms, now_ms, idle_calls)
 
     def permit(self, worker_ids: list[str], sent_ms: int) -> None:
         self.step().record_permits(
--- a/tests/planner/test_planner.py
+++ b/tests/planner/test_planner.py
@@ -4,6 +4,7 @@
 
 from magnoliapitch.planner import Planner
 from magnoliapitch.planner import SchedulerState
+from magnoliapitch.planner.plan import IdleCalls
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.configuration import PermitTiming
 from magnoliapitch.workload.configuration import Queue
@@ -201,9 +202,11 @@
         state.record_permits(
             StepKey(job, 0, 0), names, permits, valid_until_ms
         )
-    starts = Planner().plan(state, 1_000, 1_000, max_calls=0).starts
+    starts = (
+        Planner().plan(state, 1_000, 1_000, idle_calls=IdleCalls(0, 0)).starts
+    )
     assert [start.task.job_id for start in starts] == ["b"] * 4
-    plan = Planner().plan(state, 1_000, 1_000, max_calls=1)
+    plan = Planner().plan(state, 1_000, 1_000, idle_calls=IdleCalls(1, 1))
     assert [request.step.job_id for request in plan.permit_requests] == ["a"]
     assert not plan.starts
 
--- a/tests/planner/test_work_conservation.py
+++ b/tests/planner/test_work_conservation.py
@@ -13,6 +13,7 @@
 from magnoliapitch.planner import SchedulerState
 from magnoliapitch.planner import planner as planner_module
 from magnoliapitch.planner.candidate_order import CandidateOrder
+from magnoliapitch.planner.plan import IdleCalls
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.configuration import PermitTiming
 from magnoliapitch.workload.configuration import Queue
@@ -71,6 +72,11 @@
     ]
 
 
+def random_idle_calls(source: random.Random) -> IdleCalls:
+    total = source.choice((0, 4, 30))
+    return IdleCalls(total, min(total, source.choice((0, 1, total))))
+
+
 # Guards against rounds that end, or look away, before steps that could start.
 @pytest.mark.parametrize("seed", range(60))
 def test_no_task_waits_that_could_start(seed: int) -> None:
@@ -83,7 +89,7 @@
         state,
         1,
         1,
-        max_calls=source.choice((0, 4, 30)),
+        idle_calls=random_idle_calls(source),
         max_starts=max_starts,
         max_starts_in_flight=max_starts,
     )
@@ -121,7 +127,9 @@
     add_permitted_job(state, "ready", urgent, 1)
     for number in range(100):
         add_permitted_job(state, f"b{number}", batches, 0)
-    plan = Planner().plan(state, 1, 1, max_calls=0, max_starts=4)
+    plan = Planner().plan(
+        state, 1, 1, idle_calls=IdleCalls(0, 0), max_starts=4
+    )
     assert [start.task.job_id for start in plan.starts] == ["ready"] * 4
 
 
@@ -160,7 +168,7 @@
         state,
         1,
         1,
-        max_calls=max_calls,
+        idle_calls=IdleCalls(max_calls, max_calls),
         max_starts=0,
         max_starts_in_flight=100,
     )
--- a/tests/planner/test_workspace_quotas.py
+++ b/tests/planner/test_workspace_quotas.py
@@ -4,6 +4,7 @@
 
 from magnoliapitch.planner import Planner
 from magnoliapitch.planner import SchedulerState
+from magnoliapitch.planner.plan import IdleCalls
 from magnoliapitch.planner.reconfiguration import apply_configuration
 from magnoliapitch.planner.worker_loss import move_runs
 from magnoliapitch.resource import NO_RESOURCES
@@ -111,7 +112,7 @@
         step = StepSpec(2, CORE, is_gang=number % 2 == 0)
         add_job(state, f"a{number}", "a", step, PERMIT_TIMING)
     key = add_job(state, "other", "b", StepSpec(1, CORE), PERMIT_TIMING)
-    plan = planner.plan(state, 0, 0, max_calls=1)
+    plan = planner.plan(state, 0, 0, idle_calls=IdleCalls(1, 1))
     assert [request.step for request in plan.permit_requests] == [key]
 
 
@@ -228,7 +229,8 @@
     configure(state, a=2, b=0)
     add_job(state, "a-wide", "a", StepSpec(500, CORE), PERMIT_TIMING)
     key = add_job(state, "other", "b", StepSpec(1, CORE), PERMIT_TIMING)
-    plan = Planner().plan(state, 0, 0, 8, max_starts=5)
+    idle_calls = IdleCalls(8, 8)
+    plan = Planner().plan(state, 0, 0, idle_calls, max_starts=5)
     assert key in [request.step for request in plan.permit_requests]
 
 
