The own channel takes long calls where few others can be used

Cause: long calls went through other instances as long as there was a single one. With one or two others left, half or a third of the calls were lost. Change: below three usable instances the own channel takes long calls too, after those of the others. Test: tests/advice/test_channels.py, two cases and the order fail without it (run).

--- a/src/magnoliapitch/advice/channels.py
+++ b/src/magnoliapitch/advice/channels.py
@@ -30,6 +30,9 @@
     from magnoliapitch.workload.run import Permit
 
 
+# With fewer peers, the instance's own channel would be too large a part of all
+# channels to be kept for short calls.
+MIN_PEERS_FOR_LONG_CALLS = 3
 # Time without calls through a peer after a call through it has failed.
 FAILURE_BACKOFF_MS = 2_000
 
@@ -52,8 +55,8 @@
 class AdvisorChannelPool:
     """Chooses an idle channel for each advisor call; thread-safe.
 
-    Long calls go through other instances while there are any, so that short
-    calls of this instance never wait behind them.
+    Long calls go through other instances while enough of them can be used,
+    so that short calls of this instance never wait behind them.
 
     :param local_advisor: client with which this instance itself calls the
         advisor.
@@ -142,7 +145,10 @@
         return [self._local_channel, *self._usable_peers(now_ms)]
 
     def _long_call_channels(self, now_ms: int) -> list[AdvisorChannel]:
-        return self._usable_peers(now_ms) or [self._local_channel]
+        peers = self._usable_peers(now_ms)
+        if len(peers) >= MIN_PEERS_FOR_LONG_CALLS:
+            return peers
+        return [*peers, self._local_channel]
 
     def _usable_peers(self, now_ms: int) -> list[AdvisorChannel]:
         return [
--- a/tests/advice/test_channels.py
+++ b/tests/advice/test_channels.py
@@ -32,6 +32,25 @@
     return pool
 
 
+# Incident LOST: of two channels that were left, one served all long calls.
+@pytest.mark.parametrize(
+    ("peer_count", "long_calls"), [(0, 1), (1, 2), (2, 3), (3, 3), (6, 6)]
+)
+def test_few_peers_leave_no_channel_to_short_calls_alone(
+    peer_count: int, long_calls: int
+) -> None:
+    assert make_pool(peer_count).idle_calls() == IdleCalls(
+        peer_count + 1, long_calls
+    )
+
+
+def test_own_channel_takes_long_calls_after_those_of_peers() -> None:
+    pool = make_pool(1)
+    channels = [pool.reserve(LONG) for _ in range(2)]
+    names = [channel.name for channel in channels if channel is not None]
+    assert names == ["10.0.0.0:1", "own"]
+
+
 # Incident LOST: the instance's own channel counted as idle for long calls,
 # which it did not take.
 @pytest.mark.parametrize("peer_count", [0, 1, 4, 6])
