Peers that relay advisor calls are probed before they are used

Cause: a peer was used as long as the platform listed it. After a failure it rested for 2 s, then the next step's call found again, 0.5 s long, that nobody answers; each new leader began with all of them. Class: a decision that rests on a list whose age nobody checks. Change: a peer is used only after it has answered a probe, and while its last answer is recent (20 s; it is probed again after 10 s without a call, and each second while it does not answer). The rest after failures in a row doubles up to 8 s, for peers that answer probes but fail calls. Tests: tests/advice/test_channels.py; with peers used at once, and each 2 s, as before, the new cases fail (run).

--- /dev/null
+++ b/src/magnoliapitch/advice/channel.py
@@ -0,0 +1,93 @@
+"""Channels for advisor calls, through this instance or through a peer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from magnoliapitch.advice.service import PeerAdvisor
+    from magnoliapitch.workload.client import Advisor
+
+
+# Time without calls through a peer after a call through it has failed; it
+# doubles with each further failure in a row.
+FIRST_BACKOFF_MS = 2_000
+MAX_BACKOFF_MS = 8_000
+# Time between the probes of a peer that does not answer.
+PROBE_INTERVAL_MS = 1_000
+# Age of a peer's last answer from which it is probed again, and from which it
+# is not used before it has answered a probe.
+MAX_UNPROBED_AGE_MS = 10_000
+MAX_ANSWER_AGE_MS = 20_000
+
+
+class AdvisorChannel:
+    """Advisor calls through one instance, at most one at a time.
+
+    :param name: ``own`` for this instance, otherwise the address of a peer.
+    :ivar is_busy: whether a call is under way.
+    """
+
+    def __init__(self, name: str, advisor: Advisor) -> None:
+        self.name = name
+        self.advisor = advisor
+        self.is_busy = False
+
+
+class PeerChannel(AdvisorChannel):
+    """Advisor calls through a peer, which may be gone without notice.
+
+    It is used only while the peer's last answer, to a call or to a probe, is
+    recent. So a call finds at most once that the peer is gone.
+
+    :param now_ms: current time; the first probe is due at once.
+    :ivar is_probed: whether a probe is under way.
+    """
+
+    def __init__(self, name: str, peer: PeerAdvisor, now_ms: int) -> None:
+        super().__init__(name, peer)
+        self.peer = peer
+        self.is_probed = False
+        self._answered_ms: int | None = None
+        self._probe_at_ms = now_ms
+        self._retry_at_ms = now_ms
+        self._failures = 0
+
+    def is_usable(self, now_ms: int) -> bool:
+        """Return whether calls may go through the peer now."""
+        return (
+            self._answered_ms is not None
+            and now_ms - self._answered_ms <= MAX_ANSWER_AGE_MS
+            and now_ms >= self._retry_at_ms
+        )
+
+    def is_probe_due(self, now_ms: int) -> bool:
+        """Return whether the peer should be probed now."""
+        return not (self.is_busy or self.is_probed) and (
+            now_ms >= self._probe_at_ms
+        )
+
+    def record_call(self, now_ms: int, *, is_ok: bool) -> None:
+        """Record the outcome of an advisor call through the peer."""
+        self._record_outcome(now_ms, is_ok=is_ok)
+        if is_ok:
+            self._failures = 0
+            return
+        backoff_ms = FIRST_BACKOFF_MS << min(self._failures, 8)
+        self._retry_at_ms = now_ms + min(backoff_ms, MAX_BACKOFF_MS)
+        self._failures += 1
+
+    def record_probe(self, now_ms: int, *, is_ok: bool) -> bool:
+        """Record the outcome of a probe.
+
+        :return: whether the peer answers again, or for the first time.
+        """
+        has_answered = self._answered_ms is not None
+        self._record_outcome(now_ms, is_ok=is_ok)
+        return is_ok and not has_answered
+
+    def _record_outcome(self, now_ms: int, *, is_ok: bool) -> None:
+        self._answered_ms = now_ms if is_ok else None
+        interval_ms = MAX_UNPROBED_AGE_MS if is_ok else PROBE_INTERVAL_MS
+        self._probe_at_ms = now_ms + interval_ms
--- a/src/magnoliapitch/advice/channels.py
+++ b/src/magnoliapitch/advice/channels.py
@@ -13,6 +13,8 @@
 from result import Err
 from result import Result
 
+from magnoliapitch.advice.channel import AdvisorChannel
+from magnoliapitch.advice.channel import PeerChannel
 from magnoliapitch.advice.service import PeerAdvisor
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.permit_calls import is_long_call
@@ -33,23 +35,8 @@
 # With fewer peers, the instance's own channel would be too large a part of all
 # channels to be kept for short calls.
 MIN_PEERS_FOR_LONG_CALLS = 3
-# Time without calls through a peer after a call through it has failed.
-FAILURE_BACKOFF_MS = 2_000
-
-
-class AdvisorChannel:
-    """Advisor calls through one instance, at most one at a time.
-
-    :param name: ``own`` for this instance, otherwise the address of a peer.
-    :ivar retry_at_ms: time from which the channel may be used again after
-        a failed call.
-    """
-
-    def __init__(self, name: str, advisor: Advisor) -> None:
-        self.name = name
-        self.advisor = advisor
-        self.is_busy = False
-        self.retry_at_ms = 0
+# An instance answers a probe within milliseconds, unless it is gone.
+PROBE_TIMEOUT_MS = 500
 
 
 class AdvisorChannelPool:
@@ -69,21 +56,26 @@
         self._client = client
         self._clock = clock
         self._lock = threading.Lock()
-        self._peer_channels_by_address: dict[str, AdvisorChannel] = {}
+        self._peer_channels_by_address: dict[str, PeerChannel] = {}
 
     def set_peers(self, peer_addresses: Iterable[str]) -> None:
         """Replace the peers through which the advisor can be called.
 
+        New ones are used once they have answered a probe.
+
         :param peer_addresses: ``IP:PORT`` of each peer.
         """
         addresses = set(peer_addresses)
+        now_ms = self._clock.now_ms()
         with self._lock:
-            for address in addresses - set(self._peer_channels_by_address):
-                advisor = PeerAdvisor(address, self._client)
-                self._peer_channels_by_address[address] = AdvisorChannel(
-                    address, advisor
+            for address in sorted(
+                addresses - self._peer_channels_by_address.keys()
+            ):
+                peer = PeerAdvisor(address, self._client)
+                self._peer_channels_by_address[address] = PeerChannel(
+                    address, peer, now_ms
                 )
-            for address in set(self._peer_channels_by_address) - addresses:
+            for address in self._peer_channels_by_address.keys() - addresses:
                 del self._peer_channels_by_address[address]
 
     def reserve(self, request: PlannedPermitRequest) -> AdvisorChannel | None:
@@ -116,8 +108,8 @@
     ) -> Result[tuple[Permit, ...], Failure]:
         """Request permits through a reserved channel, then release it.
 
-        After a failure, the channel of a peer is not used for
-        ``FAILURE_BACKOFF_MS``.
+        After a failure, the channel of a peer is not used for some time, nor
+        before the peer has answered a probe.
 
         :param timeout_ms: how long the call may take.
         """
@@ -126,14 +118,39 @@
         )
         with self._lock:
             channel.is_busy = False
-            if isinstance(outcome, Err) and channel is not self._local_channel:
-                channel.retry_at_ms = self._clock.now_ms() + FAILURE_BACKOFF_MS
-                reason = outcome.err_value.detail
-                log_event(
-                    "advice-lane-rests", lane=channel.name, reason=reason
+            if isinstance(channel, PeerChannel):
+                channel.record_call(
+                    self._clock.now_ms(), is_ok=outcome.is_ok()
                 )
+        if isinstance(outcome, Err) and channel is not self._local_channel:
+            reason = outcome.err_value.detail
+            log_event("advice-lane-rests", lane=channel.name, reason=reason)
         return outcome
 
+    def due_probes(self) -> list[PeerChannel]:
+        """Return the channels to probe now, each marked as being probed."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            channels = [
+                channel
+                for channel in self._peer_channels_by_address.values()
+                if channel.is_probe_due(now_ms)
+            ]
+            for channel in channels:
+                channel.is_probed = True
+        return channels
+
+    def probe(self, channel: PeerChannel) -> None:
+        """Probe the peer of a channel that ``due_probes`` returned."""
+        is_ok = channel.peer.probe(PROBE_TIMEOUT_MS)
+        with self._lock:
+            channel.is_probed = False
+            has_begun_to_answer = channel.record_probe(
+                self._clock.now_ms(), is_ok=is_ok
+            )
+        if has_begun_to_answer:
+            log_event("advice-lane-answers", lane=channel.name)
+
     def _usable_channels(
         self, request: PlannedPermitRequest, now_ms: int
     ) -> list[AdvisorChannel]:
@@ -154,7 +171,7 @@
         return [
             channel
             for channel in self._peer_channels_by_address.values()
-            if now_ms >= channel.retry_at_ms
+            if channel.is_usable(now_ms)
         ]
 
 
--- a/src/magnoliapitch/advice/service.py
+++ b/src/magnoliapitch/advice/service.py
@@ -62,6 +62,11 @@
     :param advisor: client with which this instance calls the advisor.
     """
 
+    @application.route("GET", PERMITS_PATH)
+    def answer_probe(request: HttpRequest) -> HttpResponse:
+        del request
+        return HttpResponse(200)
+
     @application.route("POST", PERMITS_PATH)
     def answer_permits(request: HttpRequest) -> HttpResponse:
         try:
@@ -99,6 +104,10 @@
         )
         return reply.and_then(_decode_permits)
 
+    def probe(self, timeout_ms: int) -> bool:
+        """Return whether the other instance answers, with any status."""
+        return self._client.exchange("GET", self._url, timeout_ms).is_ok()
+
 
 def _decode_permits(reply: HttpReply) -> Result[tuple[Permit, ...], Failure]:
     if reply.status != 200:
--- a/src/magnoliapitch/control/advisor_calls.py
+++ b/src/magnoliapitch/control/advisor_calls.py
@@ -12,7 +12,7 @@
     from collections.abc import Callable
 
     from magnoliapitch.advice import AdvisorChannelPool
-    from magnoliapitch.advice.channels import AdvisorChannel
+    from magnoliapitch.advice.channel import AdvisorChannel
     from magnoliapitch.clock import Clock
     from magnoliapitch.control.events import Event
     from magnoliapitch.planner.plan import IdleCalls
@@ -40,6 +40,11 @@
         """Return the calls that can be started now."""
         return self._channels.idle_calls()
 
+    def begin_due_probes(self) -> None:
+        """Probe peers that have not answered lately, each in a thread."""
+        for channel in self._channels.due_probes():
+            self._executor.submit(self._channels.probe, channel)
+
     def begin(
         self,
         request: PlannedPermitRequest,
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -258,6 +258,7 @@
         started_ms = self._clock.now_ms()
         self._worker_reading.begin_if_due(started_ms)
         self._upkeep.begin_if_due(started_ms)
+        self._advisor_calls.begin_due_probes()
         self._preparation.keep_claim()
         events = self._next_events()
         received_ms = self._clock.now_ms()
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -52,6 +52,12 @@
     "A call to the advisor through another instance failed; that instance is "
     "not used for this for some seconds.",
 )
+define_event(
+    "advice-lane-answers",
+    EventLevel.INFO,
+    "An instance through which the advisor can be called answers, for the "
+    "first time or again.",
+)
 define_event(
     "peers-unread",
     EventLevel.WARNING,
--- a/tests/advice/test_channels.py
+++ b/tests/advice/test_channels.py
@@ -7,14 +7,27 @@
 
 import pytest
 
+from result import Err
+from result import Ok
+from result import Result
+
 from magnoliapitch.advice import AdvisorChannelPool
+from magnoliapitch.advice.channel import MAX_ANSWER_AGE_MS
+from magnoliapitch.advice.channel import MAX_UNPROBED_AGE_MS
+from magnoliapitch.advice.channel import PROBE_INTERVAL_MS
 from magnoliapitch.clock import ManualClock
+from magnoliapitch.http.client import HttpReply
 from magnoliapitch.planner.plan import IdleCalls
 from magnoliapitch.planner.plan import PlannedPermitRequest
+from magnoliapitch.verdict import Failure
+from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import not_run
 from magnoliapitch.workload.job import StepKey
 
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from magnoliapitch.http.client import HttpClient
     from magnoliapitch.workload.client import Advisor
 
@@ -24,12 +37,59 @@
 SHORT = LONG._replace(expected_call_ms=10.0)
 
 
+class Peers:
+    """Other instances, some of which do not answer.
+
+    :ivar gone: addresses of those that do not answer.
+    :ivar call_count: number of calls to them, without probes.
+    """
+
+    def __init__(self, clock: ManualClock, count: int) -> None:
+        self.clock = clock
+        self.addresses = [f"10.0.0.{number}:1" for number in range(count)]
+        self.gone: set[str] = set()
+        self.call_count = 0
+        self.pool = AdvisorChannelPool(
+            cast("Advisor", None), cast("HttpClient", self), clock
+        )
+        self.pool.set_peers(self.addresses)
+
+    def exchange(
+        self,
+        method: str,
+        url: str,
+        timeout_ms: int,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> Result[HttpReply, Failure]:
+        del body, headers
+        is_gone = url.split("/")[2] in self.gone
+        if method == "POST":
+            self.call_count += 1
+        if is_gone:
+            self.clock.advance(min(timeout_ms, 500))
+            return Err(not_run(FailureCode.UNAVAILABLE, "no connection"))
+        return Ok(HttpReply(200, b"[]"))
+
+    def probe(self) -> None:
+        """Carry out the probes that are due."""
+        for channel in self.pool.due_probes():
+            self.pool.probe(channel)
+
+    def lose(self, *addresses: str) -> None:
+        self.gone.update(addresses)
+
+    def call(self) -> bool:
+        """Make a long call; return whether it succeeded."""
+        channel = self.pool.reserve(LONG)
+        assert channel is not None
+        return self.pool.call(channel, LONG, 1_700).is_ok()
+
+
 def make_pool(peer_count: int) -> AdvisorChannelPool:
-    pool = AdvisorChannelPool(
-        cast("Advisor", None), cast("HttpClient", None), ManualClock()
-    )
-    pool.set_peers(f"10.0.0.{number}:1" for number in range(peer_count))
-    return pool
+    peers = Peers(ManualClock(), peer_count)
+    peers.probe()
+    return peers.pool
 
 
 # Incident LOST: of two channels that were left, one served all long calls.
@@ -64,3 +124,79 @@
         assert pool.reserve(SHORT) is not None
     assert pool.idle_calls() == IdleCalls(0, 0)
     assert pool.reserve(SHORT) is None
+
+
+# Incident LOST: each new leader sent the calls of steps through instances that
+# were gone, each for 0.5 s, and again 2 s after each failure.
+def test_a_peer_that_never_answered_gets_no_call() -> None:
+    peers = Peers(ManualClock(), 5)
+    peers.lose(*peers.addresses[:2])
+    assert peers.pool.idle_calls() == IdleCalls(1, 1)
+    for _ in range(20):
+        peers.probe()
+        assert peers.call()
+        peers.clock.advance(1_000)
+    assert peers.pool.idle_calls() == IdleCalls(4, 3)
+
+
+def test_a_peer_that_is_gone_costs_one_call_at_most() -> None:
+    peers = Peers(ManualClock(), 4)
+    peers.probe()
+    peers.lose(peers.addresses[0])
+    succeeded = []
+    for _ in range(60):
+        peers.probe()
+        succeeded.append(peers.call())
+        peers.clock.advance(500)
+    assert succeeded.count(False) <= 1
+
+
+def test_a_peer_that_answers_again_is_used_after_a_probe() -> None:
+    peers = Peers(ManualClock(), 3)
+    peers.probe()
+    peers.lose(peers.addresses[0])
+    assert not peers.call()
+    for _ in range(10):
+        peers.probe()
+        peers.clock.advance(PROBE_INTERVAL_MS)
+    assert peers.pool.idle_calls().total == 3
+    peers.gone.clear()
+    peers.clock.advance(PROBE_INTERVAL_MS)
+    assert peers.pool.idle_calls().total == 3
+    peers.probe()
+    assert peers.pool.idle_calls().total == 4
+
+
+# An instance that leads again after a while must not trust what it knew.
+def test_a_peer_whose_answer_is_old_is_probed_first() -> None:
+    peers = Peers(ManualClock(), 3)
+    peers.probe()
+    peers.lose(peers.addresses[0])
+    peers.clock.advance(MAX_ANSWER_AGE_MS + 1)
+    assert peers.pool.idle_calls().total == 1
+    peers.probe()
+    assert peers.pool.idle_calls().total == 3
+
+
+def test_an_idle_peer_is_probed_before_its_answer_is_too_old() -> None:
+    peers = Peers(ManualClock(), 3)
+    peers.probe()
+    peers.clock.advance(MAX_UNPROBED_AGE_MS - 1)
+    assert not peers.pool.due_probes()
+    peers.clock.advance(1)
+    assert len(peers.pool.due_probes()) == 3
+    assert not peers.pool.due_probes()
+    assert peers.pool.idle_calls().total == 4
+
+
+def test_a_peer_that_fails_calls_but_answers_probes_rests_longer() -> None:
+    peers = Peers(ManualClock(), 3)
+    peers.probe()
+    failures = 0
+    for _ in range(300):
+        peers.gone.clear()
+        peers.probe()
+        peers.lose(peers.addresses[0])
+        failures += not peers.call()
+        peers.clock.advance(100)
+    assert failures <= 6
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -108,6 +108,9 @@
         del timeout_ms
         return UNANSWERED
 
+    def due_probes(self) -> list[Any]:
+        return []
+
     def idle_calls(self) -> IdleCalls:
         return IdleCalls(0, 0)
 
