An unexpected error of an advisor call releases its channel

Cause: a call to the advisor runs in a thread of a pool. An error that the client does not expect ended there unseen: the channel stayed busy, and the step counted as having a call under way, for the rest of the leadership. Change: such an error is logged (call-error) and counts as a failed call, as with the other calls in threads. The same for probes. Test: test_an_unexpected_error_of_a_call_releases_its_channel fails without it (run).

--- a/src/magnoliapitch/advice/channels.py
+++ b/src/magnoliapitch/advice/channels.py
@@ -16,6 +16,7 @@
 from magnoliapitch.advice.channel import AdvisorChannel
 from magnoliapitch.advice.channel import PeerChannel
 from magnoliapitch.advice.service import PeerAdvisor
+from magnoliapitch.control.guard import guarded
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.permit_calls import is_long_call
 from magnoliapitch.planner.plan import IdleCalls
@@ -113,8 +114,11 @@
 
         :param timeout_ms: how long the call may take.
         """
-        outcome = channel.advisor.permits(
-            request.step, request.worker_ids, timeout_ms
+        outcome = guarded(
+            "advice",
+            lambda: channel.advisor.permits(
+                request.step, request.worker_ids, timeout_ms
+            ),
         )
         with self._lock:
             channel.is_busy = False
@@ -142,11 +146,13 @@
 
     def probe(self, channel: PeerChannel) -> None:
         """Probe the peer of a channel that ``due_probes`` returned."""
-        is_ok = channel.peer.probe(PROBE_TIMEOUT_MS)
+        outcome = guarded(
+            "advice-probe", lambda: channel.peer.probe(PROBE_TIMEOUT_MS)
+        )
         with self._lock:
             channel.is_probed = False
             has_begun_to_answer = channel.record_probe(
-                self._clock.now_ms(), is_ok=is_ok
+                self._clock.now_ms(), is_ok=outcome.is_ok()
             )
         if has_begun_to_answer:
             log_event("advice-lane-answers", lane=channel.name)
--- a/src/magnoliapitch/advice/service.py
+++ b/src/magnoliapitch/advice/service.py
@@ -104,9 +104,13 @@
         )
         return reply.and_then(_decode_permits)
 
-    def probe(self, timeout_ms: int) -> bool:
-        """Return whether the other instance answers, with any status."""
-        return self._client.exchange("GET", self._url, timeout_ms).is_ok()
+    def probe(self, timeout_ms: int) -> Result[None, Failure]:
+        """Return a failure unless the other instance answers.
+
+        Any status is an answer.
+        """
+        reply = self._client.exchange("GET", self._url, timeout_ms)
+        return reply.map(lambda _: None)
 
 
 def _decode_permits(reply: HttpReply) -> Result[tuple[Permit, ...], Failure]:
--- a/tests/advice/test_channels.py
+++ b/tests/advice/test_channels.py
@@ -27,9 +27,11 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from magnoliapitch.http.client import HttpClient
     from magnoliapitch.workload.client import Advisor
+    from magnoliapitch.workload.run import Permit
 
 
 STEP = StepKey("a", 0, 0)
@@ -37,6 +39,16 @@
 SHORT = LONG._replace(expected_call_ms=10.0)
 
 
+class BrokenAdvisor:
+    """Ends each call with an unexpected error."""
+
+    def permits(
+        self, step: StepKey, worker_ids: Sequence[str], timeout_ms: int
+    ) -> Result[tuple[Permit, ...], Failure]:
+        del step, worker_ids, timeout_ms
+        raise ValueError("unexpected")
+
+
 class Peers:
     """Other instances, some of which do not answer.
 
@@ -200,3 +212,13 @@
         failures += not peers.call()
         peers.clock.advance(100)
     assert failures <= 6
+
+
+# The channel stayed busy for good, and so did the step that was asked about.
+def test_an_unexpected_error_of_a_call_releases_its_channel() -> None:
+    client = cast("HttpClient", None)
+    pool = AdvisorChannelPool(BrokenAdvisor(), client, ManualClock())
+    for _ in range(2):
+        channel = pool.reserve(LONG)
+        assert channel is not None
+        assert pool.call(channel, LONG, 1_700).is_err()
