--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -134,12 +134,11 @@
             for candidate in chosen
             if not self.has_ticket(step, candidate)
         ]
-        is_asking = self.request_permits(
-            step,
-            self._with_spare_candidates(
-                step, chosen, candidates, without_ticket
-            ),
-        )
+        if without_ticket and is_gang:
+            without_ticket = self._with_spare_candidates(
+                step, chosen, candidates
+            )
+        is_asking = self.request_permits(step, without_ticket)
         if not chosen:
             self._ask_about_unasked(step)
         if without_ticket and is_gang:
@@ -250,35 +249,19 @@
         step: TrackedStep,
         chosen: list[Candidate],
         candidates: list[Candidate],
-        without_ticket: list[Candidate],
     ) -> list[Candidate]:
-        """Return the workers of one advisor call, those that are needed first.
+        """Return the workers of one advisor call for a whole gang.
 
-        Of a gang, tickets from several calls would expire one after the
-        other, so all are requested together. Spare workers replace those
-        whose capacity is taken by the time the answer arrives. For tasks that
-        found no room, tickets are renewed on every permitted worker, since
-        room may come free on any of them while the tickets are valid.
+        Tickets from several calls would expire one after the other, so all
+        are requested together. Spare workers replace those whose capacity
+        is taken by the time the answer arrives.
         """
-        if not without_ticket:
-            return []
-        if step.spec.is_gang:
-            spares = [
-                candidate
-                for candidate in candidates
-                if candidate not in chosen and free_task_count(candidate, step)
-            ]
-            return [*chosen, *spares]
-        if len(chosen) >= self._isolation.startable_count(step):
-            return without_ticket
-        call_ms = expected_call_ms(step, len(candidates))
-        expiring = [
+        spares = [
             candidate
             for candidate in candidates
-            if candidate not in chosen
-            and not self.has_ticket(step, candidate, int(call_ms))
+            if candidate not in chosen and free_task_count(candidate, step)
         ]
-        return [*without_ticket, *expiring]
+        return [*chosen, *spares]
 
     def _can_call_advisor(self, step: TrackedStep) -> bool:
         if self._has_call(step) or step.job.queue.permit_timing is None:
