--- a/tests/planner/test_long_calls.py
+++ b/tests/planner/test_long_calls.py
@@ -69,3 +69,15 @@
     assert not plan.permit_requests
     assert len(plan.starts) == 16
     assert {start.task.job_id for start in plan.starts} == {"b"}
+
+
+# Calls about many workers are long ones in a queue whose calls about few are
+# short: with only a channel for short calls left, no such step was asked for.
+def test_a_call_is_about_fewer_workers_if_only_short_ones_are_left() -> None:
+    timing = PermitTiming(decision_ms=23, per_worker_ms=0.32, valid_ms=2_500)
+    queue = SHORT._replace(permit_timing=timing)
+    state = make_state(70)
+    step = StepSpec(200, SIZE)
+    state.add_job(JobSpec("a", queue.name, "", (step,)), queue, 0)
+    assert requested(state, IdleCalls(1, 1)) == ["a"]
+    assert requested(state, ONLY_SHORT_CALLS) == ["a"]
