A call without an answer makes earlier answers of other peers doubtful

What callers saw: LOST, a step without a run while its calls to the advisor fail one after the other. Cause: peers that are lost together were found one by one, each by a call that waits for its timeout on a kept connection, for up to 10 s, until their probes are due. A step whose call failed could take another one of them next. Change: after a call that no answer came to, peers that have not answered since it was sent are used only after a probe. Live ones answer it within milliseconds. Failures with an answer change nothing, so that they cause no bursts of probes.

--- a/src/magnoliapitch/advice/channel.py
+++ b/src/magnoliapitch/advice/channel.py
@@ -39,7 +39,9 @@
     """Advisor calls through a peer, which may be gone without notice.
 
     It is used only while the peer's last answer, to a call or to a probe, is
-    recent. So a call finds at most once that the peer is gone.
+    recent. So a call finds at most once that the peer is gone. Peers may be
+    lost together, so a call without an answer makes earlier answers of others
+    doubtful until these have answered a probe.
 
     :param now_ms: current time; the first probe is due at once.
     :ivar is_probed: whether a probe is under way.
@@ -50,6 +52,7 @@
         self.peer = peer
         self.is_probed = False
         self._answered_ms: int | None = None
+        self._is_doubtful = False
         self._probe_at_ms = now_ms
         self._retry_at_ms = now_ms
         self._failures = 0
@@ -58,6 +61,7 @@
         """Return whether calls may go through the peer now."""
         return (
             self._answered_ms is not None
+            and not self._is_doubtful
             and now_ms - self._answered_ms <= MAX_ANSWER_AGE_MS
             and now_ms >= self._retry_at_ms
         )
@@ -68,6 +72,15 @@
             now_ms >= self._probe_at_ms
         )
 
+    def doubt(self, since_ms: int, now_ms: int) -> None:
+        """Have the peer probed before its use unless it answered lately.
+
+        :param since_ms: later answers are not doubted.
+        """
+        if self._answered_ms is not None and self._answered_ms <= since_ms:
+            self._is_doubtful = True
+            self._probe_at_ms = now_ms
+
     def record_call(self, now_ms: int, *, is_ok: bool) -> None:
         """Record the outcome of an advisor call through the peer."""
         self._record_outcome(now_ms, is_ok=is_ok)
@@ -89,5 +102,6 @@
 
     def _record_outcome(self, now_ms: int, *, is_ok: bool) -> None:
         self._answered_ms = now_ms if is_ok else None
+        self._is_doubtful = False
         interval_ms = MAX_UNPROBED_AGE_MS if is_ok else PROBE_INTERVAL_MS
         self._probe_at_ms = now_ms + interval_ms
--- a/src/magnoliapitch/advice/channels.py
+++ b/src/magnoliapitch/advice/channels.py
@@ -20,6 +20,7 @@
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.permit_calls import is_long_call
 from magnoliapitch.planner.plan import IdleCalls
+from magnoliapitch.verdict import FailureCode
 
 
 if TYPE_CHECKING:
@@ -110,10 +111,12 @@
         """Request permits through a reserved channel, then release it.
 
         After a failure, the channel of a peer is not used for some time, nor
-        before the peer has answered a probe.
+        before the peer has answered a probe. After a call without an answer,
+        nor are those that have not answered since it was sent.
 
         :param timeout_ms: how long the call may take.
         """
+        sent_ms = self._clock.now_ms()
         outcome = guarded(
             "advice",
             lambda: channel.advisor.permits(
@@ -123,14 +126,22 @@
         with self._lock:
             channel.is_busy = False
             if isinstance(channel, PeerChannel):
-                channel.record_call(
-                    self._clock.now_ms(), is_ok=outcome.is_ok()
-                )
+                now_ms = self._clock.now_ms()
+                channel.record_call(now_ms, is_ok=outcome.is_ok())
+                if _is_unanswered(outcome):
+                    self._doubt_others(channel, sent_ms, now_ms)
         if isinstance(outcome, Err) and channel is not self._local_channel:
             reason = outcome.err_value.detail
             log_event("advice-lane-rests", lane=channel.name, reason=reason)
         return outcome
 
+    def _doubt_others(
+        self, failed: PeerChannel, since_ms: int, now_ms: int
+    ) -> None:
+        for channel in self._peer_channels_by_address.values():
+            if channel is not failed:
+                channel.doubt(since_ms, now_ms)
+
     def due_probes(self) -> list[PeerChannel]:
         """Return the channels to probe now, each marked as being probed."""
         now_ms = self._clock.now_ms()
@@ -181,5 +192,13 @@
         ]
 
 
+def _is_unanswered(outcome: Result[object, Failure]) -> bool:
+    """Return whether a peer to which a call was sent did not answer it."""
+    return (
+        isinstance(outcome, Err)
+        and outcome.err_value.code is FailureCode.TIMEOUT
+    )
+
+
 def _idle_count(channels: Iterable[AdvisorChannel]) -> int:
     return sum(not channel.is_busy for channel in channels)
--- a/tests/advice/test_channels.py
+++ b/tests/advice/test_channels.py
@@ -15,12 +15,15 @@
 from magnoliapitch.advice.channel import MAX_ANSWER_AGE_MS
 from magnoliapitch.advice.channel import MAX_UNPROBED_AGE_MS
 from magnoliapitch.advice.channel import PROBE_INTERVAL_MS
+from magnoliapitch.advice.channel import PeerChannel
 from magnoliapitch.clock import ManualClock
+from magnoliapitch.http.client import MAX_CONNECT_TIMEOUT_MS
 from magnoliapitch.http.client import HttpReply
 from magnoliapitch.planner.plan import IdleCalls
 from magnoliapitch.planner.plan import PlannedPermitRequest
 from magnoliapitch.verdict import Failure
 from magnoliapitch.verdict import FailureCode
+from magnoliapitch.verdict import may_have_run
 from magnoliapitch.verdict import not_run
 from magnoliapitch.workload.job import StepKey
 
@@ -29,6 +32,7 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from magnoliapitch.advice import PeerAdvisor
     from magnoliapitch.http.client import HttpClient
     from magnoliapitch.workload.client import Advisor
     from magnoliapitch.workload.run import Permit
@@ -54,8 +58,8 @@
 
     :ivar gone: addresses of those that do not answer.
     :ivar call_count: number of calls to them, without probes.
-    :ivar connect_ms: how long a call to one that is gone takes at most; over
-        a kept connection it waits for an answer.
+    :ivar silent_ms: how long a call to one that is gone takes at most; over a
+        kept connection it waits for an answer.
     """
 
     def __init__(self, clock: ManualClock, count: int) -> None:
@@ -63,7 +67,7 @@
         self.addresses = [f"10.0.0.{number}:1" for number in range(count)]
         self.gone: set[str] = set()
         self.call_count = 0
-        self.connect_ms = 500
+        self.silent_ms = MAX_CONNECT_TIMEOUT_MS
         self.pool = AdvisorChannelPool(
             cast("Advisor", None), cast("HttpClient", self), clock
         )
@@ -82,7 +86,9 @@
         if method == "POST":
             self.call_count += 1
         if is_gone:
-            self.clock.advance(min(timeout_ms, self.connect_ms))
+            self.clock.advance(min(timeout_ms, self.silent_ms))
+            if self.silent_ms > MAX_CONNECT_TIMEOUT_MS:
+                return Err(may_have_run(FailureCode.TIMEOUT, "no answer"))
             return Err(not_run(FailureCode.UNAVAILABLE, "no connection"))
         return Ok(HttpReply(200, b"[]"))
 
@@ -237,7 +243,7 @@
 # was gone, as long as it stayed unknown which of the others were.
 def test_a_step_waits_for_no_two_peers_that_are_gone() -> None:
     peers = Peers(ManualClock(), 5)
-    peers.connect_ms = 1_700
+    peers.silent_ms = 1_700
     peers.probe()
     peers.lose(*peers.addresses[:2])
     failed_ms = 0
@@ -250,3 +256,26 @@
         peers.probe_by_threads()
     # A step may stand for 3 s beside free workers.
     assert failed_ms < 3_000
+
+
+# One call without an answer is no sign that all others are gone.
+def test_peers_are_used_after_a_probe_once_a_call_had_no_answer() -> None:
+    peers = Peers(ManualClock(), 5)
+    peers.silent_ms = 1_700
+    peers.probe()
+    peers.lose(peers.addresses[0])
+    peers.clock.advance(10)
+    assert not peers.call()
+    assert peers.pool.idle_calls().total == 1
+    peers.probe_by_threads()
+    assert peers.pool.idle_calls().total == 5
+
+
+def test_an_answer_later_than_a_lost_call_is_not_doubted() -> None:
+    channel = PeerChannel("x", cast("PeerAdvisor", None), 0)
+    channel.record_call(2_000, is_ok=True)
+    channel.doubt(1_999, 3_000)
+    assert channel.is_usable(3_000)
+    channel.doubt(2_000, 3_000)
+    assert not channel.is_usable(3_000)
+    assert channel.is_probe_due(3_000)
