Tracker of attempts: table, recorded ends and adopted leases of their own

No logic changes; the obsolescence of an adopted attempt is computed before it is added instead of after.

--- a/src/magnoliapitch/job/tracker.py
+++ b/src/magnoliapitch/job/tracker.py
@@ -5,19 +5,14 @@
 from typing import TYPE_CHECKING
 
 from magnoliapitch.catalogue.entry import WorkClass
-from magnoliapitch.decision.interface import TaskRequest
-from magnoliapitch.job.attempt import Attempt
 from magnoliapitch.job.attempt import AttemptState
-from magnoliapitch.job.attempt import TaskKey
-from magnoliapitch.job.spec import AttemptKey
+from magnoliapitch.job.end_recorder import EndRecorder
+from magnoliapitch.job.granted_attempt import find_granted_attempt
 from magnoliapitch.job.spec import TaskOutcome
-from magnoliapitch.job.spec import parse_lease_id
-from magnoliapitch.journal.record import TaskEnd
+from magnoliapitch.job.tracked_attempts import TrackedAttempts
 from magnoliapitch.ownership.fence import FencePhase
 from magnoliapitch.worker.lease import LeaseKind
 from magnoliapitch.worker.lease import LeaseState
-from magnoliapitch.worker.lease import LeaseView
-from magnoliapitch.worker.lease import WorkerView
 
 
 if TYPE_CHECKING:
@@ -26,13 +21,17 @@
 
     from magnoliapitch.clock import Clock
     from magnoliapitch.decision.interface import Scheduler
+    from magnoliapitch.decision.interface import TaskRequest
+    from magnoliapitch.job.attempt import Attempt
+    from magnoliapitch.job.attempt import TaskKey
     from magnoliapitch.job.backlog import Backlog
     from magnoliapitch.job.channel import PlannedCall
     from magnoliapitch.job.channel import WorkerChannel
     from magnoliapitch.journal.journal import Journal
-    from magnoliapitch.journal.pending_record_entry import PendingRecordEntry
     from magnoliapitch.journal.state import JobRecord
     from magnoliapitch.ownership.presence_lease import PresenceLease
+    from magnoliapitch.worker.lease import LeaseView
+    from magnoliapitch.worker.lease import WorkerView
 
 
 NO_PRESENCE_RETRY_DELAY_MS = 1_000
@@ -57,31 +56,23 @@
         clock: Clock,
     ) -> None:
         self._journal = journal
-        self._presence_lease = presence_lease
-        self._clock = clock
         self._scheduler = scheduler
         self._backlog = backlog
-        self._attempts_by_task: dict[TaskKey, dict[int, Attempt]] = {}
-        self._pending_ends_by_task: dict[TaskKey, PendingRecordEntry] = {}
+        self._attempts = TrackedAttempts()
+        self._end_recorder = EndRecorder(
+            journal, backlog, presence_lease, clock, self._attempts
+        )
 
     def __contains__(self, key: object) -> bool:
-        return key in self._attempts_by_task
+        return key in self._attempts
 
     def lease_ids(self) -> tuple[str, ...]:
         """Return the lease ids of all tracked attempts."""
-        return tuple(
-            attempt.request.attempt_id
-            for attempt_by_number in self._attempts_by_task.values()
-            for attempt in attempt_by_number.values()
-        )
+        return self._attempts.lease_ids()
 
     def add(self, channel: WorkerChannel, attempt: Attempt) -> None:
         """Start to track an attempt on a worker."""
-        attempt_by_number = self._attempts_by_task.setdefault(
-            attempt.task_key, {}
-        )
-        attempt_by_number[attempt.key.attempt] = attempt
-        channel.attempts_by_lease[attempt.request.attempt_id] = attempt
+        self._attempts.add(channel, attempt)
 
     def has_unconfirmed_grant(self, channel: WorkerChannel) -> bool:
         """Return whether a grant is unsent or not confirmed by the worker."""
@@ -153,7 +144,9 @@
         """
         for lease_id in tuple(channel.pending_starts):
             attempt = channel.attempts_by_lease.get(lease_id)
-            if attempt is not None and not self._may_keep(attempt):
+            if attempt is not None and not self._end_recorder.may_keep(
+                attempt
+            ):
                 self.requeue(
                     channel, attempt, now_ms + NO_PRESENCE_RETRY_DELAY_MS
                 )
@@ -166,7 +159,7 @@
         :param now_ms: local monotonic time from which the task may be placed
             again, in milliseconds.
         """
-        self._remove(channel, attempt)
+        self._attempts.remove(channel, attempt)
         lease_id = attempt.request.attempt_id
         self._scheduler.record_task_end(lease_id, TaskOutcome.LOST, now_ms)
         self._backlog.add_task(attempt.task_key, now_ms)
@@ -174,7 +167,7 @@
     def remove_channel(self, channel: WorkerChannel, now_ms: int) -> None:
         """Stop tracking the attempts of a worker that is no longer owned."""
         for attempt in list(channel.attempts_by_lease.values()):
-            self._remove(channel, attempt)
+            self._attempts.remove(channel, attempt)
             if attempt.state is not AttemptState.ENDED:
                 lease_id = attempt.request.attempt_id
                 self._scheduler.record_task_end(
@@ -220,17 +213,16 @@
         :param job: record of the job, with the end applied.
         :param is_waiting: whether the job waits until its rack is settled.
         """
-        self._pending_ends_by_task.pop(key, None)
+        self._end_recorder.forget_pending(key)
         recorded_attempts = job.attempts_by_task.get(key.task, 0)
-        attempt_by_number = self._attempts_by_task.get(key, {})
-        for number, attempt in list(attempt_by_number.items()):
+        for number, attempt in self._attempts.of_task(key).items():
             channel = channels_by_worker.get(attempt.worker_id)
             if channel is None or number >= recorded_attempts:
                 continue
             channel.pending_stops[attempt.request.attempt_id] = None
             if attempt.state is AttemptState.ENDED:
-                self._remove(channel, attempt)
-        if key not in self._attempts_by_task and not is_waiting:
+                self._attempts.remove(channel, attempt)
+        if key not in self._attempts and not is_waiting:
             self._backlog.retry(key, job, now_ms)
 
     def request_stops(
@@ -240,13 +232,7 @@
     ) -> None:
         """Request the end of leases on the workers that they run on."""
         for lease_id in lease_ids:
-            attempt_key = parse_lease_id(lease_id)
-            if attempt_key is None:
-                continue
-            key = TaskKey(attempt_key.job_id, attempt_key.task)
-            attempt = self._attempts_by_task.get(key, {}).get(
-                attempt_key.attempt
-            )
+            attempt = self._attempts.find(lease_id)
             if attempt is None:
                 continue
             channel = channels_by_worker.get(attempt.worker_id)
@@ -261,7 +247,7 @@
         now_ms: int,
     ) -> None:
         if attempt.state is AttemptState.ENDED:
-            self._record_end(channel, attempt)
+            self._end_recorder.record(channel, attempt)
             return
         view = channel.fence.view
         boot_id = view.boot_id if view else ""
@@ -285,7 +271,7 @@
         if attempt.state is AttemptState.PLACED:
             return
         if attempt.state is AttemptState.ENDED:
-            self._record_end(channel, attempt)
+            self._end_recorder.record(channel, attempt)
             return
         may_grant_arrive = (
             attempt.state is AttemptState.SENT
@@ -306,97 +292,23 @@
         self._scheduler.record_task_end(
             attempt.request.attempt_id, outcome, now_ms
         )
-        self._record_end(channel, attempt)
-
-    def _record_end(self, channel: WorkerChannel, attempt: Attempt) -> None:
-        """Enqueue the record of an end, unless it is applied or pending.
-
-        It is called again with every view, and enqueues the record again if
-        the previous one ended without being applied. The end of a lost
-        attempt is not recorded while the presence lease does not cover the
-        task.
-        """
-        key = attempt.task_key
-        with self._journal.locked_state() as state:
-            job = state.jobs_by_id.get(key.job_id)
-            recorded_attempts = (
-                job.attempts_by_task.get(key.task, 0) if job else 0
-            )
-            is_over = (
-                job is None or job.is_done or job.unit != channel.worker.unit
-            )
-        if is_over or recorded_attempts > attempt.key.attempt:
-            channel.pending_stops[attempt.request.attempt_id] = None
-            self._remove(channel, attempt)
-            self._backlog.add_task(key, 0)
-            return
-        if channel.fence.phase is FencePhase.YIELDED:
-            return
-        is_lost = attempt.outcome is TaskOutcome.LOST
-        if is_lost and not self._may_keep(attempt):
-            return
-        pending = self._pending_ends_by_task.get(key)
-        if pending is not None and pending.outcome is None:
-            return
-        if attempt.outcome is not None:
-            self._pending_ends_by_task[key] = self._journal.enqueue(
-                TaskEnd(*attempt.key, attempt.outcome)
-            )
-
-    def _may_keep(self, attempt: Attempt) -> bool:
-        return self._presence_lease.may_keep_tasks(
-            attempt.request.entry, self._clock.now_ms()
-        )
+        self._end_recorder.record(channel, attempt)
 
     def _adopt_lease(
         self, channel: WorkerChannel, lease: LeaseView, now_ms: int
     ) -> None:
-        attempt_key = parse_lease_id(lease.lease_id)
-        with self._journal.locked_state() as state:
-            job = (
-                state.jobs_by_id.get(attempt_key.job_id)
-                if attempt_key
-                else None
-            )
-            versioned_entry = state.catalogue_by_name.get(lease.entry)
-        if attempt_key is None:
+        found = find_granted_attempt(self._journal, channel, lease, now_ms)
+        if found is None:
             return
-        entry = versioned_entry.entry if versioned_entry else None
-        request = TaskRequest(
-            lease.lease_id,
-            attempt_key.job_id,
-            lease.entry,
-            entry.owner if entry else "",
-            entry.work_class if entry else WorkClass.BATCH,
-            lease.resources,
-            job.spec.run_ms if job else 1,
-            now_ms,
-        )
-        worker_id = channel.worker.instance_id
-        attempt = Attempt(attempt_key, request, worker_id, lease.resources)
+        attempt = found.attempt
         self.add(channel, attempt)
-        self._scheduler.adopt(request, worker_id, lease.resources)
-        if _is_obsolete(job, attempt_key, channel):
+        self._scheduler.adopt(
+            attempt.request, attempt.worker_id, lease.resources
+        )
+        if found.is_obsolete:
             channel.pending_stops[lease.lease_id] = None
         self._observe_listed(channel, attempt, lease, now_ms)
 
-    def _remove(self, channel: WorkerChannel, attempt: Attempt) -> None:
-        channel.attempts_by_lease.pop(attempt.request.attempt_id, None)
-        channel.pending_starts.pop(attempt.request.attempt_id, None)
-        attempt_by_number = self._attempts_by_task.get(attempt.task_key, {})
-        if attempt_by_number.get(attempt.key.attempt) is attempt:
-            del attempt_by_number[attempt.key.attempt]
-        if not attempt_by_number:
-            self._attempts_by_task.pop(attempt.task_key, None)
-
-
-def _is_obsolete(
-    job: JobRecord | None, attempt_key: AttemptKey, channel: WorkerChannel
-) -> bool:
-    if job is None or job.is_done or job.unit != channel.worker.unit:
-        return True
-    return attempt_key.attempt < job.attempts_by_task.get(attempt_key.task, 0)
-
 
 def _outcome_of(request: TaskRequest, lease: LeaseView) -> TaskOutcome:
     """Return how a lease ended; for a service any end is a failure."""
