Leadership: claims and reads of the stream of states of their own

No logic changes. has_loaded is read-only. tests/ledger/test_overlapping_reads.py reaches the reader's clock, lock and mirror where they now are, with the same assertions.

--- a/src/magnoliapitch/control/leader_preparation.py
+++ b/src/magnoliapitch/control/leader_preparation.py
@@ -19,8 +19,8 @@
     from collections.abc import Callable
 
     from magnoliapitch.clock import Clock
+    from magnoliapitch.ledger.claim import Claim
     from magnoliapitch.ledger.job_follower import JobFollower
-    from magnoliapitch.ledger.leadership import Claim
     from magnoliapitch.ledger.leadership import Leadership
     from magnoliapitch.verdict import Failure
 
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -2,34 +2,30 @@
 
 from __future__ import annotations
 
-import itertools
 import threading
 
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
 from result import Err
 from result import Ok
 from result import Result
 
 from magnoliapitch.event import log_event
+from magnoliapitch.ledger.claim import PRODUCER
+from magnoliapitch.ledger.claim import Claim
+from magnoliapitch.ledger.claim import claim_records
+from magnoliapitch.ledger.claim import next_epoch
 from magnoliapitch.ledger.claim_delay import LEADER_TIMEOUT_MS
 from magnoliapitch.ledger.claim_delay import ClaimDelay
-from magnoliapitch.ledger.elapsed_clock import LeaderClock
 from magnoliapitch.ledger.leader_appender import APPEND_TIMEOUT_MS
 from magnoliapitch.ledger.leader_appender import LeaderAppender
 from magnoliapitch.ledger.leader_appender import first_sequence
 from magnoliapitch.ledger.leader_appender import with_next_sequence
-from magnoliapitch.ledger.load_view import ReadTimes
-from magnoliapitch.ledger.mirror import StreamMirror
-from magnoliapitch.ledger.records import CLOCK_KEY
 from magnoliapitch.ledger.records import LEADER_KEY
-from magnoliapitch.ledger.records import LEASE_BASIS_KEY
 from magnoliapitch.ledger.records import STATE_STREAM
-from magnoliapitch.ledger.records import TOKENS_PER_EPOCH
 from magnoliapitch.ledger.records import LeaderRecord
-from magnoliapitch.ledger.records import encode_clock
 from magnoliapitch.ledger.records import encode_leader
+from magnoliapitch.ledger.state_reader import StateReader
 from magnoliapitch.ledger.stream import KeyedRecord
 from magnoliapitch.ledger.stream import Writer
 
@@ -44,18 +40,12 @@
     from magnoliapitch.clock import Clock
     from magnoliapitch.ledger.health import StoreHealth
     from magnoliapitch.ledger.leader_appender import Batch
+    from magnoliapitch.ledger.load_view import ReadTimes
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.ledger.stream import KeyedStreams
     from magnoliapitch.verdict import Failure
 
 
-# All leaders append as the same producer, so that the store refuses a former
-# leader once it has seen a higher epoch.
-PRODUCER = "leader"
-# A claim's epoch is the next multiple of this step plus a random number below
-# it, so that claims made at the same time get different epochs. It leaves room
-# for the fencing tokens of the claim.
-EPOCH_STEP = 1 << 20
 READ_WAIT_MS = 800
 # Records accumulate between two reads, which saves calls to the store. An
 # instance that claims late does not need to notice a silent leader soon.
@@ -64,18 +54,6 @@
 RETRY_DELAY_MS = 200
 
 
-class Claim(NamedTuple):
-    """A claim of leadership that was stored.
-
-    :param sent_ms: time at which the call that stored it was sent.
-    :param clock: the shared clock, from the claim on.
-    """
-
-    record: LeaderRecord
-    sent_ms: int
-    clock: LeaderClock
-
-
 class Leadership:
     """Reads published job states and claims leadership if nobody leads.
 
@@ -87,7 +65,6 @@
         waits before it claims.
     :param address: ``IP:PORT`` at which other instances call this one.
     :ivar claim: claim under which this instance leads, or None.
-    :ivar has_loaded: whether the stream was read to its end at least once.
     """
 
     def __init__(
@@ -103,7 +80,6 @@
         address: str = "",
     ) -> None:
         self.claim: Claim | None = None
-        self.has_loaded = False
         self._streams = streams
         self._instance_id = instance_id
         self._address = address
@@ -112,12 +88,9 @@
         self._health = health
         self._random = randomness
         self._can_lead = can_lead
-        self._mirror = StreamMirror(streams, STATE_STREAM)
-        # Held while records that were read are applied, in the order read.
-        self._apply_lock = threading.Lock()
-        self._applied_end = self._mirror.end
-        self._read_numbers = itertools.count()
-        self._sent_ms_by_read: dict[int, int] = {}
+        self._reader = StateReader(
+            streams, clock, health, self._handle_changes
+        )
         no_writer = Writer(PRODUCER, 0, 0)
         self._appender = self._open_appender(no_writer, no_writer)
         self._claim_delay = ClaimDelay(
@@ -129,13 +102,15 @@
             if extra_claim_delay_ms
             else READ_INTERVAL_MS
         )
-        self._read_ms: int | None = None
-        # How long the store took for the newest read that no record ended.
-        self._read_duration_ms = 0
         # When the newest record that this instance has stored was sent.
         self._stored_ms = 0
         self._has_claimed = threading.Event()
 
+    @property
+    def has_loaded(self) -> bool:
+        """Return whether the stream was read to its end at least once."""
+        return self._reader.has_loaded
+
     def step(self) -> int:
         """Wait for new records; claim leadership if the leader is silent.
 
@@ -172,7 +147,7 @@
         """
         return (
             self._claim_delay.follows_resignation
-            and remaining_ms < self._read_duration_ms
+            and remaining_ms < self._reader.read_duration_ms
             and self._may_claim
             and self._can_lead()
         )
@@ -192,7 +167,7 @@
         now_ms = self._clock.now_ms()
         if self.claim and now_ms - self._stored_ms < LEADER_TIMEOUT_MS:
             return Ok(None)
-        read_ms = self._read_ms
+        read_ms = self._reader.read_ms
         if read_ms is not None and now_ms - read_ms < max_age_ms:
             return Ok(None)
         return self.follow()
@@ -202,49 +177,7 @@
 
         :param wait_ms: how long to wait for a first new record.
         """
-        sent_ms = self._clock.now_ms()
-        previous_ms, former_end = self._read_ms, self._mirror.end
-        read_number = next(self._read_numbers)
-        self._sent_ms_by_read[read_number] = sent_ms
-        try:
-            outcome = self._mirror.read(wait_ms)
-            if isinstance(outcome, Err):
-                self._health.note_failure(outcome.err_value)
-                return outcome
-            self._health.note_success(sent_ms)
-            if self._mirror.end == former_end:
-                waited_ms = self._clock.now_ms() - sent_ms
-                self._read_duration_ms = max(0, waited_ms - wait_ms)
-            self._read_ms = max(self._read_ms or 0, sent_ms)
-            self.has_loaded = True
-            self._apply_changes(previous_ms)
-        finally:
-            del self._sent_ms_by_read[read_number]
-        return Ok(None)
-
-    def _apply_changes(self, previous_ms: int | None) -> int:
-        """Apply the records that any thread has read.
-
-        Their age counts from the earliest read under way. The time of receipt
-        is taken after the values, so that no reading of the shared clock is
-        taken to be from before it was stored.
-
-        :param previous_ms: when the previous successful read was sent.
-        :return: offset before which all records are applied.
-        """
-        with self._apply_lock:
-            value_by_key, end = self._mirror.take_changes()
-            if value_by_key or end != self._applied_end:
-                received_ms = self._clock.now_ms()
-                sent_ms = min(
-                    self._sent_ms_by_read.copy().values(),
-                    default=received_ms,
-                )
-                values = {key: v for key, v in value_by_key.items() if v}
-                read = ReadTimes(sent_ms, previous_ms, received_ms)
-                self._handle_changes(values, value_by_key.keys(), read)
-            self._applied_end = end
-        return end
+        return self._reader.follow(wait_ms)
 
     def fence_former_leaders(self) -> Result[int, Failure]:
         """Prevent former leaders from storing progress.
@@ -316,7 +249,7 @@
         self._claim_delay.record_heard(self._state_table.leader, now_ms)
 
     def _claim_if_leader_silent(self, read_duration_ms: int) -> None:
-        end_offset = self._apply_changes(self._read_ms)
+        end_offset = self._reader.apply_changes(self._reader.read_ms)
         checked_ms = self._clock.now_ms()
         if not self._claim_delay.is_over(checked_ms, read_duration_ms):
             return
@@ -324,10 +257,7 @@
             return
         leader = self._state_table.leader
         last_epoch = leader.epoch if leader else 0
-        base_epoch = (last_epoch // EPOCH_STEP + 1) * EPOCH_STEP
-        epoch = base_epoch + self._random.randrange(
-            0, EPOCH_STEP, TOKENS_PER_EPOCH
-        )
+        epoch = next_epoch(last_epoch, self._random)
         job_offset = leader.job_offset if leader else -1
         record = LeaderRecord(
             epoch,
@@ -342,13 +272,7 @@
         )
         outcome = self._streams.append(
             STATE_STREAM,
-            [
-                KeyedRecord(LEADER_KEY, encode_leader(record)),
-                KeyedRecord(CLOCK_KEY, encode_clock(clock.stamp(now_ms))),
-                KeyedRecord(
-                    LEASE_BASIS_KEY, encode_clock(clock.claim_basis(now_ms))
-                ),
-            ],
+            claim_records(record, clock, now_ms),
             writer,
             end_offset,
             APPEND_TIMEOUT_MS,
@@ -356,7 +280,7 @@
         if isinstance(outcome, Err):
             self._handle_failed_claim(record, outcome.err_value)
             return
-        self._mirror.skip_to(outcome.ok_value.end)
+        self._reader.skip_to(outcome.ok_value.end)
         self._state_table.leader = record
         self._appender = self._open_appender(
             with_next_sequence(writer),
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -15,9 +15,9 @@
 from magnoliapitch.control.driver import ControlDriver
 from magnoliapitch.control.order_sender import OrderSender
 from magnoliapitch.control.timing import ControlTiming
+from magnoliapitch.ledger.claim import Claim
 from magnoliapitch.ledger.elapsed_clock import LeaderClock
 from magnoliapitch.ledger.job_table import JobTable
-from magnoliapitch.ledger.leadership import Claim
 from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.ledger.state_table import StateTable
 from magnoliapitch.metric import Metrics
--- a/tests/control/test_leader_preparation.py
+++ b/tests/control/test_leader_preparation.py
@@ -19,9 +19,9 @@
 from magnoliapitch.control.leader_preparation import MAX_KEEP_MS
 from magnoliapitch.control.leader_preparation import MAX_LOAD_TIMEOUT_MS
 from magnoliapitch.control.leader_preparation import LeaderPreparation
+from magnoliapitch.ledger.claim import Claim
 from magnoliapitch.ledger.elapsed_clock import LeaderClock
 from magnoliapitch.ledger.job_follower import LOAD_TIMEOUT_MS
-from magnoliapitch.ledger.leadership import Claim
 from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import may_have_run
--- a/tests/ledger/test_overlapping_reads.py
+++ b/tests/ledger/test_overlapping_reads.py
@@ -68,7 +68,7 @@
 ) -> None:
     clock = _InterruptedClock(1_000)
     leadership = make_leadership("a")
-    leadership._clock = clock
+    leadership._clock = leadership._reader._clock = clock
     leadership.follow()
     table = leadership._state_table
 
@@ -78,7 +78,7 @@
         streams.append(STATE_STREAM, [KeyedRecord(CLOCK_KEY, stamp)])
 
     def interrupt() -> None:
-        if leadership._apply_lock.locked():
+        if leadership._reader._apply_lock.locked():
             # Another thread would wait here.
             return
         clock.advance(300)
@@ -121,7 +121,7 @@
         if streams.reads == first_reads + 2:
             # Thread B reads and would claim here.
             leadership.follow()
-            at_end = leadership._mirror.end == 3
+            at_end = leadership._reader._mirror.end == 3
             seen.append(at_end and "w" in table.lease_end_by_worker)
         return found
 
