--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -14,8 +14,9 @@
 from magnoliapitch.control.permit_requester import PermitRequester
 from magnoliapitch.control.planning_summary import PlanningSummary
 from magnoliapitch.control.progress_batcher import ProgressBatcher
-from magnoliapitch.control.progress_records import fail_refused_jobs
+from magnoliapitch.control.progress_commits import ProgressCommits
 from magnoliapitch.control.reachability import WorkerReachability
+from magnoliapitch.control.renewal_answers import RenewalAnswers
 from magnoliapitch.control.reports import ReportApplier
 from magnoliapitch.control.source_ages import Source
 from magnoliapitch.control.source_ages import SourceAges
@@ -146,9 +147,6 @@
             self._start_summary,
             self.stop_leading,
         )
-        self._acks_by_worker: dict[str, int] = {}
-        self._is_commit_in_flight = False
-        self._stored_ms = claimed_ms
         self._progress_batcher = ProgressBatcher(
             self.state,
             state_table,
@@ -168,6 +166,26 @@
                 metrics,
             ),
         )
+        self._commits = ProgressCommits(
+            self.state,
+            self._progress_batcher,
+            self._report_applier,
+            self._end_acknowledger,
+            self._starts,
+            effects,
+            claimed_ms,
+        )
+        self._renewal_answers = RenewalAnswers(
+            self.state,
+            self._roster,
+            self._reachability,
+            self._report_applier,
+            self._order_answers,
+            self._order_issuer,
+            self._end_acknowledger,
+            self._progress_batcher,
+            self._is_all_stored,
+        )
         self._job_loader = JobLoader(
             self.state,
             job_table,
@@ -215,7 +233,7 @@
         They may not if the last stored record is too old, since another
         instance may lead by then.
         """
-        age_ms = now_ms - self._stored_ms
+        age_ms = now_ms - self._commits.stored_ms
         return (
             not self.is_over and age_ms <= self._timing.max_leader_silence_ms
         )
@@ -257,35 +275,7 @@
 
     def handle_report(self, event: WorkerReported) -> None:
         """Apply a worker's report of active and ended runs, or a failure."""
-        worker_id = event.worker_id
-        if worker_id not in self.state.workers_by_id:
-            # It was removed while the renewal was under way.
-            return
-        if isinstance(event.outcome, Err):
-            if not self._order_answers.handle_final_failure(
-                worker_id, event.outcome.err_value, event.received_ms
-            ):
-                self._roster.record_unanswered_renewal(
-                    worker_id, event.received_ms
-                )
-            return
-        report = event.outcome.ok_value
-        self._roster.record_report(worker_id, report)
-        self._reachability.record_answer(
-            worker_id, report.clock_ms, event.sent_ms, event.received_ms
-        )
-        applied = self._report_applier.apply(
-            worker_id, report, event.sent_ms, event.received_ms
-        )
-        for order in applied.stop_orders:
-            job_state = self._progress_batcher.published_state(
-                order.task.job_id
-            )
-            self._order_issuer.stop_unknown(worker_id, order, job_state)
-        if self._is_all_stored:
-            self._end_acknowledger.acknowledge(
-                worker_id, applied.last_end_sequence
-            )
+        self._renewal_answers.handle(event)
 
     def handle_start_answer(self, event: StartAnswered) -> None:
         """Apply the answer to a start order, or its failure."""
@@ -303,24 +293,17 @@
         They do not wait for the states, which only callers need. The jobs of
         refused records fail, and workers report the ends again.
         """
-        fail_refused_jobs(self.state, refused_keys)
-        acks_by_worker = {} if refused_keys else self._acks_by_worker
-        self._acks_by_worker = {}
-        for worker_id, sequence in acks_by_worker.items():
-            self._end_acknowledger.acknowledge(worker_id, sequence)
-        self._starts.queue.record_stored(now_ms)
-        self._starts.order_stored(now_ms)
+        self._commits.handle_progress_stored(now_ms, refused_keys)
 
     def handle_commit(self, event: Committed, now_ms: int) -> None:
         """Record that a batch is stored, with its progress and its states.
 
         A failed commit ends the leadership.
         """
-        self._is_commit_in_flight = False
+        self._commits.record_answer(event)
         if isinstance(event.outcome, Err):
             self.stop_leading(event.outcome.err_value.detail)
             return
-        self._stored_ms = max(self._stored_ms, event.sent_ms)
         deleted_ids = self._stored_leases.deleted_in_commit
         self._progress_batcher.record_stored(now_ms)
         self._roster.record_grantable(deleted_ids, now_ms)
@@ -360,7 +343,7 @@
                 if self._reachability.is_answering(stop.worker_id):
                     self._order_issuer.stop(stop, now_ms)
             self._permit_requester.request(plan.permit_requests)
-        self._commit(now_ms)
+        self._commits.begin(now_ms)
 
     def stop_leading(self, reason: str) -> None:
         """End the leadership; no more orders are issued.
@@ -371,18 +354,13 @@
             self.is_over = True
             log_event("leadership-lost", epoch=self.epoch, reason=reason)
 
-    @property
     def _is_all_stored(self) -> bool:
         """Return whether no change waits to be stored, or was not stored.
 
         The changes of a commit that has failed, which ends the leadership,
         are not known to be stored.
         """
-        return not (
-            self.is_over
-            or self._is_commit_in_flight
-            or self.state.unsaved_job_ids
-        )
+        return not (self.is_over or self._commits.has_unstored_changes)
 
     def _worker_ids_with_runs(self) -> set[str]:
         return {
@@ -395,16 +373,3 @@
         """Delete ended jobs, of which no run can be active any more."""
         self._job_table.forget_progress(job_ids)
         self._effects.delete_jobs(job_ids)
-
-    def _commit(self, now_ms: int) -> None:
-        if self._is_commit_in_flight:
-            return
-        batch = self._progress_batcher.next_batch(
-            now_ms, self._starts.queue.has_planned
-        )
-        if batch is None:
-            return
-        self._acks_by_worker = self._report_applier.take_end_sequences()
-        self._starts.queue.begin_commit(now_ms)
-        self._is_commit_in_flight = True
-        self._effects.commit(batch)
