--- a/tests/history/test_takeover.py
+++ b/tests/history/test_takeover.py
@@ -7,7 +7,7 @@
 from magnoliapitch.ownership.claimer import CLAIM_INTERVAL_MS
 from magnoliapitch.ownership.claimer import TAKEOVER_AFTER_MS
 from magnoliapitch.worker.lease import LEASE_TTL_MAX_MS
-from tests.history.simulation import UNREACHABLE
+from tests.history.environment import UNREACHABLE
 from tests.history.simulation import Simulation
 
 
--- a/tests/http/test_listener.py
+++ b/tests/http/test_listener.py
@@ -2,97 +2,16 @@
 
 import contextlib
 import socket
-import threading
 import time
 
-from typing import TYPE_CHECKING
-
 import orjson
 import pytest
 
-from magnoliapitch.http import Application
-from magnoliapitch.http import HttpLimits
-from magnoliapitch.http import HttpRequest
-from magnoliapitch.http import HttpResponse
-from magnoliapitch.http import Listener
-from magnoliapitch.http import json_response
-
-
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
-
-THREADS = 2
-LIMITS = HttpLimits(
-    body_max_bytes=1_024,
-    header_max_bytes=2_048,
-    connections=6,
-    reserve_threads=1,
-    read_timeout_ms=300,
-)
-TIMEOUT_S = 20
-
-
-class RunningServer:
-    def __init__(self, limits: HttpLimits = LIMITS) -> None:
-        self.handler_calls = 0
-        self.release_handlers = threading.Event()
-        self.application = Application(LIMITS.body_max_bytes)
-        self.listener = Listener(
-            "test", ("127.0.0.1", 0), self.application, THREADS, limits=limits
-        )
-
-        @self.application.route("POST", "/echo")
-        def echo(request: HttpRequest) -> HttpResponse:
-            self.handler_calls += 1
-            return HttpResponse(200, request.body, "text/plain")
-
-        @self.application.route("GET", "/wait")
-        def wait(request: HttpRequest) -> HttpResponse:
-            self.handler_calls += 1
-            self.release_handlers.wait(TIMEOUT_S)
-            return json_response({})
-
-        @self.application.route("GET", "/fail")
-        def fail(request: HttpRequest) -> HttpResponse:
-            raise RuntimeError("broken handler")
-
-        @self.application.route("GET", "/inject")
-        def inject(request: HttpRequest) -> HttpResponse:
-            return json_response({}, 299, (("X-Any", "a\r\nX-Evil: 1"),))
-
-    def connect(self) -> socket.socket:
-        stream = socket.create_connection(("127.0.0.1", self.listener.port))
-        stream.settimeout(TIMEOUT_S)
-        return stream
-
-    def exchange(self, data: bytes) -> tuple[int, dict[str, str], bytes]:
-        with self.connect() as stream:
-            stream.sendall(data)
-            return read_response(stream)
-
-
-def read_response(stream: socket.socket) -> tuple[int, dict[str, str], bytes]:
-    data = b""
-    while b"\r\n\r\n" not in data:
-        chunk = stream.recv(65_536)
-        assert chunk, "the connection was closed without a response"
-        data += chunk
-    head, _, body = data.partition(b"\r\n\r\n")
-    lines = head.decode("latin-1").split("\r\n")
-    headers = dict(line.split(": ", 1) for line in lines[1:])
-    while len(body) < int(headers["Content-Length"]):
-        body += stream.recv(65_536)
-    return int(lines[0].split()[1]), headers, body
-
-
-@pytest.fixture
-def server() -> Iterator[RunningServer]:
-    server = RunningServer()
-    server.listener.start()
-    yield server
-    server.release_handlers.set()
-    server.listener.stop()
+from tests.http.running_server import LIMITS
+from tests.http.running_server import PLAIN_POST
+from tests.http.running_server import THREADS
+from tests.http.running_server import RunningServer
+from tests.http.running_server import read_response
 
 
 def _post(head: str, body: bytes = b"") -> bytes:
@@ -251,116 +170,6 @@
     assert status == 408
 
 
-CHUNKED_POST = (
-    b"POST /echo HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
-)
-
-
-# Incident of issue 60: a line with a chunk's size that had no end was read
-# until the memory was used up.
-@pytest.mark.parametrize(
-    "body",
-    [
-        b"0" * 5_000,
-        b"1;" + b"a" * 5_000,
-        b"1\r\na\r\n0;" + b"a" * 5_000,
-    ],
-)
-def test_a_size_line_beyond_its_limit_is_refused(
-    server: RunningServer, body: bytes
-) -> None:
-    status, headers, problem = server.exchange(CHUNKED_POST + body)
-    assert status == 400
-    assert headers["Connection"] == "close"
-    fields = orjson.loads(problem)
-    assert fields["verdict"] == "not_run"
-    assert "longer than 4096 bytes" in fields["detail"]
-    assert server.handler_calls == 0
-
-
-# The library takes these for sizes, one of them for the end of the body.
-@pytest.mark.parametrize("size", [b"-1", b"+1", b"0_1", b" 1", b"0x1", b""])
-def test_a_chunk_size_of_other_than_digits_is_refused(
-    server: RunningServer, size: bytes
-) -> None:
-    body = size + b"\r\na\r\n0\r\n\r\n"
-    status, headers, problem = server.exchange(CHUNKED_POST + body)
-    assert status == 400
-    assert headers["Connection"] == "close"
-    assert "hexadecimal" in orjson.loads(problem)["detail"]
-    assert server.handler_calls == 0
-
-
-def test_extensions_of_chunks_are_ignored(server: RunningServer) -> None:
-    body = b"2;a=b\r\nab\r\nA ; c\r\n0123456789\r\n0;d\r\n\r\n"
-    status, _, answer = server.exchange(CHUNKED_POST + body)
-    assert (status, answer) == (200, b"ab0123456789")
-
-
-def test_many_small_chunks_are_one_body(server: RunningServer) -> None:
-    body = b"1\r\na\r\n" * 200 + b"0\r\n\r\n"
-    status, _, answer = server.exchange(CHUNKED_POST + body)
-    assert (status, answer) == (200, b"a" * 200)
-
-
-def exchange_twice(
-    server: RunningServer, first: bytes, second: bytes
-) -> list[tuple[int, dict[str, str], bytes]]:
-    """Send two requests on one connection, each after the answer before."""
-    with server.connect() as stream:
-        answers = []
-        for data in (first, second):
-            stream.sendall(data)
-            answers.append(read_response(stream))
-        return answers
-
-
-PLAIN_POST = b"POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
-
-
-# Trailers were taken for the next request, whose answer was then 400.
-@pytest.mark.parametrize(
-    "trailers", [b"", b"X-Sum: 1\r\n", b"X-Sum: 1\r\nX-Other: 2\r\n"]
-)
-def test_a_connection_goes_on_after_trailers(
-    server: RunningServer, trailers: bytes
-) -> None:
-    chunked = CHUNKED_POST + b"2\r\nab\r\n0\r\n" + trailers + b"\r\n"
-    first, second = exchange_twice(server, chunked, PLAIN_POST)
-    assert (first[0], first[2]) == (200, b"ab")
-    assert (second[0], second[2]) == (200, b"hi")
-
-
-# A trailer that spells a request was served as one: two answers to one
-# message, the second of which a proxy gives to another caller.
-def test_trailers_are_never_served_as_a_request(server: RunningServer) -> None:
-    chunked = CHUNKED_POST + b"2\r\nab\r\n0\r\n" + PLAIN_POST[:-2]
-    status, _, body = server.exchange(chunked)
-    assert (status, body) == (200, b"ab")
-    first, second = exchange_twice(server, chunked, PLAIN_POST)
-    assert (first[2], second[2]) == (b"ab", b"hi")
-    assert server.handler_calls == 3
-
-
-def test_a_connection_is_closed_if_the_end_of_trailers_is_missing(
-    server: RunningServer,
-) -> None:
-    chunked = CHUNKED_POST + b"2\r\nab\r\n0\r\nX-Sum: 1\r\n"
-    status, headers, body = server.exchange(chunked)
-    assert (status, body) == (200, b"ab")
-    assert headers["Connection"] == "close"
-
-
-@pytest.fixture
-def patient_server() -> Iterator[RunningServer]:
-    """Return a server that waits for a request for longer than its clients."""
-    limits = LIMITS._replace(read_timeout_ms=3_000 * TIMEOUT_S)
-    server = RunningServer(limits)
-    server.listener.start()
-    yield server
-    server.listener.stop()
-
-
 # Threads waited for the rest of heads, those that only refuse included, so
 # that other callers got no answer.
 @pytest.mark.parametrize("head", [b"P", b"POST /echo HTTP/1.1\r\nHost: h\r\n"])
