One piece of code where src had the same logic twice

Left: protocols and their implementations, which share signatures; rows, records and log events that are alike only in shape.

--- a/src/magnoliapitch/adapter/registry.py
+++ b/src/magnoliapitch/adapter/registry.py
@@ -6,6 +6,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Generic
+from typing import TypeVar
 
 from magnoliapitch.adapter.exceptions import UnknownAdapterError
 from magnoliapitch.journal.log import PlatformLog
@@ -15,8 +17,43 @@
 LogFactory = Callable[[str], PlatformLog]
 InstanceListFactory = Callable[[str], InstanceList]
 
-_log_factories_by_scheme: dict[str, LogFactory] = {}
-_list_factories_by_scheme: dict[str, InstanceListFactory] = {}
+AdapterT = TypeVar("AdapterT")
+
+
+class _Factories(Generic[AdapterT]):
+    """Factories of one kind of adapter, by the scheme of a URL."""
+
+    def __init__(self) -> None:
+        self._factories_by_scheme: dict[str, Callable[[str], AdapterT]] = {}
+
+    def registers(
+        self, scheme: str
+    ) -> Callable[[Callable[[str], AdapterT]], Callable[[str], AdapterT]]:
+        """Return a decorator that registers a factory for a scheme."""
+
+        def register(
+            factory: Callable[[str], AdapterT],
+        ) -> Callable[[str], AdapterT]:
+            self._factories_by_scheme[scheme] = factory
+            return factory
+
+        return register
+
+    def make(self, url: str) -> AdapterT:
+        """Build the adapter for a URL.
+
+        :raises UnknownAdapterError: if no adapter is registered for the
+            scheme.
+        """
+        scheme = url.partition(":")[0]
+        factory = self._factories_by_scheme.get(scheme)
+        if factory is None:
+            raise UnknownAdapterError(scheme, tuple(self._factories_by_scheme))
+        return factory(url)
+
+
+_log_factories: _Factories[PlatformLog] = _Factories()
+_instance_list_factories: _Factories[InstanceList] = _Factories()
 
 
 def log_adapter(scheme: str) -> Callable[[LogFactory], LogFactory]:
@@ -24,12 +61,7 @@
 
     The factory takes the whole URL.
     """
-
-    def register(factory: LogFactory) -> LogFactory:
-        _log_factories_by_scheme[scheme] = factory
-        return factory
-
-    return register
+    return _log_factories.registers(scheme)
 
 
 def instance_list_adapter(
@@ -41,12 +73,7 @@
 
     :param scheme: URL scheme that the factory serves.
     """
-
-    def register(factory: InstanceListFactory) -> InstanceListFactory:
-        _list_factories_by_scheme[scheme] = factory
-        return factory
-
-    return register
+    return _instance_list_factories.registers(scheme)
 
 
 def make_log(url: str) -> PlatformLog:
@@ -54,11 +81,7 @@
 
     :raises UnknownAdapterError: if no adapter is registered for the scheme.
     """
-    scheme = url.partition(":")[0]
-    factory = _log_factories_by_scheme.get(scheme)
-    if factory is None:
-        raise UnknownAdapterError(scheme, tuple(_log_factories_by_scheme))
-    return factory(url)
+    return _log_factories.make(url)
 
 
 def make_instance_list(url: str) -> InstanceList:
@@ -66,8 +89,4 @@
 
     :raises UnknownAdapterError: if no adapter is registered for the scheme.
     """
-    scheme = url.partition(":")[0]
-    factory = _list_factories_by_scheme.get(scheme)
-    if factory is None:
-        raise UnknownAdapterError(scheme, tuple(_list_factories_by_scheme))
-    return factory(url)
+    return _instance_list_factories.make(url)
--- a/src/magnoliapitch/catalogue/entry.py
+++ b/src/magnoliapitch/catalogue/entry.py
@@ -31,6 +31,15 @@
     SERVICE = "service"
 
 
+# Classes with a lower number are served first.
+PRIORITY_BY_CLASS = {
+    WorkClass.URGENT: 0,
+    WorkClass.SERVICE: 1,
+    WorkClass.GANG: 2,
+    WorkClass.BATCH: 3,
+}
+
+
 class ZoneCutAction(StrEnum):
     """Action on tasks in an availability zone that is cut off."""
 
--- a/src/magnoliapitch/console/catalogue.py
+++ b/src/magnoliapitch/console/catalogue.py
@@ -22,7 +22,7 @@
 from magnoliapitch.console.client import send
 from magnoliapitch.console.exceptions import CommandError
 from magnoliapitch.console.exit_code import ExitCode
-from magnoliapitch.console.output import print_table
+from magnoliapitch.console.output import print_rows
 from magnoliapitch.console.output import print_value
 
 
@@ -44,10 +44,7 @@
     rows = decode_json(send(server, HttpCall("GET", "/v1/catalogue")))[
         "entries"
     ]
-    if as_json:
-        print_value(rows, as_json)
-    else:
-        print_table(rows, LIST_COLUMNS)
+    print_rows(rows, LIST_COLUMNS, as_json)
 
 
 @catalogue.command
--- a/src/magnoliapitch/console/job.py
+++ b/src/magnoliapitch/console/job.py
@@ -14,7 +14,7 @@
 from magnoliapitch.console.client import JsonFlag
 from magnoliapitch.console.client import decode_json
 from magnoliapitch.console.client import send
-from magnoliapitch.console.output import print_table
+from magnoliapitch.console.output import print_rows
 from magnoliapitch.console.output import print_value
 
 
@@ -78,10 +78,7 @@
     :param as_json: print JSON instead of text.
     """
     rows = decode_json(send(server, HttpCall("GET", "/v1/jobs")))["jobs"]
-    if as_json:
-        print_value(rows, as_json)
-    else:
-        print_table(rows, LIST_COLUMNS)
+    print_rows(rows, LIST_COLUMNS, as_json)
 
 
 @job.command
--- a/src/magnoliapitch/console/output.py
+++ b/src/magnoliapitch/console/output.py
@@ -46,6 +46,18 @@
         print("  ".join(padded).rstrip())
 
 
+def print_rows(
+    rows: Sequence[Mapping[str, object]],
+    columns: Sequence[str],
+    as_json: bool,
+) -> None:
+    """Print rows as JSON, or some of their columns as a table."""
+    if as_json:
+        print_json(rows)
+    else:
+        print_table(rows, columns)
+
+
 def _format_cell(value: object) -> str:
     if isinstance(value, (dict, list)):
         return orjson.dumps(value).decode()
--- a/src/magnoliapitch/console/settings.py
+++ b/src/magnoliapitch/console/settings.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import TypeVar
 
 from cyclopts import App
 
@@ -16,6 +18,12 @@
 from magnoliapitch.settings.cluster import load_cluster_settings
 
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+LoadedT = TypeVar("LoadedT")
+
 settings = App(name="settings", help="Check settings files.")
 
 
@@ -48,10 +56,7 @@
 
     :raises CommandError: if the file cannot be read or is not valid.
     """
-    try:
-        return load_cluster_settings(file)
-    except InvalidSettingsError as error:
-        raise CommandError(str(error), ExitCode.INVALID_FILE) from error
+    return _load(load_cluster_settings, file)
 
 
 def read_settings(file: Path) -> Settings:
@@ -59,7 +64,11 @@
 
     :raises CommandError: if the file cannot be read or is not valid.
     """
+    return _load(load_settings, file)
+
+
+def _load(load: Callable[[Path], LoadedT], file: Path) -> LoadedT:
     try:
-        return load_settings(file)
+        return load(file)
     except InvalidSettingsError as error:
         raise CommandError(str(error), ExitCode.INVALID_FILE) from error
--- a/src/magnoliapitch/decision/first_fit.py
+++ b/src/magnoliapitch/decision/first_fit.py
@@ -6,7 +6,7 @@
 
 from typing import TYPE_CHECKING
 
-from magnoliapitch.catalogue.entry import WorkClass
+from magnoliapitch.catalogue.entry import PRIORITY_BY_CLASS
 from magnoliapitch.decision.interface import Decision
 from magnoliapitch.decision.interface import Explanation
 from magnoliapitch.decision.interface import Placement
@@ -21,18 +21,11 @@
     from collections.abc import Mapping
 
     from magnoliapitch.catalogue.entry import CatalogueEntry
+    from magnoliapitch.catalogue.entry import WorkClass
     from magnoliapitch.job.spec import TaskOutcome
     from magnoliapitch.policy.options import PolicyOptions
 
 
-PRIORITY_BY_CLASS = {
-    WorkClass.URGENT: 0,
-    WorkClass.SERVICE: 1,
-    WorkClass.GANG: 2,
-    WorkClass.BATCH: 3,
-}
-
-
 class FirstFitScheduler:
     """Scheduler that places the head of the queue on the first fitting worker.
 
--- a/src/magnoliapitch/job/end_recorder.py
+++ b/src/magnoliapitch/job/end_recorder.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.job.granted_attempt import is_obsolete
 from magnoliapitch.job.spec import TaskOutcome
 from magnoliapitch.journal.record import TaskEnd
 from magnoliapitch.ownership.fence import FencePhase
@@ -53,13 +54,8 @@
         key = attempt.task_key
         with self._journal.locked_state() as state:
             job = state.jobs_by_id.get(key.job_id)
-            recorded_attempts = (
-                job.attempts_by_task.get(key.task, 0) if job else 0
-            )
-            is_over = (
-                job is None or job.is_done or job.unit != channel.worker.unit
-            )
-        if is_over or recorded_attempts > attempt.key.attempt:
+            needs_no_record = is_obsolete(job, attempt.key, channel)
+        if needs_no_record:
             channel.pending_stops[attempt.request.attempt_id] = None
             self._attempts.remove(channel, attempt)
             self._backlog.add_task(key, 0)
--- a/src/magnoliapitch/job/granted_attempt.py
+++ b/src/magnoliapitch/job/granted_attempt.py
@@ -22,8 +22,7 @@
 class GrantedAttempt(NamedTuple):
     """Attempt of a lease that a worker has reported.
 
-    :param is_obsolete: whether its job has ended, belongs to another rack or
-        is past this attempt.
+    :param is_obsolete: whether it can change nothing any more.
     """
 
     attempt: Attempt
@@ -59,13 +58,20 @@
     worker_id = channel.worker.instance_id
     return GrantedAttempt(
         Attempt(attempt_key, request, worker_id, lease.resources),
-        _is_obsolete(job, attempt_key, channel),
+        is_obsolete(job, attempt_key, channel),
     )
 
 
-def _is_obsolete(
+def is_obsolete(
     job: JobRecord | None, attempt_key: AttemptKey, channel: WorkerChannel
 ) -> bool:
+    """Return whether an attempt can change nothing any more.
+
+    Its job has ended or belongs to another rack, or its end is recorded.
+
+    :param job: record of its job, None if there is none any more.
+    :param channel: channel of the worker that it is on.
+    """
     if job is None or job.is_done or job.unit != channel.worker.unit:
         return True
     return attempt_key.attempt < job.attempts_by_task.get(attempt_key.task, 0)
--- a/src/magnoliapitch/planner/expected_starts.py
+++ b/src/magnoliapitch/planner/expected_starts.py
@@ -113,8 +113,7 @@
 
     def add(task: TrackedTask, start_ms: int, down_since_ms: int) -> None:
         if _is_due(task.step, start_ms, now_ms):
-            key = task.step.key
-            start = expected.setdefault(key, ExpectedStart(task.step, now_ms))
+            start = _start_of(task.step, expected, now_ms)
             start.add(task, start_ms, down_since_ms)
 
     for run, lost_at_ms in lost_runs:
@@ -137,8 +136,7 @@
     found: dict[StepKey, ExpectedStart] = {}
 
     def add(task: TrackedTask, start_ms: int, down_since_ms: int) -> None:
-        key = task.step.key
-        start = found.setdefault(key, ExpectedStart(task.step, now_ms))
+        start = _start_of(task.step, found, now_ms)
         start.add(task, start_ms, down_since_ms)
 
     for run, lost_at_ms in lost_runs:
@@ -194,6 +192,13 @@
     return ordered
 
 
+def _start_of(
+    step: TrackedStep, starts: dict[StepKey, ExpectedStart], now_ms: int
+) -> ExpectedStart:
+    """Return the start of a step, which is added if there is none yet."""
+    return starts.setdefault(step.key, ExpectedStart(step, now_ms))
+
+
 def _waits_as_service(task: TrackedTask) -> bool:
     step = task.step
     return (
--- a/src/magnoliapitch/request/request_queue.py
+++ b/src/magnoliapitch/request/request_queue.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from magnoliapitch.catalogue.entry import WorkClass
+from magnoliapitch.catalogue.entry import PRIORITY_BY_CLASS
 
 
 if TYPE_CHECKING:
@@ -17,12 +17,6 @@
     from magnoliapitch.membership.instance import InstanceInfo
 
 
-PRIORITY_BY_CLASS = {
-    WorkClass.URGENT: 0,
-    WorkClass.SERVICE: 1,
-    WorkClass.GANG: 2,
-    WorkClass.BATCH: 3,
-}
 GRANT_POLL_INTERVAL_MS = 50
 RETRY_AFTER_MIN_MS = 100
 
