Wording of what this part touches: the field's usual terms

Comments of leader_preparation.py, leadership.py, granted_attempt.py and tests/control/test_leader_preparation.py that were figurative or inexact.

--- a/src/magnoliapitch/control/leader_preparation.py
+++ b/src/magnoliapitch/control/leader_preparation.py
@@ -27,9 +27,10 @@
 
 # Others claim after a second without a record.
 KEEP_INTERVAL_MS = 300
-# An instance that can store but not read gives way to others after this time.
+# An instance that can store but not read stops renewing its claim after this
+# time, so that another one can lead.
 MAX_KEEP_MS = 10_000
-# A whole read is given the time of this many appends.
+# The timeout of a full read is the duration of an append times this.
 LOAD_TIMEOUT_FACTOR = 20
 MAX_LOAD_TIMEOUT_MS = 8_000
 RETRY_DELAY_MS = 50
--- a/src/magnoliapitch/job/granted_attempt.py
+++ b/src/magnoliapitch/job/granted_attempt.py
@@ -22,7 +22,7 @@
 class GrantedAttempt(NamedTuple):
     """Attempt of a lease that a worker has reported.
 
-    :param is_obsolete: whether it can change nothing any more.
+    :param is_obsolete: whether its end needs no record any more.
     """
 
     attempt: Attempt
@@ -65,9 +65,10 @@
 def is_obsolete(
     job: JobRecord | None, attempt_key: AttemptKey, channel: WorkerChannel
 ) -> bool:
-    """Return whether an attempt can change nothing any more.
+    """Return whether the end of an attempt needs no record any more.
 
-    Its job has ended or belongs to another rack, or its end is recorded.
+    That is so if its job has ended or belongs to another rack, or if the end
+    is recorded.
 
     :param job: record of its job, None if there is none any more.
     :param channel: channel of the worker that it is on.
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -158,7 +158,7 @@
         return self.claim
 
     def refresh(self, max_age_ms: int) -> Result[None, Failure]:
-        """Read the stream of states unless that was done a moment ago.
+        """Read the stream of states unless the last read is recent enough.
 
         The leader's own table is up to date until another one may claim.
 
@@ -223,7 +223,7 @@
         claim = self.claim
         if claim is None:
             return
-        # The newest record, which has the leader's position in the jobs.
+        # The newest record has the offset up to which jobs were added.
         newest = self._state_table.leader or claim.record
         record = newest._replace(has_resigned=True)
         outcome = self._appender.append_states(
--- a/tests/control/test_leader_preparation.py
+++ b/tests/control/test_leader_preparation.py
@@ -101,7 +101,7 @@
     assert store.timeouts_ms == [LOAD_TIMEOUT_MS]
 
 
-# A slow store was taken for one that is away after 2 s.
+# A slow store was taken for an unavailable one after 2 s.
 def test_a_slow_store_is_waited_for_with_the_claim_kept(store: Store) -> None:
     store.append_ms = 240
     store.load_ms = 4_500
@@ -122,7 +122,7 @@
     assert store.timeouts_ms == [LOAD_TIMEOUT_MS, 2 * LOAD_TIMEOUT_MS]
 
 
-# It would hold a place that another instance could fill.
+# It would keep an instance that can read from leading.
 def test_a_leader_that_can_store_but_not_read_gives_way(store: Store) -> None:
     store.load_ms = 10 * MAX_LOAD_TIMEOUT_MS
     assert store.prepare().is_err()
