Keep other jobs off one worker in eight at most for suspects

Callers saw several jobs with nothing running for seconds beside many free cores: the first call for advice about a step named few of the workers.

Cause: a worker on which a suspect runs is kept from all other jobs, and not even asked about. Only the workers kept free for suspects that wait were limited to an eighth; those on which suspects run were not. After two waves of crashes most tasks are suspects, each with a worker to itself, those that last for as long as they run, and the counts are stored, so that each next leader goes on with it.

Change: both kinds together take an eighth of the workers at most. Suspects lost with the most workers come first, then those that run apart already, then the newest runs. A run that was active for 60 s, which is blamed for nothing, needs no worker to itself.

In virtual time (24 workers, 20 suspects of 20 jobs, 8 s of calm) 20 workers were kept from other jobs. tests/control/test_room_beside_suspects.py failed before in all four cases (1 of 10 jobs, or 4 of 10, without a start after 3 s) and passes now.

tests/planner, test_worker_crashes_under_faults.py and test_worker_restarts_under_faults.py pass (PYTHONHASHSEED=0).

--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -205,10 +205,7 @@
                 for candidate in allowed
                 if self._kept_room.leaves_room(candidate, step)
             ]
-        worker_count = len(self._workers.candidates_by_id)
-        return self._isolation.select(
-            step, allowed, worker_count, self._now_ms
-        )
+        return self._isolation.select(step, allowed, self._now_ms)
 
     def has_ticket(
         self, step: TrackedStep, candidate: Candidate, delay_ms: int = 0
--- a/src/magnoliapitch/planner/worker_isolation.py
+++ b/src/magnoliapitch/planner/worker_isolation.py
@@ -8,19 +8,22 @@
 from magnoliapitch.planner.candidates import free_task_count
 from magnoliapitch.planner.candidates import idle_task_count
 from magnoliapitch.planner.tracked_task import MIN_SUSPECT_LOSSES
+from magnoliapitch.planner.worker_loss import is_harmless
 
 
 if TYPE_CHECKING:
     from magnoliapitch.planner.candidates import Candidate
     from magnoliapitch.planner.candidates import CandidateWorkers
     from magnoliapitch.planner.scheduler_state import SchedulerState
+    from magnoliapitch.planner.tracked import TrackedRun
     from magnoliapitch.planner.tracked import TrackedStep
     from magnoliapitch.planner.tracked_job import TrackedJob
     from magnoliapitch.planner.tracked_task import TrackedTask
     from magnoliapitch.workload.job import StepKey
 
 
-# Share of the workers that may be kept free while their other runs end.
+# Share of the workers that other jobs may be kept off, while a suspect runs
+# there or while other runs end.
 MAX_KEPT_SHARE = 0.125
 # Services may never free a worker, so that a task is then placed beside them.
 MAX_WAIT_MS = 10_000
@@ -34,9 +37,16 @@
     If such a task ends another worker, nobody else is harmed, and it is
     certain which job did it. Tasks of one job share workers, so that a gang
     needs few of them.
+
+    Where many tasks are suspects, most are innocent. Those that were lost
+    with the most workers are then kept apart, and the others run beside
+    other jobs, so that these still have room.
     """
 
     def __init__(self) -> None:
+        # The two below have at most ``_max_count`` workers together.
+        self._max_count = 0
+        self._running_ids: set[str] = set()
         self._job_by_worker: dict[str, TrackedJob] = {}
         self._waiting_since_ms_by_job: dict[str, int] = {}
         self._waiting_steps: set[StepKey] = set()
@@ -52,6 +62,9 @@
         state.forget_ended_suspects()
         self._waiting_steps = set()
         self._held_by_step = {}
+        worker_count = len(workers.candidates_by_id)
+        self._max_count = max(1, int(worker_count * MAX_KEPT_SHARE))
+        running: list[TrackedRun] = []
         waiting_by_id: dict[str, TrackedJob] = {}
         for task in state.suspects_by_key.values():
             job = task.step.job
@@ -62,8 +75,8 @@
                     held.add(task)
                 else:
                     self._waiting_steps.add(task.step.key)
-            for run in task.active_runs:
-                _reserve(workers, run.worker_id, job)
+            running += task.active_runs
+        self._reserve_running(workers, running, now_ms)
         silent = _services_on_silent_workers(state)
         kept_ids = waiting_by_id.keys() | {
             step.job.spec.job_id for step in silent
@@ -74,8 +87,9 @@
             if job.spec.job_id in kept_ids
             and worker_id in workers.candidates_by_id
         }
+        self._limit_kept()
         for worker_id, job in self._job_by_worker.items():
-            _reserve(workers, worker_id, job)
+            workers.candidates_by_id[worker_id].reserved_for = job
         self._waiting_since_ms_by_job = {
             job_id: self._waiting_since_ms_by_job.get(job_id, now_ms)
             for job_id in waiting_by_id
@@ -84,6 +98,42 @@
         for step, count in silent.items():
             self._keep_ahead(step, workers, count)
 
+    def _reserve_running(
+        self,
+        workers: CandidateWorkers,
+        running: list[TrackedRun],
+        now_ms: int,
+    ) -> None:
+        """Keep other jobs off the workers of suspects, the worst ones first.
+
+        :param running: the active runs of suspects.
+        """
+        self._running_ids = set()
+        ranked = sorted(
+            (_isolation_rank(run, candidate), number)
+            for number, run in enumerate(running)
+            if (candidate := workers.candidates_by_id.get(run.worker_id))
+            and not is_harmless(run, now_ms)
+        )
+        for _, number in ranked:
+            if len(self._running_ids) >= self._max_count:
+                return
+            run = running[number]
+            candidate = workers.candidates_by_id[run.worker_id]
+            if candidate.reserved_for is None:
+                candidate.reserved_for = run.task.step.job
+                self._running_ids.add(run.worker_id)
+
+    def _limit_kept(self) -> None:
+        """Give back workers that are kept free beyond those allowed."""
+        kept = [
+            (worker_id, job)
+            for worker_id, job in self._job_by_worker.items()
+            if worker_id not in self._running_ids
+        ]
+        max_count = self._max_count - len(self._running_ids)
+        self._job_by_worker = dict(kept[:max_count])
+
     def _keep_ahead(
         self, step: TrackedStep, workers: CandidateWorkers, count: int
     ) -> None:
@@ -91,7 +141,6 @@
 
         :param count: number of these tasks.
         """
-        worker_count = len(workers.candidates_by_id)
         job = step.job
         rest: list[Candidate] = []
         candidates = (
@@ -106,10 +155,10 @@
                 rest.append(candidate)
         for candidate in rest:
             if count > 0 and _is_free(candidate, job):
-                self._keep([candidate], worker_count, job)
+                self._keep([candidate], job)
                 count -= idle_task_count(candidate, step)
         if count > 0:
-            self._keep_more(step, rest, count, worker_count)
+            self._keep_more(step, rest, count)
 
     def startable_count(self, step: TrackedStep) -> int:
         """Return how many tasks of a step may start in this round."""
@@ -127,13 +176,11 @@
         self,
         step: TrackedStep,
         candidates: list[Candidate],
-        worker_count: int,
         now_ms: int,
     ) -> list[Candidate]:
         """Return the workers on which a step may be placed now.
 
         :param candidates: workers that may run the step.
-        :param worker_count: number of workers that take new runs.
         """
         if step.spec.is_gang and step.key in self._held_by_step:
             return []
@@ -146,10 +193,10 @@
         count = self.startable_count(step) - sum(
             free_task_count(candidate, step) for candidate in free
         )
-        self._keep(free, worker_count, job)
+        self._keep(free, job)
         if count <= 0:
             return free
-        kept_count = self._keep_more(step, candidates, count, worker_count)
+        kept_count = self._keep_more(step, candidates, count)
         if kept_count and not self._is_overdue(step, now_ms):
             return free
         return candidates
@@ -176,7 +223,6 @@
         step: TrackedStep,
         candidates: list[Candidate],
         count: int,
-        worker_count: int,
     ) -> int:
         """Keep busy workers free until their runs have ended.
 
@@ -196,18 +242,19 @@
         for candidate in by_free_cpu:
             if count <= 0:
                 break
-            self._keep([candidate], worker_count, step.job)
+            self._keep([candidate], step.job)
             count -= idle_task_count(candidate, step)
         return sum(job is step.job for job in self._job_by_worker.values())
 
-    def _keep(
-        self, candidates: list[Candidate], worker_count: int, job: TrackedJob
-    ) -> None:
-        max_count = max(1, int(worker_count * MAX_KEPT_SHARE))
+    def _keep(self, candidates: list[Candidate], job: TrackedJob) -> None:
+        max_count = self._max_count - len(self._running_ids)
         for candidate in candidates:
+            worker_id = candidate.worker.worker_id
+            if worker_id in self._running_ids:
+                continue
             if len(self._job_by_worker) >= max_count:
                 return
-            self._job_by_worker[candidate.worker.worker_id] = job
+            self._job_by_worker[worker_id] = job
             candidate.reserved_for = job
 
 
@@ -227,12 +274,22 @@
     )
 
 
-def _reserve(
-    workers: CandidateWorkers, worker_id: str, job: TrackedJob
-) -> None:
-    candidate = workers.candidates_by_id.get(worker_id)
-    if candidate is not None:
-        candidate.reserved_for = job
+def _isolation_rank(
+    run: TrackedRun, candidate: Candidate
+) -> tuple[int, bool, int, str]:
+    """Return a sort key that puts the runs to be kept apart first.
+
+    Among those that were lost with equally many workers, the ones that run
+    apart already come first, and of these the newest: the longer a run is
+    active, the less probably it ends its worker.
+    """
+    is_apart = candidate.worker.runs_only(run.task.step.job)
+    return (
+        -run.task.lost_worker_count,
+        not is_apart,
+        -run.ordered_ms,
+        run.worker_id,
+    )
 
 
 def _is_free(candidate: Candidate, job: TrackedJob) -> bool:
