Let no suspect stand still for 10 s beside much room

Callers saw a job with nothing running for longer than 3 s, with room for it many times over.

Cause: a task that was lost with two workers waits for a worker without other jobs. If each worker runs something, however little, it waited for up to 10 s until one was free (a service for 1 s).

Change: it waits for 1.5 s, which leaves time for a call for advice.

In virtual time (8 workers with a small task each) the third start came 10.1 s after the worker of the second one was back, and comes after 1.6 s now. test_no_suspect_stands_still_beside_much_room failed before.

--- a/src/magnoliapitch/planner/worker_isolation.py
+++ b/src/magnoliapitch/planner/worker_isolation.py
@@ -25,8 +25,9 @@
 # Share of the workers that other jobs may be kept off, while a suspect runs
 # there or while other runs end.
 MAX_KEPT_SHARE = 0.125
-# Services may never free a worker, so that a task is then placed beside them.
-MAX_WAIT_MS = 10_000
+# Workers may not become free for long, so that a task is then placed beside
+# other jobs. A job may stand still for 3 s, with a call for advice after it.
+MAX_WAIT_MS = 1_500
 # A service is down while it waits.
 MAX_SERVICE_WAIT_MS = 1_000
 
--- a/tests/control/test_room_beside_suspects.py
+++ b/tests/control/test_room_beside_suspects.py
@@ -86,3 +86,31 @@
     standing = [task.job_id for task in tasks if not simulation.starts[task]]
     assert standing == []
     assert simulation.violations == []
+
+
+# Incident LOST: a suspect waited for a worker without other jobs for up to
+# 10 s, although every worker had room beside them.
+def test_no_suspect_stands_still_beside_much_room() -> None:
+    simulation = Simulation([queue("q")], workers(8))
+    simulation.actual_duration_ms = lambda _: 1e9
+    simulation.restart_delay_ms = 1_000
+    suspect = _submit(simulation, "suspect", StepSpec(1, SIZE))
+    _run_until_started(simulation, [suspect], 1)
+    _occupy(simulation)
+    for start_count in (2, 3):
+        for worker in list(simulation.workers.values()):
+            if suspect in worker.running:
+                worker.crash()
+        simulation.run(simulation.restart_delay_ms)
+        _occupy(simulation)
+        simulation.run(1_000 + MAX_WAIT_MS)
+        assert simulation.starts[suspect] == start_count
+    assert simulation.violations == []
+
+
+def _occupy(simulation: Simulation) -> None:
+    """Let a small task of another job run on every worker."""
+    number = len(simulation.specs)
+    step = StepSpec(8, SIZE, max_per_worker=1)
+    simulation.submit(JobSpec(f"other{number}", "q", "text", (step,)))
+    simulation.run(200)
