--- a/src/magnoliapitch/control/planning_summary.py
+++ b/src/magnoliapitch/control/planning_summary.py
@@ -49,6 +49,7 @@
         self._permit_request_count = 0
         self._no_order_count = 0
         self._no_call_count = 0
+        self._max_kept_apart = 0
         self._start_count_by_queue: Counter[str] = Counter()
 
     def record(
@@ -69,6 +70,9 @@
         self._permit_request_count += len(plan.permit_requests)
         for start in plan.starts:
             self._count_start(start)
+        self._max_kept_apart = max(
+            self._max_kept_apart, plan.workers_kept_apart
+        )
         self._no_order_count += max_starts <= len(plan.starts)
         self._no_call_count += max_calls <= len(plan.permit_requests)
         if now_ms - self._logged_ms >= SUMMARY_INTERVAL_MS:
@@ -101,6 +105,7 @@
             waiting=self._describe_waiting(now_ms),
             workers=len(self._state.workers_by_id),
             usable_workers=len(usable),
+            workers_kept_apart=self._max_kept_apart,
             free_cpu_millis=sum(worker.free.cpu_millis for worker in usable),
             runs_to_stop=len(self._state.runs_to_stop),
         )
--- a/src/magnoliapitch/planner/plan.py
+++ b/src/magnoliapitch/planner/plan.py
@@ -74,6 +74,8 @@
     :param unexamined_steps: number of waiting steps that the round did not
         come to.
     :param workspace_waits: what waits because of quotas and shares.
+    :param workers_kept_apart: number of workers that other jobs are kept off
+        for tasks that may end their workers.
     """
 
     starts: tuple[PlannedStart, ...] = ()
@@ -81,3 +83,4 @@
     permit_requests: tuple[PlannedPermitRequest, ...] = ()
     unexamined_steps: int = 0
     workspace_waits: WorkspaceWaits = WorkspaceWaits()
+    workers_kept_apart: int = 0
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -200,6 +200,7 @@
             permit_budget.requests(),
             len(ranked_steps) - examined_count - workspace_round.held_count,
             workspace_round.waits(),
+            self._isolation.kept_count,
         )
 
     def _place(
--- a/src/magnoliapitch/planner/worker_isolation.py
+++ b/src/magnoliapitch/planner/worker_isolation.py
@@ -53,6 +53,11 @@
         self._waiting_steps: set[StepKey] = set()
         self._held_by_step: dict[StepKey, set[TrackedTask]] = {}
 
+    @property
+    def kept_count(self) -> int:
+        """Return the number of workers that some jobs are kept off."""
+        return len(self._running_ids | self._job_by_worker.keys())
+
     def begin_round(
         self,
         state: SchedulerState,
--- a/tests/planner/test_worker_isolation.py
+++ b/tests/planner/test_worker_isolation.py
@@ -78,6 +78,15 @@
     assert fixture.plan(10) == {}
 
 
+def test_a_plan_counts_the_workers_that_other_jobs_are_kept_off() -> None:
+    fixture = Fixture(2, StepSpec(1, SIZE))
+    fixture.end_run("w001")
+    assert fixture.plan(0) == {"suspect": "w001"}
+    fixture.submit("large", StepSpec(1, Resources(30_000, 4_000)))
+    plan = fixture.planner.plan(fixture.state, 10, 10)
+    assert plan.workers_kept_apart == 1
+
+
 def test_a_suspect_does_not_wait_for_workers_that_run_services() -> None:
     fixture = Fixture(2, StepSpec(1, SIZE, is_long_running=True))
     assert list(fixture.plan(0)) == ["suspect"]
