The own channel takes long calls below four usable peers

Cause: with three of six peers gone, the three that are left carry the calls of a usual load only just, while the own channel is idle for long calls. Change: MIN_PEERS_FOR_LONG_CALLS 4. Conclusion: a short call may wait for one long call where fewer than four peers answer.

--- a/src/magnoliapitch/advice/channels.py
+++ b/src/magnoliapitch/advice/channels.py
@@ -36,7 +36,7 @@
 
 # With fewer peers, the instance's own channel would be too large a part of all
 # channels to be kept for short calls.
-MIN_PEERS_FOR_LONG_CALLS = 3
+MIN_PEERS_FOR_LONG_CALLS = 4
 # An instance answers a probe within milliseconds, unless it is gone.
 PROBE_TIMEOUT_MS = 500
 
