Log line step-waiting tells which gate keeps a step

Cause: with a job that has nothing running beside room, the lines did not tell whether calls to the advisor, room on permitted workers, workers that are not used, room kept for others or a hold kept its step (rule LOST).

Change: about once a second the 8 steps that have had no run for longest, over 1 s, are logged with the counts of each gate and the first one that is closed. All is derived from the state at that moment; new are only the calls that failed in a row, and a reference to what the newest round has left.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -23,6 +23,7 @@
 from magnoliapitch.control.start_summary import StartSummary
 from magnoliapitch.control.stored_leases import StoredLeases
 from magnoliapitch.control.stored_old_runs import StoredOldRuns
+from magnoliapitch.control.waiting_report import WaitingReport
 from magnoliapitch.control.worker_roster import WorkerRoster
 from magnoliapitch.control.worker_tokens import WorkerTokens
 from magnoliapitch.event import log_event
@@ -127,6 +128,13 @@
         self._planning_summary = PlanningSummary(
             self.state, claimed_ms, metrics
         )
+        self._waiting_report = WaitingReport(
+            self.state,
+            self.planner,
+            self._roster,
+            self._permit_requester,
+            claimed_ms,
+        )
         self._starts = StartDispatcher(
             self._source_ages,
             self._order_issuer,
@@ -326,9 +334,9 @@
         self._roster.record_grantable(deleted_ids, now_ms)
         self.handle_progress_stored(now_ms)
 
-    def handle_permits(self, event: PermitsAnswered) -> None:
+    def handle_permits(self, event: PermitsAnswered, now_ms: int) -> None:
         """Record the permits that the advisor gave, or log its failure."""
-        self._permit_requester.handle_answer(event)
+        self._permit_requester.handle_answer(event, now_ms)
 
     def run_round(self, now_ms: int, wall_ms: int) -> None:
         """Plan a round, issue its actions and commit the changes.
@@ -352,6 +360,7 @@
             self._starts.queue.max_unanswered(max_orders, now_ms),
         )
         self._planning_summary.record(plan, max_calls, max_starts, now_ms)
+        self._waiting_report.log_if_due(plan, max_starts, now_ms)
         self._start_summary.log_if_due(now_ms)
         if self.may_issue_orders(now_ms):
             self._order_issuer.record_planned(plan.starts, now_ms)
--- a/src/magnoliapitch/control/event_dispatch.py
+++ b/src/magnoliapitch/control/event_dispatch.py
@@ -115,8 +115,10 @@
 
 
 @_handles(PermitsAnswered)
-def _handle_permits(event: PermitsAnswered, leading: Leading, _: int) -> None:
-    leading.controller.handle_permits(event)
+def _handle_permits(
+    event: PermitsAnswered, leading: Leading, now_ms: int
+) -> None:
+    leading.controller.handle_permits(event, now_ms)
 
 
 @_handles(ConfigurationChanged)
--- a/src/magnoliapitch/control/worker_roster.py
+++ b/src/magnoliapitch/control/worker_roster.py
@@ -8,6 +8,7 @@
 from magnoliapitch.control.unproven_losses import UnprovenLosses
 from magnoliapitch.control.unreported_losses import UnreportedLoss
 from magnoliapitch.control.unreported_losses import UnreportedLosses
+from magnoliapitch.control.unusable_cause import UnusableCause
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.evacuation import evacuate_services
 from magnoliapitch.planner.worker_loss import count_crash
@@ -208,12 +209,29 @@
                 self._lose_runs_if_leases_expired(worker, now_ms)
 
     def _is_usable(self, worker_id: str, now_ms: int) -> bool:
-        return (
-            worker_id in self.info_by_id
-            and self._reachability.is_reachable(worker_id, now_ms)
-            and self._reachability.may_grant(worker_id)
-            and not self._planner.worker_backoff.is_avoided(worker_id, now_ms)
-        )
+        return self._call_cause(worker_id, now_ms) is None
+
+    def unusable_cause(
+        self, worker: TrackedWorker, now_ms: int
+    ) -> UnusableCause | None:
+        """Return the first cause for which a worker takes no new runs."""
+        cause = self._call_cause(worker.worker_id, now_ms)
+        if cause is None and worker.is_leaving:
+            return UnusableCause.LEAVING
+        if cause is None and worker.unknown_run_count:
+            return UnusableCause.UNKNOWN_RUNS
+        return cause
+
+    def _call_cause(self, worker_id: str, now_ms: int) -> UnusableCause | None:
+        if worker_id not in self.info_by_id:
+            return UnusableCause.UNLISTED
+        if not self._reachability.is_reachable(worker_id, now_ms):
+            return UnusableCause.SILENT
+        if not self._reachability.may_grant(worker_id):
+            return UnusableCause.LEASE_END_STORED
+        if self._planner.worker_backoff.is_avoided(worker_id, now_ms):
+            return UnusableCause.AVOIDED
+        return None
 
     def _record_silence(self, worker: TrackedWorker, now_ms: int) -> None:
         """Log and store until when the runs of a silent worker wait."""
--- a/src/magnoliapitch/event/planning_definitions.py
+++ b/src/magnoliapitch/event/planning_definitions.py
@@ -26,6 +26,12 @@
     "What the leader's planning rounds of about one second did, and what "
     "waits; see docs/OPERATIONS.md.",
 )
+define_event(
+    "step-waiting",
+    EventLevel.INFO,
+    "A step has had no run for over a second although its tasks may start; "
+    "tells which gate keeps it; see docs/OPERATIONS.md.",
+)
 define_event(
     "start-summary",
     EventLevel.INFO,
--- a/src/magnoliapitch/planner/kept_room.py
+++ b/src/magnoliapitch/planner/kept_room.py
@@ -96,6 +96,10 @@
         count = max(1, free_task_count(candidate, step))
         return step.reservation.times(count).fits(self._left(candidate))
 
+    def is_kept_on(self, worker_id: str) -> bool:
+        """Return whether room is kept on a worker."""
+        return worker_id in self._kept_by_worker
+
     def _left(self, candidate: Candidate) -> Resources:
         """Return what neither a service nor a kept task uses of a worker."""
         worker_id = candidate.worker.worker_id
--- a/src/magnoliapitch/planner/permit_budget.py
+++ b/src/magnoliapitch/planner/permit_budget.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from magnoliapitch.planner.fair_shares import fair_shares
 
@@ -28,6 +29,21 @@
 URGENT = ""
 
 
+class CallUse(NamedTuple):
+    """Calls to the advisor in a round, as a step's queue finds them.
+
+    :param left: calls that the round has left.
+    :param used: calls of the queue, those under way included.
+    :param share: calls that the queue may use.
+    :param awaiting_tasks: tasks of the queue that wait for permits.
+    """
+
+    left: int
+    used: int
+    share: int
+    awaiting_tasks: int
+
+
 class PermitBudget:
     """Divides the calls to the advisor between the queues.
 
@@ -111,6 +127,16 @@
         calls = self._call_count_by_queue[queue_name]
         return calls < self._share_by_queue.get(queue_name, 0)
 
+    def use_of(self, step: TrackedStep) -> CallUse:
+        """Return how a step's queue has used its calls."""
+        queue_name = self._queue_name(step)
+        return CallUse(
+            self._remaining_calls,
+            self._call_count_by_queue[queue_name],
+            self._share_by_queue.get(queue_name, 0),
+            self._awaiting_count_by_queue[queue_name],
+        )
+
     def record_awaiting(self, step: TrackedStep) -> None:
         """Count the tasks of a step that has a call under way."""
         queue_name = self._queue_name(step)
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -26,6 +26,7 @@
 from magnoliapitch.planner.preemption import Preemption
 from magnoliapitch.planner.ranking import is_urgent
 from magnoliapitch.planner.ranking import rank_of
+from magnoliapitch.planner.round_left import RoundLeft
 from magnoliapitch.planner.straggler import Stragglers
 from magnoliapitch.planner.worker_backoff import WorkerBackoff
 from magnoliapitch.planner.worker_isolation import WorkerIsolation
@@ -57,10 +58,13 @@
     :ivar learned_durations: the same with ``worker_speeds`` on, else None.
     :ivar may_preempt: whether a waiting step may preempt runs; for example,
         not one that a quota holds back.
+    :ivar left: what the newest round has left; None if there was nothing to
+        place.
     """
 
     def __init__(self, options: PlanningOptions = DEFAULT_OPTIONS) -> None:
         self.options = options
+        self.left: RoundLeft | None = None
         self._moving_average = MovingAverage()
         self.learned_durations = (
             LearnedDurations() if options.worker_speeds else None
@@ -130,6 +134,7 @@
             without an answer at the same time; by default as many as can be
             sent now.
         """
+        self.left = None
         state.open_due_steps(now_ms, wall_ms)
         self.duration_estimator.refresh(state.workers_by_id, now_ms)
         stragglers: list[TrackedRun] = []
@@ -194,6 +199,12 @@
                 now_ms,
                 max_starts - len(planning_round.starts),
             )
+        self.left = RoundLeft(
+            planning_round.workers,
+            permit_budget,
+            workspace_round,
+            self._kept_room,
+        )
         return Plan(
             tuple(planning_round.starts),
             self._planned_stops(state),
--- a/tests/control/simulated_effects.py
+++ b/tests/control/simulated_effects.py
@@ -241,7 +241,8 @@
             )
             if self._is_current():
                 simulation.controller.handle_permits(
-                    PermitsAnswered(request, Ok(permits), sent_ms)
+                    PermitsAnswered(request, Ok(permits), sent_ms),
+                    simulation.now_ms,
                 )
 
         simulation.schedule(
