--- a/src/magnoliapitch/control/step_gates.py
+++ b/src/magnoliapitch/control/step_gates.py
@@ -306,13 +306,15 @@
             return Gate.NO_USABLE_WORKER
         if fields["room_tasks"] < needed_count:
             return Gate.NO_ROOM
+    gate = Gate.NOT_ORDERED
     if fields["ticket_tasks"] < needed_count:
-        return _call_gate(step, fields, left)
-    if fields["orders_left"] <= 0:
+        gate = _call_gate(step, fields, left)
+    elif fields["orders_left"] <= 0:
         return Gate.NO_ORDER
-    if fields["left_tasks"] < needed_count:
+    is_idle = gate in (Gate.NOT_ORDERED, Gate.NOT_ASKED)
+    if is_idle and fields["left_tasks"] < needed_count <= fields["room_tasks"]:
         return Gate.ROOM_KEPT
-    return Gate.NOT_ORDERED
+    return gate
 
 
 def _call_gate(
