A chunked body has a least mean size of its chunks

What callers saw: while 32 connections sent bodies in chunks of one byte, each with an extension, ordinary calls waited for seconds and many got 503. Cause: the library takes some microseconds for each chunk, so that a body inside its length takes up to a second of the processor, and such bodies occupied all threads. Change: a body may have 1,024 chunks of any size; each further one needs http.chunk_mean_bytes (256) of data. Beyond that the body is refused with 400, not_run, before the rest is read, and the connection is closed. Clients that send ever smaller chunks than that (a JSON encoder that flushes each token) are refused.

--- a/src/magnoliapitch/http/limits.py
+++ b/src/magnoliapitch/http/limits.py
@@ -9,6 +9,7 @@
 
 
 Bytes = Annotated[int, Field(ge=1_024, le=1 << 30, strict=True)]
+ChunkBytes = Annotated[int, Field(ge=1, le=1 << 20, strict=True)]
 Milliseconds = Annotated[int, Field(ge=10, le=86_400_000, strict=True)]
 Count = Annotated[int, Field(ge=1, le=1_000_000, strict=True)]
 
@@ -21,6 +22,8 @@
         the headers of a request.
     :param line_max_bytes: longest line with the size of a chunk, in a chunked
         body.
+    :param chunk_mean_bytes: least data of a chunked body for each chunk
+        beyond the first 1,024.
     :param connections: open connections; requests on connections beyond
         the limit are refused, and connections beyond twice the limit are
         closed at once.
@@ -35,6 +38,7 @@
     body_max_bytes: Bytes = 1 << 20
     header_max_bytes: Bytes = 16 << 10
     line_max_bytes: Bytes = 4 << 10
+    chunk_mean_bytes: ChunkBytes = 256
     connections: Count = 512
     waiting_connections: Count = 512
     reserve_threads: Count = 4
--- a/src/magnoliapitch/http/server.py
+++ b/src/magnoliapitch/http/server.py
@@ -111,6 +111,7 @@
             self.conn.rfile,
             self.server.max_request_body_size,
             self.server.limits.line_max_bytes,
+            self.server.limits.chunk_mean_bytes,
         )
         self.server.gateway(self).respond()
         if self.ready:
--- a/tests/crowds/crowd.py
+++ b/tests/crowds/crowd.py
@@ -30,6 +30,9 @@
     f"POST {PREFIX}00000000000000aa HTTP/1.1\r\nHost: {HOST}\r\n"
     "Content-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
 ).encode()
+# Connections that send one body after the other.
+REPEATING_COUNT = 32
+ANSWER_BYTES = 1 << 16
 # Connections that are opened and send nothing, or one byte after the other.
 SILENT_COUNT = 700
 # More than the users' smallest machine has descriptors.
@@ -62,6 +65,51 @@
             stream.sendall(block)
 
 
+class RepeatingCrowd:
+    """Connections that send a whole request again and again.
+
+    Each reads the answer, and connects again once it is closed. All have
+    sent a request, or were refused, when this returns.
+    """
+
+    def __init__(self, address: Address, request: bytes) -> None:
+        self._address = address
+        self._request = request
+        self._has_ended = threading.Event()
+        begun = threading.Barrier(REPEATING_COUNT + 1)
+        self._threads = [
+            threading.Thread(target=self._run, args=(begun,))
+            for _ in range(REPEATING_COUNT)
+        ]
+        for thread in self._threads:
+            thread.start()
+        begun.wait()
+
+    def close(self) -> None:
+        self._has_ended.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, begun: threading.Barrier) -> None:
+        self._send_requests(1)
+        begun.wait()
+        while not self._has_ended.is_set():
+            self._send_requests(None)
+
+    def _send_requests(self, count: int | None) -> None:
+        """Send requests until the connection is closed, at most a number."""
+        with (
+            contextlib.suppress(OSError),
+            socket.create_connection(self._address, 10) as stream,
+        ):
+            for number in itertools.count():
+                if number == count or self._has_ended.is_set():
+                    return
+                stream.sendall(self._request)
+                if not stream.recv(ANSWER_BYTES):
+                    return
+
+
 class SilentCrowd:
     """Connections that are open and send nothing."""
 
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -12,10 +12,12 @@
 
 from tests.crowds.crowd import CHUNKED_HEAD
 from tests.crowds.crowd import MANY_SILENT_COUNT
+from tests.crowds.crowd import RepeatingCrowd
 from tests.crowds.crowd import SilentCrowd
 from tests.crowds.crowd import SlowCrowd
 from tests.crowds.crowd import send_unread
 from tests.crowds.crowd import send_without_end
+from tests.crowds.instance import HTTP_SETTINGS
 from tests.crowds.instance import Instance
 from tests.process.test_job_node import HOST
 from tests.process.test_job_node import PREFIX
@@ -33,6 +35,10 @@
 MAX_DESCRIPTORS = 2 * 256 + 100
 # Those of the users' smallest machine, less the ones kept for files.
 MAX_SMALL_DESCRIPTORS = 1_638 - 200
+SMALL_CHUNK = b"1;a=b\r\n \r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+ORDINARY_COUNT = 10
+ACCEPTED = 200
 PLAIN_HEAD = f"POST {PREFIX}00000000000000aa HTTP/1.1\r\nHost: {HOST}\r\n"
 
 
@@ -131,6 +137,36 @@
         instance.close()
 
 
+# Bodies in chunks of one byte took most of a second of the processor each, so
+# that ordinary calls waited for seconds and most got 503.
+@pytest.mark.parametrize(
+    ("http_settings", "chunk_count"),
+    [
+        pytest.param(HTTP_SETTINGS, 25_000, id="lowered"),
+        pytest.param("", 100_000, id="default"),
+    ],
+)
+def test_ordinary_requests_are_accepted_beside_small_chunks(
+    tmp_path: Path, http_settings: str, chunk_count: int
+) -> None:
+    request = CHUNKED_HEAD + SMALL_CHUNK * chunk_count + LAST_CHUNK
+    instance = Instance(tmp_path, http_settings)
+    try:
+        instance.wait_ready()
+        crowd = RepeatingCrowd(instance.callers, request)
+        try:
+            statuses = [
+                instance.answer_to_ordinary_request()
+                for _ in range(ORDINARY_COUNT)
+            ]
+        finally:
+            crowd.close()
+        assert statuses == [ACCEPTED] * ORDINARY_COUNT
+        check(instance)
+    finally:
+        instance.close()
+
+
 # All threads of the listener waited for the rest of request lines, headers and
 # trailers, so that ordinary calls got no answer.
 @pytest.mark.parametrize(
--- a/tests/http/test_listener.py
+++ b/tests/http/test_listener.py
@@ -16,6 +16,7 @@
 from magnoliapitch.http import HttpResponse
 from magnoliapitch.http import Listener
 from magnoliapitch.http import json_response
+from magnoliapitch.http.chunked import FREE_CHUNKS
 
 
 if TYPE_CHECKING:
@@ -34,10 +35,14 @@
 
 
 class RunningServer:
-    def __init__(self, limits: HttpLimits = LIMITS) -> None:
+    def __init__(
+        self,
+        limits: HttpLimits = LIMITS,
+        body_max_bytes: int = LIMITS.body_max_bytes,
+    ) -> None:
         self.handler_calls = 0
         self.release_handlers = threading.Event()
-        self.application = Application(LIMITS.body_max_bytes)
+        self.application = Application(body_max_bytes)
         self.listener = Listener(
             "test", ("127.0.0.1", 0), self.application, THREADS, limits=limits
         )
@@ -303,6 +308,49 @@
     assert (status, answer) == (200, b"a" * 200)
 
 
+@pytest.fixture
+def roomy_server() -> Iterator[RunningServer]:
+    """Return a server that takes bodies of the default length."""
+    server = RunningServer(HttpLimits(), HttpLimits().body_max_bytes)
+    server.listener.start()
+    yield server
+    server.listener.stop()
+
+
+def chunked(size: int, count: int, extension: bytes = b"") -> bytes:
+    """Return a chunked body of equal chunks."""
+    chunk = b"%x%b\r\n%b\r\n" % (size, extension, b"a" * size)
+    return chunk * count + b"0\r\n\r\n"
+
+
+# A body in chunks of one byte took most of a second of processor time.
+@pytest.mark.parametrize("extension", [b"", b";a=b"])
+def test_too_many_chunks_for_their_data_are_refused(
+    roomy_server: RunningServer, extension: bytes
+) -> None:
+    body = chunked(1, 2 * FREE_CHUNKS, extension)
+    status, headers, problem = roomy_server.exchange(CHUNKED_POST + body)
+    fields = orjson.loads(problem)
+    assert (status, fields["verdict"]) == (400, "not_run")
+    assert headers["Connection"] == "close"
+    assert f"in {FREE_CHUNKS + 5} chunks" in fields["detail"]
+    assert "needs 256 bytes" in fields["detail"]
+    assert roomy_server.handler_calls == 0
+
+
+@pytest.mark.parametrize(
+    ("size", "count"),
+    [(1, FREE_CHUNKS), (256, 3_900), (1_024, 1_000), (500_000, 3)],
+)
+def test_chunks_within_their_number_are_one_body(
+    roomy_server: RunningServer, size: int, count: int
+) -> None:
+    body = b"3;a=b\r\nabc\r\n" + chunked(size, count - 1)
+    status, _, answer = roomy_server.exchange(CHUNKED_POST + body)
+    assert status == 200
+    assert answer == b"abc" + b"a" * (size * (count - 1))
+
+
 def exchange_twice(
     server: RunningServer, first: bytes, second: bytes
 ) -> list[tuple[int, dict[str, str], bytes]]:
