Bodies that arrive slowly leave threads for other requests

What callers saw: beside 150 slow bodies each ordinary call got 503, or, if the bodies had a given length, no answer within 30 s. Cause: a thread waits for the rest of a body. The library also reads the rest of a body of given length before it sends a refusal, so that the threads that only refuse waited as well. Change: a request of given length gets a thread once its body, or the first 64 KiB, has arrived; until then its connection is kept with those whose head is incomplete, and gets 408 by the same timeout. Half of the threads that serve may wait on a connection for more (longer bodies, chunks); further ones are refused with 503, not_run. A refusal closes the connection if the body is not there. Beside clients that hold the waits, others with a body above 64 KiB or in chunks that pauses get 503.

--- a/src/magnoliapitch/http/body.py
+++ b/src/magnoliapitch/http/body.py
@@ -9,6 +9,7 @@
 from cheroot.errors import MaxSizeExceeded
 
 from magnoliapitch.http.problem import problem_response
+from magnoliapitch.http.reader import TooManyWaitsError
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import not_run
 
@@ -20,6 +21,7 @@
 # The library copies what it has read of a piece for each chunk, so that the
 # time for a whole body would grow with the square of its length.
 PIECE_BYTES = 1 << 14
+RETRY_AFTER_MS = 1_000
 CONNECTION_CLOSE = ("Connection", "close")
 
 
@@ -50,6 +52,14 @@
             FailureCode.TIMEOUT,
             "the request body did not arrive before the read timeout",
         )
+    except TooManyWaitsError as error:
+        return _error_response(
+            environ,
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            FailureCode.OVERLOADED,
+            str(error),
+            RETRY_AFTER_MS,
+        )
     except MaxSizeExceeded:
         return _error_response(environ, *_too_large_error(max_bytes))
     except (OSError, ValueError) as error:
@@ -95,9 +105,15 @@
 
 
 def _error_response(
-    environ: dict[str, Any], status: HTTPStatus, code: FailureCode, detail: str
+    environ: dict[str, Any],
+    status: HTTPStatus,
+    code: FailureCode,
+    detail: str,
+    retry_after_ms: int | None = None,
 ) -> HttpResponse:
     response = problem_response(
-        not_run(code, detail), environ.get("HTTP_X_REQUEST_ID", ""), status
+        not_run(code, detail, retry_after_ms),
+        environ.get("HTTP_X_REQUEST_ID", ""),
+        status,
     )
     return response._replace(headers=(*response.headers, CONNECTION_CLOSE))
--- a/src/magnoliapitch/http/partial_heads.py
+++ b/src/magnoliapitch/http/partial_heads.py
@@ -20,15 +20,15 @@
 
 
 class PartialHeads:
-    """Keeps connections until the head of their next request is there.
+    """Keeps connections until their next request can be read.
 
     They occupy no thread of the server meanwhile, so that slow clients keep
     nobody else waiting; a thread of its own looks at all of them.
 
-    :param on_complete: called with a connection whose head a thread can read
-        without waiting.
-    :param timeout_s: time for a head to arrive; then the connection is
-        refused.
+    :param on_complete: called with a connection whose request a thread can
+        read, at first without waiting.
+    :param timeout_s: time for a head, or the body after it, to arrive; then
+        the connection is refused.
     """
 
     def __init__(
@@ -43,7 +43,7 @@
         self._thread: threading.Thread | None = None
 
     def add(self, connection: Any) -> None:
-        """Keep a connection until its head is complete or takes too long."""
+        """Keep a connection until it can be read or takes too long."""
         with self._lock:
             if self._is_stopping:
                 connection.close()
@@ -85,7 +85,7 @@
                 self._remove(connection, _close)
 
     def _check(self, connection: Any, is_overdue: bool) -> None:
-        if connection.has_head():
+        if connection.can_be_read():
             self._remove(connection, self._on_complete)
         elif is_overdue:
             self._remove(connection, _refuse)
--- a/src/magnoliapitch/http/server.py
+++ b/src/magnoliapitch/http/server.py
@@ -42,6 +42,9 @@
 # The end of a head; or a line that ends otherwise, which is refused at once.
 _HEAD_END = re.compile(rb"\r\n\r\n|(?<!\r)\n")
 
+# So much of a body is received before a thread reads it.
+BODY_BEFORE_THREAD_BYTES = 1 << 16
+
 _CODE_BY_STATUS = {
     400: FailureCode.INVALID,
     405: FailureCode.INVALID,
@@ -78,8 +81,11 @@
     def __init__(self, http_server: BoundedServer, conn: _Connection) -> None:
         super().__init__(http_server, conn)
         self.inheaders = _Headers()
+        self._closes_connection = False
 
     def parse_request(self) -> None:
+        if self.conn.partial_request is self:
+            return
         self.conn.rfile.restart_deadline()
         super().parse_request()
 
@@ -99,12 +105,52 @@
             )
             self.close_connection = True
             return
+        if not self._has_or_awaits_body():
+            return
         self.has_called_application = True
         if self.chunked_read:
             self._respond_to_chunked()
         else:
             super().respond()
 
+    def _has_or_awaits_body(self) -> bool:
+        """Return whether to go on; else the connection waits for its body."""
+        if self.conn.partial_request is self:
+            self.conn.partial_request = None
+            self.close_connection = self._closes_connection
+            return True
+        reader = self.conn.rfile
+        while not self.can_read_body(wait_s := reader.remaining_grace_s()):
+            if not wait_s:
+                break
+        else:
+            if not self.chunked_read:
+                reader.end_grace()
+            return True
+        self.conn.partial_request = self
+        # The library closes the connection if this is set.
+        self._closes_connection = self.close_connection
+        self.close_connection = False
+        return False
+
+    def can_read_body(self, wait_s: float = 0) -> bool:
+        """Return whether a thread can read the body, at first without waiting.
+
+        That is also so if the body is refused unread, or will not come; or if
+        it is chunked, so that only reading it finds its end.
+
+        :param wait_s: longest wait if nothing has arrived.
+        """
+        reader = self.conn.rfile
+        length = int(self.inheaders.get(b"Content-Length", 0))
+        needed_count = min(length, BODY_BEFORE_THREAD_BYTES)
+        if length > self.server.max_request_body_size:
+            return True
+        if reader.unread_count >= needed_count:
+            return True
+        may_go_on = reader.receive(needed_count, wait_s)
+        return not may_go_on or reader.unread_count >= needed_count
+
     def _respond_to_chunked(self) -> None:
         """Call the application as the library does, with a bounded body."""
         self.rfile = ChunkedBody(
@@ -124,6 +170,10 @@
             self.chunked_read and not self._skip_trailers()
         ):
             self.close_connection = True
+        # The library would wait for the rest of the body.
+        unread_bytes = getattr(self.rfile, "remaining", 0)
+        if unread_bytes > self.conn.rfile.unread_count:
+            self.close_connection = True
         super().send_headers()
 
     def _skip_trailers(self) -> bool:
@@ -196,24 +246,35 @@
         return request_id
 
 
+def _request_of(http_server: BoundedServer, conn: _Connection) -> _Request:
+    """Return the request whose body was awaited, else a new one."""
+    return conn.partial_request or _Request(http_server, conn)
+
+
 class _Connection(server.HTTPConnection):
-    RequestHandlerClass = _Request
+    RequestHandlerClass = staticmethod(_request_of)
 
     def __init__(
         self, http_server: BoundedServer, stream: Any, _: Any
     ) -> None:
         super().__init__(http_server, stream, make_file)
+        self.rfile.limit_waits(http_server.body_waits)
+        # The request whose head was read and whose body is awaited.
+        self.partial_request: _Request | None = None
         self.is_new = True
         self.is_over_limit = False
         self._is_closed = False
         # How much of the next head was looked at.
         self._checked_count = 0
 
-    def has_head(self) -> bool:
-        """Return whether a thread can read the next head without waiting.
+    def can_be_read(self) -> bool:
+        """Return whether a thread can go on with the next request.
 
-        That is also so if it is too long, is malformed, or will not come.
+        That is so if its head, or the first part of its body, has arrived; or
+        is too long, is malformed, or will not come.
         """
+        if self.partial_request is not None:
+            return self.partial_request.can_read_body()
         max_bytes = self.server.limits.header_max_bytes
         may_go_on = self.rfile.receive(max_bytes + 1)
         count = self.rfile.unread_count
@@ -231,7 +292,8 @@
     def refuse(self, status: str, detail: str) -> None:
         """Respond without reading the request, then close."""
         self.rfile.receive(DISCARD_MAX_BYTES)
-        _Request(self.server, self).simple_response(status, detail)
+        request = _request_of(self.server, self)
+        request.simple_response(status, detail)
         self.close()
 
     def close(self) -> None:
@@ -245,7 +307,8 @@
     """A cheroot server that enforces ``HttpLimits``.
 
     A connection occupies a thread only once it has sent the whole head of a
-    request.
+    request, and its body or the first 64 KiB of it if its length is given.
+    Half of the threads that serve may wait for the rest, or for chunks.
 
     :param address: IP address and port to bind.
     :param threads: worker threads, including the reserve that refuses
@@ -278,6 +341,8 @@
         self.max_request_body_size = limits.body_max_bytes
         self.keep_alive_conn_limit = limits.connections
         self.limits = limits
+        serving_threads = threads - limits.reserve_threads
+        self.body_waits = threading.Semaphore(max(1, serving_threads // 2))
         self._partial_heads = PartialHeads(self._queue, self.timeout)
         self._open_count = 0
         self._open_count_lock = threading.Lock()
@@ -296,11 +361,18 @@
         if conn.is_new:
             self._accept(conn)
             return
-        if conn.has_head():
+        if conn.can_be_read():
             self._queue(conn)
         else:
             self._partial_heads.add(conn)
 
+    def put_conn(self, conn: Any) -> None:
+        """Keep a connection until its next request, or the rest of one."""
+        if conn.partial_request is None:
+            super().put_conn(conn)
+        else:
+            self._partial_heads.add(conn)
+
     def stop(self) -> None:
         """Stop accepting connections and wait for requests in flight."""
         super().stop()
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -40,6 +40,7 @@
 ORDINARY_COUNT = 10
 ACCEPTED = 200
 PLAIN_HEAD = f"POST {PREFIX}00000000000000aa HTTP/1.1\r\nHost: {HOST}\r\n"
+LENGTH_HEAD = PLAIN_HEAD.encode() + b"Content-Length: %d\r\n\r\n"
 
 
 @pytest.fixture
@@ -187,3 +188,33 @@
     finally:
         crowd.close()
     check(instance)
+
+
+# All threads, those that only refuse included, waited for the rest of bodies,
+# so that ordinary calls got 503, or no answer at all.
+@pytest.mark.parametrize(
+    "head",
+    [
+        pytest.param(LENGTH_HEAD % 4_000 + b"{", id="short"),
+        pytest.param(LENGTH_HEAD % 200_000 + b"{", id="long"),
+        pytest.param(LENGTH_HEAD % 200_000 + b" " * 100_000, id="begun"),
+        pytest.param(CHUNKED_HEAD + b"1000\r\n{", id="chunk"),
+        pytest.param(
+            CHUNKED_HEAD + b"20000\r\n" + b" " * 100_000, id="begun-chunk"
+        ),
+        pytest.param(CHUNKED_HEAD + b"1000\r\n0\r\n\r\n", id="false-end"),
+    ],
+)
+def test_ordinary_requests_are_accepted_beside_slow_bodies(
+    instance: Instance, head: bytes
+) -> None:
+    crowd = SlowCrowd(instance.callers, head)
+    statuses = []
+    try:
+        for _ in range(ORDINARY_COUNT):
+            statuses.append(instance.answer_to_ordinary_request())
+            assert statuses[-1] > 0
+    finally:
+        crowd.close()
+    assert statuses.count(ACCEPTED) > ORDINARY_COUNT // 2
+    check(instance)
--- a/tests/http/test_partial_heads.py
+++ b/tests/http/test_partial_heads.py
@@ -17,7 +17,7 @@
         self.ended = threading.Event()
         self._is_broken = is_broken
 
-    def has_head(self) -> bool:
+    def can_be_read(self) -> bool:
         if self._is_broken:
             raise ValueError("unexpected")
         return self.is_complete
