Answers of other services are read up to a length and a time

What callers saw: nothing yet; a store, advisor, worker or peer that answered without end would have taken the memory of an instance, and one that trickled would have held a thread for good. Cause: HttpClient let the library read the whole body, and each wait for data had a limit, but not all together. Change: the body is read in pieces up to 16 MiB (workers 4 MiB), and for at most the timeout of the call, then the connection is closed. The failure is may_have_run, bad-answer or timeout, as with backend servers. The peak of memory in a process was not measured.

--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -76,6 +76,8 @@
 # those of many instances would wait for each other once it gets slow.
 MANY_INSTANCES = 16
 PEER_BODY_MAX_BYTES = 4 << 20
+# Many workers answer at the same time.
+WORKER_RESPONSE_MAX_BYTES = 4 << 20
 # Each other instance may have tens of connections to the leader's.
 PEER_LIMITS = HttpLimits(PEER_BODY_MAX_BYTES, connections=2_048)
 # The load balancer needs up to two checks to notice that an instance is not
@@ -178,7 +180,7 @@
         )
         self._advisor = PlatformAdvisor(settings.endpoints.advisor, client)
         self._worker_client = HttpClient(
-            WORKER_CONNECTIONS, self._observe_call
+            WORKER_CONNECTIONS, self._observe_call, WORKER_RESPONSE_MAX_BYTES
         )
         workers = PlatformWorkers(self._worker_client)
         order_sender = OrderSender(workers, self._clock, self._metrics)
--- a/src/magnoliapitch/http/client.py
+++ b/src/magnoliapitch/http/client.py
@@ -40,6 +40,9 @@
 # A connection is established within milliseconds, unless the server or the
 # path to it is gone.
 MAX_CONNECT_TIMEOUT_MS = 500
+# Several times the longest page of the store's records or of a list.
+MAX_RESPONSE_BYTES = 16 << 20
+READ_BYTES = 1 << 16
 HTTP_OK = 200
 JSON_HEADERS = {"Content-Type": "application/json"}
 
@@ -68,11 +71,16 @@
     :param connections: idle connections kept open to each server.
     :param observe: called after every request with the URL path, the
         duration in milliseconds and whether a complete response arrived.
+    :param max_response_bytes: longest accepted body of a response.
     """
 
     def __init__(
-        self, connections: int = 8, observe: CallObserver | None = None
+        self,
+        connections: int = 8,
+        observe: CallObserver | None = None,
+        max_response_bytes: int = MAX_RESPONSE_BYTES,
     ) -> None:
+        self._max_response_bytes = max_response_bytes
         self._observe = observe or _ignore_call
         self._pools = ConnectionPools(connections)
 
@@ -86,10 +94,12 @@
     ) -> Result[HttpReply, Failure]:
         """Send a request and return the complete response.
 
-        :param timeout_ms: limit for each wait for data, and for connecting if
-            that is shorter than ``MAX_CONNECT_TIMEOUT_MS``.
+        :param timeout_ms: limit for each wait for data, for the body after the
+            head, and for connecting if that is shorter than
+            ``MAX_CONNECT_TIMEOUT_MS``.
         :return: the response with any status, or a failure: ``not_run``
-            if no connection could be established, else ``may_have_run``.
+            if no connection could be established, else ``may_have_run``,
+            with the code ``BAD_RESPONSE`` if the body is too long.
         """
         started_ns = time.perf_counter_ns()
         outcome = self._send(method, url, timeout_ms, body, headers)
@@ -119,6 +129,7 @@
                 headers=headers,
                 retries=False,
                 redirect=False,
+                preload_content=False,
                 timeout=urllib3.Timeout(
                     connect=min(timeout_ms, MAX_CONNECT_TIMEOUT_MS) / 1000,
                     read=timeout_ms / 1000,
@@ -132,7 +143,30 @@
             return Err(not_run(FailureCode.UNAVAILABLE, str(error)))
         except urllib3.exceptions.HTTPError as error:
             return Err(may_have_run(FailureCode.TIMEOUT, str(error)))
-        return Ok(HttpReply(response.status, response.data))
+        deadline_s = time.monotonic() + timeout_ms / 1000
+        body_read = _read_body(response, self._max_response_bytes, deadline_s)
+        if body_read.is_err():
+            response.close()
+        return body_read.map(lambda data: HttpReply(response.status, data))
+
+
+def _read_body(
+    response: urllib3.BaseHTTPResponse, max_bytes: int, deadline_s: float
+) -> Result[bytes, Failure]:
+    """Read a body up to its end, its longest length, or the deadline."""
+    data = bytearray()
+    try:
+        while piece := response.read1(READ_BYTES):
+            data += piece
+            if len(data) > max_bytes:
+                detail = f"the response is longer than {max_bytes} bytes"
+                return Err(may_have_run(FailureCode.BAD_RESPONSE, detail))
+            if time.monotonic() > deadline_s:
+                detail = "the response did not arrive before the timeout"
+                return Err(may_have_run(FailureCode.TIMEOUT, detail))
+    except urllib3.exceptions.HTTPError as error:
+        return Err(may_have_run(FailureCode.TIMEOUT, str(error)))
+    return Ok(bytes(data))
 
 
 def _split_url(url: str) -> tuple[str, str]:
