--- a/src/magnoliapitch/http/body.py
+++ b/src/magnoliapitch/http/body.py
@@ -9,6 +9,7 @@
 from cheroot.errors import MaxSizeExceeded
 
 from magnoliapitch.http.problem import problem_response
+from magnoliapitch.http.reader import TooManyWaitsError
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import not_run
 
@@ -17,6 +18,10 @@
     from magnoliapitch.http.message import HttpResponse
 
 
+# The library copies what it has read of a piece for each chunk, so that the
+# time for a whole body would grow with the square of its length.
+PIECE_BYTES = 1 << 14
+RETRY_AFTER_MS = 1_000
 CONNECTION_CLOSE = ("Connection", "close")
 
 
@@ -35,8 +40,10 @@
     if length > max_bytes:
         return _error_response(environ, *_too_large_error(max_bytes))
     try:
-        body: bytes = environ["wsgi.input"].read(
-            max_bytes + 1 if is_chunked else length
+        body = (
+            _read_chunked(environ["wsgi.input"], max_bytes)
+            if is_chunked
+            else environ["wsgi.input"].read(length)
         )
     except TimeoutError:
         return _error_response(
@@ -45,6 +52,14 @@
             FailureCode.TIMEOUT,
             "the request body did not arrive before the read timeout",
         )
+    except TooManyWaitsError as error:
+        return _error_response(
+            environ,
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            FailureCode.OVERLOADED,
+            str(error),
+            RETRY_AFTER_MS,
+        )
     except MaxSizeExceeded:
         return _error_response(environ, *_too_large_error(max_bytes))
     except (OSError, ValueError) as error:
@@ -68,6 +83,19 @@
     return body
 
 
+def _read_chunked(stream: Any, max_bytes: int) -> bytes:
+    """Read up to the end of the body, or until it is too long."""
+    pieces: list[bytes] = []
+    length = 0
+    while length <= max_bytes:
+        piece: bytes = stream.read(PIECE_BYTES)
+        if not piece:
+            break
+        pieces.append(piece)
+        length += len(piece)
+    return b"".join(pieces)
+
+
 def _too_large_error(max_bytes: int) -> tuple[HTTPStatus, FailureCode, str]:
     return (
         HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
@@ -77,9 +105,15 @@
 
 
 def _error_response(
-    environ: dict[str, Any], status: HTTPStatus, code: FailureCode, detail: str
+    environ: dict[str, Any],
+    status: HTTPStatus,
+    code: FailureCode,
+    detail: str,
+    retry_after_ms: int | None = None,
 ) -> HttpResponse:
     response = problem_response(
-        not_run(code, detail), environ.get("HTTP_X_REQUEST_ID", ""), status
+        not_run(code, detail, retry_after_ms),
+        environ.get("HTTP_X_REQUEST_ID", ""),
+        status,
     )
     return response._replace(headers=(*response.headers, CONNECTION_CLOSE))
--- a/tests/http/running_server.py
+++ b/tests/http/running_server.py
@@ -22,14 +22,21 @@
     read_timeout_ms=300,
 )
 TIMEOUT_S = 20
+CHUNKED_POST = (
+    b"POST /echo HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
 PLAIN_POST = b"POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
 
 
 class RunningServer:
-    def __init__(self, limits: HttpLimits = LIMITS) -> None:
+    def __init__(
+        self,
+        limits: HttpLimits = LIMITS,
+        body_max_bytes: int = LIMITS.body_max_bytes,
+    ) -> None:
         self.handler_calls = 0
         self.release_handlers = threading.Event()
-        self.application = Application(LIMITS.body_max_bytes)
+        self.application = Application(body_max_bytes)
         self.listener = Listener(
             "test", ("127.0.0.1", 0), self.application, THREADS, limits=limits
         )
--- a/tests/http/test_chunked_bodies.py
+++ b/tests/http/test_chunked_bodies.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import orjson
 import pytest
 
+from magnoliapitch.http import HttpLimits
+from magnoliapitch.http.chunked import FREE_CHUNKS
+from tests.http.running_server import CHUNKED_POST
 from tests.http.running_server import PLAIN_POST
 from tests.http.running_server import RunningServer
 from tests.http.running_server import read_response
 
 
-CHUNKED_POST = (
-    b"POST /echo HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
-)
+if TYPE_CHECKING:
+    from collections.abc import Iterator
 
 
 # Incident of issue 60: a line with a chunk's size that had no end was read
@@ -105,3 +109,46 @@
             stream.sendall(data)
             answers.append(read_response(stream))
         return answers
+
+
+@pytest.fixture
+def roomy_server() -> Iterator[RunningServer]:
+    """Return a server that takes bodies of the default length."""
+    server = RunningServer(HttpLimits(), HttpLimits().body_max_bytes)
+    server.listener.start()
+    yield server
+    server.listener.stop()
+
+
+def chunked(size: int, count: int, extension: bytes = b"") -> bytes:
+    """Return a chunked body of equal chunks."""
+    chunk = b"%x%b\r\n%b\r\n" % (size, extension, b"a" * size)
+    return chunk * count + b"0\r\n\r\n"
+
+
+# A body in chunks of one byte took most of a second of processor time.
+@pytest.mark.parametrize("extension", [b"", b";a=b"])
+def test_too_many_chunks_for_their_data_are_refused(
+    roomy_server: RunningServer, extension: bytes
+) -> None:
+    body = chunked(1, 2 * FREE_CHUNKS, extension)
+    status, headers, problem = roomy_server.exchange(CHUNKED_POST + body)
+    fields = orjson.loads(problem)
+    assert (status, fields["verdict"]) == (400, "not_run")
+    assert headers["Connection"] == "close"
+    assert f"in {FREE_CHUNKS + 5} chunks" in fields["detail"]
+    assert "needs 256 bytes" in fields["detail"]
+    assert roomy_server.handler_calls == 0
+
+
+@pytest.mark.parametrize(
+    ("size", "count"),
+    [(1, FREE_CHUNKS), (256, 3_900), (1_024, 1_000), (500_000, 3)],
+)
+def test_chunks_within_their_number_are_one_body(
+    roomy_server: RunningServer, size: int, count: int
+) -> None:
+    body = b"3;a=b\r\nabc\r\n" + chunked(size, count - 1)
+    status, _, answer = roomy_server.exchange(CHUNKED_POST + body)
+    assert status == 200
+    assert answer == b"abc" + b"a" * (size * (count - 1))
