A call names fewer workers where only a short one can be made

Cause: a queue whose calls about few workers are short, and about many long, was not asked for while only the channel for short calls was idle. Change: the call then names as many workers as a short one may.

--- a/src/magnoliapitch/planner/permit_budget.py
+++ b/src/magnoliapitch/planner/permit_budget.py
@@ -7,8 +7,10 @@
 from typing import NamedTuple
 
 from magnoliapitch.planner.fair_shares import fair_shares
+from magnoliapitch.planner.permit_calls import MAX_WORKERS_PER_CALL
 from magnoliapitch.planner.permit_calls import expected_call_ms
 from magnoliapitch.planner.permit_calls import is_long_call
+from magnoliapitch.planner.permit_calls import max_short_call_workers
 
 
 if TYPE_CHECKING:
@@ -131,6 +133,12 @@
             len(self._deferred) < remaining
         )
 
+    def max_workers_for(self, step: TrackedStep) -> int:
+        """Return about how many workers a call for a step may be now."""
+        if self._remaining_long_calls > 0:
+            return MAX_WORKERS_PER_CALL
+        return max_short_call_workers(step)
+
     def has_channel_for(self, call_ms: float) -> bool:
         """Return whether a channel is left for a call of some duration.
 
--- a/src/magnoliapitch/planner/permit_calls.py
+++ b/src/magnoliapitch/planner/permit_calls.py
@@ -57,6 +57,18 @@
     return call_ms > MAX_SHORT_CALL_MS
 
 
+def max_short_call_workers(step: TrackedStep) -> int:
+    """Return about how many workers a call may be without being a long one."""
+    permit_timing = step.job.queue.permit_timing
+    if permit_timing is None:
+        return MAX_WORKERS_PER_CALL
+    spare_ms = MAX_SHORT_CALL_MS - permit_timing.decision_ms
+    if not permit_timing.per_worker_ms:
+        return MAX_WORKERS_PER_CALL if spare_ms >= 0 else 0
+    count = int(spare_ms // permit_timing.per_worker_ms)
+    return max(0, min(MAX_WORKERS_PER_CALL, count))
+
+
 def expected_call_ms(step: TrackedStep, worker_count: int) -> float:
     """Return how long a call about some workers probably takes."""
     permit_timing = step.job.queue.permit_timing
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -304,10 +304,12 @@
         worker_ids = dict.fromkeys(
             candidate.worker.worker_id for candidate in candidates
         )
-        asked = tuple(worker_ids)[:MAX_WORKERS_PER_CALL]
+        max_count = self._permit_budget.max_workers_for(step)
+        asked = tuple(worker_ids)[:max_count]
         call_ms = expected_call_ms(step, len(asked))
         if not (
-            self._permit_budget.has_channel_for(call_ms)
+            asked
+            and self._permit_budget.has_channel_for(call_ms)
             and self._permit_budget.may_request(step, call_ms)
         ):
             return False
