Room that services never leave is not kept for a gang

What callers saw (virtual time): a batch step stands from 2 s to 21 s beside 14,000 of 16,000 free thousandths of a core. Cause: room is kept for a gang if it would fit its workers when they are idle. Long-running work never leaves its room, so the gang did not come to fit, and what was kept for it stood empty for up to 20 s with each leader. Change: room counts without what long-running work has of it. Conclusion: one of the reasons for which room stands empty; that it is part of the users' cases is not shown.

--- a/src/magnoliapitch/planner/candidates.py
+++ b/src/magnoliapitch/planner/candidates.py
@@ -152,6 +152,16 @@
     return min(count, step.spec.max_per_worker or count)
 
 
+def task_count_beside_services(candidate: Candidate, step: TrackedStep) -> int:
+    """Return how many tasks fit once only long-running work is left."""
+    room = candidate.info.capacity
+    for run in candidate.worker.runs:
+        if run.task.step.spec.is_long_running:
+            room = room.minus(run.resources)
+    count = max(0, _task_count_within(room, step))
+    return min(count, step.spec.max_per_worker or count)
+
+
 def release(step: TrackedStep, candidates: Iterable[Candidate]) -> None:
     """Release the capacity that was reserved for a task on each worker."""
     for candidate in candidates:
--- a/src/magnoliapitch/planner/gang_room.py
+++ b/src/magnoliapitch/planner/gang_room.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner.candidates import expected_task_count_soon
-from magnoliapitch.planner.candidates import idle_task_count
 from magnoliapitch.planner.candidates import most_free_cpu_first
+from magnoliapitch.planner.candidates import task_count_beside_services
 from magnoliapitch.resource import NO_RESOURCES
 
 
@@ -46,7 +46,8 @@
         if self._now_ms - ready_ms > MAX_CAPACITY_RESERVATION_MS:
             return False
         fitting_count = sum(
-            idle_task_count(candidate, step) for candidate in candidates
+            task_count_beside_services(candidate, step)
+            for candidate in candidates
         )
         if fitting_count < step.waiting_count:
             return False
