A new leader uses the instances that it knows before it reads them anew

What callers saw: LOST; a new leader whose read of the list of instances fails calls the advisor and all workers alone. Cause: peers and agents came only from a successful read under its own leadership, and that read waited for a deletion of jobs, up to a second. Change: Members keeps what was read last (each instance reads it each 5 s); the leader uses it from its start on, also while the read fails. It reads the list before it deletes jobs, and deletes them also if the list cannot be read. Tests: the two new ones of tests/control/test_driver.py fail with the former driver (run).

--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -191,6 +191,7 @@
             self._options,
         )
         self._router = self._open_router(controller)
+        self._use_known_peers()
         controller.load(
             self._clock.now_ms(), job_follower.end, job_follower.read_ms
         )
@@ -292,18 +293,23 @@
         )
 
     def _maintain(self) -> Result[None, Failure]:
-        """Delete ended jobs, and read which instances may be agents."""
-        deleted = self._delete_jobs_now()
+        """Read which instances may be agents, then delete ended jobs."""
         peers = self._clients.members.peers()
-        if isinstance(peers, Err):
-            return peers
+        self._use_known_peers()
+        deleted = self._delete_jobs_now()
+        return peers.and_then(lambda _: deleted)
+
+    def _use_known_peers(self) -> None:
+        """Use the other instances, as read last, for calls."""
+        peers = self._clients.members.known_peers
+        if peers is None:
+            return
         self._clients.advisor_channels.set_peers(
-            member.address for member in peers.ok_value
+            member.address for member in peers
         )
         router = self._router
         if router is not None:
-            router.set_agents(peers.ok_value)
-        return deleted
+            router.set_agents(peers)
 
     def _delete_jobs_now(self) -> Result[None, Failure]:
         job_follower = self._job_follower
--- a/src/magnoliapitch/ledger/members.py
+++ b/src/magnoliapitch/ledger/members.py
@@ -48,8 +48,8 @@
     """Announces this instance and reads the announcements of others.
 
     :param own: what this instance announces.
-    :ivar known_addresses: ``IP:PORT`` of the other instances, as they were
-        read last.
+    :ivar known_peers: the other instances, as they were read last; None if
+        they never were.
     """
 
     def __init__(
@@ -59,9 +59,14 @@
         self._instance_id = instance_id
         self._own = own
         self._is_announced = False
-        self.known_addresses: tuple[str, ...] = ()
+        self.known_peers: tuple[Member, ...] | None = None
         self._mirror = StreamMirror(streams, MEMBER_STREAM)
 
+    @property
+    def known_addresses(self) -> tuple[str, ...]:
+        """Return ``IP:PORT`` of the other instances, as read last."""
+        return tuple(member.address for member in self.known_peers or ())
+
     def step(self) -> int:
         """Announce this instance, then read the others now and then.
 
@@ -90,9 +95,7 @@
         """Return every other instance that is announced."""
         outcome = self._mirror.refresh().map(lambda _: self._others())
         if not isinstance(outcome, Err):
-            self.known_addresses = tuple(
-                member.address for member in outcome.ok_value
-            )
+            self.known_peers = outcome.ok_value
         return outcome
 
     def _others(self) -> tuple[Member, ...]:
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -18,6 +18,7 @@
 from magnoliapitch.ledger.elapsed_clock import LeaderClock
 from magnoliapitch.ledger.job_table import JobTable
 from magnoliapitch.ledger.leadership import Claim
+from magnoliapitch.ledger.members import Member
 from magnoliapitch.ledger.records import LeaderRecord
 from magnoliapitch.ledger.state_table import StateTable
 from magnoliapitch.metric import Metrics
@@ -28,6 +29,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from magnoliapitch.ledger.leader_appender import Batch
     from magnoliapitch.verdict import Failure
@@ -101,6 +103,8 @@
 class NoSystems:
     """Stands for other systems, of which none answers with anything."""
 
+    known_peers: tuple[Member, ...] | None = None
+
     def peers(self) -> Result[Any, Failure]:
         return UNANSWERED
 
@@ -108,6 +112,9 @@
         del timeout_ms
         return UNANSWERED
 
+    def set_peers(self, peer_addresses: Iterable[str]) -> None:
+        del peer_addresses
+
     def due_probes(self) -> list[Any]:
         return []
 
@@ -185,6 +192,66 @@
     members.release.set()
 
 
+class KnownMembers(NoSystems):
+    """Lists no instances, but knows those that were read before."""
+
+    known_peers = (Member("10.0.0.1:1"),)
+
+
+class RecordingChannels(NoSystems):
+    """Keeps the peers that it is given."""
+
+    def __init__(self) -> None:
+        self.peer_addresses: tuple[str, ...] = ()
+
+    def set_peers(self, peer_addresses: Iterable[str]) -> None:
+        self.peer_addresses = tuple(peer_addresses)
+
+
+# A new leader had neither peers nor agents until it could read their list.
+def test_known_instances_are_used_while_their_list_cannot_be_read() -> None:
+    clock = MonotonicClock()
+    leadership = SlowLeadership(clock)
+    leadership.release.set()
+    channels = RecordingChannels()
+    driver = make_driver(
+        clock, leadership, KnownMembers(), NoSystems(), channels
+    )
+    leadership.claim_with(epoch=1)
+    driver.step()
+    assert channels.peer_addresses == ("10.0.0.1:1",)
+
+
+class OrderedCalls(KnownMembers):
+    """Records the order of the calls of the upkeep."""
+
+    def __init__(self) -> None:
+        self.names: list[str] = []
+
+    def peers(self) -> Result[Any, Failure]:
+        self.names.append("peers")
+        return UNANSWERED
+
+    def delete_jobs(self, job_ids: list[str]) -> Result[None, Failure]:
+        del job_ids
+        self.names.append("deletion")
+        return Ok(None)
+
+
+# The list of instances waited for the deletion of jobs, up to a second; jobs
+# stayed while the list could not be read.
+def test_upkeep_reads_instances_first_and_deletes_jobs_in_any_case() -> None:
+    clock = MonotonicClock()
+    calls = OrderedCalls()
+    driver = make_driver(
+        clock, SlowLeadership(clock), calls, NoSystems(), RecordingChannels()
+    )
+    driver._job_follower = calls  # type: ignore[assignment]
+    driver.delete_jobs(["a"])
+    assert driver._maintain().is_err()
+    assert calls.names == ["peers", "deletion"]
+
+
 # It read all jobs first, or never resigned if it could not: others waited for
 # it as for a leader that is lost.
 def test_an_instance_that_stops_before_it_is_prepared_resigns() -> None:
@@ -202,12 +269,13 @@
     leadership: SlowLeadership,
     members: Any,
     directory: Any,
+    channels: Any = None,
 ) -> ControlDriver:
     systems: Any = NoSystems()
     return ControlDriver(
         leadership,  # type: ignore[arg-type]
         StateTable(),
-        Clients(systems, systems, members, directory, systems),
+        Clients(systems, channels or systems, members, directory, systems),
         ControlTiming(longest_lease_ms=6_000),
         clock,
         lambda: None,
