Workers are given only to agents that are known to answer

What callers saw: LOST on large fleets; workers without a caller while agents are gone, one agent after the other, and again each 5 s. Cause: agents were chosen from the list of instances alone. One that was given up counted as usable again after 5 s without having answered. Change: the pool of advisor channels, which probes peers, tells which answer; a failed advisor call is no evidence, as the advisor may be its cause. AgentCandidates gives workers only to those that answer; an agent that was given up needs an answer after its loss too. Before the first choice, and after the loss of an agent that became silent, workers wait for the probes: 100 ms, and up to 700 ms if those that answered have no room, so that neither the leader nor the first one to answer takes all. A working agent keeps its workers if one probe fails, as before. After a doubt, peers are probed also during a call, so that nobody waits for it.

Not covered: an instance that answers probes, but not as an agent (an older version), is still tried again each 5 s.

--- a/src/magnoliapitch/advice/channel.py
+++ b/src/magnoliapitch/advice/channel.py
@@ -4,6 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.advice.peer_health import UNKNOWN_HEALTH
+from magnoliapitch.advice.peer_health import PeerHealth
+
 
 if TYPE_CHECKING:
     from magnoliapitch.advice.service import PeerAdvisor
@@ -53,6 +56,8 @@
         self.is_probed = False
         self._answered_ms: int | None = None
         self._is_doubtful = False
+        self._health = UNKNOWN_HEALTH
+        self._health_ms = now_ms
         self._probe_at_ms = now_ms
         self._retry_at_ms = now_ms
         self._failures = 0
@@ -66,9 +71,23 @@
             and now_ms >= self._retry_at_ms
         )
 
+    def health(self, now_ms: int) -> PeerHealth:
+        """Return whether the peer answers.
+
+        A call that failed does not show it, as the advisor may be the cause.
+        """
+        if now_ms - self._health_ms > MAX_ANSWER_AGE_MS:
+            return UNKNOWN_HEALTH
+        return self._health
+
     def is_probe_due(self, now_ms: int) -> bool:
-        """Return whether the peer should be probed now."""
-        return not (self.is_busy or self.is_probed) and (
+        """Return whether the peer should be probed now.
+
+        The outcome of a call under way replaces a probe, unless it is needed
+        at once.
+        """
+        is_awaited = self.is_busy and self._health.is_known
+        return not (is_awaited or self.is_probed) and (
             now_ms >= self._probe_at_ms
         )
 
@@ -77,6 +96,10 @@
 
         :param since_ms: later answers are not doubted.
         """
+        healthy_ms = self._health.answered_ms
+        if healthy_ms is not None and healthy_ms <= since_ms:
+            self._health = UNKNOWN_HEALTH
+            self._probe_at_ms = now_ms
         if self._answered_ms is not None and self._answered_ms <= since_ms:
             self._is_doubtful = True
             self._probe_at_ms = now_ms
@@ -85,6 +108,7 @@
         """Record the outcome of an advisor call through the peer."""
         self._record_outcome(now_ms, is_ok=is_ok)
         if is_ok:
+            self._set_health(now_ms, answered_ms=now_ms)
             self._failures = 0
             return
         backoff_ms = FIRST_BACKOFF_MS << min(self._failures, 8)
@@ -97,9 +121,14 @@
         :return: whether the peer answers again, or for the first time.
         """
         has_answered = self._answered_ms is not None
+        self._set_health(now_ms, answered_ms=now_ms if is_ok else None)
         self._record_outcome(now_ms, is_ok=is_ok)
         return is_ok and not has_answered
 
+    def _set_health(self, now_ms: int, answered_ms: int | None) -> None:
+        self._health = PeerHealth(is_known=True, answered_ms=answered_ms)
+        self._health_ms = now_ms
+
     def _record_outcome(self, now_ms: int, *, is_ok: bool) -> None:
         self._answered_ms = now_ms if is_ok else None
         self._is_doubtful = False
--- a/src/magnoliapitch/advice/channels.py
+++ b/src/magnoliapitch/advice/channels.py
@@ -15,6 +15,7 @@
 
 from magnoliapitch.advice.channel import AdvisorChannel
 from magnoliapitch.advice.channel import PeerChannel
+from magnoliapitch.advice.peer_health import UNKNOWN_HEALTH
 from magnoliapitch.advice.service import PeerAdvisor
 from magnoliapitch.control.guard import guarded
 from magnoliapitch.event import log_event
@@ -26,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from magnoliapitch.advice.peer_health import PeerHealth
     from magnoliapitch.clock import Clock
     from magnoliapitch.http.client import HttpClient
     from magnoliapitch.planner.plan import PlannedPermitRequest
@@ -142,6 +144,25 @@
             if channel is not failed:
                 channel.doubt(since_ms, now_ms)
 
+    def health_of(self, address: str) -> PeerHealth:
+        """Return whether the peer with an address answers.
+
+        :param address: ``IP:PORT`` of the peer.
+        """
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            channel = self._peer_channels_by_address.get(address)
+            return (
+                UNKNOWN_HEALTH if channel is None else channel.health(now_ms)
+            )
+
+    def doubt_answers(self, since_ms: int) -> None:
+        """Have peers probed that have not answered since a time."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            for channel in self._peer_channels_by_address.values():
+                channel.doubt(since_ms, now_ms)
+
     def due_probes(self) -> list[PeerChannel]:
         """Return the channels to probe now, each marked as being probed."""
         now_ms = self._clock.now_ms()
--- a/src/magnoliapitch/control/delegation/assignment.py
+++ b/src/magnoliapitch/control/delegation/assignment.py
@@ -36,6 +36,9 @@
     agents_by_address: Mapping[str, Member],
     address_by_worker: Mapping[str, str],
     own_cores: float,
+    kept_by_address: Mapping[str, Member] | None = None,
+    *,
+    is_complete: bool = True,
 ) -> dict[str, str]:
     """Return the address of the agent of each worker.
 
@@ -43,8 +46,13 @@
     often, and agents in the zone of the worker first. A worker stays with its
     agent unless that is gone, or is in another zone without need.
 
+    :param agents_by_address: agents that may be given workers.
     :param address_by_worker: agents so far, ``LOCAL`` for the leader.
     :param own_cores: processor cores of the leader.
+    :param kept_by_address: agents whose workers may stay, by default those
+        that may be given workers.
+    :param is_complete: False if more agents are expected soon; a worker for
+        which no agent has room is then left out.
     """
     listed = sorted(workers, key=_by_place)
     is_delegating = any(address_by_worker.values())
@@ -53,18 +61,22 @@
         max_local_count *= STOP_DELEGATING_RATIO
     if len(listed) <= max_local_count:
         return {worker.worker_id: LOCAL for worker in listed}
+    kept = agents_by_address if kept_by_address is None else kept_by_address
     zones = {agent.zone for agent in agents_by_address.values()}
     assigned: dict[str, str] = {}
     for worker in listed:
         address = address_by_worker.get(worker.worker_id, LOCAL)
-        agent = agents_by_address.get(address)
+        agent = kept.get(address)
         if agent and (agent.zone == worker.zone or worker.zone not in zones):
             assigned[worker.worker_id] = address
     counts = Counter(assigned.values())
     for worker in listed:
         if worker.worker_id in assigned:
             continue
-        address = _best_agent(worker, agents_by_address, counts)
+        best = _best_agent(worker, agents_by_address, counts)
+        if not is_complete and (best is None or best.is_full):
+            continue
+        address = LOCAL if best is None else best.address
         assigned[worker.worker_id] = address
         counts[address] += 1
     return assigned
@@ -78,8 +90,8 @@
     worker: WorkerInfo,
     agents_by_address: Mapping[str, Member],
     counts: Counter[str],
-) -> str:
-    """Return the address of the agent for one more worker."""
+) -> _AgentRank | None:
+    """Return the agent for one more worker, or None without agents."""
 
     def rank(agent: Member) -> _AgentRank:
         count = counts[agent.address]
@@ -93,8 +105,7 @@
         )
 
     ranks = map(rank, agents_by_address.values())
-    best = min(ranks, default=None)
-    return LOCAL if best is None else best.address
+    return min(ranks, default=None)
 
 
 class _AgentRank(NamedTuple):
--- a/src/magnoliapitch/control/delegation/link.py
+++ b/src/magnoliapitch/control/delegation/link.py
@@ -32,6 +32,8 @@
 # pause in which a busy machine answers nobody.
 LOST_AFTER_MS = 1_500
 MIN_CALL_INTERVAL_MS = 10.0
+# Answers after which an agent is of no use to this session.
+FINAL_CODES = (FailureCode.FENCED, FailureCode.SEQUENCE)
 # Processor time of one call to an agent with its answer.
 CALL_DURATION_MS = 0.5
 # Share of the processor that calls to all agents may take.
@@ -138,7 +140,7 @@
         return Ok(None)
 
     def _record_failure(self, failure: Failure, now_ms: int) -> None:
-        is_final = failure.code in (FailureCode.FENCED, FailureCode.SEQUENCE)
+        is_final = failure.code in FINAL_CODES
         with self._lock:
             silent_ms = now_ms - self._answered_ms
             if self._is_lost or not (is_final or silent_ms > LOST_AFTER_MS):
--- a/src/magnoliapitch/control/delegation/router.py
+++ b/src/magnoliapitch/control/delegation/router.py
@@ -8,6 +8,8 @@
 
 from magnoliapitch.control.delegation.assignment import LOCAL
 from magnoliapitch.control.delegation.assignment import assign_workers
+from magnoliapitch.control.delegation.candidates import AgentCandidates
+from magnoliapitch.control.delegation.link import FINAL_CODES
 from magnoliapitch.control.delegation.link import AgentLink
 from magnoliapitch.control.delegation.link import call_interval_ms
 from magnoliapitch.control.delegation.messages import SessionKey
@@ -21,6 +23,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from magnoliapitch.advice.peer_health import PeerHealthSource
     from magnoliapitch.clock import Clock
     from magnoliapitch.control.delegation.service import AgentClient
     from magnoliapitch.control.events import Event
@@ -33,10 +36,6 @@
     from magnoliapitch.workload.worker import WorkerInfo
 
 
-# An instance that was given up as an agent is not used again for this time.
-LOST_AGENT_BACKOFF_MS = 5_000
-
-
 class WorkerRouter:
     """Passes renewals and orders of one leadership on; thread-safe.
 
@@ -44,7 +43,10 @@
     by the agent that it is assigned to. If an agent is lost, its workers get
     another one; what it has not answered counts as possibly carried out.
 
+    Only instances that are known to answer are given workers.
+
     :param epoch: the leader's epoch.
+    :param peers: tells which instances answer.
     :param local_group: calls workers from this instance.
     :param own_cores: processor cores of this instance.
     :param post: called with each event.
@@ -55,6 +57,7 @@
         epoch: int,
         local_group: WorkerGroup,
         client: AgentClient,
+        peers: PeerHealthSource,
         clock: Clock,
         own_cores: float,
         post: Callable[[Event], None],
@@ -69,11 +72,11 @@
         self._worker_by_id: dict[str, WorkerInfo] = {}
         self._token_by_worker: dict[str, int] = {}
         self._address_by_worker: dict[str, str] = {}
-        self._agents_by_address: dict[str, Member] = {}
+        self._candidates = AgentCandidates(peers, clock)
+        self._is_waiting = False
         self._link_by_address: dict[str, AgentLink] = {}
         # Links without workers, until their orders are answered.
         self._closing_links: list[AgentLink] = []
-        self._usable_ms_by_address: dict[str, int] = {}
         self._session_count = 0
 
     def set_agents(self, members: Iterable[Member]) -> None:
@@ -82,9 +85,7 @@
         It is called regularly, and also moves the workers of lost agents.
         """
         with self._lock:
-            self._agents_by_address = {
-                member.address: member for member in members
-            }
+            self._candidates.set_listed(members)
             self.assign()
 
     def assign(self) -> None:
@@ -93,6 +94,11 @@
             self._reassign()
             self._close_idle_links()
 
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether workers wait until it is known who answers."""
+        return self._is_waiting
+
     def start_lease_renewal(self, worker: WorkerInfo, token: int) -> None:
         """Renew a worker's lease repeatedly, from the next ``assign`` on.
 
@@ -180,23 +186,29 @@
             return self._link_by_address.get(address)
 
     def _reassign(self) -> None:
-        now_ms = self._clock.now_ms()
-        usable = {
-            address: agent
-            for address, agent in self._agents_by_address.items()
-            if now_ms >= self._usable_ms_by_address.get(address, 0)
-        }
+        candidates = self._candidates.now()
         assigned = assign_workers(
             self._worker_by_id.values(),
-            usable,
+            candidates.by_address,
             self._address_by_worker,
             self._own_cores,
+            self._used_agents(),
+            is_complete=candidates.is_complete,
         )
+        self._is_waiting = len(assigned) < len(self._worker_by_id)
         for worker_id, address in assigned.items():
             if self._address_by_worker.get(worker_id) != address:
                 self._detach(worker_id)
                 self._attach(self._worker_by_id[worker_id], address)
 
+    def _used_agents(self) -> dict[str, Member]:
+        """Return the listed agents that have workers and are not lost."""
+        return {
+            address: agent
+            for address, agent in self._candidates.listed_by_address.items()
+            if address in self._link_by_address
+        }
+
     def _attach(self, worker: WorkerInfo, address: str) -> None:
         self._address_by_worker[worker.worker_id] = address
         token = self._token_by_worker[worker.worker_id]
@@ -261,6 +273,7 @@
 
     def _handle_lost_agent(self, address: str, failure: Failure) -> None:
         is_fenced = failure.code is FailureCode.FENCED
+        is_silent = failure.code not in FINAL_CODES
         if not is_fenced:
             failure = may_have_run(FailureCode.TIMEOUT, failure.detail)
         with self._lock:
@@ -292,9 +305,6 @@
             ]
             for worker_id in worker_ids:
                 del self._address_by_worker[worker_id]
-            now_ms = self._clock.now_ms()
-            self._usable_ms_by_address[address] = (
-                now_ms + LOST_AGENT_BACKOFF_MS
-            )
+            self._candidates.record_loss(address, is_silent=is_silent)
             if not is_fenced:
                 self._reassign()
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -62,6 +62,8 @@
 LIST_TIMEOUT_DIVISOR = 2
 UPKEEP_INTERVAL_MS = 500
 MAX_EVENT_WAIT_MS = 200
+# While workers wait for instances to answer their probes.
+PROBE_EVENT_WAIT_MS = 20
 # Limit for one call to the store.
 MAX_JOBS_PER_DELETION = 500
 STANDBY_WAIT_MS = 1_000
@@ -213,6 +215,7 @@
             controller.epoch,
             local_group,
             self._clients.agents,
+            self._clients.advisor_channels,
             self._clock,
             self._own_cores,
             post,
@@ -261,9 +264,12 @@
         self._upkeep.begin_if_due(started_ms)
         self._advisor_calls.begin_due_probes()
         self._preparation.keep_claim()
+        router = self._router
+        if router is not None and router.is_waiting:
+            router.assign()
         events = self._next_events()
         received_ms = self._clock.now_ms()
-        leading = Leading(controller, self._router)
+        leading = Leading(controller, router)
         for event in events:
             dispatch(event, leading, self._clock.now_ms())
         now_ms = self._clock.now_ms()
@@ -276,8 +282,11 @@
 
     def _next_events(self) -> list[Event]:
         events: list[Event] = []
+        router = self._router
+        is_waiting = router is not None and router.is_waiting
+        wait_ms = PROBE_EVENT_WAIT_MS if is_waiting else MAX_EVENT_WAIT_MS
         try:
-            events.append(self._events.get(timeout=MAX_EVENT_WAIT_MS / 1000))
+            events.append(self._events.get(timeout=wait_ms / 1000))
             while True:
                 events.append(self._events.get_nowait())
         except queue.Empty:
--- a/tests/advice/test_channels.py
+++ b/tests/advice/test_channels.py
@@ -16,6 +16,7 @@
 from magnoliapitch.advice.channel import MAX_UNPROBED_AGE_MS
 from magnoliapitch.advice.channel import PROBE_INTERVAL_MS
 from magnoliapitch.advice.channel import PeerChannel
+from magnoliapitch.advice.peer_health import PeerHealth
 from magnoliapitch.clock import ManualClock
 from magnoliapitch.http.client import MAX_CONNECT_TIMEOUT_MS
 from magnoliapitch.http.client import HttpReply
@@ -113,6 +114,57 @@
         return self.pool.call(channel, LONG, 1_700).is_ok()
 
 
+# A peer would lose its part as an agent whenever the advisor refuses calls.
+def test_failed_calls_do_not_show_that_a_peer_is_silent() -> None:
+    peers = Peers(ManualClock(1_000), 1)
+    (address,) = peers.addresses
+    assert not peers.pool.health_of(address).is_known
+    peers.probe()
+    assert peers.pool.health_of(address) == PeerHealth(
+        is_known=True, answered_ms=1_000
+    )
+    peers.lose(address)
+    assert not peers.call()
+    assert peers.pool.health_of(address).answered_ms == 1_000
+    peers.clock.advance(PROBE_INTERVAL_MS)
+    peers.probe()
+    assert peers.pool.health_of(address) == PeerHealth(
+        is_known=True, answered_ms=None
+    )
+
+
+def test_doubted_answers_are_unknown_until_a_probe_is_answered() -> None:
+    peers = Peers(ManualClock(1_000), 2)
+    silent, answering = peers.addresses
+    peers.lose(silent)
+    peers.probe()
+    peers.pool.doubt_answers(peers.clock.now_ms())
+    assert not peers.pool.health_of(answering).is_known
+    assert peers.pool.health_of(silent).is_known
+    peers.probe()
+    assert peers.pool.health_of(answering).answered_ms is not None
+
+
+# The workers of a lost agent waited for peers that were busy with calls.
+def test_a_doubted_peer_is_probed_during_a_call() -> None:
+    peers = Peers(ManualClock(1_000), 1)
+    peers.probe()
+    assert peers.pool.reserve(LONG) is not None
+    peers.clock.advance(MAX_UNPROBED_AGE_MS)
+    assert peers.pool.due_probes() == []
+    peers.pool.doubt_answers(peers.clock.now_ms())
+    peers.probe()
+    assert peers.pool.health_of(peers.addresses[0]).is_known
+
+
+# An instance that leads again after a long time knew peers by old answers.
+def test_health_is_unknown_after_a_long_time_without_probes() -> None:
+    peers = Peers(ManualClock(1_000), 1)
+    peers.probe()
+    peers.clock.advance(MAX_ANSWER_AGE_MS + 1)
+    assert not peers.pool.health_of(peers.addresses[0]).is_known
+
+
 def make_pool(peer_count: int) -> AdvisorChannelPool:
     peers = Peers(ManualClock(), peer_count)
     peers.probe()
--- a/tests/control/delegation/fakes.py
+++ b/tests/control/delegation/fakes.py
@@ -10,6 +10,7 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.advice.peer_health import PeerHealth
 from magnoliapitch.clock import ManualClock
 from magnoliapitch.control.delegation.agent import Agent
 from magnoliapitch.control.delegation.messages import SessionKey
@@ -30,6 +31,7 @@
 
 
 if TYPE_CHECKING:
+    from magnoliapitch.clock import Clock
     from magnoliapitch.control.delegation.messages import CommandBatch
     from magnoliapitch.control.delegation.messages import EventBatch
     from magnoliapitch.control.events import Event
@@ -133,6 +135,20 @@
         return reply
 
 
+class AnsweringPeers:
+    """Peers that all answer each probe at once."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+
+    def health_of(self, address: str) -> PeerHealth:
+        del address
+        return PeerHealth(is_known=True, answered_ms=self._clock.now_ms())
+
+    def doubt_answers(self, since_ms: int) -> None:
+        del since_ms
+
+
 class AgentPair:
     """A session of the leader with one agent, driven step by step.
 
--- a/tests/control/delegation/test_assignment.py
+++ b/tests/control/delegation/test_assignment.py
@@ -5,6 +5,9 @@
 
 import pytest
 
+from magnoliapitch.control.delegation.assignment import (
+    DELEGATED_WORKERS_PER_CORE,
+)
 from magnoliapitch.control.delegation.assignment import LOCAL
 from magnoliapitch.control.delegation.assignment import assign_workers
 from magnoliapitch.control.delegation.link import MAX_CALL_PROCESSOR_SHARE
@@ -120,3 +123,30 @@
         2 * agent_count * 1_000 / call_interval_ms(agent_count, cores)
     )
     assert calls_per_s * 0.0005 <= MAX_CALL_PROCESSOR_SHARE * cores + 1e-9
+
+
+# All workers went to the instance that answered its probe first, and stayed.
+def test_workers_without_room_wait_while_more_agents_are_expected() -> None:
+    first = agents(1)
+    only = {"a-0": first["a-0"]}
+    part = assign_workers(fleet(270), only, {}, 1.0, is_complete=False)
+    assert set(part.values()) == {"a-0"}
+    assert len(part) == DELEGATED_WORKERS_PER_CORE
+    assert len(assign_workers(fleet(270), only, part, 1.0)) == 270
+
+
+def test_no_worker_goes_to_the_leader_while_agents_are_expected() -> None:
+    assert assign_workers(fleet(270), {}, {}, 1.0, is_complete=False) == {}
+    small = assign_workers(fleet(25), {}, {}, 1.0, is_complete=False)
+    assert set(small.values()) == {LOCAL}
+
+
+def test_agents_that_are_only_kept_get_no_more_workers() -> None:
+    first = assign_workers(fleet(100), agents(1), {}, 1.0)
+    others = agents(1)
+    kept = dict(others)
+    del others["a-0"]
+    before = {w: a for w, a in first.items() if w != "a000"}
+    second = assign_workers(fleet(100), others, before, 1.0, kept)
+    assert second["a000"] != "a-0"
+    assert {w: second[w] for w in before} == before
--- a/tests/control/delegation/test_router.py
+++ b/tests/control/delegation/test_router.py
@@ -20,6 +20,7 @@
 from magnoliapitch.metric import Metrics
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import Verdict
+from tests.control.delegation.fakes import AnsweringPeers
 from tests.control.delegation.fakes import FakeWorkers
 from tests.control.delegation.fakes import LossyAgents
 from tests.control.delegation.fakes import member
@@ -68,6 +69,7 @@
             epoch,
             local_group,
             self.agents,  # type: ignore[arg-type]
+            AnsweringPeers(self.clock),
             self.clock,
             WEAK_LEADER_CORES,
             self.events.append,
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -10,6 +10,7 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.advice.peer_health import PeerHealth
 from magnoliapitch.clock import MonotonicClock
 from magnoliapitch.control.clients import Clients
 from magnoliapitch.control.driver import ControlDriver
@@ -199,7 +200,7 @@
 
 
 class RecordingChannels(NoSystems):
-    """Keeps the peers that it is given."""
+    """Keeps the peers that it is given; each of them answers."""
 
     def __init__(self) -> None:
         self.peer_addresses: tuple[str, ...] = ()
@@ -207,6 +208,10 @@
     def set_peers(self, peer_addresses: Iterable[str]) -> None:
         self.peer_addresses = tuple(peer_addresses)
 
+    def health_of(self, address: str) -> PeerHealth:
+        del address
+        return PeerHealth(is_known=True, answered_ms=0)
+
 
 # A new leader had neither peers nor agents until it could read their list.
 def test_known_instances_are_used_while_their_list_cannot_be_read() -> None:
@@ -222,6 +227,42 @@
     assert channels.peer_addresses == ("10.0.0.1:1",)
 
 
+class WaitingRouter:
+    """Has workers that wait until it is known which instances answer."""
+
+    is_waiting = True
+
+    def __init__(self) -> None:
+        self.assign_count = 0
+
+    def assign(self) -> None:
+        self.assign_count += 1
+
+    def set_agents(self, members: object) -> None:
+        del members
+
+    def available_start_orders(self) -> int:
+        return 0
+
+    def max_start_orders(self) -> int:
+        return 0
+
+
+# Workers would have waited for the next list of workers or of instances.
+def test_waiting_workers_are_assigned_in_each_round() -> None:
+    clock = MonotonicClock()
+    leadership = SlowLeadership(clock)
+    leadership.release.set()
+    driver = make_driver(clock, leadership, NoSystems(), NoSystems())
+    leadership.claim_with(epoch=1)
+    driver.step()
+    router = WaitingRouter()
+    driver._router = router  # type: ignore[assignment]
+    for _ in range(3):
+        driver.step()
+    assert router.assign_count == 3
+
+
 class OrderedCalls(KnownMembers):
     """Records the order of the calls of the upkeep."""
 
