A session that is not open offers no room for start orders beside open ones

Cause: a session that its agent has not taken yet counted 32 start orders as available. Orders are bound to a session only when planned, so that the agents of other sessions got these beyond their own limits. Change: sessions that are not open count only while none is open. Figures of the new test, one agent with a limit of 32 and one not reached yet: 64 orders available before, 32 after. Still so: the sum over open sessions is not bound to each of them. Tests: test_an_agent_gets_no_orders_for_one_that_is_not_reached_yet fails without it (run).

--- a/src/magnoliapitch/control/delegation/router.py
+++ b/src/magnoliapitch/control/delegation/router.py
@@ -151,21 +151,30 @@
 
     def available_start_orders(self) -> int:
         """Return the number of start orders that may be sent now."""
-        sessions = self._sessions()
+        sessions = self._ordering_sessions()
         if not sessions:
             return self._local_group.available_start_orders()
         return sum(session.available_start_orders() for session in sessions)
 
     def max_start_orders(self) -> int:
         """Return how many start orders may be unanswered at a time."""
-        sessions = self._sessions()
+        sessions = self._ordering_sessions()
         if not sessions:
             return self._local_group.max_start_orders()
         return sum(session.start_limit for session in sessions)
 
-    def _sessions(self) -> list[AgentSession]:
+    def _ordering_sessions(self) -> list[AgentSession]:
+        """Return the sessions whose start orders may be in flight.
+
+        Orders are not bound to a session until they are planned, so that room
+        in one that is not open would be used for the agents of others.
+        """
         with self._lock:
-            return [link.session for link in self._link_by_address.values()]
+            sessions = [
+                link.session for link in self._link_by_address.values()
+            ]
+        opened = [session for session in sessions if session.is_open]
+        return opened or sessions
 
     def close(self) -> None:
         """Stop all calls."""
--- a/tests/control/delegation/test_router.py
+++ b/tests/control/delegation/test_router.py
@@ -165,6 +165,25 @@
         fleet.router.close()
 
 
+# The room of an agent that was not reached yet was used for orders to another
+# one, beyond the limit of that one.
+def test_an_agent_gets_no_orders_for_one_that_is_not_reached_yet() -> None:
+    fleet = Fleet()
+    try:
+        fleet.wait_until(lambda: fleet.events)
+        limit = fleet.router.max_start_orders()
+        fleet.agents.silent_addresses.add("y")
+        fleet.router.set_agents([member("x", "a", 2.0), member("y", "b")])
+        fleet.router.start_lease_renewal(worker("v", "b"), 7)
+        fleet.router.assign()
+        assert fleet.router.available_start_orders() == limit
+        assert fleet.router.max_start_orders() == limit
+        fleet.agents.silent_addresses.clear()
+        fleet.wait_until(lambda: fleet.router.max_start_orders() > limit)
+    finally:
+        fleet.router.close()
+
+
 # A leader took itself for replaced: an agent without workers, but with an
 # order still unanswered, got a worker again and so a second session.
 def test_an_agent_that_is_used_again_at_once_replaces_no_leader() -> None:
