Assignment ends at the first worker for which no agent has room

Cause: while more agents are expected, each worker that waits was compared with all agents, although none had room for the one before.

--- a/src/magnoliapitch/control/delegation/assignment.py
+++ b/src/magnoliapitch/control/delegation/assignment.py
@@ -75,7 +75,7 @@
             continue
         best = _best_agent(worker, agents_by_address, counts)
         if not is_complete and (best is None or best.is_full):
-            continue
+            break
         address = LOCAL if best is None else best.address
         assigned[worker.worker_id] = address
         counts[address] += 1
