step-waiting tells of workers that a step cannot ask about

Cause: for a step whose remaining workers are kept for a suspect's job the line said not-asked, as if nothing were known; and calls_left counted the channel for short calls for a step whose calls are long. Change: the field kept_unasked; calls_left counts what the step can use. Test: test_report_counts_unasked_workers_that_are_kept_for_a_suspects_job.

--- a/src/magnoliapitch/control/step_gates.py
+++ b/src/magnoliapitch/control/step_gates.py
@@ -76,6 +76,7 @@
     orders_left: int
     unusable: str
     kept_for_job: int
+    kept_unasked: int
     kept_for_restart: int
     held_by_quota: bool
     held_tasks: int
@@ -148,6 +149,7 @@
             orders_left=max_starts - len(plan.starts),
             unusable=room.unusable,
             kept_for_job=room.kept_for_job,
+            kept_unasked=_kept_unasked_count(step, left),
             kept_for_restart=room.kept_for_restart,
             held_by_quota=step.is_held or not step.start_limit,
             held_tasks=sum(
@@ -262,6 +264,24 @@
     return {**counts, "left_tasks": free_task_count(candidate, step)}
 
 
+def _kept_unasked_count(step: TrackedStep, left: RoundLeft | None) -> int:
+    """Return about how many workers a step cannot ask, as others have them.
+
+    Kept for another job, they are not among those that it may run on.
+    """
+    if left is None or step.job.queue.permit_timing is None:
+        return 0
+    unasked = (
+        candidate
+        for worker_id, candidate in left.workers.candidates_by_id.items()
+        if worker_id not in step.asked_worker_ids
+    )
+    return sum(
+        not candidate.accepts(step.job)
+        for candidate in islice(unasked, MAX_EXAMINED_WORKERS)
+    )
+
+
 def _waits_for_first_start(step: TrackedStep) -> bool:
     return step.spec.is_long_running and not step.has_interrupted_task()
 
--- a/src/magnoliapitch/planner/permit_budget.py
+++ b/src/magnoliapitch/planner/permit_budget.py
@@ -163,7 +163,7 @@
         """Return how a step's queue has used its calls."""
         queue_name = self._queue_name(step)
         return CallUse(
-            self._remaining_calls,
+            max(0, self._remaining_for(expected_call_ms(step, 1))),
             self._call_count_by_queue[queue_name],
             self._share_by_queue.get(queue_name, 0),
             self._awaiting_count_by_queue[queue_name],
--- a/tests/control/test_waiting_report.py
+++ b/tests/control/test_waiting_report.py
@@ -300,6 +300,22 @@
     assert (line["room_tasks"], line["left_tasks"]) == (1, 0)
 
 
+def test_report_counts_unasked_workers_that_are_kept_for_a_suspects_job(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    state = make_state(8)
+    add_job(state, StepSpec(1, SIZE), permit_timing=PERMIT_TIMING)
+    add_job(state, StepSpec(1, SIZE), name="b")
+    state.add_ordered_run(TaskKey("b", 0, 0, 0), 1, "w0", 100)
+    suspect = state.task(TaskKey("b", 0, 0, 0))
+    assert suspect is not None
+    state.add_suspect(suspect)
+    report = Report(state, monkeypatch)
+    assert report.line(max_calls=0)["kept_unasked"] == 1
+    report.permit("w0")
+    assert report.line(3_000, max_calls=0)["kept_unasked"] == 0
+
+
 def test_gate_is_quota_for_a_step_that_its_workspace_holds(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
