--- a/src/magnoliapitch/planner/gang_room.py
+++ b/src/magnoliapitch/planner/gang_room.py
@@ -20,10 +20,6 @@
 MAX_GANGS_WITH_RESERVED_CAPACITY = 4
 # After this time a waiting gang no longer keeps capacity from other steps.
 MAX_CAPACITY_RESERVATION_MS = 20_000
-# The same while less than half of the CPU of its workers is in use: others
-# must not wait for long beside free capacity.
-MAX_IDLE_RESERVATION_MS = 2_000
-IDLE_SHARE = 0.5
 
 
 class GangRoom:
@@ -47,10 +43,7 @@
         if self._gang_count >= MAX_GANGS_WITH_RESERVED_CAPACITY:
             return False
         ready_ms = step.ready_ms if step.ready_ms is not None else self._now_ms
-        waited_ms = self._now_ms - ready_ms
-        if waited_ms > MAX_CAPACITY_RESERVATION_MS:
-            return False
-        if waited_ms > MAX_IDLE_RESERVATION_MS and _are_idle(candidates):
+        if self._now_ms - ready_ms > MAX_CAPACITY_RESERVATION_MS:
             return False
         fitting_count = sum(
             task_count_beside_services(candidate, step)
@@ -75,11 +68,4 @@
         candidate.free = NO_RESOURCES
 
 
-def _are_idle(candidates: list[Candidate]) -> bool:
-    """Return whether less than half of the CPU of workers is in use."""
-    total = sum(candidate.info.capacity.cpu_millis for candidate in candidates)
-    free = sum(candidate.worker.free.cpu_millis for candidate in candidates)
-    return free > IDLE_SHARE * total
-
-
 __all__ = ["GangRoom", "reserve"]
