Room beside long-running work is worked out in one place

Change: room_beside_services and one private count serve them; the tests share state_with_suspect. Behaviour and assertions stay. Conclusion: shape only.

--- a/src/magnoliapitch/planner/candidates.py
+++ b/src/magnoliapitch/planner/candidates.py
@@ -148,18 +148,22 @@
 
 def idle_task_count(candidate: Candidate, step: TrackedStep) -> int:
     """Return how many tasks of a step would fit an idle worker."""
-    count = _task_count_within(candidate.info.capacity, step)
-    return min(count, step.spec.max_per_worker or count)
+    return _task_count_on_worker(candidate.info.capacity, step)
 
 
 def task_count_beside_services(candidate: Candidate, step: TrackedStep) -> int:
     """Return how many tasks fit once only long-running work is left."""
+    room = room_beside_services(candidate)
+    return max(0, _task_count_on_worker(room, step))
+
+
+def room_beside_services(candidate: Candidate) -> Resources:
+    """Return the capacity of a worker that no long-running work uses."""
     room = candidate.info.capacity
     for run in candidate.worker.runs:
         if run.task.step.spec.is_long_running:
             room = room.minus(run.resources)
-    count = max(0, _task_count_within(room, step))
-    return min(count, step.spec.max_per_worker or count)
+    return room
 
 
 def release(step: TrackedStep, candidates: Iterable[Candidate]) -> None:
@@ -184,6 +188,12 @@
     )
 
 
+def _task_count_on_worker(amount: Resources, step: TrackedStep) -> int:
+    """Return how many tasks fit an amount of one worker, at most its limit."""
+    count = _task_count_within(amount, step)
+    return min(count, step.spec.max_per_worker or count)
+
+
 def _task_count_within(amount: Resources, step: TrackedStep) -> int:
     reservation = step.reservation
     count = step.spec.task_count
--- a/src/magnoliapitch/planner/kept_room.py
+++ b/src/magnoliapitch/planner/kept_room.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner.candidates import free_task_count
+from magnoliapitch.planner.candidates import room_beside_services
 from magnoliapitch.planner.expected_starts import restarts
 from magnoliapitch.resource import NO_RESOURCES
 from magnoliapitch.resource import Resources
@@ -105,10 +106,7 @@
         worker_id = candidate.worker.worker_id
         unserved = self._unserved_by_worker.get(worker_id)
         if unserved is None:
-            unserved = candidate.info.capacity
-            for run in candidate.worker.runs:
-                if run.task.step.spec.is_long_running:
-                    unserved = unserved.minus(run.resources)
+            unserved = room_beside_services(candidate)
             self._unserved_by_worker[worker_id] = unserved
         kept = self._kept_by_worker.get(worker_id, NO_RESOURCES)
         return unserved.minus(kept)
--- a/tests/control/test_waiting_report.py
+++ b/tests/control/test_waiting_report.py
@@ -283,16 +283,22 @@
     assert (line["tickets"], line["ticket_tasks"]) == (1, 2)
 
 
-def test_gate_is_room_kept_on_workers_of_a_suspects_job(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    state = make_state(1)
+def state_with_suspect(worker_count: int) -> SchedulerState:
+    """Return a state with a step that waits, and a suspect that runs on w0."""
+    state = make_state(worker_count)
     add_job(state, StepSpec(1, SIZE), permit_timing=PERMIT_TIMING)
     add_job(state, StepSpec(1, SIZE), name="b")
     state.add_ordered_run(TaskKey("b", 0, 0, 0), 1, "w0", 100)
     suspect = state.task(TaskKey("b", 0, 0, 0))
     assert suspect is not None
     state.add_suspect(suspect)
+    return state
+
+
+def test_gate_is_room_kept_on_workers_of_a_suspects_job(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    state = state_with_suspect(1)
     report = Report(state, monkeypatch)
     report.permit("w0")
     line = report.line()
@@ -303,13 +309,7 @@
 def test_report_counts_unasked_workers_that_are_kept_for_a_suspects_job(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    state = make_state(8)
-    add_job(state, StepSpec(1, SIZE), permit_timing=PERMIT_TIMING)
-    add_job(state, StepSpec(1, SIZE), name="b")
-    state.add_ordered_run(TaskKey("b", 0, 0, 0), 1, "w0", 100)
-    suspect = state.task(TaskKey("b", 0, 0, 0))
-    assert suspect is not None
-    state.add_suspect(suspect)
+    state = state_with_suspect(8)
     report = Report(state, monkeypatch)
     assert report.line(max_calls=0)["kept_unasked"] == 1
     report.permit("w0")
