--- a/review/7/standin/cluster.py
+++ b/review/7/standin/cluster.py
@@ -41,7 +41,6 @@
 MAX_HOLD_MS = 10_000
 READY_TIMEOUT_S = 30
 COULD_NOT_RUN = 2
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 PLACEHOLDER = re.compile(r"\{\{([^}|]+)(\|json)?\}\}")
 # What deploy/system.toml says a process gets of its caller's environment.
 KEPT_VARIABLES = ("PATH", "HOME", "JAVA_HOME", "LANG")
