--- a/review/6/case.py
+++ b/review/6/case.py
@@ -20,7 +20,7 @@
 from cluster import Record  # noqa: E402
 
 
-HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+HAS_TROUBLE = os.environ["TROUBLE"] != "0"
 # The users' small deployments: 7 machines, 24 runners.
 ENTRY_COUNT = 7
 RUNNER_COUNT = 24
