A new leader keeps its claim while it builds its state

Cause: between its claim and its first heartbeat a new leader reads the jobs, and adds them all to the scheduler's state. The claim was stored again while the store was asked only. The state of 460,000 open tasks takes longer than LEADER_TIMEOUT_MS (1 s), so that another instance claimed meanwhile, and the next one after it, without end.

Change: the claim is kept also while records are decoded (each 100 records) and before each job is added. An instance that was replaced, or stops, builds no further.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -207,19 +207,30 @@
         """Return the epoch, the lowest fencing token of the leadership."""
         return self._leader.epoch
 
-    def load(self, now_ms: int, job_end: int, jobs_read_ms: int) -> None:
+    def load(
+        self,
+        now_ms: int,
+        job_end: int,
+        jobs_read_ms: int,
+        goes_on: Callable[[], bool] = lambda: True,
+    ) -> bool:
         """Add the stored jobs, ended ones too if runs of them may be active.
 
         Their runs use capacity until they have ended.
 
         :param job_end: offset up to which the job stream was read.
         :param jobs_read_ms: when the call that read it was sent.
+        :param goes_on: called before each job is added; returns whether this
+            instance is still to lead.
+        :return: whether all jobs were added; the controller is of no use
+            otherwise.
         """
         self._source_ages.record_read(Source.JOBS, jobs_read_ms)
         apply_configuration(self.state, self._configuration())
         self._progress_batcher.load(now_ms)
         self._progress_batcher.record_read(job_end)
-        self._job_loader.add_all(now_ms)
+        if not self._job_loader.add_all(now_ms, goes_on):
+            return False
         for worker in self.state.workers_by_id.values():
             worker.address = self._stored_leases.address(worker.worker_id)
         self._stored_leases.keep_only(self._worker_ids_with_runs())
@@ -234,6 +245,7 @@
             open_jobs=open_count,
             ended_jobs=len(self.state.jobs_by_id) - open_count,
         )
+        return True
 
     def may_issue_orders(self, now_ms: int) -> bool:
         """Return whether leases and orders may be issued at a time.
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -194,9 +194,16 @@
         )
         self._router = self._open_router(controller)
         self._use_known_peers()
-        controller.load(
-            self._clock.now_ms(), job_follower.end, job_follower.read_ms
+        is_loaded = controller.load(
+            self._clock.now_ms(),
+            job_follower.end,
+            job_follower.read_ms,
+            self._preparation.goes_on,
         )
+        if not is_loaded:
+            self._close_router()
+            self._handle_unprepared(self._preparation.interruption())
+            return None
         self._controller = controller
         self._job_follower = job_follower
         self._is_following.set()
@@ -250,14 +257,17 @@
         self._controller = None
         self._is_following.clear()
         self._job_follower = None
-        if self._router is not None:
-            self._router.close()
-            self._router = None
+        self._close_router()
         if self._is_stopping:
             self._committer.close()
             self._leadership.resign()
         self._leadership.step_down()
 
+    def _close_router(self) -> None:
+        if self._router is not None:
+            self._router.close()
+            self._router = None
+
     def _run_round(self, controller: Controller) -> int:
         started_ms = self._clock.now_ms()
         self._worker_reading.begin_if_due(started_ms)
--- a/src/magnoliapitch/control/job_loader.py
+++ b/src/magnoliapitch/control/job_loader.py
@@ -51,10 +51,17 @@
         self._configuration = configuration
         self._delete_jobs = delete_jobs
 
-    def add_all(self, now_ms: int) -> None:
-        """Add every stored job, ended ones too if runs may be active."""
+    def add_all(self, now_ms: int, goes_on: Callable[[], bool]) -> bool:
+        """Add every stored job, ended ones too if runs may be active.
+
+        :param goes_on: called before each job; returns whether to go on.
+        :return: whether all were added.
+        """
         for stored in self._job_table.jobs():
+            if not goes_on():
+                return False
             self._add(stored, now_ms)
+        return True
 
     def apply_changes(self, job_ids: Iterable[str], now_ms: int) -> None:
         """Add the new ones of some jobs and cancel the cancelled ones.
--- a/src/magnoliapitch/ledger/job_follower.py
+++ b/src/magnoliapitch/ledger/job_follower.py
@@ -38,6 +38,7 @@
 READ_WAIT_MS = 800
 LOAD_TIMEOUT_MS = 2_000
 LOAD_POLL_MS = 100
+RECORDS_PER_CHECK = 100
 RETRY_DELAY_MS = 200
 
 
@@ -108,10 +109,17 @@
                 self._health.note_failure(outcome.err_value)
                 return outcome
         self._health.note_success(sent_ms)
-        for mirror in mirrors:
-            changed_keys = mirror.take_changes().value_by_key
-            self.job_table.apply(mirror.values_by_key, changed_keys)
         self.read_ms = sent_ms
+        keys = [
+            (mirror, key)
+            for mirror in mirrors
+            for key in mirror.take_changes().value_by_key
+        ]
+        for number, (mirror, key) in enumerate(keys):
+            # Many records take longer to decode than a claim lasts.
+            if not number % RECORDS_PER_CHECK and not goes_on():
+                return Err(not_run(FailureCode.SHUTTING_DOWN, "not wanted"))
+            self.job_table.apply(mirror.values_by_key, (key,))
         return Ok(None)
 
     def step(self) -> int:
