Steps and tasks are made when they are first needed

Leaders were replaced before their first heartbeat, or exceeded the memory of their machines.

Cause: the scheduler's state had every task of every occurrence of all open jobs, 20,000 for each of these. Each planning round also looked at each of their scheduled steps.

Change: the steps of an occurrence are made when it becomes due, or when stored progress names one of its tasks (planner/job_occurrences.py); the tasks of a step when it can start. Of a recurring job only the next occurrence is scheduled, in a heap by time (planner/scheduled_occurrences.py), so that a round looks at those that are due. An occurrence that a leader with a faster clock has begun goes on when it is due by this leader's clock, as before.

--- a/src/magnoliapitch/planner/restore.py
+++ b/src/magnoliapitch/planner/restore.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import sys
-
 from bisect import bisect_right
 from itertools import islice
 from typing import TYPE_CHECKING
@@ -45,17 +43,18 @@
 
 
 def _tasks(job: TrackedJob, part: int | None) -> Iterator[TrackedTask]:
-    steps = job.all_steps()
-    begin, end = 0, sys.maxsize
+    """Return the tasks of a record that were needed so far."""
+    begin, end = 0, job.steps.task_count
     if part is not None:
         begin = part * TASKS_PER_PROGRESS_RECORD
-        end = begin + TASKS_PER_PROGRESS_RECORD
+        end = min(end, begin + TASKS_PER_PROGRESS_RECORD)
+    steps = list(job.steps.made_steps_between(begin, end))
     index = bisect_right(steps, begin, key=lambda step: step.first_number)
-    for step in islice(steps, index - 1, None):
+    for step in islice(steps, max(0, index - 1), None):
         if step.first_number >= end:
             return
         first = max(0, begin - step.first_number)
-        yield from step.tasks[first : end - step.first_number]
+        yield from step.made_tasks[first : end - step.first_number]
 
 
 def _task_progress(task: TrackedTask) -> TaskProgress:
@@ -100,6 +99,8 @@
             continue
         _restore_task(state, task, task_progress, now_ms)
     for step in job.all_steps():
+        if not step.made_tasks:
+            continue
         _finish_gang(state, step)
         step.unfinished_count = sum(not task.is_done for task in step.tasks)
         step.waiting_count = len(step.startable_tasks())
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -9,6 +9,7 @@
 from magnoliapitch.planner.restart_pause import RestartPauses
 from magnoliapitch.planner.restore import progress_of
 from magnoliapitch.planner.restore import restore_progress
+from magnoliapitch.planner.scheduled_occurrences import ScheduledOccurrences
 from magnoliapitch.planner.tracked import TrackedRun
 from magnoliapitch.planner.tracked import TrackedStep
 from magnoliapitch.planner.tracked_job import TrackedJob
@@ -42,8 +43,6 @@
 
     :ivar unsaved_job_ids: ids of jobs whose progress is not stored yet.
     :ivar waiting_steps: steps that may start now and have startable tasks.
-    :ivar scheduled_steps: steps of a recurring job whose dependencies are
-        done and that wait for the start time of their occurrence.
     :ivar suspects_by_key: tasks that were lost with several workers.
     :ivar runs_to_stop: runs that must be stopped, by ``id()`` of the run.
     :ivar workspaces_by_name: workspaces of the newest configuration.
@@ -55,7 +54,7 @@
         self.workers_by_id: dict[str, TrackedWorker] = {}
         self.unsaved_job_ids: set[str] = set()
         self.waiting_steps: dict[StepKey, TrackedStep] = {}
-        self.scheduled_steps: dict[StepKey, TrackedStep] = {}
+        self._scheduled = ScheduledOccurrences()
         self._restart_pauses = RestartPauses()
         self.suspects_by_key: dict[TaskKey, TrackedTask] = {}
         self.runs_to_stop: dict[int, TrackedRun] = {}
@@ -76,18 +75,20 @@
             restore_progress(self, job, progress, now_ms)
         self._update_outcome(job)
         if job.outcome is JobOutcome.OPEN:
-            self._open_steps(job.dependencies.released_steps(), now_ms)
+            if spec.run_count:
+                self._scheduled.add(job)
+            else:
+                self._open_steps(job.dependencies.released_steps(0), now_ms)
         return job
 
     def open_due_steps(self, now_ms: int, wall_ms: int) -> None:
-        """Let due scheduled steps start, and tasks whose pause is over.
+        """Let due occurrences start, and tasks whose pause is over.
 
         :param wall_ms: wall-clock time, ms since 1970.
         """
-        for key, step in list(self.scheduled_steps.items()):
-            if wall_ms >= step.job.spec.due_ms(key.occurrence):
-                del self.scheduled_steps[key]
-                self._open_step(step, now_ms)
+        for job, occurrence in self._scheduled.take_due(wall_ms):
+            steps = job.dependencies.released_steps(occurrence)
+            self._open_steps(steps, now_ms)
         for task in self._restart_pauses.take_due(now_ms):
             if task.is_waiting:
                 self._adjust_waiting_count(task.step, 1)
@@ -105,9 +106,9 @@
         job.outcome = closing.outcome
         closing.log(job)
         self.unsaved_job_ids.add(job.spec.job_id)
+        self._scheduled.remove(job)
         for step in job.all_steps():
             self.waiting_steps.pop(step.key, None)
-            self.scheduled_steps.pop(step.key, None)
             if closing.outcome is not JobOutcome.COMPLETED:
                 self.stop_step(step)
 
@@ -360,7 +361,10 @@
                     self.mark_for_stop(run)
         if step.is_done and not was_done:
             released = step.job.dependencies.record_done(step)
-            if step.job.outcome is JobOutcome.OPEN:
+            is_open = step.job.outcome is JobOutcome.OPEN
+            # The others start with their occurrence, which a former leader
+            # with another clock has taken for due.
+            if is_open and not self._scheduled.is_awaited(step):
                 self._open_steps(released, now_ms)
 
     def _update_outcome(
@@ -378,17 +382,11 @@
             self.close_job(job, JobClosing.completed())
 
     def _open_steps(self, steps: Iterable[TrackedStep], now_ms: int) -> None:
-        """Open or schedule steps whose dependencies are done."""
+        """Let steps start whose dependencies are done."""
         for step in steps:
-            if step.job.spec.run_count:
-                self.scheduled_steps[step.key] = step
-            else:
-                self._open_step(step, now_ms)
-
-    def _open_step(self, step: TrackedStep, now_ms: int) -> None:
-        step.ready_ms = now_ms
-        if step.waiting_count:
-            self.waiting_steps[step.key] = step
+            step.ready_ms = now_ms
+            if step.waiting_count:
+                self.waiting_steps[step.key] = step
 
     def _adjust_waiting_count(self, step: TrackedStep, change: int) -> None:
         step.waiting_count += change
--- a/src/magnoliapitch/planner/step_dependencies.py
+++ b/src/magnoliapitch/planner/step_dependencies.py
@@ -6,8 +6,7 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
+    from magnoliapitch.planner.job_occurrences import JobOccurrences
     from magnoliapitch.planner.tracked import TrackedStep
 
 
@@ -17,36 +16,35 @@
     Over the whole job, the ends of its steps take time linear in its steps
     and dependencies.
 
-    :param steps_by_occurrence: steps of each occurrence, some of which may be
-        done.
+    :param occurrences: steps of each occurrence; some of those that were made
+        may be done.
     :ivar unfinished_count: number of steps that are not done.
     """
 
     __slots__ = (
         "_awaited_counts",
         "_dependent_numbers",
-        "_steps_by_occurrence",
+        "_first_counts",
+        "_occurrences",
         "unfinished_count",
     )
 
-    def __init__(
-        self, steps_by_occurrence: Sequence[Sequence[TrackedStep]]
-    ) -> None:
-        self._steps_by_occurrence = steps_by_occurrence
-        specs = [step.spec for step in steps_by_occurrence[0]]
+    def __init__(self, occurrences: JobOccurrences) -> None:
+        self._occurrences = occurrences
+        specs = occurrences.step_specs
         self._dependent_numbers: list[list[int]] = [[] for _ in specs]
-        counts: list[int] = []
+        # For how many others each step waits before any of them is done.
+        self._first_counts: list[int] = []
         for number, spec in enumerate(specs):
             earlier_numbers = set(spec.depends_on)
-            counts.append(len(earlier_numbers))
+            self._first_counts.append(len(earlier_numbers))
             for earlier in earlier_numbers:
                 self._dependent_numbers[earlier].append(number)
-        self._awaited_counts = [list(counts) for _ in steps_by_occurrence]
-        self.unfinished_count = len(specs) * len(steps_by_occurrence)
-        for steps in steps_by_occurrence:
-            for step in steps:
-                if step.is_done:
-                    self.record_done(step)
+        self._awaited_counts: dict[int, list[int]] = {}
+        self.unfinished_count = len(specs) * len(occurrences)
+        for step in occurrences.made_steps():
+            if step.is_done:
+                self.record_done(step)
 
     def record_done(self, step: TrackedStep) -> list[TrackedStep]:
         """Record that a step became done.
@@ -54,8 +52,8 @@
         :return: steps that wait for no other from now on.
         """
         self.unfinished_count -= 1
-        steps = self._steps_by_occurrence[step.key.occurrence]
-        counts = self._awaited_counts[step.key.occurrence]
+        steps = self._occurrences[step.key.occurrence]
+        counts = self._counts(step.key.occurrence)
         released: list[TrackedStep] = []
         for number in self._dependent_numbers[step.key.step]:
             counts[number] -= 1
@@ -63,16 +61,21 @@
                 released.append(steps[number])
         return released
 
-    def released_steps(self) -> list[TrackedStep]:
+    def released_steps(self, occurrence: int) -> list[TrackedStep]:
         """Return the steps that are not done and wait for no other."""
+        steps = self._occurrences[occurrence]
+        counts = self._counts(occurrence)
         return [
             step
-            for steps, counts in zip(
-                self._steps_by_occurrence, self._awaited_counts, strict=True
-            )
             for step, count in zip(steps, counts, strict=True)
             if not count and not step.is_done
         ]
 
+    def _counts(self, occurrence: int) -> list[int]:
+        """Return for how many others each step of an occurrence waits."""
+        return self._awaited_counts.setdefault(
+            occurrence, list(self._first_counts)
+        )
+
 
 __all__ = ["StepDependencies"]
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from magnoliapitch.planner.ranking import Rank
     from magnoliapitch.planner.tracked_job import TrackedJob
@@ -162,6 +163,7 @@
     :ivar latest_end_ms: latest end of the step with which it still can; None
         before it is computed.
     :ivar first_number: number of its first task among those of the job.
+    :ivar made_tasks: its tasks if they were needed so far, otherwise none.
     :ivar finished_work: work of the tasks that were measured.
     :ivar rank: rank that holds until ``rank_until_ms``; None before it is
         computed, and for a long-running step.
@@ -207,6 +209,7 @@
         "key",
         "latest_end_ms",
         "latest_start_ms",
+        "made_tasks",
         "newest_ticket_until_ms",
         "objective_ms",
         "permitted_worker_ids",
@@ -217,22 +220,24 @@
         "reservation",
         "spec",
         "start_limit",
-        "tasks",
         "tickets_by_worker",
         "unfinished_count",
         "waiting_count",
     )
 
-    def __init__(self, job: TrackedJob, occurrence: int, number: int) -> None:
+    def __init__(
+        self,
+        job: TrackedJob,
+        occurrence: int,
+        number: int,
+        first_number: int,
+    ) -> None:
         self.job = job
         self.key = StepKey(job.spec.job_id, occurrence, number)
         self.spec: StepSpec = job.spec.steps[number]
         self.reservation = self.spec.reservation
-        self.tasks = [
-            TrackedTask(self, position)
-            for position in range(self.spec.task_count)
-        ]
-        self.first_number = 0
+        self.made_tasks: Sequence[TrackedTask] = ()
+        self.first_number = first_number
         self.unfinished_count = self.spec.task_count
         self.waiting_count = self.spec.task_count
         self.ready_ms: int | None = None
@@ -255,6 +260,19 @@
         self.rank: Rank | None = None
         self.rank_until_ms = 0
 
+    @property
+    def tasks(self) -> Sequence[TrackedTask]:
+        """Return all tasks, which are made when they are first needed.
+
+        A step that waits for others uses no memory for them.
+        """
+        if not self.made_tasks:
+            self.made_tasks = [
+                TrackedTask(self, position)
+                for position in range(self.spec.task_count)
+            ]
+        return self.made_tasks
+
     @property
     def has_call_in_flight(self) -> bool:
         """Return whether an advisor call for the step is under way."""
@@ -280,7 +298,7 @@
             return self.failures >= attempts and not self._may_end_done()
         return any(
             task.failures >= attempts and task.has_failed
-            for task in self.tasks
+            for task in self.made_tasks
         )
 
     def _may_end_done(self) -> bool:
@@ -341,4 +359,4 @@
 
     def all_active_runs(self) -> list[TrackedRun]:
         """Return the active runs of all tasks."""
-        return [run for task in self.tasks for run in task.active_runs]
+        return [run for task in self.made_tasks for run in task.active_runs]
--- a/src/magnoliapitch/planner/tracked_job.py
+++ b/src/magnoliapitch/planner/tracked_job.py
@@ -4,26 +4,27 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.planner.job_occurrences import JobOccurrences
 from magnoliapitch.planner.job_paths import JobPaths
 from magnoliapitch.planner.step_dependencies import StepDependencies
-from magnoliapitch.planner.tracked import TrackedStep
 from magnoliapitch.workload.progress import TASKS_PER_PROGRESS_RECORD
 from magnoliapitch.workload.progress import JobOutcome
 
 
 if TYPE_CHECKING:
+    from magnoliapitch.planner.tracked import TrackedStep
     from magnoliapitch.planner.tracked_task import TrackedTask
     from magnoliapitch.workload.configuration import Queue
     from magnoliapitch.workload.job import JobSpec
 
 
 class TrackedJob:
-    """A submitted job with the steps of all its occurrences.
+    """A submitted job with the steps of its occurrences.
 
     :ivar known_ms: when this instance learned of the job, by its own clock.
     :ivar outcome: final state, or ``OPEN``.
     :ivar has_begun: whether a worker has certainly begun one of its tasks.
-    :ivar steps: the steps of each occurrence.
+    :ivar steps: the steps of each occurrence, by its number.
     :ivar part_count: number of records that have its progress.
     :ivar paths: longest paths through its steps.
     :ivar dependencies: which of its steps wait for others.
@@ -53,22 +54,13 @@
         self.known_ms = known_ms
         self.outcome = JobOutcome.OPEN
         self.has_begun = False
-        self.steps = [
-            [
-                TrackedStep(self, occurrence, number)
-                for number in range(len(spec.steps))
-            ]
-            for occurrence in range(spec.occurrences)
-        ]
+        self.steps = JobOccurrences(self)
         self.paths = JobPaths(self)
         self.dependencies = StepDependencies(self.steps)
         self.must_check_failures = True
         self.changed_parts: set[int] = set()
-        task_count = 0
-        for step in self.all_steps():
-            step.first_number = task_count
-            task_count += step.spec.task_count
-        self.part_count = max(1, -(-task_count // TASKS_PER_PROGRESS_RECORD))
+        parts = -(-self.steps.task_count // TASKS_PER_PROGRESS_RECORD)
+        self.part_count = max(1, parts)
 
     def has_failed(self, failed_task: TrackedTask | None) -> bool:
         """Return whether a task, or a gang, has used up its attempts.
@@ -86,8 +78,8 @@
         return any(step.has_failed for step in self.all_steps())
 
     def all_steps(self) -> list[TrackedStep]:
-        """Return the steps of every occurrence."""
-        return [step for steps in self.steps for step in steps]
+        """Return the steps of every occurrence that was needed so far."""
+        return self.steps.made_steps()
 
 
 __all__ = ["TrackedJob"]
