Of an occurrence that has ended only the progress is kept

Change: once an occurrence has ended and no run of it is active, its steps are replaced by the progress of its tasks, equal rows kept once; its steps are made again if a worker reports one of them. Stored progress is restored in that form. A recurring job has at most 1,000 tasks in open occurrences, or one occurrence; the next one waits for earlier ones to end, which the log says (occurrence-postponed). Others of the job run meanwhile, so that no job stands still by it.

Tests in tests/planner/test_scheduled_occurrences.py: progress, its records and what is left to run are the same after a restore; a late end is no news; the job completes; 2,000 occurrences due at once open 100, and the others as these end (2,000 were open before).

--- a/src/magnoliapitch/event/planning_definitions.py
+++ b/src/magnoliapitch/event/planning_definitions.py
@@ -32,6 +32,12 @@
     "A step has had no run for over a second although its tasks may start; "
     "tells which gate keeps it; see docs/OPERATIONS.md.",
 )
+define_event(
+    "occurrence-postponed",
+    EventLevel.WARNING,
+    "An occurrence of a recurring job is due, but waits for earlier ones to "
+    "end, since the job has too many open tasks.",
+)
 define_event(
     "start-summary",
     EventLevel.INFO,
--- a/src/magnoliapitch/planner/restore.py
+++ b/src/magnoliapitch/planner/restore.py
@@ -12,8 +12,6 @@
 from magnoliapitch.workload.progress import TASKS_PER_PROGRESS_RECORD
 from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.progress import JobProgress
-from magnoliapitch.workload.progress import Placement
-from magnoliapitch.workload.progress import TaskProgress
 
 
 if TYPE_CHECKING:
@@ -23,6 +21,8 @@
     from magnoliapitch.planner.tracked import TrackedStep
     from magnoliapitch.planner.tracked_job import TrackedJob
     from magnoliapitch.planner.tracked_task import TrackedTask
+    from magnoliapitch.workload.job import TaskKey
+    from magnoliapitch.workload.progress import TaskProgress
 
 
 def progress_of(job: TrackedJob, part: int | None = None) -> JobProgress:
@@ -33,47 +33,29 @@
     return JobProgress(
         job.spec.job_id,
         job.outcome,
-        {
-            task.key: _task_progress(task)
-            for task in _tasks(job, part)
-            if task.runs
-        },
+        dict(_task_rows(job, part)),
         job.has_begun,
     )
 
 
-def _tasks(job: TrackedJob, part: int | None) -> Iterator[TrackedTask]:
-    """Return the tasks of a record that were needed so far."""
+def _task_rows(
+    job: TrackedJob, part: int | None
+) -> Iterator[tuple[TaskKey, TaskProgress]]:
+    """Return the tasks of a record that were ever started."""
     begin, end = 0, job.steps.task_count
     if part is not None:
         begin = part * TASKS_PER_PROGRESS_RECORD
         end = min(end, begin + TASKS_PER_PROGRESS_RECORD)
+    yield from job.steps.finished_rows(begin, end)
     steps = list(job.steps.made_steps_between(begin, end))
     index = bisect_right(steps, begin, key=lambda step: step.first_number)
     for step in islice(steps, max(0, index - 1), None):
         if step.first_number >= end:
             return
         first = max(0, begin - step.first_number)
-        yield from step.made_tasks[first : end - step.first_number]
-
-
-def _task_progress(task: TrackedTask) -> TaskProgress:
-    is_open = task.step.job.outcome is JobOutcome.OPEN
-    return TaskProgress(
-        task.runs,
-        task.failures,
-        task.is_done,
-        # The tasks of a job that has ended are not started again.
-        task.checkpoint if is_open else "",
-        tuple(
-            Placement(run.number, run.worker_id, run.has_ended_with_worker)
-            for run in task.active_runs
-        ),
-        task.worker_crashes,
-        task.worker_losses,
-        task.failed_runs,
-        task.proven_crashes,
-    )
+        for task in step.made_tasks[first : end - step.first_number]:
+            if task.runs:
+                yield task.key, task.progress()
 
 
 def restore_progress(
@@ -91,7 +73,10 @@
     """
     job.outcome = progress.outcome
     job.has_begun = progress.has_begun
+    job.steps.put_away_stored(progress.tasks_by_key)
     for key, task_progress in progress.tasks_by_key.items():
+        if job.steps.is_put_away(key.occurrence):
+            continue
         task = state.task(key)
         if task is None:
             # Two submissions with one id: the other one had more tasks.
@@ -116,14 +101,7 @@
 ) -> None:
     # A former release stored the progress of all tasks in one record.
     task.note_change()
-    task.runs = progress.runs
-    task.set_failures(progress.failures, _failed_runs(progress))
-    is_long_running = task.step.spec.is_long_running
-    task.is_done = progress.is_done and not is_long_running
-    task.checkpoint = progress.checkpoint
-    task.worker_crashes = progress.worker_crashes
-    task.worker_losses = progress.worker_losses
-    task.proven_crashes = progress.proven_crashes
+    task.restore(progress._replace(failed_runs=_failed_runs(progress)))
     if task.is_suspect:
         state.add_suspect(task)
     is_over = task.is_done or task.step.job.outcome is not JobOutcome.OPEN
--- a/src/magnoliapitch/planner/scheduled_occurrences.py
+++ b/src/magnoliapitch/planner/scheduled_occurrences.py
@@ -7,14 +7,19 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from magnoliapitch.event import log_event
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
 
+if TYPE_CHECKING:
     from magnoliapitch.planner.tracked import TrackedStep
     from magnoliapitch.planner.tracked_job import TrackedJob
 
 
+# Of one recurring job, unless a single occurrence has more.
+MAX_OPEN_TASKS = 1_000
+POSTPONED_INTERVAL_MS = 500
+
+
 class _Scheduled(NamedTuple):
     """The next occurrence of a job that is to become due.
 
@@ -38,6 +43,10 @@
         self._next_by_id: dict[str, _Scheduled] = {}
         # Has entries of jobs that were removed, too.
         self._heap: list[_Scheduled] = []
+        # Those that are due, but whose job has too many open tasks.
+        self._postponed: list[_Scheduled] = []
+        self._examined_ms = 0
+        self._logged_by_id: dict[str, _Scheduled] = {}
 
     def add(self, job: TrackedJob) -> None:
         """Let a recurring job's occurrences become due, from the first on."""
@@ -48,6 +57,7 @@
         """Let no more occurrences of a job become due."""
         self._job_by_id.pop(job.spec.job_id, None)
         self._next_by_id.pop(job.spec.job_id, None)
+        self._logged_by_id.pop(job.spec.job_id, None)
 
     def is_awaited(self, step: TrackedStep) -> bool:
         """Return whether a step's occurrence has yet to become due."""
@@ -57,18 +67,50 @@
             and following.occurrence <= step.key.occurrence
         )
 
-    def take_due(self, wall_ms: int) -> Iterator[tuple[TrackedJob, int]]:
-        """Return the occurrences that have become due, each only once.
+    def take_due(self, wall_ms: int) -> list[TrackedStep]:
+        """Return the steps that may start since their occurrence is due.
+
+        Occurrences that come faster than they end would use any amount of
+        memory, so that a job has a limited number of tasks open at a time.
 
         :param wall_ms: wall-clock time, ms since 1970.
         """
+        self._examine_postponed(wall_ms)
+        due: list[TrackedStep] = []
         while self._heap and self._heap[0].due_ms <= wall_ms:
             entry = heapq.heappop(self._heap)
             if self._next_by_id.get(entry.job_id) != entry:
                 continue
             job = self._job_by_id[entry.job_id]
+            _put_away_finished(job)
+            if not _has_room(job, entry.occurrence):
+                self._postpone(entry, job)
+                continue
             self._schedule(job, entry.occurrence + 1)
-            yield job, entry.occurrence
+            if not job.steps.is_put_away(entry.occurrence):
+                due += job.dependencies.released_steps(entry.occurrence)
+        return due
+
+    def _examine_postponed(self, wall_ms: int) -> None:
+        """Take postponed occurrences for due again, if that is due."""
+        if abs(wall_ms - self._examined_ms) < POSTPONED_INTERVAL_MS:
+            return
+        self._examined_ms = wall_ms
+        postponed, self._postponed = self._postponed, []
+        for entry in postponed:
+            heapq.heappush(self._heap, entry)
+
+    def _postpone(self, entry: _Scheduled, job: TrackedJob) -> None:
+        self._postponed.append(entry)
+        if self._logged_by_id.get(entry.job_id) != entry:
+            self._logged_by_id[entry.job_id] = entry
+            log_event(
+                "occurrence-postponed",
+                job=entry.job_id,
+                occurrence=entry.occurrence,
+                open_tasks=job.steps.made_task_count,
+                limit=MAX_OPEN_TASKS,
+            )
 
     def _schedule(self, job: TrackedJob, occurrence: int) -> None:
         if occurrence >= job.spec.occurrences:
@@ -81,4 +123,19 @@
         heapq.heappush(self._heap, entry)
 
 
-__all__ = ["ScheduledOccurrences"]
+def _put_away_finished(job: TrackedJob) -> None:
+    for occurrence in job.steps.put_away_finished():
+        job.dependencies.forget(occurrence)
+
+
+def _has_room(job: TrackedJob, occurrence: int) -> bool:
+    """Return whether a job may have an occurrence open."""
+    steps = job.steps
+    if steps.is_made(occurrence) or steps.is_put_away(occurrence):
+        return True
+    open_count = steps.made_task_count
+    added_count = steps.task_count // len(steps)
+    return not open_count or open_count + added_count <= MAX_OPEN_TASKS
+
+
+__all__ = ["MAX_OPEN_TASKS", "POSTPONED_INTERVAL_MS", "ScheduledOccurrences"]
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -86,9 +86,7 @@
 
         :param wall_ms: wall-clock time, ms since 1970.
         """
-        for job, occurrence in self._scheduled.take_due(wall_ms):
-            steps = job.dependencies.released_steps(occurrence)
-            self._open_steps(steps, now_ms)
+        self._open_steps(self._scheduled.take_due(wall_ms), now_ms)
         for task in self._restart_pauses.take_due(now_ms):
             if task.is_waiting:
                 self._adjust_waiting_count(task.step, 1)
--- a/src/magnoliapitch/planner/step_dependencies.py
+++ b/src/magnoliapitch/planner/step_dependencies.py
@@ -42,6 +42,7 @@
                 self._dependent_numbers[earlier].append(number)
         self._awaited_counts: dict[int, list[int]] = {}
         self.unfinished_count = len(specs) * len(occurrences)
+        self.unfinished_count -= len(specs) * occurrences.put_away_count
         for step in occurrences.made_steps():
             if step.is_done:
                 self.record_done(step)
@@ -71,6 +72,10 @@
             if not count and not step.is_done
         ]
 
+    def forget(self, occurrence: int) -> None:
+        """Drop what is only needed until an occurrence has ended."""
+        self._awaited_counts.pop(occurrence, None)
+
     def _counts(self, occurrence: int) -> list[int]:
         """Return for how many others each step of an occurrence waits."""
         return self._awaited_counts.setdefault(
--- a/src/magnoliapitch/planner/tracked_task.py
+++ b/src/magnoliapitch/planner/tracked_task.py
@@ -8,6 +8,8 @@
 from magnoliapitch.workload.progress import MAX_CHECKPOINT_BYTES
 from magnoliapitch.workload.progress import TASKS_PER_PROGRESS_RECORD
 from magnoliapitch.workload.progress import JobOutcome
+from magnoliapitch.workload.progress import Placement
+from magnoliapitch.workload.progress import TaskProgress
 
 
 if TYPE_CHECKING:
@@ -124,6 +126,36 @@
         number = self.step.first_number + self.key.position
         return number // TASKS_PER_PROGRESS_RECORD
 
+    def progress(self) -> TaskProgress:
+        """Return the progress of the task in the form that is stored."""
+        is_open = self.step.job.outcome is JobOutcome.OPEN
+        return TaskProgress(
+            self.runs,
+            self.failures,
+            self.is_done,
+            # The tasks of a job that has ended are not started again.
+            self.checkpoint if is_open else "",
+            tuple(
+                Placement(run.number, run.worker_id, run.has_ended_with_worker)
+                for run in self.active_runs
+            ),
+            self.worker_crashes,
+            self.worker_losses,
+            self.failed_runs,
+            self.proven_crashes,
+        )
+
+    def restore(self, progress: TaskProgress) -> None:
+        """Set all but the runs from progress of the task."""
+        self.runs = progress.runs
+        self.set_failures(progress.failures, progress.failed_runs)
+        is_long_running = self.step.spec.is_long_running
+        self.is_done = progress.is_done and not is_long_running
+        self.checkpoint = progress.checkpoint
+        self.worker_crashes = progress.worker_crashes
+        self.worker_losses = progress.worker_losses
+        self.proven_crashes = progress.proven_crashes
+
     def note_change(self) -> None:
         """Have the task's progress stored with that of its job."""
         self.step.job.changed_parts.add(self.progress_part)
--- a/tests/planner/test_scheduled_occurrences.py
+++ b/tests/planner/test_scheduled_occurrences.py
@@ -5,14 +5,20 @@
 import tracemalloc
 
 from magnoliapitch.planner import SchedulerState
+from magnoliapitch.planner.restore import progress_of
+from magnoliapitch.planner.scheduled_occurrences import MAX_OPEN_TASKS
+from magnoliapitch.planner.scheduled_occurrences import POSTPONED_INTERVAL_MS
 from magnoliapitch.workload.configuration import Queue
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepKey
 from magnoliapitch.workload.job import StepSpec
 from magnoliapitch.workload.job import TaskKey
+from magnoliapitch.workload.progress import TASKS_PER_PROGRESS_RECORD
 from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.progress import JobProgress
 from magnoliapitch.workload.progress import TaskProgress
+from magnoliapitch.workload.run import EndedRun
+from magnoliapitch.workload.run import EndKind
 
 
 QUEUE = Queue("q", "h", "/", "app")
@@ -75,6 +81,98 @@
     assert waiting(state) == first_steps(range(20))
 
 
+def finish(state: SchedulerState, occurrence: int) -> None:
+    """Run the tasks of an occurrence of one step to their end."""
+    step = state.jobs_by_id["a"].steps[occurrence][0]
+    for task in step.tasks:
+        state.add_ordered_run(task.key, 1, "w", 0)
+        end = EndedRun(1, task.key, 1, EndKind.DONE, "")
+        state.record_end("w", end, 0)
+
+
+def one_step(run_count: int = RUN_COUNT) -> JobSpec:
+    return recurring()._replace(steps=(StepSpec(10),), run_count=run_count)
+
+
+# Those of a job that ran each second were all kept until its end.
+def test_of_an_occurrence_that_has_ended_only_the_progress_is_kept() -> None:
+    state = SchedulerState()
+    job = state.add_job(one_step(), QUEUE, 0)
+    for number in range(60):
+        state.open_due_steps(number, START_MS + number * INTERVAL_MS)
+        finish(state, number)
+    assert len(job.all_steps()) <= 1
+    progress = state.progress("a")
+    assert len(progress.tasks_by_key) == 600
+    parts = [progress_of(job, part) for part in range(job.part_count)]
+    assert sum(len(part.tasks_by_key) for part in parts) == 600
+    assert len(parts[0].tasks_by_key) == TASKS_PER_PROGRESS_RECORD
+    successor = SchedulerState()
+    restored = successor.add_job(one_step(), QUEUE, 0, progress)
+    assert successor.progress("a") == progress
+    assert not restored.all_steps()
+    # The new leader stores them as its own release does.
+    assert restored.changed_parts == {0, 1}
+    successor.open_due_steps(0, START_MS + 60 * INTERVAL_MS)
+    assert waiting(successor) == first_steps(range(60, 61))
+
+
+def test_an_end_is_not_news_to_an_occurrence_that_has_ended() -> None:
+    state = SchedulerState()
+    state.add_job(one_step(), QUEUE, 0)
+    for number in range(2):
+        state.open_due_steps(number, START_MS + number * INTERVAL_MS)
+        finish(state, number)
+    progress = state.progress("a")
+    key = TaskKey("a", 0, 0, 3)
+    failed = EndedRun(2, key, 1, EndKind.FAILED, "")
+    assert not state.record_end("w", failed, 0)
+    assert state.progress("a") == progress
+    task = state.task(key)
+    assert task is not None
+    assert task.is_done
+    assert not task.is_waiting
+
+
+def test_a_job_whose_occurrences_were_put_away_completes() -> None:
+    state = SchedulerState()
+    job = state.add_job(one_step(3), QUEUE, 0)
+    for number in range(3):
+        assert job.outcome is JobOutcome.OPEN
+        state.open_due_steps(number, START_MS + number * INTERVAL_MS)
+        finish(state, number)
+    assert job.outcome is JobOutcome.COMPLETED
+
+
+# Workers that run nothing for hours let each minute add to the leader's
+# memory.
+def test_occurrences_that_do_not_end_are_limited_in_number() -> None:
+    state = SchedulerState()
+    job = state.add_job(one_step(), QUEUE, 0)
+    end_ms = START_MS + RUN_COUNT * INTERVAL_MS
+    state.open_due_steps(0, end_ms)
+    assert len(state.waiting_steps) == MAX_OPEN_TASKS // 10
+    finish(state, 4)
+    state.open_due_steps(1, end_ms + POSTPONED_INTERVAL_MS)
+    assert len(state.waiting_steps) == MAX_OPEN_TASKS // 10
+    assert StepKey("a", 100, 0) in state.waiting_steps
+    for number in range(RUN_COUNT):
+        if StepKey("a", number, 0) not in state.waiting_steps:
+            end_ms += POSTPONED_INTERVAL_MS
+            state.open_due_steps(2, end_ms)
+        if number != 4:
+            finish(state, number)
+    assert job.outcome is JobOutcome.COMPLETED
+
+
+def test_an_occurrence_of_many_tasks_is_not_limited() -> None:
+    state = SchedulerState()
+    wide = one_step(3)._replace(steps=(StepSpec(MAX_OPEN_TASKS + 1),))
+    state.add_job(wide, QUEUE, 0)
+    state.open_due_steps(0, START_MS + 3 * INTERVAL_MS)
+    assert waiting(state) == first_steps(range(1))
+
+
 def test_no_occurrence_of_a_cancelled_job_becomes_due() -> None:
     state = SchedulerState()
     state.add_job(recurring(), QUEUE, 0)
