Open jobs have a limit of the leader's memory in total

Cause: the size of one job is bounded, the size of all together is not.

A job that does not fit here goes through the leader's instance.

There was no such check before.

--- a/src/magnoliapitch/control/progress_batcher.py
+++ b/src/magnoliapitch/control/progress_batcher.py
@@ -234,6 +234,9 @@
         ]
         if self._is_heartbeat_due(now_ms):
             self._heartbeat_ms = now_ms
+            self._leader = self._leader._replace(
+                open_bytes=self._state.open_bytes
+            )
             self._leader_in_commit = self._leader
             leader = encode_leader(self._leader)
             records.append(KeyedRecord(LEADER_KEY, leader))
--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -37,6 +37,7 @@
 from magnoliapitch.ledger.leadership import Leadership
 from magnoliapitch.ledger.members import Member
 from magnoliapitch.ledger.members import Members
+from magnoliapitch.ledger.open_work import OpenWork
 from magnoliapitch.ledger.records import JOB_STREAM
 from magnoliapitch.ledger.state_table import StateTable
 from magnoliapitch.ledger.submitter import Submitter
@@ -63,6 +64,7 @@
     from magnoliapitch.settings.cluster import MachineSettings
     from magnoliapitch.supervisor import Child
     from magnoliapitch.workload.configuration import Configuration
+    from magnoliapitch.workload.job import JobSpec
 
 
 BODY_MAX_BYTES = 1 << 20
@@ -162,6 +164,13 @@
             relay.is_available,
             lambda *appended: self._driver.add_appended_jobs(*appended),
         )
+        self._open_work = OpenWork(
+            self._states,
+            self._instance_count,
+            self.is_leading,
+            self._clock,
+            random.Random(),
+        )
         self._job_api = JobApi(
             self._states,
             self._submitter,
@@ -169,6 +178,7 @@
             UnpublishedJobs(store, self._states, self._clock),
             self._metrics,
             self._admission_gate(),
+            self._open_work,
         )
         self._jobs = RelayedJobs(
             self._job_api, relay, self._clock, self._prefers_leader
@@ -249,10 +259,18 @@
         """Return whether this instance is the leader."""
         return self._leadership.claim is not None
 
-    def _prefers_leader(self) -> bool:
-        """Return whether the leader's instance should store jobs for all."""
-        instance_count = len(self._members.known_addresses) + 1
-        return instance_count >= MANY_INSTANCES or self._submitter.is_slow()
+    def _instance_count(self) -> int | None:
+        """Return the number of instances, or None if it is not known."""
+        peers = self._members.known_peers
+        return None if peers is None else len(peers) + 1
+
+    def _prefers_leader(self, job: JobSpec) -> bool:
+        """Return whether the leader's instance should store a job."""
+        return (
+            (self._instance_count() or 0) >= MANY_INSTANCES
+            or self._submitter.is_slow()
+            or not self._open_work.has_room(job)
+        )
 
     def _admission_gate(self) -> AdmissionGate | None:
         if not self.settings.planning.admission:
--- a/src/magnoliapitch/event/job_definitions.py
+++ b/src/magnoliapitch/event/job_definitions.py
@@ -17,6 +17,12 @@
     "A job was not stored, since it could no longer be of use or no worker is "
     "large enough; gives the figures that decided it.",
 )
+define_event(
+    "open-work-full",
+    EventLevel.WARNING,
+    "A job was not stored, since the open jobs of all callers leave too "
+    "little of the leader's memory for it.",
+)
 define_event(
     "call-relayed",
     EventLevel.INFO,
--- a/src/magnoliapitch/ledger/job_api.py
+++ b/src/magnoliapitch/ledger/job_api.py
@@ -35,6 +35,7 @@
 
 if TYPE_CHECKING:
     from magnoliapitch.ledger.admission_gate import AdmissionGate
+    from magnoliapitch.ledger.open_work import OpenWork
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.ledger.submitter import Submitter
     from magnoliapitch.ledger.unpublished_jobs import UnpublishedJobs
@@ -76,6 +77,8 @@
     :param unpublished_jobs: jobs that are stored although the leader has not
         published their states.
     :param admission_gate: rejects submissions; None to reject none.
+    :param open_work: limits the memory that all open jobs take; None to
+        limit it not.
     """
 
     def __init__(
@@ -86,7 +89,9 @@
         unpublished_jobs: UnpublishedJobs,
         metrics: Metrics,
         admission_gate: AdmissionGate | None = None,
+        open_work: OpenWork | None = None,
     ) -> None:
+        self._open_work = open_work
         self._admission_gate = admission_gate
         self._doubtful = DoubtfulSubmissions()
         self._state_table = state_table
@@ -149,7 +154,9 @@
         answer = self._answer_unless_admitted(job, caller)
         if answer is not None:
             self._count("submit", answer)
-        return answer
+            return answer
+        failure = self._open_work.admit(job) if self._open_work else None
+        return None if failure is None else self._reject(job, failure, caller)
 
     def _answer_unless_admitted(
         self, job: JobSpec, caller: Caller
@@ -176,6 +183,8 @@
         with self._metrics.timing("submit"):
             appended = self._append(record, timeout_ms)
         outcome = self._doubtful.settle(job.job_id, appended)
+        if self._open_work is not None:
+            self._open_work.settle(job.job_id, outcome)
         self._count("submit", outcome)
         if not isinstance(outcome, Err):
             self.record_accepted(job)
--- a/src/magnoliapitch/ledger/leadership.py
+++ b/src/magnoliapitch/ledger/leadership.py
@@ -264,6 +264,7 @@
             self._instance_id,
             job_offset=job_offset,
             address=self._address,
+            open_bytes=leader.open_bytes if leader else 0,
         )
         now_ms = self._clock.now_ms()
         clock = self._state_table.clock.continue_as(epoch, last_epoch, now_ms)
--- a/src/magnoliapitch/ledger/records.py
+++ b/src/magnoliapitch/ledger/records.py
@@ -57,6 +57,8 @@
     :param job_offset: the states of all jobs before this offset of the job
         stream are published; -1 if that is not known.
     :param address: ``IP:PORT`` at which other instances call it.
+    :param open_bytes: memory that the leader keeps for the open jobs, in
+        bytes.
     """
 
     epoch: int
@@ -64,6 +66,7 @@
     has_resigned: bool = False
     job_offset: int = -1
     address: str = ""
+    open_bytes: int = 0
 
 
 class OldRun(NamedTuple):
--- a/src/magnoliapitch/planner/scheduled_occurrences.py
+++ b/src/magnoliapitch/planner/scheduled_occurrences.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from magnoliapitch.event import log_event
+from magnoliapitch.workload.job_limits import MAX_OPEN_TASKS_OF_RECURRING_JOB
 
 
 if TYPE_CHECKING:
@@ -15,8 +16,6 @@
     from magnoliapitch.planner.tracked_job import TrackedJob
 
 
-# Of one recurring job, unless a single occurrence has more.
-MAX_OPEN_TASKS = 1_000
 POSTPONED_INTERVAL_MS = 500
 
 
@@ -109,7 +108,7 @@
                 job=entry.job_id,
                 occurrence=entry.occurrence,
                 open_tasks=job.steps.made_task_count,
-                limit=MAX_OPEN_TASKS,
+                limit=MAX_OPEN_TASKS_OF_RECURRING_JOB,
             )
 
     def _schedule(self, job: TrackedJob, occurrence: int) -> None:
@@ -135,7 +134,10 @@
         return True
     open_count = steps.made_task_count
     added_count = steps.task_count // len(steps)
-    return not open_count or open_count + added_count <= MAX_OPEN_TASKS
+    return (
+        not open_count
+        or open_count + added_count <= MAX_OPEN_TASKS_OF_RECURRING_JOB
+    )
 
 
-__all__ = ["MAX_OPEN_TASKS", "POSTPONED_INTERVAL_MS", "ScheduledOccurrences"]
+__all__ = ["POSTPONED_INTERVAL_MS", "ScheduledOccurrences"]
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -42,6 +42,7 @@
     It reads no clock; every time is passed in by the caller.
 
     :ivar unsaved_job_ids: ids of jobs whose progress is not stored yet.
+    :ivar open_bytes: memory that the known jobs take at most.
     :ivar waiting_steps: steps that may start now and have startable tasks.
     :ivar suspects_by_key: tasks that were lost with several workers.
     :ivar runs_to_stop: runs that must be stopped, by ``id()`` of the run.
@@ -53,6 +54,7 @@
         self.jobs_by_id: dict[str, TrackedJob] = {}
         self.workers_by_id: dict[str, TrackedWorker] = {}
         self.unsaved_job_ids: set[str] = set()
+        self.open_bytes = 0
         self.waiting_steps: dict[StepKey, TrackedStep] = {}
         self._scheduled = ScheduledOccurrences()
         self._restart_pauses = RestartPauses()
@@ -70,7 +72,11 @@
     ) -> TrackedJob:
         """Add a job and restore its stored progress, if there is any."""
         job = TrackedJob(spec, queue, now_ms)
+        former = self.jobs_by_id.get(spec.job_id)
+        if former is not None:
+            self.open_bytes -= former.footprint_bytes
         self.jobs_by_id[spec.job_id] = job
+        self.open_bytes += job.footprint_bytes
         if progress is not None:
             restore_progress(self, job, progress, now_ms)
         self._update_outcome(job)
@@ -112,7 +118,9 @@
 
     def remove_job(self, job_id: str) -> None:
         """Remove a job that has ended and has no active runs."""
-        self.jobs_by_id.pop(job_id, None)
+        job = self.jobs_by_id.pop(job_id, None)
+        if job is not None:
+            self.open_bytes -= job.footprint_bytes
         self.unsaved_job_ids.discard(job_id)
 
     def get_or_add_worker(self, worker_id: str) -> TrackedWorker:
--- a/src/magnoliapitch/planner/tracked_job.py
+++ b/src/magnoliapitch/planner/tracked_job.py
@@ -7,6 +7,7 @@
 from magnoliapitch.planner.job_occurrences import JobOccurrences
 from magnoliapitch.planner.job_paths import JobPaths
 from magnoliapitch.planner.step_dependencies import StepDependencies
+from magnoliapitch.workload.footprint import footprint_bytes
 from magnoliapitch.workload.progress import TASKS_PER_PROGRESS_RECORD
 from magnoliapitch.workload.progress import JobOutcome
 
@@ -23,6 +24,7 @@
 
     :ivar known_ms: when this instance learned of the job, by its own clock.
     :ivar outcome: final state, or ``OPEN``.
+    :ivar footprint_bytes: memory that it takes of the leader at most.
     :ivar has_begun: whether a worker has certainly begun one of its tasks.
     :ivar steps: the steps of each occurrence, by its number.
     :ivar part_count: number of records that have its progress.
@@ -37,6 +39,7 @@
     __slots__ = (
         "changed_parts",
         "dependencies",
+        "footprint_bytes",
         "has_begun",
         "known_ms",
         "must_check_failures",
@@ -52,6 +55,7 @@
         self.spec = spec
         self.queue = queue
         self.known_ms = known_ms
+        self.footprint_bytes = footprint_bytes(spec)
         self.outcome = JobOutcome.OPEN
         self.has_begun = False
         self.steps = JobOccurrences(self)
--- a/src/magnoliapitch/relay/jobs.py
+++ b/src/magnoliapitch/relay/jobs.py
@@ -51,7 +51,7 @@
     Every operation is idempotent, so one that may have reached the store can
     be made again through the other instance.
 
-    :param prefers_leader: returns whether jobs are to be submitted through
+    :param prefers_leader: returns whether a job is to be submitted through
         the leader's instance, which stores those of all instances together.
     """
 
@@ -60,7 +60,7 @@
         job_api: JobApi,
         relay: JobRelay,
         clock: Clock,
-        prefers_leader: Callable[[], bool] = lambda: False,
+        prefers_leader: Callable[[JobSpec], bool] = lambda _: False,
     ) -> None:
         self._job_api = job_api
         self._relay = relay
@@ -103,7 +103,7 @@
 
         :return: None if the job was not submitted in this way.
         """
-        if not self._prefers_leader() or not self._relay.has_other_leader():
+        if not self._relay.has_other_leader() or not self._prefers_leader(job):
             return None
         relay_ms = min(
             (timeout_ms - ANSWER_RESERVE_MS) * 2 // 3, MAX_LEADER_TIMEOUT_MS
--- a/src/magnoliapitch/workload/job_limits.py
+++ b/src/magnoliapitch/workload/job_limits.py
@@ -23,6 +23,8 @@
 # What happens to one member concerns all others, so that the cost of a gang
 # is quadratic.
 MAX_TASKS_PER_GANG = 500
+# In occurrences that are due and have not ended; a single one may have more.
+MAX_OPEN_TASKS_OF_RECURRING_JOB = 1_000
 
 
 class _Size(NamedTuple):
@@ -78,6 +80,7 @@
 
 __all__ = [
     "MAX_DEPENDENCIES_PER_JOB",
+    "MAX_OPEN_TASKS_OF_RECURRING_JOB",
     "MAX_PAYLOAD_BYTES",
     "MAX_STEPS_PER_JOB",
     "MAX_TASKS_PER_GANG",
--- a/tests/planner/test_scheduled_occurrences.py
+++ b/tests/planner/test_scheduled_occurrences.py
@@ -6,13 +6,13 @@
 
 from magnoliapitch.planner import SchedulerState
 from magnoliapitch.planner.restore import progress_of
-from magnoliapitch.planner.scheduled_occurrences import MAX_OPEN_TASKS
 from magnoliapitch.planner.scheduled_occurrences import POSTPONED_INTERVAL_MS
 from magnoliapitch.workload.configuration import Queue
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepKey
 from magnoliapitch.workload.job import StepSpec
 from magnoliapitch.workload.job import TaskKey
+from magnoliapitch.workload.job_limits import MAX_OPEN_TASKS_OF_RECURRING_JOB
 from magnoliapitch.workload.progress import TASKS_PER_PROGRESS_RECORD
 from magnoliapitch.workload.progress import JobOutcome
 from magnoliapitch.workload.progress import JobProgress
@@ -151,10 +151,10 @@
     job = state.add_job(one_step(), QUEUE, 0)
     end_ms = START_MS + RUN_COUNT * INTERVAL_MS
     state.open_due_steps(0, end_ms)
-    assert len(state.waiting_steps) == MAX_OPEN_TASKS // 10
+    assert len(state.waiting_steps) == MAX_OPEN_TASKS_OF_RECURRING_JOB // 10
     finish(state, 4)
     state.open_due_steps(1, end_ms + POSTPONED_INTERVAL_MS)
-    assert len(state.waiting_steps) == MAX_OPEN_TASKS // 10
+    assert len(state.waiting_steps) == MAX_OPEN_TASKS_OF_RECURRING_JOB // 10
     assert StepKey("a", 100, 0) in state.waiting_steps
     for number in range(RUN_COUNT):
         if StepKey("a", number, 0) not in state.waiting_steps:
@@ -167,7 +167,9 @@
 
 def test_an_occurrence_of_many_tasks_is_not_limited() -> None:
     state = SchedulerState()
-    wide = one_step(3)._replace(steps=(StepSpec(MAX_OPEN_TASKS + 1),))
+    wide = one_step(3)._replace(
+        steps=(StepSpec(MAX_OPEN_TASKS_OF_RECURRING_JOB + 1),)
+    )
     state.add_job(wide, QUEUE, 0)
     state.open_due_steps(0, START_MS + 3 * INTERVAL_MS)
     assert waiting(state) == first_steps(range(1))
--- a/tests/relay/cluster.py
+++ b/tests/relay/cluster.py
@@ -120,7 +120,7 @@
             self.here,  # type: ignore[arg-type]
             relay,
             self.clock,
-            lambda: self.prefers_leader,
+            lambda _: self.prefers_leader,
         )
 
     def exchange(
