The collector pauses while a state is built, and frees a dropped one

Change: no collection begins while records are decoded, a new leader adds the jobs, or the tasks of a step are made (collector.py). When a leadership ends its state is freed at once; the batch under way no longer keeps it (compared by epoch instead). The raw values of the progress, which a leader reads once, are dropped.

--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -12,6 +12,8 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.collector import collect_dropped_state
+from magnoliapitch.collector import collections_paused
 from magnoliapitch.control.advisor_calls import AdvisorCalls
 from magnoliapitch.control.committer import Committer
 from magnoliapitch.control.controller import Controller
@@ -159,6 +161,8 @@
         if controller is None:
             return STOPPED_WAIT_MS
         if controller.is_over or self._is_stopping:
+            # Its state is freed.
+            del controller
             self._stop_leading()
             return STOPPED_WAIT_MS
         return self._run_round(controller)
@@ -194,12 +198,13 @@
         )
         self._router = self._open_router(controller)
         self._use_known_peers()
-        is_loaded = controller.load(
-            self._clock.now_ms(),
-            job_follower.end,
-            job_follower.read_ms,
-            self._preparation.goes_on,
-        )
+        with collections_paused():
+            is_loaded = controller.load(
+                self._clock.now_ms(),
+                job_follower.end,
+                job_follower.read_ms,
+                self._preparation.goes_on,
+            )
         if not is_loaded:
             self._close_router()
             self._handle_unprepared(self._preparation.interruption())
@@ -262,6 +267,8 @@
             self._committer.close()
             self._leadership.resign()
         self._leadership.step_down()
+        if not self._is_stopping:
+            collect_dropped_state()
 
     def _close_router(self) -> None:
         if self._router is not None:
@@ -373,13 +380,17 @@
         A batch of a former controller must not be stored under the next
         epoch.
         """
-        controller = self._controller
+        epoch = self._epoch
         self._committer.commit(
             batch,
-            lambda: not self._is_stopping and self._controller is controller,
+            lambda: not self._is_stopping and self._epoch == epoch,
             self._events.put,
         )
 
+    @property
+    def _epoch(self) -> int | None:
+        return None if self._controller is None else self._controller.epoch
+
     def delete_jobs(self, job_ids: Sequence[str]) -> None:
         """Mark stored jobs for deletion, which happens in batches."""
         self._job_ids_to_delete.update(job_ids)
--- a/src/magnoliapitch/ledger/job_follower.py
+++ b/src/magnoliapitch/ledger/job_follower.py
@@ -12,6 +12,7 @@
 from result import Ok
 from result import Result
 
+from magnoliapitch.collector import collections_paused
 from magnoliapitch.ledger.job_table import JobTable
 from magnoliapitch.ledger.mirror import READ_TIMEOUT_MS
 from magnoliapitch.ledger.mirror import StreamMirror
@@ -110,6 +111,12 @@
                 return outcome
         self._health.note_success(sent_ms)
         self.read_ms = sent_ms
+        with collections_paused():
+            return self._apply_loaded(mirrors, goes_on)
+
+    def _apply_loaded(
+        self, mirrors: Sequence[StreamMirror], goes_on: Callable[[], bool]
+    ) -> Result[None, Failure]:
         keys = [
             (mirror, key)
             for mirror in mirrors
@@ -120,6 +127,8 @@
             if not number % RECORDS_PER_CHECK and not goes_on():
                 return Err(not_run(FailureCode.SHUTTING_DOWN, "not wanted"))
             self.job_table.apply(mirror.values_by_key, (key,))
+        # It is not read again, and only the table is needed.
+        self._progress_mirror.forget_values()
         return Ok(None)
 
     def step(self) -> int:
--- a/src/magnoliapitch/ledger/mirror.py
+++ b/src/magnoliapitch/ledger/mirror.py
@@ -87,6 +87,12 @@
             values = {key: self.values_by_key.get(key) for key in keys}
             return StreamChanges(values, self.end)
 
+    def forget_values(self) -> None:
+        """Drop all values, which are not needed any more."""
+        with self._lock:
+            self.values_by_key = {}
+            self._offset_by_key = {}
+
     def read(
         self, wait_ms: int = 0, timeout_ms: int = READ_TIMEOUT_MS
     ) -> Result[None, Failure]:
--- a/src/magnoliapitch/planner/tracked.py
+++ b/src/magnoliapitch/planner/tracked.py
@@ -6,6 +6,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.collector import collections_paused
 from magnoliapitch.planner.duration.step_work import StepWork
 from magnoliapitch.planner.tracked_task import TrackedTask
 from magnoliapitch.workload.job import StepKey
@@ -267,10 +268,11 @@
         A step that waits for others uses no memory for them.
         """
         if not self.made_tasks:
-            self.made_tasks = [
-                TrackedTask(self, position)
-                for position in range(self.spec.task_count)
-            ]
+            with collections_paused():
+                self.made_tasks = [
+                    TrackedTask(self, position)
+                    for position in range(self.spec.task_count)
+                ]
         return self.made_tasks
 
     @property
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import gc
 import itertools
 import threading
 import time
@@ -14,6 +15,7 @@
 from magnoliapitch.advice.peer_health import PeerHealth
 from magnoliapitch.clock import ManualClock
 from magnoliapitch.clock import MonotonicClock
+from magnoliapitch.collector import collections_paused
 from magnoliapitch.control.clients import Clients
 from magnoliapitch.control.driver import ControlDriver
 from magnoliapitch.control.order_sender import OrderSender
@@ -29,6 +31,7 @@
 from magnoliapitch.ledger.state_table import StateTable
 from magnoliapitch.metric import Metrics
 from magnoliapitch.planner.plan import IdleCalls
+from magnoliapitch.planner.tracked_job import TrackedJob
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import may_have_run
 from magnoliapitch.verdict import not_run
@@ -402,6 +405,23 @@
     assert driver._controller is None
 
 
+def tracked_job_count() -> int:
+    return sum(isinstance(found, TrackedJob) for found in gc.get_objects())
+
+
+# The state of a former leadership lay in memory beside that of the next one.
+def test_the_state_is_freed_when_the_leadership_ends() -> None:
+    gc.collect()
+    earlier_count = tracked_job_count()
+    _, _, driver = prepare_slowly(30, Ok(None))
+    assert driver._controller is not None
+    assert tracked_job_count() == earlier_count + 30
+    with collections_paused():
+        driver._controller.stop_leading("the test ends it")
+        step_until(driver, lambda: driver._controller is None)
+        assert tracked_job_count() == earlier_count
+
+
 def make_driver(
     clock: Clock,
     leadership: SlowLeadership,
