Room kept for gangs no longer keeps others from idle workers

Cause: a round keeps room for gangs that would fit if all runs but services ended, on all workers on which a task should fit soon, for 20 s a gang, for four at a time, one after the other without end, and from the begin with each leader. All that was free of a worker was kept, also what no task of the gang fits into.

Change: no more of a worker is kept than the gang's tasks take of it there. A step with nothing running that has waited for 1 s may use what is kept, while under 60% of the CPU of its service's workers is in use; what a leader finds waiting may at once, since how long it has waited is not known. While the workers are well used, gangs keep their room as before.

--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -81,6 +81,7 @@
         self._evacuation = Evacuation(durations)
         self._preemption = Preemption(durations)
         self._kept_room = KeptRoom()
+        self._begun_ms: int | None = None
         self._stragglers = Stragglers(durations)
 
     def record_failed(self, run: TrackedRun) -> None:
@@ -137,6 +138,8 @@
             sent now.
         """
         self.left = None
+        if self._begun_ms is None:
+            self._begun_ms = now_ms
         state.open_due_steps(now_ms, wall_ms)
         self.duration_estimator.refresh(state.workers_by_id, now_ms)
         stragglers: list[TrackedRun] = []
@@ -168,6 +171,7 @@
             workspace_round,
             self._candidate_order(),
             self._kept_room,
+            self._begun_ms,
         )
         if self.options.preemption:
             self._kept_room.refresh(
@@ -250,6 +254,7 @@
                 planning_round.place(step)
                 workspace_round.record_starts(step, len(planning_round.starts))
             self._preemption.hold_room(step, planning_round, now_ms)
+        planning_round.end_placing()
         return examined_count
 
     @property
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -12,7 +12,6 @@
 from magnoliapitch.planner.candidates import release
 from magnoliapitch.planner.expected_starts import is_held
 from magnoliapitch.planner.gang_room import GangRoom
-from magnoliapitch.planner.gang_room import reserve
 from magnoliapitch.planner.permit_calls import MAX_WORKERS_PER_CALL
 from magnoliapitch.planner.permit_calls import MIN_WORKERS_PER_CALL
 from magnoliapitch.planner.permit_calls import TICKET_MIN_REMAINING_MS
@@ -45,6 +44,7 @@
     :param workspace_round: limits the permits of workspaces with a quota.
     :param candidate_order: tells which workers are the best for a step.
     :param kept_room: room that only services which are down may use for good.
+    :param begun_ms: when this leader planned its first round.
     """
 
     def __init__(
@@ -57,6 +57,7 @@
         workspace_round: WorkspaceRound,
         candidate_order: CandidateOrder,
         kept_room: KeptRoom,
+        begun_ms: int,
     ) -> None:
         self.starts: list[PlannedStart] = []
         self._now_ms = now_ms
@@ -69,7 +70,7 @@
         self._kept_room = kept_room
         candidate_order.begin_round(self._workers)
         isolation.begin_round(state, self._workers, now_ms)
-        self._gang_room = GangRoom(now_ms)
+        self._gang_room = GangRoom(self._workers, now_ms, begun_ms)
         self._steps_with_request: set[StepKey] = set()
 
     @property
@@ -124,6 +125,7 @@
             return
         if is_held(step, self._now_ms):
             return
+        self._gang_room.admit(step)
         candidates = self._allowed_candidates(step)
         chosen = self._choose(step, candidates) if candidates else []
         if is_gang and len(chosen) < step.waiting_count:
@@ -173,7 +175,7 @@
             self.request_permits(
                 step, sorted(candidates, key=most_free_cpu_first)
             )
-        reserve(step, candidates)
+        self._gang_room.reserve(step, candidates)
 
     def _has_fresh_tickets(
         self, step: TrackedStep, candidates: list[Candidate]
@@ -291,6 +293,10 @@
             return step.has_call_in_flight
         return self._add_request(step, candidates)
 
+    def end_placing(self) -> None:
+        """Keep what is left for gangs from all that follows."""
+        self._gang_room.close()
+
     def request_ahead(
         self, step: TrackedStep, candidates: list[Candidate]
     ) -> None:
