Control driver: deletions, events and the router's parts moved out

The jobs to delete are kept by control/job_deletions.py, the queue of events is emptied in control/event_dispatch.py, and the router is made of the clients by WorkerRouter.from_clients. A controller that was not loaded to its end is freed as one that has led.

--- a/src/magnoliapitch/control/delegation/router.py
+++ b/src/magnoliapitch/control/delegation/router.py
@@ -14,6 +14,7 @@
 from magnoliapitch.control.delegation.link import call_interval_ms
 from magnoliapitch.control.delegation.messages import SessionKey
 from magnoliapitch.control.delegation.session import AgentSession
+from magnoliapitch.control.worker_group import WorkerGroup
 from magnoliapitch.event import log_event
 from magnoliapitch.verdict import FailureCode
 from magnoliapitch.verdict import may_have_run
@@ -25,9 +26,10 @@
 
     from magnoliapitch.advice.peer_health import PeerHealthSource
     from magnoliapitch.clock import Clock
+    from magnoliapitch.control.clients import Clients
     from magnoliapitch.control.delegation.service import AgentClient
     from magnoliapitch.control.events import Event
-    from magnoliapitch.control.worker_group import WorkerGroup
+    from magnoliapitch.control.order_sender import OrderSender
     from magnoliapitch.ledger.members import Member
     from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.verdict import Failure
@@ -79,6 +81,35 @@
         self._closing_links: list[AgentLink] = []
         self._session_count = 0
 
+    @classmethod
+    def from_clients(
+        cls,
+        clients: Clients,
+        epoch: int,
+        next_lease_deadline: Callable[[str, int], int | None],
+        order_sender: OrderSender,
+        clock: Clock,
+        own_cores: float,
+        post: Callable[[Event], None],
+    ) -> WorkerRouter:
+        """Return a router of the leader that calls some workers itself.
+
+        :param next_lease_deadline: returns until when a worker's next lease
+            lasts by the worker's clock, None if it gets none.
+        """
+        local_group = WorkerGroup(
+            clients.workers, clock, order_sender, next_lease_deadline, post
+        )
+        return cls(
+            epoch,
+            local_group,
+            clients.agents,
+            clients.advisor_channels,
+            clock,
+            own_cores,
+            post,
+        )
+
     def set_agents(self, members: Iterable[Member]) -> None:
         """Replace the instances that may be agents; move workers off others.
 
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -9,7 +9,6 @@
 from typing import TYPE_CHECKING
 
 from result import Err
-from result import Ok
 from result import Result
 
 from magnoliapitch.collector import collect_dropped_state
@@ -20,15 +19,16 @@
 from magnoliapitch.control.delegation.router import WorkerRouter
 from magnoliapitch.control.event_dispatch import Leading
 from magnoliapitch.control.event_dispatch import dispatch
+from magnoliapitch.control.event_dispatch import take_events
 from magnoliapitch.control.events import Event
 from magnoliapitch.control.events import JobsRead
 from magnoliapitch.control.events import WorkersListed
+from magnoliapitch.control.job_deletions import JobDeletions
 from magnoliapitch.control.leader_preparation import REPLACED_CODES
 from magnoliapitch.control.leader_preparation import LeaderPreparation
 from magnoliapitch.control.loop_summary import LoopSummary
 from magnoliapitch.control.periodic_call import PeriodicCall
 from magnoliapitch.control.round_pacing import round_pause_ms
-from magnoliapitch.control.worker_group import WorkerGroup
 from magnoliapitch.event import log_event
 from magnoliapitch.planner.planner import DEFAULT_OPTIONS
 
@@ -41,6 +41,7 @@
     from magnoliapitch.control.clients import Clients
     from magnoliapitch.control.order_sender import OrderSender
     from magnoliapitch.control.timing import ControlTiming
+    from magnoliapitch.ledger.claim import Claim
     from magnoliapitch.ledger.job_follower import JobFollower
     from magnoliapitch.ledger.leader_appender import Batch
     from magnoliapitch.ledger.leadership import Leadership
@@ -66,8 +67,6 @@
 MAX_EVENT_WAIT_MS = 200
 # While workers wait for instances to answer their probes.
 PROBE_EVENT_WAIT_MS = 20
-# Limit for one call to the store.
-MAX_JOBS_PER_DELETION = 500
 STANDBY_WAIT_MS = 1_000
 STOPPED_WAIT_MS = 50
 
@@ -112,7 +111,7 @@
         self._metrics = metrics
         self._job_follower: JobFollower | None = None
         self._is_following = threading.Event()
-        self._job_ids_to_delete: set[str] = set()
+        self._job_deletions = JobDeletions()
         self._events: queue.SimpleQueue[Event] = queue.SimpleQueue()
         self._controller: Controller | None = None
         self._router: WorkerRouter | None = None
@@ -181,6 +180,23 @@
         if isinstance(prepared, Err):
             self._handle_unprepared(prepared.err_value)
             return None
+        controller = self._load_controller(claim, job_follower)
+        if controller is None:
+            self._handle_unprepared(self._preparation.interruption())
+            collect_dropped_state()
+            return None
+        self._controller = controller
+        self._job_follower = job_follower
+        self._is_following.set()
+        return controller
+
+    def _load_controller(
+        self, claim: Claim, job_follower: JobFollower
+    ) -> Controller | None:
+        """Return the controller of a claim with its state, or None.
+
+        There is none if this instance is not to lead any more.
+        """
         self._events = queue.SimpleQueue()
         self._worker_reading.expedite()
         self._upkeep.expedite()
@@ -196,7 +212,15 @@
             self._metrics,
             self._options,
         )
-        self._router = self._open_router(controller)
+        self._router = WorkerRouter.from_clients(
+            self._clients,
+            controller.epoch,
+            controller.next_lease_deadline,
+            self._order_sender,
+            self._clock,
+            self._own_cores,
+            self._events.put,
+        )
         self._use_known_peers()
         with collections_paused():
             is_loaded = controller.load(
@@ -205,33 +229,10 @@
                 job_follower.read_ms,
                 self._preparation.goes_on,
             )
-        if not is_loaded:
-            self._close_router()
-            self._handle_unprepared(self._preparation.interruption())
-            return None
-        self._controller = controller
-        self._job_follower = job_follower
-        self._is_following.set()
-        return controller
-
-    def _open_router(self, controller: Controller) -> WorkerRouter:
-        post = self._events.put
-        local_group = WorkerGroup(
-            self._clients.workers,
-            self._clock,
-            self._order_sender,
-            controller.next_lease_deadline,
-            post,
-        )
-        return WorkerRouter(
-            controller.epoch,
-            local_group,
-            self._clients.agents,
-            self._clients.advisor_channels,
-            self._clock,
-            self._own_cores,
-            post,
-        )
+        if is_loaded:
+            return controller
+        self._close_router()
+        return None
 
     def follow_jobs(self) -> int:
         """Read newly submitted jobs if this instance leads.
@@ -281,12 +282,11 @@
         self._upkeep.begin_if_due(started_ms)
         self._advisor_calls.begin_due_probes()
         self._preparation.keep_claim()
-        router = self._router
-        if router is not None and router.is_waiting:
-            router.assign()
+        if self._router is not None and self._router.is_waiting:
+            self._router.assign()
         events = self._next_events()
         received_ms = self._clock.now_ms()
-        leading = Leading(controller, router)
+        leading = Leading(controller, self._router)
         for event in events:
             dispatch(event, leading, self._clock.now_ms())
         now_ms = self._clock.now_ms()
@@ -298,16 +298,9 @@
         return pause_ms
 
     def _next_events(self) -> list[Event]:
-        events: list[Event] = []
-        router = self._router
-        is_waiting = router is not None and router.is_waiting
+        is_waiting = self._router is not None and self._router.is_waiting
         wait_ms = PROBE_EVENT_WAIT_MS if is_waiting else MAX_EVENT_WAIT_MS
-        try:
-            events.append(self._events.get(timeout=wait_ms / 1000))
-            while True:
-                events.append(self._events.get_nowait())
-        except queue.Empty:
-            return events
+        return take_events(self._events, wait_ms)
 
     def _read_workers(self) -> Result[None, Failure]:
         read_ms = self._clock.now_ms()
@@ -322,7 +315,7 @@
         """Read which instances may be agents, then delete ended jobs."""
         peers = self._clients.members.peers()
         self._use_known_peers()
-        deleted = self._delete_jobs_now()
+        deleted = self._job_deletions.carry_out(self._job_follower)
         return peers.and_then(lambda _: deleted)
 
     def _use_known_peers(self) -> None:
@@ -337,16 +330,6 @@
         if router is not None:
             router.set_agents(peers)
 
-    def _delete_jobs_now(self) -> Result[None, Failure]:
-        job_follower = self._job_follower
-        if job_follower is None or not self._job_ids_to_delete:
-            return Ok(None)
-        job_ids = sorted(self._job_ids_to_delete)[:MAX_JOBS_PER_DELETION]
-        deleted = job_follower.delete_jobs(job_ids)
-        if not isinstance(deleted, Err):
-            self._job_ids_to_delete.difference_update(job_ids)
-        return deleted
-
     def start_lease_renewal(self, worker: WorkerInfo, token: int) -> None:
         """Renew a worker's lease repeatedly."""
         if self._router is not None:
@@ -393,7 +376,7 @@
 
     def delete_jobs(self, job_ids: Sequence[str]) -> None:
         """Mark stored jobs for deletion, which happens in batches."""
-        self._job_ids_to_delete.update(job_ids)
+        self._job_deletions.add(job_ids)
 
     def request_permits(
         self, request: PlannedPermitRequest, timeout_ms: int
@@ -410,10 +393,8 @@
 
     def available_start_orders(self) -> int:
         """Return the number of start orders that may be sent now."""
-        router = self._router
-        return 0 if router is None else router.available_start_orders()
+        return self._router.available_start_orders() if self._router else 0
 
     def max_start_orders(self) -> int:
         """Return how many start orders may be unanswered at a time."""
-        router = self._router
-        return 0 if router is None else router.max_start_orders()
+        return self._router.max_start_orders() if self._router else 0
--- a/src/magnoliapitch/control/event_dispatch.py
+++ b/src/magnoliapitch/control/event_dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from queue import Empty
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -22,6 +23,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from queue import SimpleQueue
 
     from magnoliapitch.control.events import Event
 
@@ -42,6 +44,20 @@
 _HANDLERS_BY_TYPE: dict[type, Callable[[Any, Leading, int], None]] = {}
 
 
+def take_events(events: SimpleQueue[Event], wait_ms: int) -> list[Event]:
+    """Return all queued events, after a wait for the first one.
+
+    :param wait_ms: how long to wait for it.
+    """
+    taken: list[Event] = []
+    try:
+        taken.append(events.get(timeout=wait_ms / 1000))
+        while True:
+            taken.append(events.get_nowait())
+    except Empty:
+        return taken
+
+
 def dispatch(event: Event, leading: Leading, now_ms: int) -> None:
     """Apply an event to the controller of its leadership."""
     _HANDLERS_BY_TYPE[type(event)](event, leading, now_ms)
@@ -128,4 +144,4 @@
     leading.controller.handle_configuration_changed()
 
 
-__all__ = ["Leading", "dispatch"]
+__all__ = ["Leading", "dispatch", "take_events"]
