--- a/src/magnoliapitch/relay/jobs.py
+++ b/src/magnoliapitch/relay/jobs.py
@@ -103,7 +103,7 @@
 
         :return: None if the job was not submitted in this way.
         """
-        if not self._relay.has_other_leader() or not self._prefers_leader(job):
+        if not self._prefers_leader(job) or not self._relay.has_other_leader():
             return None
         relay_ms = min(
             (timeout_ms - ANSWER_RESERVE_MS) * 2 // 3, MAX_LEADER_TIMEOUT_MS
