Silent connections keep nobody out

Cause: a connection counted as soon as it was open, and none was closed to make room before its 10 s of idle time were over.

Change: the limit of connections counts those that have sent a request or a part of one. Twice as many may be open; beyond that the one that has been idle for longest is closed, one that never had a request first (http/idle_connections.py). If the limit is reached, the request that has arrived only in part for longest is refused in place of the next one.

--- a/src/magnoliapitch/http/limits.py
+++ b/src/magnoliapitch/http/limits.py
@@ -24,9 +24,9 @@
         body.
     :param chunk_mean_bytes: least data of a chunked body for each chunk
         beyond the first 1,024.
-    :param connections: open connections; requests on connections beyond
-        the limit are refused, and connections beyond twice the limit are
-        closed at once.
+    :param connections: connections that have sent a request or a part of it;
+        requests beyond the limit are refused. Twice as many may be open;
+        beyond that, the one that has sent nothing for longest is closed.
     :param waiting_connections: connections whose request waits for a
         thread.
     :param reserve_threads: further threads, which only refuse requests
--- a/src/magnoliapitch/http/partial_heads.py
+++ b/src/magnoliapitch/http/partial_heads.py
@@ -58,6 +58,15 @@
                 self._thread.start()
         self._has_connections.set()
 
+    def refuse_oldest(self) -> bool:
+        """Refuse the connection that was kept for longest, if there is one."""
+        with self._lock:
+            connection = next(iter(self._deadline_s_by_connection), None)
+        if connection is None:
+            return False
+        self._remove(connection, _refuse_for_others)
+        return True
+
     def stop(self) -> None:
         """Close all connections that are kept."""
         with self._lock:
@@ -114,4 +123,11 @@
     )
 
 
+def _refuse_for_others(connection: Any) -> None:
+    connection.refuse(
+        "503 Service Unavailable",
+        "too many connections are open, and the request has not arrived",
+    )
+
+
 __all__ = ["PartialHeads"]
--- a/src/magnoliapitch/http/server.py
+++ b/src/magnoliapitch/http/server.py
@@ -9,6 +9,7 @@
 import contextlib
 import queue
 import re
+import socket
 import threading
 
 from http import HTTPStatus
@@ -20,6 +21,7 @@
 
 from magnoliapitch.http.chunked import ChunkedBody
 from magnoliapitch.http.chunked import trailers_length
+from magnoliapitch.http.idle_connections import IdleConnections
 from magnoliapitch.http.partial_heads import PartialHeads
 from magnoliapitch.http.problem import problem_response
 from magnoliapitch.http.reader import make_file
@@ -99,7 +101,7 @@
         return True
 
     def respond(self) -> None:
-        if self.conn.is_over_limit:
+        if not self.server.has_room():
             self.simple_response(
                 "503 Service Unavailable", "the connection limit is reached"
             )
@@ -262,7 +264,8 @@
         # The request whose head was read and whose body is awaited.
         self.partial_request: _Request | None = None
         self.is_new = True
-        self.is_over_limit = False
+        self.has_served = False
+        self.is_given_up = False
         self._is_closed = False
         # How much of the next head was looked at.
         self._checked_count = 0
@@ -296,10 +299,16 @@
         request.simple_response(status, detail)
         self.close()
 
+    def give_up(self) -> None:
+        """Have the selector close the connection, which is idle."""
+        self.is_given_up = True
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         if not self._is_closed:
             self._is_closed = True
-            self.server.change_open_count(-1)
+            self.server.forget(self)
         super().close()
 
 
@@ -310,6 +319,9 @@
     request, and its body or the first 64 KiB of it if its length is given.
     Half of the threads that serve may wait for the rest, or for chunks.
 
+    Connections on which nothing, or a part of a request, has arrived keep
+    nobody else out: the oldest of them are closed to make room.
+
     :param address: IP address and port to bind.
     :param threads: worker threads, including the reserve that refuses
         requests.
@@ -344,6 +356,7 @@
         serving_threads = threads - limits.reserve_threads
         self.body_waits = threading.Semaphore(max(1, serving_threads // 2))
         self._partial_heads = PartialHeads(self._queue, self.timeout)
+        self._idle = IdleConnections()
         self._open_count = 0
         self._open_count_lock = threading.Lock()
 
@@ -361,7 +374,10 @@
         if conn.is_new:
             self._accept(conn)
             return
-        if conn.can_be_read():
+        self._idle.remove(conn)
+        if conn.is_given_up:
+            conn.close()
+        elif conn.can_be_read():
             self._queue(conn)
         else:
             self._partial_heads.add(conn)
@@ -369,10 +385,26 @@
     def put_conn(self, conn: Any) -> None:
         """Keep a connection until its next request, or the rest of one."""
         if conn.partial_request is None:
+            self._idle.add(conn, has_served=conn.has_served)
             super().put_conn(conn)
         else:
             self._partial_heads.add(conn)
 
+    def has_room(self) -> bool:
+        """Return whether one more request may be served now.
+
+        One that has arrived only in part is refused in its place if need be.
+        """
+        active_count = self._open_count - len(self._idle)
+        if active_count <= self.limits.connections:
+            return True
+        return self._partial_heads.refuse_oldest()
+
+    def forget(self, conn: Any) -> None:
+        """Count a connection as closed."""
+        self._idle.remove(conn)
+        self.change_open_count(-1)
+
     def stop(self) -> None:
         """Stop accepting connections and wait for requests in flight."""
         super().stop()
@@ -380,6 +412,7 @@
 
     def _queue(self, conn: Any) -> None:
         conn.reset_head()
+        conn.has_served = True
         try:
             self.requests.put(conn)
         except queue.Full:
@@ -391,8 +424,15 @@
     def _accept(self, conn: Any) -> None:
         conn.is_new = False
         open_count = self.change_open_count(1)
-        conn.is_over_limit = open_count > self.limits.connections
-        if open_count > 2 * self.limits.connections:
+        if open_count > 2 * self.limits.connections and not self._make_room():
             conn.close()
             return
         self.put_conn(conn)
+
+    def _make_room(self) -> bool:
+        """Close a connection that has sent nothing, or only a part."""
+        oldest = self._idle.take_oldest()
+        if oldest is None:
+            return self._partial_heads.refuse_oldest()
+        oldest.give_up()
+        return True
