Large bodies take bounded memory, and the configuration bounds them

Cause: a body takes some fifty times its length once it is decoded, and up to 24 were decoded at a time, before the job was refused for its number of steps. max-body-bytes of the configuration was read and used nowhere.

Change: callers' bodies are bounded by max-body-bytes, at most the setting's limit, and refused unread. A job with more steps than any job may have tasks is refused before they are converted.

--- a/src/magnoliapitch/entry/job_node.py
+++ b/src/magnoliapitch/entry/job_node.py
@@ -185,6 +185,9 @@
         )
         freshness = ConfigurationFreshness(self._clock)
         self._gate = AccessGate(freshness, self._metrics)
+        self._caller_application = job_application(
+            self._jobs, self._gate, settings.http.body_max_bytes
+        )
         self._configuration_watch = ConfigurationWatch(
             PlatformDirectory(store), freshness, self._configure
         )
@@ -327,7 +330,7 @@
             Listener(
                 "callers",
                 _address(listen.callers),
-                job_application(self._jobs, self._gate, http.body_max_bytes),
+                self._caller_application,
                 CALLER_THREADS,
                 STOP_TIMEOUT_S,
                 http,
@@ -354,6 +357,7 @@
 
     def _configure(self, configuration: Configuration) -> None:
         self._gate.configure(configuration)
+        self._caller_application.limit_body(configuration.limits.body_bytes)
         self._job_api.configure(configuration)
         self._driver.post(ConfigurationChanged())
         log_event(
--- a/src/magnoliapitch/http/__init__.py
+++ b/src/magnoliapitch/http/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from magnoliapitch.http.application import Application
+from magnoliapitch.http.large_bodies import LargeBodies
 from magnoliapitch.http.limits import HttpLimits
 from magnoliapitch.http.listener import Listener
 from magnoliapitch.http.message import HttpRequest
@@ -17,6 +18,7 @@
     "HttpLimits",
     "HttpRequest",
     "HttpResponse",
+    "LargeBodies",
     "Listener",
     "REQUEST_ID_HEADER",
     "json_response",
--- a/src/magnoliapitch/http/application.py
+++ b/src/magnoliapitch/http/application.py
@@ -16,7 +16,9 @@
 from magnoliapitch.event import log_event
 from magnoliapitch.event import request_context
 from magnoliapitch.http.body import CONNECTION_CLOSE
+from magnoliapitch.http.body import RETRY_AFTER_MS
 from magnoliapitch.http.body import read_body
+from magnoliapitch.http.large_bodies import LARGE_BODY_BYTES
 from magnoliapitch.http.limits import HttpLimits
 from magnoliapitch.http.message import HttpRequest
 from magnoliapitch.http.message import HttpResponse
@@ -30,6 +32,7 @@
 
 
 if TYPE_CHECKING:
+    from magnoliapitch.http.large_bodies import LargeBodies
     from magnoliapitch.verdict import Failure
 
 
@@ -62,6 +65,8 @@
     :param body_max_bytes: longest accepted request body.
     :param closes_connections: returns whether responses currently ask for
         their connection to be closed.
+    :param large_bodies: limits the large bodies that are handled at a time;
+        None to limit them not.
     :ivar routes: registered routes, in order of registration.
     """
 
@@ -69,11 +74,18 @@
         self,
         body_max_bytes: int = DEFAULT_LIMITS.body_max_bytes,
         closes_connections: Callable[[], bool] | None = None,
+        large_bodies: LargeBodies | None = None,
     ) -> None:
         self.routes: list[Route] = []
+        self._largest_body_bytes = body_max_bytes
         self._body_max_bytes = body_max_bytes
+        self._large_bodies = large_bodies
         self._closes_connections = closes_connections
 
+    def limit_body(self, max_bytes: int) -> None:
+        """Accept bodies up to a length, at most that of the constructor."""
+        self._body_max_bytes = min(self._largest_body_bytes, max_bytes)
+
     def route(self, method: str, path: str) -> Callable[[Handler], Handler]:
         """Return a decorator that registers a handler.
 
@@ -122,7 +134,7 @@
             return self._send(environ, start_response, body)
         request = _parse_request(environ, request_id, body)
         with request_context(request_id):
-            response = self._handle_safely(request)
+            response = self._handle_in_turn(request)
         return self._send(environ, start_response, response)
 
     def refuse(
@@ -143,6 +155,14 @@
             )
         return self._send(environ, start_response, response)
 
+    def _handle_in_turn(self, request: HttpRequest) -> HttpResponse:
+        if self._large_bodies is None:
+            return self._handle_safely(request)
+        with self._large_bodies.turn(len(request.body)) as has_turn:
+            if has_turn:
+                return self._handle_safely(request)
+        return problem_response(_too_many_bodies(), request.request_id)
+
     def _handle_safely(self, request: HttpRequest) -> HttpResponse:
         try:
             return self.handle(request)
@@ -198,6 +218,15 @@
     )
 
 
+def _too_many_bodies() -> Failure:
+    return not_run(
+        FailureCode.OVERLOADED,
+        f"too many requests with more than {LARGE_BODY_BYTES} bytes are "
+        "handled; this one was not",
+        RETRY_AFTER_MS,
+    )
+
+
 def _no_matching_route(
     request: HttpRequest, allowed_methods: list[str]
 ) -> HttpResponse:
--- a/src/magnoliapitch/platform/job_application.py
+++ b/src/magnoliapitch/platform/job_application.py
@@ -12,6 +12,7 @@
 from magnoliapitch.http import Application
 from magnoliapitch.http import HttpRequest
 from magnoliapitch.http import HttpResponse
+from magnoliapitch.http import LargeBodies
 from magnoliapitch.http import json_response
 from magnoliapitch.http import problem_response
 from magnoliapitch.platform.configuration import decode_resources
@@ -22,6 +23,7 @@
 from magnoliapitch.workload.configuration import QueueSnapshot
 from magnoliapitch.workload.job import JobSpec
 from magnoliapitch.workload.job import StepSpec
+from magnoliapitch.workload.job_check import MAX_TASKS_PER_JOB
 from magnoliapitch.workload.job_check import check_job
 
 
@@ -63,7 +65,7 @@
     def __init__(
         self, jobs: RelayedJobs, gate: AccessGate, body_max_bytes: int
     ) -> None:
-        super().__init__(body_max_bytes, jobs.is_closing)
+        super().__init__(body_max_bytes, jobs.is_closing, LargeBodies())
         self._jobs = jobs
         self._gate = gate
 
@@ -157,6 +159,12 @@
             f"job id {job_id!r} must have 1 to {MAX_JOB_ID_CHARS} letters and "
             "digits"
         )
+    # Each step has a task at least.
+    if len(body["steps"]) > MAX_TASKS_PER_JOB:
+        raise ValueError(
+            f"the job has {len(body['steps'])} steps; at most "
+            f"{MAX_TASKS_PER_JOB} tasks are allowed"
+        )
     steps = tuple(_decode_step(step) for step in body["steps"])
     job = JobSpec(
         job_id,
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -43,6 +43,13 @@
 LENGTH_HEAD = PLAIN_HEAD.encode() + b"Content-Length: %d\r\n\r\n"
 
 
+def job_of_many_steps(length: int) -> bytes:
+    """Return a job of as many steps as fit a body of a length."""
+    head, step, tail = b'{"spec":"1","steps":[', b'{"count":1}', b"]}"
+    count = (length - len(head) - len(tail)) // (len(step) + 1)
+    return head + b",".join([step] * count) + tail
+
+
 @pytest.fixture
 def instance(tmp_path: Path) -> Iterator[Instance]:
     started = Instance(tmp_path)
@@ -138,6 +145,29 @@
         instance.close()
 
 
+# Jobs of many steps were decoded in all threads at a time, and exceeded the
+# memory of every instance; the limit of the configuration was not used.
+@pytest.mark.parametrize("length", [261_000, 1_000_000])
+def test_bodies_of_many_steps_take_bounded_memory(
+    tmp_path: Path, length: int
+) -> None:
+    instance = Instance(tmp_path, http_settings="")
+    try:
+        instance.wait_ready()
+        body = job_of_many_steps(length)
+        request = LENGTH_HEAD % len(body) + body
+        crowd = RepeatingCrowd(instance.callers, request)
+        try:
+            for _ in range(ORDINARY_COUNT):
+                assert instance.accepts_ordinary_request()
+        finally:
+            crowd.close()
+        assert instance.is_alive()
+        assert instance.peak_memory_mib() <= MAX_MEMORY_MIB
+    finally:
+        instance.close()
+
+
 # Bodies in chunks of one byte took most of a second of the processor each, so
 # that ordinary calls waited for seconds and most got 503.
 @pytest.mark.parametrize(
