Services that a former release stored as done are not put away

A former release stored tasks of services as done when they ended, which restoring ignores task by task (docs/incidents/lost-services-done.md), but not there: such an occurrence would never have started again.

Change: a job with a service has no occurrence put away from stored progress.

--- a/src/magnoliapitch/planner/job_occurrences.py
+++ b/src/magnoliapitch/planner/job_occurrences.py
@@ -124,9 +124,10 @@
     ) -> None:
         """Take stored progress of occurrences that have ended.
 
-        Those of which a run may be active have not.
+        Those of which a run may be active have not, and services never do.
         """
-        if not self._job.spec.run_count:
+        has_service = any(step.is_long_running for step in self.step_specs)
+        if has_service or not self._job.spec.run_count:
             return
         ended_counts = Counter(
             key.occurrence
--- a/tests/planner/test_scheduled_occurrences.py
+++ b/tests/planner/test_scheduled_occurrences.py
@@ -215,3 +215,15 @@
     state = SchedulerState()
     state.add_job(spec, QUEUE, 0, JobProgress("a", JobOutcome.OPEN, done))
     assert state.jobs_by_id["a"].outcome is JobOutcome.COMPLETED
+
+
+# A former release stored tasks of services as done when they ended.
+def test_a_service_that_was_stored_as_done_is_started_again() -> None:
+    state = SchedulerState()
+    service = StepSpec(1, is_long_running=True)
+    spec = recurring()._replace(steps=(service,))
+    done = {TaskKey("a", 0, 0, 0): TaskProgress(1, is_done=True)}
+    progress = JobProgress("a", JobOutcome.OPEN, done)
+    state.add_job(spec, QUEUE, 0, progress)
+    state.open_due_steps(1, START_MS)
+    assert waiting(state) == first_steps(range(1))
