--- a/review/cluster3.py
+++ b/review/cluster3.py
@@ -240,6 +240,23 @@
             return json.loads(data)["state"]
         return str(status)
 
+    def crash_runners(self, names: list[str]) -> None:
+        """Let runners crash that do not come back."""
+        self.record.say(f"runners crash for good: {', '.join(names)}")
+        self.platform.stdin.write(json.dumps(names).encode() + b"\n")
+        self.platform.stdin.flush()
+
+    def active_runs(self) -> dict[str, str]:
+        """Return the runner of each task that is at work."""
+        active: dict[str, str] = {}
+        for row in map(json.loads, self.history.read_text().splitlines()):
+            _, event, runner, task = row[:4]
+            if event == "start":
+                active[task] = runner
+            elif active.get(task) == runner:
+                del active[task]
+        return active
+
     def started(self) -> set[str]:
         """Return the jobs of which a runner has begun a task."""
         rows = map(json.loads, self.history.read_text().splitlines())
--- a/review/standins3.py
+++ b/review/standins3.py
@@ -3,7 +3,8 @@
 A program of its own: the store, the runners and the advisor, each on an
 address of loopback, as PROTOCOL.md describes them. It reads its options as JSON from the
 first argument, prints one line of JSON with the addresses, and ends when its
-standard input is closed. What runners begin and end goes to a file, one JSON
+standard input is closed. Each line there names runners, as a JSON array, that
+crash and do not come back. What runners begin and end goes to a file, one JSON
 array a line.
 """
 
@@ -38,12 +39,15 @@
 
     def __init__(self, port: int = 0) -> None:
         self.port = port
+        self.server = None
+        self.is_gone = False
 
     async def listen(self) -> str:
         server = await asyncio.start_server(
             self._serve, LOOPBACK, self.port, backlog=512, limit=1 << 23
         )
         self.port = server.sockets[0].getsockname()[1]
+        self.server = server
         return f"{LOOPBACK}:{self.port}"
 
     async def handle(self, path, query, headers, body):
@@ -61,9 +65,13 @@
                     headers[name.lower()] = value.strip()
                 length = int(headers.get("content-length") or 0)
                 body = await reader.readexactly(length)
+                if self.is_gone:
+                    break
                 path, _, text = target.partition("?")
                 query = dict(parse_qsl(text))
                 status, data = await self.handle(path, query, headers, body)
+                if self.is_gone:
+                    break
                 if isinstance(data, (dict, list)):
                     data = json.dumps(data).encode()
                 writer.write(
@@ -258,8 +266,16 @@
         self._log.write(json.dumps(row) + "\n")
         self._log.flush()
 
+    def crash(self) -> None:
+        """End for good; nothing answers at the address any more."""
+        self.is_gone = True
+        self.server.close()
+        for key in self._runs:
+            self._record("end", *key, "crashed")
+        self._runs = {}
+
     async def tick(self) -> None:
-        while True:
+        while not self.is_gone:
             await asyncio.sleep(TICK_S)
             now_ms = self._now_ms()
             if self._lease_ms is not None and now_ms >= self._lease_ms:
@@ -358,12 +374,14 @@
 
 
 async def beat(store: Store, runner: Runner, entry, interval_s: float) -> None:
-    """Keep the entry of a runner in the store."""
+    """Keep the entry of a runner in the store, until it is silent."""
     number = 0
-    while True:
+    while not runner.is_gone:
         number += 1
         store.put("keyed.servers", runner.name, {**entry, "seq": number})
         await asyncio.sleep(interval_s)
+    await asyncio.sleep(2 * interval_s)
+    store.put("keyed.servers", runner.name, None)
 
 
 async def main(options) -> None:
@@ -378,6 +396,8 @@
     }
     store.put("keyed.op", "config", options["config"])
     tasks = []
+    runners = {}
+    other_kind = options.get("other_kind", 0)
     for number in range(options["runners"]):
         runner = Runner(f"i{number:02d}", options, log)
         entry = {
@@ -385,13 +405,19 @@
             "zone": f"z{number % 3}", "version": "1", "slots": 8,
             "state": "ready", "cold-left-ms": 0,
             "capacity": {"cpu": options["cpu"], "mem-mb": options["mem_mb"]},
-            "labels": ["a", f"r1-{number // 8}"],
+            "labels": [
+                "b" if number >= options["runners"] - other_kind else "a",
+                f"r1-{number // 8}",
+            ],
         }
+        runners[runner.name] = runner
         tasks.append(asyncio.create_task(runner.tick()))
         tasks.append(asyncio.create_task(beat(store, runner, entry, 1.5)))
     print(json.dumps(addresses), flush=True)
     loop = asyncio.get_running_loop()
-    await loop.run_in_executor(None, sys.stdin.buffer.read)
+    while line := await loop.run_in_executor(None, sys.stdin.readline):
+        for name in json.loads(line):
+            runners[name].crash()
     log.close()
     # Without a traceback for each call that is under way.
     os._exit(0)
