--- a/review/cluster3.py
+++ b/review/cluster3.py
@@ -24,6 +24,7 @@
 import time
 import tomllib
 
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 
@@ -327,18 +328,20 @@
     in. A job counts if no answer came, if it is not known, or if it has not
     begun although the runners have been idle for the last 3 s and more.
     """
-    lost = []
     begun = cluster.started()
-    for job in accepted:
+
+    def ask(job: str) -> str:
         state = cluster.state(job)
         cluster.record.write(f"GET {job} -> {state}")
         if state not in ("pending", "running", "completed"):
             state = cluster.state(job)
             cluster.record.write(f"GET {job} -> {state}")
         is_waiting = state == "pending" and job not in begun
-        if state in ("0", "410", "503", "504") or is_waiting:
-            lost.append(f"{job} {state}")
-    return lost
+        is_lost = state in ("0", "410", "503", "504") or is_waiting
+        return f"{job} {state}" if is_lost else ""
+
+    with ThreadPoolExecutor(12) as pool:
+        return [found for found in pool.map(ask, accepted) if found]
 
 
 def idle_s(cluster: Cluster) -> float:
@@ -354,6 +357,8 @@
 def play(case: Path, run, **options) -> int:
     """Run a case; return its exit code."""
     cluster = None
+    # The script's time limit ends it so; its processes end as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         cluster = Cluster(case, **options)
         cluster.start()
