--- a/review/cluster3.py
+++ b/review/cluster3.py
@@ -247,6 +247,13 @@
         self.platform.stdin.write(json.dumps(names).encode() + b"\n")
         self.platform.stdin.flush()
 
+    def darken_runner(self, name: str, seconds: float) -> None:
+        """Let a runner lose its power; it comes back as another one."""
+        self.record.say(f"runner {name} is without power for {seconds} s")
+        command = {"dark": name, "for_s": seconds}
+        self.platform.stdin.write(json.dumps(command).encode() + b"\n")
+        self.platform.stdin.flush()
+
     def active_runs(self) -> dict[str, str]:
         """Return the runner of each task that is at work."""
         active: dict[str, str] = {}
--- a/review/standins3.py
+++ b/review/standins3.py
@@ -3,8 +3,9 @@
 A program of its own: the store, the runners and the advisor, each on an
 address of loopback, as PROTOCOL.md describes them. It reads its options as JSON from the
 first argument, prints one line of JSON with the addresses, and ends when its
-standard input is closed. Each line there names runners, as a JSON array, that
-crash and do not come back. What runners begin and end goes to a file, one JSON
+standard input is closed. Each line there is JSON: an array names runners that
+crash and do not come back; an object, a runner that is without power for some
+seconds and begins another life then. What runners begin and end goes to a file, one JSON
 array a line.
 """
 
@@ -32,6 +33,8 @@
 LISTED_ENDS = 500
 STOP_TIMEOUT_S = 0.1
 TICK_S = 0.02
+# Longer than any caller waits for an answer.
+SILENCE_S = 30.0
 
 
 class HttpServer:
@@ -248,6 +251,8 @@
     def __init__(self, name: str, options, log) -> None:
         super().__init__()
         self.name = name
+        self.life = 1
+        self.is_dark = False
         self._log = log
         self._max_hold_ms = options["max_hold_ms"]
         self._token = 0
@@ -266,6 +271,20 @@
         self._log.write(json.dumps(row) + "\n")
         self._log.flush()
 
+    async def lose_power(self, seconds: float) -> None:
+        """Answer nobody for some time; come back with another id."""
+        self.is_dark = True
+        for key in self._runs:
+            self._record("end", *key, "crashed")
+        self._runs = {}
+        await asyncio.sleep(seconds)
+        self.life += 1
+        self.name = f"{self.name.partition('-')[0]}-{self.life}"
+        self._token = 0
+        self._lease_ms = None
+        self._barred, self._ends, self._sequence = {}, [], 0
+        self.is_dark = False
+
     def crash(self) -> None:
         """End for good; nothing answers at the address any more."""
         self.is_gone = True
@@ -299,6 +318,9 @@
         return status, {"clock-ms": self._now_ms(), **fields}
 
     async def handle(self, path, query, headers, body):
+        if self.is_dark:
+            await asyncio.sleep(SILENCE_S)
+            raise ConnectionResetError
         if headers.get("x-magnoliapitch-expect-instance") != self.name:
             return 421, {}
         call = json.loads(body)
@@ -359,6 +381,9 @@
         if wait_s and not self._ends:
             with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(self._ended.wait(), wait_s)
+        if self.is_dark:
+            await asyncio.sleep(SILENCE_S)
+            raise ConnectionResetError
         running = [[*key, "", 50, 0] for key in self._runs]
         ends = self._ends[:LISTED_ENDS]
         return self._reply(200, running=running, **{"ended-runs": ends})
@@ -377,9 +402,14 @@
     """Keep the entry of a runner in the store, until it is silent."""
     number = 0
     while not runner.is_gone:
-        number += 1
-        store.put("keyed.servers", runner.name, {**entry, "seq": number})
+        name = runner.name
+        if not runner.is_dark:
+            number += 1
+            store.put("keyed.servers", name, {**entry, "seq": number})
         await asyncio.sleep(interval_s)
+        if runner.name != name:
+            loop = asyncio.get_running_loop()
+            loop.call_later(interval_s, store.put, "keyed.servers", name, None)
     await asyncio.sleep(2 * interval_s)
     store.put("keyed.servers", runner.name, None)
 
@@ -416,8 +446,15 @@
     print(json.dumps(addresses), flush=True)
     loop = asyncio.get_running_loop()
     while line := await loop.run_in_executor(None, sys.stdin.readline):
-        for name in json.loads(line):
-            runners[name].crash()
+        command = json.loads(line)
+        if isinstance(command, list):
+            for name in command:
+                runners[name].crash()
+        else:
+            runner = runners[command["dark"]]
+            tasks.append(
+                asyncio.create_task(runner.lose_power(command["for_s"]))
+            )
     log.close()
     # Without a traceback for each call that is under way.
     os._exit(0)
