--- a/review/standins3.py
+++ b/review/standins3.py
@@ -35,6 +35,8 @@
 TICK_S = 0.02
 # Longer than any caller waits for an answer.
 SILENCE_S = 30.0
+# A new life writes its entry within a beat.
+FIRST_BEAT_S = 1.2
 
 
 class HttpServer:
@@ -252,6 +254,7 @@
         super().__init__()
         self.name = name
         self.life = 1
+        self.is_back = asyncio.Event()
         self.is_dark = False
         self._log = log
         self._max_hold_ms = options["max_hold_ms"]
@@ -274,6 +277,7 @@
     async def lose_power(self, seconds: float) -> None:
         """Answer nobody for some time; come back with another id."""
         self.is_dark = True
+        self.is_back.clear()
         for key in self._runs:
             self._record("end", *key, "crashed")
         self._runs = {}
@@ -284,6 +288,7 @@
         self._lease_ms = None
         self._barred, self._ends, self._sequence = {}, [], 0
         self.is_dark = False
+        self.is_back.set()
 
     def crash(self) -> None:
         """End for good; nothing answers at the address any more."""
@@ -403,13 +408,15 @@
     number = 0
     while not runner.is_gone:
         name = runner.name
-        if not runner.is_dark:
-            number += 1
-            store.put("keyed.servers", name, {**entry, "seq": number})
+        number += 1
+        store.put("keyed.servers", name, {**entry, "seq": number})
         await asyncio.sleep(interval_s)
-        if runner.name != name:
+        if runner.is_dark:
             loop = asyncio.get_running_loop()
-            loop.call_later(interval_s, store.put, "keyed.servers", name, None)
+            delay_s = 2 * interval_s
+            loop.call_later(delay_s, store.put, "keyed.servers", name, None)
+            await runner.is_back.wait()
+            await asyncio.sleep(FIRST_BEAT_S)
     await asyncio.sleep(2 * interval_s)
     store.put("keyed.servers", runner.name, None)
 
