Overdue occurrences are opened in parts, each at the same cost

Leaders claim one after the other, about every 2 s.

Cause: ScheduledOccurrences.take_due opened everything that was due in one round, and looked at all open occurrences of the job for each one, so that the first round of each leader took seconds. Nothing is stored in a round; others claim after LEADER_TIMEOUT_MS (1 s), and begin with the same round.

Change: only occurrences that may have ended since the last look are looked at (noted when a step is done, or a run of a done step has ended). A call opens at most 1,000 steps, those first that were due first; the driver begins the next round at once while more are due. A new leader passes over stored ends in one go.

Ruled out: the order of take-over (the claim is kept while the state is built; 12 jobs take 1 ms), and the store (nothing is asked in the round).

Tests: four of tests/planner/test_scheduled_occurrences.py fail on (no_round_takes_long, costs_the_same, due_first, passes_over).

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -366,6 +366,13 @@
             self._permit_requester.request(plan.permit_requests)
         self._commits.begin(now_ms)
 
+    def has_steps_left(self, wall_ms: int) -> bool:
+        """Return whether steps may start that the next round comes to.
+
+        :param wall_ms: wall-clock time, ms since 1970.
+        """
+        return self.state.has_due_steps(wall_ms)
+
     def stop_leading(self, reason: str) -> None:
         """End the leadership; no more orders are issued.
 
--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -284,22 +284,25 @@
         self._preparation.keep_claim()
         if self._router is not None and self._router.is_waiting:
             self._router.assign()
-        events = self._next_events()
+        events = self._next_events(controller)
         received_ms = self._clock.now_ms()
         leading = Leading(controller, self._router)
         for event in events:
             dispatch(event, leading, self._clock.now_ms())
         now_ms = self._clock.now_ms()
         self._loop_summary.record_events(len(events), now_ms - received_ms)
-        controller.run_round(now_ms, time.time_ns() // 1_000_000)
+        controller.run_round(now_ms, _wall_ms())
         ended_ms = self._clock.now_ms()
         pause_ms = round_pause_ms(ended_ms - started_ms, ended_ms - now_ms)
         self._loop_summary.record_round(ended_ms - now_ms, pause_ms, ended_ms)
         return pause_ms
 
-    def _next_events(self) -> list[Event]:
-        is_waiting = self._router is not None and self._router.is_waiting
-        wait_ms = PROBE_EVENT_WAIT_MS if is_waiting else MAX_EVENT_WAIT_MS
+    def _next_events(self, controller: Controller) -> list[Event]:
+        wait_ms = MAX_EVENT_WAIT_MS
+        if self._router is not None and self._router.is_waiting:
+            wait_ms = PROBE_EVENT_WAIT_MS
+        if controller.has_steps_left(_wall_ms()):
+            wait_ms = 0
         return take_events(self._events, wait_ms)
 
     def _read_workers(self) -> Result[None, Failure]:
@@ -398,3 +401,7 @@
     def max_start_orders(self) -> int:
         """Return how many start orders may be unanswered at a time."""
         return self._router.max_start_orders() if self._router else 0
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
--- a/src/magnoliapitch/planner/job_occurrences.py
+++ b/src/magnoliapitch/planner/job_occurrences.py
@@ -37,6 +37,7 @@
         "_job",
         "_row_by_itself",
         "_steps_by_occurrence",
+        "_unchecked_occurrences",
     )
 
     def __init__(self, job: TrackedJob) -> None:
@@ -45,6 +46,8 @@
         self._finished_by_occurrence: dict[int, tuple[TaskProgress, ...]] = {}
         # Most finished tasks have equal progress, which is kept once.
         self._row_by_itself: dict[TaskProgress, TaskProgress] = {}
+        # Of a recurring job, those that may have ended since the last look.
+        self._unchecked_occurrences: dict[int, None] = {}
         # Of each step, the number of its first task in its occurrence, and
         # after them the number of tasks of an occurrence.
         self._first_numbers = [0]
@@ -72,6 +75,7 @@
         rows = self._finished_by_occurrence.pop(occurrence, None)
         if rows is not None:
             _restore(steps, rows)
+            self.note_possible_end(occurrence)
         return steps
 
     @property
@@ -102,16 +106,30 @@
         """Return whether an occurrence has ended and was put away."""
         return occurrence in self._finished_by_occurrence
 
+    def note_possible_end(self, occurrence: int) -> None:
+        """Have an occurrence looked at that may have ended.
+
+        One ends when its last step is done, or with the last active run after
+        that.
+        """
+        if self._job.spec.run_count:
+            self._unchecked_occurrences[occurrence] = None
+
     def put_away_finished(self) -> list[int]:
         """Keep only the progress of the occurrences that have ended.
 
+        Only those are looked at that may have ended since the last call.
+
         :return: numbers of those that were put away.
         """
+        unchecked, self._unchecked_occurrences = (
+            self._unchecked_occurrences,
+            {},
+        )
         ended = [
             occurrence
-            for occurrence, steps in self._steps_by_occurrence.items()
-            if all(step.is_done for step in steps)
-            and not any(step.all_active_runs() for step in steps)
+            for occurrence in unchecked
+            if self._has_ended(occurrence)
         ]
         for occurrence in ended:
             steps = self._steps_by_occurrence.pop(occurrence)
@@ -181,6 +199,15 @@
         for occurrence in range(begin // size, -(-end // size)):
             yield from self._steps_by_occurrence.get(occurrence, ())
 
+    def _has_ended(self, occurrence: int) -> bool:
+        """Return whether a made occurrence is done, without active runs."""
+        steps = self._steps_by_occurrence.get(occurrence)
+        return (
+            steps is not None
+            and all(step.is_done for step in steps)
+            and not any(step.all_active_runs() for step in steps)
+        )
+
     @property
     def _tasks_per_occurrence(self) -> int:
         return self._first_numbers[-1]
--- a/src/magnoliapitch/planner/scheduled_occurrences.py
+++ b/src/magnoliapitch/planner/scheduled_occurrences.py
@@ -17,6 +17,8 @@
 
 
 POSTPONED_INTERVAL_MS = 500
+# Bounds the duration of a round; the rest is due in the next ones.
+MAX_DUE_STEPS_PER_CALL = 1_000
 
 
 class _Scheduled(NamedTuple):
@@ -70,14 +72,18 @@
         """Return the steps that may start since their occurrence is due.
 
         Occurrences that come faster than they end would use any amount of
-        memory, so that a job has a limited number of tasks open at a time.
+        memory, so that a job has a limited number of tasks open at a time. A
+        call takes a limited number of steps, those that were due first; see
+        :meth:`has_due`.
 
         :param wall_ms: wall-clock time, ms since 1970.
         """
         self._examine_postponed(wall_ms)
         due: list[TrackedStep] = []
-        while self._heap and self._heap[0].due_ms <= wall_ms:
+        cost = 0
+        while cost < MAX_DUE_STEPS_PER_CALL and self.has_due(wall_ms):
             entry = heapq.heappop(self._heap)
+            cost += 1
             if self._next_by_id.get(entry.job_id) != entry:
                 continue
             job = self._job_by_id[entry.job_id]
@@ -87,9 +93,17 @@
                 continue
             self._schedule(job, entry.occurrence + 1)
             if not job.steps.is_put_away(entry.occurrence):
+                cost += len(job.steps.step_specs)
                 due += job.dependencies.released_steps(entry.occurrence)
         return due
 
+    def has_due(self, wall_ms: int) -> bool:
+        """Return whether the next call has to take occurrences at a time.
+
+        :param wall_ms: wall-clock time, ms since 1970.
+        """
+        return bool(self._heap) and self._heap[0].due_ms <= wall_ms
+
     def _examine_postponed(self, wall_ms: int) -> None:
         """Take postponed occurrences for due again, if that is due."""
         if abs(wall_ms - self._examined_ms) < POSTPONED_INTERVAL_MS:
@@ -112,6 +126,9 @@
             )
 
     def _schedule(self, job: TrackedJob, occurrence: int) -> None:
+        """Schedule the first occurrence from a number on that may be open."""
+        while job.steps.is_put_away(occurrence):
+            occurrence += 1
         if occurrence >= job.spec.occurrences:
             self.remove(job)
             return
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -97,6 +97,13 @@
             if task.is_waiting:
                 self._adjust_waiting_count(task.step, 1)
 
+    def has_due_steps(self, wall_ms: int) -> bool:
+        """Return whether occurrences are due that are not open yet.
+
+        :param wall_ms: wall-clock time, ms since 1970.
+        """
+        return self._scheduled.has_due(wall_ms)
+
     def cancel_job(self, job_id: str) -> None:
         """Cancel an open job and mark its runs for stopping."""
         job = self.jobs_by_id.get(job_id)
@@ -317,6 +324,8 @@
         self.unsaved_job_ids.add(task.key.job_id)
         if task.is_waiting:
             self._adjust_waiting_count(task.step, 1)
+        if task.step.is_done:
+            task.step.job.steps.note_possible_end(task.key.occurrence)
 
     def record_permits(
         self,
--- a/src/magnoliapitch/planner/step_dependencies.py
+++ b/src/magnoliapitch/planner/step_dependencies.py
@@ -53,6 +53,7 @@
         :return: steps that wait for no other from now on.
         """
         self.unfinished_count -= 1
+        self._occurrences.note_possible_end(step.key.occurrence)
         steps = self._occurrences[step.key.occurrence]
         counts = self._counts(step.key.occurrence)
         released: list[TrackedStep] = []
--- a/tests/planner/test_scheduled_occurrences.py
+++ b/tests/planner/test_scheduled_occurrences.py
@@ -4,8 +4,10 @@
 
 import tracemalloc
 
+from magnoliapitch.ledger.claim_delay import LEADER_TIMEOUT_MS
 from magnoliapitch.planner import SchedulerState
 from magnoliapitch.planner.restore import progress_of
+from magnoliapitch.planner.scheduled_occurrences import MAX_DUE_STEPS_PER_CALL
 from magnoliapitch.planner.scheduled_occurrences import POSTPONED_INTERVAL_MS
 from magnoliapitch.workload.configuration import Queue
 from magnoliapitch.workload.job import JobSpec
@@ -19,6 +21,7 @@
 from magnoliapitch.workload.progress import TaskProgress
 from magnoliapitch.workload.run import EndedRun
 from magnoliapitch.workload.run import EndKind
+from tests.call_counter import CallCounter
 
 
 QUEUE = Queue("q", "h", "/", "app")
@@ -227,3 +230,97 @@
     state.add_job(spec, QUEUE, 0, progress)
     state.open_due_steps(1, START_MS)
     assert waiting(state) == first_steps(range(1))
+
+
+def many_overdue(state: SchedulerState, job_count: int) -> int:
+    """Add jobs all of whose occurrences are overdue; return the time."""
+    spec = one_step()._replace(steps=(StepSpec(1),), interval_ms=100)
+    for number in range(job_count):
+        state.add_job(spec._replace(job_id=f"j{number}"), QUEUE, 0)
+    return START_MS + RUN_COUNT * 100
+
+
+# Twelve recurring jobs with 1,000 overdue occurrences each: the first round
+# of each leader took seconds, and others claimed meanwhile, without end.
+def test_no_round_takes_long_however_many_occurrences_are_overdue() -> None:
+    state = SchedulerState()
+    now_ms = many_overdue(state, 50)
+    round_count = 0
+    while state.has_due_steps(now_ms):
+        with CallCounter() as calls:
+            state.open_due_steps(round_count, now_ms)
+        assert calls.duration_ms < LEADER_TIMEOUT_MS / 4
+        round_count += 1
+    open_count = len(state.waiting_steps)
+    assert open_count == 50 * MAX_OPEN_TASKS_OF_RECURRING_JOB
+    assert round_count <= 4 * open_count / MAX_DUE_STEPS_PER_CALL
+
+
+# Each occurrence that became due paid for all that were open.
+def test_an_occurrence_costs_the_same_however_many_are_open() -> None:
+    state = SchedulerState()
+    now_ms = many_overdue(state, 1)
+    counts: list[int] = []
+    for number in range(900):
+        with CallCounter() as calls:
+            state.open_due_steps(number, START_MS + number * 100)
+        counts.append(calls.count)
+    assert now_ms > START_MS + 900 * 100
+    assert max(counts[800:]) <= 2 * max(counts[:100])
+
+
+def test_what_was_due_first_is_opened_first() -> None:
+    state = SchedulerState()
+    now_ms = many_overdue(state, 4)
+    late = recurring("late", now_ms - 1)
+    state.add_job(late, QUEUE, 0)
+    state.open_due_steps(0, now_ms)
+    assert StepKey("late", 0, 0) not in state.waiting_steps
+    counts = [
+        sum(key.job_id == f"j{number}" for key in state.waiting_steps)
+        for number in range(4)
+    ]
+    assert max(counts) - min(counts) <= 1
+    while state.has_due_steps(now_ms):
+        state.open_due_steps(0, now_ms)
+    assert StepKey("late", 0, 0) in {
+        *state.waiting_steps,
+        *(step.key for step in state.jobs_by_id["late"].all_steps()),
+    }
+
+
+def test_an_occurrence_with_an_active_run_is_kept_until_it_has_ended() -> None:
+    state = SchedulerState()
+    job = state.add_job(one_step(), QUEUE, 0)
+    state.open_due_steps(0, START_MS)
+    task = job.steps[0][0].tasks[3]
+    for worker_id in ("x", "y"):
+        number = 1 + (worker_id == "y")
+        state.add_ordered_run(task.key, number, worker_id, 0)
+    for other in job.steps[0][0].tasks:
+        if other is not task:
+            state.add_ordered_run(other.key, 1, "w", 0)
+            end = EndedRun(1, other.key, 1, EndKind.DONE, "")
+            state.record_end("w", end, 0)
+    state.record_end("x", EndedRun(1, task.key, 1, EndKind.DONE, ""), 0)
+    state.open_due_steps(1, START_MS + INTERVAL_MS)
+    assert job.steps.is_made(0)
+    state.record_end("y", EndedRun(1, task.key, 2, EndKind.STOPPED, ""), 0)
+    state.open_due_steps(2, START_MS + 2 * INTERVAL_MS)
+    assert job.steps.is_put_away(0)
+
+
+# A new leader took the occurrences that had ended one after the other.
+def test_a_new_leader_passes_over_occurrences_that_have_ended() -> None:
+    done = {
+        TaskKey("a", number, 0, 0): TaskProgress(1, is_done=True)
+        for number in range(RUN_COUNT - 1)
+    }
+    progress = JobProgress("a", JobOutcome.OPEN, done)
+    spec = one_step()._replace(steps=(StepSpec(1),))
+    state = SchedulerState()
+    state.add_job(spec, QUEUE, 0, progress)
+    with CallCounter() as calls:
+        state.open_due_steps(0, START_MS + RUN_COUNT * INTERVAL_MS)
+    assert waiting(state) == first_steps(range(RUN_COUNT - 1, RUN_COUNT))
+    assert calls.count < RUN_COUNT
