A leader publishes the states of many jobs in parts

Part of a round's time grows with all open jobs: the first batch of a leader goes through each one's state, to store it if it differs from what the former leader has published.

Cause: ProgressBatcher put all unpublished states into one batch.

Change: a batch takes at most 5,000 states; the offset up to which jobs are published follows once all their states are. The simulated claim has the former leader's offset, as the stored one does (Leadership).

Test: test_a_published_offset_covers_only_jobs_with_published_states, with 7 states a batch too.

--- a/src/magnoliapitch/control/progress_batcher.py
+++ b/src/magnoliapitch/control/progress_batcher.py
@@ -40,6 +40,8 @@
 # Interval of the records that show the other instances that the leader is
 # alive, and how far it has read the submitted jobs.
 HEARTBEAT_INTERVAL_MS = 300
+# Bounds the duration of a round; a new leader may find many jobs without one.
+MAX_STATES_PER_BATCH = 5_000
 
 _STATE_BY_OUTCOME = {
     JobOutcome.COMPLETED: JobState.COMPLETED,
@@ -86,6 +88,7 @@
         self._delete_jobs = delete_jobs
         self._speed_record = SpeedRecord(learned_durations, state_table)
         self._load_publisher = load_publisher
+        self._read_end = leader.job_offset
         self._heartbeat_ms: int | None = None
         self.stamped_ms: int | None = None
         self._stamp_in_commit_ms: int | None = None
@@ -107,9 +110,9 @@
     def record_read(self, job_end: int) -> None:
         """Record that all jobs before an offset were added.
 
-        The next batch publishes their states, and then the offset.
+        The offset is published once all their states are.
         """
-        self._leader = self._leader._replace(job_offset=job_end)
+        self._read_end = job_end
 
     def has_ended(self, job_id: str) -> bool:
         """Return whether a final state of a job is published."""
@@ -215,19 +218,7 @@
         )
 
     def _state_records(self, now_ms: int) -> tuple[KeyedRecord, ...]:
-        unpublished, self._unpublished_job_ids = (
-            self._unpublished_job_ids,
-            set(),
-        )
-        for job_id in sorted(unpublished):
-            job = self._state.jobs_by_id.get(job_id)
-            if job is None:
-                continue
-            current = PublishedJob(
-                _job_state(job), job.spec.queue, job.spec.workspace
-            )
-            if self._state_table.get(job_id) != current:
-                self._states_in_commit_by_id[job_id] = current
+        self._take_unpublished_states()
         records = [
             KeyedRecord(STATE_PREFIX + job_id, current.encode())
             for job_id, current in self._states_in_commit_by_id.items()
@@ -235,7 +226,8 @@
         if self._is_heartbeat_due(now_ms):
             self._heartbeat_ms = now_ms
             self._leader = self._leader._replace(
-                open_bytes=self._state.open_bytes
+                job_offset=self._published_end(),
+                open_bytes=self._state.open_bytes,
             )
             self._leader_in_commit = self._leader
             leader = encode_leader(self._leader)
@@ -254,6 +246,29 @@
             *self._expired_states(now_ms),
         )
 
+    def _take_unpublished_states(self) -> None:
+        """Add the states that are not published yet to the batch.
+
+        If there are many, the rest is for the next batches.
+        """
+        job_ids = sorted(self._unpublished_job_ids)[:MAX_STATES_PER_BATCH]
+        self._unpublished_job_ids.difference_update(job_ids)
+        for job_id in job_ids:
+            job = self._state.jobs_by_id.get(job_id)
+            if job is None:
+                continue
+            current = PublishedJob(
+                _job_state(job), job.spec.queue, job.spec.workspace
+            )
+            if self._state_table.get(job_id) != current:
+                self._states_in_commit_by_id[job_id] = current
+
+    def _published_end(self) -> int:
+        """Return before which offset all jobs are published with the batch."""
+        if self._unpublished_job_ids:
+            return self._leader.job_offset
+        return self._read_end
+
     def _is_heartbeat_due(self, now_ms: int) -> bool:
         return (
             self._heartbeat_ms is None
--- a/tests/control/simulation.py
+++ b/tests/control/simulation.py
@@ -237,8 +237,14 @@
         """Replace the controller by a new leader that knows only the store."""
         clock = self.claim()
         self.effects = self.effects_type(self, self._epoch)
+        former = self.states.leader
+        record = LeaderRecord(
+            self._epoch,
+            f"entry-{self._epoch}",
+            job_offset=former.job_offset if former else -1,
+        )
         controller = Controller(
-            LeaderRecord(self._epoch, f"entry-{self._epoch}"),
+            record,
             self.now_ms,
             clock,
             TIMING,
--- a/tests/control/test_progress_batcher.py
+++ b/tests/control/test_progress_batcher.py
@@ -2,6 +2,9 @@
 
 from typing import TYPE_CHECKING
 
+import pytest
+
+from magnoliapitch.control import progress_batcher
 from magnoliapitch.ledger.records import LEADER_KEY
 from magnoliapitch.ledger.records import decode_leader
 from magnoliapitch.resource import Resources
@@ -19,13 +22,22 @@
 SUBMISSION_INTERVAL_MS = 17
 
 
-def test_a_published_offset_covers_only_jobs_with_published_states() -> None:
+# The first batch of a leader took time by the number of all open jobs.
+@pytest.mark.parametrize("max_states", [5_000, 7])
+def test_a_published_offset_covers_only_jobs_with_published_states(
+    max_states: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Otherwise other instances would report an accepted job as missing."""
+    monkeypatch.setattr(progress_batcher, "MAX_STATES_PER_BATCH", max_states)
     simulation = Simulation([queue("q")], workers(3))
     step = StepSpec(2, Resources(500, 500))
     offsets: list[int] = []
 
     def check(batch: Batch) -> None:
+        job_states = [
+            record for record in batch.states if record.key.startswith("s.")
+        ]
+        assert len(job_states) <= max_states
         published = {record.key[2:] for record in batch.states}
         offsets.extend(
             decode_leader(record.value).job_offset
