Events are applied for a limited time between two rounds

Cause: the control loop applied all queued events before each round, and one event had all jobs of a read: 26,000 small jobs take 1.3 s, nine jobs of 5,000 steps 1.6 s, a part of it collections of garbage.

Change: EventIntake applies events for 250 ms (a quarter of the claim's timeout) and leaves the rest to the next turn; a read of jobs becomes events of five jobs each, of which the last has the offset; no collection begins while a job is added.

Conclusion: a turn of the loop is bounded, whatever comes; one job of the largest size is the smallest part.

--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import queue
 import threading
 import time
 
@@ -17,9 +16,8 @@
 from magnoliapitch.control.committer import Committer
 from magnoliapitch.control.controller import Controller
 from magnoliapitch.control.delegation.router import WorkerRouter
+from magnoliapitch.control.event_dispatch import EventIntake
 from magnoliapitch.control.event_dispatch import Leading
-from magnoliapitch.control.event_dispatch import dispatch
-from magnoliapitch.control.event_dispatch import take_events
 from magnoliapitch.control.events import Event
 from magnoliapitch.control.events import JobsRead
 from magnoliapitch.control.events import WorkersListed
@@ -112,7 +110,7 @@
         self._job_follower: JobFollower | None = None
         self._is_following = threading.Event()
         self._job_deletions = JobDeletions()
-        self._events: queue.SimpleQueue[Event] = queue.SimpleQueue()
+        self._events = EventIntake()
         self._controller: Controller | None = None
         self._router: WorkerRouter | None = None
         self._order_sender = order_sender
@@ -173,9 +171,7 @@
         if self._is_stopping:
             self._stop_leading()
             return None
-        job_follower = self._open_job_follower(
-            lambda *read: self.post(JobsRead(*read))
-        )
+        job_follower = self._open_job_follower(self._post_jobs_read)
         prepared = self._preparation.run(claim, job_follower)
         if isinstance(prepared, Err):
             self._handle_unprepared(prepared.err_value)
@@ -190,6 +186,12 @@
         self._is_following.set()
         return controller
 
+    def _post_jobs_read(
+        self, job_ids: frozenset[str], end: int, read_ms: int
+    ) -> None:
+        for event in JobsRead(job_ids, end, read_ms).parts():
+            self.post(event)
+
     def _load_controller(
         self, claim: Claim, job_follower: JobFollower
     ) -> Controller | None:
@@ -197,7 +199,7 @@
 
         There is none if this instance is not to lead any more.
         """
-        self._events = queue.SimpleQueue()
+        self._events = EventIntake()
         self._worker_reading.expedite()
         self._upkeep.expedite()
         controller = Controller(
@@ -284,26 +286,25 @@
         self._preparation.keep_claim()
         if self._router is not None and self._router.is_waiting:
             self._router.assign()
-        events = self._next_events(controller)
+        self._wait_for_event(controller)
         received_ms = self._clock.now_ms()
         leading = Leading(controller, self._router)
-        for event in events:
-            dispatch(event, leading, self._clock.now_ms())
+        event_count = self._events.apply(leading, self._clock)
         now_ms = self._clock.now_ms()
-        self._loop_summary.record_events(len(events), now_ms - received_ms)
+        self._loop_summary.record_events(event_count, now_ms - received_ms)
         controller.run_round(now_ms, _wall_ms())
         ended_ms = self._clock.now_ms()
         pause_ms = round_pause_ms(ended_ms - started_ms, ended_ms - now_ms)
         self._loop_summary.record_round(ended_ms - now_ms, pause_ms, ended_ms)
         return pause_ms
 
-    def _next_events(self, controller: Controller) -> list[Event]:
+    def _wait_for_event(self, controller: Controller) -> None:
         wait_ms = MAX_EVENT_WAIT_MS
         if self._router is not None and self._router.is_waiting:
             wait_ms = PROBE_EVENT_WAIT_MS
         if controller.has_steps_left(_wall_ms()):
             wait_ms = 0
-        return take_events(self._events, wait_ms)
+        self._events.wait(wait_ms)
 
     def _read_workers(self) -> Result[None, Failure]:
         read_ms = self._clock.now_ms()
--- a/src/magnoliapitch/control/event_dispatch.py
+++ b/src/magnoliapitch/control/event_dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from queue import Empty
+from queue import SimpleQueue
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -19,17 +20,21 @@
 from magnoliapitch.control.events import StopAnswered
 from magnoliapitch.control.events import WorkerReported
 from magnoliapitch.control.events import WorkersListed
+from magnoliapitch.ledger.claim_delay import LEADER_TIMEOUT_MS
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from queue import SimpleQueue
 
+    from magnoliapitch.clock import Clock
     from magnoliapitch.control.events import Event
 
 
 EventT = TypeVar("EventT")
 
+# A quarter of the time after which a silent leader is taken for lost.
+MAX_APPLYING_MS = LEADER_TIMEOUT_MS // 4
+
 
 class Leading(NamedTuple):
     """What the events of one leadership are applied to.
@@ -44,18 +49,52 @@
 _HANDLERS_BY_TYPE: dict[type, Callable[[Any, Leading, int], None]] = {}
 
 
-def take_events(events: SimpleQueue[Event], wait_ms: int) -> list[Event]:
-    """Return all queued events, after a wait for the first one.
+class EventIntake:
+    """Events of one leadership, in the order in which they came; thread-safe.
 
-    :param wait_ms: how long to wait for it.
+    Any number may come while a round lasts, or the store is away. They are
+    applied for a limited time between two rounds, since a leader that stores
+    nothing for long is taken for lost.
     """
-    taken: list[Event] = []
-    try:
-        taken.append(events.get(timeout=wait_ms / 1000))
-        while True:
-            taken.append(events.get_nowait())
-    except Empty:
-        return taken
+
+    def __init__(self) -> None:
+        self._queue: SimpleQueue[Event] = SimpleQueue()
+        self._next: Event | None = None
+
+    def put(self, event: Event) -> None:
+        """Add an event."""
+        self._queue.put(event)
+
+    def wait(self, timeout_ms: int) -> None:
+        """Wait for an event unless there is one.
+
+        :param timeout_ms: how long to wait for it.
+        """
+        if self._next is not None:
+            return
+        try:
+            self._next = self._queue.get(timeout=timeout_ms / 1000)
+        except Empty:
+            return
+
+    def apply(self, leading: Leading, clock: Clock) -> int:
+        """Apply the events that have come so far.
+
+        The rest is left to the next call after ``MAX_APPLYING_MS``.
+
+        :return: number of events that were applied.
+        """
+        end_ms = clock.now_ms() + MAX_APPLYING_MS
+        count = 0
+        self.wait(0)
+        come_count = self._queue.qsize() + (self._next is not None)
+        while count < come_count and clock.now_ms() <= end_ms:
+            self.wait(0)
+            event, self._next = self._next, None
+            if event is not None:
+                dispatch(event, leading, clock.now_ms())
+            count += 1
+        return count
 
 
 def dispatch(event: Event, leading: Leading, now_ms: int) -> None:
@@ -144,4 +183,4 @@
     leading.controller.handle_configuration_changed()
 
 
-__all__ = ["Leading", "dispatch", "take_events"]
+__all__ = ["EventIntake", "Leading", "dispatch"]
--- a/src/magnoliapitch/control/events.py
+++ b/src/magnoliapitch/control/events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -27,19 +28,33 @@
     read_ms: int
 
 
+# Bounds the time of one event, also if its jobs are the largest allowed.
+MAX_JOBS_PER_EVENT = 5
+
+
 class JobsRead(NamedTuple):
     """The job stream was read.
 
     :param job_ids: jobs that were submitted or cancelled.
-    :param end: offset up to which the job stream was read.
+    :param end: offset up to which the job stream was read; None if another
+        event has more of what was read.
     :param read_ms: when the call that read it was sent, by this instance's
         clock.
     """
 
     job_ids: frozenset[str]
-    end: int
+    end: int | None
     read_ms: int
 
+    def parts(self) -> Iterator[JobsRead]:
+        """Return events with a limited number of these jobs each."""
+        job_ids = sorted(self.job_ids)
+        while len(job_ids) > MAX_JOBS_PER_EVENT:
+            part = frozenset(job_ids[:MAX_JOBS_PER_EVENT])
+            yield JobsRead(part, None, self.read_ms)
+            del job_ids[:MAX_JOBS_PER_EVENT]
+        yield self._replace(job_ids=frozenset(job_ids))
+
 
 class ConfigurationChanged(NamedTuple):
     """A newer version of the configuration was read."""
--- a/src/magnoliapitch/control/job_loader.py
+++ b/src/magnoliapitch/control/job_loader.py
@@ -6,6 +6,7 @@
 
 from typing import TYPE_CHECKING
 
+from magnoliapitch.collector import collections_paused
 from magnoliapitch.event import log_event
 from magnoliapitch.workload.configuration import QueueSnapshot
 
@@ -88,7 +89,8 @@
             self._delete_jobs([spec.job_id])
             return
         queue = self._queue_of(spec)
-        self._state.add_job(spec, queue, now_ms, stored.progress)
+        with collections_paused():
+            self._state.add_job(spec, queue, now_ms, stored.progress)
         self._progress_batcher.record_added(spec.job_id)
         if stored.is_cancelled:
             self._state.cancel_job(spec.job_id)
--- a/src/magnoliapitch/planner/waiting_steps.py
+++ b/src/magnoliapitch/planner/waiting_steps.py
@@ -130,7 +130,10 @@
         self.behind_count += 1
 
     def _behind(self, queue: str) -> _StepsBehind:
-        return self._behind_by_queue.setdefault(queue, _StepsBehind())
+        behind = self._behind_by_queue.get(queue)
+        if behind is None:
+            behind = self._behind_by_queue[queue] = _StepsBehind()
+        return behind
 
 
 class _StepsBehind:
