Steps that no worker suits do not use up the steps of a round

Cause: a round places at most 150 steps of a queue, in the order of their rank. PlanningRound.can_serve asked only for an order or a call that is left, and a step that lasts keeps its rank: the same 150 in each round.

Change: a step is only placed if some worker would suit it if it were idle, which is looked up once a round for steps with the same needs.

Tests: test_a_step_starts_behind_many_that_no_worker_suits (label and size, with and without advice), all four fail before. Conclusion: mends steps that fit no worker. Lasting steps that fit workers which are full still use up the steps of their queue.

--- a/src/magnoliapitch/planner/candidates.py
+++ b/src/magnoliapitch/planner/candidates.py
@@ -73,6 +73,19 @@
         }
         self._most_free_first: list[Candidate] | None = None
         self._by_class: defaultdict[int, list[Candidate]] | None = None
+        self._suit_by_needs: dict[tuple[str, str, Resources], bool] = {}
+
+    def suit(self, step: TrackedStep) -> bool:
+        """Return whether any worker could run a step if it were idle."""
+        needs = (step.job.queue.service, step.spec.label, step.reservation)
+        is_suited = self._suit_by_needs.get(needs)
+        if is_suited is None:
+            is_suited = any(
+                suits(candidate, step)
+                for candidate in self.candidates_by_id.values()
+            )
+            self._suit_by_needs[needs] = is_suited
+        return is_suited
 
     def eligible(self, step: TrackedStep) -> Iterator[Candidate]:
         """Return the workers that could run a step if the advisor permits.
@@ -129,9 +142,13 @@
 
 def is_eligible(candidate: Candidate, step: TrackedStep) -> bool:
     """Return whether a worker could run a step if the advisor permits."""
+    return candidate.accepts(step.job) and suits(candidate, step)
+
+
+def suits(candidate: Candidate, step: TrackedStep) -> bool:
+    """Return whether an idle worker could run a step of any job."""
     return (
-        candidate.accepts(step.job)
-        and candidate.info.service == step.job.queue.service
+        candidate.info.service == step.job.queue.service
         and (not step.spec.label or step.spec.label in candidate.info.labels)
         and step.reservation.fits(candidate.info.capacity)
     )
--- a/src/magnoliapitch/planner/planning_round.py
+++ b/src/magnoliapitch/planner/planning_round.py
@@ -98,8 +98,11 @@
 
         One without a ticket cannot start, and only keeps capacity while it
         waits for its call. Without orders, only calls are of use, to steps
-        whose tickets do not outlast their renewal.
+        whose tickets do not outlast their renewal. One that no worker suits
+        can use neither.
         """
+        if not self._workers.suit(step):
+            return False
         if step.job.queue.permit_timing is None:
             return self._has_orders_left
         if step.has_call_in_flight:
--- a/tests/planner/test_work_conservation.py
+++ b/tests/planner/test_work_conservation.py
@@ -133,6 +133,35 @@
     assert [start.task.job_id for start in plan.starts] == ["ready"] * 4
 
 
+# One job of 200 lasting steps that no worker suited used up the steps that a
+# round places, and no later job of its queue was ever started (review/13).
+@pytest.mark.parametrize("permit_timing", [None, PERMIT_TIMING])
+@pytest.mark.parametrize(
+    "unsuited",
+    [
+        StepSpec(1, Resources(1_000, 1_000), label="no worker has it"),
+        StepSpec(1, Resources(64_000, 1_000)),
+    ],
+    ids=["label", "size"],
+)
+def test_a_step_starts_behind_many_that_no_worker_suits(
+    unsuited: StepSpec, permit_timing: PermitTiming | None
+) -> None:
+    state = make_state(20)
+    queue = Queue("q", "h", "/", "app", 0, 3, 2.0, 500, 3_000, permit_timing)
+    lasting = unsuited._replace(is_long_running=True)
+    state.add_job(JobSpec("lasting", "q", "", (lasting,) * 200), queue, 0)
+    ordinary = StepSpec(2, Resources(1_000, 1_000))
+    state.add_job(JobSpec("ordinary", "q", "", (ordinary,)), queue, 1)
+    plan = Planner().plan(state, 1, 1, idle_calls=IdleCalls(4, 4))
+    if permit_timing is not None:
+        [request] = plan.permit_requests
+        assert request.step.job_id == "ordinary"
+        return
+    started_ids = [start.task.job_id for start in plan.starts]
+    assert started_ids == ["ordinary"] * 2
+
+
 class CountingOrder(CandidateOrder):
     """Counts the steps for which workers are chosen or asked about."""
 
