Services that no worker suits keep no other one from room

Cause: a pass makes room for 16 services, those first that were down longest (RestartRoom.count), and looks at 24 steps. Those of the lost kind are down longest, and for ever.

Change: PreemptionPass.short_steps passes over steps that no worker suits.

Test: test_services_that_no_worker_suits_keep_no_other_from_room, with and without advice, both fail before.

--- a/src/magnoliapitch/planner/preemption_pass.py
+++ b/src/magnoliapitch/planner/preemption_pass.py
@@ -89,7 +89,8 @@
     ) -> Iterable[TrackedStep]:
         """Return the first steps that may use room that becomes free.
 
-        Those that lack a ticket for what follows a stop are passed over.
+        Those that no worker suits, or that lack a ticket for what follows a
+        stop, are passed over.
 
         :param restart_count: returns for how many tasks of a service, which
             are down, room is to be made.
@@ -98,6 +99,8 @@
         for step in ranked_steps:
             if examined_count >= MAX_EXAMINED_STEPS:
                 return
+            if not self._workers.suit(step):
+                continue
             if not restart_count(step):
                 if not self._missing_count(step):
                     continue
--- a/tests/planner/test_restart_room.py
+++ b/tests/planner/test_restart_room.py
@@ -7,6 +7,7 @@
 import pytest
 
 from magnoliapitch.planner.expected_starts import ROOM_AHEAD_MS
+from magnoliapitch.planner.preemption_pass import MAX_EXAMINED_STEPS
 from magnoliapitch.planner.preemption_pass import MAX_PREEMPTIONS_PER_TASK
 from magnoliapitch.planner.preemption_pass import MIN_RUN_MS
 from magnoliapitch.planner.restart_room import MIN_DOWN_MS
@@ -86,6 +87,29 @@
     assert (start.task, start.run) == (TASK, 2)
 
 
+# Services whose kind of worker was gone were down longest, and for ever: no
+# room was made any more for another one (review/14).
+@pytest.mark.parametrize("permit_timing", [None, TIMING])
+def test_services_that_no_worker_suits_keep_no_other_from_room(
+    permit_timing: PermitTiming | None,
+) -> None:
+    outage = Outage(permit_timing=permit_timing)
+    if permit_timing is not None:
+        outage.step.record_permits(
+            ["w1"], [Permit("w1", "ticket")], 2 * LOST_AT_MS
+        )
+    gone = SERVICE._replace(label="gone")
+    for number in range(MAX_EXAMINED_STEPS + 1):
+        job = outage.work.add_job(f"gone{number}", gone, PLANS, permit_timing)
+        [task] = job.steps[0][0].tasks
+        # Its run was lost with the last worker of its kind.
+        task.runs = 1
+        job.steps[0][0].record_permits([], [Permit("x", "t")], 2 * LOST_AT_MS)
+    outage.fill(FULL)
+    outage.give_up()
+    assert outage.displaced() == ["a"]
+
+
 # A stop takes longer than is left once the runs are given up.
 def test_room_is_made_shortly_before_the_runs_are_given_up() -> None:
     outage = Outage()
