Lasting steps have a share of their own in a queue's rounds

Found by a test, not by users.

Cause: a round places 150 steps, divided between queues. Lasting steps rank before later work of their queue for ever, since they are never late.

Change: the 150 are divided by queue and by whether a step lasts. Test: test_a_step_starts_behind_many_services_that_fit_nowhere_now, with and without advice; both fail before. Conclusion: with few lasting steps nothing changes. Below 150 waiting steps neither.

--- a/src/magnoliapitch/planner/fair_shares.py
+++ b/src/magnoliapitch/planner/fair_shares.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 
 if TYPE_CHECKING:
+    from collections.abc import Hashable
     from collections.abc import Mapping
 
 
+KeyT = TypeVar("KeyT", bound="Hashable")
+
+
 def fair_shares(
-    demand_by_key: Mapping[str, int], total: int
-) -> dict[str, int]:
+    demand_by_key: Mapping[KeyT, int], total: int
+) -> dict[KeyT, int]:
     """Divide an amount so that no demand is met at the cost of a smaller one.
 
     A demand below an equal share is met in full; what it leaves goes to the
--- a/src/magnoliapitch/planner/planner.py
+++ b/src/magnoliapitch/planner/planner.py
@@ -6,6 +6,7 @@
 
 from collections import Counter
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from magnoliapitch.planner.ahead_requests import AheadRequests
 from magnoliapitch.planner.candidate_order import CandidateOrder
@@ -242,7 +243,7 @@
         places, or else they would keep those behind them from the orders.
         """
         examined_count = 0
-        remaining_by_queue = _examined_steps_by_queue(ordered_steps)
+        remaining_by_kind = _examined_steps_by_kind(ordered_steps)
         for step in ordered_steps:
             if planning_round.is_complete:
                 break
@@ -250,14 +251,15 @@
             if not step.waiting_count:
                 self._preemption.hold_room(step, planning_round, now_ms)
                 continue
-            if not remaining_by_queue[step.job.queue.name]:
+            kind = _kind_of(step)
+            if not remaining_by_kind[kind]:
                 continue
             if not workspace_round.lets_start(step):
                 continue
             examined_count += 1
             planning_round.record_call(step)
             if planning_round.can_serve(step):
-                remaining_by_queue[step.job.queue.name] -= 1
+                remaining_by_kind[kind] -= 1
                 planning_round.place(step)
                 workspace_round.record_starts(step, len(planning_round.starts))
             self._preemption.hold_room(step, planning_round, now_ms)
@@ -303,18 +305,29 @@
     return step.startable_count == step.waiting_count
 
 
-def _examined_steps_by_queue(
+class _Kind(NamedTuple):
+    """Steps that share a part of a round."""
+
+    queue: str
+    is_long_running: bool
+
+
+def _kind_of(step: TrackedStep) -> _Kind:
+    return _Kind(step.job.queue.name, step.spec.is_long_running)
+
+
+def _examined_steps_by_kind(
     ranked_steps: Iterable[TrackedStep],
-) -> dict[str, int]:
-    """Return how many steps of each queue a round examines.
+) -> dict[_Kind, int]:
+    """Return how many steps of each kind a round examines.
 
     A long backlog of one queue, none of which may fit, leaves room for the
-    steps of the others.
+    steps of the others. So do long-running steps, which never rank as late,
+    for the other ones of their queue.
     """
-    waiting_count_by_queue = Counter(
-        step.job.queue.name for step in ranked_steps
+    return fair_shares(
+        Counter(map(_kind_of, ranked_steps)), MAX_STEPS_PER_ROUND
     )
-    return fair_shares(waiting_count_by_queue, MAX_STEPS_PER_ROUND)
 
 
 def _planned_stop(
--- a/tests/planner/test_work_conservation.py
+++ b/tests/planner/test_work_conservation.py
@@ -162,6 +162,31 @@
     assert started_ids == ["ordinary"] * 2
 
 
+# The same, with workers that suit the lasting steps and are full.
+@pytest.mark.parametrize("permit_timing", [None, PERMIT_TIMING])
+def test_a_step_starts_behind_many_services_that_fit_nowhere_now(
+    permit_timing: PermitTiming | None,
+) -> None:
+    state = make_state(2)
+    queue = Queue("q", "h", "/", "app", 0, 3, 2.0, 500, 3_000, permit_timing)
+    half = StepSpec(2, Resources(4_000, 1_000))
+    state.add_job(JobSpec("half", "q", "", (half,)), queue, 0)
+    for position in range(2):
+        key = StepKey("half", 0, 0).task(position)
+        state.add_ordered_run(key, 1, f"w{position}", 0)
+    wide = StepSpec(1, Resources(5_000, 1_000), is_long_running=True)
+    state.add_job(JobSpec("lasting", "q", "", (wide,) * 200), queue, 0)
+    ordinary = StepSpec(2, Resources(1_000, 1_000))
+    state.add_job(JobSpec("ordinary", "q", "", (ordinary,)), queue, 1)
+    for step in list(state.waiting_steps.values()):
+        permits = [Permit("w0", "ticket"), Permit("w1", "ticket")]
+        ids = ["w0", "w1"]
+        state.record_permits(step.key, ids, permits, TICKET_VALID_UNTIL_MS)
+    plan = Planner().plan(state, 1, 1, idle_calls=IdleCalls(4, 4))
+    started_ids = [start.task.job_id for start in plan.starts]
+    assert started_ids == ["ordinary"] * 2
+
+
 class CountingOrder(CandidateOrder):
     """Counts the steps for which workers are chosen or asked about."""
 
