The controller's effects moved out of the driver

Behaviour is the same: a batch is stored only while its own epoch leads. Two tests set the router and mark deletions where these are now; they ask for the same.

--- a/src/magnoliapitch/control/driver.py
+++ b/src/magnoliapitch/control/driver.py
@@ -22,6 +22,7 @@
 from magnoliapitch.control.events import JobsRead
 from magnoliapitch.control.events import WorkersListed
 from magnoliapitch.control.job_deletions import JobDeletions
+from magnoliapitch.control.leader_effects import LeaderEffects
 from magnoliapitch.control.leader_preparation import REPLACED_CODES
 from magnoliapitch.control.leader_preparation import LeaderPreparation
 from magnoliapitch.control.loop_summary import LoopSummary
@@ -41,20 +42,13 @@
     from magnoliapitch.control.timing import ControlTiming
     from magnoliapitch.ledger.claim import Claim
     from magnoliapitch.ledger.job_follower import JobFollower
-    from magnoliapitch.ledger.leader_appender import Batch
     from magnoliapitch.ledger.leadership import Leadership
     from magnoliapitch.ledger.state_table import StateTable
     from magnoliapitch.ledger.stream import KeyedRecord
     from magnoliapitch.metric import Metrics
     from magnoliapitch.planner.options import PlanningOptions
-    from magnoliapitch.planner.plan import IdleCalls
-    from magnoliapitch.planner.plan import PlannedPermitRequest
-    from magnoliapitch.planner.plan import PlannedStart
     from magnoliapitch.verdict import Failure
     from magnoliapitch.workload.configuration import Configuration
-    from magnoliapitch.workload.run import StartOrder
-    from magnoliapitch.workload.run import StopOrder
-    from magnoliapitch.workload.worker import WorkerInfo
 
 
 WORKER_LIST_INTERVAL_MS = 500
@@ -70,7 +64,7 @@
 
 
 class ControlDriver:
-    """Runs a controller while this instance leads and is its ``Effects``.
+    """Runs a controller while this instance leads.
 
     Each leadership has an event queue of its own, which the calls that it
     makes post to, so that an answer to an earlier one is never applied.
@@ -112,7 +106,7 @@
         self._job_deletions = JobDeletions()
         self._events = EventIntake()
         self._controller: Controller | None = None
-        self._router: WorkerRouter | None = None
+        self._effects: LeaderEffects | None = None
         self._order_sender = order_sender
         self._own_cores = own_cores
         self._options = options
@@ -202,6 +196,14 @@
         self._events = EventIntake()
         self._worker_reading.expedite()
         self._upkeep.expedite()
+        effects = LeaderEffects(
+            claim.record.epoch,
+            self._committer,
+            self._job_deletions,
+            self._advisor_calls,
+            self._events.put,
+            self._leads_in,
+        )
         controller = Controller(
             claim.record,
             claim.sent_ms,
@@ -209,12 +211,13 @@
             self._timing,
             job_follower.job_table,
             self._state_table,
-            self,
+            effects,
             self._configuration,
             self._metrics,
             self._options,
         )
-        self._router = WorkerRouter.from_clients(
+        self._effects = effects
+        effects.router = WorkerRouter.from_clients(
             self._clients,
             controller.epoch,
             controller.next_lease_deadline,
@@ -273,10 +276,14 @@
         if not self._is_stopping:
             collect_dropped_state()
 
+    @property
+    def _router(self) -> WorkerRouter | None:
+        return None if self._effects is None else self._effects.router
+
     def _close_router(self) -> None:
-        if self._router is not None:
-            self._router.close()
-            self._router = None
+        if self._effects is not None:
+            self._effects.close()
+            self._effects = None
 
     def _run_round(self, controller: Controller) -> int:
         started_ms = self._clock.now_ms()
@@ -334,75 +341,15 @@
         if router is not None:
             router.set_agents(peers)
 
-    def start_lease_renewal(self, worker: WorkerInfo, token: int) -> None:
-        """Renew a worker's lease repeatedly."""
-        if self._router is not None:
-            self._router.start_lease_renewal(worker, token)
-
-    def stop_lease_renewal(self, worker_id: str) -> None:
-        """Stop renewing a worker's lease, if it is renewed."""
-        if self._router is not None:
-            self._router.stop_lease_renewal(worker_id)
-
-    def acknowledge(self, worker_id: str, sequence: int) -> None:
-        """Let a worker drop ended runs up to a sequence number."""
-        if self._router is not None:
-            self._router.acknowledge(worker_id, sequence)
-
-    def start(
-        self, worker: WorkerInfo, planned: PlannedStart, order: StartOrder
-    ) -> None:
-        """Order a worker to start a run."""
-        if self._router is not None:
-            self._router.start(worker, planned, order)
-
-    def order_stop(self, worker: WorkerInfo, order: StopOrder) -> None:
-        """Order a worker to stop a run."""
-        if self._router is not None:
-            self._router.order_stop(worker, order)
-
-    def commit(self, batch: Batch) -> None:
-        """Store records under the leader's epoch.
-
-        A batch of a former controller must not be stored under the next
-        epoch.
-        """
-        epoch = self._epoch
-        self._committer.commit(
-            batch,
-            lambda: not self._is_stopping and self._epoch == epoch,
-            self._events.put,
+    def _leads_in(self, epoch: int) -> bool:
+        """Return whether this instance leads, and goes on, in an epoch."""
+        controller = self._controller
+        return (
+            not self._is_stopping
+            and controller is not None
+            and controller.epoch == epoch
         )
 
-    @property
-    def _epoch(self) -> int | None:
-        return None if self._controller is None else self._controller.epoch
-
-    def delete_jobs(self, job_ids: Sequence[str]) -> None:
-        """Mark stored jobs for deletion, which happens in batches."""
-        self._job_deletions.add(job_ids)
-
-    def request_permits(
-        self, request: PlannedPermitRequest, timeout_ms: int
-    ) -> bool:
-        """Call the advisor for permits if a channel to it is idle.
-
-        :return: whether the call was started.
-        """
-        return self._advisor_calls.begin(request, timeout_ms, self._events.put)
-
-    def idle_advisor_calls(self) -> IdleCalls:
-        """Return the advisor calls that can be started now."""
-        return self._advisor_calls.idle_calls()
-
-    def available_start_orders(self) -> int:
-        """Return the number of start orders that may be sent now."""
-        return self._router.available_start_orders() if self._router else 0
-
-    def max_start_orders(self) -> int:
-        """Return how many start orders may be unanswered at a time."""
-        return self._router.max_start_orders() if self._router else 0
-
 
 def _wall_ms() -> int:
     return time.time_ns() // 1_000_000
--- a/tests/control/test_driver.py
+++ b/tests/control/test_driver.py
@@ -258,7 +258,8 @@
     leadership.claim_with(epoch=1)
     driver.step()
     router = WaitingRouter()
-    driver._router = router  # type: ignore[assignment]
+    assert driver._effects is not None
+    driver._effects.router = router  # type: ignore[assignment]
     for _ in range(3):
         driver.step()
     assert router.assign_count == 3
@@ -289,7 +290,7 @@
         clock, SlowLeadership(clock), calls, NoSystems(), RecordingChannels()
     )
     driver._job_follower = calls  # type: ignore[assignment]
-    driver.delete_jobs(["a"])
+    driver._job_deletions.add(["a"])
     assert driver._maintain().is_err()
     assert calls.names == ["peers", "deletion"]
 
