A part of what was read makes the jobs no newer

What could happen since (found in the last read of the diff, not seen): the first part of a large read set the age of the jobs, while the cancellation of another job waited in a later part, so that its tasks could be started on the strength of it.

Change: the age is set with the last part, as is the offset. Test: test_a_part_of_what_was_read_makes_the_jobs_no_newer fails without it.

--- a/src/magnoliapitch/control/controller.py
+++ b/src/magnoliapitch/control/controller.py
@@ -285,8 +285,8 @@
 
     def handle_jobs_read(self, event: JobsRead, now_ms: int) -> None:
         """Add submitted jobs and cancel cancelled ones."""
-        self._source_ages.record_read(Source.JOBS, event.read_ms)
         if event.end is not None:
+            self._source_ages.record_read(Source.JOBS, event.read_ms)
             self._progress_batcher.record_read(event.end)
         self._job_loader.apply_changes(event.job_ids, now_ms)
 
--- a/tests/control/test_controller.py
+++ b/tests/control/test_controller.py
@@ -6,9 +6,11 @@
 
 from result import Err
 
+from magnoliapitch.control.events import JobsRead
 from magnoliapitch.control.events import StartAnswered
 from magnoliapitch.control.events import StopAnswered
 from magnoliapitch.control.events import WorkerReported
+from magnoliapitch.control.source_ages import Source
 from magnoliapitch.ledger.state_table import JobState
 from magnoliapitch.planner.plan import PlannedStart
 from magnoliapitch.resource import Resources
@@ -96,6 +98,21 @@
     assert simulation.violations == []
 
 
+# A cancellation may be in a part of the read that is not applied yet.
+def test_a_part_of_what_was_read_makes_the_jobs_no_newer() -> None:
+    simulation = make_simulation()
+    simulation.jobs_are_unavailable = True
+    simulation.run(1_000)
+    controller, now_ms = simulation.controller, simulation.now_ms
+    ages = controller._source_ages
+    age_ms = ages.age_ms(Source.JOBS, now_ms)
+    read = JobsRead(frozenset("ab"), 2, now_ms)
+    controller.handle_jobs_read(read._replace(end=None), now_ms)
+    assert ages.age_ms(Source.JOBS, now_ms) == age_ms
+    controller.handle_jobs_read(read, now_ms)
+    assert ages.age_ms(Source.JOBS, now_ms) == 0
+
+
 def test_a_cancelled_job_is_stopped_and_starts_no_more_tasks() -> None:
     simulation = make_simulation()
     simulation.actual_duration_ms = lambda _: 60_000.0
