Load figures know of the steps that rounds leave out

Change: LoadEstimator looks at up to 2,000 steps, those that wait behind the considered ones too. Test: test_steps_that_rounds_leave_out_delay_a_job_too fails without it.

--- a/src/magnoliapitch/planner/load.py
+++ b/src/magnoliapitch/planner/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from magnoliapitch.admission import LoadFigures
@@ -36,6 +37,8 @@
 WARM_UP_MS = 3_000
 # More free capacities are replaced by one that covers them all.
 MAX_FREE_CAPACITIES = 8
+# Bounds the duration of a round; without the others, bounds are lower.
+MAX_EXAMINED_STEPS = 2_000
 
 
 class LoadEstimator:
@@ -148,7 +151,8 @@
         gap_sizes = GapSizes(usable)
         suspect_steps = {key.step_key for key in self._state.suspects_by_key}
         found: list[WaitingStep] = []
-        for step in self._state.waiting_steps.values():
+        all_steps = self._state.all_waiting_steps()
+        for step in islice(all_steps, MAX_EXAMINED_STEPS):
             if step.job.queue.service != service or step.key in suspect_steps:
                 continue
             if not _waits_for_capacity_only(step, smallest):
--- a/src/magnoliapitch/planner/scheduler_state.py
+++ b/src/magnoliapitch/planner/scheduler_state.py
@@ -112,6 +112,10 @@
         """Return how many steps may start that the next round leaves out."""
         return self._waiting.behind_count
 
+    def all_waiting_steps(self) -> Iterable[TrackedStep]:
+        """Return all steps that may start, the considered ones first."""
+        return self._waiting
+
     def exchange_waiting_steps(
         self, ranked_steps: list[TrackedStep], now_ms: int
     ) -> None:
--- a/src/magnoliapitch/planner/waiting_steps.py
+++ b/src/magnoliapitch/planner/waiting_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from itertools import chain
 from itertools import islice
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from magnoliapitch.planner.tracked import TrackedStep
     from magnoliapitch.workload.job import StepKey
 
@@ -59,6 +62,10 @@
         if behind is not None and behind.discard(step.key):
             self.behind_count -= 1
 
+    def __iter__(self) -> Iterator[TrackedStep]:
+        """Return all steps, the considered ones first."""
+        return chain(self.considered.values(), *self._behind_by_queue.values())
+
     def exchange(self, ranked_steps: list[TrackedStep], now_ms: int) -> None:
         """Choose the steps that the next round considers.
 
@@ -154,6 +161,11 @@
     def __len__(self) -> int:
         return len(self.down) + len(self.fresh) + len(self.seen)
 
+    def __iter__(self) -> Iterator[TrackedStep]:
+        return chain(
+            self.down.values(), self.fresh.values(), self.seen.values()
+        )
+
     def __contains__(self, key: StepKey) -> bool:
         return key in self.down or key in self.fresh or key in self.seen
 
--- a/tests/planner/test_load.py
+++ b/tests/planner/test_load.py
@@ -18,6 +18,7 @@
 from magnoliapitch.planner.tracked_task import MIN_SUSPECT_LOSSES
 from magnoliapitch.planner.wait_bound import Work
 from magnoliapitch.planner.wait_bound import wait_bound_ms
+from magnoliapitch.planner.waiting_steps import MAX_CONSIDERED_STEPS
 from magnoliapitch.planner.worker_loss import LostRun
 from magnoliapitch.planner.worker_loss import count_loss
 from magnoliapitch.planner.worker_loss import hold_suspects
@@ -109,6 +110,20 @@
     assert cluster.wait_ms() == BACKLOG_WAIT_MS
 
 
+# Rounds consider a limited number of steps, and jobs would have been admitted
+# as if no others waited.
+def test_steps_that_rounds_leave_out_delay_a_job_too() -> None:
+    cluster = Cluster()
+    cluster.add(NORMAL)
+    waits_ms = []
+    for _ in range(2):
+        for _ in range(MAX_CONSIDERED_STEPS):
+            cluster.add(URGENT)
+        waits_ms.append(cluster.wait_ms())
+    assert cluster.state.steps_behind >= MAX_CONSIDERED_STEPS
+    assert waits_ms[1] > 1.9 * waits_ms[0]
+
+
 def test_a_job_of_a_more_urgent_queue_passes_those_that_wait() -> None:
     cluster = Cluster()
     cluster.add(NORMAL, BACKLOG_TASKS)
--- a/tests/planner/test_waiting_steps.py
+++ b/tests/planner/test_waiting_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from magnoliapitch.planner import SchedulerState
@@ -163,6 +164,20 @@
     assert not waiting.considered
 
 
+def test_all_steps_are_listed_wherever_they_are() -> None:
+    waiting = WaitingSteps()
+    steps = steps_of("q", 2 * MAX_CONSIDERED_STEPS)
+    add_all(waiting, steps)
+    exchange(waiting)
+    exchange(waiting)
+    assert sorted(step.key for step in waiting) == sorted(
+        step.key for step in steps
+    )
+    assert {step.key for step in islice(waiting, MAX_CONSIDERED_STEPS)} == (
+        waiting.considered.keys()
+    )
+
+
 def test_steps_of_a_closed_job_make_room_for_those_behind() -> None:
     state = SchedulerState()
     queue = Queue("q", "h", "/", "app")
