--- a/tests/planner/running_work.py
+++ b/tests/planner/running_work.py
@@ -43,11 +43,15 @@
             self.list_worker(f"w{number}")
 
     def list_worker(
-        self, worker_id: str, drain_remaining_ms: int | None = None
+        self,
+        worker_id: str,
+        drain_remaining_ms: int | None = None,
+        labels: frozenset[str] = frozenset(),
     ) -> None:
         info = WorkerInfo(worker_id, "app", f"{worker_id}:1", "z", "r0")
         self.state.update_worker(
             info._replace(
+                labels=labels,
                 capacity=CAPACITY,
                 is_draining=drain_remaining_ms is not None,
                 drain_remaining_ms=drain_remaining_ms or 0,
--- a/tests/planner/test_restart_room.py
+++ b/tests/planner/test_restart_room.py
@@ -10,6 +10,7 @@
 from magnoliapitch.planner.preemption_pass import MAX_EXAMINED_STEPS
 from magnoliapitch.planner.preemption_pass import MAX_PREEMPTIONS_PER_TASK
 from magnoliapitch.planner.preemption_pass import MIN_RUN_MS
+from magnoliapitch.planner.restart_room import MAX_RESTARTING_STEPS
 from magnoliapitch.planner.restart_room import MIN_DOWN_MS
 from magnoliapitch.resource import Resources
 from magnoliapitch.workload.configuration import PermitTiming
@@ -110,6 +111,22 @@
     assert outage.displaced() == ["a"]
 
 
+# The same with workers that suit them, and that other services fill.
+def test_services_without_any_room_keep_no_other_from_it() -> None:
+    outage = Outage()
+    outage.work.list_worker("w2", labels=frozenset(("full",)))
+    full = StepSpec(4, SIZE, is_long_running=True, label="full")
+    outage.work.add_job("full", full, PLANS)
+    outage.work.advance(MIN_RUN_MS)
+    lost = SERVICE._replace(label="full")
+    for number in range(MAX_RESTARTING_STEPS):
+        job = outage.work.add_job(f"lost{number}", lost, PLANS)
+        job.steps[0][0].tasks[0].runs = 1
+    outage.fill(FULL)
+    outage.give_up()
+    assert outage.displaced() == ["a"]
+
+
 # A stop takes longer than is left once the runs are given up.
 def test_room_is_made_shortly_before_the_runs_are_given_up() -> None:
     outage = Outage()
