A page of the limits of open work and of rounds, which a test compares

The page says what reaches each and what happens then; the test asks for a row for each limit of planning, with its value.

--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import ast
+import importlib
 import re
 
 from pathlib import Path
@@ -99,3 +100,30 @@
     for target in re.findall(r"\]\(([^)#]+)(?:#[^)]*)?\)", page.read_text()):
         if not target.startswith("http"):
             assert (page.parent / target).exists(), target
+
+
+def _limit(name: str) -> object:
+    module, _, constant = name.rpartition(".")
+    return getattr(
+        importlib.import_module(f"magnoliapitch.{module}"), constant
+    )
+
+
+def test_limits_page_lists_every_limit_of_planning_with_its_value() -> None:
+    listed = {
+        row[0].strip("`"): row[1]
+        for row in table_rows("limits.md")
+        if row[0].startswith("`")
+    }
+    source = ROOT / "src" / "magnoliapitch"
+    defined = {
+        ".".join(path.relative_to(source).with_suffix("").parts) + f".{name}"
+        for path in (source / "planner").rglob("*.py")
+        for name in re.findall(
+            r"^(MAX_\w*(?:STEPS|JOBS|TASKS?|GANGS|WORKERS|STATES)\w*) = ",
+            path.read_text(),
+            re.MULTILINE,
+        )
+    }
+    assert defined <= set(listed)
+    assert listed == {name: str(_limit(name)) for name in listed}
